--- /dev/null
+++ b/cmd/amaranthshelf/demo.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/demo"
+)
+
+const demoTimeout = 20 * time.Second
+
+type demoCommand struct {
+	JSON bool `long:"json" description:"print the account as JSON"`
+}
+
+func addDemo(p *flags.Parser) error {
+	_, err := p.AddCommand("demo", "run the system in this process and break it",
+		"Starts three VMs, stand-in engines and a stand-in dispatch service on loopback, runs generations, "+
+			"kills an engine and a VM in mid-output, books a job over a breaking connection, and checks every answer.",
+		&demoCommand{})
+	return err
+}
+
+var errDemo = errors.New("demo: a check failed")
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	report, err := demo.Run(ctx, func(step string) { fmt.Fprintln(os.Stderr, "... "+step) })
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(report); err != nil {
+			return err
+		}
+	} else {
+		fmt.Print(report.Text())
+	}
+	if !report.OK {
+		return errDemo
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/amaranthshelf/main.go
@@ -0,0 +1,44 @@
+// Command amaranthshelf is the command-line tool for operators and developers.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes, as docs/OPERATING.md lists them.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	parser := flags.NewNamedParser("amaranthshelf", flags.HelpFlag|flags.PassDoubleDash)
+	for _, add := range []func(*flags.Parser) error{addDemo} {
+		if err := add(parser); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailure
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	if err == nil {
+		return exitOK
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Println(usage.Message)
+			return exitOK
+		}
+		fmt.Fprintln(os.Stderr, usage.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/amaranthshelfd/main.go
@@ -0,0 +1,89 @@
+// Command amaranthshelfd is the daemon of one VM.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/node"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
+	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
+)
+
+// Exit codes, as docs/OPERATING.md lists them.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+type options struct {
+	Config string `long:"config" value-name:"FILE" description:"INI settings; without it one VM with both roles on loopback"`
+	Check  bool   `long:"check" description:"check the settings and exit"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var opts options
+	if _, err := flags.NewParser(&opts, flags.Default).ParseArgs(args); err != nil {
+		if flags.WroteHelp(err) {
+			return exitOK
+		}
+		return exitSettings
+	}
+	s, err := load(opts.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if opts.Check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	if err := serve(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func load(path string) (*settings.Settings, error) {
+	if path == "" {
+		return settings.Default()
+	}
+	return settings.Load(path)
+}
+
+func serve(s *settings.Settings) error {
+	log, err := telemetry.Logger(os.Stderr, s.LogLevel, s.LogFormat, s.Self.ID)
+	if err != nil {
+		return err
+	}
+	n, err := node.Listen(s, log)
+	if err != nil {
+		return err
+	}
+	vms := s.VMs
+	if len(vms) == 0 {
+		vms = []settings.VM{n.Self()}
+	}
+	n.Start(vms)
+	log.Info().Str("callers", n.Self().Callers).Str("operators", n.OperatorAddr()).Msg("serving")
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	<-ctx.Done()
+	log.Info().Msg("shutting down")
+	drain, cancel := context.WithTimeout(context.Background(), s.DrainTimeout)
+	defer cancel()
+	if err := n.Shutdown(drain); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,219 @@
+// Package client is a caller of the system: it asks which addresses to use,
+// streams generations, and reconnects with Last-Event-ID when a connection
+// breaks. The command line, the demo and the load tool use it.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+)
+
+// Timings of a caller.
+const (
+	dialTimeout    = 500 * time.Millisecond
+	silenceLimit   = 3 * time.Second // the system sends a comment each second
+	reconnectPause = 20 * time.Millisecond
+	maxReconnects  = 200
+	maxEventBytes  = 4 << 20
+)
+
+// Completion is the body of a generation request.
+type Completion struct {
+	Model      string `json:"model"`
+	Prompt     string `json:"prompt"`
+	MaxTokens  int    `json:"max_tokens"`
+	Priority   int    `json:"priority,omitempty"`
+	DeadlineMS int64  `json:"deadline_ms,omitempty"`
+	Stream     bool   `json:"stream"`
+}
+
+// Progress is told after each event.
+type Progress struct {
+	Index int
+	Gap   time.Duration // since the event before, or the start
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	TokenIDs   []int32
+	Text       string
+	Finish     string
+	Reconnects int
+	FirstToken time.Duration
+	LongestGap time.Duration // between events after the first
+}
+
+// Client calls the system. Addresses are tried in order, each failure moving on
+// to the next.
+type Client struct {
+	addrs []string
+	key   string
+	http  *http.Client
+}
+
+// New returns a Client for a workspace key.
+func New(addrs []string, key string) *Client {
+	return &Client{addrs: addrs, key: key, http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 256,
+	}}}
+}
+
+type event struct {
+	TokenIDs []int32 `json:"token_ids"`
+	Text     string  `json:"text"`
+	Index    int     `json:"index"`
+	Finish   string  `json:"finish_reason"`
+}
+
+type call struct {
+	c        *Client
+	key      string
+	body     []byte
+	answer   Answer
+	lastID   string
+	lastAt   time.Time
+	started  time.Time
+	progress func(Progress)
+}
+
+// Complete runs a generation under an Idempotency-Key and returns its whole
+// answer, reconnecting as often as needed. A refusal is a *result.Error.
+func (c *Client) Complete(ctx context.Context, key string, body Completion, progress func(Progress)) (*Answer, error) {
+	body.Stream = true
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	k := &call{c: c, key: key, body: data, lastAt: now, started: now, progress: progress}
+	for try := range maxReconnects {
+		err = k.once(ctx, c.addrs[try%len(c.addrs)])
+		if err == nil {
+			return &k.answer, nil
+		}
+		var coded *result.Error
+		if errors.As(err, &coded) && coded.Code < 3000 || ctx.Err() != nil {
+			return &k.answer, err
+		}
+		if coded != nil && coded.RetryAfter > 0 {
+			return &k.answer, err
+		}
+		k.answer.Reconnects++
+		time.Sleep(reconnectPause)
+	}
+	return &k.answer, err
+}
+
+var errCut = errors.New("client: connection ended before the answer")
+
+func (k *call) once(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silenceLimit, cancel)
+	defer silence.Stop()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", bytes.NewReader(k.body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+k.c.key)
+	r.Header.Set("Idempotency-Key", k.key)
+	if k.lastID != "" {
+		r.Header.Set("Last-Event-ID", k.lastID)
+	}
+	resp, err := k.c.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return decodeError(resp)
+	}
+	body := &touchReader{resp.Body, func() { silence.Reset(silenceLimit) }}
+	for e, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return err
+		}
+		done, err := k.on(e)
+		if done || err != nil {
+			return err
+		}
+	}
+	return errCut
+}
+
+func (k *call) on(e sse.Event) (bool, error) {
+	if e.Data == "[DONE]" {
+		return true, nil
+	}
+	if e.Type == "error" {
+		var coded result.Error
+		if err := json.Unmarshal([]byte(e.Data), &coded); err != nil {
+			return false, err
+		}
+		return false, &coded
+	}
+	var body event
+	if err := json.Unmarshal([]byte(e.Data), &body); err != nil {
+		return false, err
+	}
+	return k.take(e.LastEventID, body)
+}
+
+func (k *call) take(id string, e event) (bool, error) {
+	if e.Index != len(k.answer.TokenIDs)+len(e.TokenIDs) {
+		return false, fmt.Errorf("client: event ends at %d behind %d tokens", e.Index, len(k.answer.TokenIDs))
+	}
+	now := time.Now()
+	gap := now.Sub(k.lastAt)
+	k.lastAt = now
+	if len(k.answer.TokenIDs) == 0 {
+		k.answer.FirstToken = now.Sub(k.started)
+	} else {
+		k.answer.LongestGap = max(k.answer.LongestGap, gap)
+	}
+	k.answer.TokenIDs = append(k.answer.TokenIDs, e.TokenIDs...)
+	k.answer.Text += e.Text
+	k.answer.Finish = e.Finish
+	k.lastID = id
+	if k.progress != nil {
+		k.progress(Progress{Index: e.Index, Gap: gap})
+	}
+	return e.Finish != "", nil
+}
+
+func decodeError(resp *http.Response) error {
+	var coded result.Error
+	if err := json.NewDecoder(resp.Body).Decode(&coded); err != nil {
+		return fmt.Errorf("client: status %d without a coded error", resp.StatusCode)
+	}
+	return &coded
+}
+
+// touchReader calls touch whenever bytes arrive, comments included.
+type touchReader struct {
+	r interface {
+		Read(p []byte) (int, error)
+	}
+	touch func()
+}
+
+// Read implements io.Reader.
+func (t *touchReader) Read(p []byte) (int, error) {
+	n, err := t.r.Read(p)
+	if n > 0 {
+		t.touch()
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,156 @@
+// Package control hosts the control group's replicated state: one state machine
+// made of parts, each an aggregate with its own commands.
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+)
+
+// PartID names a part in commands and snapshots. The numbers are on disk.
+type PartID uint8
+
+// The parts.
+const (
+	PartPlans   PartID = 1 // the operators' two lists and their history
+	PartLedger  PartID = 2 // grants and what is spent of each allowance
+	PartCalls   PartID = 3 // claims and results of non-idempotent calls
+	PartFleet   PartID = 4 // backend servers, orders, fencing numbers
+	PartMembers PartID = 5 // VMs and their incarnations
+)
+
+// Part is one aggregate within the group's state. Apply must be deterministic:
+// it depends on its arguments and the part's state alone. nowMS is the group's
+// clock: stamped by the leader, never going back.
+type Part interface {
+	// Apply executes a command and returns the encoded reply.
+	Apply(nowMS int64, cmd []byte) []byte
+	// Version grows with each change that watchers must see.
+	Version() uint64
+	// Changes returns an encoded change from version since to Version, or the
+	// whole state where since is too old.
+	Changes(since uint64) []byte
+	// Snapshot and Restore carry the whole state.
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
+// Client reaches the control group from any VM.
+type Client interface {
+	// Propose commits a command of a part and returns the part's reply. It
+	// retries over leader changes; the group executes the command once. After an
+	// error the outcome is unknown.
+	Propose(ctx context.Context, part PartID, cmd []byte) ([]byte, error)
+	// Barrier returns once this VM's view holds all that was committed before
+	// the call.
+	Barrier(ctx context.Context) error
+}
+
+// Propose encodes cmd, commits it and decodes the reply.
+func Propose[R any](ctx context.Context, c Client, part PartID, cmd any) (R, error) {
+	var out R
+	data, err := peer.Marshal(cmd)
+	if err != nil {
+		return out, err
+	}
+	reply, err := c.Propose(ctx, part, data)
+	if err != nil {
+		return out, err
+	}
+	return out, peer.Unmarshal(reply, &out)
+}
+
+// Envelope is one committed entry. ID is unique to the proposal: a retry after
+// a lost answer carries it again and gets the first reply.
+type Envelope struct {
+	Part PartID          `cbor:"1,keyasint"`
+	ID   string          `cbor:"2,keyasint"`
+	AtMS int64           `cbor:"3,keyasint"`
+	Body cbor.RawMessage `cbor:"4,keyasint"`
+}
+
+// maxReplies bounds how many first replies are kept for retries. A proposer
+// retries for seconds; at 5,000 commands a second this holds more than ten.
+const maxReplies = 1 << 16
+
+// Machine is the whole replicated state. Safe for concurrent use.
+type Machine struct {
+	mu      sync.Mutex
+	parts   map[PartID]Part
+	nowMS   int64
+	replies map[string][]byte
+	order   []string
+	changed chan struct{}
+}
+
+// NewMachine returns an empty Machine.
+func NewMachine() *Machine {
+	return &Machine{parts: map[PartID]Part{}, replies: map[string][]byte{}, changed: make(chan struct{})}
+}
+
+// Register adds a part before the first command.
+func (m *Machine) Register(id PartID, p Part) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.parts[id] = p
+}
+
+// Apply executes a committed entry.
+func (m *Machine) Apply(entry []byte) ([]byte, error) {
+	var e Envelope
+	if err := peer.Unmarshal(entry, &e); err != nil {
+		return nil, fmt.Errorf("control: committed entry: %w", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if reply, ok := m.replies[e.ID]; ok && e.ID != "" {
+		return reply, nil
+	}
+	p := m.parts[e.Part]
+	if p == nil {
+		return nil, fmt.Errorf("control: no part %d", e.Part)
+	}
+	m.nowMS = max(m.nowMS, e.AtMS)
+	before := p.Version()
+	reply := p.Apply(m.nowMS, e.Body)
+	m.remember(e.ID, reply)
+	if p.Version() != before {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	return reply, nil
+}
+
+func (m *Machine) remember(id string, reply []byte) {
+	if id == "" {
+		return
+	}
+	m.replies[id] = reply
+	m.order = append(m.order, id)
+	if over := len(m.order) - maxReplies; over > 0 {
+		for _, old := range m.order[:over] {
+			delete(m.replies, old)
+		}
+		m.order = slices.Clone(m.order[over:])
+	}
+}
+
+// Read runs f on a part's state, which must not be kept.
+func (m *Machine) Read(id PartID, f func(Part)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(m.parts[id])
+}
+
+// Changed returns a channel that is closed at the next change of a version.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,189 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+)
+
+// Timings and sizes of the client.
+const (
+	dialTimeout    = 1 * time.Second // engines are a few milliseconds away
+	maxEventBytes  = 1 << 20
+	maxAnswerBytes = 4 << 20
+	idlePerHost    = 64
+)
+
+// ErrTruncated is returned when a stream ends before its finish event: the
+// engine died, or the connection was cut.
+var ErrTruncated = errors.New("engine: stream ended before its finish")
+
+// StatusError is an answer other than 200.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("engine: status %d: %s", e.Status, e.Body)
+}
+
+// Client talks to engines by address. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a Client.
+func NewClient() *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idlePerHost,
+		DisableCompression:  true,
+	}}}
+}
+
+// Generate runs a completion and calls on for each event until the finish. It
+// returns nil after the finish event, ErrTruncated if the stream ended early,
+// or the error of on.
+func (c *Client) Generate(ctx context.Context, addr string, req Completion, on func(Event) error) error {
+	data, err := json.Marshal(req)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	return c.stream(r, on)
+}
+
+// Attach goes on reading a run that outlived its connection, from the event
+// after the token index from.
+func (c *Client) Attach(ctx context.Context, addr string, attempt Attempt, from int, on func(Event) error) error {
+	u := "http://" + addr + "/v1/streams/" + url.PathEscape(attempt) + "?from=" + strconv.Itoa(from)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, http.NoBody)
+	if err != nil {
+		return err
+	}
+	return c.stream(r, on)
+}
+
+func (c *Client) stream(r *http.Request, on func(Event) error) error {
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return statusError(resp)
+	}
+	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrTruncated, err)
+		}
+		finished, err := deliver(event.Data, on)
+		if err != nil || finished {
+			return err
+		}
+	}
+	return ErrTruncated
+}
+
+func deliver(data string, on func(Event) error) (bool, error) {
+	if data == "[DONE]" {
+		return false, nil
+	}
+	var e Event
+	if err := json.Unmarshal([]byte(data), &e); err != nil {
+		return false, fmt.Errorf("engine: bad event: %w", err)
+	}
+	if len(e.Texts) != len(e.TokenIDs) {
+		return false, fmt.Errorf("engine: event with %d tokens and %d texts", len(e.TokenIDs), len(e.Texts))
+	}
+	if err := on(e); err != nil {
+		return false, err
+	}
+	return e.Finish != "", nil
+}
+
+// Cancel ends a run; an unknown one is no error.
+func (c *Client) Cancel(ctx context.Context, addr string, attempt Attempt) error {
+	err := c.do(ctx, http.MethodDelete, addr, "/v1/streams/"+url.PathEscape(attempt), nil, nil)
+	var status *StatusError
+	if errors.As(err, &status) && status.Status == http.StatusNotFound {
+		return nil
+	}
+	return err
+}
+
+// Load reads the engine's latest report.
+func (c *Client) Load(ctx context.Context, addr string) (Load, error) {
+	var out Load
+	err := c.do(ctx, http.MethodGet, addr, "/v1/load", nil, &out)
+	return out, err
+}
+
+// CacheEvents reads the cache events after since.
+func (c *Client) CacheEvents(ctx context.Context, addr string, since uint64) (CacheEvents, error) {
+	var out CacheEvents
+	err := c.do(ctx, http.MethodGet, addr, "/v1/cache-events?since="+strconv.FormatUint(since, 10), nil, &out)
+	return out, err
+}
+
+// Order gives an engine an order.
+func (c *Client) Order(ctx context.Context, addr string, o Order) (State, error) {
+	var out State
+	err := c.do(ctx, http.MethodPost, addr, "/v1/orders", o, &out)
+	return out, err
+}
+
+// State reads what an engine serves.
+func (c *Client) State(ctx context.Context, addr string) (State, error) {
+	var out State
+	err := c.do(ctx, http.MethodGet, addr, "/v1/state", nil, &out)
+	return out, err
+}
+
+func (c *Client) do(ctx context.Context, method, addr, path string, in, out any) error {
+	var body io.Reader = http.NoBody
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return statusError(resp)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(out)
+}
+
+func statusError(resp *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 4<<10))
+	return &StatusError{Status: resp.StatusCode, Body: string(bytes.TrimSpace(text))}
+}
--- /dev/null
+++ b/internal/gateway/completions.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/relay"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
+)
+
+// Limits of one request.
+const (
+	maxTokensLimit  = 1 << 20
+	deadlineLimitMS = 24 * 60 * 60 * 1000
+)
+
+type completionBody struct {
+	Model      string  `json:"model"`
+	Prompt     string  `json:"prompt"`
+	PromptIDs  []int32 `json:"prompt_token_ids"`
+	MaxTokens  int     `json:"max_tokens"`
+	Stream     bool    `json:"stream"`
+	Priority   int     `json:"priority"`
+	DeadlineMS int64   `json:"deadline_ms"`
+	Adapter    string  `json:"adapter"`
+}
+
+func (g *Gateway) completions(w http.ResponseWriter, r *http.Request) {
+	ctx := telemetry.Extract(r.Context(), r.Header.Get("Traceparent"))
+	key := r.Header.Get("Idempotency-Key")
+	if key == "" {
+		key = rand.Text()
+	}
+	ctx, span := g.tracer.Start(ctx, "entry", key)
+	defer span.End()
+	if err := g.serveCompletion(ctx, w, r, key); err != nil {
+		g.log.Info().Str("request_id", key).Int("code", int(result.CodeOf(err))).Msg("request refused")
+		result.WriteHTTP(w, key, err)
+	}
+}
+
+// serveCompletion returns an error only while the answer has not begun.
+func (g *Gateway) serveCompletion(ctx context.Context, w http.ResponseWriter, r *http.Request, key string) error {
+	if !ValidKey(key) {
+		return result.New(result.InvalidKey)
+	}
+	caller, err := g.authenticate(r)
+	if err != nil {
+		return err
+	}
+	body, err := readCompletion(http.MaxBytesReader(w, r.Body, g.cfg.MaxBodyBytes))
+	if err != nil {
+		return err
+	}
+	last, err := lastEvent(r, key)
+	if err != nil {
+		return err
+	}
+	req, err := g.request(ctx, caller, key, body)
+	if err != nil {
+		return err
+	}
+	reader, err := g.generations.Open(ctx, req, last != nil)
+	if err != nil {
+		return err
+	}
+	defer reader.Release()
+	w.Header().Set("X-Request-Id", key)
+	if !body.Stream {
+		return g.answerWhole(ctx, w, key, reader)
+	}
+	return g.answerStream(ctx, w, key, reader, last)
+}
+
+func readCompletion(r io.Reader) (completionBody, error) {
+	var body completionBody
+	data, err := io.ReadAll(r)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return body, result.New(result.BodyTooLarge)
+	}
+	if err != nil {
+		return body, result.New(result.MalformedBody)
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
+		return body, result.Newf(result.MalformedBody, "the body is not valid JSON of the documented form: %v", err)
+	}
+	return body, body.check()
+}
+
+func (b *completionBody) check() error {
+	switch {
+	case b.Model == "":
+		return result.Newf(result.InvalidField, "model is missing")
+	case b.Prompt == "" && len(b.PromptIDs) == 0:
+		return result.Newf(result.InvalidField, "prompt or prompt_token_ids is missing")
+	case b.Prompt != "" && len(b.PromptIDs) > 0:
+		return result.Newf(result.InvalidField, "prompt and prompt_token_ids exclude each other")
+	case b.MaxTokens < 1 || b.MaxTokens > maxTokensLimit:
+		return result.Newf(result.InvalidField, "max_tokens must be 1 to %d", maxTokensLimit)
+	case b.Priority < 0:
+		return result.Newf(result.InvalidField, "priority must not be negative")
+	case b.DeadlineMS < 0 || b.DeadlineMS > deadlineLimitMS:
+		return result.Newf(result.InvalidField, "deadline_ms must be 0 to %d", deadlineLimitMS)
+	}
+	for _, t := range b.PromptIDs {
+		if t < 0 {
+			return result.Newf(result.InvalidField, "prompt_token_ids must not be negative")
+		}
+	}
+	return nil
+}
+
+func lastEvent(r *http.Request, key string) (*EventID, error) {
+	text := r.Header.Get("Last-Event-ID")
+	if text == "" {
+		return nil, nil
+	}
+	id, err := ParseEventID(text)
+	if err != nil {
+		return nil, err
+	}
+	if id.Request != key {
+		return nil, result.New(result.BadLastEventID)
+	}
+	return &id, nil
+}
+
+func (g *Gateway) request(ctx context.Context, caller Caller, key string, b completionBody) (generation.Request, error) {
+	if !g.models.HasModel(b.Model) {
+		return generation.Request{}, result.New(result.UnknownModel)
+	}
+	if !caller.Allowance.AllowsModel(b.Model) {
+		return generation.Request{}, result.New(result.ModelNotInPlan)
+	}
+	return generation.Request{
+		ID:    generation.RequestID{Workspace: caller.Customer.Workspace, Key: key},
+		Model: b.Model, Adapter: b.Adapter, Prompt: b.Prompt, PromptIDs: b.PromptIDs, MaxTokens: b.MaxTokens,
+		Priority: min(b.Priority, caller.Allowance.PriorityCeiling), DeadlineMS: b.DeadlineMS,
+		Plan: caller.Customer.Plan, TraceID: telemetry.Inject(ctx),
+	}, nil
+}
+
+type wholeAnswer struct {
+	RequestID string           `json:"request_id"`
+	TokenIDs  []int32          `json:"token_ids"`
+	Text      string           `json:"text"`
+	Finish    string           `json:"finish_reason"`
+	Usage     generation.Usage `json:"usage"`
+}
+
+func (g *Gateway) answerWhole(ctx context.Context, w http.ResponseWriter, key string, reader *relay.Reader) error {
+	answer := wholeAnswer{RequestID: key, TokenIDs: []int32{}}
+	var text []byte
+	for answer.Finish == "" {
+		chunk, err := reader.Wait(ctx, len(answer.TokenIDs))
+		if err != nil {
+			return err
+		}
+		answer.TokenIDs = append(answer.TokenIDs, chunk.Span.Tokens...)
+		for _, t := range chunk.Span.Texts {
+			text = append(text, t...)
+		}
+		answer.Finish, answer.Usage = chunk.Finish, chunk.Usage
+	}
+	answer.Text = string(text)
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(&answer)
+}
+
+// firstWait is how long the status line waits for a first token: an error that
+// shows by then is a plain HTTP error, later ones are events.
+const firstWait = 1 * time.Second
+
+func (g *Gateway) answerStream(ctx context.Context, w http.ResponseWriter, key string, reader *relay.Reader, last *EventID) error {
+	s := &stream{w: w, key: key, flush: http.NewResponseController(w)}
+	if last != nil {
+		s.index, s.digest = last.Index, last.Digest
+	}
+	wait := firstWait
+	for {
+		wctx, cancel := context.WithTimeout(ctx, wait)
+		chunk, err := reader.Wait(wctx, s.index)
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+			return nil // the caller is gone; the answer is kept for its return
+		case errors.Is(err, context.DeadlineExceeded):
+			err = s.heartbeat()
+		case err == nil:
+			err = s.send(chunk)
+		}
+		if err != nil {
+			return s.fail(err)
+		}
+		if chunk.Finish != "" {
+			return nil
+		}
+		wait = g.cfg.Heartbeat
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,89 @@
+// Package gateway serves callers over HTTP: generations as Server-Sent Events
+// or one JSON answer, with resume by Last-Event-ID.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/plan"
+	"github.com/amaranthshelf/amaranthshelf/internal/relay"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
+)
+
+// Generations opens answers. *relay.Hub does.
+type Generations interface {
+	Open(ctx context.Context, req generation.Request, resuming bool) (*relay.Reader, error)
+}
+
+// Plans gives the lists in force.
+type Plans interface {
+	// Directory returns the lists, or an error once they may be out of date.
+	Directory() (*plan.Directory, error)
+}
+
+// Models tells which models exist.
+type Models interface {
+	HasModel(model string) bool
+}
+
+// Config are a Gateway's settings.
+type Config struct {
+	MaxBodyBytes int64
+	Heartbeat    time.Duration // between comments while no token comes
+}
+
+// Gateway is the callers' HTTP handler.
+type Gateway struct {
+	cfg         Config
+	generations Generations
+	plans       Plans
+	models      Models
+	tracer      *telemetry.Tracer
+	log         zerolog.Logger
+}
+
+// New returns a Gateway.
+func New(cfg Config, g Generations, p Plans, m Models, t *telemetry.Tracer, log zerolog.Logger) *Gateway {
+	return &Gateway{cfg: cfg, generations: g, plans: p, models: m, tracer: t, log: log}
+}
+
+// Routes registers the callers' paths.
+func (g *Gateway) Routes(r *mux.Router) {
+	r.HandleFunc("/v1/completions", g.completions).Methods(http.MethodPost)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		result.WriteHTTP(w, "", result.New(result.NotFound))
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		result.WriteHTTP(w, "", result.New(result.MethodNotAllowed))
+	})
+}
+
+// Caller is an authenticated workspace with what its plan may use.
+type Caller struct {
+	Customer  plan.Customer
+	Allowance plan.Allowance
+}
+
+func (g *Gateway) authenticate(r *http.Request) (Caller, error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return Caller{}, result.New(result.Unauthorized)
+	}
+	dir, err := g.plans.Directory()
+	if err != nil {
+		return Caller{}, err
+	}
+	customer, allowance, ok := dir.Lookup(key)
+	if !ok {
+		return Caller{}, result.New(result.Unauthorized)
+	}
+	return Caller{customer, allowance}, nil
+}
--- /dev/null
+++ b/internal/generation/generation.go
@@ -0,0 +1,127 @@
+// Package generation is the aggregate of one long model generation: its
+// request, its attempts on engines, and the journal of its tokens on keepers.
+// The package is pure: messages, time and randomness are inputs.
+//
+// Invariants, asserted by Owner and Keeper:
+//   - a token is released to a caller only once a majority of the journal's
+//     keepers holds it under the owner's epoch;
+//   - a keeper that promised an epoch refuses every write of a lower one, so an
+//     owner that was taken over can release nothing more;
+//   - within one epoch a journal only grows, and no index changes its token.
+//
+// Without them a paused router that comes back would splice its own late
+// tokens into an answer that another router has continued.
+package generation
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Epoch orders the owners of one journal. Round comes first; VM breaks ties, so
+// that two owners never share an epoch.
+type Epoch struct {
+	Round uint64 `cbor:"1,keyasint"`
+	VM    string `cbor:"2,keyasint"`
+}
+
+// Less reports whether e comes before o.
+func (e Epoch) Less(o Epoch) bool {
+	if e.Round != o.Round {
+		return e.Round < o.Round
+	}
+	return e.VM < o.VM
+}
+
+// IsZero reports whether e is the epoch before any owner.
+func (e Epoch) IsZero() bool { return e.Round == 0 }
+
+// String gives "round@vm".
+func (e Epoch) String() string { return fmt.Sprintf("%d@%s", e.Round, e.VM) }
+
+// RequestID names a generation across the system. Key is the caller's
+// Idempotency-Key and means nothing outside its workspace.
+type RequestID struct {
+	Workspace string `cbor:"1,keyasint"`
+	Key       string `cbor:"2,keyasint"`
+}
+
+// String gives "workspace/key"; neither part may hold a slash.
+func (id RequestID) String() string { return id.Workspace + "/" + id.Key }
+
+// Request is what the caller asked for. It is stored with the journal, so that
+// any router can go on with it.
+type Request struct {
+	ID         RequestID `cbor:"1,keyasint"`
+	Model      string    `cbor:"2,keyasint"`
+	Version    string    `cbor:"3,keyasint"`
+	Adapter    string    `cbor:"4,keyasint,omitempty"`
+	Prompt     string    `cbor:"5,keyasint,omitempty"`
+	PromptIDs  []int32   `cbor:"6,keyasint,omitempty"`
+	MaxTokens  int       `cbor:"7,keyasint"`
+	Priority   int       `cbor:"8,keyasint"`
+	DeadlineMS int64     `cbor:"9,keyasint,omitempty"`
+	Plan       string    `cbor:"10,keyasint,omitempty"`
+	TraceID    string    `cbor:"11,keyasint,omitempty"`
+}
+
+// ContentDigest identifies what the request asks for, whatever its id: equal
+// digests mean the same work. A resend must match it, and blame for a crashed
+// engine follows it.
+func (r *Request) ContentDigest() uint64 {
+	d := xxhash.New()
+	var n [8]byte
+	str := func(s string) {
+		binary.LittleEndian.PutUint64(n[:], uint64(len(s)))
+		_, _ = d.Write(n[:])
+		_, _ = d.WriteString(s)
+	}
+	str(r.Model)
+	str(r.Adapter)
+	str(r.Prompt)
+	for _, t := range r.PromptIDs {
+		binary.LittleEndian.PutUint32(n[:4], uint32(t))
+		_, _ = d.Write(n[:4])
+	}
+	binary.LittleEndian.PutUint64(n[:], uint64(r.MaxTokens))
+	_, _ = d.Write(n[:])
+	return d.Sum64()
+}
+
+// PromptTokens is an upper bound of the prompt's tokens: a token of text has at
+// least one byte.
+func (r *Request) PromptTokens() int { return len(r.PromptIDs) + len(r.Prompt) }
+
+// Cost is the most tokens the request may use.
+func (r *Request) Cost() int { return r.PromptTokens() + r.MaxTokens }
+
+// PrefixDigest extends the digest of a token prefix by one token. The empty
+// prefix has digest 0.
+func PrefixDigest(prev uint64, token int32) uint64 {
+	var b [12]byte
+	binary.LittleEndian.PutUint64(b[:8], prev)
+	binary.LittleEndian.PutUint32(b[8:], uint32(token))
+	return xxhash.Sum64(b[:])
+}
+
+// AttemptID names one run of a request on one engine. Engines echo it on every
+// event; an event with another id is dropped and counted.
+type AttemptID struct {
+	Request RequestID
+	Epoch   Epoch
+	Number  int
+}
+
+// String gives the form that engines echo.
+func (a AttemptID) String() string {
+	return fmt.Sprintf("%s/%s/%d", a.Request, a.Epoch, a.Number)
+}
+
+// InvariantError reports a broken invariant of this package. In a test it is a
+// panic; in the daemon it ends the one answer concerned.
+type InvariantError struct{ What string }
+
+// Error implements error.
+func (e *InvariantError) Error() string { return "generation: invariant broken: " + e.What }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,191 @@
+// Package node assembles one VM of the system from its parts and runs it.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/control"
+	"github.com/amaranthshelf/amaranthshelf/internal/engine"
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
+	"github.com/amaranthshelf/amaranthshelf/internal/gateway"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/relay"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
+	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
+)
+
+// Timings of one VM.
+const (
+	openTimeout   = 4 * time.Second
+	silenceLimit  = 1 * time.Second
+	heartbeat     = 1 * time.Second
+	headerTimeout = 5 * time.Second
+)
+
+// Node is one VM. Listen binds its addresses, Start serves them.
+type Node struct {
+	s       *settings.Settings
+	log     zerolog.Logger
+	metrics *expvar.Map
+	tracer  *telemetry.Tracer
+
+	callers, operators, peers net.Listener
+	servers                   []*http.Server
+
+	// incarnation differs at each start: a VM that lost its memory must not pass
+	// for the one that made promises before.
+	incarnation string
+	engines     *engine.Client
+	explain     *explain.Ring
+
+	network *peer.Network
+	machine *control.Machine
+	control control.Client
+	hub     *relay.Hub
+	members *members
+	router  *router
+	plans   *plans
+	ready   atomic.Bool
+}
+
+// Listen binds the VM's addresses and records those that the kernel picked.
+func Listen(s *settings.Settings, log zerolog.Logger) (*Node, error) {
+	tracer, err := telemetry.NewTracer(s.Self.ID, s.TraceFile)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		s: s, log: log, metrics: telemetry.Metrics(s.Self.ID), tracer: tracer,
+		incarnation: rand.Text()[:8], engines: engine.NewClient(), explain: explain.NewRing(explain.DefaultRequests),
+	}
+	for _, b := range []struct {
+		l    *net.Listener
+		addr *string
+	}{{&n.callers, &s.Self.Callers}, {&n.operators, &s.Operators}, {&n.peers, &s.Self.Peer}} {
+		l, err := net.Listen("tcp", *b.addr)
+		if err != nil {
+			n.closeListeners()
+			return nil, err
+		}
+		*b.l = l
+		*b.addr = l.Addr().String()
+	}
+	return n, nil
+}
+
+// Self is this VM with its bound addresses.
+func (n *Node) Self() settings.VM { return n.s.Self }
+
+// OperatorAddr is where operators reach this VM.
+func (n *Node) OperatorAddr() string { return n.s.Operators }
+
+// Start assembles the parts and serves. vms lists every VM of the system.
+func (n *Node) Start(vms []settings.VM) {
+	n.s.VMs = vms
+	n.startMembers()
+	n.startControl()
+	n.startPlans()
+	n.startRouting()
+	n.startGenerations()
+	n.startCallers()
+	n.startOperators()
+	n.startPeers()
+	n.ready.Store(true)
+}
+
+func (n *Node) startGenerations() {
+	n.hub = relay.NewHub(relay.Config{
+		VM: n.s.Self.ID, Epoch: n.s.Self.ID + "#" + n.incarnation,
+		OpenTimeout: openTimeout, SilenceLimit: silenceLimit, CallerKeep: n.s.CallerKeep,
+	}, relay.Deps{
+		Transport: n.network, Members: n.members, Engines: n.engines, Router: n.router,
+		Log: n.log, Metrics: n.metrics,
+	})
+}
+
+func (n *Node) startCallers() {
+	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeat},
+		n.hub, n.plans, n.router, n.tracer, n.log)
+	r := mux.NewRouter().UseEncodedPath()
+	gw.Routes(r)
+	n.serve(n.callers, r)
+}
+
+func (n *Node) startOperators() {
+	n.serve(n.operators, n.operatorRoutes())
+}
+
+func (n *Node) startPeers() {
+	r := mux.NewRouter()
+	r.Handle(peer.Path, n.network)
+	n.serve(n.peers, r)
+}
+
+func (n *Node) operatorRoutes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready.Load() {
+			result.WriteHTTP(w, "", result.New(result.ShuttingDown))
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	r.Handle("/debug/vars", expvar.Handler())
+	return r
+}
+
+func (n *Node) serve(l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	n.servers = append(n.servers, server)
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error().Err(err).Msg("listener ended")
+		}
+	}()
+}
+
+// Hub is the VM's generations.
+func (n *Node) Hub() *relay.Hub { return n.hub }
+
+// Kill ends the VM as a crash does: every connection breaks, nothing is said.
+func (n *Node) Kill() {
+	n.ready.Store(false)
+	n.closeListeners()
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	n.network.Close()
+	n.hub.Close()
+}
+
+// Shutdown ends the VM after its callers' answers.
+func (n *Node) Shutdown(ctx context.Context) error {
+	n.ready.Store(false)
+	var errs []error
+	for _, s := range n.servers {
+		errs = append(errs, s.Shutdown(ctx))
+	}
+	n.network.Close()
+	n.hub.Close()
+	return errors.Join(append(errs, n.tracer.Close(ctx))...)
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.callers, n.operators, n.peers} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,260 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gorilla/websocket"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+)
+
+// Queue bounds per connection, in frames. A full queue refuses the message at
+// once: the sender's own retry is better than unbounded memory behind a slow VM.
+const (
+	queueFrames    = 1024
+	maxServedCalls = 512
+)
+
+type conn struct {
+	net   *Network
+	ws    *websocket.Conn
+	vm    string
+	lanes [laneCount]chan []byte
+	done  chan struct{}
+	once  sync.Once
+	slots chan struct{}
+
+	mu      sync.Mutex
+	next    uint64
+	waiting map[uint64]chan frame
+}
+
+func newConn(n *Network, ws *websocket.Conn, vm string) *conn {
+	c := &conn{
+		net: n, ws: ws, vm: vm, done: make(chan struct{}),
+		slots: make(chan struct{}, maxServedCalls), waiting: map[uint64]chan frame{},
+	}
+	for i := range c.lanes {
+		c.lanes[i] = make(chan []byte, queueFrames)
+	}
+	ws.SetReadLimit(maxFrameBytes)
+	return c
+}
+
+func (c *conn) dead() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		close(c.done)
+		_ = c.ws.Close()
+		c.net.forget(c)
+	})
+}
+
+func (c *conn) writeHello() error {
+	data, err := Marshal(hello{Version: ProtocolVersion, VM: c.net.self})
+	if err != nil {
+		return err
+	}
+	_ = c.ws.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return c.ws.WriteMessage(websocket.BinaryMessage, data)
+}
+
+func (c *conn) readHello() error {
+	_ = c.ws.SetReadDeadline(time.Now().Add(dialTimeout))
+	_, data, err := c.ws.ReadMessage()
+	if err != nil {
+		return err
+	}
+	var h hello
+	if err := Unmarshal(data, &h); err != nil {
+		return err
+	}
+	if h.Version != ProtocolVersion {
+		return fmt.Errorf("peer: protocol version %d, want %d", h.Version, ProtocolVersion)
+	}
+	c.vm = h.VM
+	return nil
+}
+
+func (c *conn) call(ctx context.Context, kind Kind, body, reply any) error {
+	ch := make(chan frame, 1)
+	c.mu.Lock()
+	c.next++
+	id := c.next
+	c.waiting[id] = ch
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.waiting, id)
+		c.mu.Unlock()
+	}()
+	if err := c.send(kind, id, false, body, nil); err != nil {
+		return err
+	}
+	select {
+	case f := <-ch:
+		return f.decode(reply)
+	case <-c.done:
+		return fmt.Errorf("%w: %s: connection lost", ErrUnreachable, c.vm)
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %s: %w", ErrUnreachable, c.vm, ctx.Err())
+	}
+}
+
+func (f *frame) decode(reply any) error {
+	if f.Err != "" {
+		return &RemoteError{Code: f.Code, Message: f.Err}
+	}
+	if reply == nil {
+		return nil
+	}
+	return Unmarshal(f.Body, reply)
+}
+
+func (c *conn) send(kind Kind, call uint64, isReply bool, body any, failure error) error {
+	f := frame{Kind: kind, Call: call, Reply: isReply}
+	if failure != nil {
+		f.setError(failure)
+	} else if body != nil {
+		data, err := Marshal(body)
+		if err != nil {
+			return err
+		}
+		f.Body = data
+	}
+	data, err := Marshal(&f)
+	if err != nil {
+		return err
+	}
+	select {
+	case c.lanes[laneOf(kind)] <- data:
+		return nil
+	case <-c.done:
+		return fmt.Errorf("%w: %s: connection lost", ErrUnreachable, c.vm)
+	default:
+		return ErrQueueFull
+	}
+}
+
+func (f *frame) setError(err error) {
+	f.Err = err.Error()
+	var coded *result.Error
+	if errors.As(err, &coded) {
+		f.Code = int(coded.Code)
+		f.Err = coded.Message
+	}
+}
+
+// writeLoop empties the control lane before each frame of the token lane.
+func (c *conn) writeLoop() {
+	defer c.close()
+	ping := time.NewTicker(pingEvery)
+	defer ping.Stop()
+	for {
+		data, ok := c.nextFrame(ping.C)
+		if !ok {
+			return
+		}
+		_ = c.ws.SetWriteDeadline(time.Now().Add(writeTimeout))
+		kind := websocket.BinaryMessage
+		if data == nil {
+			kind = websocket.PingMessage
+		}
+		if err := c.ws.WriteMessage(kind, data); err != nil {
+			return
+		}
+	}
+}
+
+// nextFrame waits for the next frame; nil data stands for a ping.
+func (c *conn) nextFrame(ping <-chan time.Time) ([]byte, bool) {
+	select {
+	case data := <-c.lanes[LaneControl]:
+		return data, true
+	default:
+	}
+	select {
+	case data := <-c.lanes[LaneControl]:
+		return data, true
+	case data := <-c.lanes[LaneTokens]:
+		return data, true
+	case <-ping:
+		return nil, true
+	case <-c.done:
+		return nil, false
+	}
+}
+
+func (c *conn) readLoop() {
+	defer c.close()
+	extend := func() { _ = c.ws.SetReadDeadline(time.Now().Add(silenceLimit)) }
+	extend()
+	pong := c.ws.PingHandler()
+	c.ws.SetPingHandler(func(data string) error {
+		extend()
+		return pong(data)
+	})
+	c.ws.SetPongHandler(func(string) error {
+		extend()
+		return nil
+	})
+	for {
+		_, data, err := c.ws.ReadMessage()
+		if err != nil {
+			return
+		}
+		extend()
+		var f frame
+		if err := Unmarshal(data, &f); err != nil {
+			c.net.log.Warn().Err(err).Str("vm", c.vm).Msg("peer frame refused")
+			return
+		}
+		c.dispatch(f)
+	}
+}
+
+func (c *conn) dispatch(f frame) {
+	if f.Reply {
+		c.mu.Lock()
+		ch := c.waiting[f.Call]
+		delete(c.waiting, f.Call)
+		c.mu.Unlock()
+		if ch != nil {
+			ch <- f
+		}
+		return
+	}
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		if f.Call != 0 {
+			_ = c.send(f.Kind, f.Call, true, nil, ErrQueueFull)
+		}
+		return
+	}
+	go func() {
+		defer func() { <-c.slots }()
+		c.answer(f)
+	}()
+}
+
+func (c *conn) answer(f frame) {
+	ctx, cancel := context.WithCancel(c.net.ctx)
+	defer cancel()
+	out, err := c.net.serve(ctx, c.vm, f.Kind, f.Body)
+	if f.Call != 0 {
+		_ = c.send(f.Kind, f.Call, true, out, err)
+	}
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,125 @@
+// Package peer carries typed messages between the system's VMs: CBOR frames
+// over one WebSocket per pair, opened on first use.
+//
+// Safeguards: every write has a deadline and every silent connection is pinged
+// and closed, since a silent partition sends no reset and would otherwise hold
+// callers for minutes; each connection has bounded queues; control frames leave
+// before token frames, so that a burst of tokens cannot delay an election.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ProtocolVersion is checked in the hello; VMs of other versions are refused.
+const ProtocolVersion = 1
+
+// Kind names a message type. The numbers are part of the protocol.
+type Kind uint16
+
+// Message kinds, in ranges of 20 per concern.
+const (
+	KindJournal    Kind = 20 // journal writes and promises, batched per keeper
+	KindPromise    Kind = 21
+	KindFollow     Kind = 22
+	KindControl    Kind = 40 // commands for the control group
+	KindWatch      Kind = 41
+	KindRaft       Kind = 60
+	KindMembership Kind = 80
+	KindBlame      Kind = 100
+	KindExplain    Kind = 120
+)
+
+// Lane says which queue a message leaves by.
+type Lane uint8
+
+// Lanes, first to leave first.
+const (
+	LaneControl Lane = iota
+	LaneTokens
+	laneCount
+)
+
+func laneOf(k Kind) Lane {
+	if k >= KindControl {
+		return LaneControl
+	}
+	return LaneTokens
+}
+
+type frame struct {
+	Kind  Kind            `cbor:"1,keyasint"`
+	Call  uint64          `cbor:"2,keyasint,omitempty"` // 0: no reply wanted
+	Reply bool            `cbor:"3,keyasint,omitempty"`
+	Body  cbor.RawMessage `cbor:"4,keyasint,omitempty"`
+	Err   string          `cbor:"5,keyasint,omitempty"`
+	Code  int             `cbor:"6,keyasint,omitempty"`
+}
+
+type hello struct {
+	Version int    `cbor:"1,keyasint"`
+	VM      string `cbor:"2,keyasint"`
+}
+
+// Decoder limits: a frame from a broken or hostile sender must not make the
+// decoder build huge or deep values before its content is looked at.
+const (
+	maxFrameBytes    = 8 << 20
+	maxArrayElements = 1 << 20
+	maxMapPairs      = 1 << 16
+	maxNesting       = 16
+)
+
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNesting,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// Marshal encodes a message body.
+func Marshal(v any) ([]byte, error) { return cbor.Marshal(v) }
+
+// Unmarshal decodes a message body within this package's limits.
+func Unmarshal(data []byte, v any) error { return decMode.Unmarshal(data, v) }
+
+// Errors of Call and Send.
+var (
+	ErrUnreachable = errors.New("peer: VM unreachable")
+	ErrQueueFull   = errors.New("peer: queue full")
+	ErrClosed      = errors.New("peer: closed")
+)
+
+// RemoteError is an error that the other VM's handler returned. Code is a
+// result code, or 0.
+type RemoteError struct {
+	Code    int
+	Message string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string { return fmt.Sprintf("peer: remote: %s", e.Message) }
+
+// Handler answers messages of one kind. body is valid during the call only. The
+// returned value is encoded as the reply; nil sends an empty one.
+type Handler func(ctx context.Context, from string, body []byte) (any, error)
+
+// Transport sends messages to VMs by id. Network implements it over sockets;
+// tests use fakes that drop, delay and cut.
+type Transport interface {
+	// Call sends a message and decodes the reply into reply unless it is nil.
+	Call(ctx context.Context, vm string, kind Kind, body, reply any) error
+	// Send sends a message without waiting; it may be lost.
+	Send(vm string, kind Kind, body any) error
+	// Handle registers the handler of a kind, before the first message.
+	Handle(kind Kind, h Handler)
+}
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,76 @@
+// Package plan is the aggregate of the operators' two lists: the plans that
+// customers have bought and what each plan may use. The package is pure.
+package plan
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"time"
+)
+
+// Customer is one row of the first list: a workspace, its plan and its keys.
+type Customer struct {
+	Workspace string   `cbor:"1,keyasint" json:"workspace"`
+	Plan      string   `cbor:"2,keyasint" json:"plan"`
+	KeyHashes []string `cbor:"3,keyasint" json:"key_hashes"` // of HashKey
+}
+
+// Allowance is one row of the second list: what a plan may use.
+type Allowance struct {
+	Plan              string   `cbor:"1,keyasint" json:"plan"`
+	Models            []string `cbor:"2,keyasint" json:"models"`
+	Services          []string `cbor:"3,keyasint" json:"services"`
+	TokensPerWindow   int64    `cbor:"4,keyasint" json:"tokens_per_window"`
+	RequestsPerWindow int64    `cbor:"5,keyasint" json:"requests_per_window"`
+	WindowSeconds     int64    `cbor:"6,keyasint" json:"window_seconds"`
+	Concurrent        int      `cbor:"7,keyasint" json:"concurrent"`
+	Share             int      `cbor:"8,keyasint" json:"share"` // weight in fair queueing
+	PriorityCeiling   int      `cbor:"9,keyasint" json:"priority_ceiling"`
+}
+
+// Window is the length of the allowance's window.
+func (a *Allowance) Window() time.Duration { return time.Duration(a.WindowSeconds) * time.Second }
+
+// HashKey is the form in which a workspace key is stored.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Directory answers lookups in one version of the two lists. It is immutable.
+type Directory struct {
+	Version    uint64
+	customers  map[string]Customer // by key hash
+	allowances map[string]Allowance
+}
+
+// NewDirectory indexes the lists.
+func NewDirectory(version uint64, customers []Customer, allowances []Allowance) *Directory {
+	d := &Directory{Version: version, customers: map[string]Customer{}, allowances: map[string]Allowance{}}
+	for _, c := range customers {
+		for _, h := range c.KeyHashes {
+			d.customers[h] = c
+		}
+	}
+	for _, a := range allowances {
+		d.allowances[a.Plan] = a
+	}
+	return d
+}
+
+// Lookup finds the workspace of a key and its allowance.
+func (d *Directory) Lookup(key string) (Customer, Allowance, bool) {
+	c, ok := d.customers[HashKey(key)]
+	if !ok {
+		return Customer{}, Allowance{}, false
+	}
+	a, ok := d.allowances[c.Plan]
+	return c, a, ok
+}
+
+// AllowsModel reports whether the plan includes a model.
+func (a *Allowance) AllowsModel(model string) bool { return slices.Contains(a.Models, model) }
+
+// AllowsService reports whether the plan includes a service.
+func (a *Allowance) AllowsService(service string) bool { return slices.Contains(a.Services, service) }
--- /dev/null
+++ b/internal/relay/run.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+)
+
+// Chunk is a run of released tokens, and the end once it is reached. Prefix is
+// the digest of the tokens before it.
+type Chunk struct {
+	Prefix uint64           `cbor:"4,keyasint"`
+	Span   generation.Span  `cbor:"1,keyasint"`
+	Finish string           `cbor:"2,keyasint,omitempty"`
+	Usage  generation.Usage `cbor:"3,keyasint"`
+}
+
+// Stats counts what one generation cost beyond an unbroken run.
+type Stats struct {
+	Attempts      int
+	ExtraPrefill  int // tokens computed again by resumed attempts
+	ExtraDecoded  int // tokens generated and thrown away
+	ResumeLatency []time.Duration
+}
+
+// Run is a generation owned by this VM.
+type Run struct {
+	hub     *Hub
+	keepers []string
+	log     zerolog.Logger
+	cancel  context.CancelFunc
+
+	mu      sync.Mutex
+	owner   *generation.Owner
+	changed chan struct{}
+	err     error
+	readers int
+	vacant  time.Time // since when nobody reads
+	stats   Stats
+	failed  []string // engines that failed this request
+	lostAt  time.Time
+	digests []uint64 // of the first 0, 1, 2... tokens
+}
+
+func newRun(h *Hub, owner *generation.Owner, keepers []string) *Run {
+	return &Run{
+		hub: h, owner: owner, keepers: keepers, changed: make(chan struct{}), digests: []uint64{0},
+		log: h.log.With().Str("request_id", owner.Request.ID.Key).Str("workspace", owner.Request.ID.Workspace).Logger(),
+	}
+}
+
+// Request is the request as it was accepted.
+func (r *Run) Request() *generation.Request { return &r.owner.Request }
+
+func (r *Run) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers--
+	if r.readers == 0 {
+		r.vacant = time.Now()
+	}
+}
+
+func (r *Run) join() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers++
+}
+
+// Wait returns tokens from index from on, blocking until there are some, the
+// answer has ended, or ctx is done.
+func (r *Run) Wait(ctx context.Context, from int) (Chunk, error) {
+	for {
+		chunk, ready, changed, err := r.read(from)
+		if err != nil || ready {
+			return chunk, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return chunk, ctx.Err()
+		}
+	}
+}
+
+// digest returns the digest of the first n tokens. It needs r.mu.
+func (r *Run) digest(n int) uint64 {
+	j := r.owner.Journal()
+	for i := len(r.digests); i <= n; i++ {
+		r.digests = append(r.digests, generation.PrefixDigest(r.digests[i-1], j.Tokens[i-1]))
+	}
+	return r.digests[n]
+}
+
+func (r *Run) read(from int) (Chunk, bool, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	released := r.owner.Released()
+	j := r.owner.Journal()
+	if from > j.Len() {
+		return Chunk{}, false, nil, result.New(result.BadLastEventID)
+	}
+	chunk := Chunk{Span: generation.Span{From: from}, Prefix: r.digest(from)}
+	if from < released {
+		chunk.Span.Tokens = slices.Clone(j.Tokens[from:released])
+		chunk.Span.Texts = slices.Clone(j.Texts[from:released])
+	}
+	finish, usage, done := r.owner.Finished()
+	if done {
+		chunk.Finish, chunk.Usage = finish, usage
+	}
+	if len(chunk.Span.Tokens) > 0 || done {
+		return chunk, true, nil, nil
+	}
+	return chunk, false, r.changed, r.err
+}
+
+// update runs f under the lock, wakes readers, and marks the journals dirty.
+func (r *Run) update(f func() error) error {
+	r.mu.Lock()
+	err := f()
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.mu.Unlock()
+	return err
+}
+
+func (r *Run) next(vm string) (generation.Write, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.owner.Next(vm, maxWriteTokens)
+}
+
+// ack takes a keeper's reply and reports whether the keeper needs more.
+func (r *Run) ack(vm string, reply generation.WriteReply) bool {
+	err := r.update(func() error { return r.owner.Ack(vm, reply) })
+	if errors.Is(err, generation.ErrDeposed) {
+		r.stop(err)
+		return false
+	}
+	_, more := r.next(vm)
+	return more
+}
+
+// stop ends the run for its readers with err.
+func (r *Run) stop(err error) {
+	_ = r.update(func() error {
+		if r.err == nil {
+			r.err = err
+		}
+		return nil
+	})
+	if r.cancel != nil {
+		r.cancel()
+	}
+}
+
+// accepted waits until a majority of keepers holds the request.
+func (r *Run) accepted(ctx context.Context) error {
+	for {
+		r.mu.Lock()
+		ok, deposed, changed := r.owner.Accepted(), r.owner.Deposed(), r.changed
+		r.mu.Unlock()
+		switch {
+		case deposed:
+			return generation.ErrDeposed
+		case ok:
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return result.New(result.KeepersUnavail)
+		}
+	}
+}
+
+// Stats returns what the run has cost so far.
+func (r *Run) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.stats
+	s.ResumeLatency = slices.Clone(s.ResumeLatency)
+	return s
+}
--- /dev/null
+++ b/internal/result/table.go
@@ -0,0 +1,71 @@
+package result
+
+import "net/http"
+
+// Table lists every code once, in order.
+var Table = []Row{
+	{MalformedBody, "malformed_body", http.StatusBadRequest, RanNo, "the body is not valid JSON of the documented form"},
+	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, RanNo, "the body exceeds the size limit"},
+	{InvalidField, "invalid_field", http.StatusBadRequest, RanNo, "a field is missing or out of range"},
+	{UnknownModel, "unknown_model", http.StatusNotFound, RanNo, "no backend server is configured for this model"},
+	{Unauthorized, "unauthorized", http.StatusUnauthorized, RanNo, "the workspace key or operator token is missing or unknown"},
+	{NotFound, "not_found", http.StatusNotFound, RanNo, "no such resource in this workspace"},
+	{BadLastEventID, "bad_last_event_id", http.StatusBadRequest, RanNo, "Last-Event-ID does not name an event of this request"},
+	{PrefixMismatch, "prefix_mismatch", http.StatusConflict, RanNo, "the digest in Last-Event-ID differs from the journal"},
+	{KeyReused, "key_reused", http.StatusConflict, RanNo, "this Idempotency-Key was used with a different request"},
+	{KeyRequired, "key_required", http.StatusBadRequest, RanNo, "a non-idempotent call needs an Idempotency-Key"},
+	{InvalidKey, "invalid_key", http.StatusBadRequest, RanNo, "Idempotency-Key must be 1 to 128 characters of A-Z a-z 0-9 . _ : -"},
+	{ModelNotInPlan, "model_not_in_plan", http.StatusForbidden, RanNo, "the workspace's plan does not include this model"},
+	{ServiceNotInPlan, "service_not_in_plan", http.StatusForbidden, RanNo, "the workspace's plan does not include this service"},
+	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, RanNo, "the method is not allowed here"},
+	{KeyExpired, "key_expired", http.StatusGone, RanNo, "the retention of this Idempotency-Key has passed; the resend was refused, not run"},
+	{VersionConflict, "version_conflict", http.StatusPreconditionFailed, RanNo, "If-Match does not name the present version"},
+	{VersionRequired, "version_required", http.StatusPreconditionRequired, RanNo, "If-Match is required"},
+	{InvalidPlan, "invalid_plan", http.StatusUnprocessableEntity, RanNo, "the plan or allowance is not valid"},
+	{PlanInUse, "plan_in_use", http.StatusConflict, RanNo, "a workspace still has this plan"},
+	{UnknownPlan, "unknown_plan", http.StatusUnprocessableEntity, RanNo, "no allowance exists for this plan"},
+	{RequestTooCostly, "request_too_costly", http.StatusForbidden, RanNo, "the request could never fit in the plan's allowance"},
+	{AdapterNotServed, "adapter_not_served", http.StatusNotFound, RanNo, "no backend server serves this adapter"},
+	{UnsupportedHeader, "unsupported_header", http.StatusBadRequest, RanNo, "a header has a value that is not supported"},
+
+	{TokensExhausted, "tokens_exhausted", http.StatusTooManyRequests, RanNo, "the plan's tokens for this window are used up"},
+	{RequestsExhausted, "requests_exhausted", http.StatusTooManyRequests, RanNo, "the plan's requests for this window are used up"},
+	{ConcurrencyLimit, "concurrency_limit", http.StatusTooManyRequests, RanNo, "the plan's concurrent requests are all in use"},
+
+	{QueueFull, "queue_full", http.StatusServiceUnavailable, RanNo, "the queue is full"},
+	{DeadlineTooSoon, "deadline_too_soon", http.StatusServiceUnavailable, RanNo, "the expected wait passes the deadline"},
+	{DeadlinePassed, "deadline_passed", http.StatusGatewayTimeout, RanNo, "the deadline passed while the request waited"},
+	{NotFresh, "not_fresh", http.StatusServiceUnavailable, RanNo, "this VM cannot confirm the plans in force"},
+	{NoBackendServer, "no_backend_server", http.StatusServiceUnavailable, RanNo, "no backend server can take the request"},
+	{ShuttingDown, "shutting_down", http.StatusServiceUnavailable, RanNo, "this VM is shutting down"},
+	{ControlUnavail, "control_unavailable", http.StatusServiceUnavailable, RanNo, "the control group has no leader within reach"},
+	{KeepersUnavail, "keepers_unavailable", http.StatusServiceUnavailable, RanNo, "too few journal keepers are within reach"},
+	{RecoveryBudget, "recovery_budget", http.StatusServiceUnavailable, RanUnknown, "the recovery budget is used up"},
+	{WorkspaceBacklog, "workspace_backlog", http.StatusTooManyRequests, RanNo, "this workspace already has too much work waiting"},
+
+	{JournalLost, "journal_lost", http.StatusInternalServerError, RanYes, "a majority of the journal's keepers is lost"},
+	{PoisonRequest, "poison_request", http.StatusUnprocessableEntity, RanYes, "this request ended every backend server that ran it"},
+	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RanUnknown, "the call was sent and its outcome is unknown; it will not be sent again"},
+	{BackendFailed, "backend_failed", http.StatusBadGateway, RanUnknown, "the backend server answered with an error"},
+	{InvariantBroken, "invariant_broken", http.StatusInternalServerError, RanUnknown, "an internal check failed; this answer was stopped"},
+	{Cancelled, "cancelled", http.StatusConflict, RanYes, "the request was cancelled"},
+	{CallerGone, "caller_gone", http.StatusGone, RanYes, "the caller stayed away longer than its answer is kept"},
+
+	{Internal, "internal", http.StatusInternalServerError, RanUnknown, "internal error"},
+}
+
+var rows = func() map[Code]Row {
+	m := make(map[Code]Row, len(Table))
+	for _, row := range Table {
+		m[row.Code] = row
+	}
+	return m
+}()
+
+// Lookup returns the row of a code, or that of Internal.
+func Lookup(code Code) Row {
+	if row, ok := rows[code]; ok {
+		return row
+	}
+	return rows[Internal]
+}
--- /dev/null
+++ b/internal/standin/engine_stream.go
@@ -0,0 +1,133 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/engine"
+)
+
+// Generate runs a completion without a network, as engine.Client does with one.
+func (e *Engine) Generate(ctx context.Context, _ string, c engine.Completion, on func(engine.Event) error) error {
+	r, err := e.submit(c)
+	if err != nil {
+		return err
+	}
+	return e.follow(ctx, r, len(c.Generated), on)
+}
+
+// Attach goes on reading a run.
+func (e *Engine) Attach(ctx context.Context, _ string, id engine.Attempt, from int, on func(engine.Event) error) error {
+	e.mu.Lock()
+	r := e.runs[id]
+	e.mu.Unlock()
+	if r == nil {
+		return errNoRun
+	}
+	return e.follow(ctx, r, from, on)
+}
+
+// Cancel ends a run.
+func (e *Engine) Cancel(_ context.Context, _ string, id engine.Attempt) error {
+	e.cancel(id)
+	return nil
+}
+
+func (e *Engine) follow(ctx context.Context, r *run, from int, on func(engine.Event) error) error {
+	e.join(r)
+	defer e.leave(r)
+	for {
+		event, ok, changed, err := e.next(r, from)
+		if err != nil {
+			return err
+		}
+		if !ok {
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		if err := e.hold(ctx); err != nil {
+			return err
+		}
+		if err := on(event); err != nil {
+			return err
+		}
+		from = event.Index
+		if event.Finish != "" {
+			return nil
+		}
+	}
+}
+
+// hold waits while the engine is paused or answers late.
+func (e *Engine) hold(ctx context.Context) error {
+	e.mu.Lock()
+	wait := max(time.Until(e.faults.pausedUntil), e.faults.late)
+	e.mu.Unlock()
+	if wait <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *Engine) join(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.readers++
+	r.detached = time.Time{}
+}
+
+// leave marks a run that nobody reads; it outlives that by its detach time.
+func (e *Engine) leave(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.readers--
+	if r.readers > 0 {
+		return
+	}
+	r.detached = time.Now()
+	if r.req.DetachMS == 0 || r.finish != "" {
+		e.end(r.req.Attempt, r)
+	}
+}
+
+func (e *Engine) next(r *run, from int) (engine.Event, bool, <-chan struct{}, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.err != nil {
+		return engine.Event{}, false, nil, r.err
+	}
+	if len(r.tokens) <= from && r.finish == "" {
+		return engine.Event{}, false, r.changed, nil
+	}
+	event := engine.Event{Attempt: e.label(r), Index: len(r.tokens), TokenIDs: append([]int32(nil), r.tokens[from:]...), Texts: []string{}}
+	for _, t := range event.TokenIDs {
+		event.Texts = append(event.Texts, TextOf(t))
+	}
+	if r.finish != "" {
+		usage := r.usage
+		event.Finish, event.Usage = r.finish, &usage
+	}
+	return event, true, nil, nil
+}
+
+// label is the run's attempt id, or another run's where answers are crossed.
+func (e *Engine) label(r *run) engine.Attempt {
+	if !e.faults.crossed {
+		return r.req.Attempt
+	}
+	for id := range e.runs {
+		if id != r.req.Attempt {
+			return id
+		}
+	}
+	return r.req.Attempt + "?"
+}
