standin: stop without leaving the loop behind; late cache events; ready models

Cause: a test inside a synctest bubble ended while the engine's loop still slept, so no test on a virtual clock could use the engine; cache events were published at once although a lag was configured; a model could be used before it had loaded. Change: the loop waits on a timer or the stop signal and Stop waits for it; events carry their time; only ready models serve.

--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
@@ -13,10 +14,15 @@
 	limit  int // blocks
 	order  *list.List
 	blocks map[uint64]*list.Element
-	events []engine.CacheEvent
+	events []timedEvent
 	seq    uint64
 }
 
+type timedEvent struct {
+	at time.Time
+	engine.CacheEvent
+}
+
 func newPrefixCache(limitTokens int) *prefixCache {
 	return &prefixCache{limit: limitTokens / engine.CacheBlock, order: list.New(), blocks: map[uint64]*list.Element{}}
 }
@@ -67,7 +73,7 @@
 
 func (c *prefixCache) log(op string, d uint64) {
 	c.seq++
-	c.events = append(c.events, engine.CacheEvent{Seq: c.seq, Op: op, Prefix: d})
+	c.events = append(c.events, timedEvent{time.Now(), engine.CacheEvent{Seq: c.seq, Op: op, Prefix: d}})
 	if over := len(c.events) - maxCacheEvents; over > 0 {
 		c.events = c.events[over:]
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -59,8 +59,9 @@
 
 	mu      sync.Mutex
 	wake    chan struct{}
+	quit    chan struct{}
+	ended   chan struct{}
 	dead    bool
-	stopped bool
 	deaths  int
 	queue   []*run
 	batch   []*run
@@ -98,7 +99,7 @@
 
 // NewEngine starts an engine.
 func NewEngine(cfg EngineConfig) *Engine {
-	e := &Engine{cfg: cfg, wake: make(chan struct{}, 1)}
+	e := &Engine{cfg: cfg, wake: make(chan struct{}, 1), quit: make(chan struct{}), ended: make(chan struct{})}
 	e.reset()
 	go e.loop()
 	return e
@@ -153,7 +154,7 @@
 
 func (e *Engine) serves(c *engine.Completion) (string, error) {
 	for _, m := range e.state.Models {
-		if m.Name != c.Model || (c.Version != "" && c.Version != m.Version) {
+		if !m.Ready || m.Name != c.Model || (c.Version != "" && c.Version != m.Version) {
 			continue
 		}
 		if c.Adapter != "" && !slices.Contains(m.Adapters, c.Adapter) {
@@ -165,27 +166,31 @@
 }
 
 func (e *Engine) loop() {
+	defer close(e.ended)
 	for {
 		wait, running := e.step()
-		if wait < 0 {
-			return
+		var timer <-chan time.Time
+		if running {
+			timer = time.After(wait)
 		}
-		if !running {
-			<-e.wake
-			continue
+		wake := e.wake
+		if running {
+			wake = nil
+		}
+		select {
+		case <-timer:
+		case <-wake:
+		case <-e.quit:
+			return
 		}
-		time.Sleep(wait)
 	}
 }
 
 // step admits, decodes one token for each run of the batch, and returns how
-// long that took; below zero once the engine is stopped.
+// long that took, and whether there was anything to do.
 func (e *Engine) step() (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.stopped {
-		return -1, false
-	}
 	now := time.Now()
 	if pause := e.faults.pausedUntil.Sub(now); pause > 0 {
 		return pause, true
@@ -344,13 +349,11 @@
 	return e.stats
 }
 
-// Stop ends the engine's loop for good.
+// Stop ends the engine for good, once.
 func (e *Engine) Stop() {
-	e.mu.Lock()
-	e.die()
-	e.stopped = true
-	e.mu.Unlock()
-	e.poke()
+	e.Kill()
+	close(e.quit)
+	<-e.ended
 }
 
 // Running is the number of runs in the batch and the queue.
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -84,15 +84,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := engine.CacheEvents{Events: []engine.CacheEvent{}, Next: since}
+	now := time.Now()
 	for _, ev := range e.cache.events {
 		if ev.Seq <= since {
 			continue
 		}
+		if now.Sub(ev.at) < e.cfg.EventLag {
+			break
+		}
 		out.Next = ev.Seq
 		if e.cfg.EventGap > 0 && ev.Seq%uint64(e.cfg.EventGap) == 0 {
 			continue
 		}
-		out.Events = append(out.Events, ev)
+		out.Events = append(out.Events, ev.CacheEvent)
 	}
 	return out
 }
