local: one place starts a whole system in a process

Cause: the demo and the node test each started VMs and engines; the load tool and the measurements would have been the third and fourth.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"strings"
 	"time"
 
@@ -13,9 +12,8 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/client"
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
-	"github.com/amaranthshelf/amaranthshelf/internal/node"
+	"github.com/amaranthshelf/amaranthshelf/internal/local"
 	"github.com/amaranthshelf/amaranthshelf/internal/plan"
-	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin"
 )
 
@@ -62,12 +60,7 @@
 	engines   = 4
 )
 
-type system struct {
-	nodes   []*node.Node
-	engines []*standin.EngineServer
-	service *standin.Service
-	dir     string
-}
+type system struct{ *local.System }
 
 // Run starts the system, plays the scenes and stops it. It returns an error
 // where the system could not be started; a failed check is in the report.
@@ -77,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer s.stop()
+	defer s.Stop()
 	report := &Report{OK: true}
 	scenes := []struct {
 		step string
@@ -99,93 +92,16 @@
 }
 
 func start() (*system, error) {
-	dir, err := os.MkdirTemp("", "amaranthshelf-demo-")
-	if err != nil {
-		return nil, err
-	}
-	s := &system{dir: dir}
-	backends, err := s.startBackends()
-	if err != nil {
-		s.stop()
-		return nil, err
-	}
-	if err := s.startVMs(backends); err != nil {
-		s.stop()
-		return nil, err
-	}
-	return s, nil
-}
-
-func (s *system) startBackends() ([]settings.Backend, error) {
-	var out []settings.Backend
-	for i := range engines {
-		name := fmt.Sprintf("engine%d", i+1)
-		e, err := standin.ServeEngine(standin.DefaultEngine(name, demoModel), "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		s.engines = append(s.engines, e)
-		out = append(out, settings.Backend{
-			Name: name, Kind: settings.KindEngine, Address: e.Addr, Zone: zone(i % vmCount), Models: []string{demoModel},
-		})
-	}
-	service, err := standin.ServeService("127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	s.service = service
-	return append(out, settings.Backend{Name: "dispatch1", Kind: settings.KindService, Address: service.Addr, Service: "dispatch"}), nil
-}
-
-func zone(i int) string { return fmt.Sprintf("zone%d", i+1) }
-
-func (s *system) startVMs(backends []settings.Backend) error {
-	var vms []settings.VM
-	for i := range vmCount {
-		conf, err := settings.Default()
-		if err != nil {
-			return err
-		}
-		conf.Self.ID, conf.Self.Zone = fmt.Sprintf("vm%d", i+1), zone(i)
-		conf.Self.Callers, conf.Self.Peer, conf.Operators = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-		conf.DataDir = fmt.Sprintf("%s/vm%d", s.dir, i+1)
-		conf.Backends = backends
-		n, err := node.Listen(conf, zerolog.Nop())
-		if err != nil {
-			return err
-		}
-		s.nodes = append(s.nodes, n)
-		vms = append(vms, n.Self())
-	}
-	dir := plan.NewDirectory(1,
-		[]plan.Customer{{Workspace: "demo", Plan: "basic", KeyHashes: []string{plan.HashKey(demoKey)}}},
-		[]plan.Allowance{{Plan: "basic", Models: []string{demoModel}, Services: []string{"dispatch"}}})
-	for _, n := range s.nodes {
-		n.Start(vms)
-		n.SetPlans(dir)
-	}
-	return nil
-}
-
-func (s *system) stop() {
-	for _, n := range s.nodes {
-		n.Kill()
-	}
-	for _, e := range s.engines {
-		e.Close()
-	}
-	if s.service != nil {
-		s.service.Close()
-	}
-	_ = os.RemoveAll(s.dir)
+	s, err := local.Start(local.Options{
+		VMs: vmCount, Zones: vmCount, Engines: engines, Model: demoModel, Services: []string{"dispatch"},
+		Plans: plans, Log: zerolog.Nop(),
+	})
+	return &system{s}, err
 }
 
-func (s *system) addresses() []string {
-	var out []string
-	for _, n := range s.nodes {
-		out = append(out, n.Self().Callers)
-	}
-	return out
+func plans() ([]plan.Customer, []plan.Allowance) {
+	return []plan.Customer{{Workspace: "demo", Plan: "basic", KeyHashes: []string{plan.HashKey(demoKey)}}},
+		[]plan.Allowance{{Plan: "basic", Models: []string{demoModel}, Services: []string{"dispatch"}}}
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -197,11 +113,11 @@
 
 // generate runs one generation and calls at once breakAt tokens have come.
 func (s *system) generate(ctx context.Context, key, prompt string, at func()) Scene {
-	before := s.work()
+	before := s.Work()
 	broken := at == nil
 	resume := time.Duration(0)
 	body := client.Completion{Model: demoModel, Prompt: prompt, MaxTokens: answerTokens}
-	answer, err := client.New(s.addresses(), demoKey).Complete(ctx, key, body, func(p client.Progress) {
+	answer, err := client.New(s.Addresses(), demoKey).Complete(ctx, key, body, func(p client.Progress) {
 		if broken {
 			resume = max(resume, p.Gap)
 		}
@@ -214,7 +130,7 @@
 	if at != nil {
 		scene.ResumeMS = ms(resume)
 	}
-	scene.ExtraTokens = s.work() - before - len(prompt) - answerTokens
+	scene.ExtraTokens = s.Work() - before - len(prompt) - answerTokens
 	if err == nil {
 		c := engine.Completion{Model: demoModel, Prompt: prompt, MaxTokens: answerTokens}
 		err = standin.Verify(c, "1", answer.TokenIDs, true)
@@ -226,16 +142,6 @@
 	return scene
 }
 
-// work is what all engines have computed, in tokens.
-func (s *system) work() int {
-	total := 0
-	for _, e := range s.engines {
-		st := e.Stats()
-		total += st.PrefillTokens + st.GeneratedTotal
-	}
-	return total
-}
-
 func (s *system) unbroken(ctx context.Context) Scene {
 	scene := s.generate(ctx, "demo-1", "Unit 12: flow 61 C, return 58 C, valve hunting. Diagnose.", nil)
 	scene.Name, scene.What = "unbroken", "one generation, nothing fails"
@@ -243,22 +149,13 @@
 }
 
 func (s *system) engineDies(ctx context.Context) Scene {
-	scene := s.generate(ctx, "demo-2", "Unit 31: no hot water since Tuesday, pressure normal. Diagnose.", s.killRunningEngine)
+	scene := s.generate(ctx, "demo-2", "Unit 31: no hot water since Tuesday, pressure normal. Diagnose.", func() { s.KillRunningEngine() })
 	scene.Name, scene.What = "engine dies", fmt.Sprintf("the engine is killed after %d tokens", breakAt)
 	return scene
 }
 
-func (s *system) killRunningEngine() {
-	for _, e := range s.engines {
-		if e.Alive() && e.Running() > 0 {
-			e.Kill()
-			return
-		}
-	}
-}
-
 func (s *system) vmDies(ctx context.Context) Scene {
-	scene := s.generate(ctx, "demo-3", "Unit 44: pump cycles every 90 s at night. Diagnose.", s.nodes[0].Kill)
+	scene := s.generate(ctx, "demo-3", "Unit 44: pump cycles every 90 s at night. Diagnose.", s.Nodes[0].Kill)
 	scene.Name, scene.What = "VM dies", "the VM that holds the caller's connection is killed; the caller reconnects to another"
 	scene.OK = scene.OK && scene.Reconnects > 0
 	return scene
