load: an open-loop load tool over real addresses or a local system

Cause: what callers receive under load and faults could not be measured. Change: profiles of both deployments as INI, Poisson arrivals with a seed, latencies from the intended time in HDR histograms, every answer checked, fault scripts for local systems, JSON, text and plot.

--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -20,7 +20,10 @@
 
 func run(args []string) int {
 	parser := flags.NewNamedParser("amaranthshelf", flags.HelpFlag|flags.PassDoubleDash)
-	for _, add := range []func(*flags.Parser) error{addDemo} {
+	for _, add := range []func(*flags.Parser) error{
+		addDemo,
+		addLoad,
+	} {
 		if err := add(parser); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return exitFailure
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -217,3 +218,50 @@
 	}
 	return n, err
 }
+
+// CallAnswer is a plain service's answer.
+type CallAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+const maxCallAnswer = 8 << 20
+
+// Call sends a call to a plain service. A connection that breaks is tried again
+// at the next address under the same Idempotency-Key: the system runs it once.
+func (c *Client) Call(ctx context.Context, method, service, path, key string) (*CallAnswer, error) {
+	var err error
+	for try := range maxReconnects {
+		var answer *CallAnswer
+		answer, err = c.callOnce(ctx, method, c.addrs[try%len(c.addrs)], "/v1/services/"+service+path, key)
+		var coded *result.Error
+		if err == nil || errors.As(err, &coded) || ctx.Err() != nil {
+			return answer, err
+		}
+		time.Sleep(reconnectPause)
+	}
+	return nil, err
+}
+
+func (c *Client) callOnce(ctx context.Context, method, addr, path, key string) (*CallAnswer, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.key)
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 == 4 || resp.StatusCode/100 == 5 {
+		return nil, decodeError(resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallAnswer))
+	if err != nil {
+		return nil, err
+	}
+	return &CallAnswer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
--- /dev/null
+++ b/internal/load/faults.go
@@ -0,0 +1,148 @@
+package load
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/local"
+)
+
+// Fault is one line of a fault script:
+//
+//	5s kill engine 3
+//	6s pause engine 4 2s
+//	7s slow engine 5 4
+//	8s revive engine 3
+//	9s kill vm 2
+//
+// Numbers count from 1; "engine busy" is one that has work.
+type Fault struct {
+	At     time.Duration
+	Op     string
+	Target string // "engine" or "vm"
+	Number int    // 0: one that has work
+	Arg    string
+}
+
+// ParseFaults reads a fault script; empty lines and lines with # are skipped.
+func ParseFaults(r io.Reader) ([]Fault, error) {
+	var out []Fault
+	scanner := bufio.NewScanner(r)
+	for line := 1; scanner.Scan(); line++ {
+		text := strings.TrimSpace(scanner.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		f, err := parseFault(strings.Fields(text))
+		if err != nil {
+			return nil, fmt.Errorf("load: fault script line %d: %w", line, err)
+		}
+		out = append(out, f)
+	}
+	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return out, scanner.Err()
+}
+
+var faultOps = map[string]int{ // words behind the number
+	"kill engine": 0, "revive engine": 0, "pause engine": 1, "slow engine": 1, "kill vm": 0,
+}
+
+func parseFault(words []string) (Fault, error) {
+	if len(words) < 4 {
+		return Fault{}, fmt.Errorf("want: TIME OP engine|vm NUMBER [ARG], got %d words", len(words))
+	}
+	at, err := time.ParseDuration(words[0])
+	if err != nil {
+		return Fault{}, err
+	}
+	f := Fault{At: at, Op: words[1], Target: words[2]}
+	args, ok := faultOps[f.Op+" "+f.Target]
+	if !ok || len(words) != 4+args {
+		return Fault{}, fmt.Errorf("unknown fault %q", strings.Join(words[1:], " "))
+	}
+	if words[3] != "busy" {
+		if f.Number, err = strconv.Atoi(words[3]); err != nil || f.Number < 1 {
+			return Fault{}, fmt.Errorf("bad number %q", words[3])
+		}
+	}
+	if args == 1 {
+		f.Arg = words[4]
+	}
+	return f, f.checkArg()
+}
+
+func (f *Fault) checkArg() error {
+	var err error
+	switch f.Op {
+	case "pause":
+		_, err = time.ParseDuration(f.Arg)
+	case "slow":
+		_, err = strconv.ParseFloat(f.Arg, 64)
+	}
+	return err
+}
+
+// inject plays the faults on a local system.
+func inject(ctx context.Context, s *local.System, faults []Fault, start time.Time, say func(string)) {
+	for _, f := range faults {
+		if !sleepUntil(ctx, start.Add(f.At)) {
+			return
+		}
+		if err := f.apply(s); err != nil {
+			say("fault not applied: " + err.Error())
+			continue
+		}
+		say(fmt.Sprintf("fault: %s %s %d %s", f.Op, f.Target, f.Number, f.Arg))
+	}
+}
+
+func (f *Fault) apply(s *local.System) error {
+	if f.Target == "vm" {
+		if f.Number > len(s.Nodes) || f.Number == 0 {
+			return fmt.Errorf("no VM %d", f.Number)
+		}
+		s.Nodes[f.Number-1].Kill()
+		return nil
+	}
+	n := f.Number
+	for i, e := range s.Engines {
+		if n == 0 && e.Alive() && e.Running() > 0 {
+			n = i + 1
+		}
+	}
+	if n < 1 || n > len(s.Engines) {
+		return fmt.Errorf("no engine %d", n)
+	}
+	e := s.Engines[n-1]
+	switch f.Op {
+	case "kill":
+		e.Kill()
+	case "revive":
+		return e.Revive()
+	case "pause":
+		d, _ := time.ParseDuration(f.Arg)
+		e.Pause(d)
+	case "slow":
+		factor, _ := strconv.ParseFloat(f.Arg, 64)
+		e.Slow(factor)
+	}
+	return nil
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/load/profile.go
@@ -0,0 +1,155 @@
+// Package load is an open-loop load tool: requests leave at the times that an
+// arrival process sets, whether or not earlier ones have been answered, and
+// every latency counts from the intended time. A closed loop would send less the
+// slower the system answers, and so hide the very stalls it should show.
+package load
+
+import (
+	"embed"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+//go:embed profiles/*.ini
+var builtin embed.FS
+
+// Kind is what a class sends.
+type Kind string
+
+// The kinds.
+const (
+	KindGeneration Kind = "generation"
+	KindCall       Kind = "call"
+)
+
+// Class is one stream of requests.
+type Class struct {
+	Name         string
+	Kind         Kind    `ini:"kind"`
+	Rate         float64 `ini:"rate"` // a second
+	PromptTokens int     `ini:"prompt_tokens"`
+	MaxTokens    int     `ini:"max_tokens"`
+	Spread       float64 `ini:"spread"` // sigma of the lognormal sizes
+	Priority     int     `ini:"priority"`
+	DeadlineMS   int64   `ini:"deadline_ms"`
+	Method       string  `ini:"method"`
+	Path         string  `ini:"path"`
+}
+
+// SystemSize is what a local run starts.
+type SystemSize struct {
+	VMs            int    `ini:"vms"`
+	Zones          int    `ini:"zones"`
+	Engines        int    `ini:"engines"`
+	Model          string `ini:"model"`
+	Service        string `ini:"service"`
+	ServiceServers int    `ini:"service_servers"`
+	Objective      string `ini:"objective"`
+}
+
+// Workspace is a customer with its share of the requests.
+type Workspace struct {
+	Name   string
+	Weight float64
+}
+
+// Profile is a workload.
+type Profile struct {
+	System     SystemSize
+	Workspaces []Workspace
+	Classes    []Class
+}
+
+// LoadProfile reads a built-in profile by name, or a file.
+func LoadProfile(nameOrPath string) (*Profile, error) {
+	data, err := builtin.ReadFile("profiles/" + nameOrPath + ".ini")
+	if err != nil {
+		data, err = os.ReadFile(nameOrPath)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("load: profile %q is neither built in (cooperative, reelhouse) nor a file: %w", nameOrPath, err)
+	}
+	return parseProfile(data)
+}
+
+func parseProfile(data []byte) (*Profile, error) {
+	f, err := ini.Load(data)
+	if err != nil {
+		return nil, fmt.Errorf("load: profile: %w", err)
+	}
+	p := &Profile{}
+	if err := onlyKeys(f.Section("system"), systemKeys); err != nil {
+		return nil, err
+	}
+	if err := f.Section("system").StrictMapTo(&p.System); err != nil {
+		return nil, fmt.Errorf("load: profile [system]: %w", err)
+	}
+	for _, key := range f.Section("workspaces").Keys() {
+		weight, err := key.Float64()
+		if err != nil || weight <= 0 {
+			return nil, fmt.Errorf("load: profile [workspaces] %s: a weight above 0", key.Name())
+		}
+		p.Workspaces = append(p.Workspaces, Workspace{key.Name(), weight})
+	}
+	for _, sec := range f.Sections() {
+		name, ok := strings.CutPrefix(sec.Name(), "class:")
+		if !ok {
+			continue
+		}
+		c := Class{Name: name}
+		if err := onlyKeys(sec, classKeys); err != nil {
+			return nil, err
+		}
+		if err := sec.StrictMapTo(&c); err != nil {
+			return nil, fmt.Errorf("load: profile [%s]: %w", sec.Name(), err)
+		}
+		p.Classes = append(p.Classes, c)
+	}
+	return p, p.check()
+}
+
+var (
+	classKeys  = []string{"kind", "rate", "prompt_tokens", "max_tokens", "spread", "priority", "deadline_ms", "method", "path"}
+	systemKeys = []string{"vms", "zones", "engines", "model", "service", "service_servers", "objective"}
+)
+
+// onlyKeys refuses a misspelt key, which would else leave its default in force.
+func onlyKeys(sec *ini.Section, allowed []string) error {
+	for _, key := range sec.Keys() {
+		if !slices.Contains(allowed, key.Name()) {
+			return fmt.Errorf("load: profile [%s] %s: unknown key; allowed: %s", sec.Name(), key.Name(), strings.Join(allowed, ", "))
+		}
+	}
+	return nil
+}
+
+func (p *Profile) check() error {
+	if len(p.Workspaces) == 0 || len(p.Classes) == 0 {
+		return errors.New("load: profile: needs [workspaces] and at least one [class:<name>]")
+	}
+	for _, c := range p.Classes {
+		if err := c.check(); err != nil {
+			return fmt.Errorf("load: profile [class:%s]: %w", c.Name, err)
+		}
+	}
+	return nil
+}
+
+func (c *Class) check() error {
+	switch {
+	case c.Rate <= 0:
+		return errors.New("rate: above 0")
+	case c.Kind == KindGeneration && (c.PromptTokens < 1 || c.MaxTokens < 1):
+		return errors.New("prompt_tokens and max_tokens: at least 1")
+	case c.Kind == KindCall && (!slices.Contains([]string{"GET", "POST", "PUT", "DELETE"}, c.Method) || !strings.HasPrefix(c.Path, "/")):
+		return errors.New("method: GET, POST, PUT or DELETE; path: begins with /")
+	case c.Kind != KindGeneration && c.Kind != KindCall:
+		return errors.New("kind: generation or call")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,241 @@
+package load
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+)
+
+// Histograms hold microseconds up to ten minutes with three digits.
+const (
+	histMax    = int64(10 * time.Minute / time.Microsecond)
+	histDigits = 3
+)
+
+// Sample is what one caller received.
+type Sample struct {
+	Class      string
+	Workspace  string
+	At         time.Duration // intended
+	Late       time.Duration // that this tool sent it after that
+	First      time.Duration // to the first token, from the intended time
+	Total      time.Duration
+	LongestGap time.Duration
+	Tokens     int
+	Cost       int // prompt and answer, of an unbroken run
+	Reconnects int
+	Code       result.Code // 0: served
+	Wrong      string      // what is wrong with the answer
+}
+
+// ClassReport is the account of one class. Times are milliseconds.
+type ClassReport struct {
+	Class     string         `json:"class"`
+	Sent      int            `json:"sent"`
+	Served    int            `json:"served"`
+	NotSent   int            `json:"not_sent"`
+	Wrong     int            `json:"wrong"`
+	Refused   map[string]int `json:"refused"`
+	FirstP50  float64        `json:"first_p50_ms"`
+	FirstP95  float64        `json:"first_p95_ms"`
+	FirstP99  float64        `json:"first_p99_ms"`
+	GapP50    float64        `json:"gap_p50_ms"`
+	GapP95    float64        `json:"gap_p95_ms"`
+	GapP99    float64        `json:"gap_p99_ms"`
+	TotalP50  float64        `json:"total_p50_ms"`
+	TotalP99  float64        `json:"total_p99_ms"`
+	WorstGap  float64        `json:"worst_gap_ms"`
+	RefusedIn float64        `json:"refused_p50_ms"`
+}
+
+// Second is one second of the run.
+type Second struct {
+	At      int     `json:"at"`
+	Sent    int     `json:"sent"`
+	Served  int     `json:"served"`
+	Refused int     `json:"refused"`
+	WorstMS float64 `json:"worst_first_ms"`
+}
+
+// Report is the account of a run.
+type Report struct {
+	Seed         uint64        `json:"seed"`
+	Seconds      float64       `json:"seconds"`
+	Arrivals     int           `json:"arrivals"`
+	Classes      []ClassReport `json:"classes"`
+	Tokens       int           `json:"tokens"`
+	ExtraShare   float64       `json:"extra_work_share"` // of engine work, local runs only
+	EngineTokens int           `json:"engine_tokens"`
+	UnbrokenCost int           `json:"unbroken_tokens"`
+	Reconnects   int           `json:"reconnects"`
+	SentLateP99  float64       `json:"sent_late_p99_ms"`
+	Timeline     []Second      `json:"timeline"`
+	WrongAnswers []string      `json:"wrong_answers,omitempty"`
+}
+
+// OK reports whether no answer was wrong.
+func (r *Report) OK() bool { return len(r.WrongAnswers) == 0 }
+
+type classRecord struct {
+	sent, served, notSent, wrong int
+	refused                      map[string]int
+	first, gap, total, refusedIn *hdrhistogram.Histogram
+	worstGap                     time.Duration
+}
+
+type recorder struct {
+	mu       sync.Mutex
+	classes  map[string]*classRecord
+	order    []string
+	late     *hdrhistogram.Histogram
+	timeline []Second
+	totals   Report
+}
+
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, histMax, histDigits) }
+
+func newRecorder(o Options) *recorder {
+	r := &recorder{classes: map[string]*classRecord{}, late: histogram()}
+	for _, c := range o.Profile.Classes {
+		r.order = append(r.order, c.Name)
+		r.classes[c.Name] = &classRecord{
+			refused: map[string]int{}, first: histogram(), gap: histogram(), total: histogram(), refusedIn: histogram(),
+		}
+	}
+	r.timeline = make([]Second, int(o.Duration/time.Second)+1)
+	for i := range r.timeline {
+		r.timeline[i].At = i
+	}
+	return r
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// RecordValue fails only above the histogram's top: keep it there.
+	_ = h.RecordValue(min(max(1, d.Microseconds()), histMax))
+}
+
+func (r *recorder) gap(class string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record(r.classes[class].gap, d)
+}
+
+func (r *recorder) notSent(a Arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.classes[a.Class.Name].notSent++
+}
+
+func (r *recorder) add(s Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.classes[s.Class]
+	c.sent++
+	record(r.late, s.Late)
+	second := &r.timeline[min(int(s.At/time.Second), len(r.timeline)-1)]
+	second.Sent++
+	r.totals.Reconnects += s.Reconnects
+	if s.Code != 0 {
+		c.refused[codeName(s.Code)]++
+		record(c.refusedIn, s.Total)
+		second.Refused++
+		return
+	}
+	c.served++
+	second.Served++
+	second.WorstMS = max(second.WorstMS, millis(s.First))
+	record(c.first, s.First)
+	record(c.total, s.Total)
+	c.worstGap = max(c.worstGap, s.LongestGap)
+	r.totals.Tokens += s.Tokens
+	r.totals.UnbrokenCost += s.Cost
+	if s.Wrong != "" {
+		c.wrong++
+		r.totals.WrongAnswers = append(r.totals.WrongAnswers, s.Class+": "+s.Wrong)
+	}
+}
+
+func codeName(c result.Code) string {
+	if c == codeNoAnswer {
+		return "no_answer"
+	}
+	return result.Lookup(c).Name
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+func (r *recorder) line() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var parts []string
+	for _, name := range r.order {
+		c := r.classes[name]
+		parts = append(parts, fmt.Sprintf("%s %d/%d", name, c.served, c.sent))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func (r *recorder) finish(o Options, arrivals int) *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.totals
+	out.Seed, out.Seconds, out.Arrivals = o.Seed, o.Duration.Seconds(), arrivals
+	out.SentLateP99 = quantile(r.late, 99)
+	out.Timeline = slices.Clone(r.timeline)
+	for _, name := range r.order {
+		out.Classes = append(out.Classes, r.classes[name].report(name))
+	}
+	return &out
+}
+
+func (c *classRecord) report(name string) ClassReport {
+	return ClassReport{
+		Class: name, Sent: c.sent, Served: c.served, NotSent: c.notSent, Wrong: c.wrong, Refused: c.refused,
+		FirstP50: quantile(c.first, 50), FirstP95: quantile(c.first, 95), FirstP99: quantile(c.first, 99),
+		GapP50: quantile(c.gap, 50), GapP95: quantile(c.gap, 95), GapP99: quantile(c.gap, 99),
+		TotalP50: quantile(c.total, 50), TotalP99: quantile(c.total, 99),
+		WorstGap: millis(c.worstGap), RefusedIn: quantile(c.refusedIn, 50),
+	}
+}
+
+// Text is the report for people.
+func (r *Report) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d, %.0f s, %d arrivals, sent late p99 %.1f ms\n", r.Seed, r.Seconds, r.Arrivals, r.SentLateP99)
+	fmt.Fprintf(&b, "%-16s %6s %6s %6s %9s %9s %9s %9s %9s %9s\n",
+		"class", "sent", "served", "wrong", "first p50", "p95", "p99", "gap p95", "worst gap", "total p99")
+	for _, c := range r.Classes {
+		fmt.Fprintf(&b, "%-16s %6d %6d %6d %9.1f %9.1f %9.1f %9.1f %9.1f %9.1f\n",
+			c.Class, c.Sent, c.Served, c.Wrong, c.FirstP50, c.FirstP95, c.FirstP99, c.GapP95, c.WorstGap, c.TotalP99)
+		for _, name := range sortedKeys(c.Refused) {
+			fmt.Fprintf(&b, "%-16s   %s: %d\n", "", name, c.Refused[name])
+		}
+	}
+	fmt.Fprintf(&b, "%d tokens to callers, %d reconnects\n", r.Tokens, r.Reconnects)
+	if r.EngineTokens > 0 {
+		fmt.Fprintf(&b, "engines computed %d tokens for %d of unbroken runs (a cached prefix counts as saved)\n", r.EngineTokens, r.UnbrokenCost)
+	}
+	for _, w := range r.WrongAnswers {
+		fmt.Fprintf(&b, "WRONG %s\n", w)
+	}
+	return b.String()
+}
+
+func sortedKeys(m map[string]int) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
