load: legend clear of the curves

Cause: the legend covered the last seconds of the plot. Change: at the top. Result: seen in a rendered plot: the bottom right corner is free.

--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -19,6 +19,7 @@
 	p.Title.Text = "what callers received, by second of arrival"
 	p.X.Label.Text = "second"
 	p.Y.Label.Text = "requests"
+	p.Legend.Top = true
 	var sent, served, refused plotter.XYs
 	for _, s := range r.Timeline {
 		x := float64(s.At)
