--- /dev/null
+++ b/internal/wal/file.go
@@ -0,0 +1,65 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	iofs "io/fs"
+	"path/filepath"
+	"strings"
+)
+
+// WriteFile replaces a file in one step: temporary file, sync, rename, sync of
+// the folder. A crash leaves the old file or the new one, never a mixture.
+func WriteFile(fs FS, name string, payload []byte) error {
+	temp := name + tempSuffix
+	file, err := fs.Create(temp)
+	if err != nil {
+		return fmt.Errorf("wal: %w", err)
+	}
+	_, err = file.Write(appendFrame(nil, frame{kind: kindEntry, payload: payload}))
+	if err == nil {
+		err = file.Sync()
+	}
+	if err := errors.Join(err, file.Close()); err != nil {
+		return fmt.Errorf("wal: %w", err)
+	}
+	if err := fs.Rename(temp, name); err != nil {
+		return fmt.Errorf("wal: %w", err)
+	}
+	if err := fs.SyncDir(filepath.Dir(name)); err != nil {
+		return fmt.Errorf("wal: %w", err)
+	}
+	return nil
+}
+
+// ReadFile returns what WriteFile wrote; an error that wraps fs.ErrNotExist
+// where there is none, a DamageError where it is not whole.
+func ReadFile(fs FS, name string) ([]byte, error) {
+	data, err := fs.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("wal: %w", err)
+	}
+	f, size, ok := parseFrame(data)
+	if !ok || size != len(data) {
+		return nil, &DamageError{File: name, Reason: "checksum or header wrong"}
+	}
+	return f.payload, nil
+}
+
+// RemoveExcept removes the files of dir that begin with prefix, and temporary
+// ones, but for keep.
+func RemoveExcept(fs FS, dir, prefix, keep string) error {
+	names, err := fs.List(dir)
+	if err != nil {
+		return fmt.Errorf("wal: %w", err)
+	}
+	for _, name := range names {
+		if name == keep || !strings.HasPrefix(name, prefix) {
+			continue
+		}
+		if err := fs.Remove(filepath.Join(dir, name)); err != nil && !errors.Is(err, iofs.ErrNotExist) {
+			return fmt.Errorf("wal: %w", err)
+		}
+	}
+	return fs.SyncDir(dir)
+}
