plan: the operators' two lists as a replicated aggregate

Cause: plans lived in memory of one VM, set by code.

No field of an allowance means unlimited: an excess is the operator's own loss.

--- /dev/null
+++ b/internal/plan/book_test.go
@@ -0,0 +1,226 @@
+package plan_test
+
+import (
+	"cmp"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/plan"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", cmp.Or(os.Getenv("AMARANTHSHELF_SEED"), "20261202")); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func allowance(name string, tokens int64) *plan.Allowance {
+	return &plan.Allowance{
+		Plan: name, Models: []string{"m"}, TokensPerWindow: tokens, RequestsPerWindow: 1000, WindowSeconds: 60,
+		Concurrent: 10, Share: 1,
+	}
+}
+
+func setAllowance(a *plan.Allowance, ifMatch uint64) plan.Command {
+	return plan.Command{Action: plan.SetAllowance, Name: a.Plan, Allowance: a, IfMatch: ifMatch, Create: ifMatch == 0}
+}
+
+func setCustomer(workspace, planName string, ifMatch uint64, keys ...string) plan.Command {
+	c := &plan.Customer{Workspace: workspace, Plan: planName}
+	for _, k := range keys {
+		c.KeyHashes = append(c.KeyHashes, plan.HashKey(k))
+	}
+	return plan.Command{Action: plan.SetCustomer, Name: workspace, Customer: c, IfMatch: ifMatch, Create: ifMatch == 0}
+}
+
+// apply goes through the codec, as a committed entry does.
+func apply(t interface{ Fatal(...any) }, b *plan.Book, c plan.Command) plan.Reply {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r plan.Reply
+	if err := cbor.Unmarshal(b.Apply(1000, data), &r); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func restored(t interface{ Fatal(...any) }, b *plan.Book) *plan.Book {
+	data, err := b.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := plan.NewBook()
+	if err := out.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestRefusedCommands(t *testing.T) {
+	b := plan.NewBook()
+	apply(t, b, setAllowance(allowance("gold", 100), 0))
+	apply(t, b, setCustomer("coop", "gold", 0, "k1"))
+	with := func(change func(a *plan.Allowance)) plan.Command {
+		a := allowance("gold", 100)
+		change(a)
+		return setAllowance(a, 1)
+	}
+	for name, tc := range map[string]struct {
+		c    plan.Command
+		want result.Code
+		says string
+	}{
+		"unknown plan":        {setCustomer("film", "silver", 0), result.UnknownPlan, "silver"},
+		"key of another":      {setCustomer("film", "gold", 0, "k0", "k1"), result.InvalidPlan, "key_hashes[1]"},
+		"key twice":           {setCustomer("film", "gold", 0, "k2", "k2"), result.InvalidPlan, "twice"},
+		"bad workspace":       {setCustomer("a/b", "gold", 0), result.InvalidPlan, "a/b"},
+		"exists":              {setCustomer("coop", "gold", 0), result.VersionConflict, "version 2"},
+		"old version":         {setCustomer("coop", "gold", 1), result.VersionConflict, "version 2"},
+		"gone":                {setCustomer("film", "gold", 9), result.VersionConflict, "does not exist"},
+		"no version":          {plan.Command{Action: plan.RemoveCustomer, Name: "coop"}, result.VersionRequired, ""},
+		"remove absent":       {plan.Command{Action: plan.RemoveCustomer, Name: "x", IfMatch: 1}, result.NotFound, "x"},
+		"plan in use":         {plan.Command{Action: plan.RemoveAllowance, Name: "gold", IfMatch: 1}, result.PlanInUse, "1 workspaces"},
+		"row of another name": {plan.Command{Action: plan.SetCustomer, Name: "x", Customer: &plan.Customer{Workspace: "y"}}, result.MalformedBody, ""},
+		"no tokens":           {with(func(a *plan.Allowance) { a.TokensPerWindow = 0 }), result.InvalidPlan, "tokens_per_window"},
+		"negative requests":   {with(func(a *plan.Allowance) { a.RequestsPerWindow = -1 }), result.InvalidPlan, "requests_per_window"},
+		"long window":         {with(func(a *plan.Allowance) { a.WindowSeconds = 1 << 40 }), result.InvalidPlan, "window_seconds"},
+		"no concurrency":      {with(func(a *plan.Allowance) { a.Concurrent = 0 }), result.InvalidPlan, "concurrent"},
+		"no share":            {with(func(a *plan.Allowance) { a.Share = 0 }), result.InvalidPlan, "share"},
+		"empty model":         {with(func(a *plan.Allowance) { a.Models = []string{""} }), result.InvalidPlan, "models[0]"},
+	} {
+		r := apply(t, b, tc.c)
+		if r.Code != tc.want || !strings.Contains(r.Message, tc.says) {
+			t.Errorf("%s: got %d %q, want %d with %q", name, r.Code, r.Message, tc.want, tc.says)
+		}
+	}
+	if b.Version() != 2 {
+		t.Errorf("refused commands moved the lists to version %d", b.Version())
+	}
+}
+
+// Two operators read version 1 and both write. One of them wins; the other is
+// told the present version. The winner's answer is lost, the leader dies, and
+// he resends to its successor, which has the state from a snapshot: he must get
+// his first answer, not a conflict with his own change.
+func TestRacingOperatorsAndResendAfterLeaderChange(t *testing.T) {
+	b := plan.NewBook()
+	apply(t, b, setAllowance(allowance("gold", 100), 0))
+	first, second := setAllowance(allowance("gold", 200), 1), setAllowance(allowance("gold", 300), 1)
+	first.Key, first.Who, second.Key = "edit-1", "ann", "edit-2"
+	won := apply(t, b, first)
+	lost := apply(t, b, second)
+	if won.Code != 0 || won.Version != 2 || lost.Code != result.VersionConflict || lost.Version != 2 {
+		t.Fatalf("won %+v, lost %+v", won, lost)
+	}
+	b = restored(t, b)
+	apply(t, b, setAllowance(allowance("gold", 400), 2))
+	first.Who = "ann's other terminal"
+	if again := apply(t, b, first); again != won {
+		t.Errorf("resend got %+v, first answer was %+v", again, won)
+	}
+	if again := apply(t, b, second); again != lost {
+		t.Errorf("resend of the loser got %+v, first answer was %+v", again, lost)
+	}
+	other := setAllowance(allowance("gold", 500), 3)
+	other.Key = "edit-1"
+	if r := apply(t, b, other); r.Code != result.KeyReused {
+		t.Errorf("key reused for another command: %+v", r)
+	}
+	if row, _ := b.Allowance("gold"); row.TokensPerWindow != 400 || row.Version != 3 {
+		t.Errorf("row is %+v", row)
+	}
+	h := b.History(false, "gold")
+	if len(h) != 3 || h[1].Who != "ann" || !slices.Equal(h[1].Diff, []string{"tokens_per_window: 100 -> 200"}) {
+		t.Errorf("history %+v", h)
+	}
+}
+
+// Operators edit at random while VMs follow by changes that come late, twice or
+// after a gap, and the group restarts from snapshots. A version never falls,
+// also over remove and create; every VM that has caught up holds the lists.
+func TestBookRandomised(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := plan.NewBook()
+		views := []*plan.View{plan.NewView(), plan.NewView(), plan.NewView()}
+		var late [][]byte
+		highest := map[string]uint64{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			c := drawCommand(t, b)
+			before := b.Version()
+			r := apply(t, b, c)
+			if r.Code == 0 && r.Version != 0 {
+				row := fmt.Sprint(c.Action == plan.SetCustomer, c.Name)
+				if r.Version < highest[row] || b.Version() < before {
+					t.Fatalf("%s fell from %d to %d", row, highest[row], r.Version)
+				}
+				highest[row] = r.Version
+			}
+			v := views[rapid.IntRange(0, len(views)-1).Draw(t, "vm")]
+			late = append(late, b.Changes(v.Version()))
+			applied := v.Version()
+			if err := v.Take(late[rapid.IntRange(0, len(late)-1).Draw(t, "delivered")]); err != nil && !errors.Is(err, plan.ErrGap) {
+				t.Fatal(err)
+			}
+			if v.Version() < applied {
+				t.Fatalf("the VM's lists went back from version %d to %d", applied, v.Version())
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				b = restored(t, b)
+			}
+		}
+		for _, v := range views {
+			if err := v.Take(b.Changes(v.Version())); err != nil {
+				t.Fatal(err)
+			}
+			sameLists(t, b, v)
+		}
+	})
+}
+
+func drawCommand(t *rapid.T, b *plan.Book) plan.Command {
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	row, _ := b.Allowance(name)
+	customer, _ := b.Customer(name)
+	version := func(present uint64) uint64 {
+		return present + uint64(rapid.IntRange(0, 5).Draw(t, "off")/5)
+	}
+	switch rapid.IntRange(0, 4).Draw(t, "action") {
+	case 0:
+		return plan.Command{Action: plan.RemoveAllowance, Name: name, IfMatch: version(row.Version)}
+	case 1:
+		return plan.Command{Action: plan.RemoveCustomer, Name: name, IfMatch: version(customer.Version)}
+	case 2:
+		return setAllowance(allowance(name, rapid.Int64Range(1, 3).Draw(t, "tokens")), version(row.Version))
+	}
+	key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+	planName := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "plan")
+	return setCustomer(name, planName, version(customer.Version), key)
+}
+
+func sameLists(t *rapid.T, b *plan.Book, v *plan.View) {
+	var customers []plan.Customer
+	var allowances []plan.Allowance
+	for _, row := range b.Customers() {
+		customers = append(customers, row.Customer)
+	}
+	for _, row := range b.Allowances() {
+		allowances = append(allowances, row.Allowance)
+	}
+	if want := plan.NewDirectory(b.Version(), customers, allowances); !reflect.DeepEqual(v.Directory(), want) {
+		t.Fatalf("VM applies %+v, the lists are %+v", v.Directory(), want)
+	}
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -42,13 +42,15 @@
 type Directory struct {
 	Version    uint64
 	customers  map[string]Customer // by key hash
+	workspaces map[string]Customer
 	allowances map[string]Allowance
 }
 
 // NewDirectory indexes the lists.
 func NewDirectory(version uint64, customers []Customer, allowances []Allowance) *Directory {
-	d := &Directory{Version: version, customers: map[string]Customer{}, allowances: map[string]Allowance{}}
+	d := &Directory{Version: version, customers: map[string]Customer{}, workspaces: map[string]Customer{}, allowances: map[string]Allowance{}}
 	for _, c := range customers {
+		d.workspaces[c.Workspace] = c
 		for _, h := range c.KeyHashes {
 			d.customers[h] = c
 		}
@@ -69,6 +71,16 @@
 	return c, a, ok
 }
 
+// Workspace finds a workspace by name, and its allowance.
+func (d *Directory) Workspace(name string) (Customer, Allowance, bool) {
+	c, ok := d.workspaces[name]
+	if !ok {
+		return Customer{}, Allowance{}, false
+	}
+	a, ok := d.allowances[c.Plan]
+	return c, a, ok
+}
+
 // AllowsModel reports whether the plan includes a model.
 func (a *Allowance) AllowsModel(model string) bool { return slices.Contains(a.Models, model) }
 
