peertest: an in-memory transport that loses, delays, cuts, pauses and kills

Cause: relay, membership and consensus need their faults brought about without sockets and without wall time. Change: internal/peer/peertest implements peer.Transport over channels; it works under testing/synctest. peer.AsRemote is exported for it (was toRemote). Conclusion: one table test shows each fault in the form a network gives it.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -99,7 +99,7 @@
 	}
 	out, err := n.serve(ctx, n.self, kind, data)
 	if err != nil {
-		return toRemote(err)
+		return AsRemote(err)
 	}
 	if reply == nil {
 		return nil
@@ -142,7 +142,8 @@
 	return h(ctx, from, body)
 }
 
-func toRemote(err error) error {
+// AsRemote gives the form in which a handler's error reaches the calling VM.
+func AsRemote(err error) error {
 	var re *RemoteError
 	if errors.As(err, &re) {
 		return err
--- /dev/null
+++ b/internal/peer/peertest/peertest_test.go
@@ -0,0 +1,61 @@
+package peertest_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
+)
+
+// A caller of another VM meets each fault in the form that the network gives it:
+// a dead VM refuses at once, a cut link is silent until the deadline, a deaf VM
+// has executed the call though its caller never hears so.
+func TestFaultsShowAsOnANetwork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := peertest.New(1)
+		a, b := n.VM("a"), n.VM("b")
+		served := 0
+		b.Handle(peer.KindFollow, func(context.Context, string, []byte) (any, error) {
+			served++
+			return served, nil
+		})
+		call := func() (time.Duration, error) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			start := time.Now()
+			var reply int
+			err := a.Call(ctx, "b", peer.KindFollow, 1, &reply)
+			return time.Since(start), err
+		}
+		for _, c := range []struct {
+			name   string
+			set    func()
+			took   time.Duration
+			fails  bool
+			served int
+		}{
+			{"sound", func() {}, 0, false, 1},
+			{"delayed", func() { n.SetDelay(time.Millisecond, time.Millisecond) }, 2 * time.Millisecond, false, 2},
+			{"deaf caller", func() { n.Deafen("a") }, time.Second, true, 3},
+			{"cut", func() { n.HealAll(); n.Isolate("a") }, time.Second, true, 3},
+			{"paused", func() { n.HealAll(); n.Pause("b") }, time.Second, true, 3},
+			{"resumed", func() { n.Resume("b") }, 2 * time.Millisecond, false, 4},
+			{"repeated", func() { n.SetLoss(0, 1) }, 2 * time.Millisecond, false, 6},
+			{"killed", func() { n.SetLoss(0, 0); n.SetDelay(0, 0); n.Kill("b") }, 0, true, 6},
+		} {
+			c.set()
+			took, err := call()
+			synctest.Wait()
+			if took != c.took || (err != nil) != c.fails || served != c.served {
+				t.Errorf("%s: took %v, error %v, served %d; want %v, failure %v, %d", c.name, took, err, served, c.took, c.fails, c.served)
+			}
+			if err != nil && !errors.Is(err, peer.ErrUnreachable) {
+				t.Errorf("%s: error %v is not ErrUnreachable", c.name, err)
+			}
+		}
+	})
+}
