--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,6 +13,13 @@
 // drive runs attempts until the generation has finished, was taken over, or
 // cannot go on.
 func (r *Run) drive(ctx context.Context) {
+	defer r.release()
+	if r.ticket != nil {
+		if err := r.ticket.Wait(ctx); err != nil {
+			r.stop(err)
+			return
+		}
+	}
 	for ctx.Err() == nil {
 		again, err := r.attempt(ctx)
 		if err != nil {
--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -55,6 +55,27 @@
 	Pick(ctx context.Context, q Query) (Choice, error)
 }
 
+// Admission decides which requests are taken and when their first attempt may
+// start.
+type Admission interface {
+	// Enter gives a request a place before its journal is opened, or refuses it
+	// with a coded error. accepted marks a request that the system has accepted
+	// already, perhaps on another VM: it is never refused.
+	Enter(req *generation.Request, accepted bool) (Ticket, error)
+}
+
+// Ticket is a request's place in the queue and, after Wait, its slot.
+type Ticket interface {
+	// Wait blocks until the first attempt may start. A coded error is final.
+	Wait(ctx context.Context) error
+	// Release gives the place or the slot back. It may be called twice.
+	Release()
+}
+
+// NoteFunc records a decision about a request for `amaranthshelf explain`. what
+// is one of the words of package explain.
+type NoteFunc func(id generation.RequestID, what, why string)
+
 // Members names the VMs that may keep journals.
 type Members interface {
 	// Candidates lists VMs that are members now.
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -23,6 +23,8 @@
 	members   Members
 	engines   Engines
 	router    Router
+	admission Admission
+	note      NoteFunc
 	log       zerolog.Logger
 	metrics   *expvar.Map
 	journals  *journals
@@ -58,6 +60,8 @@
 	Router    Router
 	Log       zerolog.Logger
 	Metrics   *expvar.Map
+	Admission Admission // nil: every request starts at once
+	Note      NoteFunc  // nil: nothing is recorded
 }
 
 // NewHub returns a Hub and registers its message handlers.
@@ -65,7 +69,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Hub{
 		cfg: cfg, transport: d.Transport, members: d.Members, engines: d.Engines, router: d.Router,
-		log: d.Log, metrics: d.Metrics, ctx: ctx, cancel: cancel,
+		admission: d.Admission, note: noteOr(d.Note), log: d.Log, metrics: d.Metrics, ctx: ctx, cancel: cancel,
 		runs: map[generation.RequestID]*Run{}, opening: map[generation.RequestID]*opening{},
 		keeper: generation.NewKeeper(),
 	}
@@ -147,7 +151,7 @@
 		return found{}, err
 	}
 	if !resuming && replies.Ready() {
-		return h.own(ctx, generation.NewOwner(req, epoch, keepers, generation.Journal{}), keepers)
+		return h.own(ctx, generation.NewOwner(req, epoch, keepers, generation.Journal{}), keepers, false)
 	}
 	if resuming && replies.Max.IsZero() {
 		return found{}, result.New(result.NotFound)
@@ -175,17 +179,22 @@
 		req = *best.Request
 	}
 	h.metrics.Add("takeovers", 1)
-	return h.own(ctx, generation.NewOwner(req, epoch, keepers, best.Journal), keepers)
+	return h.own(ctx, generation.NewOwner(req, epoch, keepers, best.Journal), keepers, ok)
 }
 
-// own installs the journal on its keepers and starts driving it.
-func (h *Hub) own(ctx context.Context, owner *generation.Owner, keepers []string) (found, error) {
+// own installs the journal on its keepers and starts driving it. accepted tells
+// that the journal had been accepted before.
+func (h *Hub) own(ctx context.Context, owner *generation.Owner, keepers []string, accepted bool) (found, error) {
 	run := newRun(h, owner, keepers)
+	if err := run.enter(accepted); err != nil {
+		return found{}, err
+	}
 	rctx, cancel := context.WithCancel(h.ctx)
 	run.cancel = cancel
 	h.journals.mark(run)
 	if err := run.accepted(ctx); err != nil {
 		cancel()
+		run.release()
 		return found{}, err
 	}
 	h.mu.Lock()
@@ -193,6 +202,8 @@
 	h.mu.Unlock()
 	if owner.Journal().Finish == "" {
 		go run.drive(rctx)
+	} else {
+		run.release()
 	}
 	go h.watch(rctx, run)
 	return found{run: run, req: run.Request()}, nil
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -36,6 +36,7 @@
 	keepers []string
 	log     zerolog.Logger
 	cancel  context.CancelFunc
+	ticket  Ticket
 
 	mu      sync.Mutex
 	owner   *generation.Owner
