measure, fuzz: the gateway's overhead against direct streams; fuzz targets

Cause: overhead, cost per token and bytes per stream were unknown; decoders of outside bytes had no fuzz targets. Change: amaranthshelf measure gateway runs the same streams direct and through three VMs in one process; fuzz targets for event ids, bodies, peer frames, engine events and settings.

--- a/cmd/amaranthshelf/demo.go
+++ b/cmd/amaranthshelf/demo.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -33,14 +31,12 @@
 func (c *demoCommand) Execute([]string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
 	defer cancel()
-	report, err := demo.Run(ctx, func(step string) { fmt.Fprintln(os.Stderr, "... "+step) })
+	report, err := demo.Run(ctx, func(step string) { progress("... " + step) })
 	if err != nil {
 		return err
 	}
 	if c.JSON {
-		enc := json.NewEncoder(os.Stdout)
-		enc.SetIndent("", "  ")
-		if err := enc.Encode(report); err != nil {
+		if err := printJSON(report); err != nil {
 			return err
 		}
 	} else {
--- a/cmd/amaranthshelf/load.go
+++ b/cmd/amaranthshelf/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -54,7 +53,7 @@
 	o := load.Options{
 		Profile: profile, Seed: c.Seed, Duration: c.Duration, Drain: c.Drain, Scale: c.Scale, Addrs: c.Address,
 		KeyOf:    func(string) string { return c.Key },
-		Progress: func(line string) { fmt.Fprintln(os.Stderr, line) },
+		Progress: progress,
 	}
 	if err := c.prepare(&o); err != nil {
 		return err
@@ -138,9 +137,7 @@
 		}
 	}
 	if c.JSON {
-		enc := json.NewEncoder(os.Stdout)
-		enc.SetIndent("", "  ")
-		if err := enc.Encode(report); err != nil {
+		if err := printJSON(report); err != nil {
 			return err
 		}
 	} else {
--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -23,6 +23,7 @@
 	for _, add := range []func(*flags.Parser) error{
 		addDemo,
 		addLoad,
+		addMeasure,
 	} {
 		if err := add(parser); err != nil {
 			fmt.Fprintln(os.Stderr, err)
