--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -24,6 +24,7 @@
 		addDemo,
 		addLoad,
 		addMeasure,
+		addStandin,
 	} {
 		if err := add(parser); err != nil {
 			fmt.Fprintln(os.Stderr, err)
