--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -72,6 +72,16 @@
 	Release()
 }
 
+// Quota charges new generations to their plans.
+type Quota interface {
+	// Reserve sets the most that a request may use aside, or refuses it with a
+	// coded error. settle ends the reservation, once: ran tells whether any work
+	// was placed, tokens what was used of the reservation. A generation that was
+	// taken over is not reserved again: what recovery repeats is extra work, not
+	// the customer's use.
+	Reserve(ctx context.Context, req *generation.Request) (settle func(ran bool, tokens int), err error)
+}
+
 // NoteFunc records a decision about a request for `amaranthshelf explain`. what
 // is one of the words of package explain.
 type NoteFunc func(id generation.RequestID, what, why string)
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -24,6 +24,7 @@
 	engines   Engines
 	router    Router
 	admission Admission
+	quota     Quota
 	note      NoteFunc
 	log       zerolog.Logger
 	metrics   *expvar.Map
@@ -61,6 +62,7 @@
 	Log       zerolog.Logger
 	Metrics   *expvar.Map
 	Admission Admission // nil: every request starts at once
+	Quota     Quota     // nil: nothing is charged
 	Note      NoteFunc  // nil: nothing is recorded
 }
 
@@ -69,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Hub{
 		cfg: cfg, transport: d.Transport, members: d.Members, engines: d.Engines, router: d.Router,
-		admission: d.Admission, note: noteOr(d.Note), log: d.Log, metrics: d.Metrics, ctx: ctx, cancel: cancel,
+		admission: d.Admission, quota: d.Quota, note: noteOr(d.Note), log: d.Log, metrics: d.Metrics, ctx: ctx, cancel: cancel,
 		runs: map[generation.RequestID]*Run{}, opening: map[generation.RequestID]*opening{},
 		keeper: generation.NewKeeper(),
 	}
@@ -186,7 +188,7 @@
 // that the journal had been accepted before.
 func (h *Hub) own(ctx context.Context, owner *generation.Owner, keepers []string, accepted bool) (found, error) {
 	run := newRun(h, owner, keepers)
-	if err := run.enter(accepted); err != nil {
+	if err := run.enter(ctx, accepted); err != nil {
 		return found{}, err
 	}
 	rctx, cancel := context.WithCancel(h.ctx)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -37,6 +37,7 @@
 	log     zerolog.Logger
 	cancel  context.CancelFunc
 	ticket  Ticket
+	settle  func(ran bool, tokens int) // nil: nothing was reserved here
 
 	mu      sync.Mutex
 	owner   *generation.Owner
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -1,15 +1,26 @@
 package relay
 
-import "github.com/amaranthshelf/amaranthshelf/internal/generation"
+import (
+	"context"
 
-// enter takes a place in the admission queue. A refusal comes before the
-// journal is opened, so that it can promise that nothing ran.
-func (r *Run) enter(accepted bool) error {
+	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+)
+
+// enter reserves the request's cost and takes a place in the admission queue. A
+// refusal comes before the journal is opened, so that it can promise that
+// nothing ran.
+func (r *Run) enter(ctx context.Context, accepted bool) error {
+	if err := r.reserve(ctx, accepted); err != nil {
+		return err
+	}
 	if r.hub.admission == nil {
 		return nil
 	}
 	ticket, err := r.hub.admission.Enter(r.Request(), accepted)
 	r.ticket = ticket
+	if err != nil {
+		r.charge()
+	}
 	return err
 }
 
@@ -17,6 +28,36 @@
 	if r.ticket != nil {
 		r.ticket.Release()
 	}
+	r.charge()
+}
+
+func (r *Run) reserve(ctx context.Context, accepted bool) error {
+	if r.hub.quota == nil || accepted {
+		return nil
+	}
+	settle, err := r.hub.quota.Reserve(ctx, r.Request())
+	r.settle = settle
+	return err
+}
+
+// charge settles the reservation by what the journal shows. An owner that was
+// taken over charges all of it: the answer goes on elsewhere, unreserved.
+func (r *Run) charge() {
+	if r.settle == nil {
+		return
+	}
+	r.mu.Lock()
+	j := r.owner.Journal()
+	used := r.owner.Request.PromptTokens() + j.Len()
+	if j.Finish != "" && j.Usage.PromptTokens > 0 {
+		used = j.Usage.PromptTokens + j.Len()
+	}
+	if r.owner.Deposed() {
+		used = r.owner.Request.Cost()
+	}
+	ran := r.stats.Attempts > 0 || r.owner.Deposed()
+	r.mu.Unlock()
+	r.settle(ran, used)
 }
 
 func noteOr(f NoteFunc) NoteFunc {
