--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -118,6 +118,10 @@
 	holders, tokens := t.hints.longest(q.Blocks, t.engines)
 	best, bestTokens := -1, 0
 	_, mean := p.means()
+	weight := q.Affinity
+	if weight == 0 {
+		weight = 1
+	}
 	bound := affinityBound * max(mean, Work(q.Prompt, q.New))
 	for _, h := range holders.list[:holders.n] {
 		i := int(h.engine)
@@ -128,7 +132,7 @@
 		if s.work+t.othersNow(p, s, now) > bound {
 			continue
 		}
-		if c := t.cost(p, i, q, now) - float64(tokens)*t.slowness(p, s); c < cost {
+		if c := t.cost(p, i, q, now) - weight*float64(tokens)*t.slowness(p, s); c < cost {
 			best, bestTokens, cost = i, tokens, c
 		}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -71,6 +71,10 @@
 	Avoid   []string // backend servers to avoid while there are others
 	Resume  bool     // accepted work after a loss: may exceed the limits a little
 	Suspect bool     // may have crashed an engine: place it alone
+
+	// Affinity weighs the prefill that a cached prefix saves against load; 0
+	// counts as 1.
+	Affinity float64
 }
 
 // Placement is work placed on a backend server. Pass it to Progress and Done.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -187,6 +187,14 @@
 	}
 }
 
+// Cleared ends the isolation of a suspect that has proved innocent.
+func (t *Table) Cleared(p *Placement) {
+	if p.suspect {
+		p.suspect = false
+		t.engines[p.Engine].suspects--
+	}
+}
+
 // Done ends placed work.
 func (t *Table) Done(p *Placement, o Outcome, now time.Time) {
 	s := t.engines[p.Engine]
@@ -195,9 +203,7 @@
 	if s.inflight == 0 {
 		s.addWork(-s.work) // floating point leaves crumbs
 	}
-	if p.suspect {
-		s.suspects--
-	}
+	t.Cleared(p)
 	if p.probe {
 		s.health.probing = false
 	}
