relay, node: decisions by the policy modules

Attempts are watched by the adaptive detector instead of a fixed second; resumes are paced; a request waits for an engine instead of failing when none is there; refusals by an engine, its overload, its death and its silence are told apart; blame travels between VMs; resume-latency hedges within a budget. The router polls the engines it uses within a byte budget and places by package routing; requests wait in fair queues before their first attempt. Decisions are noted for explain and counted in expvar.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,6 @@
 // Timings of one VM.
 const (
 	openTimeout   = 4 * time.Second
-	silenceLimit  = 1 * time.Second
 	heartbeat     = 1 * time.Second
 	headerTimeout = 5 * time.Second
 )
@@ -55,8 +54,11 @@
 	hub     *relay.Hub
 	members *members
 	router  *router
-	plans   *plans
-	ready   atomic.Bool
+
+	admission   *admitter
+	stopPolling context.CancelFunc
+	plans       *plans
+	ready       atomic.Bool
 }
 
 // Listen binds the VM's addresses and records those that the kernel picked.
@@ -97,7 +99,9 @@
 	n.startControl()
 	n.startPlans()
 	n.startRouting()
+	n.startAdmission()
 	n.startGenerations()
+	n.startPolling()
 	n.startCallers()
 	n.startOperators()
 	n.startPeers()
@@ -107,10 +111,10 @@
 func (n *Node) startGenerations() {
 	n.hub = relay.NewHub(relay.Config{
 		VM: n.s.Self.ID, Epoch: n.s.Self.ID + "#" + n.incarnation,
-		OpenTimeout: openTimeout, SilenceLimit: silenceLimit, CallerKeep: n.s.CallerKeep,
+		OpenTimeout: openTimeout, Objective: objectiveOf(n.s.Objective), CallerKeep: n.s.CallerKeep,
 	}, relay.Deps{
 		Transport: n.network, Members: n.members, Engines: n.engines, Router: n.router,
-		Log: n.log, Metrics: n.metrics,
+		Log: n.log, Metrics: n.metrics, Admission: n.admission, Note: n.note,
 	})
 }
 
@@ -166,6 +170,7 @@
 	for _, s := range n.servers {
 		_ = s.Close()
 	}
+	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
 }
@@ -177,6 +182,7 @@
 	for _, s := range n.servers {
 		errs = append(errs, s.Shutdown(ctx))
 	}
+	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
 	return errors.Join(append(errs, n.tracer.Close(ctx))...)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -2,58 +2,221 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/admission"
+	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/routing"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
 
-// router picks the engine with the fewest runs from this VM.
+// router picks engines by package routing and keeps the limits of package
+// admission, one for each engine. Safe for concurrent use.
 type router struct {
-	mu      sync.Mutex
-	engines []settings.Backend
-	running map[string]int
+	self  settings.VM
+	now   func() time.Time
+	freed func() // called without the lock when room may have come up
+
+	mu       sync.Mutex
+	table    *routing.Table
+	limiters []*admission.Limiter // by the table's index
+	models   map[string]bool      // of all backend servers, also outside the subset
+	vms      int
+	peers    int // routers that use the same engines
+}
+
+func newRouter(self settings.VM, backends []settings.Backend, vms int) *router {
+	seed := rand.NewPCG(rand.Uint64(), rand.Uint64())
+	r := &router{
+		self: self, now: time.Now, freed: func() {}, vms: max(1, vms),
+		table: routing.NewTable(self.Zone, rand.New(seed)),
+	}
+	r.SetBackends(backends)
+	return r
+}
+
+// SetBackends replaces the list of backend servers. Engines that are gone get
+// no new work from now on.
+func (r *router) SetBackends(backends []settings.Backend) {
+	var specs []routing.Spec
+	models := map[string]bool{}
+	for _, b := range backends {
+		if b.Kind == settings.KindService {
+			continue
+		}
+		specs = append(specs, routing.Spec{Name: b.Name, Addr: b.Address, Zone: b.Zone, Pools: b.Models})
+		for _, m := range b.Models {
+			models[m] = true
+		}
+	}
+	subset := routing.Subset(r.self.ID, r.self.Zone, specs)
+	r.mu.Lock()
+	r.models = models
+	r.peers = max(1, r.vms*len(subset)/max(1, len(specs)))
+	r.table.SetPeers(r.peers)
+	r.table.SetServers(subset)
+	for i := len(r.limiters); i < r.table.Len(); i++ {
+		l := admission.NewLimiter()
+		r.limiters = append(r.limiters, l)
+		r.table.SetLimit(i, l.Limit())
+	}
+	r.mu.Unlock()
+	r.freed()
 }
 
-func newRouter(backends []settings.Backend) *router {
-	return &router{engines: backends, running: map[string]int{}}
+// SetLeaving marks a backend server that the platform says is leaving.
+func (r *router) SetLeaving(name string, leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i, ok := r.table.Index(name); ok {
+		r.table.SetLeaving(i, leaving)
+	}
 }
 
 // HasModel implements gateway.Models.
 func (r *router) HasModel(model string) bool {
-	return slices.ContainsFunc(r.engines, func(b settings.Backend) bool { return slices.Contains(b.Models, model) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.models[model]
+}
+
+// Usable implements relay.Router.
+func (r *router) Usable(model string) (engines, routers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Usable(model, r.now()), r.peers
+}
+
+// Capacity is how much work this router may have on a model's engines.
+func (r *router) Capacity(model string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit, _ := r.table.Capacity(model, r.now())
+	return limit
 }
 
 // Pick implements relay.Router.
 func (r *router) Pick(_ context.Context, q relay.Query) (relay.Choice, error) {
+	req := q.Request
+	query := routing.Query{
+		Pool: req.Model, Prompt: req.PromptTokens() + q.Tokens, New: max(0, req.MaxTokens-q.Tokens),
+		Blocks: routing.Blocks(req), Avoid: q.Avoid, Resume: q.Resume, Suspect: q.Suspect, Affinity: q.Affinity,
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	best := -1
-	for i, b := range r.engines {
-		if !slices.Contains(b.Models, q.Request.Model) || slices.Contains(q.Avoid, b.Name) {
-			continue
-		}
-		if best < 0 || r.running[b.Name] < r.running[r.engines[best].Name] {
-			best = i
-		}
-	}
-	if best < 0 {
+	placed, ok := r.table.Pick(&query, r.now())
+	if !ok {
 		return relay.Choice{}, result.New(result.NoBackendServer)
 	}
-	b := r.engines[best]
-	r.running[b.Name]++
+	spec := r.table.Spec(placed.Engine)
 	return relay.Choice{
-		Backend: relay.Backend{Name: b.Name, Addr: b.Address, Zone: b.Zone},
-		Done:    func(relay.Outcome) { r.done(b.Name) },
+		Backend:  relay.Backend{Name: spec.Name, Addr: spec.Addr, Zone: spec.Zone},
+		Cached:   placed.Cached(),
+		Done:     func(o relay.Outcome) { r.done(&placed, o) },
+		Progress: func(tokens int) { r.progress(&placed, tokens) },
+		Cleared:  func() { r.cleared(&placed) },
 	}, nil
 }
 
-func (r *router) done(name string) {
+func (r *router) progress(p *routing.Placement, tokens int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.running[name]--
+	r.table.Progress(p, tokens)
 }
 
-func (n *Node) startRouting() { n.router = newRouter(n.s.Backends) }
+func (r *router) cleared(p *routing.Placement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Cleared(p)
+}
+
+var outcomes = map[relay.Outcome]routing.Outcome{
+	relay.OutcomeOK:         routing.OK,
+	relay.OutcomeFailed:     routing.Failed,
+	relay.OutcomeSuspected:  routing.Silent,
+	relay.OutcomeCancelled:  routing.Cancelled,
+	relay.OutcomeDied:       routing.Failed,
+	relay.OutcomeRefused:    routing.Refused,
+	relay.OutcomeUnserved:   routing.Cancelled,
+	relay.OutcomeOverloaded: routing.Cancelled,
+	relay.OutcomeRejected:   routing.Cancelled,
+}
+
+func (r *router) done(p *routing.Placement, o relay.Outcome) {
+	r.mu.Lock()
+	l := r.limiters[p.Engine]
+	r.table.Done(p, outcomes[o], r.now())
+	switch o {
+	case relay.OutcomeOverloaded:
+		l.Report(0, 1, r.table.Inflight(p.Engine))
+	case relay.OutcomeDied, relay.OutcomeRefused:
+		l.Lost()
+	default:
+	}
+	r.table.SetLimit(p.Engine, l.Limit())
+	r.mu.Unlock()
+	r.freed()
+}
+
+// report takes an engine's load report.
+func (r *router) report(i int, load *engine.Load) {
+	r.mu.Lock()
+	r.table.Report(i, load, r.now())
+	l := r.limiters[i]
+	l.Report(load.StepMS, load.Queued, r.table.Inflight(i))
+	r.table.SetLimit(i, l.Limit())
+	r.mu.Unlock()
+	r.freed()
+}
+
+// EngineStatus is what this router knows of an engine, for operators.
+type EngineStatus struct {
+	Name     string `json:"name"`
+	Zone     string `json:"zone"`
+	State    string `json:"state"`
+	Inflight int    `json:"inflight"`
+	Limit    int    `json:"limit"`
+}
+
+func (r *router) status() []EngineStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]EngineStatus, 0, r.table.Len())
+	for i := range r.table.Len() {
+		s := r.table.Spec(i)
+		out = append(out, EngineStatus{
+			Name: s.Name, Zone: s.Zone, State: r.table.State(i, r.now()),
+			Inflight: r.table.Inflight(i), Limit: r.limiters[i].Limit(),
+		})
+	}
+	return out
+}
+
+// listed returns the indexes and addresses of the engines that are polled.
+func (r *router) listed() []polled {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []polled
+	for i := range r.table.Len() {
+		if s := r.table.Spec(i); r.table.State(i, r.now()) != "gone" {
+			out = append(out, polled{index: i, name: s.Name, addr: s.Addr, cacheSeq: r.table.CacheSeq(i)})
+		}
+	}
+	return slices.Clip(out)
+}
+
+func (r *router) cacheEvents(i int, page *engine.CacheEvents) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.CacheEvents(i, page)
+}
+
+func (n *Node) startRouting() {
+	n.router = newRouter(n.s.Self, n.s.Backends, len(n.s.VMs))
+	n.metrics.Set("engines", expvarFunc(func() any { return n.router.status() }))
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,137 +3,238 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
 )
 
-// drive runs attempts until the generation has finished, was taken over, or
-// cannot go on.
+// Pauses between tries to find an engine. Others run out of work within tens of
+// milliseconds; after an outage a half second more is not noticed.
+const (
+	pickPauseMin = 20 * time.Millisecond
+	pickPauseMax = 500 * time.Millisecond
+)
+
+// rejectLimit engines that refuse the request itself are enough to believe it.
+const rejectLimit = 2
+
+// drive waits for a slot and runs attempts until the generation has finished,
+// was taken over, or cannot go on.
 func (r *Run) drive(ctx context.Context) {
 	defer r.release()
-	if r.ticket != nil {
-		if err := r.ticket.Wait(ctx); err != nil {
-			r.stop(err)
-			return
-		}
+	deadline := deadlineOf(r.Request(), time.Now())
+	err := r.admitted(ctx)
+	for again := true; again && err == nil && ctx.Err() == nil; {
+		again, err = r.attempt(ctx, deadline)
 	}
-	for ctx.Err() == nil {
-		again, err := r.attempt(ctx)
-		if err != nil {
-			r.stop(err)
-			return
-		}
-		if !again {
-			return
-		}
+	if err != nil && ctx.Err() == nil {
+		r.stop(err)
+	}
+}
+
+func (r *Run) admitted(ctx context.Context) error {
+	if r.ticket == nil {
+		return nil
 	}
+	return r.ticket.Wait(ctx)
 }
 
 // attempt runs one attempt and reports whether another is needed.
-func (r *Run) attempt(ctx context.Context) (bool, error) {
-	choice, err := r.hub.router.Pick(ctx, r.query())
+func (r *Run) attempt(ctx context.Context, deadline time.Time) (bool, error) {
+	resume, err := r.pace(ctx, deadline)
 	if err != nil {
 		return false, err
 	}
-	id, c := r.begin()
-	actx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(r.hub.cfg.SilenceLimit, cancel)
-	defer silence.Stop()
-	r.log.Debug().Str("engine", choice.Backend.Name).Int("attempt", id.Number).Int("from", len(c.Generated)).Msg("attempt")
-	err = r.hub.engines.Generate(actx, choice.Backend.Addr, c, func(e engine.Event) error {
-		silence.Reset(r.hub.cfg.SilenceLimit)
-		return r.onEvent(id, e)
-	})
-	switch {
-	case err == nil:
-		choice.Done(OutcomeOK)
-		return false, nil
-	case errors.Is(err, generation.ErrDeposed), ctx.Err() != nil:
-		choice.Done(OutcomeCancelled)
-		r.cancelAttempt(choice.Backend.Addr, c.Attempt)
-		return false, nil
-	case actx.Err() != nil:
-		choice.Done(OutcomeSuspected)
-		r.cancelAttempt(choice.Backend.Addr, c.Attempt)
-	default:
-		choice.Done(OutcomeFailed)
+	defer r.hub.recovery.paced(r.Request().Model, resume)
+	choice, err := r.pick(ctx, deadline)
+	if err != nil {
+		return false, err
 	}
-	r.lost(choice.Backend.Name, err)
-	return true, nil
+	l := r.begin(choice, resume)
+	return r.follow(ctx, l)
+}
+
+// pace holds a resume back while the engines are busy with others; the first
+// attempt has its slot already.
+func (r *Run) pace(ctx context.Context, deadline time.Time) (*recovery.Resume, error) {
+	q := r.query()
+	if !q.Resume {
+		return nil, nil
+	}
+	req := r.Request()
+	resume := &recovery.Resume{Deadline: deadline, Priority: req.Priority, Prefill: q.Prefill()}
+	return resume, r.hub.recovery.pace(ctx, req.Model, resume)
+}
+
+// pick finds an engine. An accepted request outlives an outage of all engines:
+// it waits for one until its deadline or until its caller is gone for good.
+func (r *Run) pick(ctx context.Context, deadline time.Time) (Choice, error) {
+	req := r.Request()
+	digest := req.ContentDigest()
+	pause := pickPauseMin
+	for waited := false; ; waited = true {
+		q := r.query()
+		if err := r.hub.recovery.refusePoison(digest, r.ran()); err != nil {
+			r.hub.note(req.ID, explain.Refused, err.Error())
+			return Choice{}, err
+		}
+		q.Suspect = r.hub.recovery.standing(digest) == recovery.Suspect
+		choice, err := r.hub.router.Pick(ctx, q)
+		if err == nil {
+			r.notePlaced(&choice, &q)
+			return choice, nil
+		}
+		if !errors.Is(err, result.New(result.NoBackendServer)) {
+			return Choice{}, err
+		}
+		if !deadline.IsZero() && time.Now().After(deadline) {
+			return Choice{}, result.New(result.DeadlinePassed).WithRan(r.ran())
+		}
+		if !waited {
+			r.hub.metrics.Add("waits_for_engine", 1)
+			r.hub.note(req.ID, explain.Queued, "no engine can take it now")
+		}
+		if err := sleep(ctx, pause/2+rand.N(pause)); err != nil {
+			return Choice{}, err
+		}
+		pause = min(2*pause, pickPauseMax)
+	}
+}
+
+func (r *Run) notePlaced(c *Choice, q *Query) {
+	what, why := explain.Placed, fmt.Sprintf("on %s in %s", c.Backend.Name, c.Backend.Zone)
+	if q.Resume {
+		what, why = explain.Resumed, fmt.Sprintf("on %s in %s behind %d tokens", c.Backend.Name, c.Backend.Zone, q.Tokens)
+	}
+	if c.Cached > 0 {
+		why += fmt.Sprintf(", %d prompt tokens cached there", c.Cached)
+	}
+	if q.Suspect {
+		why += ", alone: its last engine died"
+	}
+	r.hub.note(r.Request().ID, what, why)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ran tells whether any engine was given the request.
+func (r *Run) ran() result.Ran {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stats.Attempts > 0 || r.owner.Journal().Len() > 0 {
+		return result.RanYes
+	}
+	return result.RanNo
 }
 
+// avoidLast is how many engines that failed this request are avoided while
+// there are others: older ones have had time to come back.
+const avoidLast = 3
+
 func (r *Run) query() Query {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	avoid := r.failed[max(0, len(r.failed)-avoidLast):]
+	tokens := r.owner.Journal().Len()
 	return Query{
-		Request: &r.owner.Request, Tokens: r.owner.Journal().Len(),
-		Resume: r.stats.Attempts > 0, Avoid: slices.Clone(r.failed),
+		Request: &r.owner.Request, Tokens: tokens, Resume: r.stats.Attempts > 0 || tokens > 0,
+		Affinity: r.hub.recovery.policy.Affinity, Avoid: slices.Clone(avoid),
 	}
 }
 
-func (r *Run) begin() (generation.AttemptID, engine.Completion) {
+// begin makes a new attempt the one that may append.
+func (r *Run) begin(choice Choice, resume *recovery.Resume) *lane {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id, _ := r.owner.BeginAttempt()
+	l := r.lane(choice, id.String())
+	l.number, l.resume = id.Number, resume
 	r.stats.Attempts++
-	req := &r.owner.Request
-	j := r.owner.Journal()
 	if r.stats.Attempts > 1 {
-		r.stats.ExtraPrefill += req.PromptTokens() + j.Len()
-	}
-	return id, engine.Completion{
-		Attempt: id.String(), Model: req.Model, Version: req.Version, Adapter: req.Adapter,
-		Prompt: req.Prompt, PromptIDs: req.PromptIDs, Generated: slices.Clone(j.Tokens),
-		MaxTokens: req.MaxTokens, Priority: req.Priority, Stream: true,
+		r.stats.ExtraPrefill += max(0, r.owner.Request.PromptTokens()+l.from-choice.Cached)
 	}
+	r.log.Debug().Str("engine", choice.Backend.Name).Int("attempt", id.Number).Int("from", l.from).Msg("attempt")
+	return l
 }
 
-var errForeignEvent = errors.New("relay: event of another attempt")
-
-func (r *Run) onEvent(id generation.AttemptID, e engine.Event) error {
-	if e.Attempt != id.String() {
-		r.hub.metrics.Add("events_foreign", 1)
-		return errForeignEvent
-	}
-	span := generation.Span{From: e.Index - len(e.TokenIDs), Tokens: e.TokenIDs, Texts: e.Texts}
-	err := r.update(func() error {
-		r.noteResumed()
-		return r.owner.Append(id.Number, span, e.Finish, r.usage(e))
-	})
-	if err == nil {
-		r.hub.journals.mark(r)
+// lane needs r.mu.
+func (r *Run) lane(choice Choice, label engine.Attempt) *lane {
+	req := &r.owner.Request
+	j := r.owner.Journal()
+	return &lane{
+		choice: choice, from: j.Len(), stream: r.hub.recovery.begin(choice.Backend.Name),
+		suspect: r.hub.recovery.standing(req.ContentDigest()) == recovery.Suspect,
+		completion: engine.Completion{
+			Attempt: label, Model: req.Model, Version: req.Version, Adapter: req.Adapter,
+			Prompt: req.Prompt, PromptIDs: req.PromptIDs, Generated: slices.Clone(j.Tokens),
+			MaxTokens: req.MaxTokens, Priority: req.Priority, Stream: true,
+		},
 	}
-	return err
 }
 
-func (r *Run) noteResumed() {
-	if r.lostAt.IsZero() {
-		return
+// ended takes the end of the current attempt and reports whether another one is
+// needed.
+func (r *Run) ended(ctx context.Context, l *lane) (bool, error) {
+	outcome := l.outcome(ctx)
+	l.choice.done(outcome)
+	r.hub.recovery.end(l.stream)
+	if outcome == OutcomeOK {
+		r.hub.recovery.passed(r.Request().ContentDigest(), l.from+r.Request().MaxTokens)
+		return false, nil
 	}
-	r.stats.ResumeLatency = append(r.stats.ResumeLatency, time.Since(r.lostAt))
-	r.lostAt = time.Time{}
-}
-
-func (r *Run) usage(e engine.Event) generation.Usage {
-	if e.Usage == nil {
-		return generation.Usage{}
+	if outcome != OutcomeDied && outcome != OutcomeRefused {
+		r.cancelAttempt(l.choice.Backend.Addr, l.completion.Attempt)
 	}
-	return generation.Usage{PromptTokens: e.Usage.Prompt, CompletionTokens: e.Index}
+	if outcome == OutcomeCancelled {
+		return false, nil
+	}
+	r.lost(l, outcome)
+	if outcome == OutcomeRejected && r.reject() >= rejectLimit {
+		return false, result.Newf(result.BackendFailed, "the backend servers refuse the request: %v", l.err)
+	}
+	return true, nil
 }
 
-func (r *Run) lost(backend string, err error) {
+func (r *Run) reject() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.failed = append(r.failed, backend)
+	r.rejected++
+	return r.rejected
+}
+
+// lost notes that an attempt's engine is given up.
+func (r *Run) lost(l *lane, o Outcome) {
+	name := l.choice.Backend.Name
+	r.mu.Lock()
+	r.failed = append(r.failed, name)
 	if r.lostAt.IsZero() {
 		r.lostAt = time.Now()
 	}
+	tokens := r.owner.Journal().Len()
+	r.mu.Unlock()
 	r.hub.metrics.Add("attempts_lost", 1)
-	r.log.Warn().Err(err).Str("engine", backend).Int("tokens", r.owner.Journal().Len()).Msg("attempt lost; resuming")
+	r.hub.metrics.Add("attempts_lost_"+o.String(), 1)
+	if o == OutcomeDied {
+		r.hub.recovery.died(name, r.Request().ContentDigest(), tokens-l.from)
+	}
+	r.log.Warn().Err(l.err).Str("engine", name).Stringer("outcome", o).Int("tokens", tokens).Msg("attempt lost; resuming")
+	r.hub.note(r.Request().ID, explain.Suspected, fmt.Sprintf("%s: %s after %d tokens", name, o, tokens))
 }
 
 // cancelAttempt frees the engine of work that nobody wants any more.
@@ -144,3 +245,10 @@
 		_ = r.hub.engines.Cancel(ctx, addr, id)
 	}()
 }
+
+func (r *Run) usage(e engine.Event) generation.Usage {
+	if e.Usage == nil {
+		return generation.Usage{}
+	}
+	return generation.Usage{PromptTokens: e.Usage.Prompt, CompletionTokens: e.Index}
+}
--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -9,6 +9,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 )
 
 // Engines runs attempts. *engine.Client does so over HTTP.
@@ -30,29 +31,74 @@
 
 // Outcomes of attempts.
 const (
-	OutcomeOK Outcome = iota
-	OutcomeFailed
-	OutcomeSuspected // silent; it may still live
-	OutcomeCancelled
+	OutcomeOK         Outcome = iota
+	OutcomeFailed             // an answer that makes no sense, or a server error
+	OutcomeSuspected          // silent; it may still live
+	OutcomeCancelled          // by us
+	OutcomeDied               // reset, or end of the stream
+	OutcomeRefused            // no connection
+	OutcomeUnserved           // the engine does not serve this model, version or adapter
+	OutcomeOverloaded         // the engine is full
+	OutcomeRejected           // the engine finds fault with the request
 )
 
+// String names the outcome in logs and metrics.
+func (o Outcome) String() string {
+	return [...]string{
+		"ok", "failed", "suspected", "cancelled", "died", "refused", "unserved", "overloaded", "rejected",
+	}[o]
+}
+
 // Query asks for an engine.
 type Query struct {
-	Request *generation.Request
-	Tokens  int // generated so far
-	Resume  bool
-	Avoid   []string // engines that failed this request, by name
+	Request  *generation.Request
+	Tokens   int // generated so far
+	Resume   bool
+	Suspect  bool     // may have crashed an engine: place it alone
+	Affinity float64  // weight of a cached prefix against load; 0 counts as 1
+	Avoid    []string // engines that failed this request, by name, while there are others
 }
 
-// Choice is an engine with the work placed on it. Done must be called once.
+// Prefill is the number of tokens an engine has to compute before the next one,
+// if it has none of them cached.
+func (q *Query) Prefill() int { return q.Request.PromptTokens() + q.Tokens }
+
+// Choice is an engine with the work placed on it. Done must be called once. The
+// functions may be nil.
 type Choice struct {
-	Backend Backend
-	Done    func(Outcome)
+	Backend  Backend
+	Cached   int // prompt tokens expected in the engine's cache
+	Done     func(Outcome)
+	Progress func(tokens int) // tokens were generated
+	Cleared  func()           // a suspect has proved innocent
+}
+
+func (c *Choice) done(o Outcome) {
+	if c.Done != nil {
+		c.Done(o)
+	}
+}
+
+func (c *Choice) progress(tokens int) {
+	if c.Progress != nil {
+		c.Progress(tokens)
+	}
+}
+
+func (c *Choice) cleared() {
+	if c.Cleared != nil {
+		c.Cleared()
+	}
 }
 
 // Router picks engines.
 type Router interface {
+	// Pick places a request on an engine. result.NoBackendServer means that none
+	// can take it now.
 	Pick(ctx context.Context, q Query) (Choice, error)
+	// Usable returns how many engines serve a model now, and how many routers
+	// share them.
+	Usable(model string) (engines, routers int)
 }
 
 // Admission decides which requests are taken and when their first attempt may
@@ -99,6 +145,7 @@
 	VM           string
 	Epoch        string        // this VM's name in epochs; unique to its incarnation
 	OpenTimeout  time.Duration // for a majority of keepers
-	SilenceLimit time.Duration // without an event from an engine
+	Objective    recovery.Objective
+	SilenceLimit time.Duration // lowers the objective's bounds of silence; 0: does not
 	CallerKeep   time.Duration // a generation without reader is kept this long
 }
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -29,6 +29,7 @@
 	log       zerolog.Logger
 	metrics   *expvar.Map
 	journals  *journals
+	recovery  *recoverer
 	ctx       context.Context
 	cancel    context.CancelFunc
 
@@ -76,6 +77,8 @@
 		keeper: generation.NewKeeper(),
 	}
 	h.journals = newJournals(ctx, d.Transport)
+	h.recovery = newRecoverer(h)
+	d.Transport.Handle(peer.KindBlame, h.recovery.handleBlame)
 	d.Transport.Handle(peer.KindJournal, h.handleWrites)
 	d.Transport.Handle(peer.KindPromise, h.handlePromise)
 	d.Transport.Handle(peer.KindFollow, h.handleFollow)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -39,16 +39,18 @@
 	ticket  Ticket
 	settle  func(ran bool, tokens int) // nil: nothing was reserved here
 
-	mu      sync.Mutex
-	owner   *generation.Owner
-	changed chan struct{}
-	err     error
-	readers int
-	vacant  time.Time // since when nobody reads
-	stats   Stats
-	failed  []string // engines that failed this request
-	lostAt  time.Time
-	digests []uint64 // of the first 0, 1, 2... tokens
+	mu       sync.Mutex
+	owner    *generation.Owner
+	changed  chan struct{}
+	err      error
+	readers  int
+	vacant   time.Time // since when nobody reads
+	stats    Stats
+	failed   []string // engines that failed this request
+	current  int      // number of the attempt that appended last
+	rejected int      // engines that found fault with the request
+	lostAt   time.Time
+	digests  []uint64 // of the first 0, 1, 2... tokens
 }
 
 func newRun(h *Hub, owner *generation.Owner, keepers []string) *Run {
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -3,13 +3,21 @@
 import (
 	"context"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
 )
 
 // enter reserves the request's cost and takes a place in the admission queue. A
 // refusal comes before the journal is opened, so that it can promise that
 // nothing ran.
 func (r *Run) enter(ctx context.Context, accepted bool) error {
+	if !accepted {
+		if err := r.hub.recovery.refusePoison(r.Request().ContentDigest(), result.RanNo); err != nil {
+			r.hub.note(r.Request().ID, explain.Refused, err.Error())
+			return err
+		}
+	}
 	if err := r.reserve(ctx, accepted); err != nil {
 		return err
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -150,6 +150,21 @@
 	return limit, inflight
 }
 
+// Usable is the number of backend servers of a pool that take new work.
+func (t *Table) Usable(poolName string, now time.Time) int {
+	p := t.pools[poolName]
+	if p == nil {
+		return 0
+	}
+	n := 0
+	for _, i := range p.all {
+		if t.engines[i].usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *server) usable(now time.Time) bool {
 	return !s.gone && !s.leaving && s.health.state(now) != stateOut
 }
