routing: a suspect may try an engine on probation

Cause: after an outage of all engines each is on probation, and suspects were kept from those; an accepted answer whose engine had died stood still until its blame expired, ten minutes later. Found by bounding the caller's wait in the relay test. Now such an engine is the last choice for a suspect, not none.

--- /dev/null
+++ b/internal/relay/recover_test.go
@@ -0,0 +1,318 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/engine"
+	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
+	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/relay"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/routing"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin"
+)
+
+// fleet is a few engines without a network. A dead one refuses connections.
+type fleet struct {
+	mu      sync.Mutex
+	engines []*standin.Engine
+	cfg     func(i int) standin.EngineConfig
+}
+
+func newFleet(n int, change func(*standin.EngineConfig)) *fleet {
+	f := &fleet{cfg: func(i int) standin.EngineConfig {
+		c := standin.DefaultEngine(fmt.Sprint("e", i), "m")
+		c.ByAttempt = true // so that a splice of two attempts shows
+		if change != nil {
+			change(&c)
+		}
+		return c
+	}}
+	for i := range n {
+		f.engines = append(f.engines, standin.NewEngine(f.cfg(i)))
+	}
+	return f
+}
+
+func (f *fleet) at(addr string) (*standin.Engine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var i int
+	_, _ = fmt.Sscanf(addr, "e%d", &i)
+	if e := f.engines[i]; e.Alive() {
+		return e, nil
+	}
+	return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+}
+
+func (f *fleet) revive(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[i].Stop()
+	f.engines[i] = standin.NewEngine(f.cfg(i))
+}
+
+func (f *fleet) stop() {
+	for _, e := range f.engines {
+		e.Stop()
+	}
+}
+
+func (f *fleet) deaths() int {
+	n := 0
+	for _, e := range f.engines {
+		n += e.Deaths()
+	}
+	return n
+}
+
+// busiest is the engine with the most runs.
+func (f *fleet) busiest() *standin.Engine {
+	best := f.engines[0]
+	for _, e := range f.engines {
+		if e.Alive() && e.Running() > best.Running() {
+			best = e
+		}
+	}
+	return best
+}
+
+func (f *fleet) Generate(ctx context.Context, addr string, c engine.Completion, on func(engine.Event) error) error {
+	e, err := f.at(addr)
+	if err != nil {
+		return err
+	}
+	return e.Generate(ctx, addr, c, on)
+}
+
+func (f *fleet) Attach(ctx context.Context, addr string, a engine.Attempt, from int, on func(engine.Event) error) error {
+	e, err := f.at(addr)
+	if err != nil {
+		return err
+	}
+	return e.Attach(ctx, addr, a, from, on)
+}
+
+func (f *fleet) Cancel(ctx context.Context, addr string, a engine.Attempt) error {
+	e, err := f.at(addr)
+	if err != nil {
+		return err
+	}
+	return e.Cancel(ctx, addr, a)
+}
+
+// tableRouter is package routing behind relay.Router.
+type tableRouter struct {
+	mu    sync.Mutex
+	table *routing.Table
+}
+
+func newTableRouter(engines int) *tableRouter {
+	t := routing.NewTable("z", rand.New(rand.NewPCG(20261202, 1)))
+	var specs []routing.Spec
+	for i := range engines {
+		specs = append(specs, routing.Spec{Name: fmt.Sprint("e", i), Addr: fmt.Sprint("e", i), Zone: "z", Pools: []string{"m"}})
+	}
+	t.SetServers(specs)
+	return &tableRouter{table: t}
+}
+
+func (r *tableRouter) Usable(model string) (engines, routers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Usable(model, time.Now()), 1
+}
+
+func (r *tableRouter) Pick(_ context.Context, q relay.Query) (relay.Choice, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.table.Pick(&routing.Query{
+		Pool: "m", Prompt: q.Prefill(), New: q.Request.MaxTokens, Avoid: q.Avoid, Resume: q.Resume, Suspect: q.Suspect,
+	}, time.Now())
+	if !ok {
+		return relay.Choice{}, result.New(result.NoBackendServer)
+	}
+	locked := func(f func()) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		f()
+	}
+	s := r.table.Spec(p.Engine)
+	return relay.Choice{
+		Backend: relay.Backend{Name: s.Name, Addr: s.Addr, Zone: s.Zone},
+		Cleared: func() { locked(func() { r.table.Cleared(&p) }) },
+		Done: func(o relay.Outcome) {
+			as := map[relay.Outcome]routing.Outcome{relay.OutcomeOK: routing.OK, relay.OutcomeRefused: routing.Refused, relay.OutcomeDied: routing.Failed}
+			outcome, ok := as[o]
+			if !ok {
+				outcome = routing.Cancelled
+			}
+			locked(func() { r.table.Done(&p, outcome, time.Now()) })
+		},
+	}, nil
+}
+
+type fixedMembers []generation.Candidate
+
+func (m fixedMembers) Candidates() []generation.Candidate { return m }
+func (m fixedMembers) Reachable(string) bool              { return true }
+
+// hubs starts VMs that share a fleet.
+func hubs(t *testing.T, f *fleet, n int, o recovery.Objective) []*relay.Hub {
+	t.Helper()
+	network := peertest.New(20261202)
+	var members fixedMembers
+	for i := range n {
+		members = append(members, generation.Candidate{VM: fmt.Sprint("vm", i), Zone: fmt.Sprint("z", i)})
+	}
+	var out []*relay.Hub
+	for i := range n {
+		id := fmt.Sprint("vm", i)
+		out = append(out, relay.NewHub(relay.Config{
+			VM: id, Epoch: id + "#1", OpenTimeout: 4 * time.Second, CallerKeep: time.Minute, Objective: o,
+		}, relay.Deps{
+			Transport: network.VM(id), Members: members, Engines: f, Router: newTableRouter(len(f.engines)),
+			Log: zerolog.Nop(), Metrics: new(expvar.Map).Init(),
+		}))
+	}
+	return out
+}
+
+func request(key, prompt string, tokens int) generation.Request {
+	return generation.Request{
+		ID:    generation.RequestID{Workspace: "coop", Key: key},
+		Model: "m", Prompt: prompt, MaxTokens: tokens,
+	}
+}
+
+// read reads a whole answer as a caller does and checks it token by token. at
+// is called once, when 50 tokens have come.
+func read(ctx context.Context, h *relay.Hub, req generation.Request, at func()) error {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Minute) // virtual
+	defer cancel()
+	reader, err := h.Open(ctx, req, false)
+	if err != nil {
+		return err
+	}
+	defer reader.Release()
+	var tokens []int32
+	for {
+		chunk, err := reader.Wait(ctx, len(tokens))
+		if err != nil {
+			return err
+		}
+		tokens = append(tokens, chunk.Span.Tokens...)
+		if len(tokens) >= 50 && at != nil {
+			at()
+			at = nil
+		}
+		if chunk.Finish != "" {
+			break
+		}
+	}
+	c := engine.Completion{Model: "m", Prompt: req.Prompt, MaxTokens: req.MaxTokens}
+	return standin.Verify(c, "1", tokens, true)
+}
+
+// The caller's answer stops at its 50th token for half a minute and then goes
+// on. Every engine dies at that moment, and one comes back. The request was
+// accepted, so it waits for an engine instead of failing.
+func TestAcceptedRequestOutlivesAnOutageOfAllEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, nil)
+		defer f.stop()
+		h := hubs(t, f, 1, recovery.ExtraWork)[0]
+		defer h.Close()
+		err := read(t.Context(), h, request("r", "unit log", 200), func() {
+			for _, e := range f.engines {
+				e.Kill()
+			}
+			time.AfterFunc(30*time.Second, func() { f.revive(1) })
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// The caller's engine falls silent for four seconds and then sends on. With
+// resume-latency the answer goes on elsewhere within a second and a half; with
+// extra-work within five, as the bound is longer than most pauses. The late
+// tokens of the first engine differ and must not show.
+func TestSilentEngineIsLeftByObjective(t *testing.T) {
+	for _, c := range []struct {
+		objective recovery.Objective
+		within    time.Duration
+	}{{recovery.ResumeLatency, 1500 * time.Millisecond}, {recovery.ExtraWork, 5 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(3, nil)
+			defer f.stop()
+			h := hubs(t, f, 1, c.objective)[0]
+			defer h.Close()
+			var paused time.Time
+			began := time.Now()
+			err := read(t.Context(), h, request("r", "unit log", 200), func() {
+				paused = time.Now()
+				f.busiest().Pause(time.Minute)
+			})
+			if err != nil {
+				t.Error(err)
+			}
+			unbroken := paused.Sub(began) * 3 // 150 more tokens
+			if took := time.Since(paused); took > c.within+unbroken {
+				t.Errorf("objective %d: the answer ended %s after the pause began", c.objective, took)
+			}
+			time.Sleep(2 * time.Minute) // virtual: the late tokens come and are dropped
+		})
+	}
+}
+
+// A request crashes each engine that runs it, with four innocent ones beside it.
+// Its caller sends it again under new ids, to another VM. It takes down two
+// engines and no more, and is refused with its code; the innocent answers are
+// whole; after the blame has expired it is taken again.
+func TestPoisonTakesDownTwoEnginesAndNoInnocents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6, func(c *standin.EngineConfig) { c.PoisonWord, c.PoisonAt = "crash", 40 })
+		defer f.stop()
+		vms := hubs(t, f, 3, recovery.ExtraWork)
+		var wg sync.WaitGroup
+		for i := range 12 {
+			wg.Go(func() {
+				if err := read(t.Context(), vms[0], request(fmt.Sprint("good", i), fmt.Sprint("unit ", i), 400), nil); err != nil {
+					t.Errorf("innocent %d: %v", i, err)
+				}
+			})
+		}
+		err := read(t.Context(), vms[0], request("bad", "please crash", 400), nil)
+		if !errors.Is(err, result.New(result.PoisonRequest)) {
+			t.Errorf("the bad request got: %v", err)
+		}
+		synctest.Wait()
+		for i := range 5 {
+			err := read(t.Context(), vms[1+i%2], request(fmt.Sprint("again", i), "please crash", 400), nil)
+			if !errors.Is(err, result.New(result.PoisonRequest)) {
+				t.Errorf("resend %d got: %v", i, err)
+			}
+		}
+		wg.Wait()
+		if n := f.deaths(); n != 2 {
+			t.Errorf("%d engines died, want 2", n)
+		}
+		for _, h := range vms {
+			h.Close()
+		}
+	})
+}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -93,10 +93,13 @@
 	best, fewest := -1, math.MaxInt
 	for _, i := range p.all {
 		s := t.engines[i]
-		if !s.usable(now) || s.suspects > 0 || s.health.state(now) == stateProbing {
+		if !s.usable(now) || s.suspects > 0 || s.health.probing {
 			continue
 		}
 		neighbours := s.neighbours()
+		if s.health.state(now) == stateProbing {
+			neighbours += 1 << 19 // after an outage these may be all there are
+		}
 		if slices.Contains(q.Avoid, s.Name) {
 			neighbours += 1 << 20
 		}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -232,6 +232,21 @@
 	}
 }
 
+// After an outage of all engines every one is on probation. A suspect must find
+// one all the same, or its accepted answer never goes on.
+func TestSuspectGoesOnAfterAnOutage(t *testing.T) {
+	tab := table("z0", 2, 1, 1)
+	for range 2 {
+		p, _ := tab.Pick(ask(10, 10), start)
+		tab.Done(&p, Refused, start)
+	}
+	q := ask(10, 10)
+	q.Suspect = true
+	if _, ok := tab.Pick(q, start.Add(maxOut)); !ok {
+		t.Error("no engine for the suspect")
+	}
+}
+
 func TestSubsetsCoverEnginesEvenlyAndSurviveAZone(t *testing.T) {
 	var specs []Spec
 	for i := range 710 {
