--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -22,6 +22,7 @@
 	parser := flags.NewNamedParser("amaranthshelf", flags.HelpFlag|flags.PassDoubleDash)
 	for _, add := range []func(*flags.Parser) error{
 		addDemo,
+		addExperiment,
 		addLoad,
 		addMeasure,
 		addStandin,
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -91,6 +91,13 @@
 	slotRatePrior = 400
 	slotRateGain  = 0.05 // of one completion: the last twenty count
 
+	// leadGain smooths the time from start to first token: the last twenty count.
+	leadGain = 0.05
+
+	// queueShare is the part of the time to its deadline that a request may be
+	// expected to wait.
+	queueShare = 0.5
+
 	// minRetry and maxRetry bound what refused callers are told.
 	minRetry = 1 * time.Second
 	maxRetry = 2 * time.Minute
@@ -153,7 +160,7 @@
 	Weight    float64   // the workspace's share; 0 counts as 1
 	Cost      float64   // prompt-token units
 	Bytes     int       // held while it waits
-	Deadline  time.Time // for the start; zero: none
+	Deadline  time.Time // for the first token; zero: none
 
 	state      State
 	flow       *flow
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -21,8 +21,9 @@
 
 	capacity int // slots
 	running  int
-	recovery float64 // cost that recovery may still run ahead of fresh work
-	slotRate float64 // cost a slot serves in a second
+	recovery float64       // cost that recovery may still run ahead of fresh work
+	slotRate float64       // cost a slot serves in a second
+	lead     time.Duration // usual time from start to first token
 	offered  meter
 	served   meter
 }
@@ -115,11 +116,13 @@
 	wait := q.wait(it, f)
 	d := Decision{Verdict: Queued, Wait: wait}
 	allowed := policies[it.Class].maxWait
+	if !it.Deadline.IsZero() {
+		allowed = time.Duration(queueShare * float64(q.startBy(it).Sub(now)))
+	}
 	switch {
-	case !it.Deadline.IsZero() && wait > it.Deadline.Sub(now):
-		allowed = it.Deadline.Sub(now)
+	case !it.Deadline.IsZero() && wait > allowed:
 		d.Verdict = DeadlineTooSoon
-	case it.Deadline.IsZero() && wait > allowed:
+	case wait > allowed:
 		d.Verdict = QueueFull
 		if q.isHog(f) {
 			d.Verdict = WorkspaceBacklog
@@ -135,6 +138,16 @@
 	return d
 }
 
+// startBy is when a request must start for its first token to come in time.
+func (q *Queue) startBy(it *Item) time.Time { return it.Deadline.Add(-q.lead) }
+
+// FirstToken notes that a running request has its first token.
+func (q *Queue) FirstToken(it *Item, now time.Time) {
+	if it.state == Running {
+		q.lead += time.Duration(leadGain * float64(now.Sub(it.since)-q.lead))
+	}
+}
+
 // isHog reports whether it is the workspace's own backlog that makes it wait:
 // more than its fair part of the class's.
 func (q *Queue) isHog(f *flow) bool {
@@ -152,7 +165,7 @@
 		}
 		c := &q.classes[class]
 		it := c.heap[0].first
-		if !it.Deadline.IsZero() && now.After(it.Deadline) {
+		if !it.Deadline.IsZero() && now.After(q.startBy(it)) {
 			q.out(it, false)
 			it.state = Expired
 			q.onExpire(it)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -160,6 +160,28 @@
 	}
 }
 
+// First tokens come a second after the start. A request whose deadline is in
+// half a second cannot be met any more: it is not started for nothing.
+func TestNoStartTooLateForTheFirstToken(t *testing.T) {
+	q := newQueue(1)
+	for range 200 {
+		it := enter(t, q, item("a", Short, 10), start)
+		q.Next(start)
+		q.FirstToken(it, start.Add(time.Second))
+		q.Leave(it, true, start.Add(time.Second))
+	}
+	running := enter(t, q, item("a", Short, 10), start)
+	q.Next(start)
+	late := item("a", Short, 10)
+	late.Deadline = start.Add(3 * time.Second)
+	enter(t, q, late, start)
+	at := start.Add(2500 * time.Millisecond)
+	q.Leave(running, true, at)
+	if it := q.Next(at); it != nil || late.State() != Expired {
+		t.Errorf("started %v, state %d", it, late.State())
+	}
+}
+
 func TestResendOfAQueuedKeyAttaches(t *testing.T) {
 	q := newQueue(0)
 	first := enter(t, q, item("a", Short, 10), start)
--- /dev/null
+++ b/internal/experiment/policy.go
@@ -0,0 +1,57 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+)
+
+// Policy is what a run is made with: the project's modules or a baseline.
+type Policy struct {
+	Name      string
+	System    bool // the modules; else a baseline
+	Objective recovery.Objective
+	Silence   time.Duration // of a baseline
+	Restart   bool          // a baseline that generates from the prompt again
+	Routers   int
+}
+
+// The policies that are compared.
+func policies(routers int) []Policy {
+	return []Policy{
+		{Name: "extra-work", System: true, Objective: recovery.ExtraWork, Routers: routers},
+		{Name: "resume-latency", System: true, Objective: recovery.ResumeLatency, Routers: routers},
+		{Name: "fixed 5 s, restart", Silence: 5 * time.Second, Restart: true, Routers: routers},
+		{Name: "immediate, unpaced", Silence: time.Second, Routers: routers},
+	}
+}
+
+// System is the project's modules; Baseline is one queue in order of arrival at
+// a random engine, without limits.
+func System(o recovery.Objective, routers int) Policy {
+	return Policy{Name: "system", System: true, Objective: o, Routers: routers}
+}
+
+// Baseline is described at System.
+func Baseline(routers int) Policy {
+	return Policy{Name: "baseline", Silence: 5 * time.Second, Restart: true, Routers: routers}
+}
+
+// build makes the engines and routers of a world.
+func (w *world) build(engines, zones int) {
+	w.blamed = &blameBoard{recovery.NewBlame()}
+	for i := range engines {
+		w.engines = append(w.engines, &engineModel{
+			w: w, id: i, name: fmt.Sprint("e", i), zone: fmt.Sprint("z", i%zones), cache: map[uint64]bool{},
+		})
+	}
+	for i := range w.policy.Routers {
+		zone := fmt.Sprint("z", i%zones)
+		if w.policy.System {
+			w.routers = append(w.routers, newSystem(w, i, zone))
+		} else {
+			w.routers = append(w.routers, &baseline{w})
+		}
+	}
+}
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -179,6 +179,13 @@
 	return result.New(result.DeadlinePassed).WithRetryAfter(max(time.Second, q.Wait(&t.item)))
 }
 
+// FirstToken implements relay.Ticket.
+func (t *ticket) FirstToken() {
+	t.a.mu.Lock()
+	defer t.a.mu.Unlock()
+	t.a.queues[t.model].FirstToken(&t.item, time.Now())
+}
+
 // Release implements relay.Ticket.
 func (t *ticket) Release() {
 	a := t.a
--- a/internal/recovery/detector.go
+++ b/internal/recovery/detector.go
@@ -27,6 +27,10 @@
 	// long: the prefill of 50,000 tokens.
 	firstFloor = 5 * time.Second
 
+	// recheck is the longest time between two checks: the evidence of the other
+	// streams changes, and a bound found long ago no longer holds.
+	recheck = 250 * time.Millisecond
+
 	// reportLife: an engine that answered a poll this recently lives. Its streams
 	// may still be stalled, which oneFactor covers.
 	reportLife = 2 * time.Second
@@ -126,7 +130,7 @@
 	if left <= 0 {
 		return true, 0
 	}
-	return false, max(left, time.Millisecond)
+	return false, min(max(left, time.Millisecond), recheck)
 }
 
 // HedgeDue reports whether a stream has been silent long enough to hedge.
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -30,8 +30,8 @@
 		}
 		if suspect, again := d.Check(s, now); suspect {
 			return now.Sub(from)
-		} else if again <= 0 {
-			t.Fatal("check again at once")
+		} else if again <= 0 || again > recheck {
+			t.Fatalf("check again after %s", again)
 		}
 	}
 	return time.Minute
--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -114,6 +114,8 @@
 type Ticket interface {
 	// Wait blocks until the first attempt may start. A coded error is final.
 	Wait(ctx context.Context) error
+	// FirstToken notes that the answer has begun.
+	FirstToken()
 	// Release gives the place or the slot back. It may be called twice.
 	Release()
 }
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -200,6 +200,9 @@
 		r.hub.recovery.paced(model, l.resume)
 	}
 	l.events++
+	if e.Index == len(e.TokenIDs) && r.ticket != nil {
+		r.ticket.FirstToken()
+	}
 	r.hub.recovery.event(l.stream, len(e.TokenIDs))
 	l.choice.progress(len(e.TokenIDs))
 	if l.suspect && r.hub.recovery.passed(r.Request().ContentDigest(), e.Index-l.from) {
--- a/internal/relay/recover_test.go
+++ b/internal/relay/recover_test.go
@@ -227,7 +227,7 @@
 }
 
 // The caller's answer stops at its 50th token for half a minute and then goes
-// on. Every engine dies at that moment, and one comes back. The request was
+// on, within the longest probation (30 s) of the engine that comes back. Every engine dies at that moment, and one comes back. The request was
 // accepted, so it waits for an engine instead of failing.
 func TestAcceptedRequestOutlivesAnOutageOfAllEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -235,6 +235,7 @@
 		defer f.stop()
 		h := hubs(t, f, 1, recovery.ExtraWork)[0]
 		defer h.Close()
+		began := time.Now()
 		err := read(t.Context(), h, request("r", "unit log", 200), func() {
 			for _, e := range f.engines {
 				e.Kill()
@@ -244,6 +245,9 @@
 		if err != nil {
 			t.Error(err)
 		}
+		if took := time.Since(began); took > 65*time.Second {
+			t.Errorf("the answer took %s", took)
+		}
 	})
 }
 
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -68,7 +68,6 @@
 }
 
 func (h *health) refused(now time.Time) {
-	h.failures++
 	h.eject(now)
 }
 
