--- a/internal/plan/grant.go
+++ b/internal/plan/grant.go
@@ -33,9 +33,9 @@
 // size is the grant for one dimension: need is for requests that wait now, want
 // is need and what the VM expects to use until it asks again.
 func size(limit, left, idle, need, want int64, heads int) int64 {
+	want = max(want, need)
 	if left <= 0 || want <= 0 {
 		return 0
 	}
-	granted := min(need, left)
-	return min(max(granted, share(limit, left, idle, heads)), max(want, need), left)
+	return min(max(need, share(limit, left, idle, heads)), want, left)
 }
--- a/internal/plan/ledger.go
+++ b/internal/plan/ledger.go
@@ -223,7 +223,7 @@
 func (a *account) grant(nowMS int64, h *holding, s AccountSync, limit Allowance) {
 	heads := a.heads(nowMS)
 	left := limit.Limit().Minus(a.Committed)
-	if s.Least > left.Tokens {
+	if s.Least > max(left.Tokens, 0) {
 		// Part of a request's cost would lie idle with this VM, while a smaller
 		// request elsewhere could use it.
 		return
@@ -283,8 +283,9 @@
 func (a *account) describe(nowMS int64, workspace string, h *holding, limit Allowance) AccountGrant {
 	return AccountGrant{
 		Workspace: workspace, Window: a.Window, RemainingMS: max(a.EndMS-nowMS, 0),
-		Granted: h.Granted, Left: limit.Limit().Minus(a.Committed).most(Amount{}),
+		Granted: h.Granted, Spent: h.Spent, Returned: h.Returned, Left: limit.Limit().Minus(a.Committed).most(Amount{}),
 		Outstanding: a.outstanding(), Slots: h.Slots, SlotsLeft: max(limit.Concurrent-a.Slots, 0),
+		Over: !a.Committed.Within(limit.Limit()), OverSlots: a.Slots > limit.Concurrent,
 	}
 }
 
--- a/internal/plan/sync.go
+++ b/internal/plan/sync.go
@@ -81,4 +81,10 @@
 	Outstanding Amount `cbor:"6,keyasint"` // granted to any VM and not yet spent
 	Slots       int    `cbor:"7,keyasint"` // concurrency the VM holds now
 	SlotsLeft   int    `cbor:"8,keyasint"`
+	Spent       Amount `cbor:"9,keyasint"` // as the VM last reported
+	Returned    Amount `cbor:"10,keyasint"`
+	// Over: more is committed than the allowance, which was lowered. Nothing held
+	// may be handed out; all that is not in use goes back.
+	Over      bool `cbor:"11,keyasint,omitempty"`
+	OverSlots bool `cbor:"12,keyasint,omitempty"` // the same of concurrency
 }
