--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,8 +16,13 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+
+	"github.com/zeebo/errs"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("client")
+
 // Timings of a caller.
 const (
 	dialTimeout    = 500 * time.Millisecond
@@ -117,7 +121,7 @@
 	return &k.answer, err
 }
 
-var errCut = errors.New("client: connection ended before the answer")
+var errCut = Error.New("connection ended before the answer")
 
 func (k *call) once(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -174,7 +178,7 @@
 
 func (k *call) take(id string, e event) (bool, error) {
 	if e.Index != len(k.answer.TokenIDs)+len(e.TokenIDs) {
-		return false, fmt.Errorf("client: event ends at %d behind %d tokens", e.Index, len(k.answer.TokenIDs))
+		return false, Error.New("event ends at %d behind %d tokens", e.Index, len(k.answer.TokenIDs))
 	}
 	now := time.Now()
 	gap := now.Sub(k.lastAt)
@@ -197,7 +201,7 @@
 func decodeError(resp *http.Response) error {
 	var coded result.Error
 	if err := json.NewDecoder(resp.Body).Decode(&coded); err != nil {
-		return fmt.Errorf("client: status %d without a coded error", resp.StatusCode)
+		return Error.New("status %d without a coded error", resp.StatusCode)
 	}
 	return &coded
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -14,8 +14,13 @@
 	"time"
 
 	"github.com/tmaxmax/go-sse"
+
+	"github.com/zeebo/errs"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("engine")
+
 // Timings and sizes of the client.
 const (
 	dialTimeout    = 1 * time.Second // engines are a few milliseconds away
@@ -26,7 +31,7 @@
 
 // ErrTruncated is returned when a stream ends before its finish event: the
 // engine died, or the connection was cut.
-var ErrTruncated = errors.New("engine: stream ended before its finish")
+var ErrTruncated = Error.New("stream ended before its finish")
 
 // StatusError is an answer other than 200.
 type StatusError struct {
@@ -107,10 +112,10 @@
 	}
 	var e Event
 	if err := json.Unmarshal([]byte(data), &e); err != nil {
-		return false, fmt.Errorf("engine: bad event: %w", err)
+		return false, Error.New("bad event: %w", err)
 	}
 	if len(e.Texts) != len(e.TokenIDs) {
-		return false, fmt.Errorf("engine: event with %d tokens and %d texts", len(e.TokenIDs), len(e.Texts))
+		return false, Error.New("event with %d tokens and %d texts", len(e.TokenIDs), len(e.Texts))
 	}
 	if err := on(e); err != nil {
 		return false, err
--- a/internal/load/faults.go
+++ b/internal/load/faults.go
@@ -42,7 +42,7 @@
 		}
 		f, err := parseFault(strings.Fields(text))
 		if err != nil {
-			return nil, fmt.Errorf("load: fault script line %d: %w", line, err)
+			return nil, Error.New("fault script line %d: %w", line, err)
 		}
 		out = append(out, f)
 	}
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -7,14 +7,18 @@
 import (
 	"embed"
 	"errors"
-	"fmt"
 	"os"
 	"slices"
 	"strings"
 
 	"gopkg.in/ini.v1"
+
+	"github.com/zeebo/errs"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("load")
+
 //go:embed profiles/*.ini
 var builtin embed.FS
 
@@ -72,7 +76,7 @@
 		data, err = os.ReadFile(nameOrPath)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("load: profile %q is neither built in (cooperative, reelhouse) nor a file: %w", nameOrPath, err)
+		return nil, Error.New("profile %q is neither built in (cooperative, reelhouse) nor a file: %w", nameOrPath, err)
 	}
 	return parseProfile(data)
 }
@@ -80,19 +84,19 @@
 func parseProfile(data []byte) (*Profile, error) {
 	f, err := ini.Load(data)
 	if err != nil {
-		return nil, fmt.Errorf("load: profile: %w", err)
+		return nil, Error.New("profile: %w", err)
 	}
 	p := &Profile{}
 	if err := onlyKeys(f.Section("system"), systemKeys); err != nil {
 		return nil, err
 	}
 	if err := f.Section("system").StrictMapTo(&p.System); err != nil {
-		return nil, fmt.Errorf("load: profile [system]: %w", err)
+		return nil, Error.New("profile [system]: %w", err)
 	}
 	for _, key := range f.Section("workspaces").Keys() {
 		weight, err := key.Float64()
 		if err != nil || weight <= 0 {
-			return nil, fmt.Errorf("load: profile [workspaces] %s: a weight above 0", key.Name())
+			return nil, Error.New("profile [workspaces] %s: a weight above 0", key.Name())
 		}
 		p.Workspaces = append(p.Workspaces, Workspace{key.Name(), weight})
 	}
@@ -106,7 +110,7 @@
 			return nil, err
 		}
 		if err := sec.StrictMapTo(&c); err != nil {
-			return nil, fmt.Errorf("load: profile [%s]: %w", sec.Name(), err)
+			return nil, Error.New("profile [%s]: %w", sec.Name(), err)
 		}
 		p.Classes = append(p.Classes, c)
 	}
@@ -122,7 +126,7 @@
 func onlyKeys(sec *ini.Section, allowed []string) error {
 	for _, key := range sec.Keys() {
 		if !slices.Contains(allowed, key.Name()) {
-			return fmt.Errorf("load: profile [%s] %s: unknown key; allowed: %s", sec.Name(), key.Name(), strings.Join(allowed, ", "))
+			return Error.New("profile [%s] %s: unknown key; allowed: %s", sec.Name(), key.Name(), strings.Join(allowed, ", "))
 		}
 	}
 	return nil
@@ -130,11 +134,11 @@
 
 func (p *Profile) check() error {
 	if len(p.Workspaces) == 0 || len(p.Classes) == 0 {
-		return errors.New("load: profile: needs [workspaces] and at least one [class:<name>]")
+		return Error.New("profile: needs [workspaces] and at least one [class:<name>]")
 	}
 	for _, c := range p.Classes {
 		if err := c.check(); err != nil {
-			return fmt.Errorf("load: profile [class:%s]: %w", c.Name, err)
+			return Error.New("profile [class:%s]: %w", c.Name, err)
 		}
 	}
 	return nil
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -37,7 +37,7 @@
 func Run(ctx context.Context, o Options) (*Report, error) {
 	arrivals := Schedule(o.Profile, o.Seed, o.Duration, o.Scale)
 	if len(arrivals) == 0 {
-		return nil, errors.New("load: the schedule is empty; longer duration or higher rate")
+		return nil, Error.New("the schedule is empty; longer duration or higher rate")
 	}
 	r := &runner{o: o, rec: newRecorder(o), slots: make(chan struct{}, maxInFlight), clients: map[string]*client.Client{}}
 	for _, w := range o.Profile.Workspaces {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -1,19 +1,23 @@
 package standin
 
 import (
-	"errors"
 	"strings"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
+
+	"github.com/zeebo/errs"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("standin")
+
 var (
-	errDead      = errors.New("standin: engine is dead")
-	errNotServed = errors.New("standin: not served")
-	errCancelled = errors.New("standin: cancelled")
-	errNoRun     = errors.New("standin: no such run")
-	errOldFence  = errors.New("standin: order with an old fencing number")
+	errDead      = Error.New("engine is dead")
+	errNotServed = Error.New("not served")
+	errCancelled = Error.New("cancelled")
+	errNoRun     = Error.New("no such run")
+	errOldFence  = Error.New("order with an old fencing number")
 )
 
 type faults struct {
--- a/internal/standin/token.go
+++ b/internal/standin/token.go
@@ -63,12 +63,12 @@
 	h := startChain(&c, version)
 	for i, t := range tokens {
 		if want := int32(uint64(h) % chains); t/choices != want {
-			return fmt.Errorf("standin: token %d is %d, which does not follow from its prefix", i+1, t)
+			return Error.New("token %d is %d, which does not follow from its prefix", i+1, t)
 		}
 		h = h.with(t)
 	}
 	if whole && len(tokens) != c.MaxTokens {
-		return fmt.Errorf("standin: %d tokens, want %d", len(tokens), c.MaxTokens)
+		return Error.New("%d tokens, want %d", len(tokens), c.MaxTokens)
 	}
 	return nil
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"expvar"
-	"fmt"
 	"io"
 	"os"
 	"sync"
@@ -17,13 +16,18 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/trace"
 	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/zeebo/errs"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("telemetry")
+
 // Logger returns a logger that writes to w as JSON, or for people to read.
 func Logger(w io.Writer, level, format, vm string) (zerolog.Logger, error) {
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
-		return zerolog.Nop(), fmt.Errorf("telemetry: log level %q: %w", level, err)
+		return zerolog.Nop(), Error.New("log level %q: %w", level, err)
 	}
 	if format == "console" {
 		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.TimeOnly}
@@ -46,7 +50,7 @@
 	if path != "" {
 		f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
-			return nil, fmt.Errorf("telemetry: trace file: %w", err)
+			return nil, Error.New("trace file: %w", err)
 		}
 		exporter, err := stdouttrace.New(stdouttrace.WithWriter(f))
 		if err != nil {
