--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -23,6 +23,8 @@
 	for _, add := range []func(*flags.Parser) error{
 		addDemo,
 		addLoad,
+		addMeasure,
+		addStandin,
 	} {
 		if err := add(parser); err != nil {
 			fmt.Fprintln(os.Stderr, err)
