--- a/internal/peer/peertest/peertest.go
+++ b/internal/peer/peertest/peertest.go
@@ -84,6 +84,14 @@
 	}
 }
 
+// Paused returns a channel that Resume closes, or nil where the VM runs. A test
+// holds with it what else the VM's process would do.
+func (n *Net) Paused(id string) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.resumed[id]
+}
+
 // Cut loses every message from one VM to another, silently; the other
 // direction goes on.
 func (n *Net) Cut(from, to string) { n.setCut(from, to, true) }
