--- a/internal/generation/replies.go
+++ b/internal/generation/replies.go
@@ -15,8 +15,6 @@
 
 	// Max is the highest epoch promised anywhere.
 	Max Epoch
-	// Found tells that some keeper holds the journal, whatever it answered.
-	Found bool
 	// SkipLost leaves out sets whose majority is gone for good. Only the opening
 	// of a request whose caller holds no token may: nothing can be released there.
 	SkipLost bool
@@ -38,7 +36,6 @@
 	if r.Max.Less(reply.Promised) {
 		r.Max = reply.Promised
 	}
-	r.Found = r.Found || reply.Found
 	if reply.Refusal == Full {
 		r.full++
 	}
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -16,19 +16,15 @@
 // rounds one of them has the milliseconds that it needs for itself.
 const (
 	openAttempts  = 8
-	politeTries   = 3 // bids before another VM's unfinished opening is taken over
 	leastBackoff  = 5 * time.Millisecond
 	mostBackoff   = 320 * time.Millisecond
 	awaitViewStep = 20 * time.Millisecond
 )
 
-// errContended tells that another VM seems to be opening the same journal now.
-var errContended = errors.New("relay: another VM opens the journal")
-
 func (h *Hub) open(ctx context.Context, req generation.Request, resuming bool) (found, error) {
 	for try := range openAttempts {
-		f, err := h.openOnce(ctx, req, resuming, try)
-		if !errors.Is(err, generation.ErrDeposed) && !errors.Is(err, errContended) {
+		f, err := h.openOnce(ctx, req, resuming)
+		if !errors.Is(err, generation.ErrDeposed) {
 			return f, err
 		}
 		h.metrics.Add("open_retries", 1)
@@ -78,7 +74,7 @@
 	}
 }
 
-func (h *Hub) openOnce(ctx context.Context, req generation.Request, resuming bool, try int) (found, error) {
+func (h *Hub) openOnce(ctx context.Context, req generation.Request, resuming bool) (found, error) {
 	o := h.opener(req, resuming)
 	epoch := o.nextEpoch(generation.Epoch{})
 	first := generation.Promise{ID: req.ID, Epoch: epoch, IfAbsent: !resuming, Peek: resuming}
@@ -95,9 +91,6 @@
 	if vm, accepted := h.probe(ctx, req.ID, replies.Max.VM); accepted != nil {
 		return found{owner: vm, req: accepted}, nil
 	}
-	if !replies.Found && try < politeTries && vmOf(replies.Max.VM) != h.cfg.VM {
-		return found{}, errContended
-	}
 	return o.takeOver(ctx, replies.Max)
 }
 
