--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -23,6 +23,7 @@
 	engines   Engines
 	router    Router
 	admission Admission
+	quota     Quota
 	note      NoteFunc
 	log       zerolog.Logger
 	metrics   *expvar.Map
@@ -62,6 +63,7 @@
 	Log       zerolog.Logger
 	Metrics   *expvar.Map
 	Admission Admission // nil: every request starts at once
+	Quota     Quota     // nil: nothing is charged
 	Note      NoteFunc  // nil: nothing is recorded
 }
 
@@ -70,7 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Hub{
 		cfg: cfg, transport: d.Transport, members: d.Members, engines: d.Engines, router: d.Router,
-		admission: d.Admission, note: noteOr(d.Note), log: d.Log, metrics: d.Metrics, ctx: ctx, cancel: cancel,
+		admission: d.Admission, quota: d.Quota, note: noteOr(d.Note), log: d.Log, metrics: d.Metrics, ctx: ctx, cancel: cancel,
 		runs: map[generation.RequestID]*Run{}, opening: map[generation.RequestID]*opening{},
 		keeper: generation.NewKeeper(cfg.Incarnation, cfg.Limits),
 	}
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -140,7 +140,7 @@
 	h := o.h
 	run := newRun(h, generation.NewOwner(o.req, epoch, o.groups[0], replies, best.Journal))
 	run.source = best.Source
-	if err := run.enter(best.Found); err != nil {
+	if err := run.enter(ctx, best.Found); err != nil {
 		return found{}, err
 	}
 	rctx, cancel := context.WithCancel(h.ctx)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -40,7 +40,8 @@
 	log    zerolog.Logger
 	cancel context.CancelFunc
 	ticket Ticket
-	source *generation.Source // stream that the former owner left; used by drive alone
+	settle func(ran bool, tokens int) // nil: nothing was reserved here
+	source *generation.Source         // stream that the former owner left; used by drive alone
 
 	mu      sync.Mutex
 	owner   *generation.Owner
