--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,8 +53,11 @@
 	hub     *relay.Hub
 	members *members
 	router  *router
-	plans   *plans
-	ready   atomic.Bool
+
+	admission   *admitter
+	stopPolling context.CancelFunc
+	plans       *plans
+	ready       atomic.Bool
 }
 
 // Listen binds the VM's addresses and records those that the kernel picked.
@@ -95,7 +98,9 @@
 	n.startControl()
 	n.startPlans()
 	n.startRouting()
+	n.startAdmission()
 	n.startGenerations()
+	n.startPolling()
 	n.startCallers()
 	n.startOperators()
 	n.startPeers()
@@ -154,6 +159,7 @@
 	for _, s := range n.servers {
 		_ = s.Close()
 	}
+	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
 }
@@ -165,6 +171,7 @@
 	for _, s := range n.servers {
 		errs = append(errs, s.Shutdown(ctx))
 	}
+	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
 	return errors.Join(append(errs, n.tracer.Close(ctx))...)
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -28,6 +28,7 @@
 	log       zerolog.Logger
 	metrics   *expvar.Map
 	journals  *journals
+	recovery  *recoverer
 	ctx       context.Context
 	cancel    context.CancelFunc
 	round     atomic.Uint64 // the highest that this VM has used in an epoch
@@ -77,6 +78,8 @@
 		keeper: generation.NewKeeper(cfg.Incarnation, cfg.Limits),
 	}
 	h.journals = newJournals(ctx, d.Transport)
+	h.recovery = newRecoverer(h)
+	d.Transport.Handle(peer.KindBlame, h.recovery.handleBlame)
 	d.Transport.Handle(peer.KindJournal, h.handleWrites)
 	d.Transport.Handle(peer.KindPromise, h.handlePromise)
 	d.Transport.Handle(peer.KindFollow, h.handleFollow)
