operator: the operators' API over the lists, status and explain

Cause: plans were set by code on each VM. Change: internal/operator serves the lists with ETag, If-Match, If-None-Match and Idempotency-Key, history, status and explain over all VMs; node registers Book and Ledger, follows the lists, charges generations and waits for versions in force (every VM says so, or a lease and a margin have passed); callers read explanations of their own workspace. node.SetPlans is gone: local systems publish their lists as an operator does.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -101,7 +101,10 @@
 
 func plans() ([]plan.Customer, []plan.Allowance) {
 	return []plan.Customer{{Workspace: "demo", Plan: "basic", KeyHashes: []string{plan.HashKey(demoKey)}}},
-		[]plan.Allowance{{Plan: "basic", Models: []string{demoModel}, Services: []string{"dispatch"}}}
+		[]plan.Allowance{{
+			Plan: "basic", Models: []string{demoModel}, Services: []string{"dispatch"},
+			TokensPerWindow: 1e6, RequestsPerWindow: 1e3, WindowSeconds: 3600, Concurrent: 100, Share: 1,
+		}}
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -36,6 +36,7 @@
 
 	o        Options
 	dir      string
+	token    string // of operators
 	backends []settings.Backend
 }
 
@@ -109,12 +110,7 @@
 	for _, n := range s.Nodes {
 		n.Start(vms)
 	}
-	customers, allowances := s.o.Plans()
-	dir := plan.NewDirectory(1, customers, allowances)
-	for _, n := range s.Nodes {
-		n.SetPlans(dir)
-	}
-	return nil
+	return s.publish(s.o.Plans())
 }
 
 // settings are those of one VM. The first three VMs are the control group.
@@ -133,6 +129,7 @@
 	if s.o.Settings != nil {
 		s.o.Settings(i, conf)
 	}
+	s.token = conf.OperatorToken
 	return conf, nil
 }
 
--- a/internal/node/generations.go
+++ b/internal/node/generations.go
@@ -22,7 +22,7 @@
 		OpenTimeout: openTimeout, SilenceLimit: silenceLimit, CallerKeep: n.s.CallerKeep, DetachKeep: detachKeep,
 		Limits: generation.DefaultLimits(n.s.CallerKeep),
 	}, relay.Deps{
-		Transport: n.network, Members: n.members, Engines: n.engines, Router: n.router,
+		Transport: n.network, Members: n.members, Engines: n.engines, Router: n.router, Quota: n.plans,
 		Log: n.log, Metrics: n.metrics,
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/gateway"
+	"github.com/amaranthshelf/amaranthshelf/internal/operator"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
@@ -54,7 +55,10 @@
 	members *members
 	router  *router
 	plans   *plans
-	ready   atomic.Bool
+
+	explainer *operator.Explainer
+
+	ready atomic.Bool
 }
 
 // Listen binds the VM's addresses and records those that the kernel picked.
@@ -94,6 +98,7 @@
 	n.startMembers()
 	n.startControl()
 	n.startPlans()
+	n.startExplain()
 	n.startRouting()
 	n.startGenerations()
 	n.startCallers()
@@ -107,6 +112,7 @@
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
+	n.explainer.CallerRoutes(r, n.plans.Directory)
 	n.serve(n.callers, r)
 }
 
@@ -131,6 +137,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	r.Handle("/debug/vars", expvar.Handler())
+	n.addOperatorRoutes(r)
 	return r
 }
 
@@ -154,6 +161,7 @@
 	for _, s := range n.servers {
 		_ = s.Close()
 	}
+	n.plans.cancel()
 	n.network.Close()
 	n.hub.Close()
 }
@@ -165,6 +173,7 @@
 	for _, s := range n.servers {
 		errs = append(errs, s.Shutdown(ctx))
 	}
+	n.plans.cancel()
 	n.network.Close()
 	n.hub.Close()
 	return errors.Join(append(errs, n.tracer.Close(ctx))...)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -33,6 +33,7 @@
 	KindMembership Kind = 80
 	KindBlame      Kind = 100
 	KindExplain    Kind = 120
+	KindStatus     Kind = 121
 )
 
 // Lane says which queue a message leaves by.
--- a/internal/plan/validate.go
+++ b/internal/plan/validate.go
@@ -13,7 +13,7 @@
 	maxKeys          = 16
 	maxNames         = 64
 	maxTokens        = 1_000_000_000_000_000
-	maxRequests      = 1_000_000_000_000
+	maxRequests      = 1_000_000_000_000_000
 	maxConcurrent    = 1_000_000
 	minWindowSeconds = 1
 	maxWindowSeconds = 31 * 24 * 60 * 60
