--- /dev/null
+++ b/cmd/amaranthshelf/allowance.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/client"
+	"github.com/amaranthshelf/amaranthshelf/internal/plan"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+)
+
+type allowanceList struct{ connection }
+
+// Execute implements flags.Commander.
+func (c *allowanceList) Execute([]string) error {
+	return c.call(func(ctx context.Context, o *client.Operator) error {
+		rows, err := o.Allowances(ctx)
+		if err != nil {
+			return err
+		}
+		return c.print(rows, func() {
+			table("PLAN\tTOKENS\tREQUESTS\tWINDOW\tCONCURRENT\tSHARE\tPRIORITY\tVERSION", func(w *tabwriter.Writer) {
+				for _, r := range rows {
+					fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%d\t%d\t%d\t%d\n",
+						r.Plan, r.TokensPerWindow, r.RequestsPerWindow, r.Window(), r.Concurrent, r.Share, r.PriorityCeiling, r.Version)
+				}
+			})
+		})
+	})
+}
+
+type allowanceShow struct {
+	connection
+	oneName
+}
+
+// Execute implements flags.Commander.
+func (c *allowanceShow) Execute([]string) error {
+	return c.call(func(ctx context.Context, o *client.Operator) error {
+		r, err := o.Allowance(ctx, c.Args.Name)
+		if err != nil {
+			return err
+		}
+		return c.print(r, func() {
+			fmt.Printf("plan             %s\nmodels           %s\nservices         %s\n", r.Plan, strings.Join(r.Models, ","), strings.Join(r.Services, ","))
+			fmt.Printf("tokens           %d in %s\nrequests         %d in %s\n", r.TokensPerWindow, r.Window(), r.RequestsPerWindow, r.Window())
+			fmt.Printf("concurrent       %d\nshare            %d\npriority ceiling %d\nversion          %d\n", r.Concurrent, r.Share, r.PriorityCeiling, r.Version)
+		})
+	})
+}
+
+type allowanceSet struct {
+	connection
+	oneName
+	Models     *string `long:"models" value-name:"A,B" description:"models that the plan includes"`
+	Services   *string `long:"services" value-name:"A,B" description:"services that the plan includes"`
+	Tokens     *int64  `long:"tokens" description:"tokens per window, prompt and answer"`
+	Requests   *int64  `long:"requests" description:"requests per window"`
+	Window     *int64  `long:"window-seconds" description:"length of the window in seconds"`
+	Concurrent *int    `long:"concurrent" description:"requests that may run at once"`
+	Share      *int    `long:"share" description:"weight against other workspaces in the queues (new rows: 1)"`
+	Priority   *int    `long:"priority-ceiling" description:"highest priority that requests may ask for"`
+	Wait       bool    `long:"wait" description:"until the change is in force"`
+}
+
+// Execute implements flags.Commander.
+func (c *allowanceSet) Execute([]string) error {
+	return c.call(func(ctx context.Context, o *client.Operator) error {
+		row, err := o.Allowance(ctx, c.Args.Name)
+		if err != nil && result.CodeOf(err) != result.NotFound {
+			return err
+		}
+		if row.Version == 0 {
+			row.Allowance = plan.Allowance{Plan: c.Args.Name, Share: 1}
+		}
+		next := row.Allowance
+		names(&next.Models, c.Models)
+		names(&next.Services, c.Services)
+		field(&next.TokensPerWindow, c.Tokens)
+		field(&next.RequestsPerWindow, c.Requests)
+		field(&next.WindowSeconds, c.Window)
+		field(&next.Concurrent, c.Concurrent)
+		field(&next.Share, c.Share)
+		field(&next.PriorityCeiling, c.Priority)
+		return c.write(ctx, o, client.Change{List: listAllowances, Name: c.Args.Name, Row: next, IfMatch: row.Version, Wait: c.Wait})
+	})
+}
+
+func field[T any](into, given *T) {
+	if given != nil {
+		*into = *given
+	}
+}
+
+func names(into *[]string, given *string) {
+	if given != nil {
+		*into = splitNames(*given)
+	}
+}
+
+func splitNames(text string) []string {
+	var out []string
+	for name := range strings.SplitSeq(text, ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			out = append(out, name)
+		}
+	}
+	return out
+}
--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -21,6 +21,11 @@
 func run(args []string) int {
 	parser := flags.NewNamedParser("amaranthshelf", flags.HelpFlag|flags.PassDoubleDash)
 	for _, add := range []func(*flags.Parser) error{
+		addPlan,
+		addAllowance,
+		addStatus,
+		addExplain,
+		addConfig,
 		addDemo,
 		addLoad,
 		addMeasure,
--- /dev/null
+++ b/cmd/amaranthshelf/status.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/client"
+	"github.com/amaranthshelf/amaranthshelf/internal/operator"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
+)
+
+func addStatus(p *flags.Parser) error {
+	_, err := p.AddCommand("status", "show the VMs and what each applies",
+		"Shows which VMs are in, which version of the lists each applies, who leads the control group, and counters.", &statusCommand{})
+	return err
+}
+
+func addExplain(p *flags.Parser) error {
+	_, err := p.AddCommand("explain", "show what was decided for a request and why",
+		"Asks every VM what it decided for a request of late: queued, placed, suspected, resumed, refused.", &explainCommand{})
+	return err
+}
+
+func addConfig(p *flags.Parser) error {
+	return addGroup(p, "config", "the daemon's settings", "Works on the daemon's INI file.", []subcommand{
+		{"check", "check a settings file", "Reads a file as the daemon would and prints everything that is wrong with it.", &configCheck{}},
+	})
+}
+
+type statusCommand struct{ connection }
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	return c.call(func(ctx context.Context, o *client.Operator) error {
+		raw, err := o.Status(ctx)
+		if err != nil {
+			return err
+		}
+		var s operator.Status
+		if err := json.Unmarshal(raw, &s); err != nil {
+			return err
+		}
+		return c.print(raw, func() { printStatus(&s) })
+	})
+}
+
+func printStatus(s *operator.Status) {
+	leader := s.Leader
+	if leader == "" {
+		leader = "unknown"
+	}
+	fmt.Printf("asked %s; lists version %d; leader %s\n", s.AskedVM, s.Version, leader)
+	table("VM\tZONE\tROLES\tAPPLIES\tSTATE\tCOUNTERS", func(w *tabwriter.Writer) {
+		for _, vm := range s.VMs {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", vm.VM, vm.Zone, strings.Join(vm.Roles, ","), vm.Version, stateOf(vm), counters(vm.Counters))
+		}
+	})
+}
+
+func stateOf(vm operator.VMStatus) string {
+	switch {
+	case !vm.Reachable:
+		return "UNREACHABLE"
+	case !vm.Ready:
+		return "leaving"
+	case !vm.Fresh:
+		return "NOT FRESH: admits nothing"
+	}
+	return "serving"
+}
+
+func counters(c map[string]int64) string {
+	var out []string
+	for name, n := range c {
+		out = append(out, fmt.Sprintf("%s=%d", name, n))
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
+
+type explainCommand struct {
+	connection
+	Workspace string `long:"workspace" required:"yes" description:"workspace that the request belongs to"`
+	Args      struct {
+		Request string `positional-arg-name:"REQUEST"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	return c.call(func(ctx context.Context, o *client.Operator) error {
+		e, err := o.Explain(ctx, c.Workspace, c.Args.Request)
+		if err != nil {
+			return err
+		}
+		return c.print(e, func() {
+			for _, n := range e.Notes {
+				fmt.Printf("%s  %s  %-10s %s\n", n.At.Format(time.StampMilli), n.VM, n.What, n.Why)
+			}
+			if len(e.Missing) > 0 {
+				fmt.Printf("did not answer: %s\n", strings.Join(e.Missing, ", "))
+			}
+		})
+	})
+}
+
+type configCheck struct {
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configCheck) Execute([]string) error {
+	if _, err := settings.Load(c.Args.File); err != nil {
+		return usageError("%v", err)
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
--- a/internal/operator/lists.go
+++ b/internal/operator/lists.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"net/http"
 
 	"github.com/gorilla/mux"
@@ -166,7 +167,11 @@
 func who(r *http.Request) string {
 	const longest = 64
 	name := cmp.Or(r.Header.Get("X-Operator"), "operator")
-	return name[:min(len(name), longest)] + "@" + r.RemoteAddr
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
+	return name[:min(len(name), longest)] + "@" + host
 }
 
 // commit has the group decide. Without an answer nobody can tell whether the
--- a/internal/plan/book.go
+++ b/internal/plan/book.go
@@ -198,7 +198,7 @@
 	switch c.Action {
 	case SetCustomer:
 		before, ok := b.customers[c.Name]
-		if ok && before.equal(*c.Customer) {
+		if ok && before.Equal(*c.Customer) {
 			return nil, false
 		}
 		b.putCustomer(CustomerRow{*c.Customer, version})
@@ -209,7 +209,7 @@
 		return diffCustomer(before, Customer{}), true
 	case SetAllowance:
 		before, ok := b.allowances[c.Name]
-		if ok && before.equal(*c.Allowance) {
+		if ok && before.Equal(*c.Allowance) {
 			return nil, false
 		}
 		b.allowances[c.Name] = AllowanceRow{*c.Allowance, version}
--- a/internal/plan/command.go
+++ b/internal/plan/command.go
@@ -141,10 +141,12 @@
 	return diffField(out, "priority_ceiling", before.PriorityCeiling, after.PriorityCeiling)
 }
 
-func (c Customer) equal(o Customer) bool {
+// Equal reports whether two rows say the same.
+func (c Customer) Equal(o Customer) bool {
 	return c.Workspace == o.Workspace && c.Plan == o.Plan && slices.Equal(c.KeyHashes, o.KeyHashes)
 }
 
-func (a Allowance) equal(o Allowance) bool {
+// Equal reports whether two rows say the same.
+func (a Allowance) Equal(o Allowance) bool {
 	return a.Plan == o.Plan && len(diffAllowance(a, o)) == 0
 }
