--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,11 +54,12 @@
 	hub     *relay.Hub
 	members *members
 	router  *router
-	plans   *plans
 
-	explainer *operator.Explainer
-
-	ready atomic.Bool
+	admission   *admitter
+	stopPolling context.CancelFunc
+	plans       *plans
+	ready       atomic.Bool
+	explainer   *operator.Explainer
 }
 
 // Listen binds the VM's addresses and records those that the kernel picked.
@@ -100,7 +101,9 @@
 	n.startPlans()
 	n.startExplain()
 	n.startRouting()
+	n.startAdmission()
 	n.startGenerations()
+	n.startPolling()
 	n.startCallers()
 	n.startOperators()
 	n.startPeers()
@@ -162,6 +165,7 @@
 		_ = s.Close()
 	}
 	n.plans.cancel()
+	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
 }
@@ -174,6 +178,7 @@
 		errs = append(errs, s.Shutdown(ctx))
 	}
 	n.plans.cancel()
+	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
 	return errors.Join(append(errs, n.tracer.Close(ctx))...)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -50,8 +50,8 @@
 		w.run(11 * time.Minute)
 		share := float64(w.used["1"]) / float64(tc.tokens)
 		perRequest := float64(w.messages) / float64(w.accepted+w.refused)
-		t.Logf("%s: %.1f%% of the allowance used, %d accepted, %d refused, %.4f messages a request",
-			tc.name, 100*share, w.accepted, w.refused, perRequest)
+		t.Logf("%s: %.1f%% of the allowance used, %d accepted, %d refused, %.3f messages a request, %.1f messages and %.0f bytes a second and VM",
+			tc.name, 100*share, w.accepted, w.refused, perRequest, float64(w.messages)/600/9, float64(w.bytes)/600/9)
 		if share < 0.95 {
 			t.Errorf("%s: only %.1f%% of the allowance could be used", tc.name, 100*share)
 		}
--- a/internal/relay/attach.go
+++ b/internal/relay/attach.go
@@ -31,10 +31,10 @@
 	id, from := r.beginAttach(*src)
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(r.hub.cfg.SilenceLimit, cancel)
+	silence := time.AfterFunc(r.hub.attachSilence(), cancel)
 	defer silence.Stop()
 	err := r.hub.engines.Attach(actx, src.Addr, src.Attempt, from, func(e engine.Event) error {
-		silence.Reset(r.hub.cfg.SilenceLimit)
+		silence.Reset(r.hub.attachSilence())
 		return r.onAttached(id, src.Attempt, e)
 	})
 	if err == nil {
@@ -112,3 +112,15 @@
 		r.cancelAttempt(addr, id)
 	}
 }
+
+// attachSilenceDefault bounds the wait for an event of an attached stream: it
+// runs already, so that a second without a token means it is gone, and a fresh
+// attempt costs one prefill.
+const attachSilenceDefault = 1 * time.Second
+
+func (h *Hub) attachSilence() time.Duration {
+	if h.cfg.SilenceLimit > 0 {
+		return h.cfg.SilenceLimit
+	}
+	return attachSilenceDefault
+}
--- a/internal/relay/system_test.go
+++ b/internal/relay/system_test.go
@@ -155,6 +155,9 @@
 	}}, nil
 }
 
+// Usable implements relay.Router.
+func (s *system) Usable(string) (engines, routers int) { return len(s.engines), 1 }
+
 // wire is one VM's way to the engines. A paused VM reads nothing.
 type wire struct {
 	s  *system
