--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/gateway"
+	"github.com/amaranthshelf/amaranthshelf/internal/operator"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
@@ -58,6 +59,7 @@
 	stopPolling context.CancelFunc
 	plans       *plans
 	ready       atomic.Bool
+	explainer   *operator.Explainer
 }
 
 // Listen binds the VM's addresses and records those that the kernel picked.
@@ -97,6 +99,7 @@
 	n.startMembers()
 	n.startControl()
 	n.startPlans()
+	n.startExplain()
 	n.startRouting()
 	n.startAdmission()
 	n.startGenerations()
@@ -112,6 +115,7 @@
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
+	n.explainer.CallerRoutes(r, n.plans.Directory)
 	n.serve(n.callers, r)
 }
 
@@ -136,6 +140,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	r.Handle("/debug/vars", expvar.Handler())
+	n.addOperatorRoutes(r)
 	return r
 }
 
@@ -159,6 +164,7 @@
 	for _, s := range n.servers {
 		_ = s.Close()
 	}
+	n.plans.cancel()
 	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
@@ -171,6 +177,7 @@
 	for _, s := range n.servers {
 		errs = append(errs, s.Shutdown(ctx))
 	}
+	n.plans.cancel()
 	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -32,6 +32,7 @@
 	accepted int
 	refused  int
 	messages int
+	bytes    int // of messages and their answers
 }
 
 type vm struct {
@@ -159,6 +160,7 @@
 	if err != nil {
 		w.fail("%v", err)
 	}
+	w.bytes += len(data)
 	v.exchange++
 	w.after(resendPause, func() { w.resend(v, s.Seq) })
 	w.deliver(v, data)
@@ -181,6 +183,7 @@
 	}
 	w.after(w.delay(), func() {
 		reply := w.ledger.Apply(w.now.UnixMilli(), data)
+		w.bytes += len(reply)
 		if w.rng.Float64() < w.lossShare {
 			return
 		}
@@ -226,7 +229,7 @@
 			w.refused++
 			return
 		}
-		w.after(time.Millisecond, func() { w.await(v, a, deadline, takes) })
+		w.after(4*time.Millisecond, func() { w.await(v, a, deadline, takes) })
 		return
 	}
 	if a.t.err != nil || v.dead {
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -45,6 +45,9 @@
 	}
 	settle, err := r.hub.quota.Reserve(ctx, r.Request())
 	r.settle = settle
+	if err != nil {
+		r.hub.note(r.Request().ID, explain.Refused, err.Error())
+	}
 	return err
 }
 
