--- a/internal/relay/recover_test.go
+++ b/internal/relay/recover_test.go
@@ -166,8 +166,10 @@
 
 type fixedMembers []generation.Candidate
 
-func (m fixedMembers) Candidates() []generation.Candidate { return m }
-func (m fixedMembers) Reachable(string) bool              { return true }
+func (m fixedMembers) Views() []generation.Membership {
+	return []generation.Membership{{Version: 1, Candidates: m}}
+}
+func (m fixedMembers) Reachable(string) bool { return true }
 
 // hubs starts VMs that share a fleet.
 func hubs(t *testing.T, f *fleet, n int, o recovery.Objective) []*relay.Hub {
@@ -175,13 +177,13 @@
 	network := peertest.New(20261202)
 	var members fixedMembers
 	for i := range n {
-		members = append(members, generation.Candidate{VM: fmt.Sprint("vm", i), Zone: fmt.Sprint("z", i)})
+		members = append(members, generation.Candidate{VM: fmt.Sprint("vm", i), Zone: fmt.Sprint("z", i), Incarnation: "1"})
 	}
 	var out []*relay.Hub
 	for i := range n {
 		id := fmt.Sprint("vm", i)
 		out = append(out, relay.NewHub(relay.Config{
-			VM: id, Epoch: id + "#1", OpenTimeout: 4 * time.Second, CallerKeep: time.Minute, Objective: o,
+			VM: id, Epoch: id + "#1", Incarnation: "1", Limits: generation.DefaultLimits(time.Minute), OpenTimeout: 4 * time.Second, CallerKeep: time.Minute, Objective: o,
 		}, relay.Deps{
 			Transport: network.VM(id), Members: members, Engines: f, Router: newTableRouter(len(f.engines)),
 			Log: zerolog.Nop(), Metrics: new(expvar.Map).Init(),
