--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -203,6 +203,18 @@
 		if chunk.Finish != "" {
 			return nil
 		}
+		if g.leaving() {
+			return s.reconnect()
+		}
 		wait = g.cfg.Heartbeat
 	}
 }
+
+func (g *Gateway) leaving() bool {
+	select {
+	case <-g.cfg.Leaving:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,10 @@
 type Config struct {
 	MaxBodyBytes int64
 	Heartbeat    time.Duration // between comments while no token comes
+
+	// Leaving is closed once this VM hands its streams over: callers are told to
+	// reconnect, at the end of an event. Nil: never.
+	Leaving <-chan struct{}
 }
 
 // Gateway is the callers' HTTP handler.
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -102,6 +102,16 @@
 	return s.write(m)
 }
 
+// reconnect tells the caller in a comment that its connection ends here while
+// its answer goes on elsewhere. The end of a stream without finish_reason means
+// the same to a caller that does not read comments.
+func (s *stream) reconnect() error {
+	m := &sse.Message{}
+	m.AppendComment("reconnect")
+	_ = s.write(m)
+	return nil
+}
+
 func (s *stream) write(m *sse.Message) error {
 	s.begin()
 	_ = s.flush.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,6 @@
 package node
 
 import (
-	"context"
 	"crypto/rand"
 	"errors"
 	"expvar"
@@ -55,6 +54,9 @@
 	router  *router
 	plans   *plans
 	ready   atomic.Bool
+
+	draining atomic.Bool   // shutting down: the entry answers leave this VM out
+	leaving  chan struct{} // closed once the generations are handed over
 }
 
 // Listen binds the VM's addresses and records those that the kernel picked.
@@ -66,6 +68,7 @@
 	n := &Node{
 		s: s, log: log, metrics: telemetry.Metrics(s.Self.ID), tracer: tracer,
 		incarnation: rand.Text()[:8], engines: engine.NewClient(), explain: explain.NewRing(explain.DefaultRequests),
+		leaving: make(chan struct{}),
 	}
 	for _, b := range []struct {
 		l    *net.Listener
@@ -103,7 +106,7 @@
 }
 
 func (n *Node) startCallers() {
-	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeat},
+	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeat, Leaving: n.leaving},
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
@@ -158,18 +161,6 @@
 	n.hub.Close()
 }
 
-// Shutdown ends the VM after its callers' answers.
-func (n *Node) Shutdown(ctx context.Context) error {
-	n.ready.Store(false)
-	var errs []error
-	for _, s := range n.servers {
-		errs = append(errs, s.Shutdown(ctx))
-	}
-	n.network.Close()
-	n.hub.Close()
-	return errors.Join(append(errs, n.tracer.Close(ctx))...)
-}
-
 func (n *Node) closeListeners() {
 	for _, l := range []net.Listener{n.callers, n.operators, n.peers} {
 		if l != nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -11,6 +11,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/local"
 	"github.com/amaranthshelf/amaranthshelf/internal/plan"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin"
 )
 
@@ -20,6 +21,7 @@
 	t.Helper()
 	s, err := local.Start(local.Options{
 		VMs: 3, Zones: 3, Engines: 3, Model: "m", Log: zerolog.New(zerolog.NewTestWriter(t)),
+		Settings: func(_ int, conf *settings.Settings) { conf.EntryTTL = 200 * time.Millisecond },
 		Plans: func() ([]plan.Customer, []plan.Allowance) {
 			return []plan.Customer{{Workspace: "coop", Plan: "p", KeyHashes: []string{plan.HashKey(testKey)}}},
 				[]plan.Allowance{{Plan: "p", Models: []string{"m"}}}
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -27,6 +27,7 @@
 	Chunk   Chunk               `cbor:"2,keyasint"`
 	Code    int                 `cbor:"3,keyasint,omitempty"`
 	Request *generation.Request `cbor:"4,keyasint,omitempty"`
+	Opening bool                `cbor:"5,keyasint,omitempty"` // not the owner yet
 }
 
 // Reader reads one caller's answer, wherever its owner is: on this VM or on
@@ -90,21 +91,22 @@
 	return nil
 }
 
-// probe reports whether a VM owns a journal, and returns its request.
-func (h *Hub) probe(ctx context.Context, id generation.RequestID, epochVM string) (string, *generation.Request) {
+// probe asks a VM whether it owns a journal, or is about to.
+func (h *Hub) probe(ctx context.Context, id generation.RequestID, epochVM string) followReply {
 	vm := vmOf(epochVM)
 	if vm == "" || vm == h.cfg.VM || !h.members.Reachable(vm) {
-		return "", nil
+		return followReply{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollGrace)
 	defer cancel()
 	var reply followReply
-	err := h.transport.Call(ctx, vm, peer.KindFollow, followRequest{ID: id, From: -1}, &reply)
-	if err != nil || !reply.Found || reply.Request == nil {
-		return "", nil
+	if err := h.transport.Call(ctx, vm, peer.KindFollow, followRequest{ID: id, From: -1}, &reply); err != nil {
+		return followReply{}
 	}
-	h.metrics.Add("follows", 1)
-	return vm, reply.Request
+	if reply.Request != nil {
+		h.metrics.Add("follows", 1)
+	}
+	return reply
 }
 
 var errNotOwner = errors.New("relay: VM does not own the generation")
@@ -132,7 +134,7 @@
 	}
 	run := h.Run(req.ID)
 	if run == nil || run.ended() {
-		return followReply{}, nil
+		return followReply{Opening: h.isOpening(req.ID)}, nil
 	}
 	if req.From < 0 {
 		return followReply{Found: true, Request: run.Request()}, nil
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -153,6 +153,12 @@
 	return o, true
 }
 
+func (h *Hub) isOpening(id generation.RequestID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.opening[id] != nil
+}
+
 func (h *Hub) forget(run *Run) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -16,15 +16,20 @@
 // rounds one of them has the milliseconds that it needs for itself.
 const (
 	openAttempts  = 8
+	politeTries   = 6 // bids before an opening that another VM has under way is taken over
 	leastBackoff  = 5 * time.Millisecond
 	mostBackoff   = 320 * time.Millisecond
 	awaitViewStep = 20 * time.Millisecond
 )
 
+// errContended tells that another VM is opening the same journal now, with a
+// higher bid. Deposing it would throw its work away, for as little.
+var errContended = errors.New("relay: another VM opens the journal")
+
 func (h *Hub) open(ctx context.Context, req generation.Request, resuming bool) (found, error) {
 	for try := range openAttempts {
-		f, err := h.openOnce(ctx, req, resuming)
-		if !errors.Is(err, generation.ErrDeposed) {
+		f, err := h.openOnce(ctx, req, resuming, try)
+		if !errors.Is(err, generation.ErrDeposed) && !errors.Is(err, errContended) {
 			return f, err
 		}
 		h.metrics.Add("open_retries", 1)
@@ -74,7 +79,7 @@
 	}
 }
 
-func (h *Hub) openOnce(ctx context.Context, req generation.Request, resuming bool) (found, error) {
+func (h *Hub) openOnce(ctx context.Context, req generation.Request, resuming bool, try int) (found, error) {
 	o := h.opener(req, resuming)
 	epoch := o.nextEpoch(generation.Epoch{})
 	first := generation.Promise{ID: req.ID, Epoch: epoch, IfAbsent: !resuming, Peek: resuming}
@@ -88,8 +93,12 @@
 	if resuming && replies.Ready() && replies.Max.IsZero() {
 		return found{}, result.New(result.NotFound)
 	}
-	if vm, accepted := h.probe(ctx, req.ID, replies.Max.VM); accepted != nil {
-		return found{owner: vm, req: accepted}, nil
+	owner := h.probe(ctx, req.ID, replies.Max.VM)
+	if owner.Request != nil {
+		return found{owner: vmOf(replies.Max.VM), req: owner.Request}, nil
+	}
+	if owner.Opening && try < politeTries {
+		return found{}, errContended
 	}
 	return o.takeOver(ctx, replies.Max)
 }
