--- a/internal/generation/keeper.go
+++ b/internal/generation/keeper.go
@@ -192,7 +192,7 @@
 	r.promised, r.accepted, r.touched = w.Epoch, w.Epoch, now
 	return WriteReply{
 		ID: w.ID, Epoch: w.Epoch, Held: r.journal.Len(), Finished: r.journal.Finish != "",
-		Promised: r.promised, Source: r.source.Number,
+		Promised: r.promised, Source: r.source.Number, Touch: w.Touch,
 	}
 }
 
--- a/internal/generation/messages.go
+++ b/internal/generation/messages.go
@@ -40,6 +40,7 @@
 	Usage   Usage     `cbor:"8,keyasint"`
 	Late    bool      `cbor:"9,keyasint,omitempty"` // this keeper gave no promise before
 	Source  *Source   `cbor:"10,keyasint,omitempty"`
+	Touch   uint64    `cbor:"11,keyasint,omitempty"` // echoed
 }
 
 // WriteReply answers a Write. Held, Finished and Source are what the keeper
@@ -52,6 +53,7 @@
 	Promised Epoch     `cbor:"5,keyasint"`
 	Epoch    Epoch     `cbor:"6,keyasint"`
 	Source   int       `cbor:"7,keyasint,omitempty"` // Number of the source
+	Touch    uint64    `cbor:"8,keyasint,omitempty"`
 }
 
 // OK reports whether the write was accepted.
--- a/internal/generation/owner.go
+++ b/internal/generation/owner.go
@@ -27,6 +27,7 @@
 	deposed  bool
 	sealing  bool
 	released int
+	touch    uint64
 	Dropped  int // events of stale attempts
 }
 
@@ -37,7 +38,7 @@
 	held      int
 	source    int
 	finished  bool
-	touch     bool
+	touch     uint64
 }
 
 // NewOwner returns the owner of a new journal, or of one taken over. replies
@@ -108,12 +109,29 @@
 	return nil
 }
 
-// Touch makes the next write to each keeper due even without tokens: keepers
-// forget a journal that no owner touches.
-func (o *Owner) Touch() {
+// Touch makes a write to each keeper due even without tokens: keepers forget a
+// journal that no owner touches. Once Touched reaches the number returned, this
+// owner was the owner after the call.
+func (o *Owner) Touch() uint64 {
+	o.touch++
+	return o.touch
+}
+
+// Touched is the highest touch that a majority has answered.
+func (o *Owner) Touched() uint64 {
+	best := uint64(0)
 	for _, r := range o.keepers {
-		r.touch = true
+		count := 0
+		for _, other := range o.keepers {
+			if other.installed && other.touch >= r.touch {
+				count++
+			}
+		}
+		if count >= o.group.Majority() {
+			best = max(best, r.touch)
+		}
 	}
+	return best
 }
 
 // Next returns the write that brings a keeper up to date, and false if it has
@@ -124,7 +142,7 @@
 	if r == nil || o.deposed || o.sealing {
 		return Write{}, false
 	}
-	w := Write{ID: o.Request.ID, Epoch: o.Epoch, To: r.id.Incarnation}
+	w := Write{ID: o.Request.ID, Epoch: o.Epoch, To: r.id.Incarnation, Touch: o.touch}
 	if o.source.Number > 0 && r.source != o.source.Number {
 		source := o.source
 		w.Source = &source
@@ -138,7 +156,7 @@
 		return w, true
 	}
 	ended := o.journal.Finish == "" || r.finished
-	if r.held == o.journal.Len() && ended && w.Source == nil && !r.touch {
+	if r.held == o.journal.Len() && ended && w.Source == nil && r.touch == o.touch {
 		return Write{}, false
 	}
 	end := min(o.journal.Len(), r.held+maxTokens)
@@ -164,7 +182,8 @@
 	if !reply.OK() {
 		return o.refused(r, reply)
 	}
-	r.installed, r.promised, r.touch = true, true, false
+	r.installed, r.promised = true, true
+	r.touch = max(r.touch, reply.Touch)
 	r.held = max(r.held, reply.Held)
 	r.source = max(r.source, reply.Source)
 	r.finished = r.finished || reply.Finished
--- a/internal/generation/replies.go
+++ b/internal/generation/replies.go
@@ -94,14 +94,22 @@
 	return !r.SkipLost || !r.lost(g)
 }
 
-// Lost reports whether a needed set has lost its majority for good.
+// Lost reports whether the journal is gone for good: a needed set has lost its
+// majority, and majorities of all others have answered without showing that the
+// journal was moved to them in time. Before they have, it may still be found.
 func (r *Replies) Lost() bool {
+	lost := false
 	for i := range r.groups {
-		if g := &r.groups[i]; r.needs(g) && r.lost(g) {
-			return true
+		g := &r.groups[i]
+		switch {
+		case !r.needs(g):
+		case r.lost(g):
+			lost = true
+		case count(g, r.ok) < g.Majority():
+			return false
 		}
 	}
-	return false
+	return lost
 }
 
 func (r *Replies) lost(g *Group) bool {
--- a/internal/relay/owner_test.go
+++ b/internal/relay/owner_test.go
@@ -57,6 +57,26 @@
 	})
 }
 
+// The caller's VM is paused, another one goes on, and the caller comes back to
+// the first one the moment it runs again. It still believes to own the answer,
+// with fewer tokens than the caller has: it must not call the caller's index
+// wrong before its keepers have confirmed it, and they don't.
+func TestStaleOwnerAsksBeforeItRefuses(t *testing.T) {
+	inBubble(t, 5, 2, func(s *system) {
+		c := s.caller("k")
+		if err := c.read("vm0", 100); err != nil {
+			t.Fatal(err)
+		}
+		stale := s.owner("k")
+		s.net.Pause(stale)
+		if err := c.read(s.other(stale), 200); err != nil {
+			t.Fatal(err)
+		}
+		s.net.Resume(stale)
+		c.finishOn(stale)
+	})
+}
+
 // The caller's VM can send but hears nothing, not even acknowledgements. It may
 // release no token, and must tell its caller so in bounded time instead of
 // sending heartbeats for ever; any other VM goes on with the answer.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -113,8 +113,12 @@
 // Wait returns tokens from index from on, blocking until there are some, the
 // answer has ended, or ctx is done.
 func (r *Run) Wait(ctx context.Context, from int) (Chunk, error) {
+	touch := uint64(0)
 	for {
-		chunk, ready, changed, err := r.read(from)
+		if touch == 0 && r.ahead(from) {
+			touch = r.touch()
+		}
+		chunk, ready, changed, err := r.read(from, touch)
 		if err != nil || ready {
 			return chunk, err
 		}
@@ -122,6 +126,8 @@
 		case <-changed:
 		case <-ctx.Done():
 			return chunk, ctx.Err()
+		case <-r.hub.ctx.Done():
+			return chunk, result.New(result.ShuttingDown)
 		}
 	}
 }
@@ -135,13 +141,26 @@
 	return r.digests[n]
 }
 
-func (r *Run) read(from int) (Chunk, bool, <-chan struct{}, error) {
+// ahead reports whether a caller names an index beyond the journal. It may be
+// right: a VM that was paused or cut off does not know yet that another one has
+// taken over and gone on. So the answer waits until a majority of the keepers
+// has confirmed this owner.
+func (r *Run) ahead(from int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return from > r.owner.Journal().Len()
+}
+
+func (r *Run) read(from int, touch uint64) (Chunk, bool, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	released := r.owner.Released()
 	j := r.owner.Journal()
 	if from > j.Len() {
-		return Chunk{}, false, nil, result.New(result.BadLastEventID)
+		if r.err == nil && touch > 0 && r.owner.Touched() >= touch {
+			return Chunk{}, false, nil, result.New(result.BadLastEventID)
+		}
+		return Chunk{}, false, r.changed, r.err
 	}
 	chunk := Chunk{Span: generation.Span{From: from}, Prefix: r.digest(from)}
 	end := min(released, from+maxChunkTokens)
@@ -177,11 +196,12 @@
 	released           int
 	accepted, finished bool
 	deposed            bool
+	touched            uint64
 }
 
 func (r *Run) visible() visible {
 	_, _, finished := r.owner.Finished()
-	return visible{r.owner.Released(), r.owner.Accepted(), finished, r.owner.Deposed()}
+	return visible{r.owner.Released(), r.owner.Accepted(), finished, r.owner.Deposed(), r.owner.Touched()}
 }
 
 // wake needs r.mu.
--- a/internal/relay/system_test.go
+++ b/internal/relay/system_test.go
@@ -243,6 +243,12 @@
 	return ""
 }
 
+func (s *system) hub(vm string) *relay.Hub {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hubs[vm]
+}
+
 // caller reads one answer, as the gateway does for it.
 type caller struct {
 	s      *system
@@ -251,6 +257,8 @@
 	digest uint64
 	finish string
 	gap    time.Duration // the longest wait for tokens
+
+	observe func(began time.Time, from int, chunk relay.Chunk, err error) // may be nil
 }
 
 func (s *system) caller(key string) *caller { return &caller{s: s, key: key} }
@@ -264,17 +272,21 @@
 var errSplice = errors.New("the answer's prefix differs from the caller's")
 
 // read connects to a VM and reads until the answer has n tokens or has ended.
-func (c *caller) read(vm string, n int) error {
+func (c *caller) read(vm string, n int) error { return c.readFrom(c.s.hub(vm), n) }
+
+func (c *caller) readFrom(hub *relay.Hub, n int) error {
 	ctx, cancel := context.WithTimeout(c.s.t.Context(), time.Minute)
 	defer cancel()
 	began := time.Now()
-	reader, err := c.s.hubs[vm].Open(ctx, c.request(), len(c.tokens) > 0)
+	reader, err := hub.Open(ctx, c.request(), len(c.tokens) > 0)
 	if err != nil {
+		c.saw(began, relay.Chunk{}, err)
 		return err
 	}
 	defer reader.Release()
 	for len(c.tokens) < n && c.finish == "" {
 		chunk, err := reader.Wait(ctx, len(c.tokens))
+		c.saw(began, chunk, err)
 		if err != nil {
 			return err
 		}
@@ -292,6 +304,12 @@
 	return nil
 }
 
+func (c *caller) saw(began time.Time, chunk relay.Chunk, err error) {
+	if c.observe != nil {
+		c.observe(began, len(c.tokens), chunk, err)
+	}
+}
+
 // finishOn reads the rest, moving on to the next of the VMs after each error.
 func (c *caller) finishOn(vms ...string) {
 	c.s.t.Helper()
--- a/internal/relay/tend.go
+++ b/internal/relay/tend.go
@@ -191,11 +191,12 @@
 	return r.readers == 0 && now.Sub(r.vacant) >= keep, r.owner.Behind()
 }
 
-func (r *Run) touch() {
+func (r *Run) touch() uint64 {
 	r.mu.Lock()
-	r.owner.Touch()
+	touch := r.owner.Touch()
 	r.mu.Unlock()
 	r.hub.journals.mark(r)
+	return touch
 }
 
 // letGo reports whether the run ended because another VM has it or will have
