--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,18 +48,20 @@
 	engines     *engine.Client
 	explain     *explain.Ring
 
-	network *peer.Network
-	machine *control.Machine
-	control control.Client
-	hub     *relay.Hub
-	members *members
-	router  *router
-
+	network     *peer.Network
+	machine     *control.Machine
+	control     control.Client
+	hub         *relay.Hub
+	members     *members
+	router      *router
 	admission   *admitter
 	stopPolling context.CancelFunc
 	plans       *plans
 	ready       atomic.Bool
 	explainer   *operator.Explainer
+
+	draining atomic.Bool   // shutting down: the entry answers leave this VM out
+	leaving  chan struct{} // closed once the generations are handed over
 }
 
 // Listen binds the VM's addresses and records those that the kernel picked.
@@ -71,6 +73,7 @@
 	n := &Node{
 		s: s, log: log, metrics: telemetry.Metrics(s.Self.ID), tracer: tracer,
 		incarnation: rand.Text()[:8], engines: engine.NewClient(), explain: explain.NewRing(explain.DefaultRequests),
+		leaving: make(chan struct{}),
 	}
 	for _, b := range []struct {
 		l    *net.Listener
@@ -111,7 +114,7 @@
 }
 
 func (n *Node) startCallers() {
-	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeat},
+	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeat, Leaving: n.leaving},
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
@@ -170,20 +173,6 @@
 	n.hub.Close()
 }
 
-// Shutdown ends the VM after its callers' answers.
-func (n *Node) Shutdown(ctx context.Context) error {
-	n.ready.Store(false)
-	var errs []error
-	for _, s := range n.servers {
-		errs = append(errs, s.Shutdown(ctx))
-	}
-	n.plans.cancel()
-	n.stopPolling()
-	n.network.Close()
-	n.hub.Close()
-	return errors.Join(append(errs, n.tracer.Close(ctx))...)
-}
-
 func (n *Node) closeListeners() {
 	for _, l := range []net.Listener{n.callers, n.operators, n.peers} {
 		if l != nil {
