traces: a span for each hop, one trace across VMs

Cause: only the entry had a span, and a reconnect to another VM began a new trace, since the caller sends no traceparent.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -33,12 +33,11 @@
 }
 
 func (g *Gateway) completions(w http.ResponseWriter, r *http.Request) {
-	ctx := telemetry.Extract(r.Context(), r.Header.Get("Traceparent"))
 	key := r.Header.Get("Idempotency-Key")
 	if key == "" {
 		key = rand.Text()
 	}
-	ctx, span := g.tracer.Start(ctx, "entry", key)
+	ctx, span := g.tracer.Start(traced(r, key), "entry", key)
 	defer span.End()
 	if err := g.serveCompletion(ctx, w, r, key); err != nil {
 		g.log.Info().Str("request_id", key).Int("code", int(result.CodeOf(err))).Msg("request refused")
@@ -46,6 +45,15 @@
 	}
 }
 
+// traced returns the request's context within the caller's trace, or within one
+// of the request's own that all its connections share.
+func traced(r *http.Request, key string) context.Context {
+	if parent := r.Header.Get("Traceparent"); parent != "" {
+		return telemetry.Extract(r.Context(), parent)
+	}
+	return telemetry.ForRequest(r.Context(), r.Header.Get("Authorization")+"/"+key)
+}
+
 // serveCompletion returns an error only while the answer has not begun.
 func (g *Gateway) serveCompletion(ctx context.Context, w http.ResponseWriter, r *http.Request, key string) error {
 	if !ValidKey(key) {
--- a/internal/node/generations.go
+++ b/internal/node/generations.go
@@ -23,6 +23,6 @@
 		Limits: generation.DefaultLimits(n.s.CallerKeep),
 	}, relay.Deps{
 		Transport: n.network, Members: n.members, Engines: n.engines, Router: n.router,
-		Log: n.log, Metrics: n.metrics, Admission: n.admission, Quota: n.plans, Note: n.note,
+		Log: n.log, Metrics: n.metrics, Admission: n.admission, Quota: n.plans, Note: n.note, Tracer: n.tracer,
 	})
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,10 +17,9 @@
 
 const testKey = "key-of-coop"
 
-func start(t *testing.T) *local.System {
-	t.Helper()
-	s, err := local.Start(local.Options{
-		VMs: 3, Zones: 3, Engines: 3, Model: "m", Log: zerolog.New(zerolog.NewTestWriter(t)),
+func options(log zerolog.Logger) local.Options {
+	return local.Options{
+		VMs: 3, Zones: 3, Engines: 3, Model: "m", Log: log,
 		Settings: func(_ int, conf *settings.Settings) { conf.EntryTTL = 200 * time.Millisecond },
 		Plans: func() ([]plan.Customer, []plan.Allowance) {
 			return []plan.Customer{{Workspace: "coop", Plan: "p", KeyHashes: []string{plan.HashKey(testKey)}}},
@@ -29,7 +28,12 @@
 					Concurrent: 100, Share: 1,
 				}}
 		},
-	})
+	}
+}
+
+func start(t *testing.T) *local.System {
+	t.Helper()
+	s, err := local.Start(options(zerolog.New(zerolog.NewTestWriter(t))))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/attach.go
+++ b/internal/relay/attach.go
@@ -8,6 +8,8 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+
+	"go.opentelemetry.io/otel/attribute"
 )
 
 // attachOverlap is how many tokens of the journal a new owner reads again from
@@ -29,6 +31,7 @@
 	}
 	r.source = nil
 	id, from := r.beginAttach(*src)
+	span := r.hub.span(r.Request(), "attempt", attribute.String("engine", src.Backend), attribute.Int("from", from), attribute.Bool("attached", true))
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(r.hub.attachSilence(), cancel)
@@ -37,6 +40,7 @@
 		silence.Reset(r.hub.attachSilence())
 		return r.onAttached(id, src.Attempt, e)
 	})
+	endSpan(span, err)
 	if err == nil {
 		r.hub.metrics.Add("attached", 1)
 		return true
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,6 +13,8 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+
+	"go.opentelemetry.io/otel/attribute"
 )
 
 // Pauses between tries to find an engine. Others run out of work within tens of
@@ -46,7 +48,10 @@
 	if r.ticket == nil {
 		return nil
 	}
-	return r.ticket.Wait(ctx)
+	span := r.hub.span(r.Request(), "queue")
+	err := r.ticket.Wait(ctx)
+	endSpan(span, err)
+	return err
 }
 
 // attempt runs one attempt and reports whether another is needed.
@@ -230,6 +235,7 @@
 	r.failed = append(r.failed, name)
 	if r.lostAt.IsZero() {
 		r.lostAt = time.Now()
+		r.resumeSpan = r.hub.span(r.Request(), "resume", attribute.String("lost", name))
 	}
 	tokens := r.owner.Journal().Len()
 	r.mu.Unlock()
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -25,6 +25,7 @@
 	admission Admission
 	quota     Quota
 	note      NoteFunc
+	tracer    Tracer
 	log       zerolog.Logger
 	metrics   *expvar.Map
 	journals  *journals
@@ -66,6 +67,7 @@
 	Admission Admission // nil: every request starts at once
 	Quota     Quota     // nil: nothing is charged
 	Note      NoteFunc  // nil: nothing is recorded
+	Tracer    Tracer    // nil: no spans
 }
 
 // NewHub returns a Hub and registers its message handlers.
@@ -73,7 +75,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Hub{
 		cfg: cfg, transport: d.Transport, members: d.Members, engines: d.Engines, router: d.Router,
-		admission: d.Admission, quota: d.Quota, note: noteOr(d.Note), log: d.Log, metrics: d.Metrics, ctx: ctx, cancel: cancel,
+		admission: d.Admission, quota: d.Quota, note: noteOr(d.Note), tracer: d.Tracer, log: d.Log, metrics: d.Metrics, ctx: ctx, cancel: cancel,
 		runs: map[generation.RequestID]*Run{}, opening: map[generation.RequestID]*opening{},
 		keeper: generation.NewKeeper(cfg.Incarnation, cfg.Limits),
 	}
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -12,6 +12,8 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+
+	"go.opentelemetry.io/otel/attribute"
 )
 
 // lane is one attempt on one engine. A hedge is a second lane: it may append
@@ -33,7 +35,9 @@
 // launch runs a lane and reports its end.
 func (r *Run) launch(ctx context.Context, l *lane, ends chan<- *lane) {
 	ctx, l.cancel = context.WithCancel(ctx)
+	span := r.hub.span(r.Request(), "attempt", attribute.String("engine", l.choice.Backend.Name), attribute.Int("from", l.from))
 	go func() {
+		defer func() { endSpan(span, l.err) }()
 		defer l.cancel()
 		l.err = r.hub.engines.Generate(ctx, l.choice.Backend.Addr, l.completion, func(e engine.Event) error {
 			return r.onEvent(l, e)
@@ -220,6 +224,7 @@
 		return
 	}
 	r.stats.ResumeLatency = append(r.stats.ResumeLatency, time.Since(r.lostAt))
+	r.resumeSpan.End()
 	r.lostAt = time.Time{}
 }
 
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -9,6 +9,8 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+
+	"go.opentelemetry.io/otel/attribute"
 )
 
 // Figures of an opening. Two VMs that are given the same key at once bid against
@@ -155,7 +157,10 @@
 	rctx, cancel := context.WithCancel(h.ctx)
 	run.cancel = cancel
 	h.journals.mark(run)
-	if err := run.accepted(ctx); err != nil {
+	span := h.span(run.Request(), "journal", attribute.Int("tokens", best.Journal.Len()), attribute.String("epoch", epoch.String()))
+	err := run.accepted(ctx)
+	endSpan(span, err)
+	if err != nil {
 		run.stop(err)
 		run.release()
 		return found{}, err
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -11,6 +11,8 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+
+	"go.opentelemetry.io/otel/trace"
 )
 
 // Chunk is a run of released tokens, and the end once it is reached. Prefix is
@@ -43,18 +45,19 @@
 	settle func(ran bool, tokens int) // nil: nothing was reserved here
 	source *generation.Source         // stream that the former owner left; used by drive alone
 
-	mu       sync.Mutex
-	owner    *generation.Owner
-	changed  chan struct{}
-	err      error
-	readers  int
-	vacant   time.Time // since when nobody reads
-	stats    Stats
-	failed   []string // engines that failed this request
-	current  int      // number of the attempt that appended last
-	rejected int      // engines that found fault with the request
-	lostAt   time.Time
-	digests  []uint64 // of the first 0, 1, 2... tokens
+	mu         sync.Mutex
+	owner      *generation.Owner
+	changed    chan struct{}
+	err        error
+	readers    int
+	vacant     time.Time // since when nobody reads
+	stats      Stats
+	failed     []string // engines that failed this request
+	current    int      // number of the attempt that appended last
+	rejected   int      // engines that found fault with the request
+	lostAt     time.Time
+	resumeSpan trace.Span // from lostAt to the next token
+	digests    []uint64   // of the first 0, 1, 2... tokens
 
 	seenVersion uint64 // of the list of VMs, for which the keepers are right
 	replacing   bool
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -24,7 +24,9 @@
 	if r.hub.admission == nil {
 		return nil
 	}
+	span := r.hub.span(r.Request(), "admission")
 	ticket, err := r.hub.admission.Enter(r.Request(), accepted)
+	endSpan(span, err)
 	r.ticket = ticket
 	if err != nil {
 		r.charge()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"expvar"
 	"io"
 	"os"
@@ -96,6 +97,16 @@
 	return propagator.Extract(ctx, propagation.MapCarrier{"traceparent": traceparent})
 }
 
+// ForRequest returns ctx with a trace that depends on the seed alone, so that a
+// caller who reconnects to another VM, which knows nothing of the first
+// connection, goes on in the same trace.
+func ForRequest(ctx context.Context, seed string) context.Context {
+	sum := sha256.Sum256([]byte(seed))
+	return oteltrace.ContextWithRemoteSpanContext(ctx, oteltrace.NewSpanContext(oteltrace.SpanContextConfig{
+		TraceID: oteltrace.TraceID(sum[:16]), SpanID: oteltrace.SpanID(sum[16:24]), TraceFlags: oteltrace.FlagsSampled, Remote: true,
+	}))
+}
+
 var publishMu sync.Mutex
 
 // Metrics returns the expvar map of a VM, published once a process.
