--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 package node
 
 import (
+	"context"
 	"crypto/rand"
 	"errors"
 	"expvar"
@@ -52,8 +53,11 @@
 	hub     *relay.Hub
 	members *members
 	router  *router
-	plans   *plans
-	ready   atomic.Bool
+
+	admission   *admitter
+	stopPolling context.CancelFunc
+	plans       *plans
+	ready       atomic.Bool
 
 	draining atomic.Bool   // shutting down: the entry answers leave this VM out
 	leaving  chan struct{} // closed once the generations are handed over
@@ -98,7 +102,9 @@
 	n.startControl()
 	n.startPlans()
 	n.startRouting()
+	n.startAdmission()
 	n.startGenerations()
+	n.startPolling()
 	n.startCallers()
 	n.startOperators()
 	n.startPeers()
@@ -157,6 +163,7 @@
 	for _, s := range n.servers {
 		_ = s.Close()
 	}
+	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -26,6 +26,7 @@
 	for _, s := range n.servers {
 		errs = append(errs, s.Shutdown(ctx))
 	}
+	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
 	return errors.Join(append(errs, n.tracer.Close(context.WithoutCancel(ctx)))...)
--- a/internal/relay/attach.go
+++ b/internal/relay/attach.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 )
 
 // attachOverlap is how many tokens of the journal a new owner reads again from
@@ -31,11 +32,15 @@
 	id, from := r.beginAttach(*src)
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(r.hub.cfg.SilenceLimit, cancel)
-	defer silence.Stop()
+	stream := r.hub.recovery.begin(src.Backend)
+	defer r.hub.recovery.end(stream)
+	go r.hub.recovery.cancelSilent(actx, cancel, stream)
 	err := r.hub.engines.Attach(actx, src.Addr, src.Attempt, from, func(e engine.Event) error {
-		silence.Reset(r.hub.cfg.SilenceLimit)
-		return r.onAttached(id, src.Attempt, e)
+		err := r.onAttached(id, src.Attempt, e)
+		if err == nil {
+			r.hub.recovery.event(stream, len(e.TokenIDs))
+		}
+		return err
 	})
 	if err == nil {
 		r.hub.metrics.Add("attached", 1)
@@ -51,6 +56,24 @@
 	return false
 }
 
+// cancelSilent ends an attached stream once its engine is suspected. There is
+// nothing to prefill: a stream that is there goes on at once.
+func (c *recoverer) cancelSilent(ctx context.Context, cancel context.CancelFunc, s *recovery.Stream) {
+	ticker := time.NewTicker(checkEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if suspect, _, _ := c.check(s, 0); suspect {
+			cancel()
+			return
+		}
+	}
+}
+
 // beginAttach returns the attempt and the index to read from.
 func (r *Run) beginAttach(src generation.Source) (generation.AttemptID, int) {
 	r.mu.Lock()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -43,16 +43,18 @@
 	settle func(ran bool, tokens int) // nil: nothing was reserved here
 	source *generation.Source         // stream that the former owner left; used by drive alone
 
-	mu      sync.Mutex
-	owner   *generation.Owner
-	changed chan struct{}
-	err     error
-	readers int
-	vacant  time.Time // since when nobody reads
-	stats   Stats
-	failed  []string // engines that failed this request
-	lostAt  time.Time
-	digests []uint64 // of the first 0, 1, 2... tokens
+	mu       sync.Mutex
+	owner    *generation.Owner
+	changed  chan struct{}
+	err      error
+	readers  int
+	vacant   time.Time // since when nobody reads
+	stats    Stats
+	failed   []string // engines that failed this request
+	current  int      // number of the attempt that appended last
+	rejected int      // engines that found fault with the request
+	lostAt   time.Time
+	digests  []uint64 // of the first 0, 1, 2... tokens
 
 	seenVersion uint64 // of the list of VMs, for which the keepers are right
 	replacing   bool
