relay: faults of engines, each caller gets its own whole answer

Seven faults in mid-output of three answers on one engine, read from two VMs. Bounds on how long an answer stands still are part of the table.

--- /dev/null
+++ b/internal/relay/engine_test.go
@@ -0,0 +1,62 @@
+package relay_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Three callers read answers from two VMs when engines go wrong in mid-output:
+// one dies, two in a row, one goes silent or is paused and comes back with late
+// tokens, one stalls a single stream, one sends each caller's events under
+// another attempt's id. Each caller receives its own whole answer, continued on
+// another engine; no token of another attempt or answer is let in.
+func TestEngineFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(s *system)
+		gap   time.Duration // the longest that an answer may stand still
+	}{
+		{"reset", func(s *system) { s.engines[0].Kill() }, 2 * time.Second},
+		{"two in a row", func(s *system) {
+			s.engines[0].Kill()
+			time.Sleep(300 * time.Millisecond) // virtual
+			s.engines[1].Kill()
+		}, 3 * time.Second},
+		{"pause of 2 s", func(s *system) { s.engines[0].Pause(2 * time.Second) }, 4 * time.Second},
+		{"pause of 20 s", func(s *system) { s.engines[0].Pause(20 * time.Second) }, 6 * time.Second},
+		{"one stream stalls", func(s *system) { s.engines[0].Stall("k0") }, 6 * time.Second},
+		{"crossed events", func(s *system) {
+			s.engines[0].Cross(true)
+			time.Sleep(200 * time.Millisecond) // virtual
+			s.engines[0].Cross(false)
+		}, 6 * time.Second},
+		{"late events", func(s *system) { s.engines[0].Late(30 * time.Millisecond) }, 6 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, 3, 4, func(s *system) {
+				s.onlyEngine(0) // all three answers begin there
+				callers := make([]*caller, 3)
+				for i := range callers {
+					callers[i] = s.caller(fmt.Sprint("k", i))
+					if err := callers[i].read("vm0", 50); err != nil {
+						t.Fatal(err)
+					}
+				}
+				s.onlyEngine(-1)
+				var wg sync.WaitGroup
+				for i, caller := range callers {
+					wg.Go(func() { caller.finishOn(fmt.Sprint("vm", i%2)) })
+				}
+				c.fault(s)
+				wg.Wait()
+				for _, caller := range callers {
+					if caller.gap > c.gap {
+						t.Errorf("%s stood still for %v", caller.key, caller.gap)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/relay/system_test.go
+++ b/internal/relay/system_test.go
@@ -40,6 +40,7 @@
 	metrics map[string]*expvar.Map
 	engines []*standin.Engine
 	running map[int]int
+	only    int // where Pick sends everything; below 0: anywhere
 	lives   int
 }
 
@@ -48,7 +49,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &system{
-			t: t, net: peertest.New(1), hubs: map[string]*relay.Hub{}, metrics: map[string]*expvar.Map{}, running: map[int]int{},
+			t: t, net: peertest.New(1), hubs: map[string]*relay.Hub{}, metrics: map[string]*expvar.Map{}, running: map[int]int{}, only: -1,
 		}
 		s.net.SetDelay(time.Millisecond, 2*time.Millisecond)
 		for i := range engines {
@@ -139,7 +140,8 @@
 	defer s.mu.Unlock()
 	best := -1
 	for i := range s.engines {
-		if !slices.Contains(q.Avoid, fmt.Sprint(i)) && (best < 0 || s.running[i] < s.running[best]) {
+		allowed := s.only < 0 || s.only == i
+		if allowed && !slices.Contains(q.Avoid, fmt.Sprint(i)) && (best < 0 || s.running[i] < s.running[best]) {
 			best = i
 		}
 	}
@@ -155,6 +157,13 @@
 	}}, nil
 }
 
+// onlyEngine sends every attempt to one engine; below 0: to any.
+func (s *system) onlyEngine(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.only = i
+}
+
 // Usable implements relay.Router.
 func (s *system) Usable(string) (engines, routers int) { return len(s.engines), 1 }
 
