generation: replicas in a slice, majorities by rank

Cause: for each acknowledgement Owner counted every replica for every replica, over a map. The state machine test was seen red with the rank one too high.

--- a/internal/generation/messages.go
+++ b/internal/generation/messages.go
@@ -37,7 +37,7 @@
 	Install bool      `cbor:"5,keyasint,omitempty"`
 	Span    Span      `cbor:"6,keyasint"`
 	Finish  string    `cbor:"7,keyasint,omitempty"`
-	Usage   Usage     `cbor:"8,keyasint"`
+	Usage   Usage     `cbor:"8,keyasint,omitzero"`
 	Late    bool      `cbor:"9,keyasint,omitempty"` // this keeper gave no promise before
 	Source  *Source   `cbor:"10,keyasint,omitempty"`
 	Touch   uint64    `cbor:"11,keyasint,omitempty"` // echoed
@@ -50,7 +50,7 @@
 	Refusal  Refusal   `cbor:"2,keyasint,omitempty"`
 	Held     int       `cbor:"3,keyasint"`
 	Finished bool      `cbor:"4,keyasint,omitempty"`
-	Promised Epoch     `cbor:"5,keyasint"`
+	Promised Epoch     `cbor:"5,keyasint,omitzero"`
 	Epoch    Epoch     `cbor:"6,keyasint"`
 	Source   int       `cbor:"7,keyasint,omitempty"` // Number of the source
 	Touch    uint64    `cbor:"8,keyasint,omitempty"`
--- a/internal/generation/owner.go
+++ b/internal/generation/owner.go
@@ -21,7 +21,7 @@
 
 	journal  Journal
 	group    Group
-	keepers  map[string]*replica // by VM
+	keepers  []replica // in the group's order
 	attempt  int
 	source   Source
 	deposed  bool
@@ -50,12 +50,21 @@
 }
 
 func (o *Owner) place(epoch Epoch, group Group, replies *Replies) {
-	o.Epoch, o.group, o.keepers = epoch, group, map[string]*replica{}
+	o.Epoch, o.group, o.keepers = epoch, group, make([]replica, 0, len(group.Keepers))
 	for _, k := range group.Keepers {
-		o.keepers[k.VM] = &replica{id: k, promised: replies.Promised(k)}
+		o.keepers = append(o.keepers, replica{id: k, promised: replies.Promised(k)})
 	}
 }
 
+func (o *Owner) replica(vm string) *replica {
+	for i := range o.keepers {
+		if o.keepers[i].id.VM == vm {
+			return &o.keepers[i]
+		}
+	}
+	return nil
+}
+
 // Group is the journal's present keeper set.
 func (o *Owner) Group() Group { return o.group }
 
@@ -119,26 +128,37 @@
 
 // Touched is the highest touch that a majority has answered.
 func (o *Owner) Touched() uint64 {
-	best := uint64(0)
-	for _, r := range o.keepers {
-		count := 0
-		for _, other := range o.keepers {
-			if other.installed && other.touch >= r.touch {
-				count++
-			}
+	return majorityOf(o, func(r *replica) uint64 { return r.touch })
+}
+
+// majorityOf is the highest value that a majority of the keepers has reached.
+// Only those that hold the journal count.
+func majorityOf[T int | uint64](o *Owner, value func(*replica) T) T {
+	var reached [KeepersMany]T
+	n := 0
+	for i := range o.keepers {
+		r := &o.keepers[i]
+		if !r.installed {
+			continue
 		}
-		if count >= o.group.Majority() {
-			best = max(best, r.touch)
+		at := n
+		for v := value(r); at > 0 && reached[at-1] < v; at-- {
+			reached[at] = reached[at-1]
 		}
+		reached[at] = value(r)
+		n++
+	}
+	if need := o.group.Majority(); n >= need {
+		return reached[need-1]
 	}
-	return best
+	return 0
 }
 
 // Next returns the write that brings a keeper up to date, and false if it has
 // everything. maxTokens bounds the size of one write after the installation;
 // that one is whole, since a part of it would hide tokens that a keeper had.
 func (o *Owner) Next(vm string, maxTokens int) (Write, bool) {
-	r := o.keepers[vm]
+	r := o.replica(vm)
 	if r == nil || o.deposed || o.sealing {
 		return Write{}, false
 	}
@@ -175,7 +195,7 @@
 // over. ErrMoved: the journal must be placed by a newer list. An
 // *InvariantError stops the answer.
 func (o *Owner) Ack(vm string, reply WriteReply) error {
-	r := o.keepers[vm]
+	r := o.replica(vm)
 	if r == nil || reply.Epoch != o.Epoch {
 		return nil
 	}
@@ -190,7 +210,7 @@
 	if r.held > o.journal.Len() {
 		return &InvariantError{"a keeper holds tokens of this epoch that its owner never wrote"}
 	}
-	o.released = max(o.released, o.heldByMajority())
+	o.released = max(o.released, majorityOf(o, func(r *replica) int { return r.held }))
 	return nil
 }
 
@@ -217,29 +237,9 @@
 	return nil
 }
 
-func (o *Owner) heldByMajority() int {
-	best := 0
-	for _, r := range o.keepers {
-		if r.installed && r.held > best && o.countAtLeast(r.held) >= o.group.Majority() {
-			best = r.held
-		}
-	}
-	return best
-}
-
-func (o *Owner) countAtLeast(n int) int {
-	count := 0
-	for _, r := range o.keepers {
-		if r.installed && r.held >= n {
-			count++
-		}
-	}
-	return count
-}
-
 // Accepted reports whether a majority holds the request itself.
 func (o *Owner) Accepted() bool {
-	return o.countAtLeast(0) >= o.group.Majority()
+	return o.count(func(r *replica) bool { return r.installed }) >= o.group.Majority()
 }
 
 // Behind reports whether a majority of keepers still lacks something.
@@ -253,14 +253,19 @@
 
 // Finished returns how the generation ended, and whether a majority holds that.
 func (o *Owner) Finished() (string, Usage, bool) {
-	count := 0
-	for _, r := range o.keepers {
-		if r.finished {
-			count++
+	done := o.journal.Finish != "" && o.released == o.journal.Len() &&
+		o.count(func(r *replica) bool { return r.finished }) >= o.group.Majority()
+	return o.journal.Finish, o.journal.Usage, done
+}
+
+func (o *Owner) count(is func(*replica) bool) int {
+	n := 0
+	for i := range o.keepers {
+		if is(&o.keepers[i]) {
+			n++
 		}
 	}
-	done := o.journal.Finish != "" && count >= o.group.Majority() && o.released == o.journal.Len()
-	return o.journal.Finish, o.journal.Usage, done
+	return n
 }
 
 // Deposed reports whether another owner has taken over.
