--- a/internal/relay/attach.go
+++ b/internal/relay/attach.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 
 	"go.opentelemetry.io/otel/attribute"
 )
@@ -34,11 +35,15 @@
 	span := r.hub.span(r.Request(), "attempt", attribute.String("engine", src.Backend), attribute.Int("from", from), attribute.Bool("attached", true))
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(r.hub.attachSilence(), cancel)
-	defer silence.Stop()
+	stream := r.hub.recovery.begin(src.Backend)
+	defer r.hub.recovery.end(stream)
+	go r.hub.recovery.cancelSilent(actx, cancel, stream)
 	err := r.hub.engines.Attach(actx, src.Addr, src.Attempt, from, func(e engine.Event) error {
-		silence.Reset(r.hub.attachSilence())
-		return r.onAttached(id, src.Attempt, e)
+		err := r.onAttached(id, src.Attempt, e)
+		if err == nil {
+			r.hub.recovery.event(stream, len(e.TokenIDs))
+		}
+		return err
 	})
 	endSpan(span, err)
 	if err == nil {
@@ -55,6 +60,24 @@
 	return false
 }
 
+// cancelSilent ends an attached stream once its engine is suspected. There is
+// nothing to prefill: a stream that is there goes on at once.
+func (c *recoverer) cancelSilent(ctx context.Context, cancel context.CancelFunc, s *recovery.Stream) {
+	ticker := time.NewTicker(checkEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if suspect, _, _ := c.check(s, 0); suspect {
+			cancel()
+			return
+		}
+	}
+}
+
 // beginAttach returns the attempt and the index to read from.
 func (r *Run) beginAttach(src generation.Source) (generation.AttemptID, int) {
 	r.mu.Lock()
@@ -116,15 +139,3 @@
 		r.cancelAttempt(addr, id)
 	}
 }
-
-// attachSilenceDefault bounds the wait for an event of an attached stream: it
-// runs already, so that a second without a token means it is gone, and a fresh
-// attempt costs one prefill.
-const attachSilenceDefault = 1 * time.Second
-
-func (h *Hub) attachSilence() time.Duration {
-	if h.cfg.SilenceLimit > 0 {
-		return h.cfg.SilenceLimit
-	}
-	return attachSilenceDefault
-}
