measure: streams spread over the VMs, as callers are

Cause: all streams went through the first VM, which showed one router's start-up limit (first token p50 2.0 s at 512 streams) instead of the gateway's overhead.

--- a/internal/measure/gateway.go
+++ b/internal/measure/gateway.go
@@ -57,7 +57,10 @@
 	defer s.Stop()
 	out := &Gateway{Streams: streams, TokensEach: tokens}
 	direct := engine.NewClient()
-	callers := client.New(s.Addresses(), gatewayKey)
+	var callers []*client.Client
+	for _, addr := range s.Addresses() {
+		callers = append(callers, client.New([]string{addr}, gatewayKey))
+	}
 	say("direct streams")
 	out.Direct, err = measurePath(ctx, streams, tokens, "direct", func(ctx context.Context, i int, key string, on func()) error {
 		c := engine.Completion{Attempt: key, Model: gatewayModel, Prompt: promptOf(key), MaxTokens: tokens, Stream: true}
@@ -70,8 +73,8 @@
 		return nil, err
 	}
 	say("streams through the system")
-	out.Via, err = measurePath(ctx, streams, tokens, "via", func(ctx context.Context, _ int, key string, on func()) error {
-		_, err := callers.Complete(ctx, key, client.Completion{Model: gatewayModel, Prompt: promptOf(key), MaxTokens: tokens},
+	out.Via, err = measurePath(ctx, streams, tokens, "via", func(ctx context.Context, i int, key string, on func()) error {
+		_, err := callers[i%len(callers)].Complete(ctx, key, client.Completion{Model: gatewayModel, Prompt: promptOf(key), MaxTokens: tokens},
 			func(client.Progress) { on() })
 		return err
 	})
