--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -8,7 +8,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -16,8 +16,13 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+
+	"github.com/zeebo/errs"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("client")
+
 // Timings of a caller.
 const (
 	dialTimeout    = 500 * time.Millisecond
@@ -116,7 +121,7 @@
 	return &k.answer, err
 }
 
-var errCut = errors.New("client: connection ended before the answer")
+var errCut = Error.New("connection ended before the answer")
 
 func (k *call) once(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -173,7 +178,7 @@
 
 func (k *call) take(id string, e event) (bool, error) {
 	if e.Index != len(k.answer.TokenIDs)+len(e.TokenIDs) {
-		return false, fmt.Errorf("client: event ends at %d behind %d tokens", e.Index, len(k.answer.TokenIDs))
+		return false, Error.New("event ends at %d behind %d tokens", e.Index, len(k.answer.TokenIDs))
 	}
 	now := time.Now()
 	gap := now.Sub(k.lastAt)
@@ -196,7 +201,7 @@
 func decodeError(resp *http.Response) error {
 	var coded result.Error
 	if err := json.NewDecoder(resp.Body).Decode(&coded); err != nil {
-		return fmt.Errorf("client: status %d without a coded error", resp.StatusCode)
+		return Error.New("status %d without a coded error", resp.StatusCode)
 	}
 	return &coded
 }
@@ -217,3 +222,50 @@
 	}
 	return n, err
 }
+
+// CallAnswer is a plain service's answer.
+type CallAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+const maxCallAnswer = 8 << 20
+
+// Call sends a call to a plain service. A connection that breaks is tried again
+// at the next address under the same Idempotency-Key: the system runs it once.
+func (c *Client) Call(ctx context.Context, method, service, path, key string) (*CallAnswer, error) {
+	var err error
+	for try := range maxReconnects {
+		var answer *CallAnswer
+		answer, err = c.callOnce(ctx, method, c.addrs[try%len(c.addrs)], "/v1/services/"+service+path, key)
+		var coded *result.Error
+		if err == nil || errors.As(err, &coded) || ctx.Err() != nil {
+			return answer, err
+		}
+		time.Sleep(reconnectPause)
+	}
+	return nil, err
+}
+
+func (c *Client) callOnce(ctx context.Context, method, addr, path, key string) (*CallAnswer, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.key)
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 == 4 || resp.StatusCode/100 == 5 {
+		return nil, decodeError(resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallAnswer))
+	if err != nil {
+		return nil, err
+	}
+	return &CallAnswer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
