--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -247,7 +247,8 @@
 		}
 	}
 	s.cut[[2]MemberID{leader.id, deaf}] = true
-	s.traffic(30 * simElection * stepsPerTick)
+	s.run(10 * simElection * stepsPerTick) // the deaf one's log is as new as any
+	s.traffic(20 * simElection * stepsPerTick)
 	if now := s.leader(); now.id != leader.id || now.core.term != term {
 		s.fail("a deaf follower deposed the leader: term %d to %d", term, now.core.term)
 	}
--- a/internal/consensus/storage.go
+++ b/internal/consensus/storage.go
@@ -98,8 +98,10 @@
 }
 
 // enter records the group. The log gets its first record before, so that a
-// member without one is known to have lost it.
+// member without one is known to have lost it; the record voids what an entry
+// into a group that a crash cut short may have left.
 func (s *storage) enter(group string, first record) error {
+	first.Base = &SnapshotMeta{}
 	if err := s.append(first); err != nil {
 		return err
 	}
