--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -26,12 +26,14 @@
 	KindJournal    Kind = 20 // journal writes and promises, batched per keeper
 	KindPromise    Kind = 21
 	KindFollow     Kind = 22
+	KindAdopt      Kind = 23 // planned takeover
 	KindControl    Kind = 40 // commands for the control group
 	KindWatch      Kind = 41
 	KindRaft       Kind = 60
 	KindMembership Kind = 80
 	KindBlame      Kind = 100
 	KindExplain    Kind = 120
+	KindStatus     Kind = 121
 )
 
 // Lane says which queue a message leaves by.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,6 +13,8 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+
+	"go.opentelemetry.io/otel/attribute"
 )
 
 // Pauses between tries to find an engine. Others run out of work within tens of
@@ -29,6 +31,9 @@
 // was taken over, or cannot go on.
 func (r *Run) drive(ctx context.Context) {
 	defer r.release()
+	if r.attachFirst(ctx) {
+		return
+	}
 	deadline := deadlineOf(r.Request(), time.Now())
 	err := r.admitted(ctx)
 	for again := true; again && err == nil && ctx.Err() == nil; {
@@ -43,7 +48,10 @@
 	if r.ticket == nil {
 		return nil
 	}
-	return r.ticket.Wait(ctx)
+	span := r.hub.span(r.Request(), "queue")
+	err := r.ticket.Wait(ctx)
+	endSpan(span, err)
+	return err
 }
 
 // attempt runs one attempt and reports whether another is needed.
@@ -58,6 +66,7 @@
 		return false, err
 	}
 	l := r.begin(choice, resume)
+	r.began(choice.Backend, &l.completion)
 	return r.follow(ctx, l)
 }
 
@@ -184,13 +193,14 @@
 			Attempt: label, Model: req.Model, Version: req.Version, Adapter: req.Adapter,
 			Prompt: req.Prompt, PromptIDs: req.PromptIDs, Generated: slices.Clone(j.Tokens),
 			MaxTokens: req.MaxTokens, Priority: req.Priority, Stream: true,
+			DetachMS: r.hub.cfg.DetachKeep.Milliseconds(),
 		},
 	}
 }
 
-// ended takes the end of the current attempt and reports whether another one is
+// concluded takes the end of the current attempt and reports whether another one is
 // needed.
-func (r *Run) ended(ctx context.Context, l *lane) (bool, error) {
+func (r *Run) concluded(ctx context.Context, l *lane) (bool, error) {
 	outcome := l.outcome(ctx)
 	l.choice.done(outcome)
 	r.hub.recovery.end(l.stream)
@@ -199,7 +209,7 @@
 		return false, nil
 	}
 	if outcome != OutcomeDied && outcome != OutcomeRefused {
-		r.cancelAttempt(l.choice.Backend.Addr, l.completion.Attempt)
+		r.endAttempt(l.choice.Backend.Addr, l.completion.Attempt)
 	}
 	if outcome == OutcomeCancelled {
 		return false, nil
@@ -225,6 +235,7 @@
 	r.failed = append(r.failed, name)
 	if r.lostAt.IsZero() {
 		r.lostAt = time.Now()
+		r.resumeSpan = r.hub.span(r.Request(), "resume", attribute.String("lost", name))
 	}
 	tokens := r.owner.Journal().Len()
 	r.mu.Unlock()
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -12,6 +12,8 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+
+	"go.opentelemetry.io/otel/attribute"
 )
 
 // lane is one attempt on one engine. A hedge is a second lane: it may append
@@ -33,7 +35,9 @@
 // launch runs a lane and reports its end.
 func (r *Run) launch(ctx context.Context, l *lane, ends chan<- *lane) {
 	ctx, l.cancel = context.WithCancel(ctx)
+	span := r.hub.span(r.Request(), "attempt", attribute.String("engine", l.choice.Backend.Name), attribute.Int("from", l.from))
 	go func() {
+		defer func() { endSpan(span, l.err) }()
 		defer l.cancel()
 		l.err = r.hub.engines.Generate(ctx, l.choice.Backend.Addr, l.completion, func(e engine.Event) error {
 			return r.onEvent(l, e)
@@ -76,7 +80,7 @@
 				continue
 			}
 			if hedge == nil {
-				return r.ended(ctx, ended)
+				return r.concluded(ctx, ended)
 			}
 			other := hedge
 			if ended == hedge {
@@ -85,7 +89,7 @@
 			if ended.err == nil || ctx.Err() != nil {
 				other.cancel()
 				r.discard(<-ends)
-				return r.ended(ctx, ended)
+				return r.concluded(ctx, ended)
 			}
 			r.giveUp(ctx, ended)
 			l, hedge = other, nil
@@ -122,7 +126,7 @@
 func (r *Run) discard(l *lane) {
 	l.choice.done(OutcomeCancelled)
 	r.hub.recovery.end(l.stream)
-	r.cancelAttempt(l.choice.Backend.Addr, l.completion.Attempt)
+	r.endAttempt(l.choice.Backend.Addr, l.completion.Attempt)
 }
 
 // hedge starts a second lane on another engine if the budget allows it.
@@ -188,11 +192,17 @@
 	}
 	id, _ := r.owner.BeginAttempt()
 	l.number, r.current = id.Number, id.Number
+	r.owner.SetSource(l.source())
 	r.stats.Attempts++
 	r.hub.metrics.Add("hedges_won", 1)
 	return nil
 }
 
+func (l *lane) source() generation.Source {
+	b := l.choice.Backend
+	return generation.Source{Backend: b.Name, Addr: b.Addr, Attempt: l.completion.Attempt, From: l.from}
+}
+
 // progress tells the policies of an event.
 func (r *Run) progress(l *lane, e engine.Event) {
 	model := r.Request().Model
@@ -217,6 +227,7 @@
 		return
 	}
 	r.stats.ResumeLatency = append(r.stats.ResumeLatency, time.Since(r.lostAt))
+	r.resumeSpan.End()
 	r.lostAt = time.Time{}
 }
 
--- a/internal/relay/recover.go
+++ b/internal/relay/recover.go
@@ -201,7 +201,7 @@
 // each of 330 VMs is within the control budget; one that is lost costs at most
 // one more engine.
 func (c *recoverer) tell(m blameMessage) {
-	for _, vm := range c.hub.members.Candidates() {
+	for _, vm := range c.hub.members.Views()[0].Candidates {
 		if vm.VM != c.hub.cfg.VM && c.hub.members.Reachable(vm.VM) {
 			_ = c.hub.transport.Send(vm.VM, peer.KindBlame, m)
 		}
