--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -91,6 +91,9 @@
 	slotRatePrior = 400
 	slotRateGain  = 0.05 // of one completion: the last twenty count
 
+	// typicalGain smooths the cost of requests that start.
+	typicalGain = 0.02
+
 	// leadGain smooths the time from start to first token: the last twenty count.
 	leadGain = 0.05
 
@@ -101,9 +104,6 @@
 	// minRetry and maxRetry bound what refused callers are told.
 	minRetry = 1 * time.Second
 	maxRetry = 2 * time.Minute
-
-	// pressureTime smooths offered and served load.
-	pressureTime = 10 * time.Second
 )
 
 // Bounds of one queue.
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -5,10 +5,16 @@
 	"time"
 )
 
+// arrivals: while a request waits, others arrive whose turn comes before it; at
+// most about as much again as waits already, since the rest is refused.
+const arrivals = 2
+
 // wait estimates the time in the queue of a request that enters now. The rate
 // is slots times the measured speed of one slot, so that it falls at once when
 // engines are lost. A flow gets at least its share of its class's share; when
-// the others run dry it gets more, up to the whole rate.
+// the others run dry it gets more, up to the whole rate. A turn is a request of
+// typical cost: the request's own cost counts after its start, and a large one
+// was refused for it while slots came free every few milliseconds.
 func (q *Queue) wait(it *Item, f *flow) time.Duration {
 	free := q.capacity - q.running
 	if it.Class == Long {
@@ -23,9 +29,13 @@
 		rate = q.slotRate * float64(q.longLimit())
 	}
 	share := q.classShare(it.Class) * f.weight / (c.weight + q.absent(f))
-	own := (f.backlog + it.Cost) / (rate * share)
-	all := (q.backlog() + it.Cost) / rate
-	return seconds(min(own, all))
+	turn := q.typical
+	if turn == 0 {
+		turn = it.Cost
+	}
+	own := (f.backlog + turn) / (rate * share)
+	all := (q.backlog() + turn) / rate
+	return seconds(min(own, arrivals*all))
 }
 
 // absent is the weight that joins the class with f's first item.
@@ -61,30 +71,14 @@
 // Wait estimates the wait of a request as Enter would.
 func (q *Queue) Wait(it *Item) time.Duration { return q.wait(it, q.flow(it)) }
 
-// retryAfter tells a refused caller when to come back: when the excess will
-// have been served, longer in proportion to the overload, since that many times
-// more callers were told the same; and spread, so that callers refused together
-// do not come back together.
-func (q *Queue) retryAfter(excess time.Duration) time.Duration {
-	pressure := 1.0
-	if q.served.rate > 0 {
-		pressure = min(10, max(1, q.offered.rate/q.served.rate))
-	}
+// retryAfter tells a refused caller when to come back: when what waits now will
+// have been served; and spread, so that callers refused together do not come
+// back together. Told the excess over its deadline only, a caller meets the same
+// full queue until its tries are used up. Told more in proportion to the
+// overload, it comes back when the peak is over and keeps the queue full for
+// another minute.
+func (q *Queue) retryAfter(wait time.Duration) time.Duration {
 	spread := 0.5 + q.rng.Float64()
-	d := time.Duration(float64(max(minRetry, excess)) * pressure * spread)
+	d := time.Duration(float64(max(minRetry, wait)) * spread)
 	return min(maxRetry, max(minRetry, d))
 }
-
-// meter is an exponentially smoothed rate per second.
-type meter struct {
-	rate float64
-	last time.Time
-}
-
-func (m *meter) add(amount float64, now time.Time) {
-	if !m.last.IsZero() {
-		m.rate *= math.Exp(-float64(now.Sub(m.last)) / float64(pressureTime))
-	}
-	m.last = now
-	m.rate += amount / pressureTime.Seconds()
-}
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -4,16 +4,25 @@
 const (
 	limitFloor   = 1
 	limitCeiling = 256
-	limitStart   = 8
 
-	// stepTolerance: a step this much longer than the best seen means a batch
-	// that costs every stream in it. A full batch is some 1.8 times slower than
-	// an empty one, which is the price of batching and accepted.
-	stepTolerance = 2.2
+	// limitStart is shared by the routers that use the same server: eleven that
+	// each began with eight would fill a batch of 32 three times over.
+	limitStart    = 32
+	limitStartMin = 2
+	limitStartMax = 8
 
-	// stepTargetMS is the longest step accepted whatever the best was: 38 ms
-	// between tokens for 95 in 100.
-	stepTargetMS = 38
+	// growth per report, also shared: together the routers add two streams
+	// between two reports. If each added one, a third of a batch would queue in
+	// the server before any of them saw it, and lookups behind it.
+	growth    = 2.0
+	growthMin = 0.1
+
+	// stepTolerance: a mean step this much longer than the best one means a batch
+	// that costs every stream in it. A full batch is some 1.8 times slower than an
+	// empty one and prefills beside it double that for moments: beyond three it is
+	// neither.
+	stepTolerance = 3
+	stepSmooth    = 0.3 // of one report: single steps with a prefill are no news
 
 	bestDrift  = 1.005 // the best step fades a little with each report
 	backoff    = 0.85  // of a congested engine's limit
@@ -25,29 +34,40 @@
 // routers that see the same congestion give way together and come to share it,
 // as the flows on one link do.
 type Limiter struct {
+	peers  float64
 	limit  float64
+	offset float64 // in [0, 1), for rounding
+	step   float64 // smoothed, ms
 	best   float64 // shortest step, ms
 	probed bool    // congestion was met: growth is additive from then on
 }
 
-// NewLimiter starts low and doubles until the first congestion.
-func NewLimiter() *Limiter { return &Limiter{limit: limitStart} }
+// NewLimiter starts low and doubles until the first congestion. peers is the
+// number of routers that use the server. offset, random in [0, 1), decides how
+// the limit is rounded: eleven routers that all rounded 2.9 down would together
+// leave a third of a batch empty.
+func NewLimiter(peers int, offset float64) *Limiter {
+	l := &Limiter{peers: float64(max(1, peers)), offset: offset}
+	l.Lost()
+	return l
+}
 
 // Limit is the work in flight that is allowed.
-func (l *Limiter) Limit() int { return int(l.limit) }
+func (l *Limiter) Limit() int { return int(l.limit + l.offset) }
 
 // Report takes one report: the server's step time, the length of its own queue
 // and this router's work in flight. For a plain service the latency of a call
 // stands for the step time.
 func (l *Limiter) Report(stepMS float64, queued, inflight int) {
 	if stepMS > 0 {
+		l.step += stepSmooth * (stepMS - l.step)
 		l.best = min(l.best*bestDrift, stepMS)
 		if l.best == 0 {
 			l.best = stepMS
 		}
 	}
 	switch {
-	case l.congested(stepMS, queued):
+	case l.congested(queued):
 		l.probed = true
 		l.limit = max(limitFloor, l.limit*backoff)
 	case float64(inflight) < fullEnough*l.limit:
@@ -55,16 +75,15 @@
 	case !l.probed:
 		l.limit = min(limitCeiling, l.limit*2)
 	default:
-		l.limit = min(limitCeiling, l.limit+1)
+		l.limit = min(limitCeiling, l.limit+max(growthMin, growth/l.peers))
 	}
 }
 
-func (l *Limiter) congested(stepMS float64, queued int) bool {
-	if queued > 0 {
-		return true
-	}
-	return stepMS > stepTargetMS || (l.best > 0 && stepMS > stepTolerance*l.best)
+func (l *Limiter) congested(queued int) bool {
+	return queued > 0 || l.step > stepTolerance*l.best
 }
 
 // Lost forgets what was learned: the server died and comes back empty.
-func (l *Limiter) Lost() { *l = Limiter{limit: limitStart} }
+func (l *Limiter) Lost() {
+	*l = Limiter{peers: l.peers, offset: l.offset, limit: min(limitStartMax, max(limitStartMin, limitStart/l.peers))}
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,9 +23,8 @@
 	running  int
 	recovery float64       // cost that recovery may still run ahead of fresh work
 	slotRate float64       // cost a slot serves in a second
+	typical  float64       // cost of a request
 	lead     time.Duration // usual time from start to first token
-	offered  meter
-	served   meter
 }
 
 type flowKey struct {
@@ -66,7 +65,6 @@
 	if q.byKey[it.Key] != nil {
 		return Decision{Verdict: Attached}
 	}
-	q.offered.add(it.Cost, now)
 	f := q.flow(it)
 	d := q.judge(it, f, now)
 	if d.Refused() {
@@ -133,7 +131,7 @@
 		d.Verdict = QueueFull
 	}
 	if d.Refused() {
-		d.RetryAfter = q.retryAfter(wait - allowed)
+		d.RetryAfter = q.retryAfter(wait)
 	}
 	return d
 }
@@ -214,6 +212,7 @@
 	} else {
 		q.recovery = min(recoveryBurst, q.recovery+recoveryShare*it.Cost)
 	}
+	q.typical += typicalGain * (it.Cost - q.typical)
 	q.byKey[it.Key] = it
 	it.state, it.since = Running, now
 }
@@ -235,7 +234,6 @@
 		delete(q.byKey, it.Key)
 		q.running--
 		q.classes[it.Class].running--
-		q.served.add(it.Cost, now)
 		if took := now.Sub(it.since); whole && took > 0 {
 			q.slotRate += slotRateGain * (it.Cost/took.Seconds() - q.slotRate)
 		}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -281,7 +281,7 @@
 func TestLimitersShareAnEngine(t *testing.T) {
 	limits := make([]*Limiter, 11)
 	for i := range limits {
-		limits[i] = NewLimiter()
+		limits[i] = NewLimiter(11, float64(i)/11)
 	}
 	for range 60 {
 		total := 0
@@ -299,7 +299,7 @@
 		total += l.Limit()
 		least, most = min(least, l.Limit()), max(most, l.Limit())
 	}
-	if total < 16 || total > 64 || most > 3*least {
+	if total < 16 || total > 48 || most > 3*least {
 		t.Errorf("limits add up to %d, from %d to %d", total, least, most)
 	}
 }
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -62,15 +63,16 @@
 
 // attempt is a run of a request on an engine.
 type attempt struct {
-	r       *request
-	engine  *engineModel
-	from    int // tokens before it
-	made    int // tokens generated
-	prefill int // tokens left to prefill
-	extra   bool
-	done    bool
-	token   func(*attempt) // a token was generated
-	broken  func(*attempt) // the engine died with a reset
+	r        *request
+	engine   *engineModel
+	from     int // tokens before it
+	made     int // tokens generated
+	prefill  int // tokens left to prefill
+	extra    bool
+	priority int
+	done     bool
+	token    func(*attempt) // a token was generated
+	broken   func(*attempt) // the engine died with a reset
 }
 
 func (e *engineModel) submit(a *attempt) {
@@ -78,6 +80,7 @@
 	a.prefill = max(0, total-e.cached(a.r.blocks))
 	e.learn(a.r.blocks)
 	e.queue = append(e.queue, a)
+	slices.SortStableFunc(e.queue, func(a, b *attempt) int { return cmp.Compare(b.priority, a.priority) })
 	e.kick()
 }
 
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -69,7 +69,7 @@
 	var specs []routing.Spec
 	for _, e := range w.engines {
 		specs = append(specs, routing.Spec{Name: e.name, Zone: e.zone, Pools: []string{model}})
-		s.limiters = append(s.limiters, admission.NewLimiter())
+		s.limiters = append(s.limiters, admission.NewLimiter(w.policy.Routers, w.rng.Float64()))
 	}
 	s.table.SetServers(specs)
 	s.table.SetPeers(w.policy.Routers)
@@ -102,6 +102,7 @@
 		Weight: float64(r.load.Share), Cost: routing.Work(r.prompt, r.tokens), Bytes: 4 * r.prompt,
 		Deadline: s.w.now.Add(r.load.Patience),
 	}
+	s.measureRoom()
 	d := s.queue.Enter(&u.item, s.w.now)
 	if d.Refused() {
 		s.w.refused(r, d.RetryAfter)
@@ -140,9 +141,13 @@
 	s.pump()
 }
 
-func (s *system) pump() {
+func (s *system) measureRoom() {
 	limit, _ := s.table.Capacity(model, s.w.now)
 	s.queue.SetCapacity(limit)
+}
+
+func (s *system) pump() {
+	s.measureRoom()
 	for it := s.queue.Next(s.w.now); it != nil; it = s.queue.Next(s.w.now) {
 		s.start(s.runs[it])
 	}
@@ -189,6 +194,9 @@
 		token:  func(*attempt) { s.token(l) },
 		broken: func(*attempt) { s.lost(l, routing.Failed) },
 	}
+	if l.a.extra {
+		l.a.priority = recovery.ResumePriority
+	}
 	l.stream = s.detector.Begin(e.name, s.w.now)
 	return l
 }
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -71,6 +71,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	q := a.queue(req.Model)
+	q.SetCapacity(a.capacity(req.Model)) // the first request's estimate needs it, too
 	d := q.Enter(&t.item, now)
 	if d.Verdict == admission.Attached {
 		// The run before this one has not left yet: both belong to one caller.
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -61,7 +61,7 @@
 	r.table.SetPeers(r.peers)
 	r.table.SetServers(subset)
 	for i := len(r.limiters); i < r.table.Len(); i++ {
-		l := admission.NewLimiter()
+		l := admission.NewLimiter(r.peers, rand.Float64())
 		r.limiters = append(r.limiters, l)
 		r.table.SetLimit(i, l.Limit())
 	}
--- a/internal/recovery/detector.go
+++ b/internal/recovery/detector.go
@@ -31,6 +31,10 @@
 	// streams changes, and a bound found long ago no longer holds.
 	recheck = 250 * time.Millisecond
 
+	// ownPause: checks this far apart mean that this VM itself stood still. Its
+	// engines were not silent; their events wait to be read.
+	ownPause = 4 * recheck
+
 	// reportLife: an engine that answered a poll this recently lives. Its streams
 	// may still be stalled, which oneFactor covers.
 	reportLife = 2 * time.Second
@@ -41,6 +45,8 @@
 	policy  Policy
 	engines map[string]*watched
 	patient bool
+	checked time.Time // last check of any stream
+	awake   time.Time // when this VM last went on after a pause of its own
 }
 
 // watched is what is known of one engine.
@@ -84,6 +90,7 @@
 func (d *Detector) Begin(name string, now time.Time) *Stream {
 	w := d.watch(name)
 	w.streams++
+	d.checked = now // before the first stream nothing was checked
 	return &Stream{engine: w, begun: now, last: now}
 }
 
@@ -126,17 +133,31 @@
 // Check reports whether a stream's silence makes its engine suspect, and else
 // after how long to check again.
 func (d *Detector) Check(s *Stream, now time.Time) (bool, time.Duration) {
-	left := s.last.Add(d.bound(s, now)).Sub(now)
+	d.noticePause(now)
+	since := s.last
+	if d.awake.After(since) {
+		since = d.awake
+	}
+	left := since.Add(d.bound(s, now)).Sub(now)
 	if left <= 0 {
 		return true, 0
 	}
 	return false, min(max(left, time.Millisecond), recheck)
 }
 
+// noticePause keeps this VM's own pause from looking like the death of every
+// engine at once. Streams are checked at least every recheck while there are any.
+func (d *Detector) noticePause(now time.Time) {
+	if !d.checked.IsZero() && now.Sub(d.checked) > ownPause {
+		d.awake = now
+	}
+	d.checked = now
+}
+
 // HedgeDue reports whether a stream has been silent long enough to hedge.
 func (d *Detector) HedgeDue(s *Stream, now time.Time) bool {
 	after := time.Duration(d.policy.HedgeAfter * float64(d.bound(s, now)))
-	return d.policy.HedgeShare > 0 && s.started && now.Sub(s.last) >= after
+	return d.policy.HedgeShare > 0 && s.started && now.Sub(s.last) >= after && now.Sub(d.awake) >= after
 }
 
 // bound is how long a stream may be silent now.
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -20,6 +20,11 @@
 
 import "time"
 
+// ResumePriority is added to a request's priority when it resumes. Engines take
+// the highest first from their queue: without it the streams of a lost zone wait
+// behind fresh work that its caller has just begun to wait for.
+const ResumePriority = 1
+
 // Objective is what recovery saves.
 type Objective int
 
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -106,6 +106,24 @@
 	}
 }
 
+// This VM stands still for five seconds. When it goes on, its timers fire
+// before it has read what the engines sent meanwhile: none of them is suspected.
+func TestOwnPauseIsNoSilenceOfTheEngines(t *testing.T) {
+	end := start.Add(5 * time.Second)
+	d := NewDetector(PolicyOf(ResumeLatency))
+	all := streams(d, "e", 4, 20*time.Millisecond, end)
+	d.Check(all[0], end)
+	back := end.Add(5 * time.Second)
+	for _, s := range all {
+		if suspect, _ := d.Check(s, back); suspect {
+			t.Fatal("suspected at once after the VM's own pause")
+		}
+	}
+	if after := suspectedAfter(t, d, all[0], back, nil); after > 2*time.Second {
+		t.Errorf("a silence after the pause was noticed after %s", after)
+	}
+}
+
 // Forty streams of a dead engine would prefill 200,000 tokens on the survivors
 // at once and stall every stream there. They start as the survivors manage, the
 // earliest deadline first, and none is held for long.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -186,13 +186,17 @@
 func (r *Run) lane(choice Choice, label engine.Attempt) *lane {
 	req := &r.owner.Request
 	j := r.owner.Journal()
+	priority := req.Priority
+	if r.stats.Attempts > 0 || j.Len() > 0 {
+		priority += recovery.ResumePriority
+	}
 	return &lane{
 		choice: choice, from: j.Len(), stream: r.hub.recovery.begin(choice.Backend.Name),
 		suspect: r.hub.recovery.standing(req.ContentDigest()) == recovery.Suspect,
 		completion: engine.Completion{
 			Attempt: label, Model: req.Model, Version: req.Version, Adapter: req.Adapter,
 			Prompt: req.Prompt, PromptIDs: req.PromptIDs, Generated: slices.Clone(j.Tokens),
-			MaxTokens: req.MaxTokens, Priority: req.Priority, Stream: true,
+			MaxTokens: req.MaxTokens, Priority: priority, Stream: true,
 			DetachMS: r.hub.cfg.DetachKeep.Milliseconds(),
 		},
 	}
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -8,11 +8,18 @@
 	// (a crash by its content), three in a row are the engine's.
 	failuresOut = 3
 
-	// refusedOut and maxOut bound the time out of use. A refused connection is
-	// certain, so the first ejection comes at once and is short; it doubles.
+	// refusedOut and maxOut bound the time out of use. A refused connection and a
+	// silence beyond the detector's bound eject at once: otherwise the streams of
+	// a lost zone resume on its other engines, one dial timeout after another.
+	// The first ejection is short, then it doubles.
 	refusedOut = 1 * time.Second
 	maxOut     = 30 * time.Second
 
+	// doubtfulShare: with more of a zone's servers out than this, resumes go to
+	// other zones. Engines die alone a few times a day; several of one zone at
+	// once are a lost zone, and each try there costs a dial timeout.
+	doubtfulShare = 0.3
+
 	// slowRatio: a step time above this multiple of the pool's median ejects. A
 	// full batch is some 1.8 times slower than an empty one; 3 is beyond load.
 	slowRatio = 3
@@ -67,10 +74,6 @@
 	}
 }
 
-func (h *health) refused(now time.Time) {
-	h.eject(now)
-}
-
 func (h *health) eject(now time.Time) {
 	if h.down && now.Before(h.outUntil) {
 		return // one death breaks many streams: it counts once
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		c := t.cost(p, i, q, now)
-		if s.suspects > 0 || slices.Contains(q.Avoid, s.Name) {
+		if s.suspects > 0 || slices.Contains(q.Avoid, s.Name) || (q.Resume && s.in.doubtful()) {
 			c += avoidCost
 		}
 		if c < bestCost {
@@ -150,6 +150,9 @@
 	case !s.room(q):
 		return false
 	}
+	if q.Resume && s.in.doubtful() {
+		return false
+	}
 	switch s.health.state(now) {
 	case stateOut:
 		return false
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -232,6 +232,28 @@
 	}
 }
 
+// A zone is lost and three of its eight engines are known to be out. A resume
+// would find the other five one dial timeout after another; it goes elsewhere.
+func TestResumesStayAwayFromADoubtfulZone(t *testing.T) {
+	tab := table("z1", 24, 3, 1)
+	resume := ask(10, 10)
+	resume.Resume = true
+	for range 3 {
+		for {
+			p, _ := tab.Pick(ask(10, 10), start)
+			if tab.Spec(p.Engine).Zone == "z1" {
+				tab.Done(&p, Silent, start)
+				break
+			}
+		}
+	}
+	for range 50 {
+		if p, ok := tab.Pick(resume, start); !ok || tab.Spec(p.Engine).Zone == "z1" {
+			t.Fatal("a resume was sent into the lost zone")
+		}
+	}
+}
+
 // After an outage of all engines every one is on probation. A suspect must find
 // one all the same, or its accepted answer never goes on.
 func TestSuspectGoesOnAfterAnOutage(t *testing.T) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -18,6 +18,7 @@
 	engines []*server
 	byName  map[string]int
 	pools   map[string]*pool
+	zones   map[string]*zone
 	hints   *hints
 }
 
@@ -37,6 +38,7 @@
 	suspects int
 	health   health
 	pools    []*pool
+	in       *zone
 	cacheSeq uint64
 	cacheGen uint16
 }
@@ -49,6 +51,23 @@
 	ownSum    float64 // of this router's outstanding work
 }
 
+// zone counts the backend servers of an availability zone, and those that are
+// out for failures.
+type zone struct{ all, down int }
+
+func (z *zone) note(was, is bool) {
+	switch {
+	case is && !was:
+		z.down++
+	case was && !is:
+		z.down--
+	}
+}
+
+// doubtful: so many of the zone's servers are out that the rest, not yet heard
+// of, is likely lost as well.
+func (z *zone) doubtful() bool { return float64(z.down) > doubtfulShare*float64(z.all) }
+
 // NoLimit is the limit of a backend server before SetLimit.
 const NoLimit = math.MaxInt32
 
@@ -81,12 +100,13 @@
 }
 
 func (t *Table) index() {
-	t.pools = map[string]*pool{}
+	t.pools, t.zones = map[string]*pool{}, map[string]*zone{}
 	for i, s := range t.engines {
 		s.pools = nil
 		if s.gone {
 			continue
 		}
+		t.locate(s)
 		for _, name := range s.Pools {
 			p := t.pools[name]
 			if p == nil {
@@ -108,6 +128,19 @@
 	}
 }
 
+func (t *Table) locate(s *server) {
+	z := t.zones[s.Zone]
+	if z == nil {
+		z = &zone{}
+		t.zones[s.Zone] = z
+	}
+	s.in = z
+	z.all++
+	if s.health.down {
+		z.down++
+	}
+}
+
 // Has reports whether any backend server is listed for a pool.
 func (t *Table) Has(poolName string) bool { return t.pools[poolName] != nil }
 
@@ -223,13 +256,17 @@
 		s.health.probing = false
 	}
 	s.history.add(now, s.work)
+	wasDown := s.health.down
+	defer func() { s.in.note(wasDown, s.health.down) }()
 	switch o {
 	case OK:
 		s.health.success()
-	case Failed, Silent:
+	case Failed:
 		s.health.failure(now)
+	case Silent:
+		s.health.eject(now)
 	case Refused:
-		s.health.refused(now)
+		s.health.eject(now)
 		t.voidHints(s)
 	case Cancelled:
 	}
