--- a/internal/consensus/applier.go
+++ b/internal/consensus/applier.go
@@ -22,6 +22,7 @@
 	// trailingEntries stay in the log behind a snapshot, for members that are a
 	// little behind.
 	trailingEntries = 1024
+	trailingBytes   = 4 << 20
 	// maxBacklog bounds the committed entries that wait to be applied on a leader.
 	maxBacklog = 16384
 )
--- a/internal/consensus/links.go
+++ b/internal/consensus/links.go
@@ -266,17 +266,20 @@
 	if meta.Index <= n.store.snap.Index || meta.Term == 0 {
 		return // a newer one was installed meanwhile
 	}
-	if meta.Index > trailingEntries {
-		n.core.Compact(meta.Index - trailingEntries)
-	}
 	l := n.core.log
+	n.core.Compact(l.trailing(meta.Index))
 	base := l.snap
 	r := record{
 		Hard: n.core.saved, Base: &base, Snap: &meta,
 		Entries: l.slice(base.Index+1, l.persisted, maxInt),
 	}
 	r.Hard.Commit = max(r.Hard.Commit, meta.Index)
-	if err := n.store.checkpoint(r); err != nil {
+	err := n.store.checkpoint(r)
+	if errors.Is(err, errTooLarge) {
+		n.o.Log.Warn().Err(err).Msg("log not compacted; it will be behind the next snapshot")
+		return
+	}
+	if err != nil {
 		n.fail(err)
 	}
 }
--- a/internal/consensus/raftlog.go
+++ b/internal/consensus/raftlog.go
@@ -129,6 +129,19 @@
 	l.configs = kept
 }
 
+// trailing returns the index up to which the log may be dropped so that the last
+// entries before index stay, bounded in count and bytes.
+func (l *raftLog) trailing(index uint64) uint64 {
+	kept := 0
+	for i := index; i > l.snap.Index; i-- {
+		kept += len(l.entries[i-l.snap.Index-1].Data) + entryOverhead
+		if kept > trailingBytes || index-i >= trailingEntries {
+			return i
+		}
+	}
+	return l.snap.Index
+}
+
 // agreeing returns the largest index up to from whose term is at most term: the
 // logs cannot agree on an entry between it and from.
 func (l *raftLog) agreeing(from, term uint64) (uint64, uint64) {
--- a/internal/consensus/storage.go
+++ b/internal/consensus/storage.go
@@ -140,12 +140,18 @@
 	return s.log.Append(data)
 }
 
+// errTooLarge: what follows a snapshot does not fit in one record.
+var errTooLarge = errors.New("consensus: checkpoint too large")
+
 // checkpoint replaces the log and removes what it makes useless.
 func (s *storage) checkpoint(r record) error {
 	data, err := cbor.Marshal(r)
 	if err != nil {
 		return err
 	}
+	if len(data) > wal.MaxFrameBytes {
+		return fmt.Errorf("%w: %d bytes", errTooLarge, len(data))
+	}
 	if err := s.log.Checkpoint(data); err != nil {
 		return err
 	}
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -119,11 +119,21 @@
 	return f.versions[part]
 }
 
-// Stats are counters for the metrics.
-func (f *Feed) Stats() (polls, failures uint64) {
+// FeedStats are a Feed's metrics.
+type FeedStats struct {
+	Polls    uint64            `json:"polls"`
+	Failures uint64            `json:"failures"`
+	LeaseMS  int64             `json:"lease_ms"` // left of the freshness lease; negative: lapsed
+	Versions map[PartID]uint64 `json:"versions"`
+}
+
+// Stats returns the Feed's metrics.
+func (f *Feed) Stats() FeedStats {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.polls, f.failures
+	return FeedStats{
+		Polls: f.polls, Failures: f.failures, LeaseMS: time.Until(f.until).Milliseconds(), Versions: maps.Clone(f.versions),
+	}
 }
 
 func (f *Feed) run() {
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -12,6 +12,10 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/wal"
 )
 
+// maxCommandBytes bounds a command: every voter writes it to its disk and sends
+// it in one message, beside the heartbeats.
+const maxCommandBytes = 1 << 20
+
 // GroupOptions are the options of a Group.
 type GroupOptions struct {
 	VM        string
@@ -65,6 +69,46 @@
 // Status describes the member; false while it is in no group yet.
 func (g *Group) Status() (consensus.Status, bool) { return g.node.Status() }
 
+// MemberStats are a control VM's metrics.
+type MemberStats struct {
+	Member   string   `json:"member"`
+	Role     string   `json:"role"`
+	Term     uint64   `json:"term"`
+	Commit   uint64   `json:"commit"`
+	Applied  uint64   `json:"applied"`
+	Last     uint64   `json:"last"`
+	Snapshot uint64   `json:"snapshot"`
+	Voters   []string `json:"voters"`
+	Learners []string `json:"learners"`
+	// Behind is, on the leader, how many entries each other member lacks.
+	Behind map[string]uint64 `json:"behind,omitempty"`
+}
+
+// Stats returns the member's metrics.
+func (g *Group) Stats() MemberStats {
+	st, ok := g.node.Status()
+	if !ok {
+		return MemberStats{Role: "joining"}
+	}
+	out := MemberStats{
+		Member: string(st.ID), Role: st.Role.String(), Term: st.Term, Commit: st.Commit,
+		Applied: g.node.Applied(), Last: st.Last, Snapshot: st.Snapshot,
+	}
+	for _, id := range st.Config.Voters {
+		out.Voters = append(out.Voters, string(id))
+	}
+	for _, id := range st.Config.Learners {
+		out.Learners = append(out.Learners, string(id))
+	}
+	if len(st.Match) > 0 {
+		out.Behind = map[string]uint64{}
+	}
+	for id, match := range st.Match {
+		out.Behind[string(id)] = st.Last - min(match, st.Last)
+	}
+	return out
+}
+
 // IsLeader reports whether this VM leads the group, as far as it knows.
 func (g *Group) IsLeader() bool { return g.node.IsLeader() }
 
@@ -104,6 +148,9 @@
 	if err != nil {
 		return reply{Status: statusRefused, Error: err.Error()}
 	}
+	if len(entry) > maxCommandBytes {
+		return reply{Status: statusRefused, Error: "control: command too large"}
+	}
 	out, err := g.node.Propose(ctx, entry)
 	switch {
 	case err == nil:
--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -198,6 +198,9 @@
 	r.leader = vm
 }
 
+// Leader is the VM that answered last as leader, or "".
+func (r *Remote) Leader() string { return r.lastLeader() }
+
 // forget is for when the leader did not answer: a VM that is a voter itself
 // knows best who leads now, any other tries the voters in turn.
 func (r *Remote) forget() {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"expvar"
 	"path/filepath"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
@@ -29,7 +30,28 @@
 			Machine: n.machine, Lease: n.s.FreshnessTTL, Log: n.log, Failed: n.fail,
 		})
 	}
-	n.control = n.feed.Client(n.group)
+	n.remote = n.feed.Client(n.group)
+	n.control = n.remote
+	n.controlMetrics()
+}
+
+// controlMetrics publishes what docs/operating/control.md describes.
+func (n *Node) controlMetrics() {
+	n.metrics.Set("control_fresh", expvar.Func(func() any { return n.feed.Fresh() }))
+	n.metrics.Set("control_leader", expvar.Func(func() any { return n.controlLeader() }))
+	n.metrics.Set("control_feed", expvar.Func(func() any { return n.feed.Stats() }))
+	if n.group != nil {
+		n.metrics.Set("control_member", expvar.Func(func() any { return n.group.Stats() }))
+	}
+}
+
+// controlLeader is the VM that leads the control group as this VM knows, or "".
+func (n *Node) controlLeader() string {
+	if n.group != nil {
+		st, _ := n.group.Status()
+		return st.Leader.VM()
+	}
+	return n.remote.Leader()
 }
 
 // runControl joins the control group, once all parts are registered.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,7 @@
 	network     *peer.Network
 	machine     *control.Machine
 	control     control.Client
+	remote      *control.Remote // what control holds
 	feed        *control.Feed
 	group       *control.Group // nil on a VM without the control role
 	failure     chan error
