--- a/internal/consensus/applier.go
+++ b/internal/consensus/applier.go
@@ -143,7 +143,7 @@
 }
 
 // wait returns once the entry index is applied.
-func (a *applier) wait(ctx context.Context, index uint64) error {
+func (a *applier) wait(ctx, closed context.Context, index uint64) error {
 	for {
 		a.mu.Lock()
 		moved := a.moved
@@ -155,6 +155,8 @@
 		case <-moved:
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-closed.Done():
+			return ErrClosed
 		}
 	}
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -406,9 +406,11 @@
 func (n *Node) WaitApplied(ctx context.Context, index uint64) error {
 	select {
 	case <-n.running:
-		return n.apply.wait(ctx, index)
+		return n.apply.wait(ctx, n.ctx, index)
 	case <-ctx.Done():
 		return ctx.Err()
+	case <-n.ctx.Done():
+		return ErrClosed
 	}
 }
 
--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -395,6 +395,63 @@
 	})
 }
 
+func (v *vm) items() []string {
+	var out []string
+	v.machine.Read(PartPlans, func(p Part) { out = slices.Clone(p.(*list).items) })
+	return out
+}
+
+// More changes than a log keeps: the voters take snapshots and compact. A VM with
+// a new disk gets the state by a snapshot in chunks; another restarts from its
+// own. Both hold every change, and both answer a retry of an old envelope as the
+// first time: the replies are part of the state.
+func TestSnapshotCarriesEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, 1)
+		defer c.stop()
+		retried := Envelope{Part: PartPlans, ID: "retried", AtMS: 1, Body: []byte{0x61, 'x'}}
+		entry, err := peer.Marshal(retried)
+		if err != nil {
+			t.Fatal(err)
+		}
+		leader := c.vms[c.leader()]
+		first, err := leader.group.node.Propose(t.Context(), entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const workers, each = 100, 100
+		var wg sync.WaitGroup
+		for w := range workers {
+			wg.Go(func() {
+				for i := range each {
+					c.propose("router1", fmt.Sprintf("%100d-%d", w, i))
+				}
+			})
+		}
+		wg.Wait()
+		var behind []string
+		for _, id := range testVoters {
+			if id != leader.id {
+				behind = append(behind, id)
+			}
+		}
+		c.fs[behind[0]] = waltest.New()
+		c.restart(behind[0])
+		c.restart(behind[1])
+		want := leader.items()
+		for _, id := range behind {
+			c.until(id+" holds all", 20*time.Second, func() bool { return slices.Equal(c.vms[id].items(), want) })
+			st, _ := c.vms[id].group.Status()
+			if len(want) != workers*each+1 || st.Snapshot == 0 {
+				t.Errorf("%s: %d changes, snapshot %d", id, len(want), st.Snapshot)
+			}
+			if again, err := c.vms[id].machine.Apply(entry); err != nil || !slices.Equal(again, first) {
+				t.Errorf("%s answers the retry with %x, %v; first %x", id, again, err, first)
+			}
+		}
+	})
+}
+
 // A VM is cut off silently. It stops being fresh within its lease, while all
 // others stay fresh; an operator who waits for a change to be in force is told
 // so only after that; with every VM in reach the wait takes milliseconds.
