--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -39,7 +39,8 @@
 
 	// confirmLimit is a third of plan.DeadAfterMS: a VM that the group may have
 	// declared dead admits nothing, since its concurrency may be another's.
-	confirmLimit = plan.DeadAfterMS / 3 * time.Millisecond
+	confirmLimit = deadAfter / 3
+	deadAfter    = plan.DeadAfterMS * time.Millisecond
 )
 
 // Request is what is to be reserved.
@@ -237,6 +238,9 @@
 		return c.inflight, true
 	}
 	c.urgent = false
+	if c.seq > 0 && now.Sub(c.confirmed) > deadAfter && c.idle() {
+		c.renew() // the group has forgotten this incarnation, or is about to
+	}
 	s := &plan.Sync{VM: c.vm, Incarnation: c.incarnation(), Seq: c.seq + 1}
 	for _, name := range slices.Sorted(maps.Keys(c.accounts)) {
 		a := c.accounts[name]
@@ -279,7 +283,8 @@
 	sent := c.sentAt
 	c.inflight = nil
 	if r.Status != plan.SyncOK {
-		c.reborn()
+		c.Counts.Dead++
+		c.renew()
 		return
 	}
 	c.confirmed = sent
@@ -291,12 +296,21 @@
 	}
 }
 
-// reborn goes on as a new incarnation: the group has given this one up, and
-// what it held is gone. Running requests stay charged to the old one.
-func (c *Core) reborn() {
+// idle reports whether nothing is held of any account.
+func (c *Core) idle() bool {
+	for _, a := range c.accounts {
+		if a.slots > 0 || a.inUse > 0 || a.held() != (plan.Amount{}) || a.reserved != (plan.Amount{}) {
+			return false
+		}
+	}
+	return true
+}
+
+// renew goes on as a new incarnation: the group has given this one up, and what
+// it held is gone. Running requests stay charged to the old one.
+func (c *Core) renew() {
 	c.life++
 	c.seq = 0
-	c.Counts.Dead++
 	for _, a := range c.accounts {
 		a.lapse()
 		a.slots, a.changed = 0, true
