--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -9,6 +9,8 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+
+	"go.opentelemetry.io/otel/attribute"
 )
 
 // Figures of an opening. Two VMs that are given the same key at once bid against
@@ -16,15 +18,20 @@
 // rounds one of them has the milliseconds that it needs for itself.
 const (
 	openAttempts  = 8
+	politeTries   = 6 // bids before an opening that another VM has under way is taken over
 	leastBackoff  = 5 * time.Millisecond
 	mostBackoff   = 320 * time.Millisecond
 	awaitViewStep = 20 * time.Millisecond
 )
 
+// errContended tells that another VM is opening the same journal now, with a
+// higher bid. Deposing it would throw its work away, for as little.
+var errContended = errors.New("relay: another VM opens the journal")
+
 func (h *Hub) open(ctx context.Context, req generation.Request, resuming bool) (found, error) {
 	for try := range openAttempts {
-		f, err := h.openOnce(ctx, req, resuming)
-		if !errors.Is(err, generation.ErrDeposed) {
+		f, err := h.openOnce(ctx, req, resuming, try)
+		if !errors.Is(err, generation.ErrDeposed) && !errors.Is(err, errContended) {
 			return f, err
 		}
 		h.metrics.Add("open_retries", 1)
@@ -74,7 +81,7 @@
 	}
 }
 
-func (h *Hub) openOnce(ctx context.Context, req generation.Request, resuming bool) (found, error) {
+func (h *Hub) openOnce(ctx context.Context, req generation.Request, resuming bool, try int) (found, error) {
 	o := h.opener(req, resuming)
 	epoch := o.nextEpoch(generation.Epoch{})
 	first := generation.Promise{ID: req.ID, Epoch: epoch, IfAbsent: !resuming, Peek: resuming}
@@ -88,8 +95,12 @@
 	if resuming && replies.Ready() && replies.Max.IsZero() {
 		return found{}, result.New(result.NotFound)
 	}
-	if vm, accepted := h.probe(ctx, req.ID, replies.Max.VM); accepted != nil {
-		return found{owner: vm, req: accepted}, nil
+	owner := h.probe(ctx, req.ID, replies.Max.VM)
+	if owner.Request != nil {
+		return found{owner: vmOf(replies.Max.VM), req: owner.Request}, nil
+	}
+	if owner.Opening && try < politeTries {
+		return found{}, errContended
 	}
 	return o.takeOver(ctx, replies.Max)
 }
@@ -146,7 +157,10 @@
 	rctx, cancel := context.WithCancel(h.ctx)
 	run.cancel = cancel
 	h.journals.mark(run)
-	if err := run.accepted(ctx); err != nil {
+	span := h.span(run.Request(), "journal", attribute.Int("tokens", best.Journal.Len()), attribute.String("epoch", epoch.String()))
+	err := run.accepted(ctx)
+	endSpan(span, err)
+	if err != nil {
 		run.stop(err)
 		run.release()
 		return found{}, err
