relay: charge in full what may go on elsewhere; plan: queries as data

Cause: a takeover reserves nothing. Change: such reservations are charged whole; an answer that finished by its usage, a request of which nothing ran not at all. Operators' questions are plan.Query and plan.Answer, so that a VM without the state can have them answered by another.

--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -53,13 +53,13 @@
 	return out
 }
 
-// Read implements operator.Lists.
-func (n *Node) Read(ctx context.Context, f func(*plan.Book, *plan.Ledger)) error {
+// Ask implements operator.Lists.
+func (n *Node) Ask(ctx context.Context, q plan.Query) (out plan.Answer, err error) {
 	if err := n.control.Barrier(ctx); err != nil {
-		return err
+		return out, err
 	}
-	n.machine.Read(control.PartPlans, func(book control.Part) { f(book.(*plan.Book), n.plans.ledger) })
-	return nil
+	n.machine.Read(control.PartPlans, func(book control.Part) { out = book.(*plan.Book).Ask(q, n.plans.ledger) })
+	return out, nil
 }
 
 // leaseMargin covers the drift of two VMs' clocks over one lease: 1% is a
--- a/internal/operator/lists.go
+++ b/internal/operator/lists.go
@@ -16,29 +16,31 @@
 // list is one of the two lists as the API serves it.
 type list struct {
 	path        string
-	key         string // of the rows in the JSON answer
+	allowances  bool
 	set, remove plan.Action
-	rows        func(*plan.Book) any
-	row         func(*plan.Book, *plan.Ledger, string) (any, uint64, bool)
 	read        func(w http.ResponseWriter, r *http.Request, c *plan.Command) error
 }
 
-// AllowanceAnswer is a row of the second list.
-type AllowanceAnswer = plan.AllowanceRow
-
 // PlanAnswer is a row of the first list, with what the workspace has in use.
 type PlanAnswer struct {
 	plan.CustomerRow
 	Use plan.Use `json:"use"`
 }
 
+// PlansAnswer is the first list.
+type PlansAnswer struct {
+	Version uint64             `json:"version"` // of both lists
+	Plans   []plan.CustomerRow `json:"plans"`
+}
+
+// AllowancesAnswer is the second list.
+type AllowancesAnswer struct {
+	Version    uint64              `json:"version"` // of both lists
+	Allowances []plan.AllowanceRow `json:"allowances"`
+}
+
 var customers = list{
-	path: "/v1/plans", key: "plans", set: plan.SetCustomer, remove: plan.RemoveCustomer,
-	rows: func(b *plan.Book) any { return b.Customers() },
-	row: func(b *plan.Book, l *plan.Ledger, name string) (any, uint64, bool) {
-		row, ok := b.Customer(name)
-		return PlanAnswer{row, l.Use(name)}, row.Version, ok
-	},
+	path: "/v1/plans", set: plan.SetCustomer, remove: plan.RemoveCustomer,
 	read: func(w http.ResponseWriter, r *http.Request, c *plan.Command) error {
 		c.Customer = &plan.Customer{}
 		if err := decodeBody(w, r, c.Customer); err != nil {
@@ -49,12 +51,7 @@
 }
 
 var allowances = list{
-	path: "/v1/allowances", key: "allowances", set: plan.SetAllowance, remove: plan.RemoveAllowance,
-	rows: func(b *plan.Book) any { return b.Allowances() },
-	row: func(b *plan.Book, _ *plan.Ledger, name string) (any, uint64, bool) {
-		row, ok := b.Allowance(name)
-		return row, row.Version, ok
-	},
+	path: "/v1/allowances", allowances: true, set: plan.SetAllowance, remove: plan.RemoveAllowance,
 	read: func(w http.ResponseWriter, r *http.Request, c *plan.Command) error {
 		c.Allowance = &plan.Allowance{}
 		if err := decodeBody(w, r, c.Allowance); err != nil {
@@ -80,53 +77,60 @@
 }
 
 func (a *API) all(w http.ResponseWriter, r *http.Request, l list) error {
-	var rows any
-	var version uint64
-	err := a.read(r.Context(), func(b *plan.Book, _ *plan.Ledger) { rows, version = l.rows(b), b.Version() })
+	answer, err := a.ask(r.Context(), plan.Query{Allowances: l.allowances})
 	if err != nil {
 		return err
 	}
-	if err := a.wait(r, version); err != nil {
+	if err := a.wait(r, answer.Version); err != nil {
 		return err
 	}
-	w.Header().Set("ETag", etag(version))
-	return writeJSON(w, http.StatusOK, map[string]any{"version": version, l.key: rows})
+	w.Header().Set("ETag", etag(answer.Version))
+	if l.allowances {
+		return writeJSON(w, http.StatusOK, AllowancesAnswer{answer.Version, orEmpty(answer.Allowances)})
+	}
+	return writeJSON(w, http.StatusOK, PlansAnswer{answer.Version, orEmpty(answer.Customers)})
+}
+
+// orEmpty makes an absent list [] in JSON, not null.
+func orEmpty[T any](rows []T) []T {
+	if rows == nil {
+		return []T{}
+	}
+	return rows
 }
 
 func (a *API) one(w http.ResponseWriter, r *http.Request, l list) error {
 	name := mux.Vars(r)["name"]
-	var row any
-	var version uint64
-	found := false
-	err := a.read(r.Context(), func(b *plan.Book, u *plan.Ledger) { row, version, found = l.row(b, u, name) })
-	if err != nil {
+	answer, err := a.ask(r.Context(), plan.Query{Allowances: l.allowances, Name: name})
+	switch {
+	case err != nil:
 		return err
+	case len(answer.Customers) == 1:
+		w.Header().Set("ETag", etag(answer.Customers[0].Version))
+		return writeJSON(w, http.StatusOK, PlanAnswer{answer.Customers[0], answer.Use})
+	case len(answer.Allowances) == 1:
+		w.Header().Set("ETag", etag(answer.Allowances[0].Version))
+		return writeJSON(w, http.StatusOK, answer.Allowances[0])
 	}
-	if !found {
-		return result.Newf(result.NotFound, "no row %q", name)
-	}
-	w.Header().Set("ETag", etag(version))
-	return writeJSON(w, http.StatusOK, row)
+	return result.Newf(result.NotFound, "no row %q", name)
 }
 
 func (a *API) history(w http.ResponseWriter, r *http.Request, l list) error {
-	var changes []plan.Change
-	err := a.read(r.Context(), func(b *plan.Book, _ *plan.Ledger) {
-		changes = b.History(l.set == plan.SetCustomer, mux.Vars(r)["name"])
-	})
+	answer, err := a.ask(r.Context(), plan.Query{Allowances: l.allowances, Name: mux.Vars(r)["name"], History: true})
 	if err != nil {
 		return err
 	}
-	return writeJSON(w, http.StatusOK, map[string]any{"history": changes})
+	return writeJSON(w, http.StatusOK, map[string][]plan.Change{"history": orEmpty(answer.History)})
 }
 
-func (a *API) read(ctx context.Context, f func(*plan.Book, *plan.Ledger)) error {
+func (a *API) ask(ctx context.Context, q plan.Query) (plan.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if err := a.Lists.Read(ctx, f); err != nil {
-		return result.Newf(result.ControlUnavail, "%v", err)
+	answer, err := a.Lists.Ask(ctx, q)
+	if err != nil {
+		return answer, result.Newf(result.ControlUnavail, "%v", err)
 	}
-	return nil
+	return answer, nil
 }
 
 // Written answers a change.
@@ -180,11 +184,11 @@
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	reply, err := control.Propose[plan.Reply](ctx, a.Control, control.PartPlans, c)
-	if err != nil {
-		e := result.Newf(result.ControlUnavail, "no answer from the control group: %v; resend with the same Idempotency-Key", err)
-		return reply, e.WithRan(result.RanUnknown)
+	if err == nil || result.CodeOf(err) == result.ControlUnavail {
+		return reply, err // not executed, and will not be
 	}
-	return reply, nil
+	e := result.Newf(result.ControlUnavail, "no answer from the control group: %v; resend with the same Idempotency-Key", err)
+	return reply, e.WithRan(result.RanUnknown)
 }
 
 func (a *API) answerChange(w http.ResponseWriter, r *http.Request, c plan.Command, reply plan.Reply) error {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -34,7 +34,7 @@
 
 // Lists reads the group's state as it was at the call or later.
 type Lists interface {
-	Read(ctx context.Context, f func(*plan.Book, *plan.Ledger)) error
+	Ask(ctx context.Context, q plan.Query) (plan.Answer, error)
 }
 
 // InForce waits until a version of the lists is in force.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -29,9 +29,9 @@
 	ledger  *plan.Ledger
 }
 
-func (g *group) Read(_ context.Context, f func(*plan.Book, *plan.Ledger)) error {
-	g.machine.Read(control.PartPlans, func(p control.Part) { f(p.(*plan.Book), g.ledger) })
-	return nil
+func (g *group) Ask(_ context.Context, q plan.Query) (out plan.Answer, err error) {
+	g.machine.Read(control.PartPlans, func(p control.Part) { out = p.(*plan.Book).Ask(q, g.ledger) })
+	return out, nil
 }
 
 type inForce struct{ asked []uint64 }
--- a/internal/plan/ledger_state.go
+++ b/internal/plan/ledger_state.go
@@ -47,14 +47,14 @@
 
 // Use is how much of a workspace's allowance is in use, for operators.
 type Use struct {
-	Workspace   string `json:"workspace"`
-	WindowEndMS int64  `json:"window_end_ms"` // by the group's clock
-	Limit       Amount `json:"limit"`
-	Spent       Amount `json:"spent"`
-	Outstanding Amount `json:"outstanding"`
-	Slots       int    `json:"concurrent_granted"`
-	SlotLimit   int    `json:"concurrent_limit"`
-	VMs         int    `json:"vms"`
+	Workspace   string `cbor:"1,keyasint" json:"workspace"`
+	WindowEndMS int64  `cbor:"2,keyasint" json:"window_end_ms"` // by the group's clock
+	Limit       Amount `cbor:"3,keyasint" json:"limit"`
+	Spent       Amount `cbor:"4,keyasint" json:"spent"`
+	Outstanding Amount `cbor:"5,keyasint" json:"outstanding"`
+	Slots       int    `cbor:"6,keyasint" json:"concurrent_granted"`
+	SlotLimit   int    `cbor:"7,keyasint" json:"concurrent_limit"`
+	VMs         int    `cbor:"8,keyasint" json:"vms"`
 }
 
 // Use returns a workspace's use in the window last opened.
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -29,7 +29,7 @@
 	endSpan(span, err)
 	r.ticket = ticket
 	if err != nil {
-		r.charge()
+		r.charge(false)
 	}
 	return err
 }
@@ -38,7 +38,7 @@
 	if r.ticket != nil {
 		r.ticket.Release()
 	}
-	r.charge()
+	r.charge(true)
 }
 
 func (r *Run) reserve(ctx context.Context, accepted bool) error {
@@ -53,22 +53,26 @@
 	return err
 }
 
-// charge settles the reservation by what the journal shows. An owner that was
-// taken over charges all of it: the answer goes on elsewhere, unreserved.
-func (r *Run) charge() {
+// charge settles the reservation. offered tells that the journal was given to
+// keepers. A finished answer is charged by its usage, a request of which nothing
+// ran not at all. Whatever may still go on elsewhere is charged in full, because
+// a takeover reserves nothing: a deposed owner's answer, a journal that some
+// keepers may hold, an answer that stopped half-way and that its caller may
+// still come back for.
+func (r *Run) charge(offered bool) {
 	if r.settle == nil {
 		return
 	}
 	r.mu.Lock()
 	j := r.owner.Journal()
-	used := r.owner.Request.PromptTokens() + j.Len()
-	if j.Finish != "" && j.Usage.PromptTokens > 0 {
+	used := r.owner.Request.Cost()
+	if j.Finish != "" {
 		used = j.Usage.PromptTokens + j.Len()
 	}
-	if r.owner.Deposed() {
-		used = r.owner.Request.Cost()
+	if j.Finish != "" && j.Usage.PromptTokens == 0 {
+		used += r.owner.Request.PromptTokens() // the engine did not say
 	}
-	ran := r.stats.Attempts > 0 || r.owner.Deposed()
+	ran := offered && (r.stats.Attempts > 0 || r.owner.Deposed() || !r.owner.Accepted())
 	r.mu.Unlock()
 	r.settle(ran, used)
 }
