--- a/internal/relay/system_test.go
+++ b/internal/relay/system_test.go
@@ -40,6 +40,7 @@
 	metrics map[string]*expvar.Map
 	engines []*standin.Engine
 	running map[int]int
+	charges charges
 	lives   int
 }
 
@@ -87,7 +88,7 @@
 		SilenceLimit: time.Second, CallerKeep: callerKeep, DetachKeep: 6 * time.Second,
 		Limits: generation.DefaultLimits(callerKeep),
 	}, relay.Deps{
-		Transport: s.net.VM(c.VM), Members: s, Engines: &wire{s, c.VM}, Router: s, Log: zerolog.Nop(), Metrics: m,
+		Transport: s.net.VM(c.VM), Members: s, Engines: &wire{s, c.VM}, Router: s, Quota: &s.charges, Log: zerolog.Nop(), Metrics: m,
 	})
 	s.mu.Lock()
 	s.hubs[c.VM], s.metrics[c.VM] = h, m
