--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -71,9 +71,10 @@
 func (v *vm) Views() []generation.Membership {
 	return []generation.Membership{{Version: 1, Candidates: []generation.Candidate{{VM: "vm1", Zone: "z"}}}}
 }
-func (v *vm) Reachable(string) bool               { return true }
-func (v *vm) Directory() (*plan.Directory, error) { return v.list, nil }
-func (v *vm) HasModel(model string) bool          { return model == "m" || model == "other" }
+func (v *vm) Reachable(string) bool                { return true }
+func (v *vm) Directory() (*plan.Directory, error)  { return v.list, nil }
+func (v *vm) HasModel(model string) bool           { return model == "m" || model == "other" }
+func (v *vm) Usable(string) (engines, routers int) { return 1, 1 }
 func (v *vm) Pick(context.Context, relay.Query) (relay.Choice, error) {
 	return relay.Choice{Backend: relay.Backend{Name: "e"}, Done: func(relay.Outcome) {}}, nil
 }
@@ -114,9 +115,6 @@
 	})
 }
 
-// Usable implements relay.Router.
-func (v *vm) Usable(string) (engines, routers int) { return 1, 1 }
-
 func (v *vm) post(key, idempotency, last, body string) *http.Response {
 	v.t.Helper()
 	r, err := http.NewRequestWithContext(v.t.Context(), http.MethodPost, "http://vm/v1/completions", strings.NewReader(body))
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -29,6 +29,7 @@
 	KindAdopt      Kind = 23 // planned takeover
 	KindControl    Kind = 40 // commands for the control group
 	KindWatch      Kind = 41
+	KindQuery      Kind = 42
 	KindRaft       Kind = 60
 	KindMembership Kind = 80
 	KindBlame      Kind = 100
