--- a/internal/node/plans_test.go
+++ b/internal/node/plans_test.go
@@ -15,7 +15,7 @@
 // raised the allowance and the change is in force, it is answered.
 func TestAllowanceIsChargedOnceAndNotExceeded(t *testing.T) {
 	s := start(t)
-	operators := client.NewOperator([]string{s.Nodes[0].OperatorAddr()}, "", "test")
+	operators := s.Operator()
 	setTokens := func(tokens int64) {
 		row, err := operators.Allowance(t.Context(), "p")
 		if err != nil {
