--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -38,15 +38,15 @@
 // controlMetrics publishes what docs/operating/control.md describes.
 func (n *Node) controlMetrics() {
 	n.metrics.Set("control_fresh", expvar.Func(func() any { return n.feed.Fresh() }))
-	n.metrics.Set("control_leader", expvar.Func(func() any { return n.controlLeader() }))
+	n.metrics.Set("control_leader", expvar.Func(func() any { return n.leader() }))
 	n.metrics.Set("control_feed", expvar.Func(func() any { return n.feed.Stats() }))
 	if n.group != nil {
 		n.metrics.Set("control_member", expvar.Func(func() any { return n.group.Stats() }))
 	}
 }
 
-// controlLeader is the VM that leads the control group as this VM knows, or "".
-func (n *Node) controlLeader() string {
+// leader is the VM that leads the control group as this VM knows, or "".
+func (n *Node) leader() string {
 	if n.group != nil {
 		st, _ := n.group.Status()
 		return st.Leader.VM()
--- /dev/null
+++ b/internal/node/control_test.go
@@ -0,0 +1,41 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/client"
+)
+
+// Each VM in turn leads the control group or not; one of them is killed. An
+// operator's change on another VM is accepted after the change of leader, and in
+// force on every VM that is left: none may admit by the old lists.
+func TestListsChangeAfterOneControlVMDied(t *testing.T) {
+	s := start(t)
+	operators := client.NewOperator([]string{s.Nodes[1].OperatorAddr(), s.Nodes[2].OperatorAddr()}, "", "test")
+	row, err := operators.Allowance(t.Context(), "p")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Nodes[0].Kill()
+	row.Concurrent = 7
+	began := time.Now()
+	if _, err := operators.Do(t.Context(), client.Change{
+		List: "allowances", Name: "p", Row: row.Allowance, IfMatch: row.Version, Wait: true,
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("in force after %v", took)
+	}
+	for _, n := range s.Nodes[1:] {
+		got, err := client.NewOperator([]string{n.OperatorAddr()}, "", "test").Allowance(t.Context(), "p")
+		if err != nil || got.Concurrent != 7 {
+			t.Errorf("%s: %+v, %v", n.Self().ID, got, err)
+		}
+		if _, err := client.New([]string{n.Self().Callers}, testKey).Complete(t.Context(), "after-"+n.Self().ID,
+			client.Completion{Model: "m", Prompt: "unit 3", MaxTokens: 5}, nil); err != nil {
+			t.Errorf("%s admits nothing: %v", n.Self().ID, err)
+		}
+	}
+}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -106,11 +106,3 @@
 func (n *Node) Wait(ctx context.Context, version uint64) error {
 	return control.InForce(ctx, n.control, control.PartPlans, version)
 }
-
-func (n *Node) leader() string {
-	if n.group == nil {
-		return ""
-	}
-	st, _ := n.group.Status()
-	return st.Leader.VM()
-}
