--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/tmaxmax/go-sse"
@@ -108,11 +109,7 @@
 		if err == nil {
 			return &k.answer, nil
 		}
-		var coded *result.Error
-		if errors.As(err, &coded) && coded.Code < 3000 || ctx.Err() != nil {
-			return &k.answer, err
-		}
-		if coded != nil && coded.RetryAfter > 0 {
+		if final(err) || ctx.Err() != nil {
 			return &k.answer, err
 		}
 		k.answer.Reconnects++
@@ -121,6 +118,17 @@
 	return &k.answer, err
 }
 
+// elsewhere are the refusals of one VM that another VM may not share.
+var elsewhere = []result.Code{result.NotFresh, result.ShuttingDown, result.ControlUnavail, result.KeepersUnavail, result.NoBackendServer}
+
+// final reports whether err is an answer of the system, rather than a broken
+// connection or the refusal of one VM. A refusal that says when to come back is
+// the caller's to obey: trying other addresses at once would make a retry storm.
+func final(err error) bool {
+	var coded *result.Error
+	return errors.As(err, &coded) && !slices.Contains(elsewhere, coded.Code)
+}
+
 var errCut = Error.New("connection ended before the answer")
 
 func (k *call) once(ctx context.Context, addr string) error {
@@ -239,8 +247,7 @@
 	for try := range maxReconnects {
 		var answer *CallAnswer
 		answer, err = c.callOnce(ctx, method, c.addrs[try%len(c.addrs)], "/v1/services/"+service+path, key)
-		var coded *result.Error
-		if err == nil || errors.As(err, &coded) || ctx.Err() != nil {
+		if err == nil || final(err) || ctx.Err() != nil {
 			return answer, err
 		}
 		time.Sleep(reconnectPause)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,6 +144,10 @@
 			result.WriteHTTP(w, "", result.New(result.ShuttingDown))
 			return
 		}
+		if !n.feed.Fresh() {
+			result.WriteHTTP(w, "", result.New(result.NotFresh))
+			return
+		}
 		w.WriteHeader(http.StatusNoContent)
 	})
 	r.Handle("/debug/vars", expvar.Handler())
