Non-idempotent calls: claims in the control group, a client that never replays

Cause: plain services were not reachable, and net/http's Transport sends a request with Idempotency-Key, or without a body, again when a reused connection breaks.

Codes 3011, 3012, 4008, 4009 are new; 1015 key_expired now says ran "unknown": "no" was untrue of the first call.

--- /dev/null
+++ b/internal/call/limits.go
@@ -0,0 +1,37 @@
+package call
+
+import "time"
+
+// Limits bound the part's memory. The figures of DefaultLimits hold the part
+// under 64 MB on a control VM and below 16 MB at today's load.
+type Limits struct {
+	Retention   time.Duration // a claim and its answer are kept this long after the claim
+	KeyMemory   time.Duration // a used key is refused, not run, at least this long
+	SealAfter   time.Duration // age after which a claim without news may be sealed
+	MaxClaims   int           // kept at once
+	MaxKeys     int           // digests of used keys
+	AnswerBytes int           // of one answer; larger ones are kept without their body
+	TotalBytes  int           // of all answers, running claims counted at AnswerBytes
+	MaxAttempts int           // permissions of one claim
+}
+
+// DefaultLimits returns the limits of a control VM.
+//
+// Retention: callers resend within seconds; ten minutes cover one that lost its
+// network for a while. KeyMemory: a day covers devices that send their backlog
+// the next morning. SealAfter: above the longest call (30 s) with its commit.
+// MaxKeys: 24 new calls a second for a whole day, at 8 bytes each.
+func DefaultLimits() Limits {
+	return Limits{
+		Retention: 10 * time.Minute, KeyMemory: 24 * time.Hour, SealAfter: 70 * time.Second,
+		MaxClaims: 1 << 16, MaxKeys: 1 << 21, AnswerBytes: 16 << 10, TotalBytes: 32 << 20,
+		MaxAttempts: 3,
+	}
+}
+
+// workspaceShare is the part of each bound that one workspace may fill: a hot
+// workspace must not close the service to all others.
+const workspaceShare = 2
+
+// clockSlack is how far a key's own time may lie ahead of the group's clock.
+const clockSlack = 5 * time.Minute
--- /dev/null
+++ b/internal/call/marking.go
@@ -0,0 +1,56 @@
+package call
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+)
+
+// Marking overrides for one service whether a method of some paths is
+// idempotent.
+type Marking struct {
+	Method     string
+	Path       string // a path, or a prefix that ends in *
+	Idempotent bool
+}
+
+// ErrMarking describes the allowed form.
+var ErrMarking = errors.New(`a marking is "METHOD /path idempotent" or "METHOD /path once"; a path may end in *`)
+
+// ParseMarking reads "POST /search idempotent" or "PUT /counter once".
+func ParseMarking(s string) (Marking, error) {
+	f := strings.Fields(s)
+	if len(f) != 3 || !strings.HasPrefix(f[1], "/") || f[0] != strings.ToUpper(f[0]) {
+		return Marking{}, ErrMarking
+	}
+	if f[2] != "idempotent" && f[2] != "once" {
+		return Marking{}, ErrMarking
+	}
+	return Marking{Method: f[0], Path: f[1], Idempotent: f[2] == "idempotent"}, nil
+}
+
+func (m *Marking) matches(method, path string) bool {
+	if m.Method != method {
+		return false
+	}
+	if prefix, ok := strings.CutSuffix(m.Path, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return m.Path == path
+}
+
+// Idempotent reports whether a call may be repeated: the first marking that
+// matches decides, then RFC 9110 section 9.2.2.
+func Idempotent(markings []Marking, method, path string) bool {
+	for i := range markings {
+		if markings[i].matches(method, path) {
+			return markings[i].Idempotent
+		}
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/call/part.go
@@ -0,0 +1,252 @@
+package call
+
+import (
+	"fmt"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+)
+
+// InvariantError reports a broken promise of this package: the command that
+// caused it is refused.
+type InvariantError struct{ What string }
+
+// Error implements error.
+func (e *InvariantError) Error() string { return "call: invariant broken: " + e.What }
+
+// claim is one granted key.
+type claim struct {
+	ref       Ref
+	request   Digest
+	claimant  string
+	state     State
+	attempt   int
+	claimedMS int64 // the part's clock
+	grantedMS int64 // the group's clock, at the last permission
+	answer    *Answer
+}
+
+// Part holds the claims. It implements control.Part and is not safe for
+// concurrent use; the control group's machine serialises commands.
+type Part struct {
+	limits Limits
+	claims map[Ref]*claim
+	order  []*claim // by claim time
+	keys   *keyMemory
+	clock  clock
+	bytes  map[string]int // of answers and reservations, by workspace
+	counts map[string]int // of claims, by workspace
+	total  int            // sum of bytes
+}
+
+// NewPart returns an empty Part.
+func NewPart(l Limits) *Part {
+	return &Part{
+		limits: l, claims: map[Ref]*claim{}, keys: newKeyMemory(l.KeyMemory + clockSlack),
+		bytes: map[string]int{}, counts: map[string]int{},
+	}
+}
+
+// Version is constant: claims are asked for and not watched, so that a call on
+// one VM costs the others nothing.
+func (p *Part) Version() uint64 { return 0 }
+
+// Changes implements control.Part; see Version.
+func (p *Part) Changes(uint64) []byte { return nil }
+
+// Apply executes an encoded Command.
+func (p *Part) Apply(nowMS int64, data []byte) []byte {
+	var cmd Command
+	reply := Reply{Verdict: Malformed}
+	if err := peer.Unmarshal(data, &cmd); err == nil {
+		reply = p.Execute(nowMS, &cmd)
+	}
+	out, err := peer.Marshal(&reply)
+	if err != nil {
+		panic(err) // a struct of numbers, texts and bytes always encodes
+	}
+	return out
+}
+
+// Execute executes a command at the group's time.
+func (p *Part) Execute(nowMS int64, cmd *Command) Reply {
+	p.clock.advance(nowMS)
+	p.expire()
+	switch {
+	case cmd.Claim != nil:
+		return p.claim(nowMS, cmd.Claim)
+	case cmd.Look != nil:
+		return p.look(nowMS, cmd.Look)
+	case cmd.Renew != nil:
+		return p.renew(nowMS, cmd.Renew)
+	case cmd.Finish != nil:
+		return p.finish(nowMS, cmd.Finish)
+	case cmd.Seal != nil:
+		return p.seal(nowMS, cmd.Seal)
+	default:
+		return Reply{Verdict: Malformed}
+	}
+}
+
+func (p *Part) claim(nowMS int64, c *Claim) Reply {
+	if standing := p.look(nowMS, &Look{Ref: c.Ref, Request: c.Request}); standing.Verdict != Unclaimed {
+		return standing
+	}
+	if p.full(c.Ref.Workspace) {
+		return Reply{Verdict: Full}
+	}
+	cl := &claim{
+		ref: c.Ref, request: c.Request, claimant: c.Claimant, state: Granted, attempt: 1,
+		claimedMS: p.clock.MS, grantedMS: nowMS,
+	}
+	p.claims[c.Ref] = cl
+	p.order = append(p.order, cl)
+	p.counts[c.Ref.Workspace]++
+	p.charge(c.Ref.Workspace, p.limits.AnswerBytes)
+	p.keys.add(p.clock.MS, c.Ref.Workspace, keyDigest(c.Ref))
+	return Reply{Verdict: Permitted, State: Granted, Claimant: cl.claimant, Attempt: 1}
+}
+
+func (p *Part) look(nowMS int64, l *Look) Reply {
+	if cl := p.claims[l.Ref]; cl != nil {
+		if cl.request != l.Request {
+			return Reply{Verdict: KeyReused}
+		}
+		return cl.standing(nowMS)
+	}
+	// A key that was used and whose claim is gone must not run again, and a key
+	// older than the memory might have been used: both are refused.
+	if p.keys.has(keyDigest(l.Ref)) {
+		return Reply{Verdict: KeyExpired}
+	}
+	if ms, ok := stamp(l.Ref.Key); ok {
+		switch {
+		case ms <= nowMS-p.limits.KeyMemory.Milliseconds():
+			return Reply{Verdict: KeyExpired}
+		case ms > nowMS+clockSlack.Milliseconds():
+			return Reply{Verdict: KeyAhead}
+		}
+	}
+	return Reply{Verdict: Unclaimed}
+}
+
+func (cl *claim) standing(nowMS int64) Reply {
+	return Reply{
+		Verdict: Standing, State: cl.state, Claimant: cl.claimant, Attempt: cl.attempt,
+		AgeMS: nowMS - cl.grantedMS, Answer: cl.answer,
+	}
+}
+
+func (p *Part) renew(nowMS int64, r *Renew) Reply {
+	cl := p.claims[r.Ref]
+	if cl == nil {
+		return Reply{Verdict: KeyExpired}
+	}
+	own := cl.claimant == r.Claimant && cl.attempt == r.Attempt
+	if cl.state != Granted || !own || cl.attempt >= p.limits.MaxAttempts {
+		return cl.standing(nowMS)
+	}
+	cl.attempt++
+	cl.grantedMS = nowMS
+	return Reply{Verdict: Permitted, State: Granted, Claimant: cl.claimant, Attempt: cl.attempt}
+}
+
+func (p *Part) finish(nowMS int64, f *Finish) Reply {
+	cl := p.claims[f.Ref]
+	if cl == nil {
+		return Reply{Verdict: KeyExpired}
+	}
+	if cl.state != Granted || cl.claimant != f.Claimant || !f.State.Final() {
+		return cl.standing(nowMS)
+	}
+	p.end(cl, f.State, f.Answer)
+	return cl.standing(nowMS)
+}
+
+func (p *Part) seal(nowMS int64, s *Seal) Reply {
+	cl := p.claims[s.Ref]
+	if cl == nil {
+		return Reply{Verdict: KeyExpired}
+	}
+	old := nowMS-cl.grantedMS >= p.limits.SealAfter.Milliseconds()
+	if cl.state == Granted && cl.claimant == s.Claimant && (old || s.Gone) {
+		p.end(cl, Unknown, nil)
+	}
+	return cl.standing(nowMS)
+}
+
+// end makes a claim final and swaps its reservation for the answer's size.
+func (p *Part) end(cl *claim, s State, a *Answer) {
+	cl.state = s
+	if s == Done {
+		cl.answer = a.bounded(p.limits.AnswerBytes)
+	}
+	p.charge(cl.ref.Workspace, cl.answer.size()-p.limits.AnswerBytes)
+}
+
+// bounded returns the answer without a body that is too large to be kept.
+func (a *Answer) bounded(limit int) *Answer {
+	if a == nil {
+		return &Answer{NoBody: true}
+	}
+	if a.size() <= limit {
+		return a
+	}
+	out := &Answer{Status: a.Status, Headers: a.Headers, NoBody: true}
+	if out.size() > limit {
+		out.Headers = nil
+	}
+	return out
+}
+
+func (p *Part) charge(workspace string, n int) {
+	p.total += n
+	if p.bytes[workspace] += n; p.bytes[workspace] == 0 {
+		delete(p.bytes, workspace)
+	}
+}
+
+// full reports whether a new claim of the workspace would pass a bound.
+func (p *Part) full(workspace string) bool {
+	l := &p.limits
+	need := l.AnswerBytes
+	return len(p.claims) >= l.MaxClaims || p.counts[workspace] >= l.MaxClaims/workspaceShare ||
+		p.total+need > l.TotalBytes || p.bytes[workspace]+need > l.TotalBytes/workspaceShare ||
+		p.keys.total >= l.MaxKeys || p.keys.of[workspace] >= l.MaxKeys/workspaceShare
+}
+
+// maxExpired bounds the work that one command does for expired claims.
+const maxExpired = 256
+
+func (p *Part) expire() {
+	n := 0
+	for n < len(p.order) && p.clock.MS-p.order[n].claimedMS >= p.limits.Retention.Milliseconds() {
+		if n == maxExpired {
+			break
+		}
+		p.forget(p.order[n])
+		p.order[n] = nil
+		n++
+	}
+	p.order = p.order[n:]
+	// A key must outlive its claim, also where many claims are due at once.
+	if n < maxExpired {
+		p.keys.expire(p.clock.MS)
+	}
+}
+
+// forget drops a claim; its key stays in the key memory, so that a late resend
+// is refused.
+func (p *Part) forget(cl *claim) {
+	if !p.keys.has(keyDigest(cl.ref)) {
+		panic(&InvariantError{fmt.Sprintf("key %q forgotten before its claim", cl.ref.Key)})
+	}
+	held := cl.answer.size()
+	if cl.state == Granted {
+		held = p.limits.AnswerBytes
+	}
+	p.charge(cl.ref.Workspace, -held)
+	if p.counts[cl.ref.Workspace]--; p.counts[cl.ref.Workspace] == 0 {
+		delete(p.counts, cl.ref.Workspace)
+	}
+	delete(p.claims, cl.ref)
+}
--- /dev/null
+++ b/internal/call/part_test.go
@@ -0,0 +1,195 @@
+package call_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/call"
+)
+
+const startMS = int64(1_800_000_000_000)
+
+type group struct {
+	t    *testing.T
+	part *call.Part
+	now  int64
+}
+
+func newGroup(t *testing.T, l call.Limits) *group {
+	return &group{t, call.NewPart(l), startMS}
+}
+
+func (g *group) claim(workspace, key, claimant string) call.Reply {
+	return g.part.Execute(g.now, &call.Command{Claim: &call.Claim{
+		Ref: call.Ref{Workspace: workspace, Service: "dispatch", Key: key}, Claimant: claimant,
+	}})
+}
+
+func (g *group) finish(key, claimant string, s call.State, a *call.Answer) call.Reply {
+	return g.part.Execute(g.now, &call.Command{Finish: &call.Finish{
+		Ref: call.Ref{Workspace: "coop", Service: "dispatch", Key: key}, Claimant: claimant, State: s, Answer: a,
+	}})
+}
+
+// pass lets time go by in steps, as the group's other commands do.
+func (g *group) pass(d time.Duration) {
+	for end := g.now + d.Milliseconds(); g.now < end; {
+		g.now = min(end, g.now+50_000)
+		g.part.Execute(g.now, &call.Command{Look: &call.Look{}})
+	}
+}
+
+func (g *group) want(what string, r call.Reply, v call.Verdict, s call.State) {
+	g.t.Helper()
+	if r.Verdict != v || r.State != s {
+		g.t.Fatalf("%s: verdict %d, state %d; want %d, %d", what, r.Verdict, r.State, v, s)
+	}
+}
+
+// The caller resends its booking later and later: it gets its first answer while
+// that is kept, then a refusal, and never a second run. A restart in between
+// changes nothing.
+func TestLateResendIsRefusedNotRun(t *testing.T) {
+	l := call.DefaultLimits()
+	g := newGroup(t, l)
+	g.want("claim", g.claim("coop", "k", "vm1"), call.Permitted, call.Granted)
+	g.want("finish", g.finish("k", "vm1", call.Done, &call.Answer{Status: 201}), call.Standing, call.Done)
+	g.pass(l.Retention - time.Minute)
+	g.want("kept", g.claim("coop", "k", "vm2"), call.Standing, call.Done)
+	g.pass(2 * time.Minute)
+	snapshot, err := g.part.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.part = call.NewPart(l)
+	if err := g.part.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	g.want("expired", g.claim("coop", "k", "vm2"), call.KeyExpired, 0)
+	g.want("another workspace", g.claim("society", "k", "vm2"), call.Permitted, call.Granted)
+	g.pass(l.KeyMemory - l.Retention - 2*time.Minute)
+	g.want("a day later", g.claim("coop", "k", "vm3"), call.KeyExpired, 0)
+	again, err := g.part.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.part = call.NewPart(l)
+	if err := g.part.Restore(again); err != nil {
+		t.Fatal(err)
+	}
+	third, _ := g.part.Snapshot()
+	if !bytes.Equal(again, third) {
+		t.Error("a restored part has another snapshot")
+	}
+}
+
+// A key that holds its own time stays refused for ever, beyond the memory: its
+// time is too old by then. One from a clock far ahead is refused at once, since
+// it would outlive the memory.
+func TestStampedKeyStaysRefusedForEver(t *testing.T) {
+	l := call.DefaultLimits()
+	g := newGroup(t, l)
+	stamped := func(ms int64) string {
+		h := fmt.Sprintf("%012x", ms)
+		return h[:8] + "-" + h[8:] + "-7abc-8def-0123456789ab"
+	}
+	key := stamped(startMS + 60_000)
+	g.want("claim", g.claim("coop", key, "vm1"), call.Permitted, call.Granted)
+	for range 4 {
+		g.pass(11 * time.Hour)
+		g.want("late resend", g.claim("coop", key, "vm2"), call.KeyExpired, 0)
+	}
+	g.want("from the future", g.claim("coop", stamped(g.now+3_600_000), "vm1"), call.KeyAhead, 0)
+}
+
+// A new leader's wall clock is two days ahead. The resend must still be refused
+// or answered, not run: keys are not forgotten by one leap.
+func TestLeapOfTheGroupsClockForgetsNothing(t *testing.T) {
+	g := newGroup(t, call.DefaultLimits())
+	g.claim("coop", "k", "vm1")
+	g.now += (48 * time.Hour).Milliseconds()
+	g.want("resend", g.claim("coop", "k", "vm2"), call.Standing, call.Granted)
+}
+
+// What each party may still do once a claim has ended: nothing. The claimant
+// that comes back late gets what was sealed and cannot dispatch again.
+func TestSealedClaimIsFinal(t *testing.T) {
+	l := call.DefaultLimits()
+	g := newGroup(t, l)
+	ref := call.Ref{Workspace: "coop", Service: "dispatch", Key: "k"}
+	g.claim("coop", "k", "vm1")
+	seal := func(gone bool) call.Reply {
+		return g.part.Execute(g.now, &call.Command{Seal: &call.Seal{Ref: ref, Claimant: "vm1", Gone: gone}})
+	}
+	g.want("too early", seal(false), call.Standing, call.Granted)
+	g.want("own claim again", g.claim("coop", "k", "vm1"), call.Standing, call.Granted)
+	g.now += l.SealAfter.Milliseconds()
+	g.want("seal", seal(false), call.Standing, call.Unknown)
+	renew := g.part.Execute(g.now, &call.Command{Renew: &call.Renew{Ref: ref, Claimant: "vm1", Attempt: 1}})
+	g.want("renew", renew, call.Standing, call.Unknown)
+	g.want("late finish", g.finish("k", "vm1", call.Done, &call.Answer{Status: 201}), call.Standing, call.Unknown)
+	g.want("late not-run", g.finish("k", "vm1", call.NotRun, nil), call.Standing, call.Unknown)
+}
+
+// A hot workspace fills its share of each bound: it is refused new claims, all
+// others still book, and what was answered stays kept in full.
+func TestFullRefusesNewClaimsOnly(t *testing.T) {
+	base := call.DefaultLimits()
+	for name, limit := range map[string]func(*call.Limits){
+		"claims": func(l *call.Limits) { l.MaxClaims = 8 },
+		"bytes":  func(l *call.Limits) { l.TotalBytes = 8 * l.AnswerBytes },
+		"keys":   func(l *call.Limits) { l.MaxKeys = 8 },
+	} {
+		l := base
+		limit(&l)
+		g := newGroup(t, l)
+		for i := range 4 {
+			key := fmt.Sprint("k", i)
+			g.want(name, g.claim("coop", key, "vm1"), call.Permitted, call.Granted)
+			g.finish(key, "vm1", call.Done, &call.Answer{Status: 201, Body: make([]byte, l.AnswerBytes)})
+		}
+		g.want(name+" full", g.claim("coop", "k9", "vm1"), call.Full, 0)
+		g.want(name+" other workspace", g.claim("society", "k9", "vm1"), call.Permitted, call.Granted)
+		r := g.claim("coop", "k0", "vm2")
+		if r.State != call.Done || len(r.Answer.Body) != l.AnswerBytes {
+			t.Errorf("%s: an answer was dropped: %+v", name, r)
+		}
+		g.pass(l.KeyMemory + 2*time.Hour)
+		g.want(name+" room again", g.claim("coop", "k9", "vm1"), call.Permitted, call.Granted)
+	}
+}
+
+func TestMarkings(t *testing.T) {
+	var ms []call.Marking
+	for _, s := range []string{"POST /search* idempotent", "PUT /counter once"} {
+		m, err := call.ParseMarking(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ms = append(ms, m)
+	}
+	for _, c := range []struct {
+		method, path string
+		want         bool
+	}{
+		{"GET", "/jobs", true},
+		{"DELETE", "/jobs/1", true},
+		{"PATCH", "/jobs/1", false},
+		{"POST", "/jobs", false},
+		{"POST", "/search/parts", true},
+		{"PUT", "/counter", false},
+		{"PUT", "/counter/2", true},
+		{"CONNECT", "/jobs", false},
+	} {
+		if got := call.Idempotent(ms, c.method, c.path); got != c.want {
+			t.Errorf("%s %s: got %v", c.method, c.path, got)
+		}
+	}
+	for _, s := range []string{"", "POST /x", "post /x once", "POST x once", "POST /x twice"} {
+		if _, err := call.ParseMarking(s); err == nil {
+			t.Errorf("%q was accepted", s)
+		}
+	}
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -71,6 +71,8 @@
 	KeepersUnavail   Code = 3008
 	RecoveryBudget   Code = 3009
 	WorkspaceBacklog Code = 3010
+	CallRunning      Code = 3011
+	ClaimsFull       Code = 3012
 )
 
 // Codes 4xxx: something failed after the request was accepted.
@@ -82,6 +84,8 @@
 	InvariantBroken Code = 4005
 	Cancelled       Code = 4006
 	CallerGone      Code = 4007
+	AnswerNotKept   Code = 4008
+	CallNotSent     Code = 4009
 )
 
 // Internal is the code of a fault of this system that has no code of its own.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -18,7 +18,7 @@
 	{ModelNotInPlan, "model_not_in_plan", http.StatusForbidden, RanNo, "the workspace's plan does not include this model"},
 	{ServiceNotInPlan, "service_not_in_plan", http.StatusForbidden, RanNo, "the workspace's plan does not include this service"},
 	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, RanNo, "the method is not allowed here"},
-	{KeyExpired, "key_expired", http.StatusGone, RanNo, "the retention of this Idempotency-Key has passed; the resend was refused, not run"},
+	{KeyExpired, "key_expired", http.StatusGone, RanUnknown, "the retention of this Idempotency-Key has passed: this resend was not run, and what became of the first call is no longer known"},
 	{VersionConflict, "version_conflict", http.StatusPreconditionFailed, RanNo, "If-Match does not name the present version"},
 	{VersionRequired, "version_required", http.StatusPreconditionRequired, RanNo, "If-Match is required"},
 	{InvalidPlan, "invalid_plan", http.StatusUnprocessableEntity, RanNo, "the plan or allowance is not valid"},
@@ -42,6 +42,8 @@
 	{KeepersUnavail, "keepers_unavailable", http.StatusServiceUnavailable, RanNo, "too few journal keepers are within reach"},
 	{RecoveryBudget, "recovery_budget", http.StatusServiceUnavailable, RanUnknown, "the recovery budget is used up"},
 	{WorkspaceBacklog, "workspace_backlog", http.StatusTooManyRequests, RanNo, "this workspace already has too much work waiting"},
+	{CallRunning, "call_running", http.StatusConflict, RanUnknown, "the call with this Idempotency-Key is still running; ask again for its result"},
+	{ClaimsFull, "claims_full", http.StatusServiceUnavailable, RanNo, "no room to record another non-idempotent call"},
 
 	{JournalLost, "journal_lost", http.StatusInternalServerError, RanYes, "a majority of the journal's keepers is lost"},
 	{PoisonRequest, "poison_request", http.StatusUnprocessableEntity, RanYes, "this request ended every backend server that ran it"},
@@ -50,6 +52,8 @@
 	{InvariantBroken, "invariant_broken", http.StatusInternalServerError, RanUnknown, "an internal check failed; this answer was stopped"},
 	{Cancelled, "cancelled", http.StatusConflict, RanYes, "the request was cancelled"},
 	{CallerGone, "caller_gone", http.StatusGone, RanYes, "the caller stayed away longer than its answer is kept"},
+	{AnswerNotKept, "answer_not_kept", http.StatusBadGateway, RanYes, "the call ran; its answer was too large to be kept for a resend"},
+	{CallNotSent, "call_not_sent", http.StatusBadGateway, RanNo, "no byte of the call reached a backend server, and none will; use a new Idempotency-Key to try again"},
 
 	{Internal, "internal", http.StatusInternalServerError, RanUnknown, "internal error"},
 }
--- /dev/null
+++ b/internal/service/client_test.go
@@ -0,0 +1,302 @@
+package service_test
+
+import (
+	"bufio"
+	"bytes"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/call"
+	"github.com/amaranthshelf/amaranthshelf/internal/control"
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/service"
+)
+
+// rawService is a plain service on a bare socket: it breaks a connection after
+// an exact number of bytes, and counts the requests it has read whole.
+type rawService struct {
+	addr string
+
+	mu         sync.Mutex
+	runs       map[string]int
+	readLimit  int // of a non-idempotent request; -1: none
+	writeLimit int // of its answer; -1: none
+	reset      bool
+	answer     string
+}
+
+const okAnswer = "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nbooked"
+
+func newRawService(t *testing.T) *rawService {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &rawService{addr: l.Addr().String(), runs: map[string]int{}, readLimit: -1, writeLimit: -1, answer: okAnswer}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c.(*net.TCPConn))
+		}
+	}()
+	return s
+}
+
+func (s *rawService) set(read, write int, reset bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readLimit, s.writeLimit, s.reset = read, write, reset
+}
+
+func (s *rawService) count(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
+// serve keeps connections open between requests, so that a client's pool has
+// reused ones. GET is answered whole; the limits are for the others.
+func (s *rawService) serve(c *net.TCPConn) {
+	defer s.hangUp(c)
+	in := &limitedReader{c: c, s: s}
+	r := bufio.NewReader(in)
+	for {
+		in.used = 0
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.runs[req.Header.Get("Idempotency-Key")]++
+		writeLimit, answer := s.writeLimit, s.answer
+		s.mu.Unlock()
+		if writeLimit >= 0 && req.Method != http.MethodGet {
+			_, _ = io.WriteString(c, answer[:writeLimit])
+			return
+		}
+		if _, err := io.WriteString(c, answer); err != nil {
+			return
+		}
+	}
+}
+
+func (s *rawService) hangUp(c *net.TCPConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reset {
+		_ = c.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// limitedReader ends a request after the limit that is set when it is read.
+type limitedReader struct {
+	c     net.Conn
+	s     *rawService
+	used  int
+	ended bool
+}
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.ended {
+		return 0, io.EOF
+	}
+	n, err := l.c.Read(p)
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if left := l.s.readLimit - l.used; l.s.readLimit >= 0 && n >= left {
+		n, err, l.ended = max(0, left), io.EOF, true
+	}
+	l.used += n
+	return n, err
+}
+
+type static []service.Backend
+
+func (s static) Service(string) []service.Backend { return s }
+
+func dispatchers(machine *control.Machine, n int, backends service.Backends) []*service.Dispatcher {
+	sender := service.NewClient()
+	var out []*service.Dispatcher
+	for i := range n {
+		out = append(out, service.NewDispatcher(
+			service.Config{VM: fmt.Sprintf("vm%d", i+1), Incarnation: "i1"},
+			service.Deps{
+				Control: control.NewSolo(machine), Sender: sender, Backends: backends,
+				Explain: explain.NewRing(64), Metrics: new(expvar.Map).Init(), Log: zerolog.Nop(),
+			}))
+	}
+	return out
+}
+
+func newMachine() *control.Machine {
+	m := control.NewMachine()
+	m.Register(control.PartCalls, call.NewPart(call.DefaultLimits()))
+	return m
+}
+
+func booking(key string, body []byte) *service.Call {
+	return &service.Call{Workspace: "coop", Service: "dispatch", Key: key, Request: service.Request{
+		Method: http.MethodPost, Path: "/bookings",
+		Header: http.Header{"Idempotency-Key": {key}, "Authorization": nil}, Body: body,
+	}}
+}
+
+// outcome is what a caller can tell from an answer.
+func outcome(a *call.Answer, err error) string {
+	if err != nil {
+		e := result.From(err)
+		return fmt.Sprintf("%d %s", e.Code, e.Ran)
+	}
+	return fmt.Sprintf("%d %s", a.Status, a.Body)
+}
+
+// The caller books a job and its resend goes to another VM. The service breaks
+// the connection after each byte of the request and of the answer in turn, by a
+// reset or a plain close, while pooled connections of earlier lookups stand
+// ready for reuse. net/http's Transport would send the booking again on such a
+// break; here the service must see it once at most, and the answer must be true.
+func TestBrokenAtEveryByteRunsAtMostOnce(t *testing.T) {
+	for _, body := range [][]byte{nil, []byte(`{"job":7}`), bytes.Repeat([]byte("x"), 256<<10)} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("body=%d,reset=%v", len(body), reset), func(t *testing.T) {
+				t.Parallel()
+				breakEverywhere(t, body, reset)
+			})
+		}
+	}
+}
+
+func breakEverywhere(t *testing.T, body []byte, reset bool) {
+	s, spare := newRawService(t), newRawService(t)
+	ds := dispatchers(newMachine(), 2, static{{Name: "a", Addr: s.addr}, {Name: "b", Addr: spare.addr}})
+	requestBytes := 200 + len(body)
+	seen := map[string]int{}
+	check := func(key string, read, write int) {
+		s.set(-1, -1, false)
+		spare.set(-1, -1, false)
+		lookup := booking("", nil)
+		lookup.Request.Method = http.MethodGet
+		if _, err := ds[0].Relay(t.Context(), lookup); err != nil {
+			t.Fatalf("lookup before %s: %v", key, err)
+		}
+		s.set(read, write, reset)
+		spare.set(read, write, reset)
+		first := outcome(ds[0].Once(t.Context(), booking(key, body)))
+		again := outcome(ds[1].Once(t.Context(), booking(key, body)))
+		if first != again {
+			t.Fatalf("%s: first answer %q, resend %q", key, first, again)
+		}
+		verify(t, key, first, s.count(key)+spare.count(key))
+		seen[first]++
+	}
+	for n := 0; n < requestBytes; n += step(n, requestBytes) {
+		check(fmt.Sprintf("read%d", n), n, -1)
+	}
+	for n := range len(okAnswer) {
+		check(fmt.Sprintf("write%d", n), -1, n)
+	}
+	check("whole", -1, -1)
+	if seen["201 booked"] == 0 || seen["4003 unknown"] < len(okAnswer) {
+		t.Errorf("the faults were not brought about: %v", seen)
+	}
+}
+
+// step visits every byte of the head and of the last ones, and samples a large
+// body in between.
+func step(n, all int) int {
+	if n < 400 || n >= all-64 {
+		return 1
+	}
+	return min(4093, all-64-n)
+}
+
+func verify(t *testing.T, key, outcome string, runs int) {
+	t.Helper()
+	switch {
+	case runs > 1:
+		t.Fatalf("%s ran %d times", key, runs)
+	case strings.HasSuffix(outcome, " no") && runs != 0:
+		t.Fatalf("%s: answered %q, but it ran", key, outcome)
+	case outcome == "201 booked" && runs != 1:
+		t.Fatalf("%s: answered %q, but it did not run", key, outcome)
+	}
+}
+
+// The caller sees the service's redirect as it is, and one run: a client that
+// follows a 307 or 308 sends the body again. An answer that ends with the
+// connection cannot be told from a broken one, so it is "unknown".
+func TestAnswersThatMustNotBeTakenFurther(t *testing.T) {
+	for _, c := range []struct{ answer, want string }{
+		{"HTTP/1.1 307 Temporary Redirect\r\nLocation: /bookings\r\nContent-Length: 0\r\n\r\n", "307 "},
+		{"HTTP/1.1 308 Permanent Redirect\r\nLocation: /bookings\r\nContent-Length: 0\r\n\r\n", "308 "},
+		{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy", "503 busy"},
+		{"HTTP/1.1 201 Created\r\nConnection: close\r\n\r\nbooked", "4003 unknown"},
+	} {
+		s := newRawService(t)
+		s.answer = c.answer
+		s.set(-1, len(c.answer), false)
+		ds := dispatchers(newMachine(), 2, static{{Name: "a", Addr: s.addr}})
+		for _, d := range ds {
+			if got := outcome(d.Once(t.Context(), booking("k", []byte("{}")))); got != c.want || s.count("k") != 1 {
+				t.Errorf("%.30q: got %q and %d runs, want %q and 1", c.answer, got, s.count("k"), c.want)
+			}
+		}
+	}
+}
+
+// A service that fails for everybody gets its fresh calls and a tenth on top,
+// not a multiple: the last healthy backend server would go down by the retries.
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	bad := newRawService(t)
+	bad.answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	var all static
+	for i := range 4 {
+		all = append(all, service.Backend{Name: fmt.Sprint(i), Addr: bad.addr})
+	}
+	d := dispatchers(newMachine(), 1, all)[0]
+	const calls = 300
+	for range calls {
+		lookup := booking("lookup", nil)
+		lookup.Request.Method = http.MethodGet
+		_, _ = d.Relay(t.Context(), lookup)
+	}
+	if got, most := bad.count("lookup"), calls+calls/10+10; got < calls || got > most {
+		t.Errorf("%d calls reached the service, want %d to %d", got, calls, most)
+	}
+}
+
+// The caller's key stays free while no backend server can be reached: nothing
+// was claimed, and the same key books once a backend server is back.
+func TestUnreachableServiceLeavesTheKeyFree(t *testing.T) {
+	s := newRawService(t)
+	machine := newMachine()
+	down := dispatchers(machine, 1, static{{Name: "a", Addr: "127.0.0.1:1"}})[0]
+	if got := outcome(down.Once(t.Context(), booking("k", nil))); got != "3005 no" {
+		t.Fatalf("got %q", got)
+	}
+	up := dispatchers(machine, 1, static{{Name: "a", Addr: s.addr}})[0]
+	if got := outcome(up.Once(t.Context(), booking("k", nil))); got != "201 booked" {
+		t.Fatalf("got %q", got)
+	}
+	if got := outcome(down.Once(t.Context(), booking("k", nil))); got != "201 booked" {
+		t.Errorf("resend while the service is down: got %q", got)
+	}
+}
