--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/gateway"
+	"github.com/amaranthshelf/amaranthshelf/internal/operator"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
@@ -27,8 +28,6 @@
 
 // Timings of one VM.
 const (
-	openTimeout   = 4 * time.Second
-	silenceLimit  = 1 * time.Second
 	heartbeat     = 1 * time.Second
 	headerTimeout = 5 * time.Second
 )
@@ -49,14 +48,20 @@
 	engines     *engine.Client
 	explain     *explain.Ring
 
-	network *peer.Network
-	machine *control.Machine
-	control control.Client
-	hub     *relay.Hub
-	members *members
-	router  *router
-	plans   *plans
-	ready   atomic.Bool
+	network     *peer.Network
+	machine     *control.Machine
+	control     control.Client
+	hub         *relay.Hub
+	members     *members
+	router      *router
+	admission   *admitter
+	stopPolling context.CancelFunc
+	plans       *plans
+	ready       atomic.Bool
+	explainer   *operator.Explainer
+
+	draining atomic.Bool   // shutting down: the entry answers leave this VM out
+	leaving  chan struct{} // closed once the generations are handed over
 }
 
 // Listen binds the VM's addresses and records those that the kernel picked.
@@ -68,6 +73,7 @@
 	n := &Node{
 		s: s, log: log, metrics: telemetry.Metrics(s.Self.ID), tracer: tracer,
 		incarnation: rand.Text()[:8], engines: engine.NewClient(), explain: explain.NewRing(explain.DefaultRequests),
+		leaving: make(chan struct{}),
 	}
 	for _, b := range []struct {
 		l    *net.Listener
@@ -96,29 +102,23 @@
 	n.startMembers()
 	n.startControl()
 	n.startPlans()
+	n.startExplain()
 	n.startRouting()
+	n.startAdmission()
 	n.startGenerations()
+	n.startPolling()
 	n.startCallers()
 	n.startOperators()
 	n.startPeers()
 	n.ready.Store(true)
 }
 
-func (n *Node) startGenerations() {
-	n.hub = relay.NewHub(relay.Config{
-		VM: n.s.Self.ID, Epoch: n.s.Self.ID + "#" + n.incarnation,
-		OpenTimeout: openTimeout, SilenceLimit: silenceLimit, CallerKeep: n.s.CallerKeep,
-	}, relay.Deps{
-		Transport: n.network, Members: n.members, Engines: n.engines, Router: n.router,
-		Log: n.log, Metrics: n.metrics,
-	})
-}
-
 func (n *Node) startCallers() {
-	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeat},
+	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeat, Leaving: n.leaving},
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
+	n.explainer.CallerRoutes(r, n.plans.Directory)
 	n.serve(n.callers, r)
 }
 
@@ -143,6 +143,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	r.Handle("/debug/vars", expvar.Handler())
+	n.addOperatorRoutes(r)
 	return r
 }
 
@@ -166,22 +167,12 @@
 	for _, s := range n.servers {
 		_ = s.Close()
 	}
+	n.plans.cancel()
+	n.stopPolling()
 	n.network.Close()
 	n.hub.Close()
 }
 
-// Shutdown ends the VM after its callers' answers.
-func (n *Node) Shutdown(ctx context.Context) error {
-	n.ready.Store(false)
-	var errs []error
-	for _, s := range n.servers {
-		errs = append(errs, s.Shutdown(ctx))
-	}
-	n.network.Close()
-	n.hub.Close()
-	return errors.Join(append(errs, n.tracer.Close(ctx))...)
-}
-
 func (n *Node) closeListeners() {
 	for _, l := range []net.Listener{n.callers, n.operators, n.peers} {
 		if l != nil {
--- /dev/null
+++ b/internal/relay/ticket.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
+	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+)
+
+// enter reserves the request's cost and takes a place in the admission queue. A
+// refusal comes before the journal is opened, so that it can promise that
+// nothing ran.
+func (r *Run) enter(ctx context.Context, accepted bool) error {
+	if !accepted {
+		if err := r.hub.recovery.refusePoison(r.Request().ContentDigest(), result.RanNo); err != nil {
+			r.hub.note(r.Request().ID, explain.Refused, err.Error())
+			return err
+		}
+	}
+	if err := r.reserve(ctx, accepted); err != nil {
+		return err
+	}
+	if r.hub.admission == nil {
+		return nil
+	}
+	span := r.hub.span(r.Request(), "admission")
+	ticket, err := r.hub.admission.Enter(r.Request(), accepted)
+	endSpan(span, err)
+	r.ticket = ticket
+	if err != nil {
+		r.charge()
+	}
+	return err
+}
+
+func (r *Run) release() {
+	if r.ticket != nil {
+		r.ticket.Release()
+	}
+	r.charge()
+}
+
+func (r *Run) reserve(ctx context.Context, accepted bool) error {
+	if r.hub.quota == nil || accepted {
+		return nil
+	}
+	settle, err := r.hub.quota.Reserve(ctx, r.Request())
+	r.settle = settle
+	if err != nil {
+		r.hub.note(r.Request().ID, explain.Refused, err.Error())
+	}
+	return err
+}
+
+// charge settles the reservation by what the journal shows. An owner that was
+// taken over charges all of it: the answer goes on elsewhere, unreserved.
+func (r *Run) charge() {
+	if r.settle == nil {
+		return
+	}
+	r.mu.Lock()
+	j := r.owner.Journal()
+	used := r.owner.Request.PromptTokens() + j.Len()
+	if j.Finish != "" && j.Usage.PromptTokens > 0 {
+		used = j.Usage.PromptTokens + j.Len()
+	}
+	if r.owner.Deposed() {
+		used = r.owner.Request.Cost()
+	}
+	ran := r.stats.Attempts > 0 || r.owner.Deposed()
+	r.mu.Unlock()
+	r.settle(ran, used)
+}
+
+func noteOr(f NoteFunc) NoteFunc {
+	if f != nil {
+		return f
+	}
+	return func(generation.RequestID, string, string) {}
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -73,6 +73,7 @@
 	WorkspaceBacklog Code = 3010
 	CallRunning      Code = 3011
 	ClaimsFull       Code = 3012
+	KeepersFull      Code = 3013
 )
 
 // Codes 4xxx: something failed after the request was accepted.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -44,6 +44,7 @@
 	{WorkspaceBacklog, "workspace_backlog", http.StatusTooManyRequests, RanNo, "this workspace already has too much work waiting"},
 	{CallRunning, "call_running", http.StatusConflict, RanUnknown, "the call with this Idempotency-Key is still running; ask again for its result"},
 	{ClaimsFull, "claims_full", http.StatusServiceUnavailable, RanNo, "no room to record another non-idempotent call"},
+	{KeepersFull, "keepers_full", http.StatusServiceUnavailable, RanNo, "the journal keepers take no new generations now"},
 
 	{JournalLost, "journal_lost", http.StatusInternalServerError, RanYes, "a majority of the journal's keepers is lost"},
 	{PoisonRequest, "poison_request", http.StatusUnprocessableEntity, RanYes, "this request ended every backend server that ran it"},
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"expvar"
-	"fmt"
 	"io"
 	"os"
 	"sync"
@@ -17,13 +17,18 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/trace"
 	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/zeebo/errs"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("telemetry")
+
 // Logger returns a logger that writes to w as JSON, or for people to read.
 func Logger(w io.Writer, level, format, vm string) (zerolog.Logger, error) {
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
-		return zerolog.Nop(), fmt.Errorf("telemetry: log level %q: %w", level, err)
+		return zerolog.Nop(), Error.New("log level %q: %w", level, err)
 	}
 	if format == "console" {
 		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.TimeOnly}
@@ -46,7 +51,7 @@
 	if path != "" {
 		f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
-			return nil, fmt.Errorf("telemetry: trace file: %w", err)
+			return nil, Error.New("trace file: %w", err)
 		}
 		exporter, err := stdouttrace.New(stdouttrace.WithWriter(f))
 		if err != nil {
@@ -92,6 +97,16 @@
 	return propagator.Extract(ctx, propagation.MapCarrier{"traceparent": traceparent})
 }
 
+// ForRequest returns ctx with a trace that depends on the seed alone, so that a
+// caller who reconnects to another VM, which knows nothing of the first
+// connection, goes on in the same trace.
+func ForRequest(ctx context.Context, seed string) context.Context {
+	sum := sha256.Sum256([]byte(seed))
+	return oteltrace.ContextWithRemoteSpanContext(ctx, oteltrace.NewSpanContext(oteltrace.SpanContextConfig{
+		TraceID: oteltrace.TraceID(sum[:16]), SpanID: oteltrace.SpanID(sum[16:24]), TraceFlags: oteltrace.FlagsSampled, Remote: true,
+	}))
+}
+
 var publishMu sync.Mutex
 
 // Metrics returns the expvar map of a VM, published once a process.
