Plain services on the callers' listener; the demo books over a breaking connection

Cause: services had a dispatcher but no route, and the demo showed no booking.

Change: ANY /v1/services/{service}/{path}: plan and workspace checked, key required where the call is not idempotent, hop-by-hop headers and the workspace's key left out, redirects passed on. Markings of backends are checked with the settings.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -49,6 +49,9 @@
 		fmt.Fprintf(&b, "%s %s: %s\n", mark, s.Name, s.What)
 		fmt.Fprintf(&b, "     %d tokens, resume latency %.0f ms, extra work %d tokens, %d reconnects; check: %s\n",
 			s.Tokens, s.ResumeMS, s.ExtraTokens, s.Reconnects, s.Check)
+		if s.ServiceAnswer != "" {
+			fmt.Fprintf(&b, "     %d runs on the service\n%s", s.ServiceRuns, s.ServiceAnswer)
+		}
 	}
 	return b.String()
 }
@@ -79,6 +82,7 @@
 		{"an unbroken generation", s.unbroken},
 		{"an engine dies in mid-output", s.engineDies},
 		{"the VM that holds the caller dies", s.vmDies},
+		{"bookings over a breaking connection", s.bookings},
 	}
 	for _, scene := range scenes {
 		progress(scene.step)
--- /dev/null
+++ b/internal/gateway/services.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/call"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/service"
+	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
+)
+
+// Calls runs calls of plain services. *service.Dispatcher does.
+type Calls interface {
+	Idempotent(service, method, path string) bool
+	Relay(ctx context.Context, c *service.Call) (*call.Answer, error)
+	Once(ctx context.Context, c *service.Call) (*call.Answer, error)
+}
+
+// CallQuota takes a call out of its plan before it runs.
+type CallQuota interface {
+	// ReserveCall refuses with a coded error; settle is told, once, whether the
+	// call used what was reserved.
+	ReserveCall(ctx context.Context, c Caller, key string) (settle func(used bool), err error)
+}
+
+// services relays callers' calls to plain services.
+type services struct {
+	g     *Gateway
+	calls Calls
+	quota CallQuota // nil: calls are not counted
+}
+
+// ServiceRoutes registers the paths of plain services. quota may be nil.
+func (g *Gateway) ServiceRoutes(r *mux.Router, calls Calls, quota CallQuota) {
+	s := &services{g: g, calls: calls, quota: quota}
+	r.PathPrefix(servicesPath).Handler(s)
+}
+
+const servicesPath = "/v1/services/"
+
+// ServeHTTP relays one call.
+func (s *services) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	key := r.Header.Get("Idempotency-Key")
+	id := key
+	if id == "" {
+		id = rand.Text()
+	}
+	ctx := telemetry.Extract(r.Context(), r.Header.Get("Traceparent"))
+	ctx, span := s.g.tracer.Start(ctx, "entry", id)
+	defer span.End()
+	answer, err := s.serve(ctx, w, r, key, id)
+	if err != nil {
+		s.g.log.Info().Str("request_id", id).Int("code", int(result.CodeOf(err))).Msg("call refused or failed")
+		result.WriteHTTP(w, id, err)
+		return
+	}
+	writeAnswer(w, id, answer)
+}
+
+func (s *services) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, key, id string) (*call.Answer, error) {
+	if key != "" && !ValidKey(key) {
+		return nil, result.New(result.InvalidKey)
+	}
+	caller, err := s.g.authenticate(r)
+	if err != nil {
+		return nil, err
+	}
+	name, path, ok := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPath), "/")
+	if !ok || name == "" {
+		return nil, result.New(result.NotFound)
+	}
+	if !caller.Allowance.AllowsService(name) {
+		return nil, result.New(result.ServiceNotInPlan)
+	}
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		return nil, result.New(result.MethodNotAllowed)
+	}
+	idempotent := s.calls.Idempotent(name, r.Method, "/"+path)
+	if !idempotent && key == "" {
+		return nil, result.New(result.KeyRequired)
+	}
+	body, err := readBody(w, r, s.g.cfg.MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	c := &service.Call{Workspace: caller.Customer.Workspace, Service: name, Key: id}
+	c.Request = service.Request{Method: r.Method, Path: "/" + path, Header: relayedHeader(r.Header), Body: body}
+	if r.URL.RawQuery != "" {
+		c.Request.Path += "?" + r.URL.RawQuery
+	}
+	// Two workspaces may use one key: a service that tells calls apart by their
+	// key needs the workspace as well.
+	c.Request.Header.Set("X-Workspace", c.Workspace)
+	c.Request.Header.Set("X-Request-Id", id)
+	if s.quota != nil {
+		c.Reserve = func(ctx context.Context) (func(bool), error) { return s.quota.ReserveCall(ctx, caller, id) }
+	}
+	ctx, span := s.g.tracer.Start(ctx, "service", id)
+	defer span.End()
+	c.Request.Header.Set("Traceparent", telemetry.Inject(ctx))
+	if idempotent {
+		return s.calls.Relay(ctx, c)
+	}
+	return s.calls.Once(ctx, c)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, result.New(result.BodyTooLarge)
+	}
+	if err != nil {
+		return nil, result.Newf(result.MalformedBody, "the body ended early: %v", err)
+	}
+	return body, nil
+}
+
+// notRelayed are hop-by-hop headers (RFC 9110 section 7.6.1), those that this
+// system sets itself, the workspace's key, which no service may learn, and
+// Expect, which would make the first byte wait for an answer.
+var notRelayed = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Authorization", "Content-Length", "Host", "X-Workspace",
+}
+
+func relayedHeader(in http.Header) http.Header {
+	out := in.Clone()
+	for _, line := range in.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range notRelayed {
+		delete(out, name)
+	}
+	return out
+}
+
+// writeAnswer passes a service's answer on as it is, redirects and errors too.
+func writeAnswer(w http.ResponseWriter, id string, a *call.Answer) {
+	for _, h := range a.Headers {
+		w.Header().Add(h.Name, h.Value)
+	}
+	w.Header().Set("X-Request-Id", id)
+	if len(a.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	// The status is out: a caller that hangs up now asks again with its key.
+	_, _ = w.Write(a.Body)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/service"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
 )
@@ -57,6 +58,7 @@
 	admission   *admitter
 	stopPolling context.CancelFunc
 	plans       *plans
+	services    *service.Dispatcher
 	ready       atomic.Bool
 	explainer   *operator.Explainer
 
@@ -102,6 +104,7 @@
 	n.startMembers()
 	n.startControl()
 	n.startPlans()
+	n.startServices()
 	n.startExplain()
 	n.startRouting()
 	n.startAdmission()
@@ -118,6 +121,7 @@
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
+	n.serviceRoutes(gw, r)
 	n.explainer.CallerRoutes(r, n.plans.Directory)
 	n.serve(n.callers, r)
 }
--- /dev/null
+++ b/internal/node/services.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"github.com/gorilla/mux"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/call"
+	"github.com/amaranthshelf/amaranthshelf/internal/control"
+	"github.com/amaranthshelf/amaranthshelf/internal/gateway"
+	"github.com/amaranthshelf/amaranthshelf/internal/service"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
+)
+
+// staticServices are the plain services' backend servers from the settings.
+type staticServices struct{ all []settings.Backend }
+
+// Service implements service.Backends.
+func (s staticServices) Service(name string) []service.Backend {
+	var out []service.Backend
+	for _, b := range s.all {
+		if b.Kind == settings.KindService && b.Service == name {
+			out = append(out, service.Backend{Name: b.Name, Addr: b.Address, Zone: b.Zone})
+		}
+	}
+	return out
+}
+
+// markings are checked with the settings: a bad one cannot get here.
+func markings(backends []settings.Backend) map[string][]call.Marking {
+	out := map[string][]call.Marking{}
+	for _, b := range backends {
+		for _, text := range b.Markings {
+			if m, err := call.ParseMarking(text); err == nil {
+				out[b.Service] = append(out[b.Service], m)
+			}
+		}
+	}
+	return out
+}
+
+// startServices registers the claims with the control group's state and makes
+// the dispatcher of calls.
+func (n *Node) startServices() {
+	n.machine.Register(control.PartCalls, call.NewPart(call.DefaultLimits()))
+	n.services = service.NewDispatcher(
+		service.Config{
+			VM: n.s.Self.ID, Incarnation: n.incarnation, Zone: n.s.Self.Zone, Markings: markings(n.s.Backends),
+		},
+		service.Deps{
+			Control: n.control, Sender: service.NewClient(), Backends: staticServices{n.s.Backends},
+			Explain: n.explain, Metrics: n.metrics, Log: n.log,
+		})
+}
+
+func (n *Node) serviceRoutes(gw *gateway.Gateway, r *mux.Router) {
+	gw.ServiceRoutes(r, n.services, nil)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/call"
 )
 
 // Role is what a VM does.
@@ -256,6 +258,7 @@
 		if b.Address == "" {
 			r.fail("backend:"+b.Name, "address", "missing", "ip:port")
 		}
+		r.checkMarkings(b)
 	}
 	if s.Self.Has(RoleControl) && s.DataDir == "" {
 		r.fail("vm", "data_dir", "a control VM needs a data folder", "a folder")
@@ -264,6 +267,14 @@
 	r.checkLoopback(s.Self.Peer, "peers", s.PeerToken, "peer")
 }
 
+func (r *reader) checkMarkings(b Backend) {
+	for _, text := range b.Markings {
+		if _, err := call.ParseMarking(text); err != nil {
+			r.fail("backend:"+b.Name, "methods", fmt.Sprintf("bad marking %q", text), err.Error())
+		}
+	}
+}
+
 // checkLoopback refuses an open listener without its token: anybody on the
 // network could otherwise edit plans or pose as a VM.
 func (r *reader) checkLoopback(addr, key, token, tokenKey string) {
