Histories of claims checked with porcupine; calls are reserved in their plan

Change: randomised schedules of callers, VMs, pauses, kills, lost and late control answers on a virtual clock; every key runs at most once, all final answers are equal, "no" means no run. A call takes one request out of its plan's grant, given back where it did not run.

--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -1,11 +1,15 @@
 package node
 
 import (
+	"context"
+	"crypto/rand"
+
 	"github.com/gorilla/mux"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/call"
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/gateway"
+	"github.com/amaranthshelf/amaranthshelf/internal/quota"
 	"github.com/amaranthshelf/amaranthshelf/internal/service"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
@@ -52,5 +56,24 @@
 }
 
 func (n *Node) serviceRoutes(gw *gateway.Gateway, r *mux.Router) {
-	gw.ServiceRoutes(r, n.services, nil)
+	gw.ServiceRoutes(r, n.services, n.plans)
+}
+
+// ReserveCall implements gateway.CallQuota. Each call has a reservation of its
+// own, also where a resend meets the first one: which of them runs is decided
+// later, by the claim, and the other's reservation is cancelled.
+func (p *plans) ReserveCall(ctx context.Context, c gateway.Caller, key string) (func(used bool), error) {
+	r, err := p.quota.Reserve(ctx, quota.Request{
+		ID: "call/" + key + "/" + rand.Text(), Workspace: c.Customer.Workspace, Allowance: c.Allowance,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return func(used bool) {
+		if used {
+			r.Settle(0)
+			return
+		}
+		r.Cancel()
+	}, nil
 }
--- /dev/null
+++ b/internal/service/history_test.go
@@ -0,0 +1,278 @@
+package service_test
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/call"
+	"github.com/amaranthshelf/amaranthshelf/internal/control"
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
+	"github.com/amaranthshelf/amaranthshelf/internal/service"
+)
+
+// The pinned values give CI the same schedules every run; flags override them.
+const (
+	pinnedSeed   = "20261202"
+	pinnedChecks = "2000"
+)
+
+func pin(name, value string) {
+	if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+		_ = f.Value.Set(value)
+	}
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	pin("rapid.seed", pinnedSeed)
+	pin("rapid.checks", pinnedChecks)
+	os.Exit(m.Run())
+}
+
+// plannedCall is one request of a caller with the faults that it meets.
+type plannedCall struct {
+	Start   time.Duration
+	VM      int
+	Key     int
+	Control []controlFault // one for each proposal in turn; none after the last
+	Before  time.Duration  // the claimant pauses before it asks for its permission
+	After   time.Duration  // and between the permission and the first byte
+	Dies    bool           // the VM is killed at the first pause
+	Service serviceFault
+}
+
+type controlFault int
+
+const (
+	controlGood controlFault = iota
+	controlLost              // executed, the reply is lost
+	controlDown              // not executed
+	controlLate              // reported as failed, executed seconds later
+)
+
+type serviceFault int
+
+const (
+	serviceGood     serviceFault = iota
+	serviceUnsent                // the connection breaks before the first byte
+	serviceNotRun                // bytes were written, the call did not run
+	serviceRunNoAns              // it ran, the answer was lost
+)
+
+func drawCall(t *rapid.T) plannedCall {
+	ms := func(most int, name string) time.Duration {
+		return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+	}
+	pause := func(name string) time.Duration {
+		return rapid.SampledFrom([]time.Duration{0, 0, 0, time.Second, 5 * time.Second, 100 * time.Second}).Draw(t, name)
+	}
+	return plannedCall{
+		Start: ms(8000, "start"), VM: rapid.IntRange(0, 2).Draw(t, "vm"), Key: rapid.IntRange(0, 1).Draw(t, "key"),
+		Control: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) controlFault {
+			return controlFault(rapid.IntRange(0, int(controlLate)).Draw(t, "fault"))
+		}), 0, 3).Draw(t, "control"),
+		Before: pause("before"), After: pause("after"), Dies: rapid.IntRange(0, 5).Draw(t, "dies") == 0,
+		Service: serviceFault(rapid.IntRange(0, int(serviceRunNoAns)).Draw(t, "service")),
+	}
+}
+
+// world is the control group, the service and the callers' history.
+type world struct {
+	machine *control.Machine
+
+	mu      sync.Mutex
+	runs    map[string]int
+	history []porcupine.Operation
+}
+
+// faultyControl is one request's way to the control group.
+type faultyControl struct {
+	*control.Solo
+	plan *plannedCall
+
+	mu   sync.Mutex
+	next int
+}
+
+var errControl = errors.New("no answer from the control group")
+
+func (f *faultyControl) fault() controlFault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next++
+	if f.next > len(f.plan.Control) {
+		return controlGood
+	}
+	return f.plan.Control[f.next-1]
+}
+
+func (f *faultyControl) Propose(ctx context.Context, part control.PartID, cmd []byte) ([]byte, error) {
+	time.Sleep(2 * time.Millisecond)
+	switch f.fault() {
+	case controlLost:
+		_, _ = f.Solo.Propose(ctx, part, cmd)
+		return nil, errControl
+	case controlDown:
+		return nil, errControl
+	case controlLate:
+		time.AfterFunc(3*time.Second, func() { _, _ = f.Solo.Propose(ctx, part, cmd) })
+		return nil, errControl
+	default:
+		return f.Solo.Propose(ctx, part, cmd)
+	}
+}
+
+// fakeSender is the service behind one request.
+type fakeSender struct {
+	service.Sender
+	w    *world
+	plan *plannedCall
+}
+
+func (f *fakeSender) Dial(context.Context, string) (service.Connection, error) { return f, nil }
+func (f *fakeSender) Close()                                                   {}
+
+var errBroken = errors.New("connection broken")
+
+// errKilled unwinds a request whose VM dies: nothing more is done or said.
+var errKilled = errors.New("killed")
+
+func (f *fakeSender) Send(_ context.Context, r *service.Request, permit func() error) (*call.Answer, bool, error) {
+	time.Sleep(f.plan.Before)
+	if f.plan.Dies {
+		panic(errKilled)
+	}
+	if err := permit(); err != nil {
+		return nil, false, err
+	}
+	time.Sleep(f.plan.After)
+	if f.plan.Service == serviceUnsent {
+		return nil, false, errBroken
+	}
+	time.Sleep(10 * time.Millisecond)
+	if f.plan.Service == serviceNotRun {
+		return nil, true, errBroken
+	}
+	key := r.Header.Get("Idempotency-Key")
+	f.w.mu.Lock()
+	f.w.runs[key]++
+	run := f.w.runs[key]
+	f.w.mu.Unlock()
+	if f.plan.Service == serviceRunNoAns {
+		return nil, true, errBroken
+	}
+	return &call.Answer{Status: 201, Body: fmt.Appendf(nil, "run %d", run)}, true, nil
+}
+
+type goneVMs map[string]bool
+
+func (g goneVMs) Gone(vm, _ string) bool { return g[vm] }
+
+// run sends one planned call and records what its caller got.
+func (w *world) run(client int, p *plannedCall, gone goneVMs) {
+	time.Sleep(p.Start)
+	d := service.NewDispatcher(service.Config{VM: fmt.Sprint("vm", p.VM), Incarnation: fmt.Sprint("i", client)}, service.Deps{
+		Control: &faultyControl{Solo: control.NewSolo(w.machine), plan: p}, Sender: &fakeSender{w: w, plan: p},
+		Backends: static{{Name: "a"}}, Incarnations: gone, Explain: explain.NewRing(8),
+		Metrics: new(expvar.Map).Init(), Log: zerolog.Nop(),
+	})
+	key := fmt.Sprint("key", p.Key)
+	began := time.Now()
+	got := "killed"
+	func() {
+		defer func() {
+			if r := recover(); r != nil && r != any(errKilled) {
+				panic(r)
+			}
+		}()
+		got = outcome(d.Once(context.Background(), booking(key, nil)))
+	}()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.history = append(w.history, porcupine.Operation{
+		ClientId: client, Input: key, Output: got, Call: began.UnixNano(), Return: time.Now().UnixNano(),
+	})
+}
+
+// answerModel is one write-once register a key: the first final answer is the
+// answer of all. "Still running" and refusals that claimed nothing say nothing.
+var answerModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			byKey[op.Input.(string)] = append(byKey[op.Input.(string)], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() any { return "" },
+	Step: func(state, _, output any) (bool, any) {
+		got := output.(string)
+		if got == "killed" || got == "3011 unknown" || got == "3007 no" {
+			return true, state
+		}
+		return state == "" || state == got, got
+	},
+}
+
+// Two callers' keys are sent to three VMs, often at once. Claimants pause before
+// and after their last check, are killed, or are taken for dead while they live;
+// the control group's answers are lost, or come after the claimant gave up. Each
+// key runs at most once, all its final answers are equal, an answer means one
+// run, and "not run" none.
+func TestHistoriesOfClaims(t *testing.T) {
+	finals := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		plans := rapid.SliceOfN(rapid.Custom(drawCall), 2, 8).Draw(rt, "calls")
+		gone := goneVMs{fmt.Sprint("vm", rapid.IntRange(0, 3).Draw(rt, "gone")): true}
+		var w *world
+		synctest.Test(t, func(*testing.T) {
+			w = &world{machine: newMachine(), runs: map[string]int{}}
+			var all sync.WaitGroup
+			for i := range plans {
+				all.Go(func() { w.run(i, &plans[i], gone) })
+			}
+			all.Wait()
+			time.Sleep(2 * time.Minute) // releases and late proposals end
+		})
+		w.check(rt, finals)
+	})
+	for _, want := range []string{"201 run 1", "4003 unknown", "4009 no", "3007 no", "3011 unknown"} {
+		if finals[want] == 0 {
+			t.Errorf("no schedule ended in %q: %v", want, finals)
+		}
+	}
+}
+
+func (w *world) check(t *rapid.T, finals map[string]int) {
+	for _, op := range w.history {
+		key, got := op.Input.(string), op.Output.(string)
+		finals[got]++
+		runs := w.runs[key]
+		switch {
+		case runs > 1:
+			t.Fatalf("%s ran %d times", key, runs)
+		case strings.HasPrefix(got, "201") && runs != 1, got == "4009 no" && runs != 0:
+			t.Fatalf("%s ran %d times, answered %q", key, runs, got)
+		}
+	}
+	if !porcupine.CheckOperations(answerModel, w.history) {
+		t.Fatalf("answers to one key differ: %v", w.history)
+	}
+}
