--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,9 @@
 	network     *peer.Network
 	machine     *control.Machine
 	control     control.Client
+	feed        *control.Feed
+	group       *control.Group // nil on a VM without the control role
+	failure     chan error
 	hub         *relay.Hub
 	members     *members
 	router      *router
@@ -75,7 +78,7 @@
 	n := &Node{
 		s: s, log: log, metrics: telemetry.Metrics(s.Self.ID), tracer: tracer,
 		incarnation: rand.Text()[:8], engines: engine.NewClient(), explain: explain.NewRing(explain.DefaultRequests),
-		leaving: make(chan struct{}),
+		leaving: make(chan struct{}), failure: make(chan error, 1),
 	}
 	for _, b := range []struct {
 		l    *net.Listener
@@ -113,6 +116,7 @@
 	n.startCallers()
 	n.startOperators()
 	n.startPeers()
+	n.runControl()
 	n.ready.Store(true)
 }
 
@@ -174,6 +178,7 @@
 	n.plans.cancel()
 	n.stopPolling()
 	n.network.Close()
+	n.stopControl()
 	n.hub.Close()
 }
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -28,6 +28,7 @@
 	}
 	n.plans.cancel()
 	n.stopPolling()
+	n.stopControl()
 	n.network.Close()
 	n.hub.Close()
 	return errors.Join(append(errs, n.tracer.Close(context.WithoutCancel(ctx)))...)
