--- a/internal/demo/booking.go
+++ b/internal/demo/booking.go
@@ -58,14 +58,14 @@
 	return scene
 }
 
-// bookTwice books and sends the same again.
+// bookTwice books on one VM and sends the same again to another.
 func (s *system) bookTwice(ctx context.Context, key string) (first, again booking, err error) {
 	addrs := s.Addresses()[1:] // the first VM was killed in an earlier scene
 	first, err = s.book(ctx, addrs[0], key)
 	if err != nil {
 		return first, again, err
 	}
-	again, err = s.book(ctx, addrs[0], key)
+	again, err = s.book(ctx, addrs[len(addrs)-1], key)
 	return first, again, err
 }
 
