quota: a lowered allowance is over in each limit by itself

Cause: with more tokens committed than a lowered allowance admits, routers handed out no requests either, so that a workspace without tokens could not book. Change: the ledger says which limit is over; asking ahead looks at each limit too. Seen failing before the change: the booking in the lowered-tokens test was refused.

--- a/internal/plan/ledger.go
+++ b/internal/plan/ledger.go
@@ -285,7 +285,8 @@
 		Workspace: workspace, Window: a.Window, RemainingMS: max(a.EndMS-nowMS, 0),
 		Granted: h.Granted, Spent: h.Spent, Returned: h.Returned, Left: limit.Limit().Minus(a.Committed).most(Amount{}),
 		Outstanding: a.outstanding(), Slots: h.Slots, SlotsLeft: max(limit.Concurrent-a.Slots, 0),
-		Over: !a.Committed.Within(limit.Limit()), OverSlots: a.Slots > limit.Concurrent,
+		OverTokens: a.Committed.Tokens > limit.TokensPerWindow, OverRequests: a.Committed.Requests > limit.RequestsPerWindow,
+		OverSlots: a.Slots > limit.Concurrent,
 	}
 }
 
--- a/internal/plan/sync.go
+++ b/internal/plan/sync.go
@@ -84,7 +84,9 @@
 	Spent       Amount `cbor:"9,keyasint"` // as the VM last reported
 	Returned    Amount `cbor:"10,keyasint"`
 	// Over: more is committed than the allowance, which was lowered. Nothing held
-	// may be handed out; all that is not in use goes back.
-	Over      bool `cbor:"11,keyasint,omitempty"`
-	OverSlots bool `cbor:"12,keyasint,omitempty"` // the same of concurrency
+	// may be handed out; all that is not in use goes back. Each limit by itself: a
+	// workspace without tokens may still book.
+	OverTokens   bool `cbor:"11,keyasint,omitempty"`
+	OverRequests bool `cbor:"13,keyasint,omitempty"`
+	OverSlots    bool `cbor:"12,keyasint,omitempty"` // the same of concurrency
 }
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -24,9 +24,9 @@
 	left        plan.Amount // in the ledger, as last heard
 	outstanding plan.Amount
 	slotsLeft   int
-	over        bool // more is committed than a lowered allowance admits
-	overSlots   bool
-	heardAt     time.Time
+	// More is committed than a lowered allowance admits.
+	overTokens, overRequests, overSlots bool
+	heardAt                             time.Time
 
 	waiting []*Ticket
 	askedAt time.Time // when it was last in a message
@@ -57,10 +57,17 @@
 // ended lapses; it stays counted until the group names the next window, which
 // it may do a little later than this VM's clock.
 func (a *account) available(now time.Time) plan.Amount {
-	if a.window == 0 || a.over || !now.Before(a.endsAt) {
+	if a.window == 0 || !now.Before(a.endsAt) {
 		return plan.Amount{}
 	}
-	return a.held()
+	held := a.held()
+	if a.overTokens {
+		held.Tokens = 0
+	}
+	if a.overRequests {
+		held.Requests = 0
+	}
+	return held
 }
 
 // lapse forgets a window. Its running requests stay charged to it.
@@ -134,11 +141,12 @@
 
 // low reports whether it is time to ask for more although nobody waits.
 func (a *account) low(now time.Time) bool {
-	if a.recall || a.left.Tokens <= 0 || now.Sub(a.askedAt) < askEvery {
+	if a.recall || now.Sub(a.askedAt) < askEvery {
 		return false
 	}
 	have, ahead := a.available(now), a.ahead(now)
-	return have.Tokens < ahead.Tokens/2 || have.Requests < ahead.Requests/2
+	tokens := a.left.Tokens > 0 && have.Tokens < ahead.Tokens/2
+	return tokens || a.left.Requests > 0 && have.Requests < ahead.Requests/2
 }
 
 // servable sums what the waiting requests cost and gives the least of them; it
@@ -202,8 +210,11 @@
 		keep = keep.Plus(cost)
 	}
 	surplus := have.Minus(keep)
-	if a.over {
-		surplus = a.held()
+	if a.overTokens {
+		surplus.Tokens = a.held().Tokens
+	}
+	if a.overRequests {
+		surplus.Requests = a.held().Requests
 	}
 	a.returned = a.returned.Plus(plan.Amount{Tokens: max(surplus.Tokens, 0), Requests: max(surplus.Requests, 0)})
 }
--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -328,7 +328,7 @@
 	a.endsAt = sent.Add(time.Duration(g.RemainingMS) * time.Millisecond)
 	a.slots, a.slotsLeft = g.Slots, g.SlotsLeft
 	a.left, a.outstanding, a.heardAt = g.Left, g.Outstanding, now
-	a.over, a.overSlots = g.Over, g.OverSlots
+	a.overTokens, a.overRequests, a.overSlots = g.OverTokens, g.OverRequests, g.OverSlots
 }
 
 // decide hands grants to those that wait, in order, and refuses at once those
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -142,7 +142,12 @@
 			t.Errorf("%s: %d requests admitted beyond the new allowance, outstanding %+v", tc.name, w.accepted-accepted, after.Outstanding)
 		}
 		w.tooMany = 0
+		accepted = w.accepted
+		w.request(w.vms[0], "booking", 0, 0, time.Second)
 		w.run(10 * time.Second)
+		if tc.tokens == 10_000 && w.accepted != accepted+1 {
+			t.Errorf("%s: a call that needs no tokens was refused", tc.name)
+		}
 		if w.tooMany > tc.concurrent || tc.concurrent == 4 && w.tooMany == 0 {
 			t.Errorf("%s: %d requests ran at once, %d allowed", tc.name, w.tooMany, tc.concurrent)
 		}
