--- a/internal/consensus/applier.go
+++ b/internal/consensus/applier.go
@@ -22,6 +22,7 @@
 	// trailingEntries stay in the log behind a snapshot, for members that are a
 	// little behind.
 	trailingEntries = 1024
+	trailingBytes   = 4 << 20
 	// maxBacklog bounds the committed entries that wait to be applied on a leader.
 	maxBacklog = 16384
 )
@@ -142,7 +143,7 @@
 }
 
 // wait returns once the entry index is applied.
-func (a *applier) wait(ctx context.Context, index uint64) error {
+func (a *applier) wait(ctx, closed context.Context, index uint64) error {
 	for {
 		a.mu.Lock()
 		moved := a.moved
@@ -154,6 +155,8 @@
 		case <-moved:
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-closed.Done():
+			return ErrClosed
 		}
 	}
 }
