relay, generation: own keeper without the codec; packed journals on keepers

Cause: a third of all writes on three VMs went through CBOR to the same process; a keeper held a string for each token, 16 bytes of header and its own allocation. Change: the link to the own VM calls the keeper; a keeper holds one text and its ends: 8 bytes a token and the text (before: 20 and the text).

--- a/internal/generation/journal.go
+++ b/internal/generation/journal.go
@@ -20,25 +20,6 @@
 // Len is the number of tokens.
 func (j *Journal) Len() int { return len(j.Tokens) }
 
-// bytes is about the memory that the tokens take: four for the id, the text, and
-// its string header.
-func (j *Journal) bytes() int64 {
-	const perToken = 4 + 16
-	size := int64(perToken * len(j.Tokens))
-	for _, t := range j.Texts {
-		size += int64(len(t))
-	}
-	return size
-}
-
-// Clone copies j, so that a message never shares memory with live state.
-func (j *Journal) Clone() Journal {
-	c := *j
-	c.Tokens = slices.Clone(j.Tokens)
-	c.Texts = slices.Clone(j.Texts)
-	return c
-}
-
 // Digest returns the prefix digest of the first n tokens.
 func (j *Journal) Digest(n int) uint64 {
 	var d uint64
@@ -57,3 +38,40 @@
 
 // End is the index after the span's last token.
 func (s *Span) End() int { return s.From + len(s.Tokens) }
+
+// packed is a journal as a keeper holds it: without a string for each token,
+// which would take more than the token and its text together.
+type packed struct {
+	tokens []int32
+	text   []byte
+	ends   []uint32 // of each token's text
+	finish string
+	usage  Usage
+}
+
+func (p *packed) len() int { return len(p.tokens) }
+
+func (p *packed) add(tokens []int32, texts []string) {
+	p.tokens = append(p.tokens, tokens...)
+	for _, t := range texts {
+		p.text = append(p.text, t...)
+		p.ends = append(p.ends, uint32(len(p.text)))
+	}
+}
+
+func (p *packed) unpack() Journal {
+	j := Journal{Tokens: slices.Clone(p.tokens), Texts: make([]string, 0, len(p.ends)), Finish: p.finish, Usage: p.usage}
+	text := string(p.text)
+	from := uint32(0)
+	for _, end := range p.ends {
+		j.Texts = append(j.Texts, text[from:end])
+		from = end
+	}
+	return j
+}
+
+// bytes is about the memory that the tokens take.
+func (p *packed) bytes() int64 {
+	const perToken = 4 + 4
+	return int64(perToken*len(p.tokens) + len(p.text))
+}
--- a/internal/generation/keeper.go
+++ b/internal/generation/keeper.go
@@ -1,9 +1,6 @@
 package generation
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Limits bound a keeper's memory. A full keeper refuses new journals; those it
 // holds may grow, and one that is taken over or re-placed may still come while
@@ -38,7 +35,7 @@
 	promised Epoch
 	accepted Epoch
 	request  *Request
-	journal  Journal
+	journal  packed
 	source   Source
 	touched  time.Time
 	bytes    int64
@@ -134,7 +131,7 @@
 	r.promised = p.Epoch
 	r.touched = now
 	reply := r.show(true, Accepted)
-	reply.Journal = r.journal.Clone()
+	reply.Journal = r.journal.unpack()
 	return reply
 }
 
@@ -142,7 +139,7 @@
 func (r *record) show(ok bool, refusal Refusal) PromiseReply {
 	reply := PromiseReply{
 		OK: ok, Refusal: refusal, Promised: r.promised, Found: r.request != nil,
-		Accepted: r.accepted, Request: r.request, Journal: Journal{Finish: r.journal.Finish},
+		Accepted: r.accepted, Request: r.request, Journal: Journal{Finish: r.journal.finish},
 	}
 	if r.source.Number > 0 {
 		source := r.source
@@ -179,7 +176,7 @@
 	case w.Install:
 		r.install(w)
 		k.resize(r)
-	case r.accepted != w.Epoch || w.Span.From > r.journal.Len():
+	case r.accepted != w.Epoch || w.Span.From > r.journal.len():
 		return refuse(NeedsInstall, r.promised)
 	default:
 		grown, err := r.extend(w)
@@ -191,7 +188,7 @@
 	}
 	r.promised, r.accepted, r.touched = w.Epoch, w.Epoch, now
 	return WriteReply{
-		ID: w.ID, Epoch: w.Epoch, Held: r.journal.Len(), Finished: r.journal.Finish != "",
+		ID: w.ID, Epoch: w.Epoch, Held: r.journal.len(), Finished: r.journal.finish != "",
 		Promised: r.promised, Source: r.source.Number, Touch: w.Touch,
 	}
 }
@@ -199,16 +196,12 @@
 // install replaces the journal whole, unless the same epoch already brought
 // more: messages may arrive late or twice.
 func (r *record) install(w Write) {
-	if r.accepted == w.Epoch && w.Span.End() <= r.journal.Len() {
+	if r.accepted == w.Epoch && w.Span.End() <= r.journal.len() {
 		return
 	}
 	r.request = w.Request
-	r.journal = Journal{
-		Tokens: slices.Clone(w.Span.Tokens),
-		Texts:  slices.Clone(w.Span.Texts),
-		Finish: w.Finish,
-		Usage:  w.Usage,
-	}
+	r.journal = packed{finish: w.Finish, usage: w.Usage}
+	r.journal.add(w.Span.Tokens, w.Span.Texts)
 	r.source = Source{}
 	if w.Source != nil {
 		r.source = *w.Source
@@ -217,27 +210,24 @@
 
 // extend adds tokens and returns the bytes that they take.
 func (r *record) extend(w Write) (int64, error) {
-	known := r.journal.Len() - w.Span.From
+	known := r.journal.len() - w.Span.From
 	for i := 0; i < known && i < len(w.Span.Tokens); i++ {
-		if r.journal.Tokens[w.Span.From+i] != w.Span.Tokens[i] {
+		if r.journal.tokens[w.Span.From+i] != w.Span.Tokens[i] {
 			return 0, &InvariantError{"a journal changed a token within one epoch"}
 		}
 	}
 	if w.Source != nil && w.Source.Number > r.source.Number {
 		r.source = *w.Source
 	}
-	var grown int64
+	before := r.journal.bytes()
 	if known < len(w.Span.Tokens) {
-		added := Journal{Tokens: w.Span.Tokens[known:], Texts: w.Span.Texts[known:]}
-		r.journal.Tokens = append(r.journal.Tokens, added.Tokens...)
-		r.journal.Texts = append(r.journal.Texts, added.Texts...)
-		grown = added.bytes()
+		r.journal.add(w.Span.Tokens[known:], w.Span.Texts[known:])
 	}
 	if w.Finish != "" {
-		r.journal.Finish = w.Finish
-		r.journal.Usage = w.Usage
+		r.journal.finish = w.Finish
+		r.journal.usage = w.Usage
 	}
-	return grown, nil
+	return r.journal.bytes() - before, nil
 }
 
 // Sweep forgets what nobody will ask for and returns how many unfinished
@@ -248,7 +238,7 @@
 		if now.Sub(r.touched) < k.keeps(r) {
 			continue
 		}
-		if r.request != nil && r.journal.Finish == "" {
+		if r.request != nil && r.journal.finish == "" {
 			abandoned++
 		}
 		k.bytes -= r.bytes
@@ -261,7 +251,7 @@
 	switch {
 	case r.request == nil:
 		return k.limits.PromiseKeep
-	case r.journal.Finish != "":
+	case r.journal.finish != "":
 		return k.limits.FinishedKeep
 	default:
 		return k.limits.AbandonKeep
--- a/internal/generation/machine_test.go
+++ b/internal/generation/machine_test.go
@@ -162,7 +162,7 @@
 		if h.owner.Replace(h.epoch, h.groups[0], replies) != nil {
 			return
 		}
-		best.Journal = h.owner.Journal().Clone()
+		best.Journal = *h.owner.Journal()
 	}
 	if best.Journal.Len() < len(c.released) || !slices.Equal(best.Journal.Tokens[:len(c.released)], c.released) {
 		c.t.Fatalf("%v found %v, but %v was released", h.epoch, best.Journal.Tokens, c.released)
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -77,7 +77,7 @@
 		runs: map[generation.RequestID]*Run{}, opening: map[generation.RequestID]*opening{},
 		keeper: generation.NewKeeper(cfg.Incarnation, cfg.Limits),
 	}
-	h.journals = newJournals(ctx, d.Transport)
+	h.journals = newJournals(ctx, d.Transport, cfg.VM, h.write)
 	h.recovery = newRecoverer(h)
 	d.Transport.Handle(peer.KindBlame, h.recovery.handleBlame)
 	d.Transport.Handle(peer.KindJournal, h.handleWrites)
--- a/internal/relay/journals.go
+++ b/internal/relay/journals.go
@@ -33,6 +33,8 @@
 type journals struct {
 	transport peer.Transport
 	ctx       context.Context
+	self      string
+	local     func(WriteBatch) WriteReplies // this VM's own keeper
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -46,8 +48,8 @@
 	wake  chan struct{}
 }
 
-func newJournals(ctx context.Context, t peer.Transport) *journals {
-	return &journals{transport: t, ctx: ctx, links: map[string]*link{}}
+func newJournals(ctx context.Context, t peer.Transport, self string, local func(WriteBatch) WriteReplies) *journals {
+	return &journals{transport: t, ctx: ctx, self: self, local: local, links: map[string]*link{}}
 }
 
 // mark notes that a run may have something for its keepers.
@@ -100,10 +102,7 @@
 	if len(runs) == 0 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(l.j.ctx, writeTimeout)
-	defer cancel()
-	var replies WriteReplies
-	err := l.j.transport.Call(ctx, l.vm, peer.KindJournal, batch, &replies)
+	replies, err := l.send(batch)
 	if err != nil || len(replies.Replies) != len(runs) {
 		l.retry(runs)
 		return true
@@ -116,6 +115,18 @@
 	return true
 }
 
+// send spares the own keeper the codec: it copies what it keeps.
+func (l *link) send(batch WriteBatch) (WriteReplies, error) {
+	if l.vm == l.j.self {
+		return l.j.local(batch), nil
+	}
+	ctx, cancel := context.WithTimeout(l.j.ctx, writeTimeout)
+	defer cancel()
+	var replies WriteReplies
+	err := l.j.transport.Call(ctx, l.vm, peer.KindJournal, batch, &replies)
+	return replies, err
+}
+
 func (l *link) take() ([]*Run, WriteBatch) {
 	l.mu.Lock()
 	marked := make([]*Run, 0, min(len(l.dirty), maxBatchWrites))
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -14,6 +14,11 @@
 	if err := peer.Unmarshal(body, &batch); err != nil {
 		return nil, err
 	}
+	return h.write(batch), nil
+}
+
+// write hands writes to this VM's keeper.
+func (h *Hub) write(batch WriteBatch) WriteReplies {
 	out := WriteReplies{Replies: make([]generation.WriteReply, 0, len(batch.Writes))}
 	now := time.Now()
 	h.keeperMu.Lock()
@@ -25,7 +30,7 @@
 		}
 		out.Replies = append(out.Replies, reply)
 	}
-	return out, nil
+	return out
 }
 
 func (h *Hub) handlePromise(_ context.Context, _ string, body []byte) (any, error) {
