--- /dev/null
+++ b/internal/generation/bench_test.go
@@ -0,0 +1,82 @@
+package generation
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+func benchOwner(b *testing.B) (*Owner, []*Keeper, Group) {
+	b.Helper()
+	group := Group{Newest: 1}
+	replies := NewReplies(nil, Membership{})
+	epoch := Epoch{Version: 1, Round: 1, VM: "vm1#abcdefgh"}
+	var keepers []*Keeper
+	for _, vm := range []string{"vm1", "vm2", "vm3", "vm4", "vm5"} {
+		id := KeeperID{vm, "life"}
+		k := NewKeeper(id.Incarnation, DefaultLimits(time.Minute))
+		replies.Add(id, k.Promise(Promise{ID: machineID, Epoch: epoch, To: id.Incarnation}, time.Time{}))
+		group.Keepers = append(group.Keepers, id)
+		keepers = append(keepers, k)
+	}
+	return NewOwner(Request{ID: machineID, Prompt: "unit 7 log"}, epoch, group, replies, Journal{}), keepers, group
+}
+
+// One token from the engine to its release: appended by the owner, written to
+// five keepers one by one, acknowledged by all.
+func BenchmarkAppendAndReplicate(b *testing.B) {
+	const length = 4096
+	now := time.Time{}
+	b.ReportAllocs()
+	var o *Owner
+	var keepers []*Keeper
+	var group Group
+	var attempt AttemptID
+	tokens, texts := []int32{7}, []string{" t7"}
+	for i := range b.N {
+		if i%length == 0 {
+			o, keepers, group = benchOwner(b)
+			attempt, _ = o.BeginAttempt()
+		}
+		if err := o.Append(attempt.Number, Span{From: i % length, Tokens: tokens, Texts: texts}, "", Usage{}); err != nil {
+			b.Fatal(err)
+		}
+		for k, id := range group.Keepers {
+			w, _ := o.Next(id.VM, 512)
+			if err := o.Ack(id.VM, keepers[k].Write(w, now)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if o.Released() != i%length+1 {
+			b.Fatal("not released")
+		}
+	}
+}
+
+// A batch of 64 journals with one token each, as it goes to one keeper: encoded
+// and decoded. The figure is per token.
+func BenchmarkBatchCodec(b *testing.B) {
+	const journals = 64
+	var batch []Write
+	for range journals {
+		batch = append(batch, Write{
+			ID: RequestID{"coop", "5f0c4e7a-diag"}, Epoch: Epoch{3, 17, "vm1#abcdefgh"}, To: "abcdefgh",
+			Span: Span{From: 512, Tokens: []int32{70123}, Texts: []string{" boiler"}},
+		})
+	}
+	b.ReportAllocs()
+	bytes := 0
+	for range b.N / journals {
+		data, err := cbor.Marshal(batch)
+		if err != nil {
+			b.Fatal(err)
+		}
+		bytes = len(data)
+		var out []Write
+		if err := cbor.Unmarshal(data, &out); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes)/journals, "wire-B/token")
+}
--- /dev/null
+++ b/internal/peer/network_test.go
@@ -0,0 +1,244 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+)
+
+const testToken = "shared"
+
+// pair is two VMs on loopback; a calls b.
+type pair struct {
+	a, b  *peer.Network
+	serve *httptest.Server
+	addr  string // of b, as a sees it
+}
+
+func newPair(t *testing.T, tokenOfA string) *pair {
+	t.Helper()
+	p := &pair{}
+	addr := func(string) (string, bool) { return p.addr, true }
+	p.a = peer.NewNetwork("a", tokenOfA, addr, zerolog.Nop())
+	p.b = peer.NewNetwork("b", testToken, addr, zerolog.Nop())
+	p.serve = httptest.NewServer(p.b)
+	p.addr = p.serve.Listener.Addr().String()
+	t.Cleanup(func() {
+		p.a.Close()
+		p.b.Close()
+		p.serve.Close()
+	})
+	return p
+}
+
+func call(n *peer.Network, vm string, kind peer.Kind, body, reply any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return n.Call(ctx, vm, kind, body, reply)
+}
+
+// What a handler returns reaches the calling VM in the same form whether it runs
+// there or here: a value, a coded error, any other error, or a panic, which must
+// fail that call alone.
+func TestHandlerOutcomes(t *testing.T) {
+	p := newPair(t, testToken)
+	for _, n := range []*peer.Network{p.a, p.b} {
+		n.Handle(peer.KindFollow, func(_ context.Context, _ string, body []byte) (any, error) {
+			var what string
+			if err := peer.Unmarshal(body, &what); err != nil {
+				return nil, err
+			}
+			switch what {
+			case "coded":
+				return nil, result.New(result.KeepersUnavail)
+			case "plain":
+				return nil, errors.New("plain")
+			case "panic":
+				panic("broken")
+			}
+			return what + "!", nil
+		})
+	}
+	for _, vm := range []string{"b", "a"} {
+		for what, code := range map[string]result.Code{
+			"coded": result.KeepersUnavail, "plain": 0, "panic": result.InvariantBroken,
+		} {
+			var remote *peer.RemoteError
+			if err := call(p.a, vm, peer.KindFollow, what, nil); !errors.As(err, &remote) || remote.Code != int(code) {
+				t.Errorf("%s on %s: %v", what, vm, err)
+			}
+		}
+		var reply string
+		if err := call(p.a, vm, peer.KindFollow, "fine", &reply); err != nil || reply != "fine!" {
+			t.Errorf("after the panic on %s: %q, %v", vm, reply, err)
+		}
+	}
+	if err := call(p.a, "b", peer.KindAdopt, 1, nil); err == nil {
+		t.Error("a kind without handler was answered")
+	}
+}
+
+// Somebody without the VMs' shared token, or a VM of another protocol version,
+// must not reach a handler.
+func TestStrangersAreRefused(t *testing.T) {
+	p := newPair(t, "guess")
+	p.b.Handle(peer.KindFollow, func(context.Context, string, []byte) (any, error) {
+		t.Error("a stranger reached a handler")
+		return nil, nil
+	})
+	if err := call(p.a, "b", peer.KindFollow, 1, nil); !errors.Is(err, peer.ErrUnreachable) {
+		t.Errorf("wrong token: %v", err)
+	}
+	ws, resp, err := websocket.DefaultDialer.Dial("ws://"+p.addr+peer.Path, map[string][]string{"Authorization": {"Bearer " + testToken}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	defer ws.Close()
+	hello, _ := peer.Marshal(map[int]any{1: peer.ProtocolVersion + 1, 2: "a"})
+	if err := ws.WriteMessage(websocket.BinaryMessage, hello); err != nil {
+		t.Fatal(err)
+	}
+	_ = ws.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, _, err := ws.ReadMessage(); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Errorf("another protocol version was kept: %v", err)
+	}
+}
+
+// The link to a VM goes silent without a reset, as in a partition, and calls are
+// under way on it. They fail in bounded time though they have no deadline of
+// their own that short, and calls go through once the link is back.
+func TestSilentLinkIsNoticed(t *testing.T) {
+	p := newPair(t, testToken)
+	p.b.Handle(peer.KindFollow, func(context.Context, string, []byte) (any, error) { return 1, nil })
+	r := newRelay(t, p.addr)
+	p.addr = r.addr
+	if err := call(p.a, "b", peer.KindFollow, 1, nil); err != nil {
+		t.Fatal(err)
+	}
+	r.hold()
+	began := time.Now()
+	err := call(p.a, "b", peer.KindFollow, 1, nil)
+	if took := time.Since(began); !errors.Is(err, peer.ErrUnreachable) || took > 5*time.Second {
+		t.Errorf("after %v: %v", took, err)
+	}
+	r.release()
+	for try := 0; ; try++ {
+		if err = call(p.a, "b", peer.KindFollow, 1, nil); err == nil {
+			break
+		}
+		if time.Since(began) > 9*time.Second {
+			t.Fatalf("the link is back, %d calls failed: %v", try, err)
+		}
+	}
+}
+
+// A VM that answers nothing gets more calls than it will serve at once. The
+// caller is told so immediately instead of queueing without bound, and calls
+// of others pass.
+func TestCallsAreBounded(t *testing.T) {
+	p := newPair(t, testToken)
+	block := make(chan struct{})
+	p.b.Handle(peer.KindFollow, func(ctx context.Context, _ string, _ []byte) (any, error) {
+		select {
+		case <-block:
+		case <-ctx.Done():
+		}
+		return nil, nil
+	})
+	const calls = 2000
+	var wg sync.WaitGroup
+	failed := make(chan error, calls)
+	for range calls {
+		wg.Go(func() {
+			if err := call(p.a, "b", peer.KindFollow, 1, nil); err != nil {
+				failed <- err
+			}
+		})
+	}
+	select {
+	case err := <-failed:
+		if !strings.Contains(fmt.Sprint(err), peer.ErrQueueFull.Error()) {
+			t.Errorf("the refusal says %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("2000 calls are held")
+	}
+	close(block)
+	wg.Wait()
+}
+
+// relay forwards one way to an address until it is held: then it swallows
+// everything without closing, as a partition does.
+type tcpRelay struct {
+	addr string
+	mu   sync.Mutex
+	held bool
+}
+
+func newRelay(t *testing.T, to string) *tcpRelay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	r := &tcpRelay{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			up, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = c.Close()
+				continue
+			}
+			go r.copy(up, c)
+			go r.copy(c, up)
+		}
+	}()
+	return r
+}
+
+func (r *tcpRelay) copy(to, from net.Conn) {
+	defer to.Close()
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		held := r.held
+		r.mu.Unlock()
+		if held {
+			continue
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (r *tcpRelay) hold()    { r.set(true) }
+func (r *tcpRelay) release() { r.set(false) }
+
+func (r *tcpRelay) set(held bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held = held
+}
