--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/gateway"
+	"github.com/amaranthshelf/amaranthshelf/internal/operator"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
@@ -47,17 +48,20 @@
 	engines     *engine.Client
 	explain     *explain.Ring
 
-	network *peer.Network
-	machine *control.Machine
-	control control.Client
-	hub     *relay.Hub
-	members *members
-	router  *router
-
+	network     *peer.Network
+	machine     *control.Machine
+	control     control.Client
+	feed        *control.Feed
+	group       *control.Group // nil on a VM without the control role
+	failure     chan error
+	hub         *relay.Hub
+	members     *members
+	router      *router
 	admission   *admitter
 	stopPolling context.CancelFunc
 	plans       *plans
 	ready       atomic.Bool
+	explainer   *operator.Explainer
 
 	draining atomic.Bool   // shutting down: the entry answers leave this VM out
 	leaving  chan struct{} // closed once the generations are handed over
@@ -72,7 +76,7 @@
 	n := &Node{
 		s: s, log: log, metrics: telemetry.Metrics(s.Self.ID), tracer: tracer,
 		incarnation: rand.Text()[:8], engines: engine.NewClient(), explain: explain.NewRing(explain.DefaultRequests),
-		leaving: make(chan struct{}),
+		leaving: make(chan struct{}), failure: make(chan error, 1),
 	}
 	for _, b := range []struct {
 		l    *net.Listener
@@ -101,6 +105,7 @@
 	n.startMembers()
 	n.startControl()
 	n.startPlans()
+	n.startExplain()
 	n.startRouting()
 	n.startAdmission()
 	n.startGenerations()
@@ -108,6 +113,7 @@
 	n.startCallers()
 	n.startOperators()
 	n.startPeers()
+	n.runControl()
 	n.ready.Store(true)
 }
 
@@ -116,6 +122,7 @@
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
+	n.explainer.CallerRoutes(r, n.plans.Directory)
 	n.serve(n.callers, r)
 }
 
@@ -140,6 +147,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	r.Handle("/debug/vars", expvar.Handler())
+	n.addOperatorRoutes(r)
 	return r
 }
 
@@ -163,8 +171,10 @@
 	for _, s := range n.servers {
 		_ = s.Close()
 	}
+	n.plans.cancel()
 	n.stopPolling()
 	n.network.Close()
+	n.stopControl()
 	n.hub.Close()
 }
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -26,7 +26,9 @@
 	for _, s := range n.servers {
 		errs = append(errs, s.Shutdown(ctx))
 	}
+	n.plans.cancel()
 	n.stopPolling()
+	n.stopControl()
 	n.network.Close()
 	n.hub.Close()
 	return errors.Join(append(errs, n.tracer.Close(context.WithoutCancel(ctx)))...)
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -72,6 +72,11 @@
 // setLimit takes the allowance in force. A lowered one recalls grants.
 func (a *account) setLimit(limit plan.Allowance) bool {
 	lower := !a.limit.Limit().Within(limit.Limit()) || limit.Concurrent < a.limit.Concurrent
+	if a.limit.Limit() != limit.Limit() || a.limit.Concurrent != limit.Concurrent {
+		// What the ledger told counted by the old allowance: a refusal by it would
+		// contradict a change that the operator was told is in force.
+		a.heardAt = time.Time{}
+	}
 	a.limit = limit
 	if lower {
 		a.recall, a.changed = true, true
--- a/internal/relay/attach.go
+++ b/internal/relay/attach.go
@@ -9,6 +9,8 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+
+	"go.opentelemetry.io/otel/attribute"
 )
 
 // attachOverlap is how many tokens of the journal a new owner reads again from
@@ -30,6 +32,7 @@
 	}
 	r.source = nil
 	id, from := r.beginAttach(*src)
+	span := r.hub.span(r.Request(), "attempt", attribute.String("engine", src.Backend), attribute.Int("from", from), attribute.Bool("attached", true))
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream := r.hub.recovery.begin(src.Backend)
@@ -42,6 +45,7 @@
 		}
 		return err
 	})
+	endSpan(span, err)
 	if err == nil {
 		r.hub.metrics.Add("attached", 1)
 		return true
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -24,7 +24,9 @@
 	if r.hub.admission == nil {
 		return nil
 	}
+	span := r.hub.span(r.Request(), "admission")
 	ticket, err := r.hub.admission.Enter(r.Request(), accepted)
+	endSpan(span, err)
 	r.ticket = ticket
 	if err != nil {
 		r.charge()
@@ -45,6 +47,9 @@
 	}
 	settle, err := r.hub.quota.Reserve(ctx, r.Request())
 	r.settle = settle
+	if err != nil {
+		r.hub.note(r.Request().ID, explain.Refused, err.Error())
+	}
 	return err
 }
 
