--- a/internal/relay/owner_test.go
+++ b/internal/relay/owner_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/relay"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 )
 
@@ -326,3 +329,41 @@
 		}
 	})
 }
+
+// A keeper finds that a write would change a token that it holds: memory is
+// damaged somewhere, or this program is wrong. That one answer stops with its
+// own code and is counted; the caller beside it notices nothing.
+func TestBrokenInvariantStopsOneAnswer(t *testing.T) {
+	inBubble(t, 5, 2, func(s *system) {
+		for _, link := range s.links {
+			link.Handle(peer.KindJournal, damagedKeeper)
+		}
+		hurt, beside := s.caller("k0"), s.caller("k1")
+		if err := hurt.read("vm0", testTokens); result.CodeOf(err) != result.InvariantBroken {
+			t.Errorf("the damaged answer ended with %v", err)
+		}
+		beside.finishOn("vm0")
+		if s.count("invariants_broken") == 0 {
+			t.Error("the broken invariant was not counted")
+		}
+	})
+}
+
+// damagedKeeper refuses what follows the tenth token of one answer.
+func damagedKeeper(_ context.Context, _ string, body []byte) (any, error) {
+	var batch relay.WriteBatch
+	if err := peer.Unmarshal(body, &batch); err != nil {
+		return nil, err
+	}
+	var out relay.WriteReplies
+	for _, w := range batch.Writes {
+		reply := generation.WriteReply{
+			ID: w.ID, Epoch: w.Epoch, Promised: w.Epoch, Held: w.Span.End(), Finished: w.Finish != "", Touch: w.Touch, Source: 1,
+		}
+		if w.ID.Key == "k0" && w.Span.End() > 10 {
+			reply.Refusal = generation.Broken
+		}
+		out.Replies = append(out.Replies, reply)
+	}
+	return out, nil
+}
--- a/internal/relay/system_test.go
+++ b/internal/relay/system_test.go
@@ -38,6 +38,7 @@
 	views   []generation.Membership // newest first
 	hubs    map[string]*relay.Hub
 	metrics map[string]*expvar.Map
+	links   map[string]*peertest.Transport
 	engines []*standin.Engine
 	running map[int]int
 	only    int // where Pick sends everything; below 0: anywhere
@@ -49,7 +50,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &system{
-			t: t, net: peertest.New(1), hubs: map[string]*relay.Hub{}, metrics: map[string]*expvar.Map{}, running: map[int]int{}, only: -1,
+			t: t, net: peertest.New(1), hubs: map[string]*relay.Hub{}, metrics: map[string]*expvar.Map{}, links: map[string]*peertest.Transport{}, running: map[int]int{}, only: -1,
 		}
 		s.net.SetDelay(time.Millisecond, 2*time.Millisecond)
 		for i := range engines {
@@ -83,15 +84,16 @@
 
 func (s *system) start(c generation.Candidate) {
 	m := new(expvar.Map).Init()
+	link := s.net.VM(c.VM)
 	h := relay.NewHub(relay.Config{
 		VM: c.VM, Epoch: c.VM + "#" + c.Incarnation, Incarnation: c.Incarnation, OpenTimeout: 4 * time.Second,
 		SilenceLimit: time.Second, CallerKeep: callerKeep, DetachKeep: 6 * time.Second,
 		Limits: generation.DefaultLimits(callerKeep),
 	}, relay.Deps{
-		Transport: s.net.VM(c.VM), Members: s, Engines: &wire{s, c.VM}, Router: s, Log: zerolog.Nop(), Metrics: m,
+		Transport: link, Members: s, Engines: &wire{s, c.VM}, Router: s, Log: zerolog.Nop(), Metrics: m,
 	})
 	s.mu.Lock()
-	s.hubs[c.VM], s.metrics[c.VM] = h, m
+	s.hubs[c.VM], s.metrics[c.VM], s.links[c.VM] = h, m, link
 	s.mu.Unlock()
 }
 
