relay: a token marks its links without locks; batches are bounded in bytes

Cause: each token took one global lock and a map entry for each of five links; a batch was bounded in journals only, so that many installations of long prompts made a frame that the other VM must refuse, for ever; a batch that had nothing to write left the rest of the queue waiting for the next token. Change: a run keeps its places on the links; one that is due costs an atomic load. Batches end at 1 MB.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -111,6 +111,8 @@
 		return result.Newf(result.InvalidField, "prompt or prompt_token_ids is missing")
 	case b.Prompt != "" && len(b.PromptIDs) > 0:
 		return result.Newf(result.InvalidField, "prompt and prompt_token_ids exclude each other")
+	case len(b.PromptIDs) > maxTokensLimit:
+		return result.Newf(result.InvalidField, "prompt_token_ids may have at most %d", maxTokensLimit)
 	case b.MaxTokens < 1 || b.MaxTokens > maxTokensLimit:
 		return result.Newf(result.InvalidField, "max_tokens must be 1 to %d", maxTokensLimit)
 	case b.Priority < 0:
--- a/internal/generation/messages.go
+++ b/internal/generation/messages.go
@@ -43,6 +43,16 @@
 	Touch   uint64    `cbor:"11,keyasint,omitempty"` // echoed
 }
 
+// Size is about the write's size in bytes when it is encoded.
+func (w *Write) Size() int {
+	const head, perToken = 100, 10
+	size := head + perToken*len(w.Span.Tokens)
+	if w.Request != nil {
+		size += len(w.Request.Prompt) + 5*len(w.Request.PromptIDs)
+	}
+	return size
+}
+
 // WriteReply answers a Write. Held, Finished and Source are what the keeper
 // holds under the write's epoch.
 type WriteReply struct {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -70,7 +70,7 @@
 // Decoder limits: a frame from a broken or hostile sender must not make the
 // decoder build huge or deep values before its content is looked at.
 const (
-	maxFrameBytes    = 8 << 20
+	maxFrameBytes    = 32 << 20 // a journal's installation: a body and a million tokens
 	maxArrayElements = 1 << 20
 	maxMapPairs      = 1 << 16
 	maxNesting       = 16
--- a/internal/relay/journals.go
+++ b/internal/relay/journals.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
@@ -17,6 +19,7 @@
 	retryPause     = 50 * time.Millisecond
 	maxWriteTokens = 512
 	maxBatchWrites = 256
+	maxBatchBytes  = 1 << 20 // and one write more; installations carry whole prompts
 )
 
 // WriteBatch carries the writes of many journals to one keeper.
@@ -40,22 +43,40 @@
 	links map[string]*link
 }
 
+// link carries the writes to one keeper, one batch at a time.
 type link struct {
-	j     *journals
-	vm    string
-	mu    sync.Mutex
-	dirty map[*Run]struct{}
-	wake  chan struct{}
+	j    *journals
+	vm   string
+	mu   sync.Mutex
+	due  []*target
+	wake chan struct{}
+}
+
+// target is one run's place on one link. A run that is due already costs the
+// next token one atomic load.
+type target struct {
+	run  *Run
+	link *link
+	due  atomic.Bool
 }
 
 func newJournals(ctx context.Context, t peer.Transport, self string, local func(WriteBatch) WriteReplies) *journals {
 	return &journals{transport: t, ctx: ctx, self: self, local: local, links: map[string]*link{}}
 }
 
+// targets are a run's places on the links to its keepers.
+func (j *journals) targets(r *Run, keepers []generation.KeeperID) *[]*target {
+	out := make([]*target, 0, len(keepers))
+	for _, k := range keepers {
+		out = append(out, &target{run: r, link: j.link(k.VM)})
+	}
+	return &out
+}
+
 // mark notes that a run may have something for its keepers.
 func (j *journals) mark(r *Run) {
-	for _, vm := range r.keepers() {
-		j.link(vm).mark(r)
+	for _, t := range *r.targets.Load() {
+		t.mark()
 	}
 }
 
@@ -64,16 +85,20 @@
 	defer j.mu.Unlock()
 	l := j.links[vm]
 	if l == nil {
-		l = &link{j: j, vm: vm, dirty: map[*Run]struct{}{}, wake: make(chan struct{}, 1)}
+		l = &link{j: j, vm: vm, wake: make(chan struct{}, 1)}
 		j.links[vm] = l
 		go l.loop()
 	}
 	return l
 }
 
-func (l *link) mark(r *Run) {
+func (t *target) mark() {
+	if t.due.Load() || !t.due.CompareAndSwap(false, true) {
+		return
+	}
+	l := t.link
 	l.mu.Lock()
-	l.dirty[r] = struct{}{}
+	l.due = append(l.due, t)
 	l.mu.Unlock()
 	select {
 	case l.wake <- struct{}{}:
@@ -98,18 +123,19 @@
 
 // flush sends one batch and reports whether there may be more.
 func (l *link) flush() bool {
-	runs, batch := l.take()
-	if len(runs) == 0 {
-		return false
+	marked := l.take()
+	targets, batch := collect(marked)
+	if len(targets) == 0 {
+		return len(marked) > 0
 	}
 	replies, err := l.send(batch)
-	if err != nil || len(replies.Replies) != len(runs) {
-		l.retry(runs)
+	if err != nil || len(replies.Replies) != len(targets) {
+		l.retry(targets)
 		return true
 	}
-	for i, r := range runs {
-		if r.ack(l.vm, replies.Replies[i]) {
-			l.mark(r)
+	for i, t := range targets {
+		if t.run.ack(l.vm, replies.Replies[i]) {
+			t.mark()
 		}
 	}
 	return true
@@ -127,36 +153,47 @@
 	return replies, err
 }
 
-func (l *link) take() ([]*Run, WriteBatch) {
+func (l *link) take() []*target {
 	l.mu.Lock()
-	marked := make([]*Run, 0, min(len(l.dirty), maxBatchWrites))
-	for r := range l.dirty {
-		if len(marked) == maxBatchWrites {
-			break
-		}
-		marked = append(marked, r)
-		delete(l.dirty, r)
-	}
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	n := min(len(l.due), maxBatchWrites)
+	out := slices.Clone(l.due[:n])
+	l.due = slices.Delete(l.due, 0, n)
+	return out
+}
+
+// collect gathers the writes of one batch. What would make the frame too large
+// is marked again for the next one. A run is no longer due before its write is
+// made: a token that comes in between marks it again.
+func collect(marked []*target) ([]*target, WriteBatch) {
 	var batch WriteBatch
-	runs := marked[:0]
-	for _, r := range marked {
-		if w, ok := r.next(l.vm); ok {
-			runs = append(runs, r)
-			batch.Writes = append(batch.Writes, w)
+	targets := make([]*target, 0, len(marked))
+	size := 0
+	for _, t := range marked {
+		t.due.Store(false)
+		if size >= maxBatchBytes {
+			t.mark()
+			continue
+		}
+		w, ok := t.run.next(t.link.vm)
+		if !ok {
+			continue
 		}
+		size += w.Size()
+		targets = append(targets, t)
+		batch.Writes = append(batch.Writes, w)
 	}
-	return runs, batch
+	return targets, batch
 }
 
-func (l *link) retry(runs []*Run) {
+func (l *link) retry(targets []*target) {
 	timer := time.NewTimer(retryPause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-l.j.ctx.Done():
 	}
-	for _, r := range runs {
-		l.mark(r)
+	for _, t := range targets {
+		t.mark()
 	}
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -45,6 +46,8 @@
 	settle func(ran bool, tokens int) // nil: nothing was reserved here
 	source *generation.Source         // stream that the former owner left; used by drive alone
 
+	targets atomic.Pointer[[]*target] // where its writes go
+
 	mu         sync.Mutex
 	owner      *generation.Owner
 	changed    chan struct{}
@@ -64,11 +67,13 @@
 }
 
 func newRun(h *Hub, owner *generation.Owner) *Run {
-	return &Run{
+	r := &Run{
 		hub: h, owner: owner, changed: make(chan struct{}), digests: []uint64{0}, vacant: time.Now(),
 		seenVersion: owner.Epoch.Version,
 		log:         h.log.With().Str("request_id", owner.Request.ID.Key).Str("workspace", owner.Request.ID.Workspace).Logger(),
 	}
+	r.targets.Store(h.journals.targets(r, owner.Group().Keepers))
+	return r
 }
 
 // Request is the request as it was accepted.
--- a/internal/relay/tend.go
+++ b/internal/relay/tend.go
@@ -147,6 +147,7 @@
 	r.mu.Lock()
 	r.seenVersion = o.newest.Version
 	r.mu.Unlock()
+	r.targets.Store(r.hub.journals.targets(r, o.groups[0].Keepers))
 	r.hub.metrics.Add("replacements", 1)
 	r.hub.journals.mark(r)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -218,7 +218,7 @@
 			"caller_keep":     duration(&s.CallerKeep, time.Second, time.Hour),
 			"drain_timeout":   duration(&s.DrainTimeout, time.Second, time.Hour),
 			"entry_ttl":       duration(&s.EntryTTL, time.Second, time.Minute),
-			"max_body_bytes":  integer(&s.MaxBodyBytes, 1<<10, 64<<20),
+			"max_body_bytes":  integer(&s.MaxBodyBytes, 1<<10, 16<<20),
 		},
 		"log": {
 			"level":      oneOf(&s.LogLevel, "debug", "info", "warn", "error"),
