--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -27,6 +27,7 @@
 		addExplain,
 		addConfig,
 		addDemo,
+		addExperiment,
 		addLoad,
 		addMeasure,
 		addStandin,
