--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/service"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
 )
@@ -61,6 +62,7 @@
 	admission   *admitter
 	stopPolling context.CancelFunc
 	plans       *plans
+	services    *service.Dispatcher
 	ready       atomic.Bool
 	explainer   *operator.Explainer
 
@@ -106,6 +108,7 @@
 	n.startMembers()
 	n.startControl()
 	n.startPlans()
+	n.startServices()
 	n.startExplain()
 	n.startRouting()
 	n.startAdmission()
@@ -123,6 +126,7 @@
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
+	n.serviceRoutes(gw, r)
 	n.explainer.CallerRoutes(r, n.plans.Directory)
 	n.serve(n.callers, r)
 }
@@ -145,6 +149,10 @@
 			result.WriteHTTP(w, "", result.New(result.ShuttingDown))
 			return
 		}
+		if !n.feed.Fresh() {
+			result.WriteHTTP(w, "", result.New(result.NotFresh))
+			return
+		}
 		w.WriteHeader(http.StatusNoContent)
 	})
 	r.Handle("/debug/vars", expvar.Handler())
