control: list the members, take a lost VM's vote

Cause: a control VM that is replaced under another id left a vote behind that counted against every majority. Change: GET /v1/control, DELETE /v1/control/{vm}, amaranthshelf control list and remove; safe to resend.

--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -24,6 +24,7 @@
 		addPlan,
 		addAllowance,
 		addStatus,
+		addControl,
 		addExplain,
 		addConfig,
 		addDemo,
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -419,25 +419,34 @@
 	}
 }
 
-// Remove takes the vote from the members of a VM that will not come back.
+// Remove takes, on the leader, the vote from the member on a VM that will not
+// come back, and returns once the change is committed. ErrNoMember: there is
+// none. ErrConfigBusy: try again, another change is under way.
 func (n *Node) Remove(ctx context.Context, vm string) error {
-	done := make(chan error, 1)
+	type answer struct {
+		index uint64
+		err   error
+	}
+	done := make(chan answer, 1)
 	f := func() {
 		for _, id := range n.core.Config().Members() {
 			if id.VM() == vm {
-				_, _, err := n.core.ProposeChange(Change{Remove, id})
-				done <- err
+				index, _, err := n.core.ProposeChange(Change{Remove, id})
+				done <- answer{index, err}
 				return
 			}
 		}
-		done <- fmt.Errorf("%w: no member on %s", ErrBadChange, vm)
+		done <- answer{err: fmt.Errorf("%w: %s", ErrNoMember, vm)}
 	}
 	if err := n.do(ctx, f); err != nil {
 		return err
 	}
 	select {
-	case err := <-done:
-		return err
+	case a := <-done:
+		if a.err != nil {
+			return a.err
+		}
+		return n.WaitApplied(ctx, a.index)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -91,6 +91,7 @@
 	ErrConfigBusy     = errors.New("consensus: another membership change is under way")
 	ErrBadChange      = errors.New("consensus: membership change does not apply")
 	ErrOutcomeUnknown = errors.New("consensus: leadership lost before the outcome was known")
+	ErrNoMember       = errors.New("consensus: no member on this VM")
 	ErrClosed         = errors.New("consensus: closed")
 )
 
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -71,17 +71,17 @@
 
 // MemberStats are a control VM's metrics.
 type MemberStats struct {
-	Member   string   `json:"member"`
-	Role     string   `json:"role"`
-	Term     uint64   `json:"term"`
-	Commit   uint64   `json:"commit"`
-	Applied  uint64   `json:"applied"`
-	Last     uint64   `json:"last"`
-	Snapshot uint64   `json:"snapshot"`
-	Voters   []string `json:"voters"`
-	Learners []string `json:"learners"`
+	Member   string   `cbor:"1,keyasint" json:"member"`
+	Role     string   `cbor:"2,keyasint" json:"role"`
+	Term     uint64   `cbor:"3,keyasint" json:"term"`
+	Commit   uint64   `cbor:"4,keyasint" json:"commit"`
+	Applied  uint64   `cbor:"5,keyasint" json:"applied"`
+	Last     uint64   `cbor:"6,keyasint" json:"last"`
+	Snapshot uint64   `cbor:"7,keyasint" json:"snapshot"`
+	Voters   []string `cbor:"8,keyasint" json:"voters"`
+	Learners []string `cbor:"9,keyasint" json:"learners"`
 	// Behind is, on the leader, how many entries each other member lacks.
-	Behind map[string]uint64 `json:"behind,omitempty"`
+	Behind map[string]uint64 `cbor:"10,keyasint" json:"behind,omitempty"`
 }
 
 // Stats returns the member's metrics.
@@ -132,14 +132,34 @@
 	case opWatched:
 		return g.watched(ctx, q), nil
 	case opRemove:
-		if err := g.node.Remove(ctx, q.VM); err != nil {
-			return reply{Status: statusRefused, Error: err.Error()}, nil
-		}
-		return reply{Status: statusOK}, nil
+		return g.remove(ctx, q.VM), nil
+	case opMembers:
+		return g.members(), nil
 	}
 	return reply{Status: statusRefused, Error: "control: unknown operation"}, nil
 }
 
+func (g *Group) remove(ctx context.Context, vm string) reply {
+	err := g.node.Remove(ctx, vm)
+	switch {
+	case err == nil, errors.Is(err, consensus.ErrNoMember):
+		return reply{Status: statusOK}
+	case errors.Is(err, consensus.ErrBadChange):
+		return reply{Status: statusRefused, Error: err.Error()}
+	case errors.Is(err, consensus.ErrNotLeader):
+		return reply{Status: statusNotLeader, Leader: g.node.Leader()}
+	}
+	return reply{Status: statusBusy}
+}
+
+func (g *Group) members() reply {
+	body, err := peer.Marshal(g.Stats())
+	if err != nil {
+		return reply{Status: statusRefused, Error: err.Error()}
+	}
+	return reply{Status: statusOK, Body: body}
+}
+
 // propose stamps the group's clock. It never goes back, whatever the new
 // leader's clock says, since Machine takes the larger of both.
 func (g *Group) propose(ctx context.Context, q request) reply {
--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -33,6 +33,7 @@
 	opInForce op = 3
 	opRemove  op = 4
 	opWatched op = 5 // a voter's batch of polls, to the leader
+	opMembers op = 6
 )
 
 type request struct {
@@ -116,12 +117,23 @@
 	return r.view.catchUp(ctx, out.Index, out.Versions)
 }
 
-// Remove takes the vote from a control VM that will not come back.
+// Remove takes the vote from a control VM that will not come back. It succeeds
+// where the VM has none, so that a resend after a lost answer does too.
 func (r *Remote) Remove(ctx context.Context, vm string) error {
 	_, err := r.ask(ctx, request{Op: opRemove, VM: vm})
 	return err
 }
 
+// Members returns the group as its leader sees it.
+func (r *Remote) Members(ctx context.Context) (MemberStats, error) {
+	var s MemberStats
+	out, err := r.ask(ctx, request{Op: opMembers})
+	if err != nil {
+		return s, err
+	}
+	return s, peer.Unmarshal(out.Body, &s)
+}
+
 // ask sends a request to the leader, looking for it where necessary, until it is
 // answered or ctx ends.
 func (r *Remote) ask(ctx context.Context, q request) (reply, error) {
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -1,10 +1,12 @@
 package node_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/client"
+	"github.com/amaranthshelf/amaranthshelf/internal/control"
 )
 
 // Each VM in turn leads the control group or not; one of them is killed. An
@@ -39,3 +41,22 @@
 		}
 	}
 }
+
+// A control VM is lost for good and its id with it. Until it is removed it counts
+// against the majority; then the two that are left decide alone. The operator's
+// answer may be lost: the resend finds the same group.
+func TestLostControlVMIsRemoved(t *testing.T) {
+	s := start(t)
+	operators := client.NewOperator([]string{s.Nodes[1].OperatorAddr(), s.Nodes[2].OperatorAddr()}, "", "test")
+	s.Nodes[0].Kill()
+	for range 2 {
+		raw, err := operators.RemoveControl(t.Context(), s.Nodes[0].Self().ID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var group control.MemberStats
+		if err := json.Unmarshal(raw, &group); err != nil || len(group.Voters) != 2 {
+			t.Errorf("%s: %v", raw, err)
+		}
+	}
+}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -24,7 +24,7 @@
 	n.network.Handle(peer.KindQuery, n.handleQuery)
 	operator.New(operator.Deps{
 		Token: n.s.OperatorToken, VM: n.s.Self.ID, Control: n.control, Lists: n, InForce: n,
-		Transport: n.network, VMs: n.vmIDs, Self: n.status, Explain: n.explainer, Log: n.log,
+		Transport: n.network, VMs: n.vmIDs, Self: n.status, Explain: n.explainer, Group: n.remote, Log: n.log,
 	}).Routes(r)
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -55,6 +55,7 @@
 	VMs       func() []string // every VM of the system
 	Self      func() VMStatus
 	Explain   *Explainer
+	Group     Group
 	Log       zerolog.Logger
 }
 
@@ -81,6 +82,8 @@
 	}
 	handle("/v1/status", a.status, http.MethodGet)
 	handle("/v1/explain/{request}", a.explain, http.MethodGet)
+	handle("/v1/control", a.members, http.MethodGet)
+	handle("/v1/control/{vm}", a.removeMember, http.MethodDelete)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		result.WriteHTTP(w, "", result.New(result.NotFound))
 	})
