--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -395,6 +395,63 @@
 	})
 }
 
+func (v *vm) items() []string {
+	var out []string
+	v.machine.Read(PartPlans, func(p Part) { out = slices.Clone(p.(*list).items) })
+	return out
+}
+
+// More changes than a log keeps: the voters take snapshots and compact. A VM with
+// a new disk gets the state by a snapshot in chunks; another restarts from its
+// own. Both hold every change, and both answer a retry of an old envelope as the
+// first time: the replies are part of the state.
+func TestSnapshotCarriesEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, 1)
+		defer c.stop()
+		retried := Envelope{Part: PartPlans, ID: "retried", AtMS: 1, Body: []byte{0x61, 'x'}}
+		entry, err := peer.Marshal(retried)
+		if err != nil {
+			t.Fatal(err)
+		}
+		leader := c.vms[c.leader()]
+		first, err := leader.group.node.Propose(t.Context(), entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const workers, each = 100, 100
+		var wg sync.WaitGroup
+		for w := range workers {
+			wg.Go(func() {
+				for i := range each {
+					c.propose("router1", fmt.Sprintf("%100d-%d", w, i))
+				}
+			})
+		}
+		wg.Wait()
+		var behind []string
+		for _, id := range testVoters {
+			if id != leader.id {
+				behind = append(behind, id)
+			}
+		}
+		c.fs[behind[0]] = waltest.New()
+		c.restart(behind[0])
+		c.restart(behind[1])
+		want := leader.items()
+		for _, id := range behind {
+			c.until(id+" holds all", 20*time.Second, func() bool { return slices.Equal(c.vms[id].items(), want) })
+			st, _ := c.vms[id].group.Status()
+			if len(want) != workers*each+1 || st.Snapshot == 0 {
+				t.Errorf("%s: %d changes, snapshot %d", id, len(want), st.Snapshot)
+			}
+			if again, err := c.vms[id].machine.Apply(entry); err != nil || !slices.Equal(again, first) {
+				t.Errorf("%s answers the retry with %x, %v; first %x", id, again, err, first)
+			}
+		}
+	})
+}
+
 // A VM is cut off silently. It stops being fresh within its lease, while all
 // others stay fresh; an operator who waits for a change to be in force is told
 // so only after that; with every VM in reach the wait takes milliseconds.
@@ -471,3 +528,73 @@
 		})
 	})
 }
+
+// idleBudget is what a VM may spend on control, in bytes a second.
+const idleBudget = 11_000
+
+// Nothing changes for twenty seconds. Bytes are counted in both directions, with
+// frame, TCP and IP headers. Every VM of today's deployments must stay within the
+// budget, and at 330 VMs every VM that is no voter.
+func TestIdleTraffic(t *testing.T) {
+	for _, all := range []int{11, 110, 330} {
+		t.Run(fmt.Sprint(all), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := startCluster(t, all-len(testVoters))
+				defer c.stop()
+				c.until("all fresh", 3*time.Second, func() bool { return c.fresh() == all })
+				c.mu.Lock()
+				clear(c.bytes)
+				c.mu.Unlock()
+				const span = 20
+				<-time.After(span * time.Second)
+				leader := c.leader()
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				most := map[string]int{}
+				for _, id := range c.ids {
+					role := "other"
+					if id == leader {
+						role = "leader"
+					} else if slices.Contains(testVoters, id) {
+						role = "voter"
+					}
+					most[role] = max(most[role], c.bytes[id]/span)
+				}
+				t.Logf("%d VMs, bytes/s: leader %d, other voters %d, others %d", all, most["leader"], most["voter"], most["other"])
+				if most["other"] > idleBudget || all == 11 && max(most["leader"], most["voter"]) > idleBudget {
+					t.Errorf("over the budget of %d bytes/s", idleBudget)
+				}
+			})
+		})
+	}
+}
+
+// The leader dies, or is cut off silently; a proposer on another VM gets its
+// answer from the next leader. A dead VM's connections break, so that the wait is
+// the election; a silent one costs the proposer an attempt's timeout besides.
+func TestLeaderChangeIsQuick(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		var waits []time.Duration
+		for range 20 {
+			synctest.Test(t, func(t *testing.T) {
+				c := startCluster(t, 1)
+				defer c.stop()
+				leader := c.leader()
+				c.propose("router1", "a")
+				if silent {
+					c.isolate(leader, c.ids...)
+				} else {
+					c.vms[leader].kill(c.fabric)
+				}
+				began := time.Now()
+				c.propose("router1", "b")
+				waits = append(waits, time.Since(began))
+			})
+		}
+		slices.Sort(waits)
+		t.Logf("silent %v: until the next answer median %v, longest %v", silent, waits[10], waits[19])
+		if waits[19] > 2500*time.Millisecond {
+			t.Errorf("silent %v: %v", silent, waits[19])
+		}
+	}
+}
--- a/internal/relay/system_test.go
+++ b/internal/relay/system_test.go
@@ -41,6 +41,7 @@
 	links   map[string]*peertest.Transport
 	engines []*standin.Engine
 	running map[int]int
+	charges charges
 	only    int // where Pick sends everything; below 0: anywhere
 	lives   int
 }
@@ -90,7 +91,7 @@
 		SilenceLimit: time.Second, CallerKeep: callerKeep, DetachKeep: 6 * time.Second,
 		Limits: generation.DefaultLimits(callerKeep),
 	}, relay.Deps{
-		Transport: link, Members: s, Engines: &wire{s, c.VM}, Router: s, Log: zerolog.Nop(), Metrics: m,
+		Transport: link, Members: s, Engines: &wire{s, c.VM}, Router: s, Quota: &s.charges, Log: zerolog.Nop(), Metrics: m,
 	})
 	s.mu.Lock()
 	s.hubs[c.VM], s.metrics[c.VM], s.links[c.VM] = h, m, link
