node: VMs join the committed list, watch a few others, and leave by it

Cause: the node knew the settings' list only: no incarnations, nobody left out.

Change: join at start and after a false eviction, probes of three observers a VM with two indirect ones before suspicion, suspicion only while fresh with the control group, leaving and left at shutdown. Journals are placed by the committed versions once enough VMs have joined; the settings' list stays among the views for ten minutes. internal/platform reads the platform's list, standin.Platform serves one that lags.

--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -26,7 +26,7 @@
 
 // ObserversOf returns the VMs that probe one VM.
 func ObserversOf(subject string, vms []VM) []string {
-	var able []VM
+	able := make([]VM, 0, len(vms))
 	for _, vm := range vms {
 		if vm.ID != subject && vm.State != Dead {
 			able = append(able, vm)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -1,47 +1,265 @@
 package node
 
 import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
+	"github.com/amaranthshelf/amaranthshelf/internal/membership"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/platform"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
 
-// members is the list of VMs from the settings.
+// members is this VM's copy of the committed list of VMs, over the list of the
+// settings until the system has formed. Safe for concurrent use.
 type members struct {
-	self string
-	vms  []settings.VM
+	self        string
+	incarnation string
+	vms         []settings.VM
+	platform    *platform.Reader
+	log         zerolog.Logger
+	cancel      context.CancelFunc
+
+	mu      sync.Mutex
+	history membership.History
+	views   []generation.Membership // of the history, newest first
+	formed  time.Time
+	failing map[string]time.Time // VMs that this one watches, since when they fail
+	changed chan struct{}
 }
 
-func newMembers(self string, vms []settings.VM) *members {
-	return &members{self: self, vms: vms}
+func newMembers(self, incarnation string, vms []settings.VM, p *platform.Reader, log zerolog.Logger) *members {
+	m := &members{
+		self: self, incarnation: incarnation, vms: vms, platform: p, log: log,
+		failing: map[string]time.Time{}, changed: make(chan struct{}, 1), cancel: func() {},
+	}
+	m.views = []generation.Membership{m.static()}
+	return m
 }
 
+// peerAddr prefers what the VM itself committed: a replaced VM may be elsewhere
+// than the settings say.
 func (m *members) peerAddr(id string) (string, bool) {
+	view := m.present()
+	if vm, ok := view.Find(id); ok && vm.Peer != "" {
+		return vm.Peer, true
+	}
 	for _, vm := range m.vms {
 		if vm.ID == id {
 			return vm.Peer, true
 		}
 	}
+	if vm, ok := m.platform.VM(id); ok {
+		return vm.Peer, true
+	}
 	return "", false
 }
 
-// staticVersion is the version of a list that never changes. Its VMs carry no
-// incarnation: see docs/design/journals.md for what that leaves open.
+func (m *members) present() membership.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.history.Present()
+}
+
+// staticVersion is the version of the settings' list, which is used until
+// enough VMs have joined. Its VMs carry no incarnation.
 const staticVersion = 1
 
-// Views implements relay.Members.
-func (m *members) Views() []generation.Membership {
+func (m *members) static() generation.Membership {
 	view := generation.Membership{Version: staticVersion}
 	for _, vm := range m.vms {
 		view.Candidates = append(view.Candidates, generation.Candidate{VM: vm.ID, Zone: vm.Zone})
 	}
-	return []generation.Membership{view}
+	return view
+}
+
+// staticFor is how long the settings' list is kept among the views once the
+// system has formed: journals may have been placed by it just before.
+const staticFor = 10 * time.Minute
+
+// Views implements relay.Members.
+func (m *members) Views() []generation.Membership {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := len(m.views)
+	if n > 1 && m.views[n-1].Version == staticVersion && time.Since(m.formed) > staticFor {
+		m.views = m.views[: n-1 : n-1]
+	}
+	return m.views
+}
+
+// take applies a change of the committed list.
+func (m *members) take(data []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.history.Take(data); err != nil {
+		m.log.Error().Err(err).Msg("list of VMs")
+		return
+	}
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+	if !m.history.Formed() {
+		return
+	}
+	if m.formed.IsZero() {
+		m.formed = time.Now()
+	}
+	views := make([]generation.Membership, 0, len(m.history.Views())+1)
+	for _, v := range m.history.Views() {
+		views = append(views, candidates(v))
+	}
+	if time.Since(m.formed) <= staticFor {
+		views = append(views, m.static())
+	}
+	m.views = views
+}
+
+// candidates are the VMs that may hold journals. A dead one may hold them yet,
+// and gets no new ones where enough others are left: with fewer, a journal
+// would have a smaller majority than with the dead VM counted in.
+func candidates(v membership.View) generation.Membership {
+	live := 0
+	for _, vm := range v.VMs {
+		if vm.State == membership.Live {
+			live++
+		}
+	}
+	out := generation.Membership{Version: v.Version}
+	for _, vm := range v.VMs {
+		out.Candidates = append(out.Candidates, generation.Candidate{
+			VM: vm.ID, Zone: vm.Zone, Incarnation: vm.Incarnation,
+			Leaving: vm.State == membership.Leaving || vm.State == membership.Dead && live >= generation.KeepersMany,
+		})
+	}
+	return out
 }
 
 // Reachable implements relay.Members.
-func (m *members) Reachable(string) bool { return true }
+func (m *members) Reachable(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since, fails := m.failing[id]
+	if fails && time.Since(since) >= suspectAfter {
+		return false
+	}
+	present := m.history.Present()
+	vm, ok := present.Find(id)
+	return !ok || vm.State != membership.Dead
+}
+
+// Gone implements service.Incarnations: another incarnation has replaced it, or
+// several zones cannot reach it.
+func (m *members) Gone(id, incarnation string) bool {
+	present := m.present()
+	vm, ok := present.Find(id)
+	return ok && (vm.Incarnation != incarnation || vm.State == membership.Dead)
+}
 
 func (n *Node) startMembers() {
-	n.members = newMembers(n.s.Self.ID, n.s.VMs)
+	n.members = newMembers(n.s.Self.ID, n.incarnation, n.s.VMs, platform.NewReader(n.s.PlatformURL, n.log), n.log)
 	n.network = peer.NewNetwork(n.s.Self.ID, n.s.PeerToken, n.members.peerAddr, n.log)
+	n.network.Handle(peer.KindMembership, n.answerProbe)
+}
+
+// followMembers registers the list with the control group's state and follows
+// it, once the control parts are made.
+func (n *Node) followMembers() {
+	n.machine.Register(control.PartMembers, membership.NewPart())
+	n.feed.OnChange(control.PartMembers, n.members.take)
+}
+
+// joinMembers brings this VM in and watches others, once control runs.
+func (n *Node) joinMembers() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.members.cancel = cancel
+	go n.members.platform.Run(ctx)
+	go n.keepJoined(ctx)
+	go n.watchMembers(ctx)
+}
+
+// Timings of joining.
+const (
+	proposeTimeout = 2 * time.Second
+	joinPause      = 200 * time.Millisecond
+	joinCheck      = 5 * time.Second
+	rejoinPause    = 2 * time.Second // a VM with a bad link must not flap each second
+)
+
+// keepJoined joins under this incarnation, and again after a false eviction.
+func (n *Node) keepJoined(ctx context.Context) {
+	for n.join(ctx) != nil {
+		if !pauseFor(ctx, joinPause) {
+			return
+		}
+	}
+	for {
+		select {
+		case <-n.members.changed:
+		case <-time.After(joinCheck):
+		case <-ctx.Done():
+			return
+		}
+		if n.draining.Load() || !n.members.evicted() {
+			continue
+		}
+		n.log.Warn().Msg("taken for dead by others; joining again")
+		if !pauseFor(ctx, rejoinPause) {
+			return
+		}
+		_ = n.join(ctx)
+	}
+}
+
+// evicted reports whether the list has this incarnation as dead.
+func (m *members) evicted() bool {
+	present := m.present()
+	vm, ok := present.Find(m.self)
+	return ok && vm.Incarnation == m.incarnation && vm.State == membership.Dead
+}
+
+func (n *Node) join(ctx context.Context) error {
+	self := n.s.Self
+	_, err := n.proposeMember(ctx, &membership.Command{Join: &membership.Join{
+		VM: membership.VM{
+			ID: self.ID, Incarnation: n.incarnation, Zone: self.Zone, Peer: self.Peer, Callers: self.Callers,
+			Router: self.Has(settings.RoleRouter), Control: self.Has(settings.RoleControl),
+		},
+		Expected: len(n.s.VMs),
+	}})
+	return err
+}
+
+func (n *Node) proposeMember(ctx context.Context, cmd *membership.Command) (membership.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return control.Propose[membership.Reply](ctx, n.control, control.PartMembers, cmd)
+}
+
+// leaveMembers tells the others that this VM is leaving or, at the end, has left.
+func (n *Node) leaveMembers(ctx context.Context, left bool) {
+	_, err := n.proposeMember(ctx, &membership.Command{Leave: &membership.Leave{
+		VM: n.s.Self.ID, Incarnation: n.incarnation, Left: left,
+	}})
+	if err != nil {
+		n.log.Warn().Err(err).Bool("left", left).Msg("could not tell the control group")
+	}
+}
+
+// pauseFor reports whether the pause passed before ctx ended.
+func pauseFor(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,7 @@
 	n.s.VMs = vms
 	n.startMembers()
 	n.startControl()
+	n.followMembers()
 	n.startPlans()
 	n.startServices()
 	n.startExplain()
@@ -117,6 +118,7 @@
 	n.startOperators()
 	n.startPeers()
 	n.runControl()
+	n.joinMembers()
 	n.ready.Store(true)
 }
 
@@ -176,6 +178,7 @@
 		_ = s.Close()
 	}
 	n.plans.cancel()
+	n.members.cancel()
 	n.stopPolling()
 	n.network.Close()
 	n.stopControl()
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -50,7 +50,7 @@
 			VM: n.s.Self.ID, Incarnation: n.incarnation, Zone: n.s.Self.Zone, Markings: markings(n.s.Backends),
 		},
 		service.Deps{
-			Control: n.control, Sender: service.NewClient(), Backends: staticServices{n.s.Backends},
+			Control: n.control, Sender: service.NewClient(), Backends: staticServices{n.s.Backends}, Incarnations: n.members,
 			Explain: n.explain, Metrics: n.metrics, Log: n.log,
 		})
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -16,6 +16,7 @@
 	defer cancel()
 	n.ready.Store(false)
 	n.draining.Store(true)
+	n.leaveMembers(ctx, false)
 	n.log.Info().Dur("entry_ttl", n.s.EntryTTL).Msg("shutting down: no longer handed out")
 	if len(n.s.VMs) > 1 {
 		wait(ctx, n.s.EntryTTL)
@@ -26,7 +27,9 @@
 	for _, s := range n.servers {
 		errs = append(errs, s.Shutdown(ctx))
 	}
+	n.leaveMembers(ctx, true)
 	n.plans.cancel()
+	n.members.cancel()
 	n.stopPolling()
 	n.stopControl()
 	n.network.Close()
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,68 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/platform"
+)
+
+// Platform is a stand-in for the platform's list, which lags. Safe for
+// concurrent use.
+type Platform struct {
+	URL string
+
+	server *http.Server
+	lag    time.Duration
+	mu     sync.Mutex
+	lists  []timedList // oldest first
+}
+
+type timedList struct {
+	at   time.Time
+	list platform.List
+}
+
+// ServePlatform starts a platform on addr whose list shows each change lag late.
+func ServePlatform(addr string, lag time.Duration) (*Platform, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{URL: "http://" + l.Addr().String(), lag: lag}
+	p.server = &http.Server{Handler: p, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = p.server.Serve(l) }()
+	return p, nil
+}
+
+// Set changes the list; the first one shows at once.
+func (p *Platform) Set(list platform.List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lists = append(p.lists, timedList{time.Now(), list})
+}
+
+// Close stops the platform.
+func (p *Platform) Close() { _ = p.server.Close() }
+
+// ServeHTTP answers with the list as it was lag ago.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.Path {
+		http.NotFound(w, r)
+		return
+	}
+	p.mu.Lock()
+	for len(p.lists) > 1 && time.Since(p.lists[1].at) >= p.lag {
+		p.lists = p.lists[1:]
+	}
+	var list platform.List
+	if len(p.lists) > 0 {
+		list = p.lists[0].list
+	}
+	p.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
