--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -24,6 +24,7 @@
 	platform    *platform.Reader
 	log         zerolog.Logger
 	cancel      context.CancelFunc
+	draining    func() bool
 
 	mu      sync.Mutex
 	history membership.History
@@ -164,6 +165,7 @@
 
 func (n *Node) startMembers() {
 	n.members = newMembers(n.s.Self.ID, n.incarnation, n.s.VMs, platform.NewReader(n.s.PlatformURL, n.log), n.log)
+	n.members.draining = n.draining.Load
 	n.network = peer.NewNetwork(n.s.Self.ID, n.s.PeerToken, n.members.peerAddr, n.log)
 	n.network.Handle(peer.KindMembership, n.answerProbe)
 }
@@ -263,3 +265,30 @@
 		return false
 	}
 }
+
+// Entry implements gateway.Entrances.
+func (m *members) Entry(q membership.EntryQuery) ([]string, uint64) {
+	view := m.present()
+	if len(view.VMs) == 0 {
+		view = m.fromSettings()
+	}
+	avoid := func(id string) bool {
+		vm, listed := m.platform.VM(id)
+		return listed && vm.Leaving || id == m.self && m.draining()
+	}
+	var out []string
+	for _, vm := range membership.EntryFor(view.VMs, avoid, q) {
+		out = append(out, vm.Callers)
+	}
+	return out, view.Version
+}
+
+func (m *members) fromSettings() membership.View {
+	var view membership.View
+	for _, vm := range m.vms {
+		view.VMs = append(view.VMs, membership.VM{
+			ID: vm.ID, Zone: vm.Zone, Router: vm.Has(settings.RoleRouter), Callers: vm.Callers, State: membership.Live,
+		})
+	}
+	return view
+}
--- /dev/null
+++ b/internal/node/members_test.go
@@ -0,0 +1,118 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/client"
+	"github.com/amaranthshelf/amaranthshelf/internal/local"
+	"github.com/amaranthshelf/amaranthshelf/internal/plan"
+)
+
+func startWithDispatch(t *testing.T) *local.System {
+	t.Helper()
+	o := options(zerolog.New(zerolog.NewTestWriter(t)))
+	o.Services = []string{"dispatch"}
+	plans := o.Plans
+	o.Plans = func() ([]plan.Customer, []plan.Allowance) {
+		customers, allowances := plans()
+		allowances[0].Services = o.Services
+		return customers, allowances
+	}
+	s, err := local.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	return s
+}
+
+// entryUntil asks for the entry until it is as wanted.
+func entryUntil(ctx context.Context, t *testing.T, addr string, ok func(*client.Entry) bool) *client.Entry {
+	t.Helper()
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	var last *client.Entry
+	for {
+		e, err := client.Discover(ctx, []string{addr}, testKey, "", "")
+		if err == nil {
+			if last = e; ok(e) {
+				return e
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			t.Fatalf("the entry stayed at %+v (%v)", last, err)
+		}
+	}
+}
+
+// A caller asks one VM which to use: it names all three. Another VM is killed;
+// two observers in two zones fail to reach it, directly and through the other,
+// and within seconds the answer leaves it out, under a newer version.
+func TestEntryLeavesOutADeadVM(t *testing.T) {
+	s := startWithDispatch(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	asked, killed := s.Nodes[0].Self().Callers, s.Nodes[2].Self().Callers
+	before := entryUntil(ctx, t, asked, func(e *client.Entry) bool { return len(e.Addresses) == 3 && e.Version > 1 })
+	s.Nodes[2].Kill()
+	began := time.Now()
+	after := entryUntil(ctx, t, asked, func(e *client.Entry) bool { return !slices.Contains(e.Addresses, killed) })
+	if after.Version <= before.Version {
+		t.Errorf("version %d after %d", after.Version, before.Version)
+	}
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("left out after %s", took)
+	}
+	t.Logf("left out after %s", time.Since(began).Round(100*time.Millisecond))
+}
+
+// Two VMs get one booking with the same key at the same moment, ten times over:
+// each is run once, and both callers hear the same.
+func TestSameKeyOnTwoVMsAtOnceRunsOnce(t *testing.T) {
+	s := startWithDispatch(t)
+	for _, key := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+		var answers [2]string
+		var both sync.WaitGroup
+		for i := range answers {
+			both.Go(func() { answers[i] = book(t, s.Nodes[i+1].Self().Callers, key) })
+		}
+		both.Wait()
+		if runs := s.Services[0].Runs(key); runs != 1 || answers[0] != answers[1] {
+			t.Errorf("%s ran %d times, answers %q and %q", key, runs, answers[0], answers[1])
+		}
+	}
+}
+
+func book(t *testing.T, addr, key string) string {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/services/dispatch/bookings", bytes.NewReader([]byte("{}")))
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return resp.Status + " " + string(body)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,6 +128,7 @@
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
 	n.serviceRoutes(gw, r)
+	gw.EntryRoutes(r, n.members, n.s.EntryTTL)
 	n.explainer.CallerRoutes(r, n.plans.Directory)
 	n.serve(n.callers, r)
 }
