--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	network     *peer.Network
 	machine     *control.Machine
 	control     control.Client
+	remote      *control.Remote // what control holds
 	feed        *control.Feed
 	group       *control.Group // nil on a VM without the control role
 	failure     chan error
@@ -151,6 +152,10 @@
 			result.WriteHTTP(w, "", result.New(result.ShuttingDown))
 			return
 		}
+		if !n.feed.Fresh() {
+			result.WriteHTTP(w, "", result.New(result.NotFresh))
+			return
+		}
 		w.WriteHeader(http.StatusNoContent)
 	})
 	r.Handle("/debug/vars", expvar.Handler())
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -8,7 +8,10 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/operator"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/plan"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
 
 // counters that `amaranthshelf status` shows.
@@ -18,6 +21,7 @@
 }
 
 func (n *Node) addOperatorRoutes(r *mux.Router) {
+	n.network.Handle(peer.KindQuery, n.handleQuery)
 	operator.New(operator.Deps{
 		Token: n.s.OperatorToken, VM: n.s.Self.ID, Control: n.control, Lists: n, InForce: n,
 		Transport: n.network, VMs: n.vmIDs, Self: n.status, Explain: n.explainer, Log: n.log,
@@ -38,13 +42,11 @@
 func (n *Node) status() operator.VMStatus {
 	out := operator.VMStatus{
 		VM: n.s.Self.ID, Zone: n.s.Self.Zone, Incarnation: n.incarnation,
-		Version: n.plans.version(), Ready: n.ready.Load(), Counters: map[string]int64{},
+		Version: n.plans.version(), Fresh: n.feed.Fresh(), Ready: n.ready.Load(), Leader: n.leader(), Counters: map[string]int64{},
 	}
 	for _, role := range n.s.Self.Roles {
 		out.Roles = append(out.Roles, string(role))
 	}
-	_, err := n.plans.Directory()
-	out.Fresh = err == nil
 	for _, name := range statusCounters {
 		if v, ok := n.metrics.Get(name).(interface{ Value() int64 }); ok {
 			out.Counters[name] = v.Value()
@@ -53,46 +55,54 @@
 	return out
 }
 
-// Read implements operator.Lists.
-func (n *Node) Read(ctx context.Context, f func(*plan.Book, *plan.Ledger)) error {
-	if err := n.control.Barrier(ctx); err != nil {
-		return err
+// Ask implements operator.Lists. A VM without the control role holds no rows
+// with their versions: it has a control VM answer.
+func (n *Node) Ask(ctx context.Context, q plan.Query) (plan.Answer, error) {
+	if n.group != nil {
+		return n.answer(ctx, q)
+	}
+	var out plan.Answer
+	err := error(result.New(result.ControlUnavail))
+	for _, vm := range n.s.VMs {
+		if !vm.Has(settings.RoleControl) {
+			continue
+		}
+		if err = n.askVM(ctx, vm.ID, q, &out); err == nil {
+			return out, nil
+		}
 	}
-	n.machine.Read(control.PartPlans, func(book control.Part) { f(book.(*plan.Book), n.plans.ledger) })
-	return nil
+	return out, err
 }
 
-// leaseMargin covers the drift of two VMs' clocks over one lease: 1% is a
-// hundred times what quartz clocks drift.
-const leaseMargin = 1.01
+// askLimit is for one control VM: the next is asked where it is cut off.
+const askLimit = 2 * time.Second
 
-const inForcePoll = 50 * time.Millisecond
+func (n *Node) askVM(ctx context.Context, vm string, q plan.Query, out *plan.Answer) error {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	return n.network.Call(ctx, vm, peer.KindQuery, q, out)
+}
 
-// Wait implements operator.InForce. A version is in force once every VM says
-// that it applies it. A VM that does not answer holds it up for one freshness
-// lease at most: by then it has caught up, or admits nothing.
-func (n *Node) Wait(ctx context.Context, version uint64) error {
-	lapsed := time.NewTimer(time.Duration(float64(n.s.FreshnessTTL) * leaseMargin))
-	defer lapsed.Stop()
-	for {
-		if n.appliedEverywhere(ctx, version) {
-			return nil
-		}
-		select {
-		case <-lapsed.C:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(inForcePoll):
-		}
+func (n *Node) answer(ctx context.Context, q plan.Query) (out plan.Answer, err error) {
+	if err := n.control.Barrier(ctx); err != nil {
+		return out, err
 	}
+	n.machine.Read(control.PartPlans, func(book control.Part) { out = book.(*plan.Book).Ask(q, n.plans.ledger) })
+	return out, nil
 }
 
-func (n *Node) appliedEverywhere(ctx context.Context, version uint64) bool {
-	for _, s := range operator.AskStatus(ctx, n.network, n.vmIDs()) {
-		if !s.Reachable || s.Version < version {
-			return false
-		}
+func (n *Node) handleQuery(ctx context.Context, _ string, body []byte) (any, error) {
+	var q plan.Query
+	if err := peer.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	if n.group == nil {
+		return nil, result.New(result.ControlUnavail)
 	}
-	return true
+	return n.answer(ctx, q)
+}
+
+// Wait implements operator.InForce.
+func (n *Node) Wait(ctx context.Context, version uint64) error {
+	return control.InForce(ctx, n.control, control.PartPlans, version)
 }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -43,14 +44,27 @@
 }
 
 func (a *API) status(w http.ResponseWriter, r *http.Request) error {
-	self := a.Self()
-	out := Status{AskedVM: a.VM, Leader: self.Leader, Version: self.Version, VMs: AskStatus(r.Context(), a.Transport, a.VMs())}
+	out := Status{AskedVM: a.VM, Version: a.Self().Version, VMs: askStatus(r.Context(), a.Transport, a.VMs())}
+	out.Leader = leaderOf(out.VMs)
 	return writeJSON(w, http.StatusOK, out)
 }
 
-// AskStatus asks VMs for their status. One that does not answer is listed as
+// leaderOf believes a VM that says that it leads itself; else any that knows a
+// leader, which may be out of date.
+func leaderOf(vms []VMStatus) string {
+	leader := ""
+	for _, vm := range vms {
+		if vm.Leader == vm.VM {
+			return vm.VM
+		}
+		leader = cmp.Or(leader, vm.Leader)
+	}
+	return leader
+}
+
+// askStatus asks VMs for their status. One that does not answer is listed as
 // not reachable.
-func AskStatus(ctx context.Context, t peer.Transport, vms []string) []VMStatus {
+func askStatus(ctx context.Context, t peer.Transport, vms []string) []VMStatus {
 	out := ask(ctx, t, vms, peer.KindStatus, struct{}{}, func(vm string, s VMStatus, err error) VMStatus {
 		if err != nil {
 			return VMStatus{VM: vm}
