--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,7 @@
 	n.s.VMs = vms
 	n.startMembers()
 	n.startControl()
+	n.followMembers()
 	n.startPlans()
 	n.startServices()
 	n.startExplain()
@@ -118,6 +119,7 @@
 	n.startOperators()
 	n.startPeers()
 	n.runControl()
+	n.joinMembers()
 	n.ready.Store(true)
 }
 
@@ -127,6 +129,7 @@
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
 	n.serviceRoutes(gw, r)
+	gw.EntryRoutes(r, n.members, n.s.EntryTTL)
 	n.explainer.CallerRoutes(r, n.plans.Directory)
 	n.serve(n.callers, r)
 }
@@ -181,6 +184,7 @@
 		_ = s.Close()
 	}
 	n.plans.cancel()
+	n.members.cancel()
 	n.stopPolling()
 	n.network.Close()
 	n.stopControl()
