--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -18,13 +18,18 @@
 )
 
 // Timings. Between zones a message takes one to several milliseconds and a sync
-// of a small VM's disk up to some tens. A heartbeat each 100 ms costs little
-// (see docs/design/consensus.md); four lost in a row before an election starts
-// at the earliest; a new leader stands about half a second after the old died.
+// of a small VM's disk up to some tens. Three heartbeats are lost in a row before
+// an election starts at the earliest; a new leader stands about half a second
+// after the old died. With a heartbeat each 100 ms the leader of five voters spent
+// 11.4 KB/s while idle, more than the 11 KB/s that a VM has for control.
 const (
-	tickEvery      = 50 * time.Millisecond
-	heartbeatTicks = 2
-	electionTicks  = 8 // 400 to 800 ms
+	// A tick is about a round trip between zones: two candidates whose timeouts
+	// differ by one seldom split the vote. With ticks of 50 ms one change of leader
+	// in eight took a second election.
+	tickEvery      = 10 * time.Millisecond
+	heartbeatTicks = 15 // 150 ms
+	electionTicks  = 45 // 450 to 900 ms
+	eagerTicks     = 5  // between candidacies at the first start: nobody leads yet
 )
 
 // Queue bounds of a Node.
@@ -193,7 +198,7 @@
 	switch {
 	case n.core.Leader() != "":
 		n.eager = false
-	case n.eager && n.ticks%heartbeatTicks == 0:
+	case n.eager && n.ticks%eagerTicks == 0:
 		n.core.Campaign()
 	}
 }
@@ -406,31 +411,42 @@
 func (n *Node) WaitApplied(ctx context.Context, index uint64) error {
 	select {
 	case <-n.running:
-		return n.apply.wait(ctx, index)
+		return n.apply.wait(ctx, n.ctx, index)
 	case <-ctx.Done():
 		return ctx.Err()
+	case <-n.ctx.Done():
+		return ErrClosed
 	}
 }
 
-// Remove takes the vote from the members of a VM that will not come back.
+// Remove takes, on the leader, the vote from the member on a VM that will not
+// come back, and returns once the change is committed. ErrNoMember: there is
+// none. ErrConfigBusy: try again, another change is under way.
 func (n *Node) Remove(ctx context.Context, vm string) error {
-	done := make(chan error, 1)
+	type answer struct {
+		index uint64
+		err   error
+	}
+	done := make(chan answer, 1)
 	f := func() {
 		for _, id := range n.core.Config().Members() {
 			if id.VM() == vm {
-				_, _, err := n.core.ProposeChange(Change{Remove, id})
-				done <- err
+				index, _, err := n.core.ProposeChange(Change{Remove, id})
+				done <- answer{index, err}
 				return
 			}
 		}
-		done <- fmt.Errorf("%w: no member on %s", ErrBadChange, vm)
+		done <- answer{err: fmt.Errorf("%w: %s", ErrNoMember, vm)}
 	}
 	if err := n.do(ctx, f); err != nil {
 		return err
 	}
 	select {
-	case err := <-done:
-		return err
+	case a := <-done:
+		if a.err != nil {
+			return a.err
+		}
+		return n.WaitApplied(ctx, a.index)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -12,6 +12,10 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/wal"
 )
 
+// maxCommandBytes bounds a command: every voter writes it to its disk and sends
+// it in one message, beside the heartbeats.
+const maxCommandBytes = 1 << 20
+
 // GroupOptions are the options of a Group.
 type GroupOptions struct {
 	VM        string
@@ -65,6 +69,46 @@
 // Status describes the member; false while it is in no group yet.
 func (g *Group) Status() (consensus.Status, bool) { return g.node.Status() }
 
+// MemberStats are a control VM's metrics.
+type MemberStats struct {
+	Member   string   `cbor:"1,keyasint" json:"member"`
+	Role     string   `cbor:"2,keyasint" json:"role"`
+	Term     uint64   `cbor:"3,keyasint" json:"term"`
+	Commit   uint64   `cbor:"4,keyasint" json:"commit"`
+	Applied  uint64   `cbor:"5,keyasint" json:"applied"`
+	Last     uint64   `cbor:"6,keyasint" json:"last"`
+	Snapshot uint64   `cbor:"7,keyasint" json:"snapshot"`
+	Voters   []string `cbor:"8,keyasint" json:"voters"`
+	Learners []string `cbor:"9,keyasint" json:"learners"`
+	// Behind is, on the leader, how many entries each other member lacks.
+	Behind map[string]uint64 `cbor:"10,keyasint" json:"behind,omitempty"`
+}
+
+// Stats returns the member's metrics.
+func (g *Group) Stats() MemberStats {
+	st, ok := g.node.Status()
+	if !ok {
+		return MemberStats{Role: "joining"}
+	}
+	out := MemberStats{
+		Member: string(st.ID), Role: st.Role.String(), Term: st.Term, Commit: st.Commit,
+		Applied: g.node.Applied(), Last: st.Last, Snapshot: st.Snapshot,
+	}
+	for _, id := range st.Config.Voters {
+		out.Voters = append(out.Voters, string(id))
+	}
+	for _, id := range st.Config.Learners {
+		out.Learners = append(out.Learners, string(id))
+	}
+	if len(st.Match) > 0 {
+		out.Behind = map[string]uint64{}
+	}
+	for id, match := range st.Match {
+		out.Behind[string(id)] = st.Last - min(match, st.Last)
+	}
+	return out
+}
+
 // IsLeader reports whether this VM leads the group, as far as it knows.
 func (g *Group) IsLeader() bool { return g.node.IsLeader() }
 
@@ -88,14 +132,34 @@
 	case opWatched:
 		return g.watched(ctx, q), nil
 	case opRemove:
-		if err := g.node.Remove(ctx, q.VM); err != nil {
-			return reply{Status: statusRefused, Error: err.Error()}, nil
-		}
-		return reply{Status: statusOK}, nil
+		return g.remove(ctx, q.VM), nil
+	case opMembers:
+		return g.members(), nil
 	}
 	return reply{Status: statusRefused, Error: "control: unknown operation"}, nil
 }
 
+func (g *Group) remove(ctx context.Context, vm string) reply {
+	err := g.node.Remove(ctx, vm)
+	switch {
+	case err == nil, errors.Is(err, consensus.ErrNoMember):
+		return reply{Status: statusOK}
+	case errors.Is(err, consensus.ErrBadChange):
+		return reply{Status: statusRefused, Error: err.Error()}
+	case errors.Is(err, consensus.ErrNotLeader):
+		return reply{Status: statusNotLeader, Leader: g.node.Leader()}
+	}
+	return reply{Status: statusBusy}
+}
+
+func (g *Group) members() reply {
+	body, err := peer.Marshal(g.Stats())
+	if err != nil {
+		return reply{Status: statusRefused, Error: err.Error()}
+	}
+	return reply{Status: statusOK, Body: body}
+}
+
 // propose stamps the group's clock. It never goes back, whatever the new
 // leader's clock says, since Machine takes the larger of both.
 func (g *Group) propose(ctx context.Context, q request) reply {
@@ -104,6 +168,9 @@
 	if err != nil {
 		return reply{Status: statusRefused, Error: err.Error()}
 	}
+	if len(entry) > maxCommandBytes {
+		return reply{Status: statusRefused, Error: "control: command too large"}
+	}
 	out, err := g.node.Propose(ctx, entry)
 	switch {
 	case err == nil:
--- a/internal/local/publish.go
+++ b/internal/local/publish.go
@@ -2,46 +2,78 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/client"
+	"github.com/amaranthshelf/amaranthshelf/internal/operator"
 	"github.com/amaranthshelf/amaranthshelf/internal/plan"
 )
 
 const publishTimeout = 15 * time.Second // covers the group's first election
 
-// publish writes the lists as an operator does, and waits until they are in
-// force. It asks every VM, each time with the same keys: VMs of one control
-// group make each change once, VMs that are groups of their own make it each.
+// publish writes the lists as an operator does, and waits until every VM
+// applies them.
 func (s *System) publish(customers []plan.Customer, allowances []plan.Allowance) error {
 	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
 	defer cancel()
-	for _, n := range s.Nodes {
-		o := client.NewOperator([]string{n.OperatorAddr()}, s.token, "local")
-		for _, a := range allowances {
-			if err := create(ctx, o, "allowances", a.Plan, a); err != nil {
-				return err
-			}
-		}
-		for _, c := range customers {
-			if err := create(ctx, o, "plans", c.Workspace, c); err != nil {
-				return err
-			}
+	o := s.Operator()
+	for _, a := range allowances {
+		if err := create(ctx, o, "allowances", a.Plan, a); err != nil {
+			return err
 		}
 	}
-	for _, n := range s.Nodes {
-		if _, _, err := client.NewOperator([]string{n.OperatorAddr()}, s.token, "local").Plans(ctx, true); err != nil {
+	for _, c := range customers {
+		if err := create(ctx, o, "plans", c.Workspace, c); err != nil {
 			return err
 		}
 	}
-	return nil
+	return applied(ctx, o)
+}
+
+// Operator is a client of the operators' API on every VM.
+func (s *System) Operator() *client.Operator {
+	var addrs []string
+	for _, n := range s.Nodes {
+		addrs = append(addrs, n.OperatorAddr())
+	}
+	return client.NewOperator(addrs, s.token, "local")
 }
 
 func create(ctx context.Context, o *client.Operator, list, name string, row any) error {
-	_, err := o.Do(ctx, client.Change{List: list, Name: name, Row: row, Key: "local-" + list + "-" + name})
-	if err != nil {
+	if _, err := o.Do(ctx, client.Change{List: list, Name: name, Row: row}); err != nil {
 		return fmt.Errorf("local: %s %s: %w", list, name, err)
 	}
 	return nil
 }
+
+const statusPause = 20 * time.Millisecond
+
+// applied waits until every VM is fresh and holds the present lists.
+func applied(ctx context.Context, o *client.Operator) error {
+	_, version, err := o.Plans(ctx, false)
+	if err != nil {
+		return err
+	}
+	for {
+		raw, err := o.Status(ctx)
+		if err != nil {
+			return err
+		}
+		var status operator.Status
+		if err := json.Unmarshal(raw, &status); err != nil {
+			return err
+		}
+		behind := slices.ContainsFunc(status.VMs, func(vm operator.VMStatus) bool { return !vm.Fresh || vm.Version < version })
+		if !behind {
+			return nil
+		}
+		select {
+		case <-time.After(statusPause):
+		case <-ctx.Done():
+			return fmt.Errorf("local: the lists are not applied everywhere: %w", ctx.Err())
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/service"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
 )
@@ -51,6 +52,7 @@
 	network     *peer.Network
 	machine     *control.Machine
 	control     control.Client
+	remote      *control.Remote // what control holds
 	feed        *control.Feed
 	group       *control.Group // nil on a VM without the control role
 	failure     chan error
@@ -60,6 +62,7 @@
 	admission   *admitter
 	stopPolling context.CancelFunc
 	plans       *plans
+	services    *service.Dispatcher
 	ready       atomic.Bool
 	explainer   *operator.Explainer
 
@@ -104,7 +107,9 @@
 	n.s.VMs = vms
 	n.startMembers()
 	n.startControl()
+	n.followMembers()
 	n.startPlans()
+	n.startServices()
 	n.startExplain()
 	n.startRouting()
 	n.startAdmission()
@@ -114,6 +119,7 @@
 	n.startOperators()
 	n.startPeers()
 	n.runControl()
+	n.joinMembers()
 	n.ready.Store(true)
 }
 
@@ -122,6 +128,8 @@
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
+	n.serviceRoutes(gw, r)
+	gw.EntryRoutes(r, n.members, n.s.EntryTTL)
 	n.explainer.CallerRoutes(r, n.plans.Directory)
 	n.serve(n.callers, r)
 }
@@ -144,6 +152,10 @@
 			result.WriteHTTP(w, "", result.New(result.ShuttingDown))
 			return
 		}
+		if !n.feed.Fresh() {
+			result.WriteHTTP(w, "", result.New(result.NotFresh))
+			return
+		}
 		w.WriteHeader(http.StatusNoContent)
 	})
 	r.Handle("/debug/vars", expvar.Handler())
@@ -172,6 +184,7 @@
 		_ = s.Close()
 	}
 	n.plans.cancel()
+	n.members.cancel()
 	n.stopPolling()
 	n.network.Close()
 	n.stopControl()
--- a/internal/node/plans.go
+++ b/internal/node/plans.go
@@ -4,6 +4,9 @@
 	"context"
 	"expvar"
 	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
@@ -14,20 +17,27 @@
 
 // plans holds the lists in force on this VM, and what it may use of them.
 type plans struct {
-	machine *control.Machine
-	ledger  *plan.Ledger
-	quota   *quota.Quota
-	dir     atomic.Pointer[plan.Directory]
-	cancel  context.CancelFunc
+	fresh  func() bool
+	ledger *plan.Ledger
+	quota  *quota.Quota
+	log    zerolog.Logger
+	dir    atomic.Pointer[plan.Directory]
+	view   *plan.View // of the feed's goroutine
+	cancel context.CancelFunc
 }
 
-// Directory implements gateway.Plans.
+// retryFresh is when to come back to a VM that lost the control group: its own
+// callers have other VMs in their entry answer meanwhile.
+const retryFresh = time.Second
+
+// Directory implements gateway.Plans. A VM that was cut off admits nothing once
+// its lease has lapsed: it could still hold a plan that was withdrawn, while the
+// operator was told that the change is in force. Running answers don't ask.
 func (p *plans) Directory() (*plan.Directory, error) {
-	d := p.dir.Load()
-	if d == nil {
-		return nil, result.New(result.NotFresh)
+	if !p.fresh() {
+		return nil, result.New(result.NotFresh).WithRetryAfter(retryFresh)
 	}
-	return d, nil
+	return p.dir.Load(), nil
 }
 
 // Reserve implements relay.Quota.
@@ -59,17 +69,18 @@
 // and follows the lists.
 func (n *Node) startPlans() {
 	book := plan.NewBook()
-	n.machine.Register(control.PartPlans, book)
 	ledger := plan.NewLedger(book, n.ledgerBroken)
+	n.machine.Register(control.PartPlans, book)
 	n.machine.Register(control.PartLedger, ledger)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.plans = &plans{
-		machine: n.machine, ledger: ledger, cancel: cancel,
+		fresh: n.feed.Fresh, ledger: ledger, log: n.log, view: plan.NewView(), cancel: cancel,
 		quota: quota.New(n.s.Self.ID, n.incarnation, n.control, n.metrics, n.log),
 	}
+	n.plans.dir.Store(n.plans.view.Directory())
+	n.feed.OnChange(control.PartPlans, n.plans.take)
 	n.metrics.Set("plans_version", expvar.Func(func() any { return n.plans.version() }))
 	go n.plans.quota.Run(ctx)
-	go n.plans.follow(ctx)
 }
 
 func (n *Node) ledgerBroken(err error) {
@@ -77,32 +88,15 @@
 	n.log.Error().Err(err).Msg("ledger")
 }
 
-func (p *plans) version() uint64 {
-	if d := p.dir.Load(); d != nil {
-		return d.Version
-	}
-	return 0
-}
+func (p *plans) version() uint64 { return p.dir.Load().Version }
 
-// follow applies each change of the lists as it is committed.
-func (p *plans) follow(ctx context.Context) {
-	view := plan.NewView()
-	for {
-		changed := p.machine.Changed()
-		p.machine.Read(control.PartPlans, func(part control.Part) {
-			if part.Version() != view.Version() {
-				_ = view.Take(part.Changes(view.Version())) // within one process: always of the documented form
-			}
-		})
-		if d := p.dir.Load(); d == nil || d.Version != view.Version() {
-			next := view.Directory()
-			p.dir.Store(next)
-			p.quota.Recall(next)
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
+// take applies a change of the lists.
+func (p *plans) take(data []byte) {
+	if err := p.view.Take(data); err != nil {
+		p.log.Error().Err(err).Uint64("version", p.view.Version()).Msg("change of the lists refused")
+		return
 	}
+	next := p.view.Directory()
+	p.dir.Store(next)
+	p.quota.Recall(next)
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -34,7 +34,7 @@
 
 // Lists reads the group's state as it was at the call or later.
 type Lists interface {
-	Read(ctx context.Context, f func(*plan.Book, *plan.Ledger)) error
+	Ask(ctx context.Context, q plan.Query) (plan.Answer, error)
 }
 
 // InForce waits until a version of the lists is in force.
@@ -55,6 +55,7 @@
 	VMs       func() []string // every VM of the system
 	Self      func() VMStatus
 	Explain   *Explainer
+	Group     Group
 	Log       zerolog.Logger
 }
 
@@ -81,6 +82,8 @@
 	}
 	handle("/v1/status", a.status, http.MethodGet)
 	handle("/v1/explain/{request}", a.explain, http.MethodGet)
+	handle("/v1/control", a.members, http.MethodGet)
+	handle("/v1/control/{vm}", a.removeMember, http.MethodDelete)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		result.WriteHTTP(w, "", result.New(result.NotFound))
 	})
--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -31,7 +31,7 @@
 	heartbeat     = 3 * time.Second        // of unchanged ones; a tenth of plan.DeadAfterMS
 	quietAfter    = 30 * time.Second       // a workspace without requests holds nothing
 	askEvery      = 100 * time.Millisecond // asking ahead of need, at most
-	denyFor       = 200 * time.Millisecond // a refusal by the ledger stands this long without asking again
+	denyFor       = 500 * time.Millisecond // a refusal by the ledger stands this long without asking again
 	retrySoon     = time.Second            // when others may have given something back
 	scarceDivisor = 20                     // left below 5% of the allowance: near the window's end
 	maxWaiting    = 1024                   // requests of one workspace that wait for a grant
@@ -39,7 +39,8 @@
 
 	// confirmLimit is a third of plan.DeadAfterMS: a VM that the group may have
 	// declared dead admits nothing, since its concurrency may be another's.
-	confirmLimit = plan.DeadAfterMS / 3 * time.Millisecond
+	confirmLimit = deadAfter / 3
+	deadAfter    = plan.DeadAfterMS * time.Millisecond
 )
 
 // Request is what is to be reserved.
@@ -149,7 +150,6 @@
 	t.life, t.held = c.life, true
 	c.tickets[t.id] = t
 	c.Counts.Reserved++
-	c.urgent = c.urgent || t.acct.low(now)
 	close(t.done)
 }
 
@@ -227,7 +227,9 @@
 }
 
 // Urgent reports whether a message should leave now rather than at the next
-// tick: somebody waits, grants run low, or grants were recalled.
+// tick: somebody waits, or grants were recalled. Grants that run low wait for the
+// tick: half of what is held ahead lasts longer, and one message then asks for
+// all workspaces.
 func (c *Core) Urgent() bool { return c.urgent && c.inflight == nil }
 
 // Next returns the message to send, if one is due. While a message is
@@ -237,6 +239,9 @@
 		return c.inflight, true
 	}
 	c.urgent = false
+	if c.seq > 0 && now.Sub(c.confirmed) > deadAfter && c.idle() {
+		c.renew() // the group has forgotten this incarnation, or is about to
+	}
 	s := &plan.Sync{VM: c.vm, Incarnation: c.incarnation(), Seq: c.seq + 1}
 	for _, name := range slices.Sorted(maps.Keys(c.accounts)) {
 		a := c.accounts[name]
@@ -279,7 +284,8 @@
 	sent := c.sentAt
 	c.inflight = nil
 	if r.Status != plan.SyncOK {
-		c.reborn()
+		c.Counts.Dead++
+		c.renew()
 		return
 	}
 	c.confirmed = sent
@@ -291,12 +297,21 @@
 	}
 }
 
-// reborn goes on as a new incarnation: the group has given this one up, and
-// what it held is gone. Running requests stay charged to the old one.
-func (c *Core) reborn() {
+// idle reports whether nothing is held of any account.
+func (c *Core) idle() bool {
+	for _, a := range c.accounts {
+		if a.slots > 0 || a.inUse > 0 || a.held() != (plan.Amount{}) || a.reserved != (plan.Amount{}) {
+			return false
+		}
+	}
+	return true
+}
+
+// renew goes on as a new incarnation: the group has given this one up, and what
+// it held is gone. Running requests stay charged to the old one.
+func (c *Core) renew() {
 	c.life++
 	c.seq = 0
-	c.Counts.Dead++
 	for _, a := range c.accounts {
 		a.lapse()
 		a.slots, a.changed = 0, true
@@ -314,7 +329,7 @@
 	a.endsAt = sent.Add(time.Duration(g.RemainingMS) * time.Millisecond)
 	a.slots, a.slotsLeft = g.Slots, g.SlotsLeft
 	a.left, a.outstanding, a.heardAt = g.Left, g.Outstanding, now
-	a.over, a.overSlots = g.Over, g.OverSlots
+	a.overTokens, a.overRequests, a.overSlots = g.OverTokens, g.OverRequests, g.OverSlots
 }
 
 // decide hands grants to those that wait, in order, and refuses at once those
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -47,11 +47,18 @@
 		for i, at := range []time.Duration{2 * time.Minute, 4 * time.Minute, 4*time.Minute + time.Second} {
 			w.after(at, func() { w.vms[3*i].dead = true })
 		}
-		w.run(11 * time.Minute)
+		w.run(90 * time.Second)
+		steady := w.messages
+		steadyRequests := w.accepted
+		w.run(9*time.Minute + 30*time.Second)
 		share := float64(w.used["1"]) / float64(tc.tokens)
 		perRequest := float64(w.messages) / float64(w.accepted+w.refused)
-		t.Logf("%s: %.1f%% of the allowance used, %d accepted, %d refused, %.3f messages a request, %.1f messages and %.0f bytes a second and VM",
-			tc.name, 100*share, w.accepted, w.refused, perRequest, float64(w.messages)/600/9, float64(w.bytes)/600/9)
+		t.Logf("%s: %.1f%% of the allowance used, %d accepted, %d refused, %.3f messages a request, %.1f messages and %.0f bytes a second and VM; before it is exhausted %.3f and %.1f",
+			tc.name, 100*share, w.accepted, w.refused, perRequest, float64(w.messages)/600/9, float64(w.bytes)/600/9,
+			float64(steady)/float64(steadyRequests), float64(steady)/90/11)
+		if perVM := float64(steady) / 90 / 11; perVM > 2 {
+			t.Errorf("%s: %.1f messages a second and VM", tc.name, perVM)
+		}
 		if share < 0.95 {
 			t.Errorf("%s: only %.1f%% of the allowance could be used", tc.name, 100*share)
 		}
@@ -142,7 +149,12 @@
 			t.Errorf("%s: %d requests admitted beyond the new allowance, outstanding %+v", tc.name, w.accepted-accepted, after.Outstanding)
 		}
 		w.tooMany = 0
+		accepted = w.accepted
+		w.request(w.vms[0], "booking", 0, 0, time.Second)
 		w.run(10 * time.Second)
+		if tc.tokens == 10_000 && w.accepted != accepted+1 {
+			t.Errorf("%s: a call that needs no tokens was refused", tc.name)
+		}
 		if w.tooMany > tc.concurrent || tc.concurrent == 4 && w.tooMany == 0 {
 			t.Errorf("%s: %d requests ran at once, %d allowed", tc.name, w.tooMany, tc.concurrent)
 		}
