--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -8,7 +8,7 @@
 )
 
 // SubsetSize is how many backend servers of one pool a router works with. All
-// 330 routers polling all 710 engines would cost each 140 KB/s against a budget
+// 330 routers polling all 710 engines would cost each 320 KB/s against a budget
 // of 11 KB/s; 24 leave room for two choices, ejections and a lost zone, and each
 // engine still sees some eleven routers. Today's 36 and 24 engines: 36 is split,
 // 24 is whole.
