client, load: callers ask the entry, and leave an address that failed

Cause: the load tool sent everything to the first VM, and a caller began each request at the same address even when that VM was gone. Change: the load tool's callers locate their VMs by /v1/entry; a client asks the address that failed last last; redirects of services are not followed.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/tmaxmax/go-sse"
@@ -60,20 +61,54 @@
 }
 
 // Client calls the system. Addresses are tried in order, each failure moving on
-// to the next.
+// to the next; the one that failed last is asked last from then on.
 type Client struct {
-	addrs []string
-	key   string
-	http  *http.Client
+	source func(ctx context.Context) ([]string, error)
+	key    string
+	http   *http.Client
+
+	mu     sync.Mutex
+	failed map[string]time.Time
 }
 
-// New returns a Client for a workspace key.
+// New returns a Client of fixed addresses for a workspace key.
 func New(addrs []string, key string) *Client {
-	return &Client{addrs: addrs, key: key, http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 256,
-	}}}
+	return newClient(func(context.Context) ([]string, error) { return addrs, nil }, key)
+}
+
+// NewLocated returns a Client that uses the addresses of a Locator.
+func NewLocated(l *Locator) *Client { return newClient(l.Addresses, l.key) }
+
+func newClient(source func(context.Context) ([]string, error), key string) *Client {
+	return &Client{source: source, key: key, failed: map[string]time.Time{}, http: &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: 256,
+		},
+		// A service's redirect is its answer: following it would call again.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// next returns the address to use now.
+func (c *Client) next(ctx context.Context) (string, error) {
+	addrs, err := c.source(ctx)
+	if err != nil {
+		return "", err
+	}
+	if len(addrs) == 0 {
+		return "", Error.New("no addresses")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.MinFunc(addrs, func(a, b string) int { return c.failed[a].Compare(c.failed[b]) }), nil
+}
+
+func (c *Client) fail(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed[addr] = time.Now()
 }
 
 type event struct {
@@ -104,14 +139,18 @@
 	}
 	now := time.Now()
 	k := &call{c: c, key: key, body: data, lastAt: now, started: now, progress: progress}
-	for try := range maxReconnects {
-		err = k.once(ctx, c.addrs[try%len(c.addrs)])
+	for range maxReconnects {
+		var addr string
+		if addr, err = c.next(ctx); err == nil {
+			err = k.once(ctx, addr)
+		}
 		if err == nil {
 			return &k.answer, nil
 		}
 		if final(err) || ctx.Err() != nil {
 			return &k.answer, err
 		}
+		c.fail(addr)
 		k.answer.Reconnects++
 		time.Sleep(reconnectPause)
 	}
@@ -244,12 +283,16 @@
 // at the next address under the same Idempotency-Key: the system runs it once.
 func (c *Client) Call(ctx context.Context, method, service, path, key string) (*CallAnswer, error) {
 	var err error
-	for try := range maxReconnects {
+	for range maxReconnects {
+		var addr string
 		var answer *CallAnswer
-		answer, err = c.callOnce(ctx, method, c.addrs[try%len(c.addrs)], "/v1/services/"+service+path, key)
+		if addr, err = c.next(ctx); err == nil {
+			answer, err = c.callOnce(ctx, method, addr, "/v1/services/"+service+path, key)
+		}
 		if err == nil || final(err) || ctx.Err() != nil {
 			return answer, err
 		}
+		c.fail(addr)
 		time.Sleep(reconnectPause)
 	}
 	return nil, err
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -41,7 +41,7 @@
 	}
 	r := &runner{o: o, rec: newRecorder(o), slots: make(chan struct{}, maxInFlight), clients: map[string]*client.Client{}}
 	for _, w := range o.Profile.Workspaces {
-		r.clients[w.Name] = client.New(o.Addrs, o.KeyOf(w.Name))
+		r.clients[w.Name] = client.NewLocated(client.NewLocator(o.Addrs, o.KeyOf(w.Name), "", "load-"+w.Name))
 	}
 	before := r.work()
 	r.start = time.Now()
