node: admit only once the list of VMs has formed

Cause: three of nine VMs killed two seconds apart left 7 of 125 generations without their answer, and refused new ones: for ten minutes after the start every opening also asked a majority of the keepers by the settings' list, whose VMs carry no incarnation and so never count as gone. Change: until enough VMs have joined nothing is admitted (and readyz says so); the settings' list serves for addresses only.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -15,8 +15,9 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
 
-// members is this VM's copy of the committed list of VMs, over the list of the
-// settings until the system has formed. Safe for concurrent use.
+// members is this VM's copy of the committed list of VMs. Until the system has
+// formed there is only the list of the settings, by which VMs are addressed and
+// no journal is placed. Safe for concurrent use.
 type members struct {
 	self        string
 	incarnation string
@@ -29,7 +30,7 @@
 	mu      sync.Mutex
 	history membership.History
 	views   []generation.Membership // of the history, newest first
-	formed  time.Time
+	formed  bool
 	failing map[string]time.Time // VMs that this one watches, since when they fail
 	changed chan struct{}
 }
@@ -67,30 +68,28 @@
 	return m.history.Present()
 }
 
-// staticVersion is the version of the settings' list, which is used until
-// enough VMs have joined. Its VMs carry no incarnation.
-const staticVersion = 1
-
+// static is the settings' list, whose VMs carry no incarnation.
 func (m *members) static() generation.Membership {
-	view := generation.Membership{Version: staticVersion}
+	view := generation.Membership{}
 	for _, vm := range m.vms {
 		view.Candidates = append(view.Candidates, generation.Candidate{VM: vm.ID, Zone: vm.Zone})
 	}
 	return view
 }
 
-// staticFor is how long the settings' list is kept among the views once the
-// system has formed: journals may have been placed by it just before.
-const staticFor = 10 * time.Minute
+// hasFormed reports whether journals can be placed. Before that nothing is
+// admitted: a journal that keepers without incarnation hold would need their
+// majority at every opening, also after some of them were lost.
+func (m *members) hasFormed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.formed
+}
 
 // Views implements relay.Members.
 func (m *members) Views() []generation.Membership {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := len(m.views)
-	if n > 1 && m.views[n-1].Version == staticVersion && time.Since(m.formed) > staticFor {
-		m.views = m.views[: n-1 : n-1]
-	}
 	return m.views
 }
 
@@ -109,16 +108,11 @@
 	if !m.history.Formed() {
 		return
 	}
-	if m.formed.IsZero() {
-		m.formed = time.Now()
-	}
+	m.formed = true
 	views := make([]generation.Membership, 0, len(m.history.Views())+1)
 	for _, v := range m.history.Views() {
 		views = append(views, candidates(v))
 	}
-	if time.Since(m.formed) <= staticFor {
-		views = append(views, m.static())
-	}
 	m.views = views
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -152,7 +152,7 @@
 			result.WriteHTTP(w, "", result.New(result.ShuttingDown))
 			return
 		}
-		if !n.feed.Fresh() {
+		if !n.fresh() {
 			result.WriteHTTP(w, "", result.New(result.NotFresh))
 			return
 		}
--- a/internal/node/plans.go
+++ b/internal/node/plans.go
@@ -74,7 +74,7 @@
 	n.machine.Register(control.PartLedger, ledger)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.plans = &plans{
-		fresh: n.feed.Fresh, ledger: ledger, log: n.log, view: plan.NewView(), cancel: cancel,
+		fresh: n.fresh, ledger: ledger, log: n.log, view: plan.NewView(), cancel: cancel,
 		quota: quota.New(n.s.Self.ID, n.incarnation, n.control, n.metrics, n.log),
 	}
 	n.plans.dir.Store(n.plans.view.Directory())
@@ -100,3 +100,7 @@
 	p.dir.Store(next)
 	p.quota.Recall(next)
 }
+
+// fresh reports whether this VM may admit: it holds the lists in force, and
+// knows the VMs that keep journals.
+func (n *Node) fresh() bool { return n.feed.Fresh() && n.members.hasFormed() }
