load: name the requests that were not served

Cause: the report counted refusals without a key to explain. Change: the first twenty, with time, code and tokens.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -20,6 +20,7 @@
 
 // Sample is what one caller received.
 type Sample struct {
+	Key        string
 	Class      string
 	Workspace  string
 	At         time.Duration // intended
@@ -77,8 +78,21 @@
 	SentLateP99  float64       `json:"sent_late_p99_ms"`
 	Timeline     []Second      `json:"timeline"`
 	WrongAnswers []string      `json:"wrong_answers,omitempty"`
+	Failures     []Failure     `json:"failures,omitempty"` // the first maxFailures
 }
 
+// Failure is a request that was not served, for `amaranthshelf explain`.
+type Failure struct {
+	Key       string  `json:"key"`
+	Workspace string  `json:"workspace"`
+	AtMS      float64 `json:"at_ms"`
+	TookMS    float64 `json:"took_ms"`
+	Tokens    int     `json:"tokens"`
+	Name      string  `json:"name"`
+}
+
+const maxFailures = 20
+
 // OK reports whether no answer was wrong.
 func (r *Report) OK() bool { return len(r.WrongAnswers) == 0 }
 
@@ -145,6 +159,11 @@
 		c.refused[codeName(s.Code)]++
 		record(c.refusedIn, s.Total)
 		second.Refused++
+		if len(r.totals.Failures) < maxFailures {
+			r.totals.Failures = append(r.totals.Failures, Failure{
+				s.Key, s.Workspace, millis(s.At), millis(s.Total), s.Tokens, codeName(s.Code),
+			})
+		}
 		return
 	}
 	c.served++
@@ -225,6 +244,10 @@
 	if r.EngineTokens > 0 {
 		fmt.Fprintf(&b, "engines computed %d tokens for %d of unbroken runs (a cached prefix counts as saved)\n", r.EngineTokens, r.UnbrokenCost)
 	}
+	for _, f := range r.Failures {
+		fmt.Fprintf(&b, "not served: %s of %s, sent at %.1f s: %s after %.1f s and %d tokens\n",
+			f.Key, f.Workspace, f.AtMS/1000, f.Name, f.TookMS/1000, f.Tokens)
+	}
 	for _, w := range r.WrongAnswers {
 		fmt.Fprintf(&b, "WRONG %s\n", w)
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -118,7 +118,7 @@
 		Model: r.o.Profile.System.Model, Prompt: prompt(a), MaxTokens: a.MaxTokens,
 		Priority: a.Class.Priority, DeadlineMS: a.Class.DeadlineMS,
 	}
-	sample := Sample{Class: a.Class.Name, Workspace: a.Workspace, At: a.At}
+	sample := Sample{Key: a.Key, Class: a.Class.Name, Workspace: a.Workspace, At: a.At}
 	began := time.Since(intended)
 	answer, err := r.clients[a.Workspace].Complete(ctx, a.Key, c, func(p client.Progress) {
 		if p.Index > 0 && sample.First == 0 {
@@ -142,7 +142,7 @@
 }
 
 func (r *runner) call(ctx context.Context, a Arrival, intended time.Time) {
-	sample := Sample{Class: a.Class.Name, Workspace: a.Workspace, At: a.At}
+	sample := Sample{Key: a.Key, Class: a.Class.Name, Workspace: a.Workspace, At: a.At}
 	sys := r.o.Profile.System
 	out, err := r.clients[a.Workspace].Call(ctx, a.Class.Method, sys.Service, a.Class.Path, a.Key)
 	sample.Total = time.Since(intended)
