generation: keeper sets of dead VMs do not refuse new requests

Cause: opening a request asked a majority of every keeper set of the list's history, ten minutes of it. With three of nine VMs killed five seconds apart the sets of the first versions had lost their majority: 87 of 256 generations were refused, all of those sent after the third death. Ruled out: slow evictions (each within five seconds) and the control group (a leader within one). Change: a caller without tokens does without sets that are settled (superseded for 15 s, so that living owners have moved) or whose majority the list has as dead; they are still asked, for 20 ms.

--- a/internal/generation/placement.go
+++ b/internal/generation/placement.go
@@ -30,15 +30,20 @@
 	Zone        string
 	Incarnation string
 	Leaving     bool
+	Dead        bool // it may come back with what it holds
 }
 
 func (c Candidate) id() KeeperID { return KeeperID{c.VM, c.Incarnation} }
 
 // Membership is one committed version of the list of VMs. A VM that is missing
 // from it has lost its memory or has stopped keeping for good.
+//
+// Settled tells that it was superseded so long ago that every living owner has
+// moved its journals away from it.
 type Membership struct {
 	Version    uint64
 	Candidates []Candidate
+	Settled    bool
 }
 
 // Has reports whether the list names this keeper.
@@ -46,11 +51,16 @@
 	return slices.ContainsFunc(m.Candidates, func(c Candidate) bool { return c.id() == k })
 }
 
+func (m *Membership) dead(k KeeperID) bool {
+	return slices.ContainsFunc(m.Candidates, func(c Candidate) bool { return c.Dead && c.id() == k })
+}
+
 // Group is a set of keepers that a journal has, or had by an older version of
 // the list. Newest is the last version that gives this set.
 type Group struct {
 	Keepers []KeeperID
 	Newest  uint64
+	Settled bool // as that version
 }
 
 // Majority is the number of keepers that any other majority shares one with.
@@ -64,7 +74,7 @@
 		keepers := Place(id, v.Candidates)
 		same := func(g Group) bool { return SameKeepers(g.Keepers, keepers) }
 		if !slices.ContainsFunc(out, same) {
-			out = append(out, Group{Keepers: keepers, Newest: v.Version})
+			out = append(out, Group{Keepers: keepers, Newest: v.Version, Settled: v.Settled})
 		}
 	}
 	return out
--- a/internal/generation/replies.go
+++ b/internal/generation/replies.go
@@ -15,9 +15,14 @@
 
 	// Max is the highest epoch promised anywhere.
 	Max Epoch
-	// SkipLost leaves out sets whose majority is gone for good. Only the opening
-	// of a request whose caller holds no token may: nothing can be released there.
-	SkipLost bool
+	// Fresh is the opening of a request whose caller holds no token. It asks every
+	// set and uses what it hears, but does without those that are settled, or have
+	// lost their majority to dead VMs: else a few VMs lost within the history's
+	// minutes would refuse every new request. What may be missed is a generation
+	// whose owner died a while ago unread, or lives on the far side of a cut. A
+	// second one then starts; the two never mix, since a caller with tokens of the
+	// first is refused by their digest.
+	Fresh bool
 	// Newest is the list by which keepers count as gone.
 	Newest Membership
 }
@@ -91,7 +96,7 @@
 	if r.best.Found && g.Newest < r.best.Accepted.Version {
 		return false
 	}
-	return !r.SkipLost || !r.lost(g)
+	return !r.Fresh || !g.Settled && !r.lost(g)
 }
 
 // Lost reports whether the journal is gone for good: a needed set has lost its
@@ -117,7 +122,9 @@
 	for _, k := range g.Keepers {
 		// A keeper of the settings' list has no incarnation and may not have joined
 		// yet: nothing tells that it is gone.
-		if k.Incarnation == "" || r.Newest.Has(k) {
+		switch {
+		case r.Fresh && r.Newest.dead(k):
+		case k.Incarnation == "", r.Newest.Has(k):
 			left++
 		}
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	formed  bool
 	failing map[string]time.Time // VMs that this one watches, since when they fail
 	changed chan struct{}
+
+	learnt   map[uint64]time.Time // versions, when this VM learnt of them
+	markedAt time.Time            // when Settled was last computed
 }
 
 func newMembers(self, incarnation string, vms []settings.VM, p *platform.Reader, log zerolog.Logger) *members {
@@ -90,9 +94,45 @@
 func (m *members) Views() []generation.Membership {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if time.Since(m.markedAt) >= markEvery {
+		m.markSettled()
+	}
 	return m.views
 }
 
+// settleAfter is beyond the freshness lease of a VM that had not heard of a
+// change, and the time in which owners then move their journals.
+const (
+	settleAfter = 15 * time.Second
+	markEvery   = 1 * time.Second
+)
+
+// learn notes when versions were learnt; those of a start are as old as the
+// group says. It needs m.mu.
+func (m *members) learn() {
+	learnt := map[uint64]time.Time{}
+	newest := m.history.Present()
+	for _, v := range m.history.Views() {
+		at, ok := m.learnt[v.Version]
+		if !ok {
+			at = time.Now().Add(-time.Duration(newest.AtMS-v.AtMS) * time.Millisecond)
+		}
+		learnt[v.Version] = at
+	}
+	m.learnt = learnt
+}
+
+// markSettled needs m.mu.
+func (m *members) markSettled() {
+	m.markedAt = time.Now()
+	views := slices.Clone(m.views)
+	for i := 1; i < len(views); i++ {
+		superseded := m.learnt[views[i-1].Version]
+		views[i].Settled = time.Since(superseded) >= settleAfter
+	}
+	m.views = views
+}
+
 // take applies a change of the committed list.
 func (m *members) take(data []byte) {
 	m.mu.Lock()
@@ -109,11 +149,13 @@
 		return
 	}
 	m.formed = true
+	m.learn()
 	views := make([]generation.Membership, 0, len(m.history.Views())+1)
 	for _, v := range m.history.Views() {
 		views = append(views, candidates(v))
 	}
 	m.views = views
+	m.markSettled()
 }
 
 // candidates are the VMs that may hold journals. A dead one may hold them yet,
@@ -130,6 +172,7 @@
 	for _, vm := range v.VMs {
 		out.Candidates = append(out.Candidates, generation.Candidate{
 			VM: vm.ID, Zone: vm.Zone, Incarnation: vm.Incarnation,
+			Dead:    vm.State == membership.Dead,
 			Leaving: vm.State == membership.Leaving || vm.State == membership.Dead && live >= generation.KeepersMany,
 		})
 	}
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -177,6 +177,10 @@
 	return found{run: run, req: run.Request()}, nil
 }
 
+// settledGrace is how long the opening of a new request waits for keeper sets
+// that it can do without: some round trips between zones.
+const settledGrace = 20 * time.Millisecond
+
 // ask sends a promise to every keeper of every set. It returns once a majority
 // of each has answered OK, or enough have answered to know that it will not.
 func (o *opener) ask(ctx context.Context, p generation.Promise) (*generation.Replies, error) {
@@ -199,18 +203,26 @@
 		}()
 	}
 	replies := generation.NewReplies(o.groups, o.newest)
-	replies.SkipLost = !o.resume
+	replies.Fresh = !o.resume
 	refused := false
+	var grace <-chan time.Time
 	for range keepers {
-		a := <-answers
-		if a.err != nil {
-			continue
+		var a answer
+		select {
+		case a = <-answers:
+		case <-grace:
+			return replies, o.verdict(replies)
 		}
-		replies.Add(a.keeper, a.reply)
-		refused = refused || !a.reply.OK
-		if replies.Ready() || (refused && replies.Heard()) {
+		if a.err == nil {
+			replies.Add(a.keeper, a.reply)
+			refused = refused || !a.reply.OK
+		}
+		if refused && replies.Heard() || replies.Ready() && (o.resume || len(o.groups) == 1) {
 			break
 		}
+		if replies.Ready() && grace == nil {
+			grace = time.After(settledGrace)
+		}
 	}
 	return replies, o.verdict(replies)
 }
