--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -134,6 +134,9 @@
 	}
 	e := *result.From(err)
 	e.RequestID = s.key
+	if s.index > 0 && e.Ran == result.RanNo {
+		e.Ran = result.RanYes // the caller holds tokens
+	}
 	_ = s.event("", "error", &e)
 	return nil
 }
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -157,5 +157,5 @@
 			break
 		}
 	}
-	return found{}, result.New(result.KeepersUnavail)
+	return found{}, unavailable()
 }
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -28,6 +28,7 @@
 	Code    int                 `cbor:"3,keyasint,omitempty"`
 	Request *generation.Request `cbor:"4,keyasint,omitempty"`
 	Opening bool                `cbor:"5,keyasint,omitempty"` // not the owner yet
+	Ran     result.Ran          `cbor:"6,keyasint,omitempty"` // with Code
 }
 
 // Reader reads one caller's answer, wherever its owner is: on this VM or on
@@ -122,7 +123,7 @@
 	case !reply.Found:
 		return Chunk{}, errNotOwner
 	case reply.Code != 0:
-		return Chunk{}, result.New(result.Code(reply.Code))
+		return Chunk{}, result.New(result.Code(reply.Code)).WithRan(reply.Ran)
 	}
 	return reply.Chunk, nil
 }
@@ -150,5 +151,6 @@
 	case errors.Is(err, generation.ErrDeposed), run.letGo():
 		return followReply{}, nil
 	}
-	return followReply{Found: true, Code: int(result.CodeOf(err))}, nil
+	coded := result.From(err)
+	return followReply{Found: true, Code: int(coded.Code), Ran: coded.Ran}, nil
 }
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -97,7 +97,11 @@
 // (resuming: the caller named an event) is never started anew.
 func (h *Hub) Open(ctx context.Context, req generation.Request, resuming bool) (*Reader, error) {
 	if h.draining.Load() {
-		return nil, result.New(result.ShuttingDown)
+		err := result.New(result.ShuttingDown)
+		if resuming {
+			err.Ran = result.RanYes
+		}
+		return nil, err
 	}
 	return h.read(ctx, req, resuming)
 }
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -39,7 +39,14 @@
 			break
 		}
 	}
-	return found{}, result.New(result.KeepersUnavail)
+	return found{}, unavailable()
+}
+
+// unavailable is the refusal where too few keepers could be asked. Those that
+// could not may know the request, as the resend of one that is running: only an
+// answer that all needed keepers gave could promise that it did not run.
+func unavailable() *result.Error {
+	return result.New(result.KeepersUnavail).WithRan(result.RanUnknown)
 }
 
 func backOff(ctx context.Context, try int) error {
@@ -140,7 +147,7 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return result.New(result.KeepersUnavail)
+			return unavailable()
 		}
 	}
 	return nil
@@ -221,13 +228,21 @@
 	case replies.Ready():
 		return nil
 	case replies.Full():
-		return result.New(result.KeepersFull)
+		return o.full(replies)
 	case replies.Heard():
 		return nil
 	case o.resume && replies.Lost():
 		return result.New(result.JournalLost)
 	}
-	return result.New(result.KeepersUnavail)
+	return unavailable()
+}
+
+func (o *opener) full(replies *generation.Replies) error {
+	err := result.New(result.KeepersFull)
+	if !replies.Heard() || !replies.Max.IsZero() {
+		return err.WithRan(result.RanUnknown)
+	}
+	return err
 }
 
 func (o *opener) keepers() []generation.KeeperID {
--- a/internal/relay/owner_test.go
+++ b/internal/relay/owner_test.go
@@ -92,9 +92,12 @@
 		deaf := s.owner("k")
 		s.net.Deafen(deaf)
 		began := time.Now()
-		if err := c.read(deaf, testTokens); result.CodeOf(err) != result.KeepersUnavail {
+		if err := c.read(deaf, testTokens); result.CodeOf(err) != result.KeepersUnavail || result.From(err).Ran == result.RanNo {
 			t.Errorf("the cut-off VM ended the answer with %v", err)
 		}
+		if err := s.caller("k").read(deaf, 1); result.CodeOf(err) != result.KeepersUnavail || result.From(err).Ran == result.RanNo {
+			t.Errorf("the cut-off VM refused the resend of a running answer with %v", err)
+		}
 		if took := time.Since(began); took > 5*time.Second {
 			t.Errorf("the cut-off VM held its caller for %v", took)
 		}
@@ -330,6 +333,29 @@
 	})
 }
 
+// The keepers are full. A new request is refused with a reason and the promise
+// that it did not run; the answers that run are not touched, and neither is the
+// resend of one of them.
+func TestFullKeepersRefuseNewAnswers(t *testing.T) {
+	inBubble(t, 3, 1, func(s *system) {
+		var running []*caller
+		for i := range fullAt {
+			running = append(running, s.caller(fmt.Sprint("k", i)))
+			if err := running[i].read("vm0", 10); err != nil {
+				t.Fatal(err)
+			}
+		}
+		err := s.caller("one more").read("vm1", 1)
+		if result.CodeOf(err) != result.KeepersFull || result.From(err).Ran != result.RanNo {
+			t.Errorf("a new request: %v", err)
+		}
+		s.kill("vm0")
+		for _, c := range running {
+			c.finishOn("vm1")
+		}
+	})
+}
+
 // A keeper finds that a write would change a token that it holds: memory is
 // damaged somewhere, or this program is wrong. That one answer stops with its
 // own code and is counted; the caller beside it notices nothing.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -292,7 +292,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return result.New(result.KeepersUnavail)
+			return unavailable()
 		}
 	}
 }
--- a/internal/relay/system_test.go
+++ b/internal/relay/system_test.go
@@ -26,6 +26,7 @@
 	testPrompt = "unit 7 log: return flow cold"
 	testTokens = 400
 	callerKeep = 20 * time.Second
+	fullAt     = 12 // journals on one keeper
 )
 
 // system is some VMs in three zones before some engines, in memory, under
@@ -86,10 +87,12 @@
 func (s *system) start(c generation.Candidate) {
 	m := new(expvar.Map).Init()
 	link := s.net.VM(c.VM)
+	limits := generation.DefaultLimits(callerKeep)
+	limits.Journals = fullAt
 	h := relay.NewHub(relay.Config{
 		VM: c.VM, Epoch: c.VM + "#" + c.Incarnation, Incarnation: c.Incarnation, OpenTimeout: 4 * time.Second,
 		SilenceLimit: time.Second, CallerKeep: callerKeep, DetachKeep: 6 * time.Second,
-		Limits: generation.DefaultLimits(callerKeep),
+		Limits: limits,
 	}, relay.Deps{
 		Transport: link, Members: s, Engines: &wire{s, c.VM}, Router: s, Quota: &s.charges, Log: zerolog.Nop(), Metrics: m,
 	})
--- a/internal/relay/tend.go
+++ b/internal/relay/tend.go
@@ -177,7 +177,7 @@
 			return
 		case now.Sub(caughtUp) >= abdicateAfter:
 			h.metrics.Add("abdications", 1)
-			run.stop(result.New(result.KeepersUnavail))
+			run.stop(result.New(result.KeepersUnavail).WithRan(result.RanYes))
 			return
 		case now.Sub(touched) >= touch:
 			touched = now
