--- a/internal/relay/attach.go
+++ b/internal/relay/attach.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 
@@ -32,6 +34,7 @@
 	}
 	r.source = nil
 	id, from := r.beginAttach(*src)
+	r.hub.note(r.Request().ID, explain.Resumed, fmt.Sprintf("attached to the stream on %s behind %d tokens", src.Backend, from))
 	span := r.hub.span(r.Request(), "attempt", attribute.String("engine", src.Backend), attribute.Int("from", from), attribute.Bool("attached", true))
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
@@ -104,6 +106,7 @@
 	}
 	owner := h.probe(ctx, req.ID, replies.Max.VM)
 	if owner.Request != nil {
+		h.note(req.ID, explain.Followed, "read from its owner "+vmOf(replies.Max.VM))
 		return found{owner: vmOf(replies.Max.VM), req: owner.Request}, nil
 	}
 	if owner.Opening && try < politeTries {
@@ -136,6 +139,7 @@
 		o.req = *best.Request
 	}
 	o.h.metrics.Add("takeovers", 1)
+	o.h.note(o.req.ID, explain.TakenOver, fmt.Sprintf("from %s behind %d tokens, epoch %s", vmOf(seen.VM), best.Journal.Len(), epoch))
 	return o.own(ctx, epoch, replies, best)
 }
 
@@ -172,6 +176,9 @@
 		run.release()
 		return found{}, err
 	}
+	if !best.Found {
+		h.note(o.req.ID, explain.Accepted, fmt.Sprintf("a majority of %d keepers holds it, epoch %s", len(o.groups[0].Keepers), epoch))
+	}
 	h.mu.Lock()
 	h.runs[o.req.ID] = run
 	h.mu.Unlock()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 
@@ -254,6 +256,9 @@
 	r.mu.Lock()
 	after := r.visible()
 	r.mu.Unlock()
+	if after.finished && !before.finished {
+		r.hub.note(r.Request().ID, explain.Finished, fmt.Sprintf("after %d tokens", after.released))
+	}
 	if reply.Reserved || after.accepted != before.accepted || after.touched != before.touched {
 		r.hub.journals.mark(r) // keepers that came late may go on
 	}
