--- a/internal/relay/owner_test.go
+++ b/internal/relay/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -333,6 +334,29 @@
 	})
 }
 
+// A VM shuts down and there is no other to take its answers. It waits for them,
+// but no longer than it is given; an answer that ends in time is whole.
+func TestDrainWithoutSuccessor(t *testing.T) {
+	inBubble(t, 1, 1, func(s *system) {
+		c := s.caller("k")
+		if err := c.read("vm0", 10); err != nil {
+			t.Fatal(err)
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { c.finishOn("vm0") })
+		synctest.Wait()
+		short, cancel := context.WithTimeout(s.t.Context(), 500*time.Millisecond)
+		defer cancel()
+		if err := s.hubs["vm0"].Drain(short); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("a drain of half a second ended with %v", err)
+		}
+		if err := s.hubs["vm0"].Drain(s.t.Context()); err != nil {
+			t.Errorf("a drain with time enough ended with %v", err)
+		}
+		wg.Wait()
+	})
+}
+
 // The keepers are full. A new request is refused with a reason and the promise
 // that it did not run; the answers that run are not touched, and neither is the
 // resend of one of them.
--- a/internal/relay/random_test.go
+++ b/internal/relay/random_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -109,8 +110,8 @@
 }
 
 // Several callers read two answers, moving between VMs at random and reading
-// each index as often as they like, while VMs die, restart empty, pause and go
-// deaf, messages are lost and doubled, and engines pause. Every caller receives
+// each index as often as they like, while VMs die, shut down, restart empty, pause
+// and go deaf, messages are lost and doubled, and engines pause. Every caller receives
 // a whole answer in the end, and what all of them saw is one history of one
 // growing answer for each key.
 func TestRandomFaults(t *testing.T) {
@@ -163,7 +164,7 @@
 	s := r.s
 	i := r.rand.IntN(randomVMs)
 	vm, other := fmt.Sprint("vm", i), fmt.Sprint("vm", (i+1+r.rand.IntN(randomVMs-1))%randomVMs)
-	switch r.rand.IntN(6) {
+	switch r.rand.IntN(7) {
 	case 0:
 		r.restart(vm)
 	case 1:
@@ -182,6 +183,11 @@
 		s.net.SetLoss(0, 0)
 	case 5:
 		s.engines[r.rand.IntN(len(s.engines))].Pause(time.Duration(r.rand.IntN(4000)) * time.Millisecond)
+	case 6:
+		ctx, cancel := context.WithTimeout(s.t.Context(), 5*time.Second)
+		_ = s.hub(vm).Drain(ctx) // an error: some answer found no successor in time
+		cancel()
+		r.restart(vm)
 	}
 	r.pause(1500*time.Millisecond, 3*time.Second)
 }
