relay: a deposed owner never cancels its successor's stream

Cause: between the reply that deposes an owner and the stop of its run, an event of the engine ended the attempt, and the run counted as still owned: the attempt was cancelled although the successor may have attached to it. Found by reading; the window is too short for a test. Change: letGo asks the owner as well.

--- a/internal/relay/tend.go
+++ b/internal/relay/tend.go
@@ -205,6 +205,6 @@
 func (r *Run) letGo() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.hub.ctx.Err() != nil || errors.Is(r.err, generation.ErrDeposed) ||
+	return r.hub.ctx.Err() != nil || r.owner.Deposed() || errors.Is(r.err, generation.ErrDeposed) ||
 		errors.Is(r.err, result.New(result.KeepersUnavail))
 }
