--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -193,14 +193,21 @@
 
 // update runs f under the lock and wakes readers if there is more for them.
 func (r *Run) update(f func() error) error {
+	_, _, err := r.change(f)
+	return err
+}
+
+// change is update that also tells what readers could see before and after.
+func (r *Run) change(f func() error) (before, after visible, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.visible()
-	err := f()
-	if r.visible() != before {
+	before = r.visible()
+	err = f()
+	after = r.visible()
+	if after != before {
 		r.wake()
 	}
-	return err
+	return before, after, err
 }
 
 // visible is what a waiting reader or opener looks at.
@@ -234,10 +241,7 @@
 // ack takes a keeper's reply. It reports whether the keeper needs more now, and
 // whether it refused and should be tried again later.
 func (r *Run) ack(vm string, reply generation.WriteReply) (more, later bool) {
-	r.mu.Lock()
-	before := r.visible()
-	r.mu.Unlock()
-	err := r.update(func() error { return r.owner.Ack(vm, reply) })
+	before, after, err := r.change(func() error { return r.owner.Ack(vm, reply) })
 	var broken *generation.InvariantError
 	switch {
 	case errors.As(err, &broken):
@@ -253,9 +257,6 @@
 		r.stop(err)
 		return false, false
 	}
-	r.mu.Lock()
-	after := r.visible()
-	r.mu.Unlock()
 	if after.finished && !before.finished {
 		r.hub.note(r.Request().ID, explain.Finished, fmt.Sprintf("after %d tokens", after.released))
 	}
