--- a/internal/relay/tend.go
+++ b/internal/relay/tend.go
@@ -177,7 +177,7 @@
 			return
 		case now.Sub(caughtUp) >= abdicateAfter:
 			h.metrics.Add("abdications", 1)
-			run.stop(result.New(result.KeepersUnavail))
+			run.stop(result.New(result.KeepersUnavail).WithRan(result.RanYes))
 			return
 		case now.Sub(touched) >= touch:
 			touched = now
@@ -205,6 +205,6 @@
 func (r *Run) letGo() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.hub.ctx.Err() != nil || errors.Is(r.err, generation.ErrDeposed) ||
+	return r.hub.ctx.Err() != nil || r.owner.Deposed() || errors.Is(r.err, generation.ErrDeposed) ||
 		errors.Is(r.err, result.New(result.KeepersUnavail))
 }
