node: backend servers by settings, platform and orders; orders on the leader

Cause: a leaving backend server was known to routing by its own report only, and that report, which says nothing of the platform's list, would have reset a mark from the list.

In internal/routing a backend server is leaving by its own report or by the list, each kept for itself.

Shown failing first: with the single flag, new work went to the leaving engine without end (20 s, no hundred requests without it); with both, test green.

--- a/internal/fleet/part.go
+++ b/internal/fleet/part.go
@@ -171,3 +171,19 @@
 	}
 	return false
 }
+
+// Models names the models that an engine has ready.
+func (v *View) Models(engine string) []string {
+	var out []string
+	for _, s := range v.served {
+		if s.Engine != engine {
+			continue
+		}
+		for _, c := range s.Copies {
+			if c.Ready {
+				out = append(out, c.Model)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,68 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/client"
+	"github.com/amaranthshelf/amaranthshelf/internal/local"
+	"github.com/amaranthshelf/amaranthshelf/internal/platform"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin"
+)
+
+// The platform says, a second late, that an engine and a VM are leaving. Within
+// seconds the engine gets no new work, a hundred requests in a row and over several
+// of its own load reports, which say nothing of it, and the entry leaves the VM
+// out. The callers' answers are whole throughout.
+func TestPlatformsLeavingTakesEffectWithinSeconds(t *testing.T) {
+	p, err := standin.ServePlatform("127.0.0.1:0", time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	p.Set(platform.List{})
+	o := options(zerolog.New(zerolog.NewTestWriter(t)))
+	shorten := o.Settings
+	o.Settings = func(i int, s *settings.Settings) {
+		shorten(i, s)
+		s.PlatformURL = p.URL
+	}
+	s, err := local.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	complete := func(key string) {
+		t.Helper()
+		req := client.Completion{Model: "m", Prompt: key, MaxTokens: 5}
+		if _, err := client.New(s.Addresses()[:1], testKey).Complete(ctx, key, req, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	complete("before")
+	leavingEngine, leavingVM := s.Engines[0], s.Nodes[2].Self()
+	p.Set(platform.List{
+		VMs:      []platform.VM{{ID: leavingVM.ID, Zone: leavingVM.Zone, Callers: leavingVM.Callers, Leaving: true}},
+		Backends: []platform.Backend{{Name: "engine1", Leaving: true}},
+	})
+	began := time.Now()
+	entryUntil(ctx, t, s.Nodes[0].Self().Callers, func(e *client.Entry) bool { return len(e.Addresses) == 2 })
+	idle, last := 0, leavingEngine.Stats().Starts
+	for i := 0; idle < 100; i++ {
+		complete(fmt.Sprint("after", i))
+		idle++
+		if now := leavingEngine.Stats().Starts; now != last {
+			idle, last = 0, now
+		}
+	}
+	if took := time.Since(began); took > 8*time.Second {
+		t.Errorf("new work still came %s after the platform knew", took)
+	}
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -184,6 +184,7 @@
 	go n.members.platform.Run(ctx)
 	go n.keepJoined(ctx)
 	go n.watchMembers(ctx)
+	n.runFleet(ctx)
 }
 
 // Timings of joining.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	stopPolling context.CancelFunc
 	plans       *plans
 	services    *service.Dispatcher
+	backends    *backends
 	ready       atomic.Bool
 	explainer   *operator.Explainer
 
@@ -109,6 +110,7 @@
 	n.startControl()
 	n.followMembers()
 	n.startPlans()
+	n.startFleet()
 	n.startServices()
 	n.startExplain()
 	n.startRouting()
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -14,20 +14,6 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
 
-// staticServices are the plain services' backend servers from the settings.
-type staticServices struct{ all []settings.Backend }
-
-// Service implements service.Backends.
-func (s staticServices) Service(name string) []service.Backend {
-	var out []service.Backend
-	for _, b := range s.all {
-		if b.Kind == settings.KindService && b.Service == name {
-			out = append(out, service.Backend{Name: b.Name, Addr: b.Address, Zone: b.Zone})
-		}
-	}
-	return out
-}
-
 // markings are checked with the settings: a bad one cannot get here.
 func markings(backends []settings.Backend) map[string][]call.Marking {
 	out := map[string][]call.Marking{}
@@ -50,7 +36,7 @@
 			VM: n.s.Self.ID, Incarnation: n.incarnation, Zone: n.s.Self.Zone, Markings: markings(n.s.Backends),
 		},
 		service.Deps{
-			Control: n.control, Sender: service.NewClient(), Backends: staticServices{n.s.Backends}, Incarnations: n.members,
+			Control: n.control, Sender: service.NewClient(), Backends: n.backends, Incarnations: n.members,
 			Explain: n.explain, Metrics: n.metrics, Log: n.log,
 		})
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -35,10 +35,17 @@
 	Leaving bool   `json:"leaving"`
 }
 
-// Backend is one backend server in the platform's list.
+// Backend is one backend server in the platform's list. One that the settings
+// name needs its name and Leaving only.
 type Backend struct {
-	Name    string `json:"name"`
-	Leaving bool   `json:"leaving"`
+	Name    string   `json:"name"`
+	Leaving bool     `json:"leaving"`
+	Kind    string   `json:"kind,omitempty"`    // "engine" or "service"
+	Address string   `json:"address,omitempty"` // ip:port
+	Zone    string   `json:"zone,omitempty"`
+	Models  []string `json:"models,omitempty"`
+	Service string   `json:"service,omitempty"`
+	Fences  bool     `json:"fences,omitempty"`
 }
 
 // List is the platform's list.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -24,7 +24,9 @@
 type server struct {
 	Spec
 	gone     bool // no longer listed
-	leaving  bool
+	leaving  bool // by either of the next two
+	says     bool // leaving by its own report
+	listed   bool // leaving by the platform's list
 	inflight int
 	limit    int     // of own work in flight
 	work     float64 // own outstanding work
@@ -131,7 +133,11 @@
 
 // SetLeaving marks a backend server that the platform's list or its own report
 // says is leaving: it gets no new work.
-func (t *Table) SetLeaving(i int, leaving bool) { t.engines[i].leaving = leaving }
+func (t *Table) SetLeaving(i int, leaving bool) {
+	s := t.engines[i]
+	s.listed = leaving
+	s.leaving = s.listed || s.says
+}
 
 // Capacity returns the sum of the limits and the own work in flight over the
 // backend servers of a pool that take new work.
@@ -247,7 +253,8 @@
 	}
 	s.reported = at
 	s.running = load.Running + load.Queued
-	s.leaving = load.Leaving
+	s.says = load.Leaving
+	s.leaving = s.listed || s.says
 	s.base = s.history.at(at)
 	s.others = max(0, reportedWork(load)-s.base)
 	if load.StepMS > 0 {
