--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -95,24 +95,28 @@
 }
 
 func book(t *testing.T, addr, key string) string {
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	t.Helper()
+	got, err := tryBook(t.Context(), addr, key)
+	if err != nil {
+		t.Error(err)
+	}
+	return got
+}
+
+func tryBook(ctx context.Context, addr, key string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/services/dispatch/bookings", bytes.NewReader([]byte("{}")))
 	if err != nil {
-		t.Error(err)
-		return ""
+		return "", err
 	}
 	r.Header.Set("Authorization", "Bearer "+testKey)
 	r.Header.Set("Idempotency-Key", key)
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
-		t.Error(err)
-		return ""
+		return "", err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Error(err)
-	}
-	return resp.Status + " " + string(body)
+	return resp.Status + " " + string(body), err
 }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -30,6 +30,7 @@
 	runs   map[string]int
 	next   BreakPoint
 	delay  time.Duration
+	hold   time.Duration
 }
 
 // ServeService starts a service on addr.
@@ -58,6 +59,13 @@
 	s.delay = d
 }
 
+// HoldAnswers makes each call run at once and answer this much later.
+func (s *Service) HoldAnswers(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold = d
+}
+
 // Runs is how often calls with a key ran.
 func (s *Service) Runs(key string) int {
 	s.mu.Lock()
@@ -83,7 +91,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.mu.Lock()
-	at, delay := s.next, s.delay
+	at, delay, hold := s.next, s.delay, s.hold
 	s.next = BreakNever
 	s.mu.Unlock()
 	if at == BreakBefore {
@@ -95,6 +103,7 @@
 	s.runs[key]++
 	answer := serviceAnswer{Key: key, Run: s.runs[key], Method: r.Method, Path: r.URL.Path, Bytes: len(body)}
 	s.mu.Unlock()
+	time.Sleep(hold)
 	if at == BreakAfter {
 		panic(http.ErrAbortHandler)
 	}
