--- /dev/null
+++ b/internal/consensus/requests.go
@@ -0,0 +1,146 @@
+package consensus
+
+import (
+	"context"
+	"fmt"
+)
+
+// Status returns the member's present state; false before it is in a group.
+func (n *Node) Status() (Status, bool) {
+	s := n.status.Load()
+	if s == nil {
+		return Status{}, false
+	}
+	return *s, true
+}
+
+// Leader is the VM of the leader that this member knows, or "".
+func (n *Node) Leader() string {
+	s, _ := n.Status()
+	return s.Leader.VM()
+}
+
+// IsLeader reports whether this member leads, as far as it knows.
+func (n *Node) IsLeader() bool {
+	s, _ := n.Status()
+	return s.Role == Leader
+}
+
+// Applied is the last entry that the state machine holds.
+func (n *Node) Applied() uint64 {
+	select {
+	case <-n.running:
+		return n.apply.applied.Load()
+	default:
+		return 0
+	}
+}
+
+// Propose commits a command on the leader and returns the state machine's reply.
+// ErrNotLeader and ErrBusy: it was not and will not be executed. After any other
+// error the outcome is unknown.
+func (n *Node) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	if !n.IsLeader() {
+		return nil, ErrNotLeader
+	}
+	p := proposal{data: data, done: make(chan outcome, 1)}
+	select {
+	case n.proposals <- p:
+	default:
+		return nil, ErrBusy
+	}
+	select {
+	case out := <-p.done:
+		return out.reply, out.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, ctx.Err())
+	case <-n.ctx.Done():
+		return nil, ErrClosed
+	}
+}
+
+// ReadIndex returns, on the leader, an index that holds all that was committed
+// before the call. A read that is not urgent may take a heartbeat's time.
+func (n *Node) ReadIndex(ctx context.Context, urgent bool) (uint64, error) {
+	if !n.IsLeader() {
+		return 0, ErrNotLeader
+	}
+	ch := make(chan readOutcome, 1)
+	f := func() {
+		n.nextRead++
+		if err := n.core.ReadIndex(n.nextRead, urgent); err != nil {
+			ch <- readOutcome{err: err}
+			return
+		}
+		n.ledTerm = n.core.term
+		n.reads[n.nextRead] = ch
+	}
+	if err := n.do(ctx, f); err != nil {
+		return 0, err
+	}
+	select {
+	case out := <-ch:
+		return out.index, out.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case <-n.ctx.Done():
+		return 0, ErrClosed
+	}
+}
+
+// do hands f to the loop.
+func (n *Node) do(ctx context.Context, f func()) error {
+	select {
+	case n.ops <- f:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.ctx.Done():
+		return ErrClosed
+	}
+}
+
+// WaitApplied returns once the state machine holds the entry index.
+func (n *Node) WaitApplied(ctx context.Context, index uint64) error {
+	select {
+	case <-n.running:
+		return n.apply.wait(ctx, n.ctx, index)
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.ctx.Done():
+		return ErrClosed
+	}
+}
+
+// Remove takes, on the leader, the vote from the member on a VM that will not
+// come back, and returns once the change is committed. ErrNoMember: there is
+// none. ErrConfigBusy: try again, another change is under way.
+func (n *Node) Remove(ctx context.Context, vm string) error {
+	type answer struct {
+		index uint64
+		err   error
+	}
+	done := make(chan answer, 1)
+	f := func() {
+		for _, id := range n.core.Config().Members() {
+			if id.VM() == vm {
+				index, _, err := n.core.ProposeChange(Change{Remove, id})
+				done <- answer{index, err}
+				return
+			}
+		}
+		done <- answer{err: fmt.Errorf("%w: %s", ErrNoMember, vm)}
+	}
+	if err := n.do(ctx, f); err != nil {
+		return err
+	}
+	select {
+	case a := <-done:
+		if a.err != nil {
+			return a.err
+		}
+		return n.WaitApplied(ctx, a.index)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/control/fabric_test.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+)
+
+// fabric joins VMs in one process: a millisecond each way, links that can be
+// cut silently, answers that can be lost.
+type fabric struct {
+	mu       sync.Mutex
+	handlers map[string]map[peer.Kind]peer.Handler
+	cut      map[[2]string]bool
+	loseOf   peer.Kind // answers of this kind are lost
+	lose     int       // so many
+	bytes    map[string]int
+	messages map[string]int
+	flying   sync.WaitGroup
+}
+
+func newFabric() *fabric {
+	return &fabric{
+		handlers: map[string]map[peer.Kind]peer.Handler{}, cut: map[[2]string]bool{},
+		bytes: map[string]int{}, messages: map[string]int{},
+	}
+}
+
+type port struct {
+	f  *fabric
+	vm string
+}
+
+const linkDelay = time.Millisecond
+
+func (p port) Handle(kind peer.Kind, h peer.Handler) {
+	p.f.mu.Lock()
+	defer p.f.mu.Unlock()
+	if p.f.handlers[p.vm] == nil {
+		p.f.handlers[p.vm] = map[peer.Kind]peer.Handler{}
+	}
+	p.f.handlers[p.vm][kind] = h
+}
+
+// frameOverhead is what CBOR frame, WebSocket, TCP and IP add to a body, bytes.
+const frameOverhead = 12 + 6 + 52
+
+func (f *fabric) route(from, to string, kind peer.Kind, size int) (peer.Handler, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if from != to {
+		f.bytes[from] += size + frameOverhead
+		f.bytes[to] += size + frameOverhead
+		f.messages[from]++
+	}
+	if f.cut[[2]string{from, to}] {
+		return nil, false, nil
+	}
+	h := f.handlers[to][kind]
+	if h == nil {
+		return nil, false, peer.ErrUnreachable
+	}
+	return h, true, nil
+}
+
+func (p port) Call(ctx context.Context, vm string, kind peer.Kind, body, reply any) error {
+	data, err := peer.Marshal(body)
+	if err != nil {
+		return err
+	}
+	h, up, err := p.f.route(p.vm, vm, kind, len(data))
+	if err != nil {
+		return err
+	}
+	if !up {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	done := make(chan error, 1)
+	var out []byte
+	p.f.flying.Go(func() {
+		<-time.After(linkDelay)
+		v, err := h(context.WithoutCancel(ctx), p.vm, data)
+		if err == nil {
+			out, err = peer.Marshal(v)
+		}
+		<-time.After(linkDelay)
+		_, back, _ := p.f.route(vm, p.vm, kind, len(out))
+		p.f.mu.Lock()
+		back = (back || p.f.handlers[p.vm][kind] == nil) && !p.f.cut[[2]string{vm, p.vm}]
+		if kind == p.f.loseOf && p.f.lose > 0 {
+			p.f.lose--
+			back = false
+		}
+		p.f.mu.Unlock()
+		if back {
+			done <- err
+		}
+	})
+	select {
+	case err := <-done:
+		if err != nil || reply == nil {
+			return err
+		}
+		return peer.Unmarshal(out, reply)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p port) Send(vm string, kind peer.Kind, body any) error {
+	data, err := peer.Marshal(body)
+	if err != nil {
+		return err
+	}
+	h, up, err := p.f.route(p.vm, vm, kind, len(data))
+	if err != nil || !up {
+		return err
+	}
+	p.f.flying.Go(func() {
+		<-time.After(linkDelay)
+		_, _ = h(context.Background(), p.vm, data)
+	})
+	return nil
+}
+
+// isolate cuts a VM off, silently, both ways; heal ends all cuts.
+func (f *fabric) isolate(vm string, others ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, o := range others {
+		if o != vm {
+			f.cut[[2]string{vm, o}], f.cut[[2]string{o, vm}] = true, true
+		}
+	}
+}
+
+func (f *fabric) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.cut)
+}
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -2,15 +2,20 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
 	"slices"
+	"syscall"
 )
 
 // FS is what the log needs of a file system. Names are full paths.
 type FS interface {
 	MkdirAll(dir string) error
+	// Lock keeps a folder for this process until it is closed or ends.
+	Lock(dir string) (io.Closer, error)
 	// List returns the names of the files in dir, sorted, without the path.
 	List(dir string) ([]string, error)
 	ReadFile(name string) ([]byte, error)
@@ -40,13 +45,40 @@
 	fileMode fs.FileMode = 0o600
 )
 
-// MkdirAll implements FS. The parent is synced too: a folder that vanishes with
-// a crash takes every synced file in it along.
+// MkdirAll implements FS. The parent of each new folder is synced: a folder that
+// vanishes with a crash takes every synced file in it along.
 func (OS) MkdirAll(dir string) error {
+	var parents []string
+	for d := filepath.Clean(dir); ; d = filepath.Dir(d) {
+		parents = append(parents, filepath.Dir(d))
+		if _, err := os.Stat(filepath.Dir(d)); err == nil {
+			break
+		}
+	}
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return err
 	}
-	return OS{}.SyncDir(filepath.Dir(dir))
+	for _, p := range parents {
+		if err := (OS{}).SyncDir(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ErrInUse reports a folder that another process has locked.
+var ErrInUse = errors.New("wal: the folder is in use by another process")
+
+// Lock implements FS. Two processes on one log would both answer for one voter.
+func (OS) Lock(dir string) (io.Closer, error) {
+	f, err := os.OpenFile(filepath.Join(dir, "lock"), os.O_WRONLY|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.Join(fmt.Errorf("%w: %s", ErrInUse, dir), f.Close())
+	}
+	return f, nil
 }
 
 // List implements FS.
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -32,8 +33,9 @@
 
 // Log is an append-only log of opaque entries. Safe for concurrent use.
 type Log struct {
-	fs  FS
-	dir string
+	fs   FS
+	dir  string
+	lock io.Closer
 
 	mu       sync.Mutex
 	file     File
@@ -50,15 +52,17 @@
 	if err := fs.MkdirAll(dir); err != nil {
 		return nil, nil, fmt.Errorf("wal: %w", err)
 	}
-	l := &Log{fs: fs, dir: dir, next: 1}
-	frames, err := l.read()
+	lock, err := fs.Lock(dir)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, fmt.Errorf("wal: %w", err)
 	}
-	if l.file == nil {
-		if err := l.begin(); err != nil {
-			return nil, nil, err
-		}
+	l := &Log{fs: fs, dir: dir, lock: lock, next: 1}
+	frames, err := l.read()
+	if err == nil && l.file == nil {
+		err = l.begin()
+	}
+	if err != nil {
+		return nil, nil, errors.Join(err, lock.Close())
 	}
 	return l, payloads(frames), nil
 }
@@ -267,5 +271,5 @@
 	if l.broken == nil {
 		l.broken = fmt.Errorf("%w: closed", ErrUnusable)
 	}
-	return l.file.Close()
+	return errors.Join(l.file.Close(), l.lock.Close())
 }
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -161,6 +161,29 @@
 	}
 }
 
+// Two daemons are started on one data folder: the second says so and stops, else
+// both would answer for one voter. Once the first has ended the folder is free.
+func TestFolderIsLocked(t *testing.T) {
+	dir := t.TempDir() + "/data/control"
+	first, _, err := wal.Open(wal.OS{}, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := wal.Open(wal.OS{}, dir); !errors.Is(err, wal.ErrInUse) {
+		t.Errorf("second process: %v", err)
+	}
+	if err := errors.Join(first.Append([]byte("x")), first.Close()); err != nil {
+		t.Fatal(err)
+	}
+	again, frames, err := wal.Open(wal.OS{}, dir)
+	if err != nil || len(frames) != 1 {
+		t.Fatalf("after the first has ended: %q, %v", frames, err)
+	}
+	if err := again.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 func FuzzOpen(f *testing.F) {
 	f.Add([]byte("\xa5sh\xe1"))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"io"
 	"io/fs"
 	"maps"
 	"path/filepath"
@@ -111,6 +112,9 @@
 // MkdirAll implements wal.FS.
 func (f *FS) MkdirAll(string) error { return nil }
 
+// Lock implements wal.FS; a test has one process.
+func (f *FS) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
 // List implements wal.FS.
 func (f *FS) List(dir string) ([]string, error) {
 	f.mu.Lock()
