--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +16,9 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
 
-// members is this VM's copy of the committed list of VMs, over the list of the
-// settings until the system has formed. Safe for concurrent use.
+// members is this VM's copy of the committed list of VMs. Until the system has
+// formed there is only the list of the settings, by which VMs are addressed and
+// no journal is placed. Safe for concurrent use.
 type members struct {
 	self        string
 	incarnation string
@@ -29,9 +31,12 @@
 	mu      sync.Mutex
 	history membership.History
 	views   []generation.Membership // of the history, newest first
-	formed  time.Time
+	formed  bool
 	failing map[string]time.Time // VMs that this one watches, since when they fail
 	changed chan struct{}
+
+	learnt   map[uint64]time.Time // versions, when this VM learnt of them
+	markedAt time.Time            // when Settled was last computed
 }
 
 func newMembers(self, incarnation string, vms []settings.VM, p *platform.Reader, log zerolog.Logger) *members {
@@ -67,33 +72,67 @@
 	return m.history.Present()
 }
 
-// staticVersion is the version of the settings' list, which is used until
-// enough VMs have joined. Its VMs carry no incarnation.
-const staticVersion = 1
-
+// static is the settings' list, whose VMs carry no incarnation.
 func (m *members) static() generation.Membership {
-	view := generation.Membership{Version: staticVersion}
+	view := generation.Membership{}
 	for _, vm := range m.vms {
 		view.Candidates = append(view.Candidates, generation.Candidate{VM: vm.ID, Zone: vm.Zone})
 	}
 	return view
 }
 
-// staticFor is how long the settings' list is kept among the views once the
-// system has formed: journals may have been placed by it just before.
-const staticFor = 10 * time.Minute
+// hasFormed reports whether journals can be placed. Before that nothing is
+// admitted: a journal that keepers without incarnation hold would need their
+// majority at every opening, also after some of them were lost.
+func (m *members) hasFormed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.formed
+}
 
 // Views implements relay.Members.
 func (m *members) Views() []generation.Membership {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := len(m.views)
-	if n > 1 && m.views[n-1].Version == staticVersion && time.Since(m.formed) > staticFor {
-		m.views = m.views[: n-1 : n-1]
+	if time.Since(m.markedAt) >= markEvery {
+		m.markSettled()
 	}
 	return m.views
 }
 
+// settleAfter is beyond the freshness lease of a VM that had not heard of a
+// change, and the time in which owners then move their journals.
+const (
+	settleAfter = 15 * time.Second
+	markEvery   = 1 * time.Second
+)
+
+// learn notes when versions were learnt; those of a start are as old as the
+// group says. It needs m.mu.
+func (m *members) learn() {
+	learnt := map[uint64]time.Time{}
+	newest := m.history.Present()
+	for _, v := range m.history.Views() {
+		at, ok := m.learnt[v.Version]
+		if !ok {
+			at = time.Now().Add(-time.Duration(newest.AtMS-v.AtMS) * time.Millisecond)
+		}
+		learnt[v.Version] = at
+	}
+	m.learnt = learnt
+}
+
+// markSettled needs m.mu.
+func (m *members) markSettled() {
+	m.markedAt = time.Now()
+	views := slices.Clone(m.views)
+	for i := 1; i < len(views); i++ {
+		superseded := m.learnt[views[i-1].Version]
+		views[i].Settled = time.Since(superseded) >= settleAfter
+	}
+	m.views = views
+}
+
 // take applies a change of the committed list.
 func (m *members) take(data []byte) {
 	m.mu.Lock()
@@ -109,17 +148,14 @@
 	if !m.history.Formed() {
 		return
 	}
-	if m.formed.IsZero() {
-		m.formed = time.Now()
-	}
+	m.formed = true
+	m.learn()
 	views := make([]generation.Membership, 0, len(m.history.Views())+1)
 	for _, v := range m.history.Views() {
 		views = append(views, candidates(v))
 	}
-	if time.Since(m.formed) <= staticFor {
-		views = append(views, m.static())
-	}
 	m.views = views
+	m.markSettled()
 }
 
 // candidates are the VMs that may hold journals. A dead one may hold them yet,
@@ -136,6 +172,7 @@
 	for _, vm := range v.VMs {
 		out.Candidates = append(out.Candidates, generation.Candidate{
 			VM: vm.ID, Zone: vm.Zone, Incarnation: vm.Incarnation,
+			Dead:    vm.State == membership.Dead,
 			Leaving: vm.State == membership.Leaving || vm.State == membership.Dead && live >= generation.KeepersMany,
 		})
 	}
@@ -184,6 +221,7 @@
 	go n.members.platform.Run(ctx)
 	go n.keepJoined(ctx)
 	go n.watchMembers(ctx)
+	n.runFleet(ctx)
 }
 
 // Timings of joining.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	stopPolling context.CancelFunc
 	plans       *plans
 	services    *service.Dispatcher
+	backends    *backends
 	ready       atomic.Bool
 	explainer   *operator.Explainer
 
@@ -109,6 +110,7 @@
 	n.startControl()
 	n.followMembers()
 	n.startPlans()
+	n.startFleet()
 	n.startServices()
 	n.startExplain()
 	n.startRouting()
@@ -152,7 +154,7 @@
 			result.WriteHTTP(w, "", result.New(result.ShuttingDown))
 			return
 		}
-		if !n.feed.Fresh() {
+		if !n.fresh() {
 			result.WriteHTTP(w, "", result.New(result.NotFresh))
 			return
 		}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 
@@ -191,14 +193,21 @@
 
 // update runs f under the lock and wakes readers if there is more for them.
 func (r *Run) update(f func() error) error {
+	_, _, err := r.change(f)
+	return err
+}
+
+// change is update that also tells what readers could see before and after.
+func (r *Run) change(f func() error) (before, after visible, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.visible()
-	err := f()
-	if r.visible() != before {
+	before = r.visible()
+	err = f()
+	after = r.visible()
+	if after != before {
 		r.wake()
 	}
-	return err
+	return before, after, err
 }
 
 // visible is what a waiting reader or opener looks at.
@@ -229,26 +238,36 @@
 	return r.owner.Next(vm, maxWriteTokens)
 }
 
-// ack takes a keeper's reply and reports whether the keeper needs more.
-func (r *Run) ack(vm string, reply generation.WriteReply) bool {
-	err := r.update(func() error { return r.owner.Ack(vm, reply) })
+// ack takes a keeper's reply. It reports whether the keeper needs more now, and
+// whether it refused and should be tried again later.
+func (r *Run) ack(vm string, reply generation.WriteReply) (more, later bool) {
+	before, after, err := r.change(func() error { return r.owner.Ack(vm, reply) })
 	var broken *generation.InvariantError
 	switch {
 	case errors.As(err, &broken):
 		r.hub.invariantBroken(r.owner.Request.ID)
 		r.stop(result.New(result.InvariantBroken))
-		return false
+		return false, false
 	case errors.Is(err, generation.ErrMoved):
 		r.mu.Lock()
 		r.seenVersion = 0
 		r.mu.Unlock()
-		return false
+		return false, true
 	case err != nil:
 		r.stop(err)
-		return false
+		return false, false
+	}
+	if after.finished && !before.finished {
+		r.hub.note(r.Request().ID, explain.Finished, fmt.Sprintf("after %d tokens", after.released))
+	}
+	if reply.Reserved || after.accepted != before.accepted || after.touched != before.touched {
+		r.hub.journals.mark(r) // keepers that came late may go on
+	}
+	if !reply.OK() && reply.Refusal != generation.NeedsInstall {
+		return false, true
 	}
-	_, more := r.next(vm)
-	return more
+	_, more = r.next(vm)
+	return more, false
 }
 
 // stop ends the run for its readers with err.
@@ -279,7 +298,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return result.New(result.KeepersUnavail)
+			return unavailable()
 		}
 	}
 }
