--- a/cmd/amaranthshelf/load.go
+++ b/cmd/amaranthshelf/load.go
@@ -27,6 +27,7 @@
 	Scale    float64       `long:"scale" default:"1" description:"factor on all rates"`
 	Seed     uint64        `long:"seed" default:"1" description:"of the arrivals"`
 	Faults   string        `long:"faults" description:"fault script, with --local"`
+	Random   bool          `long:"random-faults" description:"draw the fault script from the seed, with --local"`
 	JSON     bool          `long:"json" description:"print the report as JSON"`
 	Plot     string        `long:"plot" description:"write a plot to this .svg or .png file"`
 }
@@ -41,7 +42,7 @@
 var (
 	errLoadTarget = errors.New("load: give --address and --key, or --local")
 	errLoadWrong  = errors.New("load: an answer was wrong")
-	errLoadFaults = errors.New("load: --faults needs --local")
+	errLoadFaults = errors.New("load: faults need --local")
 )
 
 // Execute implements flags.Commander.
@@ -71,10 +72,13 @@
 }
 
 func (c *loadCommand) prepare(o *load.Options) error {
+	if (c.Faults != "" || c.Random) && !c.Local {
+		return errLoadFaults
+	}
+	if c.Random {
+		o.Faults = load.RandomFaults(c.Seed, o.Profile.System, c.Duration)
+	}
 	if c.Faults != "" {
-		if !c.Local {
-			return errLoadFaults
-		}
 		f, err := os.Open(c.Faults)
 		if err != nil {
 			return err
--- a/internal/load/faults.go
+++ b/internal/load/faults.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/local"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin"
 )
 
 // Fault is one line of a fault script:
@@ -21,12 +22,14 @@
 //	7s slow engine 5 4
 //	8s revive engine 3
 //	9s kill vm 2
+//	12s restart vm 2
+//	13s break service 1 after
 //
 // Numbers count from 1; "engine busy" is one that has work.
 type Fault struct {
 	At     time.Duration
 	Op     string
-	Target string // "engine" or "vm"
+	Target string // "engine", "vm" or "service"
 	Number int    // 0: one that has work
 	Arg    string
 }
@@ -51,7 +54,8 @@
 }
 
 var faultOps = map[string]int{ // words behind the number
-	"kill engine": 0, "revive engine": 0, "pause engine": 1, "slow engine": 1, "kill vm": 0,
+	"kill engine": 0, "revive engine": 0, "pause engine": 1, "slow engine": 1,
+	"kill vm": 0, "restart vm": 0, "break service": 1,
 }
 
 func parseFault(words []string) (Fault, error) {
@@ -85,6 +89,10 @@
 		_, err = time.ParseDuration(f.Arg)
 	case "slow":
 		_, err = strconv.ParseFloat(f.Arg, 64)
+	case "break":
+		if _, ok := breakPoints[f.Arg]; !ok {
+			err = fmt.Errorf("break: before, after or within, not %q", f.Arg)
+		}
 	}
 	return err
 }
@@ -103,14 +111,36 @@
 	}
 }
 
+var breakPoints = map[string]standin.BreakPoint{
+	"before": standin.BreakBefore, "after": standin.BreakAfter, "within": standin.BreakWithin,
+}
+
 func (f *Fault) apply(s *local.System) error {
-	if f.Target == "vm" {
-		if f.Number > len(s.Nodes) || f.Number == 0 {
-			return fmt.Errorf("no VM %d", f.Number)
+	switch f.Target {
+	case "vm":
+		return f.applyVM(s)
+	case "service":
+		if f.Number > len(s.Services) || f.Number == 0 {
+			return fmt.Errorf("no service %d", f.Number)
 		}
-		s.Nodes[f.Number-1].Kill()
+		s.Services[f.Number-1].Break(breakPoints[f.Arg])
 		return nil
 	}
+	return f.applyEngine(s)
+}
+
+func (f *Fault) applyVM(s *local.System) error {
+	if f.Number > len(s.Nodes) || f.Number == 0 {
+		return fmt.Errorf("no VM %d", f.Number)
+	}
+	if f.Op == "restart" {
+		return s.RestartVM(f.Number - 1)
+	}
+	s.Node(f.Number - 1).Kill()
+	return nil
+}
+
+func (f *Fault) applyEngine(s *local.System) error {
 	n := f.Number
 	for i, e := range s.Engines {
 		if n == 0 && e.Alive() && e.Running() > 0 {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -155,6 +155,10 @@
 	second := &r.timeline[min(int(s.At/time.Second), len(r.timeline)-1)]
 	second.Sent++
 	r.totals.Reconnects += s.Reconnects
+	if s.Wrong != "" {
+		c.wrong++
+		r.totals.WrongAnswers = append(r.totals.WrongAnswers, s.Class+": "+s.Wrong)
+	}
 	if s.Code != 0 {
 		c.refused[codeName(s.Code)]++
 		record(c.refusedIn, s.Total)
@@ -174,10 +178,6 @@
 	c.worstGap = max(c.worstGap, s.LongestGap)
 	r.totals.Tokens += s.Tokens
 	r.totals.UnbrokenCost += s.Cost
-	if s.Wrong != "" {
-		c.wrong++
-		r.totals.WrongAnswers = append(r.totals.WrongAnswers, s.Class+": "+s.Wrong)
-	}
 }
 
 func codeName(c result.Code) string {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -151,9 +152,30 @@
 	if err == nil && out.Status != 200 {
 		sample.Wrong = fmt.Sprintf("status %d", out.Status)
 	}
+	if r.o.System != nil && a.Class.Method == http.MethodPost {
+		r.audit(&sample, err)
+	}
 	r.rec.add(sample)
 }
 
+// audit compares what the caller was told of a non-idempotent call to how often
+// it ran.
+func (r *runner) audit(s *Sample, err error) {
+	runs := r.o.System.ServiceRuns(s.Key)
+	ran := result.RanYes
+	if err != nil {
+		ran = result.From(err).Ran
+	}
+	switch {
+	case runs > 1:
+		s.Wrong = fmt.Sprintf("%s ran %d times", s.Key, runs)
+	case ran == result.RanNo && runs > 0:
+		s.Wrong = s.Key + " was refused as not run, and ran"
+	case ran == result.RanYes && runs == 0:
+		s.Wrong = s.Key + " was answered, and did not run"
+	}
+}
+
 func code(err error) result.Code {
 	if err == nil {
 		return 0
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"sync"
 
 	"github.com/rs/zerolog"
 
@@ -34,6 +35,8 @@
 	Engines  []*standin.EngineServer
 	Services []*standin.Service
 
+	mu       sync.Mutex // over Nodes, once the system runs
+	vms      []settings.VM
 	o        Options
 	dir      string
 	token    string // of operators
@@ -94,25 +97,65 @@
 }
 
 func (s *System) startVMs() error {
-	var vms []settings.VM
 	for i := range s.o.VMs {
 		conf, err := s.settings(i)
 		if err != nil {
 			return err
 		}
-		n, err := node.Listen(conf, s.o.Log.With().Str("vm", conf.Self.ID).Logger())
+		n, err := s.listen(conf)
 		if err != nil {
 			return err
 		}
 		s.Nodes = append(s.Nodes, n)
-		vms = append(vms, n.Self())
+		s.vms = append(s.vms, n.Self())
 	}
 	for _, n := range s.Nodes {
-		n.Start(vms)
+		n.Start(s.vms)
 	}
 	return s.publish(s.o.Plans())
 }
 
+func (s *System) listen(conf *settings.Settings) (*node.Node, error) {
+	return node.Listen(conf, s.o.Log.With().Str("vm", conf.Self.ID).Logger())
+}
+
+// Node is the VM i, from 0; a restart replaces it.
+func (s *System) Node(i int) *node.Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Nodes[i]
+}
+
+// RestartVM kills the VM i, from 0, and starts it again on its addresses and
+// its disk; its memory is gone.
+func (s *System) RestartVM(i int) error {
+	old := s.Node(i)
+	old.Kill()
+	conf, err := s.settings(i)
+	if err != nil {
+		return err
+	}
+	conf.Self.Callers, conf.Self.Peer, conf.Operators = s.vms[i].Callers, s.vms[i].Peer, old.OperatorAddr()
+	n, err := s.listen(conf)
+	if err != nil {
+		return err
+	}
+	n.Start(s.vms)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Nodes[i] = n
+	return nil
+}
+
+// ServiceRuns is how often calls with a key ran on all services.
+func (s *System) ServiceRuns(key string) int {
+	total := 0
+	for _, service := range s.Services {
+		total += service.Runs(key)
+	}
+	return total
+}
+
 // settings are those of one VM. The first three VMs are the control group.
 func (s *System) settings(i int) (*settings.Settings, error) {
 	conf, err := settings.Default()
