--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -79,9 +80,10 @@
 	Timeline     []Second      `json:"timeline"`
 	WrongAnswers []string      `json:"wrong_answers,omitempty"`
 	Failures     []Failure     `json:"failures,omitempty"` // the first maxFailures
+	Slowest      []Failure     `json:"slowest,omitempty"`  // first tokens, the worst maxSlowest
 }
 
-// Failure is a request that was not served, for `amaranthshelf explain`.
+// Failure is a request that was not served, or late, for `amaranthshelf explain`.
 type Failure struct {
 	Key       string  `json:"key"`
 	Workspace string  `json:"workspace"`
@@ -91,7 +93,10 @@
 	Name      string  `json:"name"`
 }
 
-const maxFailures = 20
+const (
+	maxFailures = 20
+	maxSlowest  = 5
+)
 
 // OK reports whether no answer was wrong.
 func (r *Report) OK() bool { return len(r.WrongAnswers) == 0 }
@@ -176,10 +181,18 @@
 	record(c.first, s.First)
 	record(c.total, s.Total)
 	c.worstGap = max(c.worstGap, s.LongestGap)
+	r.slow(s)
 	r.totals.Tokens += s.Tokens
 	r.totals.UnbrokenCost += s.Cost
 }
 
+// slow keeps the requests whose first token came last.
+func (r *recorder) slow(s Sample) {
+	list := append(r.totals.Slowest, Failure{s.Key, s.Workspace, millis(s.At), millis(s.First), s.Tokens, "first token"})
+	slices.SortFunc(list, func(a, b Failure) int { return cmp.Compare(b.TookMS, a.TookMS) })
+	r.totals.Slowest = list[:min(len(list), maxSlowest)]
+}
+
 func codeName(c result.Code) string {
 	if c == codeNoAnswer {
 		return "no_answer"
@@ -248,6 +261,9 @@
 		fmt.Fprintf(&b, "not served: %s of %s, sent at %.1f s: %s after %.1f s and %d tokens\n",
 			f.Key, f.Workspace, f.AtMS/1000, f.Name, f.TookMS/1000, f.Tokens)
 	}
+	for _, f := range r.Slowest {
+		fmt.Fprintf(&b, "slowest first token: %s of %s, sent at %.1f s: %.2f s\n", f.Key, f.Workspace, f.AtMS/1000, f.TookMS/1000)
+	}
 	for _, w := range r.WrongAnswers {
 		fmt.Fprintf(&b, "WRONG %s\n", w)
 	}
