--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -80,7 +80,7 @@
 	reads    map[uint64]chan<- readOutcome
 	nextRead uint64
 	ledTerm  uint64 // term in which waiting and reads were taken
-	eager    bool   // campaign at once until a first leader stands
+	eager    bool   // campaign at once until a leader stands
 	ticks    int
 
 	chunks chunkBuffer
@@ -152,6 +152,9 @@
 	}, state)
 	n.apply = newApplier(n.o.Machine, n.store, state.Applied, n.core.log.configUpTo(state.Applied))
 	n.apply.compact, n.apply.fail = n.handOverSnapshot, n.fail
+	// Alone there is nobody to wait for.
+	config := n.core.Config()
+	n.eager = n.eager || len(config.Voters) == 1 && config.IsVoter(n.store.who.ID)
 	n.publish()
 	close(n.running)
 	n.wg.Add(2)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"path/filepath"
+	"slices"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
@@ -57,6 +59,10 @@
 
 // runControl joins the control group, once all parts are registered.
 func (n *Node) runControl() {
+	if !slices.ContainsFunc(n.s.VMs, func(vm settings.VM) bool { return vm.Has(settings.RoleControl) }) {
+		n.fail(errors.New("no VM in the settings has the control role: nothing could ever be admitted"))
+		return
+	}
 	if n.group != nil {
 		if err := n.group.Start(); err != nil {
 			n.fail(err)
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -67,7 +67,7 @@
 }
 
 // ErrInUse reports a folder that another process has locked.
-var ErrInUse = errors.New("wal: the folder is in use by another process")
+var ErrInUse = errors.New("folder in use by another process")
 
 // Lock implements FS. Two processes on one log would both answer for one voter.
 func (OS) Lock(dir string) (io.Closer, error) {
