--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/wal"
 	"github.com/amaranthshelf/amaranthshelf/internal/wal/waltest"
 )
 
@@ -42,6 +44,8 @@
 	group   *Group
 	feed    *Feed
 	client  *Remote
+	t       testing.TB
+	failed  chan error // why its member stopped; a test that expects it takes it
 	mu      sync.Mutex
 	seen    []string
 }
@@ -52,6 +56,7 @@
 	return slices.Clone(v.seen)
 }
 
+// kill ends a VM as a crash does.
 func (v *vm) kill(f *fabric) {
 	f.mu.Lock()
 	f.handlers[v.id] = nil
@@ -60,6 +65,11 @@
 	if v.group != nil {
 		v.group.Close()
 	}
+	select {
+	case err := <-v.failed:
+		v.t.Errorf("%s stopped by itself: %v", v.id, err)
+	default:
+	}
 }
 
 const testLease = 3 * time.Second
@@ -68,7 +78,7 @@
 
 func startVM(t testing.TB, f *fabric, id string, voters []string, fs *waltest.FS) *vm {
 	t.Helper()
-	v := &vm{id: id, machine: NewMachine()}
+	v := &vm{id: id, t: t, machine: NewMachine(), failed: make(chan error, 1)}
 	v.machine.Register(PartPlans, &list{})
 	v.feed = NewFeed(FeedOptions{Self: id, Voters: voters, Transport: port{f, id}, Lease: testLease, Log: zerolog.Nop()})
 	v.feed.OnChange(PartPlans, func(data []byte) {
@@ -83,7 +93,7 @@
 	if slices.Contains(voters, id) {
 		v.group = NewGroup(GroupOptions{
 			VM: id, Voters: voters, Dir: "/" + id, FS: fs, Transport: port{f, id}, Machine: v.machine,
-			Lease: testLease, Log: zerolog.Nop(), Failed: func(err error) { t.Error(err) },
+			Lease: testLease, Log: zerolog.Nop(), Failed: func(err error) { v.failed <- err },
 		})
 		if err := v.group.Start(); err != nil {
 			t.Fatal(err)
@@ -233,6 +243,41 @@
 	})
 }
 
+// The leader's disk is full, or a sync fails. Its member stops at once and for
+// good, with the cause; it acknowledges nothing more, and the others go on. After
+// the cause is gone and the process started again every accepted change is there.
+func TestDiskFaultStopsTheMember(t *testing.T) {
+	faults := map[string]struct {
+		begin, end func(*waltest.FS)
+		cause      error
+	}{
+		"full":        {func(f *waltest.FS) { f.Space(300) }, func(f *waltest.FS) { f.Space(-1) }, waltest.ErrFull},
+		"sync failed": {func(f *waltest.FS) { f.FailSync(true) }, func(f *waltest.FS) { f.FailSync(false) }, waltest.ErrSync},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := startCluster(t, 1)
+				defer c.stop()
+				leader := c.leader()
+				fault.begin(c.fs[leader])
+				for i := range 20 {
+					c.propose("router1", fmt.Sprint("change-", i))
+				}
+				err := <-c.vms[leader].failed
+				if !errors.Is(err, fault.cause) || !errors.Is(err, wal.ErrUnusable) {
+					t.Errorf("stopped by %v", err)
+				}
+				c.vms[leader].kill(c.fabric)
+				c.fs[leader].Crash(nil)
+				fault.end(c.fs[leader])
+				c.vms[leader] = startVM(t, c.fabric, leader, testVoters, c.fs[leader])
+				c.until("all changes are back", 5*time.Second, func() bool { return len(c.vms[leader].items()) == 20 })
+			})
+		})
+	}
+}
+
 // A control VM comes back with an empty disk. It must not vote under its old
 // identity: it joins as a new member while operators go on, and right after the
 // repair a second control VM is lost. No change is lost and the group goes on.
