control: a VM takes no lease from another group than the one it follows

Cause: after the group was formed anew a VM that ran on held higher versions, got no change and counted as fresh with lists that no longer exist. The test fails without the check (fresh by the lists of a group that is gone).

--- a/internal/consensus/requests.go
+++ b/internal/consensus/requests.go
@@ -15,6 +15,9 @@
 	return *s, true
 }
 
+// Group is the id of the group that the member is in, or "".
+func (n *Node) Group() string { return n.groupID() }
+
 // Leader is the VM of the leader that this member knows, or "".
 func (n *Node) Leader() string {
 	s, _ := n.Status()
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -45,6 +46,7 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	group     string // whose versions these are; of the loop alone
 	mu        sync.Mutex
 	versions  map[PartID]uint64
 	callbacks map[PartID][]func([]byte)
@@ -166,11 +168,17 @@
 	defer cancel()
 	var r pollReply
 	if err := f.o.Transport.Call(ctx, voter, peer.KindWatch, q, &r); err != nil {
-		f.mu.Lock()
-		f.failures++
-		f.mu.Unlock()
+		f.fail()
 		return err
 	}
+	if f.group != "" && r.Group != f.group {
+		// The operators formed the group anew, with empty folders. Its versions say
+		// nothing about those held here: what was withdrawn could stay for ever.
+		f.fail()
+		f.o.Log.Error().Str("voter", voter).Msg("another control group answers: this VM must be restarted")
+		return errOtherGroup
+	}
+	f.group = r.Group
 	for _, c := range r.Changes {
 		f.apply(c)
 	}
@@ -180,6 +188,14 @@
 	return nil
 }
 
+var errOtherGroup = errors.New("control: another control group answers")
+
+func (f *Feed) fail() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failures++
+}
+
 func (f *Feed) apply(c partChange) {
 	f.mu.Lock()
 	callbacks := f.callbacks[c.Part]
--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -555,3 +555,27 @@
 		}
 	}
 }
+
+// The operators lose all control VMs and form the group anew, with empty folders.
+// A VM that ran on holds a higher version than the new group: it must not count as
+// fresh with the old lists, whatever the new group confirms.
+func TestRebuiltGroupGivesNoLeaseToOldVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, 1)
+		defer c.stop()
+		c.propose("router1", "a")
+		c.propose("router1", "b")
+		c.until("router1 holds both", time.Second, func() bool { return len(c.vms["router1"].plans()) == 2 })
+		for _, id := range testVoters {
+			c.vms[id].kill(c.fabric)
+		}
+		for _, id := range testVoters {
+			c.vms[id] = startVM(t, c.fabric, id, testVoters, waltest.New())
+		}
+		c.until("the new group is fresh", 5*time.Second, func() bool { return c.vms["vm1"].feed.Fresh() })
+		<-time.After(testLease)
+		if c.vms["router1"].feed.Fresh() {
+			t.Error("fresh by the lists of a group that is gone")
+		}
+	})
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -40,6 +40,7 @@
 type pollReply struct {
 	Confirmed bool         `cbor:"1,keyasint,omitempty"`
 	Changes   []partChange `cbor:"2,keyasint,omitempty"`
+	Group     string       `cbor:"3,keyasint"`
 }
 
 type partChange struct {
@@ -96,7 +97,7 @@
 		if confirmed || !q.NeedLease {
 			changes := w.changes(q.Versions)
 			if len(changes) > 0 || confirmed && over {
-				return pollReply{Confirmed: confirmed, Changes: changes}, nil
+				return pollReply{Confirmed: confirmed, Changes: changes, Group: w.g.node.Group()}, nil
 			}
 		}
 		waitFor := conf.done
