--- a/internal/consensus/links.go
+++ b/internal/consensus/links.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -274,7 +275,7 @@
 	base := l.snap
 	r := record{
 		Hard: n.core.saved, Base: &base, Snap: &meta,
-		Entries: l.slice(base.Index+1, l.persisted, maxInt),
+		Entries: l.slice(base.Index+1, l.persisted, math.MaxInt),
 	}
 	r.Hard.Commit = max(r.Hard.Commit, meta.Index)
 	err := n.store.checkpoint(r)
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "math"
+
 // pendingRead waits for a heartbeat round begun after it came.
 type pendingRead struct {
 	id    uint64
@@ -87,8 +89,8 @@
 	hard := HardState{Term: c.term, Vote: c.vote, Commit: c.commit}
 	rd := Ready{
 		Snapshot: c.installed, Hard: hard,
-		Entries:   c.log.slice(c.log.persisted+1, c.log.last(), maxInt),
-		Committed: c.log.slice(c.handed+1, c.commit, maxInt),
+		Entries:   c.log.slice(c.log.persisted+1, c.log.last(), math.MaxInt),
+		Committed: c.log.slice(c.handed+1, c.commit, math.MaxInt),
 		Reads:     c.released, Snapshots: c.snapshots,
 	}
 	newTerm := hard.Term != c.saved.Term || hard.Vote != c.saved.Vote
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -185,7 +186,7 @@
 	if term, _ := c.log.term(index); index <= c.commit || term != c.term {
 		return
 	}
-	for _, e := range c.log.slice(c.commit+1, index, maxInt) {
+	for _, e := range c.log.slice(c.commit+1, index, math.MaxInt) {
 		c.uncommittedBytes -= len(e.Data)
 		c.uncommittedEntries--
 	}
@@ -198,8 +199,6 @@
 	}
 }
 
-const maxInt = int(^uint(0) >> 1)
-
 // stepSnapshot takes over a snapshot that this VM has received and synced.
 func (c *Core) stepSnapshot(m Message) {
 	meta := *m.Meta
