control: a poll that comes after the group's end starts no confirmation

Cause: a late poll could reuse the wait group while Close waited on it (found by a random run: WaitGroup is reused before previous Wait has returned).

--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/consensus"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 )
@@ -55,6 +56,7 @@
 	leader *Remote
 
 	mu      sync.Mutex
+	closed  bool
 	batch   *confirmation
 	cache   map[PartID]cachedChange
 	known   map[string]map[PartID]uint64 // what the VMs reported last
@@ -81,7 +83,13 @@
 	return &watchServer{g: g, leader: NewRemote(g.o.Transport, g.o.VM, g.o.Voters), cache: map[PartID]cachedChange{}, known: map[string]map[PartID]uint64{}}
 }
 
-func (w *watchServer) close() { w.pending.Wait() }
+// close waits for the rounds under way; a poll that comes later starts none.
+func (w *watchServer) close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	w.pending.Wait()
+}
 
 func (w *watchServer) serve(ctx context.Context, from string, body []byte) (any, error) {
 	var q pollRequest
@@ -158,6 +166,11 @@
 func (w *watchServer) confirm(p pollReport, needLease bool) *confirmation {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.closed {
+		c := &confirmation{done: make(chan struct{}), err: consensus.ErrClosed}
+		close(c.done)
+		return c
+	}
 	if w.batch == nil {
 		c := &confirmation{done: make(chan struct{}), hurry: make(chan struct{}, 1)}
 		w.batch = c
