node: without the group nothing new is admitted, and what runs goes on

A test over five VMs: two of three control VMs die while an answer runs on a router. A refusal by an allowance is found by explain.

--- a/internal/node/plans_test.go
+++ b/internal/node/plans_test.go
@@ -4,16 +4,21 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/amaranthshelf/amaranthshelf/internal/client"
 	"github.com/amaranthshelf/amaranthshelf/internal/local"
 	"github.com/amaranthshelf/amaranthshelf/internal/node"
 	"github.com/amaranthshelf/amaranthshelf/internal/operator"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
 
 // The workspace has tokens for one request in this window. Its first request is
@@ -51,6 +56,10 @@
 	if !errors.As(err, &coded) || coded.Code != result.TokensExhausted || coded.Ran != result.RanNo || coded.RetryAfter <= 0 {
 		t.Fatalf("beyond the allowance: %v", err)
 	}
+	explanation, err := operators.Explain(t.Context(), "coop", "r2")
+	if err != nil || len(explanation.Notes) != 1 || !strings.Contains(explanation.Notes[0].Why, "2001") {
+		t.Errorf("explained as %+v, %v", explanation, err)
+	}
 	setTokens(200)
 	if _, err := caller.Complete(t.Context(), "r2", body, nil); err != nil {
 		t.Errorf("after the allowance was raised: %v", err)
@@ -153,3 +162,84 @@
 	wg.Wait()
 	return answered, refused
 }
+
+// Two of three control VMs die, so the group can confirm nothing any more. The
+// other VMs stop admitting once their freshness leases have lapsed, since an
+// operator on the far side may have withdrawn the plan: callers get 3004, not
+// run. The answer that was running goes on to its end.
+func TestWithoutTheGroupNothingNewButWhatRuns(t *testing.T) {
+	const lease = time.Second
+	o := options(zerolog.New(zerolog.NewTestWriter(t)))
+	o.VMs = 5
+	entry := o.Settings
+	o.Settings = func(i int, conf *settings.Settings) {
+		entry(i, conf)
+		conf.FreshnessTTL = lease
+	}
+	s, err := local.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	for _, e := range s.Engines {
+		e.Slow(8)
+	}
+	caller := client.New([]string{s.Nodes[4].Self().Callers}, testKey)
+	lost := make(chan time.Time, 1)
+	var once sync.Once
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		defer once.Do(func() { close(lost) })
+		body := client.Completion{Model: "m", Prompt: "a long log", MaxTokens: 120}
+		answer, err := caller.Complete(t.Context(), "long", body, func(p client.Progress) {
+			if p.Index >= 10 {
+				once.Do(func() { lost <- time.Now() })
+			}
+		})
+		if err != nil || len(answer.TokenIDs) != 120 || answer.Reconnects != 0 {
+			t.Errorf("the running answer: %d tokens, %d reconnects, %v", len(answer.TokenIDs), answer.Reconnects, err)
+		}
+	})
+	began := <-lost
+	s.Nodes[0].Kill()
+	s.Nodes[1].Kill()
+	for i := 0; ; i++ {
+		refusal := post(t, s.Nodes[4].Self().Callers, fmt.Sprint("new", i))
+		after := time.Since(began)
+		if refusal.Code == result.NotFresh {
+			t.Logf("nothing admitted after %v", after)
+			if refusal.Ran != result.RanNo || refusal.RetryAfter <= 0 {
+				t.Errorf("refused as %+v", refusal)
+			}
+			break
+		}
+		if after > lease+lease/2 {
+			t.Fatalf("a new request after %v, lease %v: %+v", after, lease, refusal)
+		}
+	}
+	wg.Wait()
+}
+
+// post sends one small request to one VM and returns its refusal; the client
+// package would try again by itself.
+func post(t *testing.T, addr, key string) (refusal result.Error) {
+	body := strings.NewReader(`{"model":"m","prompt":"x","max_tokens":1}`)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+addr+"/v1/completions", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		return refusal
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&refusal); err != nil {
+		t.Fatal(err)
+	}
+	return refusal
+}
