--- a/internal/generation/owner.go
+++ b/internal/generation/owner.go
@@ -164,26 +164,31 @@
 		return Write{}, false
 	}
 	w := Write{ID: o.Request.ID, Epoch: o.Epoch, To: r.id.Incarnation, Touch: o.touch}
-	if o.source.Number > 0 && r.source != o.source.Number {
-		source := o.source
-		w.Source = &source
-	}
-	if !r.installed && !r.promised {
-		// A promise given behind the opening counts only after a majority has
-		// confirmed this epoch once more: they may have forgotten it by now, and
-		// another owner may have begun under a lower one.
-		w.Reserve = true
-		w.Source = nil
-		return w, r.confirm == 0 && o.Accepted()
-	}
-	if !r.installed {
-		w.Request = &o.Request
-		w.Install = true
-		w.Span = o.span(0, o.journal.Len())
-		w.Finish, w.Usage = o.journal.Finish, o.journal.Usage
-		return w, true
+	switch {
+	case r.installed:
+		return o.extension(w, r, maxTokens)
+	case r.promised:
+		return o.installation(w), true
 	}
+	// A promise given behind the opening counts only after a majority has confirmed
+	// this epoch once more: they may have forgotten it by now, and another owner may
+	// have begun under a lower one.
+	w.Reserve = true
+	return w, r.confirm == 0 && o.Accepted()
+}
+
+func (o *Owner) installation(w Write) Write {
+	w.Request = &o.Request
+	w.Install = true
+	w.Span = o.span(0, o.journal.Len())
+	w.Finish, w.Usage = o.journal.Finish, o.journal.Usage
+	w.Source = o.newSource(0)
+	return w
+}
+
+func (o *Owner) extension(w Write, r *replica, maxTokens int) (Write, bool) {
 	ended := o.journal.Finish == "" || r.finished
+	w.Source = o.newSource(r.source)
 	if r.held == o.journal.Len() && ended && w.Source == nil && r.touch == o.touch {
 		return Write{}, false
 	}
@@ -195,6 +200,15 @@
 	return w, true
 }
 
+// newSource is the source for a keeper that knows the one of number known.
+func (o *Owner) newSource(known int) *Source {
+	if o.source.Number == known {
+		return nil
+	}
+	source := o.source
+	return &source
+}
+
 func (o *Owner) span(from, to int) Span {
 	return Span{From: from, Tokens: o.journal.Tokens[from:to:to], Texts: o.journal.Texts[from:to:to]}
 }
