membership: a list that all VMs have left forms anew; test of a replaced VM

Cause: after all VMs had shut down, the first to return would have placed journals by a list of one.

Shown failing first: without the reset the list counts as formed with one and two of three VMs.

--- a/internal/membership/part.go
+++ b/internal/membership/part.go
@@ -197,6 +197,11 @@
 
 func (p *Part) drop(nowMS int64, id string) {
 	p.clear(id)
+	// Once all have left no journal is left either: the first VM of the next
+	// start must not place journals by a list of one.
+	if len(p.present().VMs) == 1 {
+		p.s.FormedAt = 0
+	}
 	p.add(nowMS, slices.DeleteFunc(slices.Clone(p.present().VMs), func(o VM) bool { return o.ID == id }))
 }
 
--- a/internal/membership/part_test.go
+++ b/internal/membership/part_test.go
@@ -181,6 +181,24 @@
 	}
 }
 
+// All VMs shut down and start again one by one: the list counts as formed only
+// when enough are back, or journals would be placed on the first one alone.
+func TestListFormsAgainAfterAllLeft(t *testing.T) {
+	l := system(t, 3)
+	for i := range 3 {
+		l.part.Execute(l.now, &membership.Command{Leave: &membership.Leave{VM: id(i), Incarnation: "1", Left: true}})
+	}
+	for i := range 3 {
+		if l.history().Formed() {
+			t.Errorf("formed with %d VMs", i)
+		}
+		l.join(i, "2", 3)
+	}
+	if h := l.history(); !h.Formed() || len(h.Views()) != 1 {
+		t.Errorf("formed %v with %d views after all are back", h.Formed(), len(h.Views()))
+	}
+}
+
 // Each VM has observers in three zones, nobody watches more than a few, and one
 // VM that goes moves few of the watches.
 func TestObserversAreSpreadAndStable(t *testing.T) {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -20,6 +20,7 @@
 // of its own load reports, which say nothing of it, and the entry leaves the VM
 // out. The callers' answers are whole throughout.
 func TestPlatformsLeavingTakesEffectWithinSeconds(t *testing.T) {
+	t.Parallel()
 	p, err := standin.ServePlatform("127.0.0.1:0", time.Second)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -14,7 +15,9 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/client"
 	"github.com/amaranthshelf/amaranthshelf/internal/local"
+	"github.com/amaranthshelf/amaranthshelf/internal/node"
 	"github.com/amaranthshelf/amaranthshelf/internal/plan"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
 
 func startWithDispatch(t *testing.T) *local.System {
@@ -60,6 +63,7 @@
 // two observers in two zones fail to reach it, directly and through the other,
 // and within seconds the answer leaves it out, under a newer version.
 func TestEntryLeavesOutADeadVM(t *testing.T) {
+	t.Parallel()
 	s := startWithDispatch(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
@@ -77,9 +81,57 @@
 	t.Logf("left out after %s", time.Since(began).Round(100*time.Millisecond))
 }
 
+// A VM is killed and comes back at once, at another address and without its
+// memory. It joins under a new incarnation before anybody has found the old one
+// dead: within seconds the entry names the new address alone, and the VM serves.
+func TestReplacedVMIsInWithinSeconds(t *testing.T) {
+	t.Parallel()
+	o := options(zerolog.New(zerolog.NewTestWriter(t)))
+	o.VMs = 4
+	s, err := local.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	asked, old := s.Nodes[0].Self().Callers, s.Nodes[3].Self()
+	entryUntil(ctx, t, asked, func(e *client.Entry) bool { return slices.Contains(e.Addresses, old.Callers) })
+	s.Nodes[3].Kill()
+	conf, err := settings.Default()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conf.Self = settings.VM{ID: old.ID, Zone: old.Zone, Roles: old.Roles, Peer: "127.0.0.1:0", Callers: "127.0.0.1:0"}
+	conf.Operators, conf.DataDir = "127.0.0.1:0", t.TempDir()
+	for i, e := range s.Engines {
+		conf.Backends = append(conf.Backends, settings.Backend{
+			Name: fmt.Sprint("engine", i+1), Kind: settings.KindEngine, Address: e.Addr, Models: []string{"m"},
+		})
+	}
+	n, err := node.Listen(conf, zerolog.New(zerolog.NewTestWriter(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	n.Start([]settings.VM{s.Nodes[0].Self(), s.Nodes[1].Self(), s.Nodes[2].Self(), n.Self()})
+	t.Cleanup(n.Kill)
+	entryUntil(ctx, t, asked, func(e *client.Entry) bool {
+		return slices.Contains(e.Addresses, n.Self().Callers) && !slices.Contains(e.Addresses, old.Callers)
+	})
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("in after %s", took)
+	}
+	req := client.Completion{Model: "m", Prompt: "unit 9", MaxTokens: 5}
+	if _, err := client.New([]string{n.Self().Callers}, testKey).Complete(ctx, "replaced", req, nil); err != nil {
+		t.Error(err)
+	}
+}
+
 // Two VMs get one booking with the same key at the same moment, ten times over:
 // each is run once, and both callers hear the same.
 func TestSameKeyOnTwoVMsAtOnceRunsOnce(t *testing.T) {
+	t.Parallel()
 	s := startWithDispatch(t)
 	for _, key := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
 		var answers [2]string
--- a/internal/node/services_test.go
+++ b/internal/node/services_test.go
@@ -27,6 +27,7 @@
 // nobody. The resend to another VM is told to come back while the claimant may
 // live, and "unknown" once others have found it dead. It never runs again.
 func TestClaimantKilledInMidCall(t *testing.T) {
+	t.Parallel()
 	s := startWithDispatch(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
 	defer cancel()
@@ -61,6 +62,7 @@
 // The VM shuts down while a booking runs: the caller gets its whole answer, and
 // the key's answer stays known to the others.
 func TestShutdownWaitsForABooking(t *testing.T) {
+	t.Parallel()
 	s := startWithDispatch(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
