--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -35,6 +35,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Stop)
+	// Until a VM has its first lease it rightly refuses calls.
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for _, n := range s.Nodes {
+		entryUntil(ctx, t, n.Self().Callers, func(e *client.Entry) bool { return len(e.Addresses) == len(s.Nodes) })
+	}
 	return s
 }
 
