--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
@@ -39,7 +41,14 @@
 			break
 		}
 	}
-	return found{}, result.New(result.KeepersUnavail)
+	return found{}, unavailable()
+}
+
+// unavailable is the refusal where too few keepers could be asked. Those that
+// could not may know the request, as the resend of one that is running: only an
+// answer that all needed keepers gave could promise that it did not run.
+func unavailable() *result.Error {
+	return result.New(result.KeepersUnavail).WithRan(result.RanUnknown)
 }
 
 func backOff(ctx context.Context, try int) error {
@@ -97,6 +106,7 @@
 	}
 	owner := h.probe(ctx, req.ID, replies.Max.VM)
 	if owner.Request != nil {
+		h.note(req.ID, explain.Followed, "read from its owner "+vmOf(replies.Max.VM))
 		return found{owner: vmOf(replies.Max.VM), req: owner.Request}, nil
 	}
 	if owner.Opening && try < politeTries {
@@ -129,6 +139,7 @@
 		o.req = *best.Request
 	}
 	o.h.metrics.Add("takeovers", 1)
+	o.h.note(o.req.ID, explain.TakenOver, fmt.Sprintf("from %s behind %d tokens, epoch %s", vmOf(seen.VM), best.Journal.Len(), epoch))
 	return o.own(ctx, epoch, replies, best)
 }
 
@@ -140,7 +151,7 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return result.New(result.KeepersUnavail)
+			return unavailable()
 		}
 	}
 	return nil
@@ -165,6 +176,9 @@
 		run.release()
 		return found{}, err
 	}
+	if !best.Found {
+		h.note(o.req.ID, explain.Accepted, fmt.Sprintf("a majority of %d keepers holds it, epoch %s", len(o.groups[0].Keepers), epoch))
+	}
 	h.mu.Lock()
 	h.runs[o.req.ID] = run
 	h.mu.Unlock()
@@ -177,6 +191,10 @@
 	return found{run: run, req: run.Request()}, nil
 }
 
+// settledGrace is how long the opening of a new request waits for keeper sets
+// that it can do without: some round trips between zones.
+const settledGrace = 20 * time.Millisecond
+
 // ask sends a promise to every keeper of every set. It returns once a majority
 // of each has answered OK, or enough have answered to know that it will not.
 func (o *opener) ask(ctx context.Context, p generation.Promise) (*generation.Replies, error) {
@@ -199,18 +217,26 @@
 		}()
 	}
 	replies := generation.NewReplies(o.groups, o.newest)
-	replies.SkipLost = !o.resume
+	replies.Fresh = !o.resume
 	refused := false
+	var grace <-chan time.Time
 	for range keepers {
-		a := <-answers
-		if a.err != nil {
-			continue
+		var a answer
+		select {
+		case a = <-answers:
+		case <-grace:
+			return replies, o.verdict(replies)
 		}
-		replies.Add(a.keeper, a.reply)
-		refused = refused || !a.reply.OK
-		if replies.Ready() || (refused && replies.Heard()) {
+		if a.err == nil {
+			replies.Add(a.keeper, a.reply)
+			refused = refused || !a.reply.OK
+		}
+		if refused && replies.Heard() || replies.Ready() && (o.resume || len(o.groups) == 1) {
 			break
 		}
+		if replies.Ready() && grace == nil {
+			grace = time.After(settledGrace)
+		}
 	}
 	return replies, o.verdict(replies)
 }
@@ -221,13 +247,21 @@
 	case replies.Ready():
 		return nil
 	case replies.Full():
-		return result.New(result.KeepersFull)
+		return o.full(replies)
 	case replies.Heard():
 		return nil
 	case o.resume && replies.Lost():
 		return result.New(result.JournalLost)
 	}
-	return result.New(result.KeepersUnavail)
+	return unavailable()
+}
+
+func (o *opener) full(replies *generation.Replies) error {
+	err := result.New(result.KeepersFull)
+	if !replies.Heard() || !replies.Max.IsZero() {
+		return err.WithRan(result.RanUnknown)
+	}
+	return err
 }
 
 func (o *opener) keepers() []generation.KeeperID {
