--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -79,25 +79,15 @@
 	if err != nil {
 		return nil, err
 	}
-	name, path, ok := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPath), "/")
-	if !ok || name == "" {
-		return nil, result.New(result.NotFound)
-	}
-	if !caller.Allowance.AllowsService(name) {
-		return nil, result.New(result.ServiceNotInPlan)
-	}
-	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
-		return nil, result.New(result.MethodNotAllowed)
+	name, path, err := addressed(r, &caller)
+	if err != nil {
+		return nil, err
 	}
-	idempotent := s.calls.Idempotent(name, r.Method, "/"+path)
+	idempotent := s.calls.Idempotent(name, r.Method, path)
 	if !idempotent && key == "" {
 		return nil, result.New(result.KeyRequired)
 	}
-	size := r.ContentLength
-	if size < 0 || size > s.g.cfg.MaxBodyBytes {
-		size = s.g.cfg.MaxBodyBytes
-	}
-	leave, ok := s.load.enter(size)
+	leave, ok := s.load.enter(s.bodyBound(r))
 	if !ok {
 		return nil, result.New(result.QueueFull).WithRetryAfter(fullPause)
 	}
@@ -106,25 +96,59 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &service.Call{Workspace: caller.Customer.Workspace, Service: name, Key: id}
-	c.Request = service.Request{Method: r.Method, Path: "/" + path, Header: relayedHeader(r.Header), Body: body}
-	if r.URL.RawQuery != "" {
-		c.Request.Path += "?" + r.URL.RawQuery
+	ctx, span := s.g.tracer.Start(ctx, "service", id)
+	defer span.End()
+	c := s.call(ctx, &caller, r, id)
+	c.Service, c.Request.Path, c.Request.Body = name, withQuery(path, r.URL.RawQuery), body
+	if idempotent {
+		return s.calls.Relay(ctx, c)
+	}
+	return s.calls.Once(ctx, c)
+}
+
+// addressed returns the service and the escaped path that a call goes to, if the
+// caller's plan has the service.
+func addressed(r *http.Request, caller *Caller) (name, path string, err error) {
+	name, path, ok := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPath), "/")
+	switch {
+	case !ok || name == "":
+		return "", "", result.New(result.NotFound)
+	case !caller.Allowance.AllowsService(name):
+		return "", "", result.New(result.ServiceNotInPlan)
+	case r.Method == http.MethodConnect || r.Method == http.MethodTrace:
+		return "", "", result.New(result.MethodNotAllowed)
+	}
+	return name, "/" + path, nil
+}
+
+// bodyBound is the most that the body can take, in bytes.
+func (s *services) bodyBound(r *http.Request) int64 {
+	if r.ContentLength < 0 || r.ContentLength > s.g.cfg.MaxBodyBytes {
+		return s.g.cfg.MaxBodyBytes
 	}
+	return r.ContentLength
+}
+
+// call makes the call without its address and body.
+func (s *services) call(ctx context.Context, caller *Caller, r *http.Request, id string) *service.Call {
+	c := &service.Call{Workspace: caller.Customer.Workspace, Key: id}
+	c.Request = service.Request{Method: r.Method, Header: relayedHeader(r.Header)}
 	// Two workspaces may use one key: a service that tells calls apart by their
 	// key needs the workspace as well.
 	c.Request.Header.Set("X-Workspace", c.Workspace)
 	c.Request.Header.Set("X-Request-Id", id)
+	c.Request.Header.Set("Traceparent", telemetry.Inject(ctx))
 	if s.quota != nil {
-		c.Reserve = func(ctx context.Context) (func(bool), error) { return s.quota.ReserveCall(ctx, caller, id) }
+		c.Reserve = func(ctx context.Context) (func(bool), error) { return s.quota.ReserveCall(ctx, *caller, id) }
 	}
-	ctx, span := s.g.tracer.Start(ctx, "service", id)
-	defer span.End()
-	c.Request.Header.Set("Traceparent", telemetry.Inject(ctx))
-	if idempotent {
-		return s.calls.Relay(ctx, c)
+	return c
+}
+
+func withQuery(path, query string) string {
+	if query == "" {
+		return path
 	}
-	return s.calls.Once(ctx, c)
+	return path + "?" + query
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"expvar"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -146,68 +145,6 @@
 	return r, err
 }
 
-func (l *Leader) view(b Backend) fleet.Engine {
-	e, s := b.Engine, l.seen[b.Name]
-	e.Lost, e.Copies = time.Since(s.at) > lostReads*l.every, s.copies
-	return e
-}
-
-// due are the engines to read in this round: those with an order under way, and
-// the others in turn.
-func (l *Leader) due(backends []Backend) []Backend {
-	busy := map[string]bool{}
-	for _, o := range l.Orders() {
-		busy[o.Engine] = true
-	}
-	now := time.Now()
-	left := max(1, int(readBudget*roundEvery/time.Second)/stateBytes)
-	var out []Backend
-	for _, b := range backends {
-		// Half a round early: a read that has to wait for the next round is late.
-		if busy[b.Name] || left > 0 && now.Sub(l.asked[b.Name]) >= l.every-roundEvery/2 {
-			l.asked[b.Name] = now
-			left--
-			out = append(out, b)
-		}
-	}
-	return out
-}
-
-// look reads the engines' states, a bounded number at once.
-func (l *Leader) look(ctx context.Context, backends []Backend) {
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	slots := make(chan struct{}, readsAtOnce)
-	for _, b := range backends {
-		slots <- struct{}{}
-		all.Go(func() {
-			defer func() { <-slots }()
-			copies, err := l.read(ctx, b.Addr)
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			l.seen[b.Name] = sight{time.Now(), copies}
-		})
-	}
-	all.Wait()
-}
-
-func (l *Leader) read(ctx context.Context, addr string) ([]fleet.Copy, error) {
-	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
-	defer cancel()
-	s, err := l.Engines.State(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	var out []fleet.Copy
-	for _, m := range s.Models {
-		out = append(out, fleet.Copy{Model: m.Name, Version: m.Version, Adapters: m.Adapters, Ready: m.Ready})
-	}
-	return out, nil
-}
-
 // confirm ends the orders that the engines' states decide, records what changed
 // without an order, and returns the engines that are still busy.
 func (l *Leader) confirm(ctx context.Context, backends []Backend) map[string]string {
