--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -212,6 +213,7 @@
 func (n *Node) followMembers() {
 	n.machine.Register(control.PartMembers, membership.NewPart())
 	n.feed.OnChange(control.PartMembers, n.members.take)
+	n.metrics.Set("members", expvarFunc(func() any { return n.members.status() }))
 }
 
 // joinMembers brings this VM in and watches others, once control runs.
@@ -304,6 +306,42 @@
 	}
 }
 
+// ids names every VM that is listed, by the settings or by having joined.
+func (m *members) ids() []string {
+	seen := map[string]bool{}
+	for _, vm := range m.vms {
+		seen[vm.ID] = true
+	}
+	for _, vm := range m.present().VMs {
+		seen[vm.ID] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// MembersStatus is the list of VMs for operators.
+type MembersStatus struct {
+	Version uint64   `json:"version"`
+	Live    int      `json:"live"`
+	Leaving []string `json:"leaving"`
+	Dead    []string `json:"dead"`
+}
+
+func (m *members) status() MembersStatus {
+	view := m.present()
+	out := MembersStatus{Version: view.Version, Leaving: []string{}, Dead: []string{}}
+	for _, vm := range view.VMs {
+		switch vm.State {
+		case membership.Live:
+			out.Live++
+		case membership.Leaving:
+			out.Leaving = append(out.Leaving, vm.ID)
+		case membership.Dead:
+			out.Dead = append(out.Dead, vm.ID)
+		}
+	}
+	return out
+}
+
 // Entry implements gateway.Entrances.
 func (m *members) Entry(q membership.EntryQuery) ([]string, uint64) {
 	view := m.present()
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -31,13 +31,7 @@
 // startExplain must come before both HTTP listeners: each serves explanations.
 func (n *Node) startExplain() { n.explainer = operator.NewExplainer(n.network, n.vmIDs, n.explain) }
 
-func (n *Node) vmIDs() []string {
-	out := make([]string, 0, len(n.s.VMs))
-	for _, vm := range n.s.VMs {
-		out = append(out, vm.ID)
-	}
-	return out
-}
+func (n *Node) vmIDs() []string { return n.members.ids() }
 
 func (n *Node) status() operator.VMStatus {
 	out := operator.VMStatus{
