relay: blame spreads over few connections

Cause: blame went to every VM directly. Connections between VMs stay open and are pinged every 0.7 s, so at 330 VMs the first dead engine would have left a full mesh, some 28 KB/s a node by the pings' size against a budget of 11 KB/s (worked out, not measured). Up to 13 VMs are told directly as before; beyond, each VM tells those 1, 2, 4... places behind it, which tell on: nine connections, nine steps.

--- a/internal/relay/recover.go
+++ b/internal/relay/recover.go
@@ -24,6 +24,7 @@
 	blame     *recovery.Blame
 	pacers    map[string]*recovery.Pacer // by model
 	grants    map[*recovery.Resume]chan struct{}
+	heard     heard
 }
 
 func newRecoverer(h *Hub) *recoverer {
@@ -34,7 +35,7 @@
 	return &recoverer{
 		hub: h, policy: policy, detector: recovery.NewDetector(policy),
 		suspicion: recovery.NewSuspicionBudget(), hedges: recovery.NewBudget(policy.HedgeShare),
-		blame: recovery.NewBlame(), pacers: map[string]*recovery.Pacer{}, grants: map[*recovery.Resume]chan struct{}{},
+		blame: recovery.NewBlame(), pacers: map[string]*recovery.Pacer{}, grants: map[*recovery.Resume]chan struct{}{}, heard: heard{},
 	}
 }
 
@@ -172,6 +173,7 @@
 	Death   recovery.Death `cbor:"1,keyasint"`
 	Passed  int            `cbor:"2,keyasint"`
 	Cleared bool           `cbor:"3,keyasint,omitempty"`
+	Pass    bool           `cbor:"4,keyasint,omitempty"` // to be passed on
 }
 
 // died blames a request for the death of its engine. A resend may come to any
@@ -197,13 +199,17 @@
 	return cleared
 }
 
-// tell sends blame to every VM. Engines die a few times a day, so a message to
-// each of 330 VMs is within the control budget; one that is lost costs at most
-// one more engine.
+// tell sends blame to the VMs that this one tells. A message that is lost costs
+// at most one more engine.
 func (c *recoverer) tell(m blameMessage) {
-	for _, vm := range c.hub.members.Views()[0].Candidates {
-		if vm.VM != c.hub.cfg.VM && c.hub.members.Reachable(vm.VM) {
-			_ = c.hub.transport.Send(vm.VM, peer.KindBlame, m)
+	vms, pass := neighbours(c.hub.cfg.VM, c.hub.members.Views()[0].Candidates)
+	m.Pass = pass
+	c.mu.Lock()
+	c.heard.first(m, time.Now())
+	c.mu.Unlock()
+	for _, vm := range vms {
+		if c.hub.members.Reachable(vm) {
+			_ = c.hub.transport.Send(vm, peer.KindBlame, m)
 		}
 	}
 }
@@ -213,15 +219,27 @@
 	if err := peer.Unmarshal(body, &m); err != nil {
 		return nil, err
 	}
+	if c.hear(m) && m.Pass {
+		c.tell(m)
+	}
+	return nil, nil
+}
+
+// hear applies blame that another VM tells, once, and reports whether it was
+// new.
+func (c *recoverer) hear(m blameMessage) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.heard.first(m, time.Now()) {
+		return false
+	}
 	if m.Cleared {
 		c.blame.Passed(m.Death.Digest, m.Passed)
-		return nil, nil
+		return true
 	}
 	m.Death.At = time.Now()
 	c.blame.EngineDied(m.Death, m.Passed)
-	return nil, nil
+	return true
 }
 
 // deadlineOf is the time by which a request must have started; zero: never.
