recovery, relay: answers move off an engine that has become slow

A slow engine never falls silent, so nothing gave it up.

Change: a stream on an engine that routing holds out as slow (never while half of a pool looks so) moves if staying takes twice as long as prefill and the rest elsewhere, within the budget of work done twice.

--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -120,6 +120,7 @@
 		Done:     func(o relay.Outcome) { r.done(&placed, o) },
 		Progress: func(tokens int) { r.progress(&placed, tokens) },
 		Cleared:  func() { r.cleared(&placed) },
+		Slowness: func() float64 { return r.slowness(placed.Engine) },
 	}, nil
 }
 
@@ -129,6 +130,12 @@
 	r.table.Progress(p, tokens)
 }
 
+func (r *router) slowness(i int) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Slowness(i)
+}
+
 func (r *router) cleared(p *routing.Placement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -145,6 +152,7 @@
 	relay.OutcomeUnserved:   routing.Cancelled,
 	relay.OutcomeOverloaded: routing.Cancelled,
 	relay.OutcomeRejected:   routing.Cancelled,
+	relay.OutcomeSlow:       routing.Cancelled,
 }
 
 func (r *router) done(p *routing.Placement, o relay.Outcome) {
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -124,6 +124,24 @@
 	}
 }
 
+func TestMoveOffASlowEnginePaysOff(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		slowness      float64
+		left, prefill int
+		want          bool
+	}{
+		{"full, not slow", 1.8, 4000, 1000, false},
+		{"slow, minutes left", 8, 4000, 1000, true},
+		{"slow, nearly done", 8, 5, 1000, false},
+		{"slow, little left behind a huge prompt", 4, 100, 100_000, false},
+	} {
+		if got := WorthMoving(c.slowness, c.left, c.prefill); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
 // Forty streams of a dead engine would prefill 200,000 tokens on the survivors
 // at once and stall every stream there. They start as the survivors manage, the
 // earliest deadline first, and none is held for long.
--- a/internal/relay/deps.go
+++ b/internal/relay/deps.go
@@ -40,12 +40,13 @@
 	OutcomeUnserved           // the engine does not serve this model, version or adapter
 	OutcomeOverloaded         // the engine is full
 	OutcomeRejected           // the engine finds fault with the request
+	OutcomeSlow               // it lives, but the answer ends sooner elsewhere
 )
 
 // String names the outcome in logs and metrics.
 func (o Outcome) String() string {
 	return [...]string{
-		"ok", "failed", "suspected", "cancelled", "died", "refused", "unserved", "overloaded", "rejected",
+		"ok", "failed", "suspected", "cancelled", "died", "refused", "unserved", "overloaded", "rejected", "slow",
 	}[o]
 }
 
@@ -71,6 +72,7 @@
 	Done     func(Outcome)
 	Progress func(tokens int) // tokens were generated
 	Cleared  func()           // a suspect has proved innocent
+	Slowness func() float64   // of the engine now, against its pool; 1: not slow
 }
 
 func (c *Choice) done(o Outcome) {
@@ -91,6 +93,13 @@
 	}
 }
 
+func (c *Choice) slowness() float64 {
+	if c.Slowness == nil {
+		return 1
+	}
+	return c.Slowness()
+}
+
 // Router picks engines.
 type Router interface {
 	// Pick places a request on an engine. result.NoBackendServer means that none
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -28,6 +28,7 @@
 	resume     *recovery.Resume
 	suspect    bool
 	silent     bool // given up for its silence
+	slow       bool // given up for its slowness
 	cancel     context.CancelFunc
 	err        error
 }
@@ -68,6 +69,11 @@
 				l.cancel()
 				continue // its end follows
 			}
+			if hedge == nil && r.worthMoving(l) {
+				l.slow = true
+				l.cancel()
+				continue
+			}
 			if due && !hedged {
 				hedged = true
 				hedge = r.hedge(ctx, l, ends)
@@ -98,6 +104,18 @@
 	}
 }
 
+// worthMoving reports whether the answer ends sooner elsewhere, within the
+// budget of work done twice.
+func (r *Run) worthMoving(l *lane) bool {
+	slowness := l.choice.slowness()
+	if slowness <= 1 {
+		return false
+	}
+	q := r.query()
+	left := r.Request().MaxTokens - q.Tokens
+	return recovery.WorthMoving(slowness, left, q.Prefill()) && r.hub.recovery.spendMove(q.Prefill())
+}
+
 // giveUp settles a lane whose answer goes on in the other one.
 func (r *Run) giveUp(ctx context.Context, l *lane) {
 	if errors.Is(l.err, generation.ErrStaleAttempt) || r.superseded(l) {
@@ -238,6 +256,8 @@
 		return OutcomeOK
 	case l.silent:
 		return OutcomeSuspected
+	case l.slow:
+		return OutcomeSlow
 	case errors.Is(l.err, generation.ErrDeposed), ctx.Err() != nil:
 		return OutcomeCancelled
 	default:
--- a/internal/relay/recover.go
+++ b/internal/relay/recover.go
@@ -98,6 +98,12 @@
 // checkEvery is the resolution of suspicion and hedging.
 const checkEvery = 100 * time.Millisecond
 
+func (c *recoverer) spendMove(prefill int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.suspicion.Spend(prefill)
+}
+
 func (c *recoverer) spendHedge(prefill int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/relay/recover_test.go
+++ b/internal/relay/recover_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,7 @@
 	mu      sync.Mutex
 	engines []*standin.Engine
 	cfg     func(i int) standin.EngineConfig
+	slow    func(engine string) float64 // what routers know of slowness; nil: nothing
 }
 
 func newFleet(n int, change func(*standin.EngineConfig)) *fleet {
@@ -117,6 +119,7 @@
 type tableRouter struct {
 	mu    sync.Mutex
 	table *routing.Table
+	slow  func(engine string) float64
 }
 
 func newTableRouter(engines int) *tableRouter {
@@ -153,6 +156,12 @@
 	return relay.Choice{
 		Backend: relay.Backend{Name: s.Name, Addr: s.Addr, Zone: s.Zone},
 		Cleared: func() { locked(func() { r.table.Cleared(&p) }) },
+		Slowness: func() float64 {
+			if r.slow == nil {
+				return 1
+			}
+			return r.slow(s.Name)
+		},
 		Done: func(o relay.Outcome) {
 			as := map[relay.Outcome]routing.Outcome{relay.OutcomeOK: routing.OK, relay.OutcomeRefused: routing.Refused, relay.OutcomeDied: routing.Failed}
 			outcome, ok := as[o]
@@ -182,10 +191,12 @@
 	var out []*relay.Hub
 	for i := range n {
 		id := fmt.Sprint("vm", i)
+		router := newTableRouter(len(f.engines))
+		router.slow = f.slow
 		out = append(out, relay.NewHub(relay.Config{
 			VM: id, Epoch: id + "#1", Incarnation: "1", Limits: generation.DefaultLimits(time.Minute), OpenTimeout: 4 * time.Second, CallerKeep: time.Minute, Objective: o,
 		}, relay.Deps{
-			Transport: network.VM(id), Members: members, Engines: f, Router: newTableRouter(len(f.engines)),
+			Transport: network.VM(id), Members: members, Engines: f, Router: router,
 			Log: zerolog.Nop(), Metrics: new(expvar.Map).Init(),
 		}))
 	}
@@ -285,6 +296,37 @@
 	}
 }
 
+// The caller's engine becomes eight times slower with most of the answer to
+// come. It has not failed, and the answer would take a minute; it goes on on
+// another engine and is whole within a quarter of that.
+func TestAnswerMovesOffASlowEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, nil)
+		defer f.stop()
+		var slow atomic.Pointer[standin.Engine]
+		f.slow = func(name string) float64 {
+			if e, err := f.at(name); err == nil && e == slow.Load() {
+				return 8
+			}
+			return 1
+		}
+		h := hubs(t, f, 1, recovery.ExtraWork)[0]
+		defer h.Close()
+		began := time.Now()
+		err := read(t.Context(), h, request("r", "unit log", 2000), func() {
+			e := f.busiest()
+			e.Slow(8)
+			slow.Store(e)
+		})
+		if err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(began); took > 15*time.Second {
+			t.Errorf("the answer took %s", took)
+		}
+	})
+}
+
 // A request crashes each engine that runs it, with four innocent ones beside it.
 // Its caller sends it again under new ids, to another VM. It takes down two
 // engines and no more, and is refused with its code; the innocent answers are
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -161,6 +161,16 @@
 // Inflight is the number of own pieces of work on a backend server.
 func (t *Table) Inflight(i int) int { return t.engines[i].inflight }
 
+// Slowness is a backend server's step time over the median of its pool, at
+// least 1; 1 too while it is not taken to be slow, as when half of a pool looks so.
+func (t *Table) Slowness(i int) float64 {
+	s := t.engines[i]
+	if !s.health.slow || len(s.pools) == 0 {
+		return 1
+	}
+	return t.slowness(s.pools[0], s)
+}
+
 // SetLimit bounds the own work in flight on a backend server.
 func (t *Table) SetLimit(i, limit int) { t.engines[i].limit = limit }
 
