node: the trace test hands over in mid-answer

Cause: with 0.6 s of output the answer had ended before the drain reached it on a busy machine: one run in four showed one VM only. Change: 2.4 s of output.

--- a/internal/node/trace_test.go
+++ b/internal/node/trace_test.go
@@ -42,7 +42,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	killed, left := false, false
-	_, err = client.New(s.Addresses(), testKey).Complete(ctx, "traced", client.Completion{Model: "m", Prompt: "a unit log", MaxTokens: 150},
+	_, err = client.New(s.Addresses(), testKey).Complete(ctx, "traced", client.Completion{Model: "m", Prompt: "a unit log", MaxTokens: 600},
 		func(p client.Progress) {
 			if p.Index >= 40 && !killed {
 				killed = s.KillRunningEngine()
