--- a/cmd/amaranthshelf/measure.go
+++ b/cmd/amaranthshelf/measure.go
@@ -12,6 +12,7 @@
 )
 
 type measureGateway struct {
+	VMs     int  `long:"vms" default:"3" description:"VMs; journals have three keepers below five VMs, five from there on"`
 	Streams int  `long:"streams" default:"256" description:"concurrent streams"`
 	Tokens  int  `long:"tokens" default:"100" description:"tokens of each answer"`
 	JSON    bool `long:"json" description:"print as JSON"`
@@ -24,13 +25,13 @@
 		return err
 	}
 	_, err = m.AddCommand("gateway", "streams through the system against direct ones",
-		"Runs the same streams direct from stand-in engines and through three VMs.", &measureGateway{})
+		"Runs the same streams direct from stand-in engines and through the VMs.", &measureGateway{})
 	return err
 }
 
 // Execute implements flags.Commander.
 func (c *measureGateway) Execute([]string) error {
-	out, err := measure.RunGateway(context.Background(), c.Streams, c.Tokens, progress)
+	out, err := measure.RunGateway(context.Background(), c.VMs, c.Streams, c.Tokens, progress)
 	if err != nil {
 		return err
 	}
--- a/internal/measure/gateway.go
+++ b/internal/measure/gateway.go
@@ -33,29 +33,29 @@
 // Gateway compares streams through the system to streams direct from the same
 // engines.
 type Gateway struct {
-	Streams, TokensEach int
-	Direct, Via         Path
+	VMs, Streams, TokensEach int
+	Direct, Via              Path
 }
 
 const (
 	gatewayModel = "m"
 	gatewayKey   = "measure"
-	gatewayVMs   = 3
+	gatewayZones = 3
 	// streamsPerEngine keeps the engines' batches as they are in a loaded system.
 	streamsPerEngine = 32
 )
 
-// RunGateway measures with a number of concurrent streams.
-func RunGateway(ctx context.Context, streams, tokens int, say func(string)) (*Gateway, error) {
+// RunGateway measures with a number of VMs and of concurrent streams.
+func RunGateway(ctx context.Context, vms, streams, tokens int, say func(string)) (*Gateway, error) {
 	s, err := local.Start(local.Options{
-		VMs: gatewayVMs, Zones: gatewayVMs, Engines: (streams + streamsPerEngine - 1) / streamsPerEngine, Model: gatewayModel,
+		VMs: vms, Zones: min(vms, gatewayZones), Engines: (streams + streamsPerEngine - 1) / streamsPerEngine, Model: gatewayModel,
 		Engine: gatewayEngine, Plans: gatewayPlans, Log: zerolog.Nop(),
 	})
 	if err != nil {
 		return nil, err
 	}
 	defer s.Stop()
-	out := &Gateway{Streams: streams, TokensEach: tokens}
+	out := &Gateway{VMs: vms, Streams: streams, TokensEach: tokens}
 	direct := engine.NewClient()
 	var callers []*client.Client
 	for _, addr := range s.Addresses() {
@@ -178,7 +178,7 @@
 		}
 		fmt.Fprintf(&b, "%-28s %10.2f %10.2f %8.2f  %s\n", name, direct, via, ratio, unit)
 	}
-	fmt.Fprintf(&b, "%d streams of %d tokens at once; all parts in one process\n", g.Streams, g.TokensEach)
+	fmt.Fprintf(&b, "%d streams of %d tokens at once through %d VMs; all parts in one process\n", g.Streams, g.TokensEach, g.VMs)
 	fmt.Fprintf(&b, "%-28s %10s %10s %8s\n", "", "direct", "via", "ratio")
 	row("first token p50", g.Direct.FirstP50, g.Via.FirstP50, "ms")
 	row("first token p95", g.Direct.FirstP95, g.Via.FirstP95, "ms")
