--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -84,6 +84,10 @@
 // handOver asks the other VMs in turn to take a generation over, its keepers
 // first since they hold the journal. The successor's promise deposes this owner.
 func (h *Hub) handOver(ctx context.Context, run *Run, turn int) {
+	if !run.beginMove() {
+		return // to other keepers at this moment; Drain comes again
+	}
+	defer run.endMove()
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	vms := h.successors(run)
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -133,9 +133,10 @@
 	if err := peer.Unmarshal(body, &req); err != nil {
 		return nil, err
 	}
+	opening := h.isOpening(req.ID) // before the run: it becomes one, never the reverse
 	run := h.Run(req.ID)
 	if run == nil || run.ended() {
-		return followReply{Opening: h.isOpening(req.ID)}, nil
+		return followReply{Opening: opening}, nil
 	}
 	if req.From < 0 {
 		return followReply{Found: true, Request: run.Request()}, nil
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -65,7 +65,7 @@
 	digests    []uint64   // of the first 0, 1, 2... tokens
 
 	seenVersion uint64 // of the list of VMs, for which the keepers are right
-	replacing   bool
+	moving      bool
 }
 
 func newRun(h *Hub, owner *generation.Owner) *Run {
--- a/internal/relay/tend.go
+++ b/internal/relay/tend.go
@@ -81,10 +81,13 @@
 	default:
 		return
 	}
-	run.setReplacing(true)
+	if !run.beginMove() {
+		<-slots
+		return
+	}
 	go func() {
 		defer func() { <-slots }()
-		defer run.setReplacing(false)
+		defer run.endMove()
 		h.replace(run)
 	}()
 }
@@ -92,7 +95,7 @@
 func (r *Run) wantsReplace(views []generation.Membership) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replacing || r.err != nil || r.seenVersion == views[0].Version {
+	if r.moving || r.err != nil || r.seenVersion == views[0].Version {
 		return false
 	}
 	oldest := views[len(views)-1].Version
@@ -105,10 +108,23 @@
 	return true
 }
 
-func (r *Run) setReplacing(on bool) {
+// beginMove claims the run for one move at a time: to other keepers, or to
+// another owner. Both bid for the journal: a bid for other keepers that comes
+// behind the successor's deposes it, and its callers' answers go to and fro.
+func (r *Run) beginMove() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.moving {
+		return false
+	}
+	r.moving = true
+	return true
+}
+
+func (r *Run) endMove() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.replacing = on
+	r.moving = false
 }
 
 // replace seals the journal on a majority of every keeper set and installs it on
