peer: no ping to a VM that was just heard; unused connections close

Cause: every connection was pinged each 700 ms from both ends whatever it carried, and was kept for ever: at 330 VMs with journals everywhere some 640 connections a VM, 70 KB/s of pings by the sizes of their frames, against a budget of 11 KB/s. Change: a ping goes out only when nothing was read since the last tick; the end that opened a connection closes it after a minute without a message. Result: peer and node tests pass; the cut that sends no reset is still noticed by the test of silent links.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/websocket"
@@ -20,13 +21,17 @@
 )
 
 type conn struct {
-	net   *Network
-	ws    *websocket.Conn
-	vm    string
-	lanes [laneCount]chan []byte
-	done  chan struct{}
-	once  sync.Once
-	slots chan struct{}
+	net *Network
+	ws  *websocket.Conn
+	vm  string
+
+	dialed bool // by this end
+	lanes  [laneCount]chan []byte
+	done   chan struct{}
+	once   sync.Once
+	slots  chan struct{}
+	heard  atomic.Bool  // anything was read since the last ping
+	used   atomic.Int64 // last message sent from this end, in Unix nanoseconds
 
 	mu      sync.Mutex
 	next    uint64
@@ -41,6 +46,7 @@
 	for i := range c.lanes {
 		c.lanes[i] = make(chan []byte, queueFrames)
 	}
+	c.used.Store(time.Now().UnixNano())
 	ws.SetReadLimit(maxFrameBytes)
 	return c
 }
@@ -124,6 +130,7 @@
 }
 
 func (c *conn) send(kind Kind, call uint64, isReply bool, body any, failure error) error {
+	c.used.Store(time.Now().UnixNano())
 	f := frame{Kind: kind, Call: call, Reply: isReply}
 	if failure != nil {
 		f.setError(failure)
@@ -167,6 +174,12 @@
 		if !ok {
 			return
 		}
+		if data == nil && c.idle() {
+			return
+		}
+		if data == nil && c.heard.Swap(false) {
+			continue // the other end lives; if it has not heard of this one, it asks
+		}
 		_ = c.ws.SetWriteDeadline(time.Now().Add(writeTimeout))
 		kind := websocket.BinaryMessage
 		if data == nil {
@@ -178,6 +191,16 @@
 	}
 }
 
+// idle reports whether this end opened the connection and has not used it for
+// idleLimit. Among 330 VMs each would else keep, and ping, a connection to every
+// VM that it ever had a message for.
+func (c *conn) idle() bool {
+	unused := time.Since(time.Unix(0, c.used.Load()))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dialed && unused >= idleLimit && len(c.waiting) == 0
+}
+
 // nextFrame waits for the next frame; nil data stands for a ping.
 func (c *conn) nextFrame(ping <-chan time.Time) ([]byte, bool) {
 	select {
@@ -199,7 +222,10 @@
 
 func (c *conn) readLoop() {
 	defer c.close()
-	extend := func() { _ = c.ws.SetReadDeadline(time.Now().Add(silenceLimit)) }
+	extend := func() {
+		c.heard.Store(true)
+		_ = c.ws.SetReadDeadline(time.Now().Add(silenceLimit))
+	}
 	extend()
 	pong := c.ws.PingHandler()
 	c.ws.SetPingHandler(func(data string) error {
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -26,6 +26,8 @@
 	pingEvery    = 700 * time.Millisecond
 	silenceLimit = 2500 * time.Millisecond
 	redialPause  = 200 * time.Millisecond
+
+	idleLimit = 1 * time.Minute
 )
 
 // Path is where a VM accepts peer connections.
@@ -233,6 +235,7 @@
 	}
 	defer resp.Body.Close()
 	c := newConn(n, ws, vm)
+	c.dialed = true
 	if err := c.writeHello(); err != nil {
 		c.close()
 		return nil, err
