relay: a hand-over waits for a move instead of coming back for it

A run that was moving to other keepers was skipped and tried again 200 ms later, and the test leaves about 280 ms. Change: the hand-over waits for the end of the move, in steps of 5 ms. The test still depends on the shutdown being quicker than 70 tokens of 4 ms.

--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -16,6 +16,7 @@
 	handoversAtOnce = 16
 	adoptTimeout    = 3 * time.Second
 	drainRetry      = 200 * time.Millisecond
+	moveStep        = 5 * time.Millisecond
 )
 
 type adoptRequest struct {
@@ -81,15 +82,26 @@
 	wg.Wait()
 }
 
+// awaitMove claims the run once it does not move to other keepers any more; the
+// list of VMs has just changed by this VM's leaving.
+func (r *Run) awaitMove(ctx context.Context) bool {
+	for !r.beginMove() {
+		if sleep(ctx, moveStep) != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // handOver asks the other VMs in turn to take a generation over, its keepers
 // first since they hold the journal. The successor's promise deposes this owner.
 func (h *Hub) handOver(ctx context.Context, run *Run, turn int) {
-	if !run.beginMove() {
-		return // to other keepers at this moment; Drain comes again
-	}
-	defer run.endMove()
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
+	if !run.awaitMove(ctx) {
+		return // Drain comes again
+	}
+	defer run.endMove()
 	vms := h.successors(run)
 	for i := range vms {
 		vm := vms[(i+turn)%len(vms)]
