node: status says whether a VM admits, not only whether its feed is fresh

Cause: a VM admits only once its list of VMs has formed too, but its status called it fresh before; local systems took that for ready, and about every third run of the test without the group saw its first request refused with 3004 (1 reconnect). Ruled out: the lease's length (2 s failed as often as 1 s).

--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -42,7 +42,7 @@
 func (n *Node) status() operator.VMStatus {
 	out := operator.VMStatus{
 		VM: n.s.Self.ID, Zone: n.s.Self.Zone, Incarnation: n.incarnation,
-		Version: n.plans.version(), Fresh: n.feed.Fresh(), Ready: n.ready.Load(), Leader: n.leader(), Counters: map[string]int64{},
+		Version: n.plans.version(), Fresh: n.fresh(), Ready: n.ready.Load(), Leader: n.leader(), Counters: map[string]int64{},
 	}
 	for _, role := range n.s.Self.Roles {
 		out.Roles = append(out.Roles, string(role))
