gateway: bodies of generations under way are bounded

Cause: calls of services had a bound on bodies in flight, generations none before admission had read them: 4 MB each, as many as connections. Change: the same bound while a generation is opened; 3001 with a time to come back beyond it.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -63,30 +63,42 @@
 	if err != nil {
 		return err
 	}
-	body, err := readCompletion(http.MaxBytesReader(w, r.Body, g.cfg.MaxBodyBytes))
-	if err != nil {
-		return err
-	}
 	last, err := lastEvent(r, key)
 	if err != nil {
 		return err
 	}
-	req, err := g.request(ctx, caller, key, body)
-	if err != nil {
-		return err
-	}
-	reader, err := g.generations.Open(ctx, req, last != nil)
+	reader, streamed, err := g.open(ctx, w, r, caller, key, last != nil)
 	if err != nil {
 		return err
 	}
 	defer reader.Release()
 	w.Header().Set("X-Request-Id", key)
-	if !body.Stream {
+	if !streamed {
 		return g.answerWhole(ctx, w, key, reader)
 	}
 	return g.answerStream(ctx, w, key, reader, last)
 }
 
+// open reads the body and opens the generation. The bodies under way are
+// bounded: admission counts a request's bytes only once they have been read.
+func (g *Gateway) open(ctx context.Context, w http.ResponseWriter, r *http.Request, caller Caller, key string, resuming bool) (*relay.Reader, bool, error) {
+	leave, ok := g.opening.enter(g.bodyBound(r))
+	if !ok {
+		return nil, false, result.New(result.QueueFull).WithRetryAfter(fullPause)
+	}
+	defer leave()
+	body, err := readCompletion(http.MaxBytesReader(w, r.Body, g.cfg.MaxBodyBytes))
+	if err != nil {
+		return nil, false, err
+	}
+	req, err := g.request(ctx, caller, key, body)
+	if err != nil {
+		return nil, false, err
+	}
+	reader, err := g.generations.Open(ctx, req, resuming)
+	return reader, body.Stream, err
+}
+
 func readCompletion(r io.Reader) (completionBody, error) {
 	var body completionBody
 	data, err := io.ReadAll(r)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,7 @@
 	models      Models
 	tracer      *telemetry.Tracer
 	log         zerolog.Logger
+	opening     inflight
 }
 
 // New returns a Gateway.
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -2,7 +2,8 @@
 
 import "sync/atomic"
 
-// Bounds of service calls in flight on one VM. The load pattern: a service slows
+// Bounds of service calls in flight, and of generations being opened, on one
+// VM. The load pattern: a service slows
 // down, its callers go on sending, and each call holds its body, its answer and
 // a connection until the service answers. Without a bound the VM runs out of
 // memory and takes the generations on it along. A call is held for less than a
@@ -12,7 +13,7 @@
 	maxCallBytes = 256 << 20 // bodies; an answer is at most as large as MaxAnswerBytes
 )
 
-// inflight counts calls and the bytes of their bodies. Safe for concurrent use.
+// inflight counts requests and the bytes of their bodies. Safe for concurrent use.
 type inflight struct {
 	calls atomic.Int64
 	bytes atomic.Int64
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -87,7 +87,7 @@
 	if !idempotent && key == "" {
 		return nil, result.New(result.KeyRequired)
 	}
-	leave, ok := s.load.enter(s.bodyBound(r))
+	leave, ok := s.load.enter(s.g.bodyBound(r))
 	if !ok {
 		return nil, result.New(result.QueueFull).WithRetryAfter(fullPause)
 	}
@@ -122,9 +122,9 @@
 }
 
 // bodyBound is the most that the body can take, in bytes.
-func (s *services) bodyBound(r *http.Request) int64 {
-	if r.ContentLength < 0 || r.ContentLength > s.g.cfg.MaxBodyBytes {
-		return s.g.cfg.MaxBodyBytes
+func (g *Gateway) bodyBound(r *http.Request) int64 {
+	if r.ContentLength < 0 || r.ContentLength > g.cfg.MaxBodyBytes {
+		return g.cfg.MaxBodyBytes
 	}
 	return r.ContentLength
 }
