--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -101,6 +101,10 @@
 	zonesNeeded = 2
 	// minuteShare: one zone of three may go within a minute.
 	minuteShare = 1.0 / 3
+	// minuteLeast: in the smallest systems one false eviction, by a VM that was
+	// paused, must not use up what a VM that dies right after it needs. deadShare
+	// still keeps two of three from being dead at once.
+	minuteLeast = 2
 	// deadShare: beyond it more eviction only moves load onto the rest.
 	deadShare = 2.0 / 5
 )
--- a/internal/membership/part.go
+++ b/internal/membership/part.go
@@ -174,7 +174,7 @@
 			dead++
 		}
 	}
-	perMinute := max(1, int(float64(all)*minuteShare+0.5))
+	perMinute := max(minuteLeast, int(float64(all)*minuteShare+0.5))
 	return len(p.s.Evictions) < perMinute && dead < max(1, int(float64(all)*deadShare))
 }
 
