result: an adapter that no engine serves is told to the caller

Cause: a request for an unknown adapter was tried on one engine after another until its deadline, or for ever; its code stood in the table unused, as did two others. Change: two engines that serve the model and not the adapter, before the first token, end the request with 1022 and charge nothing; 3009 and 4006 are removed. The stand-in engine without a network gives the status that the client would. Result: the table test of mistakes has the case. Its first run did not end: the stand-in's error looked like a death, which is retried for ever.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -187,6 +187,7 @@
 			{"no tokens", coopKey, "a", "", `{"model":"m","prompt":"a"}`, result.InvalidField},
 			{"too many tokens", coopKey, "a", "", `{"model":"m","prompt":"a","max_tokens":99999999}`, result.InvalidField},
 			{"unknown model", coopKey, "a", "", strings.Replace(someWork, `"m"`, `"none"`, 1), result.UnknownModel},
+			{"unknown adapter", coopKey, "b", "", strings.Replace(someWork, `{"model"`, `{"adapter":"none","model"`, 1), result.AdapterNotServed},
 			{"model of another plan", coopKey, "a", "", strings.Replace(someWork, `"m"`, `"other"`, 1), result.ModelNotInPlan},
 			{"bad key", "nobody", "a", "", someWork, result.Unauthorized},
 			{"bad idempotency key", coopKey, "a/b", "", someWork, result.InvalidKey},
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -219,12 +219,28 @@
 		return false, nil
 	}
 	r.lost(l, outcome)
+	if outcome == OutcomeUnserved && r.adapterUnserved() {
+		return false, result.New(result.AdapterNotServed)
+	}
 	if outcome == OutcomeRejected && r.reject() >= rejectLimit {
 		return false, result.Newf(result.BackendFailed, "the backend servers refuse the request: %v", l.err)
 	}
 	return true, nil
 }
 
+// adapterUnserved counts engines that serve the model and not the request's
+// adapter, and reports whether they are enough to believe that none does. Before
+// the first token only: an answer that has begun waits for its adapter to return.
+func (r *Run) adapterUnserved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.owner.Request.Adapter == "" || r.owner.Journal().Len() > 0 {
+		return false
+	}
+	r.unserved++
+	return r.unserved >= rejectLimit
+}
+
 func (r *Run) reject() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -60,6 +60,7 @@
 	failed     []string // engines that failed this request
 	current    int      // number of the attempt that appended last
 	rejected   int      // engines that found fault with the request
+	unserved   int      // engines without the request's adapter
 	lostAt     time.Time
 	resumeSpan trace.Span // from lostAt to the next token
 	digests    []uint64   // of the first 0, 1, 2... tokens
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
@@ -72,7 +73,8 @@
 	if j.Finish != "" && j.Usage.PromptTokens == 0 {
 		used += r.owner.Request.PromptTokens() // the engine did not say
 	}
-	ran := offered && (r.stats.Attempts > 0 || r.owner.Deposed() || !r.owner.Accepted())
+	none := errors.Is(r.err, result.New(result.AdapterNotServed)) // no engine began
+	ran := offered && !none && (r.stats.Attempts > 0 || r.owner.Deposed() || !r.owner.Accepted())
 	r.mu.Unlock()
 	r.settle(ran, used)
 }
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -69,7 +69,6 @@
 	ShuttingDown     Code = 3006
 	ControlUnavail   Code = 3007
 	KeepersUnavail   Code = 3008
-	RecoveryBudget   Code = 3009
 	WorkspaceBacklog Code = 3010
 	CallRunning      Code = 3011
 	ClaimsFull       Code = 3012
@@ -83,7 +82,6 @@
 	OutcomeUnknown  Code = 4003
 	BackendFailed   Code = 4004
 	InvariantBroken Code = 4005
-	Cancelled       Code = 4006
 	CallerGone      Code = 4007
 	AnswerNotKept   Code = 4008
 	CallNotSent     Code = 4009
--- a/internal/standin/engine_stream.go
+++ b/internal/standin/engine_stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
@@ -10,6 +12,9 @@
 // Generate runs a completion without a network, as engine.Client does with one.
 func (e *Engine) Generate(ctx context.Context, _ string, c engine.Completion, on func(engine.Event) error) error {
 	r, err := e.submit(c)
+	if errors.Is(err, errNotServed) {
+		return errors.Join(err, &engine.StatusError{Status: http.StatusNotFound, Body: err.Error()})
+	}
 	if err != nil {
 		return err
 	}
