timer: one wait that a context ends

Cause: five packages had their own, under five names, two with results of the opposite sense. Change: timer.Sleep.

--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Timings of a Feed.
@@ -151,7 +152,7 @@
 			at, movedAt = (at+1)%len(f.order), time.Now()
 			gap = movePause
 		}
-		if pause(f.ctx, gap) != nil {
+		if timer.Sleep(f.ctx, gap) != nil {
 			return
 		}
 	}
--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -12,6 +12,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Timings of a client.
@@ -162,7 +163,7 @@
 		next := out.Leader
 		if next == "" || next == target {
 			next = ""
-			if err := pause(ctx, retryPause); err != nil {
+			if err := timer.Sleep(ctx, retryPause); err != nil {
 				return reply{}, giveUp(err, maybeRan)
 			}
 		}
@@ -224,12 +225,3 @@
 		r.leader = r.self
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/consensus"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // FollowedParts are the parts that every VM follows.
@@ -210,7 +211,7 @@
 	case <-time.After(batchWindow):
 		return nil
 	case <-hurry:
-		return pause(ctx, hurryWindow)
+		return timer.Sleep(ctx, hurryWindow)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/load/faults.go
+++ b/internal/load/faults.go
@@ -13,6 +13,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/local"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Fault is one line of a fault script:
@@ -167,12 +168,5 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timer.Sleep(ctx, time.Until(at)) == nil
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/platform"
 	"github.com/amaranthshelf/amaranthshelf/internal/service"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // fleetEvery is how often the backend servers' list is put together: "leaving"
@@ -182,7 +183,7 @@
 
 func (n *Node) followBackends(ctx context.Context) {
 	last := n.s.Backends
-	for pauseFor(ctx, fleetEvery) {
+	for timer.Sleep(ctx, fleetEvery) == nil {
 		now := n.backends.list()
 		n.backends.index(now)
 		if !reflect.DeepEqual(now, last) {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/platform"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // members is this VM's copy of the committed list of VMs. Until the system has
@@ -237,7 +238,7 @@
 // keepJoined joins under this incarnation, and again after a false eviction.
 func (n *Node) keepJoined(ctx context.Context) {
 	for n.join(ctx) != nil {
-		if !pauseFor(ctx, joinPause) {
+		if timer.Sleep(ctx, joinPause) != nil {
 			return
 		}
 	}
@@ -252,7 +253,7 @@
 			continue
 		}
 		n.log.Warn().Msg("taken for dead by others; joining again")
-		if !pauseFor(ctx, rejoinPause) {
+		if timer.Sleep(ctx, rejoinPause) != nil {
 			return
 		}
 		_ = n.join(ctx)
@@ -294,18 +295,6 @@
 	}
 }
 
-// pauseFor reports whether the pause passed before ctx ended.
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // ids names every VM that is listed, by the settings or by having joined.
 func (m *members) ids() []string {
 	seen := map[string]bool{}
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Figures of polling. A router polls only the engines that it uses (at most
@@ -54,11 +55,11 @@
 		for _, e := range list {
 			go p.poll(ctx, e)
 			pause := p.pause(len(list))
-			if sleepCtx(ctx, pause/2+rand.N(pause+1)) != nil {
+			if timer.Sleep(ctx, pause/2+rand.N(pause+1)) != nil {
 				return
 			}
 		}
-		if len(list) == 0 && sleepCtx(ctx, pollEvery) != nil {
+		if len(list) == 0 && timer.Sleep(ctx, pollEvery) != nil {
 			return
 		}
 	}
@@ -128,17 +129,6 @@
 	return true
 }
 
-func sleepCtx(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func expvarFunc(f func() any) expvar.Func { return expvar.Func(f) }
 
 // startPolling begins to poll the engines; it ends with the returned function.
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/membership"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Timings of probes. Links are a millisecond apart within a deployment and tens
@@ -50,7 +51,7 @@
 func (n *Node) watchMembers(ctx context.Context) {
 	var version uint64
 	var watched []membership.VM
-	for pauseFor(ctx, probeEvery+rand.N(probeJitter)) {
+	for timer.Sleep(ctx, probeEvery+rand.N(probeJitter)) == nil {
 		view := n.members.present()
 		if view.Version != version {
 			version, watched = view.Version, membership.Watches(n.s.Self.ID, view.VMs)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Shutdown ends the VM without cutting an answer off, within DrainTimeout:
@@ -19,7 +20,7 @@
 	n.leaveMembers(ctx, false)
 	n.log.Info().Dur("entry_ttl", n.s.EntryTTL).Msg("shutting down: no longer handed out")
 	if len(n.s.VMs) > 1 {
-		wait(ctx, n.s.EntryTTL)
+		_ = timer.Sleep(ctx, n.s.EntryTTL)
 	}
 	errs := []error{n.hub.Drain(ctx)}
 	close(n.leaving)
@@ -37,12 +38,3 @@
 	n.hub.Close()
 	return errors.Join(append(errs, n.tracer.Close(context.WithoutCancel(ctx)))...)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 	"go.opentelemetry.io/otel/attribute"
 )
 
@@ -110,7 +111,7 @@
 			r.hub.metrics.Add("waits_for_engine", 1)
 			r.hub.note(req.ID, explain.Queued, "no engine can take it now")
 		}
-		if err := sleep(ctx, pause/2+rand.N(pause)); err != nil {
+		if err := timer.Sleep(ctx, pause/2+rand.N(pause)); err != nil {
 			return Choice{}, err
 		}
 		pause = min(2*pause, pickPauseMax)
@@ -131,17 +132,6 @@
 	r.hub.note(r.Request().ID, what, why)
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // ran tells whether any engine was given the request.
 func (r *Run) ran() result.Ran {
 	r.mu.Lock()
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -9,6 +9,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Figures of a planned takeover.
@@ -86,7 +87,7 @@
 // list of VMs has just changed by this VM's leaving.
 func (r *Run) awaitMove(ctx context.Context) bool {
 	for !r.beginMove() {
-		if sleep(ctx, moveStep) != nil {
+		if timer.Sleep(ctx, moveStep) != nil {
 			return false
 		}
 	}
--- a/internal/service/claimed.go
+++ b/internal/service/claimed.go
@@ -8,6 +8,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/call"
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // claimed is a claim of this VM's from its proposal on.
@@ -125,7 +126,7 @@
 		if err == nil {
 			return reply, nil
 		}
-		if !sleep(ctx, pause) {
+		if timer.Sleep(ctx, pause) != nil {
 			return reply, err
 		}
 	}
@@ -151,7 +152,7 @@
 		if sealed, ok := d.trySeal(ctx, c, &r); ok {
 			return d.final(c, &sealed)
 		}
-		if !sleep(ctx, pause) {
+		if timer.Sleep(ctx, pause) != nil {
 			return nil, result.New(result.CallRunning).WithRetryAfter(retryAfter)
 		}
 		next, err := d.look(ctx, c)
@@ -220,15 +221,3 @@
 		return nil
 	}
 }
-
-// sleep reports whether the pause passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
