node, local: old keeper sets settle with the lease; five control VMs

Two causes: two of three control VMs lost together leave no majority, so that leases lapse and nothing is admitted until one is back; and keeper sets of a superseded list were needed for 15 s, so that one VM lost five seconds after two others had been replaced refused new requests until it was back. Ruled out: elections (0.5 s), grants, the entry. Change: five control VMs where there are five VMs; a list is settled after the freshness lease and a second.

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -159,7 +159,7 @@
 	return total
 }
 
-// settings are those of one VM. The first three VMs are the control group.
+// settings are those of one VM. The first VMs are the control group.
 func (s *System) settings(i int) (*settings.Settings, error) {
 	conf, err := settings.Default()
 	if err != nil {
@@ -169,7 +169,7 @@
 	conf.Self.Callers, conf.Self.Peer, conf.Operators = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	conf.DataDir = fmt.Sprintf("%s/vm%d", s.dir, i+1)
 	conf.Backends = s.backends
-	if i >= controlVMs {
+	if i >= s.controlVMs() {
 		conf.Self.Roles = []settings.Role{settings.RoleRouter}
 	}
 	if s.o.Settings != nil {
@@ -179,7 +179,14 @@
 	return conf, nil
 }
 
-const controlVMs = 3
+// controlVMs is how many VMs form the control group: five, so that any two may
+// be lost at once; three in a system that is too small for that.
+func (s *System) controlVMs() int {
+	if s.o.VMs >= 5 {
+		return 5
+	}
+	return 3
+}
 
 // Stop ends everything at once.
 func (s *System) Stop() {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -29,6 +29,7 @@
 	log         zerolog.Logger
 	cancel      context.CancelFunc
 	draining    func() bool
+	lease       time.Duration // of freshness
 
 	mu      sync.Mutex
 	history membership.History
@@ -102,11 +103,13 @@
 	return m.views
 }
 
-// settleAfter is beyond the freshness lease of a VM that had not heard of a
-// change, and the time in which owners then move their journals.
+// A version is settled once every VM that admits has heard of the next one,
+// which is a freshness lease, and owners have moved their journals: a tick of
+// 100 ms and some messages. Longer would refuse new requests when a third VM is
+// lost soon after two others were replaced.
 const (
-	settleAfter = 15 * time.Second
-	markEvery   = 1 * time.Second
+	moveTime  = 1 * time.Second
+	markEvery = 250 * time.Millisecond
 )
 
 // learn notes when versions were learnt; those of a start are as old as the
@@ -130,7 +133,7 @@
 	views := slices.Clone(m.views)
 	for i := 1; i < len(views); i++ {
 		superseded := m.learnt[views[i-1].Version]
-		views[i].Settled = time.Since(superseded) >= settleAfter
+		views[i].Settled = time.Since(superseded) >= m.lease+moveTime
 	}
 	m.views = views
 }
@@ -205,6 +208,7 @@
 func (n *Node) startMembers() {
 	n.members = newMembers(n.s.Self.ID, n.incarnation, n.s.VMs, platform.NewReader(n.s.PlatformURL, n.log), n.log)
 	n.members.draining = n.draining.Load
+	n.members.lease = n.s.FreshnessTTL
 	n.network = peer.NewNetwork(n.s.Self.ID, n.s.PeerToken, n.members.peerAddr, n.log)
 	n.network.Handle(peer.KindMembership, n.answerProbe)
 }
