--- /dev/null
+++ b/internal/node/settle_test.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/membership"
+	"github.com/amaranthshelf/amaranthshelf/internal/platform"
+)
+
+// Two VMs were replaced, and five seconds later a third dies. A new request must
+// not wait for the third one's return: by then every VM has heard of the
+// replacements and moved its journals, so the sets of the older list are settled.
+// One second after the replacements they are not.
+func TestOlderListsSettleAfterTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		part := membership.NewPart()
+		m := newMembers("vm1", "a", nil, platform.NewReader("", zerolog.Nop()), zerolog.Nop())
+		m.lease = 3 * time.Second
+		join := func(id, incarnation string) {
+			part.Execute(time.Now().UnixMilli(), &membership.Command{Join: &membership.Join{
+				VM: membership.VM{ID: id, Incarnation: incarnation, Zone: "z" + id, Router: true}, Expected: 5,
+			}})
+			m.take(part.Changes(m.present().Version))
+		}
+		for i := range 5 {
+			join(fmt.Sprint("vm", i+1), "a")
+		}
+		if !m.hasFormed() {
+			t.Fatal("five of five VMs have joined and the list has not formed")
+		}
+		time.Sleep(time.Minute)
+		join("vm2", "b")
+		join("vm3", "b")
+		settled := func() (n int) {
+			for _, v := range m.Views() {
+				if v.Settled {
+					n++
+				}
+			}
+			return n
+		}
+		older := len(m.Views()) - 1
+		time.Sleep(time.Second)
+		if got := settled(); got != 0 {
+			t.Errorf("%d of %d older lists settled after 1 s, want none: a VM may admit by them", got, older)
+		}
+		time.Sleep(4 * time.Second)
+		if got := settled(); got != older {
+			t.Errorf("%d of %d older lists settled after 5 s, want all", got, older)
+		}
+	})
+}
