generation: an answer keeps the model version it began with

Cause: no code filled the version of a request, so that while a model is being updated an answer begun by one version could go on with tokens of another: two generations in one answer. It had not shown, since all engines of a test served one version. Change: engines name the version in their events; the first one pins it, on the keepers together with its first token; later attempts, also of another owner, ask for it, and an event of another version is refused and counted.

--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -30,6 +30,7 @@
 	Texts    []string `json:"texts"`
 	Finish   string   `json:"finish_reason,omitempty"`
 	Usage    *Usage   `json:"usage,omitempty"`
+	Version  string   `json:"version,omitempty"` // of the model that runs
 }
 
 // Usage is what one attempt cost the engine, in tokens.
--- a/internal/generation/messages.go
+++ b/internal/generation/messages.go
@@ -23,7 +23,8 @@
 	Addr    string `cbor:"2,keyasint"`
 	Attempt string `cbor:"3,keyasint"`
 	From    int    `cbor:"4,keyasint"`
-	Number  int    `cbor:"5,keyasint"` // within the owner's epochs
+	Number  int    `cbor:"5,keyasint"`           // grows within the owner's epochs
+	Version string `cbor:"6,keyasint,omitempty"` // of the model, once known
 }
 
 // Write asks a keeper to hold tokens of a journal. With Install it replaces the
--- a/internal/generation/owner.go
+++ b/internal/generation/owner.go
@@ -1,6 +1,9 @@
 package generation
 
-import "errors"
+import (
+	"cmp"
+	"errors"
+)
 
 // ErrDeposed is returned once a higher epoch has taken the journal over.
 var ErrDeposed = errors.New("generation: another owner has taken over")
@@ -24,6 +27,7 @@
 	keepers  []replica // in the group's order
 	attempt  int
 	source   Source
+	version  string
 	deposed  bool
 	sealing  bool
 	released int
@@ -97,8 +101,27 @@
 // the attempt's first token, so that no keeper holds tokens of an attempt
 // that it does not know.
 func (o *Owner) SetSource(s Source) {
-	s.Number = o.attempt
+	s.Number = 2 * o.attempt
 	o.source = s
+	o.Pin(o.Version())
+}
+
+// Version is the model version that the answer is made of; empty before its first
+// token, unless the request asked for one.
+func (o *Owner) Version() string { return cmp.Or(o.version, o.Request.Version) }
+
+// Pin notes the model version that the answer is made of, once, with or before
+// its first token: every later attempt, also of another owner, runs that version.
+// Without it an answer begun by one version could go on with tokens of another.
+func (o *Owner) Pin(version string) {
+	if version == "" {
+		return
+	}
+	o.version = version
+	if o.source.Version == "" {
+		o.source.Version = version
+		o.source.Number++ // a keeper that knows the source without it learns it
+	}
 }
 
 // Append adds tokens of an attempt, or its end.
--- a/internal/relay/attach.go
+++ b/internal/relay/attach.go
@@ -104,6 +104,9 @@
 		if len(span.Tokens) == 0 && e.Finish == "" {
 			return nil
 		}
+		if err := r.pin(e); err != nil {
+			return err
+		}
 		r.noteResumed()
 		return r.owner.Append(id.Number, span, e.Finish, r.usage(e))
 	})
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -184,7 +184,7 @@
 		choice: choice, from: j.Len(), stream: r.hub.recovery.begin(choice.Backend.Name),
 		suspect: r.hub.recovery.standing(req.ContentDigest()) == recovery.Suspect,
 		completion: engine.Completion{
-			Attempt: label, Model: req.Model, Version: req.Version, Adapter: req.Adapter,
+			Attempt: label, Model: req.Model, Version: r.owner.Version(), Adapter: req.Adapter,
 			Prompt: req.Prompt, PromptIDs: req.PromptIDs, Generated: slices.Clone(j.Tokens),
 			MaxTokens: req.MaxTokens, Priority: priority, Stream: true,
 			DetachMS: r.hub.cfg.DetachKeep.Milliseconds(),
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -186,6 +186,9 @@
 			r.stats.ExtraDecoded += len(e.TokenIDs)
 			return err
 		}
+		if err := r.pin(e); err != nil {
+			return err
+		}
 		r.noteResumed()
 		return r.owner.Append(l.number, span, e.Finish, r.usage(e))
 	})
@@ -197,6 +200,18 @@
 	return nil
 }
 
+// pin takes the event's model version as the answer's, or refuses an event of
+// another version: its tokens would belong to another generation. Needs r.mu.
+func (r *Run) pin(e engine.Event) error {
+	pinned := r.owner.Version()
+	if pinned != "" && e.Version != "" && e.Version != pinned {
+		r.hub.metrics.Add("events_of_another_version", 1)
+		return errForeignEvent
+	}
+	r.owner.Pin(e.Version)
+	return nil
+}
+
 // claim makes a hedge the current attempt with its first token, unless the
 // first lane has gone on in the meantime: then the hedge's tokens no longer
 // follow the journal, and it has lost. Needs r.mu.
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -162,6 +162,9 @@
 	h := o.h
 	run := newRun(h, generation.NewOwner(o.req, epoch, o.groups[0], replies, best.Journal))
 	run.source = best.Source
+	if best.Source != nil {
+		run.owner.Pin(best.Source.Version)
+	}
 	if err := run.enter(ctx, best.Found); err != nil {
 		return found{}, err
 	}
--- a/internal/standin/engine_stream.go
+++ b/internal/standin/engine_stream.go
@@ -113,7 +113,7 @@
 	if len(r.tokens) <= from && r.finish == "" {
 		return engine.Event{}, false, r.changed, nil
 	}
-	event := engine.Event{Attempt: e.label(r), Index: len(r.tokens), TokenIDs: append([]int32(nil), r.tokens[from:]...), Texts: []string{}}
+	event := engine.Event{Attempt: e.label(r), Index: len(r.tokens), TokenIDs: append([]int32(nil), r.tokens[from:]...), Texts: []string{}, Version: r.version}
 	for _, t := range event.TokenIDs {
 		event.Texts = append(event.Texts, TextOf(t))
 	}
