load: operators' edits during a local run, checked on every VM

Cause: the random runs had load and faults, and nobody edited the lists. Change: a row is changed each 0.7 s through random VMs with ?wait=in-force; then no VM may admit by an older version, none may go back, and the row's version may not fall.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -77,6 +77,9 @@
 	UnbrokenCost int           `json:"unbroken_tokens"`
 	Reconnects   int           `json:"reconnects"`
 	SentLateP99  float64       `json:"sent_late_p99_ms"`
+	Edits        int           `json:"edits"` // of the lists that were accepted, local runs only
+	InForceP50   float64       `json:"in_force_p50_ms"`
+	InForceMax   float64       `json:"in_force_max_ms"`
 	Timeline     []Second      `json:"timeline"`
 	WrongAnswers []string      `json:"wrong_answers,omitempty"`
 	Failures     []Failure     `json:"failures,omitempty"` // the first maxFailures
@@ -257,6 +260,9 @@
 	if r.EngineTokens > 0 {
 		fmt.Fprintf(&b, "engines computed %d tokens for %d of unbroken runs (a cached prefix counts as saved)\n", r.EngineTokens, r.UnbrokenCost)
 	}
+	if r.Edits > 0 {
+		fmt.Fprintf(&b, "%d edits of the lists accepted, in force everywhere after p50 %.0f, at most %.0f ms\n", r.Edits, r.InForceP50, r.InForceMax)
+	}
 	for _, f := range r.Failures {
 		fmt.Fprintf(&b, "not served: %s of %s, sent at %.1f s: %s after %.1f s and %d tokens\n",
 			f.Key, f.Workspace, f.AtMS/1000, f.Name, f.TookMS/1000, f.Tokens)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -46,15 +46,36 @@
 	}
 	before := r.work()
 	r.start = time.Now()
+	finishEdits := func(*Report) {}
 	if o.System != nil {
 		go inject(ctx, o.System, o.Faults, r.start, o.Progress)
+		finishEdits = startEdits(ctx, o)
 	}
 	r.sendAll(ctx, arrivals)
 	report := r.rec.finish(o, len(arrivals))
+	finishEdits(report)
 	report.EngineTokens = r.work() - before
 	return report, nil
 }
 
+// startEdits edits the lists during the run; the returned function ends that and
+// adds what came of it to the report.
+func startEdits(ctx context.Context, o Options) func(*Report) {
+	ctx, cancel := context.WithTimeout(ctx, o.Duration)
+	e := newEditor(o.System, o.Seed)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.run(ctx)
+	}()
+	return func(r *Report) {
+		cancel()
+		<-done
+		r.Edits, r.InForceP50, r.InForceMax = e.accepted, quantile(e.inForce, 50), float64(e.inForce.Max())/1000
+		r.WrongAnswers = append(r.WrongAnswers, e.wrong...)
+	}
+}
+
 type runner struct {
 	o       Options
 	rec     *recorder
--- a/internal/node/plans.go
+++ b/internal/node/plans.go
@@ -104,3 +104,10 @@
 // fresh reports whether this VM may admit: it holds the lists in force, and
 // knows the VMs that keep journals.
 func (n *Node) fresh() bool { return n.feed.Fresh() && n.members.hasFormed() }
+
+// Applied is the version of the lists that this VM applies, and whether it
+// admits by them now.
+func (n *Node) Applied() (version uint64, admits bool) {
+	admits = n.fresh()
+	return n.plans.version(), admits
+}
