One piece each for waits, printed reports and a call's trace; a stricter editor

The editor of a local run took a vanished row for an unreachable group, and could wait for that group without end. Change: timer.Sleep, printReport and traced serve all of them; the dead code is gone; a vanished row is a wrong answer, and the reread has a time limit. Visible change: a resent service call stays in one trace, as resent generations do.

--- a/cmd/amaranthshelf/demo.go
+++ b/cmd/amaranthshelf/demo.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -35,12 +34,8 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		if err := printJSON(report); err != nil {
-			return err
-		}
-	} else {
-		fmt.Print(report.Text())
+	if err := printReport(c.JSON, report); err != nil {
+		return err
 	}
 	if !report.OK {
 		return errDemo
--- a/cmd/amaranthshelf/load.go
+++ b/cmd/amaranthshelf/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"os"
 	"os/signal"
 	"time"
@@ -140,12 +139,8 @@
 			return err
 		}
 	}
-	if c.JSON {
-		if err := printJSON(report); err != nil {
-			return err
-		}
-	} else {
-		fmt.Print(report.Text())
+	if err := printReport(c.JSON, report); err != nil {
+		return err
 	}
 	if !report.OK() {
 		return errLoadWrong
--- a/cmd/amaranthshelf/measure.go
+++ b/cmd/amaranthshelf/measure.go
@@ -35,15 +35,22 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		return printJSON(out)
-	}
-	fmt.Print(out.Text())
-	return nil
+	return printReport(c.JSON, out)
 }
 
 func progress(line string) { fmt.Fprintln(os.Stderr, line) }
 
+// report is what a command prints, for people or as data.
+type report interface{ Text() string }
+
+func printReport(asJSON bool, r report) error {
+	if asJSON {
+		return printJSON(r)
+	}
+	_, err := fmt.Print(r.Text())
+	return err
+}
+
 func printJSON(v any) error {
 	enc := json.NewEncoder(os.Stdout)
 	enc.SetIndent("", "  ")
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -18,6 +18,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 
 	"github.com/zeebo/errs"
 )
@@ -152,7 +153,7 @@
 		}
 		c.fail(addr)
 		k.answer.Reconnects++
-		time.Sleep(reconnectPause)
+		_ = timer.Sleep(ctx, reconnectPause)
 	}
 	return &k.answer, err
 }
@@ -293,7 +294,7 @@
 			return answer, err
 		}
 		c.fail(addr)
-		time.Sleep(reconnectPause)
+		_ = timer.Sleep(ctx, reconnectPause)
 	}
 	return nil, err
 }
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -59,8 +59,7 @@
 	if id == "" {
 		id = rand.Text()
 	}
-	ctx := telemetry.Extract(r.Context(), r.Header.Get("Traceparent"))
-	ctx, span := s.g.tracer.Start(ctx, "entry", id)
+	ctx, span := s.g.tracer.Start(traced(r, id), "entry", id)
 	defer span.End()
 	answer, err := s.serve(ctx, w, r, key, id)
 	if err != nil {
--- a/internal/load/edits.go
+++ b/internal/load/edits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -10,7 +11,9 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/client"
 	"github.com/amaranthshelf/amaranthshelf/internal/local"
+	"github.com/amaranthshelf/amaranthshelf/internal/node"
 	"github.com/amaranthshelf/amaranthshelf/internal/plan"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
@@ -28,16 +31,16 @@
 	rng      *rand.Rand
 	inForce  *hdrhistogram.Histogram
 	accepted int
-	row      uint64   // version of the row
-	seen     []uint64 // by VM, the lists' version last seen there
-	lives    []any    // by VM, the process that it was seen on
+	row      uint64       // version of the row
+	seen     []uint64     // by VM, the lists' version last seen there
+	lives    []*node.Node // by VM, the process that it was seen on
 	wrong    []string
 }
 
 func newEditor(s *local.System, seed uint64) *editor {
 	return &editor{
 		system: s, rng: rand.New(rand.NewPCG(seed, 0xed)), inForce: histogram(),
-		seen: make([]uint64, len(s.Nodes)), lives: make([]any, len(s.Nodes)),
+		seen: make([]uint64, len(s.Nodes)), lives: make([]*node.Node, len(s.Nodes)),
 	}
 }
 
@@ -57,7 +60,7 @@
 	row := plan.Allowance{Plan: editedPlan, Models: []string{"none"}, TokensPerWindow: n, RequestsPerWindow: n, WindowSeconds: 60, Concurrent: 1, Share: 1}
 	out, err := op.Do(ctx, client.Change{List: "allowances", Name: editedPlan, Row: row, IfMatch: e.row, Wait: true})
 	if err != nil {
-		e.reread(ctx, op) // it may have been accepted: its answer was lost
+		e.reread(op) // it may have been accepted: its answer was lost
 		return
 	}
 	e.accepted++
@@ -70,8 +73,14 @@
 }
 
 // reread takes the row's present version, which is never below an accepted one.
-func (e *editor) reread(ctx context.Context, op *client.Operator) {
-	row, err := op.Allowance(context.WithoutCancel(ctx), editedPlan)
+// It has a time of its own: the edit's may have run out.
+func (e *editor) reread(op *client.Operator) {
+	ctx, cancel := context.WithTimeout(context.Background(), editTimeout)
+	defer cancel()
+	row, err := op.Allowance(ctx, editedPlan)
+	if errors.Is(err, result.New(result.NotFound)) && e.row > 0 {
+		e.wrong = append(e.wrong, fmt.Sprintf("the row of version %d is gone", e.row))
+	}
 	if err != nil {
 		return
 	}
@@ -97,7 +106,7 @@
 		if admits && version < inForce {
 			e.wrong = append(e.wrong, fmt.Sprintf("vm%d admits by lists of version %d, %d is in force", i+1, version, inForce))
 		}
-		if e.lives[i] == any(n) && version < e.seen[i] {
+		if e.lives[i] == n && version < e.seen[i] {
 			e.wrong = append(e.wrong, fmt.Sprintf("vm%d went back from version %d to %d", i+1, e.seen[i], version))
 		}
 		e.lives[i], e.seen[i] = n, version
--- a/internal/local/publish.go
+++ b/internal/local/publish.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/client"
 	"github.com/amaranthshelf/amaranthshelf/internal/operator"
 	"github.com/amaranthshelf/amaranthshelf/internal/plan"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 const publishTimeout = 15 * time.Second // covers the group's first election
@@ -70,10 +71,8 @@
 		if !behind {
 			return nil
 		}
-		select {
-		case <-time.After(statusPause):
-		case <-ctx.Done():
-			return fmt.Errorf("local: the lists are not applied everywhere: %w", ctx.Err())
+		if err := timer.Sleep(ctx, statusPause); err != nil {
+			return fmt.Errorf("local: the lists are not applied everywhere: %w", err)
 		}
 	}
 }
--- a/internal/local/ready.go
+++ b/internal/local/ready.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 const (
@@ -26,7 +28,7 @@
 				errs = append(errs, fmt.Errorf("local: %s not ready after %s", n.Self().ID, readyWithin))
 				break
 			}
-			time.Sleep(readyPause)
+			_ = timer.Sleep(ctx, readyPause)
 		}
 	}
 	return errors.Join(errs...)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"maps"
 	"slices"
 	"sync"
@@ -155,7 +156,7 @@
 	}
 	m.formed = true
 	m.learn()
-	views := make([]generation.Membership, 0, len(m.history.Views())+1)
+	views := make([]generation.Membership, 0, len(m.history.Views()))
 	for _, v := range m.history.Views() {
 		views = append(views, candidates(v))
 	}
@@ -218,7 +219,7 @@
 func (n *Node) followMembers() {
 	n.machine.Register(control.PartMembers, membership.NewPart())
 	n.feed.OnChange(control.PartMembers, n.members.take)
-	n.metrics.Set("members", expvarFunc(func() any { return n.members.status() }))
+	n.metrics.Set("members", expvar.Func(func() any { return n.members.status() }))
 }
 
 // joinMembers brings this VM in and watches others, once control runs.
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -129,8 +128,6 @@
 	return true
 }
 
-func expvarFunc(f func() any) expvar.Func { return expvar.Func(f) }
-
 // startPolling begins to poll the engines; it ends with the returned function.
 func (n *Node) startPolling() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -230,5 +231,5 @@
 
 func (n *Node) startRouting() {
 	n.router = newRouter(n.s.Self, n.s.Backends, len(n.s.VMs))
-	n.metrics.Set("engines", expvarFunc(func() any { return n.router.status() }))
+	n.metrics.Set("engines", expvar.Func(func() any { return n.router.status() }))
 }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -29,7 +29,6 @@
 	mu     sync.Mutex
 	runs   map[string]int
 	next   BreakPoint
-	delay  time.Duration
 	hold   time.Duration
 }
 
@@ -52,13 +51,6 @@
 	s.next = at
 }
 
-// Delay makes each call take this long.
-func (s *Service) Delay(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delay = d
-}
-
 // HoldAnswers makes each call run at once and answer this much later.
 func (s *Service) HoldAnswers(d time.Duration) {
 	s.mu.Lock()
@@ -91,13 +83,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.mu.Lock()
-	at, delay, hold := s.next, s.delay, s.hold
+	at, hold := s.next, s.hold
 	s.next = BreakNever
 	s.mu.Unlock()
 	if at == BreakBefore {
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(delay)
 	key := r.Header.Get("Idempotency-Key")
 	s.mu.Lock()
 	s.runs[key]++
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -64,12 +64,6 @@
 	return &Tracer{provider: provider, tracer: provider.Tracer("amaranthshelf/" + vm), close: closeFile}, nil
 }
 
-// NewTracerTo returns a Tracer whose ended spans go to a processor at once.
-func NewTracerTo(vm string, p trace.SpanProcessor) *Tracer {
-	provider := trace.NewTracerProvider(trace.WithSpanProcessor(p))
-	return &Tracer{provider: provider, tracer: provider.Tracer("amaranthshelf/" + vm), close: func() error { return nil }}
-}
-
 // Start begins the span of one hop.
 func (t *Tracer) Start(ctx context.Context, hop, requestID string) (context.Context, oteltrace.Span) {
 	return t.tracer.Start(ctx, hop, oteltrace.WithAttributes(attribute.String("request.id", requestID)))
