upstream, forward: a place whose engines die together is avoided as a whole

Cause: after a zone's engines died, the list named them for two more seconds. They looked idle, so every request and resumed stream of every VM went there first: up to eight refusals each, then 'backends full' or 'retries spent'. Each VM learnt only of the engines that its own streams ran on.

VMs tell each other which servers they judged dead. Questions to a silent engine are tried three times within 150 ms, since a lossy link made live engines look dead. A resume from a copy is tried only where the run had begun. Peers dial for 400 ms instead of 1 s: a VM that was dark lost the opening packet.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -49,6 +49,7 @@
 	Held     uint64                   `cbor:"6,keyasint,omitempty"` // digest of the list of backend servers
 	HeldAge  int64                    `cbor:"7,keyasint,omitempty"` // ms; how old that list is
 	WantLoad bool                     `cbor:"8,keyasint,omitempty"` // Others are wanted
+	Dead     []string                 `cbor:"9,keyasint,omitempty"` // backend servers judged dead lately
 }
 
 // Answer is a control VM's reply.
@@ -63,4 +64,5 @@
 	AgeMS    int64              `cbor:"6,keyasint"`
 	Listed   bool               `cbor:"7,keyasint,omitempty"`
 	Backends []upstream.Backend `cbor:"8,keyasint,omitempty"`
+	Dead     []string           `cbor:"9,keyasint,omitempty"`
 }
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -47,7 +47,7 @@
 	h.note(from, n)
 	a := Answer{Controls: h.controls(), Routers: len(h.present())}
 	if n.WantLoad {
-		a.Others, a.Deaths = h.load(from), h.recentDeaths()
+		a.Others, a.Deaths, a.Dead = h.load(from), h.recentDeaths(), h.dead(from)
 	}
 	rows, digest, age, ok := h.held.Now()
 	// A VM with a younger list than ours has nothing to gain.
@@ -104,6 +104,21 @@
 	return out
 }
 
+// dead are the backend servers that other VMs judged dead.
+func (h *Hub) dead(except string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	var out []string
+	for vm, s := range h.vms {
+		if vm != except && now.Sub(s.at) <= presentFor {
+			out = append(out, s.notice.Dead...)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // present are the VMs that take callers now, in order of id.
 func (h *Hub) present() []seen {
 	h.mu.Lock()
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -23,9 +23,9 @@
 	Ready   func() bool
 	Use     func() map[string]placement.Use
 	Deaths  func() []recovery.Death
-	// Learn takes what other VMs have running, the deaths that they saw and how
-	// many VMs take callers.
-	Learn func(others map[string]placement.Use, deaths []recovery.Death, routers int)
+	Dead    func() []string
+	// Learn takes what a control VM knows of the other VMs.
+	Learn func(Answer)
 }
 
 // Member is a VM's side of the exchange. Safe for concurrent use.
@@ -122,6 +122,9 @@
 	if m.local.Ready != nil {
 		n.Ready = m.local.Ready()
 	}
+	if m.local.Dead != nil {
+		n.Dead = m.local.Dead()
+	}
 	if m.local.Use != nil {
 		n.Use = m.local.Use()
 	}
@@ -149,7 +152,7 @@
 		m.held.Confirm(a.Digest, age)
 	}
 	if m.local.Learn != nil && n.WantLoad {
-		m.local.Learn(a.Others, a.Deaths, a.Routers)
+		m.local.Learn(a)
 	}
 }
 
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -13,6 +13,11 @@
 // reports without a slot; three times the slowest of both.
 const probeTimeout = 150 * time.Millisecond
 
+// probeEvery begins a further try beside one that is unanswered: a lossy link
+// loses a packet of one try in ten, and a lost packet is sent again only after 200
+// ms.
+const probeEvery = 45 * time.Millisecond
+
 // prober asks silent servers whether they live, once at a time each: many
 // streams fall silent together when an engine dies.
 type prober struct {
@@ -52,7 +57,7 @@
 func (p *prober) run(s *upstream.Server, q *probe) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	q.alive = p.question(ctx, s, q)
+	q.report, q.told, q.alive = p.question(ctx, s)
 	if q.alive {
 		p.fleet.Heard(s)
 	}
@@ -62,37 +67,71 @@
 	close(q.done)
 }
 
-// question uses a new connection: a kept one may have gone silent by itself
-// while the server lives.
-func (p *prober) question(ctx context.Context, s *upstream.Server, q *probe) bool {
+// verdict is the outcome of one try.
+type verdict struct {
+	report Report
+	told   bool
+	alive  bool
+}
+
+// question tries until one try is answered or refused, or ctx ends.
+func (p *prober) question(ctx context.Context, s *upstream.Server) (Report, bool, bool) {
+	tries := int(probeTimeout / probeEvery)
+	answers := make(chan verdict, tries)
+	next := time.NewTicker(probeEvery)
+	defer next.Stop()
+	begun := 1
+	go func() { answers <- p.try(ctx, s) }()
+	for ended := 0; ended < begun; {
+		select {
+		case v := <-answers:
+			ended++
+			// A refusal is an answer of the machine: nobody listens there.
+			if v.alive || ctx.Err() == nil {
+				return v.report, v.told, v.alive
+			}
+		case <-next.C:
+			if begun < tries {
+				begun++
+				go func() { answers <- p.try(ctx, s) }()
+			}
+		}
+	}
+	return Report{}, false, false
+}
+
+// try uses a new connection: a kept one may have gone silent by itself while the
+// server lives.
+func (p *prober) try(ctx context.Context, s *upstream.Server) verdict {
 	c, err := p.pool.Get(ctx, s.ID, s.Address, true)
 	if err != nil {
-		return false
+		return verdict{}
 	}
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	r := upstream.Request{Method: http.MethodGet, URI: p.wire.ReportURI(), Host: s.Address, Header: http.Header{}}
 	if _, err := c.Send(&r); err != nil {
 		c.Close()
-		return false
+		return verdict{}
 	}
 	resp, err := c.ReadHead(http.MethodGet)
 	if err != nil {
 		c.Close()
-		return false
+		return verdict{}
 	}
 	body, err := upstream.ReadBody(resp, maxAnswer)
 	if err != nil {
 		c.Close()
-		return false
+		return verdict{}
 	}
+	v := verdict{alive: true}
 	if report, err := p.wire.ReadReport(body); err == nil && resp.StatusCode == http.StatusOK {
-		q.report, q.told = report, true
+		v.report, v.told = report, true
 	}
 	if stop() {
 		p.pool.Put(c, resp)
 	}
-	return true
+	return v
 }
 
 // confirmDeath finds out, beside the request, whether the server that broke it
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -20,6 +20,7 @@
 	use    placement.Use    // of the engine
 	kept   placement.Use    // of the keeper
 	died   <-chan struct{}
+	doubt  <-chan struct{}
 	fresh  bool // the stream's first run: its report counts the same events
 
 	conn  *upstream.Conn
@@ -34,6 +35,8 @@
 	told   Report
 	known  bool      // told is an answer about the present silence
 	askAt  time.Time // of the last question
+	// unanswered: the last question brought no answer
+	unanswered bool
 }
 
 // item is what the reader of a run brings: the answer's head, an event or the end.
@@ -50,7 +53,7 @@
 // start sends the request to an engine, with room for a copy elsewhere.
 func (st *stream) start(s *upstream.Server, from *Copy) *run {
 	h := st.h
-	r := &run{st: st, server: s, from: from, fresh: !st.seq.started, died: h.o.Fleet.Died(s)}
+	r := &run{st: st, server: s, from: from, fresh: !st.seq.started, died: h.o.Fleet.Died(s), doubt: h.o.Fleet.Doubted(s)}
 	r.use = placement.Use{Requests: 1, Tokens: st.need.Tokens(), Prompt: st.need.Prompt}
 	if from != nil {
 		r.use.Prompt = 0
@@ -63,14 +66,7 @@
 		h.o.Fleet.Take(r.keeper, r.kept)
 		more.CopyTo = r.keeper.Address
 	}
-	if st.q.rec.IsRepeat() && st.begun {
-		h.Stats.Resumes.Add(1)
-		h.o.Log.Info().Str("request", st.q.RequestID).Str("engine", s.ID).Bool("from_copy", from != nil).
-			Uint64("after", st.seq.last).Msg("stream resumes")
-	}
-	if from != nil {
-		h.Stats.FromCopy.Add(1)
-	}
+	r.logPlaced()
 	// A kept connection may have gone silent by itself; a resume has no time to
 	// find out.
 	conn, failed := h.open(st.q, s, h.headers(st.q, s, more), st.begun)
@@ -86,6 +82,26 @@
 	return r
 }
 
+func (r *run) logPlaced() {
+	st, h := r.st, r.st.h
+	if st.begun {
+		h.Stats.Resumes.Add(1)
+	}
+	if r.from != nil {
+		h.Stats.FromCopy.Add(1)
+	}
+	keeper := ""
+	if r.keeper != nil {
+		keeper = r.keeper.ID
+	}
+	use := h.o.Fleet.UseOf(r.server)
+	h.o.Log.Info().Str("request", st.q.RequestID).Str("route", st.q.route.Name).Str("engine", r.server.ID).
+		Str("zone", r.server.Zone).Str("keeper", keeper).Bool("from_copy", r.from != nil).Int("send", st.sends).
+		Uint64("after", st.seq.last).Int("tokens", st.need.Tokens()).Int("there", use.Requests).
+		Int("tokens_there", use.Tokens).Int("prompt_there", use.Prompt).
+		Dur("list_age", time.Since(h.o.Fleet.AsOf())).Msg("stream placed")
+}
+
 // chooseKeeper picks the engine that keeps a copy, where the route may resume
 // and the service's engines keep copies.
 func (st *stream) chooseKeeper(s *upstream.Server) *upstream.Server {
@@ -149,6 +165,9 @@
 				return end
 			}
 			timer.Reset(r.nextLook())
+		case <-r.doubt:
+			r.doubt = r.st.h.o.Fleet.Doubted(r.server)
+			r.ask()
 		case <-r.died:
 			return r.lost("engine judged dead")
 		case <-r.st.q.ctx.Done():
@@ -164,7 +183,7 @@
 // take handles what the reader brought, and what else has come by then, so that
 // one flush serves all of it.
 func (r *run) take(it item) (ending, bool) {
-	r.last, r.known = time.Now(), false
+	r.last, r.known, r.unanswered = time.Now(), false, false
 	r.st.h.o.Fleet.Heard(r.server)
 	for {
 		end, over := r.takeOne(it)
@@ -285,7 +304,6 @@
 }
 
 func (r *run) lost(why string) ending {
-	r.st.h.o.Fleet.Unreachable(r.server)
 	r.st.h.o.Log.Info().Str("request", r.st.q.RequestID).Str("engine", r.server.ID).Int("passed", r.passed).
 		Dur("silent", time.Since(r.last)).Str("reason", why).Msg("run lost")
 	return endBroken
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -95,6 +95,9 @@
 	case endBroken:
 		st.skip[run.server.ID] = true
 		st.keeper = run.keeper
+		if run.passed == 0 && run.from == nil {
+			st.keeper = nil // a prompt that was being read has no copy yet
+		}
 		if st.since.IsZero() {
 			st.since = time.Now()
 		}
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -58,19 +58,34 @@
 	p := r.asked
 	r.asked = nil
 	if !p.alive {
+		if r.again() {
+			return 0, false
+		}
 		r.st.h.o.Fleet.Dead(r.server)
 		r.st.h.o.Blame.Died(r.st.q.digest, r.server.ID, r.passed)
 		return r.lost("engine does not answer"), true
 	}
-	r.told, r.known = p.report, p.told
+	r.told, r.known, r.unanswered = p.report, p.told, false
 	if r.patience().decide(r.silence()) == moveStream {
 		return r.leave(), true
 	}
 	return 0, false
 }
 
+// again asks once more before a stream that has not begun is given up: its
+// prompt would be read anew, and no pause is running.
+func (r *run) again() bool {
+	if r.st.begun || r.unanswered {
+		return false
+	}
+	r.unanswered = true
+	r.asked = r.st.h.prober.ask(r.server)
+	return true
+}
+
 // leave moves the stream off an engine that lives.
 func (r *run) leave() ending {
 	r.st.moved = true
+	r.st.h.o.Fleet.Suspect(r.server)
 	return r.lost("silent too long on a live engine")
 }
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -21,11 +21,13 @@
 // Timings. Links are a millisecond apart within a deployment: two seconds of
 // silence is a cut or a pause, not a slow link.
 const (
-	dialTimeout  = 1 * time.Second
+	// A VM that was dark a moment ago has lost the opening packet, and the kernel
+	// sends it again only after a second: a new attempt is sooner.
+	dialTimeout  = 400 * time.Millisecond
 	writeTimeout = 2 * time.Second
 	pingEvery    = 700 * time.Millisecond
 	silenceLimit = 2500 * time.Millisecond
-	redialPause  = 200 * time.Millisecond
+	redialPause  = 100 * time.Millisecond
 
 	idleLimit = 1 * time.Minute
 )
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -12,8 +12,6 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
-	"github.com/amaranthshelf/amaranthshelf/internal/placement"
-	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -46,7 +44,8 @@
 	r.held = cluster.NewHeld(func(l upstream.List) { r.fleet.Apply(l) })
 	r.network = newNetwork(&o.Common)
 	r.member = cluster.NewMember(o.ID, r.network, o.Seeds, r.held, cluster.Local{
-		Zone: o.Zone, Callers: o.Callers, Ready: r.Ready, Use: r.fleet.Mine, Deaths: r.blame.Fresh, Learn: r.learn,
+		Zone: o.Zone, Callers: o.Callers, Ready: r.Ready, Use: r.fleet.Mine, Deaths: r.blame.Fresh,
+		Dead: r.fleet.Dying, Learn: r.learn,
 	}, o.Log)
 	r.feed = control.NewFeed(control.FeedOptions{
 		Self: o.ID, Voters: r.member.Controls, Transport: r.network, Lease: Lease, Log: o.Log,
@@ -87,10 +86,11 @@
 	r.o.Log.Info().Uint64("version", l.Version).Int("routes", len(l.Routes)).Int("workspaces", len(l.Workspaces)).Msg("route list applied")
 }
 
-func (r *Router) learn(others map[string]placement.Use, deaths []recovery.Death, routers int) {
-	r.fleet.SetOthers(others)
-	r.blame.Learn(deaths)
-	r.handler.SetVMs(routers)
+func (r *Router) learn(a cluster.Answer) {
+	r.fleet.SetOthers(a.Others)
+	r.fleet.HearsayDead(a.Dead)
+	r.blame.Learn(a.Deaths)
+	r.handler.SetVMs(a.Routers)
 }
 
 // Ready reports whether callers may be sent here.
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 )
 
 // Backend is one row of the list of backend servers.
@@ -30,6 +31,14 @@
 	// a second; a dark one stays for several.
 	avoidFirst = 500 * time.Millisecond
 	avoidMost  = 4 * time.Second
+	// deadFor: a dead server comes back under another id; under its own only where
+	// it was cut off, which lasts for seconds.
+	deadFor = 4 * time.Second
+	// heardLately: a server that sent something within this time lives. An engine
+	// that reads a prompt sends an event each 250 ms at least.
+	heardLately = 250 * time.Millisecond
+	// tellFor is how long other VMs are told of a death: some notices.
+	tellFor = 1200 * time.Millisecond
 	// fullFor: a full server refused; its queue moves within some tens of ms.
 	fullFor = 60 * time.Millisecond
 	// failuresToAvoid failed answers in a row: single ones are the service's own.
@@ -48,7 +57,8 @@
 type Server struct {
 	Backend
 	use      placement.Use
-	died     chan struct{}
+	died     chan struct{} // closed when it is judged dead
+	doubt    chan struct{} // closed when others give reason to ask it
 	heard    time.Time
 	avoid    time.Time // until
 	strikes  int       // failures to reach it in a row
@@ -69,12 +79,14 @@
 	servers map[string]*Server
 	order   []*Server // of the list
 	others  map[string]placement.Use
+	outage  recovery.Outage
+	dead    map[string]time.Time // judged dead here, when
 }
 
 // NewFleet returns an empty Fleet that forgets the connections of servers which
 // have left the list.
 func NewFleet(pool *Pool) *Fleet {
-	return &Fleet{pool: pool, now: time.Now, servers: map[string]*Server{}}
+	return &Fleet{pool: pool, now: time.Now, servers: map[string]*Server{}, dead: map[string]time.Time{}}
 }
 
 // Apply takes a list that was read later than the one held, and reports whether
@@ -92,7 +104,7 @@
 	for _, b := range l.Backends {
 		s := f.servers[b.ID]
 		if s == nil || s.Address != b.Address || s.Service != b.Service {
-			s = &Server{Backend: b, died: make(chan struct{})}
+			s = &Server{Backend: b, died: make(chan struct{}), doubt: make(chan struct{})}
 		}
 		s.Draining = b.Draining
 		next[b.ID] = s
@@ -203,6 +215,13 @@
 	return s
 }
 
+// UseOf is what is known to run on a server, of this VM and the others.
+func (f *Fleet) UseOf(s *Server) placement.Use {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.useOf(s, f.now())
+}
+
 // Take notes what a request uses of a server.
 func (f *Fleet) Take(s *Server, u placement.Use) {
 	f.mu.Lock()
@@ -222,6 +241,14 @@
 	return s.died
 }
 
+// Doubted is closed when its neighbours' deaths give reason to ask the server
+// whether it lives.
+func (f *Fleet) Doubted(s *Server) <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.doubt
+}
+
 // Heard notes that bytes came from the server.
 func (f *Fleet) Heard(s *Server) {
 	f.mu.Lock()
--- a/internal/upstream/verdict.go
+++ b/internal/upstream/verdict.go
@@ -1,10 +1,13 @@
 package upstream
 
-import "time"
+import (
+	"time"
 
-// Unreachable notes that the server took no connection, or broke one: it is
-// avoided for a while, longer each time in a row.
-func (f *Fleet) Unreachable(s *Server) {
+	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+)
+
+// Suspect avoids a server for a while, longer each time in a row.
+func (f *Fleet) Suspect(s *Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.strike(s)
@@ -14,27 +17,97 @@
 func (f *Fleet) strike(s *Server) {
 	d := min(avoidFirst<<min(s.strikes, 8), avoidMost)
 	s.strikes++
-	s.avoid = f.now().Add(d)
+	f.avoidFor(s, d)
 }
 
-// Dead judges a silent server dead: all that runs there for this VM moves on at
-// once, since one silent stream is a witness for its neighbours.
-func (f *Fleet) Dead(s *Server) {
+// avoidFor needs f.mu.
+func (f *Fleet) avoidFor(s *Server, d time.Duration) {
+	if until := f.now().Add(d); until.After(s.avoid) {
+		s.avoid = until
+	}
+}
+
+// Unreachable notes that the server took no connection.
+func (f *Fleet) Unreachable(s *Server) {
 	f.mu.Lock()
 	f.strike(s)
+	f.noteDeath(s)
+	f.mu.Unlock()
+	f.pool.Forget(s.ID)
+}
+
+// Dead judges a server dead: all that runs there for this VM moves on at once,
+// since one silent stream is a witness for its neighbours.
+func (f *Fleet) Dead(s *Server) {
+	f.mu.Lock()
+	f.avoidFor(s, deadFor)
+	f.dead[s.ID] = f.now()
+	f.noteDeath(s)
 	close(s.died)
 	s.died = make(chan struct{})
 	f.mu.Unlock()
 	f.pool.Forget(s.ID)
 }
 
+// noteDeath needs f.mu. Where the whole place counts as lost, every server there
+// that has not been heard since is avoided, and those that run something for this
+// VM are asked.
+func (f *Fleet) noteDeath(s *Server) {
+	now := f.now()
+	if !f.outage.Note(s.Service+"/"+s.Zone, s.ID, now) {
+		return
+	}
+	for _, o := range f.order {
+		if o.Service != s.Service || o.Zone != s.Zone || now.Sub(o.heard) < heardLately {
+			continue
+		}
+		f.avoidFor(o, recovery.OutageFor)
+		f.raiseDoubt(o)
+	}
+}
+
+// raiseDoubt needs f.mu.
+func (f *Fleet) raiseDoubt(s *Server) {
+	close(s.doubt)
+	s.doubt = make(chan struct{})
+}
+
+// Dying are the servers that this VM judged dead lately, to tell the others.
+func (f *Fleet) Dying() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for id, at := range f.dead {
+		if f.now().Sub(at) > tellFor {
+			delete(f.dead, id)
+			continue
+		}
+		out = append(out, id)
+	}
+	return out
+}
+
+// HearsayDead takes what other VMs judged dead. It moves nothing by itself: the
+// other VM's link may be at fault.
+func (f *Fleet) HearsayDead(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		s := f.servers[id]
+		if s == nil || f.now().Sub(s.heard) < heardLately || f.now().Before(s.avoid) {
+			continue
+		}
+		f.avoidFor(s, recovery.OutageFor)
+		f.raiseDoubt(s)
+		f.noteDeath(s)
+	}
+}
+
 // Full notes that the server refused a request because it is full.
 func (f *Fleet) Full(s *Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if until := f.now().Add(fullFor); until.After(s.avoid) {
-		s.avoid = until
-	}
+	f.avoidFor(s, fullFor)
 }
 
 // Stale notes that another incarnation holds the server's address: nothing is
