--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,192 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
+	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// testHub is a control VM of a test, and its own member towards the others.
+type testHub struct {
+	hub  *Hub
+	held *Held
+}
+
+// testVM is a router of a test.
+type testVM struct {
+	member *Member
+	held   *Held
+	fleet  map[string]placement.Use
+	heard  Answer
+	ready  bool
+	stop   context.CancelFunc
+}
+
+func startHub(ctx context.Context, n *peertest.Net, id string, all []string) *testHub {
+	h := &testHub{held: NewHeld(func(upstream.List) {})}
+	t := n.VM(id)
+	h.hub = NewHub(t, h.held, func() []string { return all })
+	m := NewMember(id, t, all, h.held, Local{}, zerolog.Nop())
+	go m.Run(ctx)
+	return h
+}
+
+func startRouter(ctx context.Context, n *peertest.Net, id string, seeds []string) *testVM {
+	v := &testVM{ready: true, fleet: map[string]placement.Use{}}
+	v.held = NewHeld(func(upstream.List) {})
+	v.member = NewMember(id, n.VM(id), seeds, v.held, Local{
+		Callers: id + ":80", Ready: func() bool { return v.ready },
+		Use: func() map[string]placement.Use { return v.fleet }, Learn: func(a Answer) { v.heard = a },
+	}, zerolog.Nop())
+	ctx, v.stop = context.WithCancel(ctx)
+	go v.member.Run(ctx)
+	return v
+}
+
+// inBubble runs a test in virtual time on a network without faults.
+func inBubble(t *testing.T, f func(t *testing.T, ctx context.Context, n *peertest.Net)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := peertest.New(1)
+		n.SetDelay(time.Millisecond, 2*time.Millisecond)
+		f(t, ctx, n)
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+var controls = []string{"c1", "c2", "c3"}
+
+// Callers are sent to living routers only. In order: a router stops without a
+// word, and is out of every control VM's directory within a second and a half;
+// another says that it is not ready, and is out with its next notice.
+func TestDirectory(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		var hubs []*testHub
+		for _, id := range controls {
+			hubs = append(hubs, startHub(ctx, n, id, controls))
+		}
+		var vms []*testVM
+		for i := range 3 {
+			vms = append(vms, startRouter(ctx, n, fmt.Sprint("r", i), controls[:1]))
+		}
+		time.Sleep(2 * time.Second)
+		for i, h := range hubs {
+			if got := h.hub.Entrances(64); len(got) != 3 {
+				t.Fatalf("control VM %d knows %v: routers with one seed have not found it", i, got)
+			}
+		}
+		vms[0].stop()
+		time.Sleep(1500 * time.Millisecond)
+		vms[1].ready = false
+		time.Sleep(NoticeEvery + 50*time.Millisecond)
+		for i, h := range hubs {
+			if got := h.hub.Entrances(64); !slices.Equal(got, []string{"r2:80"}) {
+				t.Errorf("control VM %d sends callers to %v", i, got)
+			}
+		}
+	})
+}
+
+// A router with seeds that are gone finds the control VMs that are left, through
+// what it learnt before.
+func TestSeedsGone(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		for _, id := range controls {
+			startHub(ctx, n, id, controls)
+		}
+		v := startRouter(ctx, n, "r1", []string{"c1"})
+		time.Sleep(time.Second)
+		n.Kill("c1")
+		v.member.SetSeeds([]string{"c1"})
+		time.Sleep(20 * time.Second)
+		if got := v.member.Controls(); !slices.Equal(got, controls) {
+			t.Errorf("knows %v", got)
+		}
+	})
+}
+
+// The list of backend servers reaches every VM, and an older one never replaces a
+// younger. In order: c1 reads the list; later it is cut off and goes on holding its
+// old one, while c2 reads that a server has left. A router that hears c1 again
+// keeps what c2 told.
+func TestListSpreadsAndNeverAges(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		hubs := map[string]*testHub{}
+		for _, id := range controls {
+			hubs[id] = startHub(ctx, n, id, controls)
+		}
+		v := startRouter(ctx, n, "r1", controls)
+		time.Sleep(time.Second)
+		hubs["c1"].held.Take([]upstream.Backend{{ID: "e1"}, {ID: "e2"}}, 0)
+		time.Sleep(NoticeEvery + 50*time.Millisecond)
+		if rows, _, age, ok := v.held.Now(); !ok || len(rows) != 2 || age > time.Second {
+			t.Fatalf("the router holds %d rows, %v old", len(rows), age)
+		}
+		for _, other := range []string{"c2", "c3", "r1"} {
+			n.Cut("c1", other)
+			n.Cut(other, "c1")
+		}
+		time.Sleep(time.Second)
+		hubs["c2"].held.Take([]upstream.Backend{{ID: "e1"}}, 0)
+		time.Sleep(time.Second)
+		n.HealAll()
+		time.Sleep(2 * time.Second)
+		for name, held := range map[string]*Held{"router": v.held, "c1": hubs["c1"].held, "c3": hubs["c3"].held} {
+			if rows, _, _, _ := held.Now(); len(rows) != 1 {
+				t.Errorf("%s holds %d rows", name, len(rows))
+			}
+		}
+	})
+}
+
+// Each router hears what the others have running, and not its own.
+func TestLoadsOfOthers(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		for _, id := range controls {
+			startHub(ctx, n, id, controls)
+		}
+		var vms []*testVM
+		for i := range 3 {
+			v := startRouter(ctx, n, fmt.Sprint("r", i), controls)
+			v.fleet["e1"] = placement.Use{Requests: 1 << i}
+			vms = append(vms, v)
+		}
+		time.Sleep(2 * time.Second)
+		for i, want := range []int{6, 5, 3} {
+			if got := vms[i].heard.Others["e1"].Requests; got != want || vms[i].heard.Routers != 3 {
+				t.Errorf("router %d hears of %d requests by %d routers", i, got, vms[i].heard.Routers)
+			}
+		}
+	})
+}
+
+// The age of a list counts from when it was read, over every VM that passed it on.
+func TestAgeOfAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := NewHeld(func(upstream.List) {})
+		h.Take([]upstream.Backend{{ID: "e1"}}, 300*time.Millisecond)
+		time.Sleep(time.Second)
+		_, digest, age, _ := h.Now()
+		if age != 1300*time.Millisecond {
+			t.Errorf("age %v", age)
+		}
+		h.Confirm(digest+1, 0)
+		if _, _, age, _ := h.Now(); age != 1300*time.Millisecond {
+			t.Error("another list's confirmation made this one younger")
+		}
+		h.Confirm(digest, 100*time.Millisecond)
+		if _, _, age, _ := h.Now(); age != 100*time.Millisecond {
+			t.Errorf("age %v after a confirmation", age)
+		}
+	})
+}
--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -77,6 +77,12 @@
 var testVoters = []string{"vm1", "vm2", "vm3"}
 
 func startVM(t testing.TB, f *fabric, id string, voters []string, fs *waltest.FS) *vm {
+	t.Helper()
+	return startVMWith(t, f, id, voters, fs, func(*GroupOptions) {})
+}
+
+// startVMWith is startVM with other options of a control VM's group.
+func startVMWith(t testing.TB, f *fabric, id string, voters []string, fs *waltest.FS, change func(*GroupOptions)) *vm {
 	t.Helper()
 	v := &vm{id: id, t: t, machine: NewMachine(), failed: make(chan error, 1)}
 	v.machine.Register(PartPlans, &list{})
@@ -91,10 +97,12 @@
 		v.seen = append(v.seen, items...)
 	})
 	if slices.Contains(voters, id) {
-		v.group = NewGroup(GroupOptions{
+		o := GroupOptions{
 			VM: id, Voters: voters, Dir: "/" + id, FS: fs, Transport: port{f, id}, Machine: v.machine,
 			Lease: testLease, Log: zerolog.Nop(), Failed: func(err error) { v.failed <- err },
-		})
+		}
+		change(&o)
+		v.group = NewGroup(o)
 		if err := v.group.Start(); err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+func engines(perZone int) []Candidate {
+	var out []Candidate
+	for _, zone := range []string{"a", "b", "c"} {
+		for range perZone {
+			out = append(out, Candidate{Zone: zone, Slots: 64, KVTokens: 88_000, Slow: 1})
+		}
+	}
+	return out
+}
+
+// The load of a clump: as many prompts as engines arrive at once. Placed at
+// random, three meet on one engine, whose last first event comes after three
+// seconds; by cost no engine gets a second one while another has none.
+func TestClumpOfPromptsSpreads(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	all := engines(12)
+	need := Need{Prompt: 8000, Output: 1000}
+	most, mostRandom := 0, 0
+	random := map[int]int{}
+	baseline := rand.New(rand.NewPCG(7, 7))
+	for range 36 {
+		i := Engine(all, need, rng.IntN)
+		all[i].Use = all[i].Use.Add(Use{Requests: 1, Tokens: need.Tokens(), Prompt: need.Prompt})
+		most = max(most, all[i].Use.Requests)
+		k := baseline.IntN(len(all))
+		random[k]++
+		mostRandom = max(mostRandom, random[k])
+	}
+	if most != 1 || mostRandom < 3 {
+		t.Errorf("most prompts on one engine: %d by cost, %d at random", most, mostRandom)
+	}
+}
+
+// A lost zone finds the copies of its runs in other zones, and on engines with
+// room to take them up.
+func TestCopiesAreInOtherZones(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	all := engines(12)
+	need := Need{Prompt: 8000, Output: 1000}
+	kept := map[string]int{}
+	for range 70 {
+		i := Engine(all, need, rng.IntN)
+		all[i].Use = all[i].Use.Add(Use{Requests: 1, Tokens: need.Tokens()})
+		k := Copy(all, all[i].Zone, need, rng.IntN)
+		if k < 0 || all[k].Zone == all[i].Zone {
+			t.Fatalf("copy of a run in zone %s at %d", all[i].Zone, k)
+		}
+		all[k].Use = all[k].Use.Add(Use{Tokens: need.Tokens()})
+		kept[all[k].Zone]++
+	}
+	for i := range all {
+		if all[i].Use.Tokens > 6*need.Tokens() {
+			t.Errorf("engine %d holds %d tokens", i, all[i].Use.Tokens)
+		}
+	}
+	for zone, n := range kept {
+		if n < 15 {
+			t.Errorf("zone %s keeps %d of 70 copies", zone, n)
+		}
+	}
+}
+
+func TestEngine(t *testing.T) {
+	need := Need{Prompt: 8000, Output: 1000}
+	tests := []struct {
+		name string
+		all  []Candidate
+		want int
+	}{
+		{"none", nil, -1},
+		{"the one without a prompt", []Candidate{{KVTokens: 88_000, Use: Use{Prompt: 8000}}, {KVTokens: 88_000, Use: Use{Requests: 3}}}, 1},
+		{"the one with room", []Candidate{{KVTokens: 88_000, Use: Use{Tokens: 85_000}}, {KVTokens: 88_000, Use: Use{Requests: 9}}}, 1},
+		{"a suspect only if alone", []Candidate{{KVTokens: 88_000, Avoid: true}, {KVTokens: 88_000, Use: Use{Tokens: 85_000, Requests: 9}}}, 1},
+		{"alone", []Candidate{{KVTokens: 88_000, Avoid: true}}, 0},
+		{"not the slow one", []Candidate{{KVTokens: 88_000, Slow: 4}, {KVTokens: 88_000, Slow: 1, Use: Use{Requests: 2}}}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := Engine(tt.all, need, func(int) int { return 0 }); got != tt.want {
+				t.Errorf("chose %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestServer(t *testing.T) {
+	tests := []struct {
+		name string
+		all  []Candidate
+		want int
+	}{
+		{"the less used", []Candidate{{Slots: 6, Use: Use{Requests: 3}}, {Slots: 6, Use: Use{Requests: 1}}}, 1},
+		{"by its slots", []Candidate{{Slots: 6, Use: Use{Requests: 2}}, {Slots: 60, Use: Use{Requests: 8}}}, 1},
+		{"near, among equals", []Candidate{{Slots: 6, Zone: "b"}, {Slots: 6, Zone: "a"}}, 1},
+		{"load before nearness", []Candidate{{Slots: 6, Zone: "b"}, {Slots: 6, Zone: "a", Use: Use{Requests: 1}}}, 0},
+		{"not the slow one", []Candidate{{Slots: 6, Zone: "a", Slow: 5}, {Slots: 6, Zone: "b", Slow: 1, Use: Use{Requests: 1}}}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := Server(tt.all, "a", func(int) int { return 0 }); got != tt.want {
+				t.Errorf("chose %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/routed/drain_test.go
@@ -0,0 +1,89 @@
+package routed
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// testGrace is a usual grace of a process.
+var testGrace = DrainTimes{Grace: 8 * time.Second, EntryTTL: 2 * time.Second}
+
+// slow answers after a time.
+func slow(d time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(d)
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+func ask(h http.Handler) int {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", http.NoBody))
+	return w.Code
+}
+
+// Callers who still hold this VM's address are served, and long answers finish.
+// In order: an answer is under way when the end begins; another caller comes a
+// second later; the process ends once both have their answers and no entry answer
+// names it any more.
+func TestDrainFinishesWhatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrain(testGrace)
+		h := d.wrap(slow(5 * time.Second))
+		codes := make(chan int, 2)
+		go func() { codes <- ask(h) }()
+		time.Sleep(time.Second)
+		d.start()
+		began := time.Now()
+		time.Sleep(time.Second)
+		go func() { codes <- ask(h) }()
+		d.wait()
+		took := time.Since(began)
+		if took < 6*time.Second || took > testGrace.Grace {
+			t.Errorf("ended after %v", took)
+		}
+		for range 2 {
+			if code := <-codes; code != http.StatusOK {
+				t.Errorf("status %d", code)
+			}
+		}
+	})
+}
+
+// An idle VM ends as soon as entry answers have expired.
+func TestDrainOfAnIdleVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrain(testGrace)
+		d.start()
+		began := time.Now()
+		d.wait()
+		if took := time.Since(began); took < testGrace.EntryTTL || took > 3*time.Second {
+			t.Errorf("ended after %v", took)
+		}
+	})
+}
+
+// A caller that comes too late to be finished is told so, with a promise that
+// nothing has run; the end comes before the process is killed.
+func TestDrainRefusesWhatCannotFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrain(testGrace)
+		h := d.wrap(slow(time.Minute))
+		go ask(h)
+		time.Sleep(time.Second)
+		d.start()
+		began := time.Now()
+		time.Sleep(5 * time.Second)
+		if code := ask(h); code != http.StatusServiceUnavailable {
+			t.Errorf("status %d", code)
+		}
+		d.wait()
+		if took := time.Since(began); took >= testGrace.Grace {
+			t.Errorf("ended after %v, killed by then", took)
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- /dev/null
+++ b/internal/routes/routes_test.go
@@ -0,0 +1,153 @@
+package routes
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+)
+
+// proper is a list that passes every check.
+func proper(version uint64) *List {
+	return &List{
+		Version: version,
+		Routes: []Route{
+			{Name: "all", Host: "h", Prefix: "/", Timeout: time.Second, Targets: []Target{{"s", 1}}},
+			{Name: "deep", Host: "h", Prefix: "/a/", Timeout: time.Second, Targets: []Target{{"s", 9}, {"t", 1}}},
+		},
+		Services:   []Service{{Name: "s"}, {Name: "t"}},
+		Workspaces: []Workspace{{Name: "nelson", Keys: []string{"k1", "k2"}}, {Name: "rupert", Keys: []string{"k3"}}},
+		Source:     []byte("text of the operator"),
+	}
+}
+
+func TestValidate(t *testing.T) {
+	tests := []struct {
+		name  string
+		spoil func(*List)
+		names string // what the error must name; empty: no error
+	}{
+		{"proper", func(*List) {}, ""},
+		{"no version", func(l *List) { l.Version = 0 }, "version"},
+		{"no timeout", func(l *List) { l.Routes[1].Timeout = 0 }, "deep"},
+		{"unknown service", func(l *List) { l.Routes[1].Targets[1].Service = "u" }, `"u"`},
+		{"same place twice", func(l *List) { l.Routes[1].Prefix = "/" }, "deep"},
+		{"weights add up to 0", func(l *List) { l.Routes[0].Targets[0].Weight = 0 }, "all"},
+		{"no targets", func(l *List) { l.Routes[0].Targets = nil }, "all"},
+		{"negative weight", func(l *List) { l.Routes[1].Targets[1].Weight = -1 }, "deep"},
+		{"shared key", func(l *List) { l.Workspaces[1].Keys = []string{"k2"} }, "rupert"},
+		{"service twice", func(l *List) { l.Services[1].Name = "s" }, "service"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := proper(1)
+			tt.spoil(l)
+			err := l.Validate()
+			switch {
+			case tt.names == "" && err != nil:
+				t.Error(err)
+			case tt.names == "":
+			case !errors.Is(err, result.New(result.InvalidRouteList)) || !strings.Contains(err.Error(), tt.names):
+				t.Errorf("error %v does not name %s", err, tt.names)
+			}
+		})
+	}
+}
+
+func TestMatch(t *testing.T) {
+	table := NewTable(proper(1))
+	tests := []struct{ host, path, want string }{
+		{"h", "/", "all"},
+		{"h", "/b/c", "all"},
+		{"h", "/a/c", "deep"},
+		{"H:8080", "/a/", "deep"},
+		{"h", "/a", "all"}, // a prefix ends with its slash
+		{"other", "/a/", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if r := table.Match(tt.host, tt.path); r != nil {
+			got = r.Name
+		}
+		if got != tt.want {
+			t.Errorf("%s%s leads to %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+	if w := table.Holder("k2"); w == nil || w.Name != "nelson" {
+		t.Errorf("k2 is held by %v", w)
+	}
+}
+
+func TestPickByWeight(t *testing.T) {
+	r := proper(1).Routes[1]
+	count := map[string]int{}
+	for n := range 10 {
+		count[r.Pick(func(int) int { return n })]++
+	}
+	if count["s"] != 9 || count["t"] != 1 {
+		t.Errorf("drawn %v", count)
+	}
+}
+
+// Operators race: each of their lists comes again, late, or under a version that
+// another list holds. What was acknowledged stays, and nobody is told that a list
+// holds which does not.
+func TestPartOutcomes(t *testing.T) {
+	other := proper(2)
+	other.Source = []byte("another operator's text")
+	steps := []struct {
+		name    string
+		list    *List
+		outcome Outcome
+		held    uint64
+	}{
+		{"first", proper(2), Accepted, 2},
+		{"sent again", proper(2), Held, 2},
+		{"other content, same version", other, Conflict, 2},
+		{"higher", proper(5), Accepted, 5},
+		{"older, late", proper(2), Overtaken, 5},
+	}
+	p := NewPart()
+	for _, s := range steps {
+		data, err := peer.Marshal(s.list)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var r Reply
+		if err := peer.Unmarshal(p.Apply(0, data), &r); err != nil {
+			t.Fatal(err)
+		}
+		if r.Outcome != s.outcome || r.Version != s.held {
+			t.Errorf("%s: outcome %d, version %d", s.name, r.Outcome, r.Version)
+		}
+	}
+	if string(p.List().Source) != string(proper(5).Source) {
+		t.Error("the operator's text is not what was sent")
+	}
+}
+
+func TestPartSnapshot(t *testing.T) {
+	p := NewPart()
+	p.put(*proper(3))
+	data, err := p.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	q := NewPart()
+	if err := q.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if q.Version() != 3 || string(q.List().Source) != string(p.List().Source) {
+		t.Errorf("restored version %d", q.Version())
+	}
+	var sent List
+	if err := peer.Unmarshal(q.Changes(0), &sent); err != nil || sent.Source != nil || len(sent.Routes) != 2 {
+		t.Errorf("watchers get %d routes and %d bytes of text, %v", len(sent.Routes), len(sent.Source), err)
+	}
+	if q.Apply(0, []byte{0xff}); q.Version() != 3 {
+		t.Error("an unreadable command changed the list")
+	}
+}
--- /dev/null
+++ b/internal/standin/routedengine/engine.go
@@ -0,0 +1,340 @@
+// Package routedengine is a stand-in for the backend servers behind routed
+// requests: engines that stream numbered events, keep copies of each other's runs
+// and go on behind an event, and plain servers. They die, fall silent, refuse and
+// answer wrongly on order. They live on a network in memory, so that tests run in
+// virtual time.
+package routedengine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// Net is a network in memory with its servers.
+type Net struct {
+	mu      sync.Mutex
+	servers map[string]*Server // by address
+}
+
+// NewNet returns an empty network.
+func NewNet() *Net { return &Net{servers: map[string]*Server{}} }
+
+// errRefused is what a dead server's machine answers.
+var errRefused = errors.New("routedengine: connection refused")
+
+// Dial connects to the server at an address. A dark one never answers.
+func (n *Net) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	s := n.servers[addr]
+	n.mu.Unlock()
+	if s == nil || s.is(Dead) {
+		return nil, errRefused
+	}
+	if s.is(Dark) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	s.accept(far)
+	return near, nil
+}
+
+// List is the list of backend servers that names all of them.
+func (n *Net) List() []upstream.Backend {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []upstream.Backend
+	for _, s := range n.servers {
+		out = append(out, s.Backend)
+	}
+	return out
+}
+
+// State is how a server is.
+type State int
+
+// The states.
+const (
+	Alive State = iota
+	Dead        // every connection is reset, new ones are refused
+	Dark        // nothing comes from it any more
+)
+
+// Run is one request as a server began it.
+type Run struct {
+	RequestID string
+	Path      string
+	Body      string
+	Header    http.Header
+	From      uint64 // first event made
+	ReadAnew  bool   // the whole prompt was read
+}
+
+// Server is one stand-in. Set its fields before the first request.
+type Server struct {
+	upstream.Backend
+	Net *Net
+
+	Events    int           // of a stream
+	ReadTime  time.Duration // until the first event, where the prompt is read
+	EventTime time.Duration // between events
+	WorkTime  time.Duration // of a call
+	// Answer, if set, takes a call over and reports whether it did.
+	Answer func(s *Server, w http.ResponseWriter, r *http.Request) bool
+
+	mu     sync.Mutex
+	state  State
+	wake   chan struct{} // closed when the state changes
+	conns  map[net.Conn]bool
+	runs   []Run
+	made   map[string]int    // by request id, of runs under way
+	copies map[string]uint64 // by request id, last event of a kept copy
+}
+
+// Add puts a server on the network and starts it.
+func (n *Net) Add(s *Server) *Server {
+	s.Net, s.wake, s.conns = n, make(chan struct{}), map[net.Conn]bool{}
+	s.made, s.copies = map[string]int{}, map[string]uint64{}
+	n.mu.Lock()
+	n.servers[s.Address] = s
+	n.mu.Unlock()
+	return s
+}
+
+func (s *Server) is(state State) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state == state
+}
+
+// Set changes the state. Death resets every connection and forgets every copy.
+func (s *Server) Set(state State) {
+	s.mu.Lock()
+	s.state = state
+	close(s.wake)
+	s.wake = make(chan struct{})
+	conns := s.conns
+	if state == Dead {
+		s.conns, s.copies, s.made = map[net.Conn]bool{}, map[string]uint64{}, map[string]int{}
+	}
+	s.mu.Unlock()
+	if state != Dead {
+		return
+	}
+	for c := range conns {
+		_ = c.Close()
+	}
+}
+
+// Runs are the requests that the server began to run.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// Copies is how many copies of other engines' runs are kept here.
+func (s *Server) Copies() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.copies)
+}
+
+// DropCopies forgets all kept copies, as an engine that lacks memory does.
+func (s *Server) DropCopies() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies = map[string]uint64{}
+}
+
+func (s *Server) accept(c net.Conn) {
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Hour}
+	go func() { _ = server.Serve(&oneConn{conn: c}) }()
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case s.is(Dark):
+		<-r.Context().Done()
+	case r.URL.Path == forward.PlainWire{}.ReportURI():
+		s.report(w)
+	case r.Header.Get(forward.HeaderInstance) != s.ID:
+		s.refuse(w, r, http.StatusMisdirectedRequest)
+	case s.Answer != nil && s.Answer(s, w, r):
+	case s.Events > 0:
+		s.stream(w, r)
+	default:
+		s.Call(w, r, http.StatusOK)
+	}
+}
+
+// Refuse answers that the request has not run.
+func (s *Server) Refuse(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, r, http.StatusServiceUnavailable)
+}
+
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int) {
+	s.sign(w, r)
+	w.Header().Set(forward.HeaderNotRun, "1")
+	w.WriteHeader(status)
+}
+
+func (s *Server) sign(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(forward.HeaderSignature, s.ID)
+	w.Header().Set(forward.HeaderRequestID, r.Header.Get(forward.HeaderRequestID))
+}
+
+func (s *Server) report(w http.ResponseWriter) {
+	s.mu.Lock()
+	out := forward.Report{Made: map[string]int{}}
+	for id, n := range s.made {
+		out.Made[id] = n
+	}
+	s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// Note records that a request runs here.
+func (s *Server) Note(r *http.Request, from uint64, anew bool) {
+	body := make([]byte, max(0, r.ContentLength))
+	_, _ = r.Body.Read(body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs = append(s.runs, Run{
+		RequestID: r.Header.Get(forward.HeaderRequestID), Path: r.RequestURI, Body: string(body),
+		Header: r.Header.Clone(), From: from, ReadAnew: anew,
+	})
+}
+
+// Call runs a request with one answer.
+func (s *Server) Call(w http.ResponseWriter, r *http.Request, status int) {
+	s.Note(r, 0, false)
+	s.pause(r, s.WorkTime)
+	s.sign(w, r)
+	w.WriteHeader(status)
+	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(forward.HeaderRequestID))
+}
+
+// pause waits; false: the caller has gone. A dark server waits until it is not.
+func (s *Server) pause(r *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+		return false
+	}
+	for s.is(Dark) {
+		s.mu.Lock()
+		wake := s.wake
+		s.mu.Unlock()
+		select {
+		case <-wake:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(forward.HeaderRequestID)
+	after, _ := strconv.ParseUint(r.Header.Get(forward.HeaderLastEvent), 10, 64)
+	anew := true
+	if from := r.Header.Get(forward.HeaderCopyFrom); from != "" {
+		if !s.takeCopy(from) {
+			s.refuse(w, r, http.StatusServiceUnavailable)
+			return
+		}
+		anew = false
+	}
+	s.Note(r, after+1, anew)
+	if anew && !s.pause(r, s.ReadTime) {
+		return
+	}
+	keeper := s.Net.at(r.Header.Get(forward.HeaderCopyTo))
+	s.sign(w, r)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := after + 1; n <= uint64(s.Events); n++ {
+		if !s.pause(r, s.EventTime) {
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		s.progress(id, int(n-after))
+		keeper.keep(id, n)
+	}
+	s.progress(id, 0)
+}
+
+func (s *Server) progress(id string, made int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.made[id] = made
+	if made == 0 {
+		delete(s.made, id)
+	}
+}
+
+// keep keeps a copy of another engine's run up to an event.
+func (s *Server) keep(id string, n uint64) {
+	if s == nil || s.is(Dead) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies[id] = n
+}
+
+// takeCopy uses up the copy that "address/id" names.
+func (s *Server) takeCopy(from string) bool {
+	addr, id, _ := strings.Cut(from, "/")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.copies[id]
+	delete(s.copies, id)
+	return ok && addr == s.Address
+}
+
+func (n *Net) at(addr string) *Server {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.servers[addr]
+}
+
+// oneConn is a listener with one connection.
+type oneConn struct {
+	conn net.Conn
+	once sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *oneConn) Accept() (net.Conn, error) {
+	var c net.Conn
+	l.once.Do(func() { c = l.conn })
+	if c == nil {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+// Close implements net.Listener.
+func (l *oneConn) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (l *oneConn) Addr() net.Addr { return l.conn.LocalAddr() }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,7 +15,7 @@
 
 // Pool keeps idle connections by backend server. Safe for concurrent use.
 type Pool struct {
-	dial func(ctx context.Context, addr string) (net.Conn, error)
+	dial Dialer
 	now  func() time.Time
 
 	mu    sync.Mutex
@@ -23,13 +23,18 @@
 	dials uint64
 }
 
+// Dialer opens a connection to an address, ip:port.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
 // NewPool returns a Pool over TCP.
 func NewPool() *Pool {
-	d := &net.Dialer{Timeout: DialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: false}}
-	return &Pool{
-		dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
-		now:  time.Now, idle: map[string][]*Conn{},
-	}
+	d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: false}}
+	return NewPoolWith(func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) })
+}
+
+// NewPoolWith returns a Pool over other connections.
+func NewPoolWith(dial Dialer) *Pool {
+	return &Pool{dial: dial, now: time.Now, idle: map[string][]*Conn{}}
 }
 
 // Get returns an idle connection to the server with that key, or a new one.
@@ -43,6 +48,8 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
 	raw, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDial, err)
