consensus, cluster: a system that restarts as a whole serves sooner

Cause: after a loss of power on all VMs the voters waited 450 to 900 ms for a leader that none of them had heard, routers that were some ms early waited 400 ms for their next notice, and ready routers another 400 ms to be listed. A router that was frozen found all its streams silent and moved them at once. Ruled out: the log's replay (2 ms), the first read of backend servers (all three control VMs read when they hold none).

Change: a voter campaigns 100 to 300 ms after its start (a pre-vote, which deposes nobody), routers search each 100 ms until answered and tell at once when they become ready; a silence that is this VM's own stall is not the engine's.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,9 +26,9 @@
 type testVM struct {
 	member *Member
 	held   *Held
-	fleet  map[string]placement.Use
-	heard  Answer
-	ready  bool
+	use    map[string]placement.Use
+	heard  atomic.Pointer[Answer]
+	gone   atomic.Bool // not ready
 	stop   context.CancelFunc
 }
 
@@ -40,12 +41,12 @@
 	return h
 }
 
-func startRouter(ctx context.Context, n *peertest.Net, id string, seeds []string) *testVM {
-	v := &testVM{ready: true, fleet: map[string]placement.Use{}}
+func startRouter(ctx context.Context, n *peertest.Net, id string, seeds []string, requests int) *testVM {
+	v := &testVM{use: map[string]placement.Use{"e1": {Requests: requests}}}
 	v.held = NewHeld(func(upstream.List) {})
 	v.member = NewMember(id, n.VM(id), seeds, v.held, Local{
-		Callers: id + ":80", Ready: func() bool { return v.ready },
-		Use: func() map[string]placement.Use { return v.fleet }, Learn: func(a Answer) { v.heard = a },
+		Callers: id + ":80", Ready: func() bool { return !v.gone.Load() },
+		Use: func() map[string]placement.Use { return v.use }, Learn: func(a Answer) { v.heard.Store(&a) },
 	}, zerolog.Nop())
 	ctx, v.stop = context.WithCancel(ctx)
 	go v.member.Run(ctx)
@@ -77,7 +78,7 @@
 		}
 		var vms []*testVM
 		for i := range 3 {
-			vms = append(vms, startRouter(ctx, n, fmt.Sprint("r", i), controls[:1]))
+			vms = append(vms, startRouter(ctx, n, fmt.Sprint("r", i), controls[:1], 0))
 		}
 		time.Sleep(2 * time.Second)
 		for i, h := range hubs {
@@ -87,7 +88,7 @@
 		}
 		vms[0].stop()
 		time.Sleep(1500 * time.Millisecond)
-		vms[1].ready = false
+		vms[1].gone.Store(true)
 		time.Sleep(NoticeEvery + 50*time.Millisecond)
 		for i, h := range hubs {
 			if got := h.hub.Entrances(64); !slices.Equal(got, []string{"r2:80"}) {
@@ -104,7 +105,7 @@
 		for _, id := range controls {
 			startHub(ctx, n, id, controls)
 		}
-		v := startRouter(ctx, n, "r1", []string{"c1"})
+		v := startRouter(ctx, n, "r1", []string{"c1"}, 0)
 		time.Sleep(time.Second)
 		n.Kill("c1")
 		v.member.SetSeeds([]string{"c1"})
@@ -125,7 +126,7 @@
 		for _, id := range controls {
 			hubs[id] = startHub(ctx, n, id, controls)
 		}
-		v := startRouter(ctx, n, "r1", controls)
+		v := startRouter(ctx, n, "r1", controls, 0)
 		time.Sleep(time.Second)
 		hubs["c1"].held.Take([]upstream.Backend{{ID: "e1"}, {ID: "e2"}}, 0)
 		time.Sleep(NoticeEvery + 50*time.Millisecond)
@@ -157,14 +158,13 @@
 		}
 		var vms []*testVM
 		for i := range 3 {
-			v := startRouter(ctx, n, fmt.Sprint("r", i), controls)
-			v.fleet["e1"] = placement.Use{Requests: 1 << i}
-			vms = append(vms, v)
+			vms = append(vms, startRouter(ctx, n, fmt.Sprint("r", i), controls, 1<<i))
 		}
 		time.Sleep(2 * time.Second)
 		for i, want := range []int{6, 5, 3} {
-			if got := vms[i].heard.Others["e1"].Requests; got != want || vms[i].heard.Routers != 3 {
-				t.Errorf("router %d hears of %d requests by %d routers", i, got, vms[i].heard.Routers)
+			heard := vms[i].heard.Load()
+			if got := heard.Others["e1"].Requests; got != want || heard.Routers != 3 {
+				t.Errorf("router %d hears of %d requests by %d routers", i, got, heard.Routers)
 			}
 		}
 	})
@@ -190,3 +190,22 @@
 		}
 	})
 }
+
+// Callers are sent to a router soon after all VMs started together. In order: the
+// router is some ms earlier than the control VM, whose first answer it misses; once
+// it is ready it says so at once.
+func TestRouterIsFoundSoonAfterAStart(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		v := startRouter(ctx, n, "r1", controls[:1], 0)
+		v.gone.Store(true)
+		time.Sleep(20 * time.Millisecond)
+		h := startHub(ctx, n, "c1", controls[:1])
+		time.Sleep(2 * searchEvery)
+		v.gone.Store(false)
+		v.member.Nudge()
+		time.Sleep(20 * time.Millisecond)
+		if got := h.hub.Entrances(64); len(got) != 1 {
+			t.Errorf("the directory names %v", got)
+		}
+	})
+}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -12,7 +12,6 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
-	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Local is what a Member says of its VM and does with what it hears. Functions
@@ -41,13 +40,14 @@
 	learnt   map[string]time.Time // control VMs, when they were last named
 	answered map[string]time.Time
 	silent   map[string]bool // told once in the log
+	nudged   chan struct{}
 }
 
 // NewMember returns a Member that knows the seeds, VM ids of control VMs.
 func NewMember(self string, t peer.Transport, seeds []string, held *Held, local Local, log zerolog.Logger) *Member {
 	return &Member{
 		self: self, t: t, local: local, held: held, log: log, seeds: seeds,
-		learnt: map[string]time.Time{}, answered: map[string]time.Time{}, silent: map[string]bool{},
+		learnt: map[string]time.Time{}, answered: map[string]time.Time{}, silent: map[string]bool{}, nudged: make(chan struct{}, 1),
 	}
 }
 
@@ -74,12 +74,44 @@
 	for {
 		began := time.Now()
 		m.round(ctx)
-		if timer.Sleep(ctx, NoticeEvery-time.Since(began)) != nil {
+		if !m.pause(ctx, m.interval()-time.Since(began)) {
 			return
 		}
 	}
 }
 
+// interval is the time between two notices.
+func (m *Member) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.answered) == 0 {
+		return searchEvery
+	}
+	return NoticeEvery
+}
+
+// pause waits for d, or until the VM has something new to say.
+func (m *Member) pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-m.nudged:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// Nudge sends the next notice at once: a VM that has just become ready would
+// otherwise stay out of the directory for an interval.
+func (m *Member) Nudge() {
+	select {
+	case m.nudged <- struct{}{}:
+	default:
+	}
+}
+
 // Tell sends one more round at once: a VM that is leaving must not wait.
 func (m *Member) Tell(ctx context.Context) { m.round(ctx) }
 
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -18,7 +18,11 @@
 	ID MemberID
 	// ElectionTicks without a leader begin an election; the real timeout is drawn
 	// from ElectionTicks to twice that, so that voters seldom collide.
-	ElectionTicks  int
+	ElectionTicks int
+	// FirstTicks is the same for the first election after a start; 0: ElectionTicks.
+	// Nobody is deposed by it: a pre-vote comes first, which a member that hears a
+	// leader refuses. After a loss of power on all VMs there is none to wait for.
+	FirstTicks     int
 	HeartbeatTicks int
 	// Rand returns a number from 0 to n-1.
 	Rand func(n int) int
@@ -99,6 +103,9 @@
 		panic(fmt.Sprintf("consensus: commit %d beyond the last entry %d", c.commit, c.log.last()))
 	}
 	c.resetTimeout()
+	if o.FirstTicks > 0 {
+		c.timeout = o.FirstTicks + o.Rand(2*o.FirstTicks)
+	}
 	return c
 }
 
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -29,6 +29,9 @@
 	heartbeatTicks = 15 // 150 ms
 	electionTicks  = 45 // 450 to 900 ms
 	eagerTicks     = 5  // between candidacies at the first start: nobody leads yet
+	// firstTicks: 100 to 300 ms after a start. A voter that restarts alone hears its
+	// leader's heartbeat before.
+	firstTicks = 10
 )
 
 // Queue bounds of a Node.
@@ -157,7 +160,7 @@
 		state = formed
 	}
 	n.core = NewCore(Options{
-		ID: n.store.who.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: mathrand.IntN,
+		ID: n.store.who.ID, ElectionTicks: electionTicks, FirstTicks: firstTicks, HeartbeatTicks: heartbeatTicks, Rand: mathrand.IntN,
 	}, state)
 	n.apply = newApplier(n.o.Machine, n.store, state.Applied, n.core.log.configUpTo(state.Applied))
 	n.apply.compact, n.apply.fail = n.handOverSnapshot, n.fail
--- a/internal/control/replaced_test.go
+++ b/internal/control/replaced_test.go
@@ -135,3 +135,48 @@
 		}
 	})
 }
+
+// All control VMs lose power at once and are back together. Operators and routers
+// have a leader again within half a second: waiting for a leader that nobody has
+// heard since the start would only make the outage longer.
+func TestRestartOfAllIsQuick(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, 1)
+		defer c.stop()
+		c.leader()
+		c.propose("router1", "before")
+		for _, id := range testVoters {
+			c.vms[id].kill(c.fabric)
+		}
+		began := time.Now()
+		for _, id := range testVoters {
+			c.vms[id] = startVM(t, c.fabric, id, testVoters, c.fs[id])
+		}
+		c.leader()
+		if took := time.Since(began); took > 500*time.Millisecond {
+			t.Errorf("a leader after %v", took)
+		}
+		if got := c.propose("router1", "after"); got != 2 {
+			t.Errorf("%d changes, want 2", got)
+		}
+	})
+}
+
+// A control VM that restarts alone deposes nobody.
+func TestRestartOfOneDeposesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, 0)
+		defer c.stop()
+		leader := c.leader()
+		term, _ := c.vms[leader].group.Status()
+		restarted := "vm1"
+		if leader == restarted {
+			restarted = "vm2"
+		}
+		c.restart(restarted)
+		time.Sleep(5 * time.Second)
+		if now, _ := c.vms[leader].group.Status(); now.Term != term.Term || !c.vms[leader].group.IsLeader() {
+			t.Errorf("term %d became %d", term.Term, now.Term)
+		}
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -146,25 +146,35 @@
 		}
 		return endBroken
 	}
-	timer := time.NewTimer(r.patience().Ask)
+	wait := r.patience().Ask
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
+		began := time.Now()
 		select {
 		case it := <-r.items:
 			if end, over := r.take(it); over {
 				return end
 			}
-			timer.Reset(r.patience().Ask)
+			wait = r.patience().Ask
+			timer.Reset(wait)
 		case <-r.answerToQuestion():
 			if end, over := r.heed(); over {
 				return end
 			}
-			timer.Reset(askAgain)
+			wait = askAgain
+			timer.Reset(wait)
 		case <-timer.C:
+			if r.overslept(began, wait) {
+				wait = afterStall
+				timer.Reset(wait)
+				continue
+			}
 			if end, over := r.silent(); over {
 				return end
 			}
-			timer.Reset(r.nextLook())
+			wait = r.nextLook()
+			timer.Reset(wait)
 		case <-r.doubt:
 			r.doubt = r.st.h.o.Fleet.Doubted(r.server)
 			r.ask()
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -89,3 +89,22 @@
 	r.st.h.o.Fleet.Suspect(r.server)
 	return r.lost("silent too long on a live engine")
 }
+
+// Figures of a VM that was stalled itself.
+const (
+	// stallSlack is how late a timer may fire on a busy VM.
+	stallSlack = 150 * time.Millisecond
+	// afterStall is the time to read what has come meanwhile.
+	afterStall = 30 * time.Millisecond
+)
+
+// overslept reports whether this VM stood still while it waited. The silence is
+// then its own: events wait in the socket, and every stream would move at once.
+func (r *run) overslept(began time.Time, wait time.Duration) bool {
+	late := time.Since(began) - wait
+	if late < stallSlack {
+		return false
+	}
+	r.last = time.Now()
+	return true
+}
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -41,7 +41,7 @@
 	r.drain = newDrain(o.Drain)
 	pool := upstream.NewPool()
 	r.fleet = upstream.NewFleet(pool)
-	r.held = cluster.NewHeld(func(l upstream.List) { r.fleet.Apply(l) })
+	r.held = cluster.NewHeld(r.takeList)
 	r.network = newNetwork(&o.Common)
 	r.member = cluster.NewMember(o.ID, r.network, o.Seeds, r.held, cluster.Local{
 		Zone: o.Zone, Callers: o.Callers, Ready: r.Ready, Use: r.fleet.Mine, Deaths: r.blame.Fresh,
@@ -82,10 +82,23 @@
 		r.o.Log.Error().Err(err).Msg("route list not readable")
 		return
 	}
+	wasReady := r.Ready()
 	r.table.Store(routes.NewTable(&l))
+	if !wasReady {
+		r.member.Nudge()
+	}
 	r.o.Log.Info().Uint64("version", l.Version).Int("routes", len(l.Routes)).Int("workspaces", len(l.Workspaces)).Msg("route list applied")
 }
 
+// takeList applies a list of backend servers.
+func (r *Router) takeList(l upstream.List) {
+	first := r.fleet.AsOf().IsZero()
+	r.fleet.Apply(l)
+	if first {
+		r.member.Nudge()
+	}
+}
+
 func (r *Router) learn(a cluster.Answer) {
 	r.fleet.SetOthers(a.Others)
 	r.fleet.HearsayDead(a.Dead)
