routed: a control member whose disk fails is opened again in the process

Cause: a full disk refuses every write for seconds; the process ended at the first one and seven more times until there was room, and took the directory of routers with it. Ruled out: rejecting only the write (its entry may be half on the disk; only a reading of the log tells).

--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"net/http"
-	"path/filepath"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -21,10 +21,7 @@
 type Control struct {
 	o       ControlOptions
 	network *peer.Network
-	machine *control.Machine
-	part    *routes.Part
-	group   *control.Group
-	client  *control.Remote
+	members *members
 	member  *cluster.Member
 	hub     *cluster.Hub
 	held    *cluster.Held
@@ -32,23 +29,19 @@
 	failure chan error
 	ctx     context.Context
 	cancel  context.CancelFunc
+	work    sync.WaitGroup
 }
 
 // StartControl opens the data folder, binds the peer address and joins or forms
 // the group in the background.
 func StartControl(o ControlOptions) (*Control, error) {
-	c := &Control{o: o, part: routes.NewPart(), machine: control.NewMachine(), failure: make(chan error, 1)}
+	c := &Control{o: o, failure: make(chan error, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.machine.Register(control.PartRoutes, c.part)
 	c.network = newNetwork(&o.Common)
 	c.held = cluster.NewHeld(func(upstream.List) {})
 	c.member = cluster.NewMember(o.ID, c.network, o.Seeds, c.held, cluster.Local{Zone: o.Zone}, o.Log)
 	c.hub = cluster.NewHub(c.network, c.held, c.controls)
-	c.group = control.NewGroup(control.GroupOptions{
-		VM: o.ID, Voters: o.Seeds, Known: c.member.Controls, JoinOnly: !o.FirstStart, Target: o.Voters,
-		Dir: filepath.Join(o.Dir, "control"), Transport: c.network, Machine: c.machine, Lease: Lease, Log: o.Log, Failed: c.fail,
-	})
-	c.client = control.NewGroupClient(c.group)
+	c.members = &members{open: c.openMember}
 	m := mux.NewRouter()
 	m.Handle(peer.Path, c.network)
 	var err error
@@ -56,31 +49,46 @@
 		c.cancel()
 		return nil, err
 	}
-	if err := c.group.Start(); err != nil {
-		c.cancel()
-		return nil, err
-	}
+	c.work.Go(c.runMember)
 	go c.member.Run(c.ctx)
 	go c.readBackends()
 	return c, nil
 }
 
-func (c *Control) fail(err error) {
-	select {
-	case c.failure <- err:
-	default:
+func (c *Control) runMember() {
+	err := c.members.run(c.ctx, func(err error) {
+		c.o.Log.Error().Err(err).Msg("member of the control group failed; it is opened again")
+	})
+	if err != nil {
+		c.failure <- err
 	}
 }
 
+// group is the member's present opening, or nil.
+func (c *Control) group() *control.Group {
+	if s := c.members.current(); s != nil {
+		return s.group
+	}
+	return nil
+}
+
+// leads reports whether this VM leads the group, as far as it knows.
+func (c *Control) leads() bool {
+	g := c.group()
+	return g != nil && g.IsLeader()
+}
+
 // Failure carries the fault that ends this process, if one comes.
 func (c *Control) Failure() <-chan error { return c.failure }
 
 // controls are the voters, and this VM, which answers as one.
 func (c *Control) controls() []string {
 	out := []string{c.o.ID}
-	if st, ok := c.group.Status(); ok {
-		for _, id := range st.Config.Voters {
-			out = append(out, id.VM())
+	if g := c.group(); g != nil {
+		if st, ok := g.Status(); ok {
+			for _, id := range st.Config.Voters {
+				out = append(out, id.VM())
+			}
 		}
 	}
 	slices.Sort(out)
@@ -96,7 +104,11 @@
 // PutRoutes puts a list that has been validated in force. An error with code
 // ControlUnavail is a promise that nothing changed.
 func (c *Control) PutRoutes(ctx context.Context, l *routes.List) (routes.Reply, error) {
-	reply, err := control.Propose[routes.Reply](ctx, c.client, control.PartRoutes, l)
+	s := c.members.current()
+	if s == nil {
+		return routes.Reply{}, result.New(result.ControlUnavail)
+	}
+	reply, err := control.Propose[routes.Reply](ctx, s.client, control.PartRoutes, l)
 	c.o.Log.Info().Uint64("version", l.Version).Int("outcome", int(reply.Outcome)).
 		Uint64("in_force", reply.Version).AnErr("error", err).Msg("route list proposed")
 	switch {
@@ -113,17 +125,23 @@
 // Routes returns the operator's text of the newest list, confirmed by a majority
 // of the group. nil: there is none yet.
 func (c *Control) Routes(ctx context.Context) ([]byte, error) {
-	if err := c.client.Barrier(ctx); err != nil {
+	s := c.members.current()
+	if s == nil {
+		return nil, result.New(result.ControlUnavail)
+	}
+	if err := s.client.Barrier(ctx); err != nil {
 		return nil, err
 	}
 	var source []byte
-	c.machine.Read(control.PartRoutes, func(control.Part) { source = c.part.List().Source })
+	s.machine.Read(control.PartRoutes, func(control.Part) { source = s.part.List().Source })
 	return source, nil
 }
 
 // Shutdown hands the leadership over and ends.
 func (c *Control) Shutdown() {
-	c.group.HandOver(c.ctx)
+	if g := c.group(); g != nil {
+		g.HandOver(c.ctx)
+	}
 	c.Close()
 }
 
@@ -131,7 +149,10 @@
 func (c *Control) Close() {
 	c.cancel()
 	_ = c.peers.Close()
-	c.group.Close()
+	c.work.Wait()
+	if g := c.group(); g != nil {
+		g.Close()
+	}
 	c.network.Close()
 }
 
@@ -167,7 +188,7 @@
 }
 
 func (c *Control) isReader() bool {
-	if c.group.IsLeader() {
+	if c.leads() {
 		return true
 	}
 	_, _, age, ok := c.held.Now()
