forward, cluster: a dead router's streams go on from their copies

Cause: when a router died, or ended its grace with streams under way, their callers came to other routers within milliseconds, and each prompt was read anew, though an engine still kept a copy of the run. New streams were also taken 3.6 s into a shutdown, which could not be finished. Ruled out: refusing all streams from the begin of a shutdown (callers with old entry answers have one retry only).

Change: routers tell with their notices where copies of their streams are kept; a router that is asked for the rest of a stream it does not know asks a control VM. What two attempts of one request have in common names it. Streams are taken for 0.3 of the grace, calls for 0.7.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -16,6 +16,7 @@
 import (
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -37,6 +38,12 @@
 	// forgetAfter is how long a control VM that was learnt is kept without a word
 	// from anybody that it still is one.
 	forgetAfter = 30 * time.Second
+	// keptFor is how long a silent VM's streams are remembered: engines keep copies
+	// for some seconds.
+	keptFor = 5 * time.Second
+	// findTimeout bounds the question for a copy: without one the prompt is read anew,
+	// which costs a second.
+	findTimeout = 100 * time.Millisecond
 	// deathsFor is how long a death is told on: each VM hears it several times, and
 	// counts it once.
 	deathsFor = 1500 * time.Millisecond
@@ -49,10 +56,11 @@
 	Ready    bool                     `cbor:"3,keyasint,omitempty"`
 	Use      map[string]placement.Use `cbor:"4,keyasint,omitempty"`
 	Deaths   []recovery.Death         `cbor:"5,keyasint,omitempty"`
-	Held     uint64                   `cbor:"6,keyasint,omitempty"` // digest of the list of backend servers
-	HeldAge  int64                    `cbor:"7,keyasint,omitempty"` // ms; how old that list is
-	WantLoad bool                     `cbor:"8,keyasint,omitempty"` // Others are wanted
-	Dead     []string                 `cbor:"9,keyasint,omitempty"` // backend servers judged dead lately
+	Held     uint64                   `cbor:"6,keyasint,omitempty"`  // digest of the list of backend servers
+	HeldAge  int64                    `cbor:"7,keyasint,omitempty"`  // ms; how old that list is
+	WantLoad bool                     `cbor:"8,keyasint,omitempty"`  // Others are wanted
+	Dead     []string                 `cbor:"9,keyasint,omitempty"`  // backend servers judged dead lately
+	Kept     []forward.Kept           `cbor:"10,keyasint,omitempty"` // streams here with a copy
 }
 
 // Answer is a control VM's reply.
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -212,3 +213,27 @@
 		}
 	})
 }
+
+// A dead router's copies are found for some seconds, and never another request's.
+func TestFindACopy(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		v := startRouter(ctx, n, "r1", controls[:1], 0)
+		time.Sleep(time.Second)
+		a, b := forward.Copy{Address: "e1:1", RequestID: "q1"}, forward.Copy{Address: "e2:1", RequestID: "q2"}
+		h.hub.note("dead", Notice{Kept: []forward.Kept{{Identity: 7, Copy: a}, {Identity: 8, Copy: a}}})
+		h.hub.note("alive", Notice{Kept: []forward.Kept{{Identity: 8, Copy: b}}})
+		for _, tt := range []struct {
+			identity uint64
+			want     forward.Copy
+		}{{7, a}, {8, forward.Copy{}}, {9, forward.Copy{}}} {
+			if got, ok := v.member.Find(ctx, tt.identity); got != tt.want || ok != (tt.want.Address != "") {
+				t.Errorf("identity %d: %+v, %t", tt.identity, got, ok)
+			}
+		}
+		time.Sleep(keptFor + time.Second)
+		if _, ok := v.member.Find(ctx, 7); ok {
+			t.Error("a copy that has expired is given out")
+		}
+	})
+}
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
@@ -36,6 +37,7 @@
 func NewHub(t peer.Transport, held *Held, controls func() []string) *Hub {
 	h := &Hub{held: held, controls: controls, vms: map[string]seen{}}
 	t.Handle(peer.KindNotice, h.serve)
+	t.Handle(peer.KindKept, h.serveKept)
 	return h
 }
 
@@ -60,6 +62,33 @@
 	return a, nil
 }
 
+// serveKept answers which copy a stream that some VM carried has left. Two copies
+// under one identity are two requests that look alike: neither is given out.
+func (h *Hub) serveKept(_ context.Context, _ string, body []byte) (any, error) {
+	var identity uint64
+	if err := peer.Unmarshal(body, &identity); err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var found forward.Copy
+	for _, s := range h.vms {
+		if time.Since(s.at) > keptFor {
+			continue
+		}
+		for _, k := range s.notice.Kept {
+			if k.Identity != identity {
+				continue
+			}
+			if found.Address != "" && found != k.Copy {
+				return forward.Copy{}, nil
+			}
+			found = k.Copy
+		}
+	}
+	return found, nil
+}
+
 func (h *Hub) note(from string, n Notice) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
@@ -23,6 +24,7 @@
 	Use     func() map[string]placement.Use
 	Deaths  func() []recovery.Death
 	Dead    func() []string
+	Kept    func() []forward.Kept
 	// Learn takes what a control VM knows of the other VMs.
 	Learn func(Answer)
 }
@@ -157,6 +159,9 @@
 	if m.local.Dead != nil {
 		n.Dead = m.local.Dead()
 	}
+	if m.local.Kept != nil {
+		n.Kept = m.local.Kept()
+	}
 	if m.local.Use != nil {
 		n.Use = m.local.Use()
 	}
@@ -188,6 +193,18 @@
 	}
 }
 
+// Find asks a control VM for the copy of a stream that another VM carried.
+func (m *Member) Find(ctx context.Context, identity uint64) (forward.Copy, bool) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	var out forward.Copy
+	if err := m.t.Call(ctx, m.source(), peer.KindKept, identity, &out); err != nil {
+		m.log.Debug().Err(err).Msg("no answer about a copy")
+		return forward.Copy{}, false
+	}
+	return out, out.Address != ""
+}
+
 func (m *Member) heard(vm string, controls []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -24,6 +24,10 @@
 // every few hundred milliseconds.
 const unpreparedRetry = 300 * time.Millisecond
 
+// elsewhere is when a caller that is refused by a VM that shuts down may try
+// another.
+const elsewhere = 50 * time.Millisecond
+
 // Options are the parts that a Handler works with.
 type Options struct {
 	Zone      string
@@ -34,6 +38,11 @@
 	Allowance Allowance
 	Log       zerolog.Logger
 	Blame     *BlameBook
+	// Find looks for a copy of a stream that another router carried; nil: nowhere.
+	Find func(ctx context.Context, identity uint64) (Copy, bool)
+	// TooLate reports that a request could not be finished any more, since this VM
+	// is shutting down.
+	TooLate func(stream bool) bool
 	// Closing reports that callers should go elsewhere with their next request.
 	Closing func() bool
 }
@@ -42,6 +51,7 @@
 type Handler struct {
 	o      Options
 	prober *prober
+	kept   keptBook
 	Stats  Stats
 
 	mu      sync.Mutex
@@ -56,6 +66,9 @@
 	return h
 }
 
+// Kept are the streams under way here of which a copy is kept.
+func (h *Handler) Kept() []Kept { return h.kept.all() }
+
 // SetVMs says how many VMs share the services' retry budgets.
 func (h *Handler) SetVMs(n int) {
 	h.mu.Lock()
@@ -128,6 +141,9 @@
 	if route == nil {
 		return nil, result.New(result.NoRoute)
 	}
+	if h.o.TooLate(route.Kind == routes.Stream) {
+		return nil, result.New(result.ShuttingDown).WithRetryAfter(elsewhere)
+	}
 	caller, err := h.o.Wire.Caller(r.Header)
 	if err != nil {
 		return nil, result.Newf(result.UnsupportedHeader, "%v", err)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -72,6 +72,11 @@
 	}
 }
 
+// PerAttempt implements Wire.
+func (PlainWire) PerAttempt() []string {
+	return []string{HeaderRequestID, HeaderDeadline, HeaderLastEvent}
+}
+
 // Answer implements Wire.
 func (PlainWire) Answer(status int, h http.Header) Answer {
 	a := Answer{
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -292,6 +292,10 @@
 	fleet.Give(r.server, placement.Use{Prompt: r.use.Prompt})
 	r.use.Prompt = 0
 	fleet.Succeeded(r.server, 0)
+	r.st.h.kept.drop(r.st.q.RequestID)
+	if r.keeper != nil {
+		r.st.h.kept.put(r.st.q.RequestID, Kept{r.st.id, Copy{r.keeper.Address, r.st.q.RequestID}})
+	}
 	r.st.skip = map[string]bool{}
 	r.st.since = time.Time{}
 	r.st.h.o.Blame.Passed(r.st.q.digest, r.passed)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -33,6 +33,8 @@
 	begun   bool             // the answer's head is out
 	moved   bool             // off a live engine, once
 	keeper  *upstream.Server // keeps a copy of the last run, or nil
+	left    *Copy            // of a run that another router carried, or nil
+	id      uint64           // identity
 	skip    map[string]bool
 	sends   int
 	since   time.Time // when the last engine was lost; zero: never
@@ -57,7 +59,10 @@
 		h: h, q: q, w: w, skip: map[string]bool{},
 		need: placement.Need{Prompt: q.Prompt, Output: q.Output},
 		seq:  sequence{last: q.After, started: q.HasAfter},
+		id:   q.identity(h.o.Wire.PerAttempt()),
 	}
+	defer h.kept.drop(q.RequestID)
+	st.findLeft()
 	for {
 		s, from, code := st.next()
 		if s == nil {
@@ -149,7 +154,23 @@
 	}
 }
 
+// findLeft looks for the copy of a stream whose rest is asked for.
+func (st *stream) findLeft() {
+	if !st.q.HasAfter || !st.q.rec.repeatable || st.h.o.Find == nil {
+		return
+	}
+	if c, ok := st.h.o.Find(st.q.ctx, st.id); ok {
+		st.left = &c
+	}
+}
+
 func (st *stream) choose() (*upstream.Server, *Copy) {
+	if left := st.left; left != nil {
+		st.left = nil // a copy can be used once
+		if s := st.h.o.Fleet.At(st.q.service.Name, left.Address); s != nil {
+			return s, left
+		}
+	}
 	if st.keeper != nil {
 		if s := st.h.o.Fleet.Lookup(st.keeper.ID); s != nil {
 			return s, &Copy{Address: s.Address, RequestID: st.q.RequestID}
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -220,3 +221,40 @@
 		}
 	})
 }
+
+// A router dies with a stream; its caller asks another for the rest and waits no
+// longer than for a pause. In order: the first router carries the stream for two
+// seconds and has told where its copy is; it is gone, and the second finds the copy
+// by what the two attempts have in common.
+func TestStreamOfADeadRouterGoesOnFromItsCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a"), engine("b"), engine("c"))
+		defer w.end()
+		first := w.send("POST", "/s/1", "r1", "log")
+		time.Sleep(2 * time.Second)
+		w.left = map[uint64]forward.Copy{}
+		for _, k := range w.handler.Kept() {
+			w.left[k.Identity] = k.Copy
+		}
+		first.leave()
+		<-first.done
+		if len(w.left) != 1 || len(w.handler.Kept()) != 0 {
+			t.Fatalf("%d copies told, %d of a stream that has ended", len(w.left), len(w.handler.Kept()))
+		}
+		began := time.Now()
+		got := strings.Count(first.text.String(), "id: ")
+		second := w.send("POST", "/s/1", "r2", "log", "Last-Event-Id", fmt.Sprint(got), forward.HeaderDeadline, "20000")
+		<-second.done
+		if second.broken || strings.Count(second.text.String(), "id: ") != 100-got {
+			t.Fatalf("the rest has %d events", strings.Count(second.text.String(), "id: "))
+		}
+		if pause := second.arrived[0].Sub(began); pause > 300*time.Millisecond {
+			t.Errorf("went on after %v", pause)
+		}
+		other := w.send("POST", "/s/1", "r3", "another log", "Last-Event-Id", "5")
+		<-other.done
+		if run := w.runningOn("r3").Runs(); !run[len(run)-1].ReadAnew {
+			t.Error("another request went on from this one's memory")
+		}
+	})
+}
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -24,8 +24,8 @@
 // Copy names a copy of a run's memory: the engine that keeps it, and the request
 // whose run it is.
 type Copy struct {
-	Address   string
-	RequestID string
+	Address   string `cbor:"1,keyasint"`
+	RequestID string `cbor:"2,keyasint"`
 }
 
 // Send is what the system tells a backend server about one send of a request.
@@ -65,6 +65,9 @@
 	// Engine puts s into the headers of a request on its way to an engine. It
 	// first takes out what only the system may say there.
 	Engine(h http.Header, s Send)
+	// PerAttempt are the headers, in canonical form, that differ between two attempts
+	// of one request.
+	PerAttempt() []string
 	// Answer reads the headers of a backend server's answer.
 	Answer(status int, h http.Header) Answer
 	// ReportURI is where an engine reports, and ReadReport decodes it.
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -26,6 +26,12 @@
 	fleet   *upstream.Fleet
 	handler *forward.Handler
 	servers []*routedengine.Server
+	left    map[uint64]forward.Copy // what another router has told
+}
+
+func (w *world) find(_ context.Context, identity uint64) (forward.Copy, bool) {
+	c, ok := w.left[identity]
+	return c, ok
 }
 
 // testRoutes: a stream that may resume, a vote, and a lookup.
@@ -71,6 +77,7 @@
 		Zone: "a", Wire: forward.PlainWire{}, Pool: pool, Fleet: w.fleet,
 		Routes: func() *routes.Table { return table }, Allowance: forward.Allowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
 		Log: zerolog.Nop(), Blame: forward.NewBlameBook(), Closing: func() bool { return false },
+		TooLate: func(bool) bool { return false }, Find: w.find,
 	})
 	return w
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -33,6 +33,7 @@
 	KindRaft       Kind = 60
 	KindMembership Kind = 80
 	KindNotice     Kind = 81 // of a routed VM, to control VMs
+	KindKept       Kind = 82 // where is the copy of a stream?
 	KindBlame      Kind = 100
 	KindExplain    Kind = 120
 	KindStatus     Kind = 121
--- a/internal/routed/drain.go
+++ b/internal/routed/drain.go
@@ -4,22 +4,20 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/amaranthshelf/amaranthshelf/internal/result"
 )
 
 // Figures of a planned end, of a process that is killed when its grace is over.
 const (
-	// takeShare of the grace is for new requests: callers keep entry answers for
-	// some seconds. What comes later could not be finished.
-	takeShare = 0.45
+	// streamShare of the grace is for new streams: callers keep entry answers for
+	// some seconds, and what cannot be finished goes on elsewhere from its copy.
+	streamShare = 0.3
+	// callShare is the same for calls, which last a second at most.
+	callShare = 0.7
 	// endMargin is what is left of the grace when the last answers are cut: the
 	// process ends by itself and says so.
 	endMargin = 400 * time.Millisecond
 	// drainLook is how often it is looked whether anything still runs.
 	drainLook = 50 * time.Millisecond
-	// elsewhere is when a caller that is refused here may try another VM.
-	elsewhere = 50 * time.Millisecond
 )
 
 // drain is a router's planned end. Safe for concurrent use.
@@ -47,17 +45,22 @@
 	return !d.begun.IsZero()
 }
 
-// enter counts a request in; false: it comes too late to be finished.
-func (d *drain) enter() bool {
+// tooLate reports whether a request that comes now could not be finished.
+func (d *drain) tooLate(stream bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	late := time.Duration(takeShare * float64(d.times.Grace))
-	if !d.begun.IsZero() && time.Since(d.begun) > late {
-		return false
+	share := callShare
+	if stream {
+		share = streamShare
 	}
+	return !d.begun.IsZero() && time.Since(d.begun) > time.Duration(share*float64(d.times.Grace))
+}
+
+func (d *drain) enter() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.open++
 	d.last = time.Now()
-	return true
 }
 
 func (d *drain) leave() {
@@ -70,11 +73,7 @@
 // wrap counts the requests of a handler.
 func (d *drain) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !d.enter() {
-			w.Header().Set("Connection", "close")
-			result.WriteHTTP(w, "", result.New(result.ShuttingDown).WithRetryAfter(elsewhere))
-			return
-		}
+		d.enter()
 		defer d.leave()
 		next.ServeHTTP(w, r)
 	})
--- a/internal/routed/drain_test.go
+++ b/internal/routed/drain_test.go
@@ -66,19 +66,26 @@
 	})
 }
 
-// A caller that comes too late to be finished is told so, with a promise that
-// nothing has run; the end comes before the process is killed.
-func TestDrainRefusesWhatCannotFinish(t *testing.T) {
+// A request that cannot be finished any more is refused: a stream sooner than a
+// call. The end comes before the process is killed, whatever still runs.
+func TestDrainTakesNothingLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDrain(testGrace)
-		h := d.wrap(slow(time.Minute))
-		go ask(h)
+		go ask(d.wrap(slow(time.Minute)))
 		time.Sleep(time.Second)
+		if d.tooLate(true) {
+			t.Error("too late before the end began")
+		}
 		d.start()
 		began := time.Now()
-		time.Sleep(5 * time.Second)
-		if code := ask(h); code != http.StatusServiceUnavailable {
-			t.Errorf("status %d", code)
+		for _, tt := range []struct {
+			at           time.Duration
+			stream, call bool
+		}{{time.Second, false, false}, {2900 * time.Millisecond, true, false}, {6 * time.Second, true, true}} {
+			time.Sleep(tt.at - time.Since(began))
+			if d.tooLate(true) != tt.stream || d.tooLate(false) != tt.call {
+				t.Errorf("after %v: stream too late %t, call too late %t", tt.at, d.tooLate(true), d.tooLate(false))
+			}
 		}
 		d.wait()
 		if took := time.Since(began); took >= testGrace.Grace {
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -45,7 +45,7 @@
 	r.network = newNetwork(&o.Common)
 	r.member = cluster.NewMember(o.ID, r.network, o.Seeds, r.held, cluster.Local{
 		Zone: o.Zone, Callers: o.Callers, Ready: r.Ready, Use: r.fleet.Mine, Deaths: r.blame.Fresh,
-		Dead: r.fleet.Dying, Learn: r.learn,
+		Dead: r.fleet.Dying, Kept: r.kept, Learn: r.learn,
 	}, o.Log)
 	r.feed = control.NewFeed(control.FeedOptions{
 		Self: o.ID, Voters: r.member.Controls, Transport: r.network, Lease: Lease, Log: o.Log,
@@ -54,6 +54,7 @@
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load,
 		Allowance: o.Allowance, Log: o.Log, Blame: r.blame, Closing: r.drain.started,
+		Find: r.member.Find, TooLate: r.drain.tooLate,
 	})
 	if err := r.serve(); err != nil {
 		r.cancel()
@@ -106,6 +107,9 @@
 	r.handler.SetVMs(a.Routers)
 }
 
+// kept are the streams here with a copy. The member starts after the handler.
+func (r *Router) kept() []forward.Kept { return r.handler.Kept() }
+
 // Ready reports whether callers may be sent here.
 func (r *Router) Ready() bool {
 	_, _, _, listed := r.held.Now()
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -222,6 +222,18 @@
 	return f.useOf(s, f.now())
 }
 
+// At returns the server of a service at an address that may take a request, or nil.
+func (f *Fleet) At(service, addr string) *Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.order {
+		if s.Service == service && s.Address == addr && !s.Draining && !s.stale {
+			return s
+		}
+	}
+	return nil
+}
+
 // Take notes what a request uses of a server.
 func (f *Fleet) Take(s *Server, u placement.Use) {
 	f.mu.Lock()
