upstream: idle connections expire; a race in the stand-in server

Cause: a test failed once (TestVoteRunsOnce: a goroutine left over). Traced: the stand-in accepted a connection between the look at its state and its death. The trace showed a fault of the product beside it: a probe that ends after its server has left the list put its connection back, where nobody ever closed it. Change: the pool closes idle connections whose time has passed with every list of backend servers; the stand-in looks and accepts in one step. Tables for which connections carry a second request. Log lines tell when a stream began and how long a resumed one paused.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -275,19 +275,27 @@
 	if !pass {
 		return 0, false
 	}
+	if r.passed == 0 {
+		r.first()
+	}
 	st.begin(r.reply.resp)
 	if !st.write(e) {
 		return endCallerEnd, true
 	}
 	r.passed++
-	if r.passed == 1 {
-		r.first()
-	}
 	return 0, false
 }
 
-// first notes that the prompt is read.
+// first notes that the prompt is read and, for a stream that had begun, how long
+// its caller saw nothing: the resume latency.
 func (r *run) first() {
+	if st := r.st; st.begun {
+		st.h.o.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Bool("from_copy", r.from != nil).
+			Dur("pause", time.Since(st.wrote)).Msg("stream went on")
+	} else {
+		st.h.o.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("send", st.sends).
+			Dur("after", time.Since(st.q.arrived)).Msg("stream began")
+	}
 	fleet := r.st.h.o.Fleet
 	fleet.Give(r.server, placement.Use{Prompt: r.use.Prompt})
 	r.use.Prompt = 0
@@ -298,7 +306,7 @@
 	}
 	r.st.skip = map[string]bool{}
 	r.st.since = time.Time{}
-	r.st.h.o.Blame.Passed(r.st.q.digest, r.passed)
+	r.st.h.o.Blame.Passed(r.st.q.digest, 1)
 }
 
 // finish ends a whole stream.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -37,7 +37,8 @@
 	id      uint64           // identity
 	skip    map[string]bool
 	sends   int
-	since   time.Time // when the last engine was lost; zero: never
+	since   time.Time // when the last engine was lost; zero: none is
+	wrote   time.Time // when the last event was passed on
 	failure *reply
 }
 
@@ -242,6 +243,7 @@
 func (st *stream) write(e event) bool {
 	_, err := st.w.Write(e.raw)
 	st.seq.passed(e)
+	st.wrote = time.Now()
 	return err == nil
 }
 
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -38,7 +38,7 @@
 	n.mu.Lock()
 	s := n.servers[addr]
 	n.mu.Unlock()
-	if s == nil || s.is(Dead) {
+	if s == nil {
 		return nil, errRefused
 	}
 	if s.is(Dark) {
@@ -46,7 +46,9 @@
 		return nil, ctx.Err()
 	}
 	near, far := net.Pipe()
-	s.accept(far)
+	if !s.accept(far) {
+		return nil, errRefused
+	}
 	return near, nil
 }
 
@@ -158,12 +160,20 @@
 	s.copies = map[string]uint64{}
 }
 
-func (s *Server) accept(c net.Conn) {
+// accept serves a connection, unless the server is dead by now.
+func (s *Server) accept(c net.Conn) bool {
 	s.mu.Lock()
-	s.conns[c] = true
+	alive := s.state != Dead
+	if alive {
+		s.conns[c] = true
+	}
 	s.mu.Unlock()
+	if !alive {
+		return false
+	}
 	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Hour}
 	go func() { _ = server.Serve(&oneConn{conn: c}) }()
+	return true
 }
 
 // ServeHTTP implements http.Handler.
--- /dev/null
+++ b/internal/upstream/conn_test.go
@@ -0,0 +1,149 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// answers is a server in memory that answers each request with the next text.
+func answers(t *testing.T, texts ...string) (*Pool, *[]string) {
+	var heads []string
+	dial := func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			br := bufio.NewReader(far)
+			for len(texts) > 0 {
+				req, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				body, _ := io.ReadAll(req.Body)
+				heads = append(heads, fmt.Sprintf("%s %s %s %q", req.Method, req.RequestURI, req.Host, body))
+				text := texts[0]
+				texts = texts[1:]
+				_, _ = io.WriteString(far, text)
+			}
+		}()
+		t.Cleanup(func() { _ = far.Close() })
+		return near, nil
+	}
+	return NewPoolWith(dial), &heads
+}
+
+// exchange sends one request and reads the whole answer.
+func exchange(t *testing.T, p *Pool, r *Request) (string, *Conn) {
+	t.Helper()
+	c, err := p.Get(t.Context(), "i1", "10.0.0.1:80", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Send(r); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.ReadHead(r.Method)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := ReadBody(resp, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Put(c, resp)
+	return string(body), c
+}
+
+const okHead = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+
+// A connection carries a second request only where nothing may be left on it of
+// the first: bytes behind an answer would be taken for the next one.
+func TestReuse(t *testing.T) {
+	tests := []struct {
+		name, answer string
+		wait         time.Duration
+		reused       bool
+	}{
+		{"whole answer", okHead + "\r\nok", 0, true},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 0, true},
+		{"interim answer first", "HTTP/1.1 103 Early Hints\r\n\r\n" + okHead + "\r\nok", 0, true},
+		{"bytes behind it", okHead + "\r\nokHTTP/1.1 200 OK\r\n", 0, false},
+		{"asks to close", okHead + "Connection: close\r\n\r\nok", 0, false},
+		{"older protocol", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 0, false},
+		{"within the stated time", okHead + "Keep-Alive: timeout=5\r\n\r\nok", 2 * time.Second, true},
+		{"near the stated time", okHead + "Keep-Alive: timeout=5\r\n\r\nok", 4 * time.Second, false},
+		{"no time stated", okHead + "\r\nok", 3 * time.Second, false},
+		{"no time at all", okHead + "Keep-Alive: timeout=0\r\n\r\nok", 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, _ := answers(t, tt.answer, okHead+"\r\nok")
+				r := &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}
+				if got, _ := exchange(t, p, r); got != "ok" {
+					t.Fatalf("body %q", got)
+				}
+				time.Sleep(tt.wait)
+				c, err := p.Get(t.Context(), "i1", "10.0.0.1:80", false)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				if c.Reused() != tt.reused {
+					t.Errorf("reused: %t", c.Reused())
+				}
+			})
+		})
+	}
+}
+
+// The request goes out as the caller sent it, byte by byte.
+func TestRequestIsUnchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, heads := answers(t, okHead+"\r\nok", okHead+"\r\nok")
+		exchange(t, p, &Request{Method: "POST", URI: "/a/../b//%2f?q=%zz", Host: "h.example", Header: http.Header{}, Body: []byte("x y")})
+		_, c := exchange(t, p, &Request{Method: "GET", URI: "/c", Host: "h.example", Header: http.Header{}})
+		c.Close()
+		want := []string{`POST /a/../b//%2f?q=%zz h.example "x y"`, `GET /c h.example ""`}
+		if strings.Join(*heads, "|") != strings.Join(want, "|") {
+			t.Errorf("the server read %v", *heads)
+		}
+	})
+}
+
+// An answer that ends with its connection is whole only if that was not reset, and
+// one with a length only with all its bytes.
+func TestCutAnswers(t *testing.T) {
+	for _, text := range []string{okHead + "\r\no", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"} {
+		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := ReadBody(resp, 100); err == nil {
+			t.Errorf("%q passes for a whole answer", body)
+		}
+	}
+}
+
+// Idle connections to a server that has left do not stay open.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := answers(t, okHead+"\r\nok")
+		exchange(t, p, &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
+		p.Sweep()
+		if p.Idle() != 1 {
+			t.Fatal("a usable connection was closed")
+		}
+		time.Sleep(unstatedIdle)
+		p.Sweep()
+		if n := p.Idle(); n != 0 {
+			t.Errorf("%d connections left", n)
+		}
+	})
+}
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -121,6 +121,7 @@
 	for _, id := range gone {
 		f.pool.Forget(id)
 	}
+	f.pool.Sweep()
 	return true
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -92,6 +92,43 @@
 	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
+// Sweep closes the idle connections whose time has passed. Those to a server that
+// left the list while one was under way would otherwise stay open for ever.
+func (p *Pool) Sweep() {
+	now := p.now()
+	var expired []*Conn
+	p.mu.Lock()
+	for key, list := range p.idle {
+		keep := list[:0]
+		for _, c := range list {
+			if now.Before(c.idleTo) {
+				keep = append(keep, c)
+			} else {
+				expired = append(expired, c)
+			}
+		}
+		p.idle[key] = keep
+		if len(keep) == 0 {
+			delete(p.idle, key)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range expired {
+		c.Close()
+	}
+}
+
+// Idle is how many idle connections are kept.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
+
 // Forget closes the idle connections to a server that is gone.
 func (p *Pool) Forget(key string) {
 	p.mu.Lock()
