placement: each engine is home to one VM

Cause: VMs that know the same choose the same. After a zone was lost, and when engines came back empty, three or more VMs sent prompts to one idle engine within the 0.4 to 0.8 s that their news of one another takes: first events after 4 to 7 s instead of 1.3 s, resumed streams without a copy after 4 to 11 s. The logged placements show it (three within 10 ms on one engine, its neighbours empty). Ruled out: full memory (27,000 of 88,000 tokens taken), slow engines.

Change: rendezvous hashing gives each engine a home VM; another VM goes there only where its own are 400 ms dearer. A test replays nine VMs placing at once.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -66,7 +66,7 @@
 // Answer is a control VM's reply.
 type Answer struct {
 	Controls []string                 `cbor:"1,keyasint"`
-	Routers  int                      `cbor:"2,keyasint"` // VMs that take callers
+	Routers  []string                 `cbor:"2,keyasint,omitempty"` // VMs that take callers, by id
 	Others   map[string]placement.Use `cbor:"3,keyasint,omitempty"`
 	Deaths   []recovery.Death         `cbor:"4,keyasint,omitempty"`
 	// Digest and AgeMS are of the control VM's list; Backends comes only where the
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -24,6 +24,7 @@
 }
 
 type seen struct {
+	vm     string
 	notice Notice
 	at     time.Time
 }
@@ -47,8 +48,11 @@
 		return nil, err
 	}
 	h.note(from, n)
-	a := Answer{Controls: h.controls(), Routers: len(h.present())}
+	a := Answer{Controls: h.controls()}
 	if n.WantLoad {
+		for _, s := range h.present() {
+			a.Routers = append(a.Routers, s.vm)
+		}
 		a.Others, a.Deaths, a.Dead = h.load(from), h.recentDeaths(), h.dead(from)
 	}
 	rows, digest, age, ok := h.held.Now()
@@ -93,7 +97,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	h.vms[from] = seen{n, now}
+	h.vms[from] = seen{from, n, now}
 	for vm, s := range h.vms {
 		if now.Sub(s.at) > forgetAfter {
 			delete(h.vms, vm)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -9,6 +9,11 @@
 // engine while its neighbours stand idle: the first event comes seconds late, and
 // a zone's loss finds the engines with the copies full.
 //
+// VMs that know the same choose the same: the one idle engine would get the prompts
+// of all of them within the time that their news of one another takes. So each
+// engine is home to one VM (rendezvous hashing), and another VM goes there only
+// where that is worth it.
+//
 // So a stream goes where the fewest prompt tokens wait and the least memory is
 // taken, counting copies like runs, and its copy to another zone by the same
 // measure. A call goes where the fewest calls are under way for the slots.
@@ -36,6 +41,8 @@
 	// Avoid: suspected, failing or known to be full. It is taken only where
 	// nothing else is left.
 	Avoid bool
+	// Home: this VM is the one that the server is home to.
+	Home bool
 	// Slow is how much longer its work takes than its neighbours'; 1 is usual.
 	Slow float64
 }
@@ -61,6 +68,9 @@
 	// which costs their prompts once more.
 	fullShare = 0.92
 	fullCost  = 20_000.0
+	// awayCost is what a VM's own engines may be dearer before it turns to another's:
+	// five runs more, and less than half of a second prompt.
+	awayCost = 400.0
 	// tieMS: costs that differ by less are equal, and chance decides, so that VMs
 	// with the same reports do not all choose the same engine.
 	tieMS = 40.0
@@ -77,6 +87,9 @@
 	if float64(c.Use.Tokens+n.Tokens()) > fullShare*float64(c.KVTokens) {
 		cost += fullCost
 	}
+	if !c.Home {
+		cost += awayCost
+	}
 	if c.Avoid {
 		cost += avoidCost
 	}
@@ -98,7 +111,11 @@
 	return cheapest(all, rng, tieMS, func(c *Candidate) (float64, bool) {
 		room := float64(c.Use.Tokens+n.Tokens()) <= copyShare*float64(c.KVTokens)
 		ok := c.Zone != zone && !c.Avoid && room
-		return 1000 * float64(c.Use.Tokens) / float64(max(1, c.KVTokens)), ok
+		cost := 1000 * float64(c.Use.Tokens) / float64(max(1, c.KVTokens))
+		if !c.Home {
+			cost += awayCost / 2
+		}
+		return cost, ok
 	})
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 )
@@ -110,3 +111,40 @@
 		})
 	}
 }
+
+// The load of a lost zone: nine VMs place two prompts each in the same moment,
+// before any hears of another's. Alike, all choose the engines that look idle, and
+// one engine reads five prompts while others read none; each at home first, seldom
+// two meet.
+func TestVMsThatKnowTheSameDoNotMeet(t *testing.T) {
+	var vms []string
+	for i := range 9 {
+		vms = append(vms, fmt.Sprint("10.0.0.", i, ":7340"))
+	}
+	meet := func(homes bool) int {
+		rng := rand.New(rand.NewPCG(1, 2))
+		need := Need{Prompt: 8000, Output: 1000}
+		prompts := map[int]int{}
+		for _, vm := range vms {
+			all := engines(8)
+			for i := range all {
+				all[i].Use.Requests = 2 + i%2
+				all[i].Home = homes && Home(fmt.Sprint("i-", i), vms) == vm
+			}
+			all[5].Use, all[11].Use = Use{}, Use{}
+			for range 2 {
+				i := Engine(all, need, rng.IntN)
+				all[i].Use = all[i].Use.Add(Use{Requests: 1, Prompt: need.Prompt, Tokens: need.Tokens()})
+				prompts[i]++
+			}
+		}
+		most := 0
+		for _, n := range prompts {
+			most = max(most, n)
+		}
+		return most
+	}
+	if alike, home := meet(false), meet(true); home > 3 || alike < 8 {
+		t.Errorf("most prompts on one engine: %d alike, %d at home first", alike, home)
+	}
+}
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -104,7 +104,8 @@
 	r.fleet.SetOthers(a.Others)
 	r.fleet.HearsayDead(a.Dead)
 	r.blame.Learn(a.Deaths)
-	r.handler.SetVMs(a.Routers)
+	r.handler.SetVMs(len(a.Routers))
+	r.fleet.SetRouters(r.o.ID, a.Routers)
 }
 
 // kept are the streams here with a copy. The member starts after the handler.
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,7 @@
 	died     chan struct{} // closed when it is judged dead
 	doubt    chan struct{} // closed when others give reason to ask it
 	heard    time.Time
+	home     bool
 	avoid    time.Time // until
 	strikes  int       // failures to reach it in a row
 	failures int       // failed answers in a row
@@ -80,6 +82,8 @@
 	order   []*Server // of the list
 	others  map[string]placement.Use
 	outage  recovery.Outage
+	self    string
+	routers []string             // VMs that place requests, this one included
 	dead    map[string]time.Time // judged dead here, when
 }
 
@@ -104,7 +108,7 @@
 	for _, b := range l.Backends {
 		s := f.servers[b.ID]
 		if s == nil || s.Address != b.Address || s.Service != b.Service {
-			s = &Server{Backend: b, died: make(chan struct{}), doubt: make(chan struct{})}
+			s = &Server{Backend: b, died: make(chan struct{}), doubt: make(chan struct{}), home: f.isHome(b.ID)}
 		}
 		s.Draining = b.Draining
 		next[b.ID] = s
@@ -139,6 +143,25 @@
 	f.others = use
 }
 
+// SetRouters names this VM and those that place requests, so that each server is
+// home to one of them.
+func (f *Fleet) SetRouters(self string, routers []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slices.Equal(f.routers, routers) {
+		return
+	}
+	f.self, f.routers = self, routers
+	for _, s := range f.order {
+		s.home = f.isHome(s.ID)
+	}
+}
+
+// isHome needs f.mu. A VM that knows of no other is home to all.
+func (f *Fleet) isHome(id string) bool {
+	return len(f.routers) == 0 || placement.Home(id, f.routers) == f.self
+}
+
 // Mine is what this VM has running on each server.
 func (f *Fleet) Mine() map[string]placement.Use {
 	f.mu.Lock()
@@ -169,7 +192,7 @@
 		servers = append(servers, s)
 		out = append(out, placement.Candidate{
 			ID: s.ID, Zone: s.Zone, Slots: s.Slots, KVTokens: kvTokens, Use: f.useOf(s, now),
-			Avoid: now.Before(s.avoid), Slow: slowness(s.latency, usual),
+			Home: s.home, Avoid: now.Before(s.avoid), Slow: slowness(s.latency, usual),
 		})
 	}
 	return servers, out
