forward: a run whose keeper died gets another copy while it goes on

Cause: each lost zone takes the copies of a third of all runs with it. Ruled out: two copies from the start (twice the memory and traffic for a loss that four runs in a hundred meet).

Change: a run looks each second whether its keeper is still listed, and orders a copy otherwise; that copy is brought up to date before it expires. Pool.Ask serves questions and orders. The new test fails without the order.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -220,7 +220,7 @@
 		h := startHub(ctx, n, "c1", controls[:1])
 		v := startRouter(ctx, n, "r1", controls[:1], 0)
 		time.Sleep(time.Second)
-		a, b := forward.Copy{Address: "e1:1", RequestID: "q1"}, forward.Copy{Address: "e2:1", RequestID: "q2"}
+		a, b := forward.Copy{Address: "e1:1", ID: "q1"}, forward.Copy{Address: "e2:1", ID: "q2"}
 		h.hub.note("dead", Notice{Kept: []forward.Kept{{Identity: 7, Copy: a}, {Identity: 8, Copy: a}}})
 		h.hub.note("alive", Notice{Kept: []forward.Kept{{Identity: 8, Copy: b}}})
 		for _, tt := range []struct {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,7 @@
 	HeaderCopyTo     = "X-Keep-Copy-At"
 	HeaderCopyFrom   = "X-Resume-From" // ip:port/request id
 	HeaderLastEvent  = "Last-Event-Id"
+	PlainCopyURI     = "/v1/copies" // where an engine takes orders to copy a run
 	plainReportURI   = "/v1/report"
 	plainKeyScheme   = "Bearer "
 	plainKeyHeader   = "Authorization"
@@ -68,7 +70,7 @@
 		h.Set(HeaderCopyTo, s.CopyTo)
 	}
 	if s.From != nil {
-		h.Set(HeaderCopyFrom, s.From.Address+"/"+s.From.RequestID)
+		h.Set(HeaderCopyFrom, s.From.Address+"/"+s.From.ID)
 	}
 }
 
@@ -98,6 +100,19 @@
 	return r, json.Unmarshal(body, &r)
 }
 
+// CopyOrder implements Wire.
+func (PlainWire) CopyOrder(requestID, to string) (method, uri string, body []byte) {
+	return http.MethodPost, PlainCopyURI + "?run=" + url.QueryEscape(requestID) + "&to=" + url.QueryEscape(to), []byte{}
+}
+
+// ReadCopy implements Wire: the body is the copy's name.
+func (PlainWire) ReadCopy(status int, body []byte) string {
+	if status != http.StatusOK {
+		return ""
+	}
+	return string(body)
+}
+
 // RetryAfter implements Wire: whole seconds, as RFC 9110 has them.
 func (PlainWire) RetryAfter(d time.Duration) string {
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -100,37 +100,16 @@
 	return Report{}, false, false
 }
 
-// try uses a new connection: a kept one may have gone silent by itself while the
-// server lives.
 func (p *prober) try(ctx context.Context, s *upstream.Server) verdict {
-	c, err := p.pool.Get(ctx, s.ID, s.Address, true)
-	if err != nil {
-		return verdict{}
-	}
-	stop := context.AfterFunc(ctx, c.Close)
-	defer stop()
 	r := upstream.Request{Method: http.MethodGet, URI: p.wire.ReportURI(), Host: s.Address, Header: http.Header{}}
-	if _, err := c.Send(&r); err != nil {
-		c.Close()
-		return verdict{}
-	}
-	resp, err := c.ReadHead(http.MethodGet)
+	resp, body, err := p.pool.Ask(ctx, s.ID, s.Address, &r)
 	if err != nil {
-		c.Close()
-		return verdict{}
-	}
-	body, err := upstream.ReadBody(resp, maxAnswer)
-	if err != nil {
-		c.Close()
 		return verdict{}
 	}
 	v := verdict{alive: true}
 	if report, err := p.wire.ReadReport(body); err == nil && resp.StatusCode == http.StatusOK {
 		v.report, v.told = report, true
 	}
-	if stop() {
-		p.pool.Put(c, resp)
-	}
 	return v
 }
 
--- /dev/null
+++ b/internal/forward/protect.go
@@ -0,0 +1,139 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// The load pattern. Zones are lost one after the other, some seconds apart. The
+// first loss takes the copies of runs in other zones with it; those runs go on and
+// look well, and the second loss, or the engine's own death, finds them without a
+// copy: their prompts are read anew by engines that are full just then.
+//
+// So a run whose keeper has left the list gets another copy while it goes on.
+
+// Figures of protection.
+const (
+	// protectLook is how often a run looks whether its keeper is still there.
+	protectLook = 1 * time.Second
+	// renewShare of a copy's life: it is brought up to date by then. Only what is new
+	// is copied.
+	renewShare = 0.6
+	// orderTimeout: copies of a zone's runs queue behind one another on the links.
+	orderTimeout = 1 * time.Second
+	// unstatedLife is for engines that do not say how long they keep a copy.
+	unstatedLife = 4 * time.Second
+)
+
+// protection is the copy of a run.
+type protection struct {
+	keeper *upstream.Server
+	copy   Copy
+	renew  time.Time // zero: the engine keeps it up to date itself
+}
+
+// shield keeps a run protected.
+type shield struct {
+	now     protection
+	ordered chan protection // of the order under way; nil: none
+}
+
+// look begins an order where the run's copy is lost or growing old.
+func (r *run) look() {
+	e := r.st.q.service.Engine
+	if e == nil || !e.CopiesOnOrder || r.passed == 0 || r.shield.ordered != nil {
+		return
+	}
+	held := r.shield.now
+	lost := held.keeper == nil || r.st.h.o.Fleet.Lookup(held.keeper.ID) == nil
+	switch {
+	case lost:
+		r.order(r.st.chooseKeeper(r.server))
+	case !held.renew.IsZero() && time.Now().After(held.renew):
+		r.order(held.keeper)
+	}
+}
+
+// order has the run's engine copy its memory, beside the run.
+func (r *run) order(keeper *upstream.Server) {
+	if keeper == nil {
+		return
+	}
+	life := r.st.q.service.Engine.CopyLife
+	if life <= 0 {
+		life = unstatedLife
+	}
+	ordered := make(chan protection, 1)
+	r.shield.ordered = ordered
+	ctx, cancel := context.WithTimeout(r.st.q.ctx, orderTimeout)
+	go func() {
+		defer cancel()
+		p := protection{renew: time.Now().Add(time.Duration(renewShare * float64(life)))}
+		if name := r.st.h.orderCopy(ctx, r.server, r.st.q.RequestID, keeper.Address); name != "" {
+			p.keeper, p.copy = keeper, Copy{Address: r.server.Address, ID: name}
+		}
+		ordered <- p
+	}()
+}
+
+// protected takes the outcome of an order.
+func (r *run) protected(p protection) {
+	r.shield.ordered = nil
+	if p.keeper == nil {
+		return // asked again with the next look
+	}
+	r.st.h.Stats.Protected.Add(1)
+	if p.keeper != r.shield.now.keeper {
+		r.setKeeper(p.keeper)
+	}
+	r.shield.now = p
+	r.st.h.kept.put(r.st.q.RequestID, Kept{r.st.id, p.copy})
+	r.st.h.o.Log.Info().Str("request", r.st.q.RequestID).Str("engine", r.server.ID).Str("keeper", p.keeper.ID).
+		Int("passed", r.passed).Msg("copy ordered")
+}
+
+// setKeeper moves the memory that the copy takes to another engine's account.
+func (r *run) setKeeper(keeper *upstream.Server) {
+	fleet := r.st.h.o.Fleet
+	if r.shield.now.keeper != nil {
+		fleet.Give(r.shield.now.keeper, r.kept)
+	}
+	r.kept = placement.Use{Tokens: r.st.need.Tokens()}
+	fleet.Take(keeper, r.kept)
+	r.shield.now.keeper = keeper
+}
+
+// orderCopy asks an engine for a copy and returns its name, or "".
+func (h *Handler) orderCopy(ctx context.Context, s *upstream.Server, requestID, to string) string {
+	method, uri, body := h.o.Wire.CopyOrder(requestID, to)
+	header := http.Header{"Content-Type": {"application/json"}}
+	resp, text, err := h.o.Pool.Ask(ctx, s.ID, s.Address, &upstream.Request{Method: method, URI: uri, Host: s.Address, Header: header, Body: body})
+	if err != nil {
+		h.o.Log.Info().Err(err).Str("request", requestID).Str("engine", s.ID).Msg("no copy on order")
+		return ""
+	}
+	return h.o.Wire.ReadCopy(resp.StatusCode, text)
+}
+
+// chooseKeeper picks the engine that keeps a copy of a run on s, where the route
+// may resume and the service's engines keep copies.
+func (st *stream) chooseKeeper(s *upstream.Server) *upstream.Server {
+	e := st.q.service.Engine
+	if e == nil || !e.KeepCopies || !st.q.rec.repeatable {
+		return nil
+	}
+	skip := map[string]bool{s.ID: true}
+	for id := range st.skip {
+		skip[id] = true
+	}
+	servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, e.KVTokens, skip)
+	if i := placement.Copy(candidates, s.Zone, st.need, rand.IntN); i >= 0 {
+		return servers[i]
+	}
+	return nil
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -15,10 +14,10 @@
 type run struct {
 	st     *stream
 	server *upstream.Server
-	from   *Copy            // the copy it goes on from, or nil
-	keeper *upstream.Server // keeps this run's copy, or nil
-	use    placement.Use    // of the engine
-	kept   placement.Use    // of the keeper
+	from   *Copy         // the copy it goes on from, or nil
+	use    placement.Use // of the engine
+	kept   placement.Use // of the copy's keeper
+	shield shield
 	died   <-chan struct{}
 	doubt  <-chan struct{}
 	fresh  bool // the stream's first run: its report counts the same events
@@ -59,12 +58,11 @@
 		r.use.Prompt = 0
 	}
 	h.o.Fleet.Take(s, r.use)
-	r.keeper = st.chooseKeeper(s)
 	more := Send{After: st.seq.last, HasAfter: st.seq.started, From: from}
-	if r.keeper != nil {
-		r.kept = placement.Use{Tokens: st.need.Tokens()}
-		h.o.Fleet.Take(r.keeper, r.kept)
-		more.CopyTo = r.keeper.Address
+	if keeper := st.chooseKeeper(s); keeper != nil {
+		r.setKeeper(keeper)
+		r.shield.now.copy = Copy{Address: keeper.Address, ID: st.q.RequestID}
+		more.CopyTo = keeper.Address
 	}
 	r.logPlaced()
 	// A kept connection may have gone silent by itself; a resume has no time to
@@ -91,8 +89,8 @@
 		h.Stats.FromCopy.Add(1)
 	}
 	keeper := ""
-	if r.keeper != nil {
-		keeper = r.keeper.ID
+	if r.shield.now.keeper != nil {
+		keeper = r.shield.now.keeper.ID
 	}
 	use := h.o.Fleet.UseOf(r.server)
 	h.o.Log.Info().Str("request", st.q.RequestID).Str("route", st.q.route.Name).Str("engine", r.server.ID).
@@ -102,24 +100,6 @@
 		Dur("list_age", time.Since(h.o.Fleet.AsOf())).Msg("stream placed")
 }
 
-// chooseKeeper picks the engine that keeps a copy, where the route may resume
-// and the service's engines keep copies.
-func (st *stream) chooseKeeper(s *upstream.Server) *upstream.Server {
-	e := st.q.service.Engine
-	if e == nil || !e.KeepCopies || !st.q.rec.repeatable {
-		return nil
-	}
-	skip := map[string]bool{s.ID: true}
-	for id := range st.skip {
-		skip[id] = true
-	}
-	servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, e.KVTokens, skip)
-	if i := placement.Copy(candidates, s.Zone, st.need, rand.IntN); i >= 0 {
-		return servers[i]
-	}
-	return nil
-}
-
 // read runs beside follow, which must not wait for the engine alone.
 func (r *run) read(h *Handler) {
 	defer close(r.items)
@@ -149,6 +129,8 @@
 	wait := r.patience().Ask
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	look := time.NewTicker(protectLook)
+	defer look.Stop()
 	for {
 		began := time.Now()
 		select {
@@ -175,6 +157,10 @@
 			}
 			wait = r.nextLook()
 			timer.Reset(wait)
+		case <-look.C:
+			r.look()
+		case p := <-r.shield.ordered:
+			r.protected(p)
 		case <-r.doubt:
 			r.doubt = r.st.h.o.Fleet.Doubted(r.server)
 			r.ask()
@@ -301,8 +287,8 @@
 	r.use.Prompt = 0
 	fleet.Succeeded(r.server, 0)
 	r.st.h.kept.drop(r.st.q.RequestID)
-	if r.keeper != nil {
-		r.st.h.kept.put(r.st.q.RequestID, Kept{r.st.id, Copy{r.keeper.Address, r.st.q.RequestID}})
+	if r.shield.now.keeper != nil {
+		r.st.h.kept.put(r.st.q.RequestID, Kept{r.st.id, r.shield.now.copy})
 	}
 	r.st.skip = map[string]bool{}
 	r.st.since = time.Time{}
@@ -337,8 +323,8 @@
 func (r *run) close(end ending) {
 	fleet := r.st.h.o.Fleet
 	fleet.Give(r.server, r.use)
-	if r.keeper != nil {
-		fleet.Give(r.keeper, r.kept)
+	if r.shield.now.keeper != nil {
+		fleet.Give(r.shield.now.keeper, r.kept)
 	}
 	if r.conn == nil {
 		return
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -14,6 +14,7 @@
 	Resumes    atomic.Uint64 // streams that went on at another engine
 	FromCopy   atomic.Uint64 // of these, from a copy of their memory
 	Probes     atomic.Uint64
+	Protected  atomic.Uint64 // copies made on order
 	Strays     atomic.Uint64 // answers to other requests, dropped
 	Broken     atomic.Uint64 // streams that ended broken
 	CallerGone atomic.Uint64
@@ -35,7 +36,7 @@
 func (s *Stats) Snapshot() map[string]uint64 {
 	out := map[string]uint64{
 		"requests": s.Requests.Load(), "repeats": s.Repeats.Load(), "resumes": s.Resumes.Load(),
-		"resumes_from_copy": s.FromCopy.Load(), "probes": s.Probes.Load(), "stray_answers": s.Strays.Load(),
+		"resumes_from_copy": s.FromCopy.Load(), "probes": s.Probes.Load(), "stray_answers": s.Strays.Load(), "copies_ordered": s.Protected.Load(),
 		"streams_broken": s.Broken.Load(), "callers_gone": s.CallerGone.Load(),
 	}
 	s.mu.Lock()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -30,11 +30,11 @@
 	need placement.Need
 	seq  sequence
 
-	begun   bool             // the answer's head is out
-	moved   bool             // off a live engine, once
-	keeper  *upstream.Server // keeps a copy of the last run, or nil
-	left    *Copy            // of a run that another router carried, or nil
-	id      uint64           // identity
+	begun   bool       // the answer's head is out
+	moved   bool       // off a live engine, once
+	copied  protection // of the last run
+	left    *Copy      // of a run that another router carried, or nil
+	id      uint64     // identity
 	skip    map[string]bool
 	sends   int
 	since   time.Time // when the last engine was lost; zero: none is
@@ -95,14 +95,14 @@
 		return true
 	case endNotRun:
 		if run.from != nil {
-			st.keeper = nil // the copy is gone, or its engine is full
+			st.copied = protection{} // the copy is gone, or its engine is full
 		}
 		st.skip[run.server.ID] = true
 	case endBroken:
 		st.skip[run.server.ID] = true
-		st.keeper = run.keeper
+		st.copied = run.shield.now
 		if run.passed == 0 && run.from == nil {
-			st.keeper = nil // a prompt that was being read has no copy yet
+			st.copied = protection{} // a prompt that was being read has no copy yet
 		}
 		if st.since.IsZero() {
 			st.since = time.Now()
@@ -172,11 +172,11 @@
 			return s, left
 		}
 	}
-	if st.keeper != nil {
-		if s := st.h.o.Fleet.Lookup(st.keeper.ID); s != nil {
-			return s, &Copy{Address: s.Address, RequestID: st.q.RequestID}
+	if p := st.copied; p.keeper != nil {
+		if s := st.h.o.Fleet.Lookup(p.keeper.ID); s != nil {
+			return s, &p.copy
 		}
-		st.keeper = nil
+		st.copied = protection{}
 	}
 	if st.sends >= maxSends {
 		return nil, nil
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // pauseObjective is that of testRoutes' stream.
@@ -258,3 +260,31 @@
 		}
 	})
 }
+
+// The caller sees a short pause, though two zones are lost one after the other. In
+// order: the engine that keeps the run's copy dies and leaves the list; the run
+// goes on; two seconds later its own engine dies, and it goes on from a copy that
+// was ordered meanwhile.
+func TestRunWhoseKeeperDiedIsProtectedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a"), engine("b"), engine("c"))
+		defer w.end()
+		a := w.send("POST", "/s/1", "r1", "log")
+		time.Sleep(1500 * time.Millisecond)
+		first := w.runningOn("r1")
+		rows := w.net.List()
+		for _, s := range w.servers {
+			if s.Copies() > 0 {
+				s.Set(routedengine.Dead)
+				rows = slices.DeleteFunc(rows, func(b upstream.Backend) bool { return b.ID == s.ID })
+			}
+		}
+		w.fleet.Apply(upstream.List{Backends: rows, AsOf: time.Now()})
+		time.Sleep(2 * time.Second)
+		first.Set(routedengine.Dead)
+		a.wholeStream(t, 100)
+		if pause := a.longestPause(); pause > pauseObjective {
+			t.Errorf("a pause of %v", pause)
+		}
+	})
+}
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -16,7 +16,7 @@
 func (r *run) silence() silence {
 	s := silence{
 		lasted: time.Since(r.last), heardAgo: r.st.h.o.Fleet.HeardAgo(r.server),
-		begun: r.passed > 0 || r.from != nil, moved: r.st.moved, copyWaits: r.keeper != nil && r.st.q.rec.runs+1 < r.st.q.rec.maxAttempts,
+		begun: r.passed > 0 || r.from != nil, moved: r.st.moved, copyWaits: r.shield.now.keeper != nil && r.st.q.rec.runs+1 < r.st.q.rec.maxAttempts,
 		asked: r.known,
 	}
 	if r.known {
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -21,11 +21,11 @@
 	Output    int // tokens at most
 }
 
-// Copy names a copy of a run's memory: the engine that keeps it, and the request
-// whose run it is.
+// Copy names a copy of a run's memory as engines know it: an address and an id
+// there, of the request whose run it is or of the copy itself.
 type Copy struct {
-	Address   string `cbor:"1,keyasint"`
-	RequestID string `cbor:"2,keyasint"`
+	Address string `cbor:"1,keyasint"`
+	ID      string `cbor:"2,keyasint"`
 }
 
 // Send is what the system tells a backend server about one send of a request.
@@ -73,6 +73,10 @@
 	// ReportURI is where an engine reports, and ReadReport decodes it.
 	ReportURI() string
 	ReadReport(body []byte) (Report, error)
+	// CopyOrder is the call that has an engine copy the memory of a run of its own to
+	// another engine, and ReadCopy the name that the copy has there; "": none was made.
+	CopyOrder(requestID, to string) (method, uri string, body []byte)
+	ReadCopy(status int, body []byte) string
 	// RetryAfter is the header's value for a wait.
 	RetryAfter(d time.Duration) string
 }
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -54,7 +54,7 @@
 			},
 		},
 		Services: []routes.Service{
-			{Name: "models", Engine: &routes.EngineTraits{Slots: 64, KVTokens: 88_000, KeepCopies: true}},
+			{Name: "models", Engine: &routes.EngineTraits{Slots: 64, KVTokens: 88_000, KeepCopies: true, CopiesOnOrder: true, CopyLife: 4 * time.Second}},
 			{Name: "votes"},
 		},
 		Workspaces: []routes.Workspace{{Name: "nelson", Keys: []string{"key-of-nelson"}}},
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -55,6 +55,10 @@
 	Slots      int  `cbor:"1,keyasint"`           // requests in one batch
 	KVTokens   int  `cbor:"2,keyasint"`           // memory, in tokens
 	KeepCopies bool `cbor:"3,keyasint,omitempty"` // keeps copies of other engines' runs
+	// CopiesOnOrder: a run's memory can be copied while it goes on. CopyLife is how
+	// long such a copy is kept.
+	CopiesOnOrder bool          `cbor:"4,keyasint,omitempty"`
+	CopyLife      time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Service is a group of equal backend servers.
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -101,7 +100,7 @@
 	conns  map[net.Conn]bool
 	runs   []Run
 	made   map[string]int    // by request id, of runs under way
-	copies map[string]uint64 // by request id, last event of a kept copy
+	copies map[string]uint64 // by address/id, last event of a kept copy
 }
 
 // Add puts a server on the network and starts it.
@@ -183,6 +182,8 @@
 		<-r.Context().Done()
 	case r.URL.Path == forward.PlainWire{}.ReportURI():
 		s.report(w)
+	case r.URL.Path == forward.PlainCopyURI:
+		s.copyOut(w, r)
 	case r.Header.Get(forward.HeaderInstance) != s.ID:
 		s.refuse(w, r, http.StatusMisdirectedRequest)
 	case s.Answer != nil && s.Answer(s, w, r):
@@ -287,7 +288,7 @@
 			return
 		}
 		s.progress(id, int(n-after))
-		keeper.keep(id, n)
+		keeper.keepOf(id, n)
 	}
 	s.progress(id, 0)
 }
@@ -301,24 +302,44 @@
 	}
 }
 
-// keep keeps a copy of another engine's run up to an event.
-func (s *Server) keep(id string, n uint64) {
-	if s == nil || s.is(Dead) {
+// keepOf keeps a copy of another engine's run up to an event.
+func (s *Server) keepOf(id string, n uint64) {
+	if s != nil {
+		s.keep(s.Address+"/"+id, n)
+	}
+}
+
+func (s *Server) keep(name string, n uint64) {
+	if s.is(Dead) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copies[id] = n
+	s.copies[name] = n
+}
+
+// copyOut copies the memory of a run to another engine.
+func (s *Server) copyOut(w http.ResponseWriter, r *http.Request) {
+	id := r.URL.Query().Get("run")
+	s.mu.Lock()
+	made, runs := s.made[id]
+	s.mu.Unlock()
+	target := s.Net.at(r.URL.Query().Get("to"))
+	if !runs || target == nil || target.is(Dead) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	target.keep(s.Address+"/copy-of-"+id, uint64(made))
+	_, _ = fmt.Fprint(w, "copy-of-"+id)
 }
 
 // takeCopy uses up the copy that "address/id" names.
 func (s *Server) takeCopy(from string) bool {
-	addr, id, _ := strings.Cut(from, "/")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.copies[id]
-	delete(s.copies, id)
-	return ok && addr == s.Address
+	_, ok := s.copies[from]
+	delete(s.copies, from)
+	return ok
 }
 
 func (n *Net) at(addr string) *Server {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -92,6 +92,38 @@
 	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
+// maxAsked bounds the answer to a question.
+const maxAsked = 4 << 20
+
+// Ask sends a request of this system's own on a new connection and reads the whole
+// answer: a kept connection may have gone silent by itself while the server lives.
+func (p *Pool) Ask(ctx context.Context, key, addr string, r *Request) (*http.Response, []byte, error) {
+	c, err := p.Get(ctx, key, addr, true)
+	if err != nil {
+		return nil, nil, err
+	}
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
+	if _, err := c.Send(r); err != nil {
+		c.Close()
+		return nil, nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	resp, err := c.ReadHead(r.Method)
+	if err != nil {
+		c.Close()
+		return nil, nil, err
+	}
+	body, err := ReadBody(resp, maxAsked)
+	if err != nil {
+		c.Close()
+		return nil, nil, err
+	}
+	if stop() {
+		p.Put(c, resp)
+	}
+	return resp, body, nil
+}
+
 // Sweep closes the idle connections whose time has passed. Those to a server that
 // left the list while one was under way would otherwise stay open for ever.
 func (p *Pool) Sweep() {
