--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -113,6 +113,11 @@
 	return string(body)
 }
 
+// CopyDrop implements Wire.
+func (PlainWire) CopyDrop(name string) (method, uri string) {
+	return http.MethodDelete, PlainCopyURI + "?name=" + url.QueryEscape(name)
+}
+
 // RetryAfter implements Wire: whole seconds, as RFC 9110 has them.
 func (PlainWire) RetryAfter(d time.Duration) string {
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
--- a/internal/forward/protect.go
+++ b/internal/forward/protect.go
@@ -108,6 +108,26 @@
 	r.shield.now.keeper = keeper
 }
 
+// unprotect has the engine forget a copy that was made on order: nobody will use
+// it, and it takes memory and a slot at its keeper for seconds more. A copy that
+// the engine keeps by itself ends with the run.
+func (r *run) unprotect() {
+	p := r.shield.now
+	if p.renew.IsZero() || p.keeper == nil {
+		return
+	}
+	h, s := r.st.h, r.server
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		defer cancel()
+		method, uri := h.o.Wire.CopyDrop(p.copy.ID)
+		header := http.Header{}
+		if _, _, err := h.o.Pool.Ask(ctx, s.ID, s.Address, &upstream.Request{Method: method, URI: uri, Host: s.Address, Header: header}); err != nil {
+			h.o.Log.Debug().Err(err).Str("engine", s.ID).Msg("copy not dropped; it expires")
+		}
+	}()
+}
+
 // orderCopy asks an engine for a copy and returns its name, or "".
 func (h *Handler) orderCopy(ctx context.Context, s *upstream.Server, requestID, to string) string {
 	method, uri, body := h.o.Wire.CopyOrder(requestID, to)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -326,6 +326,9 @@
 	if r.shield.now.keeper != nil {
 		fleet.Give(r.shield.now.keeper, r.kept)
 	}
+	if end == endDone || end == endCallerEnd {
+		r.unprotect()
+	}
 	if r.conn == nil {
 		return
 	}
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -77,6 +77,8 @@
 	// another engine, and ReadCopy the name that the copy has there; "": none was made.
 	CopyOrder(requestID, to string) (method, uri string, body []byte)
 	ReadCopy(status int, body []byte) string
+	// CopyDrop is the call that has an engine forget a copy that it made on order.
+	CopyDrop(name string) (method, uri string)
 	// RetryAfter is the header's value for a wait.
 	RetryAfter(d time.Duration) string
 }
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -320,6 +320,10 @@
 
 // copyOut copies the memory of a run to another engine.
 func (s *Server) copyOut(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		s.Net.drop(s.Address + "/" + r.URL.Query().Get("name"))
+		return
+	}
 	id := r.URL.Query().Get("run")
 	s.mu.Lock()
 	made, runs := s.made[id]
@@ -342,6 +346,17 @@
 	return ok
 }
 
+// drop forgets a copy wherever it is kept.
+func (n *Net) drop(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.servers {
+		s.mu.Lock()
+		delete(s.copies, name)
+		s.mu.Unlock()
+	}
+}
+
 func (n *Net) at(addr string) *Server {
 	n.mu.Lock()
 	defer n.mu.Unlock()
