telemetry: bounded decision logs and metrics of routed requests

Cause: a failed request could be followed through some lines only; a full pipe would have blocked a request; counters were not served. Counters and histograms (VictoriaMetrics/metrics) as text at the deploy file's metrics address and through expvar, from one set. A waking VM logs 5 refused hellos a second instead of 61.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -36,7 +36,7 @@
 func startHub(ctx context.Context, n *peertest.Net, id string, all []string) *testHub {
 	h := &testHub{held: NewHeld(func(upstream.List) {})}
 	t := n.VM(id)
-	h.hub = NewHub(t, h.held, func() []string { return all })
+	h.hub = NewHub(t, h.held, func() []string { return all }, zerolog.Nop())
 	m := NewMember(id, t, all, h.held, Local{}, zerolog.Nop())
 	go m.Run(ctx)
 	return h
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
@@ -17,9 +19,11 @@
 type Hub struct {
 	held     *Held
 	controls func() []string
+	log      zerolog.Logger
 
 	mu     sync.Mutex
 	vms    map[string]seen
+	silent map[string]bool // told in the log
 	deaths []toldDeath
 }
 
@@ -35,8 +39,8 @@
 }
 
 // NewHub registers the handler of notices. controls names the control VMs.
-func NewHub(t peer.Transport, held *Held, controls func() []string) *Hub {
-	h := &Hub{held: held, controls: controls, vms: map[string]seen{}}
+func NewHub(t peer.Transport, held *Held, controls func() []string, log zerolog.Logger) *Hub {
+	h := &Hub{held: held, controls: controls, vms: map[string]seen{}, silent: map[string]bool{}, log: log}
 	t.Handle(peer.KindNotice, h.serve)
 	t.Handle(peer.KindKept, h.serveKept)
 	return h
@@ -97,15 +101,30 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	if _, known := h.vms[from]; !known || h.silent[from] {
+		h.log.Info().Str("member", from).Str("zone", n.Zone).Bool("ready", n.Ready).Msg("VM is heard")
+	}
+	delete(h.silent, from)
 	h.vms[from] = seen{from, n, now}
+	h.expire(now)
+	for _, d := range n.Deaths {
+		h.deaths = append(h.deaths, toldDeath{d, now})
+	}
+}
+
+// expire needs h.mu.
+func (h *Hub) expire(now time.Time) {
 	for vm, s := range h.vms {
-		if now.Sub(s.at) > forgetAfter {
+		silent := now.Sub(s.at)
+		if silent > presentFor && !h.silent[vm] {
+			h.silent[vm] = true
+			h.log.Warn().Str("member", vm).Str("zone", s.notice.Zone).Dur("silent", silent).Msg("VM is silent")
+		}
+		if silent > forgetAfter {
 			delete(h.vms, vm)
+			delete(h.silent, vm)
 		}
 	}
-	for _, d := range n.Deaths {
-		h.deaths = append(h.deaths, toldDeath{d, now})
-	}
 }
 
 func (h *Hub) recentDeaths() []recovery.Death {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -41,6 +41,7 @@
 		}
 		r := h.callAt(q, s)
 		q.rec.Note(r.sent)
+		h.logSend(q, s, &r)
 		skip[s.ID] = true
 		if q.ctx.Err() != nil {
 			h.endCall(w, q, failure, result.RouteTimeout)
@@ -48,6 +49,7 @@
 		}
 		if r.sent == answered {
 			if r.resp.StatusCode < http.StatusInternalServerError || !q.rec.MaySend() {
+				observe(h.Stats.CallTime, q.arrived)
 				h.deliver(w, &r)
 				return
 			}
@@ -60,6 +62,20 @@
 	}
 }
 
+// logSend tells what came of one send.
+func (h *Handler) logSend(q *request, s *upstream.Server, r *reply) {
+	log, status := h.o.Log, 0
+	if r.resp != nil {
+		status = r.resp.StatusCode
+	}
+	if r.sent == answered && status < http.StatusInternalServerError && q.rec.arrivals == 1 {
+		log = h.o.Ordinary
+	}
+	log.Info().Str("request", q.RequestID).Str("route", q.route.Name).Str("server", s.ID).Str("sent", r.sent.String()).
+		Str("fault", r.fault.String()).Int("status", status).Int("arrivals", q.rec.arrivals).
+		Dur("held", time.Since(q.arrived)).Msg("call sent")
+}
+
 // chooseServer returns the server for the next send, or the reason why there is
 // none.
 func (h *Handler) chooseServer(q *request, skip map[string]bool, sends int) (*upstream.Server, result.Code) {
@@ -77,7 +93,7 @@
 		return nil, result.RetriesSpent
 	}
 	if q.rec.IsRepeat() {
-		h.Stats.Repeats.Add(1)
+		h.Stats.Repeats.Inc()
 	}
 	return servers[i], 0
 }
@@ -133,7 +149,7 @@
 	case failure != nil:
 		h.deliver(w, failure)
 	case q.left() > 0 && q.ctx.Err() != nil:
-		h.Stats.CallerGone.Add(1)
+		h.Stats.CallerGone.Inc()
 	default:
 		h.giveUp(w, q, code, retryAfter(q))
 	}
@@ -154,7 +170,7 @@
 	}
 	w.WriteHeader(r.resp.StatusCode)
 	if _, err := w.Write(r.body); err != nil {
-		h.Stats.CallerGone.Add(1)
+		h.Stats.CallerGone.Inc()
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -26,6 +26,11 @@
 	faultSlow        // given up waiting, there may be time for another server
 )
 
+// String implements fmt.Stringer.
+func (f fault) String() string {
+	return [...]string{"", "no connection", "broken", "slow"}[f]
+}
+
 // reply is what came of one send.
 type reply struct {
 	sent   sent
@@ -86,7 +91,7 @@
 		if a.RequestID == "" || a.RequestID == q.RequestID || q.RequestID == "" {
 			return resp, a, nil
 		}
-		h.Stats.Strays.Add(1)
+		h.Stats.Strays.Inc()
 		h.o.Log.Warn().Str("request", q.RequestID).Str("answered", a.RequestID).Msg("answer to another request dropped")
 		if _, err := upstream.ReadBody(resp, maxAnswer); err != nil {
 			return nil, Answer{}, err
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
@@ -37,7 +38,11 @@
 	Routes    func() *routes.Table // nil result: none held yet
 	Allowance Allowance
 	Log       zerolog.Logger
-	Blame     *BlameBook
+	// Ordinary takes the lines about what went well; they may be left out under load.
+	Ordinary zerolog.Logger
+	// Metrics is where the counters are registered.
+	Metrics *metrics.Set
+	Blame   *BlameBook
 	// Find looks for a copy of a stream that another router carried; nil: nowhere.
 	Find func(ctx context.Context, identity uint64) (Copy, bool)
 	// TooLate reports that a request could not be finished any more, since this VM
@@ -52,7 +57,7 @@
 	o      Options
 	prober *prober
 	kept   keptBook
-	Stats  Stats
+	Stats  *Stats
 
 	mu      sync.Mutex
 	vms     int
@@ -61,7 +66,7 @@
 
 // NewHandler returns a Handler.
 func NewHandler(o Options) *Handler {
-	h := &Handler{o: o, vms: 1, budgets: map[string]*Budget{}}
+	h := &Handler{o: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics)}
 	h.prober = newProber(o.Pool, o.Fleet, o.Wire)
 	return h
 }
@@ -122,7 +127,7 @@
 	defer cancel()
 	q.ctx = ctx
 	q.budget.Request()
-	h.Stats.Requests.Add(1)
+	h.Stats.Requests.Inc()
 	if q.route.Kind == routes.Stream {
 		h.stream(w, q)
 		return
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -113,18 +113,24 @@
 	return v
 }
 
+// blame remembers the request as one that ran where a server died.
+func (h *Handler) blame(q *request, s *upstream.Server, passed int) {
+	h.o.Blame.Died(q.digest, s.ID, passed)
+	h.o.Log.Info().Str("request", q.RequestID).Str("server", s.ID).Int("passed", passed).Uint64("digest", q.digest).Msg("request blamed")
+}
+
 // confirmDeath finds out, beside the request, whether the server that broke it
 // has died. A broken answer alone blames nobody: a server may lose answers and
 // live. One that takes no connection any more is dead, and the request is
 // remembered as one that ran there.
 func (h *Handler) confirmDeath(q *request, s *upstream.Server, passed int) {
-	h.Stats.Probes.Add(1)
+	h.Stats.Probes.Inc()
 	p := h.prober.ask(s)
 	go func() {
 		<-p.done
 		if !p.alive {
 			h.o.Fleet.Dead(s)
-			h.o.Blame.Died(q.digest, s.ID, passed)
+			h.blame(q, s, passed)
 		}
 	}()
 }
--- a/internal/forward/protect.go
+++ b/internal/forward/protect.go
@@ -87,7 +87,7 @@
 	if p.keeper == nil {
 		return // asked again with the next look
 	}
-	r.st.h.Stats.Protected.Add(1)
+	r.st.h.Stats.Protected.Inc()
 	if p.keeper != r.shield.now.keeper {
 		r.setKeeper(p.keeper)
 	}
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -12,6 +12,11 @@
 	answered             // a whole answer of the server
 )
 
+// String implements fmt.Stringer.
+func (s sent) String() string {
+	return [...]string{"not sent", "refused", "unknown", "answered"}[s]
+}
+
 // Record is the history of one request's sends. It decides whether the request
 // may be sent once more and what the caller may be told; nothing else does.
 //
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -83,17 +83,21 @@
 func (r *run) logPlaced() {
 	st, h := r.st, r.st.h
 	if st.begun {
-		h.Stats.Resumes.Add(1)
+		h.Stats.Resumes.Inc()
 	}
 	if r.from != nil {
-		h.Stats.FromCopy.Add(1)
+		h.Stats.FromCopy.Inc()
 	}
 	keeper := ""
 	if r.shield.now.keeper != nil {
 		keeper = r.shield.now.keeper.ID
 	}
 	use := h.o.Fleet.UseOf(r.server)
-	h.o.Log.Info().Str("request", st.q.RequestID).Str("route", st.q.route.Name).Str("engine", r.server.ID).
+	log := h.o.Ordinary
+	if st.sends > 1 {
+		log = h.o.Log
+	}
+	log.Info().Str("request", st.q.RequestID).Str("route", st.q.route.Name).Str("engine", r.server.ID).
 		Str("zone", r.server.Zone).Str("keeper", keeper).Bool("from_copy", r.from != nil).Int("send", st.sends).
 		Uint64("after", st.seq.last).Int("tokens", st.need.Tokens()).Int("there", use.Requests).
 		Int("tokens_there", use.Tokens).Int("prompt_there", use.Prompt).
@@ -276,10 +280,12 @@
 // its caller saw nothing: the resume latency.
 func (r *run) first() {
 	if st := r.st; st.begun {
+		observe(st.h.Stats.Pause, st.wrote)
 		st.h.o.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Bool("from_copy", r.from != nil).
 			Dur("pause", time.Since(st.wrote)).Msg("stream went on")
 	} else {
-		st.h.o.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("send", st.sends).
+		observe(st.h.Stats.FirstEvent, st.q.arrived)
+		st.h.o.Ordinary.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("send", st.sends).
 			Dur("after", time.Since(st.q.arrived)).Msg("stream began")
 	}
 	fleet := r.st.h.o.Fleet
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -1,48 +1,50 @@
 package forward
 
 import (
-	"sync"
-	"sync/atomic"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 )
 
-// Stats count what a Handler did.
+// Stats count what a Handler did. They are bounded in number: names are fixed,
+// and the only label is a result code.
 type Stats struct {
-	Requests   atomic.Uint64
-	Repeats    atomic.Uint64 // second sends
-	Resumes    atomic.Uint64 // streams that went on at another engine
-	FromCopy   atomic.Uint64 // of these, from a copy of their memory
-	Probes     atomic.Uint64
-	Protected  atomic.Uint64 // copies made on order
-	Strays     atomic.Uint64 // answers to other requests, dropped
-	Broken     atomic.Uint64 // streams that ended broken
-	CallerGone atomic.Uint64
-
-	mu    sync.Mutex
-	codes map[result.Code]uint64
+	set *metrics.Set
+
+	Requests   *metrics.Counter
+	Repeats    *metrics.Counter // second sends
+	Resumes    *metrics.Counter // streams that went on at another engine
+	FromCopy   *metrics.Counter // of these, from a copy of their memory
+	Probes     *metrics.Counter
+	Protected  *metrics.Counter // copies made on order
+	Strays     *metrics.Counter // answers to other requests, dropped
+	Broken     *metrics.Counter // streams that ended broken
+	CallerGone *metrics.Counter
+
+	FirstEvent *metrics.Histogram // seconds from a caller's request
+	Pause      *metrics.Histogram // seconds that a resumed stream's caller saw nothing
+	CallTime   *metrics.Histogram // seconds from a caller's request to the answer
 }
 
-func (s *Stats) refused(code result.Code) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.codes == nil {
-		s.codes = map[result.Code]uint64{}
+// NewStats registers the counters in a set.
+func NewStats(set *metrics.Set) *Stats {
+	counter := func(name string) *metrics.Counter { return set.NewCounter("shelf_" + name + "_total") }
+	return &Stats{
+		set: set, Requests: counter("requests"), Repeats: counter("repeats"), Resumes: counter("resumes"),
+		FromCopy: counter("resumes_from_copy"), Probes: counter("probes"), Protected: counter("copies_ordered"),
+		Strays: counter("stray_answers"), Broken: counter("streams_broken"), CallerGone: counter("callers_gone"),
+		FirstEvent: set.NewHistogram("shelf_first_event_seconds"), Pause: set.NewHistogram("shelf_resume_pause_seconds"),
+		CallTime: set.NewHistogram("shelf_call_seconds"),
 	}
-	s.codes[code]++
 }
 
-// Snapshot returns all counters by name.
-func (s *Stats) Snapshot() map[string]uint64 {
-	out := map[string]uint64{
-		"requests": s.Requests.Load(), "repeats": s.Repeats.Load(), "resumes": s.Resumes.Load(),
-		"resumes_from_copy": s.FromCopy.Load(), "probes": s.Probes.Load(), "stray_answers": s.Strays.Load(), "copies_ordered": s.Protected.Load(),
-		"streams_broken": s.Broken.Load(), "callers_gone": s.CallerGone.Load(),
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for code, n := range s.codes {
-		out["refused_"+result.Lookup(code).Name] = n
-	}
-	return out
+// refused counts an error of this system's own by its code.
+func (s *Stats) refused(code result.Code) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_refused_total{code="%d",name=%q}`, code, result.Lookup(code).Name)).Inc()
 }
+
+// observe adds a time since began to a histogram.
+func observe(h *metrics.Histogram, began time.Time) { h.Update(time.Since(began).Seconds()) }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -148,7 +148,7 @@
 			return nil, nil, result.RetriesSpent
 		}
 		if st.q.rec.IsRepeat() {
-			st.h.Stats.Repeats.Add(1)
+			st.h.Stats.Repeats.Inc()
 		}
 		st.sends++
 		return s, from, 0
@@ -216,9 +216,9 @@
 	callerLeft := st.q.ctx.Err() != nil && st.q.left() > 0
 	switch {
 	case callerLeft:
-		h.Stats.CallerGone.Add(1)
+		h.Stats.CallerGone.Inc()
 	case st.begun:
-		h.Stats.Broken.Add(1)
+		h.Stats.Broken.Inc()
 		h.o.Log.Warn().Str("request", st.q.RequestID).Uint64("last_event", st.seq.last).Int("sends", st.q.rec.arrivals).
 			Str("reason", result.Lookup(code).Name).Msg("stream broken off")
 		panic(http.ErrAbortHandler)
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -41,7 +41,7 @@
 		return
 	}
 	r.askAt = time.Now()
-	r.st.h.Stats.Probes.Add(1)
+	r.st.h.Stats.Probes.Inc()
 	r.asked = r.st.h.prober.ask(r.server)
 }
 
@@ -62,7 +62,7 @@
 			return 0, false
 		}
 		r.st.h.o.Fleet.Dead(r.server)
-		r.st.h.o.Blame.Died(r.st.q.digest, r.server.ID, r.passed)
+		r.st.h.blame(r.st.q, r.server, r.passed)
 		return r.lost("engine does not answer"), true
 	}
 	r.told, r.known, r.unanswered = p.report, p.told, false
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
@@ -70,13 +71,13 @@
 		w.servers = append(w.servers, w.net.Add(s))
 	}
 	pool := upstream.NewPoolWith(w.net.Dial)
-	w.fleet = upstream.NewFleet(pool)
+	w.fleet = upstream.NewFleet(pool, zerolog.Nop())
 	w.fleet.Apply(upstream.List{Backends: w.net.List(), AsOf: time.Now()})
 	table := testRoutes()
 	w.handler = forward.NewHandler(forward.Options{
 		Zone: "a", Wire: forward.PlainWire{}, Pool: pool, Fleet: w.fleet,
 		Routes: func() *routes.Table { return table }, Allowance: forward.Allowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
-		Log: zerolog.Nop(), Blame: forward.NewBlameBook(), Closing: func() bool { return false },
+		Log: zerolog.Nop(), Ordinary: zerolog.Nop(), Metrics: metrics.NewSet(), Blame: forward.NewBlameBook(), Closing: func() bool { return false },
 		TooLate: func(bool) bool { return false }, Find: w.find,
 	})
 	return w
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -40,8 +40,9 @@
 	c.network = newNetwork(&o.Common)
 	c.held = cluster.NewHeld(func(upstream.List) {})
 	c.member = cluster.NewMember(o.ID, c.network, o.Seeds, c.held, cluster.Local{Zone: o.Zone}, o.Log)
-	c.hub = cluster.NewHub(c.network, c.held, c.controls)
+	c.hub = cluster.NewHub(c.network, c.held, c.controls, o.Log)
 	c.members = &members{open: c.openMember}
+	c.gauges()
 	m := mux.NewRouter()
 	m.Handle(peer.Path, c.network)
 	var err error
@@ -55,6 +56,31 @@
 	return c, nil
 }
 
+// gauges registers what is read when the metrics are.
+func (c *Control) gauges() {
+	set := c.o.Metrics
+	set.NewGauge("shelf_control_leads", func() float64 {
+		if c.leads() {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("shelf_control_applied", func() float64 {
+		if g := c.group(); g != nil {
+			return float64(g.Stats().Applied)
+		}
+		return 0
+	})
+	set.NewGauge("shelf_ready_routers", func() float64 { return float64(len(c.hub.Entrances(maxRouters))) })
+	set.NewGauge("shelf_backend_list_age_seconds", func() float64 {
+		_, _, age, _ := c.held.Now()
+		return age.Seconds()
+	})
+}
+
+// maxRouters is more than any deployment has.
+const maxRouters = 1 << 16
+
 func (c *Control) runMember() {
 	err := c.members.run(c.ctx, func(err error) {
 		c.o.Log.Error().Err(err).Msg("member of the control group failed; it is opened again")
@@ -173,12 +199,14 @@
 	tick := time.NewTicker(readEvery / 2)
 	defer tick.Stop()
 	var readAt time.Time
+	leader := ""
 	for {
 		select {
 		case <-tick.C:
 		case <-c.ctx.Done():
 			return
 		}
+		leader = c.noteLeader(leader)
 		if time.Since(readAt) < readEvery || !c.isReader() {
 			continue
 		}
@@ -187,6 +215,20 @@
 	}
 }
 
+// noteLeader logs a change of the group's leader as this VM knows it.
+func (c *Control) noteLeader(before string) string {
+	now := ""
+	if g := c.group(); g != nil {
+		if st, ok := g.Status(); ok {
+			now = st.Leader.VM()
+		}
+	}
+	if now != before {
+		c.o.Log.Info().Str("leader", now).Str("before", before).Msg("leader of the control group")
+	}
+	return now
+}
+
 func (c *Control) isReader() bool {
 	if c.leads() {
 		return true
--- a/internal/routed/options.go
+++ b/internal/routed/options.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
@@ -30,6 +31,10 @@
 	Token string // shared by all VMs
 	Seeds []string
 	Log   zerolog.Logger
+	// Ordinary takes the lines about what went well.
+	Ordinary zerolog.Logger
+	// Metrics is the process's set of counters.
+	Metrics *metrics.Set
 }
 
 // RouterOptions are the options of a Router.
@@ -88,9 +93,14 @@
 	return s, nil
 }
 
+// peerLines a second are logged about peer connections: a VM that wakes refuses
+// the frames of all its old connections at once.
+const peerLines = 5
+
 // newNetwork returns the transport of a VM whose id is its address.
 func newNetwork(o *Common) *peer.Network {
-	return peer.NewNetwork(o.ID, o.Token, func(vm string) (string, bool) { return vm, vm != "" }, o.Log)
+	log := o.Log.Sample(&zerolog.BurstSampler{Burst: peerLines, Period: time.Second})
+	return peer.NewNetwork(o.ID, o.Token, func(vm string) (string, bool) { return vm, vm != "" }, log)
 }
 
 // Listen is listen for the adapter's own listeners.
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -40,7 +40,8 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.drain = newDrain(o.Drain)
 	pool := upstream.NewPool()
-	r.fleet = upstream.NewFleet(pool)
+	r.fleet = upstream.NewFleet(pool, o.Log)
+	r.gauges(pool)
 	r.held = cluster.NewHeld(r.takeList)
 	r.network = newNetwork(&o.Common)
 	r.member = cluster.NewMember(o.ID, r.network, o.Seeds, r.held, cluster.Local{
@@ -53,7 +54,7 @@
 	r.feed.OnChange(control.PartRoutes, r.take)
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load,
-		Allowance: o.Allowance, Log: o.Log, Blame: r.blame, Closing: r.drain.started,
+		Allowance: o.Allowance, Log: o.Log, Ordinary: o.Ordinary, Metrics: o.Metrics, Blame: r.blame, Closing: r.drain.started,
 		Find: r.member.Find, TooLate: r.drain.tooLate,
 	})
 	if err := r.serve(); err != nil {
@@ -76,6 +77,23 @@
 	return err
 }
 
+// gauges registers what is read when the metrics are.
+func (r *Router) gauges(pool *upstream.Pool) {
+	set := r.o.Metrics
+	set.NewGauge("shelf_route_list_version", func() float64 {
+		if t := r.table.Load(); t != nil {
+			return float64(t.List.Version)
+		}
+		return 0
+	})
+	set.NewGauge("shelf_backend_list_age_seconds", func() float64 {
+		_, _, age, _ := r.held.Now()
+		return age.Seconds()
+	})
+	set.NewGauge("shelf_idle_connections", func() float64 { return float64(pool.Idle()) })
+	set.NewGauge("shelf_connections_opened_total", func() float64 { return float64(pool.Dials()) })
+}
+
 // take applies a route list. The feed calls it with growing versions only.
 func (r *Router) take(data []byte) {
 	var l routes.List
@@ -120,9 +138,6 @@
 // SetSeeds takes other control addresses.
 func (r *Router) SetSeeds(seeds []string) { r.member.SetSeeds(seeds) }
 
-// Metrics are the router's counters by name.
-func (r *Router) Metrics() map[string]uint64 { return r.handler.Stats.Snapshot() }
-
 // tellTimeout bounds the notices at the begin of a planned end.
 const tellTimeout = 300 * time.Millisecond
 
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 )
@@ -75,6 +77,7 @@
 type Fleet struct {
 	pool *Pool
 	now  func() time.Time
+	log  zerolog.Logger
 
 	mu      sync.Mutex
 	asOf    time.Time
@@ -89,8 +92,8 @@
 
 // NewFleet returns an empty Fleet that forgets the connections of servers which
 // have left the list.
-func NewFleet(pool *Pool) *Fleet {
-	return &Fleet{pool: pool, now: time.Now, servers: map[string]*Server{}, dead: map[string]time.Time{}}
+func NewFleet(pool *Pool, log zerolog.Logger) *Fleet {
+	return &Fleet{pool: pool, log: log, now: time.Now, servers: map[string]*Server{}, dead: map[string]time.Time{}}
 }
 
 // Apply takes a list that was read later than the one held, and reports whether
@@ -120,8 +123,13 @@
 			gone = append(gone, id)
 		}
 	}
+	added := len(next) + len(gone) - len(f.servers)
 	f.servers, f.order = next, order
 	f.mu.Unlock()
+	if added > 0 || len(gone) > 0 {
+		f.log.Info().Int("servers", len(order)).Int("added", added).Int("gone", len(gone)).
+			Dur("age", f.now().Sub(l.AsOf)).Msg("backend servers changed")
+	}
 	for _, id := range gone {
 		f.pool.Forget(id)
 	}
--- a/internal/upstream/fleet_test.go
+++ b/internal/upstream/fleet_test.go
@@ -6,12 +6,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 )
 
 // newTestFleet has n servers of one service in each of three zones.
 func newTestFleet(n int) *Fleet {
-	f := NewFleet(NewPool())
+	f := NewFleet(NewPool(), zerolog.Nop())
 	var rows []Backend
 	for _, zone := range []string{"a", "b", "c"} {
 		for i := range n {
--- a/internal/upstream/verdict.go
+++ b/internal/upstream/verdict.go
@@ -45,7 +45,9 @@
 	f.noteDeath(s)
 	close(s.died)
 	s.died = make(chan struct{})
+	silent := f.now().Sub(s.heard)
 	f.mu.Unlock()
+	f.log.Warn().Str("server", s.ID).Str("zone", s.Zone).Dur("silent", silent).Msg("server judged dead")
 	f.pool.Forget(s.ID)
 }
 
@@ -57,13 +59,16 @@
 	if !f.outage.Note(s.Service+"/"+s.Zone, s.ID, now) {
 		return
 	}
+	avoided := 0
 	for _, o := range f.order {
 		if o.Service != s.Service || o.Zone != s.Zone || now.Sub(o.heard) < heardLately {
 			continue
 		}
+		avoided++
 		f.avoidFor(o, recovery.OutageFor)
 		f.raiseDoubt(o)
 	}
+	f.log.Warn().Str("service", s.Service).Str("zone", s.Zone).Int("avoided", avoided).Msg("zone taken for lost")
 }
 
 // raiseDoubt needs f.mu.
@@ -116,6 +121,7 @@
 	f.mu.Lock()
 	s.stale = true
 	f.mu.Unlock()
+	f.log.Info().Str("server", s.ID).Str("address", s.Address).Msg("another incarnation answers")
 	f.pool.Forget(s.ID)
 }
 
