forward: one retry budget over all VMs; explain over collected logs

Cause: each VM had an even part of the second sends. Streams of a lost zone and callers of dead routers do not come evenly: a stream broke with 'retries spent' while the other VMs had spent next to nothing (found with explain over the logs). Ruled out: a larger part for each (all together would pass the allowance).

Change: VMs tell what they saw and spent; each spends from what is left, less what the others may have spent since. Not heard for 2 s, they are taken to have spent as much.

--- a/cmd/amaranthshelf/status.go
+++ b/cmd/amaranthshelf/status.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -12,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/client"
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/operator"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
@@ -87,7 +90,8 @@
 
 type explainCommand struct {
 	connection
-	Workspace string `long:"workspace" required:"yes" description:"workspace that the request belongs to"`
+	Workspace string   `long:"workspace" description:"workspace that the request belongs to; needed unless logs are given"`
+	Logs      []string `long:"log" value-name:"FILE" description:"collected logs of VMs; repeat it for several files. The running VMs are then not asked"`
 	Args      struct {
 		Request string `positional-arg-name:"REQUEST"`
 	} `positional-args:"yes" required:"yes"`
@@ -95,6 +99,12 @@
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs()
+	}
+	if c.Workspace == "" {
+		return usageError("explain needs --workspace, or --log with collected logs")
+	}
 	return c.call(func(ctx context.Context, o *client.Operator) error {
 		e, err := o.Explain(ctx, c.Workspace, c.Args.Request)
 		if err != nil {
@@ -111,6 +121,35 @@
 	})
 }
 
+// fromLogs tells a request's story from files.
+func (c *explainCommand) fromLogs() error {
+	var readers []io.Reader
+	for _, name := range c.Logs {
+		f, err := os.Open(name)
+		if err != nil {
+			return usageError("%v", err)
+		}
+		defer f.Close()
+		readers = append(readers, f)
+	}
+	story, err := explain.FromLogs(readers, c.Args.Request)
+	if err != nil {
+		return err
+	}
+	return c.print(story, func() {
+		for _, l := range story.Lines {
+			fmt.Println(l.String())
+		}
+		if len(story.Around) > 0 {
+			fmt.Println("about the servers that it was sent to:")
+		}
+		for _, l := range story.Around {
+			fmt.Println(l.String())
+		}
+		fmt.Println("cause: " + story.Cause)
+	})
+}
+
 type configCheck struct {
 	Args struct {
 		File string `positional-arg-name:"FILE"`
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -58,6 +58,7 @@
 			a.Routers = append(a.Routers, s.vm)
 		}
 		a.Others, a.Deaths, a.Dead = h.load(from), h.recentDeaths(), h.dead(from)
+		a.Spent = h.spent(from)
 	}
 	rows, digest, age, ok := h.held.Now()
 	// A VM with a younger list than ours has nothing to gain.
@@ -156,6 +157,27 @@
 	return out
 }
 
+// spent sums what the VMs other than one spent. A VM that has just died counts as
+// long as its sends are in the window.
+func (h *Hub) spent(except string) map[string]forward.Spent {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	out := map[string]forward.Spent{}
+	for vm, s := range h.vms {
+		if vm == except || now.Sub(s.at) > spentFor {
+			continue
+		}
+		for service, o := range s.notice.Spent {
+			sum := out[service]
+			sum.Requests += o.Requests
+			sum.Repeats += o.Repeats
+			out[service] = sum
+		}
+	}
+	return out
+}
+
 // dead are the backend servers that other VMs judged dead.
 func (h *Hub) dead(except string) []string {
 	h.mu.Lock()
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -25,6 +25,7 @@
 	Deaths  func() []recovery.Death
 	Dead    func() []string
 	Kept    func() []forward.Kept
+	Spent   func() map[string]forward.Spent
 	// Learn takes what a control VM knows of the other VMs.
 	Learn func(Answer)
 }
@@ -162,6 +163,9 @@
 	if m.local.Kept != nil {
 		n.Kept = m.local.Kept()
 	}
+	if m.local.Spent != nil {
+		n.Spent = m.local.Spent()
+	}
 	if m.local.Use != nil {
 		n.Use = m.local.Use()
 	}
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -8,14 +8,18 @@
 // The load pattern of the retry budget: a zone's engines die, or a service is
 // full, and every request there is sent once more, by every VM at once. Without a
 // common bound the second sends fill what is left, which refuses in turn, and the
-// overload outlives its cause. Each VM may send again a share of the requests that
-// it saw itself, and its part of a fixed allowance for a sudden loss in quiet
-// times.
+// overload outlives its cause.
+//
+// The allowance is one over all VMs. Split evenly it would fail the VM that has
+// the most to mend: the streams of a lost zone, and the callers of dead routers,
+// do not come evenly. So VMs tell one another what they have sent again, and each
+// spends from what is left. What the others may have spent since they told is
+// taken to be what this VM spent itself meanwhile: they see the same loss.
 
 // Allowance is the bound on second sends to a service over all VMs.
 type Allowance struct {
 	Ratio  float64 // of the requests within Window
-	Slack  float64 // sends within Window, over all VMs
+	Slack  float64 // sends within Window
 	Window time.Duration
 }
 
@@ -23,11 +27,20 @@
 // commonly have it.
 var DefaultAllowance = Allowance{Ratio: 0.2, Slack: 30, Window: 10 * time.Second}
 
+// Spent is what a VM saw and sent again within the window.
+type Spent struct {
+	Requests int `cbor:"1,keyasint,omitempty"`
+	Repeats  int `cbor:"2,keyasint,omitempty"`
+}
+
 const (
 	budgetSlots = 10
 	// budgetShare of the allowance is used: VMs count in windows of their own, and
 	// one may start anew and forget what it sent.
 	budgetShare = 0.75
+	// toldFor is how long the others' word counts. Beyond it they are taken to have
+	// seen and spent as much as this VM.
+	toldFor = 2 * time.Second
 )
 
 // Budget counts requests and second sends to one service. Safe for concurrent
@@ -37,11 +50,12 @@
 	now   func() time.Time
 	start time.Time // slots count from here, on the monotonic clock
 
-	mu       sync.Mutex
-	vms      int
-	slot     int64
-	requests [budgetSlots + 1]int
-	repeats  [budgetSlots + 1]int
+	mu     sync.Mutex
+	vms    int
+	others Spent
+	told   time.Time
+	slot   int64
+	slots  [budgetSlots + 1]Spent
 }
 
 // NewBudget returns a Budget for one of one VMs.
@@ -56,11 +70,26 @@
 	b.vms = max(1, n)
 }
 
+// SetOthers takes what the other VMs together saw and sent.
+func (b *Budget) SetOthers(s Spent) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others, b.told = s, b.now()
+}
+
 // Request notes a caller's request.
 func (b *Budget) Request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.requests[b.turn()]++
+	b.slots[b.turn()].Requests++
+}
+
+// Own is what this VM saw and sent within the window.
+func (b *Budget) Own() Spent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn()
+	return b.sum()
 }
 
 // Spend takes one second send, if there is one left.
@@ -68,26 +97,59 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.turn()
-	requests, repeats := 0, 0
-	for k := range b.requests {
-		requests += b.requests[k]
-		repeats += b.repeats[k]
-	}
-	limit := budgetShare * (b.a.Ratio*float64(requests) + b.a.Slack/float64(b.vms))
-	if float64(repeats+1) > limit {
+	if float64(b.spent()+1) > b.limit() {
 		return false
 	}
-	b.repeats[i]++
+	b.slots[i].Repeats++
 	return true
 }
 
+// limit needs b.mu.
+func (b *Budget) limit() float64 {
+	requests := b.sum().Requests
+	if b.knowsOthers() {
+		requests += b.others.Requests
+	} else {
+		requests *= b.vms
+	}
+	return budgetShare * (b.a.Ratio*float64(requests) + b.a.Slack)
+}
+
+// spent is what all VMs together may have spent. It needs b.mu.
+func (b *Budget) spent() int {
+	own := b.sum().Repeats
+	if !b.knowsOthers() {
+		return own * b.vms
+	}
+	return own + b.others.Repeats + (b.vms-1)*b.recent()
+}
+
+func (b *Budget) knowsOthers() bool { return !b.told.IsZero() && b.now().Sub(b.told) < toldFor }
+
+// recent is what this VM spent within about a second: as long as the others' word
+// takes.
+func (b *Budget) recent() int {
+	n := len(b.slots)
+	i := int(b.slot % int64(n))
+	return b.slots[i].Repeats + b.slots[(i+n-1)%n].Repeats
+}
+
+func (b *Budget) sum() Spent {
+	var s Spent
+	for _, slot := range b.slots {
+		s.Requests += slot.Requests
+		s.Repeats += slot.Repeats
+	}
+	return s
+}
+
 // turn clears the slots that have left the window and returns the present one.
 func (b *Budget) turn() int {
-	width := b.a.Window / budgetSlots
-	slot := int64(b.now().Sub(b.start) / width)
-	for s := max(b.slot+1, slot-budgetSlots); s <= slot; s++ {
-		b.requests[s%(budgetSlots+1)], b.repeats[s%(budgetSlots+1)] = 0, 0
+	n := int64(len(b.slots))
+	slot := int64(b.now().Sub(b.start) / (b.a.Window / budgetSlots))
+	for s := max(b.slot+1, slot-n+1); s <= slot; s++ {
+		b.slots[s%n] = Spent{}
 	}
 	b.slot = max(b.slot, slot)
-	return int(b.slot % (budgetSlots + 1))
+	return int(b.slot % n)
 }
--- /dev/null
+++ b/internal/forward/explain_test.go
@@ -0,0 +1,119 @@
+package forward_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/explain"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+)
+
+// logBuffer collects the lines of a test's router.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *logBuffer) story(t *testing.T, request string) explain.Story {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, err := explain.FromLogs([]io.Reader{strings.NewReader(b.buf.String())}, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// On-call engineers find from the log lines alone why a stream broke, why a vote's
+// outcome is unknown, and why a call was refused. Each failure is brought about
+// here, and the story must name its cause.
+func TestCauseIsFoundInTheLogs(t *testing.T) {
+	tests := []struct {
+		name    string
+		servers func() []*routedengine.Server
+		failure func(w *world, request string)
+		want    []string // in the cause
+		around  string   // in a line about a server
+	}{
+		{
+			"a stream that broke",
+			func() []*routedengine.Server { return []*routedengine.Server{engine("a")} },
+			func(w *world, id string) {
+				a := w.send("POST", "/s/1", id, "log")
+				time.Sleep(2 * time.Second)
+				w.servers[0].Set(routedengine.Dark)
+				<-a.done
+			},
+			[]string{"broken off behind event", "its run on i0 was lost: engine does not answer"},
+			"server judged dead",
+		},
+		{
+			"a vote whose outcome is unknown",
+			func() []*routedengine.Server { return []*routedengine.Server{voteServer("a"), voteServer("b")} },
+			func(w *world, id string) {
+				for _, s := range w.servers {
+					s.Answer = breakOff(signedHead + "half")
+				}
+				<-w.send("POST", "/vote/1", id, "yes").done
+			},
+			[]string{"4003 outcome_unknown", "after 1 arrivals", "unknown broken"},
+			"",
+		},
+		{
+			"a call refused under load",
+			func() []*routedengine.Server { return []*routedengine.Server{voteServer("a"), voteServer("b")} },
+			func(w *world, id string) {
+				for _, s := range w.servers {
+					s.Answer = func(s *routedengine.Server, rw http.ResponseWriter, r *http.Request) bool {
+						s.Refuse(rw, r)
+						return true
+					}
+				}
+				<-w.send("POST", "/vote/1", id, "yes").done
+			},
+			[]string{"3015 backends_full", "after 2 arrivals", "refused"},
+			"",
+		},
+	}
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var log logBuffer
+				w := newWorldWithLog(t, zerolog.New(&log).With().Timestamp().Str("vm", "r1").Logger(), tt.servers()...)
+				defer w.end()
+				id := fmt.Sprint("q", i)
+				tt.failure(w, id)
+				synctest.Wait()
+				s := log.story(t, id)
+				for _, want := range tt.want {
+					if !strings.Contains(s.Cause, want) {
+						t.Errorf("the cause %q does not say %q", s.Cause, want)
+					}
+				}
+				found := tt.around == ""
+				for _, l := range s.Around {
+					found = found || l.Message == tt.around
+				}
+				if !found {
+					t.Errorf("no line %q among %v", tt.around, s.Around)
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -84,6 +84,26 @@
 	}
 }
 
+// Spent is what this VM saw and sent again of late, by service.
+func (h *Handler) Spent() map[string]Spent {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[string]Spent, len(h.budgets))
+	for service, b := range h.budgets {
+		out[service] = b.Own()
+	}
+	return out
+}
+
+// SetSpent takes what the other VMs together saw and sent.
+func (h *Handler) SetSpent(others map[string]Spent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for service, b := range h.budgets {
+		b.SetOthers(others[service])
+	}
+}
+
 func (h *Handler) budget(service string) *Budget {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -46,7 +46,7 @@
 	r.network = newNetwork(&o.Common)
 	r.member = cluster.NewMember(o.ID, r.network, o.Seeds, r.held, cluster.Local{
 		Zone: o.Zone, Callers: o.Callers, Ready: r.Ready, Use: r.fleet.Mine, Deaths: r.blame.Fresh,
-		Dead: r.fleet.Dying, Kept: r.kept, Learn: r.learn,
+		Dead: r.fleet.Dying, Kept: r.kept, Spent: r.spent, Learn: r.learn,
 	}, o.Log)
 	r.feed = control.NewFeed(control.FeedOptions{
 		Self: o.ID, Voters: r.member.Controls, Transport: r.network, Lease: Lease, Log: o.Log,
@@ -123,12 +123,15 @@
 	r.fleet.HearsayDead(a.Dead)
 	r.blame.Learn(a.Deaths)
 	r.handler.SetVMs(len(a.Routers))
+	r.handler.SetSpent(a.Spent)
 	r.fleet.SetRouters(r.o.ID, a.Routers)
 }
 
 // kept are the streams here with a copy. The member starts after the handler.
 func (r *Router) kept() []forward.Kept { return r.handler.Kept() }
 
+func (r *Router) spent() map[string]forward.Spent { return r.handler.Spent() }
+
 // Ready reports whether callers may be sent here.
 func (r *Router) Ready() bool {
 	_, _, _, listed := r.held.Now()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -21,6 +21,9 @@
 	"github.com/zeebo/errs"
 )
 
+// Lines of several VMs are put in order by their time, to the millisecond.
+func init() { zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" }
+
 // Error is the class of this package's errors.
 var Error = errs.Class("telemetry")
 
