--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -51,6 +51,47 @@
 	return near, nil
 }
 
+// ListenTCP puts a server on the network and on a loopback address of its own.
+func (n *Net) ListenTCP(s *Server) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.Address = l.Addr().String()
+	n.Add(s)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if !s.accept(c) {
+				_ = c.Close()
+			}
+		}
+	}()
+	return nil
+}
+
+// LoseZoneOf ends all servers of the zone where a request runs.
+func (n *Net) LoseZoneOf(request string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	zone := ""
+	for _, s := range n.servers {
+		for _, r := range s.Runs() {
+			if r.RequestID == request {
+				zone = s.Zone
+			}
+		}
+	}
+	for _, s := range n.servers {
+		if s.Zone == zone {
+			s.Set(Dead)
+		}
+	}
+}
+
 // List is the list of backend servers that names all of them.
 func (n *Net) List() []upstream.Backend {
 	n.mu.Lock()
