--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -25,6 +25,7 @@
 		addAllowance,
 		addStatus,
 		addControl,
+		addRoutes,
 		addExplain,
 		addConfig,
 		addDemo,
--- a/cmd/amaranthshelf/standin.go
+++ b/cmd/amaranthshelf/standin.go
@@ -6,10 +6,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/standin"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 type standinEngine struct {
@@ -23,6 +26,10 @@
 	Listen string `long:"listen" default:"127.0.0.1:9000" description:"ip:port"`
 }
 
+type standinRouted struct {
+	Port int `long:"port" default:"8101" description:"port of the first of six engines on 127.0.0.1"`
+}
+
 func addStandin(p *flags.Parser) error {
 	s, err := p.AddCommand("standin", "run a stand-in backend server",
 		"For trying the system out: an engine with made-up tokens, or a service that counts its runs.", &struct{}{})
@@ -32,6 +39,9 @@
 	if _, err = s.AddCommand("engine", "a stand-in model engine", "Speaks docs/ENGINE-PROTOCOL.md.", &standinEngine{}); err != nil {
 		return err
 	}
+	if _, err = s.AddCommand("routed", "stand-in engines behind routed requests", "Engines that stream numbered events and keep copies of each other's runs, two in each of three zones.", &standinRouted{}); err != nil {
+		return err
+	}
 	_, err = s.AddCommand("service", "a stand-in plain service", "Answers each call with how often its key ran.", &standinService{})
 	return err
 }
@@ -62,6 +72,27 @@
 	return nil
 }
 
+// Execute implements flags.Commander.
+func (c *standinRouted) Execute([]string) error {
+	net := routedengine.NewNet()
+	defer net.Close()
+	for i := range 6 {
+		e := &routedengine.Server{
+			Backend: upstream.Backend{
+				ID: fmt.Sprint("engine", i+1), Service: "models", Zone: string(rune('a' + i%3)),
+				Address: fmt.Sprintf("127.0.0.1:%d", c.Port+i), Slots: 8,
+			},
+			Events: 100, ReadTime: time.Second, EventTime: 30 * time.Millisecond,
+		}
+		if err := net.ListenTCP(e); err != nil {
+			return err
+		}
+		fmt.Fprintf(os.Stderr, "%s in zone %s on %s\n", e.ID, e.Zone, e.Address)
+	}
+	untilSignal()
+	return nil
+}
+
 func untilSignal() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/cmd/amaranthshelfd/main.go
+++ b/cmd/amaranthshelfd/main.go
@@ -26,6 +26,7 @@
 
 type options struct {
 	Config  string `long:"config" value-name:"FILE" description:"INI settings; without it one VM with both roles on loopback"`
+	Routed  string `long:"routed" value-name:"FILE" description:"serve routed requests: INI settings of a router or control process"`
 	Managed string `long:"managed" value-name:"ROLE" choice:"router" choice:"control" description:"run one role with the settings that the platform gives"`
 	Check   bool   `long:"check" description:"check the settings and exit"`
 }
@@ -43,6 +44,9 @@
 	if opts.Managed != "" {
 		return runManaged(opts.Managed)
 	}
+	if opts.Routed != "" {
+		return runRouted(opts.Routed, opts.Check)
+	}
 	s, err := load(opts.Config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/cmd/amaranthshelfd/routed.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"os"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/inventory"
+	"github.com/amaranthshelf/amaranthshelf/internal/routed"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
+	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// runRouted runs one process of the routed system by its settings file.
+func runRouted(path string, check bool) int {
+	s, err := settings.LoadRouted(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	if err := serveRouted(s, path); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func serveRouted(s *settings.Routed, path string) error {
+	var lost telemetry.Lost
+	out := lost.Writer(os.Stdout)
+	defer out.Close()
+	log, err := telemetry.Logger(out, s.LogLevel, "json", s.ID+"/"+string(s.Kind))
+	if err != nil {
+		return err
+	}
+	set := metrics.NewSet()
+	expvar.Publish("shelf", telemetry.Expvar(set))
+	signals := routed.Signals()
+	common := routed.Common{
+		ID: s.ID, Zone: s.Zone, Token: s.Tokens.Peer, Seeds: s.Seeds,
+		Log: log, Ordinary: lost.Ordinary(log), Metrics: set,
+	}
+	sup := routed.Supervision{Path: path, Log: log, Seeds: func() ([]string, error) {
+		s, err := settings.LoadRouted(path)
+		if err != nil {
+			return nil, err
+		}
+		return s.Seeds, nil
+	}}
+	p, err := startRouted(s, common, &sup)
+	if err != nil {
+		return err
+	}
+	log.Info().Str("kind", string(s.Kind)).Str("operators", s.Operators).Msg("started")
+	return sup.Run(p, signals)
+}
+
+func startRouted(s *settings.Routed, common routed.Common, sup *routed.Supervision) (routed.Process, error) {
+	if s.Kind == settings.RoutedRouter {
+		r, err := routed.StartRouter(routed.RouterOptions{
+			Common: common, Callers: s.Callers, Wire: forward.PlainWire{}, Allowance: forward.DefaultAllowance,
+			Limits: routed.DefaultLimits, Drain: routed.DrainTimes{Grace: s.Grace, EntryTTL: routed.EntryTTL},
+		})
+		if err != nil {
+			return nil, err
+		}
+		_, err = routed.Listen(s.Operators, routed.OperatorRoutes(nil, r, s.Tokens.Operator, common.Metrics), common.Log)
+		return r, err
+	}
+	c, err := routed.StartControl(routed.ControlOptions{
+		Common: common, Dir: s.DataDir, FirstStart: s.FirstStart, Voters: int(s.Voters), ReadBackends: backendReader(s, common.Log),
+	})
+	if err != nil {
+		return nil, err
+	}
+	sup.Failure = c.Failure()
+	_, err = routed.Listen(s.Operators, routed.OperatorRoutes(c, nil, s.Tokens.Operator, common.Metrics), common.Log)
+	return c, err
+}
+
+// backendReader reads the backend servers of the settings and, where a platform is
+// named, those of its list.
+func backendReader(s *settings.Routed, log zerolog.Logger) func(context.Context) ([]upstream.Backend, error) {
+	reader := inventory.NewReader(s.Platform, log)
+	go reader.Run(context.Background())
+	var fixed []upstream.Backend
+	for _, b := range s.Backends {
+		fixed = append(fixed, upstream.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: int(b.Slots)})
+	}
+	return func(context.Context) ([]upstream.Backend, error) {
+		list, _, _ := reader.List()
+		rows := append([]upstream.Backend(nil), fixed...)
+		for _, b := range list.Backends {
+			if b.Service != "" && b.Address != "" {
+				rows = append(rows, upstream.Backend{ID: b.Name, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: 1, Draining: b.Leaving})
+			}
+		}
+		return rows, nil
+	}
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -83,6 +83,7 @@
 		{"an engine dies in mid-output", s.engineDies},
 		{"the VM that holds the caller dies", s.vmDies},
 		{"bookings over a breaking connection", s.bookings},
+		{"a routed stream loses its zone of engines", s.zoneDies},
 	}
 	for _, scene := range scenes {
 		progress(scene.step)
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -60,7 +60,7 @@
 func (c *Control) gauges() {
 	set := c.o.Metrics
 	set.NewGauge("shelf_control_leads", func() float64 {
-		if c.leads() {
+		if c.Leads() {
 			return 1
 		}
 		return 0
@@ -98,8 +98,8 @@
 	return nil
 }
 
-// leads reports whether this VM leads the group, as far as it knows.
-func (c *Control) leads() bool {
+// Leads reports whether this process leads the group, as far as it knows.
+func (c *Control) Leads() bool {
 	g := c.group()
 	return g != nil && g.IsLeader()
 }
@@ -230,7 +230,7 @@
 }
 
 func (c *Control) isReader() bool {
-	if c.leads() {
+	if c.Leads() {
 		return true
 	}
 	_, _, age, ok := c.held.Now()
--- /dev/null
+++ b/internal/routed/operators.go
@@ -0,0 +1,124 @@
+package routed
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+)
+
+// Bounds of an operator's call.
+const (
+	maxListText   = 16 << 20
+	changeTimeout = 5 * time.Second // covers a change of leader
+)
+
+// entryLimit is how many addresses an entry answer holds.
+const entryLimit = 64
+
+// OperatorRoutes serve operators, and callers who ask where to connect, in the
+// project's own form. c is nil on a router, r on a control process.
+func OperatorRoutes(c *Control, r *Router, token string, set *metrics.Set) http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	m.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) { writeReady(w, r) })
+	m.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
+	m.Handle("/debug/vars", expvar.Handler())
+	if c != nil {
+		m.HandleFunc("/v1/entry", func(w http.ResponseWriter, _ *http.Request) { writeEntry(w, c) }).Methods(http.MethodGet)
+		m.Handle("/v1/routes", guard(token, func(w http.ResponseWriter, q *http.Request) error { return putRoutes(w, q, c) })).Methods(http.MethodPut)
+		m.Handle("/v1/routes", guard(token, func(w http.ResponseWriter, q *http.Request) error { return getRoutes(w, q, c) })).Methods(http.MethodGet)
+	}
+	return m
+}
+
+func writeReady(w http.ResponseWriter, r *Router) {
+	if r != nil && !r.Ready() {
+		result.WriteHTTP(w, "", result.New(result.NoRouteList))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeEntry(w http.ResponseWriter, c *Control) {
+	addrs := c.Entrances(entryLimit)
+	if len(addrs) == 0 {
+		result.WriteHTTP(w, "", result.New(result.NoBackendServer))
+		return
+	}
+	writeJSON(w, map[string]any{"addresses": addrs, "ttl_ms": EntryTTL.Milliseconds()})
+}
+
+// EntryTTL is how long a caller may keep an entry answer.
+const EntryTTL = 1 * time.Second
+
+// guard asks for the operators' token; an empty one is for loopback alone, which
+// the settings see to.
+func guard(token string, h func(http.ResponseWriter, *http.Request) error) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if token != "" && subtle.ConstantTimeCompare([]byte(got), []byte(token)) != 1 {
+			result.WriteHTTP(w, "", result.New(result.Unauthorized))
+			return
+		}
+		if err := h(w, r); err != nil {
+			result.WriteHTTP(w, "", err)
+		}
+	})
+}
+
+func putRoutes(w http.ResponseWriter, r *http.Request, c *Control) error {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxListText))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return result.New(result.BodyTooLarge)
+	case err != nil:
+		return result.Newf(result.MalformedBody, "%v", err)
+	}
+	list, err := routes.Parse(data)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+	reply, err := c.PutRoutes(ctx, list)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, map[string]uint64{"version": list.Version, "in_force": reply.Version})
+	return nil
+}
+
+func getRoutes(w http.ResponseWriter, r *http.Request, c *Control) error {
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+	source, err := c.Routes(ctx)
+	if err != nil {
+		return result.New(result.ControlUnavail)
+	}
+	if source == nil {
+		return result.New(result.NoRouteList)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The reader is gone if this fails; it asks again.
+	_, _ = w.Write(source)
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The asker is gone if this fails; it asks again.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/routedlocal/operators_test.go
@@ -0,0 +1,62 @@
+package routedlocal
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/routed"
+)
+
+// Operators put a list in force, read it back as they sent it, and are told what
+// is wrong with another; callers find the routers; nobody without the token changes
+// anything.
+func TestOperators(t *testing.T) {
+	s, ctx := start(t)
+	h := routed.OperatorRoutes(s.Controls[0], nil, "secret", metrics.NewSet())
+	list, err := os.ReadFile("../../examples/routed/routes.json")
+	check(t, err)
+	ask := func(method, path, token, body string) (int, string) {
+		r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+		r.Header.Set("Authorization", "Bearer "+token)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		text, err := io.ReadAll(w.Body)
+		check(t, err)
+		return w.Code, string(text)
+	}
+	for {
+		code, text := ask(http.MethodPut, "/v1/routes", "secret", string(list))
+		if code == http.StatusOK {
+			break
+		}
+		if code != http.StatusServiceUnavailable || ctx.Err() != nil {
+			t.Fatalf("status %d: %s", code, text)
+		}
+	}
+	check(t, s.Ready(ctx))
+	tests := []struct {
+		name, method, path, token, body string
+		code                            int
+		text                            string
+	}{
+		{"read back", http.MethodGet, "/v1/routes", "secret", "", http.StatusOK, string(list)},
+		{"sent again", http.MethodPut, "/v1/routes", "secret", string(list), http.StatusOK, `"in_force":1`},
+		{"other content, same version", http.MethodPut, "/v1/routes", "secret", strings.Replace(string(list), "25000", "24000", 1), http.StatusConflict, "1025"},
+		{"improper", http.MethodPut, "/v1/routes", "secret", "{", http.StatusBadRequest, "1024"},
+		{"without the token", http.MethodPut, "/v1/routes", "", string(list), http.StatusUnauthorized, "1005"},
+		{"where to connect", http.MethodGet, "/v1/entry", "", "", http.StatusOK, s.Fronts[0]},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if code, text := ask(tt.method, tt.path, tt.token, tt.body); code != tt.code || !strings.Contains(text, tt.text) {
+				t.Errorf("status %d: %s", code, text)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/routedlocal/system.go
@@ -0,0 +1,284 @@
+// Package routedlocal runs a system of routers and control processes in one
+// process on loopback, before stand-in engines: for the demo and for tests of the
+// whole path over real connections.
+package routedlocal
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/routed"
+	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// Sizes of a system.
+const (
+	controls = 3
+	routers  = 2
+	zones    = 3
+	engines  = 6
+	// Events is how many events each stream has.
+	Events = 60
+)
+
+// Host, Service and Key of the route lists that Put sends.
+const (
+	Host    = "shelf"
+	Service = "models"
+)
+
+// System is a running system.
+type System struct {
+	Net      *routedengine.Net
+	Controls []*routed.Control
+	Routers  []*routed.Router
+	Fronts   []string // callers' addresses
+	rows     []upstream.Backend
+	dir      string
+}
+
+// Start starts three control processes, two routers and two engines in each of
+// three zones.
+func Start() (*System, error) {
+	s := &System{Net: routedengine.NewNet()}
+	if err := s.start(); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start() error {
+	dir, err := os.MkdirTemp("", "shelf-routed")
+	if err != nil {
+		return err
+	}
+	s.dir = dir
+	if err := s.startEngines(); err != nil {
+		return err
+	}
+	addrs, err := freeAddrs(controls + 2*routers)
+	if err != nil {
+		return err
+	}
+	seeds := addrs[:controls]
+	for _, id := range seeds {
+		c, err := routed.StartControl(routed.ControlOptions{
+			Common: common(id, seeds), Dir: filepath.Join(dir, strings.ReplaceAll(id, ":", "-")),
+			FirstStart: true, Voters: controls, ReadBackends: s.read,
+		})
+		if err != nil {
+			return err
+		}
+		s.Controls = append(s.Controls, c)
+	}
+	for i := range routers {
+		if err := s.startRouter(addrs[controls+2*i], addrs[controls+2*i+1], seeds[:1]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startEngines() error {
+	for i := range engines {
+		e := &routedengine.Server{
+			Backend: upstream.Backend{ID: fmt.Sprint("engine", i), Service: Service, Zone: fmt.Sprint("zone", i%zones), Slots: 8},
+			Events:  Events, ReadTime: 50 * time.Millisecond, EventTime: 10 * time.Millisecond,
+		}
+		if err := s.Net.ListenTCP(e); err != nil {
+			return err
+		}
+		s.rows = append(s.rows, e.Backend)
+	}
+	return nil
+}
+
+func (s *System) startRouter(id, front string, seeds []string) error {
+	r, err := routed.StartRouter(routed.RouterOptions{
+		Common: common(id, seeds), Callers: front, Wire: forward.PlainWire{}, Limits: routed.DefaultLimits,
+		Allowance: forward.Allowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
+		Drain:     routed.DrainTimes{Grace: 4 * time.Second, EntryTTL: 300 * time.Millisecond},
+	})
+	if err != nil {
+		return err
+	}
+	s.Routers, s.Fronts = append(s.Routers, r), append(s.Fronts, front)
+	return nil
+}
+
+func common(id string, seeds []string) routed.Common {
+	return routed.Common{
+		ID: id, Zone: "zone0", Token: "local", Seeds: seeds,
+		Log: zerolog.Nop(), Ordinary: zerolog.Nop(), Metrics: metrics.NewSet(),
+	}
+}
+
+func (s *System) read(context.Context) ([]upstream.Backend, error) { return slices.Clone(s.rows), nil }
+
+// freeAddrs are loopback addresses that were free a moment ago.
+func freeAddrs(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Stop ends everything.
+func (s *System) Stop() {
+	for _, r := range s.Routers {
+		r.Close()
+	}
+	for _, c := range s.Controls {
+		c.Close()
+	}
+	s.Net.Close()
+	if s.dir != "" {
+		_ = os.RemoveAll(s.dir)
+	}
+}
+
+// StopLeader ends the control process that leads the group.
+func (s *System) StopLeader() error {
+	for i, c := range s.Controls {
+		if c.Leads() {
+			c.Close()
+			s.Controls = slices.Delete(s.Controls, i, i+1)
+			return nil
+		}
+	}
+	return errors.New("routedlocal: no control process leads")
+}
+
+// putPause is between two tries to put a list in force.
+const putPause = 50 * time.Millisecond
+
+// Put puts a list with one route in force, through any control process that can.
+func (s *System) Put(ctx context.Context, version uint64, prefix string) error {
+	l := &routes.List{
+		Version: version, Source: fmt.Appendf(nil, "list %d", version),
+		Routes: []routes.Route{{
+			Name: "streams", Host: Host, Prefix: prefix, Kind: routes.Stream, Resumable: true, MaxAttempts: 5,
+			Targets: []routes.Target{{Service: Service, Weight: 1}}, Timeout: 20 * time.Second,
+			Objective: 4 * time.Second, PauseObjective: 700 * time.Millisecond,
+		}},
+		Services: []routes.Service{{Name: Service, Engine: &routes.EngineTraits{Slots: 8, KVTokens: 88_000, KeepCopies: true}}},
+	}
+	for i := 0; ; i++ {
+		one, cancel := context.WithTimeout(ctx, time.Second)
+		_, err := s.Controls[i%len(s.Controls)].PutRoutes(one, l)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if timer.Sleep(ctx, putPause) != nil {
+			return err
+		}
+	}
+}
+
+// Ready waits until every router takes callers and is listed.
+func (s *System) Ready(ctx context.Context) error {
+	for {
+		ready := len(s.Controls[0].Entrances(len(s.Routers))) == len(s.Routers)
+		for _, r := range s.Routers {
+			ready = ready && r.Ready()
+		}
+		if ready {
+			return nil
+		}
+		if err := timer.Sleep(ctx, putPause); err != nil {
+			return err
+		}
+	}
+}
+
+// Received is what a caller got of a stream.
+type Received struct {
+	IDs     []int
+	Whole   bool          // the answer ended properly
+	Longest time.Duration // pause between two events
+}
+
+// Stream asks a router for a stream behind an event; seen is called with each
+// event's id.
+func Stream(ctx context.Context, front, path, id string, after int, seen func(n int)) (Received, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+path, strings.NewReader("log "+path))
+	if err != nil {
+		return Received{}, err
+	}
+	req.Host = Host
+	req.Header.Set(forward.HeaderRequestID, id)
+	req.Header.Set(forward.HeaderTokens, "8000,1000")
+	if after > 0 {
+		req.Header.Set(forward.HeaderLastEvent, strconv.Itoa(after))
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return Received{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Received{}, fmt.Errorf("routedlocal: status %d", resp.StatusCode)
+	}
+	return read(resp.Body, seen), nil
+}
+
+func read(body io.Reader, seen func(n int)) Received {
+	var out Received
+	br := bufio.NewReader(body)
+	last := time.Now()
+	for {
+		line, err := br.ReadString('\n')
+		if err != nil {
+			out.Whole = errors.Is(err, io.EOF)
+			return out
+		}
+		n := 0
+		if _, err := fmt.Sscanf(line, "id: %d", &n); err != nil {
+			continue
+		}
+		if len(out.IDs) > 0 {
+			out.Longest = max(out.Longest, time.Since(last))
+		}
+		last = time.Now()
+		out.IDs = append(out.IDs, n)
+		if seen != nil {
+			seen(n)
+		}
+	}
+}
+
+// Complete reports whether ids are 1 to n, each once and in order.
+func Complete(ids []int, n int) bool {
+	for i, id := range ids {
+		if id != i+1 {
+			return false
+		}
+	}
+	return len(ids) == n
+}
--- /dev/null
+++ b/internal/settings/routed.go
@@ -0,0 +1,132 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// RoutedKind is what a process of the routed system is.
+type RoutedKind string
+
+// The two kinds.
+const (
+	RoutedRouter  RoutedKind = "router"
+	RoutedControl RoutedKind = "control"
+)
+
+// RoutedBackend is a backend server behind routed requests, from the settings.
+type RoutedBackend struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int64
+}
+
+// Routed is the checked settings file of a process that serves routed requests.
+type Routed struct {
+	Kind       RoutedKind
+	ID         string // peer address
+	Zone       string
+	Seeds      []string // peer addresses of control processes
+	DataDir    string   // control
+	FirstStart bool     // control: the whole system starts for the first time
+	Voters     int64    // control: how many the group keeps
+	Grace      time.Duration
+	Callers    string // router
+	Operators  string
+	Tokens     struct{ Operator, Peer string }
+	Platform   string // base URL of the platform's list
+	Backends   []RoutedBackend
+	LogLevel   string
+}
+
+// LoadRouted reads and checks a settings file.
+func LoadRouted(path string) (*Routed, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{}, path)
+	if err != nil {
+		return nil, &Error{File: path, Problem: err.Error(), Allowed: "a readable INI file"}
+	}
+	s := &Routed{Kind: RoutedRouter, Voters: 3, Grace: 30 * time.Second, LogLevel: "info"}
+	r := &reader{file: path}
+	keys := s.keys()
+	for _, sec := range f.Sections() {
+		name := sec.Name()
+		if id, ok := strings.CutPrefix(name, "backend:"); ok {
+			b := RoutedBackend{ID: id, Slots: 1}
+			r.apply(sec, b.keys())
+			s.Backends = append(s.Backends, b)
+			continue
+		}
+		if known, ok := keys[name]; ok {
+			r.apply(sec, known)
+			continue
+		}
+		r.fail(name, "", "unknown section", "process, listen, tokens, platform, log, backend:<id>")
+	}
+	r.checkRouted(s)
+	return s, errors.Join(r.errs...)
+}
+
+func (s *Routed) keys() map[string]map[string]setter {
+	return map[string]map[string]setter{
+		ini.DefaultSection: {},
+		"process": {
+			"kind": oneOf((*string)(&s.Kind), string(RoutedRouter), string(RoutedControl)),
+			"id":   address(&s.ID), "zone": word(&s.Zone), "seeds": addresses(&s.Seeds), "data_dir": text(&s.DataDir),
+			"first_start": boolean(&s.FirstStart), "voters": integer(&s.Voters, 1, 7),
+			"grace": duration(&s.Grace, time.Second, time.Hour),
+		},
+		"listen":   {"callers": address(&s.Callers), "operators": address(&s.Operators)},
+		"tokens":   {"operator": text(&s.Tokens.Operator), "peer": text(&s.Tokens.Peer)},
+		"platform": {"url": text(&s.Platform)},
+		"log":      {"level": oneOf(&s.LogLevel, "debug", "info", "warn", "error")},
+	}
+}
+
+func (b *RoutedBackend) keys() map[string]setter {
+	return map[string]setter{
+		"service": word(&b.Service), "address": address(&b.Address), "zone": word(&b.Zone), "slots": integer(&b.Slots, 1, 1<<20),
+	}
+}
+
+func (r *reader) checkRouted(s *Routed) {
+	required := []struct{ section, key, value string }{
+		{"process", "id", s.ID}, {"process", "zone", s.Zone}, {"process", "seeds", strings.Join(s.Seeds, ",")},
+		{"listen", "operators", s.Operators},
+	}
+	if s.Kind == RoutedRouter {
+		required = append(required, struct{ section, key, value string }{"listen", "callers", s.Callers})
+	} else {
+		required = append(required, struct{ section, key, value string }{"process", "data_dir", s.DataDir})
+	}
+	for _, q := range required {
+		if q.value == "" {
+			r.fail(q.section, q.key, "missing", "see docs/OPERATIONS.md")
+		}
+	}
+	for _, b := range s.Backends {
+		if b.Service == "" || b.Address == "" {
+			r.fail("backend:"+b.ID, "service", "service or address missing", "a service's name and ip:port")
+		}
+	}
+	r.checkLoopback(s.Operators, "operators", s.Tokens.Operator, "operator")
+	r.checkLoopback(s.ID, "id", s.Tokens.Peer, "peer")
+}
+
+// addresses is a list of addresses with commas.
+func addresses(p *[]string) setter {
+	return func(v string) (string, bool) {
+		allowed, ok := list(p)(v)
+		for _, item := range *p {
+			var one string
+			if _, valid := address(&one)(item); !valid {
+				return "ip:port, with commas", false
+			}
+		}
+		return allowed, ok
+	}
+}
--- /dev/null
+++ b/internal/settings/routed_test.go
@@ -0,0 +1,63 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
+)
+
+const routerINI = `
+[process]
+kind = router
+id = 127.0.0.1:7512
+zone = a
+seeds = 127.0.0.1:7502, 127.0.0.1:7503
+[listen]
+callers = 127.0.0.1:7510
+operators = 127.0.0.1:7511
+`
+
+func TestRoutedSettings(t *testing.T) {
+	change := func(old, repl string) string { return strings.Replace(routerINI, old, repl, 1) }
+	tests := []struct {
+		name, text, problem string
+	}{
+		{"good", routerINI, ""},
+		{"unknown section", routerINI + "[vms]\nx = 1\n", "unknown section"},
+		{"unknown key", change("zone", "zome"), "unknown key"},
+		{"no seeds", change("seeds = 127.0.0.1:7502, 127.0.0.1:7503\n", ""), "seeds"},
+		{"seed by name", change("127.0.0.1:7503", "seed:7503"), "ip:port"},
+		{"no callers", change("callers = 127.0.0.1:7510\n", ""), "callers"},
+		{"control without folder", change("kind = router", "kind = control"), "data_dir"},
+		{"open to the network without a token", change("id = 127.0.0.1:7512", "id = 10.0.0.1:7512"), "set the token"},
+		{"backend without service", routerINI + "[backend:e1]\naddress = 127.0.0.1:1\n", "backend:e1"},
+		{"cut short", routerINI + "[backend:e", "readable INI"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "p.ini")
+			if err := os.WriteFile(path, []byte(tt.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			s, err := settings.LoadRouted(path)
+			switch {
+			case tt.problem == "" && (err != nil || len(s.Seeds) != 2 || s.Voters != 3):
+				t.Errorf("%+v, %v", s, err)
+			case tt.problem != "" && (err == nil || !strings.Contains(err.Error(), tt.problem)):
+				t.Errorf("error %v does not say %q", err, tt.problem)
+			}
+		})
+	}
+}
+
+// The example's files are what the settings allow.
+func TestRoutedExample(t *testing.T) {
+	for _, name := range []string{"control.ini", "router.ini"} {
+		if _, err := settings.LoadRouted(filepath.Join("../../examples/routed", name)); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -24,6 +24,7 @@
 type Net struct {
 	mu      sync.Mutex
 	servers map[string]*Server // by address
+	listens []net.Listener
 }
 
 // NewNet returns an empty network.
@@ -51,14 +52,22 @@
 	return near, nil
 }
 
-// ListenTCP puts a server on the network and on a loopback address of its own.
+// ListenTCP puts a server on the network and on its address; without one on a
+// loopback address of its own.
 func (n *Net) ListenTCP(s *Server) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr := s.Address
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
 	s.Address = l.Addr().String()
 	n.Add(s)
+	n.mu.Lock()
+	n.listens = append(n.listens, l)
+	n.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -73,6 +82,18 @@
 	return nil
 }
 
+// Close ends all servers and their listeners.
+func (n *Net) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.listens {
+		_ = l.Close()
+	}
+	for _, s := range n.servers {
+		s.Set(Dead)
+	}
+}
+
 // LoseZoneOf ends all servers of the zone where a request runs.
 func (n *Net) LoseZoneOf(request string) {
 	n.mu.Lock()
