forward: bodies held are bounded, answers to callers that do not read end in time

Cause: a slow server and large bodies could fill a router's memory (4 MB bodies beside a limit of 134 MB); a caller that does not read held its answer beyond the route's time; a request whose content had ended servers got 422, which tells a proper caller that it is at fault. Change: admission.InFlight (from the gateway, now for both) bounds requests and bytes; writes have the request's time; content that is held back gets 503 with the time of its blame (3017). Route lists of up to 8 MB are taken. Refusals before admission are logged. Result: twelve bodies of 4 MB at a router with a slow server: 8 served, 4 refused at once; all were taken before.

--- /dev/null
+++ b/internal/admission/inflight.go
@@ -0,0 +1,32 @@
+package admission
+
+import "sync/atomic"
+
+// InFlight bounds the requests that a VM holds and the bytes of their bodies. The
+// load pattern: a backend server slows down, its callers go on sending, and each
+// request holds its body, its answer and a connection until the server answers.
+// Without a bound the VM runs out of memory and takes the answers on it along.
+// Safe for concurrent use.
+type InFlight struct {
+	maxCount, maxBytes int64
+	count, bytes       atomic.Int64
+}
+
+// NewInFlight returns an InFlight with its limits.
+func NewInFlight(maxCount, maxBytes int64) *InFlight {
+	return &InFlight{maxCount: maxCount, maxBytes: maxBytes}
+}
+
+// Enter takes a place for a body of at most n bytes, or reports false.
+func (f *InFlight) Enter(n int64) (leave func(), ok bool) {
+	leave = func() {
+		f.count.Add(-1)
+		f.bytes.Add(-n)
+	}
+	count, bytes := f.count.Add(1), f.bytes.Add(n)
+	if count > f.maxCount || bytes > f.maxBytes {
+		leave()
+		return nil, false
+	}
+	return leave, true
+}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -14,8 +14,9 @@
 )
 
 // maxCommandBytes bounds a command: every voter writes it to its disk and sends
-// it in one message, beside the heartbeats.
-const maxCommandBytes = 1 << 20
+// it in one message, beside the heartbeats. The largest is a route list with
+// thousands of workspaces.
+const maxCommandBytes = 8 << 20
 
 // GroupOptions are the options of a Group.
 type GroupOptions struct {
--- /dev/null
+++ b/internal/forward/bench_test.go
@@ -0,0 +1,93 @@
+package forward_test
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// benchRouter is a router on loopback before one server on loopback.
+func benchRouter(b *testing.B, s *routedengine.Server) (url string, fleet *upstream.Fleet) {
+	net := routedengine.NewNet()
+	s.ID = "i1"
+	if err := net.ListenTCP(s); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(net.Close)
+	pool := upstream.NewPool()
+	fleet = upstream.NewFleet(pool, zerolog.Nop())
+	fleet.Apply(upstream.List{Backends: net.List(), AsOf: time.Now()})
+	table := testRoutes()
+	h := forward.NewHandler(forward.Options{
+		Zone: "a", Wire: forward.PlainWire{}, Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table },
+		Allowance: forward.DefaultAllowance, Log: zerolog.Nop(), Ordinary: zerolog.Nop(), Metrics: metrics.NewSet(),
+		Blame: forward.NewBlameBook(), Closing: func() bool { return false }, TooLate: func(bool) bool { return false },
+	})
+	front := httptest.NewServer(h)
+	b.Cleanup(front.Close)
+	return front.URL, fleet
+}
+
+func benchRequest(b *testing.B, method, url, body string) *http.Request {
+	req, err := http.NewRequest(method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Host = "shelf"
+	req.Header.Set(forward.HeaderRequestID, "r1")
+	req.Header.Set("Authorization", "Bearer key-of-nelson")
+	return req
+}
+
+// BenchmarkCall is a call of 800 bytes through the router, with its caller and its
+// server in the same process.
+func BenchmarkCall(b *testing.B) {
+	s := voteServer("a")
+	s.WorkTime = 0
+	url, _ := benchRouter(b, s)
+	b.ReportAllocs()
+	for b.Loop() {
+		resp, err := http.DefaultTransport.RoundTrip(benchRequest(b, http.MethodGet, url+"/tally/1", ""))
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
+
+// BenchmarkEvent is one event of a stream through the router, at full speed.
+func BenchmarkEvent(b *testing.B) {
+	s := engine("a")
+	s.ReadTime, s.EventTime, s.Events = 0, 0, b.N
+	url, _ := benchRouter(b, s)
+	b.ReportAllocs()
+	b.ResetTimer()
+	resp, err := http.DefaultTransport.RoundTrip(benchRequest(b, http.MethodPost, url+"/s/1", "log"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	br := bufio.NewReader(resp.Body)
+	for events := 0; events < b.N; {
+		line, err := br.ReadSlice('\n')
+		if err != nil {
+			b.Fatal(err)
+		}
+		if len(line) == 1 {
+			events++
+		}
+	}
+}
--- a/internal/forward/blame.go
+++ b/internal/forward/blame.go
@@ -24,11 +24,14 @@
 // NewBlameBook returns an empty book.
 func NewBlameBook() *BlameBook { return &BlameBook{blame: recovery.NewBlame()} }
 
-// Poison reports whether a request must not run any more.
-func (b *BlameBook) Poison(digest uint64) bool {
+// Poison reports whether a request must not run any more, and until when.
+func (b *BlameBook) Poison(digest uint64) (until time.Time, poison bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.blame.Standing(digest, time.Now()) == recovery.Poison
+	if b.blame.Standing(digest, time.Now()) != recovery.Poison {
+		return time.Time{}, false
+	}
+	return b.blame.Expires(digest), true
 }
 
 // Died notes that a server died under a request that had passed events there.
--- a/internal/forward/call_test.go
+++ b/internal/forward/call_test.go
@@ -269,3 +269,27 @@
 		}
 	})
 }
+
+// A router does not take more bodies than it has memory for. In order: a server is
+// slow, callers with large bodies go on coming; beyond the bound they are refused at
+// once, and those that were taken are served.
+func TestBodiesHeldAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, voteServer("a"))
+		defer w.end()
+		w.servers[0].WorkTime = time.Second
+		body := strings.Repeat("x", 4<<20)
+		var answers []*answer
+		for i := range 12 {
+			answers = append(answers, w.send("POST", "/vote/1", fmt.Sprint("b", i), body))
+		}
+		count := map[int]int{}
+		for _, a := range answers {
+			<-a.done
+			count[a.status]++
+		}
+		if count[http.StatusOK] != 8 || count[http.StatusServiceUnavailable] != 4 {
+			t.Errorf("answers %v", count)
+		}
+	})
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/admission"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -25,6 +26,20 @@
 // every few hundred milliseconds.
 const unpreparedRetry = 300 * time.Millisecond
 
+// Bounds of what one router holds and writes.
+const (
+	// maxHeld requests are some seconds of the most that a small VM can carry.
+	maxHeld = 4096
+	// defaultHeldBytes of bodies at once: a quarter of a VM of 128 MB.
+	defaultHeldBytes = 32 << 20
+	// chunkedBytes stands for a body that does not tell its length.
+	chunkedBytes = 64 << 10
+	// refusalWrite bounds the write of a refusal to a caller that does not read.
+	refusalWrite = 5 * time.Second
+	// lastWrite is for the last bytes of an answer, behind its time.
+	lastWrite = 100 * time.Millisecond
+)
+
 // elsewhere is when a caller that is refused by a VM that shuts down may try
 // another.
 const elsewhere = 50 * time.Millisecond
@@ -57,6 +72,7 @@
 	o      Options
 	prober *prober
 	kept   keptBook
+	held   *admission.InFlight
 	Stats  *Stats
 
 	mu      sync.Mutex
@@ -66,7 +82,7 @@
 
 // NewHandler returns a Handler.
 func NewHandler(o Options) *Handler {
-	h := &Handler{o: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics)}
+	h := &Handler{o: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), held: admission.NewInFlight(maxHeld, defaultHeldBytes)}
 	h.prober = newProber(o.Pool, o.Fleet, o.Wire)
 	return h
 }
@@ -132,17 +148,45 @@
 	budget    *Budget
 }
 
+// heldBytes is what a request's body counts for, before it is read.
+func heldBytes(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return chunkedBytes
+	}
+	return r.ContentLength
+}
+
+// id is the request's id, "" of one that was not read so far.
+func (q *request) id() string {
+	if q == nil {
+		return ""
+	}
+	return q.RequestID
+}
+
 // left is what is left of the caller's and the route's time.
 func (q *request) left() time.Duration { return time.Until(q.expires) }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	rc := http.NewResponseController(w)
+	// A connection that supports no deadline is a test's; nothing is lost there.
+	_ = rc.SetWriteDeadline(arrived.Add(refusalWrite))
+	leave, ok := h.held.Enter(heldBytes(r))
+	if !ok {
+		h.refuse(w, result.New(result.QueueFull).WithRetryAfter(elsewhere))
+		return
+	}
+	defer leave()
 	q, err := h.admit(w, r, arrived)
 	if err != nil {
-		h.refuse(w, r.Header, err)
+		h.o.Ordinary.Info().Str("request", q.id()).Str("path", r.URL.Path).Int("code", int(result.CodeOf(err))).Msg("not admitted")
+		h.refuse(w, err)
 		return
 	}
+	// A caller that does not read must not hold the answer beyond its time.
+	_ = rc.SetWriteDeadline(q.expires.Add(lastWrite))
 	ctx, cancel := context.WithDeadline(r.Context(), q.expires)
 	defer cancel()
 	q.ctx = ctx
@@ -156,13 +200,13 @@
 }
 
 // admit checks a request and reads it whole. Everything it refuses has not run.
+// The request is nil where it was refused before its headers were read.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, error) {
 	table := h.o.Routes()
 	if table == nil {
 		return nil, result.New(result.NoRouteList).WithRetryAfter(unpreparedRetry)
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route := table.Match(r.Host, path)
+	route := table.Match(r.Host, rawPath(r))
 	if route == nil {
 		return nil, result.New(result.NoRoute)
 	}
@@ -178,21 +222,32 @@
 		q.expires = arrived.Add(caller.Deadline)
 	}
 	if err := q.authorize(table); err != nil {
-		return nil, err
+		return q, err
 	}
 	q.service = table.Service(route.Draw())
 	q.rec = NewRecord(route.Repeatable(), route.MaxAttempts)
 	q.budget = h.budget(q.service.Name)
-	body, err := readBody(w, r, bodyLimit(table), q.expires)
+	return q, h.read(w, r, q, bodyLimit(table))
+}
+
+// rawPath is the path as the caller sent it, without the query.
+func rawPath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
+// read reads the body and looks whether its content may run.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request, q *request, limit int64) error {
+	body, err := readBody(w, r, limit, q.expires)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	q.out = upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: body}
-	q.digest = digest(path, q.workspace, body)
-	if h.o.Blame.Poison(q.digest) {
-		return nil, result.New(result.PoisonRequest).WithRan(result.RanNo)
+	q.digest = digest(rawPath(r), q.workspace, body)
+	if until, poison := h.o.Blame.Poison(q.digest); poison {
+		return result.New(result.ContentHeldBack).WithRetryAfter(time.Until(until))
 	}
-	return q, nil
+	return nil
 }
 
 func (q *request) authorize(table *routes.Table) error {
@@ -266,7 +321,7 @@
 }
 
 // refuse answers with an error of this system's own.
-func (h *Handler) refuse(w http.ResponseWriter, _ http.Header, err error) {
+func (h *Handler) refuse(w http.ResponseWriter, err error) {
 	e := *result.From(err)
 	h.Stats.refused(e.Code)
 	if e.RetryAfter > 0 {
@@ -289,5 +344,5 @@
 	e.RequestID = q.RequestID
 	h.o.Log.Info().Str("request", q.RequestID).Str("route", q.route.Name).Int("code", int(code)).
 		Int("sends", q.rec.arrivals).Dur("held", time.Since(q.arrived)).Msg("gave up")
-	h.refuse(w, nil, e)
+	h.refuse(w, e)
 }
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -82,7 +82,7 @@
 // open reads the body and opens the generation. The bodies under way are
 // bounded: admission counts a request's bytes only once they have been read.
 func (g *Gateway) open(ctx context.Context, w http.ResponseWriter, r *http.Request, caller Caller, key string, resuming bool) (*relay.Reader, bool, error) {
-	leave, ok := g.opening.enter(g.bodyBound(r))
+	leave, ok := g.opening.Enter(g.bodyBound(r))
 	if !ok {
 		return nil, false, result.New(result.QueueFull).WithRetryAfter(fullPause)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/admission"
 	"github.com/amaranthshelf/amaranthshelf/internal/generation"
 	"github.com/amaranthshelf/amaranthshelf/internal/plan"
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
@@ -52,12 +53,12 @@
 	models      Models
 	tracer      *telemetry.Tracer
 	log         zerolog.Logger
-	opening     inflight
+	opening     *admission.InFlight
 }
 
 // New returns a Gateway.
 func New(cfg Config, g Generations, p Plans, m Models, t *telemetry.Tracer, log zerolog.Logger) *Gateway {
-	return &Gateway{cfg: cfg, generations: g, plans: p, models: m, tracer: t, log: log}
+	return &Gateway{cfg: cfg, generations: g, plans: p, models: m, tracer: t, log: log, opening: newInFlight()}
 }
 
 // Routes registers the callers' paths.
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -13,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/admission"
 	"github.com/amaranthshelf/amaranthshelf/internal/call"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/service"
@@ -38,12 +39,12 @@
 	g     *Gateway
 	calls Calls
 	quota CallQuota // nil: calls are not counted
-	load  inflight
+	load  *admission.InFlight
 }
 
 // ServiceRoutes registers the paths of plain services. quota may be nil.
 func (g *Gateway) ServiceRoutes(r *mux.Router, calls Calls, quota CallQuota) {
-	s := &services{g: g, calls: calls, quota: quota}
+	s := &services{g: g, calls: calls, quota: quota, load: newInFlight()}
 	r.PathPrefix(servicesPath).Handler(s)
 }
 
@@ -86,7 +87,7 @@
 	if !idempotent && key == "" {
 		return nil, result.New(result.KeyRequired)
 	}
-	leave, ok := s.load.enter(s.g.bodyBound(r))
+	leave, ok := s.load.Enter(s.g.bodyBound(r))
 	if !ok {
 		return nil, result.New(result.QueueFull).WithRetryAfter(fullPause)
 	}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -80,6 +80,7 @@
 	NoRouteList      Code = 3014
 	BackendsFull     Code = 3015
 	RetriesSpent     Code = 3016
+	ContentHeldBack  Code = 3017
 )
 
 // Codes 4xxx: something failed after the request was accepted.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -51,6 +51,7 @@
 	{NoRouteList, "no_route_list", http.StatusServiceUnavailable, RanNo, "this VM holds no route list yet"},
 	{BackendsFull, "backends_full", http.StatusServiceUnavailable, RanNo, "every backend server of the service is full"},
 	{RetriesSpent, "retries_spent", http.StatusServiceUnavailable, RanNo, "a backend server refused the request and the retry budget of the service is spent"},
+	{ContentHeldBack, "content_held_back", http.StatusServiceUnavailable, RanNo, "requests of this content ended the backend servers that ran them; this one was not run"},
 
 	{JournalLost, "journal_lost", http.StatusInternalServerError, RanYes, "a majority of the journal's keepers is lost"},
 	{PoisonRequest, "poison_request", http.StatusUnprocessableEntity, RanYes, "this request ended every backend server that ran it"},
