--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -9,7 +9,7 @@
 	"github.com/jessevdk/go-flags"
 )
 
-// Exit codes, as docs/OPERATING.md lists them.
+// Exit codes, as docs/OPERATIONS.md lists them.
 const (
 	exitOK      = 0
 	exitFailure = 1
--- a/cmd/amaranthshelfd/main.go
+++ b/cmd/amaranthshelfd/main.go
@@ -17,7 +17,7 @@
 	"github.com/amaranthshelf/amaranthshelf/platform"
 )
 
-// Exit codes, as docs/OPERATING.md lists them.
+// Exit codes, as docs/OPERATIONS.md lists them.
 const (
 	exitOK       = 0
 	exitFailure  = 1
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -33,8 +33,9 @@
 	// noticeTimeout: a control VM that does not answer by then is asked again with
 	// the next notice.
 	noticeTimeout = 350 * time.Millisecond
-	// presentFor: three notices missed. A lossy link loses one or two in a row.
-	presentFor = 1400 * time.Millisecond
+	// presentFor: two notices missed and the third due. Callers of a frozen router wait
+	// for it until then.
+	presentFor = 1100 * time.Millisecond
 	// forgetAfter is how long a control VM that was learnt is kept without a word
 	// from anybody that it still is one.
 	forgetAfter = 30 * time.Second
