forward: one implementation of the headers, by their names

Cause: the project's own headers and the platform's were handled by two copies of the same code (duplicates). Change: forward.Headers takes the names; platform/ keeps names and formats.

--- a/internal/forward/bench_test.go
+++ b/internal/forward/bench_test.go
@@ -31,7 +31,7 @@
 	fleet.Apply(upstream.List{Backends: net.List(), AsOf: time.Now()})
 	table := testRoutes()
 	h := forward.NewHandler(forward.Options{
-		Zone: "a", Wire: forward.PlainWire{}, Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table },
+		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table },
 		Allowance: forward.DefaultAllowance, Log: zerolog.Nop(), Ordinary: zerolog.Nop(), Metrics: metrics.NewSet(),
 		Blame: forward.NewBlameBook(), Closing: func() bool { return false }, TooLate: func(bool) bool { return false },
 	})
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -79,7 +79,7 @@
 	w.fleet.Apply(upstream.List{Backends: w.net.List(), AsOf: time.Now()})
 	table := testRoutes()
 	w.handler = forward.NewHandler(forward.Options{
-		Zone: "a", Wire: forward.PlainWire{}, Pool: pool, Fleet: w.fleet,
+		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: w.fleet,
 		Routes: func() *routes.Table { return table }, Allowance: forward.Allowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
 		Log: log, Ordinary: log, Metrics: metrics.NewSet(), Blame: forward.NewBlameBook(), Closing: func() bool { return false },
 		TooLate: func(bool) bool { return false }, Find: w.find,
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -242,7 +242,7 @@
 	switch {
 	case s.is(Dark):
 		<-r.Context().Done()
-	case r.URL.Path == forward.PlainWire{}.ReportURI():
+	case r.URL.Path == forward.PlainReportURI:
 		s.report(w)
 	case r.URL.Path == forward.PlainCopyURI:
 		s.copyOut(w, r)
