forward: callers that come before a restarted router's lists are kept for them

Ruled out: a shorter Retry-After (the callers have no further try), starting faster (the lists come 0.5 s after the start, which is the group's election). Change: a router that holds no lists yet keeps a request for 0.6 s, or a fifth of the caller's time, and serves it once it can; then it is refused as before.

--- a/internal/forward/bench_test.go
+++ b/internal/forward/bench_test.go
@@ -31,7 +31,7 @@
 	fleet.Apply(upstream.List{Backends: net.List(), AsOf: time.Now()})
 	table := testRoutes()
 	h := forward.NewHandler(forward.Options{
-		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table },
+		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table }, Prepared: closed(),
 		Allowance: forward.DefaultAllowance, Log: zerolog.Nop(), Ordinary: zerolog.Nop(), Metrics: metrics.NewSet(),
 		Blame: forward.NewBlameBook(), Closing: func() bool { return false }, TooLate: func(bool) bool { return false },
 	})
@@ -51,6 +51,12 @@
 	return req
 }
 
+func closed() <-chan struct{} {
+	ch := make(chan struct{})
+	close(ch)
+	return ch
+}
+
 // BenchmarkCall is a call of 800 bytes through the router, with its caller and its
 // server in the same process.
 func BenchmarkCall(b *testing.B) {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -22,6 +22,16 @@
 // defaultMaxBody bounds a request's body where the route list states no limit.
 const defaultMaxBody = 4 << 20
 
+// unpreparedHold is how long a router that has just started keeps a request until
+// it holds a route list and the list of backend servers. The load pattern: all
+// routers restart at once, and their callers come back with the one retry that
+// they have, some tenths of a second before the lists do. Refused, they are lost;
+// a caller that is kept this long is still served in time.
+const unpreparedHold = 600 * time.Millisecond
+
+// unpreparedShare of the caller's own time is the most that it is kept.
+const unpreparedShare = 0.2
+
 // unpreparedRetry is when a VM without a route list expects to have one: it asks
 // every few hundred milliseconds.
 const unpreparedRetry = 300 * time.Millisecond
@@ -46,11 +56,13 @@
 
 // Options are the parts that a Handler works with.
 type Options struct {
-	Zone      string
-	Wire      Wire
-	Pool      *upstream.Pool
-	Fleet     *upstream.Fleet
-	Routes    func() *routes.Table // nil result: none held yet
+	Zone   string
+	Wire   Wire
+	Pool   *upstream.Pool
+	Fleet  *upstream.Fleet
+	Routes func() *routes.Table // nil result: none held yet
+	// Prepared is closed once the lists that requests need are held.
+	Prepared  <-chan struct{}
 	Allowance Allowance
 	Log       zerolog.Logger
 	// Ordinary takes the lines about what went well; they may be left out under load.
@@ -179,6 +191,7 @@
 		return
 	}
 	defer leave()
+	h.prepare(r)
 	q, err := h.admit(w, r, arrived)
 	if err != nil {
 		h.o.Ordinary.Info().Str("request", q.id()).Str("path", r.URL.Path).Int("code", int(result.CodeOf(err))).Msg("not admitted")
@@ -199,6 +212,26 @@
 	h.call(w, q)
 }
 
+// prepare waits, on a router that has just started, for its lists.
+func (h *Handler) prepare(r *http.Request) {
+	select {
+	case <-h.o.Prepared:
+		return
+	default:
+	}
+	hold := unpreparedHold
+	if c, err := h.o.Wire.Caller(r.Header); err == nil && c.Deadline > 0 {
+		hold = min(hold, time.Duration(unpreparedShare*float64(c.Deadline)))
+	}
+	t := time.NewTimer(hold)
+	defer t.Stop()
+	select {
+	case <-h.o.Prepared:
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+}
+
 // admit checks a request and reads it whole. Everything it refuses has not run.
 // The request is nil where it was refused before its headers were read.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, error) {
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,9 @@
 	net     *routedengine.Net
 	fleet   *upstream.Fleet
 	handler *forward.Handler
+	table   atomic.Pointer[routes.Table]
+	pool    *upstream.Pool
+	log     zerolog.Logger
 	servers []*routedengine.Server
 	left    map[uint64]forward.Copy // what another router has told
 }
@@ -74,17 +78,24 @@
 		s.ID, s.Address = fmt.Sprintf("i%d", i), fmt.Sprintf("10.0.0.%d:80", i)
 		w.servers = append(w.servers, w.net.Add(s))
 	}
-	pool := upstream.NewPoolWith(w.net.Dial)
-	w.fleet = upstream.NewFleet(pool, log)
+	w.log, w.pool = log, upstream.NewPoolWith(w.net.Dial)
+	w.fleet = upstream.NewFleet(w.pool, log)
 	w.fleet.Apply(upstream.List{Backends: w.net.List(), AsOf: time.Now()})
-	table := testRoutes()
+	w.table.Store(testRoutes())
+	ready := make(chan struct{})
+	close(ready)
+	w.rebuild(ready)
+	return w
+}
+
+// rebuild makes the router's handler; it holds its lists once ready is closed.
+func (w *world) rebuild(ready <-chan struct{}) {
 	w.handler = forward.NewHandler(forward.Options{
-		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: w.fleet,
-		Routes: func() *routes.Table { return table }, Allowance: forward.Allowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
-		Log: log, Ordinary: log, Metrics: metrics.NewSet(), Blame: forward.NewBlameBook(), Closing: func() bool { return false },
+		Zone: "a", Wire: forward.NewPlainWire(), Pool: w.pool, Fleet: w.fleet,
+		Routes: w.table.Load, Prepared: ready, Allowance: forward.Allowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
+		Log: w.log, Ordinary: w.log, Metrics: metrics.NewSet(), Blame: forward.NewBlameBook(), Closing: func() bool { return false },
 		TooLate: func(bool) bool { return false }, Find: w.find,
 	})
-	return w
 }
 
 // end resets every connection, so that nothing of the bubble is left.
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,9 @@
 	blame   *forward.BlameBook
 	table   atomic.Pointer[routes.Table]
 	drain   *drain
+	// prepared is closed once both lists are held.
+	prepared chan struct{}
+	prepare  sync.Once
 
 	peers, front *http.Server
 	ctx          context.Context
@@ -36,7 +40,7 @@
 
 // StartRouter binds the addresses and serves.
 func StartRouter(o RouterOptions) (*Router, error) {
-	r := &Router{o: o, blame: forward.NewBlameBook()}
+	r := &Router{o: o, blame: forward.NewBlameBook(), prepared: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.drain = newDrain(o.Drain)
 	pool := upstream.NewPool()
@@ -53,7 +57,7 @@
 	})
 	r.feed.OnChange(control.PartRoutes, r.take)
 	r.handler = forward.NewHandler(forward.Options{
-		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load,
+		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, Prepared: r.prepared,
 		Allowance: o.Allowance, Log: o.Log, Ordinary: o.Ordinary, Metrics: o.Metrics, Blame: r.blame, Closing: r.drain.started,
 		Find: r.member.Find, TooLate: r.drain.tooLate,
 	})
@@ -104,7 +108,7 @@
 	wasReady := r.Ready()
 	r.table.Store(routes.NewTable(&l))
 	if !wasReady {
-		r.member.Nudge()
+		r.notePrepared()
 	}
 	r.o.Log.Info().Uint64("version", l.Version).Int("routes", len(l.Routes)).Int("workspaces", len(l.Workspaces)).Msg("route list applied")
 }
@@ -114,10 +118,20 @@
 	first := r.fleet.AsOf().IsZero()
 	r.fleet.Apply(l)
 	if first {
-		r.member.Nudge()
+		r.notePrepared()
 	}
 }
 
+// notePrepared lets held requests go, and tells the control processes, once both
+// lists are there.
+func (r *Router) notePrepared() {
+	if r.table.Load() == nil || r.fleet.AsOf().IsZero() {
+		return
+	}
+	r.prepare.Do(func() { close(r.prepared) })
+	r.member.Nudge()
+}
+
 func (r *Router) learn(a cluster.Answer) {
 	r.fleet.SetOthers(a.Others)
 	r.fleet.HearsayDead(a.Dead)
