--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -228,3 +228,65 @@
 		t.Error("in no run did two believe to lead")
 	}
 }
+
+// allVMs are the control VMs that a test with replacements may have had.
+var allVMs = []string{"vm1", "vm2", "vm3", "vm4", "vm5", "vm6", "vm7"}
+
+// Operators change the list and read it while control VMs are lost for good, one
+// after the other, and empty ones come at other addresses; links are cut meanwhile.
+// In the end none of the first three is left. What operators were told is the
+// history of one list.
+func TestHistoryOverReplacedVoters(t *testing.T) {
+	for run := range uint64(6) {
+		t.Run(strconv.FormatUint(run, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(20261203, run))
+				c := &cluster{fabric: newFabric(), t: t, voters: slices.Clone(testVoters), vms: map[string]*vm{}, fs: map[string]*waltest.FS{}}
+				for _, id := range testVoters {
+					c.fs[id] = waltest.New()
+					c.vms[id] = startVMWith(t, c.fabric, id, testVoters, c.fs[id], learning(allVMs...))
+				}
+				for _, id := range []string{"router1", "router2"} {
+					c.vms[id] = startVM(t, c.fabric, id, allVMs, nil)
+				}
+				defer c.stop()
+				c.leader()
+				var h history
+				var operators sync.WaitGroup
+				stop := make(chan struct{})
+				for i, id := range []string{"router1", "router2"} {
+					operators.Go(func() { c.operate(i, c.vms[id], &h, stop) })
+				}
+				for _, id := range allVMs[3:6] {
+					c.replaceOldest(rng, id)
+				}
+				close(stop)
+				operators.Wait()
+				c.propose("router1", "last")
+				c.checkHistory(h.ops)
+			})
+		})
+	}
+}
+
+// replaceOldest loses the control VM that has been there longest, under cuts, and
+// waits until an empty one at another address has its vote.
+func (c *cluster) replaceOldest(rng *rand.Rand, id string) {
+	c.t.Helper()
+	time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
+	lost := c.voters[0]
+	c.vms[lost].kill(c.fabric)
+	delete(c.vms, lost)
+	c.voters = append(c.voters[1:], id)
+	time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
+	c.fs[id] = waltest.New()
+	c.vms[id] = startVMWith(c.t, c.fabric, id, []string{id}, c.fs[id], func(o *GroupOptions) {
+		learning(allVMs...)(o)
+		o.JoinOnly = true
+	})
+	c.isolate(c.voters[rng.IntN(2)], c.voters...)
+	time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
+	c.heal()
+	want := slices.Sorted(slices.Values(c.voters))
+	c.until("the new one votes and the lost one does not", 40*time.Second, func() bool { return slices.Equal(c.votersAt(id), want) })
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -158,6 +158,7 @@
 	out       upstream.Request
 	rec       *Record
 	budget    *Budget
+	leave     func() // gives the place of its body back; nil: it has none
 }
 
 // heldBytes is what a request's body counts for, before it is read.
@@ -185,14 +186,11 @@
 	rc := http.NewResponseController(w)
 	// A connection that supports no deadline is a test's; nothing is lost there.
 	_ = rc.SetWriteDeadline(arrived.Add(refusalWrite))
-	leave, ok := h.held.Enter(heldBytes(r))
-	if !ok {
-		h.refuse(w, result.New(result.QueueFull).WithRetryAfter(elsewhere))
-		return
-	}
-	defer leave()
 	h.prepare(r)
 	q, err := h.admit(w, r, arrived)
+	if q != nil && q.leave != nil {
+		defer q.leave()
+	}
 	if err != nil {
 		h.o.Ordinary.Info().Str("request", q.id()).Str("path", r.URL.Path).Int("code", int(result.CodeOf(err))).Msg("not admitted")
 		h.refuse(w, err)
@@ -271,8 +269,18 @@
 
 // read reads the body and looks whether its content may run.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request, q *request, limit int64) error {
+	if r.ContentLength > limit {
+		w.Header().Set("Connection", "close") // the rest is not read
+		return result.New(result.BodyTooLarge)
+	}
+	leave, ok := h.held.Enter(heldBytes(r))
+	if !ok {
+		return result.New(result.QueueFull).WithRetryAfter(elsewhere)
+	}
+	q.leave = leave
 	body, err := readBody(w, r, limit, q.expires)
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		return err
 	}
 	q.out = upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: body}
@@ -321,7 +329,11 @@
 	// A connection that supports no deadline is a test's; nothing is lost there.
 	_ = rc.SetReadDeadline(expires)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		// Left in place after an error: the server would else wait for the rest of
+		// the body before it sends the refusal.
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -95,7 +95,9 @@
 
 func (r *reader) checkRouted(s *Routed) {
 	required := []struct{ section, key, value string }{
-		{"process", "id", s.ID}, {"process", "zone", s.Zone}, {"process", "seeds", strings.Join(s.Seeds, ",")},
+		{"process", "id", s.ID},
+		{"process", "zone", s.Zone},
+		{"process", "seeds", strings.Join(s.Seeds, ",")},
 		{"listen", "operators", s.Operators},
 	}
 	if s.Kind == RoutedRouter {
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -147,3 +147,25 @@
 		}
 	})
 }
+
+// Whatever a server sends, an answer is whole or an error, and no larger than its
+// bound.
+func FuzzAnswer(f *testing.F) {
+	f.Add(okHead + "\r\nok")
+	f.Add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!")
+	f.Fuzz(func(t *testing.T, text string) {
+		const limit = 64
+		c := &Conn{br: bufio.NewReader(strings.NewReader(text))}
+		resp, err := c.ReadHead(http.MethodGet)
+		if err != nil {
+			return
+		}
+		if resp.StatusCode < http.StatusOK {
+			t.Errorf("an interim answer was taken: %d", resp.StatusCode)
+		}
+		if body, err := ReadBody(resp, limit); err == nil && len(body) > limit {
+			t.Errorf("%d bytes", len(body))
+		}
+	})
+}
