recovery: contents that end servers are held back by degrees; a success clears them

Cause: reading: two servers that died at once with one popular lookup under way on both had it refused for ten minutes as a killer; a stream was cleared after one event by a call that needed sixteen; an answer without length ended a stream as whole when its engine died between two events; a run whose killer's evidence was on its way went on to one more server. Change: recovery.Contents holds a content back for 3 s, 1 min, 10 min by the servers that died under it, and any success clears it; suspects wait for the finding; an end without length counts if the engine still answers.

--- a/internal/forward/blame.go
+++ b/internal/forward/blame.go
@@ -9,47 +9,59 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 )
 
-// BlameBook remembers which requests were running where backend servers died,
-// over all VMs. Safe for concurrent use.
+// BlameBook remembers under which contents backend servers died, over all VMs.
+// Safe for concurrent use.
 type BlameBook struct {
-	mu    sync.Mutex
-	blame *recovery.Blame
-	fresh []recovery.Death // not yet told to the other VMs
+	mu       sync.Mutex
+	contents *recovery.Contents
+	fresh    []recovery.Death // not yet told to the other VMs
 }
 
-// maxFresh bounds what waits to be told: deaths beyond it have a common cause,
-// which blames nobody.
+// maxFresh bounds what waits to be told: so many deaths at once have a common
+// cause.
 const maxFresh = 64
 
 // NewBlameBook returns an empty book.
-func NewBlameBook() *BlameBook { return &BlameBook{blame: recovery.NewBlame()} }
+func NewBlameBook() *BlameBook { return &BlameBook{contents: recovery.NewContents()} }
 
-// Poison reports whether a request must not run any more, and until when.
-func (b *BlameBook) Poison(digest uint64) (until time.Time, poison bool) {
+// Held reports whether a content must not begin now, and until when.
+func (b *BlameBook) Held(digest uint64) (until time.Time, held bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.blame.Standing(digest, time.Now()) != recovery.Poison {
-		return time.Time{}, false
-	}
-	return b.blame.Expires(digest), true
+	return b.contents.Held(digest, time.Now())
+}
+
+// Suspect reports whether a server died under a content, and none has run it well
+// since.
+func (b *BlameBook) Suspect(digest uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.contents.Suspect(digest)
+}
+
+// Kills reports whether a run under way must not go on at another server.
+func (b *BlameBook) Kills(digest uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.contents.Kills(digest)
 }
 
-// Died notes that a server died under a request that had passed events there.
-func (b *BlameBook) Died(digest uint64, server string, passed int) {
+// Died notes that a server died under a content.
+func (b *BlameBook) Died(digest uint64, server string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	d := recovery.Death{Digest: digest, Engine: server, At: time.Now()}
-	b.blame.EngineDied(d, passed)
-	if len(b.fresh) < maxFresh && passed == 0 {
-		b.fresh = append(b.fresh, d)
+	now := time.Now()
+	b.contents.Died(digest, server, now)
+	if len(b.fresh) < maxFresh {
+		b.fresh = append(b.fresh, recovery.Death{Digest: digest, Engine: server, At: now})
 	}
 }
 
-// Passed clears a request that gets on at another server.
-func (b *BlameBook) Passed(digest uint64, events int) {
+// Succeeded clears a content: it ran well somewhere.
+func (b *BlameBook) Succeeded(digest uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.blame.Passed(digest, events)
+	b.contents.Succeeded(digest)
 }
 
 // Fresh returns the deaths seen here since the last call.
@@ -66,8 +78,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, d := range deaths {
-		d.At = time.Now()
-		b.blame.EngineDied(d, 0)
+		b.contents.Died(d.Digest, d.Engine, time.Now())
 	}
 }
 
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -55,7 +55,7 @@
 			}
 			failure = &r
 		}
-		if !q.rec.MaySend() {
+		if !q.rec.MaySend() || h.o.Blame.Kills(q.digest) {
 			h.endCall(w, q, failure, result.OutcomeUnknown)
 			return
 		}
@@ -137,6 +137,7 @@
 		f.Failed(s)
 	default:
 		f.Succeeded(s, took)
+		h.o.Blame.Succeeded(q.digest)
 	}
 	if r.answer.Load >= 0 && r.resp != nil {
 		f.Reported(s, r.answer.Load)
--- a/internal/forward/call_test.go
+++ b/internal/forward/call_test.go
@@ -153,6 +153,31 @@
 	}
 }
 
+// Two servers die at once while the same lookup is under way on both. Those who
+// ask for it next are served by the third: their lookup ends no server.
+func TestPopularLookupIsNotHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, voteServer("a"), voteServer("b"), voteServer("c"))
+		defer w.end()
+		var answers []*answer
+		for i := range 6 {
+			answers = append(answers, w.send("GET", "/tally/popular", fmt.Sprint("p", i), ""))
+		}
+		time.Sleep(20 * time.Millisecond)
+		w.servers[0].Set(routedengine.Dead)
+		w.servers[1].Set(routedengine.Dead)
+		for _, a := range answers {
+			<-a.done
+		}
+		time.Sleep(100 * time.Millisecond)
+		a := w.send("GET", "/tally/popular", "later", "")
+		<-a.done
+		if a.status != http.StatusOK {
+			t.Errorf("status %d", a.status)
+		}
+	})
+}
+
 // The caller gets its own answer. In order: a server sends an answer to an earlier
 // request late, on the connection where the next answer is expected.
 func TestAnswerToAnotherRequest(t *testing.T) {
@@ -231,8 +256,8 @@
 	})
 }
 
-// A request that ends every server that runs it is refused once it has ended two,
-// though it comes under new ids; others on the same path are served.
+// A request that ends every server that runs it is held back, longer each time,
+// though it comes under new ids; others are served.
 func TestRequestThatEndsItsServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var servers []*routedengine.Server
@@ -259,8 +284,8 @@
 		for _, s := range w.servers {
 			dead += len(s.Runs())
 		}
-		if dead > 3 {
-			t.Errorf("the request ended %d servers", dead)
+		if dead != 3 {
+			t.Errorf("the request ended %d servers over half a minute of four callers", dead)
 		}
 		a := w.send("GET", "/tally/fine", "r1", "")
 		<-a.done
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -285,7 +285,7 @@
 	}
 	q.out = upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: body}
 	q.digest = digest(rawPath(r), q.workspace, body)
-	if until, poison := h.o.Blame.Poison(q.digest); poison {
+	if until, held := h.o.Blame.Held(q.digest); held {
 		return result.New(result.ContentHeldBack).WithRetryAfter(time.Until(until))
 	}
 	return nil
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -115,7 +115,10 @@
 
 // blame remembers the request as one that ran where a server died.
 func (h *Handler) blame(q *request, s *upstream.Server, passed int) {
-	h.o.Blame.Died(q.digest, s.ID, passed)
+	// A stream that came well forward here is past what would have ended the server.
+	if passed < clearedAfter {
+		h.o.Blame.Died(q.digest, s.ID)
+	}
 	h.o.Log.Info().Str("request", q.RequestID).Str("server", s.ID).Int("passed", passed).Uint64("digest", q.digest).Msg("request blamed")
 }
 
@@ -123,14 +126,22 @@
 // has died. A broken answer alone blames nobody: a server may lose answers and
 // live. One that takes no connection any more is dead, and the request is
 // remembered as one that ran there.
+//
+// A request under which a server died before waits for the finding: it would else
+// be at the next server by then.
 func (h *Handler) confirmDeath(q *request, s *upstream.Server, passed int) {
 	h.Stats.Probes.Inc()
 	p := h.prober.ask(s)
+	found := make(chan struct{})
 	go func() {
+		defer close(found)
 		<-p.done
 		if !p.alive {
 			h.o.Fleet.Dead(s)
 			h.blame(q, s, passed)
 		}
 	}()
+	if h.o.Blame.Suspect(q.digest) {
+		<-found
+	}
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -28,6 +28,7 @@
 	sent  sent
 
 	items  chan item
+	clock  *clock
 	passed int // events that this run passed on
 	last   time.Time
 	asked  *probe
@@ -46,6 +47,10 @@
 	err  error
 }
 
+// clearedAfter events a request has not ended its engine: it is past its prompt, and
+// past what can be lost on the way from a dying engine.
+const clearedAfter = 16
+
 // itemQueue lets an engine run a few events ahead of a caller that reads slowly.
 const itemQueue = 16
 
@@ -130,52 +135,45 @@
 		}
 		return endBroken
 	}
-	wait := r.patience().Ask
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	r.clock = newClock(r.patience().Ask)
+	defer r.clock.timer.Stop()
 	look := time.NewTicker(protectLook)
 	defer look.Stop()
 	for {
-		began := time.Now()
-		select {
-		case it := <-r.items:
-			if end, over := r.take(it); over {
-				return end
-			}
-			wait = r.patience().Ask
-			timer.Reset(wait)
-		case <-r.answerToQuestion():
-			if end, over := r.heed(); over {
-				return end
-			}
-			wait = askAgain
-			timer.Reset(wait)
-		case <-timer.C:
-			if r.overslept(began, wait) {
-				wait = afterStall
-				timer.Reset(wait)
-				continue
-			}
-			if end, over := r.silent(); over {
-				return end
-			}
-			wait = r.nextLook()
-			timer.Reset(wait)
-		case <-look.C:
-			r.look()
-		case p := <-r.shield.ordered:
-			r.protected(p)
-		case <-r.doubt:
-			r.doubt = r.st.h.o.Fleet.Doubted(r.server)
-			r.ask()
-		case <-r.died:
-			return r.lost("engine judged dead")
-		case <-r.st.q.ctx.Done():
-			return endCallerEnd
+		if end, over := r.step(look.C); over {
+			return end
 		}
 	}
 }
 
+// step waits for the next thing that concerns the run.
+func (r *run) step(look <-chan time.Time) (ending, bool) {
+	select {
+	case it := <-r.items:
+		end, over := r.take(it)
+		r.clock.set(r.patience().Ask)
+		return end, over
+	case <-r.answerToQuestion():
+		end, over := r.heed()
+		r.clock.set(askAgain)
+		return end, over
+	case <-r.clock.timer.C:
+		return r.timeUp()
+	case <-look:
+		r.look()
+	case p := <-r.shield.ordered:
+		r.protected(p)
+	case <-r.doubt:
+		r.doubt = r.st.h.o.Fleet.Doubted(r.server)
+		r.ask()
+	case <-r.died:
+		return r.lost("engine judged dead"), true
+	case <-r.st.q.ctx.Done():
+		return endCallerEnd, true
+	}
+	return 0, false
+}
+
 func (r *run) patience() Patience {
 	return PatienceFor(r.st.q.route.PauseObjective, r.st.begun)
 }
@@ -207,7 +205,7 @@
 	case it.head != nil:
 		r.reply.resp, r.reply.answer = it.head, it.ans
 		return r.takeHead()
-	case it.err != nil && r.reply.resp != nil && wholeEnd(it.err):
+	case it.err != nil && r.reply.resp != nil && wholeEnd(it.err) && r.isWhole():
 		return r.finish()
 	case it.err != nil:
 		return r.broke(it.err), true
@@ -215,6 +213,20 @@
 	return r.takeEvent(it.ev)
 }
 
+// isWhole tells a proper end from a broken connection where the answer has no
+// length: an engine that lives has ended it.
+func (r *run) isWhole() bool {
+	if upstream.Framed(r.reply.resp) {
+		return true
+	}
+	if r.passed == 0 {
+		return false
+	}
+	p := r.st.h.prober.ask(r.server)
+	<-p.done
+	return p.alive
+}
+
 // takeHead sorts the engine's first word.
 func (r *run) takeHead() (ending, bool) {
 	rep := &r.reply
@@ -232,7 +244,7 @@
 		}
 		return endNotRun, true
 	case rep.fault != noFault:
-		return endBroken, true
+		return r.lost("not the engine's answer"), true
 	case rep.resp.StatusCode != http.StatusOK:
 		return r.wholeAnswer()
 	}
@@ -272,7 +284,9 @@
 	if !st.write(e) {
 		return endCallerEnd, true
 	}
-	r.passed++
+	if r.passed++; r.passed == clearedAfter {
+		st.h.o.Blame.Succeeded(st.q.digest)
+	}
 	return 0, false
 }
 
@@ -298,7 +312,6 @@
 	}
 	r.st.skip = map[string]bool{}
 	r.st.since = time.Time{}
-	r.st.h.o.Blame.Passed(r.st.q.digest, 1)
 }
 
 // finish ends a whole stream.
@@ -306,6 +319,7 @@
 	r.st.begin(r.reply.resp)
 	r.sent = answered
 	r.st.flush()
+	r.st.h.o.Blame.Succeeded(r.st.q.digest)
 	return endDone, true
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -51,7 +51,6 @@
 	endBroken                  // the engine died, broke off or was left
 	endAnswer                  // an answer that is no stream of events
 	endCallerEnd               // the caller left, or its time is over
-	endBad                     // events are missing: no engine can mend that
 )
 
 // stream carries a request whose answer is a series of events.
@@ -90,9 +89,6 @@
 	case endCallerEnd:
 		st.give(result.RouteTimeout)
 		return true
-	case endBad:
-		st.give(result.StreamBroken)
-		return true
 	case endNotRun:
 		if run.from != nil {
 			st.copied = protection{} // the copy is gone, or its engine is full
@@ -129,7 +125,7 @@
 // returns the reason where there is none.
 func (st *stream) next() (*upstream.Server, *Copy, result.Code) {
 	for {
-		if !st.q.rec.MaySend() {
+		if !st.q.rec.MaySend() || st.sends > 0 && st.h.o.Blame.Kills(st.q.digest) {
 			return nil, nil, result.StreamBroken
 		}
 		s, from := st.choose()
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -322,3 +322,27 @@
 		}
 	})
 }
+
+// An answer without a length that ends with its connection is whole only if its
+// engine lives. In order: the engine sends two events and its connection ends; it is
+// dead, and the next engine goes on.
+func TestStreamWithoutALengthOfADeadEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dying := engine("a")
+		dying.Answer = func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+			s.Note(r, 1, true)
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Backend-Signature: x\r\nConnection: close\r\n\r\n"+
+				"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n")
+			go s.Set(routedengine.Dead)
+			return true
+		}
+		w := newWorld(t, dying, engine("b"))
+		defer w.end()
+		w.servers[1].Set(routedengine.Dead)
+		a := w.send("POST", "/s/1", "r1", "log")
+		time.Sleep(5 * time.Millisecond)
+		w.servers[1].Set(routedengine.Alive)
+		a.wholeStream(t, 100)
+	})
+}
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -2,6 +2,39 @@
 
 import "time"
 
+// clock wakes a run when it has been silent for a while, and tells when this VM
+// stood still instead.
+type clock struct {
+	timer *time.Timer
+	wait  time.Duration
+	began time.Time
+}
+
+func newClock(wait time.Duration) *clock {
+	return &clock{timer: time.NewTimer(wait), wait: wait, began: time.Now()}
+}
+
+func (c *clock) set(wait time.Duration) {
+	c.timer.Reset(wait)
+	c.wait, c.began = wait, time.Now()
+}
+
+// overslept reports whether the timer fired much later than it should have.
+func (c *clock) overslept() bool { return time.Since(c.began)-c.wait >= stallSlack }
+
+// timeUp looks at a silence. One of a VM that stood still is its own: events wait
+// in the socket, and every stream would move at once.
+func (r *run) timeUp() (ending, bool) {
+	if r.clock.overslept() {
+		r.last = time.Now()
+		r.clock.set(afterStall)
+		return 0, false
+	}
+	end, over := r.silent()
+	r.clock.set(r.nextLook())
+	return end, over
+}
+
 // silent decides about a run that has brought nothing for a while.
 func (r *run) silent() (ending, bool) {
 	switch r.patience().decide(r.silence()) {
@@ -97,14 +130,3 @@
 	// afterStall is the time to read what has come meanwhile.
 	afterStall = 30 * time.Millisecond
 )
-
-// overslept reports whether this VM stood still while it waited. The silence is
-// then its own: events wait in the socket, and every stream would move at once.
-func (r *run) overslept(began time.Time, wait time.Duration) bool {
-	late := time.Since(began) - wait
-	if late < stallSlack {
-		return false
-	}
-	r.last = time.Now()
-	return true
-}
--- a/internal/forward/watch_test.go
+++ b/internal/forward/watch_test.go
@@ -22,14 +22,16 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const wait = 250 * time.Millisecond
-				r := &run{last: time.Now()}
-				began := time.Now()
+				r := &run{last: time.Now(), clock: newClock(wait)}
 				time.Sleep(wait + tt.slept)
-				if got := r.overslept(began, wait); got != tt.own {
-					t.Errorf("own stall: %t", got)
+				if got := r.clock.overslept(); got != tt.own {
+					t.Fatalf("own stall: %t", got)
 				}
-				if silent := time.Since(r.last); tt.own && silent > 0 {
-					t.Errorf("the silence of %v still counts", silent)
+				if !tt.own {
+					return
+				}
+				if _, over := r.timeUp(); over || time.Since(r.last) > 0 {
+					t.Errorf("the silence of %v still counts", time.Since(r.last))
 				}
 			})
 		})
