cluster: where copies are kept outlives the processes

Cause: after all processes were killed at once, engines still kept the copies of all streams, but nobody knew where: 338,000 prompt tokens were read anew when there was most to catch up with. Ruled out: asking engines (they do not list copies), the replicated log (2.5 changes a second for something that lives four seconds). Change: control processes write the copies' places to a file of their own each 400 ms where they changed, and recall them after a start.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+	"github.com/amaranthshelf/amaranthshelf/internal/wal/waltest"
 )
 
 // testHub is a control VM of a test, and its own member towards the others.
@@ -237,3 +238,31 @@
 		}
 	})
 }
+
+// All processes are killed at once. A control process that is back within seconds
+// knows where the copies of the streams are; one that is back later does not ask
+// engines for what they have dropped.
+func TestCopiesOutliveTheProcesses(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		disk := waltest.New()
+		life, kill := context.WithCancel(ctx)
+		h := startHub(life, n, "c1", controls[:1])
+		a := forward.Copy{Address: "e1:1", ID: "q1"}
+		go h.hub.Remember(life, disk, "/data")
+		h.hub.note("router", Notice{Kept: []forward.Kept{{Identity: 7, Copy: a}}})
+		time.Sleep(2 * rememberEvery)
+		kill()
+		time.Sleep(time.Second)
+		again := startHub(ctx, n, "c1", controls[:1])
+		again.hub.Recall(disk, "/data")
+		v := startRouter(ctx, n, "r1", controls[:1], 0)
+		time.Sleep(500 * time.Millisecond)
+		if got, ok := v.member.Find(ctx, 7); got != a || !ok {
+			t.Errorf("found %+v, %t", got, ok)
+		}
+		time.Sleep(keptFor)
+		if _, ok := v.member.Find(ctx, 7); ok {
+			t.Error("an old copy is given out")
+		}
+	})
+}
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -25,6 +25,9 @@
 	vms    map[string]seen
 	silent map[string]bool // told in the log
 	deaths []toldDeath
+	// recalled are the copies that an earlier life wrote down.
+	recalled   []forward.Kept
+	recalledTo time.Time
 }
 
 type seen struct {
@@ -80,22 +83,33 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var found forward.Copy
+	var lists [][]forward.Kept
 	for _, s := range h.vms {
-		if time.Since(s.at) > keptFor {
-			continue
+		if time.Since(s.at) <= keptFor {
+			lists = append(lists, s.notice.Kept)
 		}
-		for _, k := range s.notice.Kept {
+	}
+	if time.Now().Before(h.recalledTo) {
+		lists = append(lists, h.recalled)
+	}
+	return find(lists, identity), nil
+}
+
+// find returns the one copy under an identity.
+func find(lists [][]forward.Kept, identity uint64) forward.Copy {
+	var found forward.Copy
+	for _, list := range lists {
+		for _, k := range list {
 			if k.Identity != identity {
 				continue
 			}
 			if found.Address != "" && found != k.Copy {
-				return forward.Copy{}, nil
+				return forward.Copy{}
 			}
 			found = k.Copy
 		}
 	}
-	return found, nil
+	return found
 }
 
 func (h *Hub) note(from string, n Notice) {
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+	"github.com/amaranthshelf/amaranthshelf/internal/wal"
 )
 
 // Control is a process of the control group.
@@ -50,7 +51,9 @@
 		c.cancel()
 		return nil, err
 	}
+	c.hub.Recall(wal.OS{}, o.Dir)
 	c.work.Go(c.runMember)
+	c.work.Go(func() { c.hub.Remember(c.ctx, wal.OS{}, o.Dir) })
 	go c.member.Run(c.ctx)
 	go c.readBackends()
 	return c, nil
