--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// readAnswer reads the head of the answer to this request. Answers that carry
+// readHead reads the head of the answer to this request. Answers that carry
 // another request's id are read past: a server may send one late, where the next
 // is expected.
 func (h *Handler) readHead(q *request, c *upstream.Conn) (*http.Response, Answer, error) {
