forward: a copy whose order is under way is dropped with its run, too

Cause: reading: a stream that ended while its copy was being made left the copy at its keeper until it expired. Change: the order goes on, and what it made is dropped.

--- a/internal/forward/protect.go
+++ b/internal/forward/protect.go
@@ -70,7 +70,9 @@
 	}
 	ordered := make(chan protection, 1)
 	r.shield.ordered = ordered
-	ctx, cancel := context.WithTimeout(r.st.q.ctx, orderTimeout)
+	// The order goes on when the run ends: only its answer has the name by which the
+	// copy can be dropped.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.st.q.ctx), orderTimeout)
 	go func() {
 		defer cancel()
 		p := protection{renew: time.Now().Add(time.Duration(renewShare * float64(life)))}
@@ -112,22 +114,29 @@
 // it, and it takes memory and a slot at its keeper for seconds more. A copy that
 // the engine keeps by itself ends with the run.
 func (r *run) unprotect() {
-	p := r.shield.now
-	if p.renew.IsZero() || p.keeper == nil {
-		return
-	}
-	h, s := r.st.h, r.server
+	h, s, p, ordered := r.st.h, r.server, r.shield.now, r.shield.ordered
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-		defer cancel()
-		method, uri := h.o.Wire.CopyDrop(p.copy.ID)
-		header := http.Header{}
-		if _, _, err := h.o.Pool.Ask(ctx, s.ID, s.Address, &upstream.Request{Method: method, URI: uri, Host: s.Address, Header: header}); err != nil {
-			h.o.Log.Debug().Err(err).Str("engine", s.ID).Msg("copy not dropped; it expires")
+		h.dropCopy(s, p)
+		if ordered != nil {
+			h.dropCopy(s, <-ordered)
 		}
 	}()
 }
 
+// dropCopy has an engine forget a copy that it made on order.
+func (h *Handler) dropCopy(s *upstream.Server, p protection) {
+	if p.renew.IsZero() || p.keeper == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	method, uri := h.o.Wire.CopyDrop(p.copy.ID)
+	r := upstream.Request{Method: method, URI: uri, Host: s.Address, Header: http.Header{}}
+	if _, _, err := h.o.Pool.Ask(ctx, s.ID, s.Address, &r); err != nil {
+		h.o.Log.Debug().Err(err).Str("engine", s.ID).Msg("copy not dropped; it expires")
+	}
+}
+
 // orderCopy asks an engine for a copy and returns its name, or "".
 func (h *Handler) orderCopy(ctx context.Context, s *upstream.Server, requestID, to string) string {
 	method, uri, body := h.o.Wire.CopyOrder(requestID, to)
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -289,38 +289,32 @@
 	})
 }
 
-// A copy that was ordered and not needed does not stay at its keeper.
+// A copy that was ordered and not needed does not stay at its keeper, also where
+// the stream ends while the copy is being made.
 func TestOrderedCopyIsDropped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, engine("a"), engine("b"))
-		defer w.end()
-		a := w.send("POST", "/s/1", "r1", "log")
-		time.Sleep(1200 * time.Millisecond)
-		keeper := w.servers[0]
-		if w.runningOn("r1") == keeper {
-			keeper = w.servers[1]
-		}
-		keeper.DropCopies()
-		rows := w.net.List()
-		for i := range rows {
-			rows[i].Draining = rows[i].ID == keeper.ID
-		}
-		w.fleet.Apply(upstream.List{Backends: rows, AsOf: time.Now()})
-		third := engine("c")
-		third.ID, third.Address = "i9", "10.0.0.9:80"
-		w.servers = append(w.servers, w.net.Add(third))
-		rows = append(rows, third.Backend)
-		w.fleet.Apply(upstream.List{Backends: rows, AsOf: time.Now().Add(time.Millisecond)})
-		time.Sleep(1500 * time.Millisecond)
-		if third.Copies() != 1 {
-			t.Fatalf("%d copies ordered", third.Copies())
-		}
-		a.wholeStream(t, 100)
-		time.Sleep(100 * time.Millisecond)
-		if third.Copies() != 0 {
-			t.Error("the copy is still there after the run")
-		}
-	})
+	for _, copyTime := range []time.Duration{0, 900 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			first := engine("a")
+			first.Events, first.CopyTime = 60, copyTime
+			w := newWorld(t, first)
+			defer w.end()
+			a := w.send("POST", "/s/1", "r1", "log")
+			time.Sleep(1200 * time.Millisecond)
+			keeper := engine("c")
+			keeper.ID, keeper.Address = "i9", "10.0.0.9:80"
+			w.servers = append(w.servers, w.net.Add(keeper))
+			w.fleet.Apply(upstream.List{Backends: w.net.List(), AsOf: time.Now()})
+			time.Sleep(1200 * time.Millisecond)
+			if copyTime == 0 && keeper.Copies() != 1 {
+				t.Fatalf("%d copies ordered", keeper.Copies())
+			}
+			a.wholeStream(t, 60)
+			time.Sleep(time.Second)
+			if n := keeper.Copies(); n != 0 {
+				t.Errorf("%d copies after the run", n)
+			}
+		})
+	}
 }
 
 // An answer without a length that ends with its connection is whole only if its
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -153,6 +153,7 @@
 	ReadTime  time.Duration // until the first event, where the prompt is read
 	EventTime time.Duration // between events
 	WorkTime  time.Duration // of a call
+	CopyTime  time.Duration // of a copy on order
 	// Answer, if set, takes a call over and reports whether it did.
 	Answer func(s *Server, w http.ResponseWriter, r *http.Request) bool
 
@@ -395,6 +396,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	s.pause(r, s.CopyTime)
 	target.keep(s.Address+"/copy-of-"+id, uint64(made))
 	_, _ = fmt.Fprint(w, "copy-of-"+id)
 }
