placement: full memory costs by degrees, and others' unheard runs are guessed

Cause: in a burst every VM's own engines are past the full mark, where a cliff of 20 s began; the one engine still below it drew the runs of six VMs within 200 ms, each of which knew the same, and they waited there for one another up to 18 s. Change: the cost of memory rises from the mark on, by the wait for the runs that lie ahead (15 s for a whole memory); to an engine of another VM up to one more run like this is added, drawn by chance. Test: eleven VMs, engines nearly full, one below the mark: it got 11 of 11 runs, now two at most.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -64,41 +64,61 @@
 	// perRequest: each further run lengthens every step of the batch; over a run
 	// of a thousand tokens this adds up to some 80 ms.
 	perRequest = 80.0
-	// fullShare of the memory: beyond it an engine preempts runs in mid-stream,
-	// which costs their prompts once more.
+	// fullShare of the memory: beyond it an engine preempts runs in mid-stream, which
+	// costs their prompts once more, or lets them wait for others to end. A run
+	// takes some 15 s, so a whole memory's worth of runs ahead is a wait as long.
+	// The cost rises from the mark on: with a cliff there, the last engine below it
+	// draws every VM's runs.
 	fullShare = 0.92
-	fullCost  = 20_000.0
+	fullCost  = 15_000.0
 	// awayCost is what a VM's own engines may be dearer before it turns to another's:
 	// five runs more, and less than half of a second prompt.
 	awayCost = 400.0
 	// tieMS: costs that differ by less are equal, and chance decides, so that VMs
 	// with the same reports do not all choose the same engine.
 	tieMS = 40.0
+	// unheardSteps is how finely the guess of what others sent is drawn.
+	unheardSteps = 1000
 	// avoidCost goes before every other cost.
 	avoidCost = 1e6
 )
 
 // streamCost is the delay that a stream meets, and brings about, at a candidate.
-func streamCost(c *Candidate, n Need) float64 {
+func streamCost(c *Candidate, n Need, unheard float64) float64 {
 	cost := float64(c.Use.Prompt)/promptPerMS + perRequest*float64(c.Use.Requests)
 	if c.Slow > 1 {
 		cost = (cost + float64(n.Prompt)/promptPerMS) * c.Slow
 	}
-	if float64(c.Use.Tokens+n.Tokens()) > fullShare*float64(c.KVTokens) {
-		cost += fullCost
-	}
 	if !c.Home {
 		cost += awayCost
 	}
 	if c.Avoid {
 		cost += avoidCost
 	}
-	return cost
+	return cost + memoryCost(c, n, unheard)
+}
+
+// memoryCost is the delay by memory that is taken. unheard is the share of one
+// more run like this that other VMs may have sent since they were heard. Without
+// it VMs whose own engines are full all choose the one engine that was seen
+// with room, and their runs wait there for one another.
+func memoryCost(c *Candidate, n Need, unheard float64) float64 {
+	if c.KVTokens == 0 {
+		return 0
+	}
+	taken := float64(c.Use.Tokens) + float64(n.Tokens())
+	if !c.Home {
+		taken += unheard * float64(n.Tokens())
+	}
+	return fullCost * max(0, taken/float64(c.KVTokens)-fullShare)
 }
 
 // Engine chooses for a stream; -1: there is no candidate.
 func Engine(all []Candidate, n Need, rng func(n int) int) int {
-	return cheapest(all, rng, tieMS, func(c *Candidate) (float64, bool) { return streamCost(c, n), true })
+	return cheapest(all, rng, tieMS, func(c *Candidate) (float64, bool) {
+		unheard := float64(rng(unheardSteps)) / unheardSteps
+		return streamCost(c, n, unheard), true
+	})
 }
 
 // copyShare is how much of an engine's memory may be taken after a copy: what
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -148,3 +148,31 @@
 		t.Errorf("most prompts on one engine: %d alike, %d at home first", alike, home)
 	}
 }
+
+// The load of a burst: memory is nearly taken everywhere, and eleven VMs place one
+// run each before any hears of another's. A cliff at the full mark sends all of
+// them to the one engine below it, where five wait for the others to end while
+// its neighbours could begin theirs at once.
+func TestNearlyFullEnginesShareABurst(t *testing.T) {
+	const vms = 11
+	need := Need{Prompt: 8000, Output: 1500}
+	rng := rand.New(rand.NewPCG(1, 2))
+	taken := map[int]int{}
+	for vm := range vms {
+		all := engines(10)
+		for i := range all {
+			all[i].Use = Use{Requests: 6, Tokens: 72_000 + 200*(i%10)}
+			all[i].Home = i%vms == vm
+		}
+		all[17].Use.Tokens = 70_000
+		all[17].Home = false
+		taken[Engine(all, need, rng.IntN)]++
+	}
+	most := 0
+	for _, n := range taken {
+		most = max(most, n)
+	}
+	if most > 2 {
+		t.Errorf("%d of %d runs went to one engine", most, vms)
+	}
+}
