placement: each engine has a line of VMs, not one home and equals

Cause: a VM whose own engines read prompts turned to the engine that was cheapest of all others, and all VMs knew the same: within half a second seven of nine, or twelve of 67, sent a run to one that had just started, where they waited for one another 5 to 15 s. Seen in the logs of the placed streams: one engine, one figure of its load, many routers. Change: a VM pays for its place in an engine's line (rendezvous hashing): 400 ms for each place, where it was 400 ms for all others alike. Tests: 66 VMs, three fresh engines among busy ones: 22 prompts on one when alike, five at most in line; eleven VMs and nearly full engines: 11 before, now two.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -11,8 +11,9 @@
 //
 // VMs that know the same choose the same: the one idle engine would get the prompts
 // of all of them within the time that their news of one another takes. So each
-// engine is home to one VM (rendezvous hashing), and another VM goes there only
-// where that is worth it.
+// engine has a line of VMs (rendezvous hashing). The first is at home there; the
+// further back a VM stands, the more its nearer engines must be taken before it
+// goes there. Of a hundred VMs two or three meet on a fresh engine, not all.
 //
 // So a stream goes where the fewest prompt tokens wait and the least memory is
 // taken, counting copies like runs, and its copy to another zone by the same
@@ -41,8 +42,9 @@
 	// Avoid: suspected, failing or known to be full. It is taken only where
 	// nothing else is left.
 	Avoid bool
-	// Home: this VM is the one that the server is home to.
-	Home bool
+	// Turn is this VM's place in the line of those that may turn to the server; 0:
+	// it is at home there.
+	Turn int
 	// Slow is how much longer its work takes than its neighbours'; 1 is usual.
 	Slow float64
 }
@@ -66,59 +68,47 @@
 	perRequest = 80.0
 	// fullShare of the memory: beyond it an engine preempts runs in mid-stream, which
 	// costs their prompts once more, or lets them wait for others to end. A run
-	// takes some 15 s, so a whole memory's worth of runs ahead is a wait as long.
-	// The cost rises from the mark on: with a cliff there, the last engine below it
-	// draws every VM's runs.
+	// takes some 15 s, so a whole memory's worth of runs ahead is a wait as long;
+	// prompts read again weigh more than as much. The cost rises from the mark on:
+	// with a cliff there, the last engine below it draws every VM's runs.
 	fullShare = 0.92
-	fullCost  = 15_000.0
-	// awayCost is what a VM's own engines may be dearer before it turns to another's:
-	// five runs more, and less than half of a second prompt.
+	fullCost  = 40_000.0
+	// awayCost is what a VM's own engines may be dearer before it turns to one where
+	// it is next in line, and so on for each further place: five runs more, and less
+	// than half of a second prompt.
 	awayCost = 400.0
 	// tieMS: costs that differ by less are equal, and chance decides, so that VMs
 	// with the same reports do not all choose the same engine.
 	tieMS = 40.0
-	// unheardSteps is how finely the guess of what others sent is drawn.
-	unheardSteps = 1000
 	// avoidCost goes before every other cost.
 	avoidCost = 1e6
 )
 
 // streamCost is the delay that a stream meets, and brings about, at a candidate.
-func streamCost(c *Candidate, n Need, unheard float64) float64 {
+func streamCost(c *Candidate, n Need) float64 {
 	cost := float64(c.Use.Prompt)/promptPerMS + perRequest*float64(c.Use.Requests)
 	if c.Slow > 1 {
 		cost = (cost + float64(n.Prompt)/promptPerMS) * c.Slow
 	}
-	if !c.Home {
-		cost += awayCost
-	}
+	cost += memoryCost(c, n) + awayCost*float64(c.Turn)
 	if c.Avoid {
 		cost += avoidCost
 	}
-	return cost + memoryCost(c, n, unheard)
+	return cost
 }
 
-// memoryCost is the delay by memory that is taken. unheard is the share of one
-// more run like this that other VMs may have sent since they were heard. Without
-// it VMs whose own engines are full all choose the one engine that was seen
-// with room, and their runs wait there for one another.
-func memoryCost(c *Candidate, n Need, unheard float64) float64 {
+// memoryCost is the delay by memory that is taken.
+func memoryCost(c *Candidate, n Need) float64 {
 	if c.KVTokens == 0 {
 		return 0
 	}
-	taken := float64(c.Use.Tokens) + float64(n.Tokens())
-	if !c.Home {
-		taken += unheard * float64(n.Tokens())
-	}
+	taken := float64(c.Use.Tokens + n.Tokens())
 	return fullCost * max(0, taken/float64(c.KVTokens)-fullShare)
 }
 
 // Engine chooses for a stream; -1: there is no candidate.
 func Engine(all []Candidate, n Need, rng func(n int) int) int {
-	return cheapest(all, rng, tieMS, func(c *Candidate) (float64, bool) {
-		unheard := float64(rng(unheardSteps)) / unheardSteps
-		return streamCost(c, n, unheard), true
-	})
+	return cheapest(all, rng, tieMS, func(c *Candidate) (float64, bool) { return streamCost(c, n), true })
 }
 
 // copyShare is how much of an engine's memory may be taken after a copy: what
@@ -132,7 +122,7 @@
 		room := float64(c.Use.Tokens+n.Tokens()) <= copyShare*float64(c.KVTokens)
 		ok := c.Zone != zone && !c.Avoid && room
 		cost := 1000 * float64(c.Use.Tokens) / float64(max(1, c.KVTokens))
-		if !c.Home {
+		if c.Turn > 0 {
 			cost += awayCost / 2
 		}
 		return cost, ok
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -129,7 +129,9 @@
 			all := engines(8)
 			for i := range all {
 				all[i].Use.Requests = 2 + i%2
-				all[i].Home = homes && Home(fmt.Sprint("i-", i), vms) == vm
+				if homes {
+					all[i].Turn = Turn(fmt.Sprint("i-", i), vm, vms)
+				}
 			}
 			all[5].Use, all[11].Use = Use{}, Use{}
 			for range 2 {
@@ -162,10 +164,9 @@
 		all := engines(10)
 		for i := range all {
 			all[i].Use = Use{Requests: 6, Tokens: 72_000 + 200*(i%10)}
-			all[i].Home = i%vms == vm
+			all[i].Turn = (i + vm) % vms
 		}
 		all[17].Use.Tokens = 70_000
-		all[17].Home = false
 		taken[Engine(all, need, rng.IntN)]++
 	}
 	most := 0
@@ -176,3 +177,39 @@
 		t.Errorf("%d of %d runs went to one engine", most, vms)
 	}
 }
+
+// The load of a large deployment: every engine reads a prompt but three that have
+// just started, and each of 66 VMs places one run before any hears of another's.
+// Were all of them alike to an engine that is not their own, the three would get
+// 22 prompts each and read them for 20 s; in line, four VMs find one worth it.
+func TestFreshEnginesAreNotOverrun(t *testing.T) {
+	var vms []string
+	for i := range 66 {
+		vms = append(vms, fmt.Sprint("10.0.0.", i, ":7340"))
+	}
+	most := func(alike bool) int {
+		rng := rand.New(rand.NewPCG(1, 2))
+		need := Need{Prompt: 8000, Output: 1500}
+		prompts := map[int]int{}
+		for _, vm := range vms {
+			all := engines(60)
+			for i := range all {
+				all[i].Use = Use{Requests: 3, Tokens: 30_000, Prompt: 8000}
+				all[i].Turn = Turn(fmt.Sprint("i-", i), vm, vms)
+				if alike {
+					all[i].Turn = min(1, all[i].Turn)
+				}
+			}
+			all[5].Use, all[71].Use, all[140].Use = Use{}, Use{}, Use{}
+			prompts[Engine(all, need, rng.IntN)]++
+		}
+		n := 0
+		for _, i := range []int{5, 71, 140} {
+			n = max(n, prompts[i])
+		}
+		return n
+	}
+	if line, alike := most(false), most(true); line > 5 || alike < 15 {
+		t.Errorf("most prompts on a fresh engine: %d in line, %d alike", line, alike)
+	}
+}
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -63,7 +63,7 @@
 	died     chan struct{} // closed when it is judged dead
 	doubt    chan struct{} // closed when others give reason to ask it
 	heard    time.Time
-	home     bool
+	turn     int       // this VM's place in its line
 	avoid    time.Time // until
 	strikes  int       // failures to reach it in a row
 	failures int       // failed answers in a row
@@ -111,7 +111,7 @@
 	for _, b := range l.Backends {
 		s := f.servers[b.ID]
 		if s == nil || s.Address != b.Address || s.Service != b.Service {
-			s = &Server{Backend: b, died: make(chan struct{}), doubt: make(chan struct{}), home: f.isHome(b.ID)}
+			s = &Server{Backend: b, died: make(chan struct{}), doubt: make(chan struct{}), turn: placement.Turn(b.ID, f.self, f.routers)}
 		}
 		s.Draining = b.Draining
 		next[b.ID] = s
@@ -151,8 +151,8 @@
 	f.others = use
 }
 
-// SetRouters names this VM and those that place requests, so that each server is
-// home to one of them.
+// SetRouters names this VM and those that place requests: each server has a line
+// of them.
 func (f *Fleet) SetRouters(self string, routers []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -161,15 +161,10 @@
 	}
 	f.self, f.routers = self, routers
 	for _, s := range f.order {
-		s.home = f.isHome(s.ID)
+		s.turn = placement.Turn(s.ID, f.self, f.routers)
 	}
 }
 
-// isHome needs f.mu. A VM that knows of no other is home to all.
-func (f *Fleet) isHome(id string) bool {
-	return len(f.routers) == 0 || placement.Home(id, f.routers) == f.self
-}
-
 // Mine is what this VM has running on each server.
 func (f *Fleet) Mine() map[string]placement.Use {
 	f.mu.Lock()
@@ -200,7 +195,7 @@
 		servers = append(servers, s)
 		out = append(out, placement.Candidate{
 			ID: s.ID, Zone: s.Zone, Slots: s.Slots, KVTokens: kvTokens, Use: f.useOf(s, now),
-			Home: s.home, Avoid: now.Before(s.avoid), Slow: slowness(s.latency, usual),
+			Turn: s.turn, Avoid: now.Before(s.avoid), Slow: slowness(s.latency, usual),
 		})
 	}
 	return servers, out
