virtualtime: one event queue for the simulations

Cause: internal/experiment and the simulation of quota each had the same heap of events and the same clock; quota's ordered events of one instant by the length of its queue and the microsecond, which was hard to follow. In quota events of one instant now run in the order in which they were given.

--- a/internal/experiment/baseline.go
+++ b/internal/experiment/baseline.go
@@ -43,12 +43,12 @@
 	if b.w.policy.Restart {
 		u.a.from = 0
 	}
-	u.last = b.w.now
+	u.last = b.w.Now()
 	switch {
 	case e.dead && e.mute:
-		b.w.after(dialTimeout, func() { b.start(u) })
+		b.w.After(dialTimeout, func() { b.start(u) })
 	case e.dead:
-		b.w.after(refusedAfter, func() { b.start(u) })
+		b.w.After(refusedAfter, func() { b.start(u) })
 	default:
 		e.submit(u.a)
 		b.watch(u, u.a)
@@ -60,7 +60,7 @@
 		if u.ended || a != u.a {
 			return
 		}
-		u.last = b.w.now
+		u.last = b.w.Now()
 		if a.from+a.made <= u.r.journal {
 			return // a restart: the caller has this one
 		}
@@ -79,16 +79,16 @@
 // without a first token is left alone: its engine may have a queue.
 func (b *baseline) watch(u *baseRun, a *attempt) {
 	limit := b.w.policy.Silence
-	b.w.after(limit, func() { b.check(u, a) })
+	b.w.After(limit, func() { b.check(u, a) })
 }
 
 func (b *baseline) check(u *baseRun, a *attempt) {
 	if u.ended || u.a != a {
 		return
 	}
-	left := u.last.Add(b.w.policy.Silence).Sub(b.w.now)
+	left := u.last.Add(b.w.policy.Silence).Sub(b.w.Now())
 	if left > 0 || (a.made == 0 && !a.extra) {
-		b.w.after(max(left, 100*time.Millisecond), func() { b.check(u, a) })
+		b.w.After(max(left, 100*time.Millisecond), func() { b.check(u, a) })
 		return
 	}
 	a.engine.cancel(a)
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -121,7 +121,7 @@
 		took = time.Duration(float64(took) * e.slow)
 	}
 	epoch := e.epoch
-	e.w.after(took, func() { e.finish(epoch, decoding, took) })
+	e.w.After(took, func() { e.finish(epoch, decoding, took) })
 }
 
 // finish ends a step: each decoding stream gets a token.
@@ -129,8 +129,8 @@
 	if e.dead || epoch != e.epoch {
 		return
 	}
-	if wait := e.paused.Sub(e.w.now); wait > 0 {
-		e.w.after(wait, func() { e.finish(epoch, decoding, took) })
+	if wait := e.paused.Sub(e.w.Now()); wait > 0 {
+		e.w.After(wait, func() { e.finish(epoch, decoding, took) })
 		return
 	}
 	e.report(took)
@@ -151,28 +151,28 @@
 	for _, a := range e.queue {
 		queued += a.prefill/routing.DecodeWeight + a.r.tokens - a.from
 	}
-	e.reports = append(e.reports, report{e.w.now, engine.Load{
+	e.reports = append(e.reports, report{e.w.Now(), engine.Load{
 		Running: len(e.batch), Queued: len(e.queue), QueuedTokens: queued, StepMS: float64(took) / float64(time.Millisecond),
 	}})
-	for len(e.reports) > 1 && e.w.now.Sub(e.reports[1].at) >= e.w.figures.ReportLag {
+	for len(e.reports) > 1 && e.w.Now().Sub(e.reports[1].at) >= e.w.figures.ReportLag {
 		e.reports = e.reports[1:]
 	}
 }
 
 // poll returns the engine's lagging report, or false where none answers.
 func (e *engineModel) poll() (engine.Load, bool) {
-	if e.dead || e.paused.After(e.w.now) {
+	if e.dead || e.paused.After(e.w.Now()) {
 		return engine.Load{}, false
 	}
 	if len(e.batch)+len(e.queue) == 0 {
-		e.reports = []report{{e.w.now.Add(-e.w.figures.ReportLag), engine.Load{}}}
+		e.reports = []report{{e.w.Now().Add(-e.w.figures.ReportLag), engine.Load{}}}
 	}
 	if len(e.reports) == 0 {
 		return engine.Load{}, true
 	}
 	load := e.reports[0].load
 	load.Leaving = e.leaving
-	load.AgeMS = e.w.now.Sub(e.reports[0].at).Milliseconds()
+	load.AgeMS = e.w.Now().Sub(e.reports[0].at).Milliseconds()
 	return load, true
 }
 
--- a/internal/experiment/recovery.go
+++ b/internal/experiment/recovery.go
@@ -29,11 +29,11 @@
 	return []Fault{
 		{"one dies (reset)", func(w *world) { w.strike(0, func(e *engineModel) { e.die(false) }) }},
 		{"one dies (silent)", func(w *world) { w.strike(0, func(e *engineModel) { e.die(true) }) }},
-		{"pause of 2 s", func(w *world) { w.strike(0, func(e *engineModel) { e.paused = w.now.Add(2 * time.Second) }) }},
-		{"pause of 20 s", func(w *world) { w.strike(0, func(e *engineModel) { e.paused = w.now.Add(20 * time.Second) }) }},
+		{"pause of 2 s", func(w *world) { w.strike(0, func(e *engineModel) { e.paused = w.Now().Add(2 * time.Second) }) }},
+		{"pause of 20 s", func(w *world) { w.strike(0, func(e *engineModel) { e.paused = w.Now().Add(20 * time.Second) }) }},
 		{"three in a row (reset)", func(w *world) {
 			for i := range 3 {
-				w.after(time.Duration(i)*5*time.Second, func() { w.strike(i, func(e *engineModel) { e.die(false) }) })
+				w.After(time.Duration(i)*5*time.Second, func() { w.strike(i, func(e *engineModel) { e.die(false) }) })
 			}
 		}},
 	}
@@ -44,7 +44,7 @@
 	e := w.engines[i]
 	for _, a := range e.streams() {
 		if !a.r.ended && a.r.lost.IsZero() {
-			a.r.lost = w.now
+			a.r.lost = w.Now()
 		}
 	}
 	hit(e)
@@ -123,7 +123,7 @@
 		Name: "desk", Rate: rate, Prompt: recoveryPrompt, Tokens: recoveryTokens, Prefix: 256,
 		Patience: time.Minute, To: faultAt + 30*time.Second,
 	}, seed)
-	w.after(faultAt, func() { f.start(w) })
+	w.After(faultAt, func() { f.start(w) })
 	w.run(recoveryLength)
 	return w.out
 }
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -52,7 +52,7 @@
 		w.offer(l, s.Seed)
 	}
 	for _, f := range s.Faults {
-		w.after(f.At, func() { w.inflict(f) })
+		w.After(f.At, func() { w.inflict(f) })
 	}
 	w.run(length + drain)
 	return w.out
@@ -69,7 +69,7 @@
 		case "vanish":
 			w.strike(i, func(e *engineModel) { e.die(true) })
 		case "pause":
-			w.strike(i, func(e *engineModel) { e.paused = w.now.Add(f.For) })
+			w.strike(i, func(e *engineModel) { e.paused = w.Now().Add(f.For) })
 		case "slow":
 			e.slow = f.Factor
 		case "leave":
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -75,7 +75,7 @@
 	s.table.SetPeers(w.policy.Routers)
 	for i, l := range s.limiters {
 		s.table.SetLimit(i, l.Limit())
-		w.after(time.Duration(w.rng.Int64N(int64(pollEvery))), func() { s.poll(i) })
+		w.After(time.Duration(w.rng.Int64N(int64(pollEvery))), func() { s.poll(i) })
 	}
 	return s
 }
@@ -83,16 +83,16 @@
 func (s *system) poll(i int) {
 	e := s.w.engines[i]
 	if load, ok := e.poll(); ok {
-		s.table.Report(i, &load, s.w.now)
+		s.table.Report(i, &load, s.w.Now())
 		page := e.cacheEvents(s.table.CacheSeq(i))
 		s.table.CacheEvents(i, &page)
-		s.detector.Polled(e.name, s.w.now)
+		s.detector.Polled(e.name, s.w.Now())
 		s.limiters[i].Report(load.StepMS, load.Queued, s.table.Inflight(i))
 		s.table.SetLimit(i, s.limiters[i].Limit())
 		s.pump()
 	}
 	jitter := time.Duration(s.w.rng.Int64N(int64(pollEvery / 2)))
-	s.w.after(pollEvery*3/4+jitter, func() { s.poll(i) })
+	s.w.After(pollEvery*3/4+jitter, func() { s.poll(i) })
 }
 
 func (s *system) ask(r *request) {
@@ -100,10 +100,10 @@
 	u.item = admission.Item{
 		Key: r.load.Name + "/" + time.Duration(r.id).String(), Workspace: r.load.Name, Class: r.class,
 		Weight: float64(r.load.Share), Cost: routing.Work(r.prompt, r.tokens), Bytes: 4 * r.prompt,
-		Deadline: s.w.now.Add(r.load.Patience),
+		Deadline: s.w.Now().Add(r.load.Patience),
 	}
 	s.measureRoom()
-	d := s.queue.Enter(&u.item, s.w.now)
+	d := s.queue.Enter(&u.item, s.w.Now())
 	if d.Refused() {
 		s.w.refused(r, d.RetryAfter)
 		return
@@ -136,19 +136,19 @@
 	s.close(u.current, routing.Cancelled)
 	s.close(u.hedge, routing.Cancelled)
 	s.paced(u)
-	s.queue.Leave(&u.item, whole, s.w.now)
+	s.queue.Leave(&u.item, whole, s.w.Now())
 	delete(s.runs, &u.item)
 	s.pump()
 }
 
 func (s *system) measureRoom() {
-	limit, _ := s.table.Capacity(model, s.w.now)
+	limit, _ := s.table.Capacity(model, s.w.Now())
 	s.queue.SetCapacity(limit)
 }
 
 func (s *system) pump() {
 	s.measureRoom()
-	for it := s.queue.Next(s.w.now); it != nil; it = s.queue.Next(s.w.now) {
+	for it := s.queue.Next(s.w.Now()); it != nil; it = s.queue.Next(s.w.Now()) {
 		s.start(s.runs[it])
 	}
 }
@@ -158,7 +158,7 @@
 	if u.ended {
 		return
 	}
-	standing := s.w.blamed.Standing(digest(u.r), s.w.now)
+	standing := s.w.blamed.Standing(digest(u.r), s.w.Now())
 	if standing == recovery.Poison {
 		s.w.out.poisoned++
 		u.r.ended = true
@@ -167,7 +167,7 @@
 	}
 	l := s.place(u, u.avoid, standing == recovery.Suspect)
 	if l == nil {
-		s.w.after(pickPause/2+time.Duration(s.w.rng.Int64N(int64(pickPause))), func() { s.start(u) })
+		s.w.After(pickPause/2+time.Duration(s.w.rng.Int64N(int64(pickPause))), func() { s.start(u) })
 		return
 	}
 	u.current = l
@@ -182,7 +182,7 @@
 		Pool: model, Prompt: r.prompt + r.journal, New: r.tokens - r.journal, Blocks: r.blocks, Avoid: avoid,
 		Resume: u.attempts > 0, Suspect: suspect, Affinity: s.policy.Affinity,
 	}
-	place, ok := s.table.Pick(&q, s.w.now)
+	place, ok := s.table.Pick(&q, s.w.Now())
 	if !ok {
 		return nil
 	}
@@ -197,7 +197,7 @@
 	if l.a.extra {
 		l.a.priority = recovery.ResumePriority
 	}
-	l.stream = s.detector.Begin(e.name, s.w.now)
+	l.stream = s.detector.Begin(e.name, s.w.Now())
 	return l
 }
 
@@ -205,9 +205,9 @@
 	e := l.a.engine
 	switch {
 	case e.dead && e.mute:
-		s.w.after(dialTimeout, func() { s.lost(l, routing.Refused) })
+		s.w.After(dialTimeout, func() { s.lost(l, routing.Refused) })
 	case e.dead:
-		s.w.after(refusedAfter, func() { s.lost(l, routing.Refused) })
+		s.w.After(refusedAfter, func() { s.lost(l, routing.Refused) })
 	default:
 		e.submit(l.a)
 		s.watch(l)
@@ -220,7 +220,7 @@
 		return
 	}
 	s.detector.SetPatient(s.suspicion.Empty())
-	suspect, again := s.detector.Check(l.stream, s.w.now)
+	suspect, again := s.detector.Check(l.stream, s.w.Now())
 	if suspect {
 		s.suspicion.Spend(l.run.r.prompt + l.run.r.journal)
 		s.lost(l, routing.Silent)
@@ -230,12 +230,12 @@
 		again = min(again, 100*time.Millisecond)
 		s.maybeHedge(l)
 	}
-	s.w.after(again, func() { s.watch(l) })
+	s.w.After(again, func() { s.watch(l) })
 }
 
 func (s *system) maybeHedge(l *lane) {
 	u := l.run
-	if l != u.current || u.hedge != nil || !s.detector.HedgeDue(l.stream, s.w.now) {
+	if l != u.current || u.hedge != nil || !s.detector.HedgeDue(l.stream, s.w.Now()) {
 		return
 	}
 	if !s.hedges.Spend(u.r.prompt + u.r.journal) {
@@ -259,7 +259,7 @@
 		s.close(u.hedge, routing.Cancelled)
 		u.hedge = nil
 	}
-	s.detector.Event(l.stream, s.w.now)
+	s.detector.Event(l.stream, s.w.Now())
 	s.suspicion.Earn(1)
 	s.hedges.Earn(1)
 	s.table.Progress(&l.place, 1)
@@ -272,7 +272,7 @@
 		s.w.out.redeem(routing.DecodeWeight) // a new token is useful
 	}
 	if u.r.journal == 0 {
-		s.queue.FirstToken(&u.item, s.w.now)
+		s.queue.FirstToken(&u.item, s.w.Now())
 	}
 	s.w.received(u.r)
 	if u.r.ended {
@@ -289,7 +289,7 @@
 	}
 	s.close(l, o)
 	if o == routing.Failed {
-		s.w.blamed.EngineDied(recovery.Death{Digest: digest(u.r), Engine: l.a.engine.name, At: s.w.now}, l.a.made)
+		s.w.blamed.EngineDied(recovery.Death{Digest: digest(u.r), Engine: l.a.engine.name, At: s.w.Now()}, l.a.made)
 		s.limiters[l.a.engine.id].Lost()
 	}
 	if l == u.hedge {
@@ -304,14 +304,14 @@
 	s.paced(u)
 	u.resume = &recovery.Resume{Deadline: u.item.Deadline, Prefill: u.r.prompt + u.r.journal}
 	s.resumes[u.resume] = u
-	s.pacer.Enter(u.resume, s.w.now)
+	s.pacer.Enter(u.resume, s.w.Now())
 	s.grant()
-	s.w.after(3*time.Second, s.grant)
+	s.w.After(3*time.Second, s.grant)
 }
 
 func (s *system) grant() {
-	s.pacer.SetEngines(s.table.Usable(model, s.w.now), s.w.policy.Routers)
-	for r := s.pacer.Next(s.w.now); r != nil; r = s.pacer.Next(s.w.now) {
+	s.pacer.SetEngines(s.table.Usable(model, s.w.Now()), s.w.policy.Routers)
+	for r := s.pacer.Next(s.w.Now()); r != nil; r = s.pacer.Next(s.w.Now()) {
 		u := s.resumes[r]
 		delete(s.resumes, r)
 		s.start(u)
@@ -336,5 +336,5 @@
 	l.closed = true
 	l.a.engine.cancel(l.a)
 	s.detector.End(l.stream)
-	s.table.Done(&l.place, o, s.w.now)
+	s.table.Done(&l.place, o, s.w.Now())
 }
--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -77,9 +77,9 @@
 		}
 		id++
 		w.arrive(&l, id, rng)
-		w.after(time.Duration(rng.ExpFloat64()/l.Rate*float64(time.Second)), next)
+		w.After(time.Duration(rng.ExpFloat64()/l.Rate*float64(time.Second)), next)
 	}
-	w.after(l.From+time.Duration(rng.ExpFloat64()/l.Rate*float64(time.Second)), next)
+	w.After(l.From+time.Duration(rng.ExpFloat64()/l.Rate*float64(time.Second)), next)
 }
 
 func hash(s string) uint64 {
@@ -100,7 +100,7 @@
 }
 
 func (w *world) arrive(l *Load, id int, rng *rand.Rand) {
-	r := &request{load: l, id: id, tokens: size(rng, l.Tokens), asked: w.now}
+	r := &request{load: l, id: id, tokens: size(rng, l.Tokens), asked: w.Now()}
 	r.prompt = l.Prefix + size(rng, max(1, l.Prompt-l.Prefix))
 	r.rng = rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 	r.router = w.routers[rng.IntN(len(w.routers))]
@@ -121,10 +121,10 @@
 // leaves, and comes again if it has tries left.
 func (w *world) try(r *request) {
 	r.tries++
-	r.tried = w.now
+	r.tried = w.Now()
 	r.record.tries++
 	n := r.tries
-	w.after(r.load.Patience, func() {
+	w.After(r.load.Patience, func() {
 		if r.tries == n && r.first.IsZero() && !r.ended {
 			r.router.leave(r)
 			w.again(r, 500*time.Millisecond, gaveUp)
@@ -135,7 +135,7 @@
 
 // refused tells the caller that its try was refused, and when to come again.
 func (w *world) refused(r *request, retryAfter time.Duration) {
-	r.record.early = append(r.record.early, w.now.Sub(r.tried))
+	r.record.early = append(r.record.early, w.Now().Sub(r.tried))
 	w.again(r, retryAfter, refusedLast)
 }
 
@@ -143,14 +143,14 @@
 // waits for its answer no longer than its patience for each of its tries.
 func (w *world) again(r *request, pause time.Duration, last ending) {
 	total := time.Duration(r.load.Tries) * r.load.Patience
-	if r.tries >= r.load.Tries || w.now.Add(pause).Sub(r.asked) > total {
+	if r.tries >= r.load.Tries || w.Now().Add(pause).Sub(r.asked) > total {
 		r.ended = true
 		r.record.ending = last
 		return
 	}
 	r.tries++ // the try under way is over
 	n := r.tries
-	w.after(pause, func() {
+	w.After(pause, func() {
 		if !r.ended && r.tries == n {
 			r.tries--
 			w.try(r)
@@ -161,11 +161,11 @@
 // received gives the caller a token.
 func (w *world) received(r *request) {
 	if r.first.IsZero() {
-		r.first = w.now
+		r.first = w.Now()
 	}
 	r.journal++
 	if !r.lost.IsZero() {
-		w.out.resumes = append(w.out.resumes, w.now.Sub(r.lost))
+		w.out.resumes = append(w.out.resumes, w.Now().Sub(r.lost))
 		r.lost = time.Time{}
 	}
 	if r.journal >= r.tokens {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -45,7 +45,7 @@
 			return cost, used, time.Duration(used) * 38 * time.Millisecond
 		})
 		for i, at := range []time.Duration{2 * time.Minute, 4 * time.Minute, 4*time.Minute + time.Second} {
-			w.after(at, func() { w.vms[3*i].dead = true })
+			w.After(at, func() { w.vms[3*i].dead = true })
 		}
 		w.run(90 * time.Second)
 		steady := w.messages
@@ -84,7 +84,7 @@
 			kind := rapid.IntRange(0, 4).Draw(t, "kind")
 			v := w.vms[rapid.IntRange(0, 3).Draw(t, "vm")]
 			n := rapid.Int64Range(1, 40).Draw(t, "n")
-			w.after(at, func() { w.fault(kind, v, n) })
+			w.After(at, func() { w.fault(kind, v, n) })
 		}
 		w.run(70 * time.Second)
 		if w.accepted == 0 {
@@ -105,7 +105,7 @@
 		}
 	case 1:
 		v.paused = true
-		w.after(time.Duration(n)*time.Second, func() { v.paused = false })
+		w.After(time.Duration(n)*time.Second, func() { v.paused = false })
 	case 2:
 		w.allow(allowance(n*1000, 12, 10*time.Second))
 	case 3:
@@ -179,15 +179,15 @@
 		w.run(600 * time.Millisecond)
 		return w.accepted > before
 	}
-	for end := w.now.Add(safe - 2*time.Second); w.now.Before(end); w.run(5 * time.Second) {
+	for end := w.Now().Add(safe - 2*time.Second); w.Now().Before(end); w.run(5 * time.Second) {
 		if try() {
-			t.Fatalf("the dead VM's concurrency was given away after %s", w.now.Sub(epoch))
+			t.Fatalf("the dead VM's concurrency was given away after %s", w.Now().Sub(epoch))
 		}
 	}
 	w.run(10 * time.Second)
 	try() // tells the router that concurrency is left again
 	if !try() {
-		t.Errorf("its concurrency is still held after %s", w.now.Sub(epoch))
+		t.Errorf("its concurrency is still held after %s", w.Now().Sub(epoch))
 	}
 }
 
@@ -223,7 +223,7 @@
 	r := Request{ID: "r", Workspace: "hot", Allowance: w.allowance(), Tokens: 1}
 	b.ReportAllocs()
 	for b.Loop() {
-		t, err := w.vms[0].core.Reserve(w.now, r)
+		t, err := w.vms[0].core.Reserve(w.Now(), r)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -9,15 +8,16 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/plan"
+	"github.com/amaranthshelf/amaranthshelf/internal/virtualtime"
 )
 
 // world is a ledger and some routers on one virtual clock. Messages take 1 to 4
 // ms each way and may be lost or repeated. It keeps its own account of what is
 // charged to each window, from the tickets alone.
 type world struct {
-	now    time.Time
+	*virtualtime.Queue
+
 	rng    *rand.Rand
-	events eventHeap
 	book   *plan.Book
 	ledger *plan.Ledger
 	vms    []*vm
@@ -50,35 +50,11 @@
 	used int64
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 var epoch = time.UnixMilli(1_800_000_000_000) // a multiple of the windows used here
 
 func newWorld(seed uint64, vms int, fail func(format string, args ...any)) *world {
 	w := &world{
-		now: epoch, rng: rand.New(rand.NewPCG(seed, 1)), fail: fail, book: plan.NewBook(),
+		Queue: virtualtime.New(epoch), rng: rand.New(rand.NewPCG(seed, 1)), fail: fail, book: plan.NewBook(),
 		charged: map[string]int64{}, used: map[string]int64{}, limits: map[string]int64{},
 	}
 	w.ledger = plan.NewLedger(w.book, w.broken)
@@ -97,7 +73,7 @@
 }
 
 func (w *world) ticks(v *vm) {
-	w.after(tick, func() {
+	w.After(tick, func() {
 		if !v.dead {
 			w.pump(v)
 			w.ticks(v)
@@ -105,19 +81,7 @@
 	})
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	heap.Push(&w.events, event{w.now.Add(d), len(w.events) + int(w.now.UnixMicro()%1000), do})
-}
-
-func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
-	}
-	w.now = end
-}
+func (w *world) run(d time.Duration) { w.Run(w.Now().Add(d)) }
 
 func (w *world) allow(a plan.Allowance) {
 	row, _ := w.book.Allowance(a.Plan)
@@ -126,7 +90,7 @@
 		w.do(plan.Command{Action: plan.SetCustomer, Name: "hot", Customer: &plan.Customer{Workspace: "hot", Plan: a.Plan}, Create: true})
 	}
 	for _, v := range w.vms {
-		w.after(w.delay(), func() {
+		w.After(w.delay(), func() {
 			v.core.Recall(func(string) (plan.Allowance, bool) { return a, true })
 			w.pump(v)
 		})
@@ -134,7 +98,7 @@
 }
 
 func (w *world) do(c plan.Command) {
-	if r := w.book.Do(w.now.UnixMilli(), c); r.Err() != nil {
+	if r := w.book.Do(w.Now().UnixMilli(), c); r.Err() != nil {
 		w.fail("%v", r.Err())
 	}
 }
@@ -151,7 +115,7 @@
 	if v.dead || v.paused || v.exchange > 0 {
 		return
 	}
-	s, ok := v.core.Next(w.now)
+	s, ok := v.core.Next(w.Now())
 	if !ok {
 		return
 	}
@@ -162,7 +126,7 @@
 	}
 	w.bytes += len(data)
 	v.exchange++
-	w.after(resendPause, func() { w.resend(v, s.Seq) })
+	w.After(resendPause, func() { w.resend(v, s.Seq) })
 	w.deliver(v, data)
 }
 
@@ -179,15 +143,15 @@
 		return
 	}
 	if w.rng.Float64() < w.repeatShare {
-		w.after(time.Duration(w.rng.IntN(3000))*time.Millisecond, func() { w.ledger.Apply(w.now.UnixMilli(), data) })
+		w.After(time.Duration(w.rng.IntN(3000))*time.Millisecond, func() { w.ledger.Apply(w.Now().UnixMilli(), data) })
 	}
-	w.after(w.delay(), func() {
-		reply := w.ledger.Apply(w.now.UnixMilli(), data)
+	w.After(w.delay(), func() {
+		reply := w.ledger.Apply(w.Now().UnixMilli(), data)
 		w.bytes += len(reply)
 		if w.rng.Float64() < w.lossShare {
 			return
 		}
-		w.after(w.delay(), func() { w.answer(v, reply) })
+		w.After(w.delay(), func() { w.answer(v, reply) })
 	})
 }
 
@@ -200,7 +164,7 @@
 		return
 	}
 	v.exchange = 0
-	v.core.Take(w.now, r)
+	v.core.Take(w.Now(), r)
 	if v.core.Urgent() {
 		w.pump(v)
 	}
@@ -209,7 +173,7 @@
 // request is one call on a VM; its answer takes the given time and uses part of
 // what it may.
 func (w *world) request(v *vm, id string, cost, used int64, takes time.Duration) {
-	t, err := v.core.Reserve(w.now, Request{ID: id, Workspace: "hot", Allowance: w.allowance(), Tokens: cost})
+	t, err := v.core.Reserve(w.Now(), Request{ID: id, Workspace: "hot", Allowance: w.allowance(), Tokens: cost})
 	if err != nil {
 		w.refused++
 		return
@@ -217,19 +181,19 @@
 	if v.core.Urgent() {
 		w.pump(v)
 	}
-	w.await(v, &answer{t: t, used: used}, w.now.Add(waitLimit), takes)
+	w.await(v, &answer{t: t, used: used}, w.Now().Add(waitLimit), takes)
 }
 
 func (w *world) await(v *vm, a *answer, deadline time.Time, takes time.Duration) {
 	select {
 	case <-a.t.done:
 	default:
-		if w.now.After(deadline) {
+		if w.Now().After(deadline) {
 			v.core.Settle(a.t, false, 0)
 			w.refused++
 			return
 		}
-		w.after(4*time.Millisecond, func() { w.await(v, a, deadline, takes) })
+		w.After(4*time.Millisecond, func() { w.await(v, a, deadline, takes) })
 		return
 	}
 	if a.t.err != nil || v.dead {
@@ -238,7 +202,7 @@
 	}
 	w.accepted++
 	w.begin(v, a)
-	w.after(takes, func() { w.finish(v, a) })
+	w.After(takes, func() { w.finish(v, a) })
 }
 
 // begin charges the whole reservation to its window, finish only what was used.
@@ -274,14 +238,14 @@
 
 // load calls on random live VMs, perSecond in the mean, until the time is up.
 func (w *world) load(perSecond float64, until time.Time, draw func() (cost, used int64, takes time.Duration)) {
-	if w.now.After(until) {
+	if w.Now().After(until) {
 		return
 	}
-	w.after(time.Duration(w.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
+	w.After(time.Duration(w.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		v := w.vms[w.rng.IntN(len(w.vms))]
 		if !v.dead && !v.paused {
 			cost, used, takes := draw()
-			w.request(v, fmt.Sprint(w.accepted, "-", w.refused, "-", w.now.UnixNano()), cost, used, takes)
+			w.request(v, fmt.Sprint(w.accepted, "-", w.refused, "-", w.Now().UnixNano()), cost, used, takes)
 		}
 		w.load(perSecond, until, draw)
 	})
