peer: a VM that stops while a connection opens does not hang

Seen: the test command ended after five minutes in TestReadWithoutAMajority, once. The stacks show it: dial holds the network's lock, finds the network closed and ends the new connection, which takes the same lock to be forgotten; Close and a thousand handlers wait behind it. A daemon that stops at that moment would not end by itself either. Change: the connection is ended after the lock is given back; one that is accepted while the network closes is ended at once. Ruled out: load. Nothing else ran, and all 1,078 stacks wait for that lock or for their connections.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -206,22 +206,30 @@
 
 func (n *Network) dial(vm string, d *dial) {
 	c, err := n.dialOnce(vm)
+	defer close(d.done)
+	d.conn, d.err = n.opened(vm, c, err)
+	if c != nil && d.conn == nil {
+		// Only here, where the lock is free: a connection that ends takes it to be
+		// forgotten. Ended under the lock, a VM that closes would hang for ever.
+		c.close()
+	}
+}
+
+// opened takes what an attempt to connect came to.
+func (n *Network) opened(vm string, c *conn, err error) (*conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	defer close(d.done)
 	delete(n.dialing, vm)
 	if err == nil && n.closed {
-		c.close()
 		err = ErrClosed
 	}
 	if err != nil {
 		n.failedAt[vm] = time.Now()
-		d.err = fmt.Errorf("%w: %s: %w", ErrUnreachable, vm, err)
-		return
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, vm, err)
 	}
 	delete(n.failedAt, vm)
 	n.conns[vm] = c
-	d.conn = c
+	return c, nil
 }
 
 func (n *Network) dialOnce(vm string) (*conn, error) {
@@ -248,10 +256,19 @@
 	return c, nil
 }
 
+// start runs a connection. One that is accepted while the network closes would be
+// ended by nobody.
 func (n *Network) start(c *conn) {
 	n.mu.Lock()
-	n.all[c] = struct{}{}
+	closed := n.closed
+	if !closed {
+		n.all[c] = struct{}{}
+	}
 	n.mu.Unlock()
+	if closed {
+		c.close()
+		return
+	}
 	go c.writeLoop()
 	go c.readLoop()
 }
