--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -84,35 +84,39 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var lists [][]forward.Kept
-	for _, s := range h.vms {
-		if time.Since(s.at) <= keptFor {
-			lists = append(lists, s.notice.Kept)
-		}
-	}
+	kept := h.allKept()
 	if time.Now().Before(h.recalledTo) {
-		lists = append(lists, h.recalled)
+		kept = append(kept, h.recalled...)
 	}
-	return find(lists, identity), nil
+	return find(kept, identity), nil
 }
 
 // find returns the one copy under an identity.
-func find(lists [][]forward.Kept, identity uint64) forward.Copy {
+func find(kept []forward.Kept, identity uint64) forward.Copy {
 	var found forward.Copy
-	for _, list := range lists {
-		for _, k := range list {
-			if k.Identity != identity {
-				continue
-			}
-			if found.Address != "" && found != k.Copy {
-				return forward.Copy{}
-			}
-			found = k.Copy
+	for _, k := range kept {
+		if k.Identity != identity {
+			continue
+		}
+		if found.Address != "" && found != k.Copy {
+			return forward.Copy{}
 		}
+		found = k.Copy
 	}
 	return found
 }
 
+// allKept are the copies of all VMs that were heard lately. It needs h.mu.
+func (h *Hub) allKept() []forward.Kept {
+	var out []forward.Kept
+	for _, s := range h.vms {
+		if time.Since(s.at) <= keptFor {
+			out = append(out, s.notice.Kept...)
+		}
+	}
+	return out
+}
+
 func (h *Hub) note(from string, n Notice) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/cluster/list.go
+++ b/internal/cluster/list.go
@@ -29,7 +29,20 @@
 func NewHeld(took func(upstream.List)) *Held { return &Held{took: took} }
 
 // Take takes rows that were read age ago, unless what is held was read later.
-func (h *Held) Take(rows []upstream.Backend, age time.Duration) {
+func (h *Held) Take(rows []upstream.Backend, age time.Duration) { h.take(rows, digestOf(rows), age) }
+
+// Confirm notes that the rows held were still the platform's age ago.
+func (h *Held) Confirm(digest uint64, age time.Duration) {
+	h.mu.Lock()
+	same := h.listed && h.digest == digest
+	rows := h.list.Backends
+	h.mu.Unlock()
+	if same {
+		h.take(rows, digest, age)
+	}
+}
+
+func (h *Held) take(rows []upstream.Backend, digest uint64, age time.Duration) {
 	h.mu.Lock()
 	asOf := time.Now().Add(-age)
 	if h.listed && !asOf.After(h.list.AsOf) {
@@ -37,23 +50,12 @@
 		return
 	}
 	h.list = upstream.List{Backends: rows, AsOf: asOf}
-	h.digest, h.listed = digestOf(rows), true
+	h.digest, h.listed = digest, true
 	list := h.list
 	h.mu.Unlock()
 	h.took(list)
 }
 
-// Confirm notes that the rows held were still the platform's age ago.
-func (h *Held) Confirm(digest uint64, age time.Duration) {
-	h.mu.Lock()
-	same := h.listed && h.digest == digest
-	rows := h.list.Backends
-	h.mu.Unlock()
-	if same {
-		h.Take(rows, age)
-	}
-}
-
 // Now returns the rows held with their digest and age; ok is false before the
 // first.
 func (h *Held) Now() (rows []upstream.Backend, digest uint64, age time.Duration, ok bool) {
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -126,12 +126,12 @@
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	want := m.source()
+	want, n := m.source(), m.notice(deaths)
 	for _, vm := range m.Controls() {
 		if vm == m.self {
 			continue
 		}
-		n := m.notice(deaths)
+		n := n
 		n.WantLoad = vm == want
 		wg.Go(func() { m.exchange(ctx, vm, n) })
 	}
--- a/internal/cluster/remember.go
+++ b/internal/cluster/remember.go
@@ -64,7 +64,9 @@
 	var last []byte
 	failing := false
 	for timer.Sleep(ctx, rememberEvery) == nil {
+		h.mu.Lock()
 		kept := h.allKept()
+		h.mu.Unlock()
 		data, err := codec.Marshal(kept)
 		if err != nil || bytes.Equal(data, last) {
 			continue
@@ -85,16 +87,3 @@
 	}
 	return wal.WriteFile(fsys, filepath.Join(dir, keptFile), data)
 }
-
-// allKept are the copies of all VMs that were heard lately.
-func (h *Hub) allKept() []forward.Kept {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out []forward.Kept
-	for _, s := range h.vms {
-		if time.Since(s.at) <= keptFor {
-			out = append(out, s.notice.Kept...)
-		}
-	}
-	return out
-}
--- a/internal/forward/kept.go
+++ b/internal/forward/kept.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"net/http"
 	"slices"
 	"sync"
 
@@ -69,7 +68,7 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		for _, v := range q.out.Header[http.CanonicalHeaderKey(name)] {
+		for _, v := range q.out.Header[name] {
 			_, _ = d.WriteString(name + ":" + v + "\x00")
 		}
 	}
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -29,9 +29,14 @@
 	pending map[string]*probe
 }
 
-// probe is one question. alive and report are valid once done is closed.
+// probe is one question. The verdict is valid once done is closed.
 type probe struct {
-	done   chan struct{}
+	done chan struct{}
+	verdict
+}
+
+// verdict is what one try, and in the end the question, came to.
+type verdict struct {
 	alive  bool
 	report Report
 	told   bool // report holds what the engine said
@@ -57,7 +62,7 @@
 func (p *prober) run(s *upstream.Server, q *probe) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	q.report, q.told, q.alive = p.question(ctx, s)
+	q.verdict = p.question(ctx, s)
 	if q.alive {
 		p.fleet.Heard(s)
 	}
@@ -67,15 +72,8 @@
 	close(q.done)
 }
 
-// verdict is the outcome of one try.
-type verdict struct {
-	report Report
-	told   bool
-	alive  bool
-}
-
 // question tries until one try is answered or refused, or ctx ends.
-func (p *prober) question(ctx context.Context, s *upstream.Server) (Report, bool, bool) {
+func (p *prober) question(ctx context.Context, s *upstream.Server) verdict {
 	tries := int(probeTimeout / probeEvery)
 	answers := make(chan verdict, tries)
 	next := time.NewTicker(probeEvery)
@@ -88,7 +86,7 @@
 			ended++
 			// A refusal is an answer of the machine: nobody listens there.
 			if v.alive || ctx.Err() == nil {
-				return v.report, v.told, v.alive
+				return v
 			}
 		case <-next.C:
 			if begun < tries {
@@ -97,7 +95,7 @@
 			}
 		}
 	}
-	return Report{}, false, false
+	return verdict{}
 }
 
 func (p *prober) try(ctx context.Context, s *upstream.Server) verdict {
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -93,7 +91,7 @@
 		return nil, result.New(result.QueueFull).WithRetryAfter(fullPause)
 	}
 	defer leave()
-	body, err := readBody(w, r, s.g.cfg.MaxBodyBytes)
+	body, err := resulthttp.ReadBody(w, r, s.g.cfg.MaxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -152,18 +150,6 @@
 	return path + "?" + query
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, result.New(result.BodyTooLarge)
-	}
-	if err != nil {
-		return nil, result.Newf(result.MalformedBody, "the body ended early: %v", err)
-	}
-	return body, nil
-}
-
 // notRelayed are hop-by-hop headers (RFC 9110 section 7.6.1), those that this
 // system sets itself, the workspace's key, which no service may learn, and
 // Expect, which would make the first byte wait for an answer.
--- a/internal/routed/operators.go
+++ b/internal/routed/operators.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
-	"encoding/json"
-	"errors"
 	"expvar"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -21,7 +18,8 @@
 
 // Bounds of an operator's call.
 const (
-	maxListText   = 16 << 20
+	// MaxListText is the most bytes of a route list's text.
+	MaxListText   = 16 << 20
 	changeTimeout = 5 * time.Second // covers a change of leader
 )
 
@@ -58,10 +56,11 @@
 		resulthttp.Write(w, "", result.New(result.NoBackendServer))
 		return
 	}
-	writeJSON(w, map[string]any{"addresses": addrs, "ttl_ms": EntryTTL.Milliseconds()})
+	resulthttp.WriteJSON(w, map[string]any{"addresses": addrs, "ttl_ms": EntryTTL.Milliseconds()})
 }
 
-// EntryTTL is how long a caller may keep an entry answer.
+// EntryTTL is how long a caller may keep an entry answer: a VM that leaves is
+// forgotten within this time.
 const EntryTTL = 1 * time.Second
 
 // guard asks for the operators' token; an empty one is for loopback alone, which
@@ -80,13 +79,9 @@
 }
 
 func putRoutes(w http.ResponseWriter, r *http.Request, c *Control) error {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxListText))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return result.New(result.BodyTooLarge)
-	case err != nil:
-		return result.Newf(result.MalformedBody, "%v", err)
+	data, err := resulthttp.ReadBody(w, r, MaxListText)
+	if err != nil {
+		return err
 	}
 	list, err := routes.Parse(data)
 	if err != nil {
@@ -98,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(w, map[string]uint64{"version": list.Version, "in_force": reply.Version})
+	resulthttp.WriteJSON(w, map[string]uint64{"version": list.Version, "in_force": reply.Version})
 	return nil
 }
 
@@ -117,9 +112,3 @@
 	_, _ = w.Write(source)
 	return nil
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	// The asker is gone if this fails; it asks again.
-	_ = json.NewEncoder(w).Encode(v)
-}
