placement: calls go by the load to be expected, not by old news

Cause: a call takes 15 to 60 ms, what VMs tell one another of their loads is 0.4 to 0.8 s old. Placed by it, all VMs turned to the server that had stood idle. Change: own calls count as known, a server's last report is worth the less the older it is in calls, behind it stands the even share of all calls.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -82,7 +82,7 @@
 	if sends >= maxSends {
 		return nil, result.BackendsFull
 	}
-	servers, candidates := h.o.Fleet.Candidates(q.service.Name, 0, skip)
+	servers, candidates := h.o.Fleet.CallCandidates(q.service.Name, skip)
 	i := placement.Server(candidates, h.o.Zone, rand.IntN)
 	switch {
 	case i < 0 && len(skip) > 0:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,7 +17,8 @@
 //
 // So a stream goes where the fewest prompt tokens wait and the least memory is
 // taken, counting copies like runs, and its copy to another zone by the same
-// measure. A call goes where the fewest calls are under way for the slots.
+// measure. Calls are placed by other means, since news of them is older than they
+// last: see call.go.
 package placement
 
 // Use is what runs on a backend server.
@@ -129,24 +130,6 @@
 	})
 }
 
-// Server chooses for a call: the least share of its slots taken. near is the
-// VM's own zone, preferred among equals.
-func Server(all []Candidate, near string, rng func(n int) int) int {
-	return cheapest(all, rng, 0, func(c *Candidate) (float64, bool) {
-		cost := (float64(c.Use.Requests) + 1) / float64(max(1, c.Slots)) * max(1, c.Slow)
-		if c.Avoid {
-			cost += avoidCost
-		}
-		if c.Zone != near {
-			cost += farCost
-		}
-		return cost, true
-	})
-}
-
-// farCost is less than one request on a server of a hundred slots.
-const farCost = 0.005
-
 func cheapest(all []Candidate, rng func(n int) int, tie float64, cost func(*Candidate) (float64, bool)) int {
 	best, found := 0.0, -1
 	costs := make([]float64, len(all))
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -185,14 +185,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	var servers []*Server
-	var out []placement.Candidate
 	usual := f.usualLatency(service)
-	for _, s := range f.order {
-		if s.Service != service || s.Draining || s.stale || skip[s.ID] {
-			continue
-		}
-		servers = append(servers, s)
+	servers := f.usable(service, skip)
+	out := make([]placement.Candidate, 0, len(servers))
+	for _, s := range servers {
 		out = append(out, placement.Candidate{
 			ID: s.ID, Zone: s.Zone, Slots: s.Slots, KVTokens: kvTokens, Use: f.useOf(s, now),
 			Turn: s.turn, Avoid: now.Before(s.avoid), Slow: slowness(s.latency, usual),
@@ -201,6 +197,35 @@
 	return servers, out
 }
 
+// CallCandidates are the same servers as placement sees them for a call.
+func (f *Fleet) CallCandidates(service string, skip map[string]bool) ([]*Server, []placement.CallCandidate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	usual := f.usualLatency(service)
+	servers := f.usable(service, skip)
+	out := make([]placement.CallCandidate, 0, len(servers))
+	for _, s := range servers {
+		out = append(out, placement.CallCandidate{
+			Zone: s.Zone, Slots: s.Slots, Own: s.use.Requests, Others: f.others[s.ID].Requests,
+			Reported: s.reported, ReportAge: now.Sub(s.told), CallTime: time.Duration(s.latency * float64(time.Millisecond)),
+			Avoid: now.Before(s.avoid), Slow: slowness(s.latency, usual),
+		})
+	}
+	return servers, out
+}
+
+// usable needs f.mu.
+func (f *Fleet) usable(service string, skip map[string]bool) []*Server {
+	var out []*Server
+	for _, s := range f.order {
+		if s.Service == service && !s.Draining && !s.stale && !skip[s.ID] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 func (f *Fleet) useOf(s *Server, now time.Time) placement.Use {
 	use := s.use.Add(f.others[s.ID])
 	if now.Sub(s.told) < loadFor {
