retry budget: a VM that only guesses asks before it breaks a stream off

Cause: a zone's engines die within a millisecond, before any VM can have told of its second sends. Change: Spend says granted, denied or uncertain; uncertain asks the control VMs, pauses 0 to 30 ms and looks again, for 120 ms at most.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -21,6 +21,10 @@
 // two it counts twice what the others have told since; among 67 VMs one that sent
 // three streams again takes it that the others sent two hundred, and breaks its next
 // one off while a third of the allowance is left.
+//
+// Where only the guess forbids a send, the VM asks: a zone's engines die within one
+// millisecond, and of 67 VMs that lose two streams each some lose seven. Some tens of
+// milliseconds later what the others sent is known, and nothing is left to guess.
 
 // Allowance is the bound on second sends to a service over all VMs.
 type Allowance struct {
@@ -105,17 +109,31 @@
 	return b.sum()
 }
 
+// Grant is what Spend says.
+type Grant uint8
+
+// Grants.
+const (
+	Denied    Grant = iota // the allowance is spent
+	Granted                // one second send is taken from it
+	Uncertain              // news of the others may show that something is left
+)
+
 // Spend takes one second send, if there is one left.
-func (b *Budget) Spend() bool {
+func (b *Budget) Spend() Grant {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.turn()
-	if float64(b.spent()+1) > b.limit() {
-		return false
+	limit, known, guess := b.limit(), b.known(), b.guess()
+	switch {
+	case float64(known+guess+1) <= limit:
+		b.slots[i].Repeats++
+		b.sends = append(b.sends, b.now())
+		return Granted
+	case b.knowsOthers() && float64(known+1) <= limit:
+		return Uncertain
 	}
-	b.slots[i].Repeats++
-	b.sends = append(b.sends, b.now())
-	return true
+	return Denied
 }
 
 // limit needs b.mu.
@@ -129,13 +147,21 @@
 	return budgetShare * (b.a.Ratio*float64(requests) + b.a.Slack)
 }
 
-// spent is what all VMs together may have spent. It needs b.mu.
-func (b *Budget) spent() int {
+// known is what this VM spent and the others told. It needs b.mu.
+func (b *Budget) known() int {
 	own := b.sum().Repeats
-	if !b.knowsOthers() {
-		return own * b.vms
+	if b.knowsOthers() {
+		own += b.others.Repeats
+	}
+	return own
+}
+
+// guess is what the others may have spent beside what they told. It needs b.mu.
+func (b *Budget) guess() int {
+	if b.knowsOthers() {
+		return (b.vms - 1) * b.recent()
 	}
-	return own + b.others.Repeats + (b.vms-1)*b.recent()
+	return (b.vms - 1) * b.sum().Repeats
 }
 
 func (b *Budget) knowsOthers() bool { return !b.told.IsZero() && b.now().Sub(b.told) < toldFor }
--- a/internal/forward/budget_test.go
+++ b/internal/forward/budget_test.go
@@ -76,12 +76,20 @@
 
 func (w *budgetWorld) lose(vm int) {
 	w.wanted++
-	if !w.budgets[vm].Spend() {
+	w.spend(vm, w.queue.Now())
+}
+
+func (w *budgetWorld) spend(vm int, began time.Time) {
+	grant := w.budgets[vm].Spend()
+	if grant == Granted {
+		w.sends = append(w.sends, w.queue.Now())
+	}
+	if grant == Denied || !w.tells {
 		return
 	}
-	w.sends = append(w.sends, w.queue.Now())
-	if w.tells {
-		w.tell(vm)
+	w.tell(vm)
+	if grant == Uncertain && w.queue.Now().Sub(began) < askFor {
+		w.queue.After(time.Duration(w.rng.Int64N(int64(2*askPause))), func() { w.spend(vm, began) })
 	}
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -150,16 +150,6 @@
 	return b
 }
 
-// spend takes one second send from the budget of the request's service.
-func (h *Handler) spend(q *request) bool {
-	if !q.budget.Spend() {
-		return false
-	}
-	h.Stats.Repeats.Inc()
-	h.o.Spending()
-	return true
-}
-
 // request is one caller's request on its way.
 type request struct {
 	Caller
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -140,7 +140,7 @@
 			return nil, nil, result.NoBackendServer
 		case s == nil:
 			return nil, nil, result.BackendsFull
-		case st.q.rec.IsRepeat() && !st.h.spend(st.q):
+		case st.q.rec.IsRepeat() && !st.h.mayRepeat(st.q):
 			return nil, nil, result.RetriesSpent
 		}
 		st.sends++
