recovery: a copy's keeper that was judged dead is replaced before the list says so

Cause: a run ordered another copy only once its keeper had left the list, two seconds after the keeper's death; with the look each second the copy came three seconds after it, and the next zone was lost by then. Ruled out: copies refused by their engines (62 orders failed of 892); too little room (no part found none). Change: Fleet.Lost counts a keeper as lost when it was judged dead here or by another VM and not heard since; the look is each 400 ms. A death told by others is also noted where the server was avoided already. The test fails without it (a pause of 1.05 s).

--- a/internal/forward/protect.go
+++ b/internal/forward/protect.go
@@ -15,12 +15,15 @@
 // look well, and the second loss, or the engine's own death, finds them without a
 // copy: their prompts are read anew by engines that are full just then.
 //
-// So a run whose keeper has left the list gets another copy while it goes on.
+// So a run whose keeper is lost gets another copy while it goes on. It does not wait
+// for the list: that names dead engines for two seconds more, and with the look at it
+// the second zone may be lost by then.
 
 // Figures of protection.
 const (
-	// protectLook is how often a run looks whether its keeper is still there.
-	protectLook = 1 * time.Second
+	// protectLook is how often a run looks whether its keeper is still there: a small
+	// part of the three seconds between two losses.
+	protectLook = 400 * time.Millisecond
 	// renewShare of a copy's life: it is brought up to date by then. Only what is new
 	// is copied.
 	renewShare = 0.6
@@ -50,7 +53,7 @@
 		return
 	}
 	held := r.shield.now
-	lost := held.keeper == nil || r.st.h.o.Fleet.Lookup(held.keeper.ID) == nil
+	lost := held.keeper == nil || r.st.h.o.Fleet.Lost(held.keeper)
 	switch {
 	case lost:
 		r.order(r.st.chooseKeeper(r.server))
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -289,6 +289,33 @@
 	})
 }
 
+// The caller sees a short pause, though a second zone is lost before the list names
+// the engines of the first as gone. In order: the keeper dies and stays listed for two
+// seconds more; another VM judges it dead; 1.2 s later the run's own engine dies. Why
+// the list is not waited for: zones are lost three seconds apart, and the list, the
+// look at it and the order itself take as long.
+func TestKeeperThatOthersJudgedDeadIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a"), engine("b"), engine("c"))
+		defer w.end()
+		a := w.send("POST", "/s/1", "r1", "log")
+		time.Sleep(1500 * time.Millisecond)
+		first := w.runningOn("r1")
+		for _, s := range w.servers {
+			if s.Copies() > 0 {
+				s.Set(routedengine.Dead)
+				w.fleet.HearsayDead([]string{s.ID})
+			}
+		}
+		time.Sleep(1200 * time.Millisecond)
+		first.Set(routedengine.Dead)
+		a.wholeStream(t, 100)
+		if pause := a.longestPause(); pause > pauseObjective {
+			t.Errorf("a pause of %v", pause)
+		}
+	})
+}
+
 // A copy that was ordered and not needed does not stay at its keeper, also where
 // the stream ends while the copy is being made.
 func TestOrderedCopyIsDropped(t *testing.T) {
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -63,6 +63,7 @@
 	died     chan struct{} // closed when it is judged dead
 	doubt    chan struct{} // closed when others give reason to ask it
 	heard    time.Time
+	diedAt   time.Time // when it was last judged dead, here or by another VM
 	turn     int       // this VM's place in its line
 	avoid    time.Time // until
 	strikes  int       // failures to reach it in a row
@@ -267,6 +268,16 @@
 	return s
 }
 
+// Lost reports whether a server has left the list, or is leaving, or was judged dead
+// here or by another VM and not heard since.
+func (f *Fleet) Lost(s *Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := f.servers[s.ID] == s && !s.Draining && !s.stale
+	dead := s.diedAt.After(s.heard) && f.now().Sub(s.diedAt) <= deadFor
+	return !listed || dead
+}
+
 // UseOf is what is known to run on a server, of this VM and the others.
 func (f *Fleet) UseOf(s *Server) placement.Use {
 	f.mu.Lock()
--- a/internal/upstream/verdict.go
+++ b/internal/upstream/verdict.go
@@ -42,6 +42,7 @@
 	f.mu.Lock()
 	f.avoidFor(s, deadFor)
 	f.dead[s.ID] = f.now()
+	s.diedAt = f.now()
 	f.noteDeath(s)
 	close(s.died)
 	s.died = make(chan struct{})
@@ -99,7 +100,11 @@
 	defer f.mu.Unlock()
 	for _, id := range ids {
 		s := f.servers[id]
-		if s == nil || f.now().Sub(s.heard) < heardLately || f.now().Before(s.avoid) {
+		if s == nil || f.now().Sub(s.heard) < heardLately {
+			continue
+		}
+		s.diedAt = f.now()
+		if f.now().Before(s.avoid) {
 			continue
 		}
 		f.avoidFor(s, recovery.OutageFor)
