cluster: the list of backend servers goes to VMs as differences; tests left behind

Cause: each answer to a notice carried the whole list wherever it had changed: with 710 engines, of which some start or leave each second, 60 KB some times a second from each control VM to each router, what breaks first at the size of the target (docs/CAPACITY.md). Change: a VM says which list it holds and gets what has changed since, of the last eight lists; the outcome is checked by its digest, and where it differs the list is asked for whole. An empty list now reaches VMs that hold none; a row named twice counts once.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -19,7 +19,6 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
-	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // Timings.
@@ -57,7 +56,7 @@
 	Ready    bool                     `cbor:"3,keyasint,omitempty"`
 	Use      map[string]placement.Use `cbor:"4,keyasint,omitempty"`
 	Deaths   []recovery.Death         `cbor:"5,keyasint,omitempty"`
-	Held     uint64                   `cbor:"6,keyasint,omitempty"`  // digest of the list of backend servers
+	Held     uint64                   `cbor:"6,keyasint,omitempty"`  // digest of the list of backend servers; 0: all of it is wanted
 	HeldAge  int64                    `cbor:"7,keyasint,omitempty"`  // ms; how old that list is
 	WantLoad bool                     `cbor:"8,keyasint,omitempty"`  // Others are wanted
 	Dead     []string                 `cbor:"9,keyasint,omitempty"`  // backend servers judged dead lately
@@ -71,13 +70,13 @@
 	Routers  []string                 `cbor:"2,keyasint,omitempty"` // VMs that take callers, by id
 	Others   map[string]placement.Use `cbor:"3,keyasint,omitempty"`
 	Deaths   []recovery.Death         `cbor:"4,keyasint,omitempty"`
-	// Digest and AgeMS are of the control VM's list; Backends comes only where the
+	// Digest and AgeMS are of the control VM's list; Changed comes only where the
 	// digest differs from the one held.
-	Digest   uint64             `cbor:"5,keyasint,omitempty"`
-	AgeMS    int64              `cbor:"6,keyasint"`
-	Listed   bool               `cbor:"7,keyasint,omitempty"`
-	Backends []upstream.Backend `cbor:"8,keyasint,omitempty"`
-	Dead     []string           `cbor:"9,keyasint,omitempty"`
+	Digest  uint64      `cbor:"5,keyasint,omitempty"`
+	AgeMS   int64       `cbor:"6,keyasint"`
+	Listed  bool        `cbor:"7,keyasint,omitempty"`
+	Changed *Difference `cbor:"8,keyasint,omitempty"`
+	Dead    []string    `cbor:"9,keyasint,omitempty"`
 	// Spent is what the other VMs together spent of the retry budgets, by service.
 	Spent map[string]forward.Spent `cbor:"10,keyasint,omitempty"`
 }
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -266,3 +266,30 @@
 		}
 	})
 }
+
+// A disk is written only when something has changed: each write costs a sync, some
+// times a second for as long as the system runs.
+func TestCopiesAreNotWrittenTwice(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		disk := waltest.New()
+		h := startHub(ctx, n, "c1", controls[:1])
+		go h.hub.Remember(ctx, disk, "/data")
+		written := func() string {
+			for i := range uint64(20) {
+				h.hub.note(fmt.Sprint("r", i), Notice{Kept: []forward.Kept{{Identity: i, Copy: forward.Copy{Address: "e1:1", ID: fmt.Sprint("q", i)}}}})
+			}
+			time.Sleep(2 * rememberEvery)
+			data, err := disk.ReadFile("/data/" + keptFile)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return string(data)
+		}
+		first := written()
+		for range 5 {
+			if written() != first {
+				t.Fatal("written again, and nothing has changed")
+			}
+		}
+	})
+}
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -66,12 +67,13 @@
 		a.Others, a.Deaths, a.Dead = h.load(from), h.recentDeaths(), h.dead(from)
 		a.Spent = h.spentByOthers(n.Spent.Life)
 	}
-	rows, digest, age, ok := h.held.Now()
+	_, digest, age, ok := h.held.Now()
 	// A VM with a younger list than ours has nothing to gain.
 	if ok {
 		a.Listed, a.Digest, a.AgeMS = true, digest, age.Milliseconds()
 		if digest != n.Held && (n.Held == 0 || a.AgeMS < n.HeldAge) {
-			a.Backends = rows
+			changed, digest := h.held.Since(n.Held)
+			a.Changed, a.Digest = &changed, digest
 		}
 	}
 	return a, nil
@@ -108,7 +110,8 @@
 	return found
 }
 
-// allKept are the copies of all VMs that were heard lately. It needs h.mu.
+// allKept are the copies of all VMs that were heard lately, in order of identity.
+// It needs h.mu.
 func (h *Hub) allKept() []forward.Kept {
 	var out []forward.Kept
 	for _, s := range h.vms {
@@ -116,6 +119,9 @@
 			out = append(out, s.notice.Kept...)
 		}
 	}
+	slices.SortFunc(out, func(a, b forward.Kept) int {
+		return cmp.Or(cmp.Compare(a.Identity, b.Identity), strings.Compare(a.Copy.ID, b.Copy.ID))
+	})
 	return out
 }
 
--- a/internal/cluster/list.go
+++ b/internal/cluster/list.go
@@ -1,6 +1,9 @@
 package cluster
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,6 +13,24 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
+// The load pattern. Of several hundred backend servers some start or leave each
+// second. Sent whole to every VM with each change, by every control VM that it asks,
+// a list of 700 rows is 60 KB some times a second for each of hundreds of VMs, and
+// the control VMs do nothing else. So a VM says which list it holds, and gets what has
+// changed since.
+
+// formerLists is how many lists back a VM may be: with one more every 0.4 s it may
+// miss seven answers in a row. One further back gets the list whole.
+const formerLists = 8
+
+// Difference is what leads from one list of backend servers to another.
+type Difference struct {
+	// Base is the digest of the list that it starts from; 0: from none.
+	Base uint64             `cbor:"1,keyasint,omitempty"`
+	Rows []upstream.Backend `cbor:"2,keyasint,omitempty"` // new or changed
+	Gone []string           `cbor:"3,keyasint,omitempty"` // ids
+}
+
 // Held is a VM's copy of the list of backend servers with its age. Safe for
 // concurrent use.
 //
@@ -23,13 +44,28 @@
 	digest uint64
 	listed bool
 	took   func(upstream.List)
+	former []former              // with the one held as the last
+	since  map[uint64]Difference // to the one held, by base; kept until the next
+}
+
+type former struct {
+	digest uint64
+	rows   []upstream.Backend
 }
 
 // NewHeld returns an empty Held; took gets each list that is taken.
 func NewHeld(took func(upstream.List)) *Held { return &Held{took: took} }
 
 // Take takes rows that were read age ago, unless what is held was read later.
-func (h *Held) Take(rows []upstream.Backend, age time.Duration) { h.take(rows, digestOf(rows), age) }
+func (h *Held) Take(rows []upstream.Backend, age time.Duration) {
+	rows = slices.Clone(rows)
+	slices.SortStableFunc(rows, byID)
+	// A row named twice would be lost in every difference, and the digest with it.
+	rows = slices.CompactFunc(rows, func(a, b upstream.Backend) bool { return a.ID == b.ID })
+	h.take(rows, digestOf(rows), age)
+}
+
+func byID(a, b upstream.Backend) int { return strings.Compare(a.ID, b.ID) }
 
 // Confirm notes that the rows held were still the platform's age ago.
 func (h *Held) Confirm(digest uint64, age time.Duration) {
@@ -42,6 +78,31 @@
 	}
 }
 
+// Patch takes the list that a difference leads to, by its digest. It reports false
+// where the outcome is another list: the rows held are not what they were taken for,
+// and the list is to be asked for whole. A difference from a list that is not held any
+// more is late, and changes nothing.
+func (h *Held) Patch(d Difference, digest uint64, age time.Duration) bool {
+	h.mu.Lock()
+	held, rows := h.digest, h.list.Backends
+	h.mu.Unlock()
+	switch {
+	case held == digest:
+		h.Confirm(digest, age)
+		return true
+	case d.Base == 0:
+		rows = nil
+	case d.Base != held:
+		return true
+	}
+	rows = d.apply(rows)
+	if digestOf(rows) != digest {
+		return false
+	}
+	h.take(rows, digest, age)
+	return true
+}
+
 func (h *Held) take(rows []upstream.Backend, digest uint64, age time.Duration) {
 	h.mu.Lock()
 	asOf := time.Now().Add(-age)
@@ -50,12 +111,24 @@
 		return
 	}
 	h.list = upstream.List{Backends: rows, AsOf: asOf}
+	if digest != h.digest {
+		h.remember(former{digest, rows})
+	}
 	h.digest, h.listed = digest, true
 	list := h.list
 	h.mu.Unlock()
 	h.took(list)
 }
 
+// remember needs h.mu.
+func (h *Held) remember(f former) {
+	h.since = map[uint64]Difference{}
+	h.former = append(h.former, f)
+	if len(h.former) > formerLists {
+		h.former = slices.Delete(h.former, 0, 1)
+	}
+}
+
 // Now returns the rows held with their digest and age; ok is false before the
 // first.
 func (h *Held) Now() (rows []upstream.Backend, digest uint64, age time.Duration, ok bool) {
@@ -66,6 +139,64 @@
 	return h.list.Backends, h.digest, age, h.listed
 }
 
+// Since is what leads to the list held, whose digest it returns, from the one with
+// a digest, or from none where that is not known any more or would be longer. It is
+// worked out once for all VMs that hold the same.
+func (h *Held) Since(digest uint64) (d Difference, held uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if d, ok := h.since[digest]; ok {
+		return d, h.digest
+	}
+	d = Difference{Rows: h.list.Backends}
+	for _, f := range h.former {
+		if f.digest != digest {
+			continue
+		}
+		if from := between(f, h.list.Backends); len(from.Rows)+len(from.Gone) < len(d.Rows) {
+			d = from
+		}
+	}
+	if h.since != nil {
+		h.since[digest] = d
+	}
+	return d, h.digest
+}
+
+// between works out what leads from a list to rows.
+func between(base former, rows []upstream.Backend) Difference {
+	was := rowsByID(base.rows)
+	d := Difference{Base: base.digest}
+	for _, row := range rows {
+		if old, ok := was[row.ID]; !ok || old != row {
+			d.Rows = append(d.Rows, row)
+		}
+		delete(was, row.ID)
+	}
+	d.Gone = slices.Sorted(maps.Keys(was))
+	return d
+}
+
+// apply returns the rows after the difference, in order of id.
+func (d Difference) apply(rows []upstream.Backend) []upstream.Backend {
+	next := rowsByID(rows)
+	for _, id := range d.Gone {
+		delete(next, id)
+	}
+	for _, row := range d.Rows {
+		next[row.ID] = row
+	}
+	return slices.SortedFunc(maps.Values(next), byID)
+}
+
+func rowsByID(rows []upstream.Backend) map[string]upstream.Backend {
+	out := make(map[string]upstream.Backend, len(rows))
+	for _, row := range rows {
+		out[row.ID] = row
+	}
+	return out
+}
+
 func digestOf(rows []upstream.Backend) uint64 {
 	data, err := codec.Marshal(rows)
 	if err != nil {
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -47,6 +47,7 @@
 	learnt   map[string]time.Time // control VMs, when they were last named
 	answered map[string]time.Time
 	silent   map[string]bool // told once in the log
+	wantList bool            // all of it
 	nudged   chan struct{}
 	life     uint64        // of this process
 	turn     atomic.Uint64 // of what is told of its spending
@@ -175,12 +176,18 @@
 	if m.local.Use != nil {
 		n.Use = m.local.Use()
 	}
-	if _, digest, age, ok := m.held.Now(); ok {
+	if _, digest, age, ok := m.held.Now(); ok && !m.wantsList() {
 		n.Held, n.HeldAge = digest, age.Milliseconds()
 	}
 	return n
 }
 
+func (m *Member) wantsList() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.wantList
+}
+
 func (m *Member) exchange(ctx context.Context, vm string, n Notice) {
 	sent := time.Now()
 	var a Answer
@@ -193,8 +200,8 @@
 	age := time.Duration(a.AgeMS)*time.Millisecond + time.Since(sent)
 	switch {
 	case !a.Listed:
-	case a.Backends != nil:
-		m.held.Take(a.Backends, age)
+	case a.Changed != nil:
+		m.patch(vm, &a, age)
 	default:
 		m.held.Confirm(a.Digest, age)
 	}
@@ -207,6 +214,18 @@
 	}
 }
 
+// patch takes what has changed in the list. Where that does not lead to the control
+// VM's list, the next notices ask for all of it.
+func (m *Member) patch(vm string, a *Answer, age time.Duration) {
+	ok := m.held.Patch(*a.Changed, a.Digest, age)
+	if !ok {
+		m.log.Error().Str("control", vm).Int("rows", len(a.Changed.Rows)).Int("gone", len(a.Changed.Gone)).Msg("changes do not lead to the list")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wantList = !ok
+}
+
 // Find asks a control VM for the copy of a stream that another VM carried.
 func (m *Member) Find(ctx context.Context, identity uint64) (forward.Copy, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
