recovery: a run that a live engine does not have is lost

Cause: a stream that waited for its first event asked its engine whether it lives. An engine that had fallen silent, lost the request and answered again says yes to each question, and the caller waited for the route's 20 s and got 504. Ruled out: the question itself (answered within 150 ms); the list (the engine kept its id). Change: a report may say that it names all that the engine has. A run that is not among them twice in a row is lost: at once in mid-answer, after 4 s before the first event, since a prompt that has not begun to be read may not be named. On the platform the counts must agree with the rows for that. The test fails without it (504).

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -33,8 +33,10 @@
 	last   time.Time
 	asked  *probe
 	told   Report
-	known  bool      // told is an answer about the present silence
-	askAt  time.Time // of the last question
+	known  bool // told is an answer about the present silence
+	// unknown is how many answers in a row did not name the run among all there.
+	unknown int
+	askAt   time.Time // of the last question
 	// unanswered: the last question brought no answer
 	unanswered bool
 }
@@ -181,7 +183,7 @@
 // take handles what the reader brought, and what else has come by then, so that
 // one flush serves all of it.
 func (r *run) take(it item) (ending, bool) {
-	r.last, r.known, r.unanswered = time.Now(), false, false
+	r.last, r.known, r.unanswered, r.unknown = time.Now(), false, false, 0
 	r.st.h.o.Fleet.Heard(r.server)
 	for {
 		end, over := r.takeOne(it)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -12,6 +12,11 @@
 // answers without a slot; only where that stays unanswered too is the engine dead.
 // A stream of a live engine moves once at most, where a copy waits and the pause
 // would be too long otherwise.
+//
+// A live engine may not have the run at all: it was started again under the address
+// that it had, or the request was lost on its way without a reset. Nothing would ever
+// come, and the engine would answer every question until the caller's time is over. So
+// an engine that names all that it has, and not the run, twice, has lost it.
 
 // Patience are the bounds of one stream's silence.
 type Patience struct {
@@ -31,6 +36,12 @@
 	// firstAsk: before its first event a stream waits for its prompt, and those
 	// before it, to be read: seconds. A dead engine found here costs no pause.
 	firstAsk = 1500 * time.Millisecond
+	// firstLost: before its first event a stream is taken for lost no sooner, whatever
+	// its engine says. Twice what the longest prompts take; one that has not begun to
+	// be read may not be named.
+	firstLost = 4 * time.Second
+	// lostAnswers in a row: what an engine says of itself is some hundred ms old.
+	lostAnswers = 2
 	// askAgain is the pause between two questions about one silence.
 	askAgain = 300 * time.Millisecond
 	// neighbourHeard: an engine that sent an event of another stream so lately
@@ -61,6 +72,12 @@
 	copyWaits bool
 	asked     bool // an answered question about this silence
 	ahead     int  // events that the engine has made beyond those that came
+	unknown   int  // answers in a row by which the engine does not have the run
+}
+
+// lost reports whether the engine has lost the run.
+func (s *silence) lost() bool {
+	return s.unknown >= lostAnswers && (s.begun || s.lasted >= firstLost)
 }
 
 // action is what to do about a silence.
@@ -74,6 +91,9 @@
 
 // decide is the whole policy. A dead engine needs none: its streams move at once.
 func (p Patience) decide(s silence) action {
+	if s.lost() {
+		return moveStream
+	}
 	if s.asked && s.begun && s.ahead > aheadLost {
 		return moveStream // its events are made and do not come: the connection is lost
 	}
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,6 +157,38 @@
 	})
 }
 
+// The caller sees a stream that starts late, not one that never does. In order: the
+// request is lost in an engine that lives, as one that starts again at its address
+// has nothing of before; the engine answers each question, and names all that it has,
+// which is nothing. Asked only whether it lives, it would be waited for until the
+// caller's time is over.
+func TestRequestLostByALiveEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lost atomic.Int32
+		w := newWorld(t, engine("a"), engine("b"), engine("c"))
+		defer w.end()
+		for _, s := range w.servers {
+			s.Answer = func(_ *routedengine.Server, _ http.ResponseWriter, r *http.Request) bool {
+				if lost.Add(1) > 1 {
+					return false
+				}
+				_, _ = io.Copy(io.Discard, r.Body) // until then the end of the connection is not seen
+				<-r.Context().Done()
+				return true
+			}
+		}
+		a := w.send("POST", "/s/1", "r1", "log")
+		began := time.Now()
+		a.wholeStream(t, 100)
+		if took := time.Since(began); took > 10*time.Second {
+			t.Errorf("the whole stream took %v", took)
+		}
+		if lost.Load() != 2 {
+			t.Errorf("%d sends", lost.Load())
+		}
+	})
+}
+
 // The engine stops working within half a second of the caller's leaving.
 func TestCallerLeavesAStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -50,7 +50,7 @@
 	s := silence{
 		lasted: time.Since(r.last), heardAgo: r.st.h.o.Fleet.HeardAgo(r.server),
 		begun: r.passed > 0 || r.from != nil, moved: r.st.moved, copyWaits: r.shield.now.keeper != nil && r.st.q.rec.runs+1 < r.st.q.rec.maxAttempts,
-		asked: r.known,
+		asked: r.known, unknown: r.unknown,
 	}
 	if r.known {
 		if made, running := r.told.Made[r.st.q.RequestID]; running && r.fresh {
@@ -99,6 +99,7 @@
 		return r.lost("engine does not answer"), true
 	}
 	r.told, r.known, r.unanswered = p.report, p.told, false
+	r.noteUnknown()
 	if r.patience().decide(r.silence()) == moveStream {
 		return r.leave(), true
 	}
@@ -116,8 +117,21 @@
 	return true
 }
 
+// noteUnknown counts the answers that do not name the run.
+func (r *run) noteUnknown() {
+	_, named := r.told.Made[r.st.q.RequestID]
+	if r.known && r.told.Complete && !named {
+		r.unknown++
+		return
+	}
+	r.unknown = 0
+}
+
 // leave moves the stream off an engine that lives.
 func (r *run) leave() ending {
+	if s := r.silence(); s.lost() {
+		return r.lost("engine does not have the run")
+	}
 	r.st.moved = true
 	r.st.h.o.Fleet.Suspect(r.server)
 	return r.lost("silent too long on a live engine")
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -56,6 +56,8 @@
 type Report struct {
 	// Made is how many events each run has made, by request id.
 	Made map[string]int
+	// Complete: Made names all that the engine has, what waits there included.
+	Complete bool
 }
 
 // Wire translates between the project's terms and the headers in use.
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -82,6 +82,15 @@
 	return nil
 }
 
+// Move has a server known by another address, where a proxy stands before it.
+func (n *Net) Move(s *Server, addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.servers, s.Address)
+	s.Address = addr
+	n.servers[addr] = s
+}
+
 // Close ends all servers and their listeners.
 func (n *Net) Close() {
 	n.mu.Lock()
@@ -162,6 +171,7 @@
 	wake   chan struct{} // closed when the state changes
 	conns  map[net.Conn]bool
 	runs   []Run
+	active map[string]bool   // by request id, of streams here
 	made   map[string]int    // by request id, of runs under way
 	copies map[string]uint64 // by address/id, last event of a kept copy
 }
@@ -169,7 +179,7 @@
 // Add puts a server on the network and starts it.
 func (n *Net) Add(s *Server) *Server {
 	s.Net, s.wake, s.conns = n, make(chan struct{}), map[net.Conn]bool{}
-	s.made, s.copies = map[string]int{}, map[string]uint64{}
+	s.active, s.made, s.copies = map[string]bool{}, map[string]int{}, map[string]uint64{}
 	n.mu.Lock()
 	n.servers[s.Address] = s
 	n.mu.Unlock()
@@ -190,7 +200,8 @@
 	s.wake = make(chan struct{})
 	conns := s.conns
 	if state == Dead {
-		s.conns, s.copies, s.made = map[net.Conn]bool{}, map[string]uint64{}, map[string]int{}
+		s.conns, s.copies = map[net.Conn]bool{}, map[string]uint64{}
+		s.made, s.active = map[string]int{}, map[string]bool{}
 	}
 	s.mu.Unlock()
 	if state != Dead {
@@ -275,10 +286,15 @@
 
 func (s *Server) report(w http.ResponseWriter) {
 	s.mu.Lock()
-	out := forward.Report{Made: map[string]int{}}
+	out := forward.Report{Made: map[string]int{}, Complete: true}
 	for id, n := range s.made {
 		out.Made[id] = n
 	}
+	for id := range s.active {
+		if _, named := out.Made[id]; !named {
+			out.Complete = false
+		}
+	}
 	s.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(out)
 }
@@ -336,6 +352,7 @@
 		anew = false
 	}
 	s.Note(r, after+1, anew)
+	defer s.begin(id)()
 	if anew && !s.pause(r, s.ReadTime) {
 		return
 	}
@@ -356,6 +373,19 @@
 	s.progress(id, 0)
 }
 
+// begin notes a stream as here until the function that it returns is called.
+func (s *Server) begin(id string) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	active := s.active
+	active[id] = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(active, id)
+	}
+}
+
 func (s *Server) progress(id string, made int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
