soak: the real program as processes, troubled from outside

Ports of process tests are below those of outgoing connections: a restarted router found its own taken (one of six parallel runs). Not covered: links between the processes of the system, clocks, disks.

--- a/cmd/amaranthshelfd/process_test.go
+++ b/cmd/amaranthshelfd/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -23,6 +24,9 @@
 const asDaemon = "AMARANTHSHELF_TEST_DAEMON"
 
 func TestMain(m *testing.M) {
+	if path := os.Getenv(asRouted); path != "" {
+		os.Exit(run([]string{"--routed", path}))
+	}
 	if path := os.Getenv(asDaemon); path != "" {
 		os.Exit(run([]string{"--config", path}))
 	}
@@ -39,14 +43,24 @@
 	configs            []string
 }
 
-// freePorts returns ports that were free a moment ago.
+// Ports below those that systems hand out for outgoing connections: a process that
+// is started again must find its own free.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// freePorts returns addresses that were free a moment ago.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for try := 0; len(out) < n; try++ {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort)))
 		if err != nil {
-			t.Fatal(err)
+			if try > 100*n {
+				t.Fatal(err)
+			}
+			continue
 		}
 		defer l.Close()
 		out = append(out, l.Addr().String())
--- /dev/null
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// asRouted makes this test binary a process of the routed system.
+const asRouted = "AMARANTHSHELF_TEST_ROUTED"
+
+// Sizes of the soak's system, and of what its servers do.
+const (
+	soakControls = 3
+	soakRouters  = 3
+	soakZones    = 3
+	soakEvents   = 60
+	soakGrace    = 2 * time.Second
+)
+
+// soakProcess is one process of the system, started again after each end.
+type soakProcess struct {
+	name, settings string
+	cmd            *exec.Cmd
+	ended          chan struct{} // closed when cmd has ended
+}
+
+// soakSystem is the real program as processes of its own, before stand-in servers
+// behind proxies.
+type soakSystem struct {
+	t         *testing.T
+	net       *routedengine.Net
+	servers   []*routedengine.Server // engines, then vote servers
+	proxies   []*faultProxy          // of the servers
+	callers   []string               // of the routers
+	operators []string               // of the control processes
+	dir       string
+
+	mu        sync.Mutex
+	processes []*soakProcess // control, then routers
+}
+
+func startSoakSystem(t *testing.T) *soakSystem {
+	s := &soakSystem{t: t, net: routedengine.NewNet(), dir: t.TempDir()}
+	t.Cleanup(s.net.Close)
+	for i := range 2 * soakZones {
+		s.addServer(&routedengine.Server{
+			Backend: upstream.Backend{ID: fmt.Sprint("engine", i), Service: "models", Zone: fmt.Sprint("z", i%soakZones), Slots: 8},
+			Events:  soakEvents, ReadTime: 100 * time.Millisecond, EventTime: 20 * time.Millisecond,
+		})
+	}
+	for i := range soakZones {
+		s.addServer(&routedengine.Server{
+			Backend:  upstream.Backend{ID: fmt.Sprint("desk", i), Service: "desk", Zone: fmt.Sprint("z", i), Slots: 6},
+			WorkTime: 20 * time.Millisecond,
+		})
+	}
+	s.writeSettings(freePorts(t, 2*soakControls+3*soakRouters))
+	t.Cleanup(s.stop)
+	for i := range s.processes {
+		s.start(i)
+	}
+	return s
+}
+
+// addServer puts a server on loopback, and under its proxy's address where the
+// other servers look for it.
+func (s *soakSystem) addServer(e *routedengine.Server) {
+	if err := s.net.ListenTCP(e); err != nil {
+		s.t.Fatal(err)
+	}
+	p := startFaultProxy(s.t, e.Address)
+	s.net.Move(e, p.addr)
+	s.servers, s.proxies = append(s.servers, e), append(s.proxies, p)
+}
+
+func (s *soakSystem) writeSettings(ports []string) {
+	seeds := strings.Join(ports[:soakControls], ", ")
+	var backends strings.Builder
+	for _, e := range s.servers {
+		fmt.Fprintf(&backends, "[backend:%s]\nservice = %s\naddress = %s\nzone = %s\nslots = %d\n", e.ID, e.Service, e.Address, e.Zone, e.Slots)
+	}
+	write := func(name, text string) {
+		path := filepath.Join(s.dir, name+".ini")
+		if err := os.WriteFile(path, []byte(text+"[tokens]\npeer = soak\n"), 0o600); err != nil {
+			s.t.Fatal(err)
+		}
+		s.processes = append(s.processes, &soakProcess{name: name, settings: path})
+	}
+	for i := range soakControls {
+		operators := ports[soakControls+i]
+		s.operators = append(s.operators, operators)
+		name := fmt.Sprint("control", i)
+		write(name, fmt.Sprintf("[process]\nkind = control\nid = %s\nzone = z%d\nseeds = %s\ndata_dir = %s/%s\nfirst_start = true\nvoters = %d\n[listen]\noperators = %s\n%s",
+			ports[i], i, seeds, s.dir, name, soakControls, operators, backends.String()))
+	}
+	for i := range soakRouters {
+		own := ports[2*soakControls+3*i:]
+		s.callers = append(s.callers, own[1])
+		write(fmt.Sprint("router", i), fmt.Sprintf("[process]\nkind = router\nid = %s\nzone = z%d\nseeds = %s\ngrace = %s\n[listen]\ncallers = %s\noperators = %s\n",
+			own[0], i, seeds, soakGrace, own[1], own[2]))
+	}
+}
+
+// start starts a process unless it runs.
+func (s *soakSystem) start(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.processes[i]
+	if p.cmd != nil {
+		select {
+		case <-p.ended:
+		default:
+			return
+		}
+	}
+	log, err := os.OpenFile(filepath.Join(s.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	defer log.Close()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), asRouted+"="+p.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		s.t.Error(err)
+		return
+	}
+	ended := make(chan struct{})
+	p.cmd, p.ended = cmd, ended
+	go func() {
+		_ = cmd.Wait() // how it ended is the signal's doing
+		close(ended)
+	}()
+}
+
+// signal sends a signal to a process that this soak started and that has not ended.
+func (s *soakSystem) signal(i int, sig syscall.Signal) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.processes[i]
+	select {
+	case <-p.ended:
+	default:
+		_ = p.cmd.Process.Signal(sig) // it may end just now
+	}
+	return p.ended
+}
+
+func (s *soakSystem) stop() {
+	for i, p := range s.processes {
+		if p.cmd != nil {
+			s.signal(i, syscall.SIGCONT)
+			<-s.signal(i, syscall.SIGKILL)
+		}
+		if s.t.Failed() {
+			text, err := os.ReadFile(filepath.Join(s.dir, p.name+".log"))
+			s.t.Logf("%s: %v\n%s", p.name, err, lastPart(text, 4000))
+		}
+	}
+}
+
+func lastPart(text []byte, n int) []byte { return text[max(0, len(text)-n):] }
