cluster: callers are spread over all routers, not the first 64

Cause: an entry answer names 64 addresses at most, and named the first 64 in order of address. With more routers ready all callers went to those, and the others, each first in the line of some engines, got none. Change: where there are more, each answer draws its own 64. The test fails without it (an address named 300 times of 300, 64 would be even).

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -293,3 +293,33 @@
 		}
 	})
 }
+
+// More routers take callers than an answer may name. Each gets its part of them: with
+// the same ones named each time the others would stand idle.
+func TestEveryRouterIsNamedInTurn(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		const vms, limit, answers = 300, 64, 300
+		for i := range vms {
+			h.hub.note(fmt.Sprint("r", i), Notice{Ready: true, Callers: fmt.Sprint("10.0.0.", i, ":80")})
+		}
+		named := map[string]int{}
+		for range answers {
+			got := h.hub.Entrances(limit)
+			if len(got) != limit || !slices.IsSorted(got) || len(slices.Compact(got)) != limit {
+				t.Fatalf("%d named: %v", len(got), got)
+			}
+			for _, addr := range got {
+				named[addr]++
+			}
+		}
+		if len(named) != vms {
+			t.Errorf("%d of %d are ever named", len(named), vms)
+		}
+		for addr, times := range named {
+			if even := answers * limit / vms; times > 2*even || times < even/2 {
+				t.Errorf("%s is named %d times, %d would be even", addr, times, even)
+			}
+		}
+	})
+}
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -215,13 +216,19 @@
 	return out
 }
 
-// Entrances are the addresses that callers may use, at most limit.
+// Entrances are the addresses that callers may use, in order, at most limit. Where
+// there are more, each answer draws its own: the same ones each time would get all
+// callers, and the others none.
 func (h *Hub) Entrances(limit int) []string {
 	var out []string
 	for _, s := range h.present() {
-		if len(out) < limit {
-			out = append(out, s.notice.Callers)
-		}
+		out = append(out, s.notice.Callers)
+	}
+	if len(out) <= limit {
+		return out
 	}
+	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
+	out = out[:limit]
+	slices.Sort(out)
 	return out
 }
