--- a/internal/peer/peertest/peertest_test.go
+++ b/internal/peer/peertest/peertest_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,10 +19,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := peertest.New(1)
 		a, b := n.VM("a"), n.VM("b")
-		served := 0
+		var served atomic.Int32 // a repeated message is served twice at once
 		b.Handle(peer.KindFollow, func(context.Context, string, []byte) (any, error) {
-			served++
-			return served, nil
+			return int(served.Add(1)), nil
 		})
 		call := func() (time.Duration, error) {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -50,8 +50,8 @@
 			c.set()
 			took, err := call()
 			synctest.Wait()
-			if took != c.took || (err != nil) != c.fails || served != c.served {
-				t.Errorf("%s: took %v, error %v, served %d; want %v, failure %v, %d", c.name, took, err, served, c.took, c.fails, c.served)
+			if took != c.took || (err != nil) != c.fails || int(served.Load()) != c.served {
+				t.Errorf("%s: took %v, error %v, served %d; want %v, failure %v, %d", c.name, took, err, served.Load(), c.took, c.fails, c.served)
 			}
 			if err != nil && !errors.Is(err, peer.ErrUnreachable) {
 				t.Errorf("%s: error %v is not ErrUnreachable", c.name, err)
