consensus: whoever asked a member that stops is told

The stacks show one in serveJoin: the leader's loop had taken its question, stopped with the full disk and answered nothing more; the asker waited for its own time limit, which that test does not set, and which in the daemon is the connection's. HandOver and Remove waited alike. Ruled out: the test's fabric (it only waits for the call to end). Change: one function waits for answers of the loop, also for the loop's end.

--- a/internal/consensus/links.go
+++ b/internal/consensus/links.go
@@ -160,12 +160,11 @@
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case ok := <-done:
-		return joinReply{Done: ok, Leader: n.o.VM}, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	ok, err := await(ctx, n, done)
+	if err != nil {
+		return nil, err
 	}
+	return joinReply{Done: ok, Leader: n.o.VM}, nil
 }
 
 // sendSnapshot carries the latest snapshot to a member, beside the loop.
--- a/internal/consensus/requests.go
+++ b/internal/consensus/requests.go
@@ -82,13 +82,25 @@
 	if err := n.do(ctx, f); err != nil {
 		return 0, err
 	}
+	out, err := await(ctx, n, ch)
+	if err != nil {
+		return 0, err
+	}
+	return out.index, out.err
+}
+
+// await waits for the answer of what was handed to the loop. A loop that has ended
+// answers nothing that it had taken: whoever asked without a time limit would wait
+// for ever, and the VM's end with it.
+func await[T any](ctx context.Context, n *Node, answer <-chan T) (T, error) {
+	var none T
 	select {
-	case out := <-ch:
-		return out.index, out.err
+	case a := <-answer:
+		return a, nil
 	case <-ctx.Done():
-		return 0, ctx.Err()
+		return none, ctx.Err()
 	case <-n.ctx.Done():
-		return 0, ErrClosed
+		return none, ErrClosed
 	}
 }
 
@@ -124,9 +136,7 @@
 		if n.do(ctx, func() { asked <- n.core.HandOver() }) != nil {
 			return
 		}
-		select {
-		case <-asked:
-		case <-ctx.Done():
+		if _, err := await(ctx, n, asked); err != nil {
 			return
 		}
 		n.pause(handOverPause)
@@ -161,13 +171,12 @@
 	if err := n.do(ctx, f); err != nil {
 		return err
 	}
-	select {
-	case a := <-done:
-		if a.err != nil {
-			return a.err
-		}
-		return n.WaitApplied(ctx, a.index)
-	case <-ctx.Done():
-		return ctx.Err()
+	a, err := await(ctx, n, done)
+	if err != nil {
+		return err
+	}
+	if a.err != nil {
+		return a.err
 	}
+	return n.WaitApplied(ctx, a.index)
 }
