--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -48,6 +47,7 @@
 // NewHub registers the handler of notices. controls names the control VMs.
 func NewHub(t peer.Transport, held *Held, controls func() []string, log zerolog.Logger) *Hub {
 	h := &Hub{held: held, controls: controls, vms: map[string]seen{}, silent: map[string]bool{}, spent: spentBook{}, log: log}
+	held.KeepFormer()
 	t.Handle(peer.KindNotice, h.serve)
 	t.Handle(peer.KindKept, h.serveKept)
 	t.Handle(peer.KindSpent, h.serveSpent)
@@ -111,8 +111,7 @@
 	return found
 }
 
-// allKept are the copies of all VMs that were heard lately, in order of identity.
-// It needs h.mu.
+// allKept are the copies of all VMs that were heard lately. It needs h.mu.
 func (h *Hub) allKept() []forward.Kept {
 	var out []forward.Kept
 	for _, s := range h.vms {
@@ -120,9 +119,6 @@
 			out = append(out, s.notice.Kept...)
 		}
 	}
-	slices.SortFunc(out, func(a, b forward.Kept) int {
-		return cmp.Or(cmp.Compare(a.Identity, b.Identity), strings.Compare(a.Copy.ID, b.Copy.ID))
-	})
 	return out
 }
 
--- a/internal/cluster/list.go
+++ b/internal/cluster/list.go
@@ -44,6 +44,7 @@
 	digest uint64
 	listed bool
 	took   func(upstream.List)
+	keeps  bool                  // former lists, for other VMs
 	former []former              // with the one held as the last
 	since  map[uint64]Difference // to the one held, by base; kept until the next
 }
@@ -56,6 +57,14 @@
 // NewHeld returns an empty Held; took gets each list that is taken.
 func NewHeld(took func(upstream.List)) *Held { return &Held{took: took} }
 
+// KeepFormer has former lists kept, for a control VM to tell others what has changed.
+// A VM that only follows has no use for them, and up to eight lists less in memory.
+func (h *Held) KeepFormer() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.keeps = true
+}
+
 // Take takes rows that were read age ago, unless what is held was read later.
 func (h *Held) Take(rows []upstream.Backend, age time.Duration) {
 	rows = slices.Clone(rows)
@@ -111,7 +120,7 @@
 		return
 	}
 	h.list = upstream.List{Backends: rows, AsOf: asOf}
-	if digest != h.digest {
+	if h.keeps && digest != h.digest {
 		h.remember(former{digest, rows})
 	}
 	h.digest, h.listed = digest, true
--- a/internal/cluster/list_test.go
+++ b/internal/cluster/list_test.go
@@ -34,6 +34,7 @@
 func TestDifferencesLeadToTheList(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	control, vm := NewHeld(noList), NewHeld(noList)
+	control.KeepFormer()
 	now, next := rows(40), 40
 	for step := range 400 {
 		for range rng.IntN(4) {
@@ -68,6 +69,7 @@
 // sent for it is some hundred bytes, not the list.
 func TestOneChangeIsSmall(t *testing.T) {
 	control := NewHeld(noList)
+	control.KeepFormer()
 	control.Take(rows(710), 2*time.Second)
 	_, before, _, _ := control.Now()
 	control.Take(rows(711), time.Second)
--- a/internal/cluster/remember.go
+++ b/internal/cluster/remember.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io/fs"
 	"path/filepath"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
@@ -67,6 +70,9 @@
 		h.mu.Lock()
 		kept := h.allKept()
 		h.mu.Unlock()
+		slices.SortFunc(kept, func(a, b forward.Kept) int {
+			return cmp.Or(cmp.Compare(a.Identity, b.Identity), strings.Compare(a.Copy.ID, b.Copy.ID))
+		})
 		data, err := codec.Marshal(kept)
 		if err != nil || bytes.Equal(data, last) {
 			continue
--- a/internal/consensus/links.go
+++ b/internal/consensus/links.go
@@ -255,9 +255,8 @@
 	}) != nil {
 		return
 	}
-	select {
-	case meta.Term = <-term:
-	case <-n.ctx.Done():
+	var err error
+	if meta.Term, err = await(n.ctx, n, term); err != nil {
 		return
 	}
 	if err := n.store.writeSnapshot(snapshotFile{Meta: meta, Data: bytes.Clone(data)}); err != nil {
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -295,6 +295,18 @@
 	})
 }
 
+// loseKeepers ends the engines that keep copies, and returns their ids.
+func (w *world) loseKeepers() []string {
+	var dead []string
+	for _, s := range w.servers {
+		if s.Copies() > 0 {
+			s.Set(routedengine.Dead)
+			dead = append(dead, s.ID)
+		}
+	}
+	return dead
+}
+
 // The caller sees a short pause, though two zones are lost one after the other. In
 // order: the engine that keeps the run's copy dies and leaves the list; the run
 // goes on; two seconds later its own engine dies, and it goes on from a copy that
@@ -306,13 +318,8 @@
 		a := w.send("POST", "/s/1", "r1", "log")
 		time.Sleep(1500 * time.Millisecond)
 		first := w.runningOn("r1")
-		rows := w.net.List()
-		for _, s := range w.servers {
-			if s.Copies() > 0 {
-				s.Set(routedengine.Dead)
-				rows = slices.DeleteFunc(rows, func(b upstream.Backend) bool { return b.ID == s.ID })
-			}
-		}
+		dead := w.loseKeepers()
+		rows := slices.DeleteFunc(w.net.List(), func(b upstream.Backend) bool { return slices.Contains(dead, b.ID) })
 		w.fleet.Apply(upstream.List{Backends: rows, AsOf: time.Now()})
 		time.Sleep(2 * time.Second)
 		first.Set(routedengine.Dead)
@@ -335,12 +342,7 @@
 		a := w.send("POST", "/s/1", "r1", "log")
 		time.Sleep(1500 * time.Millisecond)
 		first := w.runningOn("r1")
-		for _, s := range w.servers {
-			if s.Copies() > 0 {
-				s.Set(routedengine.Dead)
-				w.fleet.HearsayDead([]string{s.ID})
-			}
-		}
+		w.fleet.HearsayDead(w.loseKeepers())
 		time.Sleep(1200 * time.Millisecond)
 		first.Set(routedengine.Dead)
 		a.wholeStream(t, 100)
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -43,8 +43,6 @@
 	// of a call on six slots is far below what is known of them, and chance must
 	// decide there, or one old report would draw every call of a VM.
 	evenShare = 0.04
-	// avoidLoad goes before every other load.
-	avoidLoad = 1e6
 )
 
 // Server chooses for a call the server with the least load that is to be expected
@@ -52,26 +50,10 @@
 func Server(all []CallCandidate, near string, rng func(n int) int) int {
 	perSlot := othersPerSlot(all)
 	loads := make([]float64, len(all))
-	least := math.Inf(1)
 	for i := range all {
 		loads[i] = expectedLoad(&all[i], perSlot)
-		least = min(least, loads[i])
 	}
-	found, ties, foundNear := -1, 0, false
-	for i, load := range loads {
-		isNear := all[i].Zone == near
-		if load > least+evenShare || (foundNear && !isNear) {
-			continue
-		}
-		if isNear && !foundNear {
-			foundNear, ties = true, 0
-		}
-		ties++
-		if rng(ties) == 0 {
-			found = i
-		}
-	}
-	return found
+	return pick(loads, evenShare, rng, func(i int) bool { return all[i].Zone == near })
 }
 
 // othersPerSlot is the even share of other VMs' calls.
@@ -91,7 +73,7 @@
 	others += freshness(c) * (float64(c.Reported) - others)
 	load := (float64(c.Own) + others + 1) / slots * max(1, c.Slow)
 	if c.Avoid {
-		load += avoidLoad
+		load += avoidCost
 	}
 	return load
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,6 +21,8 @@
 // last: see call.go.
 package placement
 
+import "math"
+
 // Use is what runs on a backend server.
 type Use struct {
 	Requests int `cbor:"1,keyasint,omitempty"` // under way
@@ -109,7 +111,7 @@
 
 // Engine chooses for a stream; -1: there is no candidate.
 func Engine(all []Candidate, n Need, rng func(n int) int) int {
-	return cheapest(all, rng, tieMS, func(c *Candidate) (float64, bool) { return streamCost(c, n), true })
+	return cheapest(all, rng, func(c *Candidate) (float64, bool) { return streamCost(c, n), true })
 }
 
 // copyShare is how much of an engine's memory may be taken after a copy: what
@@ -119,7 +121,7 @@
 // Copy chooses the engine that keeps a copy of a run: in another zone than the
 // run, since a zone's engines die together. -1: none has room.
 func Copy(all []Candidate, zone string, n Need, rng func(n int) int) int {
-	return cheapest(all, rng, tieMS, func(c *Candidate) (float64, bool) {
+	return cheapest(all, rng, func(c *Candidate) (float64, bool) {
 		room := float64(c.Use.Tokens+n.Tokens()) <= copyShare*float64(c.KVTokens)
 		ok := c.Zone != zone && !c.Avoid && room
 		cost := 1000 * float64(c.Use.Tokens) / float64(max(1, c.KVTokens))
@@ -130,27 +132,40 @@
 	})
 }
 
-func cheapest(all []Candidate, rng func(n int) int, tie float64, cost func(*Candidate) (float64, bool)) int {
-	best, found := 0.0, -1
+// cheapest chooses by a cost in ms; candidates for which it reports false are out.
+func cheapest(all []Candidate, rng func(n int) int, cost func(*Candidate) (float64, bool)) int {
 	costs := make([]float64, len(all))
 	for i := range all {
 		c, ok := cost(&all[i])
 		if !ok {
-			c = -1
+			c = out
 		}
 		costs[i] = c
-		if ok && (found < 0 || c < best) {
-			best, found = c, i
-		}
 	}
-	if found < 0 {
-		return -1
+	return pick(costs, tieMS, rng, func(int) bool { return false })
+}
+
+// out stands for the cost of a candidate that must not be chosen.
+const out = -1
+
+// pick returns one of the least costs, by chance among those that differ by less than
+// tie, and among these one that is preferred if there is any; -1: all are out.
+func pick(costs []float64, tie float64, rng func(n int) int, preferred func(i int) bool) int {
+	least := math.Inf(1)
+	for _, c := range costs {
+		if c >= 0 {
+			least = min(least, c)
+		}
 	}
-	ties := 0
+	found, ties, foundPreferred := -1, 0, false
 	for i, c := range costs {
-		if c < 0 || c > best+tie {
+		isPreferred := preferred(i)
+		if c < 0 || c > least+tie || (foundPreferred && !isPreferred) {
 			continue
 		}
+		if isPreferred && !foundPreferred {
+			foundPreferred, ties = true, 0
+		}
 		ties++
 		if rng(ties) == 0 {
 			found = i
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -91,6 +91,10 @@
 	dead    map[string]time.Time // judged dead here, when
 }
 
+// open reports whether requests may be sent there: it is not leaving, and no other
+// incarnation answers at its address.
+func (s *Server) open() bool { return !s.Draining && !s.stale }
+
 // NewFleet returns an empty Fleet that forgets the connections of servers which
 // have left the list.
 func NewFleet(pool *Pool, log zerolog.Logger) *Fleet {
@@ -220,7 +224,7 @@
 func (f *Fleet) usable(service string, skip map[string]bool) []*Server {
 	var out []*Server
 	for _, s := range f.order {
-		if s.Service == service && !s.Draining && !s.stale && !skip[s.ID] {
+		if s.Service == service && s.open() && !skip[s.ID] {
 			out = append(out, s)
 		}
 	}
@@ -262,7 +266,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
-	if s == nil || s.Draining || s.stale {
+	if s == nil || !s.open() {
 		return nil
 	}
 	return s
@@ -273,7 +277,7 @@
 func (f *Fleet) Lost(s *Server) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	listed := f.servers[s.ID] == s && !s.Draining && !s.stale
+	listed := f.servers[s.ID] == s && s.open()
 	dead := s.diedAt.After(s.heard) && f.now().Sub(s.diedAt) <= deadFor
 	return !listed || dead
 }
@@ -290,7 +294,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.order {
-		if s.Service == service && s.Address == addr && !s.Draining && !s.stale {
+		if s.Service == service && s.Address == addr && s.open() {
 			return s
 		}
 	}
