--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -51,17 +51,17 @@
 
 // Notice is what a VM says of itself.
 type Notice struct {
-	Zone     string                   `cbor:"1,keyasint"`
-	Callers  string                   `cbor:"2,keyasint,omitempty"` // ip:port; empty: takes none
-	Ready    bool                     `cbor:"3,keyasint,omitempty"`
-	Use      map[string]placement.Use `cbor:"4,keyasint,omitempty"`
-	Deaths   []recovery.Death         `cbor:"5,keyasint,omitempty"`
-	Held     uint64                   `cbor:"6,keyasint,omitempty"`  // digest of the list of backend servers; 0: all of it is wanted
-	HeldAge  int64                    `cbor:"7,keyasint,omitempty"`  // ms; how old that list is
-	WantLoad bool                     `cbor:"8,keyasint,omitempty"`  // Others are wanted
-	Dead     []string                 `cbor:"9,keyasint,omitempty"`  // backend servers judged dead lately
-	Kept     []forward.Kept           `cbor:"10,keyasint,omitempty"` // streams here with a copy
-	Spent    Spending                 `cbor:"11,keyasint"`           // of the services' retry budgets
+	Zone     string           `cbor:"1,keyasint"`
+	Callers  string           `cbor:"2,keyasint,omitempty"` // ip:port; empty: takes none
+	Ready    bool             `cbor:"3,keyasint,omitempty"`
+	Told     Told             `cbor:"4,keyasint"` // use of backend servers
+	Deaths   []recovery.Death `cbor:"5,keyasint,omitempty"`
+	Held     uint64           `cbor:"6,keyasint,omitempty"`  // digest of the list of backend servers; 0: all of it is wanted
+	HeldAge  int64            `cbor:"7,keyasint,omitempty"`  // ms; how old that list is
+	WantLoad bool             `cbor:"8,keyasint,omitempty"`  // Others are wanted
+	Dead     []string         `cbor:"9,keyasint,omitempty"`  // backend servers judged dead lately
+	Kept     []forward.Kept   `cbor:"10,keyasint,omitempty"` // streams here with a copy
+	Spent    Spending         `cbor:"11,keyasint"`           // of the services' retry budgets
 }
 
 // Answer is a control VM's reply.
@@ -79,4 +79,6 @@
 	Dead    []string    `cbor:"9,keyasint,omitempty"`
 	// Spent is what the other VMs together spent of the retry budgets, by service.
 	Spent map[string]forward.Spent `cbor:"10,keyasint,omitempty"`
+	// Short names the services whose memory is needed for prompts.
+	Short []string `cbor:"11,keyasint,omitempty"`
 }
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // Hub is a control VM's side: who is there. Safe for concurrent use.
@@ -23,6 +24,8 @@
 	controls func() []string
 	log      zerolog.Logger
 
+	schedule *schedule
+
 	mu     sync.Mutex
 	vms    map[string]seen
 	silent map[string]bool // told in the log
@@ -46,11 +49,13 @@
 
 // NewHub registers the handler of notices. controls names the control VMs.
 func NewHub(t peer.Transport, held *Held, controls func() []string, log zerolog.Logger) *Hub {
-	h := &Hub{held: held, controls: controls, vms: map[string]seen{}, silent: map[string]bool{}, spent: spentBook{}, log: log}
+	h := &Hub{held: held, controls: controls, vms: map[string]seen{}, silent: map[string]bool{}, spent: spentBook{}, log: log, schedule: newSchedule(t, log)}
 	held.KeepFormer()
 	t.Handle(peer.KindNotice, h.serve)
 	t.Handle(peer.KindKept, h.serveKept)
 	t.Handle(peer.KindSpent, h.serveSpent)
+	t.Handle(peer.KindPlace, h.schedule.servePlace)
+	t.Handle(peer.KindUse, h.schedule.serveUse)
 	return h
 }
 
@@ -60,13 +65,14 @@
 		return nil, err
 	}
 	h.note(from, n)
+	h.schedule.told(from, &n.Told)
 	a := Answer{Controls: h.controls()}
 	if n.WantLoad {
 		for _, s := range h.present() {
 			a.Routers = append(a.Routers, s.vm)
 		}
 		a.Others, a.Deaths, a.Dead = h.load(from), h.recentDeaths(), h.dead(from)
-		a.Spent = h.spentByOthers(n.Spent.Life)
+		a.Spent, a.Short = h.spentByOthers(n.Spent.Life), h.schedule.short()
 	}
 	_, digest, age, ok := h.held.Now()
 	// A VM with a younger list than ours has nothing to gain.
@@ -80,6 +86,12 @@
 	return a, nil
 }
 
+// TakeList takes the list of backend servers.
+func (h *Hub) TakeList(l upstream.List) { h.schedule.setServers(l) }
+
+// Run decides about streams that wait, until ctx ends.
+func (h *Hub) Run(ctx context.Context) { h.schedule.look(ctx) }
+
 // serveKept answers which copy a stream that some VM carried has left. Two copies
 // under one identity are two requests that look alike: neither is given out.
 func (h *Hub) serveKept(_ context.Context, _ string, body []byte) (any, error) {
@@ -144,6 +156,7 @@
 		silent := now.Sub(s.at)
 		if silent > presentFor && !h.silent[vm] {
 			h.silent[vm] = true
+			h.schedule.forget(vm)
 			h.log.Warn().Str("member", vm).Str("zone", s.notice.Zone).Dur("silent", silent).Msg("VM is silent")
 		}
 		if silent > forgetAfter {
@@ -175,7 +188,7 @@
 		if vm == except || now.Sub(s.at) > presentFor {
 			continue
 		}
-		for id, u := range s.notice.Use {
+		for id, u := range s.notice.Told.Use {
 			out[id] = out[id].Add(u)
 		}
 	}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -15,6 +15,8 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // Local is what a Member says of its VM and does with what it hears. Functions
@@ -28,6 +30,10 @@
 	Dead    func() []string
 	Kept    func() []forward.Kept
 	Spent   func() map[string]forward.Spent
+	// Opinion is what this VM thinks of backend servers, and Paces what it observed of
+	// them, by service.
+	Opinion func() upstream.Opinion
+	Paces   func() map[string]scheduler.Pace
 	// Learn takes what a control VM knows of the other VMs, and LearnSpent what
 	// they together spent of the retry budgets.
 	Learn      func(Answer)
@@ -52,15 +58,18 @@
 	life     uint64        // of this process
 	turn     atomic.Uint64 // of what is told of its spending
 	spending chan struct{} // something is to be told
+	placing  *placing
 }
 
 // NewMember returns a Member that knows the seeds, VM ids of control VMs.
 func NewMember(self string, t peer.Transport, seeds []string, held *Held, local Local, log zerolog.Logger) *Member {
-	return &Member{
+	m := &Member{
 		self: self, t: t, local: local, held: held, log: log, seeds: seeds,
 		learnt: map[string]time.Time{}, answered: map[string]time.Time{}, silent: map[string]bool{}, nudged: make(chan struct{}, 1),
-		life: rand.Uint64(), spending: make(chan struct{}, 1),
+		life: rand.Uint64(), spending: make(chan struct{}, 1), placing: newPlacing(),
 	}
+	t.Handle(peer.KindPlaced, m.servePlaced)
+	return m
 }
 
 // SetSeeds takes other seeds, from changed settings.
@@ -173,9 +182,7 @@
 		n.Kept = m.local.Kept()
 	}
 	n.Spent = m.spent()
-	if m.local.Use != nil {
-		n.Use = m.local.Use()
-	}
+	n.Told = m.told()
 	if _, digest, age, ok := m.held.Now(); ok && !m.wantsList() {
 		n.Held, n.HeldAge = digest, age.Milliseconds()
 	}
--- /dev/null
+++ b/internal/cluster/place.go
@@ -0,0 +1,230 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
+)
+
+const (
+	// placeTimeout bounds one question for an engine. A control VM answers in some
+	// milliseconds; one that was paused is found here, by the first stream that asks.
+	placeTimeout = 80 * time.Millisecond
+	// placeTries control VMs are asked before a router decides for itself.
+	placeTries = 2
+	// askAgainEvery has a waiting stream asked for again: the answer may be lost, or the
+	// control VM that holds its place.
+	askAgainEvery = 500 * time.Millisecond
+)
+
+// placing is a router's side of asking for engines. Safe for concurrent use.
+type placing struct {
+	mu      sync.Mutex
+	waiting map[string]chan Placed // by request id
+	taken   uint64                 // the last grant that the router's use includes
+	turn    uint64
+	changed chan struct{}
+
+	refreshing sync.Mutex
+	refreshed  time.Time // needs refreshing
+}
+
+func newPlacing() *placing {
+	return &placing{waiting: map[string]chan Placed{}, changed: make(chan struct{}, 1)}
+}
+
+// wait returns where a decision about a request is told, and what ends the waiting.
+func (p *placing) wait(id string) (<-chan Placed, func()) {
+	ch := make(chan Placed, 1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting[id] = ch
+	return ch, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.waiting, id)
+	}
+}
+
+// deliver hands a decision to the stream that waits for it, if it still does.
+func (p *placing) deliver(d Placed) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ch := p.waiting[d.ID]
+	if ch == nil {
+		return false
+	}
+	select {
+	case ch <- d:
+		return true
+	default:
+		return false
+	}
+}
+
+// took notes that a grant is part of the router's use from now on, or was not needed.
+func (p *placing) took(number uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.taken = max(p.taken, number)
+}
+
+// next numbers a message. The last grant taken is read before the use is: a use that
+// includes more than is said is counted twice for a moment, one that includes less
+// would lose a run.
+func (p *placing) next() (turn, taken uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.turn++
+	return p.turn, p.taken
+}
+
+func (m *Member) told() Told {
+	if m.local.Use == nil {
+		return Told{}
+	}
+	turn, taken := m.placing.next()
+	t := Told{Life: m.life, Turn: turn, Taken: taken, Use: m.local.Use()}
+	if m.local.Opinion != nil {
+		o := m.local.Opinion()
+		t.Avoid, t.Doubt, t.Alive = o.Avoid, o.Doubt, o.Alive
+	}
+	if m.local.Paces != nil {
+		t.Paces = m.local.Paces()
+	}
+	return t
+}
+
+// Place asks for an engine for a stream, and waits for it until ctx ends. It reports
+// false where no control VM answers: the router decides for itself. The caller calls
+// Took once its use includes what was granted.
+func (m *Member) Place(ctx context.Context, a PlaceAsk, due, deadline time.Time) (Placed, bool) {
+	decided, end := m.placing.wait(a.ID)
+	defer end()
+	for {
+		a.DueMS, a.LeftMS = time.Until(due).Milliseconds(), time.Until(deadline).Milliseconds()
+		p, ok := m.askPlace(ctx, &a)
+		if !ok || p.Outcome != scheduler.Waiting {
+			return p, ok
+		}
+		again := time.NewTimer(askAgainEvery)
+		select {
+		case p := <-decided:
+			again.Stop()
+			return p, true
+		case <-again.C:
+		case <-ctx.Done():
+			again.Stop()
+			return Placed{}, false
+		}
+	}
+}
+
+// askPlace asks the control VM that decides, and the next one where it does not answer.
+func (m *Member) askPlace(ctx context.Context, a *PlaceAsk) (Placed, bool) {
+	for range placeTries {
+		vm := m.scheduler()
+		if vm == "" || ctx.Err() != nil {
+			break
+		}
+		a.Told = m.told()
+		asking, cancel := context.WithTimeout(ctx, placeTimeout)
+		var p Placed
+		err := m.t.Call(asking, vm, peer.KindPlace, a, &p)
+		cancel()
+		if err == nil {
+			return p, true
+		}
+		if ctx.Err() == nil {
+			m.missed(vm, err)
+		}
+	}
+	return Placed{}, false
+}
+
+// scheduler is the control VM that decides about engines, as this VM sees it: the
+// first by id of those that answered lately.
+func (m *Member) scheduler() string {
+	controls := m.Controls()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, vm := range controls {
+		if at, ok := m.answered[vm]; ok && time.Since(at) <= presentFor {
+			return vm
+		}
+	}
+	return ""
+}
+
+// Refresh asks the control VM that decides for its list of backend servers. Callers
+// that come while one question is under way wait for the next, which serves them all.
+func (m *Member) Refresh(ctx context.Context) {
+	asked := time.Now()
+	m.placing.refreshing.Lock()
+	defer m.placing.refreshing.Unlock()
+	vm := m.scheduler()
+	if m.placing.refreshed.After(asked) || vm == "" || ctx.Err() != nil {
+		return
+	}
+	m.placing.refreshed = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	m.exchange(ctx, vm, m.notice(nil))
+}
+
+// Took notes that the router's use includes a grant, or that it was not needed.
+func (m *Member) Took(number uint64) {
+	m.placing.took(number)
+	m.UseChanged()
+}
+
+// UseChanged has the control VM that decides told at once: a prompt that was read lets
+// the next one begin. It does not wait.
+func (m *Member) UseChanged() {
+	select {
+	case m.placing.changed <- struct{}{}:
+	default: // one is to be sent yet, and will tell of this too
+	}
+}
+
+// RunUse tells of changes until ctx ends. Those that come while one message is under
+// way go with the next one.
+func (m *Member) RunUse(ctx context.Context) {
+	for {
+		select {
+		case <-m.placing.changed:
+			m.tellUse(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (m *Member) tellUse(ctx context.Context) {
+	vm := m.scheduler()
+	if vm == "" {
+		return // the notices tell it
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	if err := m.t.Call(ctx, vm, peer.KindUse, m.told(), nil); err != nil {
+		m.log.Debug().Err(err).Str("control", vm).Msg("use of engines not told")
+	}
+}
+
+// servePlaced takes a decision about a stream that waited. Nobody waits any more where
+// its caller left: the grant is given back.
+func (m *Member) servePlaced(_ context.Context, _ string, body []byte) (any, error) {
+	var p Placed
+	if err := codec.Unmarshal(body, &p); err != nil {
+		return nil, err
+	}
+	if !m.placing.deliver(p) && p.Outcome == scheduler.Granted {
+		m.Took(p.Number)
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/internal/cluster/schedule.go
@@ -0,0 +1,224 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// Routers ask one control VM which engine a stream may go to: the first by id of those
+// that answer. Each decides for itself which one that is. Where two are asked at the
+// same time, for as long as their silence is noticed differently, both decide on what
+// the routers last told them, and some prompts meet on an engine.
+
+// Told is what a router tells of its use of engines.
+type Told struct {
+	Life uint64                   `cbor:"1,keyasint"` // of the process
+	Turn uint64                   `cbor:"2,keyasint"` // grows with each message
+	Use  map[string]placement.Use `cbor:"3,keyasint,omitempty"`
+	// Taken is the last grant that Use includes.
+	Taken uint64                    `cbor:"4,keyasint,omitempty"`
+	Avoid []string                  `cbor:"5,keyasint,omitempty"`
+	Paces map[string]scheduler.Pace `cbor:"6,keyasint,omitempty"`
+	Doubt []string                  `cbor:"7,keyasint,omitempty"`
+	Alive []string                  `cbor:"8,keyasint,omitempty"`
+}
+
+// PlaceAsk asks for an engine for one stream. Times are from now, so that clocks need
+// not agree.
+type PlaceAsk struct {
+	Told        Told           `cbor:"1,keyasint"`
+	ID          string         `cbor:"2,keyasint"`
+	Service     string         `cbor:"3,keyasint"`
+	Need        placement.Need `cbor:"4,keyasint"`
+	KVTokens    int            `cbor:"5,keyasint,omitempty"`
+	DueMS       int64          `cbor:"6,keyasint"`
+	LeftMS      int64          `cbor:"7,keyasint"`
+	Priority    int            `cbor:"8,keyasint,omitempty"`
+	Interrupted bool           `cbor:"9,keyasint,omitempty"`
+	Skip        []string       `cbor:"10,keyasint,omitempty"`
+	WantsCopy   bool           `cbor:"11,keyasint,omitempty"`
+}
+
+// Placed is what was decided about a stream.
+type Placed struct {
+	ID           string            `cbor:"1,keyasint"`
+	Outcome      scheduler.Outcome `cbor:"2,keyasint"`
+	Number       uint64            `cbor:"3,keyasint,omitempty"`
+	Server       string            `cbor:"4,keyasint,omitempty"`
+	Keeper       string            `cbor:"5,keyasint,omitempty"`
+	RetryAfterMS int64             `cbor:"6,keyasint,omitempty"`
+}
+
+// lookEvery is how often a control VM looks at streams that wait: what they wait for
+// is told at once, and only time runs out unnoticed.
+const lookEvery = 25 * time.Millisecond
+
+// stateEvery is how often the state of a queue is logged while streams wait.
+const stateEvery = time.Second
+
+// schedule is a control VM's scheduler with its messages. Safe for concurrent use.
+type schedule struct {
+	t   peer.Transport
+	log zerolog.Logger
+
+	mu    sync.Mutex
+	s     *scheduler.Scheduler
+	turns map[string]Told // the last of each router, for its life and turn
+	// logged is when the state was last logged.
+	logged time.Time
+}
+
+func newSchedule(t peer.Transport, log zerolog.Logger) *schedule {
+	return &schedule{t: t, log: log, s: scheduler.New(nil), turns: map[string]Told{}}
+}
+
+// setServers takes a list of backend servers. A server that is leaving gets nothing new.
+func (c *schedule) setServers(l upstream.List) {
+	servers := make([]scheduler.Server, 0, len(l.Backends))
+	for _, b := range l.Backends {
+		if !b.Draining {
+			servers = append(servers, scheduler.Server{ID: b.ID, Service: b.Service, Zone: b.Zone, Slots: b.Slots})
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.s.SetServers(servers)
+	c.run()
+}
+
+// told takes what a router tells. A message that was overtaken on its way changes
+// nothing.
+func (c *schedule) told(from string, t *Told) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.note(from, t)
+	c.run()
+}
+
+// note needs c.mu.
+func (c *schedule) note(from string, t *Told) {
+	if t.Life == 0 {
+		return // a control process, which sends no streams
+	}
+	if last, ok := c.turns[from]; ok && last.Life == t.Life && t.Turn < last.Turn {
+		return
+	}
+	c.turns[from] = Told{Life: t.Life, Turn: t.Turn}
+	c.s.Told(from, scheduler.Report{Use: t.Use, Taken: t.Taken, Avoid: t.Avoid, Doubt: t.Doubt, Alive: t.Alive, Paces: t.Paces}, time.Now())
+}
+
+// short names the services that have no memory for copies.
+func (c *schedule) short() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.s.Short(time.Now())
+}
+
+// forget drops a router that is silent.
+func (c *schedule) forget(router string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.turns, router)
+	c.s.Forget(router)
+}
+
+func (c *schedule) servePlace(_ context.Context, from string, body []byte) (any, error) {
+	var a PlaceAsk
+	if err := codec.Unmarshal(body, &a); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.note(from, &a.Told)
+	now := time.Now()
+	c.s.Ask(scheduler.Stream{
+		ID: a.ID, VM: from, Service: a.Service, Need: a.Need, KVTokens: a.KVTokens,
+		Due: now.Add(time.Duration(a.DueMS) * time.Millisecond), Deadline: now.Add(time.Duration(a.LeftMS) * time.Millisecond),
+		Priority: a.Priority, Interrupted: a.Interrupted, Skip: a.Skip, WantsCopy: a.WantsCopy,
+	}, now)
+	return c.runFor(a.ID), nil
+}
+
+func (c *schedule) serveUse(_ context.Context, from string, body []byte) (any, error) {
+	var t Told
+	if err := codec.Unmarshal(body, &t); err != nil {
+		return nil, err
+	}
+	c.told(from, &t)
+	return nil, nil
+}
+
+// runFor decides, and returns what became of one stream; the others are told. It needs
+// c.mu.
+func (c *schedule) runFor(id string) Placed {
+	out := Placed{ID: id}
+	for _, d := range c.s.Run(time.Now()) {
+		p := placed(&d)
+		if p.ID == id {
+			out = p
+			continue
+		}
+		c.tell(d.Stream.VM, &p)
+	}
+	return out
+}
+
+// run needs c.mu.
+func (c *schedule) run() { c.runFor("") }
+
+func (c *schedule) tell(router string, p *Placed) {
+	if err := c.t.Send(router, peer.KindPlaced, p); err != nil {
+		// The router asks again; a grant that it never heard of expires.
+		c.log.Debug().Err(err).Str("request", p.ID).Str("router", router).Msg("decision not told")
+	}
+}
+
+func placed(d *scheduler.Decision) Placed {
+	return Placed{
+		ID: d.Stream.ID, Outcome: d.Outcome, Number: d.Number, Server: d.Server, Keeper: d.Keeper,
+		RetryAfterMS: d.RetryAfter.Milliseconds(),
+	}
+}
+
+// look decides as time runs out for streams that wait, until ctx ends.
+func (c *schedule) look(ctx context.Context) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		c.mu.Lock()
+		if c.s.Waits() {
+			c.run()
+			c.logState()
+		}
+		c.mu.Unlock()
+	}
+}
+
+// logState tells what streams wait for. It needs c.mu.
+func (c *schedule) logState() {
+	now := time.Now()
+	if now.Sub(c.logged) < stateEvery {
+		return
+	}
+	c.logged = now
+	for _, st := range c.s.States(now) {
+		c.log.Info().Str("service", st.Service).Int("interrupted", st.Interrupted).Int("in_time", st.InTime).Int("late", st.Late).
+			Int("servers", st.Servers).Int("usable", st.Usable).Int("reading", st.Reading).Int("runs", st.Use.Requests).
+			Int("tokens", st.Use.Tokens).Int("copies", st.Use.Copies).Float64("begun_per_s", st.Rate).
+			Dur("per_token", st.Pace.PerToken).Dur("run", st.Pace.Run).Msg("streams wait")
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -73,6 +75,8 @@
 	Blame   *BlameBook
 	// Find looks for a copy of a stream that another router carried; nil: nowhere.
 	Find func(ctx context.Context, identity uint64) (Copy, bool)
+	// Placer decides for all VMs where streams go; nil: this VM decides.
+	Placer Placer
 	// Spending is told of each second send, after the budget counted it; nil: nobody.
 	Spending func()
 	// TooLate reports that a request could not be finished any more, since this VM
@@ -87,12 +91,14 @@
 	o      Options
 	prober *prober
 	kept   keptBook
+	paces  paceBook
 	held   *admission.InFlight
 	Stats  *Stats
 
 	mu      sync.Mutex
 	vms     int
 	budgets map[string]*Budget
+	short   []string // services that have no memory for copies
 }
 
 // NewHandler returns a Handler.
@@ -100,6 +106,9 @@
 	if o.Spending == nil {
 		o.Spending = func() {}
 	}
+	if o.Placer == nil {
+		o.Placer = alone{}
+	}
 	h := &Handler{o: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), held: admission.NewInFlight(maxHeld, defaultHeldBytes)}
 	h.prober = newProber(o.Pool, o.Fleet, o.Wire)
 	return h
@@ -108,6 +117,9 @@
 // Kept are the streams under way here of which a copy is kept.
 func (h *Handler) Kept() []Kept { return h.kept.all() }
 
+// Paces are what was observed of each service's engines.
+func (h *Handler) Paces() map[string]scheduler.Pace { return h.paces.all() }
+
 // SetVMs says how many VMs share the services' retry budgets.
 func (h *Handler) SetVMs(n int) {
 	h.mu.Lock()
@@ -118,6 +130,19 @@
 	}
 }
 
+// SetShort names the services whose memory is needed for prompts: no copies are made.
+func (h *Handler) SetShort(services []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.short = services
+}
+
+func (h *Handler) isShort(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Contains(h.short, service)
+}
+
 // Spent is what this VM saw and sent again of late, by service.
 func (h *Handler) Spent() map[string]Spent {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/forward/place.go
@@ -0,0 +1,189 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// Ask is a stream's question for an engine.
+type Ask struct {
+	RequestID     string
+	Service       string
+	Need          placement.Need
+	KVTokens      int
+	Due, Deadline time.Time
+	Priority      int
+	Interrupted   bool
+	Skip          []string
+	WantsCopy     bool
+}
+
+// Placed is the answer: see scheduler.Decision.
+type Placed struct {
+	Outcome    scheduler.Outcome
+	Number     uint64
+	Server     string
+	Keeper     string
+	RetryAfter time.Duration
+}
+
+// Placer decides for all VMs which stream gets which engine.
+type Placer interface {
+	// Place waits for an engine until ctx ends. It reports false where nobody decides:
+	// this VM places by what it knows.
+	Place(ctx context.Context, a *Ask) (Placed, bool)
+	// Took says that a grant is part of this VM's use now, or was not needed.
+	Took(number uint64)
+	// Refresh brings the list of backend servers up to date.
+	Refresh(ctx context.Context)
+	// UseChanged says that engines have become free, or were taken without a grant.
+	UseChanged()
+}
+
+// alone is the Placer of a VM that always decides for itself.
+type alone struct{}
+
+func (alone) Place(context.Context, *Ask) (Placed, bool) { return Placed{}, false }
+func (alone) Took(uint64)                                {}
+func (alone) UseChanged()                                {}
+func (alone) Refresh(context.Context)                    {}
+
+// chosen is where a stream's next run goes.
+type chosen struct {
+	server *upstream.Server
+	from   *Copy
+	// grant is what the engine was granted by; zero: this VM chose it.
+	grant   Placed
+	granted bool
+	// refused is the reason where there is none, final: asking again is no use.
+	refused result.Code
+	final   bool
+	again   bool // another engine is to be asked for at once
+}
+
+// place has an engine granted for the stream, or chooses one where nobody decides.
+func (st *stream) place() chosen {
+	h, began := st.h, time.Now()
+	g, ok := h.o.Placer.Place(st.q.ctx, st.ask())
+	if !ok {
+		return chosen{server: st.placeAlone()}
+	}
+	st.waited += time.Since(began)
+	st.retryAfter = g.RetryAfter
+	switch g.Outcome {
+	case scheduler.Granted:
+		if s := st.granted(&g); s != nil {
+			return chosen{server: s, grant: g, granted: true}
+		}
+		return chosen{again: true}
+	case scheduler.Refused:
+		return chosen{refused: result.DeadlineTooSoon, final: true}
+	case scheduler.TooLarge:
+		return chosen{refused: result.LargerThanEngine, final: true}
+	}
+	return chosen{}
+}
+
+// granted is the engine of a grant. One that has just started is on the control VM's
+// list before it is on this VM's: were the stream placed elsewhere then, all that wait
+// would be at once, on the engines that are full. nil: it is not to be used.
+func (st *stream) granted(g *Placed) *upstream.Server {
+	h := st.h
+	s := h.o.Fleet.Lookup(g.Server)
+	if s == nil {
+		h.o.Placer.Refresh(st.q.ctx)
+		s = h.o.Fleet.Lookup(g.Server)
+	}
+	if s == nil {
+		h.o.Placer.Took(g.Number)
+		st.skip[g.Server] = true
+	}
+	return s
+}
+
+func (st *stream) ask() *Ask {
+	q := st.q
+	a := &Ask{
+		RequestID: q.RequestID, Service: q.service.Name, Need: st.need, KVTokens: st.kvTokens(),
+		Due: q.arrived.Add(q.route.Objective), Deadline: q.expires, Priority: q.priority,
+		Interrupted: st.seq.started, WantsCopy: st.mayCopy(),
+	}
+	for id := range st.skip {
+		a.Skip = append(a.Skip, id)
+	}
+	slices.Sort(a.Skip)
+	return a
+}
+
+// placeAlone chooses by what this VM knows; nil: there is no engine.
+func (st *stream) placeAlone() *upstream.Server {
+	servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, st.kvTokens(), st.skip)
+	if i := placement.Engine(candidates, st.need, rand.IntN); i >= 0 {
+		return servers[i]
+	}
+	return nil
+}
+
+// mayCopy reports whether a copy of the stream's runs can be kept, and used.
+func (st *stream) mayCopy() bool {
+	e := st.q.service.Engine
+	return e != nil && e.KeepCopies && st.q.rec.repeatable
+}
+
+// paceBook is what this VM observes of each service's engines. Safe for concurrent use.
+type paceBook struct {
+	mu    sync.Mutex
+	paces map[string]scheduler.Pace
+}
+
+// paceShare is the weight of the newest observation: some ten runs make the mean.
+const paceShare = 0.15
+
+// read notes how long an engine that had nothing else to read took for a prompt.
+func (b *paceBook) read(service string, tokens int, took time.Duration) {
+	if tokens <= 0 {
+		return
+	}
+	b.update(service, func(p *scheduler.Pace) { p.PerToken = smooth(p.PerToken, took/time.Duration(tokens)) })
+}
+
+// ran notes how long a run took from its first event to its end.
+func (b *paceBook) ran(service string, took time.Duration) {
+	b.update(service, func(p *scheduler.Pace) { p.Run = smooth(p.Run, took) })
+}
+
+func (b *paceBook) update(service string, f func(*scheduler.Pace)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.paces == nil {
+		b.paces = map[string]scheduler.Pace{}
+	}
+	p := b.paces[service]
+	f(&p)
+	b.paces[service] = p
+}
+
+func (b *paceBook) all() map[string]scheduler.Pace {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]scheduler.Pace, len(b.paces))
+	for service, p := range b.paces {
+		out[service] = p
+	}
+	return out
+}
+
+func smooth(old, next time.Duration) time.Duration {
+	if old <= 0 {
+		return next
+	}
+	return old + time.Duration(paceShare*float64(next-old))
+}
--- a/internal/forward/protect.go
+++ b/internal/forward/protect.go
@@ -108,7 +108,7 @@
 	if r.shield.now.keeper != nil {
 		fleet.Give(r.shield.now.keeper, r.kept)
 	}
-	r.kept = placement.Use{Tokens: r.st.need.Tokens()}
+	r.kept = placement.CopyUse(r.st.need)
 	fleet.Take(keeper, r.kept)
 	r.shield.now.keeper = keeper
 }
@@ -152,18 +152,29 @@
 	return h.o.Wire.ReadCopy(resp.StatusCode, text)
 }
 
+// keeperFor is the engine that keeps a copy of the run that is about to start, as it
+// was granted, or as this VM chooses.
+func (st *stream) keeperFor(c *chosen) *upstream.Server {
+	if !c.granted {
+		return st.chooseKeeper(c.server)
+	}
+	if c.grant.Keeper == "" {
+		return nil
+	}
+	return st.h.o.Fleet.Lookup(c.grant.Keeper)
+}
+
 // chooseKeeper picks the engine that keeps a copy of a run on s, where the route
 // may resume and the service's engines keep copies.
 func (st *stream) chooseKeeper(s *upstream.Server) *upstream.Server {
-	e := st.q.service.Engine
-	if e == nil || !e.KeepCopies || !st.q.rec.repeatable {
+	if !st.mayCopy() || st.h.isShort(st.q.service.Name) {
 		return nil
 	}
 	skip := map[string]bool{s.ID: true}
 	for id := range st.skip {
 		skip[id] = true
 	}
-	servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, e.KVTokens, skip)
+	servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, st.kvTokens(), skip)
 	if i := placement.Copy(candidates, s.Zone, st.need, rand.IntN); i >= 0 {
 		return servers[i]
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -22,6 +22,10 @@
 	doubt  <-chan struct{}
 	fresh  bool // the stream's first run: its report counts the same events
 
+	began   time.Time // when it was sent
+	firstAt time.Time // when its first event came
+	alone   bool      // granted: the engine had nothing else to read
+
 	conn  *upstream.Conn
 	stop  func() bool
 	reply reply
@@ -57,8 +61,8 @@
 const itemQueue = 16
 
 // start sends the request to an engine, with room for a copy elsewhere.
-func (st *stream) start(s *upstream.Server, from *Copy) *run {
-	h := st.h
+func (st *stream) start(c chosen) *run {
+	h, s, from := st.h, c.server, c.from
 	r := &run{st: st, server: s, from: from, fresh: !st.seq.started, died: h.o.Fleet.Died(s), doubt: h.o.Fleet.Doubted(s)}
 	r.use = placement.Use{Requests: 1, Tokens: st.need.Tokens(), Prompt: st.need.Prompt}
 	if from != nil {
@@ -66,11 +70,17 @@
 	}
 	h.o.Fleet.Take(s, r.use)
 	more := Send{After: st.seq.last, HasAfter: st.seq.started, From: from}
-	if keeper := st.chooseKeeper(s); keeper != nil {
+	if keeper := st.keeperFor(&c); keeper != nil {
 		r.setKeeper(keeper)
 		r.shield.now.copy = Copy{Address: keeper.Address, ID: st.q.RequestID}
 		more.CopyTo = keeper.Address
 	}
+	if c.granted {
+		h.o.Placer.Took(c.grant.Number)
+	} else {
+		h.o.Placer.UseChanged()
+	}
+	r.began, r.alone = time.Now(), c.granted
 	r.logPlaced()
 	// A kept connection may have gone silent by itself; a resume has no time to
 	// find out.
@@ -107,7 +117,7 @@
 	log.Info().Str("request", st.q.RequestID).Str("route", st.q.route.Name).Str("engine", r.server.ID).
 		Str("zone", r.server.Zone).Str("keeper", keeper).Bool("from_copy", r.from != nil).Int("send", st.sends).
 		Uint64("after", st.seq.last).Int("tokens", st.need.Tokens()).Int("there", use.Requests).
-		Int("tokens_there", use.Tokens).Int("prompt_there", use.Prompt).
+		Int("tokens_there", use.Tokens).Int("prompt_there", use.Prompt).Bool("granted", r.alone).Dur("waited", st.waited).
 		Dur("list_age", time.Since(h.o.Fleet.AsOf())).Msg("stream placed")
 }
 
@@ -305,8 +315,13 @@
 			Dur("after", time.Since(st.q.arrived)).Msg("stream began")
 	}
 	fleet := r.st.h.o.Fleet
+	r.firstAt = time.Now()
+	if r.alone && r.fresh {
+		r.st.h.paces.read(r.st.q.service.Name, r.use.Prompt, r.firstAt.Sub(r.began))
+	}
 	fleet.Give(r.server, placement.Use{Prompt: r.use.Prompt})
 	r.use.Prompt = 0
+	r.st.h.o.Placer.UseChanged()
 	fleet.Succeeded(r.server, 0)
 	r.st.h.kept.drop(r.st.q.RequestID)
 	if r.shield.now.keeper != nil {
@@ -320,6 +335,9 @@
 func (r *run) finish() (ending, bool) {
 	r.st.begin(r.reply.resp)
 	r.sent = answered
+	if r.fresh && !r.firstAt.IsZero() {
+		r.st.h.paces.ran(r.st.q.service.Name, time.Since(r.firstAt))
+	}
 	r.st.flush()
 	r.st.h.o.Blame.Succeeded(r.st.q.digest)
 	return endDone, true
@@ -348,6 +366,7 @@
 	if r.shield.now.keeper != nil {
 		fleet.Give(r.shield.now.keeper, r.kept)
 	}
+	r.st.h.o.Placer.UseChanged()
 	if end == endDone || end == endCallerEnd {
 		r.unprotect()
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,14 +3,12 @@
 import (
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
-	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // Figures of streams.
@@ -40,6 +38,12 @@
 	since   time.Time // when the last engine was lost; zero: none is
 	wrote   time.Time // when the last event was passed on
 	failure *reply
+
+	began      time.Time     // when the first event was passed on
+	longest    time.Duration // pause between two events
+	events     int           // passed on
+	waited     time.Duration // for an engine
+	retryAfter time.Duration // that was decided with a refusal
 }
 
 // ending is how a run at one engine ended.
@@ -63,21 +67,49 @@
 	}
 	defer h.kept.drop(q.RequestID)
 	st.findLeft()
+	outcome := "cut off"
+	defer func() { st.logEnd(outcome) }()
 	for {
-		s, from, code := st.next()
-		if s == nil {
-			st.give(code)
+		c := st.next()
+		if c.server == nil {
+			outcome = st.outcome(c.refused)
+			st.give(c.refused)
 			return
 		}
-		run := st.start(s, from)
+		run := st.start(c)
 		end := run.follow()
 		run.close(end)
+		outcome = st.outcome(result.RouteTimeout)
 		if st.settled(run, end) {
+			if end != endCallerEnd {
+				outcome = "whole"
+			}
 			return
 		}
 	}
 }
 
+// outcome names how a stream ends that is not whole.
+func (st *stream) outcome(code result.Code) string {
+	if st.callerLeft() {
+		return "caller left"
+	}
+	return result.Lookup(code).Name
+}
+
+func (st *stream) callerLeft() bool { return st.q.ctx.Err() != nil && st.q.left() > 0 }
+
+// logEnd tells what a stream's caller saw.
+func (st *stream) logEnd(outcome string) {
+	var first time.Duration
+	if !st.began.IsZero() {
+		first = st.began.Sub(st.q.arrived)
+	}
+	st.h.o.Ordinary.Info().Str("request", st.q.RequestID).Str("outcome", outcome).Int("events", st.events).
+		Dur("first_event", first).Dur("longest_pause", st.longest).Dur("waited", st.waited).Int("sends", st.sends).
+		Bool("rest_only", st.q.HasAfter).Dur("held", time.Since(st.q.arrived)).Msg("stream ended")
+}
+
 // settled takes in how a run ended; true: the caller has its final answer.
 func (st *stream) settled(run *run, end ending) bool {
 	st.q.rec.Note(run.sent)
@@ -123,28 +155,37 @@
 
 // next chooses the engine for the next run: the keeper of a copy goes first. It
 // returns the reason where there is none.
-func (st *stream) next() (*upstream.Server, *Copy, result.Code) {
+func (st *stream) next() chosen {
 	for {
 		if !st.q.rec.MaySend() || st.sends > 0 && st.h.o.Blame.Kills(st.q.digest) {
-			return nil, nil, result.StreamBroken
+			return chosen{refused: result.StreamBroken}
+		}
+		c := st.choose()
+		if c.again {
+			continue
 		}
-		s, from := st.choose()
-		if s == nil && st.mayWait() && timer.Sleep(st.q.ctx, fullPause) == nil {
+		if c.server == nil && !c.final && st.mayWait() && timer.Sleep(st.q.ctx, fullPause) == nil {
 			clear(st.skip)
 			continue
 		}
 		switch {
 		case st.q.ctx.Err() != nil:
-			return nil, nil, result.RouteTimeout
-		case s == nil && st.sends == 0:
-			return nil, nil, result.NoBackendServer
-		case s == nil:
-			return nil, nil, result.BackendsFull
-		case st.q.rec.IsRepeat() && !st.h.mayRepeat(st.q, st.urgency(from)):
-			return nil, nil, result.RetriesSpent
+			c.refused = result.RouteTimeout
+		case c.server == nil && c.final:
+		case c.server == nil && st.sends == 0:
+			c.refused = result.NoBackendServer
+		case c.server == nil:
+			c.refused = result.BackendsFull
+		case st.q.rec.IsRepeat() && !st.h.mayRepeat(st.q, st.urgency(c.from)):
+			c.refused = result.RetriesSpent
+		default:
+			st.sends++
+			return c
+		}
+		if c.granted {
+			st.h.o.Placer.Took(c.grant.Number) // not needed
 		}
-		st.sends++
-		return s, from, 0
+		return chosen{refused: c.refused}
 	}
 }
 
@@ -166,28 +207,23 @@
 	}
 }
 
-func (st *stream) choose() (*upstream.Server, *Copy) {
+func (st *stream) choose() chosen {
 	if left := st.left; left != nil {
 		st.left = nil // a copy can be used once
 		if s := st.h.o.Fleet.At(st.q.service.Name, left.Address); s != nil {
-			return s, left
+			return chosen{server: s, from: left}
 		}
 	}
 	if p := st.copied; p.keeper != nil {
 		if s := st.h.o.Fleet.Lookup(p.keeper.ID); s != nil {
-			return s, &p.copy
+			return chosen{server: s, from: &p.copy}
 		}
 		st.copied = protection{}
 	}
 	if st.sends >= maxSends {
-		return nil, nil
+		return chosen{}
 	}
-	servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, st.kvTokens(), st.skip)
-	i := placement.Engine(candidates, st.need, rand.IntN)
-	if i < 0 {
-		return nil, nil
-	}
-	return servers[i], nil
+	return st.place()
 }
 
 func (st *stream) kvTokens() int {
@@ -214,9 +250,8 @@
 // begun is broken off, so that it does not look whole.
 func (st *stream) give(code result.Code) {
 	h := st.h
-	callerLeft := st.q.ctx.Err() != nil && st.q.left() > 0
 	switch {
-	case callerLeft:
+	case st.callerLeft():
 		h.Stats.CallerGone.Inc()
 	case st.begun:
 		h.Stats.Broken.Inc()
@@ -226,7 +261,11 @@
 	case st.failure != nil:
 		h.deliver(st.w, st.failure)
 	default:
-		h.giveUp(st.w, st.q, code, retryAfter(st.q))
+		after := st.retryAfter
+		if after <= 0 {
+			after = retryAfter(st.q)
+		}
+		h.giveUp(st.w, st.q, code, after)
 	}
 }
 
@@ -244,7 +283,14 @@
 func (st *stream) write(e event) bool {
 	_, err := st.w.Write(e.raw)
 	st.seq.passed(e)
-	st.wrote = time.Now()
+	now := time.Now()
+	if st.events == 0 {
+		st.began = now
+	} else {
+		st.longest = max(st.longest, now.Sub(st.wrote))
+	}
+	st.events++
+	st.wrote = now
 	return err == nil
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -35,6 +35,9 @@
 	KindNotice     Kind = 81 // of a routed VM, to control VMs
 	KindKept       Kind = 82 // where is the copy of a stream?
 	KindSpent      Kind = 83 // of retry budgets, to control VMs
+	KindPlace      Kind = 84 // which engine may a stream go to?
+	KindPlaced     Kind = 85 // the answer for a stream that had to wait
+	KindUse        Kind = 86 // of engines by a VM, as it changes
 	KindBlame      Kind = 100
 	KindExplain    Kind = 120
 	KindStatus     Kind = 121
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,13 +28,20 @@
 	Requests int `cbor:"1,keyasint,omitempty"` // under way
 	Tokens   int `cbor:"2,keyasint,omitempty"` // memory, of runs and copies
 	Prompt   int `cbor:"3,keyasint,omitempty"` // prompt tokens that wait to be read
+	Copies   int `cbor:"4,keyasint,omitempty"` // of Tokens, those of copies
 }
 
 // Add returns the sum.
 func (u Use) Add(o Use) Use {
-	return Use{u.Requests + o.Requests, u.Tokens + o.Tokens, u.Prompt + o.Prompt}
+	return Use{u.Requests + o.Requests, u.Tokens + o.Tokens, u.Prompt + o.Prompt, u.Copies + o.Copies}
 }
 
+// Negative returns what takes u off a sum.
+func (u Use) Negative() Use { return Use{-u.Requests, -u.Tokens, -u.Prompt, -u.Copies} }
+
+// CopyUse is what the copy of a run takes of the engine that keeps it.
+func CopyUse(n Need) Use { return Use{Tokens: n.Tokens(), Copies: n.Tokens()} }
+
 // Candidate is a backend server as a VM knows it at the moment of a choice.
 type Candidate struct {
 	ID       string
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -80,6 +80,7 @@
 	BackendsFull     Code = 3015
 	RetriesSpent     Code = 3016
 	ContentHeldBack  Code = 3017
+	LargerThanEngine Code = 3018
 )
 
 // Codes 4xxx: something failed after the request was accepted.
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -39,7 +39,7 @@
 	c := &Control{o: o, failure: make(chan error, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.network = newNetwork(&o.Common)
-	c.held = cluster.NewHeld(func(upstream.List) {})
+	c.held = cluster.NewHeld(func(l upstream.List) { c.hub.TakeList(l) })
 	c.member = cluster.NewMember(o.ID, c.network, o.Seeds, c.held, cluster.Local{Zone: o.Zone}, o.Log)
 	c.hub = cluster.NewHub(c.network, c.held, c.controls, o.Log)
 	c.members = &members{open: c.openMember}
@@ -55,6 +55,7 @@
 	c.work.Go(c.runMember)
 	c.work.Go(func() { c.hub.Remember(c.ctx, wal.OS{}, o.Dir) })
 	go c.member.Run(c.ctx)
+	go c.hub.Run(c.ctx)
 	go c.readBackends()
 	return c, nil
 }
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -53,6 +54,7 @@
 	r.member = cluster.NewMember(o.ID, r.network, o.Seeds, r.held, cluster.Local{
 		Zone: o.Zone, Callers: o.Callers, Ready: r.Ready, Use: r.fleet.Mine, Deaths: r.blame.Fresh,
 		Dead: r.fleet.Dying, Kept: r.kept, Spent: r.spent, Learn: r.learn, LearnSpent: r.learnSpent,
+		Opinion: r.fleet.Opinion, Paces: r.paces,
 	}, o.Log)
 	r.feed = control.NewFeed(control.FeedOptions{
 		Self: o.ID, Voters: r.member.Controls, Transport: r.network, Lease: Lease, Log: o.Log,
@@ -61,7 +63,7 @@
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, Prepared: r.prepared,
 		Allowance: o.Allowance, Log: o.Log, Ordinary: o.Ordinary, Metrics: o.Metrics, Blame: r.blame, Closing: r.drain.started,
-		Find: r.member.Find, Spending: r.member.Spending, TooLate: r.drain.tooLate,
+		Placer: placer{r.member}, Find: r.member.Find, Spending: r.member.Spending, TooLate: r.drain.tooLate,
 	})
 	if err := r.serve(); err != nil {
 		r.cancel()
@@ -70,6 +72,7 @@
 	r.feed.Start()
 	go r.member.Run(r.ctx)
 	go r.member.RunSpending(r.ctx)
+	go r.member.RunUse(r.ctx)
 	return r, nil
 }
 
@@ -141,6 +144,7 @@
 	r.fleet.HearsayDead(a.Dead)
 	r.blame.Learn(a.Deaths)
 	r.handler.SetVMs(len(a.Routers))
+	r.handler.SetShort(a.Short)
 	r.fleet.SetRouters(r.o.ID, a.Routers)
 }
 
@@ -149,6 +153,8 @@
 
 func (r *Router) learnSpent(others map[string]forward.Spent) { r.handler.SetSpent(others) }
 
+func (r *Router) paces() map[string]scheduler.Pace { return r.handler.Paces() }
+
 func (r *Router) spent() map[string]forward.Spent { return r.handler.Spent() }
 
 // Ready reports whether callers may be sent here.
--- /dev/null
+++ b/internal/scheduler/memory.go
@@ -0,0 +1,76 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+)
+
+// Memory as one budget of runs and copies.
+//
+// The load pattern. On an ordinary day a third of the memory is taken, and a copy of
+// each run costs nothing that anybody wants; it saves one stream in four when zones
+// are lost every few seconds. At three times the load the memory holds either ten runs
+// of an engine or five and five copies, and each copy keeps a prompt waiting. A fixed
+// share for copies fails one day or the other.
+//
+// So a copy gets what prompts will not need: the memory of all engines, less what is
+// taken, less what those who wait want, less what the runs will grow to at the present
+// rate of arrivals. Copies that exist stay: their runs end within seconds, and taking
+// them back would cost the transfers twice when the load swings.
+
+const (
+	// copyMemory is the share of all memory up to which copies are made: what is left
+	// is for runs that resume, all at once, and for uneven engines.
+	copyMemory = 0.85
+)
+
+// mayCopy reports whether the memory of the service's engines has room for one more
+// copy beside what prompts will need.
+func (r *round) mayCopy() bool {
+	if r.v.kvTokens == 0 {
+		return false
+	}
+	total, taken, runs := 0, 0, 0
+	for _, e := range r.servers {
+		if r.health.lost(e) {
+			continue
+		}
+		total += r.v.kvTokens
+		taken += e.use.Tokens
+		runs += e.use.Tokens - e.use.Copies
+	}
+	for _, o := range r.v.waiting {
+		taken += o.Need.Tokens()
+	}
+	growth := max(0, r.v.demand.held(r.now, r.v.pace)-float64(runs))
+	return float64(taken)+growth <= copyMemory*float64(total)
+}
+
+// Short names the services whose memory is needed for prompts: no copies are made.
+func (s *Scheduler) Short(now time.Time) []string {
+	h := s.health(now)
+	var out []string
+	for name, v := range s.services {
+		if v.kvTokens > 0 && !newRound(v, s.vms, h, now).mayCopy() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// keeper chooses the engine that keeps a copy of a run; nil: none is to be kept.
+func (r *round) keeper(w *waiter, e *server, rng func(int) int) *server {
+	if !r.mayCopy() {
+		return nil
+	}
+	candidates := make([]placement.Candidate, len(r.servers))
+	for i, o := range r.servers {
+		candidates[i] = candidate(o, w)
+		candidates[i].Avoid = r.avoids(w, o)
+	}
+	if i := placement.Copy(candidates, e.Zone, w.Need, rng); i >= 0 {
+		return r.servers[i]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scheduler/order.go
@@ -0,0 +1,228 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+)
+
+// The order of waiting.
+//
+// The load pattern: more prompts arrive than the engines read, for seconds. First
+// come, first served, every stream waits for as long as the queue is, and soon all of
+// them are late. By the time that is left (earliest due first) each is begun at the
+// last moment that it can be in time, and what cannot be in time any more goes behind:
+// as many streams are in time as the engines can begin, and the late ones are served
+// as soon as there is room. They are not dropped: their callers wait for them.
+//
+// A stream that was interrupted goes first: its caller watches an answer stand still.
+// A lost zone interrupts dozens at once, which would push all new ones past their
+// objective, so every other grant is for a new one where both wait.
+
+// class of a waiting stream, first to be served first.
+type class uint8
+
+const (
+	interrupted class = iota
+	inTime
+	late
+)
+
+// lateMemory is the share of an engine's memory that may be taken once a late stream
+// is begun there. What is left is for those that can be in time and come while it
+// runs, some seconds: a quarter is two or three runs.
+const lateMemory = 0.75
+
+func (v *service) classOf(w *waiter, now time.Time) class {
+	switch {
+	case w.Interrupted:
+		return interrupted
+	case now.Add(v.pace.reading(w.Need.Prompt)).After(w.Due):
+		return late
+	}
+	return inTime
+}
+
+// order returns the waiting streams, first to be served first.
+func (v *service) order(now time.Time) []*waiter {
+	classes := make(map[*waiter]class, len(v.waiting))
+	for _, w := range v.waiting {
+		classes[w] = v.classOf(w, now)
+	}
+	out := slices.Clone(v.waiting)
+	slices.SortStableFunc(out, func(a, b *waiter) int {
+		return cmp.Or(cmp.Compare(classes[a], classes[b]), cmp.Compare(a.Priority, b.Priority), compareDue(a, b, classes[a]))
+	})
+	if v.fairTurn {
+		yieldOnce(out, classes)
+	}
+	return out
+}
+
+// compareDue orders streams of one class.
+func compareDue(a, b *waiter, c class) int {
+	if c == late {
+		return a.since.Compare(b.since)
+	}
+	return a.Due.Compare(b.Due)
+}
+
+// yieldOnce moves the first new stream that can be in time to the front.
+func yieldOnce(out []*waiter, classes map[*waiter]class) {
+	i := slices.IndexFunc(out, func(w *waiter) bool { return classes[w] == inTime })
+	if i > 0 {
+		w := out[i]
+		copy(out[1:i+1], out[:i])
+		out[0] = w
+	}
+}
+
+// hopeless reports whether a stream behind others cannot be served within its time any
+// more, even if the engines do as well as they can: a moment without engines is no
+// reason to refuse what can still be served after it.
+func (r *round) hopeless(w *waiter) bool {
+	wait := time.Duration(float64(r.ahead) / max(r.v.drain.rate(r.now), r.bestRate(w)) * float64(time.Second))
+	need := r.v.pace.reading(w.Need.Prompt) + time.Duration(quickRun*float64(r.v.pace.Run))
+	return r.now.Add(wait + need).After(w.Deadline)
+}
+
+// bestRate is how many streams like this one all engines together could begin in a
+// second: one after the other each, and no more than their memory holds.
+func (r *round) bestRate(w *waiter) float64 {
+	reading := r.v.pace.reading(max(1, w.Need.Prompt)).Seconds()
+	rate := float64(len(r.servers)) / reading
+	if w.KVTokens > 0 {
+		hold := reading + quickRun*r.v.pace.Run.Seconds()
+		rate = min(rate, float64(len(r.servers)*w.KVTokens)/float64(max(1, w.Need.Tokens()))/hold)
+	}
+	return max(rate, leastRate)
+}
+
+const (
+	// quickRun is the part of the mean time of a run that one takes on an engine that
+	// reads no other prompts meanwhile.
+	quickRun = 0.5
+	// leastRate a second keeps the estimate finite where nothing is known.
+	leastRate = 0.1
+)
+
+// round is one pass over the waiting streams of a service.
+type round struct {
+	servers []*server
+	vms     map[string]*vm
+	health  health
+	now     time.Time
+	v       *service
+	// reserved counts servers that are kept for a stream which is due before those tried
+	// later and finds no room yet: smaller ones behind it would else take all that is
+	// freed, and the largest prompts be late every time.
+	reserved int
+	ahead    int // streams that wait on, so far
+	usable   int // servers that are not avoided
+	begun    bool
+	idle     []*server
+}
+
+func newRound(v *service, vms map[string]*vm, h health, now time.Time) *round {
+	r := &round{servers: v.servers, vms: vms, health: h, now: now, v: v}
+	for _, e := range v.servers {
+		if !r.health.lost(e) {
+			r.usable++
+		}
+	}
+	return r
+}
+
+// free lists the engines that could begin with a prompt at once. Under load these are
+// few of many, and each waiting stream looks at them alone.
+func (r *round) free() []*server {
+	if r.begun {
+		return r.idle
+	}
+	r.begun = true
+	for _, e := range r.servers {
+		if r.mayBegin(e) {
+			r.idle = append(r.idle, e)
+		}
+	}
+	return r.idle
+}
+
+func (r *round) mayBegin(e *server) bool {
+	if r.usable > 0 && r.health.lost(e) || e.Slots > 0 && e.use.Requests >= e.Slots {
+		return false
+	}
+	return r.v.pace.reading(e.use.Prompt) <= openReading
+}
+
+// close takes an engine off those that could begin.
+func (r *round) close(e *server) {
+	r.idle = slices.DeleteFunc(r.idle, func(o *server) bool { return o == e })
+}
+
+// engine chooses for a stream among the engines that can begin with it at once; nil: it
+// waits.
+func (r *round) engine(w *waiter, rng func(int) int) *server {
+	var able []*server
+	var candidates []placement.Candidate
+	for _, e := range r.free() {
+		if !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) && r.fits(e, w) {
+			able, candidates = append(able, e), append(candidates, candidate(e, w))
+		}
+	}
+	i := placement.Engine(candidates, w.Need, rng)
+	if i < 0 {
+		r.reserve(w)
+		return nil
+	}
+	return able[i]
+}
+
+// any reports whether some engine may take a stream, however long it waits.
+func (r *round) any(w *waiter) bool {
+	return slices.ContainsFunc(r.servers, func(e *server) bool { return !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) })
+}
+
+func candidate(e *server, w *waiter) placement.Candidate {
+	return placement.Candidate{ID: e.ID, Zone: e.Zone, Slots: e.Slots, KVTokens: w.KVTokens, Use: e.use, Slow: 1}
+}
+
+// fits reports whether an engine has memory for a stream's run.
+func (r *round) fits(e *server, w *waiter) bool {
+	share := fullMemory
+	if r.v.classOf(w, r.now) == late {
+		share = lateMemory
+	}
+	return w.KVTokens == 0 || float64(e.use.Tokens+w.Need.Tokens()) <= share*float64(w.KVTokens)
+}
+
+const (
+	// openReading is how much of other prompts may be left to read on an engine that
+	// gets another: about what a grant and the news of a prompt's end take on their way,
+	// so that short prompts keep an engine busy.
+	openReading = 30 * time.Millisecond
+	// fullMemory is the share of an engine's memory that runs at their full length and
+	// copies may take. Beyond it the engine preempts runs in mid-stream.
+	fullMemory = 0.96
+	// maxReserved servers are kept for streams that find no room.
+	maxReserved = 4
+)
+
+// reserve keeps the engine with the most free memory for a stream that finds no room.
+func (r *round) reserve(w *waiter) {
+	if r.reserved >= maxReserved || w.KVTokens == 0 {
+		return
+	}
+	var best *server
+	for _, e := range r.free() {
+		if !r.avoids(w, e) && (best == nil || e.use.Tokens < best.use.Tokens) {
+			best = e
+		}
+	}
+	if best != nil && r.v.classOf(w, r.now) != late {
+		r.reserved++
+		r.close(best)
+	}
+}
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -65,7 +65,8 @@
 	heard    time.Time
 	diedAt   time.Time // when it was last judged dead, here or by another VM
 	turn     int       // this VM's place in its line
-	avoid    time.Time // until
+	avoid    time.Time // until; by what this VM found
+	doubted  time.Time // until; by what befell its neighbours, or by hearsay
 	strikes  int       // failures to reach it in a row
 	failures int       // failed answers in a row
 	stale    bool      // another incarnation answers at the address
@@ -196,7 +197,7 @@
 	for _, s := range servers {
 		out = append(out, placement.Candidate{
 			ID: s.ID, Zone: s.Zone, Slots: s.Slots, KVTokens: kvTokens, Use: f.useOf(s, now),
-			Turn: s.turn, Avoid: now.Before(s.avoid), Slow: slowness(s.latency, usual),
+			Turn: s.turn, Avoid: s.avoided(now), Slow: slowness(s.latency, usual),
 		})
 	}
 	return servers, out
@@ -214,7 +215,7 @@
 		out = append(out, placement.CallCandidate{
 			Zone: s.Zone, Slots: s.Slots, Own: s.use.Requests, Others: f.others[s.ID].Requests,
 			Reported: s.reported, ReportAge: now.Sub(s.told), CallTime: time.Duration(s.latency * float64(time.Millisecond)),
-			Avoid: now.Before(s.avoid), Slow: slowness(s.latency, usual),
+			Avoid: s.avoided(now), Slow: slowness(s.latency, usual),
 		})
 	}
 	return servers, out
@@ -261,6 +262,35 @@
 	return latency / usual
 }
 
+// avoided reports whether there is a reason not to send anything there.
+func (s *Server) avoided(now time.Time) bool { return now.Before(s.avoid) || now.Before(s.doubted) }
+
+// Opinion is what this VM would tell others of servers, by id.
+type Opinion struct {
+	Avoid []string // not to be used, as this VM found itself
+	Doubt []string // taken for lost with their zone, or by hearsay
+	Alive []string // heard just now
+}
+
+// Opinion returns what this VM knows of its servers that others may not.
+func (f *Fleet) Opinion() Opinion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	var o Opinion
+	for _, s := range f.order {
+		switch {
+		case s.stale || now.Before(s.avoid):
+			o.Avoid = append(o.Avoid, s.ID)
+		case now.Sub(s.heard) < heardLately:
+			o.Alive = append(o.Alive, s.ID)
+		case now.Before(s.doubted):
+			o.Doubt = append(o.Doubt, s.ID)
+		}
+	}
+	return o
+}
+
 // Lookup returns a server that may take a request, by id, or nil.
 func (f *Fleet) Lookup(id string) *Server {
 	f.mu.Lock()
@@ -310,7 +340,7 @@
 
 // Give takes it off again.
 func (f *Fleet) Give(s *Server, u placement.Use) {
-	f.Take(s, placement.Use{Requests: -u.Requests, Tokens: -u.Tokens, Prompt: -u.Prompt})
+	f.Take(s, u.Negative())
 }
 
 // Died is closed when the server is judged dead.
--- a/internal/upstream/verdict.go
+++ b/internal/upstream/verdict.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		avoided++
-		f.avoidFor(o, recovery.OutageFor)
+		o.doubted = now.Add(recovery.OutageFor)
 		f.raiseDoubt(o)
 	}
 	f.log.Warn().Str("service", s.Service).Str("zone", s.Zone).Int("avoided", avoided).Msg("zone taken for lost")
@@ -104,10 +104,10 @@
 			continue
 		}
 		s.diedAt = f.now()
-		if f.now().Before(s.avoid) {
+		if s.avoided(f.now()) {
 			continue
 		}
-		f.avoidFor(s, recovery.OutageFor)
+		s.doubted = f.now().Add(recovery.OutageFor)
 		f.raiseDoubt(s)
 		f.noteDeath(s)
 	}
@@ -145,7 +145,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.failures, s.strikes = 0, 0
-	s.heard = f.now()
+	s.heard, s.doubted = f.now(), time.Time{}
 	ms := float64(took) / float64(time.Millisecond)
 	switch {
 	case took <= 0:
