routed streams: callers that come back go where their prompt was read

Change: VMs tell where their streams run beside where copies are; control VMs keep that 30 s, and write it down with the copies. The scheduler sends such a stream there, reading or not. A copy on order is not dropped any more where this VM's own shutdown ends the stream.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -36,10 +36,11 @@
 	// for it until then.
 	presentFor = 1100 * time.Millisecond
 	// forgetAfter is how long a control VM that was learnt is kept without a word
-	// from anybody that it still is one.
+	// from anybody that it still is one, and how long it is known where a silent VM's
+	// streams ran: callers whose connections hang come back within it.
 	forgetAfter = 30 * time.Second
-	// keptFor is how long a silent VM's streams are remembered: engines keep copies
-	// for some seconds.
+	// keptFor is how long the copies of a silent VM's streams are there: engines keep
+	// them for some seconds.
 	keptFor = 5 * time.Second
 	// findTimeout bounds the question for a copy: without one the prompt is read anew,
 	// which costs a second.
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -222,13 +222,13 @@
 		v := startRouter(ctx, n, "r1", controls[:1], 0)
 		time.Sleep(time.Second)
 		a, b := forward.Copy{Address: "e1:1", ID: "q1"}, forward.Copy{Address: "e2:1", ID: "q2"}
-		h.hub.note("dead", Notice{Kept: []forward.Kept{{Identity: 7, Copy: a}, {Identity: 8, Copy: a}}})
-		h.hub.note("alive", Notice{Kept: []forward.Kept{{Identity: 8, Copy: b}}})
+		h.hub.note("dead", Notice{Kept: []forward.Kept{{Identity: 7, Left: forward.Left{Copy: a}}, {Identity: 8, Left: forward.Left{Copy: a}}}})
+		h.hub.note("alive", Notice{Kept: []forward.Kept{{Identity: 8, Left: forward.Left{Copy: b}}}})
 		for _, tt := range []struct {
 			identity uint64
 			want     forward.Copy
 		}{{7, a}, {8, forward.Copy{}}, {9, forward.Copy{}}} {
-			if got, ok := v.member.Find(ctx, tt.identity); got != tt.want || ok != (tt.want.Address != "") {
+			if got, ok := v.member.Find(ctx, tt.identity); got.Copy != tt.want || ok != (tt.want.Address != "") {
 				t.Errorf("identity %d: %+v, %t", tt.identity, got, ok)
 			}
 		}
@@ -249,7 +249,7 @@
 		h := startHub(life, n, "c1", controls[:1])
 		a := forward.Copy{Address: "e1:1", ID: "q1"}
 		go h.hub.Remember(life, disk, "/data")
-		h.hub.note("router", Notice{Kept: []forward.Kept{{Identity: 7, Copy: a}}})
+		h.hub.note("router", Notice{Kept: []forward.Kept{{Identity: 7, Left: forward.Left{Copy: a}}}})
 		time.Sleep(2 * rememberEvery)
 		kill()
 		time.Sleep(time.Second)
@@ -257,7 +257,7 @@
 		again.hub.Recall(disk, "/data")
 		v := startRouter(ctx, n, "r1", controls[:1], 0)
 		time.Sleep(500 * time.Millisecond)
-		if got, ok := v.member.Find(ctx, 7); got != a || !ok {
+		if got, ok := v.member.Find(ctx, 7); got.Copy != a || !ok {
 			t.Errorf("found %+v, %t", got, ok)
 		}
 		time.Sleep(keptFor)
@@ -276,7 +276,7 @@
 		go h.hub.Remember(ctx, disk, "/data")
 		written := func() string {
 			for i := range uint64(20) {
-				h.hub.note(fmt.Sprint("r", i), Notice{Kept: []forward.Kept{{Identity: i, Copy: forward.Copy{Address: "e1:1", ID: fmt.Sprint("q", i)}}}})
+				h.hub.note(fmt.Sprint("r", i), Notice{Kept: []forward.Kept{{Identity: i, Left: forward.Left{Copy: forward.Copy{Address: "e1:1", ID: fmt.Sprint("q", i)}}}}})
 			}
 			time.Sleep(2 * rememberEvery)
 			data, err := disk.ReadFile("/data/" + keptFile)
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -31,9 +31,9 @@
 	silent map[string]bool // told in the log
 	spent  spentBook
 	deaths []toldDeath
-	// recalled are the copies that an earlier life wrote down.
-	recalled   []forward.Kept
-	recalledTo time.Time
+	// recalled is what an earlier life wrote down; its copies are there until copiesTo.
+	recalled             []forward.Kept
+	copiesTo, recalledTo time.Time
 }
 
 type seen struct {
@@ -101,35 +101,48 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	kept := h.allKept()
-	if time.Now().Before(h.recalledTo) {
-		kept = append(kept, h.recalled...)
+	now := time.Now()
+	left := find(h.allKept(now), identity)
+	if left == (forward.Left{}) && now.Before(h.recalledTo) {
+		left = find(expired(h.recalled, now.After(h.copiesTo)), identity)
 	}
-	return find(kept, identity), nil
+	return left, nil
 }
 
-// find returns the one copy under an identity.
-func find(kept []forward.Kept, identity uint64) forward.Copy {
-	var found forward.Copy
+// find returns what the one stream under an identity left. Two copies are of two
+// streams that look alike: neither is given out.
+func find(kept []forward.Kept, identity uint64) forward.Left {
+	var found forward.Left
 	for _, k := range kept {
 		if k.Identity != identity {
 			continue
 		}
-		if found.Address != "" && found != k.Copy {
-			return forward.Copy{}
+		if found.Copy.Address != "" && found.Copy != k.Copy {
+			return forward.Left{}
 		}
-		found = k.Copy
+		found = k.Left
 	}
 	return found
 }
 
-// allKept are the copies of all VMs that were heard lately. It needs h.mu.
-func (h *Hub) allKept() []forward.Kept {
+// allKept is what the streams of all VMs leave, as they last told. It needs h.mu.
+func (h *Hub) allKept(now time.Time) []forward.Kept {
 	var out []forward.Kept
 	for _, s := range h.vms {
-		if time.Since(s.at) <= keptFor {
-			out = append(out, s.notice.Kept...)
-		}
+		out = append(out, expired(s.notice.Kept, now.Sub(s.at) > keptFor)...)
+	}
+	return out
+}
+
+// expired leaves the copies out where engines have dropped them.
+func expired(kept []forward.Kept, copies bool) []forward.Kept {
+	if !copies {
+		return kept
+	}
+	out := make([]forward.Kept, len(kept))
+	for i, k := range kept {
+		out[i] = k
+		out[i].Copy = forward.Copy{}
 	}
 	return out
 }
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -233,16 +233,16 @@
 	m.wantList = !ok
 }
 
-// Find asks a control VM for the copy of a stream that another VM carried.
-func (m *Member) Find(ctx context.Context, identity uint64) (forward.Copy, bool) {
+// Find asks a control VM for what a stream left that another VM carried.
+func (m *Member) Find(ctx context.Context, identity uint64) (forward.Left, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	var out forward.Copy
+	var out forward.Left
 	if err := m.t.Call(ctx, m.source(), peer.KindKept, identity, &out); err != nil {
 		m.log.Debug().Err(err).Msg("no answer about a copy")
-		return forward.Copy{}, false
+		return forward.Left{}, false
 	}
-	return out, out.Address != ""
+	return out, out != (forward.Left{})
 }
 
 func (m *Member) heard(vm string, controls []string) {
--- /dev/null
+++ b/internal/cluster/place_test.go
@@ -0,0 +1,180 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
+	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// placingRouter is a router that takes what it is granted.
+type placingRouter struct {
+	*testVM
+	net *peertest.Net
+}
+
+func startPlacing(ctx context.Context, n *peertest.Net, id string) *placingRouter {
+	v := &placingRouter{testVM: startRouter(ctx, n, id, controls, 0), net: n}
+	go v.member.RunUse(ctx)
+	return v
+}
+
+func modelsList(engines int) upstream.List {
+	l := upstream.List{AsOf: time.Now()}
+	for i := range engines {
+		l.Backends = append(l.Backends, upstream.Backend{ID: fmt.Sprint("e", i), Service: "models", Zone: "a", Slots: 64})
+	}
+	return l
+}
+
+func ask(id string) PlaceAsk {
+	return PlaceAsk{ID: id, Service: "models", Need: placement.Need{Prompt: 8000, Output: 600}, KVTokens: 88_000}
+}
+
+func (v *placingRouter) place(ctx context.Context, id string) (Placed, bool) {
+	now := time.Now()
+	return v.member.Place(ctx, ask(id), now.Add(4*time.Second), now.Add(25*time.Second))
+}
+
+// Two routers ask for the one free engine at the same moment. One gets it; the other's
+// stream waits, and is told as soon as the first prompt has been read. Neither router
+// knows of the other.
+func TestStreamsWaitForTheOneEngine(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		h.hub.TakeList(modelsList(1))
+		go h.hub.Run(ctx)
+		a, b := startPlacing(ctx, n, "r1"), startPlacing(ctx, n, "r2")
+		time.Sleep(time.Second)
+		first, ok := a.place(ctx, "1")
+		if !ok || first.Outcome != scheduler.Granted || first.Server != "e0" {
+			t.Fatalf("first: %+v, %t", first, ok)
+		}
+		a.use = map[string]placement.Use{"e0": {Requests: 1, Tokens: 8600, Prompt: 8000}}
+		a.member.Took(first.Number)
+		type answer struct {
+			p  Placed
+			ok bool
+			at time.Time
+		}
+		second := make(chan answer, 1)
+		go func() {
+			p, ok := b.place(ctx, "2")
+			second <- answer{p, ok, time.Now()}
+		}()
+		time.Sleep(time.Second)
+		select {
+		case got := <-second:
+			t.Fatalf("placed beside a prompt that is being read: %+v", got)
+		default:
+		}
+		a.use = map[string]placement.Use{"e0": {Requests: 1, Tokens: 8600}}
+		read := time.Now()
+		a.member.UseChanged()
+		got := <-second
+		if !got.ok || got.p.Outcome != scheduler.Granted || got.at.Sub(read) > 20*time.Millisecond {
+			t.Errorf("second: %+v after %v", got.p, got.at.Sub(read))
+		}
+	})
+}
+
+// The control VM that decides freezes. In order: a stream asks it and gets no answer;
+// its router asks the next control VM within a tenth of a second, and goes on doing so;
+// where none answers, the router is told to decide for itself.
+func TestAnotherControlVMDecides(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		for _, id := range controls {
+			h := startHub(ctx, n, id, controls)
+			h.hub.TakeList(modelsList(6))
+		}
+		v := startPlacing(ctx, n, "r1")
+		time.Sleep(time.Second)
+		n.Kill("c1")
+		began := time.Now()
+		if p, ok := v.place(ctx, "1"); !ok || p.Outcome != scheduler.Granted || time.Since(began) > placeTimeout+20*time.Millisecond {
+			t.Errorf("%+v, %t after %v", p, ok, time.Since(began))
+		}
+		began = time.Now()
+		if _, ok := v.place(ctx, "2"); !ok || time.Since(began) > 20*time.Millisecond {
+			t.Errorf("the second stream asked the lost control VM again: %v", time.Since(began))
+		}
+		n.Kill("c2")
+		n.Kill("c3")
+		began = time.Now()
+		if _, ok := v.place(ctx, "3"); ok || time.Since(began) > 2*placeTimeout+20*time.Millisecond {
+			t.Errorf("decided by nobody: %t after %v", ok, time.Since(began))
+		}
+	})
+}
+
+// A caller leaves while its stream waits. The engine that is granted to it later is
+// given back at once, or it would stand idle until the grant expires.
+func TestGrantForACallerWhoLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		h.hub.TakeList(modelsList(1))
+		a, b := startPlacing(ctx, n, "r1"), startPlacing(ctx, n, "r2")
+		time.Sleep(time.Second)
+		first, _ := a.place(ctx, "1")
+		a.use = map[string]placement.Use{"e0": {Requests: 1, Tokens: 8600, Prompt: 8000}}
+		a.member.Took(first.Number)
+		caller, leave := context.WithCancel(ctx)
+		time.AfterFunc(100*time.Millisecond, leave)
+		if _, ok := b.place(caller, "2"); ok {
+			t.Fatal("a stream whose caller left was placed")
+		}
+		a.use = nil
+		a.member.UseChanged()
+		time.Sleep(50 * time.Millisecond)
+		began := time.Now()
+		if p, ok := a.place(ctx, "3"); !ok || p.Outcome != scheduler.Granted || time.Since(began) > 20*time.Millisecond {
+			t.Errorf("%+v, %t after %v", p, ok, time.Since(began))
+		}
+	})
+}
+
+// What a router told last may be overtaken on its way. Taken for new it would bring a
+// run back that has ended, and the engine would stand idle.
+func TestOvertakenUse(t *testing.T) {
+	c := newSchedule(peertest.New(1).VM("c1"), zerolog.Nop())
+	c.setServers(modelsList(1))
+	busy := map[string]placement.Use{"e0": {Requests: 1, Prompt: 8000}}
+	c.told("r1", &Told{Life: 7, Turn: 2})
+	c.told("r1", &Told{Life: 7, Turn: 1, Use: busy})
+	c.s.Ask(scheduler.Stream{ID: "1", VM: "r1", Service: "models", Deadline: time.Now().Add(time.Minute)}, time.Now())
+	if p := c.runFor("1"); p.Outcome != scheduler.Granted {
+		t.Errorf("outcome %d", p.Outcome)
+	}
+	c.told("r1", &Told{Life: 8, Turn: 1, Use: busy}) // the process was started again
+	c.s.Ask(scheduler.Stream{ID: "2", VM: "r1", Service: "models", Deadline: time.Now().Add(time.Minute)}, time.Now())
+	if p := c.runFor("2"); p.Outcome != scheduler.Waiting {
+		t.Errorf("outcome %d beside a prompt that is being read", p.Outcome)
+	}
+}
+
+// All VMs lose power. The callers' connections hang, and they come for the rest twenty
+// seconds later: their copies are gone, and the engines still have the prompts.
+func TestWhereAStreamRanIsKnownLonger(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		v := startRouter(ctx, n, "r1", controls[:1], 0)
+		time.Sleep(time.Second)
+		left := forward.Left{Copy: forward.Copy{Address: "e2:1", ID: "q1"}, Ran: "e1:1"}
+		h.hub.note("dead", Notice{Kept: []forward.Kept{{Identity: 7, Left: left}}})
+		if got, ok := v.member.Find(ctx, 7); !ok || got != left {
+			t.Errorf("at once: %+v, %t", got, ok)
+		}
+		time.Sleep(20 * time.Second)
+		if got, ok := v.member.Find(ctx, 7); !ok || got != (forward.Left{Ran: "e1:1"}) {
+			t.Errorf("after 20 s: %+v, %t", got, ok)
+		}
+	})
+}
--- a/internal/cluster/remember.go
+++ b/internal/cluster/remember.go
@@ -55,8 +55,9 @@
 	age := time.Since(time.UnixMilli(r.SavedMS))
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if age < keptFor {
-		h.recalled, h.recalledTo = r.Kept, time.Now().Add(keptFor-max(age, 0))
+	if age < forgetAfter {
+		now := time.Now()
+		h.recalled, h.copiesTo, h.recalledTo = r.Kept, now.Add(keptFor-max(age, 0)), now.Add(forgetAfter-max(age, 0))
 	}
 	h.log.Info().Int("copies", len(h.recalled)).Dur("age", age).Msg("copies recalled")
 }
@@ -68,10 +69,10 @@
 	failing := false
 	for timer.Sleep(ctx, rememberEvery) == nil {
 		h.mu.Lock()
-		kept := h.allKept()
+		kept := h.allKept(time.Now())
 		h.mu.Unlock()
 		slices.SortFunc(kept, func(a, b forward.Kept) int {
-			return cmp.Or(cmp.Compare(a.Identity, b.Identity), strings.Compare(a.Copy.ID, b.Copy.ID))
+			return cmp.Or(cmp.Compare(a.Identity, b.Identity), strings.Compare(a.Copy.ID, b.Copy.ID), strings.Compare(a.Ran, b.Ran))
 		})
 		data, err := codec.Marshal(kept)
 		if err != nil || bytes.Equal(data, last) {
--- a/internal/cluster/schedule.go
+++ b/internal/cluster/schedule.go
@@ -46,6 +46,7 @@
 	Interrupted bool           `cbor:"9,keyasint,omitempty"`
 	Skip        []string       `cbor:"10,keyasint,omitempty"`
 	WantsCopy   bool           `cbor:"11,keyasint,omitempty"`
+	Cached      string         `cbor:"12,keyasint,omitempty"`
 }
 
 // Placed is what was decided about a stream.
@@ -143,7 +144,7 @@
 	c.s.Ask(scheduler.Stream{
 		ID: a.ID, VM: from, Service: a.Service, Need: a.Need, KVTokens: a.KVTokens,
 		Due: now.Add(time.Duration(a.DueMS) * time.Millisecond), Deadline: now.Add(time.Duration(a.LeftMS) * time.Millisecond),
-		Priority: a.Priority, Interrupted: a.Interrupted, Skip: a.Skip, WantsCopy: a.WantsCopy,
+		Priority: a.Priority, Interrupted: a.Interrupted, Skip: a.Skip, WantsCopy: a.WantsCopy, Cached: a.Cached,
 	}, now)
 	return c.runFor(a.ID), nil
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -73,8 +73,8 @@
 	// Metrics is where the counters are registered.
 	Metrics *metrics.Set
 	Blame   *BlameBook
-	// Find looks for a copy of a stream that another router carried; nil: nowhere.
-	Find func(ctx context.Context, identity uint64) (Copy, bool)
+	// Find looks for what a stream left that another router carried; nil: nowhere.
+	Find func(ctx context.Context, identity uint64) (Left, bool)
 	// Placer decides for all VMs where streams go; nil: this VM decides.
 	Placer Placer
 	// Spending is told of each second send, after the budget counted it; nil: nobody.
--- a/internal/forward/kept.go
+++ b/internal/forward/kept.go
@@ -15,11 +15,22 @@
 //
 // So routers tell where copies of their streams are kept, and a router that is
 // asked for the rest of a stream it does not know looks there first.
+//
+// A copy is kept for some seconds. A caller whose connection hangs, since the VM lost
+// power, gives it up after many more, and all of them come for the rest at once. The
+// engines that read their prompts then mostly still hold these as cached prefixes: sent
+// there, nothing is read anew.
 
-// Kept is a running stream with a copy of its memory.
+// Kept is a stream under way, and what of it is of use once its router is gone.
 type Kept struct {
 	Identity uint64 `cbor:"1,keyasint"` // of the request, without what is new in each attempt
-	Copy     Copy   `cbor:"2,keyasint"`
+	Left
+}
+
+// Left is what a stream leaves behind.
+type Left struct {
+	Copy Copy   `cbor:"2,keyasint"`           // of its memory; empty: none
+	Ran  string `cbor:"3,keyasint,omitempty"` // address of the engine that has read its prompt
 }
 
 // keptBook is what a router tells the others. Safe for concurrent use.
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -24,6 +24,8 @@
 	Interrupted   bool
 	Skip          []string
 	WantsCopy     bool
+	// Cached is the engine that has probably kept the prompt; empty: none is known.
+	Cached string
 }
 
 // Placed is the answer: see scheduler.Decision.
@@ -77,7 +79,6 @@
 		return chosen{server: st.placeAlone()}
 	}
 	st.waited += time.Since(began)
-	st.retryAfter = g.RetryAfter
 	switch g.Outcome {
 	case scheduler.Granted:
 		if s := st.granted(&g); s != nil {
@@ -85,8 +86,10 @@
 		}
 		return chosen{again: true}
 	case scheduler.Refused:
+		st.refused, st.retryAfter = true, g.RetryAfter
 		return chosen{refused: result.DeadlineTooSoon, final: true}
 	case scheduler.TooLarge:
+		st.refused = true
 		return chosen{refused: result.LargerThanEngine, final: true}
 	}
 	return chosen{}
@@ -120,6 +123,9 @@
 		a.Skip = append(a.Skip, id)
 	}
 	slices.Sort(a.Skip)
+	if s := st.h.o.Fleet.At(q.service.Name, st.ran); s != nil {
+		a.Cached = s.ID
+	}
 	return a
 }
 
--- a/internal/forward/protect.go
+++ b/internal/forward/protect.go
@@ -97,7 +97,7 @@
 		r.setKeeper(p.keeper)
 	}
 	r.shield.now = p
-	r.st.h.kept.put(r.st.q.RequestID, Kept{r.st.id, p.copy})
+	r.st.h.kept.put(r.st.q.RequestID, r.leaves())
 	r.st.h.o.Log.Info().Str("request", r.st.q.RequestID).Str("engine", r.server.ID).Str("keeper", p.keeper.ID).
 		Int("passed", r.passed).Msg("copy ordered")
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -323,14 +323,20 @@
 	r.use.Prompt = 0
 	r.st.h.o.Placer.UseChanged()
 	fleet.Succeeded(r.server, 0)
-	r.st.h.kept.drop(r.st.q.RequestID)
-	if r.shield.now.keeper != nil {
-		r.st.h.kept.put(r.st.q.RequestID, Kept{r.st.id, r.shield.now.copy})
-	}
+	r.st.h.kept.put(r.st.q.RequestID, r.leaves())
 	r.st.skip = map[string]bool{}
 	r.st.since = time.Time{}
 }
 
+// leaves is what the run would leave behind now.
+func (r *run) leaves() Kept {
+	k := Kept{Identity: r.st.id, Left: Left{Ran: r.server.Address}}
+	if r.shield.now.keeper != nil {
+		k.Copy = r.shield.now.copy
+	}
+	return k
+}
+
 // finish ends a whole stream.
 func (r *run) finish() (ending, bool) {
 	r.st.begin(r.reply.resp)
@@ -367,7 +373,8 @@
 		fleet.Give(r.shield.now.keeper, r.kept)
 	}
 	r.st.h.o.Placer.UseChanged()
-	if end == endDone || end == endCallerEnd {
+	// Callers whose streams this VM's shutdown ends come for the rest elsewhere.
+	if end == endDone || end == endCallerEnd && !r.st.h.o.Closing() {
 		r.unprotect()
 	}
 	if r.conn == nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -32,6 +32,7 @@
 	moved   bool       // off a live engine, once
 	copied  protection // of the last run
 	left    *Copy      // of a run that another router carried, or nil
+	ran     string     // address of the engine that ran it there; empty: not known
 	id      uint64     // identity
 	skip    map[string]bool
 	sends   int
@@ -43,7 +44,8 @@
 	longest    time.Duration // pause between two events
 	events     int           // passed on
 	waited     time.Duration // for an engine
-	retryAfter time.Duration // that was decided with a refusal
+	refused    bool          // by the Placer
+	retryAfter time.Duration // that was decided with it; 0: asking again is no use
 }
 
 // ending is how a run at one engine ended.
@@ -202,8 +204,13 @@
 	if !st.q.HasAfter || !st.q.rec.repeatable || st.h.o.Find == nil {
 		return
 	}
-	if c, ok := st.h.o.Find(st.q.ctx, st.id); ok {
-		st.left = &c
+	left, ok := st.h.o.Find(st.q.ctx, st.id)
+	if !ok {
+		return
+	}
+	st.ran = left.Ran
+	if left.Copy.Address != "" {
+		st.left = &left.Copy
 	}
 }
 
@@ -261,9 +268,9 @@
 	case st.failure != nil:
 		h.deliver(st.w, st.failure)
 	default:
-		after := st.retryAfter
-		if after <= 0 {
-			after = retryAfter(st.q)
+		after := retryAfter(st.q)
+		if st.refused {
+			after = st.retryAfter
 		}
 		h.giveUp(st.w, st.q, code, after)
 	}
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -32,11 +32,13 @@
 	log     zerolog.Logger
 	servers []*routedengine.Server
 	left    map[uint64]forward.Copy // what another router has told
+	placer  forward.Placer          // nil: the router decides for itself
+	closing bool                    // the router is shutting down
 }
 
-func (w *world) find(_ context.Context, identity uint64) (forward.Copy, bool) {
+func (w *world) find(_ context.Context, identity uint64) (forward.Left, bool) {
 	c, ok := w.left[identity]
-	return c, ok
+	return forward.Left{Copy: c}, ok
 }
 
 // testRoutes: a stream that may resume, a vote, and a lookup.
@@ -93,11 +95,19 @@
 	w.handler = forward.NewHandler(forward.Options{
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: w.pool, Fleet: w.fleet,
 		Routes: w.table.Load, Prepared: ready, Allowance: forward.Allowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
-		Log: w.log, Ordinary: w.log, Metrics: metrics.NewSet(), Blame: forward.NewBlameBook(), Closing: func() bool { return false },
-		TooLate: func(bool) bool { return false }, Find: w.find,
+		Log: w.log, Ordinary: w.log, Metrics: metrics.NewSet(), Blame: forward.NewBlameBook(), Closing: func() bool { return w.closing },
+		TooLate: func(bool) bool { return false }, Find: w.find, Placer: w.placer,
 	})
 }
 
+// place has someone decide where streams go.
+func (w *world) place(p forward.Placer) {
+	w.placer = p
+	ready := make(chan struct{})
+	close(ready)
+	w.rebuild(ready)
+}
+
 // end resets every connection, so that nothing of the bubble is left.
 func (w *world) end() {
 	for _, s := range w.servers {
--- a/internal/routed/placer.go
+++ b/internal/routed/placer.go
@@ -15,7 +15,7 @@
 func (p placer) Place(ctx context.Context, a *forward.Ask) (forward.Placed, bool) {
 	d, ok := p.Member.Place(ctx, cluster.PlaceAsk{
 		ID: a.RequestID, Service: a.Service, Need: a.Need, KVTokens: a.KVTokens, Priority: a.Priority,
-		Interrupted: a.Interrupted, Skip: a.Skip, WantsCopy: a.WantsCopy,
+		Interrupted: a.Interrupted, Skip: a.Skip, WantsCopy: a.WantsCopy, Cached: a.Cached,
 	}, a.Due, a.Deadline)
 	return forward.Placed{
 		Outcome: d.Outcome, Number: d.Number, Server: d.Server, Keeper: d.Keeper,
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -165,6 +165,9 @@
 // engine chooses for a stream among the engines that can begin with it at once; nil: it
 // waits.
 func (r *round) engine(w *waiter, rng func(int) int) *server {
+	if e := r.cached(w); e != nil {
+		return e
+	}
 	var able []*server
 	var candidates []placement.Candidate
 	for _, e := range r.free() {
@@ -180,6 +183,17 @@
 	return able[i]
 }
 
+// cached is the engine that has kept the stream's prompt, if there is room for the run
+// there. That it reads another prompt is no matter: there is nothing to be read.
+func (r *round) cached(w *waiter) *server {
+	for _, e := range r.servers {
+		if e.ID == w.Cached && !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) && r.fits(e, w) {
+			return e
+		}
+	}
+	return nil
+}
+
 // any reports whether some engine may take a stream, however long it waits.
 func (r *round) any(w *waiter) bool {
 	return slices.ContainsFunc(r.servers, func(e *server) bool { return !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) })
@@ -207,7 +221,7 @@
 	// copies may take. Beyond it the engine preempts runs in mid-stream.
 	fullMemory = 0.96
 	// maxReserved servers are kept for streams that find no room.
-	maxReserved = 4
+	maxReserved = 1
 )
 
 // reserve keeps the engine with the most free memory for a stream that finds no room.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -51,6 +51,8 @@
 	Skip        []string // engines that refused it, or that it lost
 	// WantsCopy: a copy of the run's memory in another zone can be used.
 	WantsCopy bool
+	// Cached is the engine that has probably kept the prompt; empty: none is known.
+	Cached string
 }
 
 // Outcome of a decision.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -358,3 +358,30 @@
 		t.Errorf("refused callers come back at %d different times", len(after))
 	}
 }
+
+// A caller comes for the rest of a stream whose copy is gone. The engine that read its
+// prompt reads another one now; it is the right one all the same, unless it has no room.
+func TestCallerComesBackToItsPrompt(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, tt := range []struct {
+		name string
+		use  placement.Use
+		skip []string
+		want string
+	}{
+		{"it reads another prompt", placement.Use{Requests: 2, Tokens: 20_000, Prompt: 8000}, nil, "b0"},
+		{"it is full", placement.Use{Requests: 9, Tokens: 84_000}, nil, "a0"},
+		{"it has refused the stream", placement.Use{}, []string{"b0"}, "a0"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := book(1)
+			s.Told("other", Report{Use: map[string]placement.Use{"b0": tt.use, "c0": {Requests: 5}}}, now)
+			st := stream("1", now)
+			st.Cached, st.Skip, st.Interrupted = "b0", tt.skip, true
+			s.Ask(st, now)
+			if d := decisions(s.Run(now))["1"]; d.Server != tt.want {
+				t.Errorf("went to %q, want %q", d.Server, tt.want)
+			}
+		})
+	}
+}
