--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -6,8 +6,10 @@
 	"strconv"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/admission"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -34,12 +36,12 @@
 	skip := map[string]bool{}
 	var failure *reply // a server's own failure, should nothing better come
 	for sends := 0; ; sends++ {
-		s, code := h.chooseServer(q, skip, sends)
+		s, load, code := h.chooseServer(q, skip, sends)
 		if s == nil {
 			h.endCall(w, q, failure, code)
 			return
 		}
-		r := h.callAt(q, s)
+		r := h.callAt(q, s, load)
 		q.rec.Note(r.sent)
 		h.logSend(q, s, &r)
 		skip[s.ID] = true
@@ -76,40 +78,60 @@
 		Dur("held", time.Since(q.arrived)).Msg("call sent")
 }
 
-// chooseServer returns the server for the next send, or the reason why there is
-// none.
-func (h *Handler) chooseServer(q *request, skip map[string]bool, sends int) (*upstream.Server, result.Code) {
+// chooseServer returns the server for the next send and the part of its slots that is
+// then taken, or the reason why there is none.
+func (h *Handler) chooseServer(q *request, skip map[string]bool, sends int) (*upstream.Server, float64, result.Code) {
 	if sends >= maxSends {
-		return nil, result.BackendsFull
+		return nil, 0, result.BackendsFull
 	}
-	servers, candidates := h.o.Fleet.CallCandidates(q.service.Name, skip)
-	i := placement.Server(candidates, h.o.Zone, rand.IntN)
-	switch {
-	case i < 0 && len(skip) > 0:
-		return nil, result.BackendsFull
-	case i < 0:
-		return nil, result.NoBackendServer
-	case q.rec.IsRepeat() && !h.mayRepeat(q, InTime):
-		return nil, result.RetriesSpent
+	for {
+		servers, candidates := h.o.Fleet.CallCandidates(q.service.Name, skip)
+		i, load := placement.Server(candidates, h.o.Zone, rand.IntN)
+		switch {
+		case i < 0 && len(skip) > 0:
+			return nil, 0, result.BackendsFull
+		case i < 0:
+			return nil, 0, result.NoBackendServer
+		}
+		w := admission.CallWait{Load: load, Work: h.o.Fleet.Work(servers[i]), Objective: q.route.Objective, Held: time.Since(q.arrived)}
+		switch w.Decide() {
+		case admission.HoldCall:
+			if timer.Sleep(q.ctx, callHold) != nil {
+				return nil, 0, result.RouteTimeout
+			}
+			continue
+		case admission.RefuseCall:
+			q.retryAfter = w.RetryAfter(rand.Float64())
+			return nil, 0, result.DeadlineTooSoon
+		case admission.SendCall:
+		}
+		if q.rec.IsRepeat() && !h.mayRepeat(q, InTime) {
+			return nil, 0, result.RetriesSpent
+		}
+		return servers[i], load, 0
 	}
-	return servers[i], 0
 }
 
+// callHold is the pause between two looks for a server that can answer in time.
+const callHold = 8 * time.Millisecond
+
 // callAt sends a call to one server and notes what that says about it.
-func (h *Handler) callAt(q *request, s *upstream.Server) reply {
+func (h *Handler) callAt(q *request, s *upstream.Server, load float64) reply {
 	use := placement.Use{Requests: 1}
 	h.o.Fleet.Take(s, use)
 	began := time.Now()
-	r := h.exchange(q, s, Send{}, h.patience(q))
+	r := h.exchange(q, s, Send{}, h.patience(q, load))
 	h.o.Fleet.Give(s, use)
 	h.learn(q, s, &r, time.Since(began))
 	return r
 }
 
-// patience is how long a call waits at one server where another may be asked.
-func (h *Handler) patience(q *request) time.Duration {
+// patience is how long a call waits at one server where another may be asked. Where it
+// waits for a slot already at the least loaded one, it stays: given up there, it would
+// wait again elsewhere behind others, and the slot that it gets be worked for nobody.
+func (h *Handler) patience(q *request, load float64) time.Duration {
 	another := q.rec.repeatable && q.rec.runs+1 < q.rec.maxAttempts
-	if !another || q.route.Objective <= 0 {
+	if !another || load > 1 || q.route.Objective <= 0 {
 		return 0
 	}
 	return max(minHedge, time.Duration(hedgeShare*float64(q.route.Objective)))
@@ -149,7 +171,11 @@
 	case q.left() > 0 && q.ctx.Err() != nil:
 		h.Stats.CallerGone.Inc()
 	default:
-		h.giveUp(w, q, code, retryAfter(q))
+		after := q.retryAfter
+		if after <= 0 {
+			after = retryAfter(q)
+		}
+		h.giveUp(w, q, code, after)
 	}
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -189,7 +189,9 @@
 	out       upstream.Request
 	rec       *Record
 	budget    *Budget
-	leave     func() // gives the place of its body back; nil: it has none
+	// retryAfter was decided with a refusal; 0: not.
+	retryAfter time.Duration
+	leave      func() // gives the place of its body back; nil: it has none
 }
 
 // heldBytes is what a request's body counts for, before it is read.
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -46,14 +46,23 @@
 )
 
 // Server chooses for a call the server with the least load that is to be expected
-// for its slots; among equals, one in the VM's own zone; -1: there is no candidate.
-func Server(all []CallCandidate, near string, rng func(n int) int) int {
+// for its slots; among equals, one in the VM's own zone; -1: there is no candidate. load
+// is the part of its slots that is then taken.
+func Server(all []CallCandidate, near string, rng func(n int) int) (i int, load float64) {
 	perSlot := othersPerSlot(all)
 	loads := make([]float64, len(all))
 	for i := range all {
 		loads[i] = expectedLoad(&all[i], perSlot)
 	}
-	return pick(loads, evenShare, rng, func(i int) bool { return all[i].Zone == near })
+	i = pick(loads, evenShare, rng, func(i int) bool { return all[i].Zone == near })
+	if i < 0 {
+		return i, 0
+	}
+	load = loads[i]
+	if all[i].Avoid {
+		load -= avoidCost
+	}
+	return i, load
 }
 
 // othersPerSlot is the even share of other VMs' calls.
--- a/internal/placement/call_test.go
+++ b/internal/placement/call_test.go
@@ -32,7 +32,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := Server(tt.all, "a", func(int) int { return 0 }); got != tt.want {
+			if got, _ := Server(tt.all, "a", func(int) int { return 0 }); got != tt.want {
 				t.Errorf("chose %d, want %d", got, tt.want)
 			}
 		})
@@ -57,7 +57,10 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			placed := tt.load.meanWait(func(vm *callVM, rng *rand.Rand) int { return Server(vm.candidates(), vm.zone, rng.IntN) })
+			placed := tt.load.meanWait(func(vm *callVM, rng *rand.Rand) int {
+				i, _ := Server(vm.candidates(), vm.zone, rng.IntN)
+				return i
+			})
 			byNews := tt.load.meanWait(placeByNews)
 			random := tt.load.meanWait(func(vm *callVM, rng *rand.Rand) int { return rng.IntN(len(vm.known)) })
 			t.Logf("mean wait: placed %v, by news %v, at random %v", placed, byNews, random)
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -71,6 +71,7 @@
 	failures int       // failed answers in a row
 	stale    bool      // another incarnation answers at the address
 	latency  float64   // average, in ms
+	work     float64   // the same without what a call waited for a slot
 	reported int       // requests of other VMs there, as its last answer said
 	told     time.Time
 }
@@ -184,6 +185,13 @@
 	return out
 }
 
+// Work is how long a call takes at a server once it has a slot; 0: not known.
+func (f *Fleet) Work(s *Server) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(s.work * float64(time.Millisecond))
+}
+
 // Candidates are the servers of a service that may take a request, and the same
 // as placement sees them. skip leaves servers out by id. Draining servers and
 // those whose address another incarnation holds are never among them.
--- a/internal/upstream/verdict.go
+++ b/internal/upstream/verdict.go
@@ -146,14 +146,21 @@
 	defer f.mu.Unlock()
 	s.failures, s.strikes = 0, 0
 	s.heard, s.doubted = f.now(), time.Time{}
+	if took <= 0 {
+		return
+	}
 	ms := float64(took) / float64(time.Millisecond)
-	switch {
-	case took <= 0:
-	case s.latency == 0:
-		s.latency = ms
-	default:
-		s.latency += slowShare * (ms - s.latency)
+	s.latency = average(s.latency, ms)
+	// A call that found all slots taken waited for as many calls as were before it.
+	there := float64(max(1, s.use.Requests+s.reported)) / float64(max(1, s.Slots))
+	s.work = average(s.work, ms/max(1, there))
+}
+
+func average(old, next float64) float64 {
+	if old == 0 {
+		return next
 	}
+	return old + slowShare*(next-old)
 }
 
 // Reported takes the load that a server states: requests that run and wait there
