scheduler: engines that read slowly are known by their own prompts

Cause: where a part of the engines turns three to five times slower, those that had few runs looked free and drew prompts: 10 of 207 first events came after 5 to 9 s (quarter of the engines, five times). Nothing compared engines that carry streams.

Change: each engine's reading is timed from the grant to the news of its end, against the median; a prompt under way counts as soon as it is overdue; what was seen fades in four seconds. A stream that would be late on a slow engine waits for another.

--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -66,7 +66,7 @@
 	}
 	candidates := make([]placement.Candidate, len(r.servers))
 	for i, o := range r.servers {
-		candidates[i] = candidate(o, w)
+		candidates[i] = r.candidate(o, w)
 		candidates[i].Avoid = r.avoids(w, o)
 	}
 	if i := placement.Copy(candidates, e.Zone, w.Need, rng); i >= 0 {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -123,13 +123,17 @@
 	usable   int // servers that are not avoided
 	begun    bool
 	idle     []*server
+	usual    time.Duration // reading of a token
+	allSlow  bool
 }
 
 func newRound(v *service, vms map[string]*vm, h health, now time.Time) *round {
 	r := &round{servers: v.servers, vms: vms, health: h, now: now, v: v}
+	r.usual, r.allSlow = v.usualSpeed(), true
 	for _, e := range v.servers {
 		if !r.health.lost(e) {
 			r.usable++
+			r.allSlow = r.allSlow && r.slowness(e) > 1
 		}
 	}
 	return r
@@ -172,7 +176,7 @@
 	var candidates []placement.Candidate
 	for _, e := range r.free() {
 		if !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) && r.fits(e, w) {
-			able, candidates = append(able, e), append(candidates, candidate(e, w))
+			able, candidates = append(able, e), append(candidates, r.candidate(e, w))
 		}
 	}
 	i := placement.Engine(candidates, w.Need, rng)
@@ -199,15 +203,20 @@
 	return slices.ContainsFunc(r.servers, func(e *server) bool { return !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) })
 }
 
-func candidate(e *server, w *waiter) placement.Candidate {
-	return placement.Candidate{ID: e.ID, Zone: e.Zone, Slots: e.Slots, KVTokens: w.KVTokens, Use: e.use, Slow: 1}
+func (r *round) slowness(e *server) float64 { return e.slowness(r.usual, r.now) }
+
+func (r *round) candidate(e *server, w *waiter) placement.Candidate {
+	return placement.Candidate{ID: e.ID, Zone: e.Zone, Slots: e.Slots, KVTokens: w.KVTokens, Use: e.use, Slow: r.slowness(e)}
 }
 
-// fits reports whether an engine has memory for a stream's run.
+// fits reports whether an engine has memory for a stream's run, and is not so slow that
+// the stream would be late there while another engine may be free in a moment.
 func (r *round) fits(e *server, w *waiter) bool {
 	share := fullMemory
 	if r.v.classOf(w, r.now) == late {
 		share = lateMemory
+	} else if slow := r.slowness(e); slow > 1 && !r.allSlow && r.late(w, slow) {
+		return false
 	}
 	return w.KVTokens == 0 || float64(e.use.Tokens+w.Need.Tokens()) <= share*float64(w.KVTokens)
 }
@@ -224,6 +233,12 @@
 	maxReserved = 1
 )
 
+// late reports whether a stream would begin late on an engine that is slow.
+func (r *round) late(w *waiter, slow float64) bool {
+	took := time.Duration(slow * float64(r.v.pace.reading(w.Need.Prompt)))
+	return r.now.Add(took).After(w.Due)
+}
+
 // reserve keeps the engine with the most free memory for a stream that finds no room.
 func (r *round) reserve(w *waiter) {
 	if r.reserved >= maxReserved || w.KVTokens == 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -118,6 +118,9 @@
 	// doubtedAt is when it was first taken for lost with its neighbours, by VMs that
 	// still do; aliveAt when a VM last said that it had heard it.
 	doubtedAt, aliveAt time.Time
+
+	reading reading
+	speed   speed
 }
 
 type service struct {
@@ -226,12 +229,18 @@
 	for id, u := range r.Use {
 		s.add(id, u)
 	}
+	former := v.report.Use
 	v.report, v.at = r, now
 	s.noteAlive(r.Alive, now)
 	for name, p := range r.Paces {
 		s.service(name).pace.learn(p)
 	}
 	s.dropGrants(func(g *grant) bool { return g.vm == name && g.number <= r.Taken })
+	for id := range former {
+		if e := s.servers[id]; e != nil {
+			e.endReading(now)
+		}
+	}
 }
 
 // Forget drops a VM that is not heard any more.
@@ -354,6 +363,7 @@
 			g.uses = append(g.uses, serverUse{k.ID, placement.CopyUse(w.Need)})
 		}
 	}
+	e.beginReading(w.Need.Prompt, r.now)
 	for _, u := range g.uses {
 		s.add(u.server, u.use)
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -385,3 +385,61 @@
 		})
 	}
 }
+
+// A third of the engines turns three times slower. In order: a prompt is granted to one
+// of them before anybody knows; it takes three times as long, and from the moment that it
+// is overdue the engine counts as slow: prompts that would be late there go elsewhere, or
+// wait for another. What was seen of the engine fades, and it is tried again.
+func TestSlowEnginesAreKnown(t *testing.T) {
+	s, now := book(1), time.Unix(0, 0)
+	usual := 160 * time.Microsecond
+	pace := map[string]Pace{"models": {PerToken: usual, Run: 6 * time.Second}}
+	s.Told("vm", Report{Paces: pace}, now)
+	read := func(id string, took time.Duration, skip ...string) string {
+		st := stream(id, now)
+		st.Skip = skip
+		s.Ask(st, now)
+		d := decisions(s.Run(now))[id]
+		s.Told("vm", Report{Paces: pace, Taken: d.Number, Use: map[string]placement.Use{d.Server: {Requests: 1, Prompt: 8000}}}, now)
+		if d.Server == "a0" {
+			took *= 3
+		}
+		now = now.Add(took)
+		s.Told("vm", Report{Paces: pace, Taken: d.Number}, now)
+		return d.Server
+	}
+	read("1", 1280*time.Millisecond, "b0", "c0")
+	read("2", 1280*time.Millisecond, "a0", "c0")
+	read("3", 1280*time.Millisecond, "a0", "b0")
+	slow := func() float64 {
+		v := s.services["models"]
+		return s.servers["a0"].slowness(v.usualSpeed(), now)
+	}
+	if f := slow(); f < 2 {
+		t.Fatalf("an engine that read three times slower counts as %.1f", f)
+	}
+	for i := range 4 {
+		if got := read(fmt.Sprint("next", i), 1280*time.Millisecond); got == "a0" {
+			t.Error("a prompt went to the slow engine while others are free")
+		}
+	}
+	now = now.Add(5 * slowHalves) // nothing was sent there meanwhile
+	if f := slow(); f > 1 {
+		t.Errorf("long after, it still counts as %.1f", f)
+	}
+}
+
+// Every engine is slow: compared with the others none stands out, and none is avoided.
+func TestAllEnginesSlow(t *testing.T) {
+	s, now := book(1), time.Unix(0, 0)
+	for _, e := range s.services["models"].servers {
+		e.speed = speed{800 * time.Microsecond, now}
+	}
+	s.Told("vm", Report{Paces: map[string]Pace{"models": {PerToken: 800 * time.Microsecond, Run: 6 * time.Second}}}, now)
+	for _, id := range []string{"1", "2", "3"} {
+		s.Ask(stream(id, now), now)
+	}
+	if n := len(s.Run(now)); n != 3 {
+		t.Errorf("%d of three placed", n)
+	}
+}
