--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -64,13 +64,15 @@
 	if !r.mayCopy() {
 		return nil
 	}
-	candidates := make([]placement.Candidate, len(r.servers))
-	for i, o := range r.servers {
-		candidates[i] = r.candidate(o, w)
-		candidates[i].Avoid = r.avoids(w, o)
+	able, candidates := r.v.able[:0], r.v.candidates[:0]
+	for _, o := range r.servers {
+		if o.Zone != e.Zone && !r.avoids(w, o) {
+			able, candidates = append(able, o), append(candidates, r.candidate(o, w))
+		}
 	}
+	r.v.able, r.v.candidates = able, candidates
 	if i := placement.Copy(candidates, e.Zone, w.Need, rng); i >= 0 {
-		return r.servers[i]
+		return able[i]
 	}
 	return nil
 }
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -129,7 +129,7 @@
 
 func newRound(v *service, vms map[string]*vm, h health, now time.Time) *round {
 	r := &round{servers: v.servers, vms: vms, health: h, now: now, v: v}
-	r.usual, r.allSlow = v.usualSpeed(), true
+	r.usual, r.allSlow = v.usualSpeed(now), true
 	for _, e := range v.servers {
 		if !r.health.lost(e) {
 			r.usable++
@@ -172,13 +172,13 @@
 	if e := r.cached(w); e != nil {
 		return e
 	}
-	var able []*server
-	var candidates []placement.Candidate
+	able, candidates := r.v.able[:0], r.v.candidates[:0]
 	for _, e := range r.free() {
 		if !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) && r.fits(e, w) {
 			able, candidates = append(able, e), append(candidates, r.candidate(e, w))
 		}
 	}
+	r.v.able, r.v.candidates = able, candidates
 	i := placement.Engine(candidates, w.Need, rng)
 	if i < 0 {
 		r.reserve(w)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -97,6 +97,9 @@
 	grantFor = 700 * time.Millisecond
 	// askedFor is how long a stream waits whose VM does not ask for it again.
 	askedFor = 1500 * time.Millisecond
+	// lookEvery is how often all streams that wait are gone through while no engine is
+	// free: only their time can run out. News of engines come hundreds of times a second.
+	lookEvery = 20 * time.Millisecond
 	// maxWaiting streams: beyond it they are refused. Several seconds of the most that
 	// the engines of a large deployment begin.
 	maxWaiting = 4096
@@ -131,6 +134,13 @@
 	pace     Pace
 	demand   demand
 	drain    drain
+	// usual is the median speed, kept for a moment.
+	usual speed
+	// able and candidates are kept from one choice to the next, for their memory.
+	able       []*server
+	candidates []placement.Candidate
+	// looked is when all that wait were last gone through.
+	looked time.Time
 	// fairTurn: the last grant went to an interrupted stream while others waited.
 	fairTurn bool
 }
@@ -315,8 +325,12 @@
 // serve grants what can be granted of one service, in order, and refuses what cannot
 // be served any more.
 func (s *Scheduler) serve(v *service, h health, now time.Time) []Decision {
-	var out []Decision
 	round := newRound(v, s.vms, h, now)
+	if len(round.free()) == 0 && now.Sub(v.looked) < lookEvery {
+		return nil
+	}
+	v.looked = now
+	var out []Decision
 	for _, w := range v.order(now) {
 		d := s.decide(w, round)
 		if d.Outcome != Waiting {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -413,7 +413,7 @@
 	read("3", 1280*time.Millisecond, "a0", "b0")
 	slow := func() float64 {
 		v := s.services["models"]
-		return s.servers["a0"].slowness(v.usualSpeed(), now)
+		return s.servers["a0"].slowness(v.medianSpeed(), now)
 	}
 	if f := slow(); f < 2 {
 		t.Fatalf("an engine that read three times slower counts as %.1f", f)
--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -65,8 +65,18 @@
 	e.speed, e.reading = speed{took, now}, reading{}
 }
 
+// usualFor is how long the median is kept: it moves with many prompts.
+const usualFor = 200 * time.Millisecond
+
 // usualSpeed is the median of a service's engines; 0: not known.
-func (v *service) usualSpeed() time.Duration {
+func (v *service) usualSpeed(now time.Time) time.Duration {
+	if v.usual.perToken == 0 || now.Sub(v.usual.at) > usualFor {
+		v.usual = speed{v.medianSpeed(), now}
+	}
+	return v.usual.perToken
+}
+
+func (v *service) medianSpeed() time.Duration {
 	var all []time.Duration
 	for _, e := range v.servers {
 		if e.speed.perToken > 0 {
