routed: the first list of backend servers is asked for soon; an account of all requests from logs

Change: notices come each 100 ms until that list is held.

amaranthshelf account reads collected logs of routers and counts streams and calls by what became of them; a line tells how each stream ended, with its objectives, longest pause and waiting.

--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -27,6 +27,7 @@
 		addControl,
 		addRoutes,
 		addExplain,
+		addAccount,
 		addConfig,
 		addDemo,
 		addExperiment,
--- a/cmd/amaranthshelf/operators.go
+++ b/cmd/amaranthshelf/operators.go
@@ -17,7 +17,12 @@
 	Address []string `long:"address" env:"AMARANTHSHELF_ADDRESS" env-delim:"," default:"127.0.0.1:7401" value-name:"IP:PORT" description:"operator address of a VM; several are tried in order"`
 	Token   string   `long:"token" env:"AMARANTHSHELF_TOKEN" default-mask:"-" value-name:"TOKEN" description:"operator token"`
 	Who     string   `long:"who" env:"USER" default-mask:"-" value-name:"NAME" description:"your name in the history"`
-	JSON    bool     `long:"json" description:"print the answer as JSON"`
+	output
+}
+
+// output is how a command prints.
+type output struct {
+	JSON bool `long:"json" description:"print the answer as JSON"`
 }
 
 // call runs f against the system until it ends or the user interrupts it.
@@ -28,7 +33,7 @@
 }
 
 // print writes data as JSON if that was asked for, else as text.
-func (c *connection) print(data any, text func()) error {
+func (c *output) print(data any, text func()) error {
 	if !c.JSON {
 		text()
 		return nil
--- a/cmd/amaranthshelf/status.go
+++ b/cmd/amaranthshelf/status.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -123,15 +121,11 @@
 
 // fromLogs tells a request's story from files.
 func (c *explainCommand) fromLogs() error {
-	var readers []io.Reader
-	for _, name := range c.Logs {
-		f, err := os.Open(name)
-		if err != nil {
-			return usageError("%v", err)
-		}
-		defer f.Close()
-		readers = append(readers, f)
+	readers, done, err := openAll(c.Logs)
+	if err != nil {
+		return err
 	}
+	defer done()
 	story, err := explain.FromLogs(readers, c.Args.Request)
 	if err != nil {
 		return err
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -26,8 +26,8 @@
 	// NoticeEvery is how often a VM sends its notice. An engine that restarts is
 	// usable again once its new incarnation is known here.
 	NoticeEvery = 400 * time.Millisecond
-	// searchEvery is the same until the first answer: control VMs and routers are
-	// started together, and a router may be some ms early.
+	// searchEvery is the same until the first list of backend servers is held: control
+	// VMs and routers are started together, and a router may be early.
 	searchEvery = 100 * time.Millisecond
 	// noticeTimeout: a control VM that does not answer by then is asked again with
 	// the next notice.
--- a/internal/cluster/list_test.go
+++ b/internal/cluster/list_test.go
@@ -163,3 +163,20 @@
 		}
 	})
 }
+
+// All processes were killed and start together. In order: routers reach the control VMs,
+// which have not read the list of backend servers yet; it is read a moment later. The
+// callers who came back are kept for some tenths of a second, so the routers must not
+// wait for their next usual notice.
+func TestFirstListIsAskedForSoon(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		v := startRouter(ctx, n, "r1", controls[:1], 0)
+		time.Sleep(NoticeEvery/2 + 10*time.Millisecond)
+		h.held.Take([]upstream.Backend{{ID: "e1"}}, 0)
+		time.Sleep(searchEvery + 10*time.Millisecond)
+		if _, _, _, listed := v.held.Now(); !listed {
+			t.Error("the router does not hold the list")
+		}
+	})
+}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -101,11 +101,14 @@
 	}
 }
 
-// interval is the time between two notices.
+// interval is the time between two notices. A VM that holds no list of backend servers
+// yet serves nobody: after a restart of all, the control VMs answer some tenths of a
+// second before they have read it.
 func (m *Member) interval() time.Duration {
+	_, _, _, listed := m.held.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.answered) == 0 {
+	if len(m.answered) == 0 || !listed {
 		return searchEvery
 	}
 	return NoticeEvery
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -109,7 +109,7 @@
 	}
 	st.h.o.Ordinary.Info().Str("request", st.q.RequestID).Str("outcome", outcome).Int("events", st.events).
 		Dur("first_event", first).Dur("longest_pause", st.longest).Dur("waited", st.waited).Int("sends", st.sends).
-		Bool("rest_only", st.q.HasAfter).Dur("held", time.Since(st.q.arrived)).Msg("stream ended")
+		Bool("rest_only", st.q.HasAfter).Dur("objective", st.q.route.Objective).Dur("pause_objective", st.q.route.PauseObjective).Dur("held", time.Since(st.q.arrived)).Msg("stream ended")
 }
 
 // settled takes in how a run ended; true: the caller has its final answer.
