--- a/internal/cluster/schedule.go
+++ b/internal/cluster/schedule.go
@@ -47,6 +47,7 @@
 	Skip        []string       `cbor:"10,keyasint,omitempty"`
 	WantsCopy   bool           `cbor:"11,keyasint,omitempty"`
 	Cached      string         `cbor:"12,keyasint,omitempty"`
+	Workspace   string         `cbor:"13,keyasint,omitempty"`
 }
 
 // Placed is what was decided about a stream.
@@ -142,7 +143,7 @@
 	c.note(from, &a.Told)
 	now := time.Now()
 	c.s.Ask(scheduler.Stream{
-		ID: a.ID, VM: from, Service: a.Service, Need: a.Need, KVTokens: a.KVTokens,
+		ID: a.ID, VM: from, Service: a.Service, Workspace: a.Workspace, Need: a.Need, KVTokens: a.KVTokens,
 		Due: now.Add(time.Duration(a.DueMS) * time.Millisecond), Deadline: now.Add(time.Duration(a.LeftMS) * time.Millisecond),
 		Priority: a.Priority, Interrupted: a.Interrupted, Skip: a.Skip, WantsCopy: a.WantsCopy, Cached: a.Cached,
 	}, now)
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -17,6 +17,7 @@
 type Ask struct {
 	RequestID     string
 	Service       string
+	Workspace     string
 	Need          placement.Need
 	KVTokens      int
 	Due, Deadline time.Time
@@ -115,7 +116,7 @@
 func (st *stream) ask() *Ask {
 	q := st.q
 	a := &Ask{
-		RequestID: q.RequestID, Service: q.service.Name, Need: st.need, KVTokens: st.kvTokens(),
+		RequestID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Need: st.need, KVTokens: st.kvTokens(),
 		Due: q.arrived.Add(q.route.Objective), Deadline: q.expires, Priority: q.priority,
 		Interrupted: st.seq.started, WantsCopy: st.mayCopy(),
 	}
--- a/internal/routed/placer.go
+++ b/internal/routed/placer.go
@@ -14,7 +14,7 @@
 // Place implements forward.Placer.
 func (p placer) Place(ctx context.Context, a *forward.Ask) (forward.Placed, bool) {
 	d, ok := p.Member.Place(ctx, cluster.PlaceAsk{
-		ID: a.RequestID, Service: a.Service, Need: a.Need, KVTokens: a.KVTokens, Priority: a.Priority,
+		ID: a.RequestID, Service: a.Service, Workspace: a.Workspace, Need: a.Need, KVTokens: a.KVTokens, Priority: a.Priority,
 		Interrupted: a.Interrupted, Skip: a.Skip, WantsCopy: a.WantsCopy, Cached: a.Cached,
 	}, a.Due, a.Deadline)
 	return forward.Placed{
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -51,9 +51,13 @@
 	for _, w := range v.waiting {
 		classes[w] = v.classOf(w, now)
 	}
+	pressing := v.pressing(now)
 	out := slices.Clone(v.waiting)
 	slices.SortStableFunc(out, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(classes[a], classes[b]), cmp.Compare(a.Priority, b.Priority), compareDue(a, b, classes[a]))
+		return cmp.Or(
+			cmp.Compare(classes[a], classes[b]), cmp.Compare(a.Priority, b.Priority),
+			compareBool(pressing[a.Workspace], pressing[b.Workspace]), compareDue(a, b, classes[a]),
+		)
 	})
 	if v.fairTurn {
 		yieldOnce(out, classes)
@@ -61,6 +65,17 @@
 	return out
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // compareDue orders streams of one class.
 func compareDue(a, b *waiter, c class) int {
 	if c == late {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,14 +38,16 @@
 
 // Stream asks for an engine.
 type Stream struct {
-	ID       string // of the request
-	VM       string // that carries it
-	Service  string
-	Need     placement.Need
-	KVTokens int // memory of an engine of the service; 0: not stated
-	Due      time.Time
-	Deadline time.Time
-	Priority int // 0 is the first
+	ID      string // of the request
+	VM      string // that carries it
+	Service string
+	// Workspace is whose stream it is.
+	Workspace string
+	Need      placement.Need
+	KVTokens  int // memory of an engine of the service; 0: not stated
+	Due       time.Time
+	Deadline  time.Time
+	Priority  int // 0 is the first
 	// Interrupted: its caller has a part of the answer, and sees it stand still.
 	Interrupted bool
 	Skip        []string // engines that refused it, or that it lost
@@ -134,6 +136,7 @@
 	pace     Pace
 	demand   demand
 	drain    drain
+	flows    map[string]*flow // by workspace
 	// usual is the median speed, kept for a moment.
 	usual speed
 	// able and candidates are kept from one choice to the next, for their memory.
@@ -295,6 +298,7 @@
 		}
 	}
 	v.demand.note(now, st.Need.Tokens())
+	v.noteFlow(st.Workspace, now)
 	v.waiting = append(v.waiting, &waiter{Stream: st, since: now, askedAt: now})
 }
 
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -27,16 +27,17 @@
 const chunk = 200
 
 type simRun struct {
-	id      string
-	vm      string
-	need    placement.Need
-	arrived time.Time
-	due     time.Time
-	first   time.Time // zero: no event yet
-	read    int
-	made    int
-	engine  *simEngine
-	keeper  *simEngine
+	id        string
+	workspace string
+	vm        string
+	need      placement.Need
+	arrived   time.Time
+	due       time.Time
+	first     time.Time // zero: no event yet
+	read      int
+	made      int
+	engine    *simEngine
+	keeper    *simEngine
 }
 
 type simEngine struct {
@@ -125,6 +126,9 @@
 	newsAt  time.Time
 
 	askedAt time.Time
+
+	workspaces int
+	pressing   float64 // share of what comes that is the first workspace's
 }
 
 func newSim(seed uint64, perZone, vms int, traits simTraits) *sim {
@@ -189,6 +193,12 @@
 		id: fmt.Sprint(len(s.runs)), vm: fmt.Sprint("vm", s.rng.IntN(s.vms)), arrived: s.now, due: s.now.Add(objective),
 		need: placement.Need{Prompt: int(float64(mean.Prompt) * scale), Output: mean.Output},
 	}
+	if s.workspaces > 0 {
+		r.workspace = fmt.Sprint("w", s.rng.IntN(s.workspaces))
+	}
+	if s.rng.Float64() < s.pressing {
+		r.workspace = "w0"
+	}
 	s.runs = append(s.runs, r)
 	s.live[r.id] = r
 	if s.s == nil {
@@ -196,7 +206,7 @@
 		return
 	}
 	s.s.Ask(Stream{
-		ID: r.id, VM: r.vm, Service: "models", Need: r.need, KVTokens: s.engines[0].traits.kv, Due: r.due,
+		ID: r.id, VM: r.vm, Service: "models", Workspace: r.workspace, Need: r.need, KVTokens: s.engines[0].traits.kv, Due: r.due,
 		Deadline: s.now.Add(deadline), WantsCopy: s.wantsCopy,
 	}, s.now)
 }
