copies on order obey the memory budget

Routers heard whether memory is short from any control VM, and only the one that decides knows; and one mark held for grants and for orders, which every run without a copy repeats each 0.4 s.

Change: loads and the mark come from the control VM that decides; orders are made up to 0.7 of the memory (0.85 with a grant).

--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -147,7 +147,11 @@
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	want, n := m.source(), m.notice(deaths)
+	// Only the control VM that decides knows who waits, and so whether memory is short.
+	want, n := m.scheduler(), m.notice(deaths)
+	if want == "" {
+		want = m.source()
+	}
 	for _, vm := range m.Controls() {
 		if vm == m.self {
 			continue
--- a/internal/cluster/place_test.go
+++ b/internal/cluster/place_test.go
@@ -178,3 +178,26 @@
 		}
 	})
 }
+
+// Streams ask the control VM that decides; the others know neither how much memory an
+// engine has nor who waits. A router must hear from that one that memory is short: told by
+// another, it orders copies all the same.
+func TestShortMemoryIsHeardFromWhoDecides(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		for _, id := range controls {
+			h := startHub(ctx, n, id, controls)
+			h.hub.TakeList(modelsList(1))
+		}
+		v := startPlacing(ctx, n, "r1")
+		time.Sleep(time.Second)
+		first, _ := v.place(ctx, "1")
+		v.use = map[string]placement.Use{"e0": {Requests: 8, Tokens: 70_000}}
+		v.member.Took(first.Number)
+		for range 6 {
+			time.Sleep(NoticeEvery)
+			if a := v.heard.Load(); a == nil || len(a.Short) != 1 {
+				t.Fatalf("heard that %v is short of memory", a)
+			}
+		}
+	})
+}
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -23,11 +23,15 @@
 	// copyMemory is the share of all memory up to which copies are made: what is left
 	// is for runs that resume, all at once, and for uneven engines.
 	copyMemory = 0.85
+	// orderMemory is the same for copies that are ordered for runs under way. Such a copy
+	// is renewed for as long as its run goes on, and every run without one asks for it
+	// again: with the mark above, orders take within seconds what grants have spared.
+	orderMemory = 0.7
 )
 
 // mayCopy reports whether the memory of the service's engines has room for one more
-// copy beside what prompts will need.
-func (r *round) mayCopy() bool {
+// copy, up to a share of it, beside what prompts will need.
+func (r *round) mayCopy(share float64) bool {
 	if r.v.kvTokens == 0 {
 		return false
 	}
@@ -44,15 +48,15 @@
 		taken += o.Need.Tokens()
 	}
 	growth := max(0, r.v.demand.held(r.now, r.v.pace)-float64(runs))
-	return float64(taken)+growth <= copyMemory*float64(total)
+	return float64(taken)+growth <= share*float64(total)
 }
 
-// Short names the services whose memory is needed for prompts: no copies are made.
+// Short names the services whose memory is needed for prompts: no copies are ordered.
 func (s *Scheduler) Short(now time.Time) []string {
 	h := s.health(now)
 	var out []string
 	for name, v := range s.services {
-		if v.kvTokens > 0 && !newRound(v, s.vms, h, now).mayCopy() {
+		if v.kvTokens > 0 && !newRound(v, s.vms, h, now).mayCopy(orderMemory) {
 			out = append(out, name)
 		}
 	}
@@ -61,7 +65,7 @@
 
 // keeper chooses the engine that keeps a copy of a run; nil: none is to be kept.
 func (r *round) keeper(w *waiter, e *server, rng func(int) int) *server {
-	if !r.mayCopy() {
+	if !r.mayCopy(copyMemory) {
 		return nil
 	}
 	able, candidates := r.v.able[:0], r.v.candidates[:0]
