--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -89,6 +89,9 @@
 // TakeList takes the list of backend servers.
 func (h *Hub) TakeList(l upstream.List) { h.schedule.setServers(l) }
 
+// Totals is the state of the streams that ask here.
+func (h *Hub) Totals() Totals { return h.schedule.totals() }
+
 // Run decides about streams that wait, until ctx ends.
 func (h *Hub) Run(ctx context.Context) { h.schedule.look(ctx) }
 
--- a/internal/cluster/schedule.go
+++ b/internal/cluster/schedule.go
@@ -60,6 +60,12 @@
 	RetryAfterMS int64             `cbor:"6,keyasint,omitempty"`
 }
 
+// Totals are what a control VM's scheduler did, and has to do.
+type Totals struct {
+	Waiting, Late    int // streams
+	Granted, Refused uint64
+}
+
 // lookEvery is how often a control VM looks at streams that wait: what they wait for
 // is told at once, and only time runs out unnoticed.
 const lookEvery = 25 * time.Millisecond
@@ -76,7 +82,8 @@
 	s     *scheduler.Scheduler
 	turns map[string]Told // the last of each router, for its life and turn
 	// logged is when the state was last logged.
-	logged time.Time
+	logged           time.Time
+	granted, refused uint64
 }
 
 func newSchedule(t peer.Transport, log zerolog.Logger) *schedule {
@@ -164,6 +171,7 @@
 func (c *schedule) runFor(id string) Placed {
 	out := Placed{ID: id}
 	for _, d := range c.s.Run(time.Now()) {
+		c.count(&d)
 		p := placed(&d)
 		if p.ID == id {
 			out = p
@@ -174,6 +182,19 @@
 	return out
 }
 
+// count needs c.mu.
+func (c *schedule) count(d *scheduler.Decision) {
+	switch d.Outcome {
+	case scheduler.Granted:
+		c.granted++
+	case scheduler.Refused, scheduler.TooLarge:
+		c.refused++
+		c.log.Info().Str("request", d.Stream.ID).Str("router", d.Stream.VM).Str("service", d.Stream.Service).Int("outcome", int(d.Outcome)).
+			Dur("left", time.Until(d.Stream.Deadline)).Dur("retry_after", d.RetryAfter).Msg("stream refused")
+	case scheduler.Waiting, scheduler.NoServer:
+	}
+}
+
 // run needs c.mu.
 func (c *schedule) run() { c.runFor("") }
 
@@ -191,6 +212,19 @@
 	}
 }
 
+// totals sums the state of all services whose streams wait here.
+func (c *schedule) totals() Totals {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var t Totals
+	for _, st := range c.s.States(time.Now()) {
+		t.Waiting += st.Interrupted + st.InTime + st.Late
+		t.Late += st.Late
+	}
+	t.Granted, t.Refused = c.granted, c.refused
+	return t
+}
+
 // look decides as time runs out for streams that wait, until ctx ends.
 func (c *schedule) look(ctx context.Context) {
 	tick := time.NewTicker(lookEvery)
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -80,6 +80,7 @@
 		return chosen{server: st.placeAlone()}
 	}
 	st.waited += time.Since(began)
+	observe(h.Stats.StreamWait, began)
 	switch g.Outcome {
 	case scheduler.Granted:
 		if s := st.granted(&g); s != nil {
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -27,6 +27,7 @@
 	FirstEvent *metrics.Histogram // seconds from a caller's request
 	Pause      *metrics.Histogram // seconds that a resumed stream's caller saw nothing
 	CallTime   *metrics.Histogram // seconds from a caller's request to the answer
+	StreamWait *metrics.Histogram // seconds that a stream waited for an engine
 }
 
 // NewStats registers the counters in a set.
@@ -37,7 +38,7 @@
 		FromCopy: counter("resumes_from_copy"), Probes: counter("probes"), Protected: counter("copies_ordered"),
 		Strays: counter("stray_answers"), Broken: counter("streams_broken"), CallerGone: counter("callers_gone"),
 		FirstEvent: set.NewHistogram("shelf_first_event_seconds"), Pause: set.NewHistogram("shelf_resume_pause_seconds"),
-		CallTime: set.NewHistogram("shelf_call_seconds"),
+		CallTime: set.NewHistogram("shelf_call_seconds"), StreamWait: set.NewHistogram("shelf_stream_wait_seconds"),
 	}
 }
 
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -75,6 +75,10 @@
 		}
 		return 0
 	})
+	set.NewGauge("shelf_streams_waiting", func() float64 { return float64(c.hub.Totals().Waiting) })
+	set.NewGauge("shelf_streams_waiting_late", func() float64 { return float64(c.hub.Totals().Late) })
+	set.NewGauge("shelf_streams_granted_total", func() float64 { return float64(c.hub.Totals().Granted) })
+	set.NewGauge("shelf_streams_refused_total", func() float64 { return float64(c.hub.Totals().Refused) })
 	set.NewGauge("shelf_ready_routers", func() float64 { return float64(len(c.hub.Entrances(maxRouters))) })
 	set.NewGauge("shelf_backend_list_age_seconds", func() float64 {
 		_, _, age, _ := c.held.Now()
