scheduler: a run that needs nearly a whole engine gets one; a route without an objective is never late

Found while reading: a stream larger than 0.96 of an engine's memory, or than 0.75 once it was late, fitted nowhere and waited until its time was over; on a route without an objective every stream counted as late. New rows in TestOutcomes. The passes over waiting streams stand in round.go.

--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -118,7 +118,7 @@
 	q := st.q
 	a := &Ask{
 		RequestID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Need: st.need, KVTokens: st.kvTokens(),
-		Due: q.arrived.Add(q.route.Objective), Deadline: q.expires, Priority: q.priority,
+		Due: q.due(), Deadline: q.expires, Priority: q.priority,
 		Interrupted: st.seq.started, WantsCopy: st.mayCopy(),
 	}
 	for id := range st.skip {
@@ -131,6 +131,15 @@
 	return a
 }
 
+// due is when the first event is due: by the end of the caller's time where the route
+// states no objective.
+func (q *request) due() time.Time {
+	if q.route.Objective <= 0 {
+		return q.expires
+	}
+	return q.arrived.Add(q.route.Objective)
+}
+
 // placeAlone chooses by what this VM knows; nil: there is no engine.
 func (st *stream) placeAlone() *upstream.Server {
 	servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, st.kvTokens(), st.skip)
--- /dev/null
+++ b/internal/scheduler/round.go
@@ -0,0 +1,197 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+)
+
+// round is one pass over the waiting streams of a service.
+type round struct {
+	servers []*server
+	vms     map[string]*vm
+	health  health
+	now     time.Time
+	v       *service
+	// reserved counts servers that are kept for a stream which is due before those tried
+	// later and finds no room yet: smaller ones behind it would else take all that is
+	// freed, and the largest prompts be late every time.
+	reserved int
+	ahead    int // streams that wait on, so far
+	usable   int // servers that are not avoided
+	begun    bool
+	idle     []*server
+	usual    time.Duration // reading of a token
+	allSlow  bool
+}
+
+func newRound(v *service, vms map[string]*vm, h health, now time.Time) *round {
+	r := &round{servers: v.servers, vms: vms, health: h, now: now, v: v}
+	r.usual, r.allSlow = v.usualSpeed(now), true
+	for _, e := range v.servers {
+		if !r.health.lost(e) {
+			r.usable++
+			r.allSlow = r.allSlow && r.slowness(e) > 1
+		}
+	}
+	return r
+}
+
+// free lists the engines that could begin with a prompt at once. Under load these are
+// few of many, and each waiting stream looks at them alone.
+func (r *round) free() []*server {
+	if r.begun {
+		return r.idle
+	}
+	r.begun = true
+	for _, e := range r.servers {
+		if r.mayBegin(e) {
+			r.idle = append(r.idle, e)
+		}
+	}
+	return r.idle
+}
+
+func (r *round) mayBegin(e *server) bool {
+	if r.usable > 0 && r.health.lost(e) || e.Slots > 0 && e.use.Requests >= e.Slots {
+		return false
+	}
+	return r.v.pace.reading(e.use.Prompt) <= openReading
+}
+
+// close takes an engine off those that could begin.
+func (r *round) close(e *server) {
+	r.idle = slices.DeleteFunc(r.idle, func(o *server) bool { return o == e })
+}
+
+// engine chooses for a stream among the engines that can begin with it at once; nil: it
+// waits.
+func (r *round) engine(w *waiter, rng func(int) int) *server {
+	if e := r.cached(w); e != nil {
+		return e
+	}
+	able, candidates := r.v.able[:0], r.v.candidates[:0]
+	for _, e := range r.free() {
+		if !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) && r.fits(e, w) {
+			able, candidates = append(able, e), append(candidates, r.candidate(e, w))
+		}
+	}
+	r.v.able, r.v.candidates = able, candidates
+	i := placement.Engine(candidates, w.Need, rng)
+	if i < 0 {
+		r.reserve(w)
+		return nil
+	}
+	return able[i]
+}
+
+// cached is the engine that has kept the stream's prompt, if there is room for the run
+// there. That it reads another prompt is no matter: there is nothing to be read.
+func (r *round) cached(w *waiter) *server {
+	for _, e := range r.servers {
+		if e.ID == w.Cached && !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) && r.fits(e, w) {
+			return e
+		}
+	}
+	return nil
+}
+
+// any reports whether some engine may take a stream, however long it waits.
+func (r *round) any(w *waiter) bool {
+	return slices.ContainsFunc(r.servers, func(e *server) bool { return !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) })
+}
+
+func (r *round) slowness(e *server) float64 { return e.slowness(r.usual, r.now) }
+
+func (r *round) candidate(e *server, w *waiter) placement.Candidate {
+	return placement.Candidate{ID: e.ID, Zone: e.Zone, Slots: e.Slots, KVTokens: w.KVTokens, Use: e.use, Slow: r.slowness(e)}
+}
+
+// fits reports whether an engine has memory for a stream's run, and is not so slow that
+// the stream would be late there while another engine may be free in a moment.
+func (r *round) fits(e *server, w *waiter) bool {
+	share := fullMemory
+	if r.v.classOf(w, r.now) == late {
+		share = lateMemory
+	} else if slow := r.slowness(e); slow > 1 && !r.allSlow && r.late(w, slow) {
+		return false
+	}
+	return w.KVTokens == 0 || float64(e.use.Tokens+w.Need.Tokens()) <= memoryLimit(share, w)
+}
+
+// memoryLimit is how much of an engine's memory may be taken with a stream's run. One
+// that needs more than the share by itself, and not more than there is, gets an engine
+// that is nearly empty: it would else wait until its time is over.
+func memoryLimit(share float64, w *waiter) float64 {
+	kv := float64(w.KVTokens)
+	alone := min(kv, float64(w.Need.Tokens())+nearlyEmpty*kv)
+	return max(share*kv, alone)
+}
+
+const (
+	// openReading is how much of other prompts may be left to read on an engine that
+	// gets another: about what a grant and the news of a prompt's end take on their way,
+	// so that short prompts keep an engine busy.
+	openReading = 30 * time.Millisecond
+	// fullMemory is the share of an engine's memory that runs at their full length and
+	// copies may take. Beyond it the engine preempts runs in mid-stream.
+	fullMemory = 0.96
+	// nearlyEmpty is the share of an engine's memory that others may have taken where a
+	// run needs the rest: a copy or a short run.
+	nearlyEmpty = 0.1
+	// maxReserved servers are kept for streams that find no room.
+	maxReserved = 1
+)
+
+// late reports whether a stream would begin late on an engine that is slow.
+func (r *round) late(w *waiter, slow float64) bool {
+	took := time.Duration(slow * float64(r.v.pace.reading(w.Need.Prompt)))
+	return r.now.Add(took).After(w.Due)
+}
+
+// reserve keeps the engine with the most free memory for a stream that finds no room.
+func (r *round) reserve(w *waiter) {
+	if r.reserved >= maxReserved || w.KVTokens == 0 {
+		return
+	}
+	var best *server
+	for _, e := range r.free() {
+		if !r.avoids(w, e) && (best == nil || e.use.Tokens < best.use.Tokens) {
+			best = e
+		}
+	}
+	if best != nil && r.v.classOf(w, r.now) != late {
+		r.reserved++
+		r.close(best)
+	}
+}
+
+// hopeless reports whether a stream behind others cannot be served within its time any
+// more, even if the engines do as well as they can: a moment without engines is no
+// reason to refuse what can still be served after it.
+func (r *round) hopeless(w *waiter) bool {
+	wait := time.Duration(float64(r.ahead) / max(r.v.drain.rate(r.now), r.bestRate(w)) * float64(time.Second))
+	need := r.v.pace.reading(w.Need.Prompt) + time.Duration(quickRun*float64(r.v.pace.Run))
+	return r.now.Add(wait + need).After(w.Deadline)
+}
+
+// bestRate is how many streams like this one all engines together could begin in a
+// second: one after the other each, and no more than their memory holds.
+func (r *round) bestRate(w *waiter) float64 {
+	reading := r.v.pace.reading(max(1, w.Need.Prompt)).Seconds()
+	rate := float64(len(r.servers)) / reading
+	if w.KVTokens > 0 {
+		hold := reading + quickRun*r.v.pace.Run.Seconds()
+		rate = min(rate, float64(len(r.servers)*w.KVTokens)/float64(max(1, w.Need.Tokens()))/hold)
+	}
+	return max(rate, leastRate)
+}
+
+const (
+	// quickRun is the part of the mean time of a run that one takes on an engine that
+	// reads no other prompts meanwhile.
+	quickRun = 0.5
+	// leastRate a second keeps the estimate finite where nothing is known.
+	leastRate = 0.1
+)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -144,8 +144,8 @@
 	candidates []placement.Candidate
 	// looked is when all that wait were last gone through.
 	looked time.Time
-	// fairTurn: the last grant went to an interrupted stream while others waited.
-	fairTurn bool
+	// yields: the last grant went to an interrupted stream, the next is for a new one.
+	yields bool
 }
 
 type vm struct {
@@ -390,5 +390,5 @@
 		r.close(e)
 	}
 	r.v.drain.note(r.now)
-	r.v.fairTurn = w.Interrupted
+	r.v.yields = w.Interrupted
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -188,7 +188,7 @@
 	if got := order(); !slices.Equal(got, want) {
 		t.Errorf("order %v", got)
 	}
-	v.fairTurn = true
+	v.yields = true
 	if got := order()[0]; got != "urgent" {
 		t.Errorf("after an interrupted one: %v", got)
 	}
@@ -233,6 +233,8 @@
 		{"memory is taken", 1, func(*Stream) {}, placement.Use{Requests: 9, Tokens: 80_000}, Waiting},
 		{"no slot", 1, func(*Stream) {}, placement.Use{Requests: 64}, Waiting},
 		{"late, and little memory", 1, func(st *Stream) { st.Due = now }, placement.Use{Requests: 6, Tokens: 60_000}, Waiting},
+		{"late, and larger than late ones may be", 1, func(st *Stream) { st.Due, st.Need.Prompt = now, 75_000 }, placement.Use{Tokens: 8_000}, Granted},
+		{"nearly the whole memory", 1, func(st *Stream) { st.Need.Prompt = 87_000 }, placement.Use{}, Granted},
 		{"late, and memory", 1, func(st *Stream) { st.Due = now }, placement.Use{Requests: 4, Tokens: 40_000}, Granted},
 		{"no time left to be served", 1, func(st *Stream) { st.Deadline = now.Add(100 * time.Millisecond) }, placement.Use{Requests: 9, Tokens: 80_000}, Refused},
 	}
