routed streams: one that waits when its router shuts down is sent elsewhere in time

Found while reading: a stream that waits for an engine when its router is stopped was kept until the process ended, and its caller got no answer. TestWaitingEndsWithTheRouter.

--- a/internal/cluster/place.go
+++ b/internal/cluster/place.go
@@ -104,9 +104,10 @@
 }
 
 // Place asks for an engine for a stream, and waits for it until ctx ends. It reports
-// false where no control VM answers: the router decides for itself. The caller calls
-// Took once its use includes what was granted.
-func (m *Member) Place(ctx context.Context, a PlaceAsk, due, deadline time.Time) (Placed, bool) {
+// false where no control VM answers: the router decides for itself. Where abandon, asked
+// each second, reports true the outcome is still Waiting. The caller calls Took once its
+// use includes what was granted.
+func (m *Member) Place(ctx context.Context, a PlaceAsk, due, deadline time.Time, abandon func() bool) (Placed, bool) {
 	decided, end := m.placing.wait(a.ID)
 	defer end()
 	for again := false; ; again = true {
@@ -121,6 +122,9 @@
 			again.Stop()
 			return p, true
 		case <-again.C:
+			if abandon() {
+				return p, true
+			}
 		case <-ctx.Done():
 			again.Stop()
 			return Placed{}, false
--- a/internal/cluster/place_test.go
+++ b/internal/cluster/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,7 +19,8 @@
 // placingRouter is a router that takes what it is granted.
 type placingRouter struct {
 	*testVM
-	net *peertest.Net
+	net     *peertest.Net
+	closing atomic.Bool
 }
 
 func startPlacing(ctx context.Context, n *peertest.Net, id string) *placingRouter {
@@ -41,7 +43,7 @@
 
 func (v *placingRouter) place(ctx context.Context, id string) (Placed, bool) {
 	now := time.Now()
-	return v.member.Place(ctx, ask(id), now.Add(4*time.Second), now.Add(25*time.Second))
+	return v.member.Place(ctx, ask(id), now.Add(4*time.Second), now.Add(25*time.Second), func() bool { return v.closing.Load() })
 }
 
 // Two routers ask for the one free engine at the same moment. One gets it; the other's
@@ -201,3 +203,23 @@
 		}
 	})
 }
+
+// A router shuts down while a stream waits for an engine. It is told in time that waiting
+// on is no use: kept until the process ends, the caller would get no answer at all.
+func TestWaitingEndsWithTheRouter(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		h.hub.TakeList(modelsList(1))
+		v := startPlacing(ctx, n, "r1")
+		time.Sleep(time.Second)
+		first, _ := v.place(ctx, "1")
+		v.use = map[string]placement.Use{"e0": {Requests: 1, Tokens: 8600, Prompt: 8000}}
+		v.member.Took(first.Number)
+		time.AfterFunc(2400*time.Millisecond, func() { v.closing.Store(true) })
+		began := time.Now()
+		p, ok := v.place(ctx, "2")
+		if !ok || p.Outcome != scheduler.Waiting || time.Since(began) > 4*time.Second {
+			t.Errorf("%+v, %t after %v", p, ok, time.Since(began))
+		}
+	})
+}
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -27,6 +27,8 @@
 	WantsCopy     bool
 	// Cached is the engine that has probably kept the prompt; empty: none is known.
 	Cached string
+	// Abandon reports that waiting on is no use: the outcome is Waiting then.
+	Abandon func() bool
 }
 
 // Placed is the answer: see scheduler.Decision.
@@ -90,6 +92,9 @@
 	case scheduler.Refused:
 		st.refused, st.retryAfter = true, g.RetryAfter
 		return chosen{refused: result.DeadlineTooSoon, final: true}
+	case scheduler.Waiting:
+		st.refused, st.retryAfter = true, elsewhere
+		return chosen{refused: result.ShuttingDown, final: true}
 	case scheduler.TooLarge:
 		st.refused = true
 		return chosen{refused: result.LargerThanEngine, final: true}
@@ -119,7 +124,7 @@
 	a := &Ask{
 		RequestID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Need: st.need, KVTokens: st.kvTokens(),
 		Due: q.due(), Deadline: q.expires, Priority: q.priority,
-		Interrupted: st.seq.started, WantsCopy: st.mayCopy(),
+		Interrupted: st.seq.started, WantsCopy: st.mayCopy(), Abandon: st.abandoned,
 	}
 	for id := range st.skip {
 		a.Skip = append(a.Skip, id)
@@ -131,6 +136,11 @@
 	return a
 }
 
+// abandoned reports that this VM shuts down and could not finish the stream any more.
+// Kept until the process ends, its caller would lose it without an answer; one that no
+// engine has seen can still be served elsewhere.
+func (st *stream) abandoned() bool { return st.q.rec.arrivals == 0 && st.h.o.TooLate(true) }
+
 // due is when the first event is due: by the end of the caller's time where the route
 // states no objective.
 func (q *request) due() time.Time {
--- a/internal/forward/place_test.go
+++ b/internal/forward/place_test.go
@@ -108,6 +108,7 @@
 	}{
 		{"no time left", scheduler.Refused, 1500 * time.Millisecond, "2"},
 		{"larger than an engine", scheduler.TooLarge, 0, ""},
+		{"still waiting, and this VM shuts down", scheduler.Waiting, 0, "1"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/routed/placer.go
+++ b/internal/routed/placer.go
@@ -16,7 +16,7 @@
 	d, ok := p.Member.Place(ctx, cluster.PlaceAsk{
 		ID: a.RequestID, Service: a.Service, Workspace: a.Workspace, Need: a.Need, KVTokens: a.KVTokens, Priority: a.Priority,
 		Interrupted: a.Interrupted, Skip: a.Skip, WantsCopy: a.WantsCopy, Cached: a.Cached,
-	}, a.Due, a.Deadline)
+	}, a.Due, a.Deadline, a.Abandon)
 	return forward.Placed{
 		Outcome: d.Outcome, Number: d.Number, Server: d.Server, Keeper: d.Keeper,
 		RetryAfter: time.Duration(d.RetryAfterMS) * time.Millisecond,
