review: one moving average, one signal, one answer to when a refused caller may come back

Found on reading the change once more: the same average of durations stood in scheduler (twice) and forward; the same raise-once channel and its loop stood three times in cluster; streams and calls each kept a decided Retry-After with a fallback of their own; the class of a waiting stream was worked out again for each engine that was looked at, and kept in a map beside it; whether an engine may have a stream at all was spelt out three times.

--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -54,10 +54,10 @@
 	answered map[string]time.Time
 	silent   map[string]bool // told once in the log
 	wantList bool            // all of it
-	nudged   chan struct{}
+	nudged   signal
 	life     uint64        // of this process
 	turn     atomic.Uint64 // of what is told of its spending
-	spending chan struct{} // something is to be told
+	spending signal        // something is to be told
 	placing  *placing
 }
 
@@ -65,8 +65,8 @@
 func NewMember(self string, t peer.Transport, seeds []string, held *Held, local Local, log zerolog.Logger) *Member {
 	m := &Member{
 		self: self, t: t, local: local, held: held, log: log, seeds: seeds,
-		learnt: map[string]time.Time{}, answered: map[string]time.Time{}, silent: map[string]bool{}, nudged: make(chan struct{}, 1),
-		life: rand.Uint64(), spending: make(chan struct{}, 1), placing: newPlacing(),
+		learnt: map[string]time.Time{}, answered: map[string]time.Time{}, silent: map[string]bool{}, nudged: newSignal(),
+		life: rand.Uint64(), spending: newSignal(), placing: newPlacing(),
 	}
 	t.Handle(peer.KindPlaced, m.servePlaced)
 	return m
@@ -129,12 +129,7 @@
 
 // Nudge sends the next notice at once: a VM that has just become ready would
 // otherwise stay out of the directory for an interval.
-func (m *Member) Nudge() {
-	select {
-	case m.nudged <- struct{}{}:
-	default:
-	}
-}
+func (m *Member) Nudge() { m.nudged.raise() }
 
 // Tell sends one more round at once: a VM that is leaving must not wait.
 func (m *Member) Tell(ctx context.Context) { m.round(ctx) }
--- a/internal/cluster/place.go
+++ b/internal/cluster/place.go
@@ -31,14 +31,14 @@
 	waiting map[string]chan Placed // by request id
 	taken   uint64                 // the last grant that the router's use includes
 	turn    uint64
-	changed chan struct{}
+	changed signal
 
 	refreshing sync.Mutex
 	refreshed  time.Time // needs refreshing
 }
 
 func newPlacing() *placing {
-	return &placing{waiting: map[string]chan Placed{}, changed: make(chan struct{}, 1)}
+	return &placing{waiting: map[string]chan Placed{}, changed: newSignal()}
 }
 
 // wait returns where a decision about a request is told, and what ends the waiting.
@@ -198,25 +198,11 @@
 
 // UseChanged has the control VM that decides told at once: a prompt that was read lets
 // the next one begin. It does not wait.
-func (m *Member) UseChanged() {
-	select {
-	case m.placing.changed <- struct{}{}:
-	default: // one is to be sent yet, and will tell of this too
-	}
-}
+func (m *Member) UseChanged() { m.placing.changed.raise() }
 
 // RunUse tells of changes until ctx ends. Those that come while one message is under
 // way go with the next one.
-func (m *Member) RunUse(ctx context.Context) {
-	for {
-		select {
-		case <-m.placing.changed:
-			m.tellUse(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
+func (m *Member) RunUse(ctx context.Context) { m.placing.changed.each(ctx, m.tellUse) }
 
 func (m *Member) tellUse(ctx context.Context) {
 	vm := m.scheduler()
--- a/internal/cluster/spent.go
+++ b/internal/cluster/spent.go
@@ -105,24 +105,10 @@
 }
 
 // Spending has the control VMs told of a second send at once. It does not wait.
-func (m *Member) Spending() {
-	select {
-	case m.spending <- struct{}{}:
-	default: // one is to be sent yet, and will tell of this too
-	}
-}
+func (m *Member) Spending() { m.spending.raise() }
 
 // RunSpending tells the control VMs of second sends until ctx ends.
-func (m *Member) RunSpending(ctx context.Context) {
-	for {
-		select {
-		case <-m.spending:
-			m.tellSpending(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
+func (m *Member) RunSpending(ctx context.Context) { m.spending.each(ctx, m.tellSpending) }
 
 // tellSpending tells every control VM, and learns from one what the others spent.
 // It waits for that one alone: a control VM that is lost would else hold up what
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -101,7 +101,7 @@
 			}
 			continue
 		case admission.RefuseCall:
-			q.retryAfter = w.RetryAfter(rand.Float64())
+			q.refuse(w.RetryAfter(rand.Float64()))
 			return nil, 0, result.DeadlineTooSoon
 		case admission.SendCall:
 		}
@@ -171,17 +171,21 @@
 	case q.left() > 0 && q.ctx.Err() != nil:
 		h.Stats.CallerGone.Inc()
 	default:
-		after := q.retryAfter
-		if after <= 0 {
-			after = retryAfter(q)
-		}
-		h.giveUp(w, q, code, after)
+		h.giveUp(w, q, code)
 	}
 }
 
-// retryAfter is when a caller may come again: soon for a request that must be
-// quick, and never so late that it could not be served any more.
-func retryAfter(q *request) time.Duration {
+// refuse notes when the caller may come back, as it was decided with a refusal.
+func (q *request) refuse(retryAfter time.Duration) {
+	q.refused, q.retryAfter = true, retryAfter
+}
+
+// comeBack is when a caller may come again: as it was decided, or soon for a request
+// that must be quick, and never so late that it could not be served any more.
+func (q *request) comeBack() time.Duration {
+	if q.refused {
+		return q.retryAfter
+	}
 	d := min(q.route.Objective/2, q.left()/4)
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -189,7 +189,9 @@
 	out       upstream.Request
 	rec       *Record
 	budget    *Budget
-	// retryAfter was decided with a refusal; 0: not.
+	// refused: whoever decided about the request also said when its caller may come
+	// back. retryAfter 0: asking again is no use.
+	refused    bool
 	retryAfter time.Duration
 	leave      func() // gives the place of its body back; nil: it has none
 }
@@ -413,11 +415,11 @@
 }
 
 // giveUp is the final answer to a request that was admitted.
-func (h *Handler) giveUp(w http.ResponseWriter, q *request, code result.Code, retryAfter time.Duration) {
+func (h *Handler) giveUp(w http.ResponseWriter, q *request, code result.Code) {
 	code = q.rec.Refusal(code)
 	e := result.New(code).WithRan(q.rec.Ran())
-	if result.Lookup(code).Ran == result.RanNo && retryAfter > 0 {
-		e = e.WithRetryAfter(retryAfter)
+	if after := q.comeBack(); result.Lookup(code).Ran == result.RanNo && after > 0 {
+		e = e.WithRetryAfter(after)
 	}
 	e.RequestID = q.RequestID
 	h.o.Log.Info().Str("request", q.RequestID).Str("route", q.route.Name).Int("code", int(code)).
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -90,13 +90,13 @@
 		}
 		return chosen{again: true}
 	case scheduler.Refused:
-		st.refused, st.retryAfter = true, g.RetryAfter
+		st.q.refuse(g.RetryAfter)
 		return chosen{refused: result.DeadlineTooSoon, final: true}
 	case scheduler.Waiting:
-		st.refused, st.retryAfter = true, elsewhere
+		st.q.refuse(elsewhere)
 		return chosen{refused: result.ShuttingDown, final: true}
 	case scheduler.TooLarge:
-		st.refused = true
+		st.q.refuse(0)
 		return chosen{refused: result.LargerThanEngine, final: true}
 	}
 	return chosen{}
@@ -179,12 +179,14 @@
 	if tokens <= 0 {
 		return
 	}
-	b.update(service, func(p *scheduler.Pace) { p.PerToken = smooth(p.PerToken, took/time.Duration(tokens)) })
+	b.update(service, func(p *scheduler.Pace) {
+		p.PerToken = scheduler.Smooth(p.PerToken, took/time.Duration(tokens), paceShare)
+	})
 }
 
 // ran notes how long a run took from its first event to its end.
 func (b *paceBook) ran(service string, took time.Duration) {
-	b.update(service, func(p *scheduler.Pace) { p.Run = smooth(p.Run, took) })
+	b.update(service, func(p *scheduler.Pace) { p.Run = scheduler.Smooth(p.Run, took, paceShare) })
 }
 
 func (b *paceBook) update(service string, f func(*scheduler.Pace)) {
@@ -207,10 +209,3 @@
 	}
 	return out
 }
-
-func smooth(old, next time.Duration) time.Duration {
-	if old <= 0 {
-		return next
-	}
-	return old + time.Duration(paceShare*float64(next-old))
-}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,12 +40,10 @@
 	wrote   time.Time // when the last event was passed on
 	failure *reply
 
-	began      time.Time     // when the first event was passed on
-	longest    time.Duration // pause between two events
-	events     int           // passed on
-	waited     time.Duration // for an engine
-	refused    bool          // by the Placer
-	retryAfter time.Duration // that was decided with it; 0: asking again is no use
+	began   time.Time     // when the first event was passed on
+	longest time.Duration // pause between two events
+	events  int           // passed on
+	waited  time.Duration // for an engine
 }
 
 // ending is how a run at one engine ended.
@@ -268,11 +266,7 @@
 	case st.failure != nil:
 		h.deliver(st.w, st.failure)
 	default:
-		after := retryAfter(st.q)
-		if st.refused {
-			after = st.retryAfter
-		}
-		h.giveUp(st.w, st.q, code, after)
+		h.giveUp(st.w, st.q, code)
 	}
 }
 
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -45,20 +45,19 @@
 
 // order returns the waiting streams, first to be served first.
 func (v *service) order(now time.Time) []*waiter {
-	classes := make(map[*waiter]class, len(v.waiting))
 	for _, w := range v.waiting {
-		classes[w] = v.classOf(w, now)
+		w.class = v.classOf(w, now)
 	}
 	pressing := v.pressing(now)
 	out := slices.Clone(v.waiting)
 	slices.SortStableFunc(out, func(a, b *waiter) int {
 		return cmp.Or(
-			cmp.Compare(classes[a], classes[b]), cmp.Compare(a.Priority, b.Priority),
-			compareBool(pressing[a.Workspace], pressing[b.Workspace]), compareDue(a, b, classes[a]),
+			cmp.Compare(a.class, b.class), cmp.Compare(a.Priority, b.Priority),
+			compareBool(pressing[a.Workspace], pressing[b.Workspace]), compareDue(a, b),
 		)
 	})
 	if v.yields {
-		yieldOnce(out, classes)
+		yieldOnce(out)
 	}
 	return out
 }
@@ -75,16 +74,16 @@
 }
 
 // compareDue orders streams of one class.
-func compareDue(a, b *waiter, c class) int {
-	if c == late {
+func compareDue(a, b *waiter) int {
+	if a.class == late {
 		return a.since.Compare(b.since)
 	}
 	return a.Due.Compare(b.Due)
 }
 
 // yieldOnce moves the first new stream that can be in time to the front.
-func yieldOnce(out []*waiter, classes map[*waiter]class) {
-	i := slices.IndexFunc(out, func(w *waiter) bool { return classes[w] == inTime })
+func yieldOnce(out []*waiter) {
+	i := slices.IndexFunc(out, func(w *waiter) bool { return w.class == inTime })
 	if i > 0 {
 		w := out[i]
 		copy(out[1:i+1], out[:i])
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -28,18 +28,20 @@
 
 // learn takes one VM's observation into the mean.
 func (p *Pace) learn(o Pace) {
-	p.PerToken = mean(p.PerToken, o.PerToken)
-	p.Run = mean(p.Run, o.Run)
+	p.PerToken = Smooth(p.PerToken, o.PerToken, paceWeight)
+	p.Run = Smooth(p.Run, o.Run, paceWeight)
 }
 
-func mean(old, next time.Duration) time.Duration {
+// Smooth moves a mean towards what was seen, by a weight in (0, 1]. The first that was
+// seen begins the mean, and zero says that nothing was.
+func Smooth(mean, seen time.Duration, weight float64) time.Duration {
 	switch {
-	case next <= 0:
-		return old
-	case old <= 0:
-		return next
+	case seen <= 0:
+		return mean
+	case mean <= 0:
+		return seen
 	}
-	return old + time.Duration(paceWeight*float64(next-old))
+	return mean + time.Duration(weight*float64(seen-mean))
 }
 
 // reading is how long an engine takes to read a number of tokens.
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -73,7 +73,7 @@
 	}
 	able, candidates := r.v.able[:0], r.v.candidates[:0]
 	for _, e := range r.free() {
-		if !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) && r.fits(e, w) {
+		if r.takes(e, w) && r.fits(e, w) {
 			able, candidates = append(able, e), append(candidates, r.candidate(e, w))
 		}
 	}
@@ -90,7 +90,7 @@
 // there. That it reads another prompt is no matter: there is nothing to be read.
 func (r *round) cached(w *waiter) *server {
 	for _, e := range r.servers {
-		if e.ID == w.Cached && !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) && r.fits(e, w) {
+		if e.ID == w.Cached && r.takes(e, w) && r.fits(e, w) {
 			return e
 		}
 	}
@@ -99,7 +99,12 @@
 
 // any reports whether some engine may take a stream, however long it waits.
 func (r *round) any(w *waiter) bool {
-	return slices.ContainsFunc(r.servers, func(e *server) bool { return !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) })
+	return slices.ContainsFunc(r.servers, func(e *server) bool { return r.takes(e, w) })
+}
+
+// takes reports whether an engine may have a stream at all, now or later.
+func (r *round) takes(e *server, w *waiter) bool {
+	return !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e)
 }
 
 func (r *round) slowness(e *server) float64 { return e.slowness(r.usual, r.now) }
@@ -112,7 +117,7 @@
 // the stream would be late there while another engine may be free in a moment.
 func (r *round) fits(e *server, w *waiter) bool {
 	share := fullMemory
-	if r.v.classOf(w, r.now) == late {
+	if w.class == late {
 		share = lateMemory
 	} else if slow := r.slowness(e); slow > 1 && !r.allSlow && r.late(w, slow) {
 		return false
@@ -161,7 +166,7 @@
 			best = e
 		}
 	}
-	if best != nil && r.v.classOf(w, r.now) != late {
+	if best != nil && w.class != late {
 		r.reserved++
 		r.close(best)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -157,6 +157,7 @@
 	Stream
 	since   time.Time
 	askedAt time.Time
+	class   class // as of the last time that those who wait were put in order
 }
 
 type grant struct {
--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -59,10 +59,7 @@
 		return
 	}
 	took := now.Sub(e.reading.since) / time.Duration(e.reading.tokens)
-	if e.speed.perToken > 0 {
-		took = e.speed.perToken + time.Duration(slowWeight*float64(took-e.speed.perToken))
-	}
-	e.speed, e.reading = speed{took, now}, reading{}
+	e.speed, e.reading = speed{Smooth(e.speed.perToken, took, slowWeight), now}, reading{}
 }
 
 // usualFor is how long the median is kept: it moves with many prompts.
