review: one type for what a stream asks and one for what it is told

Found on reading the change once more: a stream's question stood three times with the same fields (forward.Ask, cluster.PlaceAsk, scheduler.Stream), its answer three times too (forward.Placed, cluster.Placed, scheduler.Decision), and routed/placer.go did nothing but copy between them. Now scheduler.Stream and scheduler.Answer serve all; the messages hold them, with times as durations beside, and the member of the cluster is the Placer itself. Three tests of placing share their first steps; their assertions stand.

--- a/internal/cluster/place.go
+++ b/internal/cluster/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 )
@@ -25,11 +26,13 @@
 	askAgainEvery = 1 * time.Second
 )
 
+var _ forward.Placer = (*Member)(nil)
+
 // placing is a router's side of asking for engines. Safe for concurrent use.
 type placing struct {
 	mu      sync.Mutex
-	waiting map[string]chan Placed // by request id
-	taken   uint64                 // the last grant that the router's use includes
+	waiting map[string]chan scheduler.Answer // by request id
+	taken   uint64                           // the last grant that the router's use includes
 	turn    uint64
 	changed signal
 
@@ -38,12 +41,12 @@
 }
 
 func newPlacing() *placing {
-	return &placing{waiting: map[string]chan Placed{}, changed: newSignal()}
+	return &placing{waiting: map[string]chan scheduler.Answer{}, changed: newSignal()}
 }
 
 // wait returns where a decision about a request is told, and what ends the waiting.
-func (p *placing) wait(id string) (<-chan Placed, func()) {
-	ch := make(chan Placed, 1)
+func (p *placing) wait(id string) (<-chan scheduler.Answer, func()) {
+	ch := make(chan scheduler.Answer, 1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.waiting[id] = ch
@@ -63,7 +66,7 @@
 		return false
 	}
 	select {
-	case ch <- d:
+	case ch <- d.Answer:
 		return true
 	default:
 		return false
@@ -103,15 +106,14 @@
 	return t
 }
 
-// Place asks for an engine for a stream, and waits for it until ctx ends. It reports
-// false where no control VM answers: the router decides for itself. Where abandon, asked
-// each second, reports true the outcome is still Waiting. The caller calls Took once its
-// use includes what was granted.
-func (m *Member) Place(ctx context.Context, a PlaceAsk, due, deadline time.Time, abandon func() bool) (Placed, bool) {
-	decided, end := m.placing.wait(a.ID)
+// Place implements forward.Placer. Abandon is asked each second. The caller calls Took
+// once its use includes what was granted.
+func (m *Member) Place(ctx context.Context, st scheduler.Stream, abandon func() bool) (scheduler.Answer, bool) {
+	decided, end := m.placing.wait(st.ID)
 	defer end()
+	a := PlaceAsk{Stream: st}
 	for again := false; ; again = true {
-		a.DueMS, a.LeftMS = time.Until(due).Milliseconds(), time.Until(deadline).Milliseconds()
+		a.DueMS, a.LeftMS = time.Until(st.Due).Milliseconds(), time.Until(st.Deadline).Milliseconds()
 		p, ok := m.askPlace(ctx, &a, again)
 		if !ok || p.Outcome != scheduler.Waiting {
 			return p, ok
@@ -127,7 +129,7 @@
 			}
 		case <-ctx.Done():
 			again.Stop()
-			return Placed{}, false
+			return scheduler.Answer{}, false
 		}
 	}
 }
@@ -136,7 +138,7 @@
 //
 // What this VM uses goes with the first question alone: hundreds of streams may wait,
 // and each asks again.
-func (m *Member) askPlace(ctx context.Context, a *PlaceAsk, again bool) (Placed, bool) {
+func (m *Member) askPlace(ctx context.Context, a *PlaceAsk, again bool) (scheduler.Answer, bool) {
 	for range placeTries {
 		vm := m.scheduler()
 		if vm == "" || ctx.Err() != nil {
@@ -147,7 +149,7 @@
 			a.Told = m.told()
 		}
 		asking, cancel := context.WithTimeout(ctx, placeTimeout)
-		var p Placed
+		var p scheduler.Answer
 		err := m.t.Call(asking, vm, peer.KindPlace, a, &p)
 		cancel()
 		if err == nil {
@@ -157,7 +159,7 @@
 			m.missed(vm, err)
 		}
 	}
-	return Placed{}, false
+	return scheduler.Answer{}, false
 }
 
 // scheduler is the control VM that decides about engines, as this VM sees it: the
@@ -223,8 +225,8 @@
 	if err := codec.Unmarshal(body, &p); err != nil {
 		return nil, err
 	}
-	if !m.placing.deliver(p) && p.Outcome == scheduler.Granted {
-		m.Took(p.Number)
+	if !m.placing.deliver(p) && p.Answer.Outcome == scheduler.Granted {
+		m.Took(p.Answer.Number)
 	}
 	return nil, nil
 }
--- a/internal/cluster/place_test.go
+++ b/internal/cluster/place_test.go
@@ -19,12 +19,11 @@
 // placingRouter is a router that takes what it is granted.
 type placingRouter struct {
 	*testVM
-	net     *peertest.Net
 	closing atomic.Bool
 }
 
 func startPlacing(ctx context.Context, n *peertest.Net, id string) *placingRouter {
-	v := &placingRouter{testVM: startRouter(ctx, n, id, controls, 0), net: n}
+	v := &placingRouter{testVM: startRouter(ctx, n, id, controls, 0)}
 	go v.member.RunUse(ctx)
 	return v
 }
@@ -37,13 +36,29 @@
 	return l
 }
 
-func ask(id string) PlaceAsk {
-	return PlaceAsk{ID: id, Service: "models", Need: placement.Need{Prompt: 8000, Output: 600}, KVTokens: 88_000}
+func (v *placingRouter) place(ctx context.Context, id string) (scheduler.Answer, bool) {
+	now := time.Now()
+	return v.member.Place(ctx, scheduler.Stream{
+		ID: id, Service: "models", Need: placement.Need{Prompt: 8000, Output: 600}, KVTokens: 88_000,
+		Due: now.Add(4 * time.Second), Deadline: now.Add(25 * time.Second),
+	}, v.closing.Load)
 }
 
-func (v *placingRouter) place(ctx context.Context, id string) (Placed, bool) {
-	now := time.Now()
-	return v.member.Place(ctx, ask(id), now.Add(4*time.Second), now.Add(25*time.Second), func() bool { return v.closing.Load() })
+// startReading starts a control VM with one engine and two routers, of which the first
+// has been granted the engine and has a prompt read there.
+func startReading(t *testing.T, ctx context.Context, n *peertest.Net) (reads, other *placingRouter) {
+	h := startHub(ctx, n, "c1", controls[:1])
+	h.hub.TakeList(modelsList(1))
+	go h.hub.Run(ctx)
+	reads, other = startPlacing(ctx, n, "r1"), startPlacing(ctx, n, "r2")
+	time.Sleep(time.Second)
+	first, ok := reads.place(ctx, "1")
+	if !ok || first.Outcome != scheduler.Granted || first.Server != "e0" {
+		t.Fatalf("first: %+v, %t", first, ok)
+	}
+	reads.uses(map[string]placement.Use{"e0": {Requests: 1, Tokens: 8600, Prompt: 8000}})
+	reads.member.Took(first.Number)
+	return reads, other
 }
 
 // Two routers ask for the one free engine at the same moment. One gets it; the other's
@@ -51,19 +66,9 @@
 // knows of the other.
 func TestStreamsWaitForTheOneEngine(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
-		h := startHub(ctx, n, "c1", controls[:1])
-		h.hub.TakeList(modelsList(1))
-		go h.hub.Run(ctx)
-		a, b := startPlacing(ctx, n, "r1"), startPlacing(ctx, n, "r2")
-		time.Sleep(time.Second)
-		first, ok := a.place(ctx, "1")
-		if !ok || first.Outcome != scheduler.Granted || first.Server != "e0" {
-			t.Fatalf("first: %+v, %t", first, ok)
-		}
-		a.uses(map[string]placement.Use{"e0": {Requests: 1, Tokens: 8600, Prompt: 8000}})
-		a.member.Took(first.Number)
+		a, b := startReading(t, ctx, n)
 		type answer struct {
-			p  Placed
+			p  scheduler.Answer
 			ok bool
 			at time.Time
 		}
@@ -121,13 +126,7 @@
 // given back at once, or it would stand idle until the grant expires.
 func TestGrantForACallerWhoLeft(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
-		h := startHub(ctx, n, "c1", controls[:1])
-		h.hub.TakeList(modelsList(1))
-		a, b := startPlacing(ctx, n, "r1"), startPlacing(ctx, n, "r2")
-		time.Sleep(time.Second)
-		first, _ := a.place(ctx, "1")
-		a.uses(map[string]placement.Use{"e0": {Requests: 1, Tokens: 8600, Prompt: 8000}})
-		a.member.Took(first.Number)
+		a, b := startReading(t, ctx, n)
 		caller, leave := context.WithCancel(ctx)
 		time.AfterFunc(100*time.Millisecond, leave)
 		if _, ok := b.place(caller, "2"); ok {
@@ -208,13 +207,7 @@
 // on is no use: kept until the process ends, the caller would get no answer at all.
 func TestWaitingEndsWithTheRouter(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
-		h := startHub(ctx, n, "c1", controls[:1])
-		h.hub.TakeList(modelsList(1))
-		v := startPlacing(ctx, n, "r1")
-		time.Sleep(time.Second)
-		first, _ := v.place(ctx, "1")
-		v.uses(map[string]placement.Use{"e0": {Requests: 1, Tokens: 8600, Prompt: 8000}})
-		v.member.Took(first.Number)
+		v, _ := startReading(t, ctx, n)
 		time.AfterFunc(2400*time.Millisecond, func() { v.closing.Store(true) })
 		began := time.Now()
 		p, ok := v.place(ctx, "2")
--- a/internal/cluster/schedule.go
+++ b/internal/cluster/schedule.go
@@ -35,29 +35,16 @@
 // PlaceAsk asks for an engine for one stream. Times are from now, so that clocks need
 // not agree.
 type PlaceAsk struct {
-	Told        Told           `cbor:"1,keyasint"`
-	ID          string         `cbor:"2,keyasint"`
-	Service     string         `cbor:"3,keyasint"`
-	Need        placement.Need `cbor:"4,keyasint"`
-	KVTokens    int            `cbor:"5,keyasint,omitempty"`
-	DueMS       int64          `cbor:"6,keyasint"`
-	LeftMS      int64          `cbor:"7,keyasint"`
-	Priority    int            `cbor:"8,keyasint,omitempty"`
-	Interrupted bool           `cbor:"9,keyasint,omitempty"`
-	Skip        []string       `cbor:"10,keyasint,omitempty"`
-	WantsCopy   bool           `cbor:"11,keyasint,omitempty"`
-	Cached      string         `cbor:"12,keyasint,omitempty"`
-	Workspace   string         `cbor:"13,keyasint,omitempty"`
+	Told   Told             `cbor:"1,keyasint"`
+	Stream scheduler.Stream `cbor:"2,keyasint"`
+	DueMS  int64            `cbor:"3,keyasint"`
+	LeftMS int64            `cbor:"4,keyasint"`
 }
 
 // Placed is what was decided about a stream.
 type Placed struct {
-	ID           string            `cbor:"1,keyasint"`
-	Outcome      scheduler.Outcome `cbor:"2,keyasint"`
-	Number       uint64            `cbor:"3,keyasint,omitempty"`
-	Server       string            `cbor:"4,keyasint,omitempty"`
-	Keeper       string            `cbor:"5,keyasint,omitempty"`
-	RetryAfterMS int64             `cbor:"6,keyasint,omitempty"`
+	ID     string           `cbor:"1,keyasint"` // of the request
+	Answer scheduler.Answer `cbor:"2,keyasint"`
 }
 
 // Totals are what a control VM's scheduler did, and has to do.
@@ -148,13 +135,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.note(from, &a.Told)
-	now := time.Now()
-	c.s.Ask(scheduler.Stream{
-		ID: a.ID, VM: from, Service: a.Service, Workspace: a.Workspace, Need: a.Need, KVTokens: a.KVTokens,
-		Due: now.Add(time.Duration(a.DueMS) * time.Millisecond), Deadline: now.Add(time.Duration(a.LeftMS) * time.Millisecond),
-		Priority: a.Priority, Interrupted: a.Interrupted, Skip: a.Skip, WantsCopy: a.WantsCopy, Cached: a.Cached,
-	}, now)
-	return c.runFor(a.ID), nil
+	now, st := time.Now(), a.Stream
+	st.VM = from
+	st.Due, st.Deadline = now.Add(time.Duration(a.DueMS)*time.Millisecond), now.Add(time.Duration(a.LeftMS)*time.Millisecond)
+	c.s.Ask(st, now)
+	return c.runFor(st.ID), nil
 }
 
 func (c *schedule) serveUse(_ context.Context, from string, body []byte) (any, error) {
@@ -168,16 +153,15 @@
 
 // runFor decides, and returns what became of one stream; the others are told. It needs
 // c.mu.
-func (c *schedule) runFor(id string) Placed {
-	out := Placed{ID: id}
+func (c *schedule) runFor(id string) scheduler.Answer {
+	var out scheduler.Answer
 	for _, d := range c.s.Run(time.Now()) {
 		c.count(&d)
-		p := placed(&d)
-		if p.ID == id {
-			out = p
+		if d.Stream.ID == id {
+			out = d.Answer
 			continue
 		}
-		c.tell(d.Stream.VM, &p)
+		c.tell(d.Stream, d.Answer)
 	}
 	return out
 }
@@ -198,17 +182,10 @@
 // run needs c.mu.
 func (c *schedule) run() { c.runFor("") }
 
-func (c *schedule) tell(router string, p *Placed) {
-	if err := c.t.Send(router, peer.KindPlaced, p); err != nil {
+func (c *schedule) tell(st *scheduler.Stream, a scheduler.Answer) {
+	if err := c.t.Send(st.VM, peer.KindPlaced, Placed{st.ID, a}); err != nil {
 		// The router asks again; a grant that it never heard of expires.
-		c.log.Debug().Err(err).Str("request", p.ID).Str("router", router).Msg("decision not told")
-	}
-}
-
-func placed(d *scheduler.Decision) Placed {
-	return Placed{
-		ID: d.Stream.ID, Outcome: d.Outcome, Number: d.Number, Server: d.Server, Keeper: d.Keeper,
-		RetryAfterMS: d.RetryAfter.Milliseconds(),
+		c.log.Debug().Err(err).Str("request", st.ID).Str("router", st.VM).Msg("decision not told")
 	}
 }
 
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -13,38 +13,12 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
-// Ask is a stream's question for an engine.
-type Ask struct {
-	RequestID     string
-	Service       string
-	Workspace     string
-	Need          placement.Need
-	KVTokens      int
-	Due, Deadline time.Time
-	Priority      int
-	Interrupted   bool
-	Skip          []string
-	WantsCopy     bool
-	// Cached is the engine that has probably kept the prompt; empty: none is known.
-	Cached string
-	// Abandon reports that waiting on is no use: the outcome is Waiting then.
-	Abandon func() bool
-}
-
-// Placed is the answer: see scheduler.Decision.
-type Placed struct {
-	Outcome    scheduler.Outcome
-	Number     uint64
-	Server     string
-	Keeper     string
-	RetryAfter time.Duration
-}
-
 // Placer decides for all VMs which stream gets which engine.
 type Placer interface {
 	// Place waits for an engine until ctx ends. It reports false where nobody decides:
-	// this VM places by what it knows.
-	Place(ctx context.Context, a *Ask) (Placed, bool)
+	// this VM places by what it knows. Where abandon, asked now and then, reports that
+	// waiting on is no use, the outcome is Waiting.
+	Place(ctx context.Context, st scheduler.Stream, abandon func() bool) (scheduler.Answer, bool)
 	// Took says that a grant is part of this VM's use now, or was not needed.
 	Took(number uint64)
 	// Refresh brings the list of backend servers up to date.
@@ -56,17 +30,19 @@
 // alone is the Placer of a VM that always decides for itself.
 type alone struct{}
 
-func (alone) Place(context.Context, *Ask) (Placed, bool) { return Placed{}, false }
-func (alone) Took(uint64)                                {}
-func (alone) UseChanged()                                {}
-func (alone) Refresh(context.Context)                    {}
+func (alone) Place(context.Context, scheduler.Stream, func() bool) (scheduler.Answer, bool) {
+	return scheduler.Answer{}, false
+}
+func (alone) Took(uint64)             {}
+func (alone) UseChanged()             {}
+func (alone) Refresh(context.Context) {}
 
 // chosen is where a stream's next run goes.
 type chosen struct {
 	server *upstream.Server
 	from   *Copy
 	// grant is what the engine was granted by; zero: this VM chose it.
-	grant   Placed
+	grant   scheduler.Answer
 	granted bool
 	// refused is the reason where there is none, final: asking again is no use.
 	refused result.Code
@@ -77,7 +53,7 @@
 // place has an engine granted for the stream, or chooses one where nobody decides.
 func (st *stream) place() chosen {
 	h, began := st.h, time.Now()
-	g, ok := h.o.Placer.Place(st.q.ctx, st.ask())
+	g, ok := h.o.Placer.Place(st.q.ctx, st.ask(), st.abandoned)
 	if !ok {
 		return chosen{server: st.placeAlone()}
 	}
@@ -105,7 +81,7 @@
 // granted is the engine of a grant. One that has just started is on the control VM's
 // list before it is on this VM's: were the stream placed elsewhere then, all that wait
 // would be at once, on the engines that are full. nil: it is not to be used.
-func (st *stream) granted(g *Placed) *upstream.Server {
+func (st *stream) granted(g *scheduler.Answer) *upstream.Server {
 	h := st.h
 	s := h.o.Fleet.Lookup(g.Server)
 	if s == nil {
@@ -119,12 +95,12 @@
 	return s
 }
 
-func (st *stream) ask() *Ask {
+func (st *stream) ask() scheduler.Stream {
 	q := st.q
-	a := &Ask{
-		RequestID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Need: st.need, KVTokens: st.kvTokens(),
+	a := scheduler.Stream{
+		ID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Need: st.need, KVTokens: st.kvTokens(),
 		Due: q.due(), Deadline: q.expires, Priority: q.priority,
-		Interrupted: st.seq.started, WantsCopy: st.mayCopy(), Abandon: st.abandoned,
+		Interrupted: st.seq.started, WantsCopy: st.mayCopy(),
 	}
 	for id := range st.skip {
 		a.Skip = append(a.Skip, id)
--- a/internal/forward/place_test.go
+++ b/internal/forward/place_test.go
@@ -8,7 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -16,17 +15,17 @@
 // decider is a Placer that a test scripts.
 type decider struct {
 	mu      sync.Mutex
-	asked   []forward.Ask
+	asked   []scheduler.Stream
 	taken   []uint64
-	decide  func(a *forward.Ask) (forward.Placed, bool)
+	decide  func() (scheduler.Answer, bool)
 	refresh func()
 }
 
-func (d *decider) Place(_ context.Context, a *forward.Ask) (forward.Placed, bool) {
+func (d *decider) Place(_ context.Context, st scheduler.Stream, _ func() bool) (scheduler.Answer, bool) {
 	d.mu.Lock()
-	d.asked = append(d.asked, *a)
+	d.asked = append(d.asked, st)
 	d.mu.Unlock()
-	return d.decide(a)
+	return d.decide()
 }
 
 func (d *decider) Took(n uint64) {
@@ -44,11 +43,11 @@
 }
 
 // grants the engines in turn.
-func grants(ids ...string) func(*forward.Ask) (forward.Placed, bool) {
+func grants(ids ...string) func() (scheduler.Answer, bool) {
 	n := 0
-	return func(*forward.Ask) (forward.Placed, bool) {
+	return func() (scheduler.Answer, bool) {
 		n++
-		return forward.Placed{Outcome: scheduler.Granted, Number: uint64(n), Server: ids[min(n, len(ids))-1]}, true
+		return scheduler.Answer{Outcome: scheduler.Granted, Number: uint64(n), Server: ids[min(n, len(ids))-1]}, true
 	}
 }
 
@@ -58,8 +57,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, engine("a"), engine("b"), engine("c"))
 		defer w.end()
-		d := &decider{decide: func(*forward.Ask) (forward.Placed, bool) {
-			return forward.Placed{Outcome: scheduler.Granted, Number: 1, Server: "i2", Keeper: "i0"}, true
+		d := &decider{decide: func() (scheduler.Answer, bool) {
+			return scheduler.Answer{Outcome: scheduler.Granted, Number: 1, Server: "i2", Keeper: "i0"}, true
 		}}
 		w.place(d)
 		a := w.send(http.MethodPost, "/s/x", "q1", "unit 12")
@@ -114,8 +113,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, engine("a"))
 				defer w.end()
-				w.place(&decider{decide: func(*forward.Ask) (forward.Placed, bool) {
-					return forward.Placed{Outcome: tt.outcome, RetryAfter: tt.after}, true
+				w.place(&decider{decide: func() (scheduler.Answer, bool) {
+					return scheduler.Answer{Outcome: tt.outcome, RetryAfter: tt.after}, true
 				}})
 				began := time.Now()
 				a := w.send(http.MethodPost, "/s/x", "q1", "unit 12")
@@ -136,7 +135,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, engine("a"), engine("b"))
 		defer w.end()
-		w.place(&decider{decide: func(*forward.Ask) (forward.Placed, bool) { return forward.Placed{}, false }})
+		w.place(&decider{decide: func() (scheduler.Answer, bool) { return scheduler.Answer{}, false }})
 		w.send(http.MethodPost, "/s/x", "q1", "unit 12").wholeStream(t, 100)
 	})
 }
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -63,7 +63,7 @@
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, Prepared: r.prepared,
 		Allowance: o.Allowance, Log: o.Log, Ordinary: o.Ordinary, Metrics: o.Metrics, Blame: r.blame, Closing: r.drain.started,
-		Placer: placer{r.member}, Find: r.member.Find, Spending: r.member.Spending, TooLate: r.drain.tooLate,
+		Placer: r.member, Find: r.member.Find, Spending: r.member.Spending, TooLate: r.drain.tooLate,
 	})
 	if err := r.serve(); err != nil {
 		r.cancel()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,23 +38,24 @@
 
 // Stream asks for an engine.
 type Stream struct {
-	ID      string // of the request
-	VM      string // that carries it
-	Service string
+	ID       string `cbor:"1,keyasint"` // of the request
+	Service  string `cbor:"2,keyasint"`
+	KVTokens int    `cbor:"3,keyasint,omitempty"` // memory of an engine of the service; 0: not stated
 	// Workspace is whose stream it is.
-	Workspace string
-	Need      placement.Need
-	KVTokens  int // memory of an engine of the service; 0: not stated
-	Due       time.Time
-	Deadline  time.Time
-	Priority  int // 0 is the first
+	Workspace string         `cbor:"4,keyasint,omitempty"`
+	Need      placement.Need `cbor:"5,keyasint"`
+	Priority  int            `cbor:"6,keyasint,omitempty"` // 0 is the first
 	// Interrupted: its caller has a part of the answer, and sees it stand still.
-	Interrupted bool
-	Skip        []string // engines that refused it, or that it lost
+	Interrupted bool     `cbor:"7,keyasint,omitempty"`
+	Skip        []string `cbor:"8,keyasint,omitempty"` // engines that refused it, or that it lost
 	// WantsCopy: a copy of the run's memory in another zone can be used.
-	WantsCopy bool
+	WantsCopy bool `cbor:"9,keyasint,omitempty"`
 	// Cached is the engine that has probably kept the prompt; empty: none is known.
-	Cached string
+	Cached string `cbor:"10,keyasint,omitempty"`
+
+	// Not encoded: a VM is known by its connection, and its clock is its own.
+	VM            string    `cbor:"-"` // that carries it
+	Due, Deadline time.Time `cbor:"-"`
 }
 
 // Outcome of a decision.
@@ -71,14 +72,19 @@
 
 // Decision is what becomes of a stream.
 type Decision struct {
-	Stream  *Stream
-	Outcome Outcome
+	Stream *Stream
+	Answer
+}
+
+// Answer is what a stream's VM is told of the decision.
+type Answer struct {
+	Outcome Outcome `cbor:"1,keyasint"`
 	// Number of a grant, growing; the VM names the last that it acted on.
-	Number uint64
-	Server string
-	Keeper string // of the copy; empty: none is to be kept now
+	Number uint64 `cbor:"2,keyasint,omitempty"`
+	Server string `cbor:"3,keyasint,omitempty"`
+	Keeper string `cbor:"4,keyasint,omitempty"` // of the copy; empty: none is to be kept now
 	// RetryAfter of a refusal.
-	RetryAfter time.Duration
+	RetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Report is what a VM tells of itself.
