control: a follower asks the next voter beside a late one, not after it

Cause: a router's poll is held for 0.75 s by the voter that it follows. Besides, a router whose lease was half gone was told nothing at all while no majority confirmed it, though the voter that it asked held the committed change: without a majority it stayed on the old list for as long as that lasted. Change: polls race. The first voter has its hold and 150 ms, each further one 150 ms beside those before; the first answer counts, the others are cancelled. A poll that needs its lease is told committed changes after 100 ms without a confirmation, unless it holds nothing yet: a router's first list still waits for a majority.

--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -17,8 +17,7 @@
 
 // Timings of a Feed.
 const (
-	pollSlack   = 300 * time.Millisecond // beyond the hold, before another voter is asked
-	movePause   = 50 * time.Millisecond
+	movePause   = 50 * time.Millisecond // after a round in which no voter answered
 	pollGap     = 20 * time.Millisecond // between polls: changes in quick succession travel together
 	returnAfter = 30 * time.Second      // back to the preferred voter, so that load spreads again
 )
@@ -33,7 +32,8 @@
 }
 
 // Feed keeps a VM's copy of the followed parts up to date by long polls at one
-// voter, and holds the VM's freshness lease.
+// voter, at others beside it while that one is late, and holds the VM's freshness
+// lease.
 //
 // Safeguards. A lease counts from when the poll was sent: the leader confirmed
 // its office after that, so that everything committed before is in the answer.
@@ -139,71 +139,45 @@
 }
 
 func (f *Feed) run() {
-	at, movedAt := 0, time.Now()
+	voter, movedAt := "", time.Now()
 	for f.ctx.Err() == nil {
-		if at != 0 && time.Since(movedAt) > returnAfter {
-			at = 0
+		if time.Since(movedAt) > returnAfter {
+			voter, movedAt = "", time.Now()
 		}
 		gap := pollGap
-		order := preference(f.o.Self, f.o.Voters())
-		if len(order) == 0 || !f.follow(order[at%len(order)]) {
-			at, movedAt = at+1, time.Now()
+		won, ok := f.race(startingWith(voter, preference(f.o.Self, f.o.Voters())))
+		if !ok {
 			gap = movePause
 		}
+		if won != voter {
+			voter, movedAt = won, time.Now()
+		}
 		if timer.Sleep(f.ctx, gap) != nil {
 			return
 		}
 	}
 }
 
-// follow polls a voter once and reports whether it answered.
-func (f *Feed) follow(voter string) bool {
-	err := f.poll(voter)
-	if err != nil {
-		f.o.Log.Debug().Err(err).Str("voter", voter).Msg("watch failed")
-	}
-	return err == nil
-}
-
-func (f *Feed) poll(voter string) error {
-	sent := time.Now()
-	f.mu.Lock()
-	// Half the lease left is time for one more poll and a change of voter.
-	q := pollRequest{Versions: maps.Clone(f.versions), NeedLease: f.until.Sub(sent) < f.o.Lease/2}
-	f.polls++
-	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(f.ctx, holdFor(f.o.Lease)+pollSlack)
-	defer cancel()
-	var r pollReply
-	if err := f.o.Transport.Call(ctx, voter, peer.KindWatch, q, &r); err != nil {
-		f.fail()
-		return err
-	}
-	if f.group != "" && r.Group != f.group {
+// take applies a voter's answer to a poll that was sent at the given time.
+func (f *Feed) take(a answered) error {
+	if f.group != "" && a.reply.Group != f.group {
 		// The operators formed the group anew, with empty folders. Its versions say
 		// nothing about those held here: what was withdrawn could stay for ever.
-		f.fail()
-		f.o.Log.Error().Str("voter", voter).Msg("another control group answers: this VM must be restarted")
+		f.o.Log.Error().Str("voter", a.voter).Msg("another control group answers: this VM must be restarted")
 		return errOtherGroup
 	}
-	f.group = r.Group
-	for _, c := range r.Changes {
+	f.group = a.reply.Group
+	for _, c := range a.reply.Changes {
 		f.apply(c)
 	}
-	if r.Confirmed {
-		f.renew(sent)
+	if a.reply.Confirmed {
+		f.renew(a.sent)
 	}
 	return nil
 }
 
 var errOtherGroup = errors.New("control: another control group answers")
 
-func (f *Feed) fail() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.failures++
-}
-
 func (f *Feed) apply(c partChange) {
 	f.mu.Lock()
 	callbacks := f.callbacks[c.Part]
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -24,6 +24,9 @@
 	// hurryWindow gathers polls that report a new version, for which an operator
 	// waits, or that need their lease, after another voter failed them.
 	hurryWindow = 5 * time.Millisecond
+	// confirmSoon is how long a poll that needs its lease waits for it before it is
+	// told what has changed: the usual round trips, with some load on them.
+	confirmSoon = 100 * time.Millisecond
 	// confirmTimeout outlasts a leader change of about half a second.
 	confirmTimeout = 1500 * time.Millisecond
 )
@@ -34,8 +37,8 @@
 
 type pollRequest struct {
 	Versions map[PartID]uint64 `cbor:"1,keyasint"`
-	// NeedLease: answer only with a confirmation. Without it a stream of changes
-	// could keep a VM busy and let its lease run out.
+	// NeedLease: answer with a confirmation, as long as one can be had. Without it a
+	// stream of changes could keep a VM busy and let its lease run out.
 	NeedLease bool `cbor:"2,keyasint,omitempty"`
 }
 
@@ -97,36 +100,32 @@
 	if err := codec.Unmarshal(body, &q); err != nil {
 		return nil, err
 	}
+	conf := w.confirm(pollReport{VM: from, Versions: q.Versions}, q.NeedLease)
+	a := &watchAnswer{w: w, q: &q, done: conf.done}
 	hold := time.NewTimer(holdFor(w.g.o.Lease))
 	defer hold.Stop()
-	conf := w.confirm(pollReport{VM: from, Versions: q.Versions}, q.NeedLease)
-	confirmed, over := false, false
+	overdue := time.NewTimer(confirmSoon)
+	defer overdue.Stop()
 	for {
 		changed := w.g.o.Machine.Changed()
-		if confirmed || !q.NeedLease {
-			changes := w.changes(q.Versions)
-			if len(changes) > 0 || confirmed && over {
-				return pollReply{Confirmed: confirmed, Changes: changes, Group: w.g.node.Group()}, nil
-			}
-		}
-		waitFor := conf.done
-		if confirmed {
-			waitFor = nil
+		if r, ok := a.reply(); ok {
+			return r, nil
 		}
 		select {
 		case <-changed:
-		case <-waitFor:
+		case <-a.done:
 			if conf.err != nil {
-				return nil, result.New(result.ControlUnavail)
+				return a.unconfirmed()
 			}
 			// The state must hold what the confirmation covers before it counts.
 			if err := w.g.node.WaitApplied(ctx, conf.index); err != nil {
 				return nil, err
 			}
-			confirmed = true
-			over = over || q.NeedLease
+			a.done, a.confirmed = nil, true
+		case <-overdue.C:
+			a.overdue = true
 		case <-hold.C:
-			over = true
+			a.over = true
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-w.g.ctx.Done():
@@ -135,6 +134,53 @@
 	}
 }
 
+// watchAnswer is a poll that is being answered.
+type watchAnswer struct {
+	w    *watchServer
+	q    *pollRequest
+	done <-chan struct{} // the confirmation's; nil once it is there
+
+	confirmed bool
+	overdue   bool // the confirmation is late
+	over      bool // the hold is
+}
+
+// reply returns the answer if there is one by now.
+func (a *watchAnswer) reply() (pollReply, bool) {
+	changes := a.changes()
+	wanted := a.confirmed || a.overdue || !a.q.NeedLease
+	if wanted && len(changes) > 0 || a.confirmed && (a.over || a.q.NeedLease) {
+		return a.w.reply(a.confirmed, changes), true
+	}
+	return pollReply{}, false
+}
+
+// changes are those that may be told now. A VM without a lease that holds nothing is
+// told nothing before a majority confirms it: this voter may lack what was
+// acknowledged, and a VM that has just started would serve by that. One that holds an
+// older version is better off with a newer one, which is committed: it would else go
+// on by the old one for as long as there is no majority.
+func (a *watchAnswer) changes() []partChange {
+	if a.confirmed || !a.q.NeedLease {
+		return a.w.changes(a.q.Versions)
+	}
+	held := maps.Clone(a.q.Versions)
+	maps.DeleteFunc(held, func(_ PartID, version uint64) bool { return version == 0 })
+	return a.w.changes(held)
+}
+
+// unconfirmed answers a poll that no majority confirms.
+func (a *watchAnswer) unconfirmed() (any, error) {
+	if changes := a.changes(); len(changes) > 0 {
+		return a.w.reply(false, changes), nil
+	}
+	return nil, result.New(result.ControlUnavail)
+}
+
+func (w *watchServer) reply(confirmed bool, changes []partChange) pollReply {
+	return pollReply{Confirmed: confirmed, Changes: changes, Group: w.g.node.Group()}
+}
+
 // changes returns what is newer here. A voter that is behind the VM sends
 // nothing: what a VM applies never goes back.
 func (w *watchServer) changes(held map[PartID]uint64) []partChange {
