recovery: how many deaths count for a whole zone follows its size

Cause: two deaths in a second took a zone for lost, of 32 engines as of 8. Where one engine in six dies here and there, all zones of 158 engines were avoided by all 200 VMs for 2.5 s, just when they were needed (2,820 lines, one a VM and zone and time). Change: up to twelve servers two deaths, beyond that a quarter of the further ones as well: seven of 32. Deployments with twelve engines a zone or fewer decide as before. Ruled out: a plain quarter, which takes three deaths of twelve: the check that two of twelve make a lost zone stands.

--- a/internal/recovery/outage.go
+++ b/internal/recovery/outage.go
@@ -1,6 +1,7 @@
 package recovery
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -12,13 +13,19 @@
 // all VMs: each is refused there, or waits for a connection that never comes, and
 // spends the retry budget that the lost streams need.
 //
-// So a few deaths in one place within a moment count for the whole place.
+// So a few deaths in one place within a moment count for the whole place, and more of
+// them where it is large: of thirty servers, two that die within a second are an
+// ordinary second, and the others are needed.
 
 // Figures of an outage.
 const (
 	// outageDeaths: engines of one service that are replaced or crash one by one
 	// seldom die two in a second in the same zone.
 	outageDeaths = 2
+	// smallPlace is up to how many servers that holds. Beyond it outageShare of the
+	// further ones must die too.
+	smallPlace   = 12
+	outageShare  = 0.25
 	outageWindow = 1 * time.Second
 	// OutageFor is how long the place is avoided after its last death: a restarted
 	// engine has another id, which is on the list within two seconds.
@@ -33,8 +40,9 @@
 	at        time.Time
 }
 
-// Note adds a death and reports whether the place as a whole counts as lost.
-func (o *Outage) Note(place, id string, now time.Time) bool {
+// Note adds a death in a place with so many servers and reports whether the place as a
+// whole counts as lost.
+func (o *Outage) Note(place, id string, servers int, now time.Time) bool {
 	o.deaths = slices.DeleteFunc(o.deaths, func(d placedDeath) bool {
 		return now.Sub(d.at) > outageWindow || d.place == place && d.id == id
 	})
@@ -45,5 +53,11 @@
 			n++
 		}
 	}
-	return n >= outageDeaths
+	return n >= deathsOfAll(servers)
+}
+
+// deathsOfAll is how many deaths count for a whole place.
+func deathsOfAll(servers int) int {
+	further := max(0, servers-smallPlace)
+	return outageDeaths + int(math.Ceil(outageShare*float64(further)))
 }
--- a/internal/upstream/verdict.go
+++ b/internal/upstream/verdict.go
@@ -57,7 +57,7 @@
 // VM are asked.
 func (f *Fleet) noteDeath(s *Server) {
 	now := f.now()
-	if !f.outage.Note(s.Service+"/"+s.Zone, s.ID, now) {
+	if !f.outage.Note(s.Service+"/"+s.Zone, s.ID, f.beside(s), now) {
 		return
 	}
 	avoided := 0
@@ -72,6 +72,18 @@
 	f.log.Warn().Str("service", s.Service).Str("zone", s.Zone).Int("avoided", avoided).Msg("zone taken for lost")
 }
 
+// beside counts the servers of a server's service and zone, itself included. It needs
+// f.mu.
+func (f *Fleet) beside(s *Server) int {
+	n := 0
+	for _, o := range f.order {
+		if o.Service == s.Service && o.Zone == s.Zone {
+			n++
+		}
+	}
+	return n
+}
+
 // raiseDoubt needs f.mu.
 func (f *Fleet) raiseDoubt(s *Server) {
 	close(s.doubt)
