cluster: what all VMs do is summed and encoded once for all who ask

Cause: each notice that wants the others' use had it summed over all VMs, the list of routers sorted and all of it encoded, for this one VM: work that grows with the square of the VMs. A router that leaves, comes or falls silent voids it, so that callers are not sent there. Ruled out: leaving the use of engines out where a control VM decides: the router that must decide alone, when it is lost, would place blindly.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -16,6 +16,8 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
@@ -67,19 +69,18 @@
 
 // Answer is a control VM's reply.
 type Answer struct {
-	Controls []string                 `cbor:"1,keyasint"`
-	Routers  []string                 `cbor:"2,keyasint,omitempty"` // VMs that take callers, by id
-	Others   map[string]placement.Use `cbor:"3,keyasint,omitempty"`
-	Deaths   []recovery.Death         `cbor:"4,keyasint,omitempty"`
+	Controls []string `cbor:"1,keyasint"`
+	// Encoded is a Summary, for those who want it, and Own the asker's part of its Use.
+	Encoded cbor.RawMessage          `cbor:"3,keyasint,omitempty"`
+	Own     map[string]placement.Use `cbor:"4,keyasint,omitempty"`
+	// Summary is read from Encoded, without the asker's own part.
+	Summary `cbor:"-"`
 	// Digest and AgeMS are of the control VM's list; Changed comes only where the
 	// digest differs from the one held.
 	Digest  uint64      `cbor:"5,keyasint,omitempty"`
 	AgeMS   int64       `cbor:"6,keyasint"`
 	Listed  bool        `cbor:"7,keyasint,omitempty"`
 	Changed *Difference `cbor:"8,keyasint,omitempty"`
-	Dead    []string    `cbor:"9,keyasint,omitempty"`
 	// Spent is what the other VMs together spent of the retry budgets, by service.
 	Spent map[string]forward.Spent `cbor:"10,keyasint,omitempty"`
-	// Short names the services whose memory is needed for prompts.
-	Short []string `cbor:"11,keyasint,omitempty"`
 }
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -169,7 +169,7 @@
 		time.Sleep(2 * time.Second)
 		for i, want := range []int{6, 5, 3} {
 			heard := vms[i].heard.Load()
-			if got := heard.Others["e1"].Requests; got != want || len(heard.Routers) != 3 {
+			if got := heard.Use["e1"].Requests; got != want || len(heard.Routers) != 3 {
 				t.Errorf("router %d hears of %d requests by %v", i, got, heard.Routers)
 			}
 		}
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,7 +12,6 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
-	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -31,6 +29,7 @@
 	silent map[string]bool // told in the log
 	spent  spentBook
 	deaths []toldDeath
+	summed *summary // nil: to be made anew
 	// recalled is what an earlier life wrote down; its copies are there until copiesTo.
 	recalled             []forward.Kept
 	copiesTo, recalledTo time.Time
@@ -42,6 +41,8 @@
 	at     time.Time
 }
 
+func (s seen) takesCallers() bool { return s.notice.Ready && s.notice.Callers != "" }
+
 type toldDeath struct {
 	death recovery.Death
 	at    time.Time
@@ -68,11 +69,9 @@
 	h.schedule.told(from, &n.Told)
 	a := Answer{Controls: h.controls()}
 	if n.WantLoad {
-		for _, s := range h.present() {
-			a.Routers = append(a.Routers, s.vm)
+		if err := h.answerAll(from, &n, &a); err != nil {
+			return nil, err
 		}
-		a.Others, a.Deaths, a.Dead = h.load(from), h.recentDeaths(), h.dead(from)
-		a.Spent, a.Short = h.spentByOthers(n.Spent.Life), h.schedule.short()
 	}
 	_, digest, age, ok := h.held.Now()
 	// A VM with a younger list than ours has nothing to gain.
@@ -86,6 +85,16 @@
 	return a, nil
 }
 
+// answerAll adds what all VMs told.
+func (h *Hub) answerAll(from string, n *Notice, a *Answer) error {
+	s, err := h.summarize()
+	if err != nil {
+		return err
+	}
+	a.Encoded, a.Own, a.Spent = s.encoded, s.use[from], h.spentByOthers(n.Spent.Life)
+	return nil
+}
+
 // TakeList takes the list of backend servers.
 func (h *Hub) TakeList(l upstream.List) { h.schedule.setServers(l) }
 
@@ -158,7 +167,11 @@
 		h.log.Info().Str("member", from).Str("zone", n.Zone).Bool("ready", n.Ready).Msg("VM is heard")
 	}
 	delete(h.silent, from)
-	h.vms[from] = seen{from, n, now}
+	v := seen{from, n, now}
+	if v.takesCallers() != h.vms[from].takesCallers() {
+		h.summed = nil // callers must not be sent to a router that leaves
+	}
+	h.vms[from] = v
 	h.spent.note(n.Spent, now)
 	h.expire(now)
 	for _, d := range n.Deaths {
@@ -171,7 +184,7 @@
 	for vm, s := range h.vms {
 		silent := now.Sub(s.at)
 		if silent > presentFor && !h.silent[vm] {
-			h.silent[vm] = true
+			h.silent[vm], h.summed = true, nil
 			h.schedule.forget(vm)
 			h.log.Warn().Str("member", vm).Str("zone", s.notice.Zone).Dur("silent", silent).Msg("VM is silent")
 		}
@@ -182,78 +195,25 @@
 	}
 }
 
-func (h *Hub) recentDeaths() []recovery.Death {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
-	h.deaths = slices.DeleteFunc(h.deaths, func(d toldDeath) bool { return now.Sub(d.at) > deathsFor })
-	out := make([]recovery.Death, 0, len(h.deaths))
-	for _, d := range h.deaths {
-		out = append(out, d.death)
-	}
-	return out
-}
-
-// load sums what the VMs other than one have running.
-func (h *Hub) load(except string) map[string]placement.Use {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
-	out := map[string]placement.Use{}
-	for vm, s := range h.vms {
-		if vm == except || now.Sub(s.at) > presentFor {
-			continue
-		}
-		for id, u := range s.notice.Told.Use {
-			out[id] = out[id].Add(u)
-		}
-	}
-	return out
-}
-
-// dead are the backend servers that other VMs judged dead.
-func (h *Hub) dead(except string) []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
-	var out []string
-	for vm, s := range h.vms {
-		if vm != except && now.Sub(s.at) <= presentFor {
-			out = append(out, s.notice.Dead...)
-		}
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
-// present are the VMs that take callers now, in order of id.
-func (h *Hub) present() []seen {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
-	var out []seen
-	for _, s := range h.vms {
-		if s.notice.Ready && s.notice.Callers != "" && now.Sub(s.at) <= presentFor {
-			out = append(out, s)
-		}
+// Entrances are the addresses that callers may use, in order, at most limit.
+func (h *Hub) Entrances(limit int) []string {
+	s, err := h.summarize()
+	if err != nil {
+		h.log.Error().Err(err).Msg("no directory")
+		return nil
 	}
-	slices.SortFunc(out, func(a, b seen) int { return strings.Compare(a.notice.Callers, b.notice.Callers) })
-	return out
+	return pick(slices.Clone(s.entrances), limit)
 }
 
-// Entrances are the addresses that callers may use, in order, at most limit. Where
-// there are more, each answer draws its own: the same ones each time would get all
-// callers, and the others none.
-func (h *Hub) Entrances(limit int) []string {
-	var out []string
-	for _, s := range h.present() {
-		out = append(out, s.notice.Callers)
+// pick returns at most limit addresses, in order. Where there are more, each answer
+// draws its own: the same ones each time would get all callers, and the others none.
+// It reorders addrs.
+func pick(addrs []string, limit int) []string {
+	if len(addrs) <= limit {
+		return addrs
 	}
-	if len(out) <= limit {
-		return out
-	}
-	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
-	out = out[:limit]
-	slices.Sort(out)
-	return out
+	rand.Shuffle(len(addrs), func(i, k int) { addrs[i], addrs[k] = addrs[k], addrs[i] })
+	addrs = addrs[:limit]
+	slices.Sort(addrs)
+	return addrs
 }
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -217,6 +217,10 @@
 	if !n.WantLoad {
 		return
 	}
+	if err := a.learn(n.Dead); err != nil {
+		m.log.Error().Err(err).Str("control", vm).Msg("what the other VMs do is not readable")
+		return
+	}
 	m.learnSpent(a.Spent)
 	if m.local.Learn != nil {
 		m.local.Learn(a)
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -140,7 +140,7 @@
 }
 
 func (r *Router) learn(a cluster.Answer) {
-	r.fleet.SetOthers(a.Others)
+	r.fleet.SetOthers(a.Use)
 	r.fleet.HearsayDead(a.Dead)
 	r.blame.Learn(a.Deaths)
 	r.handler.SetVMs(len(a.Routers))
