routed: a control process without a disk observes the group

Cause: the control role runs on a share of each zone's VMs. Change: without a data folder the process is an Observer. It follows the directory of the voter that answered last, hands operators' changes on to the group and reads from a voter, names the voters to who asks it, those included that know it alone, and is counted neither as a control VM that decides nor among those that form the group. Control VMs ask for no loads any more, which they did not use. Ruled out: a smaller share in deploy/system.toml, which would leave the 22 VMs a zone of the grown deployments with three voters where five are needed.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -11,6 +11,9 @@
 // that died, froze or was cut off leaves it within a second and no message is
 // needed for that. Every control VM hears every VM itself: no control VM's loss
 // empties the directory.
+//
+// A control VM without a disk is an Observer: it has no vote, hears no notices of
+// use, and answers callers and operators by what it asks of the others.
 package cluster
 
 import (
@@ -65,6 +68,9 @@
 	Dead     []string         `cbor:"9,keyasint,omitempty"`  // backend servers judged dead lately
 	Kept     []forward.Kept   `cbor:"10,keyasint,omitempty"` // streams here with a copy
 	Spent    Spending         `cbor:"11,keyasint"`           // of the services' retry budgets
+	Control  bool             `cbor:"12,keyasint,omitempty"` // sent by a control VM with a disk
+	// WantEntrances: the directory is wanted, by an Observer.
+	WantEntrances bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Answer is a control VM's reply.
@@ -83,4 +89,8 @@
 	Changed *Difference `cbor:"8,keyasint,omitempty"`
 	// Spent is what the other VMs together spent of the retry budgets, by service.
 	Spent map[string]forward.Spent `cbor:"10,keyasint,omitempty"`
+	// Entrances are the callers' addresses of all VMs that take callers.
+	Entrances []string `cbor:"12,keyasint,omitempty"`
+	// Observer: the VM that answers is an Observer, and knows nothing but Controls.
+	Observer bool `cbor:"13,keyasint,omitempty"`
 }
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -68,7 +68,7 @@
 	h.note(from, n)
 	h.schedule.told(from, &n.Told)
 	a := Answer{Controls: h.controls()}
-	if n.WantLoad {
+	if n.WantLoad || n.WantEntrances {
 		if err := h.answerAll(from, &n, &a); err != nil {
 			return nil, err
 		}
@@ -91,7 +91,12 @@
 	if err != nil {
 		return err
 	}
-	a.Encoded, a.Own, a.Spent = s.encoded, s.use[from], h.spentByOthers(n.Spent.Life)
+	if n.WantLoad {
+		a.Encoded, a.Own, a.Spent = s.encoded, s.use[from], h.spentByOthers(n.Spent.Life)
+	}
+	if n.WantEntrances {
+		a.Entrances = s.entrances
+	}
 	return nil
 }
 
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -38,6 +38,10 @@
 	// they together spent of the retry budgets.
 	Learn      func(Answer)
 	LearnSpent func(map[string]forward.Spent)
+	// Control: this VM is a control VM with a disk.
+	Control bool
+	// LearnEntrances takes the directory.
+	LearnEntrances func([]string)
 }
 
 // Member is a VM's side of the exchange. Safe for concurrent use.
@@ -48,24 +52,25 @@
 	held  *Held
 	log   zerolog.Logger
 
-	mu       sync.Mutex
-	seeds    []string
-	learnt   map[string]time.Time // control VMs, when they were last named
-	answered map[string]time.Time
-	silent   map[string]bool // told once in the log
-	wantList bool            // all of it
-	nudged   signal
-	life     uint64        // of this process
-	turn     atomic.Uint64 // of what is told of its spending
-	spending signal        // something is to be told
-	placing  *placing
+	mu        sync.Mutex
+	seeds     []string
+	learnt    map[string]time.Time // control VMs, when they were last named
+	observers map[string]time.Time // when they last said that they are
+	answered  map[string]time.Time
+	silent    map[string]bool // told once in the log
+	wantList  bool            // all of it
+	nudged    signal
+	life      uint64        // of this process
+	turn      atomic.Uint64 // of what is told of its spending
+	spending  signal        // something is to be told
+	placing   *placing
 }
 
 // NewMember returns a Member that knows the seeds, VM ids of control VMs.
 func NewMember(self string, t peer.Transport, seeds []string, held *Held, local Local, log zerolog.Logger) *Member {
 	m := &Member{
 		self: self, t: t, local: local, held: held, log: log, seeds: seeds,
-		learnt: map[string]time.Time{}, answered: map[string]time.Time{}, silent: map[string]bool{}, nudged: newSignal(),
+		learnt: map[string]time.Time{}, observers: map[string]time.Time{}, answered: map[string]time.Time{}, silent: map[string]bool{}, nudged: newSignal(),
 		life: rand.Uint64(), spending: newSignal(), placing: newPlacing(),
 	}
 	t.Handle(peer.KindPlaced, m.servePlaced)
@@ -79,15 +84,23 @@
 	m.seeds = seeds
 }
 
-// Controls are the control VMs known now: the seeds and those learnt.
+// Controls are the control VMs known now: the seeds and those learnt, without those
+// that are observers. Where only observers are known they are the ones to ask.
 func (m *Member) Controls() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	maps.DeleteFunc(m.learnt, func(_ string, at time.Time) bool { return now.Sub(at) > forgetAfter })
+	old := func(_ string, at time.Time) bool { return now.Sub(at) > forgetAfter }
+	maps.DeleteFunc(m.learnt, old)
+	maps.DeleteFunc(m.observers, old)
 	out := slices.Concat(m.seeds, slices.Collect(maps.Keys(m.learnt)))
 	slices.Sort(out)
-	return slices.Compact(out)
+	out = slices.Compact(out)
+	observes := func(vm string) bool { _, is := m.observers[vm]; return is }
+	if !slices.ContainsFunc(out, func(vm string) bool { return !observes(vm) }) {
+		return out
+	}
+	return slices.DeleteFunc(out, observes)
 }
 
 // Run sends notices until ctx ends.
@@ -143,16 +156,17 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	// Only the control VM that decides knows who waits, and so whether memory is short.
-	want, n := m.scheduler(), m.notice(deaths)
+	want, source, n := m.scheduler(), m.source(), m.notice(deaths)
 	if want == "" {
-		want = m.source()
+		want = source
 	}
 	for _, vm := range m.Controls() {
 		if vm == m.self {
 			continue
 		}
 		n := n
-		n.WantLoad = vm == want
+		n.WantLoad = vm == want && (m.local.Learn != nil || m.local.LearnSpent != nil)
+		n.WantEntrances = vm == source && m.local.LearnEntrances != nil
 		wg.Go(func() { m.exchange(ctx, vm, n) })
 	}
 	wg.Wait()
@@ -173,7 +187,7 @@
 }
 
 func (m *Member) notice(deaths []recovery.Death) Notice {
-	n := Notice{Zone: m.local.Zone, Callers: m.local.Callers, Deaths: deaths}
+	n := Notice{Zone: m.local.Zone, Callers: m.local.Callers, Deaths: deaths, Control: m.local.Control}
 	if m.local.Ready != nil {
 		n.Ready = m.local.Ready()
 	}
@@ -204,7 +218,10 @@
 		m.missed(vm, err)
 		return
 	}
-	m.heard(vm, a.Controls)
+	m.heard(vm, &a)
+	if a.Observer {
+		return
+	}
 	// The list's age grew on the way here: counted from before the question.
 	age := time.Duration(a.AgeMS)*time.Millisecond + time.Since(sent)
 	switch {
@@ -214,6 +231,9 @@
 	default:
 		m.held.Confirm(a.Digest, age)
 	}
+	if n.WantEntrances {
+		m.local.LearnEntrances(a.Entrances)
+	}
 	if !n.WantLoad {
 		return
 	}
@@ -251,16 +271,21 @@
 	return out, out != (forward.Left{})
 }
 
-func (m *Member) heard(vm string, controls []string) {
+func (m *Member) heard(vm string, a *Answer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	m.answered[vm] = now
+	if a.Observer {
+		m.observers[vm] = now
+	} else {
+		m.answered[vm] = now
+		delete(m.observers, vm)
+	}
 	if m.silent[vm] {
 		delete(m.silent, vm)
 		m.log.Info().Str("control", vm).Msg("control VM answers again")
 	}
-	for _, c := range controls {
+	for _, c := range a.Controls {
 		m.learnt[c] = now
 	}
 }
--- a/internal/consensus/form.go
+++ b/internal/consensus/form.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 )
 
 // form brings a member with an empty folder into a group. If any control VM is
@@ -31,8 +33,16 @@
 	return State{}, false
 }
 
+// ServeObserver answers, for a control VM without a disk, those that would form the
+// group: a group that waited for its vote would never be formed.
+func ServeObserver(t peer.Transport, vm string) {
+	t.Handle(kindProbe, func(context.Context, string, []byte) (any, error) {
+		return probeReply{ID: NewMemberID(vm, "observer"), Observer: true}, nil
+	})
+}
+
 // mayFound: every VM that the group is formed of has answered, and this one is
-// the first of them.
+// the first of those that can vote.
 func (n *Node) mayFound(answers []probeReply) bool {
 	if n.o.JoinOnly || !slices.Contains(n.o.VMs, n.o.VM) {
 		return false
@@ -43,13 +53,23 @@
 			return false
 		}
 	}
-	return n.o.VM == slices.Min(n.o.VMs)
+	for _, a := range answers {
+		if a.mayVote(n.o.VMs) && a.ID.VM() < n.o.VM {
+			return false
+		}
+	}
+	return true
+}
+
+// mayVote reports whether the VM that answered is one of those that form the group.
+func (a probeReply) mayVote(vms []string) bool {
+	return !a.Observer && slices.Contains(vms, a.ID.VM())
 }
 
 func (n *Node) found(answers []probeReply) (State, bool) {
 	config := Config{Voters: []MemberID{n.store.who.ID}}
 	for _, a := range answers {
-		if slices.Contains(n.o.VMs, a.ID.VM()) {
+		if a.mayVote(n.o.VMs) {
 			config.Voters = append(config.Voters, a.ID)
 		}
 	}
--- a/internal/consensus/links.go
+++ b/internal/consensus/links.go
@@ -41,6 +41,8 @@
 	ID     MemberID `cbor:"1,keyasint"`
 	Group  string   `cbor:"2,keyasint,omitempty"`
 	Leader string   `cbor:"3,keyasint,omitempty"` // a VM
+	// Observer: the VM has the control role and no disk, and so no vote.
+	Observer bool `cbor:"4,keyasint,omitempty"`
 }
 
 type joinRequest struct {
--- /dev/null
+++ b/internal/control/founders_test.go
@@ -0,0 +1,36 @@
+package control
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/consensus"
+	"github.com/amaranthshelf/amaranthshelf/internal/wal/waltest"
+)
+
+// The whole system starts for the first time and serves nobody. In order: the settings
+// name three control VMs that form the group, and the first by id has no disk. The
+// other two must not wait for its vote.
+func TestObserverAmongTheFounders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{fabric: newFabric(), t: t, voters: []string{"vm2", "vm3"}, vms: map[string]*vm{}, fs: map[string]*waltest.FS{}}
+		defer c.stop()
+		consensus.ServeObserver(port{c.fabric, "vm1"}, "vm1")
+		for _, id := range c.voters {
+			c.fs[id] = waltest.New()
+			c.vms[id] = startVM(t, c.fabric, id, testVoters, c.fs[id])
+		}
+		c.leader()
+		if got := c.propose("vm3", "first"); got != 1 {
+			t.Errorf("%d changes, want 1", got)
+		}
+		<-time.After(time.Second)
+		for _, id := range c.voters {
+			if got := c.votersAt(id); !slices.Equal(got, c.voters) {
+				t.Errorf("%s counts %v as voters", id, got)
+			}
+		}
+	})
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -38,6 +38,7 @@
 	KindPlace      Kind = 84 // which engine may a stream go to?
 	KindPlaced     Kind = 85 // the answer for a stream that had to wait
 	KindUse        Kind = 86 // of engines by a VM, as it changes
+	KindRoutes     Kind = 87 // the route list's text, by an observer
 	KindBlame      Kind = 100
 	KindExplain    Kind = 120
 	KindStatus     Kind = 121
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/cluster"
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
@@ -18,6 +19,35 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/wal"
 )
 
+// Operable is what serves operators, and callers who ask where to connect: a Control,
+// or an Observer where the VM has no disk.
+type Operable interface {
+	Process
+	// PutRoutes puts a list that has been validated in force. An error with code
+	// ControlUnavail is a promise that nothing changed.
+	PutRoutes(ctx context.Context, l *routes.List) (routes.Reply, error)
+	// Routes returns the operator's text of the newest list, confirmed by a majority
+	// of the group. nil: there is none yet.
+	Routes(ctx context.Context) ([]byte, error)
+	// Entrances are the addresses of routers that callers may use, at most limit.
+	Entrances(limit int) []string
+	// Failure carries the fault that ends the process, if one comes.
+	Failure() <-chan error
+	// Close ends everything at once.
+	Close()
+}
+
+var _, _ Operable = (*Control)(nil), (*Observer)(nil)
+
+// StartOperable starts a Control where there is a data folder, and an Observer where
+// there is none.
+func StartOperable(o ControlOptions) (Operable, error) {
+	if o.Dir == "" {
+		return StartObserver(o.Common)
+	}
+	return StartControl(o)
+}
+
 // Control is a process of the control group.
 type Control struct {
 	o       ControlOptions
@@ -40,8 +70,9 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.network = newNetwork(&o.Common)
 	c.held = cluster.NewHeld(func(l upstream.List) { c.hub.TakeList(l) })
-	c.member = cluster.NewMember(o.ID, c.network, o.Seeds, c.held, cluster.Local{Zone: o.Zone}, o.Log)
+	c.member = cluster.NewMember(o.ID, c.network, o.Seeds, c.held, cluster.Local{Zone: o.Zone, Control: true}, o.Log)
 	c.hub = cluster.NewHub(c.network, c.held, c.controls, o.Log)
+	c.network.Handle(peer.KindRoutes, func(ctx context.Context, _ string, _ []byte) (any, error) { return c.Routes(ctx) })
 	c.members = &members{open: c.openMember}
 	c.gauges()
 	m := mux.NewRouter()
@@ -135,15 +166,19 @@
 // Entrances are the addresses of routers that callers may use, at most limit.
 func (c *Control) Entrances(limit int) []string { return c.hub.Entrances(limit) }
 
-// PutRoutes puts a list that has been validated in force. An error with code
-// ControlUnavail is a promise that nothing changed.
+// PutRoutes implements Operable.
 func (c *Control) PutRoutes(ctx context.Context, l *routes.List) (routes.Reply, error) {
 	s := c.members.current()
 	if s == nil {
 		return routes.Reply{}, result.New(result.ControlUnavail)
 	}
-	reply, err := control.Propose[routes.Reply](ctx, s.client, control.PartRoutes, l)
-	c.o.Log.Info().Uint64("version", l.Version).Int("outcome", int(reply.Outcome)).
+	return propose(ctx, s.client, l, c.o.Log)
+}
+
+// propose puts a list in force through a client of the group.
+func propose(ctx context.Context, client control.Client, l *routes.List, log zerolog.Logger) (routes.Reply, error) {
+	reply, err := control.Propose[routes.Reply](ctx, client, control.PartRoutes, l)
+	log.Info().Uint64("version", l.Version).Int("outcome", int(reply.Outcome)).
 		Uint64("in_force", reply.Version).AnErr("error", err).Msg("route list proposed")
 	switch {
 	case err != nil:
@@ -156,8 +191,7 @@
 	return reply, nil
 }
 
-// Routes returns the operator's text of the newest list, confirmed by a majority
-// of the group. nil: there is none yet.
+// Routes implements Operable.
 func (c *Control) Routes(ctx context.Context) ([]byte, error) {
 	s := c.members.current()
 	if s == nil {
--- /dev/null
+++ b/internal/routed/observer.go
@@ -0,0 +1,97 @@
+package routed
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/cluster"
+	"github.com/amaranthshelf/amaranthshelf/internal/consensus"
+	"github.com/amaranthshelf/amaranthshelf/internal/control"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// Observer is a control process on a VM without a disk. It answers operators and
+// callers by what the voters tell it, and holds nothing itself.
+type Observer struct {
+	o        Common
+	network  *peer.Network
+	member   *cluster.Member
+	observer *cluster.Observer
+	client   *control.Remote
+	peers    *http.Server
+	cancel   context.CancelFunc
+}
+
+// askVoterTimeout leaves an operator, who asks elsewhere after a second, the time for a
+// second voter: a confirmed read takes a round trip or two.
+const askVoterTimeout = 350 * time.Millisecond
+
+// StartObserver binds the peer address and begins to follow.
+func StartObserver(o Common) (*Observer, error) {
+	v := &Observer{o: o, network: newNetwork(&o)}
+	var ctx context.Context
+	ctx, v.cancel = context.WithCancel(context.Background())
+	v.member = cluster.NewMember(o.ID, v.network, o.Seeds, cluster.NewHeld(func(upstream.List) {}), cluster.Local{
+		Zone: o.Zone, LearnEntrances: func(addrs []string) { v.observer.LearnEntrances(addrs) },
+	}, o.Log)
+	v.observer = cluster.NewObserver(v.network, o.ID, v.member.Controls)
+	consensus.ServeObserver(v.network, o.ID)
+	v.client = control.NewRemote(v.network, o.ID, v.observer.Controls)
+	o.Metrics.NewGauge("shelf_ready_routers", func() float64 { return float64(len(v.Entrances(maxRouters))) })
+	m := mux.NewRouter()
+	m.Handle(peer.Path, v.network)
+	var err error
+	if v.peers, err = listen(o.ID, m, o.Log); err != nil {
+		v.cancel()
+		return nil, err
+	}
+	go v.member.Run(ctx)
+	o.Log.Info().Msg("no data folder: this process observes the control group")
+	return v, nil
+}
+
+// SetSeeds takes other control addresses.
+func (v *Observer) SetSeeds(seeds []string) { v.member.SetSeeds(seeds) }
+
+// Entrances implements Operable.
+func (v *Observer) Entrances(limit int) []string { return v.observer.Entrances(limit) }
+
+// PutRoutes implements Operable.
+func (v *Observer) PutRoutes(ctx context.Context, l *routes.List) (routes.Reply, error) {
+	return propose(ctx, v.client, l, v.o.Log)
+}
+
+// Routes implements Operable. The voter that is asked confirms with a majority after
+// it was asked.
+func (v *Observer) Routes(ctx context.Context) ([]byte, error) {
+	for _, vm := range v.observer.Controls() {
+		var source []byte
+		asking, cancel := context.WithTimeout(ctx, askVoterTimeout)
+		err := v.network.Call(asking, vm, peer.KindRoutes, nil, &source)
+		cancel()
+		if err == nil {
+			return source, nil
+		}
+		v.o.Log.Debug().Err(err).Str("control", vm).Msg("route list not read")
+	}
+	return nil, result.New(result.ControlUnavail)
+}
+
+// Failure implements Operable: an Observer has nothing that could fail it.
+func (v *Observer) Failure() <-chan error { return nil }
+
+// Shutdown ends the process as planned.
+func (v *Observer) Shutdown() { v.Close() }
+
+// Close ends everything at once.
+func (v *Observer) Close() {
+	v.cancel()
+	_ = v.peers.Close()
+	v.network.Close()
+}
--- a/internal/routed/operators.go
+++ b/internal/routed/operators.go
@@ -28,7 +28,7 @@
 
 // OperatorRoutes serve operators, and callers who ask where to connect, in the
 // project's own form. c is nil on a router, r on a control process.
-func OperatorRoutes(c *Control, r *Router, token string, set *metrics.Set) http.Handler {
+func OperatorRoutes(c Operable, r *Router, token string, set *metrics.Set) http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	m.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) { writeReady(w, r) })
@@ -50,7 +50,7 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func writeEntry(w http.ResponseWriter, c *Control) {
+func writeEntry(w http.ResponseWriter, c Operable) {
 	addrs := c.Entrances(entryLimit)
 	if len(addrs) == 0 {
 		resulthttp.Write(w, "", result.New(result.NoBackendServer))
@@ -78,7 +78,7 @@
 	})
 }
 
-func putRoutes(w http.ResponseWriter, r *http.Request, c *Control) error {
+func putRoutes(w http.ResponseWriter, r *http.Request, c Operable) error {
 	data, err := resulthttp.ReadBody(w, r, MaxListText)
 	if err != nil {
 		return err
@@ -97,7 +97,7 @@
 	return nil
 }
 
-func getRoutes(w http.ResponseWriter, r *http.Request, c *Control) error {
+func getRoutes(w http.ResponseWriter, r *http.Request, c Operable) error {
 	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
 	defer cancel()
 	source, err := c.Routes(ctx)
--- a/internal/routedlocal/operators_test.go
+++ b/internal/routedlocal/operators_test.go
@@ -1,6 +1,7 @@
 package routedlocal
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/routed"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Operators put a list in force, read it back as they sent it, and are told what
@@ -18,7 +20,20 @@
 // anything.
 func TestOperators(t *testing.T) {
 	s, ctx := start(t)
-	h := routed.OperatorRoutes(s.Controls[0], nil, "secret", metrics.NewSet())
+	testOperators(t, ctx, s, s.Controls[0])
+}
+
+// The same through a control process without a disk, which holds nothing itself.
+func TestOperatorsAtAnObserver(t *testing.T) {
+	s, ctx := start(t)
+	o, err := s.StartObserver()
+	check(t, err)
+	defer o.Close()
+	testOperators(t, ctx, s, o)
+}
+
+func testOperators(t *testing.T, ctx context.Context, s *System, c routed.Operable) {
+	h := routed.OperatorRoutes(c, nil, "secret", metrics.NewSet())
 	list, err := os.ReadFile("../../examples/routed/routes.json")
 	check(t, err)
 	ask := func(method, path, token, body string) (int, string) {
@@ -40,6 +55,9 @@
 		}
 	}
 	check(t, s.Ready(ctx))
+	for len(c.Entrances(len(s.Fronts))) < len(s.Fronts) {
+		check(t, timer.Sleep(ctx, putPause))
+	}
 	tests := []struct {
 		name, method, path, token, body string
 		code                            int
--- a/internal/routedlocal/system.go
+++ b/internal/routedlocal/system.go
@@ -52,6 +52,7 @@
 	Routers  []*routed.Router
 	Fronts   []string // callers' addresses
 	rows     []upstream.Backend
+	seeds    []string // control VMs
 	dir      string
 }
 
@@ -80,6 +81,7 @@
 		return err
 	}
 	seeds := addrs[:controls]
+	s.seeds = seeds
 	for _, id := range seeds {
 		c, err := routed.StartControl(routed.ControlOptions{
 			Common: common(id, seeds), Dir: filepath.Join(dir, strings.ReplaceAll(id, ":", "-")),
@@ -148,6 +150,15 @@
 	return out, nil
 }
 
+// StartObserver starts a control process without a disk. The caller closes it.
+func (s *System) StartObserver() (*routed.Observer, error) {
+	addrs, err := freeAddrs(1)
+	if err != nil {
+		return nil, err
+	}
+	return routed.StartObserver(common(addrs[0], s.seeds))
+}
+
 // Stop ends everything.
 func (s *System) Stop() {
 	for _, r := range s.Routers {
