scheduler: a stream whose rest cannot be made in its time is refused, though engines are free

Cause: after a loss of all power callers' connections are silent, not reset. They give up after 18 s and come back for the rest with 0.1 to 7 s of their 25 s left. Change: before an engine is chosen, the least time that the stream needs (its prompt, unless an engine has kept it, and half of a mean run, less the events that its caller has) is held against its time. The mean number of events of a run is told with the paces. The caller is told to come back when its time is over: earlier is no use. Ruled out: a larger share of the mean run, since the shortest whole runs take half.

--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -100,7 +101,7 @@
 	a := scheduler.Stream{
 		ID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Need: st.need, KVTokens: st.kvTokens(),
 		Due: q.due(), Deadline: q.expires, Priority: q.priority,
-		Interrupted: st.seq.started, WantsCopy: st.mayCopy(),
+		Interrupted: st.seq.started, WantsCopy: st.mayCopy(), After: int(min(st.seq.last, math.MaxInt32)),
 	}
 	for id := range st.skip {
 		a.Skip = append(a.Skip, id)
@@ -160,9 +161,13 @@
 	})
 }
 
-// ran notes how long a run took from its first event to its end.
-func (b *paceBook) ran(service string, took time.Duration) {
-	b.update(service, func(p *scheduler.Pace) { p.Run = scheduler.Smooth(p.Run, took, paceShare) })
+// ran notes how long a whole run took from its first event to its end, and how many
+// events it had.
+func (b *paceBook) ran(service string, took time.Duration, events int) {
+	b.update(service, func(p *scheduler.Pace) {
+		p.Run = scheduler.Smooth(p.Run, took, paceShare)
+		p.Events = scheduler.Smooth(p.Events, float64(events), paceShare)
+	})
 }
 
 func (b *paceBook) update(service string, f func(*scheduler.Pace)) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -342,7 +342,7 @@
 	r.st.begin(r.reply.resp)
 	r.sent = answered
 	if r.fresh && !r.firstAt.IsZero() {
-		r.st.h.paces.ran(r.st.q.service.Name, time.Since(r.firstAt))
+		r.st.h.paces.ran(r.st.q.service.Name, time.Since(r.firstAt), r.passed)
 	}
 	r.st.flush()
 	r.st.h.o.Blame.Succeeded(r.st.q.digest)
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -11,6 +11,8 @@
 	PerToken time.Duration `cbor:"1,keyasint,omitempty"`
 	// Run is how long a run takes from its first event to its end; 0: not observed.
 	Run time.Duration `cbor:"2,keyasint,omitempty"`
+	// Events is how many events a whole run has; 0: not observed.
+	Events float64 `cbor:"3,keyasint,omitempty"`
 }
 
 const (
@@ -30,18 +32,19 @@
 func (p *Pace) learn(o Pace) {
 	p.PerToken = Smooth(p.PerToken, o.PerToken, paceWeight)
 	p.Run = Smooth(p.Run, o.Run, paceWeight)
+	p.Events = Smooth(p.Events, o.Events, paceWeight)
 }
 
 // Smooth moves a mean towards what was seen, by a weight in (0, 1]. The first that was
 // seen begins the mean, and zero says that nothing was.
-func Smooth(mean, seen time.Duration, weight float64) time.Duration {
+func Smooth[T time.Duration | float64](mean, seen T, weight float64) T {
 	switch {
 	case seen <= 0:
 		return mean
 	case mean <= 0:
 		return seen
 	}
-	return mean + time.Duration(weight*float64(seen-mean))
+	return mean + T(weight*float64(seen-mean))
 }
 
 // reading is how long an engine takes to read a number of tokens.
@@ -53,6 +56,17 @@
 	return time.Duration(tokens) * per
 }
 
+// rest is the share of a run that is still to be made where its caller has some events.
+func (p Pace) rest(after int) float64 {
+	if after == 0 || p.Events <= 0 {
+		return 1
+	}
+	return max(leastRest, 1-float64(after)/p.Events)
+}
+
+// leastRest is for runs that are longer than usual.
+const leastRest = 0.05
+
 // demand is how much memory arrives.
 type demand struct {
 	at     []time.Time
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -172,13 +172,22 @@
 	}
 }
 
+// fastest is the least time that a stream needs from the moment at which an engine
+// begins with it.
+func (r *round) fastest(w *waiter) time.Duration {
+	run := time.Duration(quickRun * r.v.pace.rest(w.After) * float64(r.v.pace.Run))
+	if r.cached(w) != nil {
+		return run
+	}
+	return r.v.pace.reading(w.Need.Prompt) + run
+}
+
 // hopeless reports whether a stream behind others cannot be served within its time any
 // more, even if the engines do as well as they can: a moment without engines is no
 // reason to refuse what can still be served after it.
 func (r *round) hopeless(w *waiter) bool {
 	wait := time.Duration(float64(r.ahead) / max(r.v.drain.rate(r.now), r.bestRate(w)) * float64(time.Second))
-	need := r.v.pace.reading(w.Need.Prompt) + time.Duration(quickRun*float64(r.v.pace.Run))
-	return r.now.Add(wait + need).After(w.Deadline)
+	return r.now.Add(wait + r.fastest(w)).After(w.Deadline)
 }
 
 // bestRate is how many streams like this one all engines together could begin in a
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -53,6 +53,8 @@
 	WantsCopy bool `cbor:"9,keyasint,omitempty"`
 	// Cached is the engine that has probably kept the prompt; empty: none is known.
 	Cached string `cbor:"10,keyasint,omitempty"`
+	// After is how many events its caller has.
+	After int `cbor:"11,keyasint,omitempty"`
 
 	// Not encoded: a VM is known by its connection, and its clock is its own.
 	VM            string    `cbor:"-"` // that carries it
@@ -308,7 +310,7 @@
 	v.kvTokens = st.KVTokens
 	for _, w := range v.waiting {
 		if w.ID == st.ID {
-			w.Skip, w.askedAt = st.Skip, now
+			w.Skip, w.After, w.askedAt = st.Skip, st.After, now
 			return
 		}
 	}
@@ -370,6 +372,11 @@
 		d.Outcome = TooLarge
 		return d
 	}
+	if left := w.Deadline.Sub(r.now); r.fastest(w) > left {
+		// Its caller's time is over before it is of any use to come again.
+		d.Outcome, d.RetryAfter = Refused, min(max(left, minRetryAfter), maxRetryAfter)
+		return d
+	}
 	e := r.engine(w, s.rng)
 	switch {
 	case e != nil:
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -340,6 +340,48 @@
 	}
 }
 
+// All VMs lost power, and callers whose connections fell silent come back for the rest
+// of their streams just before their time is over, while engines are idle. One whose
+// rest cannot be made in that time is refused at once: an engine would read its prompt
+// for nothing, and its caller wait for an answer that is cut off.
+func TestStreamsWithoutTheTimeAreRefused(t *testing.T) {
+	now := time.Unix(0, 0)
+	pace := Pace{PerToken: 125 * time.Microsecond, Run: 5 * time.Second, Events: 140}
+	tests := []struct {
+		name   string
+		after  int // events that the caller has
+		left   time.Duration
+		cached string
+		want   Outcome
+	}{
+		{"a new one with its usual time", 0, 25 * time.Second, "", Granted},
+		{"a new one with the time of a quick run", 0, 4 * time.Second, "", Granted},
+		{"a new one with half of that", 0, 2 * time.Second, "", Refused},
+		{"the last events", 130, 2 * time.Second, "", Granted},
+		{"more events than usual", 190, 1200 * time.Millisecond, "", Granted},
+		{"the last events, no time for the prompt", 130, 600 * time.Millisecond, "", Refused},
+		{"the last events, and the prompt is kept", 130, 600 * time.Millisecond, "a0", Granted},
+		{"half of the events", 70, 1500 * time.Millisecond, "", Refused},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := book(1)
+			s.Told("other", Report{Paces: map[string]Pace{"models": pace}}, now)
+			st := stream("1", now)
+			st.Need.Prompt, st.After, st.Interrupted, st.Cached = 8000, tt.after, tt.after > 0, tt.cached
+			st.Deadline = now.Add(tt.left)
+			s.Ask(st, now)
+			d := decisions(s.Run(now))["1"]
+			if d.Outcome != tt.want {
+				t.Errorf("outcome %d, want %d", d.Outcome, tt.want)
+			}
+			if d.Outcome == Refused && d.RetryAfter < tt.left {
+				t.Errorf("its caller is told to come back after %v, with %v left", d.RetryAfter, tt.left)
+			}
+		})
+	}
+}
+
 // Callers that are refused together come back spread out, within the time they have.
 func TestRefusedCallersComeBackSpread(t *testing.T) {
 	now := time.Unix(0, 0)
