cluster: names of routers come when they change, the use of engines seldom

Cause: a router asks the control VM that decides what the others do with every notice, and got all of it: 200 names and the use of 160 engines, 8 KB, 20 KB a second over a link of 10 Mbit/s and 4 MB a second at that control VM, three fifths of all bytes between zones. Change: deaths, calls under way and what is short come each time, names by a digest, the use of engines each 1.2 s, or seldom enough for 4 KB a second where there are more than 200: streams are placed by the control VM, and a router needs it to place alone or for a copy on order. Ruled out: differences of the use, since half of the engines change between notices.

--- a/internal/cluster/bench_test.go
+++ b/internal/cluster/bench_test.go
@@ -13,64 +13,95 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
-// loadedHub is a control VM with the notices of many routers, each with a stream and
-// its copy on two engines and the engines of a lost zone in doubt.
-func loadedHub(tb testing.TB, routers, engines int) (h *Hub, notice func(router int) []byte) {
+// fullHub is a control VM with the notices of many routers, each with a stream and its
+// copy on two engines, a call, and the engines of a lost zone in doubt.
+type fullHub struct {
+	hub     *Hub
+	routers []string
+	engines []upstream.Backend
+	digest  uint64
+	turn    uint64
+}
+
+func newFullHub(tb testing.TB, routers, engines int) *fullHub {
 	tb.Helper()
 	held := NewHeld(func(upstream.List) {})
-	h = NewHub(peertest.New(1).VM("c1"), held, func() []string { return controls }, zerolog.Nop())
+	f := &fullHub{hub: NewHub(peertest.New(1).VM("c1"), held, func() []string { return controls }, zerolog.Nop())}
 	l := modelsList(engines)
-	held.Take(l.Backends, 0)
-	h.TakeList(l)
-	_, digest, _, _ := held.Now()
-	turn := uint64(0)
-	notice = func(router int) []byte {
-		turn++
-		n := Notice{Zone: "a", Callers: fmt.Sprintf("10.0.%d.1:8000", router), Ready: true, Held: digest, HeldAge: 100, WantLoad: true}
-		n.Told = Told{Life: uint64(router + 1), Turn: turn, Use: map[string]placement.Use{
-			l.Backends[router%engines].ID:     {Requests: 1, Tokens: 9000},
-			l.Backends[(router+7)%engines].ID: {Tokens: 9000, Copies: 9000},
-		}}
-		for i := 0; i < engines; i += 5 {
-			n.Told.Doubt = append(n.Told.Doubt, l.Backends[i].ID)
-		}
-		n.Spent = Spending{Life: uint64(router + 1), Turn: turn}
-		data, err := codec.Marshal(n)
-		if err != nil {
-			tb.Fatal(err)
-		}
-		return data
+	for i := range l.Backends {
+		l.Backends[i].ID = fmt.Sprintf("i-%010x", i*7919)
 	}
+	held.Take(l.Backends, 0)
+	f.hub.TakeList(l)
+	_, f.digest, _, _ = held.Now()
+	f.engines = l.Backends
 	for r := range routers {
-		if _, err := h.serve(context.Background(), fmt.Sprint("r", r), notice(r)); err != nil {
-			tb.Fatal(err)
-		}
+		f.routers = append(f.routers, fmt.Sprintf("10.%d.%d.10:7221", r/40, r%40))
+		f.serve(tb, r, f.notice(tb, r, true, 0))
 	}
-	return h, notice
+	return f
+}
+
+// notice is a router's notice, encoded; the rest of what it wants is as given.
+func (f *fullHub) notice(tb testing.TB, router int, wantUse bool, held uint64) []byte {
+	f.turn++
+	n := Notice{
+		Zone: "a", Callers: f.routers[router], Ready: true, Held: f.digest, HeldAge: 100,
+		WantLoad: true, WantUse: wantUse, RoutersHeld: held,
+	}
+	id := func(i int) string { return f.engines[i%len(f.engines)].ID }
+	n.Told = Told{Life: uint64(router + 1), Turn: f.turn, Use: map[string]placement.Use{
+		id(router): {Requests: 1, Tokens: 9000}, id(router + 7): {Tokens: 9000, Copies: 9000}, "call": {Requests: 1},
+	}}
+	for i := 0; i < len(f.engines); i += 5 {
+		n.Told.Doubt = append(n.Told.Doubt, id(i))
+	}
+	n.Spent = Spending{Life: uint64(router + 1), Turn: f.turn}
+	data, err := codec.Marshal(n)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return data
+}
+
+// serve returns the answer to a notice, and how many bytes it has.
+func (f *fullHub) serve(tb testing.TB, router int, notice []byte) (Answer, int) {
+	out, err := f.hub.serve(context.Background(), f.routers[router], notice)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	data, err := codec.Marshal(out)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var a Answer
+	if err := codec.Unmarshal(data, &a); err != nil {
+		tb.Fatal(err)
+	}
+	return a, len(data)
 }
 
 // BenchmarkNotice is a notice of one of 200 or 330 routers at the control VM that
-// decides, with its answer encoded. Each router sends two and a half a second.
+// decides, with its answer encoded and decoded. Each router sends two and a half a
+// second, of which one in three wants the use of engines.
 func BenchmarkNotice(b *testing.B) {
 	for _, size := range []struct{ routers, engines int }{{200, 163}, {330, 710}} {
 		b.Run(fmt.Sprintf("%d routers", size.routers), func(b *testing.B) {
-			h, notice := loadedHub(b, size.routers, size.engines)
+			f := newFullHub(b, size.routers, size.engines)
+			first, _ := f.serve(b, 0, f.notice(b, 0, true, 0))
+			var o others
+			if _, err := o.learn(&first, nil, f.hub.summed.made); err != nil {
+				b.Fatal(err)
+			}
 			notices := make([][]byte, size.routers)
 			for r := range notices {
-				notices[r] = notice(r)
+				notices[r] = f.notice(b, r, r%3 == 0, o.digest)
 			}
 			bytes := 0
 			b.ResetTimer()
 			for i := range b.N {
-				a, err := h.serve(context.Background(), fmt.Sprint("r", i%size.routers), notices[i%size.routers])
-				if err != nil {
-					b.Fatal(err)
-				}
-				data, err := codec.Marshal(a)
-				if err != nil {
-					b.Fatal(err)
-				}
-				bytes += len(data)
+				_, n := f.serve(b, i%size.routers, notices[i%size.routers])
+				bytes += n
 			}
 			b.ReportMetric(float64(bytes)/float64(b.N), "B/answer")
 		})
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -64,23 +64,29 @@
 	Deaths   []recovery.Death `cbor:"5,keyasint,omitempty"`
 	Held     uint64           `cbor:"6,keyasint,omitempty"`  // digest of the list of backend servers; 0: all of it is wanted
 	HeldAge  int64            `cbor:"7,keyasint,omitempty"`  // ms; how old that list is
-	WantLoad bool             `cbor:"8,keyasint,omitempty"`  // Others are wanted
+	WantLoad bool             `cbor:"8,keyasint,omitempty"`  // a Summary is wanted
 	Dead     []string         `cbor:"9,keyasint,omitempty"`  // backend servers judged dead lately
 	Kept     []forward.Kept   `cbor:"10,keyasint,omitempty"` // streams here with a copy
 	Spent    Spending         `cbor:"11,keyasint"`           // of the services' retry budgets
 	Control  bool             `cbor:"12,keyasint,omitempty"` // sent by a control VM with a disk
 	// WantEntrances: the directory is wanted, by an Observer.
 	WantEntrances bool `cbor:"13,keyasint,omitempty"`
+	// WantUse: the use of engines is wanted with the Summary; RoutersHeld is the digest of
+	// the names of routers that are held.
+	WantUse     bool   `cbor:"14,keyasint,omitempty"`
+	RoutersHeld uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // Answer is a control VM's reply.
 type Answer struct {
 	Controls []string `cbor:"1,keyasint"`
-	// Encoded is a Summary, for those who want it, and Own the asker's part of its Use.
-	Encoded cbor.RawMessage          `cbor:"3,keyasint,omitempty"`
-	Own     map[string]placement.Use `cbor:"4,keyasint,omitempty"`
-	// Summary is read from Encoded, without the asker's own part.
-	Summary `cbor:"-"`
+	// Encoded is a Summary, for those who want it, EncodedUse the use of engines, and
+	// Own the asker's part of both. Routers are the VMs that take callers, where they
+	// are not those held.
+	Encoded    cbor.RawMessage          `cbor:"3,keyasint,omitempty"`
+	Own        map[string]placement.Use `cbor:"4,keyasint,omitempty"`
+	EncodedUse cbor.RawMessage          `cbor:"9,keyasint,omitempty"`
+	Routers    []string                 `cbor:"11,keyasint,omitempty"`
 	// Digest and AgeMS are of the control VM's list; Changed comes only where the
 	// digest differs from the one held.
 	Digest  uint64      `cbor:"5,keyasint,omitempty"`
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -29,7 +29,7 @@
 	member *Member
 	held   *Held
 	use    atomic.Pointer[map[string]placement.Use]
-	heard  atomic.Pointer[Answer]
+	heard  atomic.Pointer[Known]
 	gone   atomic.Bool // not ready
 	stop   context.CancelFunc
 }
@@ -52,7 +52,7 @@
 	v.held = NewHeld(func(upstream.List) {})
 	v.member = NewMember(id, n.VM(id), seeds, v.held, Local{
 		Callers: id + ":80", Ready: func() bool { return !v.gone.Load() },
-		Use: func() map[string]placement.Use { return *v.use.Load() }, Learn: func(a Answer) { v.heard.Store(&a) },
+		Use: func() map[string]placement.Use { return *v.use.Load() }, Learn: func(k Known) { v.heard.Store(&k) },
 	}, zerolog.Nop())
 	ctx, v.stop = context.WithCancel(ctx)
 	go v.member.Run(ctx)
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -92,7 +92,8 @@
 		return err
 	}
 	if n.WantLoad {
-		a.Encoded, a.Own, a.Spent = s.encoded, s.use[from], h.spentByOthers(n.Spent.Life)
+		s.tell(a, from, n)
+		a.Spent = h.spentByOthers(n.Spent.Life)
 	}
 	if n.WantEntrances {
 		a.Entrances = s.entrances
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -36,7 +36,7 @@
 	Paces   func() map[string]scheduler.Pace
 	// Learn takes what a control VM knows of the other VMs, and LearnSpent what
 	// they together spent of the retry budgets.
-	Learn      func(Answer)
+	Learn      func(Known)
 	LearnSpent func(map[string]forward.Spent)
 	// Control: this VM is a control VM with a disk.
 	Control bool
@@ -59,6 +59,7 @@
 	answered  map[string]time.Time
 	silent    map[string]bool // told once in the log
 	wantList  bool            // all of it
+	others    others
 	nudged    signal
 	life      uint64        // of this process
 	turn      atomic.Uint64 // of what is told of its spending
@@ -166,12 +167,23 @@
 		}
 		n := n
 		n.WantLoad = vm == want && (m.local.Learn != nil || m.local.LearnSpent != nil)
+		if n.WantLoad {
+			n.RoutersHeld, n.WantUse = m.othersHeld()
+		}
 		n.WantEntrances = vm == source && m.local.LearnEntrances != nil
 		wg.Go(func() { m.exchange(ctx, vm, n) })
 	}
 	wg.Wait()
 }
 
+// othersHeld returns the digest of the routers that are held, and whether the use of
+// engines is wanted again.
+func (m *Member) othersHeld() (routers uint64, wantUse bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.others.digest, m.others.wantsUse(time.Now())
+}
+
 // source is the control VM that answered last: one answer with the loads of all
 // VMs is enough.
 func (m *Member) source() string {
@@ -237,13 +249,21 @@
 	if !n.WantLoad {
 		return
 	}
-	if err := a.learn(n.Dead); err != nil {
+	m.learnAll(vm, &a, n.Dead)
+}
+
+// learnAll takes what all VMs told.
+func (m *Member) learnAll(vm string, a *Answer, dead []string) {
+	m.mu.Lock()
+	k, err := m.others.learn(a, dead, time.Now())
+	m.mu.Unlock()
+	if err != nil {
 		m.log.Error().Err(err).Str("control", vm).Msg("what the other VMs do is not readable")
 		return
 	}
-	m.learnSpent(a.Spent)
+	m.learnSpent(k.Spent)
 	if m.local.Learn != nil {
-		m.local.Learn(a)
+		m.local.Learn(k)
 	}
 }
 
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -1,13 +1,17 @@
 package cluster
 
 import (
+	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 )
@@ -20,27 +24,52 @@
 //
 // So the sum is made and encoded once for all who ask within a moment, the asker's own
 // part included, which is told beside it and which the asker takes off.
+//
+// Told whole each time, 200 VMs' names and the use of 160 engines are 8 KB, 20 KB a
+// second for each VM over a link of 10 Mbit/s, and 4 MB a second at the control VM. So
+// the names come where they have changed, and the use of engines seldom: only a VM that
+// must place streams alone, or orders a copy, goes by it.
 
-// summaryFor is how long a summary is told: far below the time between two notices, by
-// which every part of it is older.
-const summaryFor = 50 * time.Millisecond
+const (
+	// summaryFor is how long a summary is told: far below the time between two notices,
+	// by which every part of it is older.
+	summaryFor = 50 * time.Millisecond
+	// useEvery is how often a VM wants the use of engines, and usePerEngine bounds the
+	// traffic where there are many: an engine's use takes some 25 bytes.
+	useEvery     = 3 * NoticeEvery
+	usePerEngine = 6 * time.Millisecond
+)
 
 // Summary is what all VMs told a control VM.
 type Summary struct {
-	Routers []string                 `cbor:"1,keyasint,omitempty"` // VMs that take callers, by id
-	Use     map[string]placement.Use `cbor:"2,keyasint,omitempty"` // of backend servers
-	Deaths  []recovery.Death         `cbor:"3,keyasint,omitempty"`
-	Dead    []string                 `cbor:"4,keyasint,omitempty"` // judged dead lately
+	// Calls under way, by backend server: of those that run no streams.
+	Calls  map[string]int   `cbor:"1,keyasint,omitempty"`
+	Deaths []recovery.Death `cbor:"2,keyasint,omitempty"`
+	Dead   []string         `cbor:"3,keyasint,omitempty"` // judged dead lately
 	// Short names the services whose memory is needed for prompts.
-	Short []string `cbor:"5,keyasint,omitempty"`
+	Short []string `cbor:"4,keyasint,omitempty"`
+	// RoutersDigest is of the names of all VMs that take callers.
+	RoutersDigest uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Known is what a VM has learnt of all others together.
+type Known struct {
+	Summary
+	Routers []string                 // VMs that take callers, by id
+	Use     map[string]placement.Use // of backend servers, by the others
+	// Spent is what the others spent of the retry budgets, by service.
+	Spent map[string]forward.Spent
 }
 
 // summary is a Summary as it is told.
 type summary struct {
 	made      time.Time
 	encoded   cbor.RawMessage
-	entrances []string                            // of Routers, by address
-	use       map[string]map[string]placement.Use // by VM: its part of Use
+	use       cbor.RawMessage // of engines
+	routers   []string
+	digest    uint64                              // of routers
+	entrances []string                            // of routers, by address
+	parts     map[string]map[string]placement.Use // what each VM told of its use
 }
 
 // summarize returns the summary that is told now.
@@ -63,16 +92,17 @@
 
 // sum needs h.mu.
 func (h *Hub) sum(short []string, now time.Time) (*summary, error) {
-	s := &summary{made: now, use: map[string]map[string]placement.Use{}}
-	told := Summary{Use: map[string]placement.Use{}, Deaths: h.recentDeaths(now), Short: short}
+	s := &summary{made: now, parts: map[string]map[string]placement.Use{}}
+	told := Summary{Deaths: h.recentDeaths(now), Short: short}
+	use := map[string]placement.Use{}
 	var ready []seen
 	for vm, v := range h.vms {
 		if now.Sub(v.at) > presentFor {
 			continue
 		}
-		s.use[vm] = v.notice.Told.Use
+		s.parts[vm] = v.notice.Told.Use
 		for id, u := range v.notice.Told.Use {
-			told.Use[id] = told.Use[id].Add(u)
+			use[id] = use[id].Add(u)
 		}
 		told.Dead = append(told.Dead, v.notice.Dead...)
 		if v.takesCallers() {
@@ -81,14 +111,41 @@
 	}
 	slices.SortFunc(ready, func(a, b seen) int { return strings.Compare(a.notice.Callers, b.notice.Callers) })
 	for _, v := range ready {
-		told.Routers = append(told.Routers, v.vm)
+		s.routers = append(s.routers, v.vm)
 		s.entrances = append(s.entrances, v.notice.Callers)
 	}
+	s.digest = xxhash.Sum64String(strings.Join(s.routers, " "))
+	told.RoutersDigest = s.digest
 	slices.Sort(told.Dead)
 	told.Dead = slices.Compact(told.Dead)
-	var err error
+	told.Calls = takeCalls(use)
+	var errUse, err error
+	s.use, errUse = codec.Marshal(use)
 	s.encoded, err = codec.Marshal(&told)
-	return s, err
+	return s, errors.Join(err, errUse)
+}
+
+// takeCalls moves the servers that run calls alone out of a sum.
+func takeCalls(use map[string]placement.Use) map[string]int {
+	calls := map[string]int{}
+	for id, u := range use {
+		if u == (placement.Use{Requests: u.Requests}) {
+			calls[id] = u.Requests
+			delete(use, id)
+		}
+	}
+	return calls
+}
+
+// tell adds to an answer what its asker wants and does not hold.
+func (s *summary) tell(a *Answer, from string, n *Notice) {
+	a.Encoded, a.Own = s.encoded, s.parts[from]
+	if n.WantUse {
+		a.EncodedUse = s.use
+	}
+	if n.RoutersHeld != s.digest {
+		a.Routers = s.routers
+	}
 }
 
 // recentDeaths needs h.mu.
@@ -101,22 +158,51 @@
 	return out
 }
 
-// learn reads what a control VM told of all VMs, and takes this VM's part off.
-func (a *Answer) learn(own []string) error {
-	if len(a.Encoded) == 0 {
-		return nil
-	}
-	if err := codec.Unmarshal(a.Encoded, &a.Summary); err != nil {
-		return err
+// others is what a VM holds of what it was told of all others. It is not safe for
+// concurrent use.
+type others struct {
+	routers []string
+	digest  uint64                   // of routers
+	engines map[string]placement.Use // as of usedAt
+	usedAt  time.Time
+}
+
+// wantsUse reports whether the use of engines is wanted again.
+func (o *others) wantsUse(now time.Time) bool {
+	every := max(useEvery, time.Duration(len(o.engines))*usePerEngine)
+	return now.Sub(o.usedAt) > every-NoticeEvery/2
+}
+
+// learn takes an answer, and returns all that is known by it. own are the servers that
+// this VM itself said are dead.
+func (o *others) learn(a *Answer, own []string, now time.Time) (Known, error) {
+	var k Known
+	if err := codec.Unmarshal(a.Encoded, &k.Summary); err != nil {
+		return k, err
 	}
-	for id, u := range a.Own {
-		rest := a.Use[id].Add(u.Negative())
-		if rest == (placement.Use{}) {
-			delete(a.Use, id)
-			continue
+	if len(a.EncodedUse) > 0 {
+		use := map[string]placement.Use{}
+		if err := codec.Unmarshal(a.EncodedUse, &use); err != nil {
+			return k, err
+		}
+		o.engines, o.usedAt = use, now
+		for id, u := range a.Own {
+			if _, ok := use[id]; ok {
+				use[id] = use[id].Add(u.Negative())
+			}
 		}
-		a.Use[id] = rest
 	}
-	a.Dead = slices.DeleteFunc(a.Dead, func(id string) bool { return slices.Contains(own, id) })
-	return nil
+	if k.RoutersDigest != o.digest && len(a.Routers) > 0 {
+		o.routers, o.digest = a.Routers, k.RoutersDigest
+	}
+	k.Routers, k.Spent = o.routers, a.Spent
+	k.Use = maps.Clone(o.engines)
+	if k.Use == nil {
+		k.Use = map[string]placement.Use{}
+	}
+	for id, calls := range k.Calls {
+		k.Use[id] = placement.Use{Requests: calls - a.Own[id].Requests}
+	}
+	k.Dead = slices.DeleteFunc(k.Dead, func(id string) bool { return slices.Contains(own, id) })
+	return k, nil
 }
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -139,13 +139,13 @@
 	r.member.Nudge()
 }
 
-func (r *Router) learn(a cluster.Answer) {
-	r.fleet.SetOthers(a.Use)
-	r.fleet.HearsayDead(a.Dead)
-	r.blame.Learn(a.Deaths)
-	r.handler.SetVMs(len(a.Routers))
-	r.handler.SetShort(a.Short)
-	r.fleet.SetRouters(r.o.ID, a.Routers)
+func (r *Router) learn(k cluster.Known) {
+	r.fleet.SetOthers(k.Use)
+	r.fleet.HearsayDead(k.Dead)
+	r.blame.Learn(k.Deaths)
+	r.handler.SetVMs(len(k.Routers))
+	r.handler.SetShort(k.Short)
+	r.fleet.SetRouters(r.o.ID, k.Routers)
 }
 
 // kept are the streams here with a copy. The member starts after the handler.
