cluster: what is doubted goes with notices, use of engines to two control VMs

Cause: while a zone is lost each router names all of its engines as doubted, 13 bytes each, in every notice to every control VM and beside each stream: at 2,998 engines 8 kB some ten times a second from each of 300 routers. Four of five control VMs do nothing with it. Change: the control VM that decides and the next one are told; messages of use between notices say that the doubt is as it was. Ruled out: naming the place instead of its engines, since engines that started in it after its loss are not doubted.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -43,6 +43,10 @@
 	// staleList: a list this old is asked for at every control VM. It is read each
 	// 0.4 s, and told with the next notice.
 	staleList = 1200 * time.Millisecond
+	// toldControls are told of the use of engines: the control VM that decides, and the
+	// one that does once that is lost. A third hears of it with the first notice that
+	// finds both lost.
+	toldControls = 2
 	// forgetAfter is how long a control VM that was learnt is kept without a word
 	// from anybody that it still is one, and how long it is known where a silent VM's
 	// streams ran: callers whose connections hang come back within it.
@@ -63,7 +67,7 @@
 	Zone     string           `cbor:"1,keyasint"`
 	Callers  string           `cbor:"2,keyasint,omitempty"` // ip:port; empty: takes none
 	Ready    bool             `cbor:"3,keyasint,omitempty"`
-	Told     Told             `cbor:"4,keyasint"` // use of backend servers
+	Told     Told             `cbor:"4,keyasint"` // use of backend servers; empty: not for this control VM
 	Deaths   []recovery.Death `cbor:"5,keyasint,omitempty"`
 	Held     uint64           `cbor:"6,keyasint,omitempty"`  // digest of the list of backend servers; 0: none is held
 	HeldAge  int64            `cbor:"7,keyasint,omitempty"`  // ms; how old that list is
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -163,11 +163,15 @@
 	if want == "" {
 		want = source
 	}
+	told := m.schedulers(toldControls)
 	for _, vm := range m.Controls() {
 		if vm == m.self {
 			continue
 		}
 		n := n
+		if len(told) > 0 && !slices.Contains(told, vm) {
+			n.Told = Told{}
+		}
 		n.WantLoad = vm == want && (m.local.Learn != nil || m.local.LearnSpent != nil)
 		if n.WantLoad {
 			n.RoutersHeld, n.WantUse = m.othersHeld()
@@ -213,7 +217,7 @@
 		n.Kept = m.local.Kept()
 	}
 	n.Spent = m.spent()
-	n.Told = m.told()
+	n.Told = m.toldWhole()
 	if _, digest, age, ok := m.held.Now(); ok {
 		n.Held, n.HeldAge = digest, age.Milliseconds()
 		// One control VM tells of changes, as long as the list is young: what a zone's
--- a/internal/cluster/place.go
+++ b/internal/cluster/place.go
@@ -90,7 +90,15 @@
 	return p.turn, p.taken
 }
 
+// told is what this VM tells of its use of engines.
 func (m *Member) told() Told {
+	t := m.toldWhole()
+	t.Doubt, t.SameDoubt = nil, true
+	return t
+}
+
+// toldWhole is the same for the notices, with what this VM doubts.
+func (m *Member) toldWhole() Told {
 	if m.local.Use == nil {
 		return Told{}
 	}
@@ -165,15 +173,24 @@
 // scheduler is the control VM that decides about engines, as this VM sees it: the
 // first by id of those that answered lately.
 func (m *Member) scheduler() string {
+	if d := m.schedulers(1); len(d) > 0 {
+		return d[0]
+	}
+	return ""
+}
+
+// schedulers are the control VM that decides and those that would after it, at most n.
+func (m *Member) schedulers(n int) []string {
 	controls := m.Controls()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var out []string
 	for _, vm := range controls {
-		if at, ok := m.answered[vm]; ok && time.Since(at) <= presentFor {
-			return vm
+		if at, ok := m.answered[vm]; ok && time.Since(at) <= presentFor && len(out) < n {
+			out = append(out, vm)
 		}
 	}
-	return ""
+	return out
 }
 
 // Refresh asks the control VM that decides for its list of backend servers. Callers
--- a/internal/cluster/place_test.go
+++ b/internal/cluster/place_test.go
@@ -216,3 +216,56 @@
 		}
 	})
 }
+
+// Two prompts meet on the one engine. In order: a router has a prompt read there; the
+// control VM that granted it and the next one are lost; another router asks the third,
+// which was not told of the use of engines so far. It must know of the prompt by the
+// next notice, and have the stream wait.
+func TestThirdControlVMLearnsOfUse(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		for _, id := range controls {
+			h := startHub(ctx, n, id, controls)
+			h.hub.TakeList(modelsList(1))
+			go h.hub.Run(ctx)
+		}
+		reads, other := startPlacing(ctx, n, "r1"), startPlacing(ctx, n, "r2")
+		time.Sleep(time.Second)
+		first, ok := reads.place(ctx, "1")
+		if !ok || first.Outcome != scheduler.Granted {
+			t.Fatalf("first: %+v, %t", first, ok)
+		}
+		reads.uses(map[string]placement.Use{"e0": {Requests: 1, Tokens: 8600, Prompt: 8000}})
+		reads.member.Took(first.Number)
+		n.Kill(controls[0])
+		n.Kill(controls[1])
+		time.Sleep(presentFor + 2*NoticeEvery)
+		asking, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+		defer cancel()
+		if p, ok := other.place(asking, "2"); ok {
+			t.Errorf("%+v while another router's prompt is read", p)
+		}
+	})
+}
+
+// What a router doubts comes with its notices alone. A message of its use that leaves
+// it out changes nothing in it; one of another life of the process does.
+func TestDoubtIsKeptBetweenNotices(t *testing.T) {
+	c := newSchedule(peertest.New(1).VM("c1"), zerolog.Nop())
+	c.setServers(modelsList(2))
+	use := map[string]placement.Use{"e1": {Requests: 1}}
+	doubted := func() []string { return c.turns["r1"].Doubt }
+	c.told("r1", &Told{Life: 1, Turn: 1, Doubt: []string{"e0"}})
+	c.told("r1", &Told{Life: 1, Turn: 2, Use: use, SameDoubt: true})
+	if got := doubted(); len(got) != 1 {
+		t.Errorf("%v is doubted after a message of use", got)
+	}
+	c.told("r1", &Told{Life: 1, Turn: 3, Use: use})
+	if got := doubted(); len(got) != 0 {
+		t.Errorf("%v is doubted after a notice that doubts nothing", got)
+	}
+	c.told("r1", &Told{Life: 1, Turn: 4, Doubt: []string{"e0"}})
+	c.told("r1", &Told{Life: 2, Turn: 1, Use: use, SameDoubt: true})
+	if got := doubted(); len(got) != 0 {
+		t.Errorf("%v is doubted by a process that has just started", got)
+	}
+}
--- a/internal/cluster/schedule.go
+++ b/internal/cluster/schedule.go
@@ -30,6 +30,9 @@
 	Paces map[string]scheduler.Pace `cbor:"6,keyasint,omitempty"`
 	Doubt []string                  `cbor:"7,keyasint,omitempty"`
 	Alive []string                  `cbor:"8,keyasint,omitempty"`
+	// SameDoubt: Doubt is left out, and as it was last told. While a zone is lost it
+	// names all of its engines, and a router tells of its use with each stream.
+	SameDoubt bool `cbor:"9,keyasint,omitempty"`
 }
 
 // PlaceAsk asks for an engine for one stream. Times are from now, so that clocks need
@@ -67,7 +70,7 @@
 
 	mu    sync.Mutex
 	s     *scheduler.Scheduler
-	turns map[string]Told // the last of each router, for its life and turn
+	turns map[string]Told // the last of each router, for its life, turn and doubt
 	// logged is when the state was last logged.
 	logged           time.Time
 	granted, refused uint64
@@ -105,10 +108,14 @@
 	if t.Life == 0 {
 		return // a control process, which sends no streams
 	}
-	if last, ok := c.turns[from]; ok && last.Life == t.Life && t.Turn < last.Turn {
+	last := c.turns[from]
+	if last.Life == t.Life && t.Turn < last.Turn {
 		return
 	}
-	c.turns[from] = Told{Life: t.Life, Turn: t.Turn}
+	if t.SameDoubt && last.Life == t.Life {
+		t.Doubt = last.Doubt
+	}
+	c.turns[from] = Told{Life: t.Life, Turn: t.Turn, Doubt: t.Doubt}
 	c.s.Told(from, scheduler.Report{Use: t.Use, Taken: t.Taken, Avoid: t.Avoid, Doubt: t.Doubt, Alive: t.Alive, Paces: t.Paces}, time.Now())
 }
 
