cluster: changes of the list are asked of the VM that reads it

Cause: since changes come from one control VM, a router asked the one that answered last, mostly one that hears of the list by its own notices: 0.4 s later than the reader. Change: the one whose list was the youngest in the last round is asked.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -43,6 +43,8 @@
 	// staleList: a list this old is asked for at every control VM. It is read each
 	// 0.4 s, and told with the next notice.
 	staleList = 1200 * time.Millisecond
+	// sameReading is how much the ages of one reading of the list may differ.
+	sameReading = 100 * time.Millisecond
 	// toldControls are told of the use of engines: the control VM that decides, and the
 	// one that does once that is lost. A third hears of it with the first notice that
 	// finds both lost.
--- a/internal/cluster/fetch_test.go
+++ b/internal/cluster/fetch_test.go
@@ -108,3 +108,38 @@
 		}
 	})
 }
+
+// Engines that restart stand idle. In order: one control VM reads the list, the others
+// hear of it with their notices; an engine starts again under another id. A router must
+// hear of it with its next notice, as it does from the VM that reads.
+func TestChangesComeFromTheReader(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		ids := []string{"c1", "c2", "c3", "c4", "c5"}
+		var reader *testHub
+		for _, id := range ids {
+			h := startHub(ctx, n, id, ids)
+			if id == "c4" {
+				reader = h
+			}
+		}
+		held := NewHeld(noList)
+		m := NewMember("r1", n.VM("r1"), ids, held, Local{}, zerolog.Nop())
+		go m.Run(ctx)
+		list := rows(5)
+		readFor := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); {
+				reader.held.Take(list, 0)
+				time.Sleep(NoticeEvery / 4)
+			}
+		}
+		readFor(3 * time.Second)
+		for i := range 10 {
+			list = slices.Concat(list[1:], rows(6 + i)[5+i:])
+			readFor(NoticeEvery + NoticeEvery/4)
+			if got, _, _, _ := held.Now(); !slices.Contains(got, list[4]) {
+				t.Errorf("change %d is not known after %v", i, NoticeEvery+NoticeEvery/4)
+			}
+			readFor(time.Duration(i) * 70 * time.Millisecond)
+		}
+	})
+}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -59,7 +59,9 @@
 	answered  map[string]time.Time
 	silent    map[string]bool // told once in the log
 	wanted    wanted
-	lists     signal // a list is to be fetched
+	lister    string                   // is asked for changes of the list
+	listAges  map[string]time.Duration // in the answers of this round, by control VM
+	lists     signal                   // a list is to be fetched
 	others    others
 	nudged    signal
 	life      uint64        // of this process
@@ -74,6 +76,7 @@
 		self: self, t: t, local: local, held: held, log: log, seeds: seeds,
 		learnt: map[string]time.Time{}, observers: map[string]time.Time{}, answered: map[string]time.Time{}, silent: map[string]bool{}, nudged: newSignal(),
 		life: rand.Uint64(), spending: newSignal(), placing: newPlacing(), lists: newSignal(),
+		listAges: map[string]time.Duration{},
 	}
 	t.Handle(peer.KindPlaced, m.servePlaced)
 	return m
@@ -158,37 +161,77 @@
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	// Only the control VM that decides knows who waits, and so whether memory is short.
-	want, source, n := m.scheduler(), m.source(), m.notice(deaths)
-	if want == "" {
-		want = source
-	}
-	told := m.schedulers(toldControls)
+	n, to := m.notice(deaths), m.addressees()
 	for _, vm := range m.Controls() {
-		if vm == m.self {
-			continue
-		}
-		n := n
-		if len(told) > 0 && !slices.Contains(told, vm) {
-			n.Told = Told{}
+		if vm != m.self {
+			wg.Go(func() { m.exchange(ctx, vm, m.tailor(n, vm, &to)) })
 		}
-		n.WantLoad = vm == want && (m.local.Learn != nil || m.local.LearnSpent != nil)
-		if n.WantLoad {
-			n.RoutersHeld, n.WantUse = m.othersHeld()
-		}
-		n.WantChanges = n.WantChanges || vm == source
-		n.WantEntrances = vm == source && m.local.LearnEntrances != nil
-		wg.Go(func() { m.exchange(ctx, vm, n) })
 	}
 	wg.Wait()
+	m.chooseLister()
 }
 
-// othersHeld returns the digest of the routers that are held, and whether the use of
-// engines is wanted again.
-func (m *Member) othersHeld() (routers uint64, wantUse bool) {
+// addressees are the control VMs that are asked and told more than the others.
+type addressees struct {
+	load      string   // is asked what the other VMs do
+	entrances string   // is asked for the directory
+	changes   string   // is asked what has changed in the list of backend servers
+	told      []string // are told of the use of engines; empty: all are
+}
+
+func (m *Member) addressees() addressees {
+	a := addressees{entrances: m.source(), told: m.schedulers(toldControls)}
+	a.load = a.entrances
+	if len(a.told) > 0 {
+		// Only the control VM that decides knows who waits, and so whether memory is short.
+		a.load = a.told[0]
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.others.digest, m.others.wantsUse(time.Now())
+	a.changes = m.lister
+	return a
+}
+
+// tailor makes of a notice the one for a control VM.
+func (m *Member) tailor(n Notice, vm string, to *addressees) Notice {
+	if len(to.told) > 0 && !slices.Contains(to.told, vm) {
+		n.Told = Told{}
+	}
+	n.WantChanges = n.WantChanges || vm == to.changes
+	n.WantEntrances = vm == to.entrances && m.local.LearnEntrances != nil
+	n.WantLoad = vm == to.load && (m.local.Learn != nil || m.local.LearnSpent != nil)
+	if n.WantLoad {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		n.RoutersHeld, n.WantUse = m.others.digest, m.others.wantsUse(time.Now())
+	}
+	return n
+}
+
+// noteList notes how old a control VM's list of backend servers is.
+func (m *Member) noteList(vm string, age time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listAges[vm] = age
+}
+
+// chooseLister has the control VM asked for changes of the list that had the youngest
+// one in this round: it reads the list itself, as a rule. Another one lags behind it by
+// an interval, and engines that restart would be used as much later.
+func (m *Member) chooseLister() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best := ""
+	for vm, age := range m.listAges {
+		if best == "" || age < m.listAges[best] {
+			best = vm
+		}
+	}
+	// Ages of one reading differ by the time that answers take.
+	if age, ok := m.listAges[m.lister]; !ok || age > m.listAges[best]+sameReading {
+		m.lister = best
+	}
+	clear(m.listAges)
 }
 
 // source is the control VM that answered last: one answer with the loads of all
@@ -252,6 +295,9 @@
 // grew on the way here: counted from before the question.
 func (m *Member) takeChanges(vm string, n *Notice, a *Answer, onTheWay time.Duration) {
 	age := time.Duration(a.AgeMS)*time.Millisecond + onTheWay
+	if a.Listed {
+		m.noteList(vm, age)
+	}
 	switch {
 	case !a.Listed:
 	case a.Changed != nil:
