--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -234,8 +234,7 @@
 	clear(m.listAges)
 }
 
-// source is the control VM that answered last: one answer with the loads of all
-// VMs is enough.
+// source is the control VM that answered last: the one to ask what all of them know.
 func (m *Member) source() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/cluster"
@@ -75,10 +74,8 @@
 	c.network.Handle(peer.KindRoutes, func(ctx context.Context, _ string, _ []byte) (any, error) { return c.Routes(ctx) })
 	c.members = &members{open: c.openMember}
 	c.gauges()
-	m := mux.NewRouter()
-	m.Handle(peer.Path, c.network)
 	var err error
-	if c.peers, err = listen(o.ID, m, o.Log); err != nil {
+	if c.peers, err = listenPeers(c.network, &o.Common); err != nil {
 		c.cancel()
 		return nil, err
 	}
--- a/internal/routed/observer.go
+++ b/internal/routed/observer.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/gorilla/mux"
-
 	"github.com/amaranthshelf/amaranthshelf/internal/cluster"
 	"github.com/amaranthshelf/amaranthshelf/internal/consensus"
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
@@ -44,10 +42,8 @@
 	consensus.ServeObserver(v.network, o.ID)
 	v.client = control.NewRemote(v.network, o.ID, v.observer.Controls)
 	o.Metrics.NewGauge("shelf_ready_routers", func() float64 { return float64(len(v.Entrances(maxRouters))) })
-	m := mux.NewRouter()
-	m.Handle(peer.Path, v.network)
 	var err error
-	if v.peers, err = listen(o.ID, m, o.Log); err != nil {
+	if v.peers, err = listenPeers(v.network, &o); err != nil {
 		v.cancel()
 		return nil, err
 	}
--- a/internal/routed/options.go
+++ b/internal/routed/options.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
@@ -102,6 +103,13 @@
 	return peer.NewNetwork(o.ID, o.Token, func(vm string) (string, bool) { return vm, vm != "" }, log)
 }
 
+// listenPeers serves the other VMs on this VM's peer address.
+func listenPeers(n *peer.Network, o *Common) (*http.Server, error) {
+	m := mux.NewRouter()
+	m.Handle(peer.Path, n)
+	return listen(o.ID, m, o.Log)
+}
+
 // Listen is listen for the adapter's own listeners.
 func Listen(addr string, h http.Handler, log zerolog.Logger) (*http.Server, error) {
 	return listen(addr, h, log)
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gorilla/mux"
-
 	"github.com/amaranthshelf/amaranthshelf/internal/cluster"
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
@@ -77,10 +75,8 @@
 }
 
 func (r *Router) serve() error {
-	m := mux.NewRouter()
-	m.Handle(peer.Path, r.network)
 	var err error
-	if r.peers, err = listen(r.o.ID, m, r.o.Log); err != nil {
+	if r.peers, err = listenPeers(r.network, &r.o.Common); err != nil {
 		return err
 	}
 	r.front, err = listenCallers(r.o.Callers, r.drain.wrap(r.handler), r.conns, r.o.Log)
