drain: a router that shuts down takes no stream that it cannot expect to finish

Change: where the VM has observed how long the service's runs take, a stream is taken only if one half as long again as the mean, or what its caller lacks of it, ends within the grace. It is refused as not run, and its caller goes elsewhere. Ruled out: no streams at all after SIGTERM, which refuses short ones for nothing. Result: two tests that fail without it.

--- a/internal/forward/bench_test.go
+++ b/internal/forward/bench_test.go
@@ -33,7 +33,7 @@
 	h := forward.NewHandler(forward.Options{
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table }, Prepared: closed(),
 		Allowance: forward.DefaultAllowance, Log: zerolog.Nop(), Ordinary: zerolog.Nop(), Metrics: metrics.NewSet(),
-		Blame: forward.NewBlameBook(), Closing: func() bool { return false }, TooLate: func(bool) bool { return false },
+		Blame: forward.NewBlameBook(), Closing: func() bool { return false }, TooLate: func(bool, time.Duration) bool { return false },
 	})
 	front := httptest.NewServer(h)
 	b.Cleanup(front.Close)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -80,8 +80,8 @@
 	// Spending is told of each second send, after the budget counted it; nil: nobody.
 	Spending func()
 	// TooLate reports that a request could not be finished any more, since this VM
-	// is shutting down.
-	TooLate func(stream bool) bool
+	// is shutting down. takes is how long it is expected to last; 0: not known.
+	TooLate func(stream bool, takes time.Duration) bool
 	// Closing reports that callers should go elsewhere with their next request.
 	Closing func() bool
 }
@@ -276,7 +276,7 @@
 	if route == nil {
 		return nil, result.New(result.NoRoute)
 	}
-	if h.o.TooLate(route.Kind == routes.Stream) {
+	if h.o.TooLate(route.Kind == routes.Stream, 0) {
 		return nil, result.New(result.ShuttingDown).WithRetryAfter(elsewhere)
 	}
 	caller, err := h.o.Wire.Caller(r.Header)
@@ -291,6 +291,9 @@
 		return q, err
 	}
 	q.service = table.Service(route.Draw())
+	if route.Kind == routes.Stream && h.o.TooLate(true, h.expected(q)) {
+		return q, result.New(result.ShuttingDown).WithRetryAfter(elsewhere)
+	}
 	q.rec = NewRecord(route.Repeatable(), route.MaxAttempts)
 	q.budget = h.budget(q.service.Name)
 	return q, h.read(w, r, q, bodyLimit(table))
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -101,7 +101,7 @@
 	a := scheduler.Stream{
 		ID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Need: st.need, KVTokens: st.kvTokens(),
 		Due: q.due(), Deadline: q.expires, Priority: q.priority,
-		Interrupted: st.seq.started, WantsCopy: st.mayCopy(), After: int(min(st.seq.last, math.MaxInt32)),
+		Interrupted: st.seq.started, WantsCopy: st.mayCopy(), After: events(st.seq.last),
 	}
 	for id := range st.skip {
 		a.Skip = append(a.Skip, id)
@@ -116,7 +116,20 @@
 // abandoned reports that this VM shuts down and could not finish the stream any more.
 // Kept until the process ends, its caller would lose it without an answer; one that no
 // engine has seen can still be served elsewhere.
-func (st *stream) abandoned() bool { return st.q.rec.arrivals == 0 && st.h.o.TooLate(true) }
+func (st *stream) abandoned() bool {
+	return st.q.rec.arrivals == 0 && st.h.o.TooLate(true, st.h.expected(st.q))
+}
+
+// longRun is how much longer than the mean a run may well take.
+const longRun = 1.5
+
+// expected is how long a stream lasts, if it is a long one of its service; 0: not known.
+func (h *Handler) expected(q *request) time.Duration {
+	return h.paces.of(q.service.Name).Lasts(q.Prompt, events(q.After), longRun)
+}
+
+// events is how many events a caller has by the id of its last one.
+func events(last uint64) int { return int(min(last, math.MaxInt32)) }
 
 // due is when the first event is due: by the end of the caller's time where the route
 // states no objective.
@@ -181,6 +194,12 @@
 	b.paces[service] = p
 }
 
+func (b *paceBook) of(service string) scheduler.Pace {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.paces[service]
+}
+
 func (b *paceBook) all() map[string]scheduler.Pace {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/forward/place_test.go
+++ b/internal/forward/place_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -165,3 +166,30 @@
 		})
 	}
 }
+
+// A caller gets half of an answer from a router that shuts down. In order: the router
+// has carried a stream of four seconds; its shutdown begins, with three seconds left; a
+// caller sends the same again, and one who has nearly all of it comes for the rest. The
+// first is refused as not run and served elsewhere, the second is served.
+func TestShutdownTakesWhatItCanFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a"), engine("b"))
+		defer w.end()
+		first := w.send(http.MethodPost, "/s/x", "q1", "unit 12")
+		<-first.done
+		if first.status != http.StatusOK {
+			t.Fatalf("status %d", first.status)
+		}
+		w.grace = 3 * time.Second
+		late := w.send(http.MethodPost, "/s/x", "q2", "unit 13")
+		<-late.done
+		if late.status != http.StatusServiceUnavailable || late.header.Get("Retry-After") == "" || w.totalRuns("q2") != 0 {
+			t.Errorf("status %d, retry after %q, %d runs", late.status, late.header.Get("Retry-After"), w.totalRuns("q2"))
+		}
+		rest := w.send(http.MethodPost, "/s/x", "q3", "unit 14", forward.HeaderLastEvent, "90")
+		<-rest.done
+		if rest.status != http.StatusOK {
+			t.Errorf("status %d for the rest of a stream", rest.status)
+		}
+	})
+}
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -34,8 +34,11 @@
 	left    map[uint64]forward.Copy // what another router has told
 	placer  forward.Placer          // nil: the router decides for itself
 	closing bool                    // the router is shutting down
+	grace   time.Duration           // left of its shutdown's; 0: none goes on
 }
 
+func (w *world) late(_ bool, takes time.Duration) bool { return w.grace > 0 && takes > w.grace }
+
 func (w *world) find(_ context.Context, identity uint64) (forward.Left, bool) {
 	c, ok := w.left[identity]
 	return forward.Left{Copy: c}, ok
@@ -96,7 +99,7 @@
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: w.pool, Fleet: w.fleet,
 		Routes: w.table.Load, Prepared: ready, Allowance: forward.Allowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
 		Log: w.log, Ordinary: w.log, Metrics: metrics.NewSet(), Blame: forward.NewBlameBook(), Closing: func() bool { return w.closing },
-		TooLate: func(bool) bool { return false }, Find: w.find, Placer: w.placer,
+		TooLate: w.late, Find: w.find, Placer: w.placer,
 	})
 }
 
--- a/internal/routed/drain.go
+++ b/internal/routed/drain.go
@@ -8,8 +8,9 @@
 
 // Figures of a planned end, of a process that is killed when its grace is over.
 const (
-	// streamShare of the grace is for new streams: callers keep entry answers for
-	// some seconds, and what cannot be finished goes on elsewhere from its copy.
+	// streamShare of the grace is for new streams of which it is not known how long they
+	// last: callers keep entry answers for some seconds. One that is cut goes on elsewhere
+	// from its copy, if its caller comes back; one that is refused runs there whole.
 	streamShare = 0.3
 	// callShare is the same for calls, which last a second at most.
 	callShare = 0.7
@@ -45,15 +46,20 @@
 	return !d.begun.IsZero()
 }
 
-// tooLate reports whether a request that comes now could not be finished.
-func (d *drain) tooLate(stream bool) bool {
+// tooLate reports whether a request that comes now could not be finished. takes is how
+// long it is expected to last; 0: not known.
+func (d *drain) tooLate(stream bool, takes time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.begun.IsZero() {
+		return false
+	}
 	share := callShare
 	if stream {
 		share = streamShare
 	}
-	return !d.begun.IsZero() && time.Since(d.begun) > time.Duration(share*float64(d.times.Grace))
+	elapsed := time.Since(d.begun)
+	return elapsed > time.Duration(share*float64(d.times.Grace)) || elapsed+takes > d.times.Grace-endMargin
 }
 
 func (d *drain) enter() {
--- a/internal/routed/drain_test.go
+++ b/internal/routed/drain_test.go
@@ -73,7 +73,7 @@
 		d := newDrain(testGrace)
 		go ask(d.wrap(slow(time.Minute)))
 		time.Sleep(time.Second)
-		if d.tooLate(true) {
+		if d.tooLate(true, time.Hour) {
 			t.Error("too late before the end began")
 		}
 		d.start()
@@ -83,8 +83,8 @@
 			stream, call bool
 		}{{time.Second, false, false}, {2900 * time.Millisecond, true, false}, {6 * time.Second, true, true}} {
 			time.Sleep(tt.at - time.Since(began))
-			if d.tooLate(true) != tt.stream || d.tooLate(false) != tt.call {
-				t.Errorf("after %v: stream too late %t, call too late %t", tt.at, d.tooLate(true), d.tooLate(false))
+			if d.tooLate(true, 0) != tt.stream || d.tooLate(false, 0) != tt.call {
+				t.Errorf("after %v: stream too late %t, call too late %t", tt.at, d.tooLate(true, 0), d.tooLate(false, 0))
 			}
 		}
 		d.wait()
@@ -94,3 +94,21 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// A caller gets half of an answer. In order: a router begins to shut down; a caller
+// whose entry answer still names it sends a long stream at once; the grace is over
+// before its last event. It is refused, and runs whole elsewhere; a short one is taken.
+func TestDrainTakesWhatItCanFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrain(testGrace)
+		d.start()
+		time.Sleep(time.Second)
+		left := testGrace.Grace - time.Second - endMargin
+		if d.tooLate(true, left) {
+			t.Error("a stream that can be finished is refused")
+		}
+		if !d.tooLate(true, left+time.Millisecond) {
+			t.Error("a stream is taken that cannot be finished")
+		}
+	})
+}
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -56,6 +56,15 @@
 	return time.Duration(tokens) * per
 }
 
+// Lasts is how long a stream takes whose run is so many times as long as the mean, and
+// whose caller has some events; 0: not known.
+func (p Pace) Lasts(prompt, after int, times float64) time.Duration {
+	if p.Run <= 0 {
+		return 0
+	}
+	return p.reading(prompt) + time.Duration(times*p.rest(after)*float64(p.Run))
+}
+
 // rest is the share of a run that is still to be made where its caller has some events.
 func (p Pace) rest(after int) float64 {
 	if after == 0 || p.Events <= 0 {
