--- a/internal/cluster/schedule.go
+++ b/internal/cluster/schedule.go
@@ -119,11 +119,12 @@
 	c.s.Told(from, scheduler.Report{Use: t.Use, Taken: t.Taken, Avoid: t.Avoid, Doubt: t.Doubt, Alive: t.Alive, Paces: t.Paces}, time.Now())
 }
 
-// short names the services that have no memory for copies.
-func (c *schedule) short() []string {
+// outlook names the services that have no memory for copies, and what is known of the
+// pace of all.
+func (c *schedule) outlook() (short []string, paces map[string]scheduler.Pace) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.s.Short(time.Now())
+	return c.s.Short(time.Now()), c.s.Paces()
 }
 
 // forget drops a router that is silent.
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 )
 
 // The load pattern. Hundreds of VMs ask one control VM, some times a second each, what
@@ -47,6 +48,9 @@
 	Dead   []string         `cbor:"3,keyasint,omitempty"` // judged dead lately
 	// Short names the services whose memory is needed for prompts.
 	Short []string `cbor:"4,keyasint,omitempty"`
+	// Paces of the services' engines: a VM that has just started, or carries few streams,
+	// has observed none.
+	Paces map[string]scheduler.Pace `cbor:"6,keyasint,omitempty"`
 	// RoutersDigest is of the names of all VMs that take callers.
 	RoutersDigest uint64 `cbor:"5,keyasint,omitempty"`
 }
@@ -79,20 +83,21 @@
 	if s != nil && time.Since(s.made) < summaryFor {
 		return s, nil
 	}
-	short := h.schedule.short()
+	told := Summary{}
+	told.Short, told.Paces = h.schedule.outlook()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s, err := h.sum(short, time.Now())
+	s, err := h.sum(&told, time.Now())
 	if err == nil {
 		h.summed = s
 	}
 	return s, err
 }
 
-// sum needs h.mu.
-func (h *Hub) sum(short []string, now time.Time) (*summary, error) {
+// sum adds to a Summary what VMs told, and encodes it. It needs h.mu.
+func (h *Hub) sum(told *Summary, now time.Time) (*summary, error) {
 	s := &summary{made: now, parts: map[string]map[string]placement.Use{}}
-	told := Summary{Deaths: h.recentDeaths(now), Short: short}
+	told.Deaths = h.recentDeaths(now)
 	use := map[string]placement.Use{}
 	var ready []seen
 	for vm, v := range h.vms {
@@ -120,7 +125,7 @@
 	told.Calls = takeCalls(use)
 	var errUse, err error
 	s.use, errUse = codec.Marshal(use)
-	s.encoded, err = codec.Marshal(&told)
+	s.encoded, err = codec.Marshal(told)
 	return s, errors.Join(err, errUse)
 }
 
--- a/internal/cluster/traffic_test.go
+++ b/internal/cluster/traffic_test.go
@@ -1,6 +1,11 @@
 package cluster
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
+)
 
 // controlBytes is what a VM may spend on control, in bytes a second.
 const controlBytes = 11_000
@@ -62,3 +67,20 @@
 		t.Errorf("known after that: %+v, %v", k, err)
 	}
 }
+
+// A router that has carried no stream so far shuts down, and must know how long streams
+// take. It hears what all others observed.
+func TestPacesAreToldToAll(t *testing.T) {
+	f := newFullHub(t, 3, 4)
+	pace := scheduler.Pace{PerToken: 125 * time.Microsecond, Run: 5 * time.Second, Events: 140}
+	f.hub.schedule.told(f.routers[0], &Told{Life: 1, Turn: 99, Paces: map[string]scheduler.Pace{"models": pace}})
+	f.hub.mu.Lock()
+	f.hub.summed = nil
+	f.hub.mu.Unlock()
+	var o others
+	a, _ := f.serve(t, 1, f.notice(t, 1, false, 0))
+	k, err := o.learn(&a, nil, time.Now())
+	if err != nil || k.Paces["models"] != pace {
+		t.Errorf("heard of %+v, %v", k.Paces, err)
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -130,6 +130,9 @@
 	}
 }
 
+// SetPaces takes what all VMs observed of each service's engines.
+func (h *Handler) SetPaces(paces map[string]scheduler.Pace) { h.paces.learn(paces) }
+
 // SetShort names the services whose memory is needed for prompts: no copies are made.
 func (h *Handler) SetShort(services []string) {
 	h.mu.Lock()
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -158,7 +158,8 @@
 // paceBook is what this VM observes of each service's engines. Safe for concurrent use.
 type paceBook struct {
 	mu    sync.Mutex
-	paces map[string]scheduler.Pace
+	paces map[string]scheduler.Pace // of this VM
+	told  map[string]scheduler.Pace // of all VMs
 }
 
 // paceShare is the weight of the newest observation: some ten runs make the mean.
@@ -194,9 +195,19 @@
 	b.paces[service] = p
 }
 
+func (b *paceBook) learn(told map[string]scheduler.Pace) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.told = told
+}
+
+// of is what all VMs observed, or this one where it was told of nothing yet.
 func (b *paceBook) of(service string) scheduler.Pace {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if p := b.told[service]; p.Run > 0 {
+		return p
+	}
 	return b.paces[service]
 }
 
--- a/internal/forward/place_test.go
+++ b/internal/forward/place_test.go
@@ -193,3 +193,19 @@
 		}
 	})
 }
+
+// The same for a router that has carried no stream yet, and goes by what all others
+// observed.
+func TestShutdownGoesByWhatOthersObserved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a"))
+		defer w.end()
+		w.grace = 3 * time.Second
+		w.handler.SetPaces(map[string]scheduler.Pace{"models": {PerToken: 125 * time.Microsecond, Run: 3 * time.Second, Events: 100}})
+		late := w.send(http.MethodPost, "/s/x", "q1", "unit 12")
+		<-late.done
+		if late.status != http.StatusServiceUnavailable || w.totalRuns("q1") != 0 {
+			t.Errorf("status %d, %d runs", late.status, w.totalRuns("q1"))
+		}
+	})
+}
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -141,6 +141,7 @@
 	r.blame.Learn(k.Deaths)
 	r.handler.SetVMs(len(k.Routers))
 	r.handler.SetShort(k.Short)
+	r.handler.SetPaces(k.Paces)
 	r.fleet.SetRouters(r.o.ID, k.Routers)
 }
 
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -28,6 +28,17 @@
 	mostCounted = 4096
 )
 
+// Paces are what all VMs together observed of each service's engines.
+func (s *Scheduler) Paces() map[string]Pace {
+	out := make(map[string]Pace, len(s.services))
+	for name, v := range s.services {
+		if v.pace != (Pace{}) {
+			out[name] = v.pace
+		}
+	}
+	return out
+}
+
 // learn takes one VM's observation into the mean.
 func (p *Pace) learn(o Pace) {
 	p.PerToken = Smooth(p.PerToken, o.PerToken, paceWeight)
