review: what a VM does about the list of backend servers stands in one file

Cause: read as a newcomer would: member.go held the notices and the list; 'lister' and 'tailor' told nothing; the package comment said what is no longer so. Change: moved and renamed, no behaviour; comments.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -3,9 +3,10 @@
 // old; everything else it learns from the control VMs that answer.
 //
 // Each VM sends a small notice to every control VM some times a second: that it
-// is there, whether it takes callers, and what it has running on each backend
-// server. The answer brings the control VMs known there, the list of backend
-// servers where it is newer, and what the other VMs have running.
+// is there, whether it takes callers, and, for the control VM that decides about engines
+// and the next one, what it has running on each backend server. The answer brings the
+// control VMs known there. One of them is asked for what has changed in the list of
+// backend servers, and the one that decides for what the other VMs do.
 //
 // Safeguards. A VM is in the directory only while its notices come, so that one
 // that died, froze or was cut off leaves it within a second and no message is
--- a/internal/cluster/fetch.go
+++ b/internal/cluster/fetch.go
@@ -136,3 +136,57 @@
 	}
 	return nil
 }
+
+// noteList notes how old a control VM's list of backend servers is.
+func (m *Member) noteList(vm string, age time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listAges[vm] = age
+}
+
+// chooseListSource has the control VM asked for changes of the list that had the youngest
+// one in this round: it reads the list itself, as a rule. Another one lags behind it by
+// an interval, and engines that restart would be used as much later.
+func (m *Member) chooseListSource() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best := ""
+	for vm, age := range m.listAges {
+		if best == "" || age < m.listAges[best] {
+			best = vm
+		}
+	}
+	// Ages of one reading differ by the time that answers take.
+	if age, ok := m.listAges[m.listSource]; !ok || age > m.listAges[best]+sameReading {
+		m.listSource = best
+	}
+	clear(m.listAges)
+}
+
+// takeChanges takes what an answer says of the list of backend servers. The list's age
+// grew on the way here: counted from before the question.
+func (m *Member) takeChanges(vm string, n *Notice, a *Answer, onTheWay time.Duration) {
+	age := time.Duration(a.AgeMS)*time.Millisecond + onTheWay
+	if a.Listed {
+		m.noteList(vm, age)
+	}
+	switch {
+	case !a.Listed:
+	case a.Changed != nil:
+		m.patch(vm, a, age)
+	case a.Digest == n.Held:
+		m.held.Confirm(a.Digest, age)
+	case n.Held == 0 || n.WantChanges && a.AgeMS < n.HeldAge:
+		m.wantList(vm, a.Digest)
+	}
+}
+
+// patch takes what has changed in the list. Where that does not lead to the control
+// VM's list, all of it is fetched.
+func (m *Member) patch(vm string, a *Answer, age time.Duration) {
+	if m.held.Patch(*a.Changed, a.Digest, age) {
+		return
+	}
+	m.log.Error().Str("control", vm).Int("rows", len(a.Changed.Rows)).Int("gone", len(a.Changed.Gone)).Msg("changes do not lead to the list")
+	m.wantList(vm, a.Digest)
+}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -52,22 +52,22 @@
 	held  *Held
 	log   zerolog.Logger
 
-	mu        sync.Mutex
-	seeds     []string
-	learnt    map[string]time.Time // control VMs, when they were last named
-	observers map[string]time.Time // when they last said that they are
-	answered  map[string]time.Time
-	silent    map[string]bool // told once in the log
-	wanted    wanted
-	lister    string                   // is asked for changes of the list
-	listAges  map[string]time.Duration // in the answers of this round, by control VM
-	lists     signal                   // a list is to be fetched
-	others    others
-	nudged    signal
-	life      uint64        // of this process
-	turn      atomic.Uint64 // of what is told of its spending
-	spending  signal        // something is to be told
-	placing   *placing
+	mu         sync.Mutex
+	seeds      []string
+	learnt     map[string]time.Time // control VMs, when they were last named
+	observers  map[string]time.Time // when they last said that they are
+	answered   map[string]time.Time
+	silent     map[string]bool // told once in the log
+	wanted     wanted
+	listSource string                   // is asked for changes of the list
+	listAges   map[string]time.Duration // in the answers of this round, by control VM
+	lists      signal                   // a list is to be fetched
+	others     others
+	nudged     signal
+	life       uint64        // of this process
+	turn       atomic.Uint64 // of what is told of its spending
+	spending   signal        // something is to be told
+	placing    *placing
 }
 
 // NewMember returns a Member that knows the seeds, VM ids of control VMs.
@@ -164,11 +164,11 @@
 	n, to := m.notice(deaths), m.addressees()
 	for _, vm := range m.Controls() {
 		if vm != m.self {
-			wg.Go(func() { m.exchange(ctx, vm, m.tailor(n, vm, &to)) })
+			wg.Go(func() { m.exchange(ctx, vm, m.noticeFor(n, vm, &to)) })
 		}
 	}
 	wg.Wait()
-	m.chooseLister()
+	m.chooseListSource()
 }
 
 // addressees are the control VMs that are asked and told more than the others.
@@ -188,12 +188,12 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	a.changes = m.lister
+	a.changes = m.listSource
 	return a
 }
 
-// tailor makes of a notice the one for a control VM.
-func (m *Member) tailor(n Notice, vm string, to *addressees) Notice {
+// noticeFor is what one control VM gets of a notice.
+func (m *Member) noticeFor(n Notice, vm string, to *addressees) Notice {
 	if len(to.told) > 0 && !slices.Contains(to.told, vm) {
 		n.Told = Told{}
 	}
@@ -208,32 +208,6 @@
 	return n
 }
 
-// noteList notes how old a control VM's list of backend servers is.
-func (m *Member) noteList(vm string, age time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.listAges[vm] = age
-}
-
-// chooseLister has the control VM asked for changes of the list that had the youngest
-// one in this round: it reads the list itself, as a rule. Another one lags behind it by
-// an interval, and engines that restart would be used as much later.
-func (m *Member) chooseLister() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	best := ""
-	for vm, age := range m.listAges {
-		if best == "" || age < m.listAges[best] {
-			best = vm
-		}
-	}
-	// Ages of one reading differ by the time that answers take.
-	if age, ok := m.listAges[m.lister]; !ok || age > m.listAges[best]+sameReading {
-		m.lister = best
-	}
-	clear(m.listAges)
-}
-
 // source is the control VM that answered last: the one to ask what all of them know.
 func (m *Member) source() string {
 	m.mu.Lock()
@@ -290,24 +264,6 @@
 	m.learnAll(vm, &a, n.Dead)
 }
 
-// takeChanges takes what an answer says of the list of backend servers. The list's age
-// grew on the way here: counted from before the question.
-func (m *Member) takeChanges(vm string, n *Notice, a *Answer, onTheWay time.Duration) {
-	age := time.Duration(a.AgeMS)*time.Millisecond + onTheWay
-	if a.Listed {
-		m.noteList(vm, age)
-	}
-	switch {
-	case !a.Listed:
-	case a.Changed != nil:
-		m.patch(vm, a, age)
-	case a.Digest == n.Held:
-		m.held.Confirm(a.Digest, age)
-	case n.Held == 0 || n.WantChanges && a.AgeMS < n.HeldAge:
-		m.wantList(vm, a.Digest)
-	}
-}
-
 // learnAll takes what all VMs told.
 func (m *Member) learnAll(vm string, a *Answer, dead []string) {
 	m.mu.Lock()
@@ -323,16 +279,6 @@
 	}
 }
 
-// patch takes what has changed in the list. Where that does not lead to the control
-// VM's list, all of it is fetched.
-func (m *Member) patch(vm string, a *Answer, age time.Duration) {
-	if m.held.Patch(*a.Changed, a.Digest, age) {
-		return
-	}
-	m.log.Error().Str("control", vm).Int("rows", len(a.Changed.Rows)).Int("gone", len(a.Changed.Gone)).Msg("changes do not lead to the list")
-	m.wantList(vm, a.Digest)
-}
-
 // Find asks a control VM for what a stream left that another VM carried.
 func (m *Member) Find(ctx context.Context, identity uint64) (forward.Left, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
--- a/internal/control/race.go
+++ b/internal/control/race.go
@@ -17,8 +17,8 @@
 // after the change was acknowledged.
 //
 // So a voter that is late is not waited for: the next one is asked beside it, at once
-// for a confirmed answer, and the first answer counts. Being one hold and some tenths
-// of a second behind is the worst, however many voters are lost.
+// for a confirmed answer, and the first answer counts. At worst the VM is one hold and
+// some tenths of a second behind, however many voters are lost.
 
 const (
 	// lateAfter is how much longer than its hold a voter may take.
--- a/internal/recovery/outage_test.go
+++ b/internal/recovery/outage_test.go
@@ -25,8 +25,13 @@
 		{"two of twelve", 12, []death{{"b", "1", 0, false}, {"b", "2", 10 * time.Millisecond, true}}},
 		{"some of thirty", 30, []death{{"b", "1", 0, false}, {"b", "2", 0, false}, {"b", "3", 0, false}, {"b", "4", 0, false}, {"b", "5", 900 * time.Millisecond, false}}},
 		{"seven of thirty", 30, []death{
-			{"b", "1", 0, false}, {"b", "2", 0, false}, {"b", "3", 0, false}, {"b", "4", 0, false},
-			{"b", "5", 0, false}, {"b", "6", 0, false}, {"b", "7", 500 * time.Millisecond, true},
+			{"b", "1", 0, false},
+			{"b", "2", 0, false},
+			{"b", "3", 0, false},
+			{"b", "4", 0, false},
+			{"b", "5", 0, false},
+			{"b", "6", 0, false},
+			{"b", "7", 500 * time.Millisecond, true},
 		}},
 	}
 	for _, tt := range tests {
