control: a race of polls starts without a timer of zero; tests of traffic on a clock that stands still

TestSummaryTraffic took real time: beside load its notices grew older than a VM is present, and 188 of 330 routers were known. Change: the first voter is asked at once, the timer is for the next; the tests run in bubbles.

--- a/internal/cluster/traffic_test.go
+++ b/internal/cluster/traffic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
@@ -13,7 +14,9 @@
 // Hundreds of routers ask for what the others do, on links of 10 Mbit/s, while a zone
 // is lost and every router doubts its engines. Counted are a second of answers of the
 // control VM that decides, with the use of engines as often as a router wants it.
-func TestSummaryTraffic(t *testing.T) {
+func TestSummaryTraffic(t *testing.T) { synctest.Test(t, testSummaryTraffic) }
+
+func testSummaryTraffic(t *testing.T) {
 	for _, size := range []struct{ routers, engines int }{{9, 36}, {67, 178}, {200, 163}, {330, 710}} {
 		f := newFullHub(t, size.routers, size.engines)
 		var o others
@@ -41,7 +44,9 @@
 // A router goes by the others' use alone. In order: it hears of all, itself included;
 // its own part is taken off, of streams and of calls; a server without a call left is
 // not in what it hears next; names of routers come again only when they change.
-func TestOwnPartIsTakenOff(t *testing.T) {
+func TestOwnPartIsTakenOff(t *testing.T) { synctest.Test(t, testOwnPartIsTakenOff) }
+
+func testOwnPartIsTakenOff(t *testing.T) {
 	f := newFullHub(t, 3, 4)
 	var o others
 	now := f.hub.summed.made
@@ -70,7 +75,9 @@
 
 // A router that has carried no stream so far shuts down, and must know how long streams
 // take. It hears what all others observed.
-func TestPacesAreToldToAll(t *testing.T) {
+func TestPacesAreToldToAll(t *testing.T) { synctest.Test(t, testPacesAreToldToAll) }
+
+func testPacesAreToldToAll(t *testing.T) {
 	f := newFullHub(t, 3, 4)
 	pace := scheduler.Pace{PerToken: 125 * time.Microsecond, Run: 5 * time.Second, Events: 140}
 	f.hub.schedule.told(f.routers[0], &Told{Life: 1, Turn: 99, Paces: map[string]scheduler.Pace{"models": pace}})
--- a/internal/control/race.go
+++ b/internal/control/race.go
@@ -53,18 +53,24 @@
 	answers := make(chan answered, len(order))
 	pending, next := 0, 0
 	needLease := f.needsLease()
-	wait := time.NewTimer(0)
+	// ask polls one more voter and returns how long that one stands alone.
+	ask := func() time.Duration {
+		voter, urgent := order[next], needLease || next > 0
+		go func() { answers <- f.poll(ctx, voter, urgent) }()
+		pending, next = pending+1, next+1
+		return f.patience(urgent)
+	}
+	if len(order) == 0 {
+		return "", false
+	}
+	wait := time.NewTimer(ask())
 	defer wait.Stop()
 	for f.ctx.Err() == nil && (pending > 0 || next < len(order)) {
 		select {
 		case <-wait.C:
-			if next == len(order) {
-				continue // those asked have until the end of ctx
+			if next < len(order) { // else those asked have until the end of ctx
+				wait.Reset(ask())
 			}
-			voter, urgent := order[next], needLease || next > 0
-			go func() { answers <- f.poll(ctx, voter, urgent) }()
-			pending, next = pending+1, next+1
-			wait.Reset(f.patience(urgent))
 		case a := <-answers:
 			pending--
 			if a.err == nil {
