control, consensus, peer: what a poll's answer weighs, why a leader ends, which command is proposed

Change: 'change received' with part, version, voter, bytes, time and polls asked; answers that nobody waits for any more, counted by kind; 'role in the control group'; a leader that resigns says who answered; a command over 64 KB is logged with a hash of its content. No decision changes.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -56,6 +56,7 @@
 	next    uint64 // next entry to send
 	waiting bool   // an append is under way; one at a time
 	waited  int    // heartbeats since
+	sent    int    // bytes of its entries
 	sending bool   // a snapshot is under way
 	active  bool   // heard from since the last quorum check
 	silent  int    // quorum checks in a row without a word
@@ -91,6 +92,16 @@
 	snapshots []MemberID
 	installed *SnapshotMeta
 	saved     HardState // as last handed to the disk
+	resigned  *Resignation
+}
+
+// Resignation describes a leader that gave its office up because no majority had
+// answered for an election timeout.
+type Resignation struct {
+	Term             uint64
+	Answered, Quorum int // voters, this member included
+	UncommittedBytes int // of proposals that waited for a majority
+	SentBytes        int // of the appends that were not answered yet
 }
 
 // NewCore returns a follower with the state of its disk.
@@ -178,6 +189,9 @@
 			active++
 		}
 	}
+	if active < config.Quorum() {
+		c.resigned = c.resignation(active, config.Quorum())
+	}
 	for _, p := range c.progress {
 		p.silent++
 		if p.active {
@@ -190,6 +204,23 @@
 	}
 }
 
+func (c *Core) resignation(answered, quorum int) *Resignation {
+	r := &Resignation{Term: c.term, Answered: answered, Quorum: quorum, UncommittedBytes: c.uncommittedBytes}
+	for _, p := range c.progress {
+		if p.waiting {
+			r.SentBytes += p.sent
+		}
+	}
+	return r
+}
+
+// TakeResignation returns the last resignation, once; nil: there was none.
+func (c *Core) TakeResignation() *Resignation {
+	r := c.resigned
+	c.resigned = nil
+	return r
+}
+
 func (c *Core) heartbeat() {
 	c.beat = 0
 	c.wantBeat = true
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -267,10 +267,30 @@
 	if len(n.waiting)+len(n.reads) > 0 && (!n.core.IsLeader() || n.core.term != n.ledTerm) {
 		n.failWaiting(ErrOutcomeUnknown)
 	}
+	n.logResignation()
+	n.logRole()
 	n.publish()
 	return nil
 }
 
+// logRole logs the change of this member's role since it was published last.
+func (n *Node) logRole() {
+	before, now := n.status.Load(), n.core.Status()
+	if before.Role == now.Role {
+		return
+	}
+	n.o.Log.Info().Str("role", now.Role.String()).Str("before", before.Role.String()).Uint64("term", now.Term).
+		Str("leader_before", before.Leader.VM()).Uint64("last", now.Last).Uint64("commit", now.Commit).Msg("role in the control group")
+}
+
+func (n *Node) logResignation() {
+	if r := n.core.TakeResignation(); r != nil {
+		n.o.Log.Warn().Uint64("term", r.Term).Int("answered", r.Answered).Int("quorum", r.Quorum).
+			Int("uncommitted_bytes", r.UncommittedBytes).Int("sent_bytes", r.SentBytes).
+			Msg("leader without answers from a majority resigns")
+	}
+}
+
 func (n *Node) save(rd Ready) error {
 	switch {
 	case rd.Snapshot != nil:
--- a/internal/consensus/raftlog.go
+++ b/internal/consensus/raftlog.go
@@ -110,6 +110,14 @@
 // entryOverhead is what an entry takes beside its data, in bytes, about.
 const entryOverhead = 24
 
+func entryBytes(entries []Entry) int {
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data) + entryOverhead
+	}
+	return size
+}
+
 // compact drops the entries up to index, which a snapshot holds. The rest is
 // copied, so that the dropped ones are freed.
 func (l *raftLog) compact(index uint64) {
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -72,6 +72,7 @@
 	}
 	p.waiting, p.waited = true, 0
 	entries := c.log.slice(p.next, c.log.last(), maxBatchBytes)
+	p.sent = entryBytes(entries)
 	p.told = min(c.commit, before+uint64(len(entries)))
 	c.send(Message{Kind: AppendRequest, To: id, Index: before, LogTerm: term, Commit: c.commit, Entries: entries})
 }
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -54,6 +54,7 @@
 	until     time.Time // end of the lease, on both clocks
 	polls     uint64
 	failures  uint64
+	bytes     uint64 // of changes taken
 }
 
 // NewFeed returns a Feed; callbacks are registered before Start.
@@ -125,6 +126,7 @@
 type FeedStats struct {
 	Polls    uint64            `json:"polls"`
 	Failures uint64            `json:"failures"`
+	Bytes    uint64            `json:"bytes"`    // of changes taken
 	LeaseMS  int64             `json:"lease_ms"` // left of the freshness lease; negative: lapsed
 	Versions map[PartID]uint64 `json:"versions"`
 }
@@ -134,7 +136,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return FeedStats{
-		Polls: f.polls, Failures: f.failures, LeaseMS: time.Until(f.until).Milliseconds(), Versions: maps.Clone(f.versions),
+		Polls: f.polls, Failures: f.failures, Bytes: f.bytes, LeaseMS: time.Until(f.until).Milliseconds(), Versions: maps.Clone(f.versions),
 	}
 }
 
@@ -168,6 +170,9 @@
 	}
 	f.group = a.reply.Group
 	for _, c := range a.reply.Changes {
+		f.o.Log.Info().Uint8("part", uint8(c.Part)).Uint64("version", c.Version).Str("voter", a.voter).
+			Int("bytes", len(c.Data)).Dur("took", time.Since(a.sent)).Int("asked", a.asked).
+			Bool("confirmed", a.reply.Confirmed).Msg("change received")
 		f.apply(c)
 	}
 	if a.reply.Confirmed {
@@ -192,6 +197,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.versions[c.Part] = c.Version
+	f.bytes += uint64(len(c.Data))
 	close(f.moved)
 	f.moved = make(chan struct{})
 }
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
@@ -198,6 +199,7 @@
 	if len(entry) > maxCommandBytes {
 		return reply{Status: statusRefused, Error: "control: command too large"}
 	}
+	g.logLarge(q, len(entry))
 	out, err := g.node.Propose(ctx, entry)
 	switch {
 	case err == nil:
@@ -212,6 +214,19 @@
 	return reply{Status: statusUnknown}
 }
 
+// largeCommandBytes: a command of this size is rare, and slow enough to be looked for.
+const largeCommandBytes = 64 << 10
+
+// logLarge names a large command by its content, so that one that is proposed again
+// under another id shows.
+func (g *Group) logLarge(q request, size int) {
+	if size < largeCommandBytes {
+		return
+	}
+	g.o.Log.Info().Uint8("part", uint8(q.Part)).Str("id", q.ID).Int("bytes", size).
+		Uint64("content", xxhash.Sum64(q.Body)).Msg("large command proposed")
+}
+
 // read confirms that this VM leads, and tells what a reader must hold.
 func (g *Group) read(ctx context.Context) reply {
 	index, err := g.node.ReadIndex(ctx, true)
--- a/internal/control/race.go
+++ b/internal/control/race.go
@@ -37,6 +37,7 @@
 	sent  time.Time
 	reply pollReply
 	err   error
+	asked int // polls of the same race, this one included
 }
 
 // startingWith rotates an order of voters to one of them, if it is there.
@@ -73,6 +74,7 @@
 			}
 		case a := <-answers:
 			pending--
+			a.asked = next
 			if a.err == nil {
 				a.err = f.take(a)
 			}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -258,9 +258,11 @@
 		ch := c.waiting[f.Call]
 		delete(c.waiting, f.Call)
 		c.mu.Unlock()
-		if ch != nil {
-			ch <- f
+		if ch == nil {
+			c.net.unclaimed.note(f.Kind, len(f.Body))
+			return
 		}
+		ch <- f
 		return
 	}
 	select {
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -50,9 +50,11 @@
 	failedAt map[string]time.Time
 	handlers map[Kind]Handler
 	closed   bool
-	all      map[*conn]struct{}
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// unclaimed are answers that came after their calls had ended.
+	unclaimed unclaimed
+	all       map[*conn]struct{}
+	ctx       context.Context
+	cancel    context.CancelFunc
 }
 
 type dial struct {
