--- a/internal/control/fabric_test.go
+++ b/internal/control/fabric_test.go
@@ -20,15 +20,45 @@
 	bytes    map[string]int
 	messages map[string]int
 	flying   sync.WaitGroup
+	// rate is what a VM's link carries each way, in bytes a second; 0: no limit.
+	rate     map[string]float64
+	sent     map[string]time.Time // when the VM's link has sent all that it was given
+	received map[string]time.Time
 }
 
 func newFabric() *fabric {
 	return &fabric{
 		handlers: map[string]map[peer.Kind]peer.Handler{}, cut: map[[2]string]bool{},
 		bytes: map[string]int{}, messages: map[string]int{},
+		rate: map[string]float64{}, sent: map[string]time.Time{}, received: map[string]time.Time{},
 	}
 }
 
+// carry waits until a message has gone over both VMs' links, behind all that they were
+// given before.
+func (f *fabric) carry(from, to string, size int) {
+	f.mu.Lock()
+	now := time.Now()
+	at := now
+	if from != to {
+		at = f.occupy(f.sent, from, at, size)
+		at = f.occupy(f.received, to, at, size)
+	}
+	f.mu.Unlock()
+	<-time.After(at.Sub(now) + linkDelay)
+}
+
+func (f *fabric) occupy(until map[string]time.Time, vm string, from time.Time, size int) time.Time {
+	if f.rate[vm] == 0 {
+		return from
+	}
+	if until[vm].After(from) {
+		from = until[vm]
+	}
+	until[vm] = from.Add(time.Duration(float64(size+frameOverhead) / f.rate[vm] * float64(time.Second)))
+	return until[vm]
+}
+
 type port struct {
 	f  *fabric
 	vm string
@@ -82,12 +112,12 @@
 	done := make(chan error, 1)
 	var out []byte
 	p.f.flying.Go(func() {
-		<-time.After(linkDelay)
+		p.f.carry(p.vm, vm, len(data))
 		v, err := h(context.WithoutCancel(ctx), p.vm, data)
 		if err == nil {
 			out, err = codec.Marshal(v)
 		}
-		<-time.After(linkDelay)
+		p.f.carry(vm, p.vm, len(out))
 		_, back, _ := p.f.route(vm, p.vm, kind, len(out))
 		p.f.mu.Lock()
 		back = (back || p.f.handlers[p.vm][kind] == nil) && !p.f.cut[[2]string{vm, p.vm}]
@@ -121,7 +151,7 @@
 		return err
 	}
 	p.f.flying.Go(func() {
-		<-time.After(linkDelay)
+		p.f.carry(p.vm, vm, len(data))
 		_, _ = h(context.Background(), p.vm, data)
 	})
 	return nil
--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -158,7 +158,7 @@
 	defer cancel()
 	n, err := Propose[int](ctx, c.vms[from].client, PartPlans, item)
 	if err != nil {
-		c.t.Fatalf("propose %s from %s: %v", item, from, err)
+		c.t.Fatalf("propose %.40s from %s: %v", item, from, err)
 	}
 	return n
 }
