consensus: a large command stands in the log as pieces

Callers saw routes refused with 404 seconds after the change that added them was acknowledged, and operators waited 4.7 s for that acknowledgement. The peer protocol's version grows: a VM of the former version would execute the last piece alone.

--- a/internal/consensus/applier.go
+++ b/internal/consensus/applier.go
@@ -54,6 +54,7 @@
 	applied atomic.Uint64
 	backlog atomic.Int64
 
+	pieces    pieces
 	config    Config
 	sinceSnap int
 	sinceByte int
@@ -108,10 +109,10 @@
 		return
 	}
 	var out outcome
-	switch w.entry.Kind {
-	case EntryCommand:
-		out.reply, out.err = a.sm.Apply(w.entry.Data)
-	case EntryConfig:
+	if command, ok := a.pieces.add(w.entry); ok {
+		out.reply, out.err = a.sm.Apply(command)
+	}
+	if w.entry.Kind == EntryConfig {
 		a.config = decodeConfig(w.entry.Data)
 	}
 	a.applied.Store(w.entry.Index)
@@ -131,7 +132,7 @@
 		a.fail(err)
 		return
 	}
-	a.config, a.sinceSnap, a.sinceByte = meta.Config, 0, 0
+	a.pieces, a.config, a.sinceSnap, a.sinceByte = pieces{}, meta.Config, 0, 0
 	a.applied.Store(meta.Index)
 }
 
@@ -162,7 +163,7 @@
 }
 
 func (a *applier) maybeSnapshot() {
-	if a.sinceSnap < snapshotEntries && a.sinceByte < snapshotBytes {
+	if a.sinceSnap < snapshotEntries && a.sinceByte < snapshotBytes || a.pieces.pending() {
 		return
 	}
 	data, err := a.sm.Snapshot()
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -24,15 +24,14 @@
 	// leader refuses. After a loss of power on all VMs there is none to wait for.
 	FirstTicks     int
 	HeartbeatTicks int
+	// MaxEntryBytes bounds the data of one entry; 0: maxEntryBytes.
+	MaxEntryBytes int
 	// Rand returns a number from 0 to n-1.
 	Rand func(n int) int
 }
 
 // Bounds of one Core.
 const (
-	// maxBatchBytes bounds the entries of one message: far below a frame's limit
-	// and sent in some milliseconds, so that a heartbeat behind it is not late.
-	maxBatchBytes = 512 << 10
 	// maxUncommitted bounds what waits for a majority, so that a leader without
 	// followers refuses proposals instead of filling its memory.
 	maxUncommittedBytes   = 8 << 20
@@ -114,6 +113,9 @@
 		panic(fmt.Sprintf("consensus: commit %d beyond the last entry %d", c.commit, c.log.last()))
 	}
 	c.resetTimeout()
+	if c.o.MaxEntryBytes == 0 {
+		c.o.MaxEntryBytes = maxEntryBytes
+	}
 	if o.FirstTicks > 0 {
 		c.timeout = o.FirstTicks + o.Rand(2*o.FirstTicks)
 	}
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -6,8 +6,8 @@
 	"slices"
 )
 
-// Propose appends a command on the leader and returns where it stands. It is
-// committed if the entry at that index has that term once it is applied.
+// Propose appends a command on the leader and returns where its last piece stands. It
+// is committed if the entry at that index has that term once it is applied.
 func (c *Core) Propose(data []byte) (index, term uint64, err error) {
 	if c.role != Leader {
 		return 0, 0, ErrNotLeader
@@ -15,7 +15,12 @@
 	if c.uncommittedBytes+len(data) > maxUncommittedBytes || c.uncommittedEntries >= maxUncommittedEntries {
 		return 0, 0, ErrBusy
 	}
-	return c.appendOwn(EntryCommand, data), c.term, nil
+	parts := split(data, c.o.MaxEntryBytes)
+	last := len(parts) - 1
+	for _, part := range parts[:last] {
+		c.appendOwn(EntryPiece, part)
+	}
+	return c.appendOwn(EntryCommand, parts[last]), c.term, nil
 }
 
 // ProposeChange appends a membership change. One at a time, and none before an
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -17,6 +17,8 @@
 	simElection  = 8
 	snapEvery    = 12
 	snapTrailing = 3
+	// simEntryBytes has values of three and four digits stand in two entries.
+	simEntryBytes = 2
 )
 
 type disk struct {
@@ -35,6 +37,7 @@
 	paused   int // until this step
 	applied  uint64
 	state    []string
+	pieces   pieces
 	received []string // state of a snapshot that no checkpoint names yet
 	waiting  map[uint64]*simOp
 	reads    map[uint64]*simOp
@@ -104,9 +107,9 @@
 
 func (s *sim) start(m *member) {
 	d := m.disk
-	m.core = NewCore(Options{ID: m.id, ElectionTicks: simElection, HeartbeatTicks: 2, Rand: s.rng.IntN},
+	m.core = NewCore(Options{ID: m.id, ElectionTicks: simElection, HeartbeatTicks: 2, MaxEntryBytes: simEntryBytes, Rand: s.rng.IntN},
 		State{Hard: d.hard, Snapshot: d.base, Entries: slices.Clone(d.entries), Applied: d.snap.Index})
-	m.up, m.applied, m.state = true, d.snap.Index, slices.Clone(d.state)
+	m.up, m.applied, m.state, m.pieces = true, d.snap.Index, slices.Clone(d.state), pieces{}
 	m.waiting, m.reads = map[uint64]*simOp{}, map[uint64]*simOp{}
 }
 
@@ -193,7 +196,7 @@
 		if rd.Snapshot != nil {
 			m.disk.base, m.disk.entries = *rd.Snapshot, nil
 			m.disk.snap, m.disk.state = *rd.Snapshot, m.received
-			m.applied, m.state = m.disk.snap.Index, slices.Clone(m.disk.state)
+			m.applied, m.state, m.pieces = m.disk.snap.Index, slices.Clone(m.disk.state), pieces{}
 		}
 		if rd.Save {
 			m.disk.save(rd)
@@ -209,7 +212,7 @@
 		for _, to := range rd.Snapshots {
 			s.transfer(m, to)
 		}
-		if m.applied-m.disk.snap.Index > snapEvery {
+		if m.applied-m.disk.snap.Index > snapEvery && !m.pieces.pending() {
 			s.snapshot(m)
 		}
 	}
@@ -277,10 +280,10 @@
 	}
 	s.committed[e.Index] = e
 	s.maxCommit = max(s.maxCommit, e.Index)
-	if e.Kind == EntryCommand {
-		m.state = append(m.state, string(e.Data))
-		if _, ok := s.appliedAt[string(e.Data)]; !ok {
-			s.appliedAt[string(e.Data)] = s.now
+	if command, ok := m.pieces.add(e); ok {
+		m.state = append(m.state, string(command))
+		if _, ok := s.appliedAt[string(command)]; !ok {
+			s.appliedAt[string(command)] = s.now
 		}
 	}
 	if op := m.waiting[e.Index]; op != nil {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -27,6 +27,7 @@
 	EntryCommand EntryKind = 1
 	EntryConfig  EntryKind = 2 // an encoded Config, in force from its append on
 	EntryNoop    EntryKind = 3 // a new leader's first
+	EntryPiece   EntryKind = 4 // the begin of a command that goes on in the next entry
 )
 
 // Entry is one entry of the replicated log.
--- a/internal/consensus/validate.go
+++ b/internal/consensus/validate.go
@@ -35,7 +35,7 @@
 		if err := cbor.Unmarshal(e.Data, &c); err != nil || len(c.Voters) == 0 {
 			return fmt.Errorf("%w: configuration at %d", errMalformed, index)
 		}
-	case e.Kind != EntryCommand && e.Kind != EntryNoop:
+	case e.Kind != EntryCommand && e.Kind != EntryNoop && e.Kind != EntryPiece:
 		return fmt.Errorf("%w: entry kind %d", errMalformed, e.Kind)
 	}
 	return nil
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -16,7 +16,7 @@
 )
 
 // ProtocolVersion is checked in the hello; VMs of other versions are refused.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 // Kind names a message type. The numbers are part of the protocol.
 type Kind uint16
