control: an answer tells of a large change, which is fetched once and in pieces

Callers saw 404 on a route 6.3 s after its change was acknowledged, by the four routers that were last. Cause: each answer to a poll held the whole list, 316 KB; a router without an answer within 150 ms asks the next voter beside the first, up to six, each copy shares its link of 10 Mbit/s with the others, and after 1.8 s all are given up and asked for again behind what is still on its way. Change: a change over 8 KB is told by its reference and fetched by internal/bulk: packed, in pieces of 32 KB, one at a time, from one voter, the rest from another where that one falls silent; the limit for a piece doubles while none comes. Packing moves from cluster to codec. Why it works: answers are small, so that they may race; the change crosses a link once, and a slow link makes it slower but never begins anew.

--- a/internal/cluster/fetch.go
+++ b/internal/cluster/fetch.go
@@ -1,10 +1,7 @@
 package cluster
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"io"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
@@ -40,23 +37,11 @@
 	if err != nil {
 		return nil, err
 	}
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := w.Write(data); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return out.Bytes(), nil
+	return codec.Pack(data)
 }
 
 func unpack(data []byte) ([]upstream.Backend, error) {
-	r := flate.NewReader(bytes.NewReader(data))
-	plain, err := io.ReadAll(io.LimitReader(r, maxListBytes))
+	plain, err := codec.Unpack(data, maxListBytes)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/codec/pack.go
@@ -0,0 +1,37 @@
+package codec
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+)
+
+// Pack compresses data. Lists of rows alike shrink to a fifth and less.
+func Pack(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// Unpack undoes Pack. It refuses what would be larger than limit, in bytes.
+func Unpack(data []byte, limit int) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	plain, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(plain) > limit {
+		return nil, fmt.Errorf("codec: packed data of more than %d bytes", limit)
+	}
+	return plain, nil
+}
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/bulk"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
@@ -146,8 +147,9 @@
 		if time.Since(movedAt) > returnAfter {
 			voter, movedAt = "", time.Now()
 		}
+		order := startingWith(voter, preference(f.o.Self, f.o.Voters()))
+		won, ok := f.follow(order)
 		gap := pollGap
-		won, ok := f.race(startingWith(voter, preference(f.o.Self, f.o.Voters())))
 		if !ok {
 			gap = movePause
 		}
@@ -160,20 +162,47 @@
 	}
 }
 
-// take applies a voter's answer to a poll that was sent at the given time.
-func (f *Feed) take(a answered) error {
+// follow polls once and applies what the answer tells of. It returns the voter to ask
+// first next time.
+func (f *Feed) follow(order []string) (voter string, ok bool) {
+	a, ok := f.race(order)
+	if !ok {
+		return "", false
+	}
+	if err := f.take(a, startingWith(a.voter, order)); err != nil {
+		f.o.Log.Warn().Err(err).Str("voter", a.voter).Msg("change not taken")
+		f.fail(a.voter, err)
+		return "", false
+	}
+	return a.voter, true
+}
+
+// checkGroup refuses an answer of another control group: the operators formed it anew,
+// with empty folders. Its versions say nothing about those held here, and what was
+// withdrawn could stay for ever.
+func (f *Feed) checkGroup(a answered) error {
 	if f.group != "" && a.reply.Group != f.group {
-		// The operators formed the group anew, with empty folders. Its versions say
-		// nothing about those held here: what was withdrawn could stay for ever.
 		f.o.Log.Error().Str("voter", a.voter).Msg("another control group answers: this VM must be restarted")
 		return errOtherGroup
 	}
 	f.group = a.reply.Group
+	return nil
+}
+
+// take applies a voter's answer. Large changes are fetched from the sources in turn.
+// The lease is renewed last: it promises that all which was committed when the poll was
+// sent is applied here.
+func (f *Feed) take(a answered, sources []string) error {
 	for _, c := range a.reply.Changes {
+		began := time.Now()
+		data, err := f.data(c, sources)
+		if err != nil {
+			return err
+		}
 		f.o.Log.Info().Uint8("part", uint8(c.Part)).Uint64("version", c.Version).Str("voter", a.voter).
-			Int("bytes", len(c.Data)).Dur("took", time.Since(a.sent)).Int("asked", a.asked).
-			Bool("confirmed", a.reply.Confirmed).Msg("change received")
-		f.apply(c)
+			Int("bytes", max(len(c.Data), c.Ref.Size)).Dur("took", time.Since(a.sent)).Dur("fetched", time.Since(began)).
+			Int("asked", a.asked).Bool("confirmed", a.reply.Confirmed).Msg("change received")
+		f.apply(c.Part, c.Version, data)
 	}
 	if a.reply.Confirmed {
 		f.renew(a.sent)
@@ -181,23 +210,31 @@
 	return nil
 }
 
+// data returns a change's content.
+func (f *Feed) data(c partChange, sources []string) ([]byte, error) {
+	if c.Ref.Size == 0 {
+		return c.Data, nil
+	}
+	return bulk.Fetch(f.ctx, f.o.Transport, sources, c.Ref)
+}
+
 var errOtherGroup = errors.New("control: another control group answers")
 
-func (f *Feed) apply(c partChange) {
+func (f *Feed) apply(part PartID, version uint64, data []byte) {
 	f.mu.Lock()
-	callbacks := f.callbacks[c.Part]
-	newer := c.Version > f.versions[c.Part]
+	callbacks := f.callbacks[part]
+	newer := version > f.versions[part]
 	f.mu.Unlock()
 	if !newer {
 		return
 	}
 	for _, apply := range callbacks {
-		apply(c.Data)
+		apply(data)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.versions[c.Part] = c.Version
-	f.bytes += uint64(len(c.Data))
+	f.versions[part] = version
+	f.bytes += uint64(len(data))
 	close(f.moved)
 	f.moved = make(chan struct{})
 }
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -71,6 +71,7 @@
 	g.watch = newWatchServer(g)
 	o.Transport.Handle(peer.KindControl, g.serve)
 	o.Transport.Handle(peer.KindWatch, g.watch.serve)
+	o.Transport.Handle(peer.KindPiece, g.watch.values.Serve)
 	return g
 }
 
--- a/internal/control/race.go
+++ b/internal/control/race.go
@@ -18,7 +18,8 @@
 //
 // So a voter that is late is not waited for: the next one is asked beside it, at once
 // for a confirmed answer, and the first answer counts. At worst the VM is one hold and
-// some tenths of a second behind, however many voters are lost.
+// some tenths of a second behind, however many voters are lost. Answers are small; what
+// they tell of is fetched once, by its reference.
 
 const (
 	// lateAfter is how much longer than its hold a voter may take.
@@ -47,8 +48,8 @@
 }
 
 // race polls the first voter, and each next one beside those before it while none has
-// answered. It returns the voter whose answer was taken.
-func (f *Feed) race(order []string) (string, bool) {
+// answered. It returns the first answer.
+func (f *Feed) race(order []string) (answered, bool) {
 	ctx, cancel := context.WithTimeout(f.ctx, f.raceTimeout(len(order)))
 	defer cancel()
 	answers := make(chan answered, len(order))
@@ -62,7 +63,7 @@
 		return f.patience(urgent)
 	}
 	if len(order) == 0 {
-		return "", false
+		return answered{}, false
 	}
 	wait := time.NewTimer(ask())
 	defer wait.Stop()
@@ -76,16 +77,16 @@
 			pending--
 			a.asked = next
 			if a.err == nil {
-				a.err = f.take(a)
+				a.err = f.checkGroup(a)
 			}
 			if a.err == nil {
-				return a.voter, true
+				return a, true
 			}
-			f.fail(a)
+			f.fail(a.voter, a.err)
 			wait.Reset(refusedPause)
 		}
 	}
-	return "", false
+	return answered{}, false
 }
 
 // patience is how long a poll stands alone.
@@ -119,8 +120,8 @@
 	return a
 }
 
-func (f *Feed) fail(a answered) {
-	f.o.Log.Debug().Err(a.err).Str("voter", a.voter).Msg("watch failed")
+func (f *Feed) fail(voter string, err error) {
+	f.o.Log.Debug().Err(err).Str("voter", voter).Msg("watch failed")
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failures++
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/bulk"
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/consensus"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
@@ -48,12 +49,19 @@
 	Group     string       `cbor:"3,keyasint"`
 }
 
+// partChange tells a change: a small one itself, a large one by its reference. A VM may
+// ask several voters at once, and its link must not carry the change from each.
 type partChange struct {
-	Part    PartID `cbor:"1,keyasint"`
-	Version uint64 `cbor:"2,keyasint"`
-	Data    []byte `cbor:"3,keyasint"`
+	Part    PartID   `cbor:"1,keyasint"`
+	Version uint64   `cbor:"2,keyasint"`
+	Data    []byte   `cbor:"3,keyasint,omitempty"`
+	Ref     bulk.Ref `cbor:"4,keyasint"` // where Data is empty
 }
 
+// inlineBytes is the largest change that stands in an answer itself: five answers of
+// that size take a link of 10 Mbit/s some tens of milliseconds.
+const inlineBytes = 8 << 10
+
 // watchServer answers the polls of the VMs that chose this voter.
 type watchServer struct {
 	g      *Group
@@ -62,7 +70,8 @@
 	mu      sync.Mutex
 	closed  bool
 	batch   *confirmation
-	cache   map[PartID]cachedChange
+	values  *bulk.Store
+	cache   map[changeKey]encodedChange
 	known   map[string]map[PartID]uint64 // what the VMs reported last
 	pending sync.WaitGroup
 }
@@ -78,13 +87,27 @@
 	err    error
 }
 
-type cachedChange struct {
-	since  uint64
-	change partChange
+// changeKey names a change by what a VM holds before it.
+type changeKey struct {
+	part  PartID
+	since uint64
+}
+
+// encodedChange is the change from a version to the one that was the newest.
+type encodedChange struct {
+	partChange
+	whole []byte
 }
 
+// maxCachedChanges is how many different versions the VMs may be behind by before
+// changes are encoded again.
+const maxCachedChanges = 16
+
 func newWatchServer(g *Group) *watchServer {
-	return &watchServer{g: g, leader: NewRemote(g.o.Transport, g.o.VM, g.o.controlVMs), cache: map[PartID]cachedChange{}, known: map[string]map[PartID]uint64{}}
+	return &watchServer{
+		g: g, leader: NewRemote(g.o.Transport, g.o.VM, g.o.controlVMs), values: bulk.NewStore(),
+		cache: map[changeKey]encodedChange{}, known: map[string]map[PartID]uint64{},
+	}
 }
 
 // close waits for the rounds under way; a poll that comes later starts none.
@@ -186,27 +209,43 @@
 func (w *watchServer) changes(held map[PartID]uint64) []partChange {
 	var out []partChange
 	for part, version := range w.g.o.Machine.Versions(FollowedParts) {
-		if _, follows := held[part]; follows && version > held[part] {
-			out = append(out, w.change(part, held[part]))
+		if _, follows := held[part]; !follows || version <= held[part] {
+			continue
 		}
+		c, err := w.change(part, held[part])
+		if err != nil {
+			w.g.o.Log.Error().Err(err).Uint8("part", uint8(part)).Msg("change not encoded")
+			continue
+		}
+		out = append(out, c)
 	}
 	return out
 }
 
 // change encodes a part's change once for all VMs that hold the same version.
-func (w *watchServer) change(part PartID, since uint64) partChange {
+func (w *watchServer) change(part PartID, since uint64) (partChange, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c, ok := w.cache[part]
-	var now uint64
+	key := changeKey{part, since}
+	c, ok := w.cache[key]
 	w.g.o.Machine.Read(part, func(p Part) {
-		now = p.Version()
-		if !ok || c.since != since || c.change.Version != now {
-			c = cachedChange{since: since, change: partChange{Part: part, Version: now, Data: p.Changes(since)}}
+		if now := p.Version(); !ok || c.Version != now {
+			c = encodedChange{partChange{Part: part, Version: now}, p.Changes(since)}
 		}
 	})
-	w.cache[part] = c
-	return c.change
+	if len(c.whole) <= inlineBytes {
+		c.Data = c.whole
+	} else if !w.values.Holds(c.Ref) {
+		var err error
+		if c.Ref, err = w.values.Put(c.whole); err != nil {
+			return partChange{}, err
+		}
+	}
+	if !ok && len(w.cache) >= maxCachedChanges {
+		clear(w.cache)
+	}
+	w.cache[key] = c
+	return c.partChange, nil
 }
 
 // confirm adds a poll to the round that is gathering.
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -30,6 +30,7 @@
 	KindControl    Kind = 40 // commands for the control group
 	KindWatch      Kind = 41
 	KindQuery      Kind = 42
+	KindPiece      Kind = 43 // of a value that is too large for an answer
 	KindRaft       Kind = 60
 	KindMembership Kind = 80
 	KindNotice     Kind = 81 // of a routed VM, to control VMs
