routed: a control VM without a disk reads the route list's text by its reference

The same class of fault: an operator who reads the list at such a VM has a voter send all of it, 1.2 MB, in an answer that may take 350 ms, over a link of 10 Mbit/s that takes a second; each voter is asked in turn and none is in time. Change: the voter confirms which text is the newest and tells its reference; the text is packed and fetched in pieces, and not at all where it was read before. The pieces that VMs fetch stand in one store of the process.

--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/bulk"
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/consensus"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
@@ -30,10 +31,13 @@
 	Dir       string          // folder of the log
 	FS        wal.FS          // nil: the operating system's
 	Transport peer.Transport
-	Machine   *Machine
-	Lease     time.Duration // freshness lease of the VMs that watch
-	Log       zerolog.Logger
-	Failed    func(error) // the process must end: the log is unusable
+	// Values holds what the VMs that follow fetch; its owner serves it. nil: one of
+	// the Group's own.
+	Values  *bulk.Store
+	Machine *Machine
+	Lease   time.Duration // freshness lease of the VMs that watch
+	Log     zerolog.Logger
+	Failed  func(error) // the process must end: the log is unusable
 }
 
 // controlVMs are all control VMs known now.
@@ -63,6 +67,10 @@
 // NewGroup registers the handlers. Register the Machine's parts before Start:
 // it replays the log into them.
 func NewGroup(o GroupOptions) *Group {
+	if o.Values == nil {
+		o.Values = bulk.NewStore()
+		o.Transport.Handle(peer.KindPiece, o.Values.Serve)
+	}
 	g := &Group{o: o, tracker: newTracker(o.Lease)}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.node = consensus.NewNode(consensus.NodeOptions{
@@ -71,7 +79,6 @@
 	g.watch = newWatchServer(g)
 	o.Transport.Handle(peer.KindControl, g.serve)
 	o.Transport.Handle(peer.KindWatch, g.watch.serve)
-	o.Transport.Handle(peer.KindPiece, g.watch.values.Serve)
 	return g
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -70,7 +70,6 @@
 	mu      sync.Mutex
 	closed  bool
 	batch   *confirmation
-	values  *bulk.Store
 	cache   map[changeKey]encodedChange
 	known   map[string]map[PartID]uint64 // what the VMs reported last
 	pending sync.WaitGroup
@@ -105,7 +104,7 @@
 
 func newWatchServer(g *Group) *watchServer {
 	return &watchServer{
-		g: g, leader: NewRemote(g.o.Transport, g.o.VM, g.o.controlVMs), values: bulk.NewStore(),
+		g: g, leader: NewRemote(g.o.Transport, g.o.VM, g.o.controlVMs),
 		cache: map[changeKey]encodedChange{}, known: map[string]map[PartID]uint64{},
 	}
 }
@@ -235,9 +234,9 @@
 	})
 	if len(c.whole) <= inlineBytes {
 		c.Data = c.whole
-	} else if !w.values.Holds(c.Ref) {
+	} else if !w.g.o.Values.Holds(c.Ref) {
 		var err error
-		if c.Ref, err = w.values.Put(c.whole); err != nil {
+		if c.Ref, err = w.g.o.Values.Put(c.whole); err != nil {
 			return partChange{}, err
 		}
 	}
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/bulk"
 	"github.com/amaranthshelf/amaranthshelf/internal/cluster"
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
@@ -55,6 +56,8 @@
 	member  *cluster.Member
 	hub     *cluster.Hub
 	held    *cluster.Held
+	values  *bulk.Store // what other VMs fetch here
+	text    sharedText
 	peers   *http.Server
 	failure chan error
 	ctx     context.Context
@@ -65,13 +68,15 @@
 // StartControl opens the data folder, binds the peer address and joins or forms
 // the group in the background.
 func StartControl(o ControlOptions) (*Control, error) {
-	c := &Control{o: o, failure: make(chan error, 1)}
+	c := &Control{o: o, failure: make(chan error, 1), values: bulk.NewStore()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.network = newNetwork(&o.Common)
 	c.held = cluster.NewHeld(func(l upstream.List) { c.hub.TakeList(l) })
 	c.member = cluster.NewMember(o.ID, c.network, o.Seeds, c.held, cluster.Local{Zone: o.Zone, Control: true}, o.Log)
 	c.hub = cluster.NewHub(c.network, c.held, c.controls, o.Log)
-	c.network.Handle(peer.KindRoutes, func(ctx context.Context, _ string, _ []byte) (any, error) { return c.Routes(ctx) })
+	c.text.values = c.values
+	c.network.Handle(peer.KindPiece, c.values.Serve)
+	c.network.Handle(peer.KindRoutes, func(ctx context.Context, _ string, _ []byte) (any, error) { return c.serveText(ctx) })
 	c.members = &members{open: c.openMember}
 	c.gauges()
 	var err error
@@ -203,6 +208,15 @@
 	return source, nil
 }
 
+// serveText tells another control VM which text is in force.
+func (c *Control) serveText(ctx context.Context) (any, error) {
+	text, err := c.Routes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return c.text.answer(text)
+}
+
 // Shutdown hands the leadership over and ends.
 func (c *Control) Shutdown() {
 	if g := c.group(); g != nil {
--- a/internal/routed/member.go
+++ b/internal/routed/member.go
@@ -56,7 +56,7 @@
 	s.machine.Register(control.PartRoutes, s.part)
 	s.group = control.NewGroup(control.GroupOptions{
 		VM: c.o.ID, Voters: c.o.Seeds, Known: c.member.Controls, JoinOnly: !c.o.FirstStart, Target: c.o.Voters,
-		Dir: filepath.Join(c.o.Dir, "control"), Transport: c.network, Machine: s.machine, Lease: Lease, Log: c.o.Log, Failed: failed,
+		Dir: filepath.Join(c.o.Dir, "control"), Transport: c.network, Values: c.values, Machine: s.machine, Lease: Lease, Log: c.o.Log, Failed: failed,
 	})
 	s.client = control.NewGroupClient(s.group)
 	return s, s.group.Start()
--- a/internal/routed/observer.go
+++ b/internal/routed/observer.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/cluster"
 	"github.com/amaranthshelf/amaranthshelf/internal/consensus"
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
-	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -22,14 +20,11 @@
 	member   *cluster.Member
 	observer *cluster.Observer
 	client   *control.Remote
+	text     *textReader
 	peers    *http.Server
 	cancel   context.CancelFunc
 }
 
-// askVoterTimeout leaves an operator, who asks elsewhere after a second, the time for a
-// second voter: a confirmed read takes a round trip or two.
-const askVoterTimeout = 350 * time.Millisecond
-
 // StartObserver binds the peer address and begins to follow.
 func StartObserver(o Common) (*Observer, error) {
 	v := &Observer{o: o, network: newNetwork(&o)}
@@ -41,6 +36,7 @@
 	v.observer = cluster.NewObserver(v.network, o.ID, v.member.Controls)
 	consensus.ServeObserver(v.network, o.ID)
 	v.client = control.NewRemote(v.network, o.ID, v.observer.Controls)
+	v.text = &textReader{t: v.network, voters: v.observer.Controls, log: o.Log}
 	o.Metrics.NewGauge("shelf_ready_routers", func() float64 { return float64(len(v.Entrances(maxRouters))) })
 	var err error
 	if v.peers, err = listenPeers(v.network, &o); err != nil {
@@ -65,19 +61,7 @@
 
 // Routes implements Operable. The voter that is asked confirms with a majority after
 // it was asked.
-func (v *Observer) Routes(ctx context.Context) ([]byte, error) {
-	for _, vm := range v.observer.Controls() {
-		var source []byte
-		asking, cancel := context.WithTimeout(ctx, askVoterTimeout)
-		err := v.network.Call(asking, vm, peer.KindRoutes, nil, &source)
-		cancel()
-		if err == nil {
-			return source, nil
-		}
-		v.o.Log.Debug().Err(err).Str("control", vm).Msg("route list not read")
-	}
-	return nil, result.New(result.ControlUnavail)
-}
+func (v *Observer) Routes(ctx context.Context) ([]byte, error) { return v.text.read(ctx) }
 
 // Failure implements Operable: an Observer has nothing that could fail it.
 func (v *Observer) Failure() <-chan error { return nil }
