--- a/internal/consensus/links.go
+++ b/internal/consensus/links.go
@@ -22,7 +22,7 @@
 
 const (
 	// chunkBytes keeps a snapshot's chunk from delaying the heartbeats behind it.
-	chunkBytes    = 256 << 10
+	chunkBytes    = 32 << 10
 	chunkTimeout  = 5 * time.Second
 	maxSnapshot   = 64 << 20
 	probeTimeout  = 1 * time.Second
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,12 +23,12 @@
 )
 
 type conn struct {
-	net *Network
-	ws  *websocket.Conn
-	vm  string
+	network *Network
+	ws      *websocket.Conn
+	vm      string
 
 	dialed bool // by this end
-	lanes  [laneCount]chan []byte
+	out    *outbox
 	done   chan struct{}
 	once   sync.Once
 	slots  chan struct{}
@@ -41,14 +42,16 @@
 
 func newConn(n *Network, ws *websocket.Conn, vm string) *conn {
 	c := &conn{
-		net: n, ws: ws, vm: vm, done: make(chan struct{}),
+		network: n, ws: ws, vm: vm, out: newOutbox(), done: make(chan struct{}),
 		slots: make(chan struct{}, maxServedCalls), waiting: map[uint64]chan frame{},
 	}
-	for i := range c.lanes {
-		c.lanes[i] = make(chan []byte, queueFrames)
-	}
 	c.used.Store(time.Now().UnixNano())
 	ws.SetReadLimit(maxFrameBytes)
+	if tcp, ok := ws.NetConn().(*net.TCPConn); ok {
+		if err := tcp.SetWriteBuffer(socketBytes); err != nil {
+			n.log.Debug().Err(err).Msg("socket buffer not set")
+		}
+	}
 	return c
 }
 
@@ -65,12 +68,12 @@
 	c.once.Do(func() {
 		close(c.done)
 		_ = c.ws.Close()
-		c.net.forget(c)
+		c.network.forget(c)
 	})
 }
 
 func (c *conn) writeHello() error {
-	data, err := codec.Marshal(hello{Version: ProtocolVersion, VM: c.net.self})
+	data, err := codec.Marshal(hello{Version: ProtocolVersion, VM: c.network.self})
 	if err != nil {
 		return err
 	}
@@ -146,14 +149,13 @@
 	if err != nil {
 		return err
 	}
-	select {
-	case c.lanes[laneOf(kind)] <- data:
-		return nil
-	case <-c.done:
+	switch {
+	case c.dead():
 		return fmt.Errorf("%w: %s: connection lost", ErrUnreachable, c.vm)
-	default:
+	case !c.out.put(kind, data):
 		return ErrQueueFull
 	}
+	return nil
 }
 
 func (f *frame) setError(err error) {
@@ -165,13 +167,16 @@
 	}
 }
 
-// writeLoop empties the control lane before each frame of the token lane.
+// writeLoop sends what waits, and pings a silent connection.
 func (c *conn) writeLoop() {
 	defer c.close()
 	ping := time.NewTicker(pingEvery)
 	defer ping.Stop()
 	for {
-		data, ok := c.nextFrame(ping.C)
+		data, ok, err := c.out.next(ping.C, c.done)
+		if err != nil {
+			c.network.log.Error().Err(err).Str("vm", c.vm).Msg("peer frame not encoded")
+		}
 		if !ok {
 			return
 		}
@@ -202,25 +207,6 @@
 	return c.dialed && unused >= idleLimit && len(c.waiting) == 0
 }
 
-// nextFrame waits for the next frame; nil data stands for a ping.
-func (c *conn) nextFrame(ping <-chan time.Time) ([]byte, bool) {
-	select {
-	case data := <-c.lanes[LaneControl]:
-		return data, true
-	default:
-	}
-	select {
-	case data := <-c.lanes[LaneControl]:
-		return data, true
-	case data := <-c.lanes[LaneTokens]:
-		return data, true
-	case <-ping:
-		return nil, true
-	case <-c.done:
-		return nil, false
-	}
-}
-
 func (c *conn) readLoop() {
 	defer c.close()
 	extend := func() {
@@ -228,6 +214,7 @@
 		_ = c.ws.SetReadDeadline(time.Now().Add(silenceLimit))
 	}
 	extend()
+	var in inbox
 	pong := c.ws.PingHandler()
 	c.ws.SetPingHandler(func(data string) error {
 		extend()
@@ -243,13 +230,28 @@
 			return
 		}
 		extend()
-		var f frame
-		if err := codec.Unmarshal(data, &f); err != nil {
-			c.net.log.Warn().Err(err).Str("vm", c.vm).Msg("peer frame refused")
+		if err := c.receive(&in, data); err != nil {
+			c.network.log.Warn().Err(err).Str("vm", c.vm).Msg("peer frame refused")
 			return
 		}
+	}
+}
+
+// receive takes an encoded frame.
+func (c *conn) receive(in *inbox, data []byte) error {
+	var f frame
+	if err := codec.Unmarshal(data, &f); err != nil {
+		return err
+	}
+	if f.Kind != kindFragment {
+		c.dispatch(f)
+		return nil
+	}
+	f, whole, err := in.take(f.Body)
+	if err == nil && whole {
 		c.dispatch(f)
 	}
+	return err
 }
 
 func (c *conn) dispatch(f frame) {
@@ -259,7 +261,7 @@
 		delete(c.waiting, f.Call)
 		c.mu.Unlock()
 		if ch == nil {
-			c.net.unclaimed.note(f.Kind, len(f.Body))
+			c.network.unclaimed.note(f.Kind, len(f.Body))
 			return
 		}
 		ch <- f
@@ -280,9 +282,9 @@
 }
 
 func (c *conn) answer(f frame) {
-	ctx, cancel := context.WithCancel(c.net.ctx)
+	ctx, cancel := context.WithCancel(c.network.ctx)
 	defer cancel()
-	out, err := c.net.serve(ctx, c.vm, f.Kind, f.Body)
+	out, err := c.network.serve(ctx, c.vm, f.Kind, f.Body)
 	if f.Call != 0 {
 		_ = c.send(f.Kind, f.Call, true, out, err)
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -23,6 +23,7 @@
 
 // Message kinds, in ranges of 20 per concern.
 const (
+	kindFragment   Kind = 1  // of a frame too large to leave at once
 	KindJournal    Kind = 20 // journal writes and promises, batched per keeper
 	KindPromise    Kind = 21
 	KindFollow     Kind = 22
@@ -53,6 +54,7 @@
 const (
 	LaneControl Lane = iota
 	LaneTokens
+	laneLarge // frames that leave in fragments
 	laneCount
 )
 
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -243,3 +243,18 @@
 	defer r.mu.Unlock()
 	r.held = held
 }
+
+// A value far larger than a fragment comes whole, there and back.
+func TestLargeCall(t *testing.T) {
+	p := newPair(t, testToken)
+	p.b.Handle(peer.KindExplain, func(_ context.Context, _ string, body []byte) (any, error) {
+		var text string
+		err := codec.Unmarshal(body, &text)
+		return text, err
+	})
+	text := strings.Repeat("0123456789", 500_000)
+	var got string
+	if err := call(p.a, "b", peer.KindExplain, text, &got); err != nil || got != text {
+		t.Errorf("%d bytes of %d, %v", len(got), len(text), err)
+	}
+}
