control: uploads have numbers; an encoded change is held once

A VM that proposed one list twice at once, as when an operator sends it again, had each upload reset the other. The encoded change stays in the store of values alone.

--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -55,6 +55,7 @@
 	Total   int             `cbor:"10,keyasint,omitempty"`
 	Piece   []byte          `cbor:"11,keyasint,omitempty"`
 	Packed  bool            `cbor:"12,keyasint,omitempty"` // Body, or what the pieces make up
+	Upload  uint64          `cbor:"13,keyasint,omitempty"` // to which Piece belongs
 }
 
 // inPieces reports whether a proposal is sent piece by piece.
@@ -190,7 +191,7 @@
 			target = voters[i%len(voters)]
 		}
 		asked := q
-		if (q.inPieces() || maybeRan) && !wanted {
+		if q.Op == opPropose && (q.inPieces() || maybeRan) && !wanted {
 			// A copy on its way need not travel again, nor one to a VM that does not lead.
 			asked = q.offer()
 		}
--- a/internal/control/upload.go
+++ b/internal/control/upload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -25,11 +26,12 @@
 
 // upload sends a command piece by piece; the answer to the last one is the outcome.
 func (r *Remote) upload(ctx context.Context, vm string, q request) (reply, bool, error) {
+	number := rand.Uint64()
 	for offset := 0; ; offset += uploadPieceBytes {
 		end := min(offset+uploadPieceBytes, len(q.Body))
 		last := end == len(q.Body)
 		out, ran, err := r.exchange(ctx, vm, request{
-			Op: opPiece, Part: q.Part, ID: q.ID, Packed: q.Packed,
+			Op: opPiece, Part: q.Part, ID: q.ID, Packed: q.Packed, Upload: number,
 			Offset: offset, Total: len(q.Body), Piece: q.Body[offset:end],
 		})
 		if last || err != nil || out.Status != statusOK {
@@ -44,7 +46,11 @@
 	byKey map[uploadKey]*upload
 }
 
-type uploadKey struct{ vm, id string }
+// uploadKey names an upload: a VM may propose one command twice at once.
+type uploadKey struct {
+	vm     string
+	number uint64
+}
 
 type upload struct {
 	data  []byte
@@ -57,9 +63,8 @@
 func (u *uploads) add(vm string, q request, now time.Time) (command []byte, s status) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	key := uploadKey{vm, q.ID}
+	key := uploadKey{vm, q.Upload}
 	if q.Offset == 0 {
-		delete(u.byKey, key)
 		if !u.begin(key, q.Total, now) {
 			return nil, statusBusy
 		}
--- a/internal/control/upload_test.go
+++ b/internal/control/upload_test.go
@@ -13,8 +13,8 @@
 // vanish midway and leave no room.
 func TestUploads(t *testing.T) {
 	now := time.Unix(1000, 0)
-	piece := func(id string, offset, total int, data string) request {
-		return request{Op: opPiece, ID: id, Offset: offset, Total: total, Piece: []byte(data)}
+	piece := func(number uint64, offset, total int, data string) request {
+		return request{Op: opPiece, ID: "same", Upload: number, Offset: offset, Total: total, Piece: []byte(data)}
 	}
 	type step struct {
 		vm      string
@@ -28,39 +28,45 @@
 		steps []step
 	}{
 		{"in order", []step{
-			{"vm1", piece("a", 0, 4, "ab"), 0, "", statusOK},
-			{"vm1", piece("a", 2, 4, "cd"), 0, "abcd", statusOK},
+			{"vm1", piece(1, 0, 4, "ab"), 0, "", statusOK},
+			{"vm1", piece(1, 2, 4, "cd"), 0, "abcd", statusOK},
 		}},
 		{"two proposers of one command", []step{
-			{"vm1", piece("a", 0, 4, "ab"), 0, "", statusOK},
-			{"vm2", piece("a", 0, 4, "ab"), 0, "", statusOK},
-			{"vm1", piece("a", 2, 4, "cd"), 0, "abcd", statusOK},
-			{"vm2", piece("a", 2, 4, "cd"), 0, "abcd", statusOK},
+			{"vm1", piece(1, 0, 4, "ab"), 0, "", statusOK},
+			{"vm2", piece(1, 0, 4, "ab"), 0, "", statusOK},
+			{"vm1", piece(1, 2, 4, "cd"), 0, "abcd", statusOK},
+			{"vm2", piece(1, 2, 4, "cd"), 0, "abcd", statusOK},
+		}},
+		{"one proposer, twice at once", []step{
+			{"vm1", piece(1, 0, 4, "ab"), 0, "", statusOK},
+			{"vm1", piece(2, 0, 4, "ab"), 0, "", statusOK},
+			{"vm1", piece(1, 2, 4, "cd"), 0, "abcd", statusOK},
+			{"vm1", piece(2, 2, 4, "cd"), 0, "abcd", statusOK},
 		}},
 		{"a piece again", []step{
-			{"vm1", piece("a", 0, 4, "ab"), 0, "", statusOK},
-			{"vm1", piece("a", 2, 6, "cd"), 0, "abcd", statusOK},
-			{"vm1", piece("a", 2, 4, "cd"), 0, "", statusWanted},
+			{"vm1", piece(1, 0, 4, "ab"), 0, "", statusOK},
+			{"vm1", piece(1, 2, 6, "cd"), 0, "abcd", statusOK},
+			{"vm1", piece(1, 2, 4, "cd"), 0, "", statusWanted},
 		}},
 		{"a gap", []step{
-			{"vm1", piece("a", 0, 6, "ab"), 0, "", statusOK},
-			{"vm1", piece("a", 4, 6, "ef"), 0, "", statusWanted},
+			{"vm1", piece(1, 0, 6, "ab"), 0, "", statusOK},
+			{"vm1", piece(1, 4, 6, "ef"), 0, "", statusWanted},
 		}},
 		{"more than it said", []step{
-			{"vm1", piece("a", 0, 3, "ab"), 0, "", statusOK},
-			{"vm1", piece("a", 2, 3, "cd"), 0, "", statusWanted},
+			{"vm1", piece(1, 0, 3, "ab"), 0, "", statusOK},
+			{"vm1", piece(1, 2, 3, "cd"), 0, "", statusWanted},
 		}},
 		{"begun anew", []step{
-			{"vm1", piece("a", 0, 4, "xy"), 0, "", statusOK},
-			{"vm1", piece("a", 0, 4, "ab"), 0, "", statusOK},
-			{"vm1", piece("a", 2, 4, "cd"), 0, "abcd", statusOK},
+			{"vm1", piece(1, 0, 4, "xy"), 0, "", statusOK},
+			{"vm1", piece(1, 0, 4, "ab"), 0, "", statusOK},
+			{"vm1", piece(1, 2, 4, "cd"), 0, "abcd", statusOK},
 		}},
 		{"no room", []step{
-			{"vm1", piece("a", 0, maxUploadBytes-1, "ab"), 0, "", statusOK},
-			{"vm2", piece("b", 0, 4, "ab"), 0, "", statusBusy},
-			{"vm2", piece("b", 0, 4, "ab"), uploadLife + time.Second, "", statusOK},
+			{"vm1", piece(1, 0, maxUploadBytes-1, "ab"), 0, "", statusOK},
+			{"vm2", piece(2, 0, 4, "ab"), 0, "", statusBusy},
+			{"vm2", piece(2, 0, 4, "ab"), uploadLife + time.Second, "", statusOK},
 		}},
-		{"empty", []step{{"vm1", piece("a", 0, 0, ""), 0, "", statusBusy}}},
+		{"empty", []step{{"vm1", piece(1, 0, 0, ""), 0, "", statusBusy}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var u uploads
@@ -98,7 +104,8 @@
 	})
 }
 
-// Guards against a list that several VMs propose at once and the log takes as often.
+// Guards against a list that several VMs propose at once, one of them twice, and the log
+// takes as often.
 func TestSameCommandOfManyVMsRunsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := startOnLinks(t, mbit100, mbit100, 3)
@@ -109,8 +116,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		replies := make(chan string, 3)
-		for _, vm := range []string{"router1", "router2", "router3"} {
+		replies := make(chan string, 4)
+		for _, vm := range []string{"router1", "router2", "router3", "router3"} {
 			go func() {
 				out, err := c.vms[vm].client.ProposeSame(t.Context(), PartPlans, cmd)
 				replies <- string(out)
@@ -119,7 +126,7 @@
 				}
 			}()
 		}
-		for range 3 {
+		for range 4 {
 			if got := <-replies; got != "\x01" {
 				t.Errorf("reply %q, want the first command's", got)
 			}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -70,7 +70,7 @@
 	mu      sync.Mutex
 	closed  bool
 	batch   *confirmation
-	cache   map[changeKey]encodedChange
+	cache   map[changeKey]partChange
 	known   map[string]map[PartID]uint64 // what the VMs reported last
 	pending sync.WaitGroup
 }
@@ -92,12 +92,6 @@
 	since uint64
 }
 
-// encodedChange is the change from a version to the one that was the newest.
-type encodedChange struct {
-	partChange
-	whole []byte
-}
-
 // maxCachedChanges is how many different versions the VMs may be behind by before
 // changes are encoded again.
 const maxCachedChanges = 16
@@ -105,7 +99,7 @@
 func newWatchServer(g *Group) *watchServer {
 	return &watchServer{
 		g: g, leader: NewRemote(g.o.Transport, g.o.VM, g.o.controlVMs),
-		cache: map[changeKey]encodedChange{}, known: map[string]map[PartID]uint64{},
+		cache: map[changeKey]partChange{}, known: map[string]map[PartID]uint64{},
 	}
 }
 
@@ -226,25 +220,30 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	key := changeKey{part, since}
-	c, ok := w.cache[key]
+	c, cached := w.cache[key]
+	var data []byte
 	w.g.o.Machine.Read(part, func(p Part) {
-		if now := p.Version(); !ok || c.Version != now {
-			c = encodedChange{partChange{Part: part, Version: now}, p.Changes(since)}
+		if cached && c.Version == p.Version() && (c.Ref.Size == 0 || w.g.o.Values.Holds(c.Ref)) {
+			return
 		}
+		c, data = partChange{Part: part, Version: p.Version()}, p.Changes(since)
 	})
-	if len(c.whole) <= inlineBytes {
-		c.Data = c.whole
-	} else if !w.g.o.Values.Holds(c.Ref) {
+	if data == nil {
+		return c, nil
+	}
+	if len(data) <= inlineBytes {
+		c.Data = data
+	} else {
 		var err error
-		if c.Ref, err = w.g.o.Values.Put(c.whole); err != nil {
+		if c.Ref, err = w.g.o.Values.Put(data); err != nil {
 			return partChange{}, err
 		}
 	}
-	if !ok && len(w.cache) >= maxCachedChanges {
+	if !cached && len(w.cache) >= maxCachedChanges {
 		clear(w.cache)
 	}
 	w.cache[key] = c
-	return c.partChange, nil
+	return c, nil
 }
 
 // confirm adds a poll to the round that is gathering.
