--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -83,20 +83,20 @@
 	uncommittedBytes   int
 	uncommittedEntries int
 
-	round     uint64 // heartbeat rounds sent in this term
-	reads     []pendingRead
-	wantBeat  bool
-	out       []Message
-	released  []Read
-	snapshots []MemberID
-	installed *SnapshotMeta
-	saved     HardState // as last handed to the disk
-	resigned  *Resignation
+	round       uint64 // heartbeat rounds sent in this term
+	reads       []pendingRead
+	wantBeat    bool
+	out         []Message
+	released    []Read
+	snapshots   []MemberID
+	installed   *SnapshotMeta
+	saved       HardState // as last handed to the disk
+	steppedDown *StepDown
 }
 
-// Resignation describes a leader that gave its office up because no majority had
-// answered for an election timeout.
-type Resignation struct {
+// StepDown describes a leader that stepped down because no majority had answered
+// for an election timeout.
+type StepDown struct {
 	Term             uint64
 	Answered, Quorum int // voters, this member included
 	UncommittedBytes int // of proposals that waited for a majority
@@ -192,7 +192,7 @@
 		}
 	}
 	if active < config.Quorum() {
-		c.resigned = c.resignation(active, config.Quorum())
+		c.steppedDown = c.newStepDown(active, config.Quorum())
 	}
 	for _, p := range c.progress {
 		p.silent++
@@ -206,8 +206,8 @@
 	}
 }
 
-func (c *Core) resignation(answered, quorum int) *Resignation {
-	r := &Resignation{Term: c.term, Answered: answered, Quorum: quorum, UncommittedBytes: c.uncommittedBytes}
+func (c *Core) newStepDown(answered, quorum int) *StepDown {
+	r := &StepDown{Term: c.term, Answered: answered, Quorum: quorum, UncommittedBytes: c.uncommittedBytes}
 	for _, p := range c.progress {
 		if p.waiting {
 			r.SentBytes += p.sent
@@ -216,10 +216,10 @@
 	return r
 }
 
-// TakeResignation returns the last resignation, once; nil: there was none.
-func (c *Core) TakeResignation() *Resignation {
-	r := c.resigned
-	c.resigned = nil
+// TakeStepDown returns the last one, once; nil: there was none.
+func (c *Core) TakeStepDown() *StepDown {
+	r := c.steppedDown
+	c.steppedDown = nil
 	return r
 }
 
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -267,7 +267,7 @@
 	if len(n.waiting)+len(n.reads) > 0 && (!n.core.IsLeader() || n.core.term != n.ledTerm) {
 		n.failWaiting(ErrOutcomeUnknown)
 	}
-	n.logResignation()
+	n.logStepDown()
 	n.logRole()
 	n.publish()
 	return nil
@@ -283,11 +283,11 @@
 		Str("leader_before", before.Leader.VM()).Uint64("last", now.Last).Uint64("commit", now.Commit).Msg("role in the control group")
 }
 
-func (n *Node) logResignation() {
-	if r := n.core.TakeResignation(); r != nil {
+func (n *Node) logStepDown() {
+	if r := n.core.TakeStepDown(); r != nil {
 		n.o.Log.Warn().Uint64("term", r.Term).Int("answered", r.Answered).Int("quorum", r.Quorum).
 			Int("uncommitted_bytes", r.UncommittedBytes).Int("sent_bytes", r.SentBytes).
-			Msg("leader without answers from a majority resigns")
+			Msg("leader without answers from a majority steps down")
 	}
 }
 
--- a/internal/consensus/pieces.go
+++ b/internal/consensus/pieces.go
@@ -29,8 +29,8 @@
 // pieces joins committed entries into commands.
 //
 // Invariant: a leader appends all pieces of a command one behind another in one term.
-// Pieces that an entry of another term follows are of a leader that lost its office
-// before the rest was stored; their command was never executed, and never will be.
+// Pieces that an entry of another term follows are of a leader that was deposed before
+// the rest was stored; their command was never executed, and never will be.
 type pieces struct {
 	term uint64
 	data []byte
--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -190,12 +190,12 @@
 			}
 			target = voters[i%len(voters)]
 		}
-		asked := q
+		message := q
 		if q.Op == opPropose && (q.inPieces() || maybeRan) && !wanted {
-			// A copy on its way need not travel again, nor one to a VM that does not lead.
-			asked = q.offer()
+			// The leader may have a copy, and the target may not be the leader.
+			message = q.offer()
 		}
-		out, ran, err := r.attempt(ctx, target, asked)
+		out, ran, err := r.attempt(ctx, target, message)
 		maybeRan = maybeRan || ran
 		wanted = err == nil && out.Status == statusWanted
 		switch {
--- a/internal/control/upload.go
+++ b/internal/control/upload.go
@@ -8,8 +8,8 @@
 )
 
 // The load pattern. A proposer sends the leader a command of megabytes in one message.
-// The heartbeats' answers wait behind it on the leader's link, and the leader resigns
-// before it has the command.
+// The heartbeats' answers wait behind it on the leader's link, and the leader steps
+// down before it has the command.
 //
 // So a large command is packed, once, and travels in pieces, one at a time: at most one
 // piece of it is on the links, and its time limit is one piece's. It stays packed in the
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -4,7 +4,8 @@
 // Safeguards: every write has a deadline and every silent connection is pinged
 // and closed, since a silent partition sends no reset and would otherwise hold
 // callers for minutes; each connection has bounded queues; control frames leave
-// before token frames, so that a burst of tokens cannot delay an election.
+// before token frames and between the fragments of large ones, so that neither can
+// delay an election.
 package peer
 
 import (
--- a/internal/routed/text.go
+++ b/internal/routed/text.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"sync"
@@ -36,7 +37,7 @@
 	values *bulk.Store
 
 	mu   sync.Mutex
-	last []byte // what Ref refers to; texts are never written to
+	last []byte // what ref refers to
 	ref  bulk.Ref
 }
 
@@ -46,7 +47,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if same := len(s.last) == len(text) && &s.last[0] == &text[0]; same && s.values.Holds(s.ref) {
+	if bytes.Equal(s.last, text) && s.values.Holds(s.ref) {
 		return textAnswer{Ref: s.ref}, nil
 	}
 	ref, err := s.values.Put(text)
