consensus: a pass works out its status once; one size of an entry

The loop built the status, with its map and its copy of the membership, twice in each pass of 10 ms and for each message: once to see whether the role had changed, once to publish it. It is published and compared at once now. The size of an entry was written out in three places. No change of behaviour.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -268,17 +268,11 @@
 		n.failWaiting(ErrOutcomeUnknown)
 	}
 	n.logStepDown()
-	n.logRole()
 	n.publish()
 	return nil
 }
 
-// logRole logs the change of this member's role since it was published last.
-func (n *Node) logRole() {
-	before, now := n.status.Load(), n.core.Status()
-	if before.Role == now.Role {
-		return
-	}
+func (n *Node) logRole(before, now Status) {
 	n.o.Log.Info().Str("role", now.Role.String()).Str("before", before.Role.String()).Uint64("term", now.Term).
 		Str("leader_before", before.Leader.VM()).Uint64("last", now.Last).Uint64("commit", now.Commit).Msg("role in the control group")
 }
@@ -356,7 +350,9 @@
 
 func (n *Node) publish() {
 	s := n.core.Status()
-	n.status.Store(&s)
+	if before := n.status.Swap(&s); before != nil && before.Role != s.Role {
+		n.logRole(*before, s)
+	}
 }
 
 func (n *Node) fail(err error) {
--- a/internal/consensus/raftlog.go
+++ b/internal/consensus/raftlog.go
@@ -99,7 +99,7 @@
 	all := l.entries[from-l.snap.Index-1 : to-l.snap.Index]
 	size := 0
 	for i, e := range all {
-		size += len(e.Data) + entryOverhead
+		size += e.size()
 		if size > maxBytes && i > 0 {
 			return all[:i:i]
 		}
@@ -110,10 +110,13 @@
 // entryOverhead is what an entry takes beside its data, in bytes, about.
 const entryOverhead = 24
 
+// size is about what an entry takes, in bytes.
+func (e *Entry) size() int { return len(e.Data) + entryOverhead }
+
 func entryBytes(entries []Entry) int {
 	size := 0
 	for i := range entries {
-		size += len(entries[i].Data) + entryOverhead
+		size += entries[i].size()
 	}
 	return size
 }
@@ -142,7 +145,7 @@
 func (l *raftLog) trailing(index uint64) uint64 {
 	kept := 0
 	for i := index; i > l.snap.Index; i-- {
-		kept += len(l.entries[i-l.snap.Index-1].Data) + entryOverhead
+		kept += l.entries[i-l.snap.Index-1].size()
 		if kept > trailingBytes || index-i >= trailingEntries {
 			return i
 		}
