bulk: one form for a value that is told small or by its reference

The answers to polls and those to observers each decided by a size of their own whether a value stands in the answer, held what does not, and fetched it at the other end. bulk.Value does both; the sizes were equal.

--- a/internal/bulk/bulk.go
+++ b/internal/bulk/bulk.go
@@ -34,6 +34,9 @@
 	maxRounds = 3
 	// maxValueBytes bounds a value, packed or not.
 	maxValueBytes = 32 << 20
+	// inlineBytes is the largest value that stands in an answer itself: five answers of
+	// that size take a link of 10 Mbit/s some tens of milliseconds.
+	inlineBytes = 8 << 10
 	// maxHeld is how many values a Store holds: those of some versions in quick
 	// succession, for VMs that are behind by different ones.
 	maxHeld = 16
@@ -52,6 +55,25 @@
 	Size int    `cbor:"2,keyasint"` // of the packed bytes
 }
 
+// Value is a value as an answer tells it: a small one itself, a large one by its
+// reference. Several VMs may be asked at once, and the asker's link must not carry a large
+// value from each.
+type Value struct {
+	Data []byte `cbor:"1,keyasint,omitempty"`
+	Ref  Ref    `cbor:"2,keyasint"` // Size 0: the value is Data
+}
+
+// Bytes is how many bytes a link carries for the value.
+func (v *Value) Bytes() int { return max(len(v.Data), v.Ref.Size) }
+
+// Get returns the value itself, a large one from the sources as Fetch does.
+func (v *Value) Get(ctx context.Context, t peer.Transport, sources []string) ([]byte, error) {
+	if v.Ref.Size == 0 {
+		return v.Data, nil
+	}
+	return Fetch(ctx, t, sources, v.Ref)
+}
+
 type request struct {
 	Ref    Ref `cbor:"1,keyasint"`
 	Offset int `cbor:"2,keyasint,omitempty"`
@@ -93,6 +115,18 @@
 	return ref, nil
 }
 
+// Offer returns a value as answers tell it; a large one is held to be fetched.
+func (s *Store) Offer(data []byte) (Value, error) {
+	if len(data) <= inlineBytes {
+		return Value{Data: data}, nil
+	}
+	ref, err := s.Put(data)
+	return Value{Ref: ref}, err
+}
+
+// Offers reports whether a Value that was told before still leads to its content.
+func (s *Store) Offers(v Value) bool { return v.Ref.Size == 0 || s.Holds(v.Ref) }
+
 // Holds reports whether a value can be fetched here.
 func (s *Store) Holds(ref Ref) bool {
 	s.mu.Lock()
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -11,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
-	"github.com/amaranthshelf/amaranthshelf/internal/bulk"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
@@ -195,12 +194,12 @@
 func (f *Feed) take(a answered, sources []string) error {
 	for _, c := range a.reply.Changes {
 		began := time.Now()
-		data, err := f.data(c, sources)
+		data, err := c.Value.Get(f.ctx, f.o.Transport, sources)
 		if err != nil {
 			return err
 		}
 		f.o.Log.Info().Uint8("part", uint8(c.Part)).Uint64("version", c.Version).Str("voter", a.voter).
-			Int("bytes", max(len(c.Data), c.Ref.Size)).Dur("took", time.Since(a.sent)).Dur("fetched", time.Since(began)).
+			Int("bytes", c.Value.Bytes()).Dur("took", time.Since(a.sent)).Dur("fetched", time.Since(began)).
 			Int("asked", a.asked).Bool("confirmed", a.reply.Confirmed).Msg("change received")
 		f.apply(c.Part, c.Version, data)
 	}
@@ -210,14 +209,6 @@
 	return nil
 }
 
-// data returns a change's content.
-func (f *Feed) data(c partChange, sources []string) ([]byte, error) {
-	if c.Ref.Size == 0 {
-		return c.Data, nil
-	}
-	return bulk.Fetch(f.ctx, f.o.Transport, sources, c.Ref)
-}
-
 var errOtherGroup = errors.New("control: another control group answers")
 
 func (f *Feed) apply(part PartID, version uint64, data []byte) {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -49,19 +49,12 @@
 	Group     string       `cbor:"3,keyasint"`
 }
 
-// partChange tells a change: a small one itself, a large one by its reference. A VM may
-// ask several voters at once, and its link must not carry the change from each.
 type partChange struct {
-	Part    PartID   `cbor:"1,keyasint"`
-	Version uint64   `cbor:"2,keyasint"`
-	Data    []byte   `cbor:"3,keyasint,omitempty"`
-	Ref     bulk.Ref `cbor:"4,keyasint"` // where Data is empty
+	Part    PartID     `cbor:"1,keyasint"`
+	Version uint64     `cbor:"2,keyasint"`
+	Value   bulk.Value `cbor:"3,keyasint"`
 }
 
-// inlineBytes is the largest change that stands in an answer itself: five answers of
-// that size take a link of 10 Mbit/s some tens of milliseconds.
-const inlineBytes = 8 << 10
-
 // watchServer answers the polls of the VMs that chose this voter.
 type watchServer struct {
 	g      *Group
@@ -223,7 +216,7 @@
 	c, cached := w.cache[key]
 	var data []byte
 	w.g.o.Machine.Read(part, func(p Part) {
-		if cached && c.Version == p.Version() && (c.Ref.Size == 0 || w.g.o.Values.Holds(c.Ref)) {
+		if cached && c.Version == p.Version() && w.g.o.Values.Offers(c.Value) {
 			return
 		}
 		c, data = partChange{Part: part, Version: p.Version()}, p.Changes(since)
@@ -231,13 +224,9 @@
 	if data == nil {
 		return c, nil
 	}
-	if len(data) <= inlineBytes {
-		c.Data = data
-	} else {
-		var err error
-		if c.Ref, err = w.g.o.Values.Put(data); err != nil {
-			return partChange{}, err
-		}
+	var err error
+	if c.Value, err = w.g.o.Values.Offer(data); err != nil {
+		return partChange{}, err
 	}
 	if !cached && len(w.cache) >= maxCachedChanges {
 		clear(w.cache)
--- a/internal/routed/text.go
+++ b/internal/routed/text.go
@@ -22,40 +22,28 @@
 // So the voter confirms which text is the newest. The text is fetched by its reference,
 // unless it is the one that was read last.
 
-// textAnswer says which text is in force: a small one itself, a large one by its
-// reference. Neither: there is none yet.
-type textAnswer struct {
-	Text []byte   `cbor:"1,keyasint,omitempty"`
-	Ref  bulk.Ref `cbor:"2,keyasint"`
-}
-
-// inlineText is the largest text that stands in an answer itself, in bytes.
-const inlineText = 8 << 10
-
 // sharedText tells other control VMs which text is in force. Safe for concurrent use.
 type sharedText struct {
 	values *bulk.Store
 
 	mu   sync.Mutex
-	last []byte // what ref refers to
-	ref  bulk.Ref
+	last []byte     // the text told last
+	told bulk.Value // what was told for it
 }
 
-func (s *sharedText) answer(text []byte) (textAnswer, error) {
-	if len(text) <= inlineText {
-		return textAnswer{Text: text}, nil
-	}
+// answer tells a text; nil: there is none yet.
+func (s *sharedText) answer(text []byte) (bulk.Value, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if bytes.Equal(s.last, text) && s.values.Holds(s.ref) {
-		return textAnswer{Ref: s.ref}, nil
+	if bytes.Equal(s.last, text) && s.values.Offers(s.told) {
+		return s.told, nil
 	}
-	ref, err := s.values.Put(text)
+	v, err := s.values.Offer(text)
 	if err != nil {
-		return textAnswer{}, err
+		return v, err
 	}
-	s.last, s.ref = text, ref
-	return textAnswer{Ref: ref}, nil
+	s.last, s.told = text, v
+	return v, nil
 }
 
 // askVoterTimeout leaves an operator, who asks elsewhere after a second, the time for a
@@ -78,46 +66,44 @@
 func (r *textReader) read(ctx context.Context) ([]byte, error) {
 	voters := r.voters()
 	for i, vm := range voters {
-		a, err := r.ask(ctx, vm)
+		v, err := r.ask(ctx, vm)
 		if err == nil {
-			return r.text(ctx, a, slices.Concat(voters[i:], voters[:i]))
+			return r.text(ctx, v, slices.Concat(voters[i:], voters[:i]))
 		}
 		r.log.Debug().Err(err).Str("control", vm).Msg("route list not read")
 	}
 	return nil, result.New(result.ControlUnavail)
 }
 
-func (r *textReader) ask(ctx context.Context, vm string) (textAnswer, error) {
+func (r *textReader) ask(ctx context.Context, vm string) (bulk.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, askVoterTimeout)
 	defer cancel()
-	var a textAnswer
-	err := r.t.Call(ctx, vm, peer.KindRoutes, nil, &a)
-	return a, err
+	var v bulk.Value
+	err := r.t.Call(ctx, vm, peer.KindRoutes, nil, &v)
+	return v, err
 }
 
-func (r *textReader) text(ctx context.Context, a textAnswer, sources []string) ([]byte, error) {
-	if a.Ref.Size == 0 {
-		return a.Text, nil
-	}
-	if text := r.held(a.Ref); text != nil {
+func (r *textReader) text(ctx context.Context, v bulk.Value, sources []string) ([]byte, error) {
+	if text := r.held(v.Ref); text != nil {
 		return text, nil
 	}
-	text, err := bulk.Fetch(ctx, r.t, sources, a.Ref)
+	text, err := v.Get(ctx, r.t, sources)
 	if err != nil {
-		r.log.Warn().Err(err).Int("bytes", a.Ref.Size).Msg("route list not fetched")
+		r.log.Warn().Err(err).Int("bytes", v.Bytes()).Msg("route list not fetched")
 		return nil, result.New(result.ControlUnavail)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.last, r.ref = text, a.Ref
+	r.last, r.ref = text, v.Ref
 	return text, nil
 }
 
-// held returns the text that was read last, where it is the one referred to.
+// held returns the text that was read last, where it is the one referred to. Small texts
+// have no reference.
 func (r *textReader) held(ref bulk.Ref) []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ref != ref {
+	if ref.Size == 0 || r.ref != ref {
 		return nil
 	}
 	return r.last
