--- a/internal/bulk/bulk.go
+++ b/internal/bulk/bulk.go
@@ -24,8 +24,7 @@
 )
 
 const (
-	// pieceBytes goes over a link of 10 Mbit/s in some tens of milliseconds.
-	pieceBytes = 32 << 10
+	pieceBytes = peer.PieceBytes
 	// pieceTimeout is the first limit for a piece. It doubles with each round over the
 	// sources, so that a link which is slower than that gets the piece all the same.
 	pieceTimeout    = 400 * time.Millisecond
--- a/internal/cluster/fetch_test.go
+++ b/internal/cluster/fetch_test.go
@@ -3,48 +3,15 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 )
 
-// counting is a Transport that counts the answers to its calls.
-type counting struct {
-	peer.Transport
-	mu    sync.Mutex
-	calls map[peer.Kind]int
-	bytes int
-}
-
-func (c *counting) Call(ctx context.Context, vm string, kind peer.Kind, body, reply any) error {
-	err := c.Transport.Call(ctx, vm, kind, body, reply)
-	data, encoding := codec.Marshal(reply)
-	if encoding != nil {
-		return encoding
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.calls[kind]++
-	c.bytes += len(data)
-	return err
-}
-
-// take returns what was counted, and begins anew.
-func (c *counting) take() (lists, bytes int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	lists, bytes = c.calls[peer.KindList], c.bytes
-	clear(c.calls)
-	c.bytes = 0
-	return lists, bytes
-}
-
 // linkBytes is what a link of 10 Mbit/s carries in a second.
 const linkBytes = 1_250_000
 
@@ -69,7 +36,7 @@
 				time.Sleep(200 * time.Millisecond)
 			}
 		}
-		c := &counting{Transport: n.VM("r1"), calls: map[peer.Kind]int{}}
+		c := peertest.NewMeter(n.VM("r1"))
 		held := NewHeld(noList)
 		m := NewMember("r1", c, ids[:1], held, Local{}, zerolog.Nop())
 		go m.Run(ctx)
@@ -77,16 +44,16 @@
 		if got, _, _, _ := held.Now(); len(got) != len(list) {
 			t.Fatalf("%d rows", len(got))
 		}
-		if lists, bytes := c.take(); lists != 1 || bytes > linkBytes/10 {
-			t.Errorf("%d lists, %d bytes for a start", lists, bytes)
+		if got := c.Take(); got.ByKind[peer.KindList] != 1 || got.Bytes > linkBytes/10 {
+			t.Errorf("%d lists, %d bytes for a start", got.ByKind[peer.KindList], got.Bytes)
 		}
 		list = slices.Concat(list[600:], rows(3600)[3000:])
 		readFor()
 		if got, _, _, _ := held.Now(); len(got) != len(list) {
 			t.Errorf("%d rows after the change", len(got))
 		}
-		if lists, bytes := c.take(); lists != 0 || bytes > linkBytes/10 {
-			t.Errorf("%d lists, %d bytes for a zone that is replaced", lists, bytes)
+		if got := c.Take(); got.ByKind[peer.KindList] != 0 || got.Bytes > linkBytes/10 {
+			t.Errorf("%d lists, %d bytes for a zone that is replaced", got.ByKind[peer.KindList], got.Bytes)
 		}
 	})
 }
--- a/internal/consensus/links.go
+++ b/internal/consensus/links.go
@@ -22,7 +22,7 @@
 
 const (
 	// chunkBytes keeps a snapshot's chunk from delaying the heartbeats behind it.
-	chunkBytes    = 32 << 10
+	chunkBytes    = peer.PieceBytes
 	chunkTimeout  = 5 * time.Second
 	maxSnapshot   = 64 << 20
 	probeTimeout  = 1 * time.Second
--- a/internal/control/upload.go
+++ b/internal/control/upload.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 )
 
 // The load pattern. A proposer sends the leader a command of megabytes in one message.
@@ -16,8 +18,8 @@
 // log, which goes to each follower.
 
 const (
-	// uploadPieceBytes goes over a link of 10 Mbit/s in some tens of milliseconds.
-	uploadPieceBytes = 32 << 10
+	// uploadPieceBytes: a larger command goes in pieces of this size.
+	uploadPieceBytes = peer.PieceBytes
 	// uploadLife is how long a leader keeps a command whose next piece does not come.
 	uploadLife = 5 * time.Second
 	// maxUploadBytes bounds the commands that a leader holds in part.
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -16,8 +16,11 @@
 // So a large frame leaves in fragments, and whatever else waits leaves between them.
 
 const (
-	// fragmentBytes goes over a link of 10 Mbit/s in some tens of milliseconds.
-	fragmentBytes = 32 << 10
+	// PieceBytes is how much of a large value should travel at once: a link of 10 Mbit/s
+	// carries it in some tens of milliseconds.
+	PieceBytes = 32 << 10
+	// fragmentBytes is the largest frame that leaves whole.
+	fragmentBytes = PieceBytes
 	// socketBytes bounds what the kernel takes in advance: bytes there can no longer be
 	// overtaken.
 	socketBytes = 128 << 10
--- a/internal/routed/text_test.go
+++ b/internal/routed/text_test.go
@@ -4,14 +4,12 @@
 	"bytes"
 	"context"
 	"strconv"
-	"sync"
 	"testing"
 	"testing/synctest"
 
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/bulk"
-	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 )
@@ -25,25 +23,6 @@
 	return out
 }
 
-// largest counts the answers to a VM's calls, and keeps the largest's size.
-type largest struct {
-	peer.Transport
-	mu            sync.Mutex
-	answers, most int
-}
-
-func (l *largest) Call(ctx context.Context, vm string, kind peer.Kind, body, reply any) error {
-	err := l.Transport.Call(ctx, vm, kind, body, reply)
-	data, encoding := codec.Marshal(reply)
-	if encoding != nil {
-		return encoding
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.answers, l.most = l.answers+1, max(l.most, len(data))
-	return err
-}
-
 // Guards against a long text that comes after its time limit from every voter.
 func TestLongTextIsReadInPieces(t *testing.T) {
 	const most = 40 << 10 // a tenth of a second's worth of a link of 10 Mbit/s, and less
@@ -55,23 +34,26 @@
 		voter := n.VM("voter")
 		voter.Handle(peer.KindPiece, shared.values.Serve)
 		voter.Handle(peer.KindRoutes, func(context.Context, string, []byte) (any, error) { return shared.answer(now) })
-		link := &largest{Transport: n.VM("observer")}
+		link := peertest.NewMeter(n.VM("observer"))
+		largest := 0
 		r := &textReader{t: link, voters: func() []string { return []string{"silent", "voter"} }, log: zerolog.Nop()}
 		for _, now = range texts {
 			got, err := r.read(t.Context())
 			if err != nil || !bytes.Equal(got, now) {
 				t.Fatalf("read %d bytes of %d, %v", len(got), len(now), err)
 			}
-			before := link.answers
+			largest = max(largest, link.Take().Largest)
 			if got, err := r.read(t.Context()); err != nil || !bytes.Equal(got, now) {
 				t.Fatalf("second read: %d bytes of %d, %v", len(got), len(now), err)
 			}
-			if again := link.answers - before; again > 2 {
-				t.Errorf("%d answers for a text that was read before", again)
+			again := link.Take()
+			if again.Answers > 2 {
+				t.Errorf("%d answers for a text that was read before", again.Answers)
 			}
+			largest = max(largest, again.Largest)
 		}
-		if link.most > most {
-			t.Errorf("an answer of %d bytes, at most %d", link.most, most)
+		if largest > most {
+			t.Errorf("an answer of %d bytes, at most %d", largest, most)
 		}
 	})
 }
