rollout: routers choose versions, control VMs watch and decide; calls of operators

Change: the list of backend servers carries versions and whether a server is cold. A version that nobody ordered gets nothing while others are there. Calls and streams are chosen by the roll-outs' state, the scheduler grants engines of the stream's version and keeps copies within it; a trial's requests go to as few servers as have the usual load then. While requests are switched, copies are ordered at the new version's engines, and runs go on there before the old ones end. Routers tell what they observe with their notices, only while a roll-out is under way. The leader takes the steps; every control VM keeps the times and the evidence. Observers hand orders and questions on.

--- a/cmd/amaranthshelf/main.go
+++ b/cmd/amaranthshelf/main.go
@@ -26,6 +26,7 @@
 		addStatus,
 		addControl,
 		addRoutes,
+		addRollout,
 		addExplain,
 		addAccount,
 		addConfig,
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -25,6 +25,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 )
 
 // Timings.
@@ -35,6 +36,9 @@
 	// searchEvery is the same until the first list of backend servers is held: control
 	// VMs and routers are started together, and a router may be early.
 	searchEvery = 100 * time.Millisecond
+	// urgentEvery is the same while a new version has nearly all requests, and may turn
+	// out bad.
+	urgentEvery = 150 * time.Millisecond
 	// noticeTimeout: a control VM that does not answer by then is asked again with
 	// the next notice.
 	noticeTimeout = 350 * time.Millisecond
@@ -87,6 +91,8 @@
 	RoutersHeld uint64 `cbor:"15,keyasint,omitempty"`
 	// WantChanges: what has changed in the list since Held is wanted.
 	WantChanges bool `cbor:"16,keyasint,omitempty"`
+	// Rollouts is what this VM observed of the roll-outs under way.
+	Rollouts []rollout.Told `cbor:"17,keyasint,omitempty"`
 }
 
 // Answer is a control VM's reply.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -13,6 +13,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -28,6 +29,7 @@
 	vms    map[string]seen
 	silent map[string]bool // told in the log
 	spent  spentBook
+	ledger *rollout.Ledger
 	deaths []toldDeath
 	summed *summary // nil: to be made anew
 	// recalled is what an earlier life wrote down; its copies are there until copiesTo.
@@ -50,7 +52,7 @@
 
 // NewHub registers the handler of notices. controls names the control VMs.
 func NewHub(t peer.Transport, held *Held, controls func() []string, log zerolog.Logger) *Hub {
-	h := &Hub{held: held, controls: controls, vms: map[string]seen{}, silent: map[string]bool{}, spent: spentBook{}, log: log, schedule: newSchedule(t, log)}
+	h := &Hub{held: held, controls: controls, vms: map[string]seen{}, silent: map[string]bool{}, spent: spentBook{}, ledger: rollout.NewLedger(), log: log, schedule: newSchedule(t, log)}
 	held.KeepFormer()
 	t.Handle(peer.KindNotice, h.serve)
 	t.Handle(peer.KindList, h.serveList)
@@ -182,12 +184,27 @@
 	}
 	h.vms[from] = v
 	h.spent.note(n.Spent, now)
+	h.ledger.Note(n.Spent.Life, n.Rollouts, now)
 	h.expire(now)
 	for _, d := range n.Deaths {
 		h.deaths = append(h.deaths, toldDeath{d, now})
 	}
 }
 
+// Evidence is what all routers observed of a roll-out under way.
+func (h *Hub) Evidence(service string, number uint64) rollout.Evidence {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Sum(service, number, time.Now())
+}
+
+// KeepEvidence forgets what was observed of other roll-outs than those under way.
+func (h *Hub) KeepEvidence(underWay map[string]uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ledger.Keep(underWay)
+}
+
 // expire needs h.mu.
 func (h *Hub) expire(now time.Time) {
 	for vm, s := range h.vms {
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -38,6 +39,9 @@
 	// they together spent of the retry budgets.
 	Learn      func(Known)
 	LearnSpent func(map[string]forward.Spent)
+	// Rollouts is what this VM observes of roll-outs, and Urgent that it is wanted soon.
+	Rollouts func() []rollout.Told
+	Urgent   func() bool
 	// Control: this VM is a control VM with a disk.
 	Control bool
 	// LearnEntrances takes the directory.
@@ -130,6 +134,9 @@
 	if len(m.answered) == 0 || !listed {
 		return searchEvery
 	}
+	if m.local.Urgent != nil && m.local.Urgent() {
+		return urgentEvery
+	}
 	return NoticeEvery
 }
 
@@ -232,6 +239,9 @@
 	if m.local.Kept != nil {
 		n.Kept = m.local.Kept()
 	}
+	if m.local.Rollouts != nil {
+		n.Rollouts = m.local.Rollouts()
+	}
 	n.Spent = m.spent()
 	n.Told = m.toldWhole()
 	if _, digest, age, ok := m.held.Now(); ok {
--- a/internal/cluster/schedule.go
+++ b/internal/cluster/schedule.go
@@ -85,7 +85,7 @@
 	servers := make([]scheduler.Server, 0, len(l.Backends))
 	for _, b := range l.Backends {
 		if !b.Draining {
-			servers = append(servers, scheduler.Server{ID: b.ID, Service: b.Service, Zone: b.Zone, Slots: b.Slots})
+			servers = append(servers, scheduler.Server{ID: b.ID, Service: b.Service, Zone: b.Zone, Slots: b.Slots, Version: b.Version})
 		}
 	}
 	c.mu.Lock()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -24,6 +24,8 @@
 	PartFleet   PartID = 4 // backend servers, orders, fencing numbers
 	PartMembers PartID = 5 // VMs and their incarnations
 	PartRoutes  PartID = 6 // the route list
+	// PartRollouts are the roll-outs of services' versions.
+	PartRollouts PartID = 7
 )
 
 // Part is one aggregate within the group's state. Apply must be deterministic:
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -14,8 +14,9 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
-// FollowedParts are the parts that every VM follows.
-var FollowedParts = []PartID{PartPlans, PartFleet, PartMembers, PartRoutes}
+// FollowedParts are the parts that every VM follows, in the order in which changes are
+// told: which versions may run a request is known before its route is.
+var FollowedParts = []PartID{PartPlans, PartFleet, PartMembers, PartRollouts, PartRoutes}
 
 // Timings of a watch.
 const (
@@ -194,7 +195,9 @@
 // nothing: what a VM applies never goes back.
 func (w *watchServer) changes(held map[PartID]uint64) []partChange {
 	var out []partChange
-	for part, version := range w.g.o.Machine.Versions(FollowedParts) {
+	versions := w.g.o.Machine.Versions(FollowedParts)
+	for _, part := range FollowedParts {
+		version := versions[part]
 		if _, follows := held[part]; !follows || version <= held[part] {
 			continue
 		}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -36,6 +36,7 @@
 	skip := map[string]bool{}
 	var failure *reply // a server's own failure, should nothing better come
 	for sends := 0; ; sends++ {
+		h.recheckVersion(q, sends > 0)
 		s, load, code := h.chooseServer(q, skip, sends)
 		if s == nil {
 			h.endCall(w, q, failure, code)
@@ -85,9 +86,11 @@
 		return nil, 0, result.BackendsFull
 	}
 	for {
-		servers, candidates := h.o.Fleet.CallCandidates(q.service.Name, skip)
+		servers, candidates := h.o.Fleet.CallCandidates(q.service.Name, q.choice.Versions, skip)
 		i, load := placement.Server(candidates, h.o.Zone, rand.IntN)
 		switch {
+		case i < 0 && h.leaveTrial(q):
+			continue
 		case i < 0 && len(skip) > 0:
 			return nil, 0, result.BackendsFull
 		case i < 0:
@@ -99,6 +102,7 @@
 			if timer.Sleep(q.ctx, callHold) != nil {
 				return nil, 0, result.RouteTimeout
 			}
+			h.recheckVersion(q, false)
 			continue
 		case admission.RefuseCall:
 			q.refuse(w.RetryAfter(rand.Float64()))
@@ -120,7 +124,9 @@
 	use := placement.Use{Requests: 1}
 	h.o.Fleet.Take(s, use)
 	began := time.Now()
+	watched := h.watchAnswer(q, s)
 	r := h.exchange(q, s, Send{}, h.patience(q, load))
+	h.noteAnswer(watched, q, s, &r)
 	h.o.Fleet.Give(s, use)
 	h.learn(q, s, &r, time.Since(began))
 	return r
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -17,6 +17,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/admission"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -79,6 +80,8 @@
 	Placer Placer
 	// Spending is told of each second send, after the budget counted it; nil: nobody.
 	Spending func()
+	// Rollouts says which versions may run a request; nil: any.
+	Rollouts *Rollouts
 	// TooLate reports that a request could not be finished any more, since this VM
 	// is shutting down. takes is how long it is expected to last; 0: not known.
 	TooLate func(stream bool, takes time.Duration) bool
@@ -109,6 +112,9 @@
 	if o.Placer == nil {
 		o.Placer = alone{}
 	}
+	if o.Rollouts == nil {
+		o.Rollouts = NewRollouts()
+	}
 	h := &Handler{o: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), held: admission.NewInFlight(maxHeld, defaultHeldBytes)}
 	h.prober = newProber(o.Pool, o.Fleet, o.Wire)
 	return h
@@ -192,6 +198,7 @@
 	out       upstream.Request
 	rec       *Record
 	budget    *Budget
+	choice    rollout.Choice
 	// refused: whoever decided about the request also said when its caller may come
 	// back. retryAfter 0: asking again is no use.
 	refused    bool
@@ -239,6 +246,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.expires)
 	defer cancel()
 	q.ctx = ctx
+	h.chooseVersion(q)
 	q.budget.Request()
 	h.Stats.Requests.Inc()
 	if q.route.Kind == routes.Stream {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -60,6 +60,9 @@
 	}
 	st.waited += time.Since(began)
 	observe(h.Stats.StreamWait, began)
+	if g.Outcome == scheduler.NoServer && h.leaveTrial(st.q) {
+		return chosen{again: true}
+	}
 	switch g.Outcome {
 	case scheduler.Granted:
 		if s := st.granted(&g); s != nil {
@@ -89,6 +92,9 @@
 		h.o.Placer.Refresh(st.q.ctx)
 		s = h.o.Fleet.Lookup(g.Server)
 	}
+	if s != nil && s.Version != h.o.Fleet.Version(s.Service, st.q.choice.Versions) {
+		s = nil // a roll-out has gone on since the stream asked
+	}
 	if s == nil {
 		h.o.Placer.Took(g.Number)
 		st.skip[g.Server] = true
@@ -102,12 +108,13 @@
 		ID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Need: st.need, KVTokens: st.kvTokens(),
 		Due: q.due(), Deadline: q.expires, Priority: q.priority,
 		Interrupted: st.seq.started, WantsCopy: st.mayCopy(), After: events(st.seq.last),
+		Version: st.h.o.Fleet.Version(q.service.Name, q.choice.Versions), Part: q.choice.Part,
 	}
 	for id := range st.skip {
 		a.Skip = append(a.Skip, id)
 	}
 	slices.Sort(a.Skip)
-	if s := st.h.o.Fleet.At(q.service.Name, st.ran); s != nil {
+	if s := st.h.o.Fleet.At(q.service.Name, st.ran); s != nil && s.Version == a.Version {
 		a.Cached = s.ID
 	}
 	return a
@@ -142,11 +149,15 @@
 
 // placeAlone chooses by what this VM knows; nil: there is no engine.
 func (st *stream) placeAlone() *upstream.Server {
-	servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, st.kvTokens(), st.skip)
-	if i := placement.Engine(candidates, st.need, rand.IntN); i >= 0 {
-		return servers[i]
+	for {
+		servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, st.q.choice.Versions, st.kvTokens(), st.skip)
+		if i := placement.Engine(candidates, st.need, rand.IntN); i >= 0 {
+			return servers[i]
+		}
+		if !st.h.leaveTrial(st.q) {
+			return nil
+		}
 	}
-	return nil
 }
 
 // mayCopy reports whether a copy of the stream's runs can be kept, and used.
--- a/internal/forward/protect.go
+++ b/internal/forward/protect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -55,7 +56,7 @@
 	held := r.shield.now
 	lost := held.keeper == nil || r.st.h.o.Fleet.Lost(held.keeper)
 	switch {
-	case lost:
+	case lost || !r.st.mayKeep(held.keeper):
 		r.order(r.st.chooseKeeper(r.server))
 	case !held.renew.IsZero() && time.Now().After(held.renew):
 		r.order(held.keeper)
@@ -164,6 +165,34 @@
 	return st.h.o.Fleet.Lookup(c.grant.Keeper)
 }
 
+// keepVersions are the versions whose engines may keep copies of the stream's run.
+func (st *stream) keepVersions() rollout.Versions {
+	v := st.h.o.Rollouts.State().Keep(st.q.service.Name, st.q.choice)
+	v.Part = 0 // copies are spread over all engines
+	return v
+}
+
+// mayKeep reports whether an engine may go on keeping a copy of the run.
+func (st *stream) mayKeep(keeper *upstream.Server) bool {
+	v := st.keepVersions()
+	return v.Only == "" || v.Only == keeper.Version
+}
+
+// permits reports whether the roll-outs let an engine run the stream.
+func (st *stream) permits(s *upstream.Server) bool {
+	return st.h.o.Rollouts.State().Permits(st.q.service.Name, s.Version)
+}
+
+// leavesVersion reports whether the run is to go on at the new version's engine that
+// keeps its copy.
+func (r *run) leavesVersion() bool {
+	q, keeper := r.st.q, r.shield.now.keeper
+	if keeper == nil || !r.st.h.o.Rollouts.State().Leaves(q.service.Name, q.choice) {
+		return false
+	}
+	return r.server.Version != keeper.Version && r.st.mayKeep(keeper) && !r.st.h.o.Fleet.Lost(keeper)
+}
+
 // chooseKeeper picks the engine that keeps a copy of a run on s, where the route
 // may resume and the service's engines keep copies.
 func (st *stream) chooseKeeper(s *upstream.Server) *upstream.Server {
@@ -174,7 +203,7 @@
 	for id := range st.skip {
 		skip[id] = true
 	}
-	servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, st.kvTokens(), skip)
+	servers, candidates := st.h.o.Fleet.Candidates(st.q.service.Name, st.keepVersions(), st.kvTokens(), skip)
 	if i := placement.Copy(candidates, s.Zone, st.need, rand.IntN); i >= 0 {
 		return servers[i]
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -43,6 +44,8 @@
 	askAt   time.Time // of the last question
 	// unanswered: the last question brought no answer
 	unanswered bool
+	// watched is for the roll-out under way, until the run's first event.
+	watched rollout.Ticket
 }
 
 // item is what the reader of a run brings: the answer's head, an event or the end.
@@ -90,6 +93,7 @@
 		return r
 	}
 	r.conn, r.sent = conn, unknown
+	r.watch()
 	r.stop = context.AfterFunc(st.q.ctx, conn.Close)
 	r.last = time.Now()
 	r.items = make(chan item, itemQueue)
@@ -97,6 +101,26 @@
 	return r
 }
 
+// watch begins to watch for the run's first event. One that goes on behind others, or
+// from a copy, has less to read.
+func (r *run) watch() {
+	q, book := r.st.q, r.st.h.o.Rollouts.Book
+	if !r.fresh || r.from != nil {
+		book.Sent(q.service.Name, q.choice)
+		return
+	}
+	r.watched = r.st.h.watchAnswer(q, r.server)
+}
+
+// notePace notes how fast a whole run's events came, for the roll-out under way.
+func (r *run) notePace() {
+	q, fleet := r.st.q, r.st.h.o.Fleet
+	if r.passed < clearedAfter || fleet.Cold(r.server) {
+		return
+	}
+	r.st.h.o.Rollouts.Book.Pace(q.service.Name, q.route.Name, q.choice, r.server.ID, time.Since(r.firstAt)/time.Duration(r.passed))
+}
+
 func (r *run) logPlaced() {
 	st, h := r.st, r.st.h
 	if st.begun {
@@ -117,7 +141,7 @@
 	log.Info().Str("request", st.q.RequestID).Str("route", st.q.route.Name).Str("engine", r.server.ID).
 		Str("zone", r.server.Zone).Str("keeper", keeper).Bool("from_copy", r.from != nil).Int("send", st.sends).
 		Uint64("after", st.seq.last).Int("tokens", st.need.Tokens()).Int("there", use.Requests).
-		Int("tokens_there", use.Tokens).Int("prompt_there", use.Prompt).Bool("granted", r.alone).Dur("waited", st.waited).
+		Int("tokens_there", use.Tokens).Int("prompt_there", use.Prompt).Str("version", r.server.Version).Bool("granted", r.alone).Dur("waited", st.waited).
 		Dur("list_age", time.Since(h.o.Fleet.AsOf())).Msg("stream placed")
 }
 
@@ -172,6 +196,9 @@
 	case <-r.clock.timer.C:
 		return r.timeUp()
 	case <-look:
+		if r.leavesVersion() {
+			return r.lost("goes on at the new version"), true
+		}
 		r.look()
 	case p := <-r.shield.ordered:
 		r.protected(p)
@@ -271,6 +298,7 @@
 		return endBroken, true
 	}
 	r.reply.body, r.sent = body, answered
+	r.st.h.o.Rollouts.Book.End(r.watched, isFailure(r.reply.resp), false)
 	r.st.h.o.Fleet.Failed(r.server)
 	return endAnswer, true
 }
@@ -316,6 +344,7 @@
 	}
 	fleet := r.st.h.o.Fleet
 	r.firstAt = time.Now()
+	r.st.h.o.Rollouts.Book.End(r.watched, false, fleet.Cold(r.server))
 	if r.alone && r.fresh {
 		r.st.h.paces.read(r.st.q.service.Name, r.use.Prompt, r.firstAt.Sub(r.began))
 	}
@@ -343,6 +372,7 @@
 	r.sent = answered
 	if r.fresh && !r.firstAt.IsZero() {
 		r.st.h.paces.ran(r.st.q.service.Name, time.Since(r.firstAt), r.passed)
+		r.notePace()
 	}
 	r.st.flush()
 	r.st.h.o.Blame.Succeeded(r.st.q.digest)
@@ -368,6 +398,7 @@
 // never works on beside the next one.
 func (r *run) close(end ending) {
 	fleet := r.st.h.o.Fleet
+	r.st.h.o.Rollouts.Book.Drop(r.watched)
 	fleet.Give(r.server, r.use)
 	if r.shield.now.keeper != nil {
 		fleet.Give(r.shield.now.keeper, r.kept)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -39,6 +39,7 @@
 	since   time.Time // when the last engine was lost; zero: none is
 	wrote   time.Time // when the last event was passed on
 	failure *reply
+	failed  bool // an engine has failed it
 
 	began   time.Time     // when the first event was passed on
 	longest time.Duration // pause between two events
@@ -149,7 +150,7 @@
 		return true
 	}
 	st.skip[run.server.ID] = true
-	st.failure = r
+	st.failure, st.failed = r, true
 	return false
 }
 
@@ -215,16 +216,17 @@
 func (st *stream) choose() chosen {
 	if left := st.left; left != nil {
 		st.left = nil // a copy can be used once
-		if s := st.h.o.Fleet.At(st.q.service.Name, left.Address); s != nil {
+		if s := st.h.o.Fleet.At(st.q.service.Name, left.Address); s != nil && st.permits(s) {
 			return chosen{server: s, from: left}
 		}
 	}
 	if p := st.copied; p.keeper != nil {
-		if s := st.h.o.Fleet.Lookup(p.keeper.ID); s != nil {
+		if s := st.h.o.Fleet.Lookup(p.keeper.ID); s != nil && st.permits(s) {
 			return chosen{server: s, from: &p.copy}
 		}
 		st.copied = protection{}
 	}
+	st.h.recheckVersion(st.q, st.failed)
 	if st.sends >= maxSends {
 		return chosen{}
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -43,6 +43,7 @@
 	KindUse        Kind = 86 // of engines by a VM, as it changes
 	KindRoutes     Kind = 87 // the route list's text, by an observer
 	KindList       Kind = 88 // the whole list of backend servers
+	KindRollout    Kind = 89 // an order, or the state of a roll-out, by an observer
 	KindBlame      Kind = 100
 	KindExplain    Kind = 120
 	KindStatus     Kind = 121
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 	"github.com/amaranthshelf/amaranthshelf/internal/wal"
@@ -29,6 +30,11 @@
 	// Routes returns the operator's text of the newest list, confirmed by a majority
 	// of the group. nil: there is none yet.
 	Routes(ctx context.Context) ([]byte, error)
+	// PutRollout orders a roll-out that is in the log once it returns. The same order again
+	// is acknowledged again.
+	PutRollout(ctx context.Context, o rollout.Order) (rollout.Record, error)
+	// Rollout returns the newest roll-out of a service, confirmed by a majority of the group.
+	Rollout(ctx context.Context, service string) (rollout.Record, error)
 	// Entrances are the addresses of routers that callers may use, at most limit.
 	Entrances(limit int) []string
 	// Failure carries the fault that ends the process, if one comes.
@@ -68,6 +74,9 @@
 // StartControl opens the data folder, binds the peer address and joins or forms
 // the group in the background.
 func StartControl(o ControlOptions) (*Control, error) {
+	if o.Rollouts == (rollout.Limits{}) {
+		o.Rollouts = rollout.DefaultLimits
+	}
 	c := &Control{o: o, failure: make(chan error, 1), values: bulk.NewStore()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.network = newNetwork(&o.Common)
@@ -77,6 +86,7 @@
 	c.text.values = c.values
 	c.network.Handle(peer.KindPiece, c.values.Serve)
 	c.network.Handle(peer.KindRoutes, func(ctx context.Context, _ string, _ []byte) (any, error) { return c.serveText(ctx) })
+	c.network.Handle(peer.KindRollout, func(ctx context.Context, _ string, body []byte) (any, error) { return c.serveRollout(ctx, body) })
 	c.members = &members{open: c.openMember}
 	c.gauges()
 	var err error
@@ -90,6 +100,7 @@
 	go c.member.Run(c.ctx)
 	go c.hub.Run(c.ctx)
 	go c.readBackends()
+	go c.runRollouts()
 	return c, nil
 }
 
--- a/internal/routed/member.go
+++ b/internal/routed/member.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 	"github.com/amaranthshelf/amaranthshelf/internal/wal"
@@ -27,6 +28,8 @@
 	part    *routes.Part
 	group   *control.Group
 	client  *control.Remote
+
+	rollouts *rollout.Part
 }
 
 // members opens the group's member, and again after a failed disk. What a member
@@ -52,8 +55,9 @@
 
 // openMember returns how c opens its member.
 func (c *Control) openMember(failed func(error)) (*membership, error) {
-	s := &membership{machine: control.NewMachine(), part: routes.NewPart()}
+	s := &membership{machine: control.NewMachine(), part: routes.NewPart(), rollouts: rollout.NewPart()}
 	s.machine.Register(control.PartRoutes, s.part)
+	s.machine.Register(control.PartRollouts, s.rollouts)
 	s.group = control.NewGroup(control.GroupOptions{
 		VM: c.o.ID, Voters: c.o.Seeds, Known: c.member.Controls, JoinOnly: !c.o.FirstStart, Target: c.o.Voters,
 		Dir: filepath.Join(c.o.Dir, "control"), Transport: c.network, Values: c.values, Machine: s.machine, Lease: Lease, Log: c.o.Log, Failed: failed,
--- a/internal/routed/observer.go
+++ b/internal/routed/observer.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/cluster"
 	"github.com/amaranthshelf/amaranthshelf/internal/consensus"
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -63,6 +67,48 @@
 // it was asked.
 func (v *Observer) Routes(ctx context.Context) ([]byte, error) { return v.text.read(ctx) }
 
+// PutRollout implements Operable. A voter that did not answer may have taken the order:
+// the next one then acknowledges it as the same.
+func (v *Observer) PutRollout(ctx context.Context, o rollout.Order) (rollout.Record, error) {
+	return v.askRollout(ctx, rolloutAsk{Order: &o})
+}
+
+// Rollout implements Operable.
+func (v *Observer) Rollout(ctx context.Context, service string) (rollout.Record, error) {
+	return v.askRollout(ctx, rolloutAsk{Service: service})
+}
+
+// askRolloutTimeout covers a commit at a voter.
+const askRolloutTimeout = 700 * time.Millisecond
+
+// askRollout asks the voters in turn until one decides.
+func (v *Observer) askRollout(ctx context.Context, q rolloutAsk) (rollout.Record, error) {
+	for _, vm := range v.observer.Controls() {
+		var out rollout.Record
+		asking, cancel := context.WithTimeout(ctx, askRolloutTimeout)
+		err := v.network.Call(asking, vm, peer.KindRollout, q, &out)
+		cancel()
+		if err == nil {
+			return out, nil
+		}
+		var remote *peer.RemoteError
+		if errors.As(err, &remote) && isFinal(result.Code(remote.Code)) {
+			return out, result.New(result.Code(remote.Code))
+		}
+		v.o.Log.Debug().Err(err).Str("control", vm).Msg("voter not asked about a roll-out")
+	}
+	return rollout.Record{}, result.New(result.ControlUnavail)
+}
+
+// isFinal reports whether another voter would say the same.
+func isFinal(c result.Code) bool {
+	switch c {
+	case result.InvalidRollout, result.RolloutUnderWay, result.UnknownService, result.NoRollout:
+		return true
+	}
+	return false
+}
+
 // Failure implements Operable: an Observer has nothing that could fail it.
 func (v *Observer) Failure() <-chan error { return nil }
 
--- a/internal/routed/operators.go
+++ b/internal/routed/operators.go
@@ -1,8 +1,10 @@
 package routed
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
+	"encoding/json"
 	"expvar"
 	"net/http"
 	"strings"
@@ -13,6 +15,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 )
 
@@ -38,6 +41,8 @@
 		m.HandleFunc("/v1/entry", func(w http.ResponseWriter, _ *http.Request) { writeEntry(w, c) }).Methods(http.MethodGet)
 		m.Handle("/v1/routes", guard(token, func(w http.ResponseWriter, q *http.Request) error { return putRoutes(w, q, c) })).Methods(http.MethodPut)
 		m.Handle("/v1/routes", guard(token, func(w http.ResponseWriter, q *http.Request) error { return getRoutes(w, q, c) })).Methods(http.MethodGet)
+		m.Handle("/v1/rollouts", guard(token, func(w http.ResponseWriter, q *http.Request) error { return postRollout(w, q, c) })).Methods(http.MethodPost)
+		m.Handle("/v1/rollouts/{service}", guard(token, func(w http.ResponseWriter, q *http.Request) error { return getRollout(w, q, c) })).Methods(http.MethodGet)
 	}
 	return m
 }
@@ -112,3 +117,68 @@
 	_, _ = w.Write(source)
 	return nil
 }
+
+// rolloutOrder is an operator's order, in JSON.
+type rolloutOrder struct {
+	Service    string `json:"service"`
+	To         string `json:"to"`
+	DurationMS int64  `json:"duration_ms"`
+}
+
+// rolloutAnswer is the state of a roll-out.
+type rolloutAnswer struct {
+	Service string             `json:"service"`
+	To      string             `json:"to"`
+	Number  uint64             `json:"number"`
+	Phase   string             `json:"phase"` // trial, switching, moving, completed or reverted
+	Over    bool               `json:"over"`
+	Reason  string             `json:"reason,omitempty"` // of the last step
+	Share   float64            `json:"share"`            // of all requests, in the trial
+	Shares  map[string]float64 `json:"shares,omitempty"` // by route
+}
+
+func writeRollout(w http.ResponseWriter, r *rollout.Record) {
+	resulthttp.WriteJSON(w, rolloutAnswer{
+		Service: r.Service, To: r.To, Number: r.Number, Phase: r.Phase.String(), Over: r.Phase.Over(), Reason: r.Reason,
+		Share: r.DefaultShare, Shares: r.Shares,
+	})
+}
+
+// maxOrderText is the most bytes of an order.
+const maxOrderText = 16 << 10
+
+func postRollout(w http.ResponseWriter, r *http.Request, c Operable) error {
+	data, err := resulthttp.ReadBody(w, r, maxOrderText)
+	if err != nil {
+		return err
+	}
+	var o rolloutOrder
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&o); err != nil {
+		return result.Newf(result.InvalidRollout, "not readable: %v", err)
+	}
+	order := rollout.Order{Service: o.Service, To: o.To, Duration: time.Duration(o.DurationMS) * time.Millisecond}
+	if err := order.Validate(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+	record, err := c.PutRollout(ctx, order)
+	if err != nil {
+		return err
+	}
+	writeRollout(w, &record)
+	return nil
+}
+
+func getRollout(w http.ResponseWriter, r *http.Request, c Operable) error {
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+	record, err := c.Rollout(ctx, mux.Vars(r)["service"])
+	if err != nil {
+		return err
+	}
+	writeRollout(w, &record)
+	return nil
+}
--- a/internal/routed/options.go
+++ b/internal/routed/options.go
@@ -18,6 +18,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -53,6 +54,9 @@
 	Dir        string // data folder
 	FirstStart bool   // the whole system starts for the first time
 	Voters     int    // how many the group keeps
+	// Rollouts bounds what a new version may get before it is known to be good; zero: the
+	// default.
+	Rollouts rollout.Limits
 	// ReadBackends reads the platform's list of backend servers.
 	ReadBackends func(ctx context.Context) ([]upstream.Backend, error)
 }
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -12,6 +12,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -28,6 +29,8 @@
 	handler *forward.Handler
 	blame   *forward.BlameBook
 	table   atomic.Pointer[routes.Table]
+	state   atomic.Pointer[rollout.State]
+	book    *rollout.Book
 	drain   *drain
 	conns   *callerConns
 	// prepared is closed once both lists are held.
@@ -41,7 +44,8 @@
 
 // StartRouter binds the addresses and serves.
 func StartRouter(o RouterOptions) (*Router, error) {
-	r := &Router{o: o, blame: forward.NewBlameBook(), prepared: make(chan struct{}), conns: newCallerConns(DefaultLimits)}
+	r := &Router{o: o, blame: forward.NewBlameBook(), prepared: make(chan struct{}), conns: newCallerConns(DefaultLimits), book: rollout.NewBook(time.Now)}
+	r.state.Store(&rollout.State{})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.drain = newDrain(o.Drain)
 	pool := upstream.NewPool()
@@ -52,16 +56,18 @@
 	r.member = cluster.NewMember(o.ID, r.network, o.Seeds, r.held, cluster.Local{
 		Zone: o.Zone, Callers: o.Callers, Ready: r.Ready, Use: r.fleet.Mine, Deaths: r.blame.Fresh,
 		Dead: r.fleet.Dying, Kept: r.kept, Spent: r.spent, Learn: r.learn, LearnSpent: r.learnSpent,
-		Opinion: r.fleet.Opinion, Paces: r.paces,
+		Opinion: r.fleet.Opinion, Paces: r.paces, Rollouts: r.book.Told, Urgent: func() bool { return r.state.Load().Urgent() },
 	}, o.Log)
 	r.feed = control.NewFeed(control.FeedOptions{
 		Self: o.ID, Voters: r.member.Controls, Transport: r.network, Lease: Lease, Log: o.Log,
 	})
 	r.feed.OnChange(control.PartRoutes, r.take)
+	r.feed.OnChange(control.PartRollouts, r.takeRollouts)
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, Prepared: r.prepared,
 		Allowance: o.Allowance, Log: o.Log, Ordinary: o.Ordinary, Metrics: o.Metrics, Blame: r.blame, Closing: r.drain.started,
 		Placer: r.member, Find: r.member.Find, Spending: r.member.Spending, TooLate: r.drain.tooLate,
+		Rollouts: &forward.Rollouts{State: r.state.Load, Book: r.book},
 	})
 	if err := r.serve(); err != nil {
 		r.cancel()
@@ -121,6 +127,21 @@
 	r.o.Log.Info().Uint64("version", l.Version).Int("routes", len(l.Routes)).Int("workspaces", len(l.Workspaces)).Msg("route list applied")
 }
 
+// takeRollouts applies the state of all roll-outs.
+func (r *Router) takeRollouts(data []byte) {
+	var s rollout.State
+	if err := codec.Unmarshal(data, &s); err != nil {
+		r.o.Log.Error().Err(err).Msg("roll-outs not readable")
+		return
+	}
+	r.state.Store(&s)
+	r.book.Watch(s.UnderWay())
+	for service, record := range s.Records {
+		r.o.Log.Info().Str("service", service).Uint64("rollout", record.Number).Str("to", record.To).Stringer("phase", record.Phase).
+			Float64("share", record.DefaultShare).Msg("roll-out applied")
+	}
+}
+
 // takeList applies a list of backend servers.
 func (r *Router) takeList(l upstream.List) {
 	first := r.fleet.AsOf().IsZero()
--- a/internal/routedlocal/system.go
+++ b/internal/routedlocal/system.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -51,9 +52,11 @@
 	Controls []*routed.Control
 	Routers  []*routed.Router
 	Fronts   []string // callers' addresses
-	rows     []upstream.Backend
-	seeds    []string // control VMs
-	dir      string
+
+	mu    sync.Mutex
+	rows  []upstream.Backend
+	seeds []string // control VMs
+	dir   string
 }
 
 // Start starts three control processes, two routers and two engines in each of
@@ -114,6 +117,30 @@
 	return nil
 }
 
+// AddServer starts a backend server, and lists it.
+func (s *System) AddServer(e *routedengine.Server) error {
+	if err := s.Net.ListenTCP(e); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = append(s.rows, e.Backend)
+	return nil
+}
+
+// RemoveServers ends all servers of a service and version, and takes them off the list.
+func (s *System) RemoveServers(service, version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = slices.DeleteFunc(s.rows, func(b upstream.Backend) bool {
+		gone := b.Service == service && b.Version == version
+		if gone {
+			s.Net.At(b.Address).Set(routedengine.Dead)
+		}
+		return gone
+	})
+}
+
 func (s *System) startRouter(id, front string, seeds []string) error {
 	r, err := routed.StartRouter(routed.RouterOptions{
 		Common: common(id, seeds), Callers: front, Wire: forward.NewPlainWire(),
@@ -134,7 +161,11 @@
 	}
 }
 
-func (s *System) read(context.Context) ([]upstream.Backend, error) { return slices.Clone(s.rows), nil }
+func (s *System) read(context.Context) ([]upstream.Backend, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.rows), nil
+}
 
 // freeAddrs are loopback addresses that were free a moment ago.
 func freeAddrs(n int) ([]string, error) {
@@ -199,6 +230,11 @@
 		}},
 		Services: []routes.Service{{Name: Service, Engine: &routes.EngineTraits{Slots: 8, KVTokens: 88_000, KeepCopies: true}}},
 	}
+	return s.PutList(ctx, l)
+}
+
+// PutList puts any list in force.
+func (s *System) PutList(ctx context.Context, l *routes.List) error {
 	for i := 0; ; i++ {
 		one, cancel := context.WithTimeout(ctx, time.Second)
 		_, err := s.Controls[i%len(s.Controls)].PutRoutes(one, l)
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -29,15 +29,15 @@
 	orderMemory = 0.7
 )
 
-// mayCopy reports whether the memory of the service's engines has room for one more
-// copy, up to a share of it, beside what prompts will need.
-func (r *round) mayCopy(share float64) bool {
+// mayCopy reports whether the memory of the engines that may have a stream has room for
+// one more copy, up to a share of it, beside what prompts will need.
+func (r *round) mayCopy(share float64, w *waiter) bool {
 	if r.v.kvTokens == 0 {
 		return false
 	}
 	total, taken, runs := 0, 0, 0
 	for _, e := range r.servers {
-		if r.health.lost(e) {
+		if r.health.lost(e) || !w.of(e) {
 			continue
 		}
 		total += r.v.kvTokens
@@ -51,12 +51,15 @@
 	return float64(taken)+growth <= share*float64(total)
 }
 
+// anyVersion stands for a stream that every engine may have.
+var anyVersion waiter
+
 // Short names the services whose memory is needed for prompts: no copies are ordered.
 func (s *Scheduler) Short(now time.Time) []string {
 	h := s.health(now)
 	var out []string
 	for name, v := range s.services {
-		if v.kvTokens > 0 && !newRound(v, s.vms, h, now).mayCopy(orderMemory) {
+		if v.kvTokens > 0 && !newRound(v, s.vms, h, now).mayCopy(orderMemory, &anyVersion) {
 			out = append(out, name)
 		}
 	}
@@ -65,12 +68,12 @@
 
 // keeper chooses the engine that keeps a copy of a run; nil: none is to be kept.
 func (r *round) keeper(w *waiter, e *server, rng func(int) int) *server {
-	if !r.mayCopy(copyMemory) {
+	if !r.mayCopy(copyMemory, w) {
 		return nil
 	}
 	able, candidates := r.v.able[:0], r.v.candidates[:0]
 	for _, o := range r.servers {
-		if o.Zone != e.Zone && !r.avoids(w, o) {
+		if o.Zone != e.Zone && w.of(o) && !r.avoids(w, o) {
 			able, candidates = append(able, o), append(candidates, r.candidate(o, w))
 		}
 	}
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 )
 
 // round is one pass over the waiting streams of a service.
@@ -24,6 +25,7 @@
 	idle     []*server
 	usual    time.Duration // reading of a token
 	allSlow  bool
+	fews     map[string]map[string]bool // by version
 }
 
 func newRound(v *service, vms map[string]*vm, h health, now time.Time) *round {
@@ -104,7 +106,38 @@
 
 // takes reports whether an engine may have a stream at all, now or later.
 func (r *round) takes(e *server, w *waiter) bool {
-	return !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e)
+	return w.of(e) && !slices.Contains(w.Skip, e.ID) && !r.avoids(w, e) && (w.Part == 0 || r.few(w)[e.ID])
+}
+
+// of reports whether an engine is of the version that may have a stream.
+func (w *waiter) of(e *server) bool { return w.Version == "" || w.Version == e.Version }
+
+// few are the engines of a version of which a part has all streams. Those that are lost
+// are passed over.
+func (r *round) few(w *waiter) map[string]bool {
+	if out, ok := r.fews[w.Version]; ok {
+		return out
+	}
+	var ids []string
+	others := 0
+	for _, e := range r.servers {
+		switch {
+		case !w.of(e):
+			others++
+		case !r.avoids(w, e):
+			ids = append(ids, e.ID)
+		}
+	}
+	slices.Sort(ids)
+	out := map[string]bool{}
+	for _, id := range ids[:min(len(ids), rollout.Few(w.Part, others))] {
+		out[id] = true
+	}
+	if r.fews == nil {
+		r.fews = map[string]map[string]bool{}
+	}
+	r.fews[w.Version] = out
+	return out
 }
 
 func (r *round) slowness(e *server) float64 { return e.slowness(r.usual, r.now) }
@@ -162,7 +195,7 @@
 	}
 	var best *server
 	for _, e := range r.free() {
-		if !r.avoids(w, e) && (best == nil || e.use.Tokens < best.use.Tokens) {
+		if w.of(e) && !r.avoids(w, e) && (best == nil || e.use.Tokens < best.use.Tokens) {
 			best = e
 		}
 	}
@@ -190,14 +223,29 @@
 	return r.now.Add(wait + r.fastest(w)).After(w.Deadline)
 }
 
+// count is how many engines may have a stream by their version.
+func (r *round) count(w *waiter) int {
+	if w.Version == "" {
+		return len(r.servers)
+	}
+	n := 0
+	for _, e := range r.servers {
+		if w.of(e) {
+			n++
+		}
+	}
+	return n
+}
+
 // bestRate is how many streams like this one all engines together could begin in a
 // second: one after the other each, and no more than their memory holds.
 func (r *round) bestRate(w *waiter) float64 {
 	reading := r.v.pace.reading(max(1, w.Need.Prompt)).Seconds()
-	rate := float64(len(r.servers)) / reading
+	servers := r.count(w)
+	rate := float64(servers) / reading
 	if w.KVTokens > 0 {
 		hold := reading + quickRun*r.v.pace.Run.Seconds()
-		rate = min(rate, float64(len(r.servers)*w.KVTokens)/float64(max(1, w.Need.Tokens()))/hold)
+		rate = min(rate, float64(servers*w.KVTokens)/float64(max(1, w.Need.Tokens()))/hold)
 	}
 	return max(rate, leastRate)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -35,6 +35,7 @@
 	Service string
 	Zone    string
 	Slots   int // runs and copies at once; 0: not stated
+	Version string
 }
 
 // Stream asks for an engine.
@@ -55,6 +56,10 @@
 	Cached string `cbor:"10,keyasint,omitempty"`
 	// After is how many events its caller has.
 	After int `cbor:"11,keyasint,omitempty"`
+	// Version of the engines that may have it, and its copy; empty: any. Part of them, by
+	// id, has all such streams; 0: all of them.
+	Version string  `cbor:"12,keyasint,omitempty"`
+	Part    float64 `cbor:"13,keyasint,omitempty"`
 
 	// Not encoded: a VM is known by its connection, and its clock is its own.
 	VM            string    `cbor:"-"` // that carries it
@@ -310,7 +315,7 @@
 	v.kvTokens = st.KVTokens
 	for _, w := range v.waiting {
 		if w.ID == st.ID {
-			w.Skip, w.After, w.askedAt = st.Skip, st.After, now
+			w.Skip, w.After, w.Version, w.Part, w.askedAt = st.Skip, st.After, st.Version, st.Part, now
 			return
 		}
 	}
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -356,7 +356,7 @@
 	if anew && !s.pause(r, s.ReadTime) {
 		return
 	}
-	keeper := s.Net.at(r.Header.Get(forward.HeaderCopyTo))
+	keeper := s.Net.At(r.Header.Get(forward.HeaderCopyTo))
 	s.sign(w, r)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := after + 1; n <= uint64(s.Events); n++ {
@@ -395,7 +395,8 @@
 	}
 }
 
-func (n *Net) at(addr string) *Server {
+// At returns the server at an address, or nil.
+func (n *Net) At(addr string) *Server {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.servers[addr]
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 )
 
 // Backend is one row of the list of backend servers.
@@ -19,6 +20,9 @@
 	Zone     string `cbor:"4,keyasint"`
 	Slots    int    `cbor:"5,keyasint"`
 	Draining bool   `cbor:"6,keyasint,omitempty"`
+	Version  string `cbor:"7,keyasint,omitempty"` // of its software; empty: not stated
+	// Cold: it has just started, and is slower than it will be.
+	Cold bool `cbor:"8,keyasint,omitempty"`
 }
 
 // List is the list of backend servers and when it was read, by this VM's clock.
@@ -87,6 +91,7 @@
 	asOf    time.Time
 	servers map[string]*Server
 	order   []*Server // of the list
+	inUse   inUse
 	others  map[string]placement.Use
 	outage  recovery.Outage
 	self    string
@@ -122,7 +127,7 @@
 		if s == nil || s.Address != b.Address || s.Service != b.Service {
 			s = &Server{Backend: b, died: make(chan struct{}), doubt: make(chan struct{}), turnOf: -1}
 		}
-		s.Draining = b.Draining
+		s.Draining, s.Cold = b.Draining, b.Cold
 		next[b.ID] = s
 		order = append(order, s)
 	}
@@ -134,6 +139,7 @@
 	}
 	added := len(next) + len(gone) - len(f.servers)
 	f.servers, f.order = next, order
+	f.inUse = f.inUse.next(l.Backends)
 	f.mu.Unlock()
 	if added > 0 || len(gone) > 0 {
 		f.log.Info().Int("servers", len(order)).Int("added", added).Int("gone", len(gone)).
@@ -205,12 +211,12 @@
 // Candidates are the servers of a service that may take a request, and the same
 // as placement sees them. skip leaves servers out by id. Draining servers and
 // those whose address another incarnation holds are never among them.
-func (f *Fleet) Candidates(service string, kvTokens int, skip map[string]bool) ([]*Server, []placement.Candidate) {
+func (f *Fleet) Candidates(service string, v rollout.Versions, kvTokens int, skip map[string]bool) ([]*Server, []placement.Candidate) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	usual := f.usualLatency(service)
-	servers := f.usable(service, skip)
+	servers := f.usable(service, v, skip)
 	out := make([]placement.Candidate, 0, len(servers))
 	for _, s := range servers {
 		out = append(out, placement.Candidate{
@@ -222,12 +228,12 @@
 }
 
 // CallCandidates are the same servers as placement sees them for a call.
-func (f *Fleet) CallCandidates(service string, skip map[string]bool) ([]*Server, []placement.CallCandidate) {
+func (f *Fleet) CallCandidates(service string, v rollout.Versions, skip map[string]bool) ([]*Server, []placement.CallCandidate) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	usual := f.usualLatency(service)
-	servers := f.usable(service, skip)
+	servers := f.usable(service, v, skip)
 	out := make([]placement.CallCandidate, 0, len(servers))
 	for _, s := range servers {
 		out = append(out, placement.CallCandidate{
@@ -240,13 +246,22 @@
 }
 
 // usable needs f.mu.
-func (f *Fleet) usable(service string, skip map[string]bool) []*Server {
+func (f *Fleet) usable(service string, v rollout.Versions, skip map[string]bool) []*Server {
+	version := f.inUse.version(service, v)
 	var out []*Server
+	others := 0
 	for _, s := range f.order {
-		if s.Service == service && s.open() && !skip[s.ID] {
+		switch {
+		case s.Service != service || !s.open():
+		case s.Version != version:
+			others++
+		case !skip[s.ID]:
 			out = append(out, s)
 		}
 	}
+	if v.Part > 0 {
+		return few(out, rollout.Few(v.Part, others), f.now())
+	}
 	return out
 }
 
--- a/internal/upstream/fleet_test.go
+++ b/internal/upstream/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 )
 
 // newTestFleet has n servers of one service in each of three zones.
@@ -27,7 +28,7 @@
 // usable counts the servers of a zone that a request would go to.
 func usable(f *Fleet, zone string) int {
 	n := 0
-	_, candidates := f.Candidates("m", 1, nil)
+	_, candidates := f.Candidates("m", rollout.Versions{}, 1, nil)
 	for _, c := range candidates {
 		if c.Zone == zone && !c.Avoid {
 			n++
@@ -121,7 +122,7 @@
 		{ID: "b0", Service: "m", Zone: "b", Address: "b0:1"},
 		{ID: "c0", Service: "m", Zone: "c", Address: "c0:1"},
 	}, AsOf: time.Now().Add(time.Second)})
-	servers, _ := f.Candidates("m", 1, nil)
+	servers, _ := f.Candidates("m", rollout.Versions{}, 1, nil)
 	if len(servers) != 1 || servers[0].ID != "b0" {
 		t.Errorf("%d candidates", len(servers))
 	}
