control: a proposer passes over a VM that did not answer while others do

Change: within one request, a VM that did not answer is asked again only when all others did not either, or one names it more than a second later: it may have been slow, and lead.

--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -26,6 +26,9 @@
 	// watchAttempt is shorter: leases run out meanwhile.
 	watchAttempt = 400 * time.Millisecond
 	retryPause   = 30 * time.Millisecond
+	// passOverFor is how long a voter that did not answer is not asked on the word of
+	// another one, which may name it as the leader until a new one is elected.
+	passOverFor = 1 * time.Second
 )
 
 // op is what a request to a voter asks for.
@@ -182,9 +185,10 @@
 	target := r.lastLeader()
 	maybeRan := false
 	wanted := false
+	silent := silentVoters{}
 	for i := 0; ; i++ {
 		if target == "" {
-			voters := r.voters()
+			voters := silent.passOver(r.voters())
 			if len(voters) == 0 {
 				return reply{}, result.New(result.ControlUnavail)
 			}
@@ -203,6 +207,7 @@
 			continue
 		case err != nil:
 			r.forget()
+			silent[target] = time.Now()
 		case out.Status == statusOK:
 			r.remember(target)
 			return out, nil
@@ -212,7 +217,7 @@
 			return out, result.Newf(result.ControlUnavail, "the control group is busy")
 		}
 		next := out.Leader
-		if next == "" || next == target {
+		if next == "" || next == target || silent.lately(next) {
 			next = ""
 			if err := timer.Sleep(ctx, retryPause); err != nil {
 				return reply{}, giveUp(err, maybeRan)
@@ -225,6 +230,24 @@
 	}
 }
 
+// silentVoters are those that did not answer one request, and when. Asked again in turn,
+// one that was lost costs the proposer as much each time, while the others elect.
+type silentVoters map[string]time.Time
+
+// passOver leaves silent voters out, unless all are silent.
+func (s silentVoters) passOver(voters []string) []string {
+	out := slices.DeleteFunc(slices.Clone(voters), func(vm string) bool { _, is := s[vm]; return is })
+	if len(out) == 0 {
+		return voters
+	}
+	return out
+}
+
+func (s silentVoters) lately(vm string) bool {
+	at, is := s[vm]
+	return is && time.Since(at) < passOverFor
+}
+
 // offer asks for a proposal's outcome without its body.
 func (q request) offer() request {
 	return request{Op: opOffer, Part: q.Part, ID: q.ID}
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -136,7 +136,7 @@
 	}
 	switch r.Phase {
 	case Trial:
-		if v.Elapsed >= p.switchAt && v.Target > 0 && j.doubt(e, p.switchChance) == "" {
+		if v.Elapsed >= p.switchAt && p.hasServers(&v) && j.doubt(e, p.switchChance) == "" {
 			return step(Switching, j.summary())
 		}
 		if shares, ok := j.reshare(r, e, &p, v); ok {
@@ -155,7 +155,8 @@
 			return step(Reverted, "in doubt, and no more may go there: "+doubt)
 		}
 	case Moving:
-		if v.Step >= p.moveFor && v.InForce {
+		// A router that cannot be told in time finds the old servers gone, and sends nothing.
+		if v.Step >= p.moveFor && (v.InForce || v.Elapsed >= r.Duration-lastMoment) {
 			return step(Completed, j.summary())
 		}
 	case Completed, Reverted:
@@ -199,6 +200,7 @@
 	allowed    float64 // requests that may reach a bad version
 	rate       float64 // requests a second
 	switchAt   time.Duration
+	noLater    time.Duration // than this the switch waits for servers
 	switchFor  time.Duration
 	moveFor    time.Duration
 	trialLeast time.Duration
@@ -227,6 +229,7 @@
 	}
 	spare := min(max(time.Duration(spareShare*float64(r.Duration)), spareLeast), spareMost)
 	p.switchAt = max(r.Duration-spare-p.moveFor-p.switchFor, r.Duration/4)
+	p.noLater = p.switchAt + spare/2
 	p.share = mostOfRoute
 	if toCome := p.rate * max(p.switchAt-elapsed, slotLength).Seconds(); toCome > 0 {
 		p.share = min(mostOfRoute, max(0, trial-float64(e.Sent))/toCome)
@@ -234,6 +237,12 @@
 	return p
 }
 
+// hasServers reports whether there are as many servers of the new version as of the
+// others, or some and no time to wait for more.
+func (p *plan) hasServers(v *View) bool {
+	return v.Target > 0 && (v.Target >= v.Former || v.Elapsed >= p.noLater)
+}
+
 func hasStreams(e *Evidence) bool {
 	for cell := range e.Former {
 		if cell.Measure == Pace {
