--- a/cmd/amaranthshelfd/routed.go
+++ b/cmd/amaranthshelfd/routed.go
@@ -11,6 +11,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/inventory"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routed"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
@@ -79,6 +80,7 @@
 	}
 	c, err := routed.StartControl(routed.ControlOptions{
 		Common: common, Dir: s.DataDir, FirstStart: s.FirstStart, Voters: int(s.Voters), ReadBackends: backendReader(s, common.Log),
+		Rollouts: rollout.Limits{Share: float64(s.RolloutPercent) / 100, Slack: float64(s.RolloutSlack)},
 	})
 	if err != nil {
 		return nil, err
@@ -95,7 +97,7 @@
 	go reader.Run(context.Background())
 	var fixed []upstream.Backend
 	for _, b := range s.Backends {
-		fixed = append(fixed, upstream.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: int(b.Slots)})
+		fixed = append(fixed, upstream.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: int(b.Slots), Version: b.Version})
 	}
 	return func(context.Context) ([]upstream.Backend, error) {
 		list, _, _ := reader.List()
--- a/cmd/amaranthshelfd/soak_system_test.go
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -47,6 +49,19 @@
 
 	mu        sync.Mutex
 	processes []*soakProcess // control, then routers
+
+	// bad: the new version of the vote servers fails half of the votes.
+	bad  bool
+	seen atomic.Int64 // votes that reached it
+}
+
+// spoil answers for the new version, where it is bad.
+func (s *soakSystem) spoil(e *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+	if n := s.seen.Add(1); !s.bad || n%2 == 0 {
+		return false
+	}
+	e.Call(w, r, http.StatusInternalServerError)
+	return true
 }
 
 func startSoakSystem(t *testing.T) *soakSystem {
@@ -54,16 +69,22 @@
 	t.Cleanup(s.net.Close)
 	for i := range 2 * soakZones {
 		s.addServer(&routedengine.Server{
-			Backend: upstream.Backend{ID: fmt.Sprint("engine", i), Service: "models", Zone: fmt.Sprint("z", i%soakZones), Slots: 8},
+			Backend: upstream.Backend{ID: fmt.Sprint("engine", i), Service: "models", Zone: fmt.Sprint("z", i%soakZones), Slots: 8, Version: "v1"},
 			Events:  soakEvents, ReadTime: 100 * time.Millisecond, EventTime: 20 * time.Millisecond,
 		})
 	}
 	for i := range soakZones {
 		s.addServer(&routedengine.Server{
-			Backend:  upstream.Backend{ID: fmt.Sprint("desk", i), Service: "desk", Zone: fmt.Sprint("z", i), Slots: 6},
+			Backend:  upstream.Backend{ID: fmt.Sprint("desk", i), Service: "desk", Zone: fmt.Sprint("z", i), Slots: 6, Version: "v1"},
 			WorkTime: 20 * time.Millisecond,
 		})
 	}
+	for i := range soakZones {
+		s.addServer(&routedengine.Server{
+			Backend:  upstream.Backend{ID: fmt.Sprint("newdesk", i), Service: "desk", Zone: fmt.Sprint("z", i), Slots: 6, Version: "v2"},
+			WorkTime: 20 * time.Millisecond, Answer: s.spoil,
+		})
+	}
 	s.writeSettings(freePorts(t, 2*soakControls+3*soakRouters))
 	t.Cleanup(s.stop)
 	for i := range s.processes {
@@ -87,7 +108,7 @@
 	seeds := strings.Join(ports[:soakControls], ", ")
 	var backends strings.Builder
 	for _, e := range s.servers {
-		fmt.Fprintf(&backends, "[backend:%s]\nservice = %s\naddress = %s\nzone = %s\nslots = %d\n", e.ID, e.Service, e.Address, e.Zone, e.Slots)
+		fmt.Fprintf(&backends, "[backend:%s]\nservice = %s\naddress = %s\nzone = %s\nslots = %d\nversion = %s\n", e.ID, e.Service, e.Address, e.Zone, e.Slots, e.Version)
 	}
 	write := func(name, text string) {
 		path := filepath.Join(s.dir, name+".ini")
@@ -171,3 +192,14 @@
 }
 
 func lastPart(text []byte, n int) []byte { return text[max(0, len(text)-n):] }
+
+// votes is how many votes reached the vote servers.
+func (s *soakSystem) votes() int {
+	n := 0
+	for _, e := range s.servers {
+		if e.Service == "desk" {
+			n += len(e.Runs())
+		}
+	}
+	return n
+}
--- a/cmd/amaranthshelfd/soak_test.go
+++ b/cmd/amaranthshelfd/soak_test.go
@@ -146,7 +146,8 @@
 // and started again, servers die and fall silent, links to them are slow, cut one way
 // and reset, in series and overlapping. Callers get whole streams, each event once; no
 // vote runs twice, and one that is said not to have run has not; the route list that
-// operators read never goes back. When the trouble is over everything serves again.
+// operators read never goes back; a roll-out that was acknowledged gets one outcome, and
+// a bad version no more than it may. When the trouble is over everything serves again.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -158,6 +159,7 @@
 
 func soak(t *testing.T, seed uint64) {
 	s := startSoakSystem(t)
+	s.bad = seed%2 == 0
 	w := newSoakWorld(t, s)
 	w.put(t.Context(), 1)
 	w.allServe(1)
@@ -171,6 +173,7 @@
 	finished := time.Since(healed)
 	w.allServe(w.acknowledged.Load())
 	w.checkVotes()
+	w.checkRollout()
 	t.Logf("seed %d, %d faults: %s; last answers %.1f s after the last fault, all served after %.1f s",
 		seed, len(plan), w.summary(), finished.Seconds(), time.Since(healed).Seconds())
 	if t.Failed() {
--- a/cmd/amaranthshelfd/soak_world_test.go
+++ b/cmd/amaranthshelfd/soak_world_test.go
@@ -48,6 +48,7 @@
 	work sync.WaitGroup
 	// acknowledged is the highest version of the route list that was accepted.
 	acknowledged atomic.Uint64
+	ordered      atomic.Bool // a roll-out was acknowledged
 
 	mu      sync.Mutex
 	votes   []vote
@@ -81,6 +82,8 @@
 	}
 	w.work.Go(func() { w.operator(ctx, rand.New(rand.NewPCG(seed, 300))) })
 	w.work.Go(func() { w.reader(ctx, rand.New(rand.NewPCG(seed, 301))) })
+	w.work.Go(func() { w.orderRollout(ctx, rand.New(rand.NewPCG(seed, 302))) })
+	w.work.Go(func() { w.watchRollout(ctx, rand.New(rand.NewPCG(seed, 303))) })
 }
 
 // streamCaller asks for one stream after the other, and for the rest of each at any
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -24,6 +24,7 @@
 	Address string
 	Zone    string
 	Slots   int64
+	Version string // of its software; empty: not stated
 }
 
 // Routed is the checked settings file of a process that serves routed requests.
@@ -41,7 +42,11 @@
 	Tokens     struct{ Operator, Peer string }
 	Platform   string // base URL of the platform's list
 	Backends   []RoutedBackend
-	LogLevel   string
+	// RolloutPercent of a service's requests, and RolloutSlack beside them, may reach a new
+	// version that turns out bad.
+	RolloutPercent int64
+	RolloutSlack   int64
+	LogLevel       string
 }
 
 // LoadRouted reads and checks a settings file.
@@ -50,7 +55,7 @@
 	if err != nil {
 		return nil, &Error{File: path, Problem: err.Error(), Allowed: "a readable INI file"}
 	}
-	s := &Routed{Kind: RoutedRouter, Voters: 3, Grace: 30 * time.Second, LogLevel: "info"}
+	s := &Routed{Kind: RoutedRouter, Voters: 3, Grace: 30 * time.Second, RolloutPercent: 10, RolloutSlack: 50, LogLevel: "info"}
 	r := &reader{file: path}
 	keys := s.keys()
 	for _, sec := range f.Sections() {
@@ -65,7 +70,7 @@
 			r.apply(sec, known)
 			continue
 		}
-		r.fail(name, "", "unknown section", "process, listen, tokens, platform, log, backend:<id>")
+		r.fail(name, "", "unknown section", "process, listen, tokens, platform, rollouts, log, backend:<id>")
 	}
 	r.checkRouted(s)
 	return s, errors.Join(r.errs...)
@@ -83,6 +88,7 @@
 		"listen":   {"callers": address(&s.Callers), "operators": address(&s.Operators)},
 		"tokens":   {"operator": text(&s.Tokens.Operator), "peer": text(&s.Tokens.Peer)},
 		"platform": {"url": text(&s.Platform)},
+		"rollouts": {"percent": integer(&s.RolloutPercent, 1, 100), "slack": integer(&s.RolloutSlack, 0, 1<<20)},
 		"log":      {"level": oneOf(&s.LogLevel, "debug", "info", "warn", "error")},
 	}
 }
@@ -90,6 +96,7 @@
 func (b *RoutedBackend) keys() map[string]setter {
 	return map[string]setter{
 		"service": word(&b.Service), "address": address(&b.Address), "zone": word(&b.Zone), "slots": integer(&b.Slots, 1, 1<<20),
+		"version": word(&b.Version),
 	}
 }
 
