cluster: one control VM at a time reads the list of backend servers

Cause: a control VM without a list read it at once.

Change: without a list they begin by rank, some tenths of a second apart; a page over the rate is waited for and not the whole list begun anew; a reading has four seconds, each page less; a list that takes long is read less often, and missed later. The decision is a pure function of its own.

--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -249,21 +249,19 @@
 
 // Timings of the reader of backend servers.
 const (
-	readEvery = 400 * time.Millisecond
-	// takeOverAge: a list this old has no reader any more, and another control VM
-	// reads. Its own turn comes later by standbyStep for each rank, so that not all
-	// of them begin at once.
-	takeOverAge = 1100 * time.Millisecond
-	standbyStep = 300 * time.Millisecond
-	readTimeout = 1 * time.Second
+	readLook = 100 * time.Millisecond
+	// readTimeout bounds one reading of all pages, which may have to wait for the
+	// platform's rate.
+	readTimeout = 4 * time.Second
 )
 
-// readBackends reads the list on one control VM at a time: the leader, and any
-// other where the list grows old, which is how a frozen or cut-off reader shows.
+// readBackends reads the list on one control VM at a time.
 func (c *Control) readBackends() {
-	tick := time.NewTicker(readEvery / 2)
+	tick := time.NewTicker(readLook)
 	defer tick.Stop()
-	var readAt time.Time
+	began := time.Now()
+	var last time.Time
+	var took time.Duration
 	leader := ""
 	for {
 		select {
@@ -272,11 +270,16 @@
 			return
 		}
 		leader = c.noteLeader(leader)
-		if time.Since(readAt) < readEvery || !c.isReader() {
-			continue
+		rows, _, age, ok := c.held.Now()
+		r := cluster.Reading{
+			Leads: c.Leads(), Rank: slices.Index(c.controls(), c.o.ID), Listed: ok, Rows: len(rows), Age: age,
+			Up: time.Since(began), Since: time.Since(last), Took: took,
+		}
+		if r.Due() {
+			last = time.Now()
+			c.readOnce()
+			took = time.Since(last)
 		}
-		readAt = time.Now()
-		c.readOnce()
 	}
 }
 
@@ -294,22 +297,13 @@
 	return now
 }
 
-func (c *Control) isReader() bool {
-	if c.Leads() {
-		return true
-	}
-	_, _, age, ok := c.held.Now()
-	rank := slices.Index(c.controls(), c.o.ID)
-	return !ok || age > takeOverAge+time.Duration(rank)*standbyStep
-}
-
 func (c *Control) readOnce() {
 	ctx, cancel := context.WithTimeout(c.ctx, readTimeout)
 	defer cancel()
 	began := time.Now()
 	rows, err := c.o.ReadBackends(ctx)
 	if err != nil {
-		c.o.Log.Warn().Err(err).Msg("list of backend servers not read")
+		c.o.Log.Warn().Err(err).Dur("took", time.Since(began)).Msg("list of backend servers not read")
 		return
 	}
 	c.held.Take(rows, time.Since(began))
