cluster: differences of the list are packed, whole lists are given out at a rate

Change: a difference is encoded and compressed once for all who hold the same list. A control VM gives out 6 MB of whole lists a second; who gets nothing asks again.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -107,10 +107,10 @@
 	Routers    []string                 `cbor:"11,keyasint,omitempty"`
 	// Digest and AgeMS are of the control VM's list; Changed leads to it from the one
 	// held. Where it is missing and the digests differ, the list is to be fetched.
-	Digest  uint64      `cbor:"5,keyasint,omitempty"`
-	AgeMS   int64       `cbor:"6,keyasint"`
-	Listed  bool        `cbor:"7,keyasint,omitempty"`
-	Changed *Difference `cbor:"8,keyasint,omitempty"`
+	Digest  uint64            `cbor:"5,keyasint,omitempty"`
+	AgeMS   int64             `cbor:"6,keyasint"`
+	Listed  bool              `cbor:"7,keyasint,omitempty"`
+	Changed *PackedDifference `cbor:"15,keyasint,omitempty"`
 	// Spent is what the other VMs together spent of the retry budgets, by service.
 	Spent map[string]forward.Spent `cbor:"10,keyasint,omitempty"`
 	// Entrances are the callers' addresses of all VMs that take callers.
--- a/internal/cluster/fetch.go
+++ b/internal/cluster/fetch.go
@@ -17,12 +17,20 @@
 //
 // So the whole list is asked for by itself, from one control VM at a time, with the
 // time that it takes; it is encoded and compressed once for all who ask.
+//
+// The first control VM that holds a list is asked by all of them. Each answer waits for the
+// link in memory, of which the process has a few dozen MB. So it gives out so many bytes a
+// second; whoever gets nothing asks again, and others hold the list by then.
 
 const (
 	// fetchTimeout: beyond it the link is lost, not slow.
 	fetchTimeout = 1 * time.Second
 	// maxListBytes bounds a list once it is unpacked.
 	maxListBytes = 32 << 20
+	// listRate is how many bytes of whole lists a control VM gives out a second, half of
+	// what a link of 100 Mbit/s carries, and listBurst how many at once.
+	listRate  = 6 << 20
+	listBurst = 2 << 20
 )
 
 // PackedList is a list of backend servers as it is sent whole.
@@ -69,9 +77,35 @@
 	return p, true, nil
 }
 
-func (h *Hub) serveList(context.Context, string, []byte) (any, error) {
-	p, _, err := h.held.Packed()
-	return p, err
+// serveList answers with the list, or with none where too many are on their way. Control
+// VMs get it always: they are few, and the others ask them then.
+func (h *Hub) serveList(_ context.Context, from string, _ []byte) (any, error) {
+	p, ok, err := h.held.Packed()
+	if err != nil || !ok {
+		return p, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.vms[from].notice.Control && !h.lists.take(len(p.Rows), time.Now()) {
+		return PackedList{}, nil
+	}
+	return p, nil
+}
+
+// listPace bounds the bytes of whole lists that are given out.
+type listPace struct {
+	left float64
+	at   time.Time
+}
+
+func (l *listPace) take(bytes int, now time.Time) bool {
+	l.left = min(listBurst, l.left+listRate*now.Sub(l.at).Seconds())
+	l.at = now
+	if l.left < 0 {
+		return false
+	}
+	l.left -= float64(bytes) // a list larger than the burst goes out too
+	return true
 }
 
 // wanted is a list that a control VM holds and this VM lacks.
@@ -169,9 +203,10 @@
 // patch takes what has changed in the list. Where that does not lead to the control
 // VM's list, all of it is fetched.
 func (m *Member) patch(vm string, a *Answer, age time.Duration) {
-	if m.held.Patch(*a.Changed, a.Digest, age) {
+	d, err := a.Changed.unpack()
+	if err == nil && m.held.Patch(d, a.Digest, age) {
 		return
 	}
-	m.log.Error().Str("control", vm).Int("rows", len(a.Changed.Rows)).Int("gone", len(a.Changed.Gone)).Msg("changes do not lead to the list")
+	m.log.Error().Err(err).Str("control", vm).Int("rows", len(d.Rows)).Int("gone", len(d.Gone)).Msg("changes do not lead to the list")
 	m.wantList(vm, a.Digest)
 }
--- a/internal/cluster/fetch_test.go
+++ b/internal/cluster/fetch_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // linkBytes is what a link of 10 Mbit/s carries in a second.
@@ -110,3 +114,73 @@
 		}
 	})
 }
+
+// Guards against a control VM that gives the list to hundreds of VMs at once and ends over
+// its memory: what waits for the link is bounded, and everybody is served in the end.
+func TestListsAreGivenOutAtARate(t *testing.T) {
+	const vms, size, again = 300, 100 << 10, 100 * time.Millisecond
+	var l listPace
+	now := time.Unix(100, 0)
+	began, waiting, given := now, vms, 0
+	for waiting > 0 && now.Sub(began) < time.Minute {
+		for range waiting {
+			if l.take(size, now) {
+				waiting--
+				given += size
+			}
+		}
+		if most := listBurst + size + listRate*now.Sub(began).Seconds(); float64(given) > most {
+			t.Fatalf("%d bytes after %v, want %.0f at most", given, now.Sub(began), most)
+		}
+		now = now.Add(again)
+	}
+	if took := now.Sub(began); took > 6*time.Second {
+		t.Errorf("all served after %v", took)
+	}
+	if !l.take(2*listBurst, now.Add(time.Minute)) {
+		t.Error("a list larger than the burst is never given out")
+	}
+}
+
+// Guards against a zone's loss that is told to each of hundreds of VMs at its full length.
+func TestDifferencesArePacked(t *testing.T) {
+	synctest.Test(t, differencesArePacked)
+}
+
+func differencesArePacked(t *testing.T) {
+	h := NewHeld(func(upstream.List) {})
+	h.KeepFormer()
+	rows := make([]upstream.Backend, 3000)
+	for i := range rows {
+		rows[i] = upstream.Backend{
+			ID: fmt.Sprintf("i-%08x", i*2654435761%(1<<32)), Service: "models", Address: fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250), Zone: "zone1", Slots: 16,
+		}
+	}
+	h.Take(rows, 0)
+	_, before, _, _ := h.Now()
+	next := slices.Clone(rows)
+	for i := range 1000 {
+		next[i].ID += "x"
+	}
+	time.Sleep(time.Millisecond)
+	h.Take(next, 0)
+	d, _, ok := h.Since(before)
+	p, digest, told, err := h.PackedSince(before)
+	if !ok || !told || err != nil {
+		t.Fatal(ok, told, err)
+	}
+	plain, err := codec.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(p.Data) > len(plain)/2 {
+		t.Errorf("%d bytes packed of %d", len(p.Data), len(plain))
+	}
+	got, err := p.unpack()
+	if err != nil || len(got.Rows) != 1000 || len(got.Gone) != 1000 {
+		t.Errorf("%d rows, %d gone, %v", len(got.Rows), len(got.Gone), err)
+	}
+	if _, now, _, _ := h.Now(); now != digest {
+		t.Error("leads to another list")
+	}
+}
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -30,6 +30,7 @@
 	silent map[string]bool // told in the log
 	spent  spentBook
 	ledger *rollout.Ledger
+	lists  listPace
 	deaths []toldDeath
 	summed *summary // nil: to be made anew
 	// recalled is what an earlier life wrote down; its copies are there until copiesTo.
@@ -83,7 +84,11 @@
 	a.Listed, a.Digest, a.AgeMS = true, digest, age.Milliseconds()
 	// A VM with a younger list than ours has nothing to gain.
 	if n.WantChanges && digest != n.Held && a.AgeMS < n.HeldAge {
-		if changed, digest, ok := h.held.Since(n.Held); ok {
+		changed, digest, ok, err := h.held.PackedSince(n.Held)
+		if err != nil {
+			return nil, err
+		}
+		if ok {
 			a.Changed, a.Digest = &changed, digest
 		}
 	}
--- a/internal/cluster/list.go
+++ b/internal/cluster/list.go
@@ -31,6 +31,30 @@
 	Gone []string           `cbor:"3,keyasint,omitempty"` // ids
 }
 
+// PackedDifference is a Difference as it is sent: a zone's loss changes a third of the
+// rows, which hundreds of VMs are told at once.
+type PackedDifference struct {
+	Base uint64 `cbor:"1,keyasint,omitempty"`
+	Data []byte `cbor:"2,keyasint"` // encoded and compressed
+}
+
+func (d Difference) pack() (PackedDifference, error) {
+	data, err := codec.Marshal(d)
+	if err != nil {
+		return PackedDifference{}, err
+	}
+	data, err = codec.Pack(data)
+	return PackedDifference{d.Base, data}, err
+}
+
+func (p *PackedDifference) unpack() (d Difference, err error) {
+	data, err := codec.Unpack(p.Data, maxListBytes)
+	if err != nil {
+		return d, err
+	}
+	return d, codec.Unmarshal(data, &d)
+}
+
 // Held is a VM's copy of the list of backend servers with its age. Safe for
 // concurrent use.
 //
@@ -47,6 +71,7 @@
 	keeps  bool                  // former lists, for other VMs
 	former []former              // with the one held as the last
 	since  map[uint64]Difference // to the one held, by base; kept until the next
+	told   map[uint64]PackedDifference
 
 	packing sync.Mutex
 	packed  PackedList // of the list held when it was last asked for whole
@@ -134,7 +159,7 @@
 
 // remember needs h.mu.
 func (h *Held) remember(f former) {
-	h.since = map[uint64]Difference{}
+	h.since, h.told = map[uint64]Difference{}, map[uint64]PackedDifference{}
 	h.former = append(h.former, f)
 	if len(h.former) > formerLists {
 		h.former = slices.Delete(h.former, 0, 1)
@@ -172,6 +197,29 @@
 	return d, h.digest, false
 }
 
+// PackedSince is Since as it is sent, packed once for all VMs that hold the same.
+func (h *Held) PackedSince(digest uint64) (p PackedDifference, held uint64, ok bool, err error) {
+	d, held, ok := h.Since(digest)
+	if !ok {
+		return p, held, false, nil
+	}
+	h.mu.Lock()
+	p, packed := h.told[digest]
+	h.mu.Unlock()
+	if packed {
+		return p, held, true, nil
+	}
+	if p, err = d.pack(); err != nil {
+		return p, held, false, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.digest == held {
+		h.told[digest] = p
+	}
+	return p, held, true, nil
+}
+
 // between works out what leads from a list to rows.
 func between(base former, rows []upstream.Backend) Difference {
 	was := rowsByID(base.rows)
