rollout: no evidence is lost between seconds; a late switch is finished; outages by version

Cause, three found by the test of streams that move, run six times beside one another: the evidence that came between the last look of a second and the first of the next one counted for neither; a good version whose evidence came late was switched to and then reverted, since the switch had no time left; when the old version's servers end, a router took their zones for lost and with them the new version's servers.

Change: a second begins with the evidence of the look before it. A switch without doubt is finished in the time that is left. Deaths tell of a zone's loss by version.

--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -99,7 +99,8 @@
 	number uint64
 
 	slots   []slot // the last one is still growing
-	at      Evidence
+	at      Evidence      // when the last slot began
+	last    Evidence      // at the last look
 	begunAt time.Duration // of the last slot, as elapsed
 	// whole and late are the comparisons over all slots, and over the last ones.
 	whole, late comparison
@@ -115,7 +116,8 @@
 // Number is that of the roll-out.
 func (j *Judge) Number() uint64 { return j.number }
 
-// Look takes what is known now, and returns the next step, if it is time for one.
+// Look takes what is known now, and returns the next step, if it is time for one. It keeps
+// the evidence.
 func (j *Judge) Look(r *Record, e *Evidence, v View) (Step, bool) {
 	j.note(e, v.Elapsed)
 	j.hadFormer = j.hadFormer || v.Former > 0
@@ -131,20 +133,21 @@
 	if why := cmp.Or(j.whole.bad(), j.late.bad()); why != "" {
 		return step(Reverted, why)
 	}
-	if v.Elapsed >= r.Duration-lastMoment && r.Phase != Moving {
-		return step(Reverted, "no sufficient evidence in time: "+j.doubt(e, acceptChance))
-	}
+	last := v.Elapsed >= r.Duration-lastMoment
 	switch r.Phase {
 	case Trial:
 		if v.Elapsed >= p.switchAt && p.hasServers(&v) && j.doubt(e, p.switchChance) == "" {
 			return step(Switching, j.summary())
 		}
+		if last {
+			return step(Reverted, "no sufficient evidence in time: "+j.doubt(e, p.switchChance))
+		}
 		if shares, ok := j.reshare(r, e, &p, v); ok {
 			next.Shares, next.DefaultShare = shares, p.share
 			return step(Trial, "shares by the rates of the routes")
 		}
 	case Switching:
-		if v.Step < p.switchFor {
+		if v.Step < p.switchFor && v.Elapsed < r.Duration-lastMoment-p.moveFor {
 			break
 		}
 		doubt := j.doubt(e, acceptChance)
@@ -153,10 +156,12 @@
 			return step(Moving, j.summary())
 		case float64(e.Sent)+p.rate*stepTakes.Seconds() >= switchPart*p.allowed:
 			return step(Reverted, "in doubt, and no more may go there: "+doubt)
+		case last:
+			return step(Reverted, "no sufficient evidence in time: "+doubt)
 		}
 	case Moving:
 		// A router that cannot be told in time finds the old servers gone, and sends nothing.
-		if v.Step >= p.moveFor && (v.InForce || v.Elapsed >= r.Duration-lastMoment) {
+		if v.Step >= p.moveFor && (v.InForce || last) {
 			return step(Completed, j.summary())
 		}
 	case Completed, Reverted:
@@ -184,12 +189,13 @@
 func (j *Judge) note(e *Evidence, elapsed time.Duration) {
 	if len(j.slots) == 0 || elapsed-j.begunAt >= slotLength {
 		if len(j.slots) > 0 {
-			j.at = *e
+			j.at = j.last
 			j.slots[len(j.slots)-1].settle()
 		}
 		j.slots = append(j.slots, slot{})
 		j.begunAt = elapsed
 	}
+	j.last = *e
 	j.slots[len(j.slots)-1] = since(e, &j.at)
 	j.whole, j.late = compare(j.slots, len(j.slots)), compare(j.slots, recent(j.slots))
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -157,3 +157,32 @@
 		t.Errorf("nothing is under way: %+v", told)
 	}
 }
+
+// Guards against a good version that is reverted since the evidence came late, and the
+// switch had no time left.
+func TestLateSwitchIsFinished(t *testing.T) {
+	r := Record{Order: Order{Service: "desk", To: "v2", Duration: 15 * time.Second}, Number: 1, Phase: Switching}
+	j := NewJudge(DefaultLimits, 1)
+	e := NewEvidence()
+	good := Counts{Answers: 40, Times: map[uint8]int{20: 40}}
+	for at := time.Duration(0); at < r.Duration; at += 100 * time.Millisecond {
+		if at == slotLength {
+			e = NewEvidence()
+			e.Requests["book"] = 80
+			e.Former[Cell{Route: "book"}] = Servers{"a": good}
+			e.Target[Cell{Route: "book"}] = Servers{"b": good}
+			e.Sent = 40
+		}
+		s, ok := j.Look(&r, &e, View{Elapsed: at, Step: at - 13*time.Second, Target: 3, Former: 3})
+		if !ok || at < 13*time.Second {
+			continue
+		}
+		if s.Phase == Reverted {
+			t.Fatalf("at %v: %+v", at, s)
+		}
+		if r.Phase = s.Phase; r.Phase == Completed {
+			return
+		}
+	}
+	t.Errorf("no outcome: %v", r.Phase)
+}
--- a/internal/routedlocal/rollout_test.go
+++ b/internal/routedlocal/rollout_test.go
@@ -263,14 +263,15 @@
 		Targets: []routes.Target{{Service: deskService, Weight: 1}}, Timeout: 20 * time.Second,
 		Objective: 2 * time.Second, PauseObjective: 700 * time.Millisecond,
 	}}
-	list.Services[0].Engine = &routes.EngineTraits{Slots: 64, KVTokens: 880_000, KeepCopies: true, CopiesOnOrder: true, CopyLife: 4 * time.Second}
+	list.Services[0].Engine = &routes.EngineTraits{Slots: 128, KVTokens: 8_800_000, KeepCopies: true, CopiesOnOrder: true, CopyLife: 4 * time.Second}
 	add := func(version string) {
-		for i := range zones {
+		for i := range 4 * zones {
 			check(t, s.AddServer(&routedengine.Server{
 				Backend: upstream.Backend{
-					ID: fmt.Sprint(version, "-", i), Service: deskService, Zone: fmt.Sprint("zone", i), Slots: 64, Version: version,
+					ID: fmt.Sprint(version, "-", i), Service: deskService, Zone: fmt.Sprint("zone", i%zones), Slots: 128, Version: version,
 				},
-				Events: 2 * Events, ReadTime: 100 * time.Millisecond, EventTime: 20 * time.Millisecond, CopyTime: 20 * time.Millisecond,
+				// Read anew, a prompt takes longer than a pause may be.
+				Events: 2 * Events, ReadTime: time.Second, EventTime: 20 * time.Millisecond, CopyTime: 20 * time.Millisecond,
 			}))
 		}
 	}
@@ -280,13 +281,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var work sync.WaitGroup
 	var whole, cut, paused atomic.Int64
-	for i := range 24 {
+	for i := range 30 {
 		work.Go(func() {
 			for n := 0; timer.Sleep(ctx, 10*time.Millisecond) == nil; n++ {
 				got, err := Stream(context.WithoutCancel(ctx), s.Fronts[i%len(s.Fronts)], fmt.Sprintf("/a/%d-%d", i, n), fmt.Sprintf("s%d-%d", i, n), 0, nil)
 				switch {
 				case err != nil || !got.Whole || !Complete(got.IDs, 2*Events):
 					cut.Add(1)
+					t.Logf("stream %d-%d: %d events, whole %v, %v", i, n, len(got.IDs), got.Whole, err)
 				case got.Longest > 700*time.Millisecond:
 					paused.Add(1)
 				default:
@@ -295,12 +297,14 @@
 			}
 		})
 	}
-	_, err := s.Controls[0].PutRollout(ctx, rollout.Order{Service: deskService, To: "v2", Duration: 12 * time.Second})
+	_, err := s.Controls[0].PutRollout(ctx, rollout.Order{Service: deskService, To: "v2", Duration: 18 * time.Second})
 	check(t, err)
 	add("v2")
 	d := &desk{t: t, s: s, ctx: ctx}
 	if r := d.outcome(); r.Phase != rollout.Completed {
-		t.Errorf("%+v", r)
+		cancel()
+		work.Wait()
+		t.Fatalf("%+v", r)
 	}
 	s.RemoveServers(deskService, "v1")
 	check(t, timer.Sleep(ctx, 3*time.Second))
--- a/internal/upstream/verdict.go
+++ b/internal/upstream/verdict.go
@@ -54,15 +54,16 @@
 
 // noteDeath needs f.mu. Where the whole place counts as lost, every server there
 // that has not been heard since is avoided, and those that run something for this
-// VM are asked.
+// VM are asked. Servers of another version are not: all of one version's end when a
+// roll-out is completed, and the others are to carry on.
 func (f *Fleet) noteDeath(s *Server) {
 	now := f.now()
-	if !f.outage.Note(s.Service+"/"+s.Zone, s.ID, f.beside(s), now) {
+	if !f.outage.Note(s.Service+"/"+s.Zone+"/"+s.Version, s.ID, f.beside(s), now) {
 		return
 	}
 	avoided := 0
 	for _, o := range f.order {
-		if o.Service != s.Service || o.Zone != s.Zone || now.Sub(o.heard) < heardLately {
+		if !o.isBeside(s) || now.Sub(o.heard) < heardLately {
 			continue
 		}
 		avoided++
@@ -72,12 +73,16 @@
 	f.log.Warn().Str("service", s.Service).Str("zone", s.Zone).Int("avoided", avoided).Msg("zone taken for lost")
 }
 
-// beside counts the servers of a server's service and zone, itself included. It needs
-// f.mu.
+// isBeside reports whether a server shares another's service, zone and version.
+func (s *Server) isBeside(o *Server) bool {
+	return s.Service == o.Service && s.Zone == o.Zone && s.Version == o.Version
+}
+
+// beside counts the servers beside one, itself included. It needs f.mu.
 func (f *Fleet) beside(s *Server) int {
 	n := 0
 	for _, o := range f.order {
-		if o.Service == s.Service && o.Zone == s.Zone {
+		if o.isBeside(s) {
 			n++
 		}
 	}
