--- /dev/null
+++ b/internal/forward/body.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+)
+
+// defaultMaxBody bounds a request's body where the route list states no limit.
+const defaultMaxBody = 4 << 20
+
+func bodyLimit(table *routes.Table) int64 {
+	if n := table.List.Limits.MaxBodyBytes; n > 0 {
+		return n
+	}
+	return defaultMaxBody
+}
+
+// readBody reads a whole body: a second send needs it, and a half-sent request
+// must not reach an engine. nil: the request has none.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, expires time.Time) ([]byte, error) {
+	if r.ContentLength == 0 {
+		if r.Method == http.MethodGet || r.Method == http.MethodHead {
+			return nil, nil
+		}
+		return []byte{}, nil
+	}
+	rc := http.NewResponseController(w)
+	// A connection that supports no deadline is a test's; nothing is lost there.
+	_ = rc.SetReadDeadline(expires)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		// Left in place after an error: the server would else wait for the rest of
+		// the body before it sends the refusal.
+		_ = rc.SetReadDeadline(time.Time{})
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, result.New(result.BodyTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, result.New(result.RequestTooSlow)
+	}
+	return nil, result.Newf(result.MalformedBody, "the body could not be read: %v", err)
+}
+
+// hopByHop headers concern one connection only.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Expect", "Proxy-Authenticate", "Proxy-Authorization",
+}
+
+func endToEnd(in http.Header) http.Header {
+	out := in.Clone()
+	for _, list := range in["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
+}
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -78,3 +78,23 @@
 
 // isFailure reports whether a server's own answer is a failure.
 func isFailure(resp *http.Response) bool { return resp.StatusCode >= http.StatusBadRequest }
+
+// watch begins to watch for the run's first event. One that goes on behind others, or
+// from a copy, has less to read.
+func (r *run) watch() {
+	q, book := r.st.q, r.st.h.o.Rollouts.Book
+	if !r.fresh || r.from != nil {
+		book.Sent(q.service.Name, q.choice)
+		return
+	}
+	r.watched = r.st.h.watchAnswer(q, r.server)
+}
+
+// notePace notes how fast a whole run's events came, for the roll-out under way.
+func (r *run) notePace() {
+	q, fleet := r.st.q, r.st.h.o.Fleet
+	if r.passed < clearedAfter || fleet.Cold(r.server) {
+		return
+	}
+	r.st.h.o.Rollouts.Book.Pace(q.service.Name, q.route.Name, q.choice, r.server.ID, time.Since(r.firstAt)/time.Duration(r.passed))
+}
--- a/internal/rollout/compare.go
+++ b/internal/rollout/compare.go
@@ -45,11 +45,15 @@
 )
 
 // slot is the answers of a moment.
-type slot struct{ former, target map[Cell]Servers }
+type slot struct {
+	former, target map[Cell]Servers
+	// judged is the new version's part by server, once it and the slot behind it are over.
+	judged map[Cell]map[string]verdict
+}
 
 // since returns the answers that have come between two sums.
 func since(now, before *Evidence) slot {
-	return slot{newIn(now.Former, before.Former), newIn(now.Target, before.Target)}
+	return slot{former: newIn(now.Former, before.Former), target: newIn(now.Target, before.Target)}
 }
 
 func newIn(now, before map[Cell]Servers) map[Cell]Servers {
@@ -155,12 +159,28 @@
 	all   verdict           // of whole answers
 }
 
-// compare judges the last n slots by all of them.
-func compare(slots []slot, n int) comparison {
+// compare judges the last n slots. overall is the other version's answers of all slots.
+func compare(slots []slot, n int, overall map[Cell]Servers) comparison {
 	out := comparison{cells: map[Cell]*verdict{}}
-	from := max(0, len(slots)-n)
-	for _, cell := range cellsOf(slots[from:]) {
-		v := judgeCell(slots, from, cell)
+	byServer := map[Cell]map[string]verdict{}
+	for i := max(0, len(slots)-n); i < len(slots); i++ {
+		judged := slots[i].judged
+		if judged == nil {
+			judged = judgeSlot(slots, i, overall)
+		}
+		for cell, servers := range judged {
+			if byServer[cell] == nil {
+				byServer[cell] = map[string]verdict{}
+			}
+			for server, v := range servers {
+				sum := byServer[cell][server]
+				sum.add(&v)
+				byServer[cell][server] = sum
+			}
+		}
+	}
+	for cell, servers := range byServer {
+		v := withoutWorst(servers)
 		out.cells[cell] = &v
 		if cell.Measure == Whole {
 			out.all.add(&v)
@@ -169,37 +189,20 @@
 	return out
 }
 
-// judgeCell sums the verdicts of one cell from a slot on.
-func judgeCell(slots []slot, from int, cell Cell) verdict {
-	former := formerOf(slots, cell)
-	faulty := faultyOf(former)
-	overall := former.without(faulty)
-	byServer := map[string]*verdict{}
-	sum := verdict{}
-	for i := from; i < len(slots); i++ {
+// judgeSlot counts the new version's answers of a slot against what the other version
+// did around it.
+func judgeSlot(slots []slot, i int, overall map[Cell]Servers) map[Cell]map[string]verdict {
+	out := map[Cell]map[string]verdict{}
+	for cell, servers := range slots[i].target {
+		faulty := faultyOf(overall[cell])
 		near := formerOf(slots[max(0, i-1):min(len(slots), i+2)], cell)
-		e := expect(near.without(faulty), overall)
-		for server, c := range slots[i].target[cell] {
-			v := e.judge(c)
-			sum.add(&v)
-			if byServer[server] == nil {
-				byServer[server] = &verdict{}
-			}
-			byServer[server].add(&v)
-		}
-	}
-	return withoutWorst(&sum, byServer)
-}
-
-// cellsOf lists the cells in which the new version has answered.
-func cellsOf(slots []slot) []Cell {
-	seen := map[Cell]bool{}
-	for i := range slots {
-		for cell := range slots[i].target {
-			seen[cell] = true
+		e := expect(near.without(faulty), overall[cell].without(faulty))
+		out[cell] = make(map[string]verdict, len(servers))
+		for server, c := range servers {
+			out[cell][server] = e.judge(c)
 		}
 	}
-	return slices.Collect(maps.Keys(seen))
+	return out
 }
 
 func formerOf(slots []slot, cell Cell) Servers {
@@ -225,13 +228,18 @@
 
 // faultyOf names the server that fails far more often than the others; "": none does.
 func faultyOf(s Servers) string {
+	answers, failures := 0, 0
+	for _, c := range s {
+		answers += c.Answers
+		failures += c.Failures
+	}
 	faulty, most := "", 0.0
 	for id, c := range s {
-		others := s.without(id)
-		if others.Answers == 0 {
+		others := answers - c.Answers
+		if others == 0 {
 			continue
 		}
-		rate := rateSlack*float64(others.Failures)/float64(others.Answers) + rateFloor
+		rate := rateSlack*float64(failures-c.Failures)/float64(others) + rateFloor
 		if v := surprise(float64(c.Failures), float64(c.Answers), min(rate, 1-rateFloor)); v > most && v >= badSurprise {
 			faulty, most = id, v
 		}
@@ -281,23 +289,23 @@
 	return v
 }
 
-// withoutWorst leaves the server out that stands out most by its bad answers, if others
-// have answered too.
-func withoutWorst(sum *verdict, byServer map[string]*verdict) verdict {
-	if len(byServer) < 2 {
-		return *sum
-	}
-	var worst *verdict
-	most := float64(oddSurprise)
+// withoutWorst sums all servers but the one that stands out most by its bad answers, if
+// others have answered too.
+func withoutWorst(byServer map[string]verdict) verdict {
+	worst, most := "", float64(oddSurprise)
+	var sum verdict
 	for _, server := range slices.Sorted(maps.Keys(byServer)) {
-		if v := byServer[server]; v.surprise() > most {
-			worst, most = v, v.surprise()
+		v := byServer[server]
+		sum.add(&v)
+		if v.surprise() > most {
+			worst, most = server, v.surprise()
 		}
 	}
-	if worst == nil {
-		return *sum
+	if worst == "" || len(byServer) < 2 {
+		return sum
 	}
-	return sum.minus(worst)
+	v := byServer[worst]
+	return sum.minus(&v)
 }
 
 func (v *verdict) surprise() float64 { return max(v.failed.surprise(), v.slow.surprise()) }
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -98,7 +98,7 @@
 	limits Limits
 	number uint64
 
-	slots   []slot // the last one is still growing
+	slots   []slot        // the last one is still growing
 	at      Evidence      // when the last slot began
 	last    Evidence      // at the last look
 	begunAt time.Duration // of the last slot, as elapsed
@@ -110,7 +110,7 @@
 
 // NewJudge returns a Judge of a roll-out.
 func NewJudge(l Limits, number uint64) *Judge {
-	return &Judge{limits: l, number: number, at: Evidence{}}
+	return &Judge{limits: l, number: number}
 }
 
 // Number is that of the roll-out.
@@ -196,8 +196,13 @@
 		j.begunAt = elapsed
 	}
 	j.last = *e
-	j.slots[len(j.slots)-1] = since(e, &j.at)
-	j.whole, j.late = compare(j.slots, len(j.slots)), compare(j.slots, recent(j.slots))
+	newest := len(j.slots) - 1
+	j.slots[newest] = since(e, &j.at)
+	if over := newest - 2; over >= 0 && j.slots[over].judged == nil {
+		j.slots[over].judged = judgeSlot(j.slots, over, e.Former)
+	}
+	j.whole = compare(j.slots, len(j.slots), e.Former)
+	j.late = compare(j.slots, recent(j.slots), e.Former)
 }
 
 // plan is the times and the share of a roll-out.
@@ -267,7 +272,8 @@
 		return nil, r.DefaultShare > 0
 	}
 	known := v.Elapsed >= ratesAfter && e.total() >= fewRequests
-	if !known || r.Shares != nil && v.Step < reshareAfter {
+	changed := r.Shares != nil || r.DefaultShare == 0
+	if !known || changed && v.Step < reshareAfter {
 		return nil, false
 	}
 	shares := evenShares(e.Requests, p.share)
--- a/internal/routed/rollouts.go
+++ b/internal/routed/rollouts.go
@@ -13,7 +13,7 @@
 
 const (
 	// lookEvery is how often a control VM looks at the roll-outs under way.
-	lookEvery = 100 * time.Millisecond
+	lookEvery = 150 * time.Millisecond
 	// stepTimeout bounds the proposal of a step: it is proposed again with a later look.
 	stepTimeout = 1 * time.Second
 )
