--- /dev/null
+++ b/internal/demo/rollout.go
@@ -0,0 +1,103 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
+	"github.com/amaranthshelf/amaranthshelf/internal/routedlocal"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
+)
+
+// Figures of the roll-out.
+const (
+	rolloutTakes   = 8 * time.Second
+	rolloutCallers = 8
+	callPause      = 20 * time.Millisecond
+	lookPause      = 100 * time.Millisecond
+)
+
+// badVersion rolls out a version that fails half of its calls.
+func (s *system) badVersion(ctx context.Context) Scene {
+	scene := Scene{Name: "bad version", What: "a service rolled out to a version that fails half of its calls"}
+	var reached, calls atomic.Int64
+	r, err := rollOutBad(ctx, &reached, &calls)
+	if err == nil && r.Phase != rollout.Reverted {
+		err = fmt.Errorf("the roll-out is %v", r.Phase)
+	}
+	scene.ServiceRuns = int(calls.Load())
+	scene.OK, scene.Check = err == nil, fmt.Sprintf("reverted with %d of %d calls", reached.Load(), calls.Load())
+	if err != nil {
+		scene.Check = err.Error()
+	}
+	return scene
+}
+
+func rollOutBad(ctx context.Context, reached, calls *atomic.Int64) (rollout.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, routedLimit)
+	defer cancel()
+	r, err := routedlocal.Start()
+	if err != nil {
+		return rollout.Record{}, err
+	}
+	defer r.Stop()
+	if err := r.AddDesk("v1", nil); err != nil {
+		return rollout.Record{}, err
+	}
+	if err := r.PutList(ctx, routedlocal.DeskRoutes()); err != nil {
+		return rollout.Record{}, err
+	}
+	if err := r.Ready(ctx); err != nil {
+		return rollout.Record{}, err
+	}
+	var callers sync.WaitGroup
+	for i := range rolloutCallers {
+		callers.Go(func() { callDesk(ctx, r, i, calls) })
+	}
+	defer callers.Wait()
+	defer cancel()
+	_, err = r.Controls[0].PutRollout(ctx, rollout.Order{Service: routedlocal.DeskService, To: "v2", Duration: rolloutTakes})
+	if err != nil {
+		return rollout.Record{}, err
+	}
+	if err := r.AddDesk("v2", failHalf(reached)); err != nil {
+		return rollout.Record{}, err
+	}
+	return outcome(ctx, r)
+}
+
+// failHalf counts the calls that reach a version and fails every second one.
+func failHalf(reached *atomic.Int64) routedlocal.Spoil {
+	return func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+		if reached.Add(1)%2 == 0 {
+			return false
+		}
+		s.Call(w, r, http.StatusInternalServerError)
+		return true
+	}
+}
+
+// callDesk sends calls until ctx ends. Some of them fail: that is what is looked for.
+func callDesk(ctx context.Context, r *routedlocal.System, caller int, calls *atomic.Int64) {
+	for timer.Sleep(ctx, callPause) == nil {
+		n := calls.Add(1)
+		_, _ = routedlocal.Call(ctx, r.Fronts[caller%len(r.Fronts)], "/look/1", fmt.Sprint("demo-call-", n))
+	}
+}
+
+func outcome(ctx context.Context, r *routedlocal.System) (rollout.Record, error) {
+	for {
+		record, err := r.Controls[0].Rollout(ctx, routedlocal.DeskService)
+		if err == nil && record.Phase.Over() {
+			return record, nil
+		}
+		if err := timer.Sleep(ctx, lookPause); err != nil {
+			return record, err
+		}
+	}
+}
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -33,8 +34,10 @@
 	servers []*routedengine.Server
 	left    map[uint64]forward.Copy // what another router has told
 	placer  forward.Placer          // nil: the router decides for itself
-	closing bool                    // the router is shutting down
-	grace   time.Duration           // left of its shutdown's; 0: none goes on
+	state   atomic.Pointer[rollout.State]
+	book    *rollout.Book
+	closing bool          // the router is shutting down
+	grace   time.Duration // left of its shutdown's; 0: none goes on
 }
 
 func (w *world) late(_ bool, takes time.Duration) bool { return w.grace > 0 && takes > w.grace }
@@ -87,6 +90,8 @@
 	w.fleet = upstream.NewFleet(w.pool, log)
 	w.fleet.Apply(upstream.List{Backends: w.net.List(), AsOf: time.Now()})
 	w.table.Store(testRoutes())
+	w.state.Store(&rollout.State{})
+	w.book = rollout.NewBook(time.Now)
 	ready := make(chan struct{})
 	close(ready)
 	w.rebuild(ready)
@@ -100,6 +105,7 @@
 		Routes: w.table.Load, Prepared: ready, Allowance: forward.Allowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
 		Log: w.log, Ordinary: w.log, Metrics: metrics.NewSet(), Blame: forward.NewBlameBook(), Closing: func() bool { return w.closing },
 		TooLate: w.late, Find: w.find, Placer: w.placer,
+		Rollouts: &forward.Rollouts{State: w.state.Load, Book: w.book},
 	})
 }
 
--- a/internal/routedlocal/rollout_test.go
+++ b/internal/routedlocal/rollout_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
@@ -19,8 +18,6 @@
 )
 
 const (
-	deskService  = "desk"
-	deskWork     = 5 * time.Millisecond
 	deskCallers  = 8
 	deskPause    = 20 * time.Millisecond // of one caller
 	rolloutTakes = 8 * time.Second
@@ -39,19 +36,6 @@
 	work  sync.WaitGroup
 }
 
-func deskRoutes() *routes.List {
-	route := func(name string, kind routes.Kind) routes.Route {
-		return routes.Route{
-			Name: name, Host: Host, Prefix: "/" + name + "/", Kind: kind, MaxAttempts: 2, Timeout: 2 * time.Second,
-			Targets: []routes.Target{{Service: deskService, Weight: 1}}, Objective: 500 * time.Millisecond,
-		}
-	}
-	return &routes.List{
-		Version: 1, Source: []byte("desk"), Services: []routes.Service{{Name: deskService}},
-		Routes: []routes.Route{route("book", routes.Once), route("look", routes.Idempotent)},
-	}
-}
-
 func startDesk(t *testing.T) *desk {
 	s, ctx := start(t)
 	d := &desk{t: t, s: s}
@@ -61,7 +45,7 @@
 		d.work.Wait()
 	})
 	d.add(0, nil)
-	check(t, s.PutList(ctx, deskRoutes()))
+	check(t, s.PutList(ctx, DeskRoutes()))
 	check(t, s.Ready(ctx))
 	for i := range deskCallers {
 		d.work.Go(func() { d.call(i) })
@@ -70,49 +54,28 @@
 }
 
 // add starts the servers of a version. spoil takes a call over.
-func (d *desk) add(version int, spoil func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool) {
-	for i := range zones {
-		check(d.t, d.s.AddServer(&routedengine.Server{
-			Backend: upstream.Backend{
-				ID: fmt.Sprintf("desk%d-%d", version+1, i), Service: deskService, Zone: fmt.Sprint("zone", i), Slots: 8,
-				Version: fmt.Sprint("v", version+1),
-			},
-			WorkTime: deskWork,
-			Answer: func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
-				d.calls[version].Add(1)
-				return spoil != nil && spoil(s, w, r)
-			},
-		}))
-	}
+func (d *desk) add(version int, spoil Spoil) {
+	check(d.t, d.s.AddDesk(fmt.Sprint("v", version+1), func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+		d.calls[version].Add(1)
+		return spoil != nil && spoil(s, w, r)
+	}))
 }
 
 // call sends calls, one after the other, until the test ends.
 func (d *desk) call(i int) {
 	path := []string{"/book/1", "/look/1"}[i%2]
 	for timer.Sleep(d.ctx, deskPause) == nil {
-		r, err := http.NewRequestWithContext(d.ctx, http.MethodPost, "http://"+d.s.Fronts[i%len(d.s.Fronts)]+path, http.NoBody)
-		if err != nil {
-			d.t.Error(err)
-			return
-		}
-		r.Host = Host
-		r.Header.Set(forward.HeaderRequestID, fmt.Sprint("d", d.ids.Add(1)))
 		d.sent.Add(1)
-		resp, err := http.DefaultTransport.RoundTrip(r)
-		switch {
-		case d.ctx.Err() != nil:
-		case err != nil || resp.StatusCode != http.StatusOK:
+		status, err := Call(d.ctx, d.s.Fronts[i%len(d.s.Fronts)], path, fmt.Sprint("d", d.ids.Add(1)))
+		if d.ctx.Err() == nil && (err != nil || status != http.StatusOK) {
 			d.lost.Add(1)
 		}
-		if err == nil {
-			_ = resp.Body.Close()
-		}
 	}
 }
 
 // order orders the roll-out to v2 through any control process.
 func (d *desk) order() {
-	o := rollout.Order{Service: deskService, To: "v2", Duration: rolloutTakes}
+	o := rollout.Order{Service: DeskService, To: "v2", Duration: rolloutTakes}
 	for i := 0; ; i++ {
 		if _, err := d.s.Controls[i%len(d.s.Controls)].PutRollout(d.ctx, o); err == nil {
 			return
@@ -125,7 +88,7 @@
 func (d *desk) outcome() rollout.Record {
 	for i := 0; ; i++ {
 		one, cancel := context.WithTimeout(d.ctx, time.Second)
-		r, err := d.s.Controls[i%len(d.s.Controls)].Rollout(one, deskService)
+		r, err := d.s.Controls[i%len(d.s.Controls)].Rollout(one, DeskService)
 		cancel()
 		if err == nil && r.Phase.Over() {
 			return r
@@ -137,7 +100,7 @@
 // settle waits until every router applies what was decided.
 func (d *desk) settle() { check(d.t, timer.Sleep(d.ctx, time.Second)) }
 
-func failOf(part int) func(*routedengine.Server, http.ResponseWriter, *http.Request) bool {
+func failOf(part int) Spoil {
 	var n atomic.Int64
 	return func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
 		if n.Add(1)%int64(part) != 0 {
@@ -148,7 +111,7 @@
 	}
 }
 
-func slowBy(d time.Duration) func(*routedengine.Server, http.ResponseWriter, *http.Request) bool {
+func slowBy(d time.Duration) Spoil {
 	return func(_ *routedengine.Server, _ http.ResponseWriter, r *http.Request) bool {
 		_ = timer.Sleep(r.Context(), d)
 		return false
@@ -171,7 +134,7 @@
 	if r := d.outcome(); r.Phase != rollout.Completed || r.Number != 1 || time.Since(began) > rolloutTakes {
 		t.Errorf("after %v: %+v", time.Since(began), r)
 	}
-	d.s.RemoveServers(deskService, "v1")
+	d.s.RemoveServers(DeskService, "v1")
 	d.settle()
 	if n := d.lost.Load(); n > 0 {
 		t.Errorf("%d calls of %d were lost", n, d.sent.Load())
@@ -183,7 +146,7 @@
 	t.Parallel()
 	tests := []struct {
 		name  string
-		spoil func(*routedengine.Server, http.ResponseWriter, *http.Request) bool
+		spoil Spoil
 	}{
 		{"all calls fail", failOf(1)},
 		{"every third call fails", failOf(3)},
@@ -248,7 +211,7 @@
 	}
 	short, cancel := context.WithTimeout(d.ctx, time.Second)
 	defer cancel()
-	if _, err := d.s.Controls[0].Rollout(short, deskService); result.CodeOf(err) != result.ControlUnavail {
+	if _, err := d.s.Controls[0].Rollout(short, DeskService); result.CodeOf(err) != result.ControlUnavail {
 		t.Errorf("read by one of three: %v", err)
 	}
 }
@@ -257,10 +220,10 @@
 func TestStreamsMoveToTheNewVersion(t *testing.T) {
 	t.Parallel()
 	s, ctx := start(t)
-	list := deskRoutes()
+	list := DeskRoutes()
 	list.Routes = []routes.Route{{
 		Name: "streams", Host: Host, Prefix: "/a/", Kind: routes.Stream, Resumable: true, MaxAttempts: 5,
-		Targets: []routes.Target{{Service: deskService, Weight: 1}}, Timeout: 20 * time.Second,
+		Targets: []routes.Target{{Service: DeskService, Weight: 1}}, Timeout: 20 * time.Second,
 		Objective: 2 * time.Second, PauseObjective: 700 * time.Millisecond,
 	}}
 	list.Services[0].Engine = &routes.EngineTraits{Slots: 128, KVTokens: 8_800_000, KeepCopies: true, CopiesOnOrder: true, CopyLife: 4 * time.Second}
@@ -268,7 +231,7 @@
 		for i := range 4 * zones {
 			check(t, s.AddServer(&routedengine.Server{
 				Backend: upstream.Backend{
-					ID: fmt.Sprint(version, "-", i), Service: deskService, Zone: fmt.Sprint("zone", i%zones), Slots: 128, Version: version,
+					ID: fmt.Sprint(version, "-", i), Service: DeskService, Zone: fmt.Sprint("zone", i%zones), Slots: 128, Version: version,
 				},
 				// Read anew, a prompt takes longer than a pause may be.
 				Events: 2 * Events, ReadTime: time.Second, EventTime: 20 * time.Millisecond, CopyTime: 20 * time.Millisecond,
@@ -297,7 +260,7 @@
 			}
 		})
 	}
-	_, err := s.Controls[0].PutRollout(ctx, rollout.Order{Service: deskService, To: "v2", Duration: 18 * time.Second})
+	_, err := s.Controls[0].PutRollout(ctx, rollout.Order{Service: DeskService, To: "v2", Duration: 18 * time.Second})
 	check(t, err)
 	add("v2")
 	d := &desk{t: t, s: s, ctx: ctx}
@@ -306,7 +269,7 @@
 		work.Wait()
 		t.Fatalf("%+v", r)
 	}
-	s.RemoveServers(deskService, "v1")
+	s.RemoveServers(DeskService, "v1")
 	check(t, timer.Sleep(ctx, 3*time.Second))
 	cancel()
 	work.Wait()
