rollout: the pace is told after the first events; the same evidence is judged the same way

Cause: a version that is slow from event to event showed it only when its answers end, for five seconds of answer after twenty. Sums over maps were added in any order, and two servers that stand out alike were told apart by chance, so that seeded roll-outs came out differently now and then. Calls that run on the old servers had 0.2 s to end.

Cells and servers are gone through in order. Calls have 0.3 s; a roll-out in doubt is reverted a little earlier.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -306,6 +306,7 @@
 	}
 	if r.passed++; r.passed == clearedAfter {
 		st.h.o.Blame.Succeeded(st.q.digest)
+		r.notePace()
 	}
 	return 0, false
 }
@@ -352,7 +353,6 @@
 	r.sent = answered
 	if r.fresh && !r.firstAt.IsZero() {
 		r.st.h.paces.ran(r.st.q.service.Name, time.Since(r.firstAt), r.passed)
-		r.notePace()
 	}
 	r.st.flush()
 	r.st.h.o.Blame.Succeeded(r.st.q.digest)
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -90,11 +90,12 @@
 	r.watched = r.st.h.watchAnswer(q, r.server)
 }
 
-// notePace notes how fast a whole run's events came, for the roll-out under way.
+// notePace notes how fast a run's first events came, for the roll-out under way. At a
+// version that is slow the whole run would end too late to tell.
 func (r *run) notePace() {
 	q, fleet := r.st.q, r.st.h.o.Fleet
-	if r.passed < clearedAfter || fleet.Cold(r.server) {
+	if !r.fresh || r.from != nil || fleet.Cold(r.server) {
 		return
 	}
-	r.st.h.o.Rollouts.Book.Pace(q.service.Name, q.route.Name, q.choice, r.server.ID, time.Since(r.firstAt)/time.Duration(r.passed))
+	r.st.h.o.Rollouts.Book.Pace(q.service.Name, q.route.Name, q.choice, r.server.ID, time.Since(r.firstAt)/time.Duration(r.passed-1))
 }
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -177,3 +177,24 @@
 		}
 	})
 }
+
+// Guards against a version that is slow from one event to the next, and shows it only when
+// its long answers end.
+func TestSlowPaceIsToldEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, ofVersion("v1", engine("a")), ofVersion("v2", engine("a")))
+		defer w.end()
+		w.servers[1].EventTime *= 5
+		w.rollOut("models", rollout.Trial, 1)
+		a := w.send("POST", "/s/1", "r1", "log")
+		time.Sleep(4 * time.Second)
+		l := rollout.NewLedger()
+		l.Note(1, w.book.Told(), time.Now())
+		e := l.Sum("models", uint64(len("models")), time.Now())
+		if c := e.Target[rollout.Cell{Route: "summary", Measure: rollout.Pace}]["i1"]; c.Answers != 1 {
+			t.Errorf("told after four seconds: %+v", e.Target)
+		}
+		a.leave()
+		<-a.done
+	})
+}
--- a/internal/rollout/compare.go
+++ b/internal/rollout/compare.go
@@ -179,8 +179,8 @@
 			}
 		}
 	}
-	for cell, servers := range byServer {
-		v := withoutWorst(servers)
+	for _, cell := range slices.SortedFunc(maps.Keys(byServer), Cell.compare) {
+		v := withoutWorst(byServer[cell])
 		out.cells[cell] = &v
 		if cell.Measure == Whole {
 			out.all.add(&v)
@@ -234,7 +234,8 @@
 		failures += c.Failures
 	}
 	faulty, most := "", 0.0
-	for id, c := range s {
+	for _, id := range slices.Sorted(maps.Keys(s)) {
+		c := s[id]
 		others := answers - c.Answers
 		if others == 0 {
 			continue
@@ -317,7 +318,8 @@
 	if c.all.failed.isBad() || c.all.slow.isBad() {
 		return "all routes: " + c.all.String()
 	}
-	for cell, v := range c.cells {
+	for _, cell := range slices.SortedFunc(maps.Keys(c.cells), Cell.compare) {
+		v := c.cells[cell]
 		if v.failed.isBad() || v.slow.isBad() {
 			return fmt.Sprintf("route %s, measure %d: %v", cell.Route, cell.Measure, v)
 		}
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"strconv"
@@ -86,7 +87,7 @@
 // The measures.
 const (
 	Whole Measure = 0 // a call's answer, or a stream's first event
-	Pace  Measure = 1 // the mean time between two events of a stream
+	Pace  Measure = 1 // the mean time between a stream's first events
 )
 
 // Cell names what answers have in common that are compared.
@@ -95,6 +96,11 @@
 	Measure Measure `cbor:"2,keyasint,omitempty"`
 }
 
+// compare orders cells, so that the same evidence is judged the same way each time.
+func (c Cell) compare(o Cell) int {
+	return cmp.Or(cmp.Compare(c.Route, o.Route), cmp.Compare(c.Measure, o.Measure))
+}
+
 // Row is the answers of one cell by one server, or one group of servers of the other
 // version: a single faulty server must be told apart from a faulty version.
 type Row struct {
@@ -267,7 +273,7 @@
 	}
 }
 
-// Pace notes the mean time between two events of a stream.
+// Pace notes the mean time between a stream's first events.
 func (b *Book) Pace(service, route string, c Choice, server string, gap time.Duration) {
 	if c.Number == 0 {
 		return
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -43,7 +43,7 @@
 	trialAnswers   = 20
 	// switchPart of what is allowed is used when a roll-out in doubt is reverted, and
 	// stepTakes is how long requests go on to the version until then.
-	switchPart = 0.95
+	switchPart = 0.9
 	stepTakes  = 500 * time.Millisecond
 	// arrivalPart of the requests that are expected until the end are counted on.
 	arrivalPart = 0.8
@@ -66,8 +66,8 @@
 	// is completed, at least: some reports of the routers, and copies of what still runs.
 	switchCalls   = 700 * time.Millisecond
 	switchStreams = 1500 * time.Millisecond
-	// moveCalls and moveStreams are how long what runs elsewhere has to go on.
-	moveCalls   = 200 * time.Millisecond
+	// moveCalls and moveStreams are how long what runs elsewhere has to end, or to go on.
+	moveCalls   = 300 * time.Millisecond
 	moveStreams = 900 * time.Millisecond
 
 	// acceptChance is how often a version that is worse by an excess is taken for good,
@@ -282,7 +282,9 @@
 
 // evenShares divides a share of all requests evenly over the routes.
 func evenShares(requests map[string]int, share float64) map[string]float64 {
-	routes := slices.SortedFunc(maps.Keys(requests), func(a, b string) int { return cmp.Compare(requests[a], requests[b]) })
+	routes := slices.SortedFunc(maps.Keys(requests), func(a, b string) int {
+		return cmp.Or(cmp.Compare(requests[a], requests[b]), cmp.Compare(a, b))
+	})
 	left := 0.0
 	for _, n := range requests {
 		left += share * float64(n)
--- a/internal/rollout/sim_test.go
+++ b/internal/rollout/sim_test.go
@@ -257,7 +257,7 @@
 	s.queue = append(s.queue, a)
 	if r.streams {
 		a.cell.Measure = Pace
-		a.at += 4 * time.Second
+		a.at += a.took / 2 // the first events come at the same pace
 		s.queue = append(s.queue, a)
 	}
 }
