cluster: a packed difference is told with the list that it leads to

Cause: the list could change between the look for a difference and the look for its packed form; a VM then got what leads to another list than the digest beside it said, found that out, and fetched the whole list.

Change: both under one lock.

Measured: by reading; the tests of the package, and with the race detector.

--- a/internal/cluster/list.go
+++ b/internal/cluster/list.go
@@ -182,8 +182,14 @@
 func (h *Held) Since(digest uint64) (d Difference, held uint64, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	d, ok = h.differenceFrom(digest)
+	return d, h.digest, ok
+}
+
+// differenceFrom needs h.mu.
+func (h *Held) differenceFrom(digest uint64) (d Difference, ok bool) {
 	if d, ok := h.since[digest]; ok {
-		return d, h.digest, true
+		return d, true
 	}
 	for _, f := range h.former {
 		if f.digest != digest {
@@ -191,33 +197,28 @@
 		}
 		if from := between(f, h.list.Backends); len(from.Rows)+len(from.Gone) < len(h.list.Backends) {
 			h.since[digest] = from
-			return from, h.digest, true
+			return from, true
 		}
 	}
-	return d, h.digest, false
+	return d, false
 }
 
 // PackedSince is Since as it is sent, packed once for all VMs that hold the same.
 func (h *Held) PackedSince(digest uint64) (p PackedDifference, held uint64, ok bool, err error) {
-	d, held, ok := h.Since(digest)
-	if !ok {
-		return p, held, false, nil
-	}
 	h.mu.Lock()
-	p, packed := h.told[digest]
-	h.mu.Unlock()
-	if packed {
-		return p, held, true, nil
+	defer h.mu.Unlock()
+	if p, ok := h.told[digest]; ok {
+		return p, h.digest, true, nil
 	}
-	if p, err = d.pack(); err != nil {
-		return p, held, false, err
+	d, ok := h.differenceFrom(digest)
+	if !ok {
+		return p, h.digest, false, nil
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.digest == held {
-		h.told[digest] = p
+	if p, err = d.pack(); err != nil {
+		return p, h.digest, false, err
 	}
-	return p, held, true, nil
+	h.told[digest] = p
+	return p, h.digest, true, nil
 }
 
 // between works out what leads from a list to rows.
