codec: a value is packed in one place

Cause: the whole list and a difference of it were each encoded and compressed, and unpacked, by functions of their own that did the same. A packed difference also carried its base a second time, which no reader looked at: the difference inside has it.

Change: codec.MarshalPacked and UnmarshalPacked serve both; the second base is gone, key 1 of the message is unused and the data keeps key 2. Behaviour and limits are the same; no test is changed.

--- a/internal/cluster/fetch.go
+++ b/internal/cluster/fetch.go
@@ -40,23 +40,6 @@
 	Rows   []byte `cbor:"3,keyasint"` // encoded and compressed
 }
 
-func pack(rows []upstream.Backend) ([]byte, error) {
-	data, err := codec.Marshal(rows)
-	if err != nil {
-		return nil, err
-	}
-	return codec.Pack(data)
-}
-
-func unpack(data []byte) ([]upstream.Backend, error) {
-	plain, err := codec.Unpack(data, maxListBytes)
-	if err != nil {
-		return nil, err
-	}
-	var rows []upstream.Backend
-	return rows, codec.Unmarshal(plain, &rows)
-}
-
 // Packed returns the list held as it is sent whole; ok is false before the first.
 func (h *Held) Packed() (p PackedList, ok bool, err error) {
 	rows, digest, age, ok := h.Now()
@@ -66,7 +49,7 @@
 	h.packing.Lock()
 	defer h.packing.Unlock()
 	if h.packed.Rows == nil || h.packed.Digest != digest {
-		data, err := pack(rows)
+		data, err := codec.MarshalPacked(rows)
 		if err != nil {
 			return p, true, err
 		}
@@ -145,8 +128,8 @@
 }
 
 func (m *Member) takePacked(p *PackedList, onTheWay time.Duration) error {
-	rows, err := unpack(p.Rows)
-	if err != nil {
+	var rows []upstream.Backend
+	if err := codec.UnmarshalPacked(p.Rows, maxListBytes, &rows); err != nil {
 		return err
 	}
 	age := time.Duration(p.AgeMS)*time.Millisecond + onTheWay
--- a/internal/cluster/list.go
+++ b/internal/cluster/list.go
@@ -34,25 +34,17 @@
 // PackedDifference is a Difference as it is sent: a zone's loss changes a third of the
 // rows, which hundreds of VMs are told at once.
 type PackedDifference struct {
-	Base uint64 `cbor:"1,keyasint,omitempty"`
 	Data []byte `cbor:"2,keyasint"` // encoded and compressed
 }
 
 func (d Difference) pack() (PackedDifference, error) {
-	data, err := codec.Marshal(d)
-	if err != nil {
-		return PackedDifference{}, err
-	}
-	data, err = codec.Pack(data)
-	return PackedDifference{d.Base, data}, err
+	data, err := codec.MarshalPacked(d)
+	return PackedDifference{Data: data}, err
 }
 
 func (p *PackedDifference) unpack() (d Difference, err error) {
-	data, err := codec.Unpack(p.Data, maxListBytes)
-	if err != nil {
-		return d, err
-	}
-	return d, codec.Unmarshal(data, &d)
+	err = codec.UnmarshalPacked(p.Data, maxListBytes, &d)
+	return d, err
 }
 
 // Held is a VM's copy of the list of backend servers with its age. Safe for
--- a/internal/codec/pack.go
+++ b/internal/codec/pack.go
@@ -35,3 +35,22 @@
 	}
 	return plain, nil
 }
+
+// MarshalPacked encodes a value and compresses it.
+func MarshalPacked(v any) ([]byte, error) {
+	data, err := Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	return Pack(data)
+}
+
+// UnmarshalPacked undoes MarshalPacked. It refuses what would be larger than limit, in
+// bytes, once it is unpacked.
+func UnmarshalPacked(data []byte, limit int, v any) error {
+	plain, err := Unpack(data, limit)
+	if err != nil {
+		return err
+	}
+	return Unmarshal(plain, v)
+}
