Backend servers' rate limits are decoded, logged and counted

Observability for LIMIT: no line told which answers stated a rate limit, so the hypotheses (not read, a preference, each VM alone) could not be told apart. The head of every answer is decoded once (Wire.ReadAnswer), and the Fleet logs when a limit is learned, changed or ended, with the request that told it; gauge shelf_rate_limits. Nothing is decided by it yet. 'call sent' tells whether the answer was signed. Statements of another incarnation or without a signature are not taken; values are read by a table and the fuzz test.

--- /dev/null
+++ b/internal/backpressure/statement.go
@@ -0,0 +1,27 @@
+// Package backpressure decides, for each backend server, whether a VM may send it a
+// request now, by what the server states about itself in its answers. It is pure: answers,
+// messages of other VMs and the time are inputs.
+package backpressure
+
+// Statement is what a server states about itself in the head of an answer.
+type Statement struct {
+	Limit LimitStatement
+}
+
+// LimitStatement is what an answer states about the server's rate limit.
+type LimitStatement struct {
+	Kind LimitKind
+	// Rate is the number of requests per second that the server accepts from all VMs
+	// together; valid with LimitStated.
+	Rate float64
+}
+
+// LimitKind tells whether an answer states a rate limit.
+type LimitKind uint8
+
+// Kinds of statements about a limit.
+const (
+	LimitAbsent     LimitKind = iota // no limit is stated: an earlier one has ended
+	LimitStated                      // the limit is Rate
+	LimitUnreadable                  // the value has no meaning: an earlier limit stays in force
+)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -80,8 +80,8 @@
 
 // readHead reads the head of the answer to this request. It skips answers that carry
 // another request's id: a server may send an answer late, where the next one is
-// expected.
-func (h *Handler) readHead(q *request, c *upstream.Conn) (*http.Response, Answer, error) {
+// expected. sent is when the request was sent, or shortly before.
+func (h *Handler) readHead(q *request, s *upstream.Server, c *upstream.Conn, sent time.Time) (*http.Response, Answer, error) {
 	for range maxStrayAnswers {
 		resp, err := c.ReadHead(q.outbound.Method)
 		if err != nil {
@@ -89,6 +89,7 @@
 		}
 		a := h.opts.Wire.ReadAnswer(resp.StatusCode, resp.Header)
 		if a.RequestID == "" || a.RequestID == q.RequestID || q.RequestID == "" {
+			h.learnStatement(s, &a, q.RequestID, sent)
 			return resp, a, nil
 		}
 		h.Stats.StrayAnswers.Inc()
@@ -100,9 +101,17 @@
 	return nil, Answer{}, upstream.ErrBroken
 }
 
+// learnStatement takes what a server states about itself in an answer.
+func (h *Handler) learnStatement(s *upstream.Server, a *Answer, request string, sent time.Time) {
+	if st, ok := a.statementOf(s.ID); ok {
+		h.opts.Fleet.LearnStatement(s, st, request, sent)
+	}
+}
+
 // exchange sends a request and reads the complete answer. wait bounds the read; zero:
 // only the request's deadline does.
 func (h *Handler) exchange(q *request, s *upstream.Server, send Send, wait time.Duration) reply {
+	sent := time.Now()
 	c, out := h.open(q, s, h.headers(q, s, send), false)
 	if c == nil {
 		return out
@@ -112,7 +121,7 @@
 	if wait > 0 {
 		c.SetReadDeadline(time.Now().Add(wait))
 	}
-	resp, a, err := h.readHead(q, c)
+	resp, a, err := h.readHead(q, s, c, sent)
 	var body []byte
 	if err == nil {
 		body, err = upstream.ReadBody(resp, maxAnswerBytes)
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -5,25 +5,29 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 )
 
 // Headers implements the methods of a Wire that read and write headers. Its fields are
 // the header names in canonical form.
 type Headers struct {
-	RequestID string
-	Deadline  string // remaining ms
-	Instance  string // the incarnation that the request is sent to
-	Workspace string
-	Priority  string
-	Tokens    string // prompt tokens and maximum output tokens: "8000,1000"
-	LastEvent string
-	CopyTo    string // address of the backup engine
-	CopyFrom  string // address/id of the copy to resume from
-	Key       string
-	KeyScheme string // prefix of the key, with its space
-	Signature string
-	NotRun    string
-	Load      string
+	RequestID  string
+	Deadline   string // remaining ms
+	Instance   string // the incarnation that the request is sent to
+	Workspace  string
+	Priority   string
+	Tokens     string // prompt tokens and maximum output tokens: "8000,1000"
+	LastEvent  string
+	CopyTo     string // address of the backup engine
+	CopyFrom   string // address/id of the copy to resume from
+	Key        string
+	KeyScheme  string // prefix of the key, with its space
+	Signature  string
+	NotRun     string
+	Load       string
+	InstanceID string // the incarnation that answers; servers need not state it
+	RateLimit  string // requests per second that the server accepts from all VMs together
 	// Reserved are further headers of requests to engines that only the system may set.
 	Reserved []string
 	// ReadLoad parses the value of Load; -1: not stated.
@@ -98,5 +102,6 @@
 	return Answer{
 		RequestID: h.Get(n.RequestID), Signed: h.Get(n.Signature) != "",
 		NotRun: moved || len(h.Values(n.NotRun)) > 0, WrongInstance: moved, Load: n.ReadLoad(h.Get(n.Load)),
+		Instance: h.Get(n.InstanceID), Statement: backpressure.Statement{Limit: readLimit(h.Values(n.RateLimit))},
 	}
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -21,6 +21,7 @@
 	HeaderCopyTo    = "X-Keep-Copy-At"
 	HeaderCopyFrom  = "X-Resume-From"
 	HeaderLastEvent = "Last-Event-Id"
+	HeaderRateLimit = "X-Rate-Limit" // requests per second that the server accepts from all VMs together
 )
 
 // Paths of the project's own engine interface.
@@ -38,7 +39,7 @@
 		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Instance: HeaderInstance, Workspace: HeaderWorkspace,
 		Priority: "X-Priority", Tokens: HeaderTokens, LastEvent: HeaderLastEvent, CopyTo: HeaderCopyTo,
 		CopyFrom: HeaderCopyFrom, Key: "Authorization", KeyScheme: "Bearer ", Signature: HeaderSignature,
-		NotRun: HeaderNotRun, Load: HeaderLoad, ReadLoad: parseLoad,
+		NotRun: HeaderNotRun, Load: HeaderLoad, InstanceID: HeaderInstance, RateLimit: HeaderRateLimit, ReadLoad: parseLoad,
 	}}
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -131,7 +131,7 @@
 // in its own goroutine, because relay also waits for timers and signals.
 func (r *run) readAnswer(h *Handler) {
 	defer close(r.results)
-	resp, a, err := h.readHead(r.st.q, r.conn)
+	resp, a, err := h.readHead(r.st.q, r.server, r.conn, r.sentAt)
 	r.results <- readResult{head: resp, answer: a, err: err}
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -8,6 +8,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 )
 
 // Caller is what a caller states about its request in headers.
@@ -50,6 +52,18 @@
 	WrongInstance bool
 	// Load is how many requests run or wait at the server; -1: not stated.
 	Load int
+	// Instance is the incarnation that answers; empty: not stated.
+	Instance string
+	// Statement is what the server states about the requests that it accepts.
+	Statement backpressure.Statement
+}
+
+// statementOf returns the statement of an answer from a server. It returns false if the
+// answer may come from elsewhere: another incarnation that holds the address, or a part of
+// the network that answers without the server's signature.
+func (a *Answer) statementOf(server string) (backpressure.Statement, bool) {
+	fromServer := a.Instance == server || a.Instance == "" && a.Signed
+	return a.Statement, fromServer && !a.WrongInstance
 }
 
 // Report is the answer of an engine to a probe.
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
@@ -83,6 +84,7 @@
 	serviceTimeMS    float64       // moving average without the wait for a slot
 	reportedRequests int           // requests of other VMs on the server, by its last response
 	reportedAt       time.Time
+	accepts          backpressure.Server // which requests it accepts, by its own statements
 }
 
 // Fleet holds what this VM knows of all backend servers. It is safe for concurrent use.
