--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -32,7 +32,7 @@
 		return l.Merge(Limit{Rate: s.Rate, NamedAt: now})
 	case LimitAbsent:
 		return l.Merge(Limit{EndedAt: sent})
-	case LimitUnreadable:
+	case LimitUnreadable, LimitUnknown:
 	}
 	return l
 }
--- a/internal/backpressure/statement.go
+++ b/internal/backpressure/statement.go
@@ -24,4 +24,5 @@
 	LimitAbsent     LimitKind = iota // no limit is stated: an earlier one has ended
 	LimitStated                      // the limit is Rate
 	LimitUnreadable                  // the value has no meaning: an earlier limit stays in force
+	LimitUnknown                     // the answer cannot tell: an earlier limit stays in force
 )
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -59,11 +59,19 @@
 }
 
 // statementOf returns the statement of an answer from a server. It returns false if the
-// answer may come from elsewhere: another incarnation that holds the address, or a part of
-// the network that answers without the server's signature.
+// answer may come from elsewhere: another incarnation that holds the address, or something
+// between this VM and the server.
+//
+// A refusal has no signature. It is the server's all the same, since each request names the
+// incarnation that it is for and any other refuses it as WrongInstance. A refusal that
+// states no limit does not end one, because servers refuse before they look at their state.
 func (a *Answer) statementOf(server string) (backpressure.Statement, bool) {
-	fromServer := a.Instance == server || a.Instance == "" && a.Signed
-	return a.Statement, fromServer && !a.WrongInstance
+	st := a.Statement
+	if !a.Signed && st.Limit.Kind == backpressure.LimitAbsent {
+		st.Limit.Kind = backpressure.LimitUnknown
+	}
+	fromServer := a.Instance == server || a.Instance == "" && (a.Signed || a.NotRun)
+	return st, fromServer && !a.WrongInstance
 }
 
 // Report is the answer of an engine to a probe.
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -174,6 +175,8 @@
 	wake       chan struct{} // closed when the state changes
 	conns      map[net.Conn]bool
 	runs       []Run
+	arrivals   []time.Time       // of all requests, in order
+	rateLimit  string            // stated in every answer; empty: none
 	active     map[string]bool   // streams that run here, by request id
 	eventsMade map[string]int    // events of running streams, by request id
 	copies     map[string]uint64 // last event of each backup copy, by "address/id"
@@ -222,6 +225,22 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// StateRateLimit makes the server state a rate limit in all its answers; empty: none. It
+// accepts any number of requests all the same.
+func (s *Server) StateRateLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rateLimit = limit
+}
+
+// Arrivals returns when requests arrived, in order, including those that the server refused
+// or answered without a run.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
 // Copies returns the number of backup copies of other engines' runs.
 func (s *Server) Copies() int {
 	s.mu.Lock()
@@ -254,6 +273,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	if s.rateLimit != "" {
+		w.Header().Set(forward.HeaderRateLimit, s.rateLimit)
+	}
+	s.mu.Unlock()
 	switch {
 	case s.inState(Unresponsive):
 		<-r.Context().Done()
