--- a/internal/admission/calls.go
+++ b/internal/admission/calls.go
@@ -74,3 +74,11 @@
 	d := min(max(excess, minCallRetry), maxCallRetry)
 	return d + time.Duration(draw*float64(d))
 }
+
+// SpreadRetry returns when a caller may retry that is refused until a server accepts requests
+// again after wait. A random part of up to the same length keeps the refused callers from
+// returning at the same moment.
+func SpreadRetry(wait time.Duration, draw float64) time.Duration {
+	wait = max(wait, minCallRetry)
+	return wait + time.Duration(draw*float64(min(wait, maxCallRetry)))
+}
--- a/internal/backpressure/server.go
+++ b/internal/backpressure/server.go
@@ -2,10 +2,42 @@
 
 import "time"
 
+// Constants of a VM's own view of a server.
+const (
+	// permitTTL is how long a permit is valid. A VM that was stalled between a permit and
+	// the send must not send it among those of later permits.
+	permitTTL = 300 * time.Millisecond
+	// shareWithoutGranter is the part of a limit that the VMs use together while no control
+	// VM answers them. Some control VM may grant the limit to others meanwhile.
+	shareWithoutGranter = 0.5
+)
+
+// Verdict tells whether a request may be sent to a server.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Send        Verdict = iota // it may be sent
+	NeedsPermit                // it may be sent with a permit of a Granter
+	Withheld                   // it must not be sent now
+)
+
+// Permit allows one send to a server. The zero value is the permit for a server without a
+// rate limit.
+type Permit struct {
+	granter string    // the control VM that granted it; empty: this VM's own share
+	at      time.Time // zero: no permit was needed
+}
+
 // Server is what a VM knows of the requests that one incarnation of a server accepts. It is
 // not safe for concurrent use.
 type Server struct {
-	limit Limit
+	limit       Limit
+	deniedUntil time.Time // no permit is to be had before
+
+	sends     uint64            // under a rate limit
+	byGranter map[string]uint64 // sends by the control VM that permitted them
+	share     bucket            // permits of this VM's own while no Granter answers
 }
 
 // Change tells how a statement changed what is known of a server.
@@ -29,6 +61,9 @@
 	return s.setLimit(s.limit.learn(st.Limit, sent, now))
 }
 
+// LearnLimit takes what another VM knows of the limit.
+func (s *Server) LearnLimit(l Limit) Change { return s.setLimit(s.limit.Merge(l)) }
+
 // Limit returns what is known of the server's rate limit.
 func (s *Server) Limit() Limit { return s.limit }
 
@@ -39,9 +74,84 @@
 	case !former.InForce() && l.InForce():
 		return LimitLearned
 	case former.InForce() && !l.InForce():
+		s.deniedUntil = time.Time{}
 		return LimitEnded
 	case l.InForce() && former.Rate != l.Rate:
 		return LimitChanged
 	}
 	return Unchanged
 }
+
+// Check tells whether a request may be sent to the server.
+func (s *Server) Check(now time.Time) Verdict {
+	switch {
+	case !s.limit.InForce():
+		return Send
+	case now.Before(s.deniedUntil):
+		return Withheld
+	}
+	return NeedsPermit
+}
+
+// WithheldUntil returns when the server may accept requests again; zero: it does now.
+func (s *Server) WithheldUntil(now time.Time) time.Time {
+	if s.Check(now) == Withheld {
+		return s.deniedUntil
+	}
+	return time.Time{}
+}
+
+// Granted returns the permit that a control VM granted.
+func (s *Server) Granted(granter string, now time.Time) Permit {
+	return Permit{granter: granter, at: now}
+}
+
+// Denied records that no permit is to be had for a while, at least minWait.
+func (s *Server) Denied(wait time.Duration, now time.Time) {
+	s.deniedUntil = now.Add(max(wait, minWait))
+}
+
+// TakeShare returns a permit of this VM's own share while no control VM answers. vms is the
+// number of VMs that send, this one included; 1: it shares the limit with no other.
+func (s *Server) TakeShare(vms int, now time.Time) (Permit, bool) {
+	rate := s.limit.Rate
+	if vms > 1 {
+		rate *= shareWithoutGranter / float64(vms)
+	}
+	rate = max(rate, minRate/float64(max(1, vms)))
+	if s.share.filledAt.IsZero() {
+		s.share.filledAt = now
+	}
+	s.share.fill(rate, now)
+	if s.share.permits < 1 {
+		wait := min((1-s.share.permits)/rate, maxWait.Seconds())
+		s.Denied(time.Duration(wait*float64(time.Second)), now)
+		return Permit{}, false
+	}
+	s.share.permits--
+	return Permit{at: now}, true
+}
+
+// Use reports whether a request may be sent now with a permit, and counts the send. It must
+// be called right before the request is written: the server may have stated a limit since
+// the permit was given.
+func (s *Server) Use(p Permit, now time.Time) bool {
+	if !s.limit.InForce() {
+		return true
+	}
+	if p.at.IsZero() || now.Sub(p.at) > permitTTL {
+		return false
+	}
+	s.sends++
+	if p.granter != "" {
+		if s.byGranter == nil {
+			s.byGranter = map[string]uint64{}
+		}
+		s.byGranter[p.granter]++
+	}
+	return true
+}
+
+// SentElsewhere returns how many requests were sent under a rate limit without a permit of
+// the given control VM.
+func (s *Server) SentElsewhere(granter string) uint64 { return s.sends - s.byGranter[granter] }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -94,6 +94,11 @@
 	WantChanges bool `cbor:"16,keyasint,omitempty"`
 	// Rollouts are this VM's observations of the roll-outs in progress.
 	Rollouts []rollout.Report `cbor:"17,keyasint,omitempty"`
+	// Limits are the rate limits that this VM knows differently than the last Summary.
+	Limits []ServerLimit `cbor:"18,keyasint,omitempty"`
+	// SentElsewhere counts, by server id, the requests that this process sent under a rate
+	// limit without a permit of the receiver.
+	SentElsewhere map[string]uint64 `cbor:"19,keyasint,omitempty"`
 }
 
 // HeartbeatReply is a control VM's reply to a Heartbeat.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -31,6 +31,7 @@
 	loggedSilent  map[string]bool // VMs whose silence has been logged
 	retrySpending spendingTable
 	ledger        *rollout.Ledger
+	permits       *permitService
 	listLimiter   listLimiter
 	deaths        []reportedDeath
 	summary       *encodedSummary // nil: must be rebuilt
@@ -56,7 +57,7 @@
 // NewHub returns a Hub and registers its message handlers with t. controls returns the
 // ids of the control VMs.
 func NewHub(t peer.Transport, list *ListReplica, controls func() []string, log zerolog.Logger) *Hub {
-	h := &Hub{list: list, controls: controls, vms: map[string]vmState{}, loggedSilent: map[string]bool{}, retrySpending: spendingTable{}, ledger: rollout.NewLedger(), log: log, scheduling: newSchedulerService(t, log)}
+	h := &Hub{list: list, controls: controls, vms: map[string]vmState{}, loggedSilent: map[string]bool{}, retrySpending: spendingTable{}, ledger: rollout.NewLedger(), log: log, scheduling: newSchedulerService(t, log), permits: newPermitService()}
 	list.KeepHistory()
 	t.Handle(peer.KindHeartbeat, h.serveHeartbeat)
 	t.Handle(peer.KindBackendList, h.serveList)
@@ -64,6 +65,7 @@
 	t.Handle(peer.KindRetrySpending, h.serveSpent)
 	t.Handle(peer.KindPlace, h.scheduling.servePlace)
 	t.Handle(peer.KindUseReport, h.scheduling.serveUseReport)
+	t.Handle(peer.KindPermit, h.servePermit)
 	return h
 }
 
@@ -193,7 +195,9 @@
 	h.vms[from] = v
 	h.retrySpending.record(heartbeat.Spent, now)
 	h.ledger.Note(heartbeat.Spent.Incarnation, heartbeat.Rollouts, now)
+	h.permits.receive(&heartbeat, now)
 	h.expireVMs(now)
+	h.permits.granter.SetShare(h.presentShare(now))
 	for _, d := range heartbeat.Deaths {
 		h.deaths = append(h.deaths, reportedDeath{d, now})
 	}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
@@ -44,6 +45,13 @@
 	// control VMs need it soon.
 	Rollouts func() []rollout.Report
 	Urgent   func() bool
+	// Withheld returns the servers that must not be sent any request now.
+	Withheld func() []string
+	// Limits returns what this VM knows of rate limits and SentElsewhere the sends without a
+	// permit of a control VM, both by server id. LearnLimits takes what other VMs know.
+	Limits        func() map[string]backpressure.Limit
+	SentElsewhere func(granter string) map[string]uint64
+	LearnLimits   func(map[string]backpressure.Limit)
 	// Control reports that this VM is a control VM with a disk.
 	Control bool
 	// LearnEndpoints takes the directory: the addresses of VMs that accept callers.
@@ -75,6 +83,7 @@
 	spendingSeq     atomic.Uint64 // of the last RetrySpending
 	spendingSignal  signal        // raised to report retries
 	placing         *placing
+	permits         permitState
 }
 
 // NewMember returns a Member of the VM self. seeds are the ids of control VMs from the
@@ -211,6 +220,9 @@
 	if len(to.useReports) > 0 && !slices.Contains(to.useReports, vm) {
 		heartbeat.UseReport = UseReport{}
 	}
+	if slices.Contains(to.useReports, vm) && m.local.SentElsewhere != nil {
+		heartbeat.SentElsewhere = m.local.SentElsewhere(vm)
+	}
 	heartbeat.WantChanges = heartbeat.WantChanges || vm == to.changes
 	heartbeat.WantEndpoints = vm == to.endpoints && m.local.LearnEndpoints != nil
 	heartbeat.WantSummary = vm == to.summary && (m.local.Learn != nil || m.local.LearnSpent != nil)
@@ -252,6 +264,7 @@
 	}
 	heartbeat.Spent = m.ownSpending()
 	heartbeat.UseReport = m.fullUseReport()
+	heartbeat.Limits = m.newLimits()
 	if _, digest, age, ok := m.list.Current(); ok {
 		heartbeat.ListDigest, heartbeat.ListAgeMS = digest, age.Milliseconds()
 		// While the list is young, routers ask a single control VM for changes. Otherwise
@@ -292,6 +305,7 @@
 		return
 	}
 	m.learnSpent(reports.Spent)
+	m.learnLimits(reports.Limits)
 	if m.local.Learn != nil {
 		m.local.Learn(reports)
 	}
--- a/internal/cluster/place.go
+++ b/internal/cluster/place.go
@@ -113,6 +113,9 @@
 		o := m.local.BackendReport()
 		report.Avoid, report.Suspected, report.Alive = o.Avoid, o.Suspected, o.Alive
 	}
+	if m.local.Withheld != nil {
+		report.Withheld = m.local.Withheld()
+	}
 	if m.local.EngineTimings != nil {
 		report.EngineTimings = m.local.EngineTimings()
 	}
--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,9 +36,10 @@
 	net     *peertest.Net
 	servers *routedengine.Net
 	list    []*routedengine.Server
-	hubs    []*testHub
-	routers []*callRouter
 	sent    atomic.Int64 // request ids
+
+	mu      sync.Mutex
+	routers []*callRouter
 }
 
 type callRouter struct {
@@ -55,15 +57,30 @@
 		}))
 	}
 	for _, id := range controls {
-		s.hubs = append(s.hubs, startHub(ctx, n, id, controls))
+		startHub(ctx, n, id, controls)
 	}
-	for i := range routers {
-		s.routers = append(s.routers, s.startRouter(fmt.Sprint("r", i), fmt.Sprint("zone", i%3)))
+	for range routers {
+		s.addRouter()
 	}
 	time.Sleep(2 * time.Second)
 	return s
 }
 
+func (s *callSystem) addRouter() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := len(s.routers)
+	s.routers = append(s.routers, s.startRouter(fmt.Sprint("r", i), fmt.Sprint("zone", i%3)))
+}
+
+// restartRouter replaces a router by one that knows nothing.
+func (s *callSystem) restartRouter(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routers[i].stop()
+	s.routers[i] = s.startRouter(fmt.Sprint("r", i), fmt.Sprint("zone", i%3))
+}
+
 func (s *callSystem) startRouter(id, zone string) *callRouter {
 	pool := upstream.NewPoolWith(s.servers.Dial)
 	r := &callRouter{testVM: &testVM{}, fleet: upstream.NewFleet(pool, zerolog.Nop())}
@@ -71,6 +88,7 @@
 	r.list = NewListReplica(func(upstream.List) {})
 	r.member = NewMember(id, s.net.VM(id), controls, r.list, Local{
 		Zone: zone, Endpoint: id + ":80", Ready: func() bool { return true }, Use: r.fleet.OwnUse,
+		Withheld: r.fleet.Withheld, Limits: r.fleet.Limits, SentElsewhere: r.fleet.SentElsewhere, LearnLimits: r.fleet.LearnLimits,
 		Learn: func(reports PeerReports) {
 			r.peers.Store(&reports)
 			r.fleet.SetRouters(id, reports.Routers)
@@ -88,7 +106,7 @@
 	close(ready)
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: zone, Wire: forward.NewPlainWire(), Pool: pool, Fleet: r.fleet, Routes: func() *routes.Table { return table }, ListsReady: ready,
-		RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
+		Permits: r.member, RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
 		SuspectContents: forward.NewSuspectContents(), Closing: func() bool { return false },
 		CannotFinish: func(bool, time.Duration) bool { return false },
 	})
@@ -123,7 +141,11 @@
 	return int(ok.Load()), int(not.Load())
 }
 
-func (s *callSystem) any(rng *rand.Rand) *callRouter { return s.routers[rng.IntN(len(s.routers))] }
+func (s *callSystem) any(rng *rand.Rand) *callRouter {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routers[rng.IntN(len(s.routers))]
+}
 
 // stop ends the servers' connections, since no goroutine of a test in virtual time may remain.
 func (s *callSystem) stop() {
@@ -158,6 +180,21 @@
 	}
 }
 
+// requireUse fails the test if a server received less than leastUse of its limit.
+func requireUse(t *testing.T, s *routedengine.Server, rate float64, from time.Time, d time.Duration) {
+	t.Helper()
+	const leastUse = 0.9
+	n := 0
+	for _, at := range s.Arrivals() {
+		if at.After(from) && at.Before(from.Add(d)) {
+			n++
+		}
+	}
+	if share := float64(n) / (rate * d.Seconds()); share < leastUse {
+		t.Errorf("server %s with a limit of %v a second received %d requests in %v, %.2f of its limit, want %v or more", s.ID, rate, n, d, share, leastUse)
+	}
+}
+
 // A server that states a rate limit for all VMs together must not receive more than that
 // from all of them, although each VM alone sends less. Callers use many routers or only one.
 func TestStatedRateLimitHoldsOverAllVMs(t *testing.T) {
@@ -188,6 +225,84 @@
 				s.load(90, 16*time.Second, choose)
 				for _, server := range s.list[:2] {
 					requireLimit(t, server, tt.rate, stated)
+					requireUse(t, server, min(tt.rate, 30), stated.Add(limitInForceFrom), 12*time.Second)
+				}
+				s.stop()
+			})
+		})
+	}
+}
+
+// The limit must hold while VMs disagree on which control VM grants, and while control VMs or
+// routers fail, restart or join. A control VM that takes over does not know what the former
+// one has granted.
+func TestRateLimitHoldsWhileVMsFail(t *testing.T) {
+	const rate = 9.0
+	for _, tt := range []struct {
+		name  string
+		fault func(s *callSystem, step int) // called each second after the limit is in force
+	}{
+		{"granting control VM dies", func(s *callSystem, step int) {
+			if step == 1 {
+				s.net.Kill(controls[0])
+			}
+		}},
+		{"all control VMs die", func(s *callSystem, step int) {
+			if step == 1 {
+				for _, c := range controls {
+					s.net.Kill(c)
+				}
+			}
+		}},
+		{"granting control VM pauses again and again", func(s *callSystem, step int) {
+			if step%2 == 0 {
+				s.net.Pause(controls[0])
+			} else {
+				s.net.Resume(controls[0])
+			}
+		}},
+		{"half of the routers do not reach the granting control VM", func(s *callSystem, step int) {
+			if step == 1 {
+				for i := range 6 {
+					s.net.Cut(fmt.Sprint("r", i), controls[0])
+					s.net.Cut(controls[0], fmt.Sprint("r", i))
+				}
+			}
+		}},
+		{"two halves", func(s *callSystem, step int) {
+			if step == 1 {
+				for _, a := range []string{"c1", "r0", "r1", "r2", "r3", "r4"} {
+					for _, b := range []string{"c2", "c3", "r5", "r6", "r7", "r8", "r9", "r10"} {
+						s.net.Cut(a, b)
+						s.net.Cut(b, a)
+					}
+				}
+			}
+		}},
+		{"routers join and restart", func(s *callSystem, step int) {
+			if step%2 == 1 {
+				s.addRouter()
+			} else {
+				s.restartRouter(step)
+			}
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+				s := startCallSystem(ctx, n, 11)
+				stated := time.Now()
+				for _, server := range s.list {
+					server.StateRateLimit(fmt.Sprint(rate))
+				}
+				go s.load(90, 14*time.Second, s.any)
+				time.Sleep(limitInForceFrom)
+				for step := range 10 {
+					tt.fault(s, step)
+					time.Sleep(time.Second)
+				}
+				time.Sleep(3 * time.Second)
+				for _, server := range s.list {
+					requireLimit(t, server, rate, stated)
 				}
 				s.stop()
 			})
--- a/internal/cluster/scheduler_service.go
+++ b/internal/cluster/scheduler_service.go
@@ -34,6 +34,8 @@
 	// report. After the loss of a zone, Suspected names all engines there, and it would be
 	// sent with each stream, since a router reports its use with each one.
 	SuspectedUnchanged bool `cbor:"9,keyasint,omitempty"`
+	// Withheld are the servers that the router must not send any request now.
+	Withheld []string `cbor:"10,keyasint,omitempty"`
 }
 
 // PlaceRequest requests an engine for one stream. Its times are relative to the sending,
@@ -117,7 +119,7 @@
 		report.Suspected = last.Suspected
 	}
 	c.lastReports[from] = UseReport{Incarnation: report.Incarnation, Seq: report.Seq, Suspected: report.Suspected}
-	c.scheduler.ReceiveReport(from, scheduler.Report{Usage: report.Use, LastGrant: report.LastGrant, Avoid: report.Avoid, Suspected: report.Suspected, Alive: report.Alive, EngineTimings: report.EngineTimings}, time.Now())
+	c.scheduler.ReceiveReport(from, scheduler.Report{Usage: report.Use, LastGrant: report.LastGrant, Avoid: report.Avoid, Suspected: report.Suspected, Alive: report.Alive, Withheld: report.Withheld, EngineTimings: report.EngineTimings}, time.Now())
 }
 
 // memoryAndTimings returns the services without memory for backup copies, and the mean
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -55,6 +55,8 @@
 	EngineTimings map[string]scheduler.EngineTiming `cbor:"6,keyasint,omitempty"`
 	// RoutersDigest is the digest of the ids of all VMs that accept callers.
 	RoutersDigest uint64 `cbor:"5,keyasint,omitempty"`
+	// Limits are the rate limits of backend servers that are in force or have just ended.
+	Limits []ServerLimit `cbor:"7,keyasint,omitempty"`
 }
 
 // PeerReports combines the reports of all other VMs, as a VM last received them.
@@ -125,6 +127,7 @@
 	slices.Sort(out.Dead)
 	out.Dead = slices.Compact(out.Dead)
 	out.Calls = extractCalls(use)
+	out.Limits = h.permits.report(now)
 	var errUse, err error
 	s.encodedUse, errUse = codec.Marshal(use)
 	s.encoded, err = codec.Marshal(out)
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -137,7 +137,7 @@
 	defer cancel()
 	method, uri := h.opts.Wire.CopyDrop(p.ref.ID)
 	r := upstream.Request{Method: method, URI: uri, Host: s.Address, Header: http.Header{}}
-	if _, _, err := h.opts.Pool.Do(ctx, s.ID, s.Address, &r); err != nil {
+	if _, _, err := h.engines.do(ctx, s, &r); err != nil {
 		h.opts.Log.Debug().Err(err).Str("engine", s.ID).Msg("backup copy could not be dropped; it remains until it expires")
 	}
 }
@@ -147,7 +147,7 @@
 func (h *Handler) requestCopy(ctx context.Context, s *upstream.Server, requestID, to string) string {
 	method, uri, body := h.opts.Wire.CopyOrder(requestID, to)
 	header := http.Header{"Content-Type": {"application/json"}}
-	resp, text, err := h.opts.Pool.Do(ctx, s.ID, s.Address, &upstream.Request{Method: method, URI: uri, Host: s.Address, Header: header, Body: body})
+	resp, text, err := h.engines.do(ctx, s, &upstream.Request{Method: method, URI: uri, Host: s.Address, Header: header, Body: body})
 	if err != nil {
 		h.opts.Log.Info().Err(err).Str("request", requestID).Str("engine", s.ID).Msg("backup copy could not be ordered")
 		return ""
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/admission"
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
@@ -38,15 +39,18 @@
 	var failure *reply // a server's own failure, delivered if no other server succeeds
 	for sends := 0; ; sends++ {
 		h.recheckVersion(q, sends > 0)
-		s, load, code := h.chooseServer(q, skip, sends)
+		choice, code := h.chooseServer(q, skip, sends)
+		s := choice.server
 		if s == nil {
 			h.endCall(w, q, failure, code)
 			return
 		}
-		r := h.sendCall(q, s, load)
+		r := h.sendCall(q, &choice)
 		q.history.Add(r.outcome)
 		h.logSend(q, s, &r)
-		skip[s.ID] = true
+		if r.fault != faultWithheld {
+			skip[s.ID] = true
+		}
 		if q.ctx.Err() != nil {
 			h.endCall(w, q, failure, result.RouteTimeout)
 			return
@@ -80,11 +84,18 @@
 		Dur("held", time.Since(q.arrived)).Msg("call sent")
 }
 
-// chooseServer returns the server for the next send and its load with this call, as a
-// part of its slots. If there is no server, it returns the reason.
-func (h *Handler) chooseServer(q *request, skip map[string]bool, sends int) (*upstream.Server, float64, result.Code) {
+// serverChoice is the server for the next send of a call.
+type serverChoice struct {
+	server *upstream.Server // nil: there is none
+	load   float64          // with this call, as a part of the server's slots
+	permit backpressure.Permit
+}
+
+// chooseServer chooses the server for the next send. If there is none, it returns the
+// reason.
+func (h *Handler) chooseServer(q *request, skip map[string]bool, sends int) (serverChoice, result.Code) {
 	if sends >= maxSends {
-		return nil, 0, result.BackendsFull
+		return serverChoice{}, result.BackendsFull
 	}
 	for {
 		servers, candidates := h.opts.Fleet.CallCandidates(q.service.Name, q.versionChoice.Versions, skip)
@@ -92,29 +103,53 @@
 		switch {
 		case i < 0 && h.leaveTrialVersion(q):
 			continue
+		case i < 0 && h.holdForPermit(q, skip):
+			continue
+		case i < 0 && q.retryAfterSet:
+			return serverChoice{}, result.BackendsWithheld
 		case i < 0 && len(skip) > 0:
-			return nil, 0, result.BackendsFull
+			return serverChoice{}, result.BackendsFull
 		case i < 0:
-			return nil, 0, result.NoBackendServer
+			return serverChoice{}, result.NoBackendServer
 		}
 		w := admission.CallWait{Load: load, ServiceTime: h.opts.Fleet.ServiceTime(servers[i]), Objective: q.route.Objective, Held: time.Since(q.arrived)}
 		switch w.Decide() {
 		case admission.HoldCall:
 			if timer.Sleep(q.ctx, callHoldInterval) != nil {
-				return nil, 0, result.RouteTimeout
+				return serverChoice{}, result.RouteTimeout
 			}
 			h.recheckVersion(q, false)
 			continue
 		case admission.RefuseCall:
 			q.setRetryAfter(w.RetryAfter(rand.Float64()))
-			return nil, 0, result.DeadlineTooSoon
+			return serverChoice{}, result.DeadlineTooSoon
 		case admission.SendCall:
 		}
+		permit, ok := h.gate.reserve(q.ctx, servers[i])
+		if !ok {
+			continue
+		}
 		if q.history.IsRetry() && !h.mayRetry(q, InTime) {
-			return nil, 0, result.RetriesSpent
+			return serverChoice{}, result.RetriesSpent
 		}
-		return servers[i], load, 0
+		return serverChoice{server: servers[i], load: load, permit: permit}, 0
+	}
+}
+
+// holdForPermit waits until one of the withheld servers accepts requests again, if the call
+// may be held that long. Otherwise it sets when the caller may retry. It returns false at
+// once if no server is withheld.
+func (h *Handler) holdForPermit(q *request, skip map[string]bool) bool {
+	at := h.opts.Fleet.AcceptedAgainAt(q.service.Name, q.versionChoice.Versions, skip)
+	if at.IsZero() {
+		return false
+	}
+	wait := max(0, time.Until(at))
+	if time.Since(q.arrived)+wait <= time.Duration(maxHoldShare*float64(q.route.Objective)) {
+		return timer.Sleep(q.ctx, wait) == nil
 	}
+	q.setRetryAfter(admission.SpreadRetry(wait, rand.Float64()))
+	return false
 }
 
 // callHoldInterval separates two searches for a server that can answer in time.
@@ -122,12 +157,12 @@
 
 // sendCall sends a call to one server and records what the result says about the
 // server.
-func (h *Handler) sendCall(q *request, s *upstream.Server, load float64) reply {
-	use := placement.Usage{Requests: 1}
+func (h *Handler) sendCall(q *request, c *serverChoice) reply {
+	s, use := c.server, placement.Usage{Requests: 1}
 	h.opts.Fleet.Take(s, use)
 	began := time.Now()
 	ticket := h.trackAnswer(q, s)
-	r := h.exchange(q, s, Send{}, h.hedgeDelay(q, load))
+	r := h.exchange(q, s, c.permit, Send{}, h.hedgeDelay(q, c.load))
 	h.noteAnswer(ticket, q, s, &r)
 	h.opts.Fleet.Release(s, use)
 	h.noteSendResult(q, s, &r, time.Since(began))
@@ -152,7 +187,7 @@
 func (h *Handler) noteSendResult(q *request, s *upstream.Server, r *reply, took time.Duration) {
 	f := h.opts.Fleet
 	switch {
-	case q.ctx.Err() != nil, r.fault == faultDial:
+	case q.ctx.Err() != nil, r.fault == faultDial, r.fault == faultWithheld:
 	case r.outcome == sendRefused && r.answer.WrongInstance:
 		f.MarkStale(s)
 	case r.outcome == sendRefused:
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -20,15 +21,16 @@
 type fault uint8
 
 const (
-	noFault     fault = iota
-	faultDial         // no connection
-	faultBroken       // the connection broke, or carried no valid answer
-	faultSlow         // no answer within the maximum wait; there may be time for another server
+	noFault       fault = iota
+	faultDial           // no connection
+	faultBroken         // the connection broke, or carried no valid answer
+	faultSlow           // no answer within the maximum wait; there may be time for another server
+	faultWithheld       // the server accepts no request now
 )
 
 // String implements fmt.Stringer.
 func (f fault) String() string {
-	return [...]string{"", "no connection", "broken", "slow"}[f]
+	return [...]string{"", "no connection", "broken", "slow", "withheld"}[f]
 }
 
 // reply is the result of one send.
@@ -50,10 +52,11 @@
 }
 
 // open connects to a server and sends the request. An idle connection that proves to be
-// closed before a byte left is replaced by a new one.
-func (h *Handler) open(q *request, s *upstream.Server, header http.Header, fresh bool) (*upstream.Conn, reply) {
+// closed before a byte left is replaced by a new one. p is the permit for the send.
+func (h *Handler) open(q *request, s *upstream.Server, p backpressure.Permit, header http.Header, fresh bool) (*upstream.Conn, reply) {
 	out := q.outbound
 	out.Header = header
+	counted := false
 	for {
 		c, err := h.opts.Pool.Get(q.ctx, s.ID, s.Address, fresh)
 		if err != nil {
@@ -62,6 +65,12 @@
 			}
 			return nil, reply{outcome: sendNotSent, fault: faultDial}
 		}
+		if !counted && !h.opts.Fleet.UsePermit(s, p) {
+			c.Close()
+			h.Stats.Withheld.Inc()
+			return nil, reply{outcome: sendNotSent, fault: faultWithheld}
+		}
+		counted = true
 		mayHaveArrived, err := c.Send(&out)
 		switch {
 		case err == nil:
@@ -89,7 +98,7 @@
 		}
 		a := h.opts.Wire.ReadAnswer(resp.StatusCode, resp.Header)
 		if a.RequestID == "" || a.RequestID == q.RequestID || q.RequestID == "" {
-			h.learnStatement(s, &a, q.RequestID, sent)
+			learnStatement(h.opts.Fleet, s, &a, q.RequestID, sent)
 			return resp, a, nil
 		}
 		h.Stats.StrayAnswers.Inc()
@@ -101,18 +110,11 @@
 	return nil, Answer{}, upstream.ErrBroken
 }
 
-// learnStatement takes what a server states about itself in an answer.
-func (h *Handler) learnStatement(s *upstream.Server, a *Answer, request string, sent time.Time) {
-	if st, ok := a.statementOf(s.ID); ok {
-		h.opts.Fleet.LearnStatement(s, st, request, sent)
-	}
-}
-
 // exchange sends a request and reads the complete answer. wait bounds the read; zero:
 // only the request's deadline does.
-func (h *Handler) exchange(q *request, s *upstream.Server, send Send, wait time.Duration) reply {
+func (h *Handler) exchange(q *request, s *upstream.Server, p backpressure.Permit, send Send, wait time.Duration) reply {
 	sent := time.Now()
-	c, out := h.open(q, s, h.headers(q, s, send), false)
+	c, out := h.open(q, s, p, h.headers(q, s, send), false)
 	if c == nil {
 		return out
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -75,6 +75,9 @@
 	FindOrphan func(ctx context.Context, identity uint64) (Orphan, bool)
 	// Placer grants engines to streams on behalf of all VMs; nil: this VM chooses.
 	Placer Placer
+	// Permits grants sends to servers with a rate limit on behalf of all VMs; nil: this VM
+	// shares no limit with others.
+	Permits Permits
 	// ReportRetries exchanges retry counts with the other VMs without waiting for the
 	// result. It is called after each retry, and while a budget is uncertain. nil: this
 	// VM reports nothing.
@@ -91,6 +94,8 @@
 // Handler serves the requests of callers. It is safe for concurrent use.
 type Handler struct {
 	opts       Options
+	gate       *gate
+	engines    *engineCaller
 	prober     *prober
 	activeRuns runRegistry
 	paces      paceTracker
@@ -111,11 +116,16 @@
 	if o.Placer == nil {
 		o.Placer = localPlacer{}
 	}
+	if o.Permits == nil {
+		o.Permits = localPermits{}
+	}
 	if o.Rollouts == nil {
 		o.Rollouts = NewRollouts()
 	}
 	h := &Handler{opts: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), inFlight: admission.NewInFlight(maxHeldRequests, maxHeldBytes)}
-	h.prober = newProber(o.Pool, o.Fleet, o.Wire)
+	h.gate = &gate{fleet: o.Fleet, permits: o.Permits, withheld: h.Stats.Withheld.Inc}
+	h.engines = &engineCaller{gate: h.gate, pool: o.Pool, wire: o.Wire}
+	h.prober = newProber(h.engines, o.Fleet, o.Wire)
 	return h
 }
 
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
@@ -52,6 +53,7 @@
 	reason   result.Code
 	final    bool
 	tryAgain bool // another engine must be requested at once
+	permit   backpressure.Permit
 }
 
 // requestEngine requests an engine for the stream. It chooses one if no scheduler can be
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -20,9 +21,9 @@
 // prober checks whether silent servers are alive. It runs one probe per server at a
 // time, since many streams fall silent together when an engine dies.
 type prober struct {
-	pool  *upstream.Pool
-	fleet *upstream.Fleet
-	wire  Wire
+	engines *engineCaller
+	fleet   *upstream.Fleet
+	wire    Wire
 
 	mu       sync.Mutex
 	inFlight map[string]*probe
@@ -37,12 +38,13 @@
 // probeResult is the result of one attempt, and of the probe as a whole.
 type probeResult struct {
 	alive     bool
+	withheld  bool // the engine accepts no request now: nothing is known of it
 	report    Report
 	hasReport bool // report holds the engine's own report
 }
 
-func newProber(pool *upstream.Pool, fleet *upstream.Fleet, wire Wire) *prober {
-	return &prober{pool: pool, fleet: fleet, wire: wire, inFlight: map[string]*probe{}}
+func newProber(engines *engineCaller, fleet *upstream.Fleet, wire Wire) *prober {
+	return &prober{engines: engines, fleet: fleet, wire: wire, inFlight: map[string]*probe{}}
 }
 
 // start begins a probe of a server, or joins the one in flight.
@@ -84,7 +86,7 @@
 		case v := <-answers:
 			ended++
 			// A refused connection is an answer of the host: no process listens there.
-			if v.alive || ctx.Err() == nil {
+			if v.alive || v.withheld || ctx.Err() == nil {
 				return v
 			}
 		case <-next.C:
@@ -99,9 +101,9 @@
 
 func (p *prober) try(ctx context.Context, s *upstream.Server) probeResult {
 	r := upstream.Request{Method: http.MethodGet, URI: p.wire.ReportURI(), Host: s.Address, Header: http.Header{}}
-	resp, body, err := p.pool.Do(ctx, s.ID, s.Address, &r)
+	resp, body, err := p.engines.do(ctx, s, &r)
 	if err != nil {
-		return probeResult{}
+		return probeResult{withheld: errors.Is(err, errWithheld)}
 	}
 	v := probeResult{alive: true}
 	if report, err := p.wire.ReadReport(body); err == nil && resp.StatusCode == http.StatusOK {
@@ -134,7 +136,7 @@
 	go func() {
 		defer close(found)
 		<-p.done
-		if !p.alive {
+		if !p.alive && !p.withheld {
 			h.opts.Fleet.MarkDead(s)
 			h.recordSuspectContent(q, s, forwarded)
 		}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -89,7 +89,7 @@
 	r.logPlaced()
 	// An idle connection may have died unnoticed. A resume has no time to find that
 	// out and opens a new one.
-	conn, failed := h.open(st.q, s, h.headers(st.q, s, send), st.headSent)
+	conn, failed := h.open(st.q, s, c.permit, h.headers(st.q, s, send), st.headSent)
 	if conn == nil {
 		r.reply, r.outcome = failed, failed.outcome
 		return r
--- a/internal/forward/run_silence.go
+++ b/internal/forward/run_silence.go
@@ -94,6 +94,9 @@
 func (r *run) handleProbe() (runEnd, bool) {
 	p := r.probe
 	r.probe = nil
+	if p.withheld {
+		return r.handleSilence()
+	}
 	if !p.alive {
 		if r.probeAgain() {
 			return 0, false
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -23,6 +23,7 @@
 	StrayAnswers    *metrics.Counter // answers to other requests, dropped
 	BrokenStreams   *metrics.Counter // streams that were broken off
 	CallersGone     *metrics.Counter
+	Withheld        *metrics.Counter // sends that a server does not accept now
 
 	FirstEvent  *metrics.Histogram // seconds from a caller's request
 	ResumePause *metrics.Histogram // seconds without an event for the caller of a resumed stream
@@ -36,7 +37,7 @@
 	return &Stats{
 		set: set, Requests: counter("requests"), Retries: counter("repeats"), Resumes: counter("resumes"),
 		ResumesFromCopy: counter("resumes_from_copy"), Probes: counter("probes"), CopiesOrdered: counter("copies_ordered"),
-		StrayAnswers: counter("stray_answers"), BrokenStreams: counter("streams_broken"), CallersGone: counter("callers_gone"),
+		StrayAnswers: counter("stray_answers"), BrokenStreams: counter("streams_broken"), CallersGone: counter("callers_gone"), Withheld: counter("sends_withheld"),
 		FirstEvent: set.NewHistogram("shelf_first_event_seconds"), ResumePause: set.NewHistogram("shelf_resume_pause_seconds"),
 		CallTime: set.NewHistogram("shelf_call_seconds"), StreamWait: set.NewHistogram("shelf_stream_wait_seconds"),
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/admission"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
@@ -163,7 +165,7 @@
 			return engineChoice{reason: result.StreamBroken}
 		}
 		c := st.chooseEngine()
-		if c.tryAgain {
+		if c.tryAgain || c.server != nil && !st.reserve(&c) {
 			continue
 		}
 		if c.server == nil && !c.final && st.mayWait() && timer.Sleep(st.q.ctx, fullEnginesRetryDelay) == nil {
@@ -174,6 +176,8 @@
 		case st.q.ctx.Err() != nil:
 			c.reason = result.RouteTimeout
 		case c.server == nil && c.final:
+		case c.server == nil && st.enginesWithheld():
+			c.reason = result.BackendsWithheld
 		case c.server == nil && st.sends == 0:
 			c.reason = result.NoBackendServer
 		case c.server == nil:
@@ -191,6 +195,32 @@
 	}
 }
 
+// enginesWithheld reports whether the service has engines that accept no request now, and
+// sets when the caller may retry.
+func (st *streamRelay) enginesWithheld() bool {
+	at := st.h.opts.Fleet.AcceptedAgainAt(st.q.service.Name, st.q.versionChoice.Versions, nil)
+	if at.IsZero() {
+		return false
+	}
+	st.q.setRetryAfter(admission.SpreadRetry(time.Until(at), rand.Float64()))
+	return true
+}
+
+// reserve gets the permit for the next send. If there is none, it frees the engine and
+// excludes it.
+func (st *streamRelay) reserve(c *engineChoice) bool {
+	var ok bool
+	if c.permit, ok = st.h.gate.reserve(st.q.ctx, c.server); ok {
+		return true
+	}
+	if c.granted {
+		st.h.opts.Placer.Took(c.grant.Number)
+	}
+	st.skip[c.server.ID] = true
+	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", c.server.ID).Msg("engine accepts no request now; choosing another")
+	return false
+}
+
 // retryUrgency returns the urgency of a retry that resumes from a copy. from is nil if the
 // prompt must be prefilled again.
 func (st *streamRelay) retryUrgency(from *Copy) Urgency {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -46,6 +46,7 @@
 	KindRoutes          Kind = 87 // text of the route list, served by observers
 	KindBackendList     Kind = 88 // complete list of backend servers
 	KindRollout         Kind = 89 // orders a roll-out or returns its state, served by observers
+	KindPermit          Kind = 90 // asks for a permit to send to a server with a rate limit
 	KindPoisonSuspicion Kind = 100
 	KindExplain         Kind = 120
 	KindStatus          Kind = 121
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -85,6 +85,7 @@
 	RetriesSpent     Code = 3016
 	ContentHeldBack  Code = 3017
 	LargerThanEngine Code = 3018
+	BackendsWithheld Code = 3019
 )
 
 // Codes 4xxx: a failure occurred after the request was accepted.
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -57,6 +57,7 @@
 		Zone: o.Zone, Endpoint: o.Endpoint, Ready: r.Ready, Use: r.fleet.OwnUse, Deaths: r.suspectContents.TakeNewDeaths,
 		Dead: r.fleet.RecentlyDead, Runs: r.resumableRuns, Spent: r.retryUsage, Learn: r.applyPeerReports, LearnSpent: r.applyPeerRetryUsage,
 		BackendReport: r.fleet.Report, EngineTimings: r.engineTimings, Rollouts: r.recorder.Reports, Urgent: func() bool { return r.rollouts.Load().Urgent() },
+		Withheld: r.fleet.Withheld, Limits: r.fleet.Limits, SentElsewhere: r.fleet.SentElsewhere, LearnLimits: r.fleet.LearnLimits,
 	}, o.Log)
 	r.feed = control.NewFeed(control.FeedOptions{
 		Self: o.ID, Voters: r.member.Controls, Transport: r.network, Lease: Lease, Log: o.Log,
@@ -66,7 +67,7 @@
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, ListsReady: r.listsReady,
 		RetryAllowance: o.RetryAllowance, Log: o.Log, RoutineLog: o.RoutineLog, Metrics: o.Metrics, SuspectContents: r.suspectContents, Closing: r.drain.started,
-		Placer: r.member, FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
+		Placer: r.member, Permits: r.member, FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
 		Rollouts: &forward.Rollouts{State: r.rollouts.Load, Recorder: r.recorder},
 	})
 	if err := r.serve(); err != nil {
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -115,3 +115,10 @@
 	v := r.vms[w.VM]
 	return v != nil && slices.Contains(v.report.Avoid, e.ID)
 }
+
+// withholds reports whether the VM of a stream must not send to an engine. Unlike an engine
+// that is avoided, it is not used even if there is no other.
+func (r *round) withholds(w *waiter, e *server) bool {
+	v := r.vms[w.VM]
+	return v != nil && slices.Contains(v.report.Withheld, e.ID)
+}
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -106,7 +106,7 @@
 
 // accepts reports whether an engine may run the stream at all, now or later.
 func (r *round) accepts(e *server, w *waiter) bool {
-	return w.matchesVersion(e) && !slices.Contains(w.ExcludedEngines, e.ID) && !r.avoids(w, e) && (w.VersionShare == 0 || r.versionSubset(w)[e.ID])
+	return w.matchesVersion(e) && !slices.Contains(w.ExcludedEngines, e.ID) && !r.withholds(w, e) && !r.avoids(w, e) && (w.VersionShare == 0 || r.versionSubset(w)[e.ID])
 }
 
 // matchesVersion reports whether an engine is of the version that the stream requires.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -110,6 +110,8 @@
 	// it suspects because their neighbours failed. Alive lists engines that it heard from
 	// just now.
 	Avoid, Suspected, Alive []string
+	// Withheld lists engines that the VM must not send any stream now.
+	Withheld []string
 	// EngineTimings holds what the VM measured on the engines of each service.
 	EngineTimings map[string]EngineTiming
 }
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -4,8 +4,43 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 )
 
+// statementTTL is how long the statements of a server that is not listed are remembered. The
+// list may lack a running server for a while.
+const statementTTL = 10 * time.Minute
+
+// incarnation is what one incarnation of a server states about itself, listed or not.
+type incarnation struct {
+	backpressure.Server
+	lastListed time.Time
+}
+
+// incarnationOf returns what is known of the incarnation with an id. It needs f.mu.
+func (f *Fleet) incarnationOf(id string) *incarnation {
+	v := f.incarnations[id]
+	if v == nil {
+		v = &incarnation{lastListed: f.now()}
+		f.incarnations[id] = v
+	}
+	return v
+}
+
+// expireIncarnations forgets the incarnations that have not been listed for statementTTL. It
+// needs f.mu.
+func (f *Fleet) expireIncarnations() {
+	now := f.now()
+	for id, v := range f.incarnations {
+		switch {
+		case f.servers[id] != nil:
+			v.lastListed = now
+		case now.Sub(v.lastListed) > statementTTL:
+			delete(f.incarnations, id)
+		}
+	}
+}
+
 // LearnStatement takes what a server states about itself in the answer to a request, which
 // was sent at the given time.
 func (f *Fleet) LearnStatement(s *Server, st backpressure.Statement, request string, sent time.Time) {
@@ -21,15 +56,148 @@
 	}
 }
 
-// LimitsInForce returns the number of servers whose rate limit is in force.
-func (f *Fleet) LimitsInForce() int {
+// LearnLimits takes what other VMs know of rate limits, by server id.
+func (f *Fleet) LearnLimits(limits map[string]backpressure.Limit) {
+	f.mu.Lock()
+	changes := map[string]backpressure.Change{}
+	for id, l := range limits {
+		if c := f.incarnationOf(id).LearnLimit(l); c != backpressure.Unchanged {
+			changes[id] = c
+		}
+	}
+	f.mu.Unlock()
+	for id, c := range changes {
+		f.log.Info().Str("server", id).Str("from", "other VMs").Float64("rate", limits[id].Rate).Msg(c.String())
+	}
+}
+
+// Limits returns what is known of rate limits, by server id.
+func (f *Fleet) Limits() map[string]backpressure.Limit {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	out := map[string]backpressure.Limit{}
+	for id, v := range f.incarnations {
+		if l := v.Limit(); !l.NamedAt.IsZero() {
+			out[id] = l
+		}
+	}
+	return out
+}
+
+// LimitsInForce returns the number of servers whose rate limit is in force.
+func (f *Fleet) LimitsInForce() int {
 	n := 0
-	for _, s := range f.listed {
-		if s.accepts.Limit().InForce() {
+	for _, l := range f.Limits() {
+		if l.InForce() {
 			n++
 		}
 	}
 	return n
 }
+
+// CheckSend tells whether a request may be sent to a server now, and its rate limit.
+func (f *Fleet) CheckSend(s *Server) (backpressure.Verdict, backpressure.Limit) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.accepts.Check(f.now()), s.accepts.Limit()
+}
+
+// Granted returns the permit for a send that a control VM granted.
+func (f *Fleet) Granted(s *Server, granter string) backpressure.Permit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.accepts.Granted(granter, f.now())
+}
+
+// Denied records that no permit for a server is to be had for a while.
+func (f *Fleet) Denied(s *Server, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.accepts.Denied(wait, f.now())
+}
+
+// TakeShare returns a permit of this VM's own share of a rate limit, while no control VM
+// answers.
+func (f *Fleet) TakeShare(s *Server) (backpressure.Permit, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.accepts.TakeShare(f.routerCount.most(), f.now())
+}
+
+// UsePermit reports whether a request may be sent to a server now, and counts the send. It
+// must be called right before the request is written.
+func (f *Fleet) UsePermit(s *Server, p backpressure.Permit) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.accepts.Use(p, f.now())
+}
+
+// SentElsewhere returns, by server id, how many requests were sent under a rate limit without
+// a permit of the given control VM.
+func (f *Fleet) SentElsewhere(granter string) map[string]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out map[string]uint64
+	for id, v := range f.incarnations {
+		if n := v.SentElsewhere(granter); n > 0 && v.Limit().InForce() {
+			if out == nil {
+				out = map[string]uint64{}
+			}
+			out[id] = n
+		}
+	}
+	return out
+}
+
+// Withheld returns the ids of the servers that must not be sent any request now.
+func (f *Fleet) Withheld() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, s := range f.listed {
+		if s.withheld(f.now()) {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
+
+// AcceptedAgainAt returns when the first of a service's servers that are withheld now accepts
+// requests again; zero: none is withheld. skip excludes servers by id.
+func (f *Fleet) AcceptedAgainAt(service string, v rollout.Versions, skip map[string]bool) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version, now := f.inUse.version(service, v), f.now()
+	var first time.Time
+	for _, s := range f.listed {
+		if s.Service != service || s.Version != version || s.Draining || s.stale || skip[s.ID] {
+			continue
+		}
+		if at := s.accepts.WithheldUntil(now); !at.IsZero() && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return first
+}
+
+// withheld reports whether the server must not be sent any request now.
+func (s *Server) withheld(now time.Time) bool { return s.accepts.Check(now) == backpressure.Withheld }
+
+// routerCountTTL is how long a larger number of routers counts after it was known. Routers
+// that are not heard from may still send.
+const routerCountTTL = 30 * time.Second
+
+// routerCount is the number of VMs that send requests, as last known.
+type routerCount struct {
+	highest int
+	at      time.Time
+}
+
+func (c *routerCount) set(n int, now time.Time) {
+	if n >= c.highest || now.Sub(c.at) > routerCountTTL {
+		c.highest, c.at = n, now
+	}
+}
+
+// most returns the largest number known within routerCountTTL, at least 1.
+func (c *routerCount) most() int { return max(1, c.highest) }
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -7,7 +7,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
@@ -84,7 +83,7 @@
 	serviceTimeMS    float64       // moving average without the wait for a slot
 	reportedRequests int           // requests of other VMs on the server, by its last response
 	reportedAt       time.Time
-	accepts          backpressure.Server // which requests it accepts, by its own statements
+	accepts          *incarnation // which requests it accepts, by its own statements
 }
 
 // Fleet holds what this VM knows of all backend servers. It is safe for concurrent use.
@@ -104,16 +103,21 @@
 	routers        []string             // VMs that place requests, including this one
 	routersVersion int                  // number of changes of routers
 	deadSince      map[string]time.Time // when servers were judged dead here, by id
+	routerCount    routerCount
+	incarnations   map[string]*incarnation // by server id
 }
 
-// open reports whether requests may be sent to the server: it is not draining, and no other
-// incarnation answers at its address.
-func (s *Server) open() bool { return !s.Draining && !s.stale }
+// open reports whether requests may be sent to the server now: it is not draining, no other
+// incarnation answers at its address, and it accepts requests by its own statements.
+func (s *Server) open(now time.Time) bool { return s.inService() && !s.withheld(now) }
+
+// inService reports whether the server takes new requests now or later.
+func (s *Server) inService() bool { return !s.Draining && !s.stale }
 
 // NewFleet returns an empty Fleet. It closes idle connections in pool to servers that leave
 // the list.
 func NewFleet(pool *Pool, log zerolog.Logger) *Fleet {
-	return &Fleet{pool: pool, log: log, now: time.Now, servers: map[string]*Server{}, deadSince: map[string]time.Time{}}
+	return &Fleet{pool: pool, log: log, now: time.Now, servers: map[string]*Server{}, deadSince: map[string]time.Time{}, incarnations: map[string]*incarnation{}}
 }
 
 // Apply takes over a list if it was read later than the current one, and reports whether it
@@ -130,7 +134,7 @@
 	for _, b := range l.Backends {
 		s := f.servers[b.ID]
 		if s == nil || s.Address != b.Address || s.Service != b.Service {
-			s = &Server{Backend: b, died: make(chan struct{}), suspicion: make(chan struct{}), rankVersion: -1}
+			s = &Server{Backend: b, died: make(chan struct{}), suspicion: make(chan struct{}), rankVersion: -1, accepts: f.incarnationOf(b.ID)}
 		}
 		s.Draining, s.Cold = b.Draining, b.Cold
 		next[b.ID] = s
@@ -145,6 +149,7 @@
 	added := len(next) + len(gone) - len(f.servers)
 	f.servers, f.listed = next, order
 	f.inUse = f.inUse.next(l.Backends)
+	f.expireIncarnations()
 	f.mu.Unlock()
 	if added > 0 || len(gone) > 0 {
 		f.log.Info().Int("servers", len(order)).Int("added", added).Int("gone", len(gone)).
@@ -176,6 +181,7 @@
 func (f *Fleet) SetRouters(self string, routers []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.routerCount.set(len(routers), f.now())
 	if slices.Equal(f.routers, routers) {
 		return
 	}
@@ -216,8 +222,9 @@
 }
 
 // Candidates returns the servers of a service that may take a request, and their view for
-// placement in the same order. skip excludes servers by id. Draining servers and servers
-// whose address another incarnation holds are never among them.
+// placement in the same order. skip excludes servers by id. Draining servers, servers whose
+// address another incarnation holds and servers that accept no requests now are never among
+// them.
 func (f *Fleet) Candidates(service string, v rollout.Versions, kvTokens int, skip map[string]bool) ([]*Server, []placement.Candidate) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -255,12 +262,12 @@
 // usable returns the servers of a service that are on the version that v selects and not
 // in skip. In a trial these are only the first servers by id. It needs f.mu.
 func (f *Fleet) usable(service string, v rollout.Versions, skip map[string]bool) []*Server {
-	version := f.inUse.version(service, v)
+	version, now := f.inUse.version(service, v), f.now()
 	var out []*Server
 	others := 0
 	for _, s := range f.listed {
 		switch {
-		case s.Service != service || !s.open():
+		case s.Service != service || !s.inService():
 		case s.Version != version:
 			others++
 		case !skip[s.ID]:
@@ -268,9 +275,9 @@
 		}
 	}
 	if v.ServerShare > 0 {
-		return firstServers(out, rollout.TrialServers(v.ServerShare, others), f.now())
+		out = firstServers(out, rollout.TrialServers(v.ServerShare, others), now)
 	}
-	return out
+	return slices.DeleteFunc(out, func(s *Server) bool { return s.withheld(now) })
 }
 
 // useOf returns the use of a server by this VM and the others, with at least as many
@@ -344,7 +351,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
-	if s == nil || !s.open() {
+	if s == nil || !s.open(f.now()) {
 		return nil
 	}
 	return s
@@ -355,7 +362,7 @@
 func (f *Fleet) Lost(s *Server) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	listed := f.servers[s.ID] == s && s.open()
+	listed := f.servers[s.ID] == s && s.inService()
 	dead := s.diedAt.After(s.lastHeard) && f.now().Sub(s.diedAt) <= deadAvoid
 	return !listed || dead
 }
@@ -372,7 +379,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.listed {
-		if s.Service == service && s.Address == addr && s.open() {
+		if s.Service == service && s.Address == addr && s.open(f.now()) {
 			return s
 		}
 	}
