Sends rise step by step after a rate limit ended

Cause: a server whose limit ends looks idle, and all VMs choose it at once. Every VM learns of the end, by its own answer or by the summary. Result: TestSendsRiseGraduallyAfterALimit; a server with a limit of 2 a second receives at most 15 requests in the second after its end, 400 calls or more of about 900 are answered within 10 s.

--- a/internal/backpressure/granter_test.go
+++ b/internal/backpressure/granter_test.go
@@ -240,7 +240,7 @@
 func TestDeniedVMWaits(t *testing.T) {
 	now := time.Unix(0, 0)
 	var s Server
-	s.Learn(Statement{Limit: LimitStatement{Kind: LimitStated, Rate: 9}}, now, now)
+	s.Learn(Statement{Limit: LimitStatement{Kind: LimitStated, Rate: 9}}, 1, now, now)
 	if s.Check(now) != NeedsPermit {
 		t.Fatal("a server with a limit accepts a request without a permit")
 	}
@@ -261,7 +261,7 @@
 	if !s.Use(Permit{}, now) {
 		t.Error("a server without a limit refused a send")
 	}
-	s.Learn(limited, now, now)
+	s.Learn(limited, 1, now, now)
 	if s.Use(Permit{}, now) {
 		t.Error("a send without a permit passed after the server had stated a limit")
 	}
--- a/internal/backpressure/limit_test.go
+++ b/internal/backpressure/limit_test.go
@@ -37,7 +37,7 @@
 			var s Server
 			var got Change
 			for _, a := range tt.answers {
-				got = s.Learn(Statement{Limit: a.states}, at(a.sent), at(a.received))
+				got = s.Learn(Statement{Limit: a.states}, 1, at(a.sent), at(a.received))
 			}
 			if got != tt.want || s.Limit().Rate != tt.rate {
 				t.Errorf("got %q with the rate %v, want %q with %v", got, s.Limit().Rate, tt.want, tt.rate)
--- a/internal/backpressure/server.go
+++ b/internal/backpressure/server.go
@@ -34,6 +34,7 @@
 type Server struct {
 	limit       Limit
 	deniedUntil time.Time // no permit is to be had before
+	ramp        ramp      // after the end of a limit
 
 	sends     uint64            // under a rate limit
 	byGranter map[string]uint64 // sends by the control VM that permitted them
@@ -56,18 +57,21 @@
 	return [...]string{"unchanged", "rate limit learned", "rate limit changed", "rate limit ended"}[c]
 }
 
-// Learn takes what an answer states. sent is when its request was sent.
-func (s *Server) Learn(st Statement, sent, now time.Time) Change {
-	return s.setLimit(s.limit.learn(st.Limit, sent, now))
+// Learn takes what an answer states. sent is when its request was sent, and vms the number of
+// VMs that send, this one included.
+func (s *Server) Learn(st Statement, vms int, sent, now time.Time) Change {
+	return s.setLimit(s.limit.learn(st.Limit, sent, now), vms, now)
 }
 
 // LearnLimit takes what another VM knows of the limit.
-func (s *Server) LearnLimit(l Limit) Change { return s.setLimit(s.limit.Merge(l)) }
+func (s *Server) LearnLimit(l Limit, vms int, now time.Time) Change {
+	return s.setLimit(s.limit.Merge(l), vms, now)
+}
 
 // Limit returns what is known of the server's rate limit.
 func (s *Server) Limit() Limit { return s.limit }
 
-func (s *Server) setLimit(l Limit) Change {
+func (s *Server) setLimit(l Limit, vms int, now time.Time) Change {
 	former := s.limit
 	s.limit = l
 	switch {
@@ -75,6 +79,7 @@
 		return LimitLearned
 	case former.InForce() && !l.InForce():
 		s.deniedUntil = time.Time{}
+		s.ramp.begin(max(former.Rate, minRate)/float64(max(1, vms)), now)
 		return LimitEnded
 	case l.InForce() && former.Rate != l.Rate:
 		return LimitChanged
@@ -85,17 +90,20 @@
 // Check tells whether a request may be sent to the server.
 func (s *Server) Check(now time.Time) Verdict {
 	switch {
-	case !s.limit.InForce():
-		return Send
-	case now.Before(s.deniedUntil):
+	case !s.WithheldUntil(now).IsZero():
 		return Withheld
+	case s.limit.InForce():
+		return NeedsPermit
 	}
-	return NeedsPermit
+	return Send
 }
 
 // WithheldUntil returns when the server may accept requests again; zero: it does now.
 func (s *Server) WithheldUntil(now time.Time) time.Time {
-	if s.Check(now) == Withheld {
+	switch {
+	case !s.limit.InForce():
+		return s.ramp.waitUntil(now)
+	case now.Before(s.deniedUntil):
 		return s.deniedUntil
 	}
 	return time.Time{}
@@ -137,6 +145,10 @@
 // the permit was given.
 func (s *Server) Use(p Permit, now time.Time) bool {
 	if !s.limit.InForce() {
+		if !s.ramp.waitUntil(now).IsZero() {
+			return false
+		}
+		s.ramp.sent++
 		return true
 	}
 	if p.at.IsZero() || now.Sub(p.at) > permitTTL {
--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -309,3 +309,39 @@
 		})
 	}
 }
+
+// When a limit ends, the server looks idle, and all VMs together must not send it everything
+// at once. Every VM must learn of the end, also one that may send nothing.
+func TestSendsRiseGraduallyAfterALimit(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		const rate = 2.0
+		s := startCallSystem(ctx, n, 11)
+		for _, server := range s.list {
+			server.StateRateLimit(fmt.Sprint(rate))
+		}
+		s.load(90, 6*time.Second, s.any)
+		for _, server := range s.list {
+			server.StateRateLimit("")
+		}
+		ended := time.Now()
+		answered, refused := s.load(90, 10*time.Second, s.any)
+		first := 0
+		for _, at := range s.list[0].Arrivals() {
+			if at.After(ended) && at.Before(ended.Add(time.Second)) {
+				first++
+			}
+		}
+		if first > 15 {
+			t.Errorf("a server whose limit of %v a second has ended received %d requests within a second, want 15 at most", rate, first)
+		}
+		if answered < 400 {
+			t.Errorf("%d calls were answered and %d refused within 10 s after the limits ended, want 400 answered or more", answered, refused)
+		}
+		for i, r := range s.routers {
+			if r.fleet.LimitsInForce() > 0 {
+				t.Errorf("router %d still applies a limit that has ended", i)
+			}
+		}
+		s.stop()
+	})
+}
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -45,7 +45,7 @@
 // was sent at the given time.
 func (f *Fleet) LearnStatement(s *Server, st backpressure.Statement, request string, sent time.Time) {
 	f.mu.Lock()
-	change := s.accepts.Learn(st, sent, f.now())
+	change := s.accepts.Learn(st, f.routerCount.most(), sent, f.now())
 	rate := s.accepts.Limit().Rate
 	f.mu.Unlock()
 	if st.Limit.Kind == backpressure.LimitUnreadable {
@@ -61,7 +61,7 @@
 	f.mu.Lock()
 	changes := map[string]backpressure.Change{}
 	for id, l := range limits {
-		if c := f.incarnationOf(id).LearnLimit(l); c != backpressure.Unchanged {
+		if c := f.incarnationOf(id).LearnLimit(l, f.routerCount.most(), f.now()); c != backpressure.Unchanged {
 			changes[id] = c
 		}
 	}
