--- a/cmd/amaranthshelfd/soak_system_test.go
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -50,6 +50,7 @@
 
 	mu        sync.Mutex
 	processes []*soakProcess // control processes, then routers
+	limits    []soakLimit    // that servers stated
 
 	// newVersionFails makes the new version of the vote servers fail half of the votes.
 	newVersionFails bool
--- a/cmd/amaranthshelfd/soak_test.go
+++ b/cmd/amaranthshelfd/soak_test.go
@@ -153,6 +153,7 @@
 //   - the version of the route list that operators read never decreases;
 //   - an acknowledged roll-out gets one outcome, and a failing version receives no more
 //     votes than its share;
+//   - a server that states a rate limit receives no more from all routers together;
 //   - after the last fault every router serves every route again.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
@@ -170,6 +171,7 @@
 	w.putRouteList(t.Context(), 1)
 	w.waitAllServe(1)
 	plan := s.planFaults(rand.New(rand.NewPCG(seed, 1)), *soakDuration)
+	plan = append(plan, s.planLimits(rand.New(rand.NewPCG(seed, 2)), *soakDuration)...)
 	ctx, cancel := context.WithCancel(t.Context())
 	w.start(ctx, seed)
 	s.inject(plan)
@@ -180,6 +182,7 @@
 	w.waitAllServe(w.acknowledged.Load())
 	w.checkVotes()
 	w.checkRollout()
+	s.checkLimits()
 	t.Logf("seed %d, %d faults: %s; last answers %.1f s after the last fault, all checks done after %.1f s",
 		seed, len(plan), w.summary(), lastAnswerDelay.Seconds(), time.Since(faultsEnded).Seconds())
 	if t.Failed() {
