--- a/internal/backpressure/limit_test.go
+++ b/internal/backpressure/limit_test.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+// changeOf returns the one change of a statement.
+func changeOf(changes []Change) Change {
+	if len(changes) == 0 {
+		return Unchanged
+	}
+	return changes[0]
+}
+
 // The limit of a server with several requests in flight must not end by an answer that was
 // on its way when another answer named it, and must end by the first later one without it.
 func TestLimitEndsByALaterRequestOnly(t *testing.T) {
@@ -35,9 +43,9 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var s Server
-			var got Change
+			got := Unchanged
 			for _, a := range tt.answers {
-				got = s.Learn(Statement{Limit: a.states}, 1, at(a.sent), at(a.received))
+				got = changeOf(s.Learn(Statement{Limit: a.states}, 1, at(a.sent), at(a.received)))
 			}
 			if got != tt.want || s.Limit().Rate != tt.rate {
 				t.Errorf("got %q with the rate %v, want %q with %v", got, s.Limit().Rate, tt.want, tt.rate)
--- a/internal/backpressure/ramp_test.go
+++ b/internal/backpressure/ramp_test.go
@@ -11,7 +11,7 @@
 	start := time.Unix(0, 0)
 	var s Server
 	s.Learn(Statement{Limit: LimitStatement{Kind: LimitStated, Rate: 40}}, 2, start, start)
-	if got := s.Learn(Statement{}, 2, start.Add(time.Millisecond), start.Add(time.Millisecond)); got != LimitEnded {
+	if got := changeOf(s.Learn(Statement{}, 2, start.Add(time.Millisecond), start.Add(time.Millisecond))); got != LimitEnded {
 		t.Fatalf("got %q, want the end of the limit", got)
 	}
 	perSecond := make([]int, 5)
--- a/internal/backpressure/server.go
+++ b/internal/backpressure/server.go
@@ -34,7 +34,9 @@
 type Server struct {
 	limit       Limit
 	deniedUntil time.Time // no permit is to be had before
-	ramp        ramp      // after the end of a limit
+	pausedUntil time.Time // latest end of a pause that the server asked for
+	leaving     bool
+	ramp        ramp // after the end of a limit
 
 	sends     uint64            // under a rate limit
 	byGranter map[string]uint64 // sends by the control VM that permitted them
@@ -50,19 +52,41 @@
 	LimitLearned
 	LimitChanged
 	LimitEnded
+	PauseLearned
+	LeavingLearned
 )
 
 // String implements fmt.Stringer.
 func (c Change) String() string {
-	return [...]string{"unchanged", "rate limit learned", "rate limit changed", "rate limit ended"}[c]
+	return [...]string{"unchanged", "rate limit learned", "rate limit changed", "rate limit ended", "server asks for a pause", "server states that it leaves"}[c]
 }
 
 // Learn takes what an answer states. sent is when its request was sent, and vms the number of
 // VMs that send, this one included.
-func (s *Server) Learn(st Statement, vms int, sent, now time.Time) Change {
-	return s.setLimit(s.limit.learn(st.Limit, sent, now), vms, now)
+func (s *Server) Learn(st Statement, vms int, sent, now time.Time) []Change {
+	var out []Change
+	if c := s.setLimit(s.limit.learn(st.Limit, sent, now), vms, now); c != Unchanged {
+		out = append(out, c)
+	}
+	if until := now.Add(st.Pause.For); st.Pause.For > 0 && until.After(s.pausedUntil) {
+		if !s.Paused(now) {
+			out = append(out, PauseLearned)
+		}
+		s.pausedUntil = until
+	}
+	if st.Leaving && !s.leaving {
+		s.leaving = true
+		out = append(out, LeavingLearned)
+	}
+	return out
 }
 
+// Paused reports whether the server wants no request of this VM now.
+func (s *Server) Paused(now time.Time) bool { return now.Before(s.pausedUntil) }
+
+// Leaving reports whether the server has stated that it leaves.
+func (s *Server) Leaving() bool { return s.leaving }
+
 // LearnLimit takes what another VM knows of the limit.
 func (s *Server) LearnLimit(l Limit, vms int, now time.Time) Change {
 	return s.setLimit(s.limit.Merge(l), vms, now)
--- a/internal/backpressure/statement.go
+++ b/internal/backpressure/statement.go
@@ -3,9 +3,21 @@
 // messages of other VMs and the time are inputs.
 package backpressure
 
+import "time"
+
 // Statement is what a server states about itself in the head of an answer.
 type Statement struct {
 	Limit LimitStatement
+	Pause PauseStatement
+	// Leaving states that the server ends soon and takes no new work.
+	Leaving bool
+}
+
+// PauseStatement is what an answer states about a pause: the time in which the server wants
+// no request of the VM that it answers.
+type PauseStatement struct {
+	For        time.Duration // 0: none
+	Unreadable bool          // the value has no meaning: an earlier pause stays in force
 }
 
 // LimitStatement is what an answer states about the server's rate limit.
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -28,6 +28,7 @@
 	Load       string
 	InstanceID string // the incarnation that answers; servers need not state it
 	RateLimit  string // requests per second that the server accepts from all VMs together
+	Leaving    string // true or 1: the server ends soon and takes no new work
 	// Reserved are further headers of requests to engines that only the system may set.
 	Reserved []string
 	// ReadLoad parses the value of Load; -1: not stated.
@@ -102,6 +103,8 @@
 	return Answer{
 		RequestID: h.Get(n.RequestID), Signed: h.Get(n.Signature) != "",
 		NotRun: moved || len(h.Values(n.NotRun)) > 0, WrongInstance: moved, Load: n.ReadLoad(h.Get(n.Load)),
-		Instance: h.Get(n.InstanceID), Statement: backpressure.Statement{Limit: readLimit(h.Values(n.RateLimit))},
+		Instance: h.Get(n.InstanceID), Statement: backpressure.Statement{
+			Limit: readLimit(h.Values(n.RateLimit)), Pause: readPause(status, h), Leaving: readLeaving(h.Values(n.Leaving)),
+		},
 	}
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -22,6 +22,7 @@
 	HeaderCopyFrom  = "X-Resume-From"
 	HeaderLastEvent = "Last-Event-Id"
 	HeaderRateLimit = "X-Rate-Limit" // requests per second that the server accepts from all VMs together
+	HeaderLeaving   = "X-Leaving"    // the server ends soon and takes no new work
 )
 
 // Paths of the project's own engine interface.
@@ -39,7 +40,7 @@
 		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Instance: HeaderInstance, Workspace: HeaderWorkspace,
 		Priority: "X-Priority", Tokens: HeaderTokens, LastEvent: HeaderLastEvent, CopyTo: HeaderCopyTo,
 		CopyFrom: HeaderCopyFrom, Key: "Authorization", KeyScheme: "Bearer ", Signature: HeaderSignature,
-		NotRun: HeaderNotRun, Load: HeaderLoad, InstanceID: HeaderInstance, RateLimit: HeaderRateLimit, ReadLoad: parseLoad,
+		NotRun: HeaderNotRun, Load: HeaderLoad, InstanceID: HeaderInstance, RateLimit: HeaderRateLimit, Leaving: HeaderLeaving, ReadLoad: parseLoad,
 	}}
 }
 
--- a/internal/forward/statement.go
+++ b/internal/forward/statement.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 )
@@ -24,3 +26,52 @@
 	}
 	return out
 }
+
+// maxPause bounds a pause that a server states. It outlasts every incarnation.
+const maxPause = 10 * 365 * 24 * time.Hour
+
+// readPause reads the Retry-After of an answer: seconds, which may have a fraction, or a
+// date. Of several the longest counts. A date counts from the Date of the answer, since the
+// clock of this VM may be wrong.
+func readPause(status int, h http.Header) backpressure.PauseStatement {
+	out := backpressure.PauseStatement{}
+	if status != http.StatusServiceUnavailable {
+		return out
+	}
+	for _, v := range h.Values("Retry-After") {
+		pause, ok := readRetryAfter(strings.TrimSpace(v), h.Get("Date"))
+		if !ok {
+			return backpressure.PauseStatement{Unreadable: true}
+		}
+		out.For = max(out.For, pause)
+	}
+	return out
+}
+
+func readRetryAfter(value, date string) (time.Duration, bool) {
+	if seconds, err := strconv.ParseFloat(value, 64); err == nil {
+		if math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds < 0 {
+			return 0, false
+		}
+		return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second)), true
+	}
+	until, err := http.ParseTime(value)
+	if err != nil {
+		return 0, false
+	}
+	answered, err := http.ParseTime(date)
+	if err != nil {
+		return 0, false
+	}
+	return min(max(until.Sub(answered), 0), maxPause), true
+}
+
+// readLeaving reports whether a header states that the server leaves.
+func readLeaving(values []string) bool {
+	for _, v := range values {
+		if leaving, err := strconv.ParseBool(strings.TrimSpace(v)); err == nil && leaving {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -109,6 +109,7 @@
 	set.NewGauge("shelf_feed_unclaimed_answers_total", func() float64 { return float64(r.network.UnclaimedReplies(peer.KindWatch).Count) })
 	set.NewGauge("shelf_feed_unclaimed_bytes_total", func() float64 { return float64(r.network.UnclaimedReplies(peer.KindWatch).Bytes) })
 	set.NewGauge("shelf_rate_limits", func() float64 { return float64(r.fleet.LimitsInForce()) })
+	set.NewGauge("shelf_servers_paused", func() float64 { return float64(r.fleet.Paused()) })
 	set.NewGauge("shelf_idle_connections", func() float64 { return float64(pool.Idle()) })
 	set.NewGauge("shelf_connections_opened_total", func() float64 { return float64(pool.Dials()) })
 }
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -45,14 +45,14 @@
 // was sent at the given time.
 func (f *Fleet) LearnStatement(s *Server, st backpressure.Statement, request string, sent time.Time) {
 	f.mu.Lock()
-	change := s.accepts.Learn(st, f.routerCount.most(), sent, f.now())
+	changes := s.accepts.Learn(st, f.routerCount.most(), sent, f.now())
 	rate := s.accepts.Limit().Rate
 	f.mu.Unlock()
-	if st.Limit.Kind == backpressure.LimitUnreadable {
-		f.log.Warn().Str("server", s.ID).Str("request", request).Msg("server states a rate limit that is no number; keeping the former one")
+	if st.Limit.Kind == backpressure.LimitUnreadable || st.Pause.Unreadable {
+		f.log.Warn().Str("server", s.ID).Str("request", request).Msg("server states a rate limit or a pause that cannot be read; keeping the former one")
 	}
-	if change != backpressure.Unchanged {
-		f.log.Info().Str("server", s.ID).Str("service", s.Service).Str("request", request).Float64("rate", rate).Msg(change.String())
+	for _, c := range changes {
+		f.log.Info().Str("server", s.ID).Str("service", s.Service).Str("request", request).Float64("rate", rate).Dur("pause", st.Pause.For).Msg(c.String())
 	}
 }
 
@@ -95,6 +95,19 @@
 	return n
 }
 
+// Paused returns the number of listed servers that want no request of this VM now.
+func (f *Fleet) Paused() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.listed {
+		if s.accepts.Paused(f.now()) {
+			n++
+		}
+	}
+	return n
+}
+
 // CheckSend tells whether a request may be sent to a server now, and its rate limit.
 func (f *Fleet) CheckSend(s *Server) (backpressure.Verdict, backpressure.Limit) {
 	f.mu.Lock()
