--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -177,6 +177,8 @@
 	runs       []Run
 	arrivals   []time.Time       // of all requests, in order
 	rateLimit  string            // stated in every answer; empty: none
+	leaving    bool              // stated in every answer
+	retryAfter string            // Retry-After with which every request is refused; empty: none is
 	active     map[string]bool   // streams that run here, by request id
 	eventsMade map[string]int    // events of running streams, by request id
 	copies     map[string]uint64 // last event of each backup copy, by "address/id"
@@ -233,6 +235,21 @@
 	s.rateLimit = limit
 }
 
+// RefuseUntil makes the server refuse every request and ask for a pause of retryAfter, in the
+// form of the header Retry-After; empty: it accepts requests.
+func (s *Server) RefuseUntil(retryAfter string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryAfter = retryAfter
+}
+
+// StateLeaving makes the server state in all its answers that it leaves.
+func (s *Server) StateLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
 // Arrivals returns when requests arrived, in order, including those that the server refused
 // or answered without a run.
 func (s *Server) Arrivals() []time.Time {
@@ -278,6 +295,10 @@
 	if s.rateLimit != "" {
 		w.Header().Set(forward.HeaderRateLimit, s.rateLimit)
 	}
+	if s.leaving {
+		w.Header().Set(forward.HeaderLeaving, "1")
+	}
+	retryAfter := s.retryAfter
 	s.mu.Unlock()
 	switch {
 	case s.inState(Unresponsive):
@@ -288,6 +309,9 @@
 		s.copyOnOrder(w, r)
 	case r.Header.Get(forward.HeaderInstance) != s.ID:
 		s.refuse(w, r, http.StatusMisdirectedRequest)
+	case retryAfter != "":
+		w.Header().Set("Retry-After", retryAfter)
+		s.Refuse(w, r)
 	case s.Intercept != nil && s.Intercept(s, w, r):
 	case s.Events > 0:
 		s.stream(w, r)
