No request reaches a server within the pause that it asked for

What callers saw: nothing lost, but each request that a ballot server turned away with Retry-After: 3 was followed by up to twelve more of the same VM within these 3 s (BUDGET), all refused and retried elsewhere, on the retry budget. Cause: a refusal was answered by avoiding the server for 60 ms, whatever it stated; then it looked idle and drew the next request. Change: the pause of a 503, refused or handed on to the caller, is a bound of the same check as the rate limit: for all sends of this VM, before a budget is charged and right before the write. The latest end holds. Callers get another server; if none accepts, the refusal comes at once with the pause's end. Afterwards sends rise from 2 a second, or from one a pause for short ones.

--- a/internal/backpressure/server.go
+++ b/internal/backpressure/server.go
@@ -10,6 +10,9 @@
 	// shareWithoutGranter is the part of a limit that the VMs use together while no control
 	// VM answers them. Some control VM may grant the limit to others meanwhile.
 	shareWithoutGranter = 0.5
+	// pauseRampRate, in requests per second, is the least rate with which sends begin after
+	// a pause.
+	pauseRampRate = 2
 )
 
 // Verdict tells whether a request may be sent to a server.
@@ -19,9 +22,21 @@
 const (
 	Send        Verdict = iota // it may be sent
 	NeedsPermit                // it may be sent with a permit of a Granter
-	Withheld                   // it must not be sent now
+	// All others withhold the request.
+
+	AtLimit // no permit is to be had now
+	AtPause // the server wants no request of this VM now
+	AtRamp  // the rate rises again after a limit or a pause
 )
 
+// Withholds reports whether the request must not be sent now.
+func (v Verdict) Withholds() bool { return v > NeedsPermit }
+
+// String implements fmt.Stringer.
+func (v Verdict) String() string {
+	return [...]string{"send", "needs permit", "rate limit", "pause", "rate rises again"}[v]
+}
+
 // Permit allows one send to a server. The zero value is the permit for a server without a
 // rate limit.
 type Permit struct {
@@ -34,9 +49,9 @@
 type Server struct {
 	limit       Limit
 	deniedUntil time.Time // no permit is to be had before
-	pausedUntil time.Time // latest end of a pause that the server asked for
+	pausedUntil time.Time // latest end of a pause that the server asked for; zero: ended or none
 	leaving     bool
-	ramp        ramp // after the end of a limit
+	ramp        ramp // after the end of a limit or a pause
 
 	sends     uint64            // under a rate limit
 	byGranter map[string]uint64 // sends by the control VM that permitted them
@@ -53,12 +68,13 @@
 	LimitChanged
 	LimitEnded
 	PauseLearned
+	PauseEnded
 	LeavingLearned
 )
 
 // String implements fmt.Stringer.
 func (c Change) String() string {
-	return [...]string{"unchanged", "rate limit learned", "rate limit changed", "rate limit ended", "server asks for a pause", "server states that it leaves"}[c]
+	return [...]string{"unchanged", "rate limit learned", "rate limit changed", "rate limit ended", "server asks for a pause", "pause ended", "server states that it leaves"}[c]
 }
 
 // Learn takes what an answer states. sent is when its request was sent, and vms the number of
@@ -68,11 +84,8 @@
 	if c := s.setLimit(s.limit.learn(st.Limit, sent, now), vms, now); c != Unchanged {
 		out = append(out, c)
 	}
-	if until := now.Add(st.Pause.For); st.Pause.For > 0 && until.After(s.pausedUntil) {
-		if !s.Paused(now) {
-			out = append(out, PauseLearned)
-		}
-		s.pausedUntil = until
+	if c := s.setPause(st.Pause.For, now); c != Unchanged {
+		out = append(out, c)
 	}
 	if st.Leaving && !s.leaving {
 		s.leaving = true
@@ -81,6 +94,21 @@
 	return out
 }
 
+// setPause takes a pause that the server asks for. Of several the latest end holds.
+func (s *Server) setPause(pause time.Duration, now time.Time) Change {
+	until := now.Add(pause)
+	if pause <= 0 || !until.After(s.pausedUntil) {
+		return Unchanged
+	}
+	known := s.Paused(now)
+	s.pausedUntil = until
+	s.ramp.begin(max(pauseRampRate, 1/pause.Seconds()), until)
+	if known {
+		return Unchanged
+	}
+	return PauseLearned
+}
+
 // Paused reports whether the server wants no request of this VM now.
 func (s *Server) Paused(now time.Time) bool { return now.Before(s.pausedUntil) }
 
@@ -113,24 +141,30 @@
 
 // Check tells whether a request may be sent to the server.
 func (s *Server) Check(now time.Time) Verdict {
-	switch {
-	case !s.WithheldUntil(now).IsZero():
-		return Withheld
-	case s.limit.InForce():
-		return NeedsPermit
-	}
-	return Send
+	v, _ := s.check(now)
+	return v
 }
 
 // WithheldUntil returns when the server may accept requests again; zero: it does now.
 func (s *Server) WithheldUntil(now time.Time) time.Time {
+	_, until := s.check(now)
+	return until
+}
+
+// check returns the verdict, and until when the request is withheld.
+func (s *Server) check(now time.Time) (Verdict, time.Time) {
 	switch {
-	case !s.limit.InForce():
-		return s.ramp.waitUntil(now)
-	case now.Before(s.deniedUntil):
-		return s.deniedUntil
+	case s.Paused(now):
+		return AtPause, s.pausedUntil
+	case s.limit.InForce() && now.Before(s.deniedUntil):
+		return AtLimit, s.deniedUntil
+	case s.limit.InForce():
+		return NeedsPermit, time.Time{}
+	}
+	if until := s.ramp.waitUntil(now); !until.IsZero() {
+		return AtRamp, until
 	}
-	return time.Time{}
+	return Send, time.Time{}
 }
 
 // Granted returns the permit that a control VM granted.
@@ -165,16 +199,20 @@
 }
 
 // Use reports whether a request may be sent now with a permit, and counts the send. It must
-// be called right before the request is written: the server may have stated a limit since
-// the permit was given.
+// be called right before the request is written: the server may have stated a limit or asked
+// for a pause since the permit was given.
 func (s *Server) Use(p Permit, now time.Time) bool {
-	if !s.limit.InForce() {
-		if !s.ramp.waitUntil(now).IsZero() {
-			return false
-		}
+	switch s.Check(now) {
+	case Send:
 		s.ramp.sent++
 		return true
+	case NeedsPermit, AtLimit:
+		return s.usePermit(p, now)
 	}
+	return false
+}
+
+func (s *Server) usePermit(p Permit, now time.Time) bool {
 	if p.at.IsZero() || now.Sub(p.at) > permitTTL {
 		return false
 	}
@@ -188,6 +226,15 @@
 	return true
 }
 
+// EndPause forgets a pause that has ended. It returns PauseEnded once for each.
+func (s *Server) EndPause(now time.Time) Change {
+	if s.pausedUntil.IsZero() || s.Paused(now) {
+		return Unchanged
+	}
+	s.pausedUntil = time.Time{}
+	return PauseEnded
+}
+
 // SentElsewhere returns how many requests were sent under a rate limit without a permit of
 // the given control VM.
 func (s *Server) SentElsewhere(granter string) uint64 { return s.sends - s.byGranter[granter] }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -65,9 +65,8 @@
 			}
 			return nil, reply{outcome: sendNotSent, fault: faultDial}
 		}
-		if !counted && !h.opts.Fleet.UsePermit(s, p) {
+		if !counted && !h.gate.use(s, p) {
 			c.Close()
-			h.Stats.Withheld.Inc()
 			return nil, reply{outcome: sendNotSent, fault: faultWithheld}
 		}
 		counted = true
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -123,7 +123,7 @@
 		o.Rollouts = NewRollouts()
 	}
 	h := &Handler{opts: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), inFlight: admission.NewInFlight(maxHeldRequests, maxHeldBytes)}
-	h.gate = &gate{fleet: o.Fleet, permits: o.Permits, withheld: h.Stats.Withheld.Inc}
+	h.gate = &gate{fleet: o.Fleet, permits: o.Permits, withheld: h.Stats.withheld}
 	h.engines = &engineCaller{gate: h.gate, pool: o.Pool, wire: o.Wire}
 	h.prober = newProber(h.engines, o.Fleet, o.Wire)
 	return h
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -42,25 +42,34 @@
 type gate struct {
 	fleet    *upstream.Fleet
 	permits  Permits
-	withheld func() // counts a send that was withheld
+	withheld func(backpressure.Verdict) // counts a send that was withheld
 }
 
 // reserve returns a permit for one send to a server, or false if it must not be sent now.
 func (g *gate) reserve(ctx context.Context, s *upstream.Server) (backpressure.Permit, bool) {
 	verdict, limit := g.fleet.CheckSend(s)
-	switch verdict {
-	case backpressure.Send:
+	if verdict == backpressure.Send {
 		return backpressure.Permit{}, true
-	case backpressure.Withheld:
-		g.withheld()
-		return backpressure.Permit{}, false
-	case backpressure.NeedsPermit:
 	}
-	p, ok := g.requestPermit(ctx, s, limit)
-	if !ok {
-		g.withheld()
+	if verdict == backpressure.NeedsPermit {
+		if p, ok := g.requestPermit(ctx, s, limit); ok {
+			return p, true
+		}
+		verdict = backpressure.AtLimit
+	}
+	g.withheld(verdict)
+	return backpressure.Permit{}, false
+}
+
+// use reports whether a request may be sent with a permit. It must be called right before the
+// request is written.
+func (g *gate) use(s *upstream.Server, p backpressure.Permit) bool {
+	if g.fleet.UsePermit(s, p) {
+		return true
 	}
-	return p, ok
+	verdict, _ := g.fleet.CheckSend(s)
+	g.withheld(verdict)
+	return false
 }
 
 func (g *gate) requestPermit(ctx context.Context, s *upstream.Server, limit backpressure.Limit) (backpressure.Permit, bool) {
@@ -90,7 +99,7 @@
 // engine accepts no request now.
 func (c *engineCaller) do(ctx context.Context, s *upstream.Server, r *upstream.Request) (*http.Response, []byte, error) {
 	p, ok := c.gate.reserve(ctx, s)
-	if !ok || !c.gate.fleet.UsePermit(s, p) {
+	if !ok || !c.gate.use(s, p) {
 		return nil, nil, errWithheld
 	}
 	sent := time.Now()
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 )
 
@@ -23,7 +24,6 @@
 	StrayAnswers    *metrics.Counter // answers to other requests, dropped
 	BrokenStreams   *metrics.Counter // streams that were broken off
 	CallersGone     *metrics.Counter
-	Withheld        *metrics.Counter // sends that a server does not accept now
 
 	FirstEvent  *metrics.Histogram // seconds from a caller's request
 	ResumePause *metrics.Histogram // seconds without an event for the caller of a resumed stream
@@ -37,12 +37,17 @@
 	return &Stats{
 		set: set, Requests: counter("requests"), Retries: counter("repeats"), Resumes: counter("resumes"),
 		ResumesFromCopy: counter("resumes_from_copy"), Probes: counter("probes"), CopiesOrdered: counter("copies_ordered"),
-		StrayAnswers: counter("stray_answers"), BrokenStreams: counter("streams_broken"), CallersGone: counter("callers_gone"), Withheld: counter("sends_withheld"),
+		StrayAnswers: counter("stray_answers"), BrokenStreams: counter("streams_broken"), CallersGone: counter("callers_gone"),
 		FirstEvent: set.NewHistogram("shelf_first_event_seconds"), ResumePause: set.NewHistogram("shelf_resume_pause_seconds"),
 		CallTime: set.NewHistogram("shelf_call_seconds"), StreamWait: set.NewHistogram("shelf_stream_wait_seconds"),
 	}
 }
 
+// withheld counts a send that a server does not accept now, by the reason.
+func (s *Stats) withheld(v backpressure.Verdict) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_sends_withheld_total{reason=%q}`, v)).Inc()
+}
+
 // refused counts an error of this system itself by its code.
 func (s *Stats) refused(code result.Code) {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_refused_total{code="%d",name=%q}`, code, result.Lookup(code).Name)).Inc()
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -141,8 +141,13 @@
 // must be called right before the request is written.
 func (f *Fleet) UsePermit(s *Server, p backpressure.Permit) bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return s.accepts.Use(p, f.now())
+	now := f.now()
+	ok, change := s.accepts.Use(p, now), s.accepts.EndPause(now)
+	f.mu.Unlock()
+	if change != backpressure.Unchanged {
+		f.log.Info().Str("server", s.ID).Str("service", s.Service).Msg(change.String())
+	}
+	return ok
 }
 
 // SentElsewhere returns, by server id, how many requests were sent under a rate limit without
@@ -194,7 +199,7 @@
 }
 
 // withheld reports whether the server must not be sent any request now.
-func (s *Server) withheld(now time.Time) bool { return s.accepts.Check(now) == backpressure.Withheld }
+func (s *Server) withheld(now time.Time) bool { return s.accepts.Check(now).Withholds() }
 
 // routerCountTTL is how long a larger number of routers counts after it was known. Routers
 // that are not heard from may still send.
