--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -154,6 +154,7 @@
 	Header     http.Header
 	FirstEvent uint64 // id of the first event that the run generates
 	Prefilled  bool   // the prompt was prefilled; false: resumed from a copy
+	At         time.Time
 }
 
 // Server is a stand-in for a backend server. Its exported fields must be set before the
@@ -359,7 +360,7 @@
 	defer s.mu.Unlock()
 	s.runs = append(s.runs, Run{
 		RequestID: r.Header.Get(forward.HeaderRequestID), Path: r.RequestURI, Body: string(body),
-		Header: r.Header.Clone(), FirstEvent: from, Prefilled: prefilled,
+		Header: r.Header.Clone(), FirstEvent: from, Prefilled: prefilled, At: time.Now(),
 	})
 }
 
