No new request reaches a server that states that it leaves

What callers could see: a server that ends takes new requests until the list says that it drains, and cuts them off. Change: leaving belongs to the incarnation and is a bound beside limit and pause, for calls, retries, streams, resumes and copies; an older or newer list does not end it, nor does a gap in the list. VMs tell one another with heartbeats and summary, and the scheduling control VM places nothing there. Probes and copy orders about what runs there go on; running work ends whole.

--- a/internal/backpressure/granter_test.go
+++ b/internal/backpressure/granter_test.go
@@ -241,14 +241,14 @@
 	now := time.Unix(0, 0)
 	var s Server
 	s.Learn(Statement{Limit: LimitStatement{Kind: LimitStated, Rate: 9}}, 1, now, now)
-	if s.Check(now) != NeedsPermit {
+	if s.Check(NewWork, now) != NeedsPermit {
 		t.Fatal("a server with a limit accepts a request without a permit")
 	}
-	if _, ok := s.TakeShare(2, now); ok {
+	if _, ok := s.TakeShare(NewWork, 2, now); ok {
 		t.Fatal("got a permit of an own share at its start, want none")
 	}
 	s.Denied(0, now)
-	if s.Check(now) != AtLimit {
+	if s.Check(NewWork, now) != AtLimit {
 		t.Error("a server for which a permit was denied may be asked for at once, want it withheld")
 	}
 }
@@ -265,7 +265,7 @@
 	if s.Use(Permit{}, now) {
 		t.Error("a send without a permit passed after the server had stated a limit")
 	}
-	if p := s.Granted("c1", now); s.Use(p, now.Add(permitTTL+time.Millisecond)) || !s.Use(p, now.Add(permitTTL)) {
+	if p := s.Granted(NewWork, "c1", now); s.Use(p, now.Add(permitTTL+time.Millisecond)) || !s.Use(p, now.Add(permitTTL)) {
 		t.Error("a permit is not valid for permitTTL exactly")
 	}
 	if got := s.SentElsewhere("c1"); got != 0 {
--- a/internal/backpressure/pause_test.go
+++ b/internal/backpressure/pause_test.go
@@ -61,9 +61,9 @@
 	now := time.Unix(0, 0)
 	var s Server
 	s.Learn(Statement{Limit: LimitStatement{Kind: LimitStated, Rate: 9}}, 1, now, now)
-	p := s.Granted("c1", now)
+	p := s.Granted(NewWork, "c1", now)
 	s.Learn(Statement{Limit: LimitStatement{Kind: LimitUnknown}, Pause: PauseStatement{For: time.Second}}, 1, now, now)
-	if s.Use(p, now) || s.Check(now) != AtPause {
+	if s.Use(p, now) || s.Check(NewWork, now) != AtPause {
 		t.Error("a permit passed a pause")
 	}
 }
--- a/internal/backpressure/ramp_test.go
+++ b/internal/backpressure/ramp_test.go
@@ -17,7 +17,7 @@
 	perSecond := make([]int, 5)
 	for ms := range 5000 {
 		now := start.Add(time.Duration(ms+1) * time.Millisecond)
-		if s.Check(now) == Send && s.Use(Permit{}, now) {
+		if s.Check(NewWork, now) == Send && s.Use(Permit{}, now) {
 			perSecond[ms/1000]++
 		}
 	}
--- a/internal/backpressure/server.go
+++ b/internal/backpressure/server.go
@@ -27,6 +27,7 @@
 	AtLimit // no permit is to be had now
 	AtPause // the server wants no request of this VM now
 	AtRamp  // the rate rises again after a limit or a pause
+	AtEnd   // the server takes no new work any more
 )
 
 // Withholds reports whether the request must not be sent now.
@@ -34,14 +35,23 @@
 
 // String implements fmt.Stringer.
 func (v Verdict) String() string {
-	return [...]string{"send", "needs permit", "rate limit", "pause", "rate rises again"}[v]
+	return [...]string{"send", "needs permit", "rate limit", "pause", "rate rises again", "leaving"}[v]
 }
 
-// Permit allows one send to a server. The zero value is the permit for a server without a
-// rate limit.
+// Work is what a request to a server is for.
+type Work uint8
+
+// The kinds of work.
+const (
+	NewWork     Work = iota // a request of a caller
+	RunningWork             // a call about what runs on the server, such as a probe
+)
+
+// Permit allows one send to a server.
 type Permit struct {
 	granter string    // the control VM that granted it; empty: this VM's own share
 	at      time.Time // zero: no permit was needed
+	work    Work
 }
 
 // Server is what a VM knows of the requests that one incarnation of a server accepts. It is
@@ -87,8 +97,7 @@
 	if c := s.setPause(st.Pause.For, now); c != Unchanged {
 		out = append(out, c)
 	}
-	if st.Leaving && !s.leaving {
-		s.leaving = true
+	if st.Leaving && s.LearnLeaving() != Unchanged {
 		out = append(out, LeavingLearned)
 	}
 	return out
@@ -112,6 +121,15 @@
 // Paused reports whether the server wants no request of this VM now.
 func (s *Server) Paused(now time.Time) bool { return now.Before(s.pausedUntil) }
 
+// LearnLeaving takes from another VM that the server leaves.
+func (s *Server) LearnLeaving() Change {
+	if s.leaving {
+		return Unchanged
+	}
+	s.leaving = true
+	return LeavingLearned
+}
+
 // Leaving reports whether the server has stated that it leaves.
 func (s *Server) Leaving() bool { return s.leaving }
 
@@ -139,13 +157,18 @@
 	return Unchanged
 }
 
-// Check tells whether a request may be sent to the server.
-func (s *Server) Check(now time.Time) Verdict {
+// Check tells whether a request may be sent to the server. A leaving server takes no new work,
+// and what runs there goes on.
+func (s *Server) Check(w Work, now time.Time) Verdict {
+	if s.leaving && w == NewWork {
+		return AtEnd
+	}
 	v, _ := s.check(now)
 	return v
 }
 
-// WithheldUntil returns when the server may accept requests again; zero: it does now.
+// WithheldUntil returns when the server may accept requests again, unless it leaves; zero: it
+// does now.
 func (s *Server) WithheldUntil(now time.Time) time.Time {
 	_, until := s.check(now)
 	return until
@@ -167,9 +190,12 @@
 	return Send, time.Time{}
 }
 
+// Unlimited returns the permit for a send to a server without a rate limit.
+func (s *Server) Unlimited(w Work) Permit { return Permit{work: w} }
+
 // Granted returns the permit that a control VM granted.
-func (s *Server) Granted(granter string, now time.Time) Permit {
-	return Permit{granter: granter, at: now}
+func (s *Server) Granted(w Work, granter string, now time.Time) Permit {
+	return Permit{granter: granter, at: now, work: w}
 }
 
 // Denied records that no permit is to be had for a while, at least minWait.
@@ -179,7 +205,7 @@
 
 // TakeShare returns a permit of this VM's own share while no control VM answers. vms is the
 // number of VMs that send, this one included; 1: it shares the limit with no other.
-func (s *Server) TakeShare(vms int, now time.Time) (Permit, bool) {
+func (s *Server) TakeShare(w Work, vms int, now time.Time) (Permit, bool) {
 	rate := s.limit.Rate
 	if vms > 1 {
 		rate *= shareWithoutGranter / float64(vms)
@@ -195,14 +221,14 @@
 		return Permit{}, false
 	}
 	s.share.permits--
-	return Permit{at: now}, true
+	return Permit{at: now, work: w}, true
 }
 
 // Use reports whether a request may be sent now with a permit, and counts the send. It must
 // be called right before the request is written: the server may have stated a limit or asked
 // for a pause since the permit was given.
 func (s *Server) Use(p Permit, now time.Time) bool {
-	switch s.Check(now) {
+	switch s.Check(p.work, now) {
 	case Send:
 		s.ramp.sent++
 		return true
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -99,6 +99,9 @@
 	// SentElsewhere counts, by server id, the requests that this process sent under a rate
 	// limit without a permit of the receiver.
 	SentElsewhere map[string]uint64 `cbor:"19,keyasint,omitempty"`
+	// Leaving are the backend servers that leave by their own statement and that the last
+	// Summary did not name.
+	Leaving []string `cbor:"20,keyasint,omitempty"`
 }
 
 // HeartbeatReply is a control VM's reply to a Heartbeat.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -32,6 +32,7 @@
 	retrySpending spendingTable
 	ledger        *rollout.Ledger
 	permits       *permitService
+	leaving       leavingServers
 	listLimiter   listLimiter
 	deaths        []reportedDeath
 	summary       *encodedSummary // nil: must be rebuilt
@@ -57,7 +58,7 @@
 // NewHub returns a Hub and registers its message handlers with t. controls returns the
 // ids of the control VMs.
 func NewHub(t peer.Transport, list *ListReplica, controls func() []string, log zerolog.Logger) *Hub {
-	h := &Hub{list: list, controls: controls, vms: map[string]vmState{}, loggedSilent: map[string]bool{}, retrySpending: spendingTable{}, ledger: rollout.NewLedger(), log: log, scheduling: newSchedulerService(t, log), permits: newPermitService()}
+	h := &Hub{list: list, controls: controls, vms: map[string]vmState{}, loggedSilent: map[string]bool{}, retrySpending: spendingTable{}, ledger: rollout.NewLedger(), log: log, scheduling: newSchedulerService(t, log), permits: newPermitService(), leaving: leavingServers{}}
 	list.KeepHistory()
 	t.Handle(peer.KindHeartbeat, h.serveHeartbeat)
 	t.Handle(peer.KindBackendList, h.serveList)
@@ -196,6 +197,10 @@
 	h.retrySpending.record(heartbeat.Spent, now)
 	h.ledger.Note(heartbeat.Spent.Incarnation, heartbeat.Rollouts, now)
 	h.permits.receive(&heartbeat, now)
+	if h.leaving.learn(heartbeat.Leaving, now) {
+		h.summary = nil // other VMs must not send to them either
+		h.scheduling.setLeaving(h.leaving)
+	}
 	h.expireVMs(now)
 	h.permits.granter.SetShare(h.presentShare(now))
 	for _, d := range heartbeat.Deaths {
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -52,6 +52,10 @@
 	Limits        func() map[string]backpressure.Limit
 	SentElsewhere func(granter string) map[string]uint64
 	LearnLimits   func(map[string]backpressure.Limit)
+	// Leaving returns the servers that leave by their own statement. LearnLeaving takes those
+	// that other VMs know.
+	Leaving      func() []string
+	LearnLeaving func([]string)
 	// Control reports that this VM is a control VM with a disk.
 	Control bool
 	// LearnEndpoints takes the directory: the addresses of VMs that accept callers.
@@ -264,7 +268,7 @@
 	}
 	heartbeat.Spent = m.ownSpending()
 	heartbeat.UseReport = m.fullUseReport()
-	heartbeat.Limits = m.newLimits()
+	heartbeat.Limits, heartbeat.Leaving = m.newLimits(), m.newLeaving()
 	if _, digest, age, ok := m.list.Current(); ok {
 		heartbeat.ListDigest, heartbeat.ListAgeMS = digest, age.Milliseconds()
 		// While the list is young, routers ask a single control VM for changes. Otherwise
@@ -306,6 +310,7 @@
 	}
 	m.learnSpent(reports.Spent)
 	m.learnLimits(reports.Limits)
+	m.learnLeaving(reports.Leaving)
 	if m.local.Learn != nil {
 		m.local.Learn(reports)
 	}
--- a/internal/cluster/permits.go
+++ b/internal/cluster/permits.go
@@ -197,6 +197,7 @@
 	mu          sync.Mutex
 	silentUntil map[string]time.Time          // control VMs that did not answer
 	told        map[string]backpressure.Limit // by the last Summary
+	toldLeaving []string                      // by the last Summary
 }
 
 var _ forward.Permits = (*Member)(nil)
--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -89,6 +89,7 @@
 	r.member = NewMember(id, s.net.VM(id), controls, r.list, Local{
 		Zone: zone, Endpoint: id + ":80", Ready: func() bool { return true }, Use: r.fleet.OwnUse,
 		Withheld: r.fleet.Withheld, Limits: r.fleet.Limits, SentElsewhere: r.fleet.SentElsewhere, LearnLimits: r.fleet.LearnLimits,
+		Leaving: r.fleet.Leaving, LearnLeaving: r.fleet.LearnLeaving,
 		Learn: func(reports PeerReports) {
 			r.peers.Store(&reports)
 			r.fleet.SetRouters(id, reports.Routers)
--- a/internal/cluster/scheduler_service.go
+++ b/internal/cluster/scheduler_service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -74,6 +75,8 @@
 	mu          sync.Mutex
 	scheduler   *scheduler.Scheduler
 	lastReports map[string]UseReport // by router; only Incarnation, Seq and Suspected
+	list        upstream.List
+	leaving     leavingServers
 	// loggedAt is when the state was last logged.
 	loggedAt         time.Time
 	granted, refused uint64
@@ -85,14 +88,29 @@
 
 // setServers sets the backend servers. A draining server receives no new streams.
 func (c *schedulerService) setServers(l upstream.List) {
-	servers := make([]scheduler.Server, 0, len(l.Backends))
-	for _, b := range l.Backends {
-		if !b.Draining {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = l
+	c.updateServers()
+}
+
+// setLeaving sets the servers that leave by their own statement. They receive no new streams,
+// whatever the list says.
+func (c *schedulerService) setLeaving(l leavingServers) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = maps.Clone(l)
+	c.updateServers()
+}
+
+// updateServers needs c.mu.
+func (c *schedulerService) updateServers() {
+	servers := make([]scheduler.Server, 0, len(c.list.Backends))
+	for _, b := range c.list.Backends {
+		if _, leaving := c.leaving[b.ID]; !leaving && !b.Draining {
 			servers = append(servers, scheduler.Server{ID: b.ID, Service: b.Service, Zone: b.Zone, Slots: b.Slots, Version: b.Version})
 		}
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.scheduler.SetServers(servers)
 	c.decideAll()
 }
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -57,6 +57,8 @@
 	RoutersDigest uint64 `cbor:"5,keyasint,omitempty"`
 	// Limits are the rate limits of backend servers that are in force or have just ended.
 	Limits []ServerLimit `cbor:"7,keyasint,omitempty"`
+	// Leaving are the backend servers that leave by their own statement.
+	Leaving []string `cbor:"8,keyasint,omitempty"`
 }
 
 // PeerReports combines the reports of all other VMs, as a VM last received them.
@@ -128,6 +130,7 @@
 	out.Dead = slices.Compact(out.Dead)
 	out.Calls = extractCalls(use)
 	out.Limits = h.permits.report(now)
+	out.Leaving = h.leaving.ids()
 	var errUse, err error
 	s.encodedUse, errUse = codec.Marshal(use)
 	s.encoded, err = codec.Marshal(out)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -125,7 +125,7 @@
 			return serverChoice{}, result.DeadlineTooSoon
 		case admission.SendCall:
 		}
-		permit, ok := h.gate.reserve(q.ctx, servers[i])
+		permit, ok := h.gate.reserve(q.ctx, servers[i], backpressure.NewWork)
 		if !ok {
 			continue
 		}
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -46,13 +46,13 @@
 }
 
 // reserve returns a permit for one send to a server, or false if it must not be sent now.
-func (g *gate) reserve(ctx context.Context, s *upstream.Server) (backpressure.Permit, bool) {
-	verdict, limit := g.fleet.CheckSend(s)
+func (g *gate) reserve(ctx context.Context, s *upstream.Server, w backpressure.Work) (backpressure.Permit, bool) {
+	verdict, limit := g.fleet.CheckSend(s, w)
 	if verdict == backpressure.Send {
-		return backpressure.Permit{}, true
+		return g.fleet.Unlimited(s, w), true
 	}
 	if verdict == backpressure.NeedsPermit {
-		if p, ok := g.requestPermit(ctx, s, limit); ok {
+		if p, ok := g.requestPermit(ctx, s, w, limit); ok {
 			return p, true
 		}
 		verdict = backpressure.AtLimit
@@ -67,22 +67,22 @@
 	if g.fleet.UsePermit(s, p) {
 		return true
 	}
-	verdict, _ := g.fleet.CheckSend(s)
+	verdict, _ := g.fleet.CheckSend(s, backpressure.NewWork)
 	g.withheld(verdict)
 	return false
 }
 
-func (g *gate) requestPermit(ctx context.Context, s *upstream.Server, limit backpressure.Limit) (backpressure.Permit, bool) {
+func (g *gate) requestPermit(ctx context.Context, s *upstream.Server, w backpressure.Work, limit backpressure.Limit) (backpressure.Permit, bool) {
 	a, answered := g.permits.RequestPermit(ctx, s.ID, limit)
 	if !answered {
-		return g.fleet.TakeShare(s)
+		return g.fleet.TakeShare(s, w)
 	}
 	g.fleet.LearnLimits(map[string]backpressure.Limit{s.ID: a.Limit})
 	if !a.Granted {
 		g.fleet.Denied(s, a.Wait)
 		return backpressure.Permit{}, false
 	}
-	return g.fleet.Granted(s, a.Granter), true
+	return g.fleet.Granted(s, w, a.Granter), true
 }
 
 // errWithheld means that a server accepts no request now.
@@ -98,7 +98,7 @@
 // do sends a call to an engine and reads the complete answer. It returns errWithheld if the
 // engine accepts no request now.
 func (c *engineCaller) do(ctx context.Context, s *upstream.Server, r *upstream.Request) (*http.Response, []byte, error) {
-	p, ok := c.gate.reserve(ctx, s)
+	p, ok := c.gate.reserve(ctx, s, backpressure.RunningWork)
 	if !ok || !c.gate.use(s, p) {
 		return nil, nil, errWithheld
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/admission"
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
@@ -210,7 +211,7 @@
 // excludes it.
 func (st *streamRelay) reserve(c *engineChoice) bool {
 	var ok bool
-	if c.permit, ok = st.h.gate.reserve(st.q.ctx, c.server); ok {
+	if c.permit, ok = st.h.gate.reserve(st.q.ctx, c.server, backpressure.NewWork); ok {
 		return true
 	}
 	if c.granted {
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -58,6 +58,7 @@
 		Dead: r.fleet.RecentlyDead, Runs: r.resumableRuns, Spent: r.retryUsage, Learn: r.applyPeerReports, LearnSpent: r.applyPeerRetryUsage,
 		BackendReport: r.fleet.Report, EngineTimings: r.engineTimings, Rollouts: r.recorder.Reports, Urgent: func() bool { return r.rollouts.Load().Urgent() },
 		Withheld: r.fleet.Withheld, Limits: r.fleet.Limits, SentElsewhere: r.fleet.SentElsewhere, LearnLimits: r.fleet.LearnLimits,
+		Leaving: r.fleet.Leaving, LearnLeaving: r.fleet.LearnLeaving,
 	}, o.Log)
 	r.feed = control.NewFeed(control.FeedOptions{
 		Self: o.ID, Voters: r.member.Controls, Transport: r.network, Lease: Lease, Log: o.Log,
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -71,6 +71,34 @@
 	}
 }
 
+// LearnLeaving takes the ids of servers that have told another VM that they leave.
+func (f *Fleet) LearnLeaving(ids []string) {
+	f.mu.Lock()
+	var learned []string
+	for _, id := range ids {
+		if f.incarnationOf(id).LearnLeaving() != backpressure.Unchanged {
+			learned = append(learned, id)
+		}
+	}
+	f.mu.Unlock()
+	for _, id := range learned {
+		f.log.Info().Str("server", id).Str("from", "other VMs").Msg(backpressure.LeavingLearned.String())
+	}
+}
+
+// Leaving returns the ids of the servers that have stated that they leave.
+func (f *Fleet) Leaving() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for id, v := range f.incarnations {
+		if v.Leaving() {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Limits returns what is known of rate limits, by server id.
 func (f *Fleet) Limits() map[string]backpressure.Limit {
 	f.mu.Lock()
@@ -109,17 +137,20 @@
 }
 
 // CheckSend tells whether a request may be sent to a server now, and its rate limit.
-func (f *Fleet) CheckSend(s *Server) (backpressure.Verdict, backpressure.Limit) {
+func (f *Fleet) CheckSend(s *Server, w backpressure.Work) (backpressure.Verdict, backpressure.Limit) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return s.accepts.Check(f.now()), s.accepts.Limit()
+	return s.accepts.Check(w, f.now()), s.accepts.Limit()
+}
+
+// Unlimited returns the permit for a send to a server without a rate limit.
+func (f *Fleet) Unlimited(s *Server, w backpressure.Work) backpressure.Permit {
+	return s.accepts.Unlimited(w)
 }
 
 // Granted returns the permit for a send that a control VM granted.
-func (f *Fleet) Granted(s *Server, granter string) backpressure.Permit {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return s.accepts.Granted(granter, f.now())
+func (f *Fleet) Granted(s *Server, w backpressure.Work, granter string) backpressure.Permit {
+	return s.accepts.Granted(w, granter, f.now())
 }
 
 // Denied records that no permit for a server is to be had for a while.
@@ -131,10 +162,10 @@
 
 // TakeShare returns a permit of this VM's own share of a rate limit, while no control VM
 // answers.
-func (f *Fleet) TakeShare(s *Server) (backpressure.Permit, bool) {
+func (f *Fleet) TakeShare(s *Server, w backpressure.Work) (backpressure.Permit, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return s.accepts.TakeShare(f.routerCount.most(), f.now())
+	return s.accepts.TakeShare(w, f.routerCount.most(), f.now())
 }
 
 // UsePermit reports whether a request may be sent to a server now, and counts the send. It
@@ -188,7 +219,7 @@
 	version, now := f.inUse.version(service, v), f.now()
 	var first time.Time
 	for _, s := range f.listed {
-		if s.Service != service || s.Version != version || s.Draining || s.stale || skip[s.ID] {
+		if s.Service != service || s.Version != version || !s.inService() || skip[s.ID] {
 			continue
 		}
 		if at := s.accepts.WithheldUntil(now); !at.IsZero() && (first.IsZero() || at.Before(first)) {
@@ -199,7 +230,9 @@
 }
 
 // withheld reports whether the server must not be sent any request now.
-func (s *Server) withheld(now time.Time) bool { return s.accepts.Check(now).Withholds() }
+func (s *Server) withheld(now time.Time) bool {
+	return s.accepts.Check(backpressure.NewWork, now).Withholds()
+}
 
 // routerCountTTL is how long a larger number of routers counts after it was known. Routers
 // that are not heard from may still send.
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -111,8 +111,9 @@
 // incarnation answers at its address, and it accepts requests by its own statements.
 func (s *Server) open(now time.Time) bool { return s.inService() && !s.withheld(now) }
 
-// inService reports whether the server takes new requests now or later.
-func (s *Server) inService() bool { return !s.Draining && !s.stale }
+// inService reports whether the server takes new requests now or later. A server that has
+// stated that it leaves does not, whatever the list says.
+func (s *Server) inService() bool { return !s.Draining && !s.stale && !s.accepts.Leaving() }
 
 // NewFleet returns an empty Fleet. It closes idle connections in pool to servers that leave
 // the list.
