Soak: servers ask for pauses and state that they leave

A vote server refuses for half of a run and asks for a long pause, an engine states that it leaves. Each may receive what it takes to tell each router and each restarted one.

--- a/cmd/amaranthshelfd/soak_limits_test.go
+++ b/cmd/amaranthshelfd/soak_limits_test.go
@@ -36,6 +36,89 @@
 	return out
 }
 
+// soakPause is a time in which a server refuses every request and asks for a pause, or states
+// that it leaves.
+type soakPause struct {
+	server   int
+	leaving  bool
+	from, to time.Time
+}
+
+// Constants of pauses.
+const (
+	// soakTellTime is the time after which the requests that were on their way when a server
+	// asked for a pause have reached it.
+	soakTellTime = time.Second
+	// soakSendsPerPause is how many requests may reach a server from a router that it has to
+	// tell first.
+	soakSendsPerPause = 2
+)
+
+// planPauses draws a vote server that asks for a pause, and an engine that states that it
+// leaves.
+func (s *soakSystem) planPauses(rng *rand.Rand, length time.Duration) []fault {
+	engines := 2 * soakZones
+	desk, engine := engines+rng.IntN(soakZones), rng.IntN(engines)
+	at := randomDuration(rng, length/3)
+	pause := fault{kind: "pause asked for", at: at, target: desk, duration: length / 2}
+	pause.begin = func() {
+		s.servers[desk].RefuseUntil(strconv.FormatFloat((2 * length).Seconds(), 'f', 2, 64))
+		s.beginPause(soakPause{server: desk})
+	}
+	pause.end = func() {
+		s.endPause(desk)
+		s.servers[desk].RefuseUntil("")
+	}
+	leaving := fault{kind: "leaving stated", at: randomDuration(rng, length/3), target: engine, duration: length / 2}
+	leaving.begin = func() {
+		s.servers[engine].StateLeaving()
+		s.beginPause(soakPause{server: engine, leaving: true})
+	}
+	leaving.end = func() { s.endPause(engine) }
+	return []fault{pause, leaving}
+}
+
+func (s *soakSystem) beginPause(p soakPause) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.from = time.Now()
+	s.pauses = append(s.pauses, p)
+}
+
+func (s *soakSystem) endPause(server int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.pauses {
+		if p := &s.pauses[i]; p.server == server {
+			p.to = time.Now()
+		}
+	}
+}
+
+// checkPauses fails the test if a server received more requests than it takes to tell each
+// router, and each one that was restarted, that it wants none.
+func (s *soakSystem) checkPauses() {
+	allowed := soakSendsPerPause * (soakRouters + s.routerStarts)
+	for _, p := range s.pauses {
+		arrivals := s.servers[p.server].Arrivals()
+		if p.leaving {
+			arrivals = nil // probes of what runs there may arrive
+			for _, r := range s.servers[p.server].Runs() {
+				arrivals = append(arrivals, r.At)
+			}
+		}
+		n := 0
+		for _, at := range arrivals {
+			if at.After(p.from.Add(soakTellTime)) && at.Before(p.to) {
+				n++
+			}
+		}
+		if n > allowed {
+			s.t.Errorf("server %s received %d requests in %v although it wanted none (leaving: %t), want %d at most", s.servers[p.server].ID, n, p.to.Sub(p.from), p.leaving, allowed)
+		}
+	}
+}
+
 func (s *soakSystem) stateLimit(server int, rate float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/cmd/amaranthshelfd/soak_system_test.go
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -51,6 +51,9 @@
 	mu        sync.Mutex
 	processes []*soakProcess // control processes, then routers
 	limits    []soakLimit    // that servers stated
+	pauses    []soakPause    // that servers asked for
+	// routerStarts counts how often a router was started again.
+	routerStarts int
 
 	// newVersionFails makes the new version of the vote servers fail half of the votes.
 	newVersionFails bool
@@ -146,6 +149,9 @@
 		default:
 			return
 		}
+		if i >= soakControls {
+			s.routerStarts++
+		}
 	}
 	log, err := os.OpenFile(filepath.Join(s.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
--- a/cmd/amaranthshelfd/soak_test.go
+++ b/cmd/amaranthshelfd/soak_test.go
@@ -153,7 +153,8 @@
 //   - the version of the route list that operators read never decreases;
 //   - an acknowledged roll-out gets one outcome, and a failing version receives no more
 //     votes than its share;
-//   - a server that states a rate limit receives no more from all routers together;
+//   - a server that states a rate limit receives no more from all routers together, and one
+//     that asks for a pause or states that it leaves receives no new requests;
 //   - after the last fault every router serves every route again.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
@@ -172,6 +173,7 @@
 	w.waitAllServe(1)
 	plan := s.planFaults(rand.New(rand.NewPCG(seed, 1)), *soakDuration)
 	plan = append(plan, s.planLimits(rand.New(rand.NewPCG(seed, 2)), *soakDuration)...)
+	plan = append(plan, s.planPauses(rand.New(rand.NewPCG(seed, 3)), *soakDuration)...)
 	ctx, cancel := context.WithCancel(t.Context())
 	w.start(ctx, seed)
 	s.inject(plan)
@@ -183,6 +185,7 @@
 	w.checkVotes()
 	w.checkRollout()
 	s.checkLimits()
+	s.checkPauses()
 	t.Logf("seed %d, %d faults: %s; last answers %.1f s after the last fault, all checks done after %.1f s",
 		seed, len(plan), w.summary(), lastAnswerDelay.Seconds(), time.Since(faultsEnded).Seconds())
 	if t.Failed() {
