Plain services: no call reaches a server within the pause that it asked for

Change: the pause of a 503 is a bound for relayed calls and for calls under a claim, checked again right before the first byte; if all servers of a service are at pause the call is refused as not run (3019) with the pause's end, and its key stays free. One reader of the headers serves both paths. Result: TestNoCallReachesAServerAtPause failed before (the lone server was called again and answered the booking) and passes.

--- a/internal/forward/statement.go
+++ b/internal/backpressure/backpressurehttp/statement.go
@@ -1,4 +1,5 @@
-package forward
+// Package backpressurehttp reads what servers state about themselves from HTTP headers.
+package backpressurehttp
 
 import (
 	"math"
@@ -10,10 +11,10 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 )
 
-// readLimit reads the values of a header that states a server's rate limit in requests per
+// ReadLimit reads the values of a header that states a server's rate limit in requests per
 // second. Of several limits the lowest counts. A value that is no number from 0 up makes
 // the statement unreadable.
-func readLimit(values []string) backpressure.LimitStatement {
+func ReadLimit(values []string) backpressure.LimitStatement {
 	out := backpressure.LimitStatement{}
 	for _, v := range values {
 		rate, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
@@ -30,10 +31,10 @@
 // maxPause bounds a pause that a server states. It outlasts every incarnation.
 const maxPause = 10 * 365 * 24 * time.Hour
 
-// readPause reads the Retry-After of an answer: seconds, which may have a fraction, or a
+// ReadPause reads the Retry-After of an answer: seconds, which may have a fraction, or a
 // date. Of several the longest counts. A date counts from the Date of the answer, since the
 // clock of this VM may be wrong.
-func readPause(status int, h http.Header) backpressure.PauseStatement {
+func ReadPause(status int, h http.Header) backpressure.PauseStatement {
 	out := backpressure.PauseStatement{}
 	if status != http.StatusServiceUnavailable {
 		return out
@@ -66,8 +67,8 @@
 	return min(max(until.Sub(answered), 0), maxPause), true
 }
 
-// readLeaving reports whether a header states that the server leaves.
-func readLeaving(values []string) bool {
+// ReadLeaving reports whether a header states that the server leaves.
+func ReadLeaving(values []string) bool {
 	for _, v := range values {
 		if leaving, err := strconv.ParseBool(strings.TrimSpace(v)); err == nil && leaving {
 			return true
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure/backpressurehttp"
 )
 
 // Headers implements the methods of a Wire that read and write headers. Its fields are
@@ -104,7 +105,7 @@
 		RequestID: h.Get(n.RequestID), Signed: h.Get(n.Signature) != "",
 		NotRun: moved || len(h.Values(n.NotRun)) > 0, WrongInstance: moved, Load: n.ReadLoad(h.Get(n.Load)),
 		Instance: h.Get(n.InstanceID), Statement: backpressure.Statement{
-			Limit: readLimit(h.Values(n.RateLimit)), Pause: readPause(status, h), Leaving: readLeaving(h.Values(n.Leaving)),
+			Limit: backpressurehttp.ReadLimit(h.Values(n.RateLimit)), Pause: backpressurehttp.ReadPause(status, h), Leaving: backpressurehttp.ReadLeaving(h.Values(n.Leaving)),
 		},
 	}
 }
--- a/internal/service/claim.go
+++ b/internal/service/claim.go
@@ -31,7 +31,12 @@
 func (cl *ownClaim) send(ctx context.Context, t *target) (*call.Answer, bool, error) {
 	ctx, end := cl.d.span(ctx, "dispatch", cl.c)
 	defer end()
-	return t.conn.Send(ctx, &cl.c.Request, cl.checkPermit)
+	return t.conn.Send(ctx, &cl.c.Request, func() error {
+		if !cl.d.picker.maySend(t.backend) {
+			return errPaused
+		}
+		return cl.checkPermit()
+	})
 }
 
 // checkPermit is called immediately before the first byte is written. If the
@@ -57,6 +62,7 @@
 	for {
 		answer, wrote, err := cl.send(ctx, t)
 		if err == nil {
+			d.learn(t.backend, answer, cl.c.Key)
 			d.recordExplain(cl.c, explain.Finished, "answered by "+t.backend.Name)
 			a, err = cl.finish(ctx, call.Done, answer)
 			return a, true, err
--- a/internal/service/client_test.go
+++ b/internal/service/client_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -302,3 +303,37 @@
 		t.Errorf("resend while the service is down: got %q, want the kept answer", got)
 	}
 }
+
+// A backend server that answers 503 with a Retry-After must not be sent any call of this VM
+// until then, also if it is the only one. A call that no server accepts is refused as not run,
+// and its key stays free.
+func TestNoCallReachesAServerAtPause(t *testing.T) {
+	paused, good := newRawService(t), newRawService(t)
+	paused.answer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n"
+	two := staticBackends{{Name: "paused", Addr: paused.addr, Zone: "here"}, {Name: "good", Addr: good.addr}}
+	lookup := booking("lookup", nil)
+	lookup.Request.Method = http.MethodGet
+	d := newDispatchers(newState(), 1, two)[0]
+	for range 20 {
+		if got := outcome(d.Relay(t.Context(), lookup)); got != "201 booked" {
+			t.Fatalf("got %q, want the answer of the server that is not at pause", got)
+		}
+	}
+	if got := paused.count("lookup"); got > 1 {
+		t.Errorf("%d lookups reached a server at pause, want only the one that was told of it", got)
+	}
+	for i := range 5 {
+		if got := outcome(d.Once(t.Context(), booking(fmt.Sprint("k", i), nil))); got != "201 booked" {
+			t.Errorf("booking %d: got %q, want 201 booked", i, got)
+		}
+	}
+	alone := newDispatchers(newState(), 1, two[:1])[0]
+	_, _ = alone.Relay(t.Context(), lookup)
+	_, err := alone.Once(t.Context(), booking("k", nil))
+	if e := result.From(err); e.Code != result.BackendsWithheld || e.Ran != result.RanNo || e.RetryAfter < 50*time.Second {
+		t.Errorf("got %v with the delay %v, want %d not run and a delay until the pause ends", err, e.RetryAfter, result.BackendsWithheld)
+	}
+	if _, err := alone.Relay(t.Context(), lookup); result.CodeOf(err) != result.BackendsWithheld {
+		t.Errorf("got %v, want %d", err, result.BackendsWithheld)
+	}
+}
--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -5,11 +5,13 @@
 	"crypto/rand"
 	"errors"
 	"expvar"
+	mathrand "math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/admission"
 	"github.com/amaranthshelf/amaranthshelf/internal/call"
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
@@ -43,6 +45,9 @@
 
 var errPermitExpired = errors.New("service: the permission to dispatch has expired")
 
+// errPaused means that the backend server asked for a pause before the call was written.
+var errPaused = errors.New("service: the backend server asked for a pause")
+
 // Call is one call from a workspace to a plain service.
 type Call struct {
 	Workspace string
@@ -123,18 +128,24 @@
 	}
 	d.retryBudget.addCall()
 	var answer *call.Answer
-	err = result.New(result.NoBackendServer).WithRetryAfter(retryAfter)
-	for i, b := range d.picker.order(d.Backends.Service(c.Service), time.Now()) {
-		if i > 0 && !d.retryBudget.takeRetry() {
+	err = d.noBackend(c.Service)
+	sends := 0
+	for _, b := range d.picker.order(d.Backends.Service(c.Service), time.Now()) {
+		if !d.picker.maySend(b) {
+			continue
+		}
+		if sends > 0 && !d.retryBudget.takeRetry() {
 			d.Metrics.Add("service_retries_refused", 1)
 			break
 		}
+		sends++
 		done := d.picker.begin(b)
 		got, failure := d.Sender.Relay(ctx, b.Addr, &c.Request)
 		again := failure != nil || retryable(got.Status)
 		done(again)
 		if failure == nil {
 			answer = got
+			d.learn(b, got, c.Key)
 		} else {
 			err = result.Newf(result.BackendFailed, "backend server %s: %v", b.Name, failure)
 		}
@@ -242,7 +253,24 @@
 		done(true)
 		d.Metrics.Add("service_failures", 1)
 	}
-	return nil, result.New(result.NoBackendServer).WithRetryAfter(retryAfter)
+	return nil, d.noBackend(service)
+}
+
+// noBackend returns the refusal of a call that no backend server takes. If all of them are at
+// pause, it states when the first one accepts calls again.
+func (d *Dispatcher) noBackend(service string) error {
+	if left := d.picker.pauseLeft(d.Backends.Service(service), time.Now()); left > 0 {
+		return result.New(result.BackendsWithheld).WithRetryAfter(admission.SpreadRetry(left, mathrand.Float64()))
+	}
+	return result.New(result.NoBackendServer).WithRetryAfter(retryAfter)
+}
+
+// learn takes the pause that a backend server asks for in an answer.
+func (d *Dispatcher) learn(b Backend, a *call.Answer, requestID string) {
+	if d.picker.learn(b, a) {
+		d.Metrics.Add("service_pauses", 1)
+		d.Log.Info().Str("request_id", requestID).Str("backend", b.Name).Dur("left", d.picker.pauseLeft([]Backend{b}, time.Now())).Msg("backend server asks for a pause")
+	}
 }
 
 // span starts a trace span for one step of a call. The returned function ends it.
--- a/internal/service/picker.go
+++ b/internal/service/picker.go
@@ -2,9 +2,14 @@
 
 import (
 	"cmp"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
+	"github.com/amaranthshelf/amaranthshelf/internal/backpressure/backpressurehttp"
+	"github.com/amaranthshelf/amaranthshelf/internal/call"
 )
 
 // Backend is one backend server of a service.
@@ -24,7 +29,8 @@
 // it instead would leave no server if all fail at once.
 const failurePenalty = 2 * time.Second
 
-// picker orders backend servers. Servers that failed recently come last; among the
+// picker orders backend servers. Servers that asked for a pause are left out, also if there
+// is no other. Servers that failed recently come last; among the
 // others, servers in this VM's zone come first, then those with the fewest calls
 // in flight from this VM.
 type picker struct {
@@ -33,16 +39,19 @@
 	mu       sync.Mutex
 	running  map[string]int
 	failedAt map[string]time.Time
+	accepts  map[string]*backpressure.Server // by name
 }
 
 func newPicker(zone string) *picker {
-	return &picker{zone: zone, running: map[string]int{}, failedAt: map[string]time.Time{}}
+	return &picker{zone: zone, running: map[string]int{}, failedAt: map[string]time.Time{}, accepts: map[string]*backpressure.Server{}}
 }
 
 func (p *picker) order(all []Backend, now time.Time) []Backend {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := slices.Clone(all)
+	out := slices.DeleteFunc(slices.Clone(all), func(b Backend) bool {
+		return p.acceptsOf(b).Check(backpressure.NewWork, now).Withholds()
+	})
 	slices.SortStableFunc(out, func(a, b Backend) int {
 		return cmp.Or(
 			cmp.Compare(p.failedRecently(a, now), p.failedRecently(b, now)),
@@ -53,6 +62,56 @@
 	return out
 }
 
+// acceptsOf needs p.mu.
+func (p *picker) acceptsOf(b Backend) *backpressure.Server {
+	s := p.accepts[b.Name]
+	if s == nil {
+		s = &backpressure.Server{}
+		p.accepts[b.Name] = s
+	}
+	return s
+}
+
+// maySend reports whether a call may be sent to a server now, and counts it. It must be called
+// right before the call is written.
+func (p *picker) maySend(b Backend) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.acceptsOf(b)
+	return s.Use(s.Unlimited(backpressure.NewWork), time.Now())
+}
+
+// learn takes the pause that an answer asks for. It reports whether there is a new one.
+func (p *picker) learn(b Backend, a *call.Answer) bool {
+	h := http.Header{}
+	for _, field := range a.Headers {
+		h.Add(field.Name, field.Value)
+	}
+	st := backpressure.Statement{Pause: backpressurehttp.ReadPause(a.Status, h)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	return len(p.acceptsOf(b).Learn(st, 1, now, now)) > 0
+}
+
+// pauseLeft returns the time until the first of the servers accepts calls again; 0: one does
+// now, or there is none.
+func (p *picker) pauseLeft(all []Backend, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var first time.Duration
+	for _, b := range all {
+		until := p.acceptsOf(b).WithheldUntil(now)
+		if until.IsZero() {
+			return 0
+		}
+		if left := until.Sub(now); first == 0 || left < first {
+			first = left
+		}
+	}
+	return first
+}
+
 func (p *picker) failedRecently(b Backend, now time.Time) int {
 	if at, ok := p.failedAt[b.Name]; ok && now.Sub(at) < failurePenalty {
 		return 1
