Shares of a rate limit are not sent at the same moment

Cause: while no control VM answers, each VM accumulated up to two requests of its share from the same moment on, so that hundreds of VMs sent them at once. Change: a VM's turns begin at a random time within their interval, may be used for two seconds, and are forgotten once a control VM grants. A call of a route without an objective is held for a permit by its deadline. The end of a limit within a pause does not shorten the ramp after it.

--- a/internal/backpressure/granter_test.go
+++ b/internal/backpressure/granter_test.go
@@ -244,7 +244,7 @@
 	if s.Check(NewWork, now) != NeedsPermit {
 		t.Fatal("a server with a limit accepts a request without a permit")
 	}
-	if _, ok := s.TakeShare(NewWork, 2, now); ok {
+	if _, ok := s.TakeShare(NewWork, 2, 0.5, now); ok {
 		t.Fatal("got a permit of an own share at its start, want none")
 	}
 	s.Denied(0, now)
@@ -275,3 +275,45 @@
 		t.Errorf("got %d sends without a permit of c2, want 1", got)
 	}
 }
+
+// Hundreds of VMs that lose all control VMs at the same moment must not send their shares at
+// the same moment, neither at once nor after a time without requests.
+func TestSharesAreNotSentAtOnce(t *testing.T) {
+	for _, tt := range []struct {
+		vms  int
+		rate float64
+		idle time.Duration // without requests, after the control VMs were lost
+	}{
+		{12, 9, 0}, {12, 9, time.Minute}, {330, 9, 0}, {330, 9, 10 * time.Minute}, {330, 0.5, time.Hour}, {1, 9, time.Minute},
+	} {
+		t.Run(fmt.Sprint(tt), func(t *testing.T) {
+			now, rng := time.Unix(0, 0), rand.New(rand.NewPCG(7, 8))
+			servers := make([]Server, tt.vms)
+			limited := Statement{Limit: LimitStatement{Kind: LimitStated, Rate: tt.rate}}
+			ask := func(s *Server) bool {
+				_, ok := s.TakeShare(NewWork, tt.vms, rng.Float64(), now)
+				return ok
+			}
+			for i := range servers {
+				servers[i].Learn(limited, tt.vms, now, now)
+				ask(&servers[i])
+			}
+			now = now.Add(tt.idle)
+			var sent sendLog
+			for range 6000 {
+				now = now.Add(10 * time.Millisecond)
+				for i := range servers {
+					if ask(&servers[i]) {
+						sent = append(sent, now)
+					}
+				}
+			}
+			if worst := sent.worstWindow(tt.rate); worst > 1 {
+				t.Errorf("got %.2f times the allowed requests in a window, want at most 1", worst)
+			}
+			if use := sent.use(tt.rate, time.Minute); use < 0.8*shareWithoutGranter || use > 1.1 {
+				t.Errorf("got %.2f of the limit used, want about %v", use, shareWithoutGranter)
+			}
+		})
+	}
+}
--- a/internal/backpressure/server.go
+++ b/internal/backpressure/server.go
@@ -65,7 +65,7 @@
 
 	sends     uint64            // under a rate limit
 	byGranter map[string]uint64 // sends by the control VM that permitted them
-	share     bucket            // permits of this VM's own while no Granter answers
+	share     share             // permits of this VM's own while no Granter answers
 }
 
 // Change tells how a statement changed what is known of a server.
@@ -149,7 +149,9 @@
 		return LimitLearned
 	case former.InForce() && !l.InForce():
 		s.deniedUntil = time.Time{}
-		s.ramp.begin(max(former.Rate, minRate)/float64(max(1, vms)), now)
+		if !s.Paused(now) { // a ramp begins at the end of the pause
+			s.ramp.begin(max(former.Rate, minRate)/float64(max(1, vms)), now)
+		}
 		return LimitEnded
 	case l.InForce() && former.Rate != l.Rate:
 		return LimitChanged
@@ -195,6 +197,7 @@
 
 // Granted returns the permit that a control VM granted.
 func (s *Server) Granted(w Work, granter string, now time.Time) Permit {
+	s.share = share{}
 	return Permit{granter: granter, at: now, work: w}
 }
 
@@ -204,23 +207,17 @@
 }
 
 // TakeShare returns a permit of this VM's own share while no control VM answers. vms is the
-// number of VMs that send, this one included; 1: it shares the limit with no other.
-func (s *Server) TakeShare(w Work, vms int, now time.Time) (Permit, bool) {
+// number of VMs that send, this one included; 1: it shares the limit with no other. draw is
+// a random number in [0, 1).
+func (s *Server) TakeShare(w Work, vms int, draw float64, now time.Time) (Permit, bool) {
 	rate := s.limit.Rate
 	if vms > 1 {
-		rate *= shareWithoutGranter / float64(vms)
-	}
-	rate = max(rate, minRate/float64(max(1, vms)))
-	if s.share.filledAt.IsZero() {
-		s.share.filledAt = now
+		rate *= shareWithoutGranter
 	}
-	s.share.fill(rate, now)
-	if s.share.permits < 1 {
-		wait := min((1-s.share.permits)/rate, maxWait.Seconds())
-		s.Denied(time.Duration(wait*float64(time.Second)), now)
+	if wait := s.share.take(max(rate, minRate)/float64(max(1, vms)), draw, now); wait > 0 {
+		s.Denied(min(wait, maxWait), now)
 		return Permit{}, false
 	}
-	s.share.permits--
 	return Permit{at: now, work: w}, true
 }
 
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -145,7 +145,7 @@
 		return false
 	}
 	wait := max(0, time.Until(at))
-	if time.Since(q.arrived)+wait <= time.Duration(maxHoldShare*float64(q.route.Objective)) {
+	if hold := maxHoldShare * float64(q.dueTime().Sub(q.arrived)); time.Since(q.arrived)+wait <= time.Duration(hold) {
 		return timer.Sleep(q.ctx, wait) == nil
 	}
 	q.setRetryAfter(admission.SpreadRetry(wait, rand.Float64()))
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
@@ -150,6 +151,8 @@
 
 // Granted returns the permit for a send that a control VM granted.
 func (f *Fleet) Granted(s *Server, w backpressure.Work, granter string) backpressure.Permit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return s.accepts.Granted(w, granter, f.now())
 }
 
@@ -165,7 +168,7 @@
 func (f *Fleet) TakeShare(s *Server, w backpressure.Work) (backpressure.Permit, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return s.accepts.TakeShare(w, f.routerCount.most(), f.now())
+	return s.accepts.TakeShare(w, f.routerCount.most(), rand.Float64(), f.now())
 }
 
 // UsePermit reports whether a request may be sent to a server now, and counts the send. It
