--- a/internal/cluster/leaving.go
+++ b/internal/cluster/leaving.go
@@ -42,16 +42,16 @@
 	if m.local.Leaving == nil {
 		return nil
 	}
-	m.permits.mu.Lock()
-	defer m.permits.mu.Unlock()
-	return slices.DeleteFunc(m.local.Leaving(), func(id string) bool { return slices.Contains(m.permits.toldLeaving, id) })
+	m.statements.mu.Lock()
+	defer m.statements.mu.Unlock()
+	return slices.DeleteFunc(m.local.Leaving(), func(id string) bool { return slices.Contains(m.statements.toldLeaving, id) })
 }
 
 // learnLeaving takes the leaving servers of a Summary.
 func (m *Member) learnLeaving(ids []string) {
-	m.permits.mu.Lock()
-	m.permits.toldLeaving = ids
-	m.permits.mu.Unlock()
+	m.statements.mu.Lock()
+	m.statements.toldLeaving = ids
+	m.statements.mu.Unlock()
 	if m.local.LearnLeaving != nil {
 		m.local.LearnLeaving(ids)
 	}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -87,7 +87,7 @@
 	spendingSeq     atomic.Uint64 // of the last RetrySpending
 	spendingSignal  signal        // raised to report retries
 	placing         *placing
-	permits         permitState
+	statements      statementState
 }
 
 // NewMember returns a Member of the VM self. seeds are the ids of control VMs from the
--- a/internal/cluster/permits.go
+++ b/internal/cluster/permits.go
@@ -192,8 +192,8 @@
 	return float64(present) / float64(known)
 }
 
-// permitState is a Member's state of permits and limits. Safe for concurrent use.
-type permitState struct {
+// statementState is what a Member knows of permits, rate limits and leaving servers. Safe for concurrent use.
+type statementState struct {
 	mu          sync.Mutex
 	silentUntil map[string]time.Time          // control VMs that did not answer
 	told        map[string]backpressure.Limit // by the last Summary
@@ -207,7 +207,7 @@
 func (m *Member) RequestPermit(ctx context.Context, server string, l backpressure.Limit) (forward.PermitAnswer, bool) {
 	request := PermitRequest{Limit: encodeLimit(server, l, time.Now())}
 	for _, vm := range m.schedulers(permitAttempts) {
-		if m.permits.isSilent(vm) {
+		if m.statements.isSilent(vm) {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
@@ -222,19 +222,19 @@
 		if ctx.Err() != nil {
 			break
 		}
-		m.permits.setSilent(vm)
+		m.statements.setSilent(vm)
 		m.log.Debug().Err(err).Str("control", vm).Str("server", server).Msg("no answer to a request for a permit")
 	}
 	return forward.PermitAnswer{}, false
 }
 
-func (p *permitState) isSilent(vm string) bool {
+func (p *statementState) isSilent(vm string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return time.Now().Before(p.silentUntil[vm])
 }
 
-func (p *permitState) setSilent(vm string) {
+func (p *statementState) setSilent(vm string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.silentUntil == nil {
@@ -248,11 +248,11 @@
 	if m.local.Limits == nil {
 		return nil
 	}
-	m.permits.mu.Lock()
-	defer m.permits.mu.Unlock()
+	m.statements.mu.Lock()
+	defer m.statements.mu.Unlock()
 	var out []ServerLimit
 	for id, l := range m.local.Limits() {
-		told, known := m.permits.told[id]
+		told, known := m.statements.told[id]
 		same := known && told.Rate == l.Rate && told.InForce() == l.InForce()
 		if !same && (l.InForce() || time.Since(l.EndedAt) < endedLimitTTL) {
 			out = append(out, encodeLimit(id, l, time.Now()))
@@ -267,9 +267,9 @@
 	for _, s := range limits {
 		told[s.Server] = s.decode(time.Now())
 	}
-	m.permits.mu.Lock()
-	m.permits.told = told
-	m.permits.mu.Unlock()
+	m.statements.mu.Lock()
+	m.statements.told = told
+	m.statements.mu.Unlock()
 	if m.local.LearnLimits != nil {
 		m.local.LearnLimits(told)
 	}
