VMs report statements of listed servers only

Cause: what a VM learned of a leaving server from the summary it reported in turn, and each report renewed the memory of the others, so that ids of servers that were gone stayed in all reports for good and grew with each one.

--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -87,27 +87,28 @@
 	}
 }
 
-// Leaving returns the ids of the servers that have stated that they leave.
+// Leaving returns the ids of the listed servers that have stated that they leave. VMs that
+// reported servers that are gone would keep them in one another's memory for good.
 func (f *Fleet) Leaving() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
-	for id, v := range f.incarnations {
-		if v.Leaving() {
-			out = append(out, id)
+	for _, s := range f.listed {
+		if s.accepts.Leaving() {
+			out = append(out, s.ID)
 		}
 	}
 	return out
 }
 
-// Limits returns what is known of rate limits, by server id.
+// Limits returns what is known of the rate limits of listed servers, by server id.
 func (f *Fleet) Limits() map[string]backpressure.Limit {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]backpressure.Limit{}
-	for id, v := range f.incarnations {
-		if l := v.Limit(); !l.NamedAt.IsZero() {
-			out[id] = l
+	for _, s := range f.listed {
+		if l := s.accepts.Limit(); !l.NamedAt.IsZero() {
+			out[s.ID] = l
 		}
 	}
 	return out
