--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -160,6 +160,9 @@
 
 // waitNext waits for d or until NotifyNow is called. It returns false once ctx ends.
 func (m *Member) waitNext(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
