The check before a send is made once the connection is there, for each write

Cause: probes and orders were checked before their connection was opened, and a send that failed on a reused connection was written again unchecked, so that a pause or limit learned meanwhile was passed over. Change: Pool.Do calls the check right before it writes; open checks each write. Result: TestPauseStopsARequestThatWaitsForAConnection; with the check of open taken out, both requests reach the server.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -103,7 +103,7 @@
 		switch {
 		case i < 0 && h.leaveTrialVersion(q):
 			continue
-		case i < 0 && h.holdForPermit(q, skip):
+		case i < 0 && h.holdUntilAccepted(q, skip):
 			continue
 		case i < 0 && q.retryAfterSet:
 			return serverChoice{}, result.BackendsWithheld
@@ -136,10 +136,10 @@
 	}
 }
 
-// holdForPermit waits until one of the withheld servers accepts requests again, if the call
+// holdUntilAccepted waits until one of the withheld servers accepts requests again, if the call
 // may be held that long. Otherwise it sets when the caller may retry. It returns false at
 // once if no server is withheld.
-func (h *Handler) holdForPermit(q *request, skip map[string]bool) bool {
+func (h *Handler) holdUntilAccepted(q *request, skip map[string]bool) bool {
 	at := h.opts.Fleet.AcceptedAgainAt(q.service.Name, q.versionChoice.Versions, skip)
 	if at.IsZero() {
 		return false
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -56,7 +56,6 @@
 func (h *Handler) open(q *request, s *upstream.Server, p backpressure.Permit, header http.Header, fresh bool) (*upstream.Conn, reply) {
 	out := q.outbound
 	out.Header = header
-	counted := false
 	for {
 		c, err := h.opts.Pool.Get(q.ctx, s.ID, s.Address, fresh)
 		if err != nil {
@@ -65,11 +64,10 @@
 			}
 			return nil, reply{outcome: sendNotSent, fault: faultDial}
 		}
-		if !counted && !h.gate.use(s, p) {
+		if !h.gate.use(s, p) {
 			c.Close()
 			return nil, reply{outcome: sendNotSent, fault: faultWithheld}
 		}
-		counted = true
 		mayHaveArrived, err := c.Send(&out)
 		switch {
 		case err == nil:
--- a/internal/forward/pause_test.go
+++ b/internal/forward/pause_test.go
@@ -1,15 +1,19 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // arrivalsWithin counts the requests that reached a server within a time.
@@ -93,3 +97,31 @@
 		f.shutDown()
 	})
 }
+
+// A request that still waits for its connection when the server asks for a pause must not be
+// sent any more. It has not run and goes elsewhere.
+func TestPauseStopsARequestThatWaitsForAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, voteServer("a"))
+		defer f.shutDown()
+		f.servers[0].RefuseUntil("3")
+		var dials atomic.Int64
+		f.pool = upstream.NewPoolWith(func(ctx context.Context, addr string) (net.Conn, error) {
+			if dials.Add(1) == 1 {
+				time.Sleep(100 * time.Millisecond) // the connection of the first request is slow
+			}
+			return f.net.Dial(ctx, addr)
+		})
+		f.setPlacer(nil)
+		slow := f.send(http.MethodPost, "/vote/x", "slow", "x")
+		time.Sleep(10 * time.Millisecond)
+		<-f.send(http.MethodPost, "/vote/x", "told", "x").done
+		<-slow.done
+		if n := len(f.servers[0].Arrivals()); n != 1 {
+			t.Errorf("%d requests reached the server, want only the one that was told of the pause", n)
+		}
+		if slow.status != http.StatusServiceUnavailable || slow.header.Get(forward.HeaderSignature) != "" {
+			t.Errorf("got status %d for the request that waited, want the system's own 503", slow.status)
+		}
+	})
+}
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -99,11 +99,16 @@
 // engine accepts no request now.
 func (c *engineCaller) do(ctx context.Context, s *upstream.Server, r *upstream.Request) (*http.Response, []byte, error) {
 	p, ok := c.gate.reserve(ctx, s, backpressure.RunningWork)
-	if !ok || !c.gate.use(s, p) {
+	if !ok {
 		return nil, nil, errWithheld
 	}
 	sent := time.Now()
-	resp, body, err := c.pool.Do(ctx, s.ID, s.Address, r)
+	resp, body, err := c.pool.Do(ctx, s.ID, s.Address, r, func() error {
+		if !c.gate.use(s, p) {
+			return errWithheld
+		}
+		return nil
+	})
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -97,14 +97,19 @@
 
 // Do sends a request that this system itself makes, such as a probe, and reads the
 // complete response. It opens a new connection, since an idle one may have failed silently
-// while the server is alive.
-func (p *Pool) Do(ctx context.Context, key, addr string, r *Request) (*http.Response, []byte, error) {
+// while the server is alive. It calls ready right before the request is written and returns
+// its error.
+func (p *Pool) Do(ctx context.Context, key, addr string, r *Request, ready func() error) (*http.Response, []byte, error) {
 	c, err := p.Get(ctx, key, addr, true)
 	if err != nil {
 		return nil, nil, err
 	}
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
+	if err := ready(); err != nil {
+		c.Close()
+		return nil, nil, err
+	}
 	if _, err := c.Send(r); err != nil {
 		c.Close()
 		return nil, nil, fmt.Errorf("%w: %w", ErrBroken, err)
