The share of present routers is counted when a permit is asked for

Cause, found on reading the change again: each heartbeat counted all routers to set the part of the limits that may be granted, hundreds of times a second with hundreds of routers, also while no server has a limit. The counter of withheld sends gave the reason for new work where a probe or order was withheld. Change: the count is made with a request for a permit, where it is used; the check before the write names its kind of work.

--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -202,7 +202,6 @@
 		h.scheduling.setLeaving(h.leaving)
 	}
 	h.expireVMs(now)
-	h.permits.granter.SetShare(h.presentShare(now))
 	for _, d := range heartbeat.Deaths {
 		h.deaths = append(h.deaths, reportedDeath{d, now})
 	}
--- a/internal/cluster/permits.go
+++ b/internal/cluster/permits.go
@@ -170,7 +170,9 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.permits.take(from, request.Limit, time.Now()), nil
+	now := time.Now()
+	h.permits.granter.SetShare(h.presentShare(now))
+	return h.permits.take(from, request.Limit, now), nil
 }
 
 // presentShare returns the part of the routers that sent a heartbeat recently. A router that
@@ -192,7 +194,8 @@
 	return float64(present) / float64(known)
 }
 
-// statementState is what a Member knows of permits, rate limits and leaving servers. Safe for concurrent use.
+// statementState is what a Member knows of permits, rate limits and leaving servers. Safe for
+// concurrent use.
 type statementState struct {
 	mu          sync.Mutex
 	silentUntil map[string]time.Time          // control VMs that did not answer
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -64,7 +64,7 @@
 			}
 			return nil, reply{outcome: sendNotSent, fault: faultDial}
 		}
-		if !h.gate.use(s, p) {
+		if !h.gate.use(s, backpressure.NewWork, p) {
 			c.Close()
 			return nil, reply{outcome: sendNotSent, fault: faultWithheld}
 		}
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -61,13 +61,13 @@
 	return backpressure.Permit{}, false
 }
 
-// use reports whether a request may be sent with a permit. It must be called right before the
-// request is written.
-func (g *gate) use(s *upstream.Server, p backpressure.Permit) bool {
+// use reports whether a request may be sent with a permit for work w. It must be called right
+// before the request is written.
+func (g *gate) use(s *upstream.Server, w backpressure.Work, p backpressure.Permit) bool {
 	if g.fleet.UsePermit(s, p) {
 		return true
 	}
-	verdict, _ := g.fleet.CheckSend(s, backpressure.NewWork)
+	verdict, _ := g.fleet.CheckSend(s, w)
 	g.withheld(verdict)
 	return false
 }
@@ -104,7 +104,7 @@
 	}
 	sent := time.Now()
 	resp, body, err := c.pool.Do(ctx, s.ID, s.Address, r, func() error {
-		if !c.gate.use(s, p) {
+		if !c.gate.use(s, backpressure.RunningWork, p) {
 			return errWithheld
 		}
 		return nil
