--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -163,9 +163,9 @@
 	began := time.Now()
 	ticket := h.trackAnswer(q, s)
 	r := h.exchange(q, s, c.permit, Send{}, h.hedgeDelay(q, c.load))
-	h.noteAnswer(ticket, q, s, &r)
 	h.opts.Fleet.Release(s, use)
 	h.noteSendResult(q, s, &r, time.Since(began))
+	h.noteAnswer(ticket, q, s, &r) // after the answer's load: it tells whether the duration counts
 	return r
 }
 
@@ -204,8 +204,8 @@
 		f.Succeeded(s, took)
 		h.opts.SuspectContents.Clear(q.digest)
 	}
-	if r.answer.Load >= 0 && r.resp != nil {
-		f.SetReportedLoad(s, r.answer.Load)
+	if r.resp != nil {
+		h.learnLoad(s, &r.answer)
 	}
 }
 
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure/backpressurehttp"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // Headers implements the methods of a Wire that read and write headers. Its fields are
@@ -32,8 +33,8 @@
 	Leaving    string // true or 1: the server ends soon and takes no new work
 	// Reserved are further headers of requests to engines that only the system may set.
 	Reserved []string
-	// ReadLoad parses the value of Load; -1: not stated.
-	ReadLoad func(value string) int
+	// ReadLoad parses the value of Load. It returns false if the value cannot be read.
+	ReadLoad func(value string) (upstream.Load, bool)
 }
 
 // lowestPriority is the largest priority number that engines accept.
@@ -101,11 +102,24 @@
 // not run the request.
 func (n *Headers) ReadAnswer(status int, h http.Header) Answer {
 	moved := status == http.StatusMisdirectedRequest
+	load, unreadable := n.readLoad(h)
 	return Answer{
 		RequestID: h.Get(n.RequestID), Signed: h.Get(n.Signature) != "",
-		NotRun: moved || len(h.Values(n.NotRun)) > 0, WrongInstance: moved, Load: n.ReadLoad(h.Get(n.Load)),
+		NotRun: moved || len(h.Values(n.NotRun)) > 0, WrongInstance: moved, Load: load, LoadUnreadable: unreadable,
 		Instance: h.Get(n.InstanceID), Statement: backpressure.Statement{
 			Limit: backpressurehttp.ReadLimit(h.Values(n.RateLimit)), Pause: backpressurehttp.ReadPause(status, h), Leaving: backpressurehttp.ReadLeaving(h.Values(n.Leaving)),
 		},
 	}
 }
+
+func (n *Headers) readLoad(h http.Header) (load *upstream.Load, unreadable bool) {
+	value := h.Get(n.Load)
+	if value == "" {
+		return nil, false
+	}
+	l, ok := n.ReadLoad(value)
+	if !ok {
+		return nil, true
+	}
+	return &l, false
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -5,7 +5,10 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // The project's own headers between callers, routers and backend servers.
@@ -17,7 +20,7 @@
 	HeaderTokens    = "X-Tokens"
 	HeaderSignature = "X-Backend-Signature"
 	HeaderNotRun    = "X-Not-Run"
-	HeaderLoad      = "X-Backend-Load" // requests that run or wait at the server
+	HeaderLoad      = "X-Backend-Load" // requests that run or wait at the server, and its slowdown in percent
 	HeaderCopyTo    = "X-Keep-Copy-At"
 	HeaderCopyFrom  = "X-Resume-From"
 	HeaderLastEvent = "Last-Event-Id"
@@ -44,13 +47,21 @@
 	}}
 }
 
-// parseLoad parses a number of requests; -1: missing or invalid.
-func parseLoad(value string) int {
-	n, err := strconv.Atoi(value)
-	if err != nil {
-		return -1
+// parseLoad parses "requests" or "requests,percent". The second figure is how long work takes
+// now; 100: as usual.
+func parseLoad(value string) (upstream.Load, bool) {
+	requests, percent, stated := strings.Cut(value, ",")
+	n, err := strconv.Atoi(requests)
+	if err != nil || n < 0 {
+		return upstream.Load{}, false
+	}
+	out := upstream.Load{Requests: n}
+	if !stated {
+		return out, true
 	}
-	return n
+	p, err := strconv.ParseUint(percent, 10, 32)
+	out.Slowdown = float64(p) / 100
+	return out, err == nil
 }
 
 // CopyOrder implements Wire.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -253,9 +253,7 @@
 // handleHead classifies the head of the engine's answer.
 func (r *run) handleHead() (runEnd, bool) {
 	rep := &r.reply
-	if rep.answer.Load >= 0 {
-		r.st.h.opts.Fleet.SetReportedLoad(r.server, rep.answer.Load)
-	}
+	r.st.h.learnLoad(r.server, &rep.answer)
 	*rep = r.st.h.classifyReply(*rep)
 	switch {
 	case rep.outcome == sendRefused:
@@ -329,7 +327,7 @@
 	}
 	fleet := r.st.h.opts.Fleet
 	r.firstEventAt = time.Now()
-	r.st.h.opts.Rollouts.Recorder.End(r.ticket, false, fleet.Cold(r.server))
+	r.st.h.opts.Rollouts.Recorder.End(r.ticket, false, fleet.Cold(r.server) || fleet.Disturbed(r.server))
 	if r.granted && r.fromStart {
 		r.st.h.paces.notePrompt(r.st.q.service.Name, r.use.PendingPrompt, r.firstEventAt.Sub(r.sentAt))
 	}
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // Caller is what a caller states about its request in headers.
@@ -50,8 +51,10 @@
 	NotRun bool
 	// WrongInstance is set if another incarnation answers at this address.
 	WrongInstance bool
-	// Load is how many requests run or wait at the server; -1: not stated.
-	Load int
+	// Load is the server's load; nil: not stated. LoadUnreadable is set if the server states
+	// one that cannot be read.
+	Load           *upstream.Load
+	LoadUnreadable bool
 	// Instance is the incarnation that answers; empty: not stated.
 	Instance string
 	// Statement is what the server states about the requests that it accepts.
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -35,6 +35,9 @@
 	// Avoid and Slowdown are as in Candidate.
 	Avoid    bool
 	Slowdown float64
+	// StatedSlowdown is how many times longer than usual work took on the server's machine
+	// by its last answer, ReportAge ago; 0: not stated.
+	StatedSlowdown float64
 }
 
 const (
@@ -43,6 +46,11 @@
 	// accuracy of the reports. The choice must then be random, or one old report would
 	// draw every call of a VM.
 	equalLoadMargin = 0.04
+	// slowdownDecay is the age at which a stated slowdown has lost about two thirds of its
+	// weight.
+	slowdownDecay = 200 * time.Millisecond
+	// maxStatedSlowdown bounds the weight of one statement.
+	maxStatedSlowdown = 10
 )
 
 // ChooseServer returns the index of the server with the lowest expected load relative to
@@ -80,13 +88,22 @@
 	slots := float64(max(1, c.Slots))
 	others := perSlot * slots
 	others += freshness(c) * (float64(c.Reported) - others)
-	load := (float64(c.Own) + others + 1) / slots * max(1, c.Slowdown)
+	load := (float64(c.Own) + others + 1) / slots * max(1, c.Slowdown, statedSlowdown(c))
 	if c.Avoid {
 		load += avoidPenalty
 	}
 	return load
 }
 
+// statedSlowdown is the slowdown to expect of a server by its last statement.
+func statedSlowdown(c *CallCandidate) float64 {
+	if c.StatedSlowdown <= 1 {
+		return 1
+	}
+	weight := math.Exp(-float64(c.ReportAge) / float64(slowdownDecay))
+	return 1 + weight*(min(c.StatedSlowdown, maxStatedSlowdown)-1)
+}
+
 // freshness is the expected share of the reported calls that are still in flight, if
 // their durations are distributed exponentially.
 func freshness(c *CallCandidate) float64 {
--- a/internal/placement/call_test.go
+++ b/internal/placement/call_test.go
@@ -28,6 +28,8 @@
 		{"fresh report counts", []CallCandidate{{Slots: 6, Zone: "a", Reported: 6, CallTime: call}, {Slots: 6, Zone: "b", CallTime: call}}, 1},
 		{"old report does not count", []CallCandidate{{Slots: 6, Zone: "a", Reported: 6, ReportAge: 6 * call, CallTime: call}, {Slots: 6, Zone: "b", CallTime: call}}, 0},
 		{"old peer report about one server does not count", []CallCandidate{{Slots: 6, Zone: "a", Others: 6}, {Slots: 6, Zone: "b"}}, 0},
+		{"disturbed server avoided", []CallCandidate{{Slots: 6, Zone: "a", StatedSlowdown: 2.5}, {Slots: 6, Zone: "b", StatedSlowdown: 1}}, 1},
+		{"old statement of a disturbance does not count", []CallCandidate{{Slots: 6, Zone: "a", StatedSlowdown: 2.5, ReportAge: 10 * slowdownDecay}, {Slots: 6, Zone: "b"}}, 0},
 		{"fresh report of an idle server counts", []CallCandidate{{Slots: 6, Zone: "a", Others: 4}, {Slots: 6, Zone: "b", Others: 4, CallTime: call}}, 1},
 	}
 	for _, tt := range tests {
@@ -73,6 +75,59 @@
 	}
 }
 
+// Servers' machines are shared for some hundred milliseconds at a time, and calls take 2.5
+// times as long meanwhile. Calls must not be sent there while the server says so, and must be
+// sent there again afterwards. The log compares the share of calls that took long.
+func TestCallsLeaveDisturbedServers(t *testing.T) {
+	tests := []struct {
+		name string
+		load callWorkload
+	}{
+		{"8 VMs, 5 servers", callWorkload{vms: 8, servers: 5, perSecond: 200, work: 60, disturbed: 0.15}},
+		{"8 VMs, 5 servers, much load", callWorkload{vms: 8, servers: 5, perSecond: 320, work: 60, disturbed: 0.15}},
+		{"72 VMs, 5 servers", callWorkload{vms: 72, servers: 5, perSecond: 186, work: 60, disturbed: 0.15}},
+	}
+	policies := []struct {
+		name   string
+		change func(c *CallCandidate)
+	}{
+		{"decayed", func(*CallCandidate) {}},
+		{"not used", func(c *CallCandidate) { c.StatedSlowdown = 0 }},
+		{"last value", func(c *CallCandidate) { c.Slowdown, c.StatedSlowdown = c.StatedSlowdown, 0 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			long := map[string]float64{}
+			for _, policy := range policies {
+				w := tt.load.simulate(func(vm *callVM, rng *rand.Rand) int {
+					candidates := vm.candidates()
+					for i := range candidates {
+						policy.change(&candidates[i])
+					}
+					i, _ := ChooseServer(candidates, vm.zone, rng.IntN)
+					return i
+				})
+				long[policy.name] = w.shareOver(200 * time.Millisecond)
+			}
+			t.Logf("share of calls over 200 ms: %v", long)
+			if long["decayed"] > long["not used"] {
+				t.Errorf("got shares %v, want no more long calls with the servers' statements than without", long)
+			}
+		})
+	}
+}
+
+// shareOver returns the share of the calls that took longer than d.
+func (w *callSim) shareOver(d time.Duration) float64 {
+	n := 0
+	for _, took := range w.took {
+		if took > d {
+			n++
+		}
+	}
+	return float64(n) / float64(len(w.took))
+}
+
 // placeByReports treats the last reports of the other VMs and of the servers as current,
 // and uses the higher load of the two.
 func placeByReports(vm *callVM, rng *rand.Rand) int {
@@ -106,6 +161,9 @@
 	vms, servers int
 	perSecond    float64 // calls of all VMs together
 	work         float64 // mean duration of a call in ms
+	// disturbed is the share of its time for which a server's machine is shared with work
+	// that makes calls take disturbedFactor as long.
+	disturbed float64
 }
 
 const (
@@ -113,6 +171,9 @@
 	simLength      = 60 * time.Second
 	reportInterval = 400 * time.Millisecond
 	linkDelay      = 2 * time.Millisecond
+
+	disturbancePeriod = 600 * time.Millisecond
+	disturbedFactor   = 2.5
 )
 
 // callVM is what one VM knows about the servers and the reports of the other VMs.
@@ -133,8 +194,9 @@
 }
 
 type callServer struct {
-	running int
-	waiting []func()
+	running  int
+	waiting  []func()
+	slowdown float64
 }
 
 // callSim simulates one workload.
@@ -145,15 +207,25 @@
 	vms      []*callVM
 	servers  []*callServer
 	waited   time.Duration
+	took     []time.Duration // by call, from the send to the answer
 	calls    int
 }
 
 // meanWait simulates the workload and returns the mean time that a call waits for a slot.
 func (l callWorkload) meanWait(place func(vm *callVM, rng *rand.Rand) int) time.Duration {
+	w := l.simulate(place)
+	return w.waited / time.Duration(w.calls)
+}
+
+func (l callWorkload) simulate(place func(vm *callVM, rng *rand.Rand) int) *callSim {
 	w := &callSim{workload: l, queue: virtualtime.New(time.Unix(0, 0)), rng: rand.New(rand.NewPCG(1, 2))}
 	zones := []string{"a", "b", "c"}
 	for range l.servers {
-		w.servers = append(w.servers, &callServer{})
+		server := &callServer{slowdown: 1}
+		w.servers = append(w.servers, server)
+		if l.disturbed > 0 {
+			w.queue.After(time.Duration(w.rng.Int64N(int64(disturbancePeriod))), func() { w.disturb(server) })
+		}
 	}
 	for i := range l.vms {
 		vm := &callVM{zone: zones[i%3], queue: w.queue, answeredAt: make([]time.Time, l.servers), published: make([]int, l.servers)}
@@ -165,7 +237,16 @@
 	}
 	w.queue.After(0, func() { w.arrive(place) })
 	w.queue.Run(time.Unix(0, 0).Add(simLength))
-	return w.waited / time.Duration(w.calls)
+	return w
+}
+
+// disturb draws anew whether a server's machine is shared.
+func (w *callSim) disturb(server *callServer) {
+	server.slowdown = 1
+	if w.rng.Float64() < w.workload.disturbed {
+		server.slowdown = disturbedFactor
+	}
+	w.queue.After(disturbancePeriod, func() { w.disturb(server) })
 }
 
 // exchangeReports publishes a VM's calls in flight and reads the last reports of the
@@ -196,7 +277,7 @@
 		server.running++
 		w.calls++
 		w.waited += w.queue.Now().Sub(sent)
-		w.queue.After(w.work(), func() { w.end(vm, s, sent) })
+		w.queue.After(time.Duration(server.slowdown*float64(w.work())), func() { w.end(vm, s, sent) })
 	}
 	if server.running < simSlots {
 		begin()
@@ -219,7 +300,7 @@
 func (w *callSim) end(vm *callVM, s int, sent time.Time) {
 	server := w.servers[s]
 	server.running--
-	load := server.running + len(server.waiting)
+	load, stated := server.running+len(server.waiting), server.slowdown
 	if len(server.waiting) > 0 {
 		next := server.waiting[0]
 		server.waiting = server.waiting[1:]
@@ -230,5 +311,7 @@
 		k.Own--
 		k.Reported, vm.answeredAt[s] = max(0, load-k.Own), w.queue.Now()
 		k.CallTime = w.queue.Now().Sub(sent)
+		k.StatedSlowdown = stated
+		w.took = append(w.took, k.CallTime)
 	})
 }
--- /dev/null
+++ b/internal/upstream/load.go
@@ -0,0 +1,45 @@
+package upstream
+
+import "time"
+
+// Load is the load that a server states in an answer.
+type Load struct {
+	Requests int // of all VMs, that run or wait there
+	// Slowdown is how many times longer than usual work takes on the server's machine at
+	// the moment; 0: not stated.
+	Slowdown float64
+}
+
+const (
+	// disturbedSlowdown is the stated slowdown from which the duration of an answer tells
+	// nothing about the server's software. Statements count for disturbedFor.
+	disturbedSlowdown = 1.25
+	disturbedFor      = 300 * time.Millisecond
+)
+
+// SetReportedLoad takes the load that a server reports: the requests of all VMs that run
+// and wait there.
+func (f *Fleet) SetReportedLoad(s *Server, l Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.reportedRequests, s.reportedAt = max(0, l.Requests-s.use.Requests), f.now()
+	s.reportedSlowdown = l.Slowdown
+}
+
+// NoteUnreadableLoad records that a server states its load in an unknown format. It returns
+// true once for each server.
+func (f *Fleet) NoteUnreadableLoad(s *Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := !s.unreadableLoad
+	s.unreadableLoad = true
+	return first
+}
+
+// Disturbed reports whether the server has just stated that work takes longer than usual on
+// its machine.
+func (f *Fleet) Disturbed(s *Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.reportedSlowdown >= disturbedSlowdown && f.now().Sub(s.reportedAt) < disturbedFor
+}
