VMs hold the rows of the list once, and objects only for the servers that they use

Cause: a router held a map, an object with two channels and a record of statements for each listed server, beside its replica of the list, and rebuilt all of them with each list and each confirmation: memory and work grew with the servers of the deployment. Change: one sorted list of rows shared with the replica, indexes by service and domain, objects on demand, forgotten after a minute; differences are merged, names are shared, digests are computed row by row (the same digests).

--- a/internal/backpressure/server.go
+++ b/internal/backpressure/server.go
@@ -87,6 +87,11 @@
 	return [...]string{"unchanged", "rate limit learned", "rate limit changed", "rate limit ended", "server asks for a pause", "pause ended", "server states that it leaves"}[c]
 }
 
+// Blank reports whether nothing is known of the server and nothing was sent under a limit.
+func (s *Server) Blank() bool {
+	return s.limit.NamedAt.IsZero() && s.pausedUntil.IsZero() && !s.leaving && s.sends == 0 && s.ramp.start.IsZero()
+}
+
 // Learn takes what an answer states. sent is when its request was sent, and vms the number of
 // VMs that send, this one included.
 func (s *Server) Learn(st Statement, vms int, sent, now time.Time) []Change {
--- a/internal/cluster/list.go
+++ b/internal/cluster/list.go
@@ -1,14 +1,10 @@
 package cluster
 
 import (
-	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -66,6 +62,8 @@
 	differences       map[uint64]Difference // to the current list, by base digest; cleared with each new list
 	packedDifferences map[uint64]PackedDifference
 
+	names nameTable
+
 	packMu sync.Mutex
 	packed PackedList // the list as last returned by Packed
 }
@@ -96,11 +94,14 @@
 	slices.SortStableFunc(rows, compareID)
 	// A duplicate row would get lost in every difference and make the digests differ.
 	rows = slices.CompactFunc(rows, func(a, b upstream.Backend) bool { return a.ID == b.ID })
+	h.mu.Lock()
+	former := h.list.Backends
+	h.mu.Unlock()
+	h.names.share(rows)
+	rows = reuseRows(rows, former)
 	h.store(rows, digestOf(rows), age)
 }
 
-func compareID(a, b upstream.Backend) int { return strings.Compare(a.ID, b.ID) }
-
 // Confirm records that the platform's list was read and had the given digest. The
 // parameter age is the time since that read. Confirm updates the read time of the current
 // list if that list has the same digest and was read earlier; otherwise it does nothing.
@@ -131,6 +132,7 @@
 	case d.Base != current:
 		return true
 	}
+	h.names.share(d.Rows)
 	rows = d.apply(rows)
 	if digestOf(rows) != digest {
 		return false
@@ -221,45 +223,3 @@
 	h.packedDifferences[digest] = p
 	return p, h.digest, true, nil
 }
-
-// computeDifference returns the changes from a former list to rows.
-func computeDifference(base listVersion, rows []upstream.Backend) Difference {
-	former := rowsByID(base.rows)
-	d := Difference{Base: base.digest}
-	for _, row := range rows {
-		if old, ok := former[row.ID]; !ok || old != row {
-			d.Rows = append(d.Rows, row)
-		}
-		delete(former, row.ID)
-	}
-	d.Removed = slices.Sorted(maps.Keys(former))
-	return d
-}
-
-// apply returns rows with the changes applied, sorted by id.
-func (d Difference) apply(rows []upstream.Backend) []upstream.Backend {
-	next := rowsByID(rows)
-	for _, id := range d.Removed {
-		delete(next, id)
-	}
-	for _, row := range d.Rows {
-		next[row.ID] = row
-	}
-	return slices.SortedFunc(maps.Values(next), compareID)
-}
-
-func rowsByID(rows []upstream.Backend) map[string]upstream.Backend {
-	out := make(map[string]upstream.Backend, len(rows))
-	for _, row := range rows {
-		out[row.ID] = row
-	}
-	return out
-}
-
-func digestOf(rows []upstream.Backend) uint64 {
-	data, err := codec.Marshal(rows)
-	if err != nil {
-		panic(err) // cannot happen: the rows hold only strings, numbers and booleans
-	}
-	return xxhash.Sum64(data)
-}
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
@@ -28,13 +29,16 @@
 	return v
 }
 
-// expireIncarnations forgets the incarnations that have not been listed for statementTTL. It
-// needs f.mu.
+// expireIncarnations forgets the listed incarnations that have stated nothing and are not in
+// use, and those that have not been listed for statementTTL. It needs f.mu.
 func (f *Fleet) expireIncarnations() {
 	now := f.now()
 	for id, v := range f.incarnations {
+		listed := f.list.lookup(id) != nil
 		switch {
-		case f.servers[id] != nil:
+		case listed && v.Blank() && f.servers[id] == nil:
+			delete(f.incarnations, id)
+		case listed:
 			v.lastListed = now
 		case now.Sub(v.lastListed) > statementTTL:
 			delete(f.incarnations, id)
@@ -42,6 +46,19 @@
 	}
 }
 
+// listedIDs returns the ids of the listed servers whose statements match, sorted. It needs
+// f.mu.
+func (f *Fleet) listedIDs(match func(*incarnation) bool) []string {
+	var out []string
+	for id, v := range f.incarnations {
+		if match(v) && f.list.lookup(id) != nil {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // LearnStatement takes what a server states about itself in the answer to a request, which
 // was sent at the given time.
 func (f *Fleet) LearnStatement(s *Server, st backpressure.Statement, request string, sent time.Time) {
@@ -92,13 +109,7 @@
 func (f *Fleet) Leaving() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []string
-	for _, s := range f.listed {
-		if s.accepts.Leaving() {
-			out = append(out, s.ID)
-		}
-	}
-	return out
+	return f.listedIDs(func(v *incarnation) bool { return v.Leaving() })
 }
 
 // Limits returns what is known of the rate limits of listed servers, by server id.
@@ -106,9 +117,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]backpressure.Limit{}
-	for _, s := range f.listed {
-		if l := s.accepts.Limit(); !l.NamedAt.IsZero() {
-			out[s.ID] = l
+	for id, v := range f.incarnations {
+		if l := v.Limit(); !l.NamedAt.IsZero() && f.list.lookup(id) != nil {
+			out[id] = l
 		}
 	}
 	return out
@@ -129,13 +140,8 @@
 func (f *Fleet) Paused() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
-	for _, s := range f.listed {
-		if s.accepts.Paused(f.now()) {
-			n++
-		}
-	}
-	return n
+	now := f.now()
+	return len(f.listedIDs(func(v *incarnation) bool { return v.Paused(now) }))
 }
 
 // CheckSend tells whether a request may be sent to a server now, and its rate limit.
@@ -206,13 +212,8 @@
 func (f *Fleet) Withheld() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []string
-	for _, s := range f.listed {
-		if s.withheld(f.now()) {
-			out = append(out, s.ID)
-		}
-	}
-	return out
+	now := f.now()
+	return f.listedIDs(func(v *incarnation) bool { return v.withheld(now) })
 }
 
 // AcceptedAgainAt returns when the first of a service's servers that are withheld now accepts
@@ -222,11 +223,12 @@
 	defer f.mu.Unlock()
 	version, now := f.inUse.version(service, v), f.now()
 	var first time.Time
-	for _, s := range f.listed {
-		if s.Service != service || s.Version != version || !s.inService() || skip[s.ID] {
+	for id, v := range f.incarnations {
+		row := f.list.lookup(id)
+		if row == nil || row.Service != service || row.Version != version || !f.inService(row) || skip[id] {
 			continue
 		}
-		if at := s.accepts.WithheldUntil(now); !at.IsZero() && (first.IsZero() || at.Before(first)) {
+		if at := v.WithheldUntil(now); !at.IsZero() && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
@@ -234,8 +236,8 @@
 }
 
 // withheld reports whether the server must not be sent any request now.
-func (s *Server) withheld(now time.Time) bool {
-	return s.accepts.Check(backpressure.NewWork, now).Withholds()
+func (v *incarnation) withheld(now time.Time) bool {
+	return v.Check(backpressure.NewWork, now).Withholds()
 }
 
 // routerCountTTL is how long a larger number of routers counts after it was known. Routers
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -9,7 +9,6 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
-	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 )
 
 // Backend is one row of the list of backend servers.
@@ -32,6 +31,9 @@
 	AsOf     time.Time
 }
 
+// SharesRows reports whether both lists hold the very same rows, which never change.
+func (l *List) SharesRows(o *List) bool { return sameRows(l.Backends, o.Backends) }
+
 // Constants for what a VM concludes from a server's behaviour.
 const (
 	// minAvoid and maxAvoid bound how long a server that could not be reached, or failed,
@@ -42,6 +44,9 @@
 	// deadAvoid is how long a dead server is avoided. It returns under another id, or under
 	// its own if it was only cut off, which lasts for seconds.
 	deadAvoid = 4 * time.Second
+	// idleServerTTL is how long the Fleet remembers a listed server that it was not asked
+	// for. Nothing that it observed of the server holds for that long.
+	idleServerTTL = time.Minute
 	// livenessWindow is how long received bytes prove that a server is alive. An engine
 	// that prefills a prompt sends an event at least every 250 ms.
 	livenessWindow = 250 * time.Millisecond
@@ -68,8 +73,9 @@
 type Server struct {
 	Backend
 	use              placement.Usage
-	died             chan struct{} // closed when the server is judged dead
-	suspicion        chan struct{} // closed when there is reason to probe the server
+	died             chan struct{} // closed when the server is judged dead; nil: nobody waits
+	suspicion        chan struct{} // closed when there is reason to probe the server; nil: nobody waits
+	requestedAt      time.Time     // when the Fleet last returned it
 	lastHeard        time.Time     // when bytes last came from the server
 	diedAt           time.Time     // when it was last judged dead, here or by another VM
 	rank             int           // this VM's position in the server's rendezvous order, valid for rankVersion
@@ -82,8 +88,10 @@
 	latencyMS        float64       // moving average
 	serviceTimeMS    float64       // moving average without the wait for a slot
 	reportedRequests int           // requests of other VMs on the server, by its last response
-	reportedAt       time.Time
-	accepts          *incarnation // which requests it accepts, by its own statements
+	reportedSlowdown float64       // by its last response; 0: not stated
+	reportedAt       time.Time     // when it last reported
+	unreadableLoad   bool          // it has stated a load that cannot be read
+	accepts          *incarnation  // which requests it accepts, by its own statements
 }
 
 // Fleet holds what this VM knows of all backend servers. It is safe for concurrent use.
@@ -94,8 +102,8 @@
 
 	mu             sync.Mutex
 	asOf           time.Time
-	servers        map[string]*Server
-	listed         []*Server // in the order of the list
+	list           listIndex
+	servers        map[string]*Server // of the list, those that were requested lately, by id
 	inUse          versionsInUse
 	peerUse        map[string]placement.Usage
 	outage         recovery.Outage
@@ -109,7 +117,7 @@
 
 // open reports whether requests may be sent to the server now: it is not draining, no other
 // incarnation answers at its address, and it accepts requests by its own statements.
-func (s *Server) open(now time.Time) bool { return s.inService() && !s.withheld(now) }
+func (s *Server) open(now time.Time) bool { return s.inService() && !s.accepts.withheld(now) }
 
 // inService reports whether the server takes new requests now or later. A server that has
 // stated that it leaves does not, whatever the list says.
@@ -123,6 +131,7 @@
 
 // Apply takes over a list if it was read later than the current one, and reports whether it
 // did. An older list, from a VM that was cut off, would bring back servers that have left.
+// The rows must not be changed afterwards.
 func (f *Fleet) Apply(l List) bool {
 	f.mu.Lock()
 	if !l.AsOf.After(f.asOf) {
@@ -130,30 +139,22 @@
 		return false
 	}
 	f.asOf = l.AsOf
-	next := make(map[string]*Server, len(l.Backends))
-	order := make([]*Server, 0, len(l.Backends))
-	for _, b := range l.Backends {
-		s := f.servers[b.ID]
-		if s == nil || s.Address != b.Address || s.Service != b.Service {
-			s = &Server{Backend: b, died: make(chan struct{}), suspicion: make(chan struct{}), rankVersion: -1, accepts: f.incarnationOf(b.ID)}
-		}
-		s.Draining, s.Cold = b.Draining, b.Cold
-		next[b.ID] = s
-		order = append(order, s)
+	if f.list.holds(l.Backends) {
+		f.mu.Unlock()
+		return true
 	}
-	var gone []string
-	for id, s := range f.servers {
-		if next[id] != s {
-			gone = append(gone, id)
-		}
+	next := newListIndex(l.Backends)
+	added, gone := f.list.changesTo(&next)
+	f.list = next
+	for _, id := range gone {
+		delete(f.servers, id)
 	}
-	added := len(next) + len(gone) - len(f.servers)
-	f.servers, f.listed = next, order
-	f.inUse = f.inUse.next(l.Backends)
+	f.refreshServers()
+	f.inUse = f.inUse.next(next.rows)
 	f.expireIncarnations()
 	f.mu.Unlock()
 	if added > 0 || len(gone) > 0 {
-		f.log.Info().Int("servers", len(order)).Int("added", added).Int("gone", len(gone)).
+		f.log.Info().Int("servers", len(next.rows)).Int("added", added).Int("gone", len(gone)).
 			Dur("age", f.now().Sub(l.AsOf)).Msg("list of backend servers changed")
 	}
 	for _, id := range gone {
@@ -163,6 +164,42 @@
 	return true
 }
 
+// refreshServers updates the remembered servers by the current list, and forgets those that
+// were not requested for idleServerTTL. It needs f.mu.
+func (f *Fleet) refreshServers() {
+	now := f.now()
+	for id, s := range f.servers {
+		row := f.list.lookup(id)
+		s.Draining, s.Cold = row.Draining, row.Cold
+		if s.idle() && now.Sub(s.requestedAt) > idleServerTTL {
+			delete(f.servers, id)
+		}
+	}
+}
+
+// idle reports whether nothing runs on the server for this VM and nothing is known of it that
+// holds for as long as it is listed.
+func (s *Server) idle() bool { return s.use == (placement.Usage{}) && !s.stale }
+
+// server returns what is known of a listed server. It needs f.mu.
+func (f *Fleet) server(row *Backend) *Server {
+	s := f.servers[row.ID]
+	if s == nil {
+		s = &Server{Backend: *row, rankVersion: -1, accepts: f.incarnationOf(row.ID)}
+		f.servers[row.ID] = s
+	}
+	s.requestedAt = f.now()
+	return s
+}
+
+// listedServer returns the listed server with an id, or nil. It needs f.mu.
+func (f *Fleet) listedServer(id string) *Server {
+	if row := f.list.lookup(id); row != nil {
+		return f.server(row)
+	}
+	return nil
+}
+
 // AsOf returns when the current list was read.
 func (f *Fleet) AsOf() time.Time {
 	f.mu.Lock()
@@ -222,100 +259,6 @@
 	return time.Duration(s.serviceTimeMS * float64(time.Millisecond))
 }
 
-// Candidates returns the servers of a service that may take a request, and their view for
-// placement in the same order. skip excludes servers by id. Draining servers, servers whose
-// address another incarnation holds and servers that accept no requests now are never among
-// them.
-func (f *Fleet) Candidates(service string, v rollout.Versions, kvTokens int, skip map[string]bool) ([]*Server, []placement.Candidate) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.now()
-	usual := f.meanLatencyMS(service)
-	servers := f.usable(service, v, skip)
-	out := make([]placement.Candidate, 0, len(servers))
-	for _, s := range servers {
-		out = append(out, placement.Candidate{
-			ID: s.ID, Zone: s.Zone, Slots: s.Slots, KVTokens: kvTokens, Usage: f.useOf(s, now),
-			RendezvousRank: f.rank(s), Avoid: s.avoided(now), Slowdown: slowness(s.latencyMS, usual),
-		})
-	}
-	return servers, out
-}
-
-// CallCandidates is Candidates for a call.
-func (f *Fleet) CallCandidates(service string, v rollout.Versions, skip map[string]bool) ([]*Server, []placement.CallCandidate) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.now()
-	usual := f.meanLatencyMS(service)
-	servers := f.usable(service, v, skip)
-	out := make([]placement.CallCandidate, 0, len(servers))
-	for _, s := range servers {
-		out = append(out, placement.CallCandidate{
-			Zone: s.Zone, Slots: s.Slots, Own: s.use.Requests, Others: f.peerUse[s.ID].Requests,
-			Reported: s.reportedRequests, ReportAge: now.Sub(s.reportedAt), CallTime: time.Duration(s.latencyMS * float64(time.Millisecond)),
-			Avoid: s.avoided(now), Slowdown: slowness(s.latencyMS, usual),
-		})
-	}
-	return servers, out
-}
-
-// usable returns the servers of a service that are on the version that v selects and not
-// in skip. In a trial these are only the first servers by id. It needs f.mu.
-func (f *Fleet) usable(service string, v rollout.Versions, skip map[string]bool) []*Server {
-	version, now := f.inUse.version(service, v), f.now()
-	var out []*Server
-	others := 0
-	for _, s := range f.listed {
-		switch {
-		case s.Service != service || !s.inService():
-		case s.Version != version:
-			others++
-		case !skip[s.ID]:
-			out = append(out, s)
-		}
-	}
-	if v.ServerShare > 0 {
-		out = firstServers(out, rollout.TrialServers(v.ServerShare, others), now)
-	}
-	return slices.DeleteFunc(out, func(s *Server) bool { return s.withheld(now) })
-}
-
-// useOf returns the use of a server by this VM and the others, with at least as many
-// requests as the server reported within reportedLoadTTL. It needs f.mu.
-func (f *Fleet) useOf(s *Server, now time.Time) placement.Usage {
-	use := s.use.Add(f.peerUse[s.ID])
-	if now.Sub(s.reportedAt) < reportedLoadTTL {
-		use.Requests = max(use.Requests, s.use.Requests+s.reportedRequests)
-	}
-	return use
-}
-
-// meanLatencyMS returns the mean latency over the servers of a service; 0: fewer than two
-// are known. It needs f.mu.
-func (f *Fleet) meanLatencyMS(service string) float64 {
-	sum, n := 0.0, 0
-	for _, s := range f.listed {
-		if s.Service == service && s.latencyMS > 0 {
-			sum += s.latencyMS
-			n++
-		}
-	}
-	if n < 2 {
-		return 0
-	}
-	return sum / float64(n)
-}
-
-// slowness returns the factor by which a latency exceeds the usual one; 1: it does not by
-// slowRatio or more, or the usual latency is not known.
-func slowness(latency, usual float64) float64 {
-	if usual == 0 || latency < slowRatio*usual {
-		return 1
-	}
-	return latency / usual
-}
-
 // avoided reports whether there is a reason not to send requests to the server.
 func (s *Server) avoided(now time.Time) bool {
 	return now.Before(s.avoidUntil) || now.Before(s.suspectedUntil)
@@ -334,7 +277,7 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	var o Report
-	for _, s := range f.listed {
+	for _, s := range f.servers {
 		switch {
 		case s.stale || now.Before(s.avoidUntil):
 			o.Avoid = append(o.Avoid, s.ID)
@@ -344,6 +287,9 @@
 			o.Suspected = append(o.Suspected, s.ID)
 		}
 	}
+	for _, ids := range [][]string{o.Avoid, o.Suspected, o.Alive} {
+		slices.Sort(ids)
+	}
 	return o
 }
 
@@ -351,7 +297,7 @@
 func (f *Fleet) Lookup(id string) *Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.servers[id]
+	s := f.listedServer(id)
 	if s == nil || !s.open(f.now()) {
 		return nil
 	}
@@ -379,9 +325,14 @@
 func (f *Fleet) At(service, addr string) *Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, s := range f.listed {
-		if s.Service == service && s.Address == addr && s.open(f.now()) {
-			return s
+	if addr == "" {
+		return nil
+	}
+	for _, i := range f.list.byService[service] {
+		if row := &f.list.rows[i]; row.Address == addr {
+			if s := f.server(row); s.open(f.now()) {
+				return s
+			}
 		}
 	}
 	return nil
@@ -403,6 +354,9 @@
 func (f *Fleet) Died(s *Server) <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if s.died == nil {
+		s.died = make(chan struct{})
+	}
 	return s.died
 }
 
@@ -411,6 +365,9 @@
 func (f *Fleet) Suspected(s *Server) <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if s.suspicion == nil {
+		s.suspicion = make(chan struct{})
+	}
 	return s.suspicion
 }
 
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -45,8 +45,7 @@
 	f.deadSince[s.ID] = f.now()
 	s.diedAt = f.now()
 	f.noteDeath(s)
-	close(s.died)
-	s.died = make(chan struct{})
+	signal(&s.died)
 	silent := f.now().Sub(s.lastHeard)
 	f.mu.Unlock()
 	f.log.Warn().Str("server", s.ID).Str("zone", s.Zone).Dur("silent", silent).Msg("server judged dead")
@@ -55,46 +54,35 @@
 
 // noteDeath records a death and needs f.mu. If the whole failure domain counts as lost,
 // every server in it that was not heard within livenessWindow is avoided, and those that
-// run requests for this VM are probed. Servers of another version are not affected: the
-// servers of one version all end when a roll-out is completed, and the others must stay in
-// use.
+// run requests for this VM are probed.
 func (f *Fleet) noteDeath(s *Server) {
-	now := f.now()
-	if !f.outage.Note(s.Service+"/"+s.Zone+"/"+s.Version, s.ID, f.countNeighbours(s), now) {
+	now, lost := f.now(), s.domain()
+	if !f.outage.Note(s.Service+"/"+s.Zone+"/"+s.Version, s.ID, f.list.domainSizes[lost], now) {
 		return
 	}
 	avoided := 0
-	for _, o := range f.listed {
-		if !o.isNeighbour(s) || now.Sub(o.lastHeard) < livenessWindow {
+	for _, i := range f.list.byService[s.Service] {
+		row := &f.list.rows[i]
+		if row.domain() != lost {
+			continue
+		}
+		o := f.server(row)
+		if now.Sub(o.lastHeard) < livenessWindow {
 			continue
 		}
 		avoided++
 		o.suspectedUntil = now.Add(recovery.OutageAvoidDuration)
-		f.signalSuspicion(o)
+		signal(&o.suspicion)
 	}
 	f.log.Warn().Str("service", s.Service).Str("zone", s.Zone).Int("avoided", avoided).Msg("zone suspected lost; avoiding its silent servers")
 }
 
-// isNeighbour reports whether a server shares another's service, zone and version.
-func (s *Server) isNeighbour(o *Server) bool {
-	return s.Service == o.Service && s.Zone == o.Zone && s.Version == o.Version
-}
-
-// countNeighbours counts the neighbours of a server, itself included. It needs f.mu.
-func (f *Fleet) countNeighbours(s *Server) int {
-	n := 0
-	for _, o := range f.listed {
-		if o.isNeighbour(s) {
-			n++
-		}
+// signal closes a channel that may be nil. Whoever waits afterwards gets another one.
+func signal(ch *chan struct{}) {
+	if *ch != nil {
+		close(*ch)
+		*ch = nil
 	}
-	return n
-}
-
-// signalSuspicion closes the channel that Suspected returned. It needs f.mu.
-func (f *Fleet) signalSuspicion(s *Server) {
-	close(s.suspicion)
-	s.suspicion = make(chan struct{})
 }
 
 // RecentlyDead returns the ids of the servers that this VM judged dead within
@@ -119,7 +107,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range ids {
-		s := f.servers[id]
+		s := f.listedServer(id)
 		if s == nil || f.now().Sub(s.lastHeard) < livenessWindow {
 			continue
 		}
@@ -128,7 +116,7 @@
 			continue
 		}
 		s.suspectedUntil = f.now().Add(recovery.OutageAvoidDuration)
-		f.signalSuspicion(s)
+		signal(&s.suspicion)
 		f.noteDeath(s)
 	}
 }
@@ -183,11 +171,3 @@
 	}
 	return old + latencyWeight*(next-old)
 }
-
-// SetReportedLoad takes the load that a server reports: the requests of all VMs that run
-// and wait there.
-func (f *Fleet) SetReportedLoad(s *Server, requests int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s.reportedRequests, s.reportedAt = max(0, requests-s.use.Requests), f.now()
-}
--- a/internal/upstream/versions.go
+++ b/internal/upstream/versions.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 )
@@ -68,18 +67,6 @@
 	return slices.MaxFunc(versions, func(a, b string) int { return cmp.Compare(listed[a], listed[b]) })
 }
 
-// firstServers returns the first n servers by id that are not avoided, or the first n of
-// all if all are avoided.
-func firstServers(servers []*Server, n int, now time.Time) []*Server {
-	out := slices.Clone(servers)
-	slices.SortFunc(out, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
-	good := slices.DeleteFunc(slices.Clone(out), func(s *Server) bool { return s.avoided(now) })
-	if len(good) > 0 {
-		out = good
-	}
-	return out[:min(n, len(out))]
-}
-
 // Cold reports whether the server has just started and is slow for that reason.
 func (f *Fleet) Cold(s *Server) bool {
 	f.mu.Lock()
