Control VMs: no work per heartbeat that grows with the VMs; one choice among at most 256 engines

Cause: each heartbeat walked all incarnations of the retry spending twice, all VMs for silent ones, and all VMs' reports for stale ones: quadratic in VMs. Each grant built candidates of all engines. A list of ten thousand rows was read every half second. Change: running sums of what was spent, expired in order; silent VMs and stale reports are looked for at intervals; engines are compared until 256 are eligible; long lists are read every two seconds at most, and the ages that mean a lost reader follow. Test: 40 heartbeats with 2,000 VMs cost no more than with 100 (354 us and 196 us here).

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -46,6 +46,8 @@
 	// presenceTimeout is the silence after which a VM counts as gone: two heartbeats
 	// are missing and the third is due. Callers of a frozen router wait this long.
 	presenceTimeout = 1100 * time.Millisecond
+	// expiryInterval is how often a control VM looks for silent VMs.
+	expiryInterval = 50 * time.Millisecond
 	// staleListAge is the age from which a VM asks every control VM for changes. The
 	// list is read from the platform every 0.4 s and arrives with the next heartbeat.
 	staleListAge = 1200 * time.Millisecond
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -29,7 +29,8 @@
 	mu            sync.Mutex
 	vms           map[string]vmState
 	loggedSilent  map[string]bool // VMs whose silence has been logged
-	retrySpending spendingTable
+	expiredAt     time.Time       // when silent VMs were last looked for
+	retrySpending *spendingTable
 	ledger        *rollout.Ledger
 	permits       *permitService
 	leaving       leavingServers
@@ -58,7 +59,7 @@
 // NewHub returns a Hub and registers its message handlers with t. controls returns the
 // ids of the control VMs.
 func NewHub(t peer.Transport, list *ListReplica, controls func() []string, log zerolog.Logger) *Hub {
-	h := &Hub{list: list, controls: controls, vms: map[string]vmState{}, loggedSilent: map[string]bool{}, retrySpending: spendingTable{}, ledger: rollout.NewLedger(), log: log, scheduling: newSchedulerService(t, log), permits: newPermitService(), leaving: leavingServers{}}
+	h := &Hub{list: list, controls: controls, vms: map[string]vmState{}, loggedSilent: map[string]bool{}, retrySpending: newSpendingTable(), ledger: rollout.NewLedger(), log: log, scheduling: newSchedulerService(t, log), permits: newPermitService(), leaving: leavingServers{}}
 	list.KeepHistory()
 	t.Handle(peer.KindHeartbeat, h.serveHeartbeat)
 	t.Handle(peer.KindBackendList, h.serveList)
@@ -221,9 +222,13 @@
 	h.ledger.Keep(underWay)
 }
 
-// expireVMs logs VMs that have become silent and forgets those silent for forgetAfter.
-// It needs h.mu.
+// expireVMs logs VMs that have become silent and forgets those silent for forgetAfter. It
+// looks for them every expiryInterval, whatever the number of heartbeats. It needs h.mu.
 func (h *Hub) expireVMs(now time.Time) {
+	if now.Sub(h.expiredAt) < expiryInterval {
+		return
+	}
+	h.expiredAt = now
 	for vm, s := range h.vms {
 		silent := now.Sub(s.at)
 		if silent > presenceTimeout && !h.loggedSilent[vm] {
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -272,11 +272,11 @@
 	heartbeat.Spent = m.ownSpending()
 	heartbeat.UseReport = m.fullUseReport()
 	heartbeat.Limits, heartbeat.Leaving = m.newLimits(), m.newLeaving()
-	if _, digest, age, ok := m.list.Current(); ok {
+	if rows, digest, age, ok := m.list.Current(); ok {
 		heartbeat.ListDigest, heartbeat.ListAgeMS = digest, age.Milliseconds()
 		// While the list is young, routers ask a single control VM for changes. Otherwise
 		// each control VM would send the changes that the loss of a zone causes.
-		heartbeat.WantChanges = m.local.Control || age > staleListAge
+		heartbeat.WantChanges = m.local.Control || age > staleAge(len(rows))
 	}
 	return heartbeat
 }
--- a/internal/cluster/read_schedule.go
+++ b/internal/cluster/read_schedule.go
@@ -14,16 +14,26 @@
 // old, which is the sign of a frozen or partitioned reader, the others take over in order
 // of rank, each with a further delay. A list that takes long to read is read less often,
 // and its takeover age is higher.
+//
+// A list of ten thousand rows has dozens of pages. Read as often as a short one, it would take
+// most of the calls that the platform answers, and every VM would receive each change by
+// itself. Its reads are therefore further apart, up to maxReadInterval: a server that leaves
+// must get no requests some seconds later.
 
 // Constants of the read schedule.
 const (
 	readInterval = 400 * time.Millisecond
+	// readIntervalPerRow lengthens the interval for long lists, up to maxReadInterval.
+	readIntervalPerRow = 200 * time.Microsecond
+	maxReadInterval    = 2 * time.Second
 	// maxReadShare is the largest share of time that is spent on reading.
 	maxReadShare = 0.6
 	// takeoverAge is the age from which the reader of the list counts as lost.
 	// takeoverAgePerRow is added for each row, because one more read may take that long.
 	takeoverAge       = 1100 * time.Millisecond
 	takeoverAgePerRow = 700 * time.Microsecond
+	// maxTakeoverExtra bounds what the rows add. It covers maxReadInterval and a read.
+	maxTakeoverExtra = 3 * time.Second
 	// standbyDelay is the delay between the takeovers of two consecutive ranks.
 	standbyDelay = 300 * time.Millisecond
 )
@@ -43,7 +53,7 @@
 
 // Due reports whether the VM must read the list now.
 func (r ReadSchedule) Due() bool {
-	if r.SinceLastRead < max(readInterval, time.Duration(float64(r.LastReadDuration)/maxReadShare)) {
+	if r.SinceLastRead < max(readIntervalFor(r.Rows), time.Duration(float64(r.LastReadDuration)/maxReadShare)) {
 		return false
 	}
 	delay := time.Duration(r.Rank) * standbyDelay
@@ -53,5 +63,13 @@
 	case !r.HasList:
 		return r.Uptime >= delay
 	}
-	return r.Age > takeoverAge+delay+time.Duration(r.Rows)*takeoverAgePerRow
+	return r.Age > takeoverAge+delay+min(time.Duration(r.Rows)*takeoverAgePerRow, maxTakeoverExtra)
+}
+
+// readIntervalFor returns how often a list with this many rows is read.
+func readIntervalFor(rows int) time.Duration {
+	return min(max(readInterval, time.Duration(rows)*readIntervalPerRow), maxReadInterval)
 }
+
+// staleAge returns the age from which a list with this many rows is overdue at a VM.
+func staleAge(rows int) time.Duration { return staleListAge + readIntervalFor(rows) - readInterval }
--- a/internal/cluster/retry_spending.go
+++ b/internal/cluster/retry_spending.go
@@ -1,7 +1,9 @@
 package cluster
 
 import (
+	"container/list"
 	"context"
+	"maps"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
@@ -32,40 +34,81 @@
 	Spent       map[string]forward.RetryUsage `cbor:"3,keyasint,omitempty"`
 }
 
-// spendingTable holds the last report of each incarnation.
-type spendingTable map[uint64]receivedSpending
+// spendingTable holds the last report of each incarnation within spendingTTL, and their sum.
+// Hundreds of VMs each report and ask several times a second, so neither may look at the
+// reports of all others.
+type spendingTable struct {
+	reports map[uint64]*list.Element // of receivedSpending, by incarnation
+	byAge   *list.List               // the oldest first
+	sum     map[string]forward.RetryUsage
+}
 
 type receivedSpending struct {
-	seq   uint64
-	spent map[string]forward.RetryUsage
-	at    time.Time
+	incarnation uint64
+	seq         uint64
+	spent       map[string]forward.RetryUsage
+	at          time.Time
+}
+
+func newSpendingTable() *spendingTable {
+	return &spendingTable{reports: map[uint64]*list.Element{}, byAge: list.New(), sum: map[string]forward.RetryUsage{}}
 }
 
-func (b spendingTable) record(s RetrySpending, now time.Time) {
-	if s.Incarnation == 0 || s.Seq < b[s.Incarnation].seq {
-		return // from a control process, which makes no retries, or out of order
+func (b *spendingTable) record(s RetrySpending, now time.Time) {
+	if s.Incarnation == 0 {
+		return // from a control process, which makes no retries
 	}
-	b[s.Incarnation] = receivedSpending{s.Seq, s.Spent, now}
-	for incarnation, t := range b {
-		if now.Sub(t.at) > spendingTTL {
-			delete(b, incarnation)
+	if e := b.reports[s.Incarnation]; e != nil {
+		if s.Seq < spendingOf(e).seq {
+			return // out of order
 		}
+		b.remove(e)
+	}
+	b.add(s.Spent, 1)
+	b.reports[s.Incarnation] = b.byAge.PushBack(receivedSpending{s.Incarnation, s.Seq, s.Spent, now})
+	b.expire(now)
+}
+
+func spendingOf(e *list.Element) receivedSpending {
+	r, _ := e.Value.(receivedSpending)
+	return r
+}
+
+func (b *spendingTable) remove(e *list.Element) {
+	r := spendingOf(e)
+	b.add(r.spent, -1)
+	b.byAge.Remove(e)
+	delete(b.reports, r.incarnation)
+}
+
+// add adds a report to the sum (by = 1) or removes it (by = -1).
+func (b *spendingTable) add(spent map[string]forward.RetryUsage, by int) {
+	for service, s := range spent {
+		sum := b.sum[service]
+		sum.Requests += by * s.Requests
+		sum.Retries += by * s.Retries
+		b.sum[service] = sum
+		if sum == (forward.RetryUsage{}) {
+			delete(b.sum, service)
+		}
+	}
+}
+
+func (b *spendingTable) expire(now time.Time) {
+	for e := b.byAge.Front(); e != nil && now.Sub(spendingOf(e).at) > spendingTTL; e = b.byAge.Front() {
+		b.remove(e)
 	}
 }
 
 // others sums, by service, what all incarnations but one spent. An incarnation that has
 // ended counts while its retries are in the window.
-func (b spendingTable) others(incarnation uint64, now time.Time) map[string]forward.RetryUsage {
-	out := map[string]forward.RetryUsage{}
-	for other, t := range b {
-		if other == incarnation || now.Sub(t.at) > spendingTTL {
-			continue
-		}
-		for service, s := range t.spent {
+func (b *spendingTable) others(incarnation uint64, now time.Time) map[string]forward.RetryUsage {
+	b.expire(now)
+	out := maps.Clone(b.sum)
+	if e := b.reports[incarnation]; e != nil {
+		for service, s := range spendingOf(e).spent {
 			sum := out[service]
-			sum.Requests += s.Requests
-			sum.Retries += s.Retries
-			out[service] = sum
+			out[service] = forward.RetryUsage{Requests: sum.Requests - s.Requests, Retries: sum.Retries - s.Retries}
 		}
 	}
 	return out
--- a/internal/cluster/retry_spending_test.go
+++ b/internal/cluster/retry_spending_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -118,7 +120,7 @@
 }
 
 func TestOutOfOrderSpending(t *testing.T) {
-	b, now := spendingTable{}, time.Now()
+	b, now := newSpendingTable(), time.Now()
 	report := func(seq uint64, retries int) RetrySpending {
 		return RetrySpending{Incarnation: 7, Seq: seq, Spent: map[string]forward.RetryUsage{"m": {Retries: retries}}}
 	}
@@ -128,3 +130,61 @@
 		t.Errorf("got %d retries, want 5 of the later report", got)
 	}
 }
+
+// Guards against sums that drift from the reports that they consist of, whatever the order in
+// which incarnations report, fall silent and come back.
+func TestSpendingSumsMatchTheReports(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	table, now := newSpendingTable(), time.Unix(0, 0)
+	type report struct {
+		spent forward.RetryUsage
+		at    time.Time
+	}
+	last := map[uint64]report{}
+	for seq := range uint64(5000) {
+		now = now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)
+		incarnation := 1 + rng.Uint64N(80)
+		spent := forward.RetryUsage{Requests: rng.IntN(5), Retries: rng.IntN(3)}
+		table.record(RetrySpending{Incarnation: incarnation, Seq: seq, Spent: map[string]forward.RetryUsage{"m": spent}}, now)
+		last[incarnation] = report{spent, now}
+		asking, want := 1+rng.Uint64N(90), forward.RetryUsage{}
+		for other, r := range last {
+			if other != asking && now.Sub(r.at) <= spendingTTL {
+				want.Requests += r.spent.Requests
+				want.Retries += r.spent.Retries
+			}
+		}
+		if got := table.others(asking, now)["m"]; got != want {
+			t.Fatalf("report %d: got %+v spent by the others, want %+v", seq, got, want)
+		}
+	}
+}
+
+// Guards against heartbeats whose work grows with the number of VMs: the work of a control VM
+// would grow with its square.
+func TestHeartbeatCostPerVM(t *testing.T) {
+	cost := func(vms int) time.Duration {
+		h := newLoadedHub(t, vms, 50)
+		heartbeat := h.heartbeat(t, 0, false, 0)
+		least := time.Hour
+		for range 15 {
+			began := time.Now()
+			for range 40 {
+				var decoded Heartbeat
+				if err := codec.Unmarshal(heartbeat, &decoded); err != nil {
+					t.Fatal(err)
+				}
+				h.hub.recordHeartbeat(h.routers[0], decoded)
+				h.hub.scheduling.receiveReport(h.routers[0], &decoded.UseReport)
+				h.hub.spentByOthers(decoded.Spent.Incarnation)
+			}
+			least = min(least, time.Since(began))
+		}
+		return least
+	}
+	few, many := cost(100), cost(2000)
+	t.Logf("40 heartbeats: %v with 100 VMs, %v with 2000", few, many)
+	if many > 4*few {
+		t.Errorf("got %v for 40 heartbeats with 100 VMs and %v with 2000, want no growth with the VMs", few, many)
+	}
+}
--- a/internal/cluster/scheduler_service.go
+++ b/internal/cluster/scheduler_service.go
@@ -90,8 +90,11 @@
 func (c *schedulerService) setServers(l upstream.List) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	same := c.list.SharesRows(&l)
 	c.list = l
-	c.updateServers()
+	if !same {
+		c.updateServers()
+	}
 }
 
 // setLeaving sets the servers that leave by their own statement. They receive no new streams,
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -25,6 +25,8 @@
 	// reportTTL is how long a VM's suspicions count: until the list of backend servers
 	// has been updated.
 	reportTTL = 1200 * time.Millisecond
+	// staleCheckInterval is how often reports older than reportTTL are looked for.
+	staleCheckInterval = 20 * time.Millisecond
 	// maxAliveDelay is how old the observation behind an Alive entry may be.
 	maxAliveDelay = 300 * time.Millisecond
 )
@@ -79,9 +81,12 @@
 type health struct{ quorum int }
 
 func (s *Scheduler) health(now time.Time) health {
-	for _, v := range s.vms {
-		if now.Sub(v.at) > reportTTL {
-			s.uncountReport(v, now)
+	if now.Sub(s.staleCheckedAt) >= staleCheckInterval {
+		s.staleCheckedAt = now
+		for _, v := range s.vms {
+			if now.Sub(v.at) > reportTTL {
+				s.uncountReport(v, now)
+			}
 		}
 	}
 	return health{quorum: max(1, min(suspicionQuorum, len(s.vms)))}
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -64,7 +64,7 @@
 	h := s.health(now)
 	var out []string
 	for name, v := range s.services {
-		if v.kvTokens > 0 && !newRound(v, s.vms, h, now).hasRoomForCopy(orderedCopyMemoryShare, &anyVersion) {
+		if v.kvTokens > 0 && !newRound(v, s, h, now).hasRoomForCopy(orderedCopyMemoryShare, &anyVersion) {
 			out = append(out, name)
 		}
 	}
@@ -77,13 +77,9 @@
 	if !r.hasRoomForCopy(copyMemoryShare, w) {
 		return nil
 	}
-	eligible, candidates := r.service.eligible[:0], r.service.candidates[:0]
-	for _, o := range r.servers {
-		if o.Zone != e.Zone && w.matchesVersion(o) && !r.avoids(w, o) {
-			eligible, candidates = append(eligible, o), append(candidates, r.candidate(o, w))
-		}
-	}
-	r.service.eligible, r.service.candidates = eligible, candidates
+	eligible, candidates := r.listEligible(w, r.servers, rng, func(o *server) bool {
+		return o.Zone != e.Zone && w.matchesVersion(o) && !r.avoids(w, o)
+	})
 	if i := placement.ChooseBackupEngine(candidates, e.Zone, w.Need, rng); i >= 0 {
 		return eligible[i]
 	}
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -11,6 +11,7 @@
 // round is one pass over the waiting streams of a service.
 type round struct {
 	servers []*server
+	byID    map[string]*server // of all services
 	vms     map[string]*vm
 	health  health
 	now     time.Time
@@ -28,8 +29,8 @@
 	versionSubsets map[string]map[string]bool // by version
 }
 
-func newRound(v *service, vms map[string]*vm, h health, now time.Time) *round {
-	r := &round{servers: v.servers, vms: vms, health: h, now: now, service: v}
+func newRound(v *service, s *Scheduler, h health, now time.Time) *round {
+	r := &round{servers: v.servers, byID: s.servers, vms: s.vms, health: h, now: now, service: v}
 	r.median, r.allSlow = v.cachedMedianPerToken(now), true
 	for _, e := range v.servers {
 		if !r.health.lost(e) {
@@ -73,13 +74,7 @@
 	if e := r.cached(w); e != nil {
 		return e
 	}
-	eligible, candidates := r.service.eligible[:0], r.service.candidates[:0]
-	for _, e := range r.free() {
-		if r.accepts(e, w) && r.fits(e, w) {
-			eligible, candidates = append(eligible, e), append(candidates, r.candidate(e, w))
-		}
-	}
-	r.service.eligible, r.service.candidates = eligible, candidates
+	eligible, candidates := r.listEligible(w, r.free(), rng, func(e *server) bool { return r.accepts(e, w) && r.fits(e, w) })
 	i := placement.ChooseEngine(candidates, w.Need, rng)
 	if i < 0 {
 		r.reserve(w)
@@ -88,15 +83,35 @@
 	return eligible[i]
 }
 
+// maxEligible is how many eligible engines are compared for a choice. Of thousands, the best
+// of so many is as good as the best of all.
+const maxEligible = 256
+
+// listEligible lists the engines that match, at most maxEligible, and their views for placement.
+// If there are more engines it begins at a random one. The lists are valid until the next call.
+func (r *round) listEligible(w *waiter, engines []*server, rng func(int) int, match func(*server) bool) ([]*server, []placement.Candidate) {
+	eligible, candidates := r.service.eligible[:0], r.service.candidates[:0]
+	begin := 0
+	if len(engines) > maxEligible {
+		begin = rng(len(engines))
+	}
+	for i := 0; i < len(engines) && len(eligible) < maxEligible; i++ {
+		if e := engines[(begin+i)%len(engines)]; match(e) {
+			eligible, candidates = append(eligible, e), append(candidates, r.candidate(e, w))
+		}
+	}
+	r.service.eligible, r.service.candidates = eligible, candidates
+	return eligible, candidates
+}
+
 // cached returns the engine that caches the stream's prompt, if it has room for the run.
 // It may be prefilling another prompt, since this one needs no prefill.
 func (r *round) cached(w *waiter) *server {
-	for _, e := range r.servers {
-		if e.ID == w.CachedEngine && r.accepts(e, w) && r.fits(e, w) {
-			return e
-		}
+	e := r.byID[w.CachedEngine]
+	if e == nil || e.Service != w.Service || !r.accepts(e, w) || !r.fits(e, w) {
+		return nil
 	}
-	return nil
+	return e
 }
 
 // anyEngineAccepts reports whether some engine may run the stream, now or later.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -140,6 +140,8 @@
 	vms        map[string]*vm
 	grants     []grant
 	number     uint64
+	// staleCheckedAt is when reports older than reportTTL were last looked for.
+	staleCheckedAt time.Time
 }
 
 type server struct {
@@ -352,6 +354,9 @@
 // Decide returns a decision for each stream that can be granted or refused now.
 func (s *Scheduler) Decide(now time.Time) []Decision {
 	s.dropGrants(func(g *grant) bool { return now.Sub(g.at) > grantTTL })
+	if !s.HasWaiting() {
+		return nil // reports come hundreds of times a second
+	}
 	h := s.health(now)
 	var out []Decision
 	for _, v := range s.services {
@@ -366,7 +371,7 @@
 // serve grants engines to the waiting streams of one service in order, and refuses those
 // that can no longer be served.
 func (s *Scheduler) serve(v *service, h health, now time.Time) []Decision {
-	round := newRound(v, s.vms, h, now)
+	round := newRound(v, s, h, now)
 	if len(round.free()) == 0 && now.Sub(v.rescannedAt) < rescanInterval {
 		return nil
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -301,7 +301,7 @@
 	all := []string{"a0", "a1", "b0", "b1", "c0", "c1"}
 	usable := func(now time.Time) int {
 		v := s.services["models"]
-		return newRound(v, s.vms, s.health(now), now).usable
+		return newRound(v, s, s.health(now), now).usable
 	}
 	s.ReceiveReport("vm1", Report{Suspected: all}, now)
 	s.ReceiveReport("vm2", Report{Suspected: all}, now)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -29,7 +29,7 @@
 		if len(v.waiting) == 0 {
 			continue
 		}
-		r := newRound(v, s.vms, h, now)
+		r := newRound(v, s, h, now)
 		st := State{Service: name, Servers: len(v.servers), Usable: r.usable, StartRate: v.grantTimes.rate(now), EngineTiming: v.timing}
 		for _, e := range v.servers {
 			st.Usage = st.Usage.Add(e.usage)
