Names of routers are asked for the more seldom the more there are

Cause: while VMs start or are restarted in turn, the names of all routers changed with each heartbeat and were sent whole to every VM: bytes grew with the square of the VMs. Change: a VM asks for changed names every 5 ms times their number; an older control VM ignores that and sends them as before.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -104,6 +104,9 @@
 	// Leaving are the backend servers that leave by their own statement and that the last
 	// Summary did not name.
 	Leaving []string `cbor:"20,keyasint,omitempty"`
+	// SkipRouters asks for no names of routers, although those with RoutersDigest may have
+	// changed since.
+	SkipRouters bool `cbor:"21,keyasint,omitempty"`
 }
 
 // HeartbeatReply is a control VM's reply to a Heartbeat.
@@ -111,7 +114,7 @@
 	Controls []string `cbor:"1,keyasint"`
 	// EncodedSummary is the requested Summary and EncodedUse the requested use of
 	// engines. OwnUse is the receiver's own share of both. Routers are the VMs that
-	// accept callers; it is empty if the receiver already holds these names.
+	// accept callers; it is empty if the receiver already holds these names, or skips them.
 	EncodedSummary cbor.RawMessage            `cbor:"3,keyasint,omitempty"`
 	OwnUse         map[string]placement.Usage `cbor:"4,keyasint,omitempty"`
 	EncodedUse     cbor.RawMessage            `cbor:"9,keyasint,omitempty"`
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -236,7 +236,9 @@
 	if heartbeat.WantSummary {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		heartbeat.RoutersDigest, heartbeat.WantUse = m.peers.routersDigest, m.peers.wantsUse(time.Now())
+		now := time.Now()
+		heartbeat.RoutersDigest, heartbeat.SkipRouters = m.peers.routersDigest, !m.peers.wantsRouters(now)
+		heartbeat.WantUse = m.peers.wantsUse(now)
 	}
 	return heartbeat
 }
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -29,7 +29,10 @@
 // The names of hundreds of VMs and the use of hundreds of engines take kilobytes. Sent
 // with every reply, they would load each VM's narrow link several times a second.
 // Therefore the names are sent only when they have changed, and the use of engines
-// rarely: only a VM that places streams by itself or requests a backup copy needs it.
+// rarely: only a VM that places streams by itself or requests a backup copy needs it. While
+// VMs are started or restarted in turn, the names change with every heartbeat, and all of
+// them would be sent to each of a thousand VMs several times a second. The more there are,
+// the more seldom a VM asks for them.
 
 const (
 	// summaryTTL is how long a summary is reused. It is far shorter than the heartbeat
@@ -39,6 +42,9 @@
 	// bounds the traffic with many engines: the use of one takes about 25 bytes.
 	useInterval          = 3 * HeartbeatInterval
 	useIntervalPerEngine = 6 * time.Millisecond
+	// routersIntervalPerVM bounds the traffic of the names of routers: one takes about 20
+	// bytes.
+	routersIntervalPerVM = 5 * time.Millisecond
 )
 
 // Summary combines the reports of all VMs that a control VM received.
@@ -155,7 +161,7 @@
 	if heartbeat.WantUse {
 		reply.EncodedUse = s.encodedUse
 	}
-	if heartbeat.RoutersDigest != s.routersDigest {
+	if heartbeat.RoutersDigest != s.routersDigest && !heartbeat.SkipRouters {
 		reply.Routers = s.routers
 	}
 }
@@ -175,6 +181,7 @@
 type peerState struct {
 	routers       []string
 	routersDigest uint64                     // of routers
+	routersAt     time.Time                  // when routers were received
 	use           map[string]placement.Usage // as of useUpdatedAt
 	useUpdatedAt  time.Time
 }
@@ -185,6 +192,12 @@
 	return now.Sub(o.useUpdatedAt) > every-HeartbeatInterval/2
 }
 
+// wantsRouters reports whether the names of routers must be requested if they have changed.
+func (o *peerState) wantsRouters(now time.Time) bool {
+	every := time.Duration(len(o.routers)) * routersIntervalPerVM
+	return now.Sub(o.routersAt) > every-HeartbeatInterval/2
+}
+
 // learn applies a reply and returns the resulting reports of the other VMs. own are the
 // servers that this VM itself reported dead.
 func (o *peerState) learn(reply *HeartbeatReply, own []string, now time.Time) (PeerReports, error) {
@@ -205,7 +218,7 @@
 		}
 	}
 	if reports.RoutersDigest != o.routersDigest && len(reply.Routers) > 0 {
-		o.routers, o.routersDigest = reply.Routers, reports.RoutersDigest
+		o.routers, o.routersDigest, o.routersAt = reply.Routers, reports.RoutersDigest, now
 	}
 	reports.Routers, reports.Spent = o.routers, reply.Spent
 	reports.Use = maps.Clone(o.use)
--- a/internal/cluster/traffic_test.go
+++ b/internal/cluster/traffic_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 )
 
@@ -41,6 +42,47 @@
 	}
 }
 
+// Guards against replies that grow with the square of the number of VMs: while VMs are
+// restarted in turn, the names of all routers change with each heartbeat.
+func TestTrafficWhileRoutersChange(t *testing.T) { synctest.Test(t, testTrafficWhileRoutersChange) }
+
+func testTrafficWhileRoutersChange(t *testing.T) {
+	for _, routers := range []int{20, 200, 1000} {
+		f := newLoadedHub(t, routers, 20)
+		var o peerState
+		now, total := time.Now(), 0
+		const heartbeats = 50
+		for i := range heartbeats {
+			f.hub.vms[f.routers[1]] = vmState{vm: f.routers[1], at: now, heartbeat: Heartbeat{Endpoint: f.routers[1], Ready: i%2 == 0}}
+			f.hub.summary = nil
+			heartbeat := Heartbeat{Zone: "a", Endpoint: f.routers[0], Ready: true, WantSummary: true, RoutersDigest: o.routersDigest, SkipRouters: !o.wantsRouters(now)}
+			data, err := codec.Marshal(heartbeat)
+			if err != nil {
+				t.Fatal(err)
+			}
+			reply, n := f.serve(t, 0, data)
+			if _, err := o.learn(&reply, nil, now); err != nil {
+				t.Fatal(err)
+			}
+			total += n
+			time.Sleep(HeartbeatInterval)
+			now = now.Add(HeartbeatInterval)
+			for vm, v := range f.hub.vms {
+				v.at = now
+				f.hub.vms[vm] = v
+			}
+		}
+		perSecond := int(float64(total) / (heartbeats * HeartbeatInterval.Seconds()))
+		t.Logf("%d routers: %d B/s", routers, perSecond)
+		if perSecond > controlBytesPerSecond {
+			t.Errorf("%d routers: got %d B/s of replies, want at most %d", routers, perSecond, controlBytesPerSecond)
+		}
+		if n := len(o.routers); n < routers-1 {
+			t.Errorf("%d routers: the router knows %d of them, want all but one that restarts", routers, n)
+		}
+	}
+}
+
 // A router must place by the other routers' use only. It receives the use of all routers
 // including its own share, which it subtracts for streams and for calls. The names of
 // routers and the use of engines must not be sent again unless requested or changed.
