Answers are read as fast as engines make them; unread ones share one limit of memory

Cause: a run read 16 events beyond its caller. Engines end an answer that stays unread for some seconds, so a slow caller's stream would be lost, repeated and lost again; the memory of calls' answers that callers do not read had no limit for all together. Change: answers are read to their end into memory with one limit a VM (24 MB); beyond it those whose callers have been behind for the longest time are ended, with the code caller_too_slow in the log. Results come before timers in a run, since a blocked caller is no silent engine. Tests: a caller that does not read for 10 s gets the rest at once, from one run; of four unread answers in the memory of two and a half the first two are ended.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -244,7 +244,13 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
 	w.WriteHeader(r.resp.StatusCode)
-	if _, err := w.Write(r.body); err != nil {
+	memory := h.unread.begin(func() { endWrites(w) })
+	memory.add(len(r.body))
+	_, err := w.Write(r.body)
+	if memory.close() {
+		h.Stats.refused(result.CallerTooSlow)
+	}
+	if err != nil {
 		h.Stats.CallersGone.Inc()
 	}
 }
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,7 @@
 	state            atomic.Pointer[rollout.State]
 	recorder         *rollout.Recorder
 	closing          bool          // the router is shutting down
+	unreadBytes      int           // 0: the default
 	shutdownTimeLeft time.Duration // until the router stops; 0: it is not shutting down
 }
 
@@ -107,7 +109,7 @@
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: f.pool, Fleet: f.fleet,
 		Routes: f.table.Load, ListsReady: ready, RetryAllowance: forward.RetryAllowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
 		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: forward.NewSuspectContents(), Closing: func() bool { return f.closing },
-		CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer,
+		UnreadBytes: f.unreadBytes, CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer,
 		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder},
 	})
 }
@@ -153,6 +155,11 @@
 	broken  bool        // the connection was aborted
 	done    chan struct{}
 	leave   context.CancelFunc
+	// A caller that has stopped reading blocks all writes while resumed is not closed, or
+	// until the write deadline is moved into the past.
+	resumed  chan struct{} // nil: the caller reads
+	deadline chan struct{}
+	expire   sync.Once
 }
 
 func (a *answer) Header() http.Header { return a.header }
@@ -167,6 +174,13 @@
 
 func (a *answer) Write(p []byte) (int, error) {
 	a.WriteHeader(http.StatusOK)
+	if a.resumed != nil {
+		select {
+		case <-a.resumed:
+		case <-a.deadline:
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.arrived = append(a.arrived, time.Now())
@@ -175,6 +189,14 @@
 
 func (a *answer) Flush() {}
 
+// SetWriteDeadline only implements a deadline in the past.
+func (a *answer) SetWriteDeadline(t time.Time) error {
+	if t.Before(time.Now()) {
+		a.expire.Do(func() { close(a.deadline) })
+	}
+	return nil
+}
+
 // longestPause returns the longest time between two events.
 func (a *answer) longestPause() time.Duration {
 	var longest time.Duration
@@ -186,6 +208,15 @@
 
 // send starts a caller's request and returns at once.
 func (f *fixture) send(method, path, id, body string, headers ...string) *answer {
+	return f.sendTo(&answer{}, method, path, id, body, headers...)
+}
+
+// sendUnread is send for a caller that does not read until resumed is closed.
+func (f *fixture) sendUnread(method, path, id, body string) *answer {
+	return f.sendTo(&answer{resumed: make(chan struct{})}, method, path, id, body)
+}
+
+func (f *fixture) sendTo(a *answer, method, path, id, body string, headers ...string) *answer {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Host = "shelf"
 	r.Header.Set(forward.HeaderRequestID, id)
@@ -195,7 +226,7 @@
 		r.Header.Set(headers[i], headers[i+1])
 	}
 	ctx, cancel := context.WithCancel(f.t.Context())
-	a := &answer{header: http.Header{}, done: make(chan struct{}), leave: cancel}
+	a.header, a.done, a.deadline, a.leave = http.Header{}, make(chan struct{}), make(chan struct{}), cancel
 	go func() {
 		defer close(a.done)
 		defer func() {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -87,6 +87,8 @@
 	// CannotFinish reports that a request cannot be finished before this VM shuts down.
 	// takes is its expected duration; 0: not known.
 	CannotFinish func(stream bool, takes time.Duration) bool
+	// UnreadBytes limits the memory for answers that callers have not read; 0: 24 MB.
+	UnreadBytes int
 	// Closing reports that callers should send their next request to another VM.
 	Closing func() bool
 }
@@ -100,6 +102,7 @@
 	activeRuns runRegistry
 	paces      paceTracker
 	inFlight   *admission.InFlight
+	unread     *unreadAnswers
 	Stats      *Stats
 
 	mu             sync.Mutex
@@ -122,7 +125,7 @@
 	if o.Rollouts == nil {
 		o.Rollouts = NewRollouts()
 	}
-	h := &Handler{opts: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), inFlight: admission.NewInFlight(maxHeldRequests, maxHeldBytes)}
+	h := &Handler{opts: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), inFlight: admission.NewInFlight(maxHeldRequests, maxHeldBytes), unread: newUnreadAnswers(o.UnreadBytes)}
 	h.gate = &gate{fleet: o.Fleet, permits: o.Permits, withheld: h.Stats.withheld}
 	h.engines = &engineCaller{gate: h.gate, pool: o.Pool, wire: o.Wire}
 	h.prober = newProber(h.engines, o.Fleet, o.Wire)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -32,7 +32,8 @@
 	reply              reply
 	outcome            sendOutcome
 
-	results         chan readResult
+	results         *resultQueue
+	callerTooSlow   bool // the memory for what the caller had not read was needed for others
 	silenceTimer    *silenceTimer
 	forwarded       int // events of this run that the caller was sent
 	lastHeard       time.Time
@@ -62,9 +63,6 @@
 // engine may have sent and that were lost.
 const clearedAfterEvents = 16
 
-// readAheadEvents lets an engine run a few events ahead of a slow caller.
-const readAheadEvents = 16
-
 // startRun sends the request to an engine and reserves memory for a copy at another.
 func (st *streamRelay) startRun(c engineChoice) *run {
 	h, s, from := st.h, c.server, c.from
@@ -98,7 +96,7 @@
 	r.trackFirstEvent()
 	r.stopWatchingCaller = context.AfterFunc(st.q.ctx, conn.Close)
 	r.lastHeard = time.Now()
-	r.results = make(chan readResult, readAheadEvents)
+	r.results = newResultQueue(h.unread.begin(func() { endWrites(st.w) }))
 	go r.readAnswer(h)
 	return r
 }
@@ -130,17 +128,14 @@
 // readAnswer reads the head and the events of the engine's answer into r.results. It runs
 // in its own goroutine, because relay also waits for timers and signals.
 func (r *run) readAnswer(h *Handler) {
-	defer close(r.results)
 	resp, a, err := h.readHead(r.st.q, r.server, r.conn, r.sentAt)
-	r.results <- readResult{head: resp, answer: a, err: err}
-	if err != nil || resp.StatusCode != http.StatusOK {
+	if !r.results.push(readResult{head: resp, answer: a, err: err}) || err != nil || resp.StatusCode != http.StatusOK {
 		return
 	}
 	br := bufio.NewReader(resp.Body)
 	for {
 		ev, err := readEvent(br)
-		r.results <- readResult{event: ev, err: err}
-		if err != nil {
+		if !r.results.push(readResult{event: ev, err: err}) || err != nil {
 			return
 		}
 	}
@@ -167,12 +162,17 @@
 
 // step waits for the next result, timer or signal of the run and handles it. It reports
 // whether the run has ended.
+//
+// Results come first: while a slow caller blocks the run, the engine may have finished, and its
+// silence since then means nothing.
 func (r *run) step(backupCheck <-chan time.Time) (runEnd, bool) {
-	select {
-	case res := <-r.results:
+	if res, ok := r.results.pop(); ok {
 		end, done := r.handleResult(res)
 		r.silenceTimer.set(r.silenceLimits().ProbeAfter)
 		return end, done
+	}
+	select {
+	case <-r.results.ready:
 	case <-r.probeDone():
 		end, done := r.handleProbe()
 		r.silenceTimer.set(probeInterval)
@@ -211,10 +211,9 @@
 		if done {
 			return end, true
 		}
-		select {
-		case res = <-r.results:
+		var more bool
+		if res, more = r.results.pop(); more {
 			continue
-		default:
 		}
 		if r.forwarded > 0 && !r.st.flush() {
 			return endCallerDone, true
@@ -395,14 +394,11 @@
 	if r.conn == nil {
 		return
 	}
+	r.callerTooSlow = r.results.close()
 	reusable := r.stopWatchingCaller() && (end == endComplete || end == endPlainAnswer)
 	if reusable {
 		r.st.h.opts.Pool.Put(r.conn, r.reply.resp)
 		return
 	}
 	r.conn.Close()
-	go func() {
-		for range r.results { // drains the reader, which ends with its connection
-		}
-	}()
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -124,7 +124,11 @@
 	case endPlainAnswer:
 		return st.handlePlainAnswer(run)
 	case endCallerDone:
-		st.fail(result.RouteTimeout)
+		code := result.RouteTimeout
+		if run.callerTooSlow {
+			code = result.CallerTooSlow
+		}
+		st.fail(code)
 		return true
 	case endNotRun:
 		if run.from != nil {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -100,6 +100,7 @@
 	CallNotSent     Code = 4009
 	RouteTimeout    Code = 4010
 	StreamBroken    Code = 4011
+	CallerTooSlow   Code = 4012
 )
 
 // Internal is the code of internal errors without a more specific code.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -91,6 +91,7 @@
 	{CallNotSent, "call_not_sent", statusBadGateway, RanNo, "no byte of the call reached a backend server, and none will; use a new Idempotency-Key to try again"},
 	{RouteTimeout, "route_timeout", statusGatewayTimeout, RanUnknown, "the route's timeout or the caller's deadline passed"},
 	{StreamBroken, "stream_broken", statusBadGateway, RanYes, "the stream broke and could not be resumed"},
+	{CallerTooSlow, "caller_too_slow", statusBadGateway, RanYes, "the caller read too slowly, and this VM needs the memory for other answers"},
 
 	{Internal, "internal", statusInternalServerError, RanUnknown, "internal error"},
 }
