A VM without the list sends its frequent heartbeats to two control VMs only

Cause: each VM without the list sent ten heartbeats a second to each control VM, after a start of all VMs just when these hand out the list: VMs times control VMs. Change: two of them at random are asked each 0.1 s, all of them each 0.4 s as later. Test: heartbeats of one VM in 4 s before ten control VMs: at most 190; 400 before.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -37,6 +37,9 @@
 	// initialHeartbeatInterval applies until the VM holds its first list of backend
 	// servers. Control VMs and routers start together, and a router may be ready first.
 	initialHeartbeatInterval = 100 * time.Millisecond
+	// targetsWithoutList is how many control VMs are sent a heartbeat each
+	// initialHeartbeatInterval. The others are sent one each HeartbeatInterval.
+	targetsWithoutList = 2
 	// urgentHeartbeatInterval applies while a new engine version receives nearly all
 	// requests and may still prove faulty.
 	urgentHeartbeatInterval = 150 * time.Millisecond
--- a/internal/cluster/list_test.go
+++ b/internal/cluster/list_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -188,3 +190,31 @@
 		}
 	})
 }
+
+// Guards against heartbeats that take all the time of the control VMs after a start of all
+// VMs, when these have to hand out the list: each VM without a list sent ten a second to each
+// of them. However many control VMs there are, a VM sends few more than it does later.
+func TestHeartbeatsWithoutAList(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		var received atomic.Int64
+		var all []string
+		for i := range 10 {
+			all = append(all, fmt.Sprint("c", i))
+		}
+		for _, id := range all {
+			n.VM(id).Handle(peer.KindHeartbeat, func(context.Context, string, []byte) (any, error) {
+				received.Add(1)
+				return HeartbeatReply{Controls: all}, nil
+			})
+		}
+		m := NewMember("r1", n.VM("r1"), all, NewListReplica(ignoreList), Local{}, zerolog.Nop())
+		go m.Run(ctx)
+		const seconds = 4
+		time.Sleep(seconds * time.Second)
+		regular := float64(len(all)) * seconds / HeartbeatInterval.Seconds()
+		few := float64(targetsWithoutList) * seconds / initialHeartbeatInterval.Seconds()
+		if got := float64(received.Load()); got > regular+few+10 {
+			t.Errorf("got %.0f heartbeats in %d s, want at most %.0f as a VM with a list sends and %.0f more", got, seconds, regular, few)
+		}
+	})
+}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -83,6 +83,7 @@
 	fetchSignal     signal                   // raised to fetch pendingFetch
 	peers           peerState
 	heartbeatSignal signal
+	fullRoundAt     time.Time     // when all control VMs were last sent a heartbeat
 	incarnation     uint64        // of this process
 	spendingSeq     atomic.Uint64 // of the last RetrySpending
 	spendingSignal  signal        // raised to report retries
@@ -191,7 +192,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	heartbeat, to := m.heartbeat(deaths), m.recipients()
-	for _, vm := range m.Controls() {
+	for _, vm := range m.heartbeatTargets() {
 		if vm != m.self {
 			wg.Go(func() { m.exchange(ctx, vm, m.heartbeatFor(heartbeat, vm, &to)) })
 		}
@@ -200,6 +201,23 @@
 	m.chooseListSource()
 }
 
+// heartbeatTargets returns the control VMs that are sent this round's heartbeats: all of them,
+// or between two such rounds a few at random while this VM lacks the list. After a start of all
+// VMs every one of them lacks it, and the control VMs need their time to hand it out.
+func (m *Member) heartbeatTargets() []string {
+	controls := m.Controls()
+	_, _, _, listed := m.list.Current()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if listed || m.local.Control || now.Sub(m.fullRoundAt) >= HeartbeatInterval {
+		m.fullRoundAt = now
+		return controls
+	}
+	rand.Shuffle(len(controls), func(i, k int) { controls[i], controls[k] = controls[k], controls[i] })
+	return controls[:min(len(controls), targetsWithoutList)]
+}
+
 // recipients are the control VMs whose heartbeats carry more than those to the others.
 type recipients struct {
 	summary    string   // is asked for the Summary
