Control VMs are named in a reply only when they have changed

Cause: each reply to a heartbeat named all control VMs, some 180 of its 250 bytes with ten of them: VMs times the square of the control VMs. Change: a VM states the digest of the names that it holds; old and new builds understand each other (an old control VM names them always). Test: 150 replies name them once, and a VM keeps them and drops those that are named no more.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -110,11 +110,16 @@
 	// SkipRouters asks for no names of routers, although those with RoutersDigest may have
 	// changed since.
 	SkipRouters bool `cbor:"21,keyasint,omitempty"`
+	// ControlsDigest is the digest of the Controls in the receiver's last reply; 0: none.
+	ControlsDigest uint64 `cbor:"22,keyasint,omitempty"`
 }
 
 // HeartbeatReply is a control VM's reply to a Heartbeat.
 type HeartbeatReply struct {
-	Controls []string `cbor:"1,keyasint"`
+	// Controls are the ids of the control VMs known to the sender. They are omitted if
+	// ControlsUnchanged is set: the receiver has stated their digest.
+	Controls          []string `cbor:"1,keyasint"`
+	ControlsUnchanged bool     `cbor:"16,keyasint,omitempty"`
 	// EncodedSummary is the requested Summary and EncodedUse the requested use of
 	// engines. OwnUse is the receiver's own share of both. Routers are the VMs that
 	// accept callers; it is empty if the receiver already holds these names, or skips them.
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -329,3 +331,39 @@
 		}
 	})
 }
+
+// Guards against a VM that forgets the control VMs because replies do not repeat their names,
+// and against names that are sent again and again.
+func TestControlsAreNamedOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		var named atomic.Int64
+		var learned atomic.Pointer[[]string]
+		learned.Store(&[]string{"c2", "c3"})
+		n.VM("c1").Handle(peer.KindHeartbeat, func(_ context.Context, _ string, body []byte) (any, error) {
+			var heartbeat Heartbeat
+			if err := codec.Unmarshal(body, &heartbeat); err != nil {
+				return nil, err
+			}
+			var reply HeartbeatReply
+			reply.setControls(*learned.Load(), &heartbeat)
+			if !reply.ControlsUnchanged {
+				named.Add(1)
+			}
+			return reply, nil
+		})
+		m := NewMember("r1", n.VM("r1"), controls[:1], NewListReplica(ignoreList), Local{}, zerolog.Nop())
+		go m.Run(ctx)
+		time.Sleep(3 * forgetAfter)
+		if got := m.Controls(); !slices.Equal(got, controls) {
+			t.Errorf("got control VMs %v, want %v", got, controls)
+		}
+		if got := named.Load(); got != 1 {
+			t.Errorf("the control VMs were named %d times, want once", got)
+		}
+		learned.Store(&[]string{"c2"})
+		time.Sleep(2 * forgetAfter)
+		if got := m.Controls(); !slices.Equal(got, controls[:2]) {
+			t.Errorf("got control VMs %v once c3 has left, want %v", got, controls[:2])
+		}
+	})
+}
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -78,7 +78,8 @@
 	}
 	h.recordHeartbeat(from, heartbeat)
 	h.scheduling.receiveReport(from, &heartbeat.UseReport)
-	reply := HeartbeatReply{Controls: h.controls()}
+	var reply HeartbeatReply
+	reply.setControls(h.controls(), &heartbeat)
 	if heartbeat.WantSummary || heartbeat.WantEndpoints {
 		if err := h.addPeerReports(from, &heartbeat, &reply); err != nil {
 			return nil, err
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -73,8 +73,9 @@
 
 	mu              sync.Mutex
 	seeds           []string
-	learnedControls map[string]time.Time // control VMs, and when a reply last named them
-	observers       map[string]time.Time // VMs that answered as an Observer, and when
+	learnedControls map[string]time.Time     // control VMs, and when a reply last named them
+	namedControls   map[string]namedControls // by the control VM that replied
+	observers       map[string]time.Time     // VMs that answered as an Observer, and when
 	lastAnswers     map[string]time.Time
 	loggedSilent    map[string]bool // control VMs whose silence has been logged
 	pendingFetch    listFetch
@@ -96,7 +97,7 @@
 func NewMember(self string, t peer.Transport, seeds []string, list *ListReplica, local Local, log zerolog.Logger) *Member {
 	m := &Member{
 		self: self, t: t, local: local, list: list, log: log, seeds: seeds,
-		learnedControls: map[string]time.Time{}, observers: map[string]time.Time{}, lastAnswers: map[string]time.Time{}, loggedSilent: map[string]bool{}, heartbeatSignal: newSignal(),
+		learnedControls: map[string]time.Time{}, namedControls: map[string]namedControls{}, observers: map[string]time.Time{}, lastAnswers: map[string]time.Time{}, loggedSilent: map[string]bool{}, heartbeatSignal: newSignal(),
 		incarnation: rand.Uint64(), spendingSignal: newSignal(), placing: newPlacing(), fetchSignal: newSignal(),
 		listAges: map[string]time.Duration{},
 	}
@@ -303,6 +304,7 @@
 
 func (m *Member) exchange(ctx context.Context, vm string, heartbeat Heartbeat) {
 	sent := time.Now()
+	heartbeat.ControlsDigest = m.controlsDigest(vm)
 	var reply HeartbeatReply
 	if err := m.t.Call(ctx, vm, peer.KindHeartbeat, heartbeat, &reply); err != nil {
 		m.recordFailure(vm, err)
@@ -366,7 +368,7 @@
 		delete(m.loggedSilent, vm)
 		m.log.Info().Str("control", vm).Msg("control VM answers again")
 	}
-	for _, c := range reply.Controls {
+	for _, c := range m.controlsIn(vm, reply) {
 		m.learnedControls[c] = now
 	}
 }
@@ -375,6 +377,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.lastAnswers, vm)
+	delete(m.namedControls, vm)
 	if !m.loggedSilent[vm] {
 		m.loggedSilent[vm] = true
 		m.log.Warn().Err(err).Str("control", vm).Msg("control VM does not answer")
--- a/internal/cluster/observer.go
+++ b/internal/cluster/observer.go
@@ -55,7 +55,9 @@
 	if heartbeat.Control {
 		o.recordVoter(from)
 	}
-	return HeartbeatReply{Observer: true, Controls: o.Controls()}, nil
+	reply := HeartbeatReply{Observer: true}
+	reply.setControls(o.Controls(), &heartbeat)
+	return reply, nil
 }
 
 func (o *Observer) recordVoter(vm string) {
