A long list is overdue only once the next one has had its time

Cause: a list of 10,000 rows is read every two seconds and was overdue at 2.8 s, so that each VM asked all control VMs for each change, and got it from each of them. Change: the age grows by twice the interval. Test: no list of 3,000 to 20,000 rows is overdue, or read by a standby, before the next can have arrived.

--- a/internal/cluster/read_schedule.go
+++ b/internal/cluster/read_schedule.go
@@ -71,5 +71,9 @@
 	return min(max(readInterval, time.Duration(rows)*readIntervalPerRow), maxReadInterval)
 }
 
-// staleAge returns the age from which a list with this many rows is overdue at a VM.
-func staleAge(rows int) time.Duration { return staleListAge + readIntervalFor(rows) - readInterval }
+// staleAge returns the age from which a list with this many rows is overdue at a VM. A list is
+// about half an interval old when it arrives, and is replaced an interval later. If it counted
+// as overdue before that, every control VM would send each change to each VM.
+func staleAge(rows int) time.Duration {
+	return staleListAge + 2*(readIntervalFor(rows)-readInterval)
+}
--- a/internal/cluster/read_schedule_test.go
+++ b/internal/cluster/read_schedule_test.go
@@ -107,3 +107,19 @@
 		}
 	}
 }
+
+// Guards against a long list that counts as overdue before the next one can have arrived: every
+// control VM then sends each change to each VM, and the standbys read the list too.
+func TestListIsNotOverdueBeforeTheNext(t *testing.T) {
+	const readPerRow = 45 * time.Microsecond // at 320 pages of 200 rows per second, and their decoding
+	for _, rows := range []int{3000, 10_000, 20_000} {
+		arrives := readIntervalFor(rows) + time.Duration(rows)*readPerRow + 2*HeartbeatInterval
+		if got := staleAge(rows); got < arrives {
+			t.Errorf("%d rows: overdue after %v, want no earlier than the next list, which may be %v old", rows, got, arrives)
+		}
+		standby := ReadSchedule{Rank: 1, HasList: true, Rows: rows, Age: arrives, SinceLastRead: time.Minute}
+		if standby.Due() {
+			t.Errorf("%d rows: a standby reads a list that is %v old, want it to wait for the next", rows, arrives)
+		}
+	}
+}
