--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -20,15 +20,28 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
-// startupMaxWait is how long a router that has just started holds a request until it has
-// the route list and the list of backend servers. When all routers restart at once,
-// their callers come back with the only retry that they have, some tenths of a second
-// before the lists arrive. A refusal would lose these requests; after a wait of this
-// length they can still be served in time.
-const startupMaxWait = 600 * time.Millisecond
+// How long a router that has just started holds a request until it has the route list and the
+// list of backend servers. When all routers restart at once, their callers come back with the
+// only retry that they have, before the lists arrive: some tenths of a second before in a small
+// deployment, and a second or two before in one of a thousand VMs, where they are handed out one
+// after the other. A refusal would lose these requests, and no other router has the lists.
+const (
+	// startupMaxWaitShare is the largest part of the caller's deadline.
+	startupMaxWaitShare = 0.2
+	// startupMinWait applies to callers whose deadline allows it. A caller with time is held
+	// for startupWaitShare of it: after that it can still be served in time.
+	startupMinWait   = 600 * time.Millisecond
+	startupWaitShare = 0.1
+)
 
-// startupMaxWaitShare bounds the same wait to a part of the caller's deadline.
-const startupMaxWaitShare = 0.2
+// startupWait returns how long a request with a deadline is held; 0: none is stated.
+func startupWait(deadline time.Duration) time.Duration {
+	if deadline <= 0 {
+		return startupMinWait
+	}
+	share := func(part float64) time.Duration { return time.Duration(part * float64(deadline)) }
+	return min(share(startupMaxWaitShare), max(startupMinWait, share(startupWaitShare)))
+}
 
 // noRouteListRetryAfter is the Retry-After of a VM without a route list. It polls for the
 // list every few hundred milliseconds.
@@ -277,11 +290,11 @@
 		return
 	default:
 	}
-	maxWait := startupMaxWait
-	if c, err := h.opts.Wire.ReadCaller(r.Header); err == nil && c.Deadline > 0 {
-		maxWait = min(maxWait, time.Duration(startupMaxWaitShare*float64(c.Deadline)))
+	var deadline time.Duration
+	if c, err := h.opts.Wire.ReadCaller(r.Header); err == nil {
+		deadline = c.Deadline
 	}
-	t := time.NewTimer(maxWait)
+	t := time.NewTimer(startupWait(deadline))
 	defer t.Stop()
 	select {
 	case <-h.opts.ListsReady:
