Simpler: one question on a server's slowness, one lock for each event, no second sort

Cause: the change asked Cold and Disturbed side by side in four places, wrote bytes.Buffer.WriteTo again, sorted rows that are sorted, kept a second reference to the rows of an index, took the lock of the unread answers twice for each event, and passed a probability that has one value. Change: SlowForNow; WriteTo; the order of the list is used; the index compares its own rows; add reports whether the answer was ended; atMostWorseBy uses acceptErrorRate. No change of behaviour; a list that is passed unsorted is indexed again with each confirmation, and no VM passes one.

--- a/internal/cluster/rows.go
+++ b/internal/cluster/rows.go
@@ -127,26 +127,22 @@
 func digestOf(rows []upstream.Backend) uint64 {
 	h := xxhash.New()
 	var buf bytes.Buffer
-	must := func(err error) {
+	write := func(v any) {
+		err := codec.Append(&buf, v)
+		if err == nil {
+			_, err = buf.WriteTo(h)
+		}
 		if err != nil {
 			panic(err) // cannot happen: the rows hold only strings, numbers and booleans
 		}
 	}
 	if len(rows) == 0 {
-		must(codec.Append(&buf, rows))
-		return xxhash.Sum64(buf.Bytes())
+		write(rows)
+		return h.Sum64()
 	}
 	buf.Write(codec.ArrayHeader(len(rows)))
 	for i := range rows {
-		must(codec.Append(&buf, &rows[i]))
-		must(writeTo(h, &buf))
+		write(&rows[i])
 	}
 	return h.Sum64()
 }
-
-// writeTo moves the content of a buffer to a digest.
-func writeTo(h *xxhash.Digest, buf *bytes.Buffer) error {
-	_, err := h.Write(buf.Bytes())
-	buf.Reset()
-	return err
-}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -326,7 +326,7 @@
 	}
 	fleet := r.st.h.opts.Fleet
 	r.firstEventAt = time.Now()
-	r.st.h.opts.Rollouts.Recorder.End(r.ticket, false, fleet.Cold(r.server) || fleet.Disturbed(r.server))
+	r.st.h.opts.Rollouts.Recorder.End(r.ticket, false, fleet.SlowForNow(r.server))
 	if r.granted && r.fromStart {
 		r.st.h.paces.notePrompt(r.st.q.service.Name, r.use.PendingPrompt, r.firstEventAt.Sub(r.sentAt))
 	}
--- a/internal/forward/unread.go
+++ b/internal/forward/unread.go
@@ -58,8 +58,8 @@
 }
 
 // add counts bytes that are held, or, if negative, that were written to the caller. It ends
-// other answers, or this one, until all fit.
-func (a *unreadAnswer) add(bytes int) {
+// other answers, or this one, until all fit, and reports whether this one was ended.
+func (a *unreadAnswer) add(bytes int) (ended bool) {
 	u := a.owner
 	u.mu.Lock()
 	if !a.ended {
@@ -69,16 +69,18 @@
 		a.bytes += bytes
 		u.bytes += bytes
 	}
-	var ended []*unreadAnswer
+	var released []*unreadAnswer
 	for u.bytes > u.limit {
 		slowest := u.slowest()
 		u.release(slowest)
-		ended = append(ended, slowest)
+		released = append(released, slowest)
 	}
+	ended = a.ended
 	u.mu.Unlock()
-	for _, e := range ended {
-		e.end()
+	for _, r := range released {
+		r.end()
 	}
+	return ended
 }
 
 // slowest returns the answer whose caller has been behind for the longest time. It needs u.mu.
@@ -111,12 +113,6 @@
 	return ended
 }
 
-func (a *unreadAnswer) isEnded() bool {
-	a.owner.mu.Lock()
-	defer a.owner.mu.Unlock()
-	return a.ended
-}
-
 // endWrites makes the writes of an answer fail.
 func endWrites(w http.ResponseWriter) {
 	// Only connections of tests do not support deadlines, and they do not need them.
@@ -148,12 +144,12 @@
 	}
 	q.results = append(q.results, r)
 	q.mu.Unlock()
-	q.memory.add(r.bytes())
+	ended := q.memory.add(r.bytes())
 	select {
 	case q.ready <- struct{}{}:
 	default:
 	}
-	return !q.memory.isEnded()
+	return !ended
 }
 
 // pop removes the oldest result; ok is false if there is none.
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -67,9 +67,9 @@
 	recorder := h.opts.Rollouts.Recorder
 	switch {
 	case r.outcome == sendAnswered:
-		recorder.End(t, isFailure(r.resp), h.opts.Fleet.Cold(s) || h.opts.Fleet.Disturbed(s))
+		recorder.End(t, isFailure(r.resp), h.opts.Fleet.SlowForNow(s))
 	case r.fault == faultSlow, errors.Is(q.ctx.Err(), context.DeadlineExceeded):
-		recorder.End(t, false, h.opts.Fleet.Cold(s) || h.opts.Fleet.Disturbed(s))
+		recorder.End(t, false, h.opts.Fleet.SlowForNow(s))
 	default:
 		recorder.Drop(t)
 	}
@@ -93,7 +93,7 @@
 // slow version, the end of the run would come too late for the decision.
 func (r *run) notePace() {
 	q, fleet := r.st.q, r.st.h.opts.Fleet
-	if !r.fromStart || r.from != nil || fleet.Cold(r.server) || fleet.Disturbed(r.server) {
+	if !r.fromStart || r.from != nil || fleet.SlowForNow(r.server) {
 		return
 	}
 	r.st.h.opts.Rollouts.Recorder.Pace(q.service.Name, q.route.Name, q.versionChoice, r.server.ID, time.Since(r.firstEventAt)/time.Duration(r.forwarded-1))
--- a/internal/rollout/compare.go
+++ b/internal/rollout/compare.go
@@ -142,9 +142,9 @@
 }
 
 // atMostWorseBy reports whether the new version's rate exceeds the expected one by less
-// than excess. chance is the probability of a wrong positive.
-func (t *tally) atMostWorseBy(excess, chance float64) bool {
-	return binomialCDF(t.bad, t.n, t.expectedRate()+excess) <= chance
+// than excess. It is wrong with a probability of acceptErrorRate.
+func (t *tally) atMostWorseBy(excess float64) bool {
+	return binomialCDF(t.bad, t.n, t.expectedRate()+excess) <= acceptErrorRate
 }
 
 // verdict holds the tallies of one cell.
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -345,7 +345,7 @@
 }
 
 func inconclusiveVerdict(what string, v *verdict, excess float64) string {
-	if v.llr() < uncertainLLR && v.failed.atMostWorseBy(excess, acceptErrorRate) && v.slow.atMostWorseBy(excess, acceptErrorRate) {
+	if v.llr() < uncertainLLR && v.failed.atMostWorseBy(excess) && v.slow.atMostWorseBy(excess) {
 		return ""
 	}
 	return fmt.Sprintf("%s: %v", what, v)
--- a/internal/upstream/candidates.go
+++ b/internal/upstream/candidates.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -92,10 +91,9 @@
 	return rows[:n]
 }
 
-// firstServers returns the first n servers by id that are not avoided, or the first n of
-// all if all are avoided. It needs f.mu.
+// firstServers returns the first n servers that are not avoided, or the first n of all if all
+// are avoided. rows are in the order of their ids. It needs f.mu.
 func (f *Fleet) firstServers(rows []*Backend, n int, now time.Time) []*Backend {
-	slices.SortFunc(rows, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
 	good := slices.DeleteFunc(slices.Clone(rows), func(row *Backend) bool {
 		s := f.servers[row.ID]
 		return s != nil && s.avoided(now)
--- a/internal/upstream/list.go
+++ b/internal/upstream/list.go
@@ -21,15 +21,14 @@
 // listIndex is a list of backend servers with its indexes. It does not change.
 type listIndex struct {
 	rows        []Backend          // sorted by id
-	source      []Backend          // as passed to newListIndex
-	byService   map[string][]int32 // positions in rows
+	byService   map[string][]int32 // positions in rows, ascending
 	domainSizes map[domain]int
 }
 
 // newListIndex returns the index of rows, which must not change afterwards. Of rows with the
 // same id the first one counts.
 func newListIndex(rows []Backend) listIndex {
-	x := listIndex{rows: rows, source: rows, byService: map[string][]int32{}, domainSizes: map[domain]int{}}
+	x := listIndex{rows: rows, byService: map[string][]int32{}, domainSizes: map[domain]int{}}
 	if !slices.IsSortedFunc(rows, CompareID) {
 		x.rows = slices.Clone(rows)
 		slices.SortStableFunc(x.rows, CompareID)
@@ -49,7 +48,7 @@
 func CompareID(a, b Backend) int { return strings.Compare(a.ID, b.ID) }
 
 // holds reports whether the index was built of these very rows.
-func (x *listIndex) holds(rows []Backend) bool { return sameRows(rows, x.source) }
+func (x *listIndex) holds(rows []Backend) bool { return sameRows(rows, x.rows) }
 
 func sameRows(a, b []Backend) bool {
 	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
--- a/internal/upstream/load.go
+++ b/internal/upstream/load.go
@@ -36,10 +36,8 @@
 	return first
 }
 
-// Disturbed reports whether the server has just stated that work takes longer than usual on
+// disturbed reports whether the server has just stated that work takes longer than usual on
 // its machine.
-func (f *Fleet) Disturbed(s *Server) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return s.reportedSlowdown >= disturbedSlowdown && f.now().Sub(s.reportedAt) < disturbedFor
+func (s *Server) disturbed(now time.Time) bool {
+	return s.reportedSlowdown >= disturbedSlowdown && now.Sub(s.reportedAt) < disturbedFor
 }
--- a/internal/upstream/versions.go
+++ b/internal/upstream/versions.go
@@ -67,11 +67,13 @@
 	return slices.MaxFunc(versions, func(a, b string) int { return cmp.Compare(listed[a], listed[b]) })
 }
 
-// Cold reports whether the server has just started and is slow for that reason.
-func (f *Fleet) Cold(s *Server) bool {
+// SlowForNow reports whether the server has just started, or has just stated that work takes
+// longer than usual on its machine. The duration of its answers then tells nothing about its
+// version.
+func (f *Fleet) SlowForNow(s *Server) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return s.Cold
+	return s.Cold || s.disturbed(f.now())
 }
 
 // Version returns the version on which a request would run by the current list; "": the
