forward: log which contents are blamed for deaths and what clears them

The record of the crashing request cannot tell which deaths each VM knew when it admitted the content, and whether anything cleared it. A line for each new blame and each clearance, the digest on sends and refusals, and a gauge distinguish these.

--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -108,7 +108,7 @@
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: zone, Wire: forward.NewPlainWire(), Pool: pool, Fleet: r.fleet, Routes: func() *routes.Table { return table }, ListsReady: ready,
 		Permits: r.member, RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
-		SuspectContents: forward.NewSuspectContents(), Closing: func() bool { return false },
+		SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return false },
 		CannotFinish: func(bool, time.Duration) bool { return false },
 	})
 	ctx, stop := context.WithCancel(s.ctx)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -79,7 +79,7 @@
 	if r.outcome == sendAnswered && status < http.StatusInternalServerError && q.history.arrivals == 1 {
 		log = h.opts.RoutineLog
 	}
-	log.Info().Str("request", q.RequestID).Str("route", q.route.Name).Str("server", s.ID).Str("sent", r.outcome.String()).
+	log.Info().Str("request", q.RequestID).Uint64("digest", q.digest).Str("route", q.route.Name).Str("server", s.ID).Str("sent", r.outcome.String()).
 		Str("fault", r.fault.String()).Int("status", status).Bool("signed", r.answer.Signed).Int("arrivals", q.history.arrivals).
 		Dur("held", time.Since(q.arrived)).Msg("call sent")
 }
@@ -214,7 +214,7 @@
 		f.Failed(s)
 	default:
 		f.Succeeded(s, took)
-		h.opts.SuspectContents.Clear(q.digest)
+		h.opts.SuspectContents.Clear(q.digest, q.RequestID, s.ID)
 	}
 	if r.resp != nil {
 		h.learnLoad(s, &r.answer)
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -111,7 +111,7 @@
 	f.handler = forward.NewHandler(forward.Options{
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: f.pool, Fleet: f.fleet,
 		Routes: f.table.Load, ListsReady: ready, RetryAllowance: forward.RetryAllowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
-		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: forward.NewSuspectContents(), Closing: func() bool { return f.closing },
+		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return f.closing },
 		UnreadBytes: f.unreadBytes, CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer, RefusalLevel: f.refusalLevel, CallGrants: f.callGrants,
 		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder},
 	})
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -260,6 +260,14 @@
 	return q.RequestID
 }
 
+// contentDigest returns the digest of the request's content; 0: its body was not read.
+func (q *request) contentDigest() uint64 {
+	if q == nil {
+		return 0
+	}
+	return q.digest
+}
+
 // left returns the time until the request's deadline.
 func (q *request) left() time.Duration { return time.Until(q.expires) }
 
@@ -275,7 +283,7 @@
 		defer q.releaseBody()
 	}
 	if err != nil {
-		h.opts.RoutineLog.Info().Str("request", q.id()).Str("path", r.URL.Path).Int("code", int(result.CodeOf(err))).Msg("not admitted")
+		h.opts.RoutineLog.Info().Str("request", q.id()).Uint64("digest", q.contentDigest()).Str("path", r.URL.Path).Int("code", int(result.CodeOf(err))).Msg("not admitted")
 		h.refuse(w, err)
 		return
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -314,7 +314,7 @@
 		return endCallerDone, true
 	}
 	if r.forwarded++; r.forwarded == clearedAfterEvents {
-		st.h.opts.SuspectContents.Clear(st.q.digest)
+		st.h.opts.SuspectContents.Clear(st.q.digest, st.q.RequestID, r.server.ID)
 		r.notePace()
 	}
 	return 0, false
@@ -366,7 +366,7 @@
 		r.st.h.paces.noteRun(r.st.q.service.Name, time.Since(r.firstEventAt), r.forwarded)
 	}
 	r.st.flush()
-	r.st.h.opts.SuspectContents.Clear(r.st.q.digest)
+	r.st.h.opts.SuspectContents.Clear(r.st.q.digest, r.st.q.RequestID, r.server.ID)
 	return endComplete, true
 }
 
--- a/internal/forward/suspect_content.go
+++ b/internal/forward/suspect_content.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 )
@@ -12,6 +13,8 @@
 // SuspectContents records the contents of requests under which backend servers died, as
 // seen by all VMs. It is safe for concurrent use.
 type SuspectContents struct {
+	log zerolog.Logger
+
 	mu        sync.Mutex
 	contents  *recovery.SuspectContents
 	newDeaths []recovery.Death // not reported to the other VMs yet
@@ -22,8 +25,15 @@
 const maxNewDeaths = 64
 
 // NewSuspectContents returns a SuspectContents without any content.
-func NewSuspectContents() *SuspectContents {
-	return &SuspectContents{contents: recovery.NewSuspectContents()}
+func NewSuspectContents(log zerolog.Logger) *SuspectContents {
+	return &SuspectContents{log: log, contents: recovery.NewSuspectContents()}
+}
+
+// Count returns the number of contents under which servers died.
+func (s *SuspectContents) Count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contents.Count()
 }
 
 // Quarantined reports whether a content must not start now, and until when.
@@ -53,17 +63,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.contents.ServerDied(digest, server, now)
+	s.recordDeath(digest, server, now, "this VM")
 	if len(s.newDeaths) < maxNewDeaths {
 		s.newDeaths = append(s.newDeaths, recovery.Death{Digest: digest, Engine: server, At: now})
 	}
 }
 
-// Clear removes a content after it ran successfully at some server.
-func (s *SuspectContents) Clear(digest uint64) {
+// recordDeath records and logs a death. It needs s.mu.
+func (s *SuspectContents) recordDeath(digest uint64, server string, now time.Time, seenBy string) {
+	if deaths, added := s.contents.ServerDied(digest, server, now); added {
+		s.log.Info().Uint64("digest", digest).Str("server", server).Int("deaths", deaths).Str("seen_by", seenBy).Msg("content blamed for the death of a server")
+	}
+}
+
+// Clear removes a content after it ran successfully for a request at a server.
+func (s *SuspectContents) Clear(digest uint64, request, server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.contents.Succeeded(digest)
+	if deaths := s.contents.Succeeded(digest); deaths > 0 {
+		s.log.Info().Uint64("digest", digest).Int("deaths", deaths).Str("request", request).Str("server", server).Msg("content cleared by an answer")
+	}
 }
 
 // TakeNewDeaths returns the deaths that this VM has seen since the last call.
@@ -80,7 +99,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range deaths {
-		s.contents.ServerDied(d.Digest, d.Engine, time.Now())
+		s.recordDeath(d.Digest, d.Engine, time.Now(), "another VM")
 	}
 }
 
--- a/internal/recovery/content.go
+++ b/internal/recovery/content.go
@@ -57,20 +57,34 @@
 	return &SuspectContents{byDigest: map[uint64]*suspectContent{}}
 }
 
-// ServerDied records that a server died while it ran a content.
-func (c *SuspectContents) ServerDied(digest uint64, server string, now time.Time) {
+// Count returns the number of contents on record.
+func (c *SuspectContents) Count() int { return len(c.byDigest) }
+
+// ServerDied records that a server died while it ran a content. It returns the number of
+// servers that died under it, and whether this one is new.
+func (c *SuspectContents) ServerDied(digest uint64, server string, now time.Time) (deaths int, added bool) {
 	s := c.byDigest[digest]
 	if s == nil || now.Sub(s.last) > contentTTL {
 		c.expire(now)
 		s = &suspectContent{servers: map[string]bool{}}
 		c.byDigest[digest] = s
 	}
+	added = !s.servers[server]
 	s.servers[server] = true
 	s.last = now
+	return len(s.servers), added
 }
 
-// Succeeded clears a content that a server has answered.
-func (c *SuspectContents) Succeeded(digest uint64) { delete(c.byDigest, digest) }
+// Succeeded clears a content that a server has answered. It returns the number of servers
+// that had died under it.
+func (c *SuspectContents) Succeeded(digest uint64) (deaths int) {
+	s := c.byDigest[digest]
+	if s == nil {
+		return 0
+	}
+	delete(c.byDigest, digest)
+	return len(s.servers)
+}
 
 // Quarantined reports whether a content must not start now, and when its quarantine ends.
 func (c *SuspectContents) Quarantined(digest uint64, now time.Time) (until time.Time, quarantined bool) {
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -47,7 +47,7 @@
 
 // StartRouter binds the addresses and starts to serve.
 func StartRouter(o RouterOptions) (*Router, error) {
-	r := &Router{o: o, suspectContents: forward.NewSuspectContents(), listsReady: make(chan struct{}), conns: newCallerConns(DefaultLimits), recorder: rollout.NewRecorder(time.Now)}
+	r := &Router{o: o, suspectContents: forward.NewSuspectContents(o.Log), listsReady: make(chan struct{}), conns: newCallerConns(DefaultLimits), recorder: rollout.NewRecorder(time.Now)}
 	r.rollouts.Store(&rollout.State{})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.drain = newDrain(o.Drain)
@@ -124,6 +124,7 @@
 	set.NewGauge("shelf_feed_unclaimed_bytes_total", func() float64 { return float64(r.network.UnclaimedReplies(peer.KindWatch).Bytes) })
 	set.NewGauge("shelf_rate_limits", func() float64 { return float64(r.fleet.LimitsInForce()) })
 	set.NewGauge("shelf_servers_paused", func() float64 { return float64(r.fleet.Paused()) })
+	set.NewGauge("shelf_suspect_contents", func() float64 { return float64(r.suspectContents.Count()) })
 	set.NewGauge("shelf_idle_connections", func() float64 { return float64(pool.Idle()) })
 	set.NewGauge("shelf_connections_opened_total", func() float64 { return float64(pool.Dials()) })
 }
