cluster: failing test of a content that crashes its servers at any VM

Twelve routers, three servers that end 46 to 160 ms after they received the content and are back 3.2 s later, 130 s.

--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -44,8 +44,9 @@
 
 type callRouter struct {
 	*testVM
-	handler *forward.Handler
-	fleet   *upstream.Fleet
+	handler  *forward.Handler
+	fleet    *upstream.Fleet
+	contents *forward.SuspectContents
 }
 
 func startCallSystem(ctx context.Context, n *peertest.Net, routers int) *callSystem {
@@ -83,24 +84,32 @@
 
 func (s *callSystem) startRouter(id, zone string) *callRouter {
 	pool := upstream.NewPoolWith(s.servers.Dial)
-	r := &callRouter{testVM: &testVM{}, fleet: upstream.NewFleet(pool, zerolog.Nop())}
+	r := &callRouter{testVM: &testVM{}, fleet: upstream.NewFleet(pool, zerolog.Nop()), contents: forward.NewSuspectContents(zerolog.Nop())}
 	r.fleet.Apply(upstream.List{Backends: s.servers.Backends(), AsOf: time.Now()})
 	r.list = NewListReplica(func(upstream.List) {})
 	r.member = NewMember(id, s.net.VM(id), controls, r.list, Local{
-		Zone: zone, Endpoint: id + ":80", Ready: func() bool { return true }, Use: r.fleet.OwnUse,
+		Zone: zone, Endpoint: id + ":80", Ready: func() bool { return true }, Use: r.fleet.OwnUse, Deaths: r.contents.TakeNewDeaths, Dead: r.fleet.RecentlyDead,
 		Withheld: r.fleet.Withheld, Limits: r.fleet.Limits, SentElsewhere: r.fleet.SentElsewhere, LearnLimits: r.fleet.LearnLimits,
 		Leaving: r.fleet.Leaving, LearnLeaving: r.fleet.LearnLeaving,
 		Learn: func(reports PeerReports) {
 			r.peers.Store(&reports)
 			r.fleet.SetRouters(id, reports.Routers)
+			r.fleet.PeerReportedDead(reports.Dead)
+			r.contents.AddPeerDeaths(reports.Deaths)
 		},
 	}, zerolog.Nop())
 	table := routes.NewTable(&routes.List{
 		Version: 1,
-		Routes: []routes.Route{{
-			Name: "vote", Host: "shelf", Prefix: "/vote/", Kind: routes.Once, MaxAttempts: 1,
-			Targets: []routes.Target{{Service: "votes", Weight: 1}}, Timeout: 600 * time.Millisecond, Objective: 100 * time.Millisecond,
-		}},
+		Routes: []routes.Route{
+			{
+				Name: "vote", Host: "shelf", Prefix: "/vote/", Kind: routes.Once, MaxAttempts: 1,
+				Targets: []routes.Target{{Service: "votes", Weight: 1}}, Timeout: 600 * time.Millisecond, Objective: 100 * time.Millisecond,
+			},
+			{
+				Name: "tally", Host: "shelf", Prefix: "/tally/", Kind: routes.Idempotent, MaxAttempts: 2,
+				Targets: []routes.Target{{Service: "votes", Weight: 1}}, Timeout: 600 * time.Millisecond, Objective: 100 * time.Millisecond,
+			},
+		},
 		Services: []routes.Service{{Name: "votes"}},
 	})
 	ready := make(chan struct{})
@@ -108,7 +117,7 @@
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: zone, Wire: forward.NewPlainWire(), Pool: pool, Fleet: r.fleet, Routes: func() *routes.Table { return table }, ListsReady: ready,
 		Permits: r.member, RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
-		SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return false },
+		SuspectContents: r.contents, Closing: func() bool { return false },
 		CannotFinish: func(bool, time.Duration) bool { return false },
 	})
 	ctx, stop := context.WithCancel(s.ctx)
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -8,13 +8,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
@@ -32,7 +32,7 @@
 func NewNet() *Net { return &Net{servers: map[string]*Server{}} }
 
 // errRefused is the error of a dial to a dead server.
-var errRefused = errors.New("routedengine: connection refused")
+var errRefused = fmt.Errorf("routedengine: %w", syscall.ECONNREFUSED)
 
 // Dial connects to the server at an address. A dial to an unresponsive server blocks
 // until ctx is done.
