A content that crashes its servers is tried on one server at a time over all VMs

Callers of a service saw all its servers end under one content, again and again: in the record nine servers ended, and the content was sent five times more after the third.

Cause: a death counted only for the request whose connection broke off and whose own probe found nobody. A call that was sent elsewhere after 70 ms blamed nobody, nor did one whose server was replaced at its address. Each VM then decided alone: 3 s after the second death all VMs sent the content again at once, and one death at a time reached them by a heartbeat that may be lost.

Change: each VM keeps which contents run, or were given up, on which server, and any sign of the server's death blames them all; a death has the servers of the same content's abandoned runs probed, and a probe names the incarnation that it is for. Records merge in any order: an answer clears the deaths from before its request was sent. From two deaths on, a content is sent only as a trial that the scheduling control VM grants, one content of a service at a time, without hedge or second send. If the trial's server dies, the content is held back for ten minutes; an answer clears it at all VMs. Without a control VM it is not sent. Older VMs get deaths as before.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -83,8 +83,8 @@
 	Zone        string                 `cbor:"1,keyasint"`
 	Endpoint    string                 `cbor:"2,keyasint,omitempty"` // ip:port for callers; empty: accepts none
 	Ready       bool                   `cbor:"3,keyasint,omitempty"`
-	UseReport   UseReport              `cbor:"4,keyasint"` // empty for control VMs that do not schedule
-	Deaths      []recovery.Death       `cbor:"5,keyasint,omitempty"`
+	UseReport   UseReport              `cbor:"4,keyasint"`            // empty for control VMs that do not schedule
+	Deaths      []recovery.Death       `cbor:"5,keyasint,omitempty"`  // for control VMs that keep no records of contents
 	ListDigest  uint64                 `cbor:"6,keyasint,omitempty"`  // of the list of backend servers; 0: the VM holds none
 	ListAgeMS   int64                  `cbor:"7,keyasint,omitempty"`  // of that list
 	WantSummary bool                   `cbor:"8,keyasint,omitempty"`  // requests a Summary
@@ -115,6 +115,11 @@
 	SkipRouters bool `cbor:"21,keyasint,omitempty"`
 	// ControlsDigest is the digest of the Controls in the receiver's last reply; 0: none.
 	ControlsDigest uint64 `cbor:"22,keyasint,omitempty"`
+	// Contents are the records of suspect contents that the receiver may not know.
+	// WantContents asks for those of the receiver, unless their version is ContentsVersion.
+	Contents        []ContentReport `cbor:"28,keyasint,omitempty"`
+	ContentsVersion uint64          `cbor:"29,keyasint,omitempty"`
+	WantContents    bool            `cbor:"30,keyasint,omitempty"`
 	// Capacity is the size of this VM and Load the share in use, in thousandths; 0: unknown.
 	Capacity *capacity.Size `cbor:"24,keyasint,omitempty"`
 	Load     uint16         `cbor:"25,keyasint,omitempty"`
@@ -160,6 +165,10 @@
 	Zones   *EndpointZones `cbor:"21,keyasint,omitempty"`
 	// Balance is sent with the Summary while VMs are weighted.
 	Balance *Balance `cbor:"20,keyasint,omitempty"`
+	// ContentsVersion is the version of the sender's records of suspect contents; 0: it keeps
+	// none. Contents are missing if the receiver has stated that version.
+	ContentsVersion uint64          `cbor:"28,keyasint,omitempty"`
+	Contents        []ContentReport `cbor:"29,keyasint,omitempty"`
 	// Levels are the refusal levels by service if the sender decides about streams.
 	Levels map[string]overload.Level `cbor:"18,keyasint,omitempty"`
 	// Term is the newest term that the sender knows; nil: it states no terms.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -36,6 +36,7 @@
 	retrySpending *spendingTable
 	ledger        *rollout.Ledger
 	permits       *permitService
+	contents      *contentService
 	leaving       leavingServers
 	cordonedVMs   cordon.Names // named to no caller
 	directoryHeld bool         // cordons are not known yet: no VM is named
@@ -69,7 +70,7 @@
 func NewHub(t peer.Transport, list *ListReplica, controls func() []string, log zerolog.Logger) *Hub {
 	h := &Hub{
 		list: list, controls: controls, vms: map[string]vmState{}, loggedSilent: map[string]bool{}, retrySpending: newSpendingTable(), ledger: rollout.NewLedger(), log: log,
-		scheduling: newSchedulerService(t, log), calls: newCallGrantService(t, log), permits: newPermitService(), leaving: leavingServers{}, startedAt: time.Now(), addresses: newSequence(),
+		scheduling: newSchedulerService(t, log), calls: newCallGrantService(t, log), permits: newPermitService(), contents: newContentService(), leaving: leavingServers{}, startedAt: time.Now(), addresses: newSequence(),
 	}
 	h.scheduling.learnServers = h.calls.setServers
 	list.KeepHistory()
@@ -80,6 +81,8 @@
 	t.Handle(peer.KindPlace, h.scheduling.servePlace)
 	t.Handle(peer.KindUseReport, h.scheduling.serveUseReport)
 	t.Handle(peer.KindPermit, h.servePermit)
+	t.Handle(peer.KindContentTrial, h.serveContentTrial)
+	t.Handle(peer.KindContentTrialEnd, h.serveContentTrialEnd)
 	t.Handle(peer.KindCallGrant, h.calls.serveRequest)
 	t.Handle(peer.KindCallDone, h.calls.serveDone)
 	return h
@@ -95,6 +98,9 @@
 	reply := HeartbeatReply{Levels: h.scheduling.currentLevels()}
 	h.hearTerm(from, &heartbeat, &reply)
 	reply.setControls(h.controls(), &heartbeat)
+	if heartbeat.WantContents {
+		h.addContents(heartbeat.ContentsVersion, &reply)
+	}
 	if heartbeat.WantSummary || heartbeat.WantEndpoints {
 		if err := h.addPeerReports(from, &heartbeat, &reply); err != nil {
 			return nil, err
@@ -227,6 +233,7 @@
 	h.retrySpending.record(heartbeat.Spent, now)
 	h.ledger.Note(heartbeat.Spent.Incarnation, heartbeat.Rollouts, now)
 	h.permits.receive(&heartbeat, now)
+	h.contents.receive(heartbeat.Contents, now)
 	if h.leaving.learn(heartbeat.Leaving, now) {
 		h.summary = nil // other VMs must not send to them either
 		h.scheduling.setLeaving(h.leaving)
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -60,6 +60,10 @@
 	// that other VMs know.
 	Leaving      func() []string
 	LearnLeaving func([]string)
+	// Contents returns the records of suspect contents that the control VMs may not know.
+	// LearnContents takes those that they tell.
+	Contents      func() map[uint64]recovery.ContentRecord
+	LearnContents func(map[uint64]recovery.ContentRecord)
 	// Control reports that this VM is a control VM with a disk.
 	Control bool
 	// LearnEndpoints takes the directory: the addresses of VMs that accept callers.
@@ -101,6 +105,7 @@
 	calls           *callClient
 	terms           atomic.Pointer[termState] // of the Hub that joined; nil on routers
 	statements      statementState
+	contents        contentState
 }
 
 // NewMember returns a Member of the VM self. seeds are the ids of control VMs from the
@@ -264,6 +269,10 @@
 	heartbeat.WantChanges = heartbeat.WantChanges || vm == to.changes
 	heartbeat.WantEndpoints = vm == to.endpoints && m.local.LearnEndpoints != nil
 	heartbeat.WantSummary = vm == to.summary && (m.local.Learn != nil || m.local.LearnSpent != nil)
+	// A router that has just started must know the suspect contents before it sends anything.
+	if m.local.LearnContents != nil && (heartbeat.WantSummary || !m.contents.learned()) {
+		heartbeat.WantContents, heartbeat.ContentsVersion = true, m.contents.versionOf(vm)
+	}
 	if heartbeat.WantSummary {
 		m.mu.Lock()
 		defer m.mu.Unlock()
@@ -311,6 +320,7 @@
 	heartbeat.Spent = m.ownSpending()
 	heartbeat.UseReport = m.fullUseReport()
 	heartbeat.Limits, heartbeat.Leaving = m.newLimits(), m.newLeaving()
+	heartbeat.Contents = m.newContents()
 	if terms := m.terms.Load(); terms != nil {
 		heartbeat.Term, heartbeat.HolderHeardMS = terms.statement()
 	}
@@ -337,6 +347,7 @@
 	}
 	m.hearTerm(vm, &reply)
 	m.learnLevels(vm, reply.Levels)
+	m.learnContents(vm, &reply) // before the list of servers, without which nothing is sent
 	m.applyChanges(vm, &heartbeat, &reply, time.Since(sent))
 	if heartbeat.WantEndpoints && !reply.EndpointsHeld {
 		m.local.LearnEndpoints(directoryIn(&reply))
@@ -362,6 +373,9 @@
 	m.learnSpent(reports.Spent)
 	m.learnLimits(reports.Limits)
 	m.learnLeaving(reports.Leaving)
+	if reply.ContentsVersion != 0 {
+		reports.Deaths = nil // the records of contents tell more
+	}
 	if m.local.Learn != nil {
 		m.local.Learn(reports)
 	}
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -50,7 +50,8 @@
 // Summary combines the reports of all VMs that a control VM received.
 type Summary struct {
 	// Calls are the calls in flight by backend server, for servers that run no streams.
-	Calls  map[string]int   `cbor:"1,keyasint,omitempty"`
+	Calls map[string]int `cbor:"1,keyasint,omitempty"`
+	// Deaths are for VMs that take no records of contents.
 	Deaths []recovery.Death `cbor:"2,keyasint,omitempty"`
 	Dead   []string         `cbor:"3,keyasint,omitempty"` // backend servers recently judged dead
 	// LowMemory names the services whose engine memory is needed for prompts. No
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -38,6 +38,10 @@
 	skip := map[string]bool{}
 	var failure *reply // a server's own failure, delivered if no other server succeeds
 	for sends := 0; ; sends++ {
+		if !h.admitsContent(q) {
+			h.endCall(w, q, failure, result.ContentHeldBack)
+			return
+		}
 		h.recheckVersion(q, sends > 0)
 		choice, code := h.chooseServer(q, skip, sends)
 		s := choice.server
@@ -63,7 +67,7 @@
 			}
 			failure = &r
 		}
-		if !q.history.MaySend() || h.opts.SuspectContents.ForbidsRetry(q.digest) {
+		if !q.history.MaySend() {
 			h.endCall(w, q, failure, result.OutcomeUnknown)
 			return
 		}
@@ -173,10 +177,16 @@
 	end := h.beginCall(q, c)
 	began := time.Now()
 	ticket := h.trackAnswer(q, s)
+	run := h.opts.SuspectContents.began(s, q.digest, q.trial != nil)
 	r := h.exchange(q, s, c.permit, Send{}, h.hedgeDelay(q, c.load))
 	h.opts.Fleet.Release(s, use)
 	end(&r, time.Since(began))
-	h.noteSendResult(q, s, &r, time.Since(began))
+	if r.outcome == sendUnknown {
+		h.opts.SuspectContents.abandon(run)
+	} else {
+		h.opts.SuspectContents.forget(run)
+	}
+	h.noteSendResult(q, s, &r, began, run)
 	h.noteAnswer(ticket, q, s, &r) // after the answer's load: it tells whether the duration counts
 	return r
 }
@@ -186,9 +196,9 @@
 // stays if it may not run once more, if its route has no objective, or if it has to queue
 // at the server (load above 1). The server is the least loaded candidate. If the call
 // moved, it would queue again elsewhere, and the first server would still run it for
-// nothing.
+// nothing. A suspect content would run on both servers at once, and could end both.
 func (h *Handler) hedgeDelay(q *request, load float64) time.Duration {
-	mayMove := q.history.repeatable && q.history.possibleRuns+1 < q.history.maxAttempts
+	mayMove := q.history.repeatable && q.history.possibleRuns+1 < q.history.maxAttempts && !h.opts.SuspectContents.isSuspect(q.digest)
 	if !mayMove || load > 1 || q.route.Objective <= 0 {
 		return 0
 	}
@@ -196,8 +206,8 @@
 }
 
 // noteSendResult records what the result of a send says about its server.
-func (h *Handler) noteSendResult(q *request, s *upstream.Server, r *reply, took time.Duration) {
-	f := h.opts.Fleet
+func (h *Handler) noteSendResult(q *request, s *upstream.Server, r *reply, began time.Time, run *contentRun) {
+	f, took := h.opts.Fleet, time.Since(began)
 	switch {
 	case q.ctx.Err() != nil, r.fault == faultDial, r.fault == faultWithheld:
 	case r.outcome == sendRefused && r.answer.WrongInstance:
@@ -206,7 +216,7 @@
 		f.MarkFull(s)
 	case r.fault == faultBroken:
 		f.Failed(s)
-		h.confirmDeath(q, s, 0)
+		h.confirmDeath(q, s, run)
 	case r.fault == faultSlow:
 		f.Succeeded(s, took)
 		f.Failed(s)
@@ -214,7 +224,7 @@
 		f.Failed(s)
 	default:
 		f.Succeeded(s, took)
-		h.opts.SuspectContents.Clear(q.digest, q.RequestID, s.ID)
+		h.opts.SuspectContents.cleared(q.digest, began, q.RequestID, s.ID)
 	}
 	if r.resp != nil {
 		h.learnLoad(s, &r.answer)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -60,7 +60,7 @@
 		c, err := h.opts.Pool.Get(q.ctx, s.ID, s.Address, fresh)
 		if err != nil {
 			if q.ctx.Err() == nil {
-				h.opts.Fleet.Unreachable(s)
+				h.opts.Fleet.Unreachable(s, err)
 			}
 			return nil, reply{outcome: sendNotSent, fault: faultDial}
 		}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/admission"
 	"github.com/amaranthshelf/amaranthshelf/internal/overload"
+	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
@@ -101,6 +102,9 @@
 	// result. It is called after each retry, and while a budget is uncertain. nil: this
 	// VM reports nothing.
 	ReportRetries func()
+	// ContentTrials grants trials of suspect contents on behalf of all VMs; nil: this VM
+	// decides.
+	ContentTrials ContentTrials
 	// Rollouts decides which versions may run a request; nil: all may.
 	Rollouts *Rollouts
 	// CannotFinish reports that a request cannot be finished before this VM shuts down.
@@ -145,6 +149,9 @@
 	if o.CallGrants == nil {
 		o.CallGrants = localCallGrants{}
 	}
+	if o.ContentTrials == nil {
+		o.ContentTrials = newLocalContentTrials()
+	}
 	if o.Rollouts == nil {
 		o.Rollouts = NewRollouts()
 	}
@@ -152,6 +159,7 @@
 	h.gate = &gate{fleet: o.Fleet, permits: o.Permits, withheld: h.Stats.withheld}
 	h.engines = &engineCaller{gate: h.gate, pool: o.Pool, wire: o.Wire}
 	h.prober = newProber(h.engines, o.Fleet, o.Wire)
+	o.Fleet.OnDeath(h.blameContents)
 	return h
 }
 
@@ -235,7 +243,8 @@
 	history       *SendHistory
 	budget        *Budget
 	versionChoice rollout.Choice
-	withoutGrant  bool // the servers of this call are chosen by this VM's own view
+	trial         *contentTrial // of the content, if it is suspect; nil: it has none
+	withoutGrant  bool          // the servers of this call are chosen by this VM's own view
 	// retryAfterSet is set if the refusal of the request came with a retryAfter. There, 0
 	// means that a retry is of no use.
 	retryAfterSet bool
@@ -268,6 +277,8 @@
 	return q.digest
 }
 
+func (q *request) isStream() bool { return q.route.Kind == routes.Stream }
+
 // left returns the time until the request's deadline.
 func (q *request) left() time.Duration { return time.Until(q.expires) }
 
@@ -295,7 +306,8 @@
 	h.chooseVersion(q)
 	q.budget.CountRequest()
 	h.Stats.Requests.Inc()
-	if q.route.Kind == routes.Stream {
+	defer h.endTrial(q)
+	if q.isStream() {
 		h.serveStream(w, q)
 		return
 	}
@@ -362,7 +374,7 @@
 	return path
 }
 
-// readRequest reads the body and checks that its content is not quarantined.
+// readRequest reads the body and checks that its content is not held back.
 func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request, q *request, limit int64) error {
 	if r.ContentLength > limit {
 		w.Header().Set("Connection", "close") // the rest is not read
@@ -380,7 +392,7 @@
 	}
 	q.outbound = upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: body}
 	q.digest = digest(rawPath(r), q.workspace, body)
-	if until, quarantined := h.opts.SuspectContents.Quarantined(q.digest); quarantined {
+	if standing, until := h.opts.SuspectContents.Standing(q.digest); standing == recovery.ContentHeld {
 		return result.New(result.ContentHeldBack).WithRetryAfter(time.Until(until))
 	}
 	return nil
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// SetInstance implements Wire.
+func (n *Headers) SetInstance(h http.Header, instance string) { h.Set(n.Instance, instance) }
+
 // PerAttemptHeaders implements Wire.
 func (n *Headers) PerAttemptHeaders() []string { return []string{n.RequestID, n.Deadline, n.LastEvent} }
 
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -37,10 +37,15 @@
 
 // probeResult is the result of one attempt, and of the probe as a whole.
 type probeResult struct {
-	alive     bool
-	withheld  bool // the engine accepts no request now: nothing is known of it
-	report    Report
-	hasReport bool // report holds the engine's own report
+	alive    bool
+	withheld bool // the engine accepts no request now: nothing is known of it
+	// replaced reports that another incarnation answers at the address: the one that was
+	// probed is dead.
+	replaced bool
+	// sameInstance reports that the answer names the incarnation that was probed.
+	sameInstance bool
+	report       Report
+	hasReport    bool // report holds the engine's own report
 }
 
 func newProber(engines *engineCaller, fleet *upstream.Fleet, wire Wire) *prober {
@@ -64,8 +69,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	pr.probeResult = p.probeUntilAnswered(ctx, s)
-	if pr.alive {
+	switch {
+	case pr.alive:
 		p.fleet.Heard(s)
+	case pr.replaced:
+		p.fleet.MarkStale(s)
 	}
 	p.mu.Lock()
 	delete(p.inFlight, s.ID)
@@ -86,7 +94,7 @@
 		case v := <-answers:
 			ended++
 			// A refused connection is an answer of the host: no process listens there.
-			if v.alive || v.withheld || ctx.Err() == nil {
+			if v.alive || v.withheld || v.replaced || ctx.Err() == nil {
 				return v
 			}
 		case <-next.C:
@@ -101,47 +109,60 @@
 
 func (p *prober) try(ctx context.Context, s *upstream.Server) probeResult {
 	r := upstream.Request{Method: http.MethodGet, URI: p.wire.ReportURI(), Host: s.Address, Header: http.Header{}}
+	p.wire.SetInstance(r.Header, s.ID)
 	resp, body, err := p.engines.do(ctx, s, &r)
 	if err != nil {
 		return probeResult{withheld: errors.Is(err, errWithheld)}
 	}
-	v := probeResult{alive: true}
+	a := p.wire.ReadAnswer(resp.StatusCode, resp.Header)
+	if a.WrongInstance || a.Instance != "" && a.Instance != s.ID {
+		return probeResult{replaced: true}
+	}
+	v := probeResult{alive: true, sameInstance: a.Instance == s.ID}
 	if report, err := p.wire.ReadReport(body); err == nil && resp.StatusCode == http.StatusOK {
 		v.report, v.hasReport = report, true
 	}
 	return v
 }
 
-// recordSuspectContent records that a server died while it ran the request.
-func (h *Handler) recordSuspectContent(q *request, s *upstream.Server, forwarded int) {
-	// A stream with that many events is past the point where its content could kill
-	// the server.
-	if forwarded < clearedAfterEvents {
-		h.opts.SuspectContents.AddDeath(q.digest, s.ID)
+// blameContents blames the contents that ran on a server that died. Their abandoned runs may
+// have ended other servers too, where no request may notice it for some time.
+func (h *Handler) blameContents(server string, e upstream.Evidence) {
+	for _, r := range h.opts.SuspectContents.serverDied(server, e == upstream.Hearsay) {
+		h.probeForDeath(r.server, r)
 	}
-	h.opts.Log.Info().Str("request", q.RequestID).Str("server", s.ID).Int("passed", forwarded).Uint64("digest", q.digest).Msg("server died while it ran the request")
 }
 
-// confirmDeath probes, concurrently with the request, whether the server that broke off
-// its answer has died. A broken answer alone raises no suspicion, since a live server
-// may lose answers. A server that accepts no connection is dead, and the content of the
-// request becomes suspect.
-//
-// A request whose content is suspect already waits for the result. Otherwise it could
-// reach, and kill, the next server in the meantime.
-func (h *Handler) confirmDeath(q *request, s *upstream.Server, forwarded int) {
+// probeForDeath probes a server on which a content may still run, and returns a channel that
+// is closed once the result is known.
+func (h *Handler) probeForDeath(s *upstream.Server, r *contentRun) <-chan struct{} {
 	h.Stats.Probes.Inc()
 	p := h.prober.start(s)
 	found := make(chan struct{})
 	go func() {
 		defer close(found)
 		<-p.done
-		if !p.alive && !p.withheld {
+		switch {
+		case p.withheld:
+		case !p.alive:
 			h.opts.Fleet.MarkDead(s)
-			h.recordSuspectContent(q, s, forwarded)
+		case p.sameInstance:
+			h.opts.SuspectContents.forget(r)
 		}
 	}()
-	if h.opts.SuspectContents.IsSuspect(q.digest) {
+	return found
+}
+
+// confirmDeath probes, concurrently with the request, whether the server that broke off
+// its answer has died. A broken answer alone raises no suspicion, since a live server
+// may lose answers. A server that accepts no connection is dead, and the contents that ran
+// there become suspect.
+//
+// A request whose content is suspect already waits for the result. Otherwise it could
+// reach, and kill, the next server in the meantime.
+func (h *Handler) confirmDeath(q *request, s *upstream.Server, r *contentRun) {
+	found := h.probeForDeath(s, r)
+	if h.opts.SuspectContents.isSuspect(q.digest) {
 		<-found
 	}
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -28,6 +28,7 @@
 	firstEventAt time.Time // when the first event came
 	granted      bool      // the scheduler granted the engine, which was prefilling no other prompt
 
+	content            *contentRun
 	conn               *upstream.Conn
 	stopWatchingCaller func() bool
 	reply              reply
@@ -93,6 +94,7 @@
 	r.logPlaced()
 	// An idle connection may have died unnoticed. A resume has no time to find that
 	// out and opens a new one.
+	r.content = h.opts.SuspectContents.began(s, st.q.digest, st.q.trial != nil)
 	conn, failed := h.open(st.q, s, c.permit, h.headers(st.q, s, send), st.headSent)
 	if conn == nil {
 		r.reply, r.outcome = failed, failed.outcome
@@ -314,7 +316,7 @@
 		return endCallerDone, true
 	}
 	if r.forwarded++; r.forwarded == clearedAfterEvents {
-		st.h.opts.SuspectContents.Clear(st.q.digest, st.q.RequestID, r.server.ID)
+		r.clearContent()
 		r.notePace()
 	}
 	return 0, false
@@ -366,15 +368,32 @@
 		r.st.h.paces.noteRun(r.st.q.service.Name, time.Since(r.firstEventAt), r.forwarded)
 	}
 	r.st.flush()
-	r.st.h.opts.SuspectContents.Clear(r.st.q.digest, r.st.q.RequestID, r.server.ID)
+	r.clearContent()
 	return endComplete, true
 }
 
+// clearContent records that the run got past the point where its content could have
+// crashed the engine.
+func (r *run) clearContent() {
+	contents := r.st.h.opts.SuspectContents
+	contents.forget(r.content)
+	contents.cleared(r.st.q.digest, r.sentAt, r.st.q.RequestID, r.server.ID)
+}
+
+// leaveContent ends the run's record at the engine.
+func (r *run) leaveContent(end runEnd) {
+	if r.outcome == sendNotSent || end == endNotRun || end == endPlainAnswer {
+		r.st.h.opts.SuspectContents.forget(r.content)
+		return
+	}
+	r.st.h.opts.SuspectContents.abandon(r.content)
+}
+
 func (r *run) handleReadError(err error) runEnd {
 	if r.st.q.ctx.Err() != nil {
 		return endCallerDone
 	}
-	r.st.h.confirmDeath(r.st.q, r.server, r.forwarded)
+	r.st.h.confirmDeath(r.st.q, r.server, r.content)
 	return r.lost(err.Error())
 }
 
@@ -391,6 +410,7 @@
 func (r *run) close(end runEnd) {
 	fleet := r.st.h.opts.Fleet
 	r.st.h.opts.Rollouts.Recorder.Drop(r.ticket)
+	r.leaveContent(end)
 	fleet.Release(r.server, r.use)
 	if r.backup.current.engine != nil {
 		fleet.Release(r.backup.current.engine, r.backupUse)
--- a/internal/forward/run_silence.go
+++ b/internal/forward/run_silence.go
@@ -106,7 +106,6 @@
 			return 0, false
 		}
 		r.st.h.opts.Fleet.MarkDead(r.server)
-		r.st.h.recordSuspectContent(r.st.q, r.server, r.forwarded)
 		return r.lost("engine does not answer"), true
 	}
 	r.report, r.reportIsCurrent, r.probeFailed = p.report, p.hasReport, false
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -166,9 +166,12 @@
 // If there is none, the choice carries the reason.
 func (st *streamRelay) nextEngine() engineChoice {
 	for {
-		if !st.q.history.MaySend() || st.sends > 0 && st.h.opts.SuspectContents.ForbidsRetry(st.q.digest) {
+		if !st.q.history.MaySend() {
 			return engineChoice{reason: result.StreamBroken}
 		}
+		if !st.h.admitsContent(st.q) {
+			return engineChoice{reason: result.ContentHeldBack}
+		}
 		c := st.chooseEngine()
 		if c.tryAgain || c.server != nil && !st.reserve(&c) {
 			continue
--- a/internal/forward/suspect_content.go
+++ b/internal/forward/suspect_content.go
@@ -8,99 +8,202 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
+// contentReportTime is how long a change that this VM observed is reported to the control
+// VMs whatever they know. It covers several heartbeats, some of which may be lost.
+const contentReportTime = 1500 * time.Millisecond
+
 // SuspectContents records the contents of requests under which backend servers died, as
-// seen by all VMs. It is safe for concurrent use.
+// seen by all VMs, and which contents run on which servers for this VM. It is safe for
+// concurrent use.
 type SuspectContents struct {
 	log zerolog.Logger
-
-	mu        sync.Mutex
-	contents  *recovery.SuspectContents
-	newDeaths []recovery.Death // not reported to the other VMs yet
+	// Changed is called, without a lock, when the other VMs need a change soon; nil: not.
+	Changed func()
+
+	mu         sync.Mutex
+	contents   *recovery.SuspectContents
+	runs       contentRuns
+	observed   map[uint64]time.Time              // when this VM last observed something of a content
+	told       map[uint64]recovery.ContentRecord // by a control VM
+	unreported []recovery.Death                  // to control VMs that take no records
 }
 
-// maxNewDeaths bounds the deaths that wait to be reported. So many at once have a common
+// maxUnreported bounds the deaths that wait to be reported. So many at once have a common
 // cause.
-const maxNewDeaths = 64
+const maxUnreported = 64
 
 // NewSuspectContents returns a SuspectContents without any content.
 func NewSuspectContents(log zerolog.Logger) *SuspectContents {
-	return &SuspectContents{log: log, contents: recovery.NewSuspectContents()}
+	return &SuspectContents{log: log, contents: recovery.NewSuspectContents(), runs: newContentRuns(), observed: map[uint64]time.Time{}}
 }
 
 // Count returns the number of contents under which servers died.
 func (s *SuspectContents) Count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.contents.Count()
+	return s.contents.Count(time.Now())
 }
 
-// Quarantined reports whether a content must not start now, and until when.
-func (s *SuspectContents) Quarantined(digest uint64) (until time.Time, quarantined bool) {
+// Standing returns the standing of a content; until is the end of recovery.ContentHeld.
+func (s *SuspectContents) Standing(digest uint64) (standing recovery.ContentStanding, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.contents.Quarantined(digest, time.Now())
+	return s.contents.Standing(digest, time.Now())
 }
 
-// IsSuspect reports whether a server died under a content that has not succeeded
-// since.
-func (s *SuspectContents) IsSuspect(digest uint64) bool {
+// isSuspect reports whether a server died under a content that has not been cleared since.
+func (s *SuspectContents) isSuspect(digest uint64) bool {
+	standing, _ := s.Standing(digest)
+	return standing != recovery.ContentFree
+}
+
+// record returns what is known of a content.
+func (s *SuspectContents) record(digest uint64) recovery.ContentRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.contents.Suspect(digest)
+	return s.contents.Record(digest)
 }
 
-// ForbidsRetry reports whether a request in flight must not be sent to another server.
-func (s *SuspectContents) ForbidsRetry(digest uint64) bool {
+// began records that a content is sent to a server.
+func (s *SuspectContents) began(server *upstream.Server, digest uint64, trial bool) *contentRun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.contents.MustAbort(digest)
+	return s.runs.begin(server, digest, trial)
 }
 
-// AddDeath records that a server died while it ran a content.
-func (s *SuspectContents) AddDeath(digest uint64, server string) {
+// forget ends a run that certainly did not, and will not, crash its server.
+func (s *SuspectContents) forget(r *contentRun) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.recordDeath(digest, server, now, "this VM")
-	if len(s.newDeaths) < maxNewDeaths {
-		s.newDeaths = append(s.newDeaths, recovery.Death{Digest: digest, Engine: server, At: now})
+	s.runs.forget(r)
+}
+
+// abandon ends a run of which this VM will not learn the result. The server may still run
+// it, and die.
+func (s *SuspectContents) abandon(r *contentRun) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs.abandon(r, time.Now())
+}
+
+// serverDied blames the contents that ran on a server that died. If abandonedOnly is set,
+// the runs whose connections are open are spared: they break off if the server has died. It
+// returns the abandoned runs of the same contents on other servers.
+func (s *SuspectContents) serverDied(server string, abandonedOnly bool) (elsewhere []*contentRun) {
+	s.mu.Lock()
+	now, urgent, blamed := time.Now(), false, map[uint64]bool{}
+	for _, r := range s.runs.take(server, abandonedOnly, now) {
+		urgent = s.blame(r, now) || urgent
+		blamed[r.digest] = true
 	}
+	elsewhere = s.runs.abandoned(blamed, now)
+	s.mu.Unlock()
+	if urgent && s.Changed != nil {
+		s.Changed()
+	}
+	return elsewhere
 }
 
-// recordDeath records and logs a death. It needs s.mu.
-func (s *SuspectContents) recordDeath(digest uint64, server string, now time.Time, seenBy string) {
-	if deaths, added := s.contents.ServerDied(digest, server, now); added {
-		s.log.Info().Uint64("digest", digest).Str("server", server).Int("deaths", deaths).Str("seen_by", seenBy).Msg("content blamed for the death of a server")
+// blame records that a server died under a run, and reports whether other VMs must know at
+// once. It needs s.mu.
+func (s *SuspectContents) blame(r *contentRun, now time.Time) bool {
+	deaths, added := s.contents.ServerDied(r.digest, r.server.ID, r.trial, now)
+	if !added {
+		return false
+	}
+	s.observed[r.digest] = now
+	if len(s.unreported) < maxUnreported {
+		s.unreported = append(s.unreported, recovery.Death{Digest: r.digest, Engine: r.server.ID, At: now})
 	}
+	s.log.Info().Uint64("digest", r.digest).Str("server", r.server.ID).Int("deaths", deaths).Bool("trial", r.trial).Bool("abandoned", !r.endedAt.IsZero()).Msg("content blamed for the death of a server")
+	standing, _ := s.contents.Standing(r.digest, now)
+	return standing >= recovery.ContentOnTrial
 }
 
-// Clear removes a content after it ran successfully for a request at a server.
-func (s *SuspectContents) Clear(digest uint64, request, server string) {
+// cleared records that a server answered a request of a content, which was sent at a time.
+func (s *SuspectContents) cleared(digest uint64, sent time.Time, request, server string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if deaths := s.contents.Succeeded(digest); deaths > 0 {
+	before, _ := s.contents.Standing(digest, time.Now())
+	deaths := s.contents.Succeeded(digest, sent)
+	if deaths > 0 {
+		s.observed[digest] = time.Now()
 		s.log.Info().Uint64("digest", digest).Int("deaths", deaths).Str("request", request).Str("server", server).Msg("content cleared by an answer")
 	}
+	s.mu.Unlock()
+	if deaths > 0 && before >= recovery.ContentOnTrial && s.Changed != nil {
+		s.Changed()
+	}
 }
 
-// TakeNewDeaths returns the deaths that this VM has seen since the last call.
-func (s *SuspectContents) TakeNewDeaths() []recovery.Death {
+// TakeUnreported returns the deaths that this VM has seen since the last call, for control
+// VMs that take no records.
+func (s *SuspectContents) TakeUnreported() []recovery.Death {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := s.newDeaths
-	s.newDeaths = nil
+	out := s.unreported
+	s.unreported = nil
 	return out
 }
 
-// AddPeerDeaths adds deaths that other VMs have seen.
+// AddPeerDeaths adds deaths that other VMs have seen, as control VMs without records tell
+// them.
 func (s *SuspectContents) AddPeerDeaths(deaths []recovery.Death) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range deaths {
-		s.recordDeath(d.Digest, d.Engine, time.Now(), "another VM")
+		s.contents.ServerDied(d.Digest, d.Engine, false, time.Now())
+	}
+}
+
+// Reports returns the records that the control VMs may not know: what this VM observed
+// lately, and the contents that are not free and of which they have told less.
+func (s *SuspectContents) Reports() map[uint64]recovery.ContentRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, out := time.Now(), map[uint64]recovery.ContentRecord{}
+	for digest, at := range s.observed {
+		if now.Sub(at) > contentReportTime {
+			delete(s.observed, digest)
+			continue
+		}
+		out[digest] = s.contents.Record(digest)
+	}
+	s.contents.Each(now, func(digest uint64, r *recovery.ContentRecord) {
+		if standing := r.Standing(now); standing >= recovery.ContentOnTrial && !r.SameAs(s.told[digest]) {
+			out[digest] = s.contents.Record(digest)
+		}
+	})
+	return out
+}
+
+// Learn takes the records that a control VM tells.
+func (s *SuspectContents) Learn(records map[uint64]recovery.ContentRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = records
+	for digest, r := range records {
+		s.learn(digest, r)
+	}
+}
+
+// learnOne merges the record of a control VM and returns the standing of the content.
+func (s *SuspectContents) learnOne(digest uint64, r recovery.ContentRecord) (standing recovery.ContentStanding, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learn(digest, r)
+	return s.contents.Standing(digest, time.Now())
+}
+
+// learn merges the record of a control VM. It needs s.mu.
+func (s *SuspectContents) learn(digest uint64, r recovery.ContentRecord) {
+	if !s.contents.Merge(digest, r, time.Now()) {
+		return
 	}
+	standing, _ := s.contents.Standing(digest, time.Now())
+	s.log.Info().Uint64("digest", digest).Int("deaths", len(r.Deaths)).Stringer("standing", standing).Msg("content known to other VMs")
 }
 
 // digest identifies the content of a request, which may come again under another id and
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -92,6 +92,8 @@
 	// SetSendHeaders writes s into the headers of a request to an engine. It first removes
 	// the headers that only the system may set.
 	SetSendHeaders(h http.Header, s Send)
+	// SetInstance writes the incarnation that a probe is for; any other must refuse it.
+	SetInstance(h http.Header, instance string)
 	// PerAttemptHeaders returns the names, in canonical form, of the headers that differ
 	// between the attempts of a request.
 	PerAttemptHeaders() []string
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -52,6 +52,8 @@
 	KindCallDone          Kind = 93 // reports ended calls
 	KindRoom              Kind = 94 // what is waiting in a service and why, served by observers and other control VMs
 	KindCordon            Kind = 95 // orders, removes or lists cordons, served by observers
+	KindContentTrial      Kind = 96 // asks for a trial of a suspect content
+	KindContentTrialEnd   Kind = 97 // ends a trial
 	KindPoisonSuspicion   Kind = 100
 	KindExplain           Kind = 120
 	KindStatus            Kind = 121
--- a/internal/recovery/content.go
+++ b/internal/recovery/content.go
@@ -10,109 +10,208 @@
 // the request's content, it takes down the servers of a service one after the other.
 //
 // Harmless requests leave the same evidence, because content that many callers ask for is
-// in flight on every server that dies. The difference is that harmless content succeeds
-// elsewhere, and any success clears it. Quarantine therefore starts short, is lifted at
-// once by a success on another server, and grows only while each new attempt ends another
-// server.
+// in flight on every server that dies. The difference is that harmless content succeeds.
+// Therefore a content under which several servers died is sent only as a trial: one request
+// at a time over all VMs, to one server. An answer clears it of all deaths before the trial.
+// If the server of the trial dies, the content is convicted and held back.
 
-// Bounds of the quarantine of suspect content.
+// Bounds of the suspicion of contents.
 const (
-	// quarantineDeaths servers must die under a content before it is quarantined. A single
-	// death may as likely be caused by another request on the same server.
-	quarantineDeaths = 2
-	// abortDeaths servers must die under a content before its runs in flight are given up
-	// too.
-	abortDeaths = 3
+	// trialDeaths servers must die under a content before it is sent only as a trial. A
+	// single death may as likely be caused by another request on the same server.
+	trialDeaths = 2
+	// convictionTime is how long a content is held back after the server of its trial died.
+	convictionTime = 10 * time.Minute
 	// contentTTL is how long a content is remembered after its last death.
-	contentTTL  = 10 * time.Minute
-	maxContents = 1 << 14
+	contentTTL = 10 * time.Minute
+	// suspectTTL is how long it is remembered if it is sent only as a trial. When its
+	// conviction ends, its callers may still repeat it.
+	suspectTTL = time.Hour
+	// maxContentDeaths bounds the deaths that are kept of one content.
+	maxContentDeaths = 8
+	maxContents      = 1 << 14
 )
 
-// quarantineDuration returns how long a content is quarantined after its last death. The
-// first quarantine lasts seconds, so that harmless content that is often asked for can
-// succeed elsewhere.
-func quarantineDuration(deaths int) time.Duration {
-	switch {
-	case deaths < quarantineDeaths:
-		return 0
-	case deaths == quarantineDeaths:
-		return 3 * time.Second
-	case deaths == abortDeaths:
-		return time.Minute
+// ContentStanding is the decision on a content that follows from past deaths.
+type ContentStanding uint8
+
+// Standings of contents, from the best to the worst.
+const (
+	ContentFree    ContentStanding = iota
+	ContentSuspect                 // one server died: it runs on one server at a time
+	ContentOnTrial                 // several died: it is sent only as a trial
+	ContentHeld                    // the server of its trial died: it is not sent
+)
+
+// String implements fmt.Stringer.
+func (s ContentStanding) String() string {
+	return [...]string{"free", "suspect", "on trial", "held back"}[s]
+}
+
+// ContentRecord is what is known of one content under which servers died. The records of
+// several VMs merge to the same result in any order.
+type ContentRecord struct {
+	Deaths map[string]time.Time // when servers were found dead, by id
+	// ClearedAt is when the latest request was sent that a server answered. It clears the
+	// content of all deaths before; zero: none was answered.
+	ClearedAt time.Time
+	// ConvictedAt is when a server died under a trial of the content; zero: none did.
+	ConvictedAt time.Time
+}
+
+// merge adds what o knows, and reports whether that changed r.
+func (r *ContentRecord) merge(o ContentRecord) bool {
+	before := len(r.Deaths)
+	changed := false
+	if o.ClearedAt.After(r.ClearedAt) {
+		r.ClearedAt, changed = o.ClearedAt, true
 	}
-	return contentTTL
+	if o.ConvictedAt.After(r.ConvictedAt) {
+		r.ConvictedAt, changed = o.ConvictedAt, true
+	}
+	maps.DeleteFunc(r.Deaths, func(_ string, at time.Time) bool { return !at.After(r.ClearedAt) })
+	for server, at := range o.Deaths {
+		if _, known := r.Deaths[server]; !known && at.After(r.ClearedAt) && len(r.Deaths) < maxContentDeaths {
+			r.Deaths[server] = at
+		}
+	}
+	if !r.ConvictedAt.After(r.ClearedAt) {
+		r.ConvictedAt = time.Time{}
+	}
+	return changed || len(r.Deaths) != before
 }
 
-// SuspectContents records under which request contents servers died, by digest of the
-// content. It is not safe for concurrent use.
-type SuspectContents struct{ byDigest map[uint64]*suspectContent }
+// last returns the time of the last event.
+func (r *ContentRecord) last() time.Time {
+	last := r.ClearedAt
+	for _, at := range r.Deaths {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
 
-type suspectContent struct {
-	servers map[string]bool
-	last    time.Time
+func (r *ContentRecord) expired(now time.Time) bool {
+	ttl := contentTTL
+	if len(r.Deaths) >= trialDeaths {
+		ttl = suspectTTL
+	}
+	return now.Sub(r.last()) > ttl
 }
 
+// Standing returns the standing of the content.
+func (r *ContentRecord) Standing(now time.Time) ContentStanding {
+	s, _ := r.standing(now)
+	return s
+}
+
+// SameAs reports whether both records tell the same deaths, and the same of conviction. The
+// times may differ, since each VM has its own clock.
+func (r *ContentRecord) SameAs(o ContentRecord) bool {
+	sameDeath := func(_, _ time.Time) bool { return true }
+	return maps.EqualFunc(r.Deaths, o.Deaths, sameDeath) && r.ConvictedAt.IsZero() == o.ConvictedAt.IsZero()
+}
+
+func (r *ContentRecord) standing(now time.Time) (s ContentStanding, until time.Time) {
+	if held := r.ConvictedAt.Add(convictionTime); !r.ConvictedAt.IsZero() && now.Before(held) {
+		return ContentHeld, held
+	}
+	switch len(r.Deaths) {
+	case 0:
+		return ContentFree, time.Time{}
+	case 1:
+		return ContentSuspect, time.Time{}
+	}
+	return ContentOnTrial, time.Time{}
+}
+
+// SuspectContents records under which request contents servers died, by digest of the
+// content. It is not safe for concurrent use.
+type SuspectContents struct{ byDigest map[uint64]*ContentRecord }
+
 // NewSuspectContents returns an empty record.
 func NewSuspectContents() *SuspectContents {
-	return &SuspectContents{byDigest: map[uint64]*suspectContent{}}
+	return &SuspectContents{byDigest: map[uint64]*ContentRecord{}}
+}
+
+// Count returns the number of contents under which servers died and that were not cleared.
+func (c *SuspectContents) Count(now time.Time) int {
+	n := 0
+	c.Each(now, func(_ uint64, r *ContentRecord) { n += min(1, len(r.Deaths)) })
+	return n
 }
 
-// Count returns the number of contents on record.
-func (c *SuspectContents) Count() int { return len(c.byDigest) }
+// ServerDied records that a server died while it ran a content, as a trial or not. It
+// returns the number of servers that died under it, and whether this one is new.
+func (c *SuspectContents) ServerDied(digest uint64, server string, trial bool, now time.Time) (deaths int, added bool) {
+	death := ContentRecord{Deaths: map[string]time.Time{server: now}}
+	if trial {
+		death.ConvictedAt = now
+	}
+	added = c.Merge(digest, death, now)
+	return len(c.byDigest[digest].Deaths), added
+}
 
-// ServerDied records that a server died while it ran a content. It returns the number of
-// servers that died under it, and whether this one is new.
-func (c *SuspectContents) ServerDied(digest uint64, server string, now time.Time) (deaths int, added bool) {
-	s := c.byDigest[digest]
-	if s == nil || now.Sub(s.last) > contentTTL {
+// Merge adds what another VM knows of a content, and reports whether that is new.
+func (c *SuspectContents) Merge(digest uint64, o ContentRecord, now time.Time) bool {
+	r := c.byDigest[digest]
+	if r == nil || r.expired(now) {
 		c.expire(now)
-		s = &suspectContent{servers: map[string]bool{}}
-		c.byDigest[digest] = s
+		r = &ContentRecord{Deaths: map[string]time.Time{}}
+		c.byDigest[digest] = r
 	}
-	added = !s.servers[server]
-	s.servers[server] = true
-	s.last = now
-	return len(s.servers), added
+	return r.merge(o)
 }
 
-// Succeeded clears a content that a server has answered. It returns the number of servers
-// that had died under it.
-func (c *SuspectContents) Succeeded(digest uint64) (deaths int) {
-	s := c.byDigest[digest]
-	if s == nil {
+// Succeeded records that a server answered a request of a content, which was sent at a
+// time. It returns the number of deaths of which this clears the content.
+func (c *SuspectContents) Succeeded(digest uint64, sent time.Time) (deaths int) {
+	r := c.byDigest[digest]
+	if r == nil || len(r.Deaths) == 0 {
 		return 0
 	}
-	delete(c.byDigest, digest)
-	return len(s.servers)
+	before := len(r.Deaths)
+	r.merge(ContentRecord{ClearedAt: sent})
+	return before - len(r.Deaths)
 }
 
-// Quarantined reports whether a content must not start now, and when its quarantine ends.
-func (c *SuspectContents) Quarantined(digest uint64, now time.Time) (until time.Time, quarantined bool) {
-	s := c.byDigest[digest]
-	if s == nil {
-		return time.Time{}, false
+// Standing returns the standing of a content; until is the end of ContentHeld.
+func (c *SuspectContents) Standing(digest uint64, now time.Time) (s ContentStanding, until time.Time) {
+	r := c.byDigest[digest]
+	if r == nil || r.expired(now) {
+		return ContentFree, time.Time{}
 	}
-	until = s.last.Add(quarantineDuration(len(s.servers)))
-	return until, now.Before(until)
+	return r.standing(now)
 }
 
-// Suspect reports whether a server died under a content that has not succeeded since.
-func (c *SuspectContents) Suspect(digest uint64) bool { return c.byDigest[digest] != nil }
+// Record returns a copy of what is known of a content.
+func (c *SuspectContents) Record(digest uint64) ContentRecord {
+	r := c.byDigest[digest]
+	if r == nil {
+		return ContentRecord{}
+	}
+	out := *r
+	out.Deaths = maps.Clone(r.Deaths)
+	return out
+}
 
-// MustAbort reports whether a run in flight must not be resumed on another server, because
-// abortDeaths servers died under its content.
-func (c *SuspectContents) MustAbort(digest uint64) bool {
-	s := c.byDigest[digest]
-	return s != nil && len(s.servers) >= abortDeaths
+// Each calls f for the record of each content that has not expired.
+func (c *SuspectContents) Each(now time.Time, f func(digest uint64, r *ContentRecord)) {
+	for digest, r := range c.byDigest {
+		if !r.expired(now) {
+			f(digest, r)
+		}
+	}
 }
 
 // expire makes room when the record is full. It drops the expired contents and all those
-// with fewer than quarantineDeaths deaths.
+// with fewer than trialDeaths deaths.
 func (c *SuspectContents) expire(now time.Time) {
 	if len(c.byDigest) < maxContents {
 		return
 	}
-	maps.DeleteFunc(c.byDigest, func(_ uint64, s *suspectContent) bool {
-		return now.Sub(s.last) > contentTTL || len(s.servers) < quarantineDeaths
+	maps.DeleteFunc(c.byDigest, func(_ uint64, r *ContentRecord) bool {
+		return r.expired(now) || len(r.Deaths) < trialDeaths
 	})
 }
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -63,13 +63,14 @@
 	r.backendList = cluster.NewListReplica(r.applyBackends)
 	r.network = newNetwork(&o.Common)
 	r.member = cluster.NewMember(o.ID, r.network, o.Seeds, r.backendList, cluster.Local{
-		Zone: o.Zone, Endpoint: o.Endpoint, Ready: r.Ready, Use: r.fleet.OwnUse, Deaths: r.suspectContents.TakeNewDeaths,
+		Zone: o.Zone, Endpoint: o.Endpoint, Ready: r.Ready, Use: r.fleet.OwnUse, Deaths: r.suspectContents.TakeUnreported,
 		Dead: r.fleet.RecentlyDead, Runs: r.resumableRuns, Spent: r.retryUsage, Learn: r.applyPeerReports, LearnSpent: r.applyPeerRetryUsage,
 		BackendReport: r.fleet.Report, EngineTimings: r.engineTimings, TakeEngineSpeeds: r.takeEngineSpeeds, Rollouts: r.recorder.Reports, Urgent: func() bool { return r.rollouts.Load().Urgent() },
 		Withheld: r.fleet.Withheld, Limits: r.fleet.Limits, SentElsewhere: r.fleet.SentElsewhere, LearnLimits: r.fleet.LearnLimits,
-		Leaving: r.fleet.Leaving, LearnLeaving: r.fleet.LearnLeaving,
+		Leaving: r.fleet.Leaving, LearnLeaving: r.fleet.LearnLeaving, Contents: r.suspectContents.Reports, LearnContents: r.suspectContents.Learn,
 		Capacity: r.load.size(), Load: r.load.thousandths, LearnBalance: r.load.learn,
 	}, o.Log)
+	r.suspectContents.Changed = r.member.NotifyNow
 	r.feed = control.NewFeed(control.FeedOptions{
 		Self: o.ID, Voters: r.member.Controls, Transport: r.network, Lease: Lease, Log: o.Log,
 	})
@@ -79,7 +80,7 @@
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, ListsReady: r.listsReady,
 		RetryAllowance: o.RetryAllowance, Log: o.Log, RoutineLog: o.RoutineLog, Metrics: o.Metrics, SuspectContents: r.suspectContents, Closing: r.drain.started,
-		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
+		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, ContentTrials: r.member, FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
 		Rollouts: &forward.Rollouts{State: r.rollouts.Load, Recorder: r.recorder},
 	})
 	if err := r.serve(); err != nil {
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -305,7 +305,7 @@
 	switch {
 	case s.inState(Unresponsive):
 		<-r.Context().Done()
-	case r.URL.Path == forward.PlainReportURI:
+	case r.URL.Path == forward.PlainReportURI && r.Header.Get(forward.HeaderInstance) == s.ID:
 		s.report(w)
 	case r.URL.Path == forward.PlainCopyURI:
 		s.copyOnOrder(w, r)
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -101,6 +101,8 @@
 	pool *Pool
 	now  func() time.Time
 	log  zerolog.Logger
+	// onDeath is called, without a lock, with each sign that a server has died.
+	onDeath func(server string, e Evidence)
 
 	mu             sync.Mutex
 	asOf           time.Time
@@ -132,7 +134,7 @@
 // NewFleet returns an empty Fleet. It closes idle connections in pool to servers that leave
 // the list.
 func NewFleet(pool *Pool, log zerolog.Logger) *Fleet {
-	return &Fleet{pool: pool, log: log, now: time.Now, servers: map[string]*Server{}, deadSince: map[string]time.Time{}, incarnations: map[string]*incarnation{}, slowdownStated: map[string]time.Time{}}
+	return &Fleet{pool: pool, log: log, now: time.Now, onDeath: func(string, Evidence) {}, servers: map[string]*Server{}, deadSince: map[string]time.Time{}, incarnations: map[string]*incarnation{}, slowdownStated: map[string]time.Time{}}
 }
 
 // Apply takes over a list if it was read later than the current one, and reports whether it
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
@@ -28,13 +30,35 @@
 	}
 }
 
-// Unreachable records that the server accepted no connection.
-func (f *Fleet) Unreachable(s *Server) {
+// Evidence is how certain it is that a server has died.
+type Evidence uint8
+
+// Evidence of a death.
+const (
+	// Hearsay is a refused connection, or the report of another VM. Open connections of this
+	// VM may live on if only a link is at fault.
+	Hearsay Evidence = iota
+	// Confirmed means that the server did not answer a probe, or that another incarnation
+	// holds its address.
+	Confirmed
+)
+
+// OnDeath sets the function that is called with each sign that a server has died. It must be
+// set before the Fleet is used.
+func (f *Fleet) OnDeath(seen func(server string, e Evidence)) { f.onDeath = seen }
+
+// Unreachable records that the server accepted no connection, for the reason cause.
+func (f *Fleet) Unreachable(s *Server, cause error) {
 	f.mu.Lock()
 	f.backOff(s)
 	f.noteDeath(s)
 	f.mu.Unlock()
 	f.pool.Forget(s.ID)
+	// A host that refuses connections has no process at the address. One that is silent
+	// may be cut off.
+	if errors.Is(cause, syscall.ECONNREFUSED) {
+		f.onDeath(s.ID, Hearsay)
+	}
 }
 
 // MarkDead judges a server dead. Everything that runs there for this VM is moved at once,
@@ -50,6 +74,7 @@
 	f.mu.Unlock()
 	f.log.Warn().Str("server", s.ID).Str("zone", s.Zone).Dur("silent", silent).Msg("server judged dead")
 	f.pool.Forget(s.ID)
+	f.onDeath(s.ID, Confirmed)
 }
 
 // noteDeath records a death and needs f.mu. If the whole failure domain counts as lost,
@@ -104,6 +129,13 @@
 // PeerReportedDead takes the ids of servers that other VMs judged dead. It moves no run by
 // itself, since the other VM's link may be at fault.
 func (f *Fleet) PeerReportedDead(ids []string) {
+	for _, id := range f.learnPeerDeaths(ids) {
+		f.onDeath(id, Hearsay)
+	}
+}
+
+// learnPeerDeaths returns the servers of a report that this VM has not just heard.
+func (f *Fleet) learnPeerDeaths(ids []string) (silent []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range ids {
@@ -111,6 +143,7 @@
 		if s == nil || f.now().Sub(s.lastHeard) < livenessWindow {
 			continue
 		}
+		silent = append(silent, id)
 		s.diedAt = f.now()
 		if s.avoided(f.now()) {
 			continue
@@ -119,6 +152,7 @@
 		signal(&s.suspicion)
 		f.noteDeath(s)
 	}
+	return silent
 }
 
 // MarkFull records that the server refused a request because it is full.
@@ -137,6 +171,7 @@
 	f.mu.Unlock()
 	f.log.Info().Str("server", s.ID).Str("address", s.Address).Msg("another incarnation answers at the address of a listed server; sending nothing to the listed one")
 	f.pool.Forget(s.ID)
+	f.onDeath(s.ID, Confirmed)
 }
 
 // Failed records a response that is the server's own failure.
