A content is blamed only for servers that were alive when it was sent

Harmless content that callers send often was held back for ten minutes in the soak: its trial went to a server that had died a moment before, and was blamed for that death.

Cause: a run counted as the cause of any death that was noticed after it, and one trial that met the death of a server decided for ten minutes.

Change: a run that was sent after its server's death, with nothing heard of it since, is not blamed; the server of a trial has to answer a probe first; a content is held back for 30 s after its first such trial, then ten minutes, then an hour, which keeps the sends after the third crash at three within the first hour. A server that starts again under its id counts anew when it dies again.

The soak has a crashing request, and a bound on its sends.

--- a/cmd/amaranthshelfd/soak_clients_test.go
+++ b/cmd/amaranthshelfd/soak_clients_test.go
@@ -101,6 +101,7 @@
 	for i := range soakVoteCallers {
 		w.wg.Go(func() { w.voteCaller(ctx, i, rand.New(rand.NewPCG(seed, uint64(200+i)))) })
 	}
+	w.wg.Go(func() { w.crashCaller(ctx, rand.New(rand.NewPCG(seed, 304))) })
 	w.wg.Go(func() { w.operator(ctx, rand.New(rand.NewPCG(seed, 300))) })
 	w.wg.Go(func() { w.listReader(ctx, rand.New(rand.NewPCG(seed, 301))) })
 	w.wg.Go(func() { w.orderRollout(ctx, rand.New(rand.NewPCG(seed, 302))) })
--- a/internal/cluster/contents.go
+++ b/internal/cluster/contents.go
@@ -31,29 +31,25 @@
 type ContentReport struct {
 	Digest uint64        `cbor:"1,keyasint"`
 	Deaths []ServerDeath `cbor:"2,keyasint,omitempty"`
-	// ClearedAgeMS and ConvictedAgeMS are ages in milliseconds, plus 1; 0: never.
-	ClearedAgeMS   int64 `cbor:"3,keyasint,omitempty"`
-	ConvictedAgeMS int64 `cbor:"4,keyasint,omitempty"`
+	// ClearedAgeMS is an age in milliseconds, plus 1; 0: never.
+	ClearedAgeMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // ServerDeath is the death of one server under a content.
 type ServerDeath struct {
 	Server string `cbor:"1,keyasint"`
 	AgeMS  int64  `cbor:"2,keyasint"`
+	Trial  bool   `cbor:"3,keyasint,omitempty"`
 }
 
 func encodeContent(digest uint64, r recovery.ContentRecord, now time.Time) ContentReport {
-	age := func(at time.Time) int64 {
-		if at.IsZero() {
-			return 0
-		}
-		return now.Sub(at).Milliseconds() + 1
+	out := ContentReport{Digest: digest}
+	if !r.ClearedAt.IsZero() {
+		out.ClearedAgeMS = now.Sub(r.ClearedAt).Milliseconds() + 1
 	}
-	out := ContentReport{Digest: digest, ClearedAgeMS: age(r.ClearedAt), ConvictedAgeMS: age(r.ConvictedAt)}
-	for server, at := range r.Deaths {
-		out.Deaths = append(out.Deaths, ServerDeath{server, now.Sub(at).Milliseconds()})
+	for _, d := range r.Deaths {
+		out.Deaths = append(out.Deaths, ServerDeath{Server: d.Server, AgeMS: now.Sub(d.At).Milliseconds(), Trial: d.Trial})
 	}
-	slices.SortFunc(out.Deaths, func(a, b ServerDeath) int { return cmp.Compare(a.Server, b.Server) })
 	return out
 }
 
@@ -67,15 +63,12 @@
 
 // decode returns the record as of its arrival.
 func (c *ContentReport) decode(now time.Time) recovery.ContentRecord {
-	at := func(ageMS int64) time.Time {
-		if ageMS <= 0 {
-			return time.Time{}
-		}
-		return now.Add(-time.Duration(ageMS-1) * time.Millisecond)
+	var out recovery.ContentRecord
+	if c.ClearedAgeMS > 0 {
+		out.ClearedAt = now.Add(-time.Duration(c.ClearedAgeMS-1) * time.Millisecond)
 	}
-	out := recovery.ContentRecord{Deaths: map[string]time.Time{}, ClearedAt: at(c.ClearedAgeMS), ConvictedAt: at(c.ConvictedAgeMS)}
 	for _, d := range c.Deaths {
-		out.Deaths[d.Server] = now.Add(-time.Duration(d.AgeMS) * time.Millisecond)
+		out.Deaths = append(out.Deaths, recovery.ContentDeath{Server: d.Server, At: now.Add(-time.Duration(d.AgeMS) * time.Millisecond), Trial: d.Trial})
 	}
 	return out
 }
@@ -88,7 +81,7 @@
 }
 
 // ContentTrialReply grants a trial, or states when to ask again. If it does neither, the
-// content needs no trial, or is convicted, as Known tells.
+// content needs no trial, or is held back, as Known tells.
 type ContentTrialReply struct {
 	Granted bool          `cbor:"1,keyasint,omitempty"`
 	WaitMS  int64         `cbor:"2,keyasint,omitempty"`
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -177,20 +177,35 @@
 	end := h.beginCall(q, c)
 	began := time.Now()
 	ticket := h.trackAnswer(q, s)
-	run := h.opts.SuspectContents.began(s, q.digest, q.trial != nil)
-	r := h.exchange(q, s, c.permit, Send{}, h.hedgeDelay(q, c.load))
+	r, run := h.exchangeWatched(q, c)
 	h.opts.Fleet.Release(s, use)
 	end(&r, time.Since(began))
-	if r.outcome == sendUnknown {
-		h.opts.SuspectContents.abandon(run)
-	} else {
-		h.opts.SuspectContents.forget(run)
-	}
 	h.noteSendResult(q, s, &r, began, run)
 	h.noteAnswer(ticket, q, s, &r) // after the answer's load: it tells whether the duration counts
 	return r
 }
 
+// exchangeWatched sends a call and records its content as running on the server meanwhile.
+func (h *Handler) exchangeWatched(q *request, c *serverChoice) (reply, *contentRun) {
+	contents := h.opts.SuspectContents
+	run := contents.began(c.server, q.digest, q.trial != nil)
+	if q.trial != nil && !h.answersProbe(c.server) {
+		contents.forget(run)
+		return reply{outcome: sendNotSent, fault: faultDial}, run
+	}
+	r := h.exchange(q, c.server, c.permit, Send{}, h.hedgeDelay(q, c.load))
+	switch r.outcome {
+	case sendUnknown:
+		contents.abandon(run)
+		return r, run
+	case sendAnswered, sendRefused:
+		contents.heard(c.server)
+	case sendNotSent:
+	}
+	contents.forget(run)
+	return r, run
+}
+
 // hedgeDelay returns how long a call waits for the answer of one server before it is sent
 // to another. 0 means that it stays at the server until the request's deadline. A call
 // stays if it may not run once more, if its route has no objective, or if it has to queue
--- a/internal/forward/content_runs.go
+++ b/internal/forward/content_runs.go
@@ -12,26 +12,33 @@
 // server's death is noticed with the next request to it.
 const abandonedRunTime = 2 * time.Second
 
+// deadServerTime is how long a dead server is remembered that nobody hears again. Its address
+// has left the list by then.
+const deadServerTime = time.Minute
+
 // contentRun is a content that runs, or may run, on a server.
 type contentRun struct {
 	server  *upstream.Server
 	digest  uint64
 	trial   bool
+	late    bool      // the server had died before, so that the run is not the cause
 	endedAt time.Time // when it was given up; zero: it is in flight
 }
 
 // contentRuns holds the runs of this VM by server id. It is not safe for concurrent use.
 type contentRuns struct {
 	byServer map[string]map[*contentRun]struct{}
+	dead     map[string]time.Time // when servers died that were not heard since
 	sweptAt  time.Time
 }
 
 func newContentRuns() contentRuns {
-	return contentRuns{byServer: map[string]map[*contentRun]struct{}{}}
+	return contentRuns{byServer: map[string]map[*contentRun]struct{}{}, dead: map[string]time.Time{}}
 }
 
 func (c *contentRuns) begin(server *upstream.Server, digest uint64, trial bool) *contentRun {
-	r := &contentRun{server: server, digest: digest, trial: trial}
+	_, dead := c.dead[server.ID]
+	r := &contentRun{server: server, digest: digest, trial: trial, late: dead}
 	if c.byServer[server.ID] == nil {
 		c.byServer[server.ID] = map[*contentRun]struct{}{}
 	}
@@ -54,6 +61,7 @@
 		return
 	}
 	c.sweptAt = now
+	maps.DeleteFunc(c.dead, func(_ string, at time.Time) bool { return now.Sub(at) > deadServerTime })
 	for server, runs := range c.byServer {
 		maps.DeleteFunc(runs, func(r *contentRun, _ struct{}) bool { return r.tooOld(now) })
 		if len(runs) == 0 {
@@ -66,14 +74,19 @@
 	return !r.endedAt.IsZero() && now.Sub(r.endedAt) > abandonedRunTime
 }
 
-// take removes and returns the runs on a server, all or only those that were abandoned.
+// heard records that a server answered.
+func (c *contentRuns) heard(server *upstream.Server) { delete(c.dead, server.ID) }
+
+// take records that a server died, and removes and returns the runs that may have caused it:
+// all or only those that were abandoned.
 func (c *contentRuns) take(server string, abandonedOnly bool, now time.Time) []*contentRun {
+	c.dead[server] = now
 	var out []*contentRun
 	for r := range c.byServer[server] {
 		if abandonedOnly && r.endedAt.IsZero() {
 			continue
 		}
-		if !r.tooOld(now) {
+		if !r.tooOld(now) && !r.late {
 			out = append(out, r)
 		}
 		c.forget(r)
--- a/internal/forward/content_trial.go
+++ b/internal/forward/content_trial.go
@@ -27,7 +27,7 @@
 }
 
 // ContentTrialAnswer is the answer to a ContentTrialRequest. If neither Granted nor Wait is
-// set, the content needs no trial, or is convicted, as Known tells.
+// set, the content needs no trial, or is held back, as Known tells.
 type ContentTrialAnswer struct {
 	Granter string // the control VM that answered
 	Granted bool
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -158,7 +158,7 @@
 	h := &Handler{opts: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), inFlight: admission.NewInFlight(maxHeldRequests, maxHeldBytes), unread: newUnreadAnswers(o.UnreadBytes)}
 	h.gate = &gate{fleet: o.Fleet, permits: o.Permits, withheld: h.Stats.withheld}
 	h.engines = &engineCaller{gate: h.gate, pool: o.Pool, wire: o.Wire}
-	h.prober = newProber(h.engines, o.Fleet, o.Wire)
+	h.prober = newProber(h.engines, &o)
 	o.Fleet.OnDeath(h.blameContents)
 	return h
 }
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -24,6 +24,8 @@
 	engines *engineCaller
 	fleet   *upstream.Fleet
 	wire    Wire
+	// contents are told which servers are alive.
+	contents *SuspectContents
 
 	mu       sync.Mutex
 	inFlight map[string]*probe
@@ -48,8 +50,8 @@
 	hasReport    bool // report holds the engine's own report
 }
 
-func newProber(engines *engineCaller, fleet *upstream.Fleet, wire Wire) *prober {
-	return &prober{engines: engines, fleet: fleet, wire: wire, inFlight: map[string]*probe{}}
+func newProber(engines *engineCaller, o *Options) *prober {
+	return &prober{engines: engines, fleet: o.Fleet, wire: o.Wire, contents: o.SuspectContents, inFlight: map[string]*probe{}}
 }
 
 // start begins a probe of a server, or joins the one in flight.
@@ -72,6 +74,7 @@
 	switch {
 	case pr.alive:
 		p.fleet.Heard(s)
+		p.contents.heard(s)
 	case pr.replaced:
 		p.fleet.MarkStale(s)
 	}
@@ -153,6 +156,18 @@
 	return found
 }
 
+// answersProbe reports whether a server answers a probe now. The server of a trial must be
+// alive before, or the trial is blamed for an earlier death.
+func (h *Handler) answersProbe(s *upstream.Server) bool {
+	h.Stats.Probes.Inc()
+	p := h.prober.start(s)
+	<-p.done
+	if !p.alive && !p.withheld {
+		h.opts.Fleet.MarkDead(s)
+	}
+	return p.alive
+}
+
 // confirmDeath probes, concurrently with the request, whether the server that broke off
 // its answer has died. A broken answer alone raises no suspicion, since a live server
 // may lose answers. A server that accepts no connection is dead, and the contents that ran
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -95,6 +95,10 @@
 	// An idle connection may have died unnoticed. A resume has no time to find that
 	// out and opens a new one.
 	r.content = h.opts.SuspectContents.began(s, st.q.digest, st.q.trial != nil)
+	if st.q.trial != nil && !h.answersProbe(s) {
+		r.reply, r.outcome = reply{outcome: sendNotSent, fault: faultDial}, sendNotSent
+		return r
+	}
 	conn, failed := h.open(st.q, s, c.permit, h.headers(st.q, s, send), st.headSent)
 	if conn == nil {
 		r.reply, r.outcome = failed, failed.outcome
@@ -260,6 +264,7 @@
 // handleHead classifies the head of the engine's answer.
 func (r *run) handleHead() (runEnd, bool) {
 	rep := &r.reply
+	r.st.h.opts.SuspectContents.heard(r.server)
 	r.st.h.learnLoad(r.server, &rep.answer)
 	r.st.h.learnSlowdown(r.server, rep.answer.Load)
 	*rep = r.st.h.classifyReply(*rep)
--- a/internal/forward/suspect_content.go
+++ b/internal/forward/suspect_content.go
@@ -81,6 +81,13 @@
 	s.runs.forget(r)
 }
 
+// heard records that a server answered.
+func (s *SuspectContents) heard(server *upstream.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs.heard(server)
+}
+
 // abandon ends a run of which this VM will not learn the result. The server may still run
 // it, and die.
 func (s *SuspectContents) abandon(r *contentRun) {
@@ -199,10 +206,13 @@
 
 // learn merges the record of a control VM. It needs s.mu.
 func (s *SuspectContents) learn(digest uint64, r recovery.ContentRecord) {
-	if !s.contents.Merge(digest, r, time.Now()) {
+	now := time.Now()
+	before, _ := s.contents.Standing(digest, now)
+	s.contents.Merge(digest, r, now)
+	standing, _ := s.contents.Standing(digest, now)
+	if standing == before {
 		return
 	}
-	standing, _ := s.contents.Standing(digest, time.Now())
 	s.log.Info().Uint64("digest", digest).Int("deaths", len(r.Deaths)).Stringer("standing", standing).Msg("content known to other VMs")
 }
 
--- a/internal/recovery/content.go
+++ b/internal/recovery/content.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -13,20 +14,24 @@
 // in flight on every server that dies. The difference is that harmless content succeeds.
 // Therefore a content under which several servers died is sent only as a trial: one request
 // at a time over all VMs, to one server. An answer clears it of all deaths before the trial.
-// If the server of the trial dies, the content is convicted and held back.
+// If the server of the trial dies, the content is held back: for some time at first, since
+// the server may have died of another cause, and longer after each further such trial.
 
 // Bounds of the suspicion of contents.
 const (
 	// trialDeaths servers must die under a content before it is sent only as a trial. A
 	// single death may as likely be caused by another request on the same server.
 	trialDeaths = 2
-	// convictionTime is how long a content is held back after the server of its trial died.
-	convictionTime = 10 * time.Minute
+	// firstHold, secondHold and laterHold are how long a content is held back after the server
+	// of its first, second, or a later trial died.
+	firstHold  = 30 * time.Second
+	secondHold = 10 * time.Minute
+	laterHold  = time.Hour
 	// contentTTL is how long a content is remembered after its last death.
 	contentTTL = 10 * time.Minute
-	// suspectTTL is how long it is remembered if it is sent only as a trial. When its
-	// conviction ends, its callers may still repeat it.
-	suspectTTL = time.Hour
+	// suspectTTL is how long it is remembered if it is sent only as a trial. Its callers may
+	// still repeat it after laterHold.
+	suspectTTL = 2 * time.Hour
 	// maxContentDeaths bounds the deaths that are kept of one content.
 	maxContentDeaths = 8
 	maxContents      = 1 << 14
@@ -40,7 +45,7 @@
 	ContentFree    ContentStanding = iota
 	ContentSuspect                 // one server died: it runs on one server at a time
 	ContentOnTrial                 // several died: it is sent only as a trial
-	ContentHeld                    // the server of its trial died: it is not sent
+	ContentHeld                    // the server of a trial died: it is not sent
 )
 
 // String implements fmt.Stringer.
@@ -51,42 +56,63 @@
 // ContentRecord is what is known of one content under which servers died. The records of
 // several VMs merge to the same result in any order.
 type ContentRecord struct {
-	Deaths map[string]time.Time // when servers were found dead, by id
+	Deaths []ContentDeath
 	// ClearedAt is when the latest request was sent that a server answered. It clears the
 	// content of all deaths before; zero: none was answered.
 	ClearedAt time.Time
-	// ConvictedAt is when a server died under a trial of the content; zero: none did.
-	ConvictedAt time.Time
+}
+
+// ContentDeath is the death of one server under a content.
+type ContentDeath struct {
+	Server string
+	At     time.Time // when it was found dead
+	Trial  bool      // it ran a trial of the content
+}
+
+// same reports whether two reports are of one death. A server may start again under its id,
+// and die again.
+func (d ContentDeath) same(o ContentDeath) bool {
+	return d.Server == o.Server && d.At.Sub(o.At).Abs() < sameDeathWindow
+}
+
+func (r *ContentRecord) holds(d ContentDeath) bool {
+	return slices.ContainsFunc(r.Deaths, func(o ContentDeath) bool { return o.same(d) && o.Trial == d.Trial })
+}
+
+// addDeath adds a death that is not known, or not known as that of a trial.
+func (r *ContentRecord) addDeath(d ContentDeath) (changed bool) {
+	i := slices.IndexFunc(r.Deaths, d.same)
+	switch {
+	case i >= 0 && d.Trial && !r.Deaths[i].Trial:
+		r.Deaths[i].Trial = true
+		return true
+	case i < 0 && len(r.Deaths) < maxContentDeaths:
+		r.Deaths = append(r.Deaths, d)
+		return true
+	}
+	return false
 }
 
 // merge adds what o knows, and reports whether that changed r.
-func (r *ContentRecord) merge(o ContentRecord) bool {
-	before := len(r.Deaths)
-	changed := false
+func (r *ContentRecord) merge(o ContentRecord) (changed bool) {
 	if o.ClearedAt.After(r.ClearedAt) {
 		r.ClearedAt, changed = o.ClearedAt, true
+		r.Deaths = slices.DeleteFunc(r.Deaths, func(d ContentDeath) bool { return !d.At.After(r.ClearedAt) })
 	}
-	if o.ConvictedAt.After(r.ConvictedAt) {
-		r.ConvictedAt, changed = o.ConvictedAt, true
-	}
-	maps.DeleteFunc(r.Deaths, func(_ string, at time.Time) bool { return !at.After(r.ClearedAt) })
-	for server, at := range o.Deaths {
-		if _, known := r.Deaths[server]; !known && at.After(r.ClearedAt) && len(r.Deaths) < maxContentDeaths {
-			r.Deaths[server] = at
+	for _, d := range o.Deaths {
+		if d.At.After(r.ClearedAt) {
+			changed = r.addDeath(d) || changed
 		}
 	}
-	if !r.ConvictedAt.After(r.ClearedAt) {
-		r.ConvictedAt = time.Time{}
-	}
-	return changed || len(r.Deaths) != before
+	return changed
 }
 
 // last returns the time of the last event.
 func (r *ContentRecord) last() time.Time {
 	last := r.ClearedAt
-	for _, at := range r.Deaths {
-		if at.After(last) {
-			last = at
+	for _, d := range r.Deaths {
+		if d.At.After(last) {
+			last = d.At
 		}
 	}
 	return last
@@ -106,16 +132,39 @@
 	return s
 }
 
-// SameAs reports whether both records tell the same deaths, and the same of conviction. The
-// times may differ, since each VM has its own clock.
+// SameAs reports whether both records tell the same deaths. The times may differ, since each
+// VM has its own clock.
 func (r *ContentRecord) SameAs(o ContentRecord) bool {
-	sameDeath := func(_, _ time.Time) bool { return true }
-	return maps.EqualFunc(r.Deaths, o.Deaths, sameDeath) && r.ConvictedAt.IsZero() == o.ConvictedAt.IsZero()
+	missing := func(d ContentDeath) bool { return !o.holds(d) }
+	return len(r.Deaths) == len(o.Deaths) && !slices.ContainsFunc(r.Deaths, missing)
+}
+
+// heldUntil returns the end of the time in which the content is not sent; zero: it is sent.
+func (r *ContentRecord) heldUntil() time.Time {
+	trials, last := 0, time.Time{}
+	for _, d := range r.Deaths {
+		if !d.Trial {
+			continue
+		}
+		trials++
+		if d.At.After(last) {
+			last = d.At
+		}
+	}
+	switch trials {
+	case 0:
+		return time.Time{}
+	case 1:
+		return last.Add(firstHold)
+	case 2:
+		return last.Add(secondHold)
+	}
+	return last.Add(laterHold)
 }
 
 func (r *ContentRecord) standing(now time.Time) (s ContentStanding, until time.Time) {
-	if held := r.ConvictedAt.Add(convictionTime); !r.ConvictedAt.IsZero() && now.Before(held) {
-		return ContentHeld, held
+	if until = r.heldUntil(); now.Before(until) {
+		return ContentHeld, until
 	}
 	switch len(r.Deaths) {
 	case 0:
@@ -145,10 +194,7 @@
 // ServerDied records that a server died while it ran a content, as a trial or not. It
 // returns the number of servers that died under it, and whether this one is new.
 func (c *SuspectContents) ServerDied(digest uint64, server string, trial bool, now time.Time) (deaths int, added bool) {
-	death := ContentRecord{Deaths: map[string]time.Time{server: now}}
-	if trial {
-		death.ConvictedAt = now
-	}
+	death := ContentRecord{Deaths: []ContentDeath{{Server: server, At: now, Trial: trial}}}
 	added = c.Merge(digest, death, now)
 	return len(c.byDigest[digest].Deaths), added
 }
@@ -158,7 +204,7 @@
 	r := c.byDigest[digest]
 	if r == nil || r.expired(now) {
 		c.expire(now)
-		r = &ContentRecord{Deaths: map[string]time.Time{}}
+		r = &ContentRecord{}
 		c.byDigest[digest] = r
 	}
 	return r.merge(o)
@@ -192,7 +238,7 @@
 		return ContentRecord{}
 	}
 	out := *r
-	out.Deaths = maps.Clone(r.Deaths)
+	out.Deaths = slices.Clone(r.Deaths)
 	return out
 }
 
--- a/internal/recovery/content_trial.go
+++ b/internal/recovery/content_trial.go
@@ -24,7 +24,7 @@
 	// trialPoll is when a VM may ask again while a trial is in progress.
 	trialPoll = 50 * time.Millisecond
 	// firstTrialPause separates the first two trials without a result. It doubles with each
-	// further one, up to convictionTime.
+	// further one, up to laterHold.
 	firstTrialPause = 3 * time.Second
 )
 
@@ -72,7 +72,7 @@
 // pause returns how long after the last trial the next one may begin.
 func (p pastTrials) pause() time.Duration {
 	const maxDoublings = 10
-	return min(firstTrialPause<<min(max(p.count-1, 0), maxDoublings), convictionTime)
+	return min(firstTrialPause<<min(max(p.count-1, 0), maxDoublings), laterHold)
 }
 
 func (t *ContentTrials) runningIn(service string) int {
