upstream: log when this VM reaches no backend server of a service

The record of the VMs without servers cannot tell how a VM saw the service. A line when all servers that were tried failed in a row, when one is heard again, and a gauge. No decision changes.

--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -126,6 +126,7 @@
 	set.NewGauge("shelf_rate_limits", func() float64 { return float64(r.fleet.LimitsInForce()) })
 	set.NewGauge("shelf_servers_paused", func() float64 { return float64(r.fleet.Paused()) })
 	set.NewGauge("shelf_suspect_contents", func() float64 { return float64(r.suspectContents.Count()) })
+	set.NewGauge("shelf_services_lost", func() float64 { return float64(len(r.fleet.LostServices())) })
 	set.NewGauge("shelf_idle_connections", func() float64 { return float64(pool.Idle()) })
 	set.NewGauge("shelf_connections_opened_total", func() float64 { return float64(pool.Dials()) })
 }
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 )
@@ -119,6 +120,9 @@
 	incarnations   map[string]*incarnation // by server id
 	slowdownStated map[string]time.Time    // when a server last stated a slowdown, by service
 	cordons        cordons
+	reach          *handoff.Reach
+	lostSince      map[string]time.Time // services that this VM does not reach
+	heardService   map[string]time.Time // when some server of a service was last heard
 }
 
 // open reports whether requests may be sent to the server now: it is not draining, no other
@@ -134,7 +138,7 @@
 // NewFleet returns an empty Fleet. It closes idle connections in pool to servers that leave
 // the list.
 func NewFleet(pool *Pool, log zerolog.Logger) *Fleet {
-	return &Fleet{pool: pool, log: log, now: time.Now, onDeath: func(string, Evidence) {}, servers: map[string]*Server{}, deadSince: map[string]time.Time{}, incarnations: map[string]*incarnation{}, slowdownStated: map[string]time.Time{}}
+	return &Fleet{pool: pool, log: log, now: time.Now, onDeath: func(string, Evidence) {}, servers: map[string]*Server{}, deadSince: map[string]time.Time{}, incarnations: map[string]*incarnation{}, slowdownStated: map[string]time.Time{}, reach: handoff.NewReach(), lostSince: map[string]time.Time{}, heardService: map[string]time.Time{}}
 }
 
 // Apply takes over a list if it was read later than the current one, and reports whether it
@@ -160,6 +164,7 @@
 	f.refreshServers()
 	f.matchCordons()
 	f.inUse = f.inUse.next(next.rows)
+	f.hearNewServers(&next, added)
 	f.expireIncarnations()
 	f.mu.Unlock()
 	if added > 0 || len(gone) > 0 {
@@ -384,7 +389,7 @@
 func (f *Fleet) Heard(s *Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.lastHeard = f.now()
+	f.hear(s)
 }
 
 // SilentFor returns the time since this VM last received bytes from the server.
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -52,6 +52,7 @@
 	f.mu.Lock()
 	f.backOff(s)
 	f.noteDeath(s)
+	f.failReach(s)
 	f.mu.Unlock()
 	f.pool.Forget(s.ID)
 	// A host that refuses connections has no process at the address. One that is silent
@@ -69,6 +70,7 @@
 	f.deadSince[s.ID] = f.now()
 	s.diedAt = f.now()
 	f.noteDeath(s)
+	f.failReach(s)
 	signal(&s.died)
 	silent := f.now().Sub(s.lastHeard)
 	f.mu.Unlock()
@@ -189,7 +191,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.failuresInRow, s.faultsInRow = 0, 0
-	s.lastHeard, s.suspectedUntil = f.now(), time.Time{}
+	s.suspectedUntil = time.Time{}
+	f.hear(s)
 	if took <= 0 {
 		return
 	}
