--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -48,6 +50,7 @@
 	handler  *forward.Handler
 	fleet    *upstream.Fleet
 	contents *forward.SuspectContents
+	link     *serverLink
 }
 
 func startCallSystem(ctx context.Context, n *peertest.Net, routers int) *callSystem {
@@ -84,8 +87,9 @@
 }
 
 func (s *callSystem) startRouter(id, zone string) *callRouter {
-	pool := upstream.NewPoolWith(s.servers.Dial)
-	r := &callRouter{testVM: &testVM{}, fleet: upstream.NewFleet(pool, zerolog.Nop()), contents: forward.NewSuspectContents(zerolog.Nop())}
+	link := newServerLink()
+	pool := upstream.NewPoolWith(func(ctx context.Context, addr string) (net.Conn, error) { return link.dial(ctx, addr, s.servers.Dial) })
+	r := &callRouter{link: link, testVM: &testVM{}, fleet: upstream.NewFleet(pool, zerolog.Nop()), contents: forward.NewSuspectContents(zerolog.Nop())}
 	r.fleet.Apply(upstream.List{Backends: s.servers.Backends(), AsOf: time.Now()})
 	r.list = NewListReplica(func(upstream.List) {})
 	ready := make(chan struct{})
@@ -140,12 +144,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		r := choose(rng)
 		go func() {
-			w := httptest.NewRecorder()
-			q := httptest.NewRequest(http.MethodPost, "/vote/x", http.NoBody)
-			q.Host = "shelf"
-			q.Header.Set(forward.HeaderRequestID, strconv.FormatInt(s.sent.Add(1), 10))
-			r.handler.ServeHTTP(w, q.WithContext(s.ctx))
-			if w.Code == http.StatusOK {
+			if s.vote(r) {
 				ok.Add(1)
 			} else {
 				not.Add(1)
@@ -157,6 +156,17 @@
 	return int(ok.Load()), int(not.Load())
 }
 
+// vote sends a vote of its own content to a router, and reports whether it was served.
+func (s *callSystem) vote(r *callRouter) bool {
+	id := strconv.FormatInt(s.sent.Add(1), 10)
+	w := httptest.NewRecorder()
+	q := httptest.NewRequest(http.MethodPost, "/vote/x", strings.NewReader(id))
+	q.Host = "shelf"
+	q.Header.Set(forward.HeaderRequestID, id)
+	r.handler.ServeHTTP(w, q.WithContext(s.ctx))
+	return w.Code == http.StatusOK
+}
+
 func (s *callSystem) any(rng *rand.Rand) *callRouter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
