A trial of a suspect content waits until earlier deaths are known everywhere

In one of some ten runs of TestCrashingContentStopsAtAllVMs, 629 harmless reads were held back: their content was tried on a server while another VM, which had not heard of the deaths yet, still ran the crashing content there. A trial now begins 700 ms after the content's last death at the earliest.

--- a/internal/cluster/contents.go
+++ b/internal/cluster/contents.go
@@ -145,11 +145,15 @@
 // request decides about a request for a trial.
 func (c *contentService) request(vm string, r *ContentTrialRequest, now time.Time) ContentTrialReply {
 	standing := c.learn(&r.Known, now)
-	reply := ContentTrialReply{Known: encodeContent(r.Known.Digest, c.contents.Record(r.Known.Digest), now)}
+	record := c.contents.Record(r.Known.Digest)
+	reply := ContentTrialReply{Known: encodeContent(r.Known.Digest, record, now)}
 	if standing != recovery.ContentOnTrial {
 		return reply
 	}
-	wait := c.trials.Request(r.Known.Digest, vm, r.Service, r.Stream, now)
+	wait := record.TrialWait(now)
+	if wait == 0 {
+		wait = c.trials.Request(r.Known.Digest, vm, r.Service, r.Stream, now)
+	}
 	if wait == 0 {
 		reply.Granted = true
 		return reply
--- a/internal/forward/content_trial.go
+++ b/internal/forward/content_trial.go
@@ -114,7 +114,10 @@
 func (l *localContentTrials) RequestTrial(_ context.Context, r ContentTrialRequest) (ContentTrialAnswer, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	wait := l.trials.Request(r.Digest, "", r.Service, r.Stream, time.Now())
+	wait := r.Known.TrialWait(time.Now())
+	if wait == 0 {
+		wait = l.trials.Request(r.Digest, "", r.Service, r.Stream, time.Now())
+	}
 	return ContentTrialAnswer{Granted: wait == 0, Wait: wait, Known: r.Known}, true
 }
 
--- a/internal/recovery/content.go
+++ b/internal/recovery/content.go
@@ -27,6 +27,10 @@
 	firstHold  = 30 * time.Second
 	secondHold = 10 * time.Minute
 	laterHold  = time.Hour
+	// trialSettleTime is how long after the last death a trial may begin. Until then VMs
+	// that have not heard of the deaths may still run the content that caused them, and a
+	// harmless one would be blamed for the next.
+	trialSettleTime = 700 * time.Millisecond
 	// contentTTL is how long a content is remembered after its last death.
 	contentTTL = 10 * time.Minute
 	// suspectTTL is how long it is remembered if it is sent only as a trial. Its callers may
@@ -175,6 +179,11 @@
 	return ContentOnTrial, time.Time{}
 }
 
+// TrialWait returns how long a trial of the content has to wait.
+func (r *ContentRecord) TrialWait(now time.Time) time.Duration {
+	return max(0, r.last().Add(trialSettleTime).Sub(now))
+}
+
 // SuspectContents records under which request contents servers died, by digest of the
 // content. It is not safe for concurrent use.
 type SuspectContents struct{ byDigest map[uint64]*ContentRecord }
