A VM that reaches no backend server serves its callers through other VMs

Cause: a VM had no way to a server but its own, stayed in the directory, and could not tell a cut from dead servers; a server that lost all packets was noticed only by streams.

If other VMs hear the service, it hands requests off to one of them, whole, over the peers' protocol, leaves the directory while others remain, and reports no server of the service as dead. An offer runs nothing before the first read of its answer, so that a lost offer has not run; one hop only; if nobody takes a request it is refused at once as not run (3023). A call that got no answer until its deadline has its server probed.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -120,6 +120,10 @@
 	Contents        []ContentReport `cbor:"28,keyasint,omitempty"`
 	ContentsVersion uint64          `cbor:"29,keyasint,omitempty"`
 	WantContents    bool            `cbor:"30,keyasint,omitempty"`
+	// Lost are the services of which the sender reaches no server. Hears are those of the lost
+	// ones, here or by the last Summary, of which it has just heard a server.
+	Lost  []string `cbor:"31,keyasint,omitempty"`
+	Hears []string `cbor:"32,keyasint,omitempty"`
 	// Capacity is the size of this VM and Load the share in use, in thousandths; 0: unknown.
 	Capacity *capacity.Size `cbor:"24,keyasint,omitempty"`
 	Load     uint16         `cbor:"25,keyasint,omitempty"`
--- a/internal/cluster/cut_test.go
+++ b/internal/cluster/cut_test.go
@@ -177,6 +177,9 @@
 				}
 				s.load(60, cutBoundFrom, s.any)
 				cut, others := s.loadByLink(60, cutTime-cutBoundFrom)
+				if others.share() < 0.9 {
+					t.Errorf("VMs that reach the servers served %d of %d first tries, want nine in ten", others.served, others.sent)
+				}
 				if cut.share() < cutLeastService*others.share() {
 					t.Errorf("VMs without servers served %d of %d first tries, the others %d of %d; want at least two thirds of their share", cut.served, cut.sent, others.served, others.sent)
 				}
--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -114,7 +114,7 @@
 	for i, id := range s.routers {
 		v := h.vms[id]
 		s.balances[id] = Balance{MeanLoad: weights.MeanLoad, Weight: weights.Weights[i]}
-		if !h.named(&v) {
+		if !h.named(&v) || s.cutOff[id] {
 			continue
 		}
 		c := endpoints.Candidate{Address: v.heartbeat.Endpoint, Weight: weights.Weights[i]}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -60,6 +60,10 @@
 	// that other VMs know.
 	Leaving      func() []string
 	LearnLeaving func([]string)
+	// Lost returns the services of which this VM reaches no server. Hears reports whether it
+	// has just heard a server of one.
+	Lost  func() []string
+	Hears func(service string) bool
 	// Contents returns the records of suspect contents that the control VMs may not know.
 	// LearnContents takes those that they tell.
 	Contents      func() map[uint64]recovery.ContentRecord
@@ -106,6 +110,7 @@
 	terms           atomic.Pointer[termState] // of the Hub that joined; nil on routers
 	statements      statementState
 	contents        contentState
+	lost            lostState
 }
 
 // NewMember returns a Member of the VM self. seeds are the ids of control VMs from the
@@ -321,6 +326,7 @@
 	heartbeat.UseReport = m.fullUseReport()
 	heartbeat.Limits, heartbeat.Leaving = m.newLimits(), m.newLeaving()
 	heartbeat.Contents = m.newContents()
+	m.addReach(&heartbeat)
 	if terms := m.terms.Load(); terms != nil {
 		heartbeat.Term, heartbeat.HolderHeardMS = terms.statement()
 	}
@@ -373,6 +379,7 @@
 	m.learnSpent(reports.Spent)
 	m.learnLimits(reports.Limits)
 	m.learnLeaving(reports.Leaving)
+	m.learnLost(reports.Lost)
 	if reply.ContentsVersion != 0 {
 		reports.Deaths = nil // the records of contents tell more
 	}
--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,10 +19,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -53,6 +56,18 @@
 	link     *serverLink
 }
 
+func (r *callRouter) hears(service string) bool { return r.fleet.HeardWithin(service, time.Second) }
+
+func (r *callRouter) probeLostServices(ctx context.Context) {
+	for timer.Sleep(ctx, 300*time.Millisecond) == nil {
+		for _, service := range slices.Concat(r.fleet.LostServices(), r.member.LostElsewhere()) {
+			if !r.hears(service) {
+				r.handler.ProbeService(service)
+			}
+		}
+	}
+}
+
 func startCallSystem(ctx context.Context, n *peertest.Net, routers int) *callSystem {
 	s := &callSystem{ctx: ctx, net: n, servers: routedengine.NewNet()}
 	for i := range 3 {
@@ -98,8 +113,9 @@
 		r.contents.Learn(records)
 		learned()
 	}
-	r.member = NewMember(id, s.net.VM(id), controls, r.list, Local{
-		Zone: zone, Endpoint: id + ":80", Ready: func() bool { return true }, Use: r.fleet.OwnUse, Deaths: r.contents.TakeUnreported, Contents: r.contents.Reports, LearnContents: learnContents, Dead: r.fleet.RecentlyDead,
+	transport := s.net.VM(id)
+	r.member = NewMember(id, transport, controls, r.list, Local{
+		Zone: zone, Endpoint: id + ":80", Ready: func() bool { return true }, Use: r.fleet.OwnUse, Deaths: r.contents.TakeUnreported, Contents: r.contents.Reports, LearnContents: learnContents, Lost: r.fleet.LostServices, Hears: r.hears, Dead: r.fleet.RecentlyDead,
 		Withheld: r.fleet.Withheld, Limits: r.fleet.Limits, SentElsewhere: r.fleet.SentElsewhere, LearnLimits: r.fleet.LearnLimits,
 		Leaving: r.fleet.Leaving, LearnLeaving: r.fleet.LearnLeaving,
 		Learn: func(reports PeerReports) {
@@ -126,13 +142,15 @@
 	})
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: zone, Wire: forward.NewPlainWire(), Pool: pool, Fleet: r.fleet, Routes: func() *routes.Table { return table }, ListsReady: ready,
-		Permits: r.member, ContentTrials: r.member, RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
+		Permits: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(transport, r.member.Relays, zerolog.Nop()), RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
 		SuspectContents: r.contents, Closing: func() bool { return false },
 		CannotFinish: func(bool, time.Duration) bool { return false },
 	})
 	ctx, stop := context.WithCancel(s.ctx)
 	r.stop = stop
+	handoff.NewServer(ctx, transport, r.handler, func(service string) bool { return r.fleet.Reaches(service) && r.hears(service) }, zerolog.Nop())
 	go r.member.Run(ctx)
+	go r.probeLostServices(ctx)
 	return r
 }
 
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -66,6 +66,8 @@
 	Limits []ServerLimit `cbor:"7,keyasint,omitempty"`
 	// Leaving are the backend servers that leave by their own statement.
 	Leaving []string `cbor:"8,keyasint,omitempty"`
+	// Lost are the services of which some VMs reach no server.
+	Lost []LostService `cbor:"9,keyasint,omitempty"`
 }
 
 // PeerReports combines the reports of all other VMs, as a VM last received them.
@@ -87,6 +89,7 @@
 	endpoints     []string                              // addresses of the routers that are named to callers
 	endpointsHeld bool                                  // endpoints are not known yet
 	useByVM       map[string]map[string]placement.Usage // each VM's own use
+	cutOff        map[string]bool                       // VMs that are not named to callers, since they have lost a service
 	directory     Directory
 	balances      map[string]Balance // by VM; nil: VMs are not weighted
 }
@@ -133,9 +136,11 @@
 		}
 	}
 	slices.SortFunc(ready, func(a, b vmState) int { return strings.Compare(a.heartbeat.Endpoint, b.heartbeat.Endpoint) })
+	out.Lost = lostServices(ready)
+	s.cutOff = h.cutOffVMs(ready, out.Lost)
 	for _, v := range ready {
 		s.routers = append(s.routers, v.vm)
-		if h.named(&v) {
+		if h.named(&v) && !s.cutOff[v.vm] {
 			s.endpoints = append(s.endpoints, v.heartbeat.Endpoint)
 		}
 	}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -224,6 +224,8 @@
 func (h *Handler) noteSendResult(q *request, s *upstream.Server, r *reply, began time.Time, run *contentRun) {
 	f, took := h.opts.Fleet, time.Since(began)
 	switch {
+	case q.ctx.Err() != nil && r.outcome == sendUnknown && q.left() <= 0:
+		h.probeForDeath(s, run) // it may be cut off, which nothing else would show
 	case q.ctx.Err() != nil, r.fault == faultDial, r.fault == faultWithheld:
 	case r.outcome == sendRefused && r.answer.WrongInstance:
 		f.MarkStale(s)
--- /dev/null
+++ b/internal/forward/hand_off.go
@@ -0,0 +1,84 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// HandOff has other VMs serve requests. *handoff.Client implements it.
+type HandOff interface {
+	Serve(ctx context.Context, w http.ResponseWriter, q handoff.Request) handoff.Outcome
+}
+
+const (
+	// maxHandOffs bounds how often a repeatable request is handed off.
+	maxHandOffs = 2
+	// noServerRetryAfter is the Retry-After of a request that no VM can serve. A lost service
+	// is probed several times in this time.
+	noServerRetryAfter = time.Second
+)
+
+// mustHandOff reports whether a request can only be served by another VM.
+func (h *Handler) mustHandOff(q *request) bool {
+	return h.opts.HandOff != nil && !handoff.IsRelayed(q.ctx) && !h.opts.Fleet.Reaches(q.service.Name)
+}
+
+// handOff has another VM serve a request. That VM counts it, in budgets, limits and records
+// of contents; this one does not.
+func (h *Handler) handOff(w http.ResponseWriter, q *request) {
+	for range maxHandOffs {
+		h.Stats.HandOffs.Inc()
+		switch h.opts.HandOff.Serve(q.ctx, w, h.offerOf(q)) {
+		case handoff.Answered:
+			return
+		case handoff.NotTaken:
+			q.setRetryAfter(noServerRetryAfter)
+			h.endCall(w, q, nil, result.NoServerReached)
+			return
+		case handoff.Broken:
+			h.Stats.BrokenStreams.Inc()
+			panic(http.ErrAbortHandler) // a regular end would make the answer look complete
+		case handoff.Lost:
+			q.history.Add(sendUnknown)
+		}
+		if q.ctx.Err() != nil {
+			h.endCall(w, q, nil, result.RouteTimeout)
+			return
+		}
+		if !q.history.MaySend() {
+			break
+		}
+	}
+	h.endCall(w, q, nil, result.OutcomeUnknown)
+}
+
+// offerOf returns the request as its caller sent it, with the time that is left.
+func (h *Handler) offerOf(q *request) handoff.Request {
+	header := q.outbound.Header.Clone()
+	h.opts.Wire.SetDeadline(header, max(time.Millisecond, q.left()))
+	return handoff.Request{
+		Service: q.service.Name, Method: q.outbound.Method, URI: q.outbound.URI, Host: q.outbound.Host, Header: header, Body: q.outbound.Body,
+	}
+}
+
+// ProbeService probes one server of a service without waiting for the result, to find out
+// whether this VM reaches it.
+func (h *Handler) ProbeService(service string) {
+	if s := h.opts.Fleet.AnyServer(service); s != nil {
+		h.Stats.Probes.Inc()
+		go h.noteProbe(s)
+	}
+}
+
+func (h *Handler) noteProbe(s *upstream.Server) {
+	p := h.prober.start(s)
+	<-p.done
+	if !p.alive && !p.withheld {
+		h.opts.Fleet.Unanswered(s)
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -105,6 +105,9 @@
 	// ContentTrials grants trials of suspect contents on behalf of all VMs; nil: this VM
 	// decides.
 	ContentTrials ContentTrials
+	// HandOff has other VMs serve requests whose service this VM does not reach; nil: none
+	// does.
+	HandOff HandOff
 	// Rollouts decides which versions may run a request; nil: all may.
 	Rollouts *Rollouts
 	// CannotFinish reports that a request cannot be finished before this VM shuts down.
@@ -303,6 +306,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.expires)
 	defer cancel()
 	q.ctx = ctx
+	if h.mustHandOff(q) {
+		h.handOff(w, q)
+		return
+	}
 	h.chooseVersion(q)
 	q.budget.CountRequest()
 	h.Stats.Requests.Inc()
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -98,6 +98,11 @@
 // SetInstance implements Wire.
 func (n *Headers) SetInstance(h http.Header, instance string) { h.Set(n.Instance, instance) }
 
+// SetDeadline implements Wire.
+func (n *Headers) SetDeadline(h http.Header, left time.Duration) {
+	h.Set(n.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+}
+
 // PerAttemptHeaders implements Wire.
 func (n *Headers) PerAttemptHeaders() []string { return []string{n.RequestID, n.Deadline, n.LastEvent} }
 
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -24,6 +24,7 @@
 	StrayAnswers    *metrics.Counter // answers to other requests, dropped
 	BrokenStreams   *metrics.Counter // streams that were broken off
 	CallersGone     *metrics.Counter
+	HandOffs        *metrics.Counter // requests offered to other VMs, since this one reaches no server of their service
 	// CallGrantFallbacks counts the calls for which no control VM granted a usable server, and
 	// about which this VM decided by itself.
 	CallGrantFallbacks *metrics.Counter
@@ -45,8 +46,8 @@
 		ResumesFromCopy: counter("resumes_from_copy"), Probes: counter("probes"), CopiesOrdered: counter("copies_ordered"),
 		StrayAnswers: counter("stray_answers"), BrokenStreams: counter("streams_broken"), CallersGone: counter("callers_gone"),
 		CallGrantFallbacks: counter("calls_grant_fallback"), EngineSpeeds: counter("engine_speeds_reported"),
-		RefusedByLevel: counter("streams_refused_by_level"),
-		FirstEvent:     set.NewHistogram("shelf_first_event_seconds"), ResumePause: set.NewHistogram("shelf_resume_pause_seconds"),
+		RefusedByLevel: counter("streams_refused_by_level"), HandOffs: counter("hand_offs"),
+		FirstEvent: set.NewHistogram("shelf_first_event_seconds"), ResumePause: set.NewHistogram("shelf_resume_pause_seconds"),
 		CallTime: set.NewHistogram("shelf_call_seconds"), StreamWait: set.NewHistogram("shelf_stream_wait_seconds"),
 	}
 }
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -94,6 +94,8 @@
 	SetSendHeaders(h http.Header, s Send)
 	// SetInstance writes the incarnation that a probe is for; any other must refuse it.
 	SetInstance(h http.Header, instance string)
+	// SetDeadline writes how long a caller waits, as ReadCaller reads it.
+	SetDeadline(h http.Header, left time.Duration)
 	// PerAttemptHeaders returns the names, in canonical form, of the headers that differ
 	// between the attempts of a request.
 	PerAttemptHeaders() []string
--- /dev/null
+++ b/internal/handoff/server.go
@@ -0,0 +1,267 @@
+package handoff
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+)
+
+// Bounds of the requests that a VM serves for others.
+const (
+	// maxTaken bounds the requests in progress for other VMs.
+	maxTaken = 256
+	// maxWaiting bounds the bytes of an answer that wait to be read.
+	maxWaiting = 64 << 10
+	// readWait is how long a read waits for the next bytes.
+	readWait = 250 * time.Millisecond
+	// readLease is how long a request is kept without a read.
+	readLease = 1500 * time.Millisecond
+)
+
+type relayedKey struct{}
+
+// IsRelayed reports whether a request came from another VM. It must not be handed off again.
+func IsRelayed(ctx context.Context) bool { return ctx.Value(relayedKey{}) != nil }
+
+// Server serves requests that other VMs hand off. It is safe for concurrent use.
+type Server struct {
+	ctx   context.Context
+	serve http.Handler
+	takes func(service string) bool
+	log   zerolog.Logger
+
+	mu    sync.Mutex
+	taken map[takenKey]*exchange
+}
+
+type takenKey struct {
+	vm string
+	id uint64
+}
+
+// NewServer returns a Server that passes requests to serve until ctx ends, and registers it
+// with t. takes reports whether this VM can serve a service.
+func NewServer(ctx context.Context, t peer.Transport, serve http.Handler, takes func(service string) bool, log zerolog.Logger) *Server {
+	s := &Server{ctx: ctx, serve: serve, takes: takes, log: log, taken: map[takenKey]*exchange{}}
+	t.Handle(peer.KindOffer, s.handleOffer)
+	t.Handle(peer.KindReadAnswer, s.handleRead)
+	t.Handle(peer.KindCancelOffer, s.handleCancel)
+	return s
+}
+
+func (s *Server) handleOffer(_ context.Context, from string, body []byte) (any, error) {
+	q := &Request{}
+	if err := codec.Unmarshal(body, q); err != nil {
+		return nil, err
+	}
+	if !s.takes(q.Service) {
+		return OfferReply{}, nil
+	}
+	key := takenKey{from, q.ID}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.taken[key] != nil || len(s.taken) >= maxTaken {
+		return OfferReply{}, nil
+	}
+	s.taken[key] = s.newExchange(key, q)
+	return OfferReply{Taken: true}, nil
+}
+
+func (s *Server) newExchange(key takenKey, q *Request) *exchange {
+	ctx, cancel := context.WithCancel(context.WithValue(s.ctx, relayedKey{}, true))
+	e := &exchange{request: q, ctx: ctx, cancel: cancel, header: http.Header{}, changed: make(chan struct{})}
+	e.lease = time.AfterFunc(readLease, func() { s.drop(key, e) })
+	return e
+}
+
+// drop ends a request that is not read any more.
+func (s *Server) drop(key takenKey, e *exchange) {
+	s.mu.Lock()
+	if s.taken[key] == e {
+		delete(s.taken, key)
+	}
+	s.mu.Unlock()
+	e.lease.Stop()
+	e.cancel()
+}
+
+func (s *Server) lookup(key takenKey) *exchange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.taken[key]
+}
+
+func (s *Server) handleRead(ctx context.Context, from string, body []byte) (any, error) {
+	var r ReadRequest
+	if err := codec.Unmarshal(body, &r); err != nil {
+		return nil, err
+	}
+	e := s.lookup(takenKey{from, r.ID})
+	if e == nil || !e.lease.Reset(readLease) {
+		return Piece{}, nil
+	}
+	e.start.Do(func() {
+		s.log.Info().Str("from", from).Str("service", e.request.Service).Uint64("offer", r.ID).Msg("serving a request for another VM")
+		go e.run(s.serve, s.log)
+	})
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	return e.read(ctx, &r), nil
+}
+
+func (s *Server) handleCancel(_ context.Context, from string, body []byte) (any, error) {
+	var r CancelRequest
+	if err := codec.Unmarshal(body, &r); err != nil {
+		return nil, err
+	}
+	key := takenKey{from, r.ID}
+	if e := s.lookup(key); e != nil {
+		s.drop(key, e)
+	}
+	return nil, nil
+}
+
+// exchange is one request for another VM, and the part of its answer that waits to be read.
+// It implements http.ResponseWriter.
+type exchange struct {
+	request *Request
+	ctx     context.Context
+	cancel  context.CancelFunc
+	lease   *time.Timer
+	start   sync.Once
+	header  http.Header // of the handler, until the head is written
+
+	mu      sync.Mutex
+	changed chan struct{} // closed with each change
+	status  int           // 0: there is no head yet
+	head    http.Header
+	offset  int64  // of waiting
+	waiting []byte // the bytes that were not acknowledged by a read
+	ended   bool
+	aborted bool
+}
+
+// run passes the request to the handler.
+func (e *exchange) run(serve http.Handler, log zerolog.Logger) {
+	defer e.cancel()
+	defer func() {
+		p := recover()
+		if p != nil && p != http.ErrAbortHandler {
+			log.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Msg("a request of another VM ended in a panic")
+		}
+		e.end(p != nil)
+	}()
+	r, err := http.NewRequestWithContext(e.ctx, e.request.Method, "http://"+e.request.Host+e.request.URI, bytes.NewReader(e.request.Body))
+	if err != nil {
+		http.Error(e, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.RequestURI, r.Header = e.request.URI, e.request.Header
+	serve.ServeHTTP(e, r)
+}
+
+func (e *exchange) end(aborted bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !aborted {
+		e.writeHead(http.StatusOK)
+	}
+	e.ended, e.aborted = true, aborted
+	e.signal()
+}
+
+// signal wakes whoever waits for a change. It needs e.mu.
+func (e *exchange) signal() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// Header implements http.ResponseWriter.
+func (e *exchange) Header() http.Header { return e.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (e *exchange) WriteHeader(status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.writeHead(status)
+}
+
+func (e *exchange) writeHead(status int) {
+	if e.status == 0 {
+		e.status, e.head = status, e.header.Clone()
+		e.signal()
+	}
+}
+
+// Write implements http.ResponseWriter. It blocks while maxWaiting bytes wait.
+func (e *exchange) Write(p []byte) (int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.writeHead(http.StatusOK)
+	for len(e.waiting) > 0 && len(e.waiting)+len(p) > maxWaiting {
+		if err := e.wait(e.ctx); err != nil {
+			return 0, err
+		}
+	}
+	e.waiting = append(e.waiting, p...)
+	e.signal()
+	return len(p), nil
+}
+
+// wait waits for a change. It needs e.mu and releases it meanwhile.
+func (e *exchange) wait(ctx context.Context) error {
+	changed := e.changed
+	e.mu.Unlock()
+	defer e.mu.Lock()
+	select {
+	case <-changed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Flush implements http.Flusher: what is written can be read at once.
+func (e *exchange) Flush() {}
+
+// SetWriteDeadline ends writes that wait if the deadline has passed. It implements the method
+// that http.ResponseController looks for.
+func (e *exchange) SetWriteDeadline(t time.Time) error {
+	if t.Before(time.Now()) {
+		e.cancel()
+	}
+	return nil
+}
+
+// read returns what the reader lacks of the answer. It waits for more until ctx ends.
+func (e *exchange) read(ctx context.Context, r *ReadRequest) Piece {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if acknowledged := r.Offset - e.offset; acknowledged > 0 && acknowledged <= int64(len(e.waiting)) {
+		e.waiting = append([]byte(nil), e.waiting[acknowledged:]...)
+		e.offset = r.Offset
+		e.signal()
+	}
+	for !e.hasNews(r.HasHead) {
+		if e.wait(ctx) != nil {
+			break
+		}
+	}
+	out := Piece{Known: true, Status: e.status, Data: append([]byte(nil), e.waiting...), End: e.ended, Aborted: e.aborted}
+	if !r.HasHead {
+		out.Header = e.head
+	}
+	return out
+}
+
+func (e *exchange) hasNews(hasHead bool) bool {
+	return e.ended || len(e.waiting) > 0 || e.status != 0 && !hasHead
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -92,6 +92,7 @@
 	Overloaded       Code = 3020
 	VMOverloaded     Code = 3021
 	NotSentInTime    Code = 3022
+	NoServerReached  Code = 3023
 )
 
 // Codes 4xxx: a failure occurred after the request was accepted.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -86,6 +86,7 @@
 	{Overloaded, "overloaded", statusServiceUnavailable, RanNo, "more urgent requests take all capacity of the service; try again after the stated time"},
 	{VMOverloaded, "vm_overloaded", statusServiceUnavailable, RanNo, "this VM is at the limit of its processor or link; try again, or at another VM"},
 	{NotSentInTime, "not_sent_in_time", statusServiceUnavailable, RanNo, "the route's timeout passed before a backend server received the request"},
+	{NoServerReached, "no_server_reached", statusServiceUnavailable, RanNo, "this VM reaches no backend server of the service, and no other VM takes the request"},
 
 	{JournalLost, "journal_lost", statusInternalServerError, RanYes, "a majority of the journal's keepers is lost"},
 	{PoisonRequest, "poison_request", statusUnprocessableEntity, RanYes, "this request ended every backend server that ran it"},
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -12,6 +12,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
 	"github.com/amaranthshelf/amaranthshelf/internal/enginespeed"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
@@ -28,6 +29,7 @@
 	backendList     *cluster.ListReplica
 	fleet           *upstream.Fleet
 	handler         *forward.Handler
+	entrance        http.Handler // the handler behind the limits of this VM
 	suspectContents *forward.SuspectContents
 	table           atomic.Pointer[routes.Table]
 	rollouts        atomic.Pointer[rollout.State]
@@ -67,7 +69,7 @@
 		Dead: r.fleet.RecentlyDead, Runs: r.resumableRuns, Spent: r.retryUsage, Learn: r.applyPeerReports, LearnSpent: r.applyPeerRetryUsage,
 		BackendReport: r.fleet.Report, EngineTimings: r.engineTimings, TakeEngineSpeeds: r.takeEngineSpeeds, Rollouts: r.recorder.Reports, Urgent: func() bool { return r.rollouts.Load().Urgent() },
 		Withheld: r.fleet.Withheld, Limits: r.fleet.Limits, SentElsewhere: r.fleet.SentElsewhere, LearnLimits: r.fleet.LearnLimits,
-		Leaving: r.fleet.Leaving, LearnLeaving: r.fleet.LearnLeaving, Contents: r.suspectContents.Reports, LearnContents: r.suspectContents.Learn,
+		Leaving: r.fleet.Leaving, LearnLeaving: r.fleet.LearnLeaving, Contents: r.suspectContents.Reports, LearnContents: r.suspectContents.Learn, Lost: r.fleet.LostServices, Hears: r.hears,
 		Capacity: r.load.size(), Load: r.load.thousandths, LearnBalance: r.load.learn,
 	}, o.Log)
 	r.suspectContents.Changed = r.member.NotifyNow
@@ -80,14 +82,17 @@
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, ListsReady: r.listsReady,
 		RetryAllowance: o.RetryAllowance, Log: o.Log, RoutineLog: o.RoutineLog, Metrics: o.Metrics, SuspectContents: r.suspectContents, Closing: r.drain.started,
-		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, ContentTrials: r.member, FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
+		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(r.network, r.member.Relays, o.Log), FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
 		Rollouts: &forward.Rollouts{State: r.rollouts.Load, Recorder: r.recorder},
 	})
+	r.entrance = r.drain.countRequests(r.load.limit(r.handler, r.handler.Refuse, r.conns.open))
+	handoff.NewServer(r.ctx, r.network, r.entrance, r.takes, o.Log)
 	if err := r.serve(); err != nil {
 		r.cancel()
 		return nil, err
 	}
 	r.feed.Start()
+	go r.probeLostServices()
 	go r.member.Run(r.ctx)
 	go r.member.RunRetryReports(r.ctx)
 	go r.member.RunUseReports(r.ctx)
@@ -101,7 +106,7 @@
 	if r.peerServer, err = listenPeers(r.network, &r.o.Common); err != nil {
 		return err
 	}
-	r.callerServer, err = listenCallers(r.o.Endpoint, r.drain.countRequests(r.load.limit(r.handler, r.handler.Refuse, r.conns.open)), r.conns, r.o.Log)
+	r.callerServer, err = listenCallers(r.o.Endpoint, r.entrance, r.conns, r.o.Log)
 	return err
 }
 
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -123,6 +123,9 @@
 			delete(f.deadSince, id)
 			continue
 		}
+		if row := f.list.lookup(id); row != nil && f.lostSince[row.Service] != (time.Time{}) {
+			continue // this VM may be cut off, and the server alive
+		}
 		out = append(out, id)
 	}
 	return out
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -80,3 +81,24 @@
 	at, heard := f.heardService[service]
 	return heard && f.now().Sub(at) <= d
 }
+
+// AnyServer returns a random server of a service that is in service; nil: there is none.
+func (f *Fleet) AnyServer(service string) *Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rows := f.list.byService[service]
+	for _, n := range rand.Perm(len(rows)) {
+		if s := f.server(&f.list.rows[rows[n]]); s.inService() {
+			return s
+		}
+	}
+	return nil
+}
+
+// Unanswered records that a server did not answer a probe that nothing but its reach asked
+// for.
+func (f *Fleet) Unanswered(s *Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failReach(s)
+}
