handoff: an answered request frees its place at the VM that served it

A VM serves at most 256 requests for others, and an answered one kept its place for the 1.5 s of its lease: some 170 a second, and the rest refused. The VM that handed it off now releases it. TestAnsweredRequestsFreeTheirPlaces failed before.

--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -68,8 +68,8 @@
 	}
 	r := reader{c: c, ctx: ctx, vm: vm, id: q.ID, w: w}
 	outcome := r.copy()
-	if outcome != Answered || ctx.Err() != nil {
-		_ = c.t.Send(vm, peer.KindCancelOffer, CancelRequest{ID: q.ID}) // its lease ends it otherwise
+	if err := c.t.Send(vm, peer.KindReleaseOffer, ReleaseRequest{ID: q.ID}); err != nil {
+		c.log.Debug().Err(err).Str("to", vm).Uint64("offer", q.ID).Msg("a request could not be released; its lease ends it")
 	}
 	return outcome
 }
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -246,3 +247,25 @@
 		t.Error("lost after a byte from a server, want not")
 	}
 }
+
+// Guards against a VM that takes no more requests, since answered ones keep their places until
+// their leases end.
+func TestAnsweredRequestsFreeTheirPlaces(t *testing.T) {
+	inSystem(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }, func(t *testing.T, s *system) {
+		var refused atomic.Int64
+		var senders sync.WaitGroup
+		for range 16 {
+			senders.Go(func() {
+				for range maxTaken {
+					if s.send(t.Context(), httptest.NewRecorder(), "votes") != Answered {
+						refused.Add(1)
+					}
+				}
+			})
+		}
+		senders.Wait()
+		if n := refused.Load(); n > 0 {
+			t.Errorf("%d of %d requests were not answered, want none", n, 16*maxTaken)
+		}
+	})
+}
--- a/internal/handoff/messages.go
+++ b/internal/handoff/messages.go
@@ -39,7 +39,7 @@
 	Aborted bool `cbor:"6,keyasint,omitempty"`
 }
 
-// CancelRequest ends a request whose caller has left.
-type CancelRequest struct {
+// ReleaseRequest ends a request: its caller has the whole answer, or has left.
+type ReleaseRequest struct {
 	ID uint64 `cbor:"1,keyasint"`
 }
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -53,7 +53,7 @@
 	s := &Server{ctx: ctx, serve: serve, takes: takes, log: log, taken: map[takenKey]*exchange{}}
 	t.Handle(peer.KindOffer, s.handleOffer)
 	t.Handle(peer.KindReadAnswer, s.handleRead)
-	t.Handle(peer.KindCancelOffer, s.handleCancel)
+	t.Handle(peer.KindReleaseOffer, s.handleRelease)
 	return s
 }
 
@@ -117,8 +117,8 @@
 	return e.read(ctx, &r), nil
 }
 
-func (s *Server) handleCancel(_ context.Context, from string, body []byte) (any, error) {
-	var r CancelRequest
+func (s *Server) handleRelease(_ context.Context, from string, body []byte) (any, error) {
+	var r ReleaseRequest
 	if err := codec.Unmarshal(body, &r); err != nil {
 		return nil, err
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -33,7 +33,7 @@
 	KindAdopt             Kind = 23 // planned takeover
 	KindOffer             Kind = 24 // offers a request to a VM that reaches its service
 	KindReadAnswer        Kind = 25 // reads the answer to a request that was taken
-	KindCancelOffer       Kind = 26 // ends a request that was taken
+	KindReleaseOffer      Kind = 26 // ends a request that was taken
 	KindControl           Kind = 40 // proposes commands to the control group
 	KindWatch             Kind = 41 // long poll for changes of the replicated state
 	KindQuery             Kind = 42 // reads the operators' lists on a control VM
