cluster: permits and trials ask their granter by one function

RequestTrial repeated the loop of RequestPermit over the scheduling control VM and its successor. askGranter serves both; each keeps its own list of VMs that did not answer, and its time and number of attempts. The debug line names the kind of the message instead of the server or digest.

--- a/internal/cluster/contents.go
+++ b/internal/cluster/contents.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	// trialTimeout bounds one request for a trial. A call waits for it.
-	trialTimeout = 50 * time.Millisecond
-	// trialAttempts is how many control VMs are asked for a trial.
-	trialAttempts = 2
 	// clearedTTL is how long it is told that a content was cleared.
 	clearedTTL = 10 * time.Second
 	// maxToldContents bounds the contents that are told to each VM, about 2 KB. Those under
@@ -254,26 +250,14 @@
 // successor if that does not answer.
 func (m *Member) RequestTrial(ctx context.Context, r forward.ContentTrialRequest) (forward.ContentTrialAnswer, bool) {
 	request := ContentTrialRequest{Known: encodeContent(r.Digest, r.Known, time.Now()), Service: r.Service, Stream: r.Stream}
-	for _, vm := range m.schedulers(trialAttempts) {
-		if m.contents.silent.contains(vm) {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, trialTimeout)
-		var reply ContentTrialReply
-		err := m.t.Call(callCtx, vm, peer.KindContentTrial, request, &reply)
-		cancel()
-		if err == nil {
-			return forward.ContentTrialAnswer{
-				Granter: vm, Granted: reply.Granted, Wait: time.Duration(reply.WaitMS) * time.Millisecond, Known: reply.Known.decode(time.Now()),
-			}, true
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		m.contents.silent.add(vm, silentGranterTime)
-		m.log.Debug().Err(err).Str("control", vm).Uint64("digest", r.Digest).Msg("no answer to a request for a trial")
+	var reply ContentTrialReply
+	vm, answered := m.askGranter(ctx, &m.contents.silent, peer.KindContentTrial, request, &reply)
+	if !answered {
+		return forward.ContentTrialAnswer{}, false
 	}
-	return forward.ContentTrialAnswer{}, false
+	return forward.ContentTrialAnswer{
+		Granter: vm, Granted: reply.Granted, Wait: time.Duration(reply.WaitMS) * time.Millisecond, Known: reply.Known.decode(time.Now()),
+	}, true
 }
 
 // EndTrial implements forward.ContentTrials.
--- a/internal/cluster/permits.go
+++ b/internal/cluster/permits.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// permitTimeout bounds one request for a permit. A call waits for it, and its objective
-	// may be a tenth of a second.
-	permitTimeout = 50 * time.Millisecond
-	// permitAttempts is how many control VMs are asked.
-	permitAttempts = 2
+	// granterTimeout bounds one request for a permit or a trial. A call waits for it, and its
+	// objective may be a tenth of a second.
+	granterTimeout = 50 * time.Millisecond
+	// granterAttempts is how many control VMs are asked.
+	granterAttempts = 2
 	// silentGranterTime is how long a control VM that did not answer is not asked again.
 	silentGranterTime = 500 * time.Millisecond
 	// endedLimitTTL is how long the end of a limit is reported.
@@ -210,26 +210,36 @@
 // successor if that does not answer.
 func (m *Member) RequestPermit(ctx context.Context, server string, l backpressure.Limit) (forward.PermitAnswer, bool) {
 	request := PermitRequest{Limit: encodeLimit(server, l, time.Now())}
-	for _, vm := range m.schedulers(permitAttempts) {
-		if m.statements.silent.contains(vm) {
+	var reply PermitReply
+	vm, answered := m.askGranter(ctx, &m.statements.silent, peer.KindPermit, request, &reply)
+	if !answered {
+		return forward.PermitAnswer{}, false
+	}
+	return forward.PermitAnswer{
+		Granter: vm, Granted: reply.Granted, Wait: time.Duration(reply.WaitMS) * time.Millisecond, Limit: reply.Limit.decode(time.Now()),
+	}, true
+}
+
+// askGranter sends a request to the scheduling control VM, and to its successor if that does
+// not answer. VMs in silent are not asked. It returns the VM that answered; false: none did.
+func (m *Member) askGranter(ctx context.Context, silent *silentVMs, kind peer.Kind, request, reply any) (vm string, answered bool) {
+	for _, vm := range m.schedulers(granterAttempts) {
+		if silent.contains(vm) {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
-		var reply PermitReply
-		err := m.t.Call(callCtx, vm, peer.KindPermit, request, &reply)
+		callCtx, cancel := context.WithTimeout(ctx, granterTimeout)
+		err := m.t.Call(callCtx, vm, kind, request, reply)
 		cancel()
 		if err == nil {
-			return forward.PermitAnswer{
-				Granter: vm, Granted: reply.Granted, Wait: time.Duration(reply.WaitMS) * time.Millisecond, Limit: reply.Limit.decode(time.Now()),
-			}, true
+			return vm, true
 		}
 		if ctx.Err() != nil {
 			break
 		}
-		m.statements.silent.add(vm, silentGranterTime)
-		m.log.Debug().Err(err).Str("control", vm).Str("server", server).Msg("no answer to a request for a permit")
+		silent.add(vm, silentGranterTime)
+		m.log.Debug().Err(err).Str("control", vm).Int("kind", int(kind)).Msg("no answer to a request for a permit or a trial")
 	}
-	return forward.PermitAnswer{}, false
+	return "", false
 }
 
 // newLimits returns the limits that the control VMs do not know as this VM does.
