--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -31,6 +31,7 @@
 	InstanceID string // the incarnation that answers; servers need not state it
 	RateLimit  string // requests per second that the server accepts from all VMs together
 	Leaving    string // true or 1: the server ends soon and takes no new work
+	Resumes    string // id of the attempt that brought the first event of the stream that is taken up
 	// Reserved are further headers of requests to engines that only the system may set.
 	Reserved []string
 	// ReadLoad parses the value of Load. It returns false if the value cannot be read.
@@ -43,7 +44,7 @@
 // ReadCaller implements Wire. A value that cannot be parsed is ignored, since counts and
 // deadlines only help to place the request.
 func (n *Headers) ReadCaller(h http.Header) (Caller, error) {
-	c := Caller{RequestID: h.Get(n.RequestID)}
+	c := Caller{RequestID: h.Get(n.RequestID), FirstAttempt: h.Get(n.Resumes)}
 	if key, ok := strings.CutPrefix(h.Get(n.Key), n.KeyScheme); ok {
 		c.Key = strings.TrimSpace(key)
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -26,6 +26,7 @@
 	HeaderLastEvent = "Last-Event-Id"
 	HeaderRateLimit = "X-Rate-Limit" // requests per second that the server accepts from all VMs together
 	HeaderLeaving   = "X-Leaving"    // the server ends soon and takes no new work
+	HeaderResumes   = "X-Resumes"    // request id of the attempt that brought the first event of a stream
 )
 
 // Paths of the project's own engine interface.
@@ -43,7 +44,7 @@
 		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Instance: HeaderInstance, Workspace: HeaderWorkspace,
 		Priority: "X-Priority", Tokens: HeaderTokens, LastEvent: HeaderLastEvent, CopyTo: HeaderCopyTo,
 		CopyFrom: HeaderCopyFrom, Key: "Authorization", KeyScheme: "Bearer ", Signature: HeaderSignature,
-		NotRun: HeaderNotRun, Load: HeaderLoad, InstanceID: HeaderInstance, RateLimit: HeaderRateLimit, Leaving: HeaderLeaving, ReadLoad: parseLoad,
+		NotRun: HeaderNotRun, Load: HeaderLoad, InstanceID: HeaderInstance, RateLimit: HeaderRateLimit, Leaving: HeaderLeaving, Resumes: HeaderResumes, ReadLoad: parseLoad,
 	}}
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -333,12 +333,13 @@
 	if st := r.st; st.headSent {
 		observe(st.h.Stats.ResumePause, st.lastEventAt)
 		st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Bool("from_copy", r.from != nil).
-			Dur("pause", time.Since(st.lastEventAt)).Msg("stream went on")
+			Str("version", r.server.Version).Dur("pause", time.Since(st.lastEventAt)).Msg("stream went on")
 	} else {
 		observe(st.h.Stats.FirstEvent, st.q.arrived)
 		st.h.opts.RoutineLog.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("send", st.sends).
-			Dur("after", time.Since(st.q.arrived)).Msg("stream began")
+			Str("version", r.server.Version).Str("first_attempt", st.q.FirstAttempt).Bool("rest_only", st.q.HasAfter).Dur("after", time.Since(st.q.arrived)).Msg("stream began")
 	}
+	r.st.h.Stats.firstEventFrom(r.server.Service, r.server.Version, r.st.seq.started)
 	fleet := r.st.h.opts.Fleet
 	r.firstEventAt = time.Now()
 	r.st.h.opts.Rollouts.Recorder.End(r.ticket, false, fleet.SlowForNow(r.server))
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -10,8 +10,8 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 )
 
-// Stats are the metrics of a Handler. Their number is bounded: the names are fixed, and
-// the only labels are a result code and its name.
+// Stats are the metrics of a Handler. Their number is bounded: the names are fixed, and the
+// labels are result codes and their names, and the services and versions that are in use.
 type Stats struct {
 	set *metrics.Set
 
@@ -62,5 +62,17 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_refused_total{code="%d",name=%q}`, code, result.Lookup(code).Name)).Inc()
 }
 
+// takenUp counts a request for the rest of a stream, by whether it names the attempt that
+// brought the stream's first event.
+func (s *Stats) takenUp(named bool) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_streams_taken_up_total{named="%t"}`, named)).Inc()
+}
+
+// firstEventFrom counts the first event of a run, by the version of its server. goesOn is set if
+// the caller has earlier events of the stream.
+func (s *Stats) firstEventFrom(service, version string, goesOn bool) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_runs_with_events_total{service=%q,version=%q,goes_on="%t"}`, service, version, goesOn)).Inc()
+}
+
 // observe adds the time since began to a histogram.
 func observe(h *metrics.Histogram, began time.Time) { h.Update(time.Since(began).Seconds()) }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -70,6 +70,7 @@
 		id:   q.identity(h.opts.Wire.PerAttemptHeaders()),
 	}
 	defer h.activeRuns.drop(q.RequestID)
+	st.logTakenUp()
 	st.findOrphan()
 	outcome := "cut off"
 	defer func() { st.logEnd(outcome) }()
@@ -93,6 +94,16 @@
 	}
 }
 
+// logTakenUp logs that a caller asks for the rest of a stream.
+func (st *streamRelay) logTakenUp() {
+	if !st.q.HasAfter {
+		return
+	}
+	st.h.Stats.takenUp(st.q.FirstAttempt != "")
+	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("first_attempt", st.q.FirstAttempt).Str("service", st.q.service.Name).
+		Str("workspace", st.q.workspace).Uint64("after", st.q.After).Dur("list_age", time.Since(st.h.opts.Fleet.AsOf())).Msg("stream taken up")
+}
+
 // outcomeName names the end of a stream that is not complete.
 func (st *streamRelay) outcomeName(code result.Code) string {
 	if st.callerGone() {
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -15,11 +15,14 @@
 
 // Caller is what a caller states about its request in headers.
 type Caller struct {
-	RequestID    string
-	Key          string        // API key of a workspace; empty: none
-	Deadline     time.Duration // how long the caller waits; 0: not stated
-	After        uint64        // id of the last event that the caller has, valid if HasAfter
-	HasAfter     bool
+	RequestID string
+	Key       string        // API key of a workspace; empty: none
+	Deadline  time.Duration // how long the caller waits; 0: not stated
+	After     uint64        // id of the last event that the caller has, valid if HasAfter
+	HasAfter  bool
+	// FirstAttempt is the RequestID of the attempt that brought the first event of the
+	// stream that the caller takes up; empty: not stated.
+	FirstAttempt string
 	PromptTokens int // 0: not stated
 	OutputTokens int // at most; 0: not stated
 }
