--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +33,12 @@
 	f.recorder.Watch(next.UnderWay())
 }
 
+// applyWithout applies the list without the servers of a version.
+func (f *fixture) applyWithout(version string) {
+	list := slices.DeleteFunc(f.net.Backends(), func(b upstream.Backend) bool { return b.Version == version })
+	f.fleet.Apply(upstream.List{Backends: list, AsOf: time.Now()})
+}
+
 // runsOnVersion counts the runs on the servers of a version.
 func (f *fixture) runsOnVersion(service, version string) int {
 	n := 0
--- a/internal/routedlocal/system.go
+++ b/internal/routedlocal/system.go
@@ -307,6 +307,7 @@
 	Complete     bool          // the answer ended without an error
 	LongestPause time.Duration // between two events
 	Foreign      int           // events that state the path of another stream
+	Versions     []string      // of the servers that sent events, if they state it; in order, each once
 	// Status is the status of the answer; 0: none. Refusal is the error of the system in it.
 	Status  int
 	Refusal result.Error
@@ -317,6 +318,7 @@
 	Addr, Path, ID string
 	Key            string // of the caller's workspace; empty: none
 	After          int    // if above 0, the stream starts after this event
+	Resumes        string // ID of the attempt that brought the stream's first event; empty: not stated
 	Seen           func(n int)
 }
 
@@ -341,6 +343,9 @@
 	if q.After > 0 {
 		req.Header.Set(forward.HeaderLastEvent, strconv.Itoa(q.After))
 	}
+	if q.Resumes != "" {
+		req.Header.Set(forward.HeaderResumes, q.Resumes)
+	}
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return StreamResult{}, err
@@ -370,6 +375,12 @@
 			return out
 		}
 		n := 0
+		if rest, version, names := strings.Cut(strings.TrimRight(line, "\n"), routedengine.VersionMark); names {
+			line = rest
+			if !slices.Contains(out.Versions, version) {
+				out.Versions = append(out.Versions, version)
+			}
+		}
 		if _, of, names := strings.Cut(line, " of "); names && strings.HasPrefix(line, "data: ") && strings.TrimSpace(of) != path {
 			out.Foreign++
 		}
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -169,6 +169,7 @@
 	CallTime      time.Duration // duration of a call
 	CopyTime      time.Duration // duration of a copy on order
 	NamesPath     bool          // each event states the path of its stream
+	NamesVersion  bool          // each event states the server's version
 	// Intercept, if set, may answer a request, and reports whether it did.
 	Intercept func(s *Server, w http.ResponseWriter, r *http.Request) bool
 
@@ -395,6 +396,9 @@
 	return true
 }
 
+// VersionMark precedes the server's version in an event that states it.
+const VersionMark = " by version "
+
 func (s *Server) stream(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(forward.HeaderRequestID)
 	after, _ := strconv.ParseUint(r.Header.Get(forward.HeaderLastEvent), 10, 64)
@@ -418,6 +422,9 @@
 	if s.NamesPath {
 		of = " of " + r.URL.Path
 	}
+	if s.NamesVersion {
+		of += VersionMark + s.Version
+	}
 	for n := after + 1; n <= uint64(s.Events); n++ {
 		if !s.pause(r, s.EventInterval) {
 			return
