--- /dev/null
+++ b/internal/streamversion/store.go
@@ -0,0 +1,263 @@
+package streamversion
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
+	"github.com/amaranthshelf/amaranthshelf/internal/wal"
+)
+
+// The load pattern. All processes are killed at once. Every caller asks for the rest of its
+// stream, and nobody remembers which version began it. Records are therefore synced to a file
+// before first events go out. One sync for each of hundreds of streams a second would take
+// longer than they arrive apart: records that arrive during a sync share the next one.
+
+const (
+	// checkpointBytes is how much is appended to the file before it is written anew with the
+	// records that are still of use.
+	checkpointBytes = 2 << 20
+	// reopenPause is the time after a failure of the disk until the file is opened again.
+	reopenPause = 2 * time.Second
+	// maxPendingBatches bounds what waits for a disk that does not answer. Further records are
+	// held in memory only.
+	maxPendingBatches = 4096
+	// batchCheckpointRecords bounds the records of one entry of a checkpoint.
+	batchCheckpointRecords = 100_000
+)
+
+// Store keeps records in memory and, if it has a folder, on disk. It is safe for concurrent
+// use.
+type Store struct {
+	fs  wal.FS
+	dir string // empty: records are held in memory only
+	log zerolog.Logger
+
+	mu      sync.Mutex
+	table   *Table
+	pending []pendingBatch
+	wake    chan struct{}
+	dropped uint64 // records that did not fit
+	loaded  bool   // the folder was read, or there is none
+}
+
+// pendingBatch waits for a sync.
+type pendingBatch struct {
+	records []Record
+	synced  chan struct{}
+}
+
+// NewStore returns a Store. With a folder, Run reads and writes it.
+func NewStore(fs wal.FS, dir string, log zerolog.Logger) *Store {
+	return &Store{fs: fs, dir: dir, log: log, table: NewTable(time.Now()), wake: make(chan struct{}, 1), loaded: dir == ""}
+}
+
+// Put adds records. The returned channel is closed once they are synced; nil: they are held in
+// memory only.
+func (s *Store) Put(records []Record) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.putLocked(records)
+	if s.dir == "" || len(s.pending) >= maxPendingBatches {
+		return nil
+	}
+	synced := make(chan struct{})
+	s.pending = append(s.pending, pendingBatch{records, synced})
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return synced
+}
+
+// putLocked needs s.mu.
+func (s *Store) putLocked(records []Record) {
+	now := time.Now()
+	for i := range records {
+		if s.table.Put(&records[i], now) {
+			continue
+		}
+		if s.dropped++; s.dropped == 1 {
+			s.log.Error().Int("records", s.table.Len()).Msg("records of streams' versions exceed their memory; streams without one cannot be taken up")
+		}
+	}
+}
+
+// ErrNotLoaded means that the folder was not read yet, and may hold a record.
+var ErrNotLoaded = errors.New("streamversion: records are not loaded yet")
+
+// Find returns the origin of a stream. The error is ErrNotLoaded or nil.
+func (s *Store) Find(k Key) (Origin, Finding, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	origin, finding := s.table.Find(k, time.Now())
+	if finding == Unknown && !s.loaded {
+		return origin, finding, ErrNotLoaded
+	}
+	return origin, finding, nil
+}
+
+// Stats returns the number of records, and how many did not fit.
+func (s *Store) Stats() (records int, dropped uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Len(), s.dropped
+}
+
+// open opens the file and adds its records. A record gets its whole life again: the wall clock,
+// which may be wrong, is not used.
+func (s *Store) open() (*wal.Log, error) {
+	l, entries, err := wal.Open(s.fs, s.dir)
+	var damaged *wal.DamageError
+	if errors.As(err, &damaged) {
+		s.log.Error().Err(err).Msg("records of streams' versions are damaged; beginning anew")
+		if err := s.removeAll(); err != nil {
+			return nil, err
+		}
+		l, entries, err = wal.Open(s.fs, s.dir)
+	}
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, data := range entries {
+		var b Batch
+		err := codec.Unmarshal(data, &b)
+		var records []Record
+		if err == nil {
+			records, err = b.Records()
+		}
+		if err != nil {
+			s.log.Error().Err(err).Msg("records of streams' versions could not be decoded; they are skipped")
+			continue
+		}
+		s.putLocked(records)
+	}
+	if !s.loaded {
+		s.loaded = true
+		s.log.Info().Int("records", s.table.Len()).Msg("records of streams' versions loaded")
+	}
+	return l, nil
+}
+
+func (s *Store) removeAll() error {
+	names, err := s.fs.List(s.dir)
+	if err != nil {
+		return fmt.Errorf("streamversion: %w", err)
+	}
+	for _, name := range names {
+		if err := s.fs.Remove(filepath.Join(s.dir, name)); err != nil {
+			return fmt.Errorf("streamversion: %w", err)
+		}
+	}
+	return nil
+}
+
+// Run reads the folder, and writes records to it until ctx ends. After a failure of the disk it
+// opens the file again and writes what is of use.
+func (s *Store) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := s.write(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		s.log.Warn().Err(err).Msg("records of streams' versions could not be written; they are held in memory")
+		s.release(s.take())
+		if timer.Sleep(ctx, reopenPause) != nil {
+			return
+		}
+	}
+}
+
+// write opens the file and writes batches until ctx ends or the disk fails.
+func (s *Store) write(ctx context.Context) error {
+	l, err := s.open()
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	if err := s.checkpoint(l); err != nil {
+		return err
+	}
+	appended := 0
+	for {
+		select {
+		case <-s.wake:
+		case <-ctx.Done():
+			return nil
+		}
+		batches := s.take()
+		n, err := s.append(l, batches)
+		s.release(batches)
+		if err != nil {
+			return err
+		}
+		if appended += n; appended >= checkpointBytes {
+			if err := s.checkpoint(l); err != nil {
+				return err
+			}
+			appended = 0
+		}
+	}
+}
+
+func (s *Store) take() []pendingBatch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batches := s.pending
+	s.pending = nil
+	return batches
+}
+
+// release tells those who wait that nothing more is to be waited for.
+func (s *Store) release(batches []pendingBatch) {
+	for _, b := range batches {
+		close(b.synced)
+	}
+}
+
+func (s *Store) append(l *wal.Log, batches []pendingBatch) (bytes int, err error) {
+	var records []Record
+	for _, b := range batches {
+		records = append(records, b.records...)
+	}
+	if len(records) == 0 {
+		return 0, nil
+	}
+	data, err := codec.Marshal(Pack(records))
+	if err != nil {
+		return 0, err
+	}
+	return len(data), l.Append(data)
+}
+
+// checkpoint writes the live records and drops the older part of the file.
+func (s *Store) checkpoint(l *wal.Log) error {
+	s.mu.Lock()
+	records := s.table.all(time.Now())
+	s.mu.Unlock()
+	for first := true; first || len(records) > 0; first = false {
+		n := min(len(records), batchCheckpointRecords)
+		data, err := codec.Marshal(Pack(records[:n]))
+		if err != nil {
+			return err
+		}
+		records = records[n:]
+		write := l.Append
+		if first {
+			write = l.Checkpoint
+		}
+		if err := write(data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/streamversion/store_test.go
@@ -0,0 +1,142 @@
+package streamversion
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/wal/waltest"
+)
+
+const testDir = "versions"
+
+// runStore starts a Store and returns a function that stops it.
+func runStore(t *testing.T, fs *waltest.FS) (s *Store, stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s = NewStore(fs, testDir, zerolog.Nop())
+	go s.Run(ctx)
+	synctest.Wait()
+	return s, func() {
+		cancel()
+		time.Sleep(2 * reopenPause)
+		synctest.Wait()
+	}
+}
+
+func (s *Store) mustFind(t *testing.T, attempt string, want Origin) {
+	t.Helper()
+	if got, finding, err := s.Find(KeyOf("nelson", attempt)); finding != Found || got != want || err != nil {
+		t.Errorf("%s: got %+v, finding %d, error %v, want %+v", attempt, got, finding, err, want)
+	}
+}
+
+// Guards against records that are lost when all processes are killed: what was synced must be
+// there after a restart, and an ambiguous attempt must still be ambiguous.
+func TestRecordsSurviveARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := waltest.New()
+		s, stop := runStore(t, fs)
+		<-s.Put([]Record{record("a", v1, time.Minute), record("b", v2, time.Minute), record("twice", v1, time.Minute)})
+		<-s.Put([]Record{record("twice", v2, time.Minute), record("short", v1, time.Second)})
+		stop()
+		fs.Crash(func(int) int { return 0 })
+		for range 2 { // the first restart writes a checkpoint, which the second one reads
+			s, stop = runStore(t, fs)
+			s.mustFind(t, "a", v1)
+			s.mustFind(t, "b", v2)
+			if _, finding, _ := s.Find(KeyOf("nelson", "twice")); finding != Ambiguous {
+				t.Errorf("an attempt with two versions: got finding %d, want Ambiguous", finding)
+			}
+			if _, finding, err := s.Find(KeyOf("nelson", "never")); finding != Unknown || err != nil {
+				t.Errorf("an attempt that was never recorded: got finding %d, error %v, want Unknown", finding, err)
+			}
+			stop()
+			fs.Crash(func(int) int { return 0 })
+		}
+	})
+}
+
+// Guards against "unknown" from a VM that has not read its records yet.
+func TestUnknownBeforeLoad(t *testing.T) {
+	s := NewStore(waltest.New(), testDir, zerolog.Nop())
+	if _, _, err := s.Find(KeyOf("nelson", "a")); !errors.Is(err, ErrNotLoaded) {
+		t.Errorf("got error %v, want ErrNotLoaded", err)
+	}
+	s.Put([]Record{record("a", v1, time.Minute)})
+	s.mustFind(t, "a", v1)
+}
+
+// Guards against callers that wait for a disk that fails, and against records that are missing
+// on disk after it works again.
+func TestDiskFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := waltest.New()
+		s, stop := runStore(t, fs)
+		fs.FailSync(true)
+		select {
+		case <-s.Put([]Record{record("a", v1, time.Minute)}):
+		case <-time.After(time.Second):
+			t.Error("a failed sync keeps its caller waiting")
+		}
+		s.mustFind(t, "a", v1)
+		fs.FailSync(false)
+		time.Sleep(2 * reopenPause)
+		stop()
+		fs.Crash(func(int) int { return 0 })
+		s, stop = runStore(t, fs)
+		s.mustFind(t, "a", v1)
+		stop()
+	})
+}
+
+// Guards against a damaged file that keeps a control VM from recording anything.
+func TestDamagedFile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := waltest.New()
+		s, stop := runStore(t, fs)
+		for i := range 5 {
+			<-s.Put([]Record{record(fmt.Sprint(i), v1, time.Minute)})
+		}
+		stop()
+		names, err := fs.List(testDir)
+		if err != nil || len(names) == 0 {
+			t.Fatalf("got files %v, error %v, want one at least", names, err)
+		}
+		fs.CorruptByte(testDir+"/"+names[0], 60)
+		s, stop = runStore(t, fs)
+		<-s.Put([]Record{record("new", v2, time.Minute)})
+		s.mustFind(t, "new", v2)
+		stop()
+	})
+}
+
+// Guards against a file that grows for as long as the process runs.
+func TestFileStaysSmall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := waltest.New()
+		s, stop := runStore(t, fs)
+		records := make([]Record, 1000)
+		for round := range 400 {
+			for i := range records {
+				records[i] = record(fmt.Sprint(round, "-", i), v1, time.Second)
+			}
+			<-s.Put(records)
+			time.Sleep(time.Second)
+		}
+		stop()
+		names, err := fs.List(testDir)
+		size := 0
+		for _, name := range names {
+			data, errRead := fs.ReadFile(testDir + "/" + name)
+			size, err = size+len(data), errors.Join(err, errRead)
+		}
+		if most := 2 * checkpointBytes; err != nil || size > most {
+			t.Errorf("got %d bytes in %d files, error %v, want at most %d", size, len(names), err, most)
+		}
+	})
+}
