--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -56,17 +56,6 @@
 	return min(1, float64(len(a.backlog))/float64(a.usable))
 }
 
-// sums returns the sums of a version's engines; empty: of all engines.
-func (a *engineAccount) sums(version string) *engineSums {
-	if version == "" {
-		return &a.total
-	}
-	if v := a.versions[version]; v != nil {
-		return v
-	}
-	return &engineSums{}
-}
-
 // listEngines builds the account anew for the listed engines.
 func (v *service) listEngines() {
 	n := len(v.servers)
@@ -75,13 +64,11 @@
 	for i, e := range v.servers {
 		e.service, e.pos = v, i
 		v.all.set(i, true)
-		if e.Version != "" {
-			if v.versions[e.Version] == nil {
-				v.versions[e.Version] = &engineSums{}
-			}
-			o := v.versions[e.Version]
-			o.listed, o.byID = o.listed+1, append(o.byID, e)
+		if v.versions[e.Version] == nil {
+			v.versions[e.Version] = &engineSums{}
 		}
+		o := v.versions[e.Version]
+		o.listed, o.byID = o.listed+1, append(o.byID, e)
 		v.lost.set(i, e.lost)
 		if !e.lost {
 			v.count(e, 1)
@@ -101,9 +88,7 @@
 func (v *service) count(e *server, by int) {
 	v.usable += by
 	v.total.add(e, by)
-	if e.Version != "" {
-		v.versions[e.Version].add(e, by)
-	}
+	v.versions[e.Version].add(e, by)
 }
 
 func compareBacklog(a, b *server) int {
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -33,43 +33,38 @@
 	orderedCopyMemoryShare = 0.7
 )
 
-// hasRoomForCopy reports whether the engines that may run a stream have memory for one
-// more copy, up to the given share, besides what prompts will need.
-func (r *round) hasRoomForCopy(share float64, w *waiter) bool {
+// hasRoomForCopy reports whether the engines that sums counts have memory for one more copy, up to the given share, besides what prompts will need.
+func (r *round) hasRoomForCopy(share float64, sums engineSums) bool {
 	if r.service.kvTokens == 0 {
 		return false
 	}
-	sums := r.service.sums(w.Version)
 	total, runs := sums.usable*r.service.kvTokens, sums.tokens-sums.copies
 	taken := sums.tokens + r.service.waitingTokens
 	growth := max(0, r.service.demand.expectedMemory(r.now, r.service.timing)-float64(runs))
 	return float64(taken)+growth <= share*float64(total)
 }
 
-// anyVersion is a stream that is not restricted to a version.
-var anyVersion waiter
-
 // ShortOfMemory returns the services whose memory is needed for prompts: no copies are to
 // be ordered for them.
 func (s *Scheduler) ShortOfMemory(now time.Time) []string {
 	s.health(now)
 	var out []string
 	for name, v := range s.services {
-		if v.kvTokens > 0 && !newRound(v, s, now).hasRoomForCopy(orderedCopyMemoryShare, &anyVersion) {
+		if v.kvTokens > 0 && !newRound(v, s, now).hasRoomForCopy(orderedCopyMemoryShare, v.total) {
 			out = append(out, name)
 		}
 	}
 	return out
 }
 
-// backupEngine chooses the engine that keeps a copy of a run. It returns nil if no copy
-// is to be made.
+// backupEngine chooses the engine that keeps a copy of a run, of the same version as the
+// engine that runs it. It returns nil if no copy is to be made.
 func (r *round) backupEngine(w *waiter, e *server, rng func(int) int) *server {
-	if !r.hasRoomForCopy(copyMemoryShare, w) {
+	if !r.hasRoomForCopy(copyMemoryShare, *r.service.versionSums(e.Version)) {
 		return nil
 	}
 	eligible, candidates := r.listEligible(w, r.service.all, len(r.servers), rng, func(o *server) bool {
-		return o.Zone != e.Zone && w.matchesVersion(o) && !r.avoids(o)
+		return o.Zone != e.Zone && o.Version == e.Version && !r.avoids(o)
 	})
 	for i, o := range eligible {
 		candidates[i].Avoid = o.isStalled(r.now)
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -32,12 +32,17 @@
 	allSlow        bool
 	bySpeed        bool                       // the speeds of the engines are known: see speeds.go
 	versionSubsets map[string]map[string]bool // by version
-	ranked         *rankedPass                // nil: the waiting streams are not ranked
+	scarce         map[string]bool            // see service.scarceVersions
+	// keptFor holds the versions of which an engine is kept for streams in progress. They are not
+	// counted in reserved.
+	keptFor map[string]bool
+	ranked  *rankedPass // nil: the waiting streams are not ranked
 }
 
 func newRound(v *service, s *Scheduler, now time.Time) *round {
 	r := &round{servers: v.servers, byID: s.servers, vms: s.vms, now: now, service: v, usable: v.usable}
 	r.median, r.bySpeed = v.cachedMedianPerToken(now), v.speeds.InForce(now)
+	r.scarce = v.scarceVersions()
 	v.idle = append(v.idle[:0], v.ready...)
 	for i := range v.idle {
 		if r.usable > 0 {
@@ -67,6 +72,7 @@
 // usageChanged updates the idle engines after a grant.
 func (r *round) usageChanged(e *server) {
 	r.idle.bounded, r.gained.bounded = false, false
+	r.scarce = r.service.scarceVersions()
 	if !e.service.ready.has(e.pos) {
 		r.markBusy(e)
 	}
@@ -91,7 +97,7 @@
 	if r.bySpeed {
 		return r.engineBySpeed(w, rng)
 	}
-	eligible, candidates := r.listEligible(w, r.offered.set, r.offered.n, rng, func(e *server) bool { return r.accepts(e, w) && r.fits(e, w) })
+	eligible, candidates := r.listEligible(w, r.offered.set, r.offered.n, rng, r.accepting(w))
 	i := placement.ChooseEngine(candidates, w.Need, rng)
 	if i < 0 {
 		r.reserve(w)
@@ -163,16 +169,13 @@
 	return w.matchesVersion(e) && !slices.Contains(w.ExcludedEngines, e.ID) && !r.withholds(e) && !r.avoids(e) && (w.VersionShare == 0 || r.versionSubset(w)[e.ID])
 }
 
-// matchesVersion reports whether an engine is of the version that the stream requires.
-func (w *waiter) matchesVersion(e *server) bool { return w.Version == "" || w.Version == e.Version }
-
 // versionSubset returns the IDs of the engines that run all streams of a version that is
 // restricted to a share of its engines. Lost engines are not counted.
 func (r *round) versionSubset(w *waiter) map[string]bool {
 	if out, ok := r.versionSubsets[w.Version]; ok {
 		return out
 	}
-	sums := r.service.sums(w.Version)
+	sums := r.service.versionSums(w.Version)
 	n := rollout.TrialServers(w.VersionShare, r.service.total.listed-sums.listed)
 	out := map[string]bool{}
 	for _, e := range sums.byID {
@@ -263,7 +266,7 @@
 
 // reserve keeps the engine with the most free memory for a stream that finds no room.
 func (r *round) reserve(w *waiter) {
-	if r.reserved >= maxReserved || w.KVTokens == 0 || w.class == late {
+	if !r.mayReserve(w) {
 		return
 	}
 	var best *server
@@ -273,11 +276,34 @@
 		}
 	}
 	if best != nil {
-		r.reserved++
+		r.countReserved(w)
 		r.markBusy(best)
 	}
 }
 
+// mayReserve reports whether an engine may be kept free for a stream.
+func (r *round) mayReserve(w *waiter) bool {
+	if w.KVTokens == 0 || w.class == late {
+		return false
+	}
+	if version, tied := r.tiedTo(w); tied {
+		return !r.keptFor[version]
+	}
+	return r.reserved < maxReserved
+}
+
+func (r *round) countReserved(w *waiter) {
+	version, tied := r.tiedTo(w)
+	if !tied {
+		r.reserved++
+		return
+	}
+	if r.keptFor == nil {
+		r.keptFor = map[string]bool{}
+	}
+	r.keptFor[version] = true
+}
+
 // minDuration is the shortest time that a stream needs once an engine starts it.
 //
 // The more engines prefill prompts, the fewer there are on which a run is quick. Under lasting
@@ -306,7 +332,7 @@
 // holds.
 func (r *round) maxStartRate(w *waiter) float64 {
 	prefillSeconds := r.service.timing.prefillTime(max(1, w.Need.Prompt)).Seconds()
-	servers := r.service.sums(w.Version).listed
+	servers := r.service.sums(w).listed
 	rate := float64(servers) / prefillSeconds
 	if w.KVTokens > 0 {
 		holdSeconds := prefillSeconds + quickRunShare*r.service.timing.RunDuration.Seconds()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -286,10 +286,11 @@
 	v := s.service(st.Service)
 	v.kvTokens = st.KVTokens
 	if w := v.waitingByID[st.ID]; w != nil {
-		if !slices.Equal(w.ExcludedEngines, st.ExcludedEngines) || w.Version != st.Version || w.VersionShare != st.VersionShare {
+		if !slices.Equal(w.ExcludedEngines, st.ExcludedEngines) || w.Version != st.Version || w.VersionShare != st.VersionShare || !slices.Equal(w.Versions, st.Versions) {
 			v.setUnexamined(w, true)
 		}
-		w.ExcludedEngines, w.EventsReceived, w.Version, w.VersionShare, w.renewedAt = st.ExcludedEngines, st.EventsReceived, st.Version, st.VersionShare, now
+		w.ExcludedEngines, w.EventsReceived, w.renewedAt = st.ExcludedEngines, st.EventsReceived, now
+		w.Versions, w.Version, w.VersionShare = st.Versions, st.Version, st.VersionShare
 		v.renewals.MoveToBack(w.renewal)
 		return
 	}
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -81,7 +81,7 @@
 // engineBySpeed chooses among the engines that could start a stream at once and have memory
 // for it. It returns nil if there is none, or if the stream has time to wait for a better one.
 func (r *round) engineBySpeed(w *waiter, rng func(int) int) *server {
-	eligible, _ := r.listEligible(w, r.offered.set, r.offered.n, rng, func(e *server) bool { return r.accepts(e, w) && r.fits(e, w) })
+	eligible, _ := r.listEligible(w, r.offered.set, r.offered.n, rng, r.accepting(w))
 	if len(eligible) == 0 {
 		r.reserve(w)
 		return nil
--- a/internal/scheduler/stream.go
+++ b/internal/scheduler/stream.go
@@ -36,11 +36,13 @@
 	CachedEngine string `cbor:"10,keyasint,omitempty"`
 	// EventsReceived is how many events the caller has received.
 	EventsReceived int `cbor:"11,keyasint,omitempty"`
-	// Version restricts the stream and its copy to engines of that version; empty: any
-	// version. VersionShare restricts all such streams to that share of these engines,
-	// chosen by ID; 0: all of them.
-	Version      string  `cbor:"12,keyasint,omitempty"`
-	VersionShare float64 `cbor:"13,keyasint,omitempty"`
+	// Versions restricts the stream to engines of these versions; empty: to those of Version,
+	// or of any if that is empty too. Version is set as well if there is one version only, for
+	// control VMs that know no list. VersionShare restricts all streams of Version to that
+	// share of its engines, chosen by ID; 0: all of them.
+	Versions     []string `cbor:"17,keyasint,omitempty"`
+	Version      string   `cbor:"12,keyasint,omitempty"`
+	VersionShare float64  `cbor:"13,keyasint,omitempty"`
 	// Zone is the zone of the VM that relays the stream; empty: not stated.
 	Zone string `cbor:"14,keyasint,omitempty"`
 	// PauseMS is the longest pause between two events that the stream's route accepts, in
