--- a/cmd/amaranthshelfd/routed.go
+++ b/cmd/amaranthshelfd/routed.go
@@ -83,7 +83,8 @@
 	}
 	c, err := routed.StartControl(routed.ControlOptions{
 		Common: common, Dir: s.DataDir, FirstStart: s.FirstStart, TargetVoters: int(s.TargetVoters), ReadBackends: backendReader(s, common.Log),
-		Rollouts: rollout.Limits{Share: float64(s.RolloutPercent) / 100, Slack: float64(s.RolloutSlack)},
+		Rollouts:    rollout.Limits{Share: float64(s.RolloutPercent) / 100, Slack: float64(s.RolloutSlack)},
+		VersionHold: s.VersionHold,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/callqueue/accounts.go
+++ b/internal/callqueue/accounts.go
@@ -229,7 +229,8 @@
 
 // mayRun reports whether a call may be sent to the server.
 func (v *server) mayRun(c *Call) bool {
-	return v.Version == c.Version && !slices.Contains(c.Exclude, v.ID)
+	version := slices.Contains(c.Versions, v.Version) || len(c.Versions) == 0 && v.Version == ""
+	return version && !slices.Contains(c.Exclude, v.ID)
 }
 
 // isServerless reports whether no listed server may run a call.
--- a/internal/callqueue/callqueue.go
+++ b/internal/callqueue/callqueue.go
@@ -22,7 +22,7 @@
 	Router    string
 	Service   string
 	Workspace string
-	Version   string   // of the servers that may run it
+	Versions  []string // of the servers that may run it; empty: the one without a name
 	Priority  int      // 0 is the highest
 	Exclude   []string // servers that must not be used
 	Due       time.Time
--- a/internal/cluster/call_grants.go
+++ b/internal/cluster/call_grants.go
@@ -34,12 +34,23 @@
 	// Incarnation is that of the router's process.
 	Incarnation uint64 `cbor:"11,keyasint"`
 	ObjectiveMS int64  `cbor:"12,keyasint,omitempty"`
-	Version     string `cbor:"13,keyasint,omitempty"` // of the servers that may run the call
+	// Versions are those of the servers that may run the call. Version is set as well if there is
+	// one only, for control VMs that know no list.
+	Version  string   `cbor:"13,keyasint,omitempty"`
+	Versions []string `cbor:"16,keyasint,omitempty"`
 	// LastGrant is the last grant of the receiver that InFlight includes.
 	LastGrant uint64   `cbor:"14,keyasint,omitempty"`
 	Avoid     []string `cbor:"15,keyasint,omitempty"` // servers that the router cannot use
 }
 
+// versions returns the versions of the servers that may run the call.
+func (r *CallGrantRequest) versions() []string {
+	if len(r.Versions) > 0 {
+		return r.Versions
+	}
+	return []string{r.Version}
+}
+
 // CallGrantReply is the answer to a CallGrantRequest. RetryAfterMS is the time until the
 // decision at the latest if the call waits.
 type CallGrantReply struct {
@@ -167,7 +178,7 @@
 	now := time.Now()
 	c.queue.Report(r.Service, from, r.report(), now)
 	a := c.queue.Request(callqueue.Call{
-		ID: r.ID, Router: from, Service: r.Service, Workspace: r.Workspace, Version: r.Version, Priority: r.Priority, Exclude: r.Exclude,
+		ID: r.ID, Router: from, Service: r.Service, Workspace: r.Workspace, Versions: r.versions(), Priority: r.Priority, Exclude: r.Exclude,
 		Due: now.Add(milliseconds(r.DueMS)), Deadline: now.Add(milliseconds(r.DeadlineMS)),
 		Objective: milliseconds(r.ObjectiveMS), Expected: milliseconds(r.ExpectedMS),
 	}, now)
--- a/internal/cluster/call_grants_client.go
+++ b/internal/cluster/call_grants_client.go
@@ -183,7 +183,7 @@
 	s.granter, s.askedAt = granter, time.Now()
 	s.seq++
 	return &CallGrantRequest{
-		ID: id, Service: call.Service, Workspace: call.Workspace, Priority: call.Priority, Exclude: call.Exclude, Version: call.Version,
+		ID: id, Service: call.Service, Workspace: call.Workspace, Priority: call.Priority, Exclude: call.Exclude, Versions: call.Versions, Version: soleVersion(call.Versions),
 		DueMS: time.Until(call.Due).Milliseconds(), DeadlineMS: time.Until(call.Deadline).Milliseconds(),
 		ExpectedMS: call.Expected.Milliseconds(), ObjectiveMS: call.Objective.Milliseconds(),
 		InFlight: maps.Clone(s.inFlight), Seq: s.seq, LastGrant: s.lastGrants[granter], Avoid: avoid,
@@ -374,3 +374,11 @@
 	}
 	return out
 }
+
+// soleVersion returns the version of a list with one; empty: it has several or none.
+func soleVersion(versions []string) string {
+	if len(versions) != 1 {
+		return ""
+	}
+	return versions[0]
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -124,6 +124,9 @@
 	// ones, here or by the last Summary, of which it has just heard a server.
 	Lost  []string `cbor:"31,keyasint,omitempty"`
 	Hears []string `cbor:"32,keyasint,omitempty"`
+	// KeepsVersions is sent by a control VM that knows the versions of services in the group's
+	// log.
+	KeepsVersions bool `cbor:"33,keyasint,omitempty"`
 	// Capacity is the size of this VM and Load the share in use, in thousandths; 0: unknown.
 	Capacity *capacity.Size `cbor:"24,keyasint,omitempty"`
 	Load     uint16         `cbor:"25,keyasint,omitempty"`
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -280,6 +280,19 @@
 	}
 }
 
+// AllKeepVersions reports whether no control VM that sends heartbeats is of an earlier release,
+// which does not know the versions of services in the group's log.
+func (h *Hub) AllKeepVersions() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.vms {
+		if s.heartbeat.Control && !s.heartbeat.KeepsVersions {
+			return false
+		}
+	}
+	return true
+}
+
 // Endpoints returns at most limit addresses of VMs that accept callers, sorted. zone is the
 // caller's zone, or empty.
 func (h *Hub) Endpoints(zone string, limit int) []string {
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -111,6 +111,7 @@
 	statements      statementState
 	contents        contentState
 	lost            lostState
+	records         *recordSender
 }
 
 // NewMember returns a Member of the VM self. seeds are the ids of control VMs from the
@@ -120,7 +121,7 @@
 		self: self, t: t, local: local, list: list, log: log, seeds: seeds,
 		learnedControls: map[string]time.Time{}, namedControls: map[string]namedControls{}, observers: map[string]time.Time{}, lastAnswers: map[string]time.Time{}, loggedSilent: map[string]bool{}, heartbeatSignal: newSignal(),
 		incarnation: rand.Uint64(), spendingSignal: newSignal(), placing: newPlacing(), calls: newCallClient(), fetchSignal: newSignal(),
-		listAges: map[string]time.Duration{},
+		listAges: map[string]time.Duration{}, records: newRecordSender(),
 	}
 	t.Handle(peer.KindPlaceDecision, m.servePlaceDecision)
 	t.Handle(peer.KindCallGrantDecision, m.serveCallDecision)
@@ -303,7 +304,7 @@
 }
 
 func (m *Member) heartbeat(deaths []recovery.Death) Heartbeat {
-	heartbeat := Heartbeat{Zone: m.local.Zone, Endpoint: m.local.Endpoint, Deaths: deaths, Control: m.local.Control}
+	heartbeat := Heartbeat{Zone: m.local.Zone, Endpoint: m.local.Endpoint, Deaths: deaths, Control: m.local.Control, KeepsVersions: m.local.Control}
 	if m.local.Capacity != (capacity.Size{}) {
 		heartbeat.Capacity = &m.local.Capacity
 	}
--- /dev/null
+++ b/internal/cluster/stream_versions_test.go
@@ -0,0 +1,198 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
+	"github.com/amaranthshelf/amaranthshelf/internal/streamversion"
+	"github.com/amaranthshelf/amaranthshelf/internal/wal/waltest"
+)
+
+// versionSystem has three control VMs that keep records of streams' versions, and two routers.
+type versionSystem struct {
+	ctx     context.Context
+	net     *peertest.Net
+	disks   map[string]*waltest.FS
+	stop    map[string]context.CancelFunc
+	routers []*testVM
+}
+
+func startVersionSystem(ctx context.Context, n *peertest.Net) *versionSystem {
+	s := &versionSystem{ctx: ctx, net: n, disks: map[string]*waltest.FS{}, stop: map[string]context.CancelFunc{}}
+	for _, id := range controls {
+		s.disks[id] = waltest.New()
+		s.startControl(id)
+	}
+	for i := range 2 {
+		r := startRouter(ctx, n, fmt.Sprint("r", i), controls, 0)
+		go r.member.RunRecords(ctx)
+		s.routers = append(s.routers, r)
+	}
+	time.Sleep(time.Second)
+	return s
+}
+
+func (s *versionSystem) startControl(id string) {
+	ctx, stop := context.WithCancel(s.ctx)
+	h := startHub(ctx, s.net, id, controls)
+	store := streamversion.NewStore(s.disks[id], "versions", zerolog.Nop())
+	h.hub.ServeStreamVersions(s.net.VM(id), store)
+	go store.Run(ctx)
+	s.stop[id] = stop
+}
+
+// killControl ends a control VM. Its disk keeps what was synced.
+func (s *versionSystem) killControl(id string) {
+	s.net.Kill(id)
+	s.stop[id]()
+	s.disks[id].Crash(func(int) int { return 0 })
+}
+
+// record records a stream at a router, and returns how long it took, 200 ms at most.
+func (s *versionSystem) record(router int, attempt, version string) time.Duration {
+	began := time.Now()
+	held := s.routers[router].member.Record(streamversion.Record{
+		Key: streamversion.KeyOf("w", attempt), Origin: streamversion.Origin{Service: "models", Version: version}, TTL: time.Minute,
+	})
+	select {
+	case <-held:
+	case <-time.After(200 * time.Millisecond):
+	}
+	return time.Since(began)
+}
+
+func (s *versionSystem) find(router int, attempt string) (string, streamversion.Finding, bool) {
+	ctx, cancel := context.WithTimeout(s.ctx, 400*time.Millisecond)
+	defer cancel()
+	o, finding, all := s.routers[router].member.Find(ctx, streamversion.KeyOf("w", attempt))
+	return o.Version, finding, all
+}
+
+// Guards against a stream that cannot go on at its version, since the VMs that know the version are
+// gone, cut off or restarted.
+func TestStreamVersionIsFoundElsewhere(t *testing.T) {
+	everyControl := func(f func(id string)) {
+		for _, id := range controls {
+			f(id)
+		}
+	}
+	for _, tt := range []struct {
+		name    string
+		before  func(s *versionSystem) // the record
+		between func(s *versionSystem) // the record and the search
+		slow    bool                   // enough VMs hold the record only after 200 ms
+	}{
+		{name: "undisturbed"},
+		{name: "its router is killed", between: func(s *versionSystem) { s.net.Kill("r0") }},
+		{name: "two control VMs are killed", between: func(s *versionSystem) { s.killControl("c1"); s.killControl("c3") }},
+		{name: "one is down at the record", before: func(s *versionSystem) { s.killControl("c2") }},
+		{name: "one is paused at the record, another killed afterwards", before: func(s *versionSystem) { s.net.Pause("c2") }, between: func(s *versionSystem) { s.net.Resume("c2"); s.killControl("c1") }},
+		{name: "all are killed and restarted", between: func(s *versionSystem) {
+			everyControl(s.killControl)
+			time.Sleep(time.Second)
+			everyControl(s.startControl)
+			time.Sleep(time.Second)
+		}},
+		{name: "all restart in turn", between: func(s *versionSystem) {
+			everyControl(func(id string) {
+				s.killControl(id)
+				time.Sleep(100 * time.Millisecond)
+				s.startControl(id)
+				time.Sleep(time.Second)
+			})
+		}},
+		{name: "messages are lost and doubled", before: func(s *versionSystem) { s.net.SetLoss(0.1, 0.3) }, between: func(s *versionSystem) { s.net.SetLoss(0, 0.3); time.Sleep(2 * time.Second) }, slow: true},
+		{name: "messages overtake one another", before: func(s *versionSystem) { s.net.SetDelay(time.Millisecond, 40*time.Millisecond) }},
+		{name: "its router was cut off at the record", slow: true, before: func(s *versionSystem) { s.net.Isolate("r0") }, between: func(s *versionSystem) { s.net.HealAll(); time.Sleep(2 * time.Second) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+				s := startVersionSystem(ctx, n)
+				if tt.before != nil {
+					tt.before(s)
+				}
+				const streams = 20
+				for i := range streams {
+					if took := s.record(0, fmt.Sprint(i), fmt.Sprint("v", i%3)); took >= 200*time.Millisecond && !tt.slow {
+						t.Errorf("stream %d was recorded after %v, want less than 200 ms", i, took)
+					}
+				}
+				if tt.between != nil {
+					tt.between(s)
+				}
+				for i := range streams {
+					if got, finding, _ := s.find(1, fmt.Sprint(i)); finding != streamversion.Found || got != fmt.Sprint("v", i%3) {
+						t.Errorf("stream %d: got version %q, finding %d, want v%d", i, got, finding, i%3)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a refusal for good while a VM that may hold the record does not answer, and
+// against one that promises that it will be known.
+func TestUnknownStreamVersion(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		s := startVersionSystem(ctx, n)
+		if _, finding, all := s.find(1, "never"); finding != streamversion.Unknown || !all {
+			t.Errorf("got finding %d, all answered: %t, want unknown to all", finding, all)
+		}
+		n.Isolate("c2")
+		began := time.Now()
+		if _, finding, all := s.find(1, "never"); finding != streamversion.Unknown || all || time.Since(began) > 500*time.Millisecond {
+			t.Errorf("got finding %d, all answered: %t after %v, want unknown to some within 500 ms", finding, all, time.Since(began))
+		}
+	})
+}
+
+// Guards against first events that wait for control VMs that do not answer, again and again.
+func TestRecordsWithoutControlVMs(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		s := startVersionSystem(ctx, n)
+		n.Isolate("r0")
+		s.record(0, "first", "v1")
+		time.Sleep(time.Second)
+		if took := s.record(0, "second", "v1"); took > 10*time.Millisecond {
+			t.Errorf("the record of a second stream took %v, want no wait", took)
+		}
+		n.HealAll()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		for _, attempt := range []string{"first", "second"} {
+			if got, finding, _ := s.find(1, attempt); finding != streamversion.Found || got != "v1" {
+				t.Errorf("%s: got version %q, finding %d, want v1", attempt, got, finding)
+			}
+		}
+	})
+}
+
+// BenchmarkRecords measures the bytes on the wire for the records of a router with 24 new streams
+// a second, at three control VMs.
+func BenchmarkRecords(b *testing.B) {
+	for _, streams := range []int{1, 24, 240} {
+		b.Run(fmt.Sprint(streams), func(b *testing.B) {
+			records := make([]streamversion.Record, streams)
+			for i := range records {
+				records[i] = streamversion.Record{Key: streamversion.KeyOf("workspace", fmt.Sprint(i)), Origin: streamversion.Origin{Service: "diagnosis", Version: "v1.12.3"}, TTL: 35 * time.Second}
+			}
+			bytes := 0
+			for b.Loop() {
+				batch := streamversion.Pack(records)
+				data, err := codec.Marshal(batch)
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(data)
+			}
+			b.ReportMetric(float64(bytes*recordHolders)/float64(streams), "wire-B/stream")
+		})
+	}
+}
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -56,7 +56,7 @@
 	current := r.backup.current
 	lost := current.engine == nil || r.st.h.opts.Fleet.Lost(current.engine)
 	switch {
-	case lost || !r.st.mayHoldCopy(current.engine):
+	case lost:
 		r.orderBackup(r.st.chooseBackupEngine(r.server))
 	case !current.renewAt.IsZero() && time.Now().After(current.renewAt):
 		r.orderBackup(current.engine)
@@ -167,36 +167,7 @@
 	return st.h.opts.Fleet.Lookup(c.grant.BackupEngine)
 }
 
-// backupVersions returns the versions whose engines may hold copies of the stream's
-// run.
-func (st *streamRelay) backupVersions() rollout.Versions {
-	v := st.h.opts.Rollouts.State().CopyVersions(st.q.service.Name, st.q.versionChoice)
-	v.ServerShare = 0 // copies are spread over all engines
-	return v
-}
-
-// mayHoldCopy reports whether the roll-outs let an engine hold a copy of the run.
-func (st *streamRelay) mayHoldCopy(s *upstream.Server) bool {
-	v := st.backupVersions()
-	return v.Only == "" || v.Only == s.Version
-}
-
-// allowsEngine reports whether the roll-outs let an engine run the stream.
-func (st *streamRelay) allowsEngine(s *upstream.Server) bool {
-	return st.h.opts.Rollouts.State().Permits(st.q.service.Name, s.Version)
-}
-
-// mustLeaveVersion reports whether the run must move to its backup engine, which is of
-// the new version.
-func (r *run) mustLeaveVersion() bool {
-	q, backup := r.st.q, r.backup.current.engine
-	if backup == nil || !r.st.h.opts.Rollouts.State().MustMove(q.service.Name, q.versionChoice) {
-		return false
-	}
-	return r.server.Version != backup.Version && r.st.mayHoldCopy(backup) && !r.st.h.opts.Fleet.Lost(backup)
-}
-
-// chooseBackupEngine chooses the backup engine of a run on s. It returns nil if the
+// chooseBackupEngine chooses the backup engine of a run on s, of the same version. It returns nil if the
 // route may not resume, or if the service's engines make no copies.
 func (st *streamRelay) chooseBackupEngine(s *upstream.Server) *upstream.Server {
 	if !st.mayKeepCopy() || st.h.isCopyingDisabled(st.q.service.Name) {
@@ -206,7 +177,7 @@
 	for id := range st.skip {
 		skip[id] = true
 	}
-	servers, candidates := st.h.opts.Fleet.Candidates(st.q.service.Name, st.backupVersions(), st.kvTokens(), skip)
+	servers, candidates := st.h.opts.Fleet.Candidates(st.q.service.Name, rollout.FixedVersion(s.Version), st.kvTokens(), skip)
 	if i := placement.ChooseBackupEngine(candidates, s.Zone, st.need, rand.IntN); i >= 0 {
 		return servers[i]
 	}
--- a/internal/forward/call_grants.go
+++ b/internal/forward/call_grants.go
@@ -120,7 +120,7 @@
 // been taken out of service, or left behind by a roll-out, while the call waited.
 func (h *Handler) grantedServer(q *request, id string) *upstream.Server {
 	s := h.opts.Fleet.Lookup(id)
-	if s == nil || s.Service != q.service.Name || s.Version != h.opts.Fleet.Version(q.service.Name, q.versionChoice.Versions) {
+	if s == nil || s.Service != q.service.Name || !h.opts.Fleet.AllowsVersion(s.Service, q.versionChoice.Versions, s.Version) {
 		return nil
 	}
 	return s
@@ -150,7 +150,7 @@
 		exclude = skip // a server in doubt is better than none
 	}
 	return callqueue.Call{
-		ID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Version: h.opts.Fleet.Version(q.service.Name, q.versionChoice.Versions),
+		ID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Versions: h.opts.Fleet.AllowedVersions(q.service.Name, q.versionChoice.Versions),
 		Priority: q.priority, Exclude: slices.Sorted(maps.Keys(exclude)), Due: q.dueTime(), Deadline: q.expires, Objective: q.route.Objective, Expected: sum / max(1, n),
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -19,6 +19,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
+	"github.com/amaranthshelf/amaranthshelf/internal/streamversion"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -105,6 +106,11 @@
 	// ContentTrials grants trials of suspect contents on behalf of all VMs; nil: this VM
 	// decides.
 	ContentTrials ContentTrials
+	// Origins keeps the records of the versions that began streams; nil: only this VM does.
+	Origins Origins
+	// VersionsFresh reports whether this VM's copy of the known versions holds everything that
+	// was agreed on before a moment within the lease; nil: it never does.
+	VersionsFresh func() bool
 	// HandOff has other VMs serve requests whose service this VM does not reach; nil: none
 	// does.
 	HandOff HandOff
@@ -130,6 +136,7 @@
 	speeds     speedTracker
 	inFlight   *admission.InFlight
 	unread     *unreadAnswers
+	origins    *streamversion.Store // of the streams that this VM carried
 	Stats      *Stats
 
 	mu             sync.Mutex
@@ -158,7 +165,13 @@
 	if o.Rollouts == nil {
 		o.Rollouts = NewRollouts()
 	}
-	h := &Handler{opts: o, vms: 1, budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), inFlight: admission.NewInFlight(maxHeldRequests, maxHeldBytes), unread: newUnreadAnswers(o.UnreadBytes)}
+	if o.Origins == nil {
+		o.Origins = localOrigins{}
+	}
+	if o.VersionsFresh == nil {
+		o.VersionsFresh = func() bool { return false }
+	}
+	h := &Handler{opts: o, vms: 1, origins: newOriginTable(), budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), inFlight: admission.NewInFlight(maxHeldRequests, maxHeldBytes), unread: newUnreadAnswers(o.UnreadBytes)}
 	h.gate = &gate{fleet: o.Fleet, permits: o.Permits, withheld: h.Stats.withheld}
 	h.engines = &engineCaller{gate: h.gate, pool: o.Pool, wire: o.Wire}
 	h.prober = newProber(h.engines, &o)
@@ -246,8 +259,10 @@
 	history       *SendHistory
 	budget        *Budget
 	versionChoice rollout.Choice
-	trial         *contentTrial // of the content, if it is suspect; nil: it has none
-	withoutGrant  bool          // the servers of this call are chosen by this VM's own view
+	// origin is the service and version that began the stream; nil: it has not begun.
+	origin       *streamversion.Origin
+	trial        *contentTrial // of the content, if it is suspect; nil: it has none
+	withoutGrant bool          // the servers of this call are chosen by this VM's own view
 	// retryAfterSet is set if the refusal of the request came with a retryAfter. There, 0
 	// means that a retry is of no use.
 	retryAfterSet bool
@@ -310,6 +325,12 @@
 		h.handOff(w, q)
 		return
 	}
+	if q.isStream() && q.HasAfter {
+		if err := h.takeUp(q); err != nil {
+			h.refuse(w, err)
+			return
+		}
+	}
 	h.chooseVersion(q)
 	q.budget.CountRequest()
 	h.Stats.Requests.Inc()
@@ -366,6 +387,11 @@
 	if err := q.authorize(table); err != nil {
 		return q, err
 	}
+	if route.Kind == routes.Stream {
+		if err := q.checkTakeUp(); err != nil {
+			return q, err
+		}
+	}
 	q.service = table.Service(route.PickRandom())
 	if route.Kind == routes.Stream && h.opts.CannotFinish(true, h.expectedDuration(q)) {
 		return q, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter)
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -44,7 +44,7 @@
 // ReadCaller implements Wire. A value that cannot be parsed is ignored, since counts and
 // deadlines only help to place the request.
 func (n *Headers) ReadCaller(h http.Header) (Caller, error) {
-	c := Caller{RequestID: h.Get(n.RequestID), FirstAttempt: h.Get(n.Resumes)}
+	c := Caller{RequestID: h.Get(n.RequestID), FirstAttempt: h.Get(n.Resumes), TakeUpFault: n.takeUpFault(h)}
 	if key, ok := strings.CutPrefix(h.Get(n.Key), n.KeyScheme); ok {
 		c.Key = strings.TrimSpace(key)
 	}
@@ -59,6 +59,21 @@
 	return c, nil
 }
 
+// takeUpFault returns why the headers that name a stream cannot be read; empty: they can.
+func (n *Headers) takeUpFault(h http.Header) string {
+	last := h.Get(n.LastEvent)
+	_, err := strconv.ParseUint(last, 10, 64)
+	switch {
+	case len(h.Values(n.Resumes)) > 1:
+		return "it names several attempts that began the stream"
+	case len(h.Values(n.LastEvent)) > 1:
+		return "it names several last events"
+	case last != "" && err != nil:
+		return "the id of the last event is not a number"
+	}
+	return ""
+}
+
 // parseTokens parses a number of tokens; 0: missing or invalid.
 func parseTokens(s string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(s))
@@ -105,7 +120,9 @@
 }
 
 // PerAttemptHeaders implements Wire.
-func (n *Headers) PerAttemptHeaders() []string { return []string{n.RequestID, n.Deadline, n.LastEvent} }
+func (n *Headers) PerAttemptHeaders() []string {
+	return []string{n.RequestID, n.Deadline, n.LastEvent, n.Resumes}
+}
 
 // ReadAnswer implements Wire. A server that states that it is another incarnation has
 // not run the request.
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -63,7 +63,11 @@
 	if st.refusedByLevel() {
 		return engineChoice{reason: result.Overloaded, final: true}
 	}
-	g, ok := h.opts.Placer.Place(st.q.ctx, st.placementRequest(), st.cannotFinish)
+	versions := h.opts.Fleet.AllowedVersions(st.q.service.Name, st.q.versionChoice.Versions)
+	if len(versions) == 0 {
+		return engineChoice{tryAgain: h.leaveTrialVersion(st.q)}
+	}
+	g, ok := h.opts.Placer.Place(st.q.ctx, st.placementRequest(versions), st.cannotFinish)
 	if !ok {
 		return engineChoice{server: st.placeLocally()}
 	}
@@ -124,7 +128,7 @@
 		h.opts.Placer.Refresh(st.q.ctx)
 		s = h.opts.Fleet.Lookup(g.Server)
 	}
-	if s != nil && s.Version != h.opts.Fleet.Version(s.Service, st.q.versionChoice.Versions) {
+	if s != nil && !h.opts.Fleet.AllowsVersion(s.Service, st.q.versionChoice.Versions, s.Version) {
 		s = nil // the roll-out has advanced since the request
 	}
 	if s == nil {
@@ -134,20 +138,24 @@
 	return s
 }
 
-func (st *streamRelay) placementRequest() scheduler.Stream {
+// placementRequest returns the request for an engine of one of these versions.
+func (st *streamRelay) placementRequest(versions []string) scheduler.Stream {
 	q := st.q
 	out := scheduler.Stream{
 		ID: q.RequestID, Service: q.service.Name, Workspace: q.workspace, Need: st.need, KVTokens: st.kvTokens(),
 		Due: q.dueTime(), Deadline: q.expires, FirstEventBy: q.firstEventBy(), Priority: q.priority,
 		Interrupted: st.seq.started, WantsCopy: st.mayKeepCopy(), EventsReceived: eventCount(st.seq.last),
 		Ranked: st.h.ranksStreams(q), PauseMS: q.route.PauseObjective.Milliseconds(),
-		Zone: st.h.opts.Zone, Version: st.h.opts.Fleet.Version(q.service.Name, q.versionChoice.Versions), VersionShare: q.versionChoice.ServerShare,
+		Zone: st.h.opts.Zone, Versions: versions, VersionShare: q.versionChoice.ServerShare,
+	}
+	if len(versions) == 1 {
+		out.Version = versions[0]
 	}
 	for id := range st.skip {
 		out.ExcludedEngines = append(out.ExcludedEngines, id)
 	}
 	slices.Sort(out.ExcludedEngines)
-	if s := st.h.opts.Fleet.At(q.service.Name, st.orphanEngine); s != nil && s.Version == out.Version {
+	if s := st.h.opts.Fleet.At(q.service.Name, st.orphanEngine); s != nil && slices.Contains(versions, s.Version) {
 		out.CachedEngine = s.ID
 	}
 	return out
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -192,9 +192,6 @@
 	case <-r.silenceTimer.timer.C:
 		return r.onSilenceTimer()
 	case <-backupCheck:
-		if r.mustLeaveVersion() {
-			return r.lost("goes on at the new version"), true
-		}
 		r.checkBackup()
 	case p := <-r.backup.pending:
 		r.handleBackupOrdered(p)
@@ -313,6 +310,9 @@
 		return 0, false
 	}
 	if r.forwarded == 0 {
+		if !r.fixVersion() {
+			return r.lost("engine of another version than the stream"), true
+		}
 		r.noteFirstEvent()
 	}
 	r.paceEvent()
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -31,11 +31,13 @@
 	// EngineSpeeds counts the observations of engines that were reported.
 	EngineSpeeds   *metrics.Counter
 	RefusedByLevel *metrics.Counter // streams that the refusal level refused
+	RecordsLate    *metrics.Counter // streams whose first event was sent before their version was recorded
 
 	FirstEvent  *metrics.Histogram // seconds from a caller's request
 	ResumePause *metrics.Histogram // seconds without an event for the caller of a resumed stream
 	CallTime    *metrics.Histogram // seconds from a caller's request to the answer
 	StreamWait  *metrics.Histogram // seconds that a stream waited for an engine
+	RecordWait  *metrics.Histogram // seconds that a first event waited for the record of its version
 }
 
 // NewStats returns Stats whose metrics are registered in set.
@@ -46,7 +48,7 @@
 		ResumesFromCopy: counter("resumes_from_copy"), Probes: counter("probes"), CopiesOrdered: counter("copies_ordered"),
 		StrayAnswers: counter("stray_answers"), BrokenStreams: counter("streams_broken"), CallersGone: counter("callers_gone"),
 		CallGrantFallbacks: counter("calls_grant_fallback"), EngineSpeeds: counter("engine_speeds_reported"),
-		RefusedByLevel: counter("streams_refused_by_level"), HandOffs: counter("hand_offs"),
+		RefusedByLevel: counter("streams_refused_by_level"), HandOffs: counter("hand_offs"), RecordsLate: counter("stream_records_late"), RecordWait: set.NewHistogram("shelf_stream_record_wait_seconds"),
 		FirstEvent: set.NewHistogram("shelf_first_event_seconds"), ResumePause: set.NewHistogram("shelf_resume_pause_seconds"),
 		CallTime: set.NewHistogram("shelf_call_seconds"), StreamWait: set.NewHistogram("shelf_stream_wait_seconds"),
 	}
@@ -62,10 +64,10 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_refused_total{code="%d",name=%q}`, code, result.Lookup(code).Name)).Inc()
 }
 
-// takenUp counts a request for the rest of a stream, by whether it names the attempt that
-// brought the stream's first event.
-func (s *Stats) takenUp(named bool) {
-	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_streams_taken_up_total{named="%t"}`, named)).Inc()
+// takenUp counts a request for the rest of a stream, by where its version was learned or why it
+// was refused.
+func (s *Stats) takenUp(outcome string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_streams_taken_up_total{outcome=%q}`, outcome)).Inc()
 }
 
 // firstEventFrom counts the first event of a run, by the version of its server. goesOn is set if
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -48,6 +48,7 @@
 	longestPause time.Duration // between two events
 	events       int           // forwarded
 	waited       time.Duration // total wait for an engine
+	endStream    func()        // records the end of the stream; nil: it has not begun
 }
 
 // runEnd is how a run at one engine ended.
@@ -70,7 +71,7 @@
 		id:   q.identity(h.opts.Wire.PerAttemptHeaders()),
 	}
 	defer h.activeRuns.drop(q.RequestID)
-	st.logTakenUp()
+	defer st.noteEnd()
 	st.findOrphan()
 	outcome := "cut off"
 	defer func() { st.logEnd(outcome) }()
@@ -94,14 +95,10 @@
 	}
 }
 
-// logTakenUp logs that a caller asks for the rest of a stream.
-func (st *streamRelay) logTakenUp() {
-	if !st.q.HasAfter {
-		return
+func (st *streamRelay) noteEnd() {
+	if st.endStream != nil {
+		st.endStream()
 	}
-	st.h.Stats.takenUp(st.q.FirstAttempt != "")
-	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("first_attempt", st.q.FirstAttempt).Str("service", st.q.service.Name).
-		Str("workspace", st.q.workspace).Uint64("after", st.q.After).Dur("list_age", time.Since(st.h.opts.Fleet.AsOf())).Msg("stream taken up")
 }
 
 // outcomeName names the end of a stream that is not complete.
@@ -180,6 +177,9 @@
 		if !st.q.history.MaySend() {
 			return engineChoice{reason: result.StreamBroken}
 		}
+		if st.versionGone() {
+			return engineChoice{reason: result.StreamVersionGone}
+		}
 		if !st.h.admitsContent(st.q) {
 			return engineChoice{reason: result.ContentHeldBack}
 		}
@@ -267,17 +267,19 @@
 func (st *streamRelay) chooseEngine() engineChoice {
 	if ref := st.orphanCopy; ref != nil {
 		st.orphanCopy = nil // a copy can be used only once
-		if s := st.h.opts.Fleet.At(st.q.service.Name, ref.Address); s != nil && st.allowsEngine(s) {
+		if s := st.h.opts.Fleet.At(st.q.service.Name, ref.Address); s != nil && st.allowsEngine(s.Version) {
 			return engineChoice{server: s, from: ref}
 		}
 	}
 	if p := st.lastCopy; p.engine != nil {
-		if s := st.h.opts.Fleet.Lookup(p.engine.ID); s != nil && st.allowsEngine(s) {
+		if s := st.h.opts.Fleet.Lookup(p.engine.ID); s != nil && st.allowsEngine(s.Version) {
 			return engineChoice{server: s, from: &p.ref}
 		}
 		st.lastCopy = backupCopy{}
 	}
-	st.h.recheckVersion(st.q, st.engineFailed)
+	if st.q.origin == nil {
+		st.h.recheckVersion(st.q, st.engineFailed)
+	}
 	if st.sends >= maxSends {
 		return engineChoice{}
 	}
--- /dev/null
+++ b/internal/forward/stream_version.go
@@ -0,0 +1,253 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
+	"github.com/amaranthshelf/amaranthshelf/internal/streamversion"
+)
+
+// Origins keeps the records of which version began each stream, on behalf of all VMs.
+type Origins interface {
+	// Record sends a record to other VMs. The returned channel is closed once enough of them
+	// hold it, or none answers.
+	Record(r streamversion.Record) <-chan struct{}
+	// Find asks the VMs that may hold the record of a stream. all is set if every one of them
+	// answered.
+	Find(ctx context.Context, k streamversion.Key) (o streamversion.Origin, f streamversion.Finding, all bool)
+}
+
+// localOrigins is the Origins of a VM without others.
+type localOrigins struct{}
+
+func (localOrigins) Record(streamversion.Record) <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
+func (localOrigins) Find(context.Context, streamversion.Key) (streamversion.Origin, streamversion.Finding, bool) {
+	return streamversion.Origin{}, streamversion.Unknown, true
+}
+
+const (
+	// recordPatience bounds how long a first event waits for the record of its stream. A stream
+	// without one cannot be taken up at another VM while several versions serve.
+	recordPatience = 200 * time.Millisecond
+	// findOriginTimeout bounds the search for a record.
+	findOriginTimeout = 400 * time.Millisecond
+	// originRetryAfter is the Retry-After of a request whose record may be at a VM that did not
+	// answer.
+	originRetryAfter = time.Second
+	// recordMargin is added to the time for which callers come back for a stream.
+	recordMargin = 10 * time.Second
+	// minRecordTTL and maxRecordTTL bound the life of a record.
+	minRecordTTL = 30 * time.Second
+	maxRecordTTL = 15 * time.Minute
+)
+
+// newOriginTable returns the records of the streams that this VM carried.
+func newOriginTable() *streamversion.Store { return streamversion.NewStore(nil, "", zerolog.Nop()) }
+
+// streamKey returns the key under which a stream is recorded; false: its caller names no attempt
+// that can be recorded.
+func (q *request) streamKey() (streamversion.Key, bool) {
+	attempt := q.RequestID
+	if q.HasAfter {
+		attempt = q.FirstAttempt
+	}
+	if attempt == "" || len(attempt) > streamversion.MaxAttemptBytes {
+		return streamversion.Key{}, false
+	}
+	return streamversion.KeyOf(q.workspace, attempt), true
+}
+
+// recordTTL returns how long callers may come back for the stream.
+func (q *request) recordTTL() time.Duration {
+	return min(max(q.Deadline, q.route.Timeout)+recordMargin, maxRecordTTL)
+}
+
+// checkTakeUp rejects a request that names the stream that it takes up in a way that no caller
+// of a stream does.
+func (q *request) checkTakeUp() error {
+	fault := q.TakeUpFault
+	switch {
+	case fault != "":
+	case q.FirstAttempt == "":
+		return nil
+	case !q.HasAfter:
+		fault = "it names the attempt that began a stream, but no last event"
+	case q.FirstAttempt == q.RequestID:
+		fault = "it names itself as the attempt that began the stream"
+	case len(q.FirstAttempt) > streamversion.MaxAttemptBytes:
+		fault = fmt.Sprintf("the id of the attempt that began the stream has %d bytes; allowed: %d", len(q.FirstAttempt), streamversion.MaxAttemptBytes)
+	default:
+		return nil
+	}
+	return result.Newf(result.InvalidTakeUp, "%s", fault)
+}
+
+// originSource is where the version of a stream was learned.
+type originSource string
+
+const (
+	originHere       originSource = "this VM"
+	originElsewhere  originSource = "records of the control VMs"
+	originOnlyChoice originSource = "only version"
+)
+
+// takeUp finds the version that began the stream that a caller takes up, and restricts the
+// request to it. Without a record, a version is certain only if it alone can have begun any
+// stream that is still of interest.
+func (h *Handler) takeUp(q *request) error {
+	began := time.Now()
+	origin, source, err := h.findOrigin(q)
+	log := h.opts.Log.Info().Str("request", q.RequestID).Str("first_attempt", q.FirstAttempt).Str("workspace", q.workspace).
+		Uint64("after", q.After).Dur("took", time.Since(began)).Dur("list_age", time.Since(h.opts.Fleet.AsOf()))
+	if err == nil {
+		err = h.fixOrigin(q, origin)
+	}
+	if err != nil {
+		h.Stats.takenUp("refused: " + result.Lookup(result.CodeOf(err)).Name)
+		log.Str("service", origin.Service).Str("version", origin.Version).Int("code", int(result.CodeOf(err))).AnErr("reason", err).Msg("stream not taken up")
+		return err
+	}
+	h.Stats.takenUp(string(source))
+	log.Str("service", origin.Service).Str("version", origin.Version).Str("learned_from", string(source)).Msg("stream taken up")
+	return nil
+}
+
+func (h *Handler) findOrigin(q *request) (streamversion.Origin, originSource, error) {
+	key, named := q.streamKey()
+	if named {
+		if o, finding, err := h.origins.Find(key); err == nil && finding != streamversion.Unknown {
+			return o, originHere, ambiguity(finding)
+		}
+	}
+	if o, ok := h.onlyOrigin(q); ok {
+		return o, originOnlyChoice, nil
+	}
+	all := true
+	if named {
+		ctx, cancel := context.WithTimeout(q.ctx, findOriginTimeout)
+		defer cancel()
+		o, finding, complete := h.opts.Origins.Find(ctx, key)
+		if finding != streamversion.Unknown {
+			return o, originElsewhere, ambiguity(finding)
+		}
+		all = complete
+	}
+	err := result.New(result.StreamVersionUnknown)
+	switch {
+	case !all:
+		err = err.WithRetryAfter(originRetryAfter)
+	case !h.opts.VersionsFresh():
+		err = err.WithRetryAfter(otherRouterRetryAfter)
+	}
+	return streamversion.Origin{}, "", err
+}
+
+// ambiguity returns the error for an attempt that is recorded with several versions.
+func ambiguity(f streamversion.Finding) error {
+	if f == streamversion.Ambiguous {
+		return result.Newf(result.StreamVersionUnknown, "the attempt began several streams, at different versions")
+	}
+	return nil
+}
+
+// onlyOrigin returns the origin of a stream if all streams that its route may have begun have
+// the same version, service by service. The caller's service is the one that was chosen for it.
+func (h *Handler) onlyOrigin(q *request) (streamversion.Origin, bool) {
+	state := h.opts.Rollouts.State()
+	for _, t := range q.route.Targets {
+		if _, only := state.OnlyVersion(t.Service); !only {
+			return streamversion.Origin{}, false
+		}
+	}
+	version, only := state.OnlyVersion(q.service.Name)
+	// The copy of the state must have been in force at some moment after the stream began.
+	return streamversion.Origin{Service: q.service.Name, Version: version}, only && h.opts.VersionsFresh()
+}
+
+// fixOrigin restricts a request to the service and version that began its stream.
+func (h *Handler) fixOrigin(q *request, o streamversion.Origin) error {
+	if o.Service != q.service.Name {
+		table := h.opts.Routes()
+		if table == nil || !q.route.LeadsTo(o.Service) || table.Service(o.Service) == nil {
+			return result.Newf(result.StreamVersionGone, "the route leads no more to service %q, which began the stream", o.Service)
+		}
+		q.service = table.Service(o.Service)
+		q.budget = h.budget(o.Service)
+	}
+	q.origin = &o
+	q.versionChoice = rollout.Choice{Versions: rollout.FixedVersion(o.Version)}
+	if !h.originRemains(q) {
+		return result.New(result.StreamVersionGone)
+	}
+	return nil
+}
+
+// originRemains reports whether servers of the version that began the stream are listed and may
+// go on with it.
+func (h *Handler) originRemains(q *request) bool {
+	return h.opts.Fleet.HasVersion(q.service.Name, q.origin.Version) && h.opts.Rollouts.State().MayContinue(q.service.Name, q.origin.Version)
+}
+
+// fixVersion restricts the stream to the version of its first event, which has just arrived, and
+// records it. The event must not be sent before. It returns false if another version began the
+// stream.
+func (r *run) fixVersion() bool {
+	st, q := r.st, r.st.q
+	began := q.origin == nil
+	if began {
+		q.origin = &streamversion.Origin{Service: r.server.Service, Version: r.server.Version}
+		q.versionChoice.Versions = rollout.FixedVersion(r.server.Version)
+	}
+	if q.origin.Version != r.server.Version {
+		st.h.opts.Log.Error().Str("request", q.RequestID).Str("engine", r.server.ID).Str("version", r.server.Version).Str("began_at", q.origin.Version).
+			Msg("an engine of another version would go on with the stream; its events are dropped")
+		return false
+	}
+	if st.endStream == nil {
+		st.endStream = st.h.opts.Rollouts.Recorder.StreamBegan(r.server.Service, r.server.Version)
+	}
+	key, named := q.streamKey()
+	if !named {
+		return true
+	}
+	record := streamversion.Record{Key: key, Origin: *q.origin, TTL: max(minRecordTTL, q.recordTTL())}
+	st.h.origins.Put([]streamversion.Record{record})
+	held := st.h.opts.Origins.Record(record)
+	if began && st.h.opts.Rollouts.State().HasSeveralVersions(q.service.Name) {
+		st.awaitRecord(held)
+	}
+	return true
+}
+
+// awaitRecord waits until enough other VMs hold the record of the stream.
+func (st *streamRelay) awaitRecord(held <-chan struct{}) {
+	began := time.Now()
+	patience := time.NewTimer(recordPatience)
+	defer patience.Stop()
+	select {
+	case <-held:
+	case <-patience.C:
+		st.h.Stats.RecordsLate.Inc()
+		st.h.opts.Log.Warn().Str("request", st.q.RequestID).Msg("version of the stream is not recorded in time; until it is, the stream can be taken up only here")
+	case <-st.q.ctx.Done():
+	}
+	observe(st.h.Stats.RecordWait, began)
+}
+
+// versionGone reports whether the stream has begun at a version that cannot go on with it.
+func (st *streamRelay) versionGone() bool { return st.q.origin != nil && !st.h.originRemains(st.q) }
+
+// allowsEngine reports whether an engine may run the stream now.
+func (st *streamRelay) allowsEngine(version string) bool {
+	return st.h.opts.Fleet.AllowsVersion(st.q.service.Name, st.q.versionChoice.Versions, version)
+}
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -26,6 +26,9 @@
 
 // chooseVersion chooses the version that a new request goes to.
 func (h *Handler) chooseVersion(q *request) {
+	if q.origin != nil {
+		return // it takes up a stream
+	}
 	r := h.opts.Rollouts
 	q.versionChoice = r.State().Choose(q.service.Name, q.route.Name, rand.Float64())
 	r.Recorder.Request(q.service.Name, q.route.Name, q.versionChoice)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -57,6 +57,8 @@
 	KindCordon            Kind = 95 // orders, removes or lists cordons, served by observers
 	KindContentTrial      Kind = 96 // asks for a trial of a suspect content
 	KindContentTrialEnd   Kind = 97 // ends a trial
+	KindStreamVersions    Kind = 98 // records which versions began streams
+	KindFindStreamVersion Kind = 99 // asks which version began a stream
 	KindPoisonSuspicion   Kind = 100
 	KindExplain           Kind = 120
 	KindStatus            Kind = 121
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -60,6 +60,7 @@
 	InvalidCordon     Code = 1033
 	CordonRefused     Code = 1034
 	NoCordon          Code = 1035
+	InvalidTakeUp     Code = 1036
 )
 
 // Codes 2xxx: the request exceeds the plan's allowance at this time.
@@ -71,28 +72,30 @@
 
 // Codes 3xxx: the system is overloaded or not ready. A later retry may succeed.
 const (
-	QueueFull        Code = 3001
-	DeadlineTooSoon  Code = 3002
-	DeadlinePassed   Code = 3003
-	NotFresh         Code = 3004
-	NoBackendServer  Code = 3005
-	ShuttingDown     Code = 3006
-	ControlUnavail   Code = 3007
-	KeepersUnavail   Code = 3008
-	WorkspaceBacklog Code = 3010
-	CallRunning      Code = 3011
-	ClaimsFull       Code = 3012
-	KeepersFull      Code = 3013
-	NoRouteList      Code = 3014
-	BackendsFull     Code = 3015
-	RetriesSpent     Code = 3016
-	ContentHeldBack  Code = 3017
-	LargerThanEngine Code = 3018
-	BackendsWithheld Code = 3019
-	Overloaded       Code = 3020
-	VMOverloaded     Code = 3021
-	NotSentInTime    Code = 3022
-	NoServerReached  Code = 3023
+	QueueFull            Code = 3001
+	DeadlineTooSoon      Code = 3002
+	DeadlinePassed       Code = 3003
+	NotFresh             Code = 3004
+	NoBackendServer      Code = 3005
+	ShuttingDown         Code = 3006
+	ControlUnavail       Code = 3007
+	KeepersUnavail       Code = 3008
+	WorkspaceBacklog     Code = 3010
+	CallRunning          Code = 3011
+	ClaimsFull           Code = 3012
+	KeepersFull          Code = 3013
+	NoRouteList          Code = 3014
+	BackendsFull         Code = 3015
+	RetriesSpent         Code = 3016
+	ContentHeldBack      Code = 3017
+	LargerThanEngine     Code = 3018
+	BackendsWithheld     Code = 3019
+	Overloaded           Code = 3020
+	VMOverloaded         Code = 3021
+	NotSentInTime        Code = 3022
+	NoServerReached      Code = 3023
+	StreamVersionUnknown Code = 3024
+	StreamVersionGone    Code = 3025
 )
 
 // Codes 4xxx: a failure occurred after the request was accepted.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -60,6 +60,7 @@
 	{InvalidCordon, "invalid_cordon", statusBadRequest, RanNo, "the cordon is not valid"},
 	{CordonRefused, "cordon_refused", statusConflict, RanNo, "the cordon would leave nothing to serve requests with"},
 	{NoCordon, "no_cordon", statusNotFound, RanNo, "there is no such cordon"},
+	{InvalidTakeUp, "invalid_take_up", statusBadRequest, RanNo, "the headers do not name a stream that can be taken up"},
 
 	{TokensExhausted, "tokens_exhausted", statusTooManyRequests, RanNo, "the plan's tokens for this window are used up"},
 	{RequestsExhausted, "requests_exhausted", statusTooManyRequests, RanNo, "the plan's requests for this window are used up"},
@@ -87,6 +88,8 @@
 	{VMOverloaded, "vm_overloaded", statusServiceUnavailable, RanNo, "this VM is at the limit of its processor or link; try again, or at another VM"},
 	{NotSentInTime, "not_sent_in_time", statusServiceUnavailable, RanNo, "the route's timeout passed before a backend server received the request"},
 	{NoServerReached, "no_server_reached", statusServiceUnavailable, RanNo, "this VM reaches no backend server of the service, and no other VM takes the request"},
+	{StreamVersionUnknown, "stream_version_unknown", statusServiceUnavailable, RanNo, "it is not known here which version of the backend servers began the stream, and another one cannot go on with it"},
+	{StreamVersionGone, "stream_version_gone", statusServiceUnavailable, RanNo, "no backend server of the version that began the stream is left, and another one cannot go on with it"},
 
 	{JournalLost, "journal_lost", statusInternalServerError, RanYes, "a majority of the journal's keepers is lost"},
 	{PoisonRequest, "poison_request", statusUnprocessableEntity, RanYes, "this request ended every backend server that ran it"},
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -138,6 +138,10 @@
 	Requests map[string]int `cbor:"3,keyasint,omitempty"`
 	Sent     int            `cbor:"4,keyasint,omitempty"`
 	Rows     []Row          `cbor:"5,keyasint,omitempty"`
+	// Streams counts the streams under way that have begun, by version. LongestStream is the
+	// longest time that one has taken since its first event.
+	Streams       map[string]int `cbor:"6,keyasint,omitempty"`
+	LongestStream time.Duration  `cbor:"7,keyasint,omitempty"`
 }
 
 // rowKey identifies a Row within a Recorder.
@@ -178,11 +182,18 @@
 	mu       sync.Mutex
 	services map[string]*observedRollout
 	lastID   uint64
+	streams  map[string]*serviceStreams // by service, whether or not a roll-out is under way
+}
+
+// serviceStreams are the streams of a service that have begun.
+type serviceStreams struct {
+	underWay map[string]int // by version
+	longest  time.Duration
 }
 
 // NewRecorder returns an empty Recorder.
 func NewRecorder(now func() time.Time) *Recorder {
-	return &Recorder{now: now, services: map[string]*observedRollout{}}
+	return &Recorder{now: now, services: map[string]*observedRollout{}, streams: map[string]*serviceStreams{}}
 }
 
 // Watch sets the roll-outs under way, as numbers by service. Observations of all others are
@@ -307,6 +318,28 @@
 	return w.rows[k]
 }
 
+// StreamBegan records the first event of a stream at a version. The returned function records its
+// end.
+func (r *Recorder) StreamBegan(service, version string) (end func()) {
+	began := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.streams[service]
+	if v == nil {
+		v = &serviceStreams{underWay: map[string]int{}}
+		r.streams[service] = v
+	}
+	v.underWay[version]++
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if v.underWay[version]--; v.underWay[version] == 0 {
+			delete(v.underWay, version)
+		}
+		v.longest = max(v.longest, r.now().Sub(began))
+	}
+}
+
 // Reports returns all observations, or nil if no roll-out is under way.
 func (r *Recorder) Reports() []Report {
 	r.mu.Lock()
@@ -317,6 +350,9 @@
 		for k, c := range w.rowsWithPending(r.now()) {
 			t.Rows = append(t.Rows, Row{Cell: k.cell, Target: k.target, Server: k.server, Counts: c})
 		}
+		if v := r.streams[service]; v != nil {
+			t.Streams, t.LongestStream = maps.Clone(v.underWay), v.longest
+		}
 		out = append(out, t)
 	}
 	return out
--- a/internal/rollout/ledger.go
+++ b/internal/rollout/ledger.go
@@ -11,6 +11,21 @@
 	Sent     int
 	Former   map[Cell]CountsByServer
 	Target   map[Cell]CountsByServer
+	// Streams counts the streams under way that have begun, by version, of the routers that are
+	// heard. LongestStream is the longest time that one has taken.
+	Streams       map[string]int
+	LongestStream time.Duration
+}
+
+// otherStreams returns how many streams are under way that other versions began.
+func (e *Evidence) otherStreams(version string) int {
+	n := 0
+	for v, streams := range e.Streams {
+		if v != version {
+			n += streams
+		}
+	}
+	return n
 }
 
 // CountsByServer holds counts by server, or by group of servers.
@@ -101,11 +116,19 @@
 
 // NewEvidence returns empty Evidence.
 func NewEvidence() Evidence {
-	return Evidence{Requests: map[string]int{}, Former: map[Cell]CountsByServer{}, Target: map[Cell]CountsByServer{}}
+	return Evidence{Requests: map[string]int{}, Former: map[Cell]CountsByServer{}, Target: map[Cell]CountsByServer{}, Streams: map[string]int{}}
 }
 
-func (e *Evidence) add(t *Report, countWaiting bool) {
+// add adds a router's report. heard is set if the router still runs, as far as is known: requests
+// and streams under way end with it.
+func (e *Evidence) add(t *Report, heard bool) {
 	e.Sent += t.Sent
+	e.LongestStream = max(e.LongestStream, t.LongestStream)
+	if heard {
+		for version, n := range t.Streams {
+			e.Streams[version] += n
+		}
+	}
 	for route, n := range t.Requests {
 		e.Requests[route] += n
 	}
@@ -119,7 +142,7 @@
 			cells[r.Cell] = CountsByServer{}
 		}
 		c := r.Counts
-		if !countWaiting {
+		if !heard {
 			c.Waiting = nil
 		}
 		cells[r.Cell].add(r.Server, c)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -16,6 +16,8 @@
 package rollout
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -136,10 +138,13 @@
 
 // Versions restricts which backend servers of a service may run a request.
 type Versions struct {
-	// Only is the one version that may run the request. If it is empty, the version in use
-	// may, provided that it is none of Except. Fallback applies if a service has no servers
-	// of another version.
+	// Only is the one version that may run the request. If it is empty and Fixed is not set,
+	// every version of Among may, or the one with the most listed servers if Among is nil,
+	// provided that it is none of Except. Fallback applies if a service has no servers of another
+	// version.
 	Only     string
+	Fixed    bool
+	Among    []string
 	Except   []string
 	Fallback string
 	// ServerShare is the share of the servers that take all the requests; 0: all of them. A
@@ -148,6 +153,27 @@
 	ServerShare float64
 }
 
+// FixedVersion restricts a request to one version, which may be the one without a name.
+func FixedVersion(version string) Versions { return Versions{Only: version, Fixed: true} }
+
+// Of returns the versions that may run the request, sorted, given the number of listed servers of
+// each version.
+func (v *Versions) Of(listed map[string]int) []string {
+	if v.Fixed || v.Only != "" {
+		return []string{v.Only}
+	}
+	out := slices.DeleteFunc(slices.Sorted(maps.Keys(listed)), func(version string) bool {
+		return v.Among != nil && !slices.Contains(v.Among, version) || slices.Contains(v.Except, version)
+	})
+	switch {
+	case len(out) == 0 && v.Fallback != "":
+		return []string{v.Fallback}
+	case len(out) > 1 && v.Among == nil:
+		return []string{slices.MaxFunc(out, func(a, b string) int { return cmp.Compare(listed[a], listed[b]) })}
+	}
+	return out
+}
+
 // minTrialServers is the least number of servers that take the requests of a trial. A
 // single faulty server is recognised only beside others.
 const minTrialServers = 3
@@ -167,27 +193,30 @@
 	Target bool
 }
 
-// State holds all roll-outs by service. It is immutable once built.
+// State holds all roll-outs and the known versions, by service. It is immutable once built.
 type State struct {
-	Records map[string]Record `cbor:"1,keyasint,omitempty"`
+	Records map[string]Record        `cbor:"1,keyasint,omitempty"`
+	Known   map[string]KnownVersions `cbor:"2,keyasint,omitempty"`
+}
+
+func newState() State {
+	return State{Records: map[string]Record{}, Known: map[string]KnownVersions{}}
 }
 
-// Choose decides on the destination of a request. draw is uniform in [0, 1).
+// Choose decides on the destination of a new request. draw is uniform in [0, 1).
 func (s *State) Choose(service, route string, draw float64) Choice {
 	r, ok := s.Records[service]
-	if !ok {
-		return Choice{}
-	}
-	if r.Phase == Completed {
+	switch {
+	case !ok:
+		return Choice{Versions: Versions{Among: s.admitted(service)}}
+	case r.Phase == Completed:
 		return Choice{Versions: Versions{Only: r.To}}
-	}
-	if r.Phase == Reverted {
-		return Choice{Versions: r.formerVersions()}
-	}
-	if draw < r.share(route) {
+	case r.Phase == Reverted:
+		return Choice{Versions: s.formerVersions(&r)}
+	case draw < r.share(route) && s.mayBeTried(service, r.To):
 		return Choice{Versions: r.targetVersions(), Number: r.Number, Target: true}
 	}
-	return Choice{Versions: r.formerVersions(), Number: r.Number}
+	return Choice{Versions: s.formerVersions(&r), Number: r.Number}
 }
 
 // targetVersions returns the restriction to the new version, and during the trial to a share
@@ -201,9 +230,9 @@
 }
 
 // formerVersions returns the restriction to the version that ran before the order, From. If
-// From is empty, it allows any version except the new one and the barred ones. During the
-// roll-out the new version is then the fallback for a service without other servers.
-func (r *Record) formerVersions() Versions {
+// From is empty, it allows the admitted versions except the new one and the barred ones. During
+// the roll-out the new version is then the fallback for a service without other servers.
+func (s *State) formerVersions(r *Record) Versions {
 	if r.From != "" {
 		return Versions{Only: r.From}
 	}
@@ -215,7 +244,7 @@
 	if !slices.Contains(except, r.To) {
 		except = append(except, r.To)
 	}
-	return Versions{Except: except, Fallback: fallback}
+	return Versions{Among: s.admitted(r.Service), Except: except, Fallback: fallback}
 }
 
 // Former returns the restriction for a request that must not run on the new version, for
@@ -223,12 +252,12 @@
 func (s *State) Former(service string) Versions {
 	r, ok := s.Records[service]
 	if !ok {
-		return Versions{}
+		return Versions{Among: s.admitted(service)}
 	}
 	if r.Phase == Moving || r.Phase == Completed {
 		return Versions{Only: r.To}
 	}
-	return r.formerVersions()
+	return s.formerVersions(&r)
 }
 
 // Fallback returns the choice for a request that must no longer run on the new version.
@@ -236,22 +265,6 @@
 	return Choice{Versions: s.Former(service), Number: c.Number}
 }
 
-// CopyVersions returns the versions whose servers may hold the copies of a run that was
-// chosen before. Copies follow the requests once these are switched.
-func (s *State) CopyVersions(service string, c Choice) Versions {
-	if r, ok := s.Records[service]; ok && r.Phase.switched() {
-		return Versions{Only: r.To}
-	}
-	return c.Versions
-}
-
-// MustMove reports whether a run that was chosen before is to be resumed on the new version
-// as soon as it has a copy there.
-func (s *State) MustMove(service string, c Choice) bool {
-	r, ok := s.Records[service]
-	return ok && (r.Phase == Moving || r.Phase == Completed) && c.Only != r.To
-}
-
 // Allows reports whether a request that was chosen before may still begin at its version.
 func (s *State) Allows(service string, c Choice) bool {
 	r, ok := s.Records[service]
@@ -266,13 +279,14 @@
 	return c.Only != "" || slices.Contains(c.Except, r.To)
 }
 
-// Permits reports whether a version may run requests of a service at all.
-func (s *State) Permits(service, version string) bool {
+// MayContinue reports whether a stream that a version began may go on at its servers. Those
+// of former versions serve their streams until the roll-out is completed.
+func (s *State) MayContinue(service, version string) bool {
 	r, ok := s.Records[service]
 	switch {
 	case !ok:
 		return true
-	case r.Phase == Moving, r.Phase == Completed:
+	case r.Phase == Completed:
 		return version == r.To
 	case r.Phase == Reverted && version == r.To:
 		return false
--- a/internal/rollout/state_machine.go
+++ b/internal/rollout/state_machine.go
@@ -39,8 +39,9 @@
 
 // Command is an entry of the group's log. One of its fields is set.
 type Command struct {
-	Order *Order `cbor:"1,keyasint,omitempty"`
-	Step  *Step  `cbor:"2,keyasint,omitempty"`
+	Order    *Order          `cbor:"1,keyasint,omitempty"`
+	Step     *Step           `cbor:"2,keyasint,omitempty"`
+	Standing *StandingChange `cbor:"3,keyasint,omitempty"`
 }
 
 const (
@@ -57,8 +58,8 @@
 	maxBarred = 64
 )
 
-// StateMachine holds the roll-outs in the control group's replicated state. It implements
-// control.StateMachine.
+// StateMachine holds the roll-outs and the known versions in the control group's replicated
+// state. It implements control.StateMachine.
 type StateMachine struct {
 	version uint64
 	number  uint64
@@ -67,7 +68,7 @@
 
 // NewStateMachine returns a StateMachine without roll-outs.
 func NewStateMachine() *StateMachine {
-	return &StateMachine{state: State{Records: map[string]Record{}}}
+	return &StateMachine{state: newState()}
 }
 
 // Version implements control.StateMachine.
@@ -108,6 +109,8 @@
 	case c.Step != nil:
 		outcome := m.step(nowMS, c.Step)
 		return Reply{outcome, m.state.Records[c.Step.Service]}
+	case c.Standing != nil:
+		return Reply{m.changeStanding(c.Standing), m.state.Records[c.Standing.Service]}
 	}
 	return Reply{Outcome: Unreadable}
 }
@@ -185,19 +188,20 @@
 	m.version++
 }
 
-// Changes implements control.StateMachine. It returns all roll-outs.
+// Changes implements control.StateMachine. It returns all roll-outs and known versions.
 func (m *StateMachine) Changes(uint64) []byte { return mustMarshal(&m.state) }
 
 // snapshot is the content of a snapshot.
 type snapshot struct {
-	Version uint64            `cbor:"1,keyasint"`
-	Number  uint64            `cbor:"2,keyasint"`
-	Records map[string]Record `cbor:"3,keyasint,omitempty"`
+	Version uint64                   `cbor:"1,keyasint"`
+	Number  uint64                   `cbor:"2,keyasint"`
+	Records map[string]Record        `cbor:"3,keyasint,omitempty"`
+	Known   map[string]KnownVersions `cbor:"4,keyasint,omitempty"`
 }
 
 // Snapshot implements control.StateMachine.
 func (m *StateMachine) Snapshot() ([]byte, error) {
-	return codec.Marshal(&snapshot{m.version, m.number, m.state.Records})
+	return codec.Marshal(&snapshot{m.version, m.number, m.state.Records, m.state.Known})
 }
 
 // Restore implements control.StateMachine.
@@ -207,8 +211,9 @@
 		return fmt.Errorf("rollout: decode snapshot: %w", err)
 	}
 	m.version, m.number = s.Version, s.Number
-	m.state = State{Records: map[string]Record{}}
+	m.state = newState()
 	maps.Copy(m.state.Records, s.Records)
+	maps.Copy(m.state.Known, s.Known)
 	return nil
 }
 
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/streamversion"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 	"github.com/amaranthshelf/amaranthshelf/internal/wal"
 )
@@ -66,6 +68,7 @@
 	hub             *cluster.Hub
 	backendList     *cluster.ListReplica
 	values          *bulk.Store // values that other VMs fetch from this one
+	streamVersions  *streamversion.Store
 	routeListServer routeListServer
 	cordons         cordonWatch
 	peerServer      *http.Server
@@ -75,6 +78,9 @@
 	wg              sync.WaitGroup
 }
 
+// streamVersionsFolder is the folder in the data folder that holds the versions of streams.
+const streamVersionsFolder = "stream-versions"
+
 // StartControl opens the data folder, binds the peer address and joins or forms
 // the group in the background.
 func StartControl(o ControlOptions) (*Control, error) {
@@ -102,13 +108,17 @@
 		c.cancel()
 		return nil, err
 	}
+	c.streamVersions = streamversion.NewStore(wal.OS{}, filepath.Join(o.Dir, streamVersionsFolder), o.Log)
+	c.hub.ServeStreamVersions(c.network, c.streamVersions)
 	c.hub.LoadRuns(wal.OS{}, o.Dir)
+	c.wg.Go(func() { c.streamVersions.Run(c.ctx) })
 	c.wg.Go(c.runMember)
 	c.wg.Go(func() { c.hub.RunSaver(c.ctx, wal.OS{}, o.Dir) })
 	go c.member.Run(c.ctx)
 	go c.hub.Run(c.ctx)
 	go c.readBackends()
 	go c.runRollouts()
+	go c.runVersions()
 	go c.runCordons()
 	return c, nil
 }
@@ -148,6 +158,7 @@
 	set.NewGauge("shelf_decision_rounds_total", func() float64 { return float64(c.hub.Decider().Rounds.Rounds) })
 	set.NewGauge("shelf_decision_round_seconds_total", func() float64 { return c.hub.Decider().Rounds.Busy.Seconds() })
 	set.NewGauge("shelf_decision_round_longest_seconds", func() float64 { return c.hub.Decider().Rounds.Longest.Seconds() })
+	set.NewGauge("shelf_stream_versions", func() float64 { n, _ := c.streamVersions.Stats(); return float64(n) })
 	set.NewGauge("shelf_cordons", func() float64 { return float64(len(c.cordons.list(time.Now()))) })
 	set.NewGauge("shelf_backend_list_age_seconds", func() float64 {
 		_, _, age, _ := c.backendList.Current()
--- a/internal/routed/options.go
+++ b/internal/routed/options.go
@@ -65,6 +65,9 @@
 	// Rollouts bounds the traffic that a new version gets until it has proved good. The
 	// zero value selects rollout.DefaultLimits.
 	Rollouts rollout.Limits
+	// VersionHold is how long a version that nobody ordered gets no requests after it was first
+	// listed beside others; 0: no roll-outs are ordered here, and it is used at once.
+	VersionHold time.Duration
 	// ReadBackends reads the platform's list of backend servers.
 	ReadBackends func(ctx context.Context) ([]upstream.Backend, error)
 }
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -84,6 +84,7 @@
 		RetryAllowance: o.RetryAllowance, Log: o.Log, RoutineLog: o.RoutineLog, Metrics: o.Metrics, SuspectContents: r.suspectContents, Closing: r.drain.started,
 		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(r.network, r.member.Relays, o.Log), FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
 		Rollouts: &forward.Rollouts{State: r.rollouts.Load, Recorder: r.recorder},
+		Origins:  r.member, VersionsFresh: r.feed.Fresh,
 	})
 	r.entrance = r.drain.countRequests(r.load.limit(r.handler, r.handler.Refuse, r.conns.open))
 	handoff.NewServer(r.ctx, r.network, r.entrance, r.takes, o.Log)
@@ -96,6 +97,7 @@
 	go r.member.Run(r.ctx)
 	go r.member.RunRetryReports(r.ctx)
 	go r.member.RunUseReports(r.ctx)
+	go r.member.RunRecords(r.ctx)
 	go r.load.run(r.ctx)
 	go r.member.RunCallReports(r.ctx)
 	return r, nil
--- a/internal/routedlocal/system.go
+++ b/internal/routedlocal/system.go
@@ -26,6 +26,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routed"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
@@ -55,6 +56,7 @@
 	Controls        []*routed.Control
 	Routers         []*routed.Router
 	CallerAddresses []string // of the routers, for callers
+	VersionHold     time.Duration
 
 	mu       sync.Mutex
 	backends []upstream.Backend
@@ -68,7 +70,7 @@
 // zones.
 func Start() (*System, error) {
 	for try := 1; ; try++ {
-		s := &System{Net: routedengine.NewNet(), controlIDs: map[*routed.Control]string{}}
+		s := &System{Net: routedengine.NewNet(), controlIDs: map[*routed.Control]string{}, VersionHold: rollout.DefaultVersionHold}
 		err := s.start()
 		if err == nil {
 			return s, nil
@@ -115,7 +117,7 @@
 func (s *System) startControl(id string, firstStart bool) error {
 	c, err := routed.StartControl(routed.ControlOptions{
 		Common: common(id, s.seeds), Dir: filepath.Join(s.dir, strings.ReplaceAll(id, ":", "-")),
-		FirstStart: firstStart, TargetVoters: controlCount, ReadBackends: s.readBackends,
+		FirstStart: firstStart, TargetVoters: controlCount, ReadBackends: s.readBackends, VersionHold: s.VersionHold,
 	})
 	if err == nil {
 		s.Controls = append(s.Controls, c)
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -79,6 +79,11 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// LeadsTo reports whether the route leads to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // PickRandom is Pick with the random source of math/rand/v2.
 func (r *Route) PickRandom() string {
 	if len(r.Targets) == 1 {
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -49,6 +49,8 @@
 	// new version: this percentage, plus RolloutSlack requests.
 	RolloutPercent int64
 	RolloutSlack   int64
+	// VersionHold is how long a version that nobody ordered waits for the order of a roll-out.
+	VersionHold time.Duration
 	// Limits are the resources of a router's VM; 0: not stated.
 	Limits struct {
 		Cores, LinkMbps       float64
@@ -64,7 +66,7 @@
 	if err != nil {
 		return nil, &Error{File: path, Problem: err.Error(), Allowed: "a readable INI file"}
 	}
-	s := &Routed{Kind: RoutedRouter, TargetVoters: 3, Grace: 30 * time.Second, RolloutPercent: 10, RolloutSlack: 50, LogLevel: "info"}
+	s := &Routed{Kind: RoutedRouter, TargetVoters: 3, Grace: 30 * time.Second, RolloutPercent: 10, RolloutSlack: 50, VersionHold: 10 * time.Second, LogLevel: "info"}
 	r := &reader{file: path}
 	keys := s.keys()
 	for _, sec := range f.Sections() {
@@ -97,7 +99,7 @@
 		"listen":   {"callers": address(&s.Endpoint), "operators": address(&s.Operators), "peers": address(&s.Peers)},
 		"tokens":   {"operator": text(&s.Tokens.Operator), "peer": text(&s.Tokens.Peer)},
 		"platform": {"url": text(&s.Platform)},
-		"rollouts": {"percent": integer(&s.RolloutPercent, 1, 100), "slack": integer(&s.RolloutSlack, 0, 1<<20)},
+		"rollouts": {"percent": integer(&s.RolloutPercent, 1, 100), "slack": integer(&s.RolloutSlack, 0, 1<<20), "hold": duration(&s.VersionHold, 0, time.Hour)},
 		"limits": {
 			"cores": number(&s.Limits.Cores, 0.001, 1024), "link_mbps": number(&s.Limits.LinkMbps, 0.1, 1e6),
 			"descriptors": integer(&s.Limits.Descriptors, 64, 1<<24), "memory_mb": integer(&s.Limits.MemoryMB, 16, 1<<24),
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -231,11 +231,11 @@
 func (f *Fleet) AcceptedAgainAt(service string, v rollout.Versions, skip map[string]bool) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	version, now := f.inUse.version(service, v), f.now()
+	versions, now := v.Of(f.list.versions[service]), f.now()
 	var first time.Time
 	for id, stated := range f.incarnations {
 		row := f.list.lookup(id)
-		if row == nil || row.Service != service || row.Version != version || !f.inService(row) || skip[id] {
+		if row == nil || row.Service != service || !slices.Contains(versions, row.Version) || !f.inService(row) || skip[id] {
 			continue
 		}
 		if at := stated.WithheldUntil(now); !at.IsZero() && (first.IsZero() || at.Before(first)) {
--- a/internal/upstream/candidates.go
+++ b/internal/upstream/candidates.go
@@ -51,18 +51,18 @@
 	return servers, out
 }
 
-// usable returns the servers of a service that are on the version that v selects and not
+// usable returns the servers of a service that are on a version that v selects and not
 // in skip, at most maxCandidates. In a trial these are only the first servers by id. It needs
 // f.mu.
 func (f *Fleet) usable(service string, v rollout.Versions, skip map[string]bool) []*Server {
-	version, now := f.inUse.version(service, v), f.now()
+	versions, now := v.Of(f.list.versions[service]), f.now()
 	var rows []*Backend
 	others := 0
 	for _, i := range f.list.byService[service] {
 		row := &f.list.rows[i]
 		switch {
 		case !f.inService(row):
-		case row.Version != version:
+		case !slices.Contains(versions, row.Version):
 			others++
 		case !skip[row.ID]:
 			rows = append(rows, row)
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -109,7 +109,6 @@
 	asOf           time.Time
 	list           listIndex
 	servers        map[string]*Server // of the list, those that were requested lately, by id
-	inUse          versionsInUse
 	peerUse        map[string]placement.Usage
 	outage         recovery.Outage
 	self           string
@@ -163,7 +162,6 @@
 	}
 	f.refreshServers()
 	f.matchCordons()
-	f.inUse = f.inUse.next(next.rows)
 	f.hearNewServers(&next, added)
 	f.expireIncarnations()
 	f.mu.Unlock()
--- a/internal/upstream/list.go
+++ b/internal/upstream/list.go
@@ -23,12 +23,13 @@
 	rows        []Backend          // sorted by id
 	byService   map[string][]int32 // positions in rows, ascending
 	domainSizes map[domain]int
+	versions    map[string]map[string]int // servers that are not draining, by service and version
 }
 
 // newListIndex returns the index of rows, which must not change afterwards. Of rows with the
 // same id the first one counts.
 func newListIndex(rows []Backend) listIndex {
-	x := listIndex{rows: rows, byService: map[string][]int32{}, domainSizes: map[domain]int{}}
+	x := listIndex{rows: rows, byService: map[string][]int32{}, domainSizes: map[domain]int{}, versions: map[string]map[string]int{}}
 	if !slices.IsSortedFunc(rows, CompareID) {
 		x.rows = slices.Clone(rows)
 		slices.SortStableFunc(x.rows, CompareID)
@@ -40,10 +41,21 @@
 		}
 		x.byService[row.Service] = append(x.byService[row.Service], int32(i))
 		x.domainSizes[row.domain()]++
+		x.countVersion(row)
 	}
 	return x
 }
 
+func (x *listIndex) countVersion(row *Backend) {
+	if row.Draining {
+		return
+	}
+	if x.versions[row.Service] == nil {
+		x.versions[row.Service] = map[string]int{}
+	}
+	x.versions[row.Service][row.Version]++
+}
+
 // CompareID orders rows by id.
 func CompareID(a, b Backend) int { return strings.Compare(a.ID, b.ID) }
 
@@ -64,7 +76,7 @@
 }
 
 // changesTo returns how many servers of next are not in x, and the ids of those that are only
-// in x. A server with another address or service is not the same one.
+// in x.
 func (x *listIndex) changesTo(next *listIndex) (added int, gone []string) {
 	i, k := 0, 0
 	for i < len(x.rows) || k < len(next.rows) {
@@ -76,7 +88,7 @@
 			added++
 			k++
 		default:
-			if x.rows[i].Address != next.rows[k].Address || x.rows[i].Service != next.rows[k].Service {
+			if !x.rows[i].sameServer(&next.rows[k]) {
 				gone = append(gone, x.rows[i].ID)
 				added++
 			}
@@ -86,3 +98,9 @@
 	}
 	return added, gone
 }
+
+// sameServer reports whether two rows with the same id are of the same server. A server that
+// has started again may keep its id.
+func (b *Backend) sameServer(o *Backend) bool {
+	return b.Address == o.Address && b.Service == o.Service && b.Version == o.Version
+}
