--- a/cmd/amaranthshelfd/soak_clients_test.go
+++ b/cmd/amaranthshelfd/soak_clients_test.go
@@ -59,16 +59,16 @@
 	ordered      atomic.Bool // whether a roll-out was acknowledged
 	cordoned     sync.Map    // paths of cordons that an operator has ordered and not ended
 
-	mu        sync.Mutex
-	votes     []vote
-	refusals  []vote // of streams: tries that were answered with an error
-	served    []int  // events that the callers of each workspace received
-	streams   int
-	resumes   int
-	takenUp   int // streams that callers took up
-	begunAnew int // of these, those that could not go on
-	listReads int
-	entries   []entryAnswer
+	mu          sync.Mutex
+	votes       []vote
+	refusals    []vote // of streams: tries that were answered with an error
+	served      []int  // events that the callers of each workspace received
+	streams     int
+	resumes     int
+	reconnected int // streams to which callers reconnected
+	begunAnew   int // of these, those that could not go on
+	listReads   int
+	entries     []entryAnswer
 }
 
 func newSoakClients(t *testing.T, s *soakSystem) *soakClients {
@@ -124,7 +124,7 @@
 		for try := 0; try < maxStreamTries && !complete; try++ {
 			q := routedlocal.StreamRequest{
 				Addr: w.s.callers[rng.IntN(soakRouters)], Path: path, ID: fmt.Sprint(path[3:], "-", try),
-				Key: soakWorkspaces[workspace].key(), After: len(ids), Resumes: origin.named(w.s.mixed, caller),
+				Key: soakWorkspaces[workspace].key(), After: len(ids), FirstAttempt: origin.named(w.s.mixed, caller),
 			}
 			sentAt := time.Now()
 			got, err := q.Do(w.t.Context())
--- a/cmd/amaranthshelfd/soak_test.go
+++ b/cmd/amaranthshelfd/soak_test.go
@@ -189,7 +189,7 @@
 // all processes are killed at once; servers die and stop answering; links to them are slow, cut in one direction and reset.
 // Faults come in series and overlap. The test checks:
 //   - callers receive complete streams, each event once, and all of one version. With several
-//     versions, most streams that callers take up go on;
+//     versions, most streams to which callers reconnect go on;
 //   - no vote runs twice, and a vote that is reported as not run has not run. A vote is a
 //     non-idempotent request to the stand-in servers of the service "desk", the vote
 //     servers. It is no vote of an election in the control group;
--- a/cmd/amaranthshelfd/soak_versions_test.go
+++ b/cmd/amaranthshelfd/soak_versions_test.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// leastGoOn is the share of the streams taken up that go on while several versions serve.
+	// leastGoOn is the share of the streams to which callers reconnect that go on while several versions serve.
 	leastGoOn = 0.9
 	// restartSpan bounds the time for which all processes are down at once.
 	restartSpan = 500 * time.Millisecond
@@ -56,13 +56,13 @@
 
 // streamOrigin is what a caller knows of the first event of its stream.
 type streamOrigin struct {
-	attempt  string // empty: it has no event
-	version  string
-	takenUp  bool
-	versions []string // of all events
+	attempt     string // empty: it has no event
+	version     string
+	reconnected bool
+	versions    []string // of all events
 }
 
-// named returns the attempt that a caller names when it takes the stream up. While there is one
+// named returns the attempt that a caller names when it reconnects. While there is one
 // version only, every second caller names none.
 func (o *streamOrigin) named(mixed bool, caller int) string {
 	if !mixed && caller%2 == 0 {
@@ -74,9 +74,9 @@
 // noteOrigin notes what a caller received in a try. Its events must be of the version that sent
 // the first one.
 func (w *soakClients) noteOrigin(o *streamOrigin, q *routedlocal.StreamRequest, got *routedlocal.StreamResult) {
-	if q.After > 0 && !o.takenUp {
-		o.takenUp = true
-		w.locked(func() { w.takenUp++ })
+	if q.After > 0 && !o.reconnected {
+		o.reconnected = true
+		w.locked(func() { w.reconnected++ })
 	}
 	if q.After > 0 && cannotGoOn(got) {
 		w.locked(func() { w.begunAnew++ })
@@ -101,10 +101,10 @@
 	return (code == result.StreamVersionUnknown || code == result.StreamVersionGone) && got.Refusal.RetryAfter == 0
 }
 
-// checkVersions checks that most of the streams that callers took up went on.
+// checkVersions checks that most of the streams to which callers reconnected went on.
 func (w *soakClients) checkVersions() {
-	w.t.Logf("versions mixed: %t; %d streams taken up, %d begun anew", w.s.mixed, w.takenUp, w.begunAnew)
-	if float64(w.begunAnew) > (1-leastGoOn)*float64(w.takenUp)+1 {
-		w.t.Errorf("%d of %d streams that were taken up could not go on, want at most one in ten", w.begunAnew, w.takenUp)
+	w.t.Logf("versions mixed: %t; %d streams with reconnects, %d begun anew", w.s.mixed, w.reconnected, w.begunAnew)
+	if float64(w.begunAnew) > (1-leastGoOn)*float64(w.reconnected)+1 {
+		w.t.Errorf("%d of %d streams with reconnects could not go on, want at most one in ten", w.begunAnew, w.reconnected)
 	}
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -84,6 +84,7 @@
 		{"the VM that holds the caller dies", s.vmDies},
 		{"bookings over a breaking connection", s.bookings},
 		{"a routed stream loses its zone of engines", s.zoneDies},
+		{"a routed stream loses its router while two versions serve", s.routerDies},
 		{"a bad version of a service is rolled out", s.badVersion},
 	}
 	for _, scene := range scenes {
--- a/internal/demo/routed.go
+++ b/internal/demo/routed.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/routedlocal"
@@ -47,3 +49,49 @@
 		}
 	})
 }
+
+// routerDies starts a routed system with engines of two versions, and kills the router of a stream.
+// The caller reconnects at another router.
+func (s *system) routerDies(ctx context.Context) Scene {
+	scene := Scene{Name: "two versions", What: "a routed stream whose router is lost while engines of two versions serve", Reconnects: 1}
+	began, rest, err := streamThroughRouterLoss(ctx)
+	ids := slices.Concat(began.EventIDs, rest.EventIDs)
+	switch {
+	case err != nil:
+	case !rest.Complete || !routedlocal.HasAllEvents(ids, routedlocal.Events):
+		err = errors.New("an event is missing or came twice")
+	case !slices.Equal(began.Versions, rest.Versions):
+		err = fmt.Errorf("version %v began it, and %v went on", began.Versions, rest.Versions)
+	}
+	scene.Tokens = len(ids)
+	scene.OK, scene.Check = err == nil, fmt.Sprintf("each event came once, in order, and from version %v", began.Versions)
+	if err != nil {
+		scene.Check = err.Error()
+	}
+	return scene
+}
+
+func streamThroughRouterLoss(ctx context.Context) (began, rest routedlocal.StreamResult, err error) {
+	ctx, cancel := context.WithTimeout(ctx, routedTimeout)
+	defer cancel()
+	r, err := routedlocal.StartHolding(0)
+	if err != nil {
+		return began, rest, err
+	}
+	defer r.Stop()
+	if err := errors.Join(r.AddVersion("v1", 2), r.AddVersion("v2", 3), r.PutList(ctx, routedlocal.MixedRoutes()), r.Ready(ctx)); err != nil {
+		return began, rest, err
+	}
+	began, err = routedlocal.StreamRequest{Addr: r.CallerAddresses[0], Path: "/s/unit-12", ID: "demo-first", Seen: func(n int) {
+		if n == routedlocal.Events/3 {
+			r.Routers[0].Close()
+		}
+	}}.Do(ctx)
+	if err != nil {
+		return began, rest, err
+	}
+	rest, err = routedlocal.StreamRequest{
+		Addr: r.CallerAddresses[1], Path: "/s/unit-12", ID: "demo-second", After: len(began.EventIDs), FirstAttempt: "demo-first",
+	}.Do(ctx)
+	return began, rest, err
+}
--- a/internal/explain/logs.go
+++ b/internal/explain/logs.go
@@ -145,6 +145,9 @@
 		case "gave up":
 			code := result.Lookup(result.Code(l.number("code")))
 			return fmt.Sprintf("refused with %d %s (%s) after %d arrivals at servers%s", code.Code, code.Name, code.Message, l.number("sends"), s.lossBefore(i))
+		case "reconnect refused":
+			code := result.Lookup(result.Code(l.number("code")))
+			return fmt.Sprintf("refused with %d %s (%s): it named %q as the attempt that began its stream", code.Code, code.Name, code.Message, l.text("first_attempt"))
 		case "stream broken off":
 			return fmt.Sprintf("broken off behind event %d (%s)%s", l.number("last_event"), l.text("reason"), s.lossBefore(i))
 		case "stream went on", "stream began", "call sent":
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -139,6 +139,8 @@
 		q.lastSend, q.serverFailed = l.text("sent"), l.number("status") >= 500
 	case "gave up":
 		q.refusalCode = result.Code(l.number("code"))
+	case "reconnect refused":
+		q.isStream, q.refusalCode = true, result.Code(l.number("code"))
 	}
 	if l.Message == "gave up" && !q.isStream {
 		q.isCall = true // refused before any send
@@ -146,6 +148,9 @@
 }
 
 func (q *requestOutcome) streamReason() string {
+	if q.endLine == nil && q.refusalCode != 0 {
+		return "refused: " + result.Lookup(q.refusalCode).Name
+	}
 	if q.endLine == nil {
 		return noEndLogged
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -326,7 +326,7 @@
 		return
 	}
 	if q.isStream() && q.HasAfter {
-		if err := h.takeUp(q); err != nil {
+		if err := h.reconnect(q); err != nil {
 			h.refuse(w, err)
 			return
 		}
@@ -388,7 +388,7 @@
 		return q, err
 	}
 	if route.Kind == routes.Stream {
-		if err := q.checkTakeUp(); err != nil {
+		if err := q.checkReconnect(); err != nil {
 			return q, err
 		}
 	}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -14,24 +14,24 @@
 // Headers implements the methods of a Wire that read and write headers. Its fields are
 // the header names in canonical form.
 type Headers struct {
-	RequestID  string
-	Deadline   string // remaining ms
-	Instance   string // the incarnation that the request is sent to
-	Workspace  string
-	Priority   string
-	Tokens     string // prompt tokens and maximum output tokens: "8000,1000"
-	LastEvent  string
-	CopyTo     string // address of the backup engine
-	CopyFrom   string // address/id of the copy to resume from
-	Key        string
-	KeyScheme  string // prefix of the key, with its space
-	Signature  string
-	NotRun     string
-	Load       string
-	InstanceID string // the incarnation that answers; servers need not state it
-	RateLimit  string // requests per second that the server accepts from all VMs together
-	Leaving    string // true or 1: the server ends soon and takes no new work
-	Resumes    string // id of the attempt that brought the first event of the stream that is taken up
+	RequestID    string
+	Deadline     string // remaining ms
+	Instance     string // the incarnation that the request is sent to
+	Workspace    string
+	Priority     string
+	Tokens       string // prompt tokens and maximum output tokens: "8000,1000"
+	LastEvent    string
+	CopyTo       string // address of the backup engine
+	CopyFrom     string // address/id of the copy to resume from
+	Key          string
+	KeyScheme    string // prefix of the key, with its space
+	Signature    string
+	NotRun       string
+	Load         string
+	InstanceID   string // the incarnation that answers; servers need not state it
+	RateLimit    string // requests per second that the server accepts from all VMs together
+	Leaving      string // true or 1: the server ends soon and takes no new work
+	FirstAttempt string // id of the attempt that brought the first event of the stream to which the caller reconnects
 	// Reserved are further headers of requests to engines that only the system may set.
 	Reserved []string
 	// ReadLoad parses the value of Load. It returns false if the value cannot be read.
@@ -44,7 +44,7 @@
 // ReadCaller implements Wire. A value that cannot be parsed is ignored, since counts and
 // deadlines only help to place the request.
 func (n *Headers) ReadCaller(h http.Header) (Caller, error) {
-	c := Caller{RequestID: h.Get(n.RequestID), FirstAttempt: h.Get(n.Resumes), TakeUpFault: n.takeUpFault(h)}
+	c := Caller{RequestID: h.Get(n.RequestID), FirstAttempt: h.Get(n.FirstAttempt), ReconnectFault: n.reconnectFault(h)}
 	if key, ok := strings.CutPrefix(h.Get(n.Key), n.KeyScheme); ok {
 		c.Key = strings.TrimSpace(key)
 	}
@@ -59,12 +59,12 @@
 	return c, nil
 }
 
-// takeUpFault returns why the headers that name a stream cannot be read; empty: they can.
-func (n *Headers) takeUpFault(h http.Header) string {
+// reconnectFault returns why the headers that name a stream cannot be read; empty: they can.
+func (n *Headers) reconnectFault(h http.Header) string {
 	last := h.Get(n.LastEvent)
 	_, err := strconv.ParseUint(last, 10, 64)
 	switch {
-	case len(h.Values(n.Resumes)) > 1:
+	case len(h.Values(n.FirstAttempt)) > 1:
 		return "it names several attempts that began the stream"
 	case len(h.Values(n.LastEvent)) > 1:
 		return "it names several last events"
@@ -121,7 +121,7 @@
 
 // PerAttemptHeaders implements Wire.
 func (n *Headers) PerAttemptHeaders() []string {
-	return []string{n.RequestID, n.Deadline, n.LastEvent, n.Resumes}
+	return []string{n.RequestID, n.Deadline, n.LastEvent, n.FirstAttempt}
 }
 
 // ReadAnswer implements Wire. A server that states that it is another incarnation has
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -67,7 +67,7 @@
 	if len(versions) == 0 {
 		return engineChoice{tryAgain: h.leaveTrialVersion(st.q)}
 	}
-	g, ok := h.opts.Placer.Place(st.q.ctx, st.placementRequest(versions), st.cannotFinish)
+	g, ok := h.opts.Placer.Place(st.q.ctx, st.placementRequest(versions), st.stopsWaiting)
 	if !ok {
 		return engineChoice{server: st.placeLocally()}
 	}
@@ -88,6 +88,10 @@
 		st.q.setRetryAfter(g.RetryAfter)
 		return engineChoice{reason: result.DeadlineTooSoon, final: true}
 	case scheduler.Waiting:
+		if st.waitedForVersion() {
+			st.q.setRetryAfter(versionFullRetryAfter)
+			return engineChoice{reason: result.BackendsFull, final: true}
+		}
 		st.q.setRetryAfter(otherRouterRetryAfter)
 		return engineChoice{reason: result.ShuttingDown, final: true}
 	case scheduler.TooLarge:
@@ -174,6 +178,9 @@
 	return st.q.history.arrivals == 0 && st.h.opts.CannotFinish(true, st.h.expectedDuration(st.q))
 }
 
+// stopsWaiting reports whether the stream must not wait for an engine any longer.
+func (st *streamRelay) stopsWaiting() bool { return st.cannotFinish() || st.waitedForVersion() }
+
 // longRunFactor is the duration of a long run relative to the mean.
 const longRunFactor = 1.5
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -13,20 +13,20 @@
 
 // The project's own headers between callers, routers and backend servers.
 const (
-	HeaderRequestID = "X-Request-Id"
-	HeaderDeadline  = "X-Deadline-Ms"
-	HeaderInstance  = "X-Backend-Instance"
-	HeaderWorkspace = "X-Workspace"
-	HeaderTokens    = "X-Tokens"
-	HeaderSignature = "X-Backend-Signature"
-	HeaderNotRun    = "X-Not-Run"
-	HeaderLoad      = "X-Backend-Load" // requests that run or wait at the server, and its slowdown in percent
-	HeaderCopyTo    = "X-Keep-Copy-At"
-	HeaderCopyFrom  = "X-Resume-From"
-	HeaderLastEvent = "Last-Event-Id"
-	HeaderRateLimit = "X-Rate-Limit" // requests per second that the server accepts from all VMs together
-	HeaderLeaving   = "X-Leaving"    // the server ends soon and takes no new work
-	HeaderResumes   = "X-Resumes"    // request id of the attempt that brought the first event of a stream
+	HeaderRequestID    = "X-Request-Id"
+	HeaderDeadline     = "X-Deadline-Ms"
+	HeaderInstance     = "X-Backend-Instance"
+	HeaderWorkspace    = "X-Workspace"
+	HeaderTokens       = "X-Tokens"
+	HeaderSignature    = "X-Backend-Signature"
+	HeaderNotRun       = "X-Not-Run"
+	HeaderLoad         = "X-Backend-Load" // requests that run or wait at the server, and its slowdown in percent
+	HeaderCopyTo       = "X-Keep-Copy-At"
+	HeaderCopyFrom     = "X-Resume-From"
+	HeaderLastEvent    = "Last-Event-Id"
+	HeaderRateLimit    = "X-Rate-Limit"    // requests per second that the server accepts from all VMs together
+	HeaderLeaving      = "X-Leaving"       // the server ends soon and takes no new work
+	HeaderFirstAttempt = "X-First-Attempt" // request id of the attempt that brought the first event of a stream
 )
 
 // Paths of the project's own engine interface.
@@ -44,7 +44,7 @@
 		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Instance: HeaderInstance, Workspace: HeaderWorkspace,
 		Priority: "X-Priority", Tokens: HeaderTokens, LastEvent: HeaderLastEvent, CopyTo: HeaderCopyTo,
 		CopyFrom: HeaderCopyFrom, Key: "Authorization", KeyScheme: "Bearer ", Signature: HeaderSignature,
-		NotRun: HeaderNotRun, Load: HeaderLoad, InstanceID: HeaderInstance, RateLimit: HeaderRateLimit, Leaving: HeaderLeaving, Resumes: HeaderResumes, ReadLoad: parseLoad,
+		NotRun: HeaderNotRun, Load: HeaderLoad, InstanceID: HeaderInstance, RateLimit: HeaderRateLimit, Leaving: HeaderLeaving, FirstAttempt: HeaderFirstAttempt, ReadLoad: parseLoad,
 	}}
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -78,6 +78,7 @@
 		r.use.PendingPrompt = 0
 	}
 	h.opts.Fleet.Take(s, r.use)
+	st.countAt(s)
 	send := Send{After: st.seq.last, HasAfter: st.seq.started, ResumeFrom: from}
 	if backup := st.backupEngineFor(&c); backup != nil {
 		r.setBackupEngine(backup)
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -64,10 +64,10 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_refused_total{code="%d",name=%q}`, code, result.Lookup(code).Name)).Inc()
 }
 
-// takenUp counts a request for the rest of a stream, by where its version was learned or why it
+// reconnected counts a request for the rest of a stream, by where its version was learned or why it
 // was refused.
-func (s *Stats) takenUp(outcome string) {
-	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_streams_taken_up_total{outcome=%q}`, outcome)).Inc()
+func (s *Stats) reconnected(outcome string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_stream_reconnects_total{outcome=%q}`, outcome)).Inc()
 }
 
 // firstEventFrom counts the first event of a run, by the version of its server. goesOn is set if
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -12,6 +12,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // Bounds of the search for an engine.
@@ -48,7 +49,8 @@
 	longestPause time.Duration // between two events
 	events       int           // forwarded
 	waited       time.Duration // total wait for an engine
-	endStream    func()        // records the end of the stream; nil: it has not begun
+	countedAt    string        // version at which the stream is counted, valid if endCount is set
+	endCount     func()        // ends the count; nil: the stream was not sent
 }
 
 // runEnd is how a run at one engine ended.
@@ -71,7 +73,7 @@
 		id:   q.identity(h.opts.Wire.PerAttemptHeaders()),
 	}
 	defer h.activeRuns.drop(q.RequestID)
-	defer st.noteEnd()
+	defer st.endCounted()
 	st.findOrphan()
 	outcome := "cut off"
 	defer func() { st.logEnd(outcome) }()
@@ -95,9 +97,19 @@
 	}
 }
 
-func (st *streamRelay) noteEnd() {
-	if st.endStream != nil {
-		st.endStream()
+// countAt counts the stream at the version of a server, for a roll-out that waits for the streams of
+// former versions.
+func (st *streamRelay) countAt(s *upstream.Server) {
+	if st.endCount != nil && st.countedAt == s.Version {
+		return
+	}
+	st.endCounted()
+	st.countedAt, st.endCount = s.Version, st.h.opts.Rollouts.Recorder.StreamSent(s.Service, s.Version)
+}
+
+func (st *streamRelay) endCounted() {
+	if st.endCount != nil {
+		st.endCount()
 	}
 }
 
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -260,8 +260,15 @@
 
 // Guards against a new prefill when a router dies. The first router carries the stream for
 // two seconds and reports where its copy is. The second router finds the copy by the
-// identity that both attempts share. The caller must not wait longer than for a pause.
+// identity that both attempts share, whether or not the caller names the first attempt. The
+// caller must not wait longer than for a pause.
 func TestOrphanedStreamResumesFromBackupCopy(t *testing.T) {
+	for _, headers := range [][]string{nil, {forward.HeaderFirstAttempt, "r1"}} {
+		t.Run(fmt.Sprint("names ", headers), func(t *testing.T) { testOrphanedStream(t, headers) })
+	}
+}
+
+func testOrphanedStream(t *testing.T, headers []string) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, engine("a"), engine("b"), engine("c"))
 		defer f.shutDown()
@@ -278,7 +285,7 @@
 		}
 		began := time.Now()
 		got := strings.Count(first.text.String(), "id: ")
-		second := f.send("POST", "/s/1", "r2", "log", "Last-Event-Id", fmt.Sprint(got), forward.HeaderDeadline, "20000")
+		second := f.send("POST", "/s/1", "r2", "log", append([]string{"Last-Event-Id", fmt.Sprint(got), forward.HeaderDeadline, "20000"}, headers...)...)
 		<-second.done
 		if second.broken || strings.Count(second.text.String(), "id: ") != 100-got {
 			t.Fatalf("the rest has %d events, want all that the first router did not send", strings.Count(second.text.String(), "id: "))
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -37,10 +37,14 @@
 
 const (
 	// recordPatience bounds how long a first event waits for the record of its stream. A stream
-	// without one cannot be taken up at another VM while several versions serve.
+	// without one cannot be resumed at another VM while several versions serve.
 	recordPatience = 200 * time.Millisecond
 	// findOriginTimeout bounds the search for a record.
 	findOriginTimeout = 400 * time.Millisecond
+	// minVersionWait is the least time for which a stream waits for room at its version, and
+	// versionFullRetryAfter the Retry-After when it has not found any.
+	minVersionWait        = 2 * time.Second
+	versionFullRetryAfter = 500 * time.Millisecond
 	// originRetryAfter is the Retry-After of a request whose record may be at a VM that did not
 	// answer.
 	originRetryAfter = time.Second
@@ -72,10 +76,10 @@
 	return min(max(q.Deadline, q.route.Timeout)+recordMargin, maxRecordTTL)
 }
 
-// checkTakeUp rejects a request that names the stream that it takes up in a way that no caller
+// checkReconnect rejects a request that names the stream to which it reconnects in a way that no caller
 // of a stream does.
-func (q *request) checkTakeUp() error {
-	fault := q.TakeUpFault
+func (q *request) checkReconnect() error {
+	fault := q.ReconnectFault
 	switch {
 	case fault != "":
 	case q.FirstAttempt == "":
@@ -89,7 +93,7 @@
 	default:
 		return nil
 	}
-	return result.Newf(result.InvalidTakeUp, "%s", fault)
+	return result.Newf(result.InvalidReconnect, "%s", fault)
 }
 
 // originSource is where the version of a stream was learned.
@@ -101,10 +105,10 @@
 	originOnlyChoice originSource = "only version"
 )
 
-// takeUp finds the version that began the stream that a caller takes up, and restricts the
+// reconnect finds the version that began the stream to which a caller reconnects, and restricts the
 // request to it. Without a record, a version is certain only if it alone can have begun any
 // stream that is still of interest.
-func (h *Handler) takeUp(q *request) error {
+func (h *Handler) reconnect(q *request) error {
 	began := time.Now()
 	origin, source, err := h.findOrigin(q)
 	log := h.opts.Log.Info().Str("request", q.RequestID).Str("first_attempt", q.FirstAttempt).Str("workspace", q.workspace).
@@ -113,12 +117,12 @@
 		err = h.fixOrigin(q, origin)
 	}
 	if err != nil {
-		h.Stats.takenUp("refused: " + result.Lookup(result.CodeOf(err)).Name)
-		log.Str("service", origin.Service).Str("version", origin.Version).Int("code", int(result.CodeOf(err))).AnErr("reason", err).Msg("stream not taken up")
+		h.Stats.reconnected("refused: " + result.Lookup(result.CodeOf(err)).Name)
+		log.Str("service", origin.Service).Str("version", origin.Version).Int("code", int(result.CodeOf(err))).AnErr("reason", err).Msg("reconnect refused")
 		return err
 	}
-	h.Stats.takenUp(string(source))
-	log.Str("service", origin.Service).Str("version", origin.Version).Str("learned_from", string(source)).Msg("stream taken up")
+	h.Stats.reconnected(string(source))
+	log.Str("service", origin.Service).Str("version", origin.Version).Str("learned_from", string(source)).Msg("caller reconnects to a stream")
 	return nil
 }
 
@@ -213,9 +217,6 @@
 			Msg("an engine of another version would go on with the stream; its events are dropped")
 		return false
 	}
-	if st.endStream == nil {
-		st.endStream = st.h.opts.Rollouts.Recorder.StreamBegan(r.server.Service, r.server.Version)
-	}
 	key, named := q.streamKey()
 	if !named {
 		return true
@@ -238,12 +239,25 @@
 	case <-held:
 	case <-patience.C:
 		st.h.Stats.RecordsLate.Inc()
-		st.h.opts.Log.Warn().Str("request", st.q.RequestID).Msg("version of the stream is not recorded in time; until it is, the stream can be taken up only here")
+		st.h.opts.Log.Warn().Str("request", st.q.RequestID).Msg("version of the stream is not recorded in time; until it is, the stream can be resumed only here")
 	case <-st.q.ctx.Done():
 	}
 	observe(st.h.Stats.RecordWait, began)
 }
 
+// waitedForVersion reports whether the stream has waited so long for room at its version that its
+// caller is told. While there are others, the room is needed by streams that have waited less.
+func (st *streamRelay) waitedForVersion() bool {
+	if st.q.origin == nil || !st.h.opts.Rollouts.State().HasSeveralVersions(st.q.service.Name) {
+		return false
+	}
+	since := st.q.arrived
+	if st.headSent {
+		since = st.lastEventAt
+	}
+	return time.Since(since) > max(minVersionWait, st.q.route.Objective)
+}
+
 // versionGone reports whether the stream has begun at a version that cannot go on with it.
 func (st *streamRelay) versionGone() bool { return st.q.origin != nil && !st.h.originRemains(st.q) }
 
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -16,8 +16,10 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/streamversion"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Guards against an answer with events of two versions, when all engines of the version that
@@ -54,9 +56,9 @@
 		name    string
 		headers []string
 	}{
-		{"names an unknown attempt", []string{forward.HeaderResumes, "r0"}},
+		{"names an unknown attempt", []string{forward.HeaderFirstAttempt, "r0"}},
 		{"names no attempt", nil},
-		{"names an empty attempt", []string{forward.HeaderResumes, ""}},
+		{"names an empty attempt", []string{forward.HeaderFirstAttempt, ""}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -120,9 +122,9 @@
 
 // Guards against a stream that is joined with another one, or refused with a code that does not say
 // whether another try helps, by what its caller names.
-func TestTakeUp(t *testing.T) {
+func TestReconnect(t *testing.T) {
 	long := strings.Repeat("a", streamversion.MaxAttemptBytes+1)
-	resumes, last := forward.HeaderResumes, forward.HeaderLastEvent
+	resumes, last := forward.HeaderFirstAttempt, forward.HeaderLastEvent
 	tests := []struct {
 		name    string
 		headers []string
@@ -141,11 +143,11 @@
 		{name: "none named", headers: []string{last, "10"}, code: result.StreamVersionUnknown},
 		{name: "empty", headers: []string{last, "10", resumes, ""}, code: result.StreamVersionUnknown},
 		{name: "twice used", headers: []string{last, "10", resumes, "twice"}, code: result.StreamVersionUnknown},
-		{name: "too long", headers: []string{last, "10", resumes, long}, code: result.InvalidTakeUp},
-		{name: "its own", headers: []string{last, "10", resumes, "r1"}, code: result.InvalidTakeUp},
-		{name: "no last event", headers: []string{resumes, "first"}, code: result.InvalidTakeUp},
-		{name: "last event not a number", headers: []string{last, "ten", resumes, "first"}, code: result.InvalidTakeUp},
-		{name: "last event not a number, none named", headers: []string{last, "-1"}, code: result.InvalidTakeUp},
+		{name: "too long", headers: []string{last, "10", resumes, long}, code: result.InvalidReconnect},
+		{name: "its own", headers: []string{last, "10", resumes, "r1"}, code: result.InvalidReconnect},
+		{name: "no last event", headers: []string{resumes, "first"}, code: result.InvalidReconnect},
+		{name: "last event not a number", headers: []string{last, "ten", resumes, "first"}, code: result.InvalidReconnect},
+		{name: "last event not a number, none named", headers: []string{last, "-1"}, code: result.InvalidReconnect},
 		{name: "version that has left", headers: []string{last, "10", resumes, "of-v0"}, code: result.StreamVersionGone},
 		{name: "version without a name", headers: []string{last, "10", resumes, "of-none"}, code: result.StreamVersionGone},
 		{name: "version that differs in case", headers: []string{last, "10", resumes, "of-V1"}, code: result.StreamVersionGone},
@@ -216,9 +218,9 @@
 }
 
 // Guards against an attempt named twice, of which a VM could take either.
-func TestDoubledTakeUpHeader(t *testing.T) {
-	h := http.Header{forward.HeaderLastEvent: {"10"}, forward.HeaderResumes: {"a", "b"}}
-	if c, err := forward.NewPlainWire().ReadCaller(h); err != nil || c.TakeUpFault == "" {
+func TestDoubledReconnectHeader(t *testing.T) {
+	h := http.Header{forward.HeaderLastEvent: {"10"}, forward.HeaderFirstAttempt: {"a", "b"}}
+	if c, err := forward.NewPlainWire().ReadCaller(h); err != nil || c.ReconnectFault == "" {
 		t.Errorf("got %+v, error %v, want a fault", c, err)
 	}
 }
@@ -257,9 +259,9 @@
 	}
 }
 
-// Guards against a stream that changes its version while it is taken up again and again: each
+// Guards against a stream that changes its version while its caller reconnects again and again: each
 // attempt names the one that began it.
-func TestTakenUpTwice(t *testing.T) {
+func TestReconnectTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := newSharedOrigins()
 		first := newSharedFixture(t, o, mixedEngines()...)
@@ -271,7 +273,7 @@
 		began := first.engineRunning("r1").Version
 		for i, id := range []string{"r2", "r3"} {
 			other := newSharedFixture(t, o, mixedEngines()...)
-			b := other.send("POST", "/s/1", id, "log", forward.HeaderLastEvent, strconv.Itoa(10+i), forward.HeaderResumes, "r1")
+			b := other.send("POST", "/s/1", id, "log", forward.HeaderLastEvent, strconv.Itoa(10+i), forward.HeaderFirstAttempt, "r1")
 			time.Sleep(1500 * time.Millisecond)
 			b.leave()
 			<-b.done
@@ -296,8 +298,8 @@
 		{rollout.Completed, false},
 		{rollout.Reverted, true},
 	} {
-		for _, takenUp := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s, taken up %t", tt.phase, takenUp), func(t *testing.T) {
+		for _, reconnected := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reconnected %t", tt.phase, reconnected), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					f := newSharedFixture(t, newSharedOrigins(), mixedEngines()...)
 					defer f.shutDown()
@@ -306,10 +308,10 @@
 					time.Sleep(2 * time.Second)
 					f.setRollout("models", tt.phase, 1)
 					time.Sleep(time.Second / 2)
-					if takenUp {
+					if reconnected {
 						a.leave()
 						<-a.done
-						a = f.send("POST", "/s/1", "r2", "log", forward.HeaderLastEvent, "30", forward.HeaderResumes, "r1")
+						a = f.send("POST", "/s/1", "r2", "log", forward.HeaderLastEvent, "30", forward.HeaderFirstAttempt, "r1")
 					} else {
 						f.engineRunning("r1").Set(routedengine.Dead)
 					}
@@ -325,3 +327,32 @@
 		}
 	}
 }
+
+// fullPlacer is a Placer whose engines have no room. It asks each second whether to go on.
+type fullPlacer struct{ scriptedPlacer }
+
+func (*fullPlacer) Place(ctx context.Context, _ scheduler.Stream, abandon func() bool) (scheduler.Answer, bool) {
+	for timer.Sleep(ctx, time.Second) == nil {
+		if abandon() {
+			return scheduler.Answer{Outcome: scheduler.Waiting}, true
+		}
+	}
+	return scheduler.Answer{}, false
+}
+
+// Guards against a caller that is kept until its deadline while its version has no room.
+func TestFullVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newSharedOrigins()
+		f := newSharedFixture(t, o, mixedEngines()...)
+		defer f.shutDown()
+		f.setPlacer(&fullPlacer{})
+		o.began("nelson", "first", "models", "v1")
+		began := time.Now()
+		a := f.send("POST", "/s/1", "r1", "log", forward.HeaderLastEvent, "10", forward.HeaderFirstAttempt, "first")
+		<-a.done
+		if d := time.Since(began); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || d > 6*time.Second {
+			t.Errorf("got status %d, Retry-After %q after %v, want a refusal with a time to come back within 6 s", a.status, a.header.Get("Retry-After"), d)
+		}
+	})
+}
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -27,7 +27,7 @@
 // chooseVersion chooses the version that a new request goes to.
 func (h *Handler) chooseVersion(q *request) {
 	if q.origin != nil {
-		return // it takes up a stream
+		return // it reconnects to a stream
 	}
 	r := h.opts.Rollouts
 	q.versionChoice = r.State().Choose(q.service.Name, q.route.Name, rand.Float64())
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -23,11 +23,11 @@
 	// FirstAttempt is the RequestID of the attempt that brought the first event of the
 	// stream that the caller takes up; empty: not stated.
 	FirstAttempt string
-	// TakeUpFault says why the headers that name the stream that the caller takes up cannot be
+	// ReconnectFault says why the headers that name the stream to which the caller reconnects cannot be
 	// read; empty: they can. They matter on routes of streams only.
-	TakeUpFault  string
-	PromptTokens int // 0: not stated
-	OutputTokens int // at most; 0: not stated
+	ReconnectFault string
+	PromptTokens   int // 0: not stated
+	OutputTokens   int // at most; 0: not stated
 }
 
 // Copy identifies a copy of a run's memory to engines by an address and an id that is
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -60,7 +60,7 @@
 	InvalidCordon     Code = 1033
 	CordonRefused     Code = 1034
 	NoCordon          Code = 1035
-	InvalidTakeUp     Code = 1036
+	InvalidReconnect  Code = 1036
 )
 
 // Codes 2xxx: the request exceeds the plan's allowance at this time.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -60,7 +60,7 @@
 	{InvalidCordon, "invalid_cordon", statusBadRequest, RanNo, "the cordon is not valid"},
 	{CordonRefused, "cordon_refused", statusConflict, RanNo, "the cordon would leave nothing to serve requests with"},
 	{NoCordon, "no_cordon", statusNotFound, RanNo, "there is no such cordon"},
-	{InvalidTakeUp, "invalid_take_up", statusBadRequest, RanNo, "the headers do not name a stream that can be taken up"},
+	{InvalidReconnect, "invalid_reconnect", statusBadRequest, RanNo, "the headers do not name a stream that can be resumed"},
 
 	{TokensExhausted, "tokens_exhausted", statusTooManyRequests, RanNo, "the plan's tokens for this window are used up"},
 	{RequestsExhausted, "requests_exhausted", statusTooManyRequests, RanNo, "the plan's requests for this window are used up"},
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -138,8 +138,8 @@
 	Requests map[string]int `cbor:"3,keyasint,omitempty"`
 	Sent     int            `cbor:"4,keyasint,omitempty"`
 	Rows     []Row          `cbor:"5,keyasint,omitempty"`
-	// Streams counts the streams under way that have begun, by version. LongestStream is the
-	// longest time that one has taken since its first event.
+	// Streams counts the streams under way by the version that they were last sent to.
+	// LongestStream is the longest time that one has taken there.
 	Streams       map[string]int `cbor:"6,keyasint,omitempty"`
 	LongestStream time.Duration  `cbor:"7,keyasint,omitempty"`
 }
@@ -185,7 +185,7 @@
 	streams  map[string]*serviceStreams // by service, whether or not a roll-out is under way
 }
 
-// serviceStreams are the streams of a service that have begun.
+// serviceStreams are the streams of a service.
 type serviceStreams struct {
 	underWay map[string]int // by version
 	longest  time.Duration
@@ -318,9 +318,9 @@
 	return w.rows[k]
 }
 
-// StreamBegan records the first event of a stream at a version. The returned function records its
-// end.
-func (r *Recorder) StreamBegan(service, version string) (end func()) {
+// StreamSent records that a stream is sent to a version. The returned function records its end
+// there.
+func (r *Recorder) StreamSent(service, version string) (end func()) {
 	began := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/rollout/ledger.go
+++ b/internal/rollout/ledger.go
@@ -11,13 +11,13 @@
 	Sent     int
 	Former   map[Cell]CountsByServer
 	Target   map[Cell]CountsByServer
-	// Streams counts the streams under way that have begun, by version, of the routers that are
-	// heard. LongestStream is the longest time that one has taken.
+	// Streams counts the streams under way by version, of the routers that are heard.
+	// LongestStream is the longest time that one has taken.
 	Streams       map[string]int
 	LongestStream time.Duration
 }
 
-// otherStreams returns how many streams are under way that other versions began.
+// otherStreams returns how many streams are under way at other versions.
 func (e *Evidence) otherStreams(version string) int {
 	n := 0
 	for v, streams := range e.Streams {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -207,3 +207,71 @@
 		}
 	}
 }
+
+// Guards against streams that are cut off by the completion of a roll-out, because the servers of
+// their version end, and against a completion that never comes.
+func TestCompletionAwaitsStreams(t *testing.T) {
+	const end = 15 * time.Second
+	tests := []struct {
+		name    string
+		streams map[string]int // under way from the start of the step
+		until   time.Duration  // when those of v1 end; 0: they do not
+		least   time.Duration  // of the step until the completion
+		most    time.Duration
+	}{
+		{"none", nil, 0, streamMoveTime, streamMoveTime + time.Second/2},
+		{"of the new version", map[string]int{"v2": 5}, 0, streamMoveTime, streamMoveTime + time.Second/2},
+		{"of another version", map[string]int{"v1": 2, "v2": 5}, 3 * time.Second, 3 * time.Second, 3500 * time.Millisecond},
+		{"that do not end", map[string]int{"v1": 2}, 0, 4 * time.Second, 5 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := Record{Order: Order{Service: "desk", To: "v2", Duration: end}, Number: 1, Phase: Moving}
+			j := NewJudge(DefaultLimits, 1)
+			const movedAt = 10 * time.Second
+			for at := movedAt; at < end; at += 100 * time.Millisecond {
+				e := NewEvidence()
+				e.Former[Cell{Route: "book", Measure: Pace}] = CountsByServer{"a": {Answers: 10}}
+				for version, n := range tt.streams {
+					if version != "v1" || tt.until == 0 || at-movedAt < tt.until {
+						e.Streams[version] = n
+					}
+				}
+				s, ok := j.Evaluate(&r, &e, View{Elapsed: at, Step: at - movedAt, InForce: true, TargetServers: 3, FormerServers: 3})
+				if !ok || s.Phase != Completed {
+					continue
+				}
+				if step := at - movedAt; step < tt.least || step > tt.most {
+					t.Errorf("completed %v after requests moved, want %v to %v", step, tt.least, tt.most)
+				}
+				return
+			}
+			t.Error("the roll-out is not completed")
+		})
+	}
+}
+
+// Guards against streams of a router that is gone, which would hold a roll-out up, and against
+// streams that are not counted.
+func TestStreamsUnderWay(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRecorder(func() time.Time { return now })
+	endBefore := r.StreamSent("desk", "v1")
+	r.Watch(map[string]uint64{"desk": 1})
+	r.StreamSent("desk", "v2")
+	r.StreamSent("other", "v1")
+	l := NewLedger()
+	l.Note(1, r.Reports(), now)
+	if e := l.Sum("desk", 1, now); e.otherStreams("v2") != 1 || e.otherStreams("v1") != 1 {
+		t.Errorf("got streams %v, want one of each version", e.Streams)
+	}
+	if e := l.Sum("desk", 1, now.Add(waitingTTL+time.Second)); e.otherStreams("v2") != 0 {
+		t.Errorf("got streams %v of a silent router, want none", e.Streams)
+	}
+	now = now.Add(3 * time.Second)
+	endBefore()
+	l.Note(1, r.Reports(), now)
+	if e := l.Sum("desk", 1, now); e.otherStreams("v2") != 0 || e.LongestStream != 3*time.Second {
+		t.Errorf("got streams %v, the longest of %v; want none of v1 and 3 s", e.Streams, e.LongestStream)
+	}
+}
--- a/internal/rollout/version_watch.go
+++ b/internal/rollout/version_watch.go
@@ -8,7 +8,7 @@
 )
 
 // versionRetention is how long a version is remembered after it was last listed. Streams that it
-// began may be taken up until then.
+// began may be resumed until then.
 const versionRetention = 15 * time.Minute
 
 // DefaultVersionHold is the time in which the order of a roll-out comes after the first server of
--- a/internal/routedlocal/system.go
+++ b/internal/routedlocal/system.go
@@ -56,21 +56,24 @@
 	Controls        []*routed.Control
 	Routers         []*routed.Router
 	CallerAddresses []string // of the routers, for callers
-	VersionHold     time.Duration
 
 	mu       sync.Mutex
 	backends []upstream.Backend
 	seeds    []string // addresses of the control VMs
 	// controlIDs are the ids of the control processes.
-	controlIDs map[*routed.Control]string
-	dir        string
+	controlIDs  map[*routed.Control]string
+	dir         string
+	versionHold time.Duration
 }
 
 // Start starts three control processes and two routers, and two engines in each of three
 // zones.
-func Start() (*System, error) {
+func Start() (*System, error) { return StartHolding(rollout.DefaultVersionHold) }
+
+// StartHolding is Start with another time for which versions wait for the order of a roll-out.
+func StartHolding(hold time.Duration) (*System, error) {
 	for try := 1; ; try++ {
-		s := &System{Net: routedengine.NewNet(), controlIDs: map[*routed.Control]string{}, VersionHold: rollout.DefaultVersionHold}
+		s := &System{Net: routedengine.NewNet(), controlIDs: map[*routed.Control]string{}, versionHold: hold}
 		err := s.start()
 		if err == nil {
 			return s, nil
@@ -117,7 +120,7 @@
 func (s *System) startControl(id string, firstStart bool) error {
 	c, err := routed.StartControl(routed.ControlOptions{
 		Common: common(id, s.seeds), Dir: filepath.Join(s.dir, strings.ReplaceAll(id, ":", "-")),
-		FirstStart: firstStart, TargetVoters: controlCount, ReadBackends: s.readBackends, VersionHold: s.VersionHold,
+		FirstStart: firstStart, TargetVoters: controlCount, ReadBackends: s.readBackends, VersionHold: s.versionHold,
 	})
 	if err == nil {
 		s.Controls = append(s.Controls, c)
@@ -320,7 +323,7 @@
 	Addr, Path, ID string
 	Key            string // of the caller's workspace; empty: none
 	After          int    // if above 0, the stream starts after this event
-	Resumes        string // ID of the attempt that brought the stream's first event; empty: not stated
+	FirstAttempt   string // ID of the attempt that brought the stream's first event; empty: not stated
 	Seen           func(n int)
 }
 
@@ -345,8 +348,8 @@
 	if q.After > 0 {
 		req.Header.Set(forward.HeaderLastEvent, strconv.Itoa(q.After))
 	}
-	if q.Resumes != "" {
-		req.Header.Set(forward.HeaderResumes, q.Resumes)
+	if q.FirstAttempt != "" {
+		req.Header.Set(forward.HeaderFirstAttempt, q.FirstAttempt)
 	}
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
--- a/internal/routedlocal/system_test.go
+++ b/internal/routedlocal/system_test.go
@@ -6,19 +6,25 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 )
 
 // testTimeout bounds each test.
 const testTimeout = 30 * time.Second
 
 func start(t *testing.T) (*System, context.Context) {
+	t.Helper()
+	return startHolding(t, rollout.DefaultVersionHold)
+}
+
+func startHolding(t *testing.T, hold time.Duration) (*System, context.Context) {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("real connections and real time")
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
-	s, err := Start()
+	s, err := StartHolding(hold)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/routedlocal/versions_test.go
+++ b/internal/routedlocal/versions_test.go
@@ -7,83 +7,123 @@
 	"testing"
 	"time"
 
-	"github.com/amaranthshelf/amaranthshelf/internal/routed"
-	"github.com/amaranthshelf/amaranthshelf/internal/routes"
-	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
-	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
-// mixedService is a service whose engines have several versions.
-const mixedService = "summaries"
-
-// addVersion starts n engines of a version of mixedService, in different zones.
-func (s *System) addVersion(version string, n int) error {
-	for i := range n {
-		e := &routedengine.Server{
-			Backend: upstream.Backend{ID: fmt.Sprint(mixedService, "-", version, "-", i), Service: mixedService, Zone: fmt.Sprint("zone", i%zoneCount), Slots: 8, Version: version},
-			Events:  Events, PrefillTime: 50 * time.Millisecond, EventInterval: 20 * time.Millisecond, NamesVersion: true,
-		}
-		if err := s.AddServer(e); err != nil {
-			return err
-		}
-	}
-	return nil
+// startMixed starts a system with two versions of MixedService, of which v1 is listed first.
+func startMixed(t *testing.T, hold time.Duration) (*System, context.Context) {
+	s, ctx := startHolding(t, hold)
+	check(t, s.AddVersion("v1", 2))
+	check(t, s.PutList(ctx, MixedRoutes()))
+	check(t, s.Ready(ctx))
+	return s, ctx
 }
 
-func mixedRoutes() *routes.List {
-	return &routes.List{
-		Version: 1, Source: []byte("mixed"),
-		Routes: []routes.Route{{
-			Name: "summaries", Host: Host, Prefix: "/s/", Kind: routes.Stream, Resumable: true, MaxAttempts: 5,
-			Targets: []routes.Target{{Service: mixedService, Weight: 1}}, Timeout: 20 * time.Second,
-			Objective: 4 * time.Second, PauseObjective: 700 * time.Millisecond,
-		}},
-		Services: []routes.Service{{Name: mixedService, Engine: &routes.EngineTraits{Slots: 8, KVTokens: 88_000, KeepCopies: true}}},
+// lastRouter returns the callers' address of the last router, once it is ready.
+func (s *System) lastRouter(t *testing.T, ctx context.Context) string {
+	r := s.Routers[len(s.Routers)-1]
+	for !r.Ready() {
+		check(t, timer.Sleep(ctx, retryPause))
 	}
+	return s.CallerAddresses[len(s.CallerAddresses)-1]
 }
 
-func waitReady(ctx context.Context, r *routed.Router) error {
-	for !r.Ready() {
-		if err := timer.Sleep(ctx, retryPause); err != nil {
-			return err
+// begin requests a stream at the first router, and ends it after a third of the events by f.
+func (s *System) begin(t *testing.T, ctx context.Context, id string, f func()) StreamResult {
+	ended := make(chan struct{})
+	got, err := StreamRequest{Addr: s.CallerAddresses[0], Path: "/s/" + id, ID: id, Seen: func(n int) {
+		if n == Events/3 {
+			f()
+			close(ended)
 		}
+	}}.Do(ctx)
+	check(t, err)
+	<-ended
+	return got
+}
+
+// requireRest requests the rest of a stream, which must come whole and from the version that began
+// it.
+func requireRest(t *testing.T, ctx context.Context, addr, id string, began StreamResult) {
+	t.Helper()
+	rest, err := StreamRequest{Addr: addr, Path: "/s/" + id, ID: id + "-again", After: len(began.EventIDs), FirstAttempt: id}.Do(ctx)
+	if err != nil {
+		t.Fatalf("the stream that %v began was not resumed: %v %+v", began.Versions, err, rest.Refusal)
+	}
+	if !HasAllEvents(append(slices.Clone(began.EventIDs), rest.EventIDs...), Events) {
+		t.Errorf("got events %v and then %v, want each of %d once", began.EventIDs, rest.EventIDs, Events)
+	}
+	if !slices.Equal(began.Versions, rest.Versions) {
+		t.Errorf("the stream was begun by version %v and went on at %v, want the same", began.Versions, rest.Versions)
 	}
-	return nil
 }
 
 // Guards against a stream that goes on at another version when its router is killed, and its
-// caller takes it up at a router that started while most engines were of another version.
+// caller reconnects at a router that started while most engines were of another version.
 func TestStreamGoesOnAtItsVersion(t *testing.T) {
 	t.Parallel()
-	s, ctx := start(t)
-	check(t, s.addVersion("v1", 2))
-	check(t, s.PutList(ctx, mixedRoutes()))
-	check(t, s.Ready(ctx))
-	killed := make(chan struct{})
-	began := StreamRequest{Addr: s.CallerAddresses[0], Path: "/s/1", ID: "first", Seen: func(n int) {
-		if n == Events/3 {
-			s.Routers[0].Close()
-			close(killed)
-		}
-	}}
-	check(t, s.addVersion("v2", 4))
-	check(t, timer.Sleep(ctx, time.Second)) // the list names both versions everywhere
-	first, err := began.Do(ctx)
-	check(t, err)
-	<-killed
-	addrs, err := freeAddrs(2)
-	check(t, err)
-	check(t, s.startRouter(addrs[0], addrs[1], s.seeds))
-	check(t, waitReady(ctx, s.Routers[len(s.Routers)-1]))
-	rest, err := StreamRequest{Addr: addrs[1], Path: "/s/1", ID: "second", After: len(first.EventIDs), Resumes: "first"}.Do(ctx)
-	if err != nil {
-		t.Fatalf("the stream that %v began was not taken up: %v %+v", first.Versions, err, rest.Refusal)
+	for _, hold := range []time.Duration{0, time.Minute} {
+		t.Run(fmt.Sprint("new versions are held for ", hold), func(t *testing.T) {
+			t.Parallel()
+			s, ctx := startMixed(t, hold)
+			check(t, s.AddVersion("v2", 4))
+			check(t, timer.Sleep(ctx, time.Second)) // the list names both versions everywhere
+			began := s.begin(t, ctx, "first", s.Routers[0].Close)
+			check(t, s.AddRouter())
+			requireRest(t, ctx, s.lastRouter(t, ctx), "first", began)
+		})
+	}
+}
+
+// Guards against versions that are forgotten, chosen anew or guessed after all processes were
+// killed at once.
+func TestStreamGoesOnAfterARestartOfAll(t *testing.T) {
+	t.Parallel()
+	s, ctx := startMixed(t, 0)
+	check(t, s.AddVersion("v2", 4))
+	var began []StreamResult
+	for i := range 6 { // at several versions
+		requestCtx, leave := context.WithCancel(ctx)
+		began = append(began, s.begin(t, requestCtx, fmt.Sprint("s", i), leave))
+		check(t, timer.Sleep(ctx, 300*time.Millisecond))
+	}
+	check(t, s.RestartAll())
+	addr := s.lastRouter(t, ctx)
+	versions := map[string]bool{}
+	for i, got := range began {
+		requireRest(t, ctx, addr, fmt.Sprint("s", i), got)
+		versions[got.Versions[0]] = true
 	}
-	if !HasAllEvents(append(slices.Clone(first.EventIDs), rest.EventIDs...), Events) {
-		t.Errorf("got events %v and then %v, want each of %d once", first.EventIDs, rest.EventIDs, Events)
+	if len(versions) < 2 {
+		t.Errorf("all streams began at %v, want some at each version", versions)
 	}
-	if !slices.Equal(first.Versions, rest.Versions) {
-		t.Errorf("the stream was begun by version %v and went on at %v, want the same", first.Versions, rest.Versions)
+}
+
+// Guards against routers that use one of several versions only, and against one that is used
+// before the order of its roll-out can have come.
+func TestNewWorkUsesAllVersions(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		hold time.Duration
+		want int // versions in use soon after v2 was listed
+	}{{0, 2}, {time.Minute, 1}} {
+		t.Run(fmt.Sprint("new versions are held for ", tt.hold), func(t *testing.T) {
+			t.Parallel()
+			s, ctx := startMixed(t, tt.hold)
+			check(t, s.AddVersion("v2", 2))
+			check(t, timer.Sleep(ctx, 2*time.Second))
+			used := map[string]bool{}
+			for i := range 16 {
+				id := fmt.Sprint("n", i)
+				got, err := StreamRequest{Addr: s.CallerAddresses[i%len(s.CallerAddresses)], Path: "/s/" + id, ID: id}.Do(ctx)
+				if err != nil || !got.Complete || len(got.Versions) != 1 {
+					t.Fatalf("stream %d: got %+v, error %v, want it whole and of one version", i, got, err)
+				}
+				used[got.Versions[0]] = true
+			}
+			if len(used) != tt.want {
+				t.Errorf("got streams of versions %v, want %d versions", used, tt.want)
+			}
+		})
 	}
 }
--- a/internal/streamversion/store.go
+++ b/internal/streamversion/store.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		if s.dropped++; s.dropped == 1 {
-			s.log.Error().Int("records", s.table.Len()).Msg("records of streams' versions exceed their memory; streams without one cannot be taken up")
+			s.log.Error().Int("records", s.table.Len()).Msg("records of streams' versions exceed their memory; streams without one cannot be resumed")
 		}
 	}
 }
--- a/internal/upstream/list_test.go
+++ b/internal/upstream/list_test.go
@@ -102,6 +102,8 @@
 	}
 	moved := list("a", "b")
 	moved[1].Address = "elsewhere"
+	restarted := list("a", "b")
+	restarted[1].Version = "v2"
 	tests := []struct {
 		name     string
 		from, to []Backend
@@ -114,6 +116,7 @@
 		{"all gone", list("a", "b"), nil, 0, []string{"a", "b"}},
 		{"replaced", list("a", "b"), list("b", "c"), 1, []string{"a"}},
 		{"another address", list("a", "b"), moved, 1, []string{"b"}},
+		{"another version", list("a", "b"), restarted, 1, []string{"b"}},
 	}
 	for _, tt := range tests {
 		from, to := newListIndex(tt.from), newListIndex(tt.to)
