--- a/internal/cluster/stream_versions.go
+++ b/internal/cluster/stream_versions.go
@@ -28,8 +28,11 @@
 	recordQuorum  = 2
 	// recordTimeout bounds one message of records.
 	recordTimeout = 400 * time.Millisecond
-	// recordRetryPause separates messages to a control VM that did not answer.
-	recordRetryPause = 300 * time.Millisecond
+	// minRecordPause and maxRecordPause bound the pause before another message to a control VM that
+	// did not answer. The pause doubles with each, and the message holds a single record: a VM that
+	// stays silent must not cost the link more and more.
+	minRecordPause = 300 * time.Millisecond
+	maxRecordPause = 2 * time.Second
 	// maxQueuedRecords bounds the records that wait for one control VM. The oldest are dropped.
 	maxQueuedRecords = 4096
 	// syncPatience is how long a control VM waits for its disk before it answers that it holds
@@ -95,6 +98,7 @@
 	queue   []queuedRecord
 	busy    bool // a message is under way, or is repeated after a pause
 	failing bool // the last message was not answered
+	pause   time.Duration
 }
 
 type queuedRecord struct {
@@ -178,11 +182,22 @@
 		if len(lane.queue) == 0 {
 			continue
 		}
-		out[vm], lane.queue, lane.busy = lane.queue, nil, true
+		out[vm], lane.busy = lane.take(), true
 	}
 	return out
 }
 
+// take removes the records of the next message from a lane.
+func (l *recordLane) take() []queuedRecord {
+	n := len(l.queue)
+	if l.failing {
+		n = 1
+	}
+	batch := l.queue[:n:n]
+	l.queue = l.queue[n:]
+	return batch
+}
+
 // sendRecords sends a batch to a control VM. A batch that is not answered is sent again, with the
 // records that have come meanwhile.
 func (m *Member) sendRecords(ctx context.Context, vm string, batch []queuedRecord) {
@@ -196,28 +211,30 @@
 	cancel()
 	s := m.records
 	if err != nil {
-		s.putBack(vm, batch)
+		pause := s.putBack(vm, batch)
 		m.log.Debug().Err(err).Str("control", vm).Int("records", len(batch)).Msg("records of streams' versions could not be sent; they are sent again")
-		time.AfterFunc(recordRetryPause, func() { s.release(vm) })
+		time.AfterFunc(pause, func() { s.release(vm) })
 		return
 	}
 	s.mu.Lock()
 	for i := range batch {
 		batch[i].holders.count()
 	}
-	s.lanes[vm].failing = false
+	s.lanes[vm].failing, s.lanes[vm].pause = false, 0
 	s.mu.Unlock()
 	s.release(vm)
 }
 
-// putBack puts a batch in front of a lane whose control VM did not answer.
-func (s *recordSender) putBack(vm string, batch []queuedRecord) {
+// putBack puts a batch in front of a lane whose control VM did not answer, and returns the pause
+// before its next message.
+func (s *recordSender) putBack(vm string, batch []queuedRecord) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lane := s.lanes[vm]
 	lane.queue = slices.Concat(batch, lane.queue)
 	lane.queue = lane.queue[max(0, len(lane.queue)-maxQueuedRecords):]
-	lane.failing = true
+	lane.failing, lane.pause = true, min(max(minRecordPause, 2*lane.pause), maxRecordPause)
+	return lane.pause
 }
 
 // release allows the next message of a lane.
--- a/internal/cluster/stream_versions_test.go
+++ b/internal/cluster/stream_versions_test.go
@@ -196,3 +196,25 @@
 		})
 	}
 }
+
+// Guards against a control VM that does not answer and gets all records again and again.
+func TestSilentControlVMGetsFewRecords(t *testing.T) {
+	s := newRecordSender()
+	now := time.Now()
+	lane := &recordLane{queue: make([]queuedRecord, 100)}
+	for i := range lane.queue {
+		lane.queue[i].expires = now.Add(time.Minute)
+	}
+	s.lanes["c1"] = lane
+	want := []time.Duration{minRecordPause, 2 * minRecordPause, 4 * minRecordPause, maxRecordPause, maxRecordPause}
+	for i, pause := range want {
+		batch := s.takeBatches(now)["c1"]
+		if n := len(batch); i == 0 && n != 100 || i > 0 && n != 1 {
+			t.Errorf("message %d holds %d records, want 100 at first and 1 afterwards", i, n)
+		}
+		if got := s.putBack("c1", batch); got != pause || len(lane.queue) != 100 {
+			t.Errorf("after message %d: got a pause of %v and %d records, want %v and 100", i, got, len(lane.queue), pause)
+		}
+		lane.busy = false
+	}
+}
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -149,7 +149,7 @@
 
 func (q *requestOutcome) streamReason() string {
 	if q.endLine == nil && q.refusalCode != 0 {
-		return "refused: " + result.Lookup(q.refusalCode).Name
+		return q.refusalReason()
 	}
 	if q.endLine == nil {
 		return noEndLogged
@@ -191,10 +191,14 @@
 	return pausedNoResume
 }
 
+func (q *requestOutcome) refusalReason() string {
+	return fmt.Sprintf("%d %s", q.refusalCode, result.Lookup(q.refusalCode).Name)
+}
+
 func (q *requestOutcome) callReason() string {
 	switch {
 	case q.refusalCode != 0:
-		return fmt.Sprintf("%d %s", q.refusalCode, result.Lookup(q.refusalCode).Name)
+		return q.refusalReason()
 	case q.serverFailed:
 		return "the server's own failure"
 	case q.lastSend != "answered":
--- a/internal/explain/summary_test.go
+++ b/internal/explain/summary_test.go
@@ -37,6 +37,7 @@
 		{pausedCopy, 0, []string{placed, lost(3), fromCopy, `"message":"stream went on","from_copy":true`, ended("whole", 1400, 900, 0)}},
 		{pausedNoResume, 0, []string{placed, ended("whole", 1400, 2400, 0)}},
 		{"not whole: deadline_too_soon", 0, []string{`"message":"gave up","code":3002`, ended("deadline_too_soon", 0, 0, 900)}},
+		{"3024 stream_version_unknown", 0, []string{`"message":"reconnect refused","code":3024`}},
 		{"answered", 0, []string{sent("answered", 200)}},
 		{"answered after a further send", 0, []string{sent("unknown", 0), sent("answered", 200)}},
 		{"the server's own failure", 0, []string{sent("answered", 500), sent("answered", 500)}},
