--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -167,8 +167,8 @@
 	return st.h.opts.Fleet.Lookup(c.grant.BackupEngine)
 }
 
-// chooseBackupEngine chooses the backup engine of a run on s, of the same version. It returns nil if the
-// route may not resume, or if the service's engines make no copies.
+// chooseBackupEngine chooses the backup engine of a run on s, of the same version. It returns nil
+// if the route may not resume, or if the service's engines make no copies.
 func (st *streamRelay) chooseBackupEngine(s *upstream.Server) *upstream.Server {
 	if !st.mayKeepCopy() || st.h.isCopyingDisabled(st.q.service.Name) {
 		return nil
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -39,8 +39,10 @@
 	// recordPatience bounds how long a first event waits for the record of its stream. A stream
 	// without one cannot be resumed at another VM while several versions serve.
 	recordPatience = 200 * time.Millisecond
-	// findOriginTimeout bounds the search for a record.
-	findOriginTimeout = 400 * time.Millisecond
+	// findOriginTimeout bounds the search for a record, and findServiceTimeout that for a record
+	// of which only the service may be new.
+	findOriginTimeout  = 400 * time.Millisecond
+	findServiceTimeout = 100 * time.Millisecond
 	// minVersionWait is the least time for which a stream waits for room at its version, and
 	// versionFullRetryAfter the Retry-After when it has not found any.
 	minVersionWait        = 2 * time.Second
@@ -73,11 +75,11 @@
 
 // recordTTL returns how long callers may come back for the stream.
 func (q *request) recordTTL() time.Duration {
-	return min(max(q.Deadline, q.route.Timeout)+recordMargin, maxRecordTTL)
+	return min(max(q.Deadline+recordMargin, q.route.Timeout+recordMargin, minRecordTTL), maxRecordTTL)
 }
 
-// checkReconnect rejects a request that names the stream to which it reconnects in a way that no caller
-// of a stream does.
+// checkReconnect rejects a request that names the stream to which it reconnects in a way that no
+// caller of a stream does.
 func (q *request) checkReconnect() error {
 	fault := q.ReconnectFault
 	switch {
@@ -100,9 +102,9 @@
 type originSource string
 
 const (
-	originHere       originSource = "this VM"
-	originElsewhere  originSource = "records of the control VMs"
-	originOnlyChoice originSource = "only version"
+	originHere        originSource = "this VM"
+	originElsewhere   originSource = "records of the control VMs"
+	originOnlyVersion originSource = "only version"
 )
 
 // reconnect finds the version that began the stream to which a caller reconnects, and restricts the
@@ -133,19 +135,18 @@
 			return o, originHere, ambiguity(finding)
 		}
 	}
-	if o, ok := h.onlyOrigin(q); ok {
-		return o, originOnlyChoice, nil
-	}
+	only, certain := h.onlyOrigin(q)
 	all := true
 	if named {
-		ctx, cancel := context.WithTimeout(q.ctx, findOriginTimeout)
-		defer cancel()
-		o, finding, complete := h.opts.Origins.Find(ctx, key)
+		o, finding, complete := h.findRecord(q, key, certain)
 		if finding != streamversion.Unknown {
 			return o, originElsewhere, ambiguity(finding)
 		}
 		all = complete
 	}
+	if certain {
+		return only, originOnlyVersion, nil
+	}
 	err := result.New(result.StreamVersionUnknown)
 	switch {
 	case !all:
@@ -156,6 +157,18 @@
 	return streamversion.Origin{}, "", err
 }
 
+// findRecord asks the control VMs for the record of a stream. If the version is certain without it,
+// only the service is in doubt, and the search is short.
+func (h *Handler) findRecord(q *request, key streamversion.Key, certain bool) (streamversion.Origin, streamversion.Finding, bool) {
+	timeout := findOriginTimeout
+	if certain {
+		timeout = findServiceTimeout
+	}
+	ctx, cancel := context.WithTimeout(q.ctx, timeout)
+	defer cancel()
+	return h.opts.Origins.Find(ctx, key)
+}
+
 // ambiguity returns the error for an attempt that is recorded with several versions.
 func ambiguity(f streamversion.Finding) error {
 	if f == streamversion.Ambiguous {
@@ -221,7 +234,7 @@
 	if !named {
 		return true
 	}
-	record := streamversion.Record{Key: key, Origin: *q.origin, TTL: max(minRecordTTL, q.recordTTL())}
+	record := streamversion.Record{Key: key, Origin: *q.origin, TTL: q.recordTTL()}
 	st.h.origins.Put([]streamversion.Record{record})
 	held := st.h.opts.Origins.Record(record)
 	if began && st.h.opts.Rollouts.State().HasSeveralVersions(q.service.Name) {
--- a/internal/rollout/version_watch.go
+++ b/internal/rollout/version_watch.go
@@ -143,8 +143,8 @@
 	return out
 }
 
-// AnnouncedVersions returns the changes to InForce that are due once a copy of the state as new as s is
-// in force on every VM.
+// AnnouncedVersions returns the changes to InForce that are due once a copy of the state that is
+// as new as s is in force on every VM.
 func (s *State) AnnouncedVersions() []StandingChange {
 	var out []StandingChange
 	for _, service := range slices.Sorted(maps.Keys(s.Known)) {
--- a/internal/routed/member.go
+++ b/internal/routed/member.go
@@ -108,3 +108,20 @@
 	}
 	return nil
 }
+
+// everySession calls check from time to time with the member's current session, until c's context
+// ends.
+func (c *Control) everySession(interval time.Duration, check func(s *memberSession, now time.Time)) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-c.ctx.Done():
+			return
+		}
+		if s := c.memberRunner.current(); s != nil {
+			check(s, time.Now())
+		}
+	}
+}
--- a/internal/routed/rollouts.go
+++ b/internal/routed/rollouts.go
@@ -132,18 +132,7 @@
 // proposes steps.
 func (c *Control) runRollouts() {
 	w := &rolloutWatcher{c: c, watched: map[string]*watchedRollout{}}
-	tick := time.NewTicker(rolloutCheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-c.ctx.Done():
-			return
-		}
-		if s := c.memberRunner.current(); s != nil {
-			w.check(s, time.Now())
-		}
-	}
+	c.everySession(rolloutCheckInterval, w.check)
 }
 
 func (w *rolloutWatcher) check(s *memberSession, now time.Time) {
--- a/internal/routed/versions.go
+++ b/internal/routed/versions.go
@@ -30,18 +30,7 @@
 // changes.
 func (c *Control) runVersions() {
 	w := &versionWatcher{c: c, watch: rollout.NewVersionWatch(c.o.VersionHold, time.Now())}
-	tick := time.NewTicker(versionCheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-c.ctx.Done():
-			return
-		}
-		if s := c.memberRunner.current(); s != nil {
-			w.check(s, time.Now())
-		}
-	}
+	c.everySession(versionCheckInterval, w.check)
 }
 
 func (w *versionWatcher) check(s *memberSession, now time.Time) {
