--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -113,19 +113,19 @@
 func (h *Handler) reconnect(q *request) error {
 	began := time.Now()
 	origin, source, err := h.findOrigin(q)
-	log := h.opts.Log.Info().Str("request", q.RequestID).Str("first_attempt", q.FirstAttempt).Str("workspace", q.workspace).
-		Uint64("after", q.After).Dur("took", time.Since(began)).Dur("list_age", time.Since(h.opts.Fleet.AsOf()))
 	if err == nil {
 		err = h.fixOrigin(q, origin)
 	}
+	outcome, code, log, message := string(source), result.Code(0), h.opts.RoutineLog, "caller reconnects to a stream"
 	if err != nil {
-		h.Stats.reconnected("refused: " + result.Lookup(result.CodeOf(err)).Name)
-		log.Str("service", origin.Service).Str("version", origin.Version).Int("code", int(result.CodeOf(err))).AnErr("reason", err).Msg("reconnect refused")
-		return err
+		code, log, message = result.CodeOf(err), h.opts.Log, "reconnect refused"
+		outcome = "refused: " + result.Lookup(code).Name
 	}
-	h.Stats.reconnected(string(source))
-	log.Str("service", origin.Service).Str("version", origin.Version).Str("learned_from", string(source)).Msg("caller reconnects to a stream")
-	return nil
+	h.Stats.reconnected(outcome)
+	log.Info().Str("request", q.RequestID).Str("first_attempt", q.FirstAttempt).Str("workspace", q.workspace).Uint64("after", q.After).
+		Str("service", origin.Service).Str("version", origin.Version).Str("learned_from", string(source)).Int("code", int(code)).AnErr("reason", err).
+		Dur("took", time.Since(began)).Dur("list_age", time.Since(h.opts.Fleet.AsOf())).Msg(message)
+	return err
 }
 
 func (h *Handler) findOrigin(q *request) (streamversion.Origin, originSource, error) {
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -20,6 +20,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/streamversion"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // Guards against an answer with events of two versions, when all engines of the version that
@@ -356,3 +357,47 @@
 		}
 	})
 }
+
+// Guards against a stream that a new version on trial began, and that goes to the former version
+// when all engines of its own are down.
+func TestStreamStaysOnTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSharedFixture(t, newSharedOrigins(), mixedEngines()...)
+		defer f.shutDown()
+		f.setStandings("models", rollout.KnownVersions{"v1": rollout.Admitted, "v2": rollout.InForce})
+		f.setRollout("models", rollout.Trial, 1)
+		a := f.send("POST", "/s/1", "r1", "log")
+		time.Sleep(2 * time.Second)
+		for _, s := range f.servers {
+			if s.Version == "v2" {
+				s.Set(routedengine.Dead)
+			}
+		}
+		<-a.done
+		if n := f.runsOnVersion("models", "v1"); n > 0 || !a.broken {
+			t.Errorf("got %d runs at v1, broken off: %t; want none, and the answer broken off", n, a.broken)
+		}
+	})
+}
+
+// Guards against a caller that waits for a version of which all servers drain.
+func TestDrainingVersionIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newSharedOrigins()
+		f := newSharedFixture(t, o, mixedEngines()...)
+		defer f.shutDown()
+		o.began("nelson", "first", "models", "v1")
+		list := f.net.Backends()
+		for i := range list {
+			list[i].Draining = list[i].Version == "v1"
+		}
+		time.Sleep(time.Millisecond)
+		f.fleet.Apply(upstream.List{Backends: list, AsOf: time.Now()})
+		began := time.Now()
+		a := f.send("POST", "/s/1", "r1", "log", forward.HeaderLastEvent, "10", forward.HeaderFirstAttempt, "first")
+		<-a.done
+		if a.status != http.StatusServiceUnavailable || !strings.Contains(a.text.String(), "stream_version_gone") || time.Since(began) > 0 {
+			t.Errorf("got status %d, %s after %v, want stream_version_gone at once", a.status, a.text.String(), time.Since(began))
+		}
+	})
+}
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -43,10 +43,10 @@
 	}
 }
 
-// leaveTrialVersion moves a request whose version has no usable server off the trial. It
-// reports whether there is another version to use.
+// leaveTrialVersion moves a request whose version has no usable server off the trial, unless it is
+// a stream that has begun. It reports whether there is another version to use.
 func (h *Handler) leaveTrialVersion(q *request) bool {
-	if !q.versionChoice.Target {
+	if !q.versionChoice.Target || q.origin != nil {
 		return false
 	}
 	back := h.opts.Rollouts.State().Fallback(q.service.Name, q.versionChoice)
--- a/internal/upstream/versions.go
+++ b/internal/upstream/versions.go
@@ -18,11 +18,11 @@
 	return slices.Contains(f.AllowedVersions(service, v), version)
 }
 
-// HasVersion reports whether a server of a version is listed, in service or not.
+// HasVersion reports whether a server of a version is listed that is not draining.
 func (f *Fleet) HasVersion(service, version string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.ContainsFunc(f.list.byService[service], func(i int32) bool { return f.list.rows[i].Version == version })
+	return f.list.versions[service][version] > 0
 }
 
 // SlowForNow reports whether the server has just started, or has just stated that work takes
