--- a/internal/cluster/stream_versions.go
+++ b/internal/cluster/stream_versions.go
@@ -20,7 +20,8 @@
 // would cost a router more than all its other control traffic together.
 //
 // A record therefore goes to a few of the control VMs, whatever their number, and records that
-// come while a message is under way share the next one.
+// come at the same time share a message. A control VM that stands still must not hold up the
+// records behind the message that it does not answer: it takes all of them when it goes on.
 
 const (
 	// recordHolders is how many control VMs hold a record, and recordQuorum how many are awaited.
@@ -28,10 +29,13 @@
 	recordQuorum  = 2
 	// recordTimeout bounds one message of records.
 	recordTimeout = 400 * time.Millisecond
-	// minRecordPause and maxRecordPause bound the pause before another message to a control VM that
-	// did not answer. The pause doubles with each, and the message holds a single record: a VM that
-	// stays silent must not cost the link more and more.
-	minRecordPause = 300 * time.Millisecond
+	// maxRecordMessages is how many messages to a control VM may be under way.
+	maxRecordMessages = 4
+	// A control VM is silent once silentMessages in a row were not answered. It gets one record at
+	// a time then, after pauses that double from minRecordPause to maxRecordPause: it must not
+	// cost the link more and more. Until then a message is repeated after minRecordPause.
+	silentMessages = 3
+	minRecordPause = 100 * time.Millisecond
 	maxRecordPause = 2 * time.Second
 	// maxQueuedRecords bounds the records that wait for one control VM. The oldest are dropped.
 	maxQueuedRecords = 4096
@@ -95,12 +99,14 @@
 
 // recordLane holds the records for one control VM.
 type recordLane struct {
-	queue   []queuedRecord
-	busy    bool // a message is under way, or is repeated after a pause
-	failing bool // the last message was not answered
-	pause   time.Duration
+	queue    []queuedRecord
+	underWay int       // messages that are not answered yet
+	failed   int       // messages in a row that were not answered
+	pausedTo time.Time // no message is sent before
 }
 
+func (l *recordLane) silent() bool { return l.failed >= silentMessages }
+
 type queuedRecord struct {
 	record  streamversion.Record
 	expires time.Time
@@ -131,7 +137,7 @@
 	defer s.mu.Unlock()
 	answering := 0
 	for _, vm := range vms {
-		if lane := s.lanes[vm]; lane == nil || !lane.failing {
+		if lane := s.lanes[vm]; lane == nil || !lane.silent() {
 			answering++
 		}
 	}
@@ -168,38 +174,40 @@
 	})
 }
 
-// takeBatches returns the records of the lanes that have some and are not busy, and marks these
-// lanes as busy.
+// takeBatches returns the next message of each lane that has records and may send one.
 func (s *recordSender) takeBatches(now time.Time) map[string][]queuedRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := map[string][]queuedRecord{}
 	for vm, lane := range s.lanes {
-		if lane.busy {
-			continue
-		}
 		lane.queue = slices.DeleteFunc(lane.queue, func(q queuedRecord) bool { return !now.Before(q.expires) })
-		if len(lane.queue) == 0 {
-			continue
+		if batch := lane.take(now); len(batch) > 0 {
+			out[vm] = batch
 		}
-		out[vm], lane.busy = lane.take(), true
 	}
 	return out
 }
 
-// take removes the records of the next message from a lane.
-func (l *recordLane) take() []queuedRecord {
+// take removes the records of the next message from a lane; empty: none may be sent now.
+func (l *recordLane) take(now time.Time) []queuedRecord {
 	n := len(l.queue)
-	if l.failing {
-		n = 1
+	switch {
+	case now.Before(l.pausedTo) || l.underWay >= maxRecordMessages:
+		n = 0
+	case l.silent():
+		n = min(n, 1-min(1, l.underWay))
+	}
+	if n == 0 {
+		return nil
 	}
 	batch := l.queue[:n:n]
 	l.queue = l.queue[n:]
+	l.underWay++
 	return batch
 }
 
-// sendRecords sends a batch to a control VM. A batch that is not answered is sent again, with the
-// records that have come meanwhile.
+// sendRecords sends a message to a control VM. The records of one that is not answered are sent
+// again.
 func (m *Member) sendRecords(ctx context.Context, vm string, batch []queuedRecord) {
 	records := make([]streamversion.Record, len(batch))
 	for i := range batch {
@@ -210,39 +218,51 @@
 	err := m.t.Call(callCtx, vm, peer.KindStreamVersions, streamversion.Pack(records), nil)
 	cancel()
 	s := m.records
-	if err != nil {
-		pause := s.putBack(vm, batch)
-		m.log.Debug().Err(err).Str("control", vm).Int("records", len(batch)).Msg("records of streams' versions could not be sent; they are sent again")
-		time.AfterFunc(pause, func() { s.release(vm) })
+	if err == nil {
+		if s.answered(vm, batch) {
+			m.log.Info().Str("control", vm).Msg("control VM takes records of streams' versions again")
+		}
+		s.signal.raise()
 		return
 	}
+	pause, first := s.unanswered(vm, batch, time.Now())
+	if first {
+		m.log.Warn().Err(err).Str("control", vm).Int("records", len(batch)).Msg("control VM does not take records of streams' versions; they are sent again")
+	}
+	time.AfterFunc(pause, s.signal.raise)
+}
+
+// answered counts the control VM among the holders of a batch. It reports whether the VM had not
+// answered before.
+func (s *recordSender) answered(vm string, batch []queuedRecord) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for i := range batch {
 		batch[i].holders.count()
 	}
-	s.lanes[vm].failing, s.lanes[vm].pause = false, 0
-	s.mu.Unlock()
-	s.release(vm)
+	lane := s.lanes[vm]
+	had := lane.failed > 0
+	lane.underWay--
+	lane.failed, lane.pausedTo = 0, time.Time{}
+	return had
 }
 
-// putBack puts a batch in front of a lane whose control VM did not answer, and returns the pause
-// before its next message.
-func (s *recordSender) putBack(vm string, batch []queuedRecord) time.Duration {
+// unanswered puts a batch in front of a lane whose control VM did not answer. It returns the pause
+// before its next message, and whether this is the first one that was not answered.
+func (s *recordSender) unanswered(vm string, batch []queuedRecord, now time.Time) (pause time.Duration, first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lane := s.lanes[vm]
 	lane.queue = slices.Concat(batch, lane.queue)
 	lane.queue = lane.queue[max(0, len(lane.queue)-maxQueuedRecords):]
-	lane.failing, lane.pause = true, min(max(minRecordPause, 2*lane.pause), maxRecordPause)
-	return lane.pause
-}
-
-// release allows the next message of a lane.
-func (s *recordSender) release(vm string) {
-	s.mu.Lock()
-	s.lanes[vm].busy = false
-	s.mu.Unlock()
-	s.signal.raise()
+	lane.underWay--
+	lane.failed++
+	pause = minRecordPause
+	for range lane.failed - silentMessages {
+		pause = min(2*pause, maxRecordPause)
+	}
+	lane.pausedTo = now.Add(pause)
+	return pause, lane.failed == 1
 }
 
 // Find implements forward.Origins. It asks all control VMs at once, since the record's holders may
--- a/internal/streamversion/store.go
+++ b/internal/streamversion/store.go
@@ -18,7 +18,9 @@
 // The load pattern. All processes are killed at once. Every caller asks for the rest of its
 // stream, and nobody remembers which version began it. Records are therefore synced to a file
 // before first events go out. One sync for each of hundreds of streams a second would take
-// longer than they arrive apart: records that arrive during a sync share the next one.
+// longer than they arrive apart: records that arrive during a sync share the next one. They are
+// written at once, since a sync may last for seconds on a disk that others keep busy, and what is
+// written survives the end of the process.
 
 const (
 	// checkpointBytes is how much is appended to the file before it is written anew with the
@@ -26,6 +28,8 @@
 	checkpointBytes = 2 << 20
 	// reopenPause is the time after a failure of the disk until the file is opened again.
 	reopenPause = 2 * time.Second
+	// slowSync is the duration from which a sync is logged.
+	slowSync = time.Second
 	// maxPendingBatches bounds what waits for a disk that does not answer. Further records are
 	// held in memory only.
 	maxPendingBatches = 4096
@@ -42,10 +46,12 @@
 
 	mu      sync.Mutex
 	table   *Table
-	pending []pendingBatch
-	wake    chan struct{}
-	dropped uint64 // records that did not fit
-	loaded  bool   // the folder was read, or there is none
+	pending []pendingBatch // to be written
+	written []pendingBatch // to be synced
+	wake    chan struct{}  // something is to be written
+	sync    chan struct{}  // something is to be synced
+	dropped uint64         // records that did not fit
+	loaded  bool           // the folder was read, or there is none
 }
 
 // pendingBatch waits for a sync.
@@ -56,7 +62,7 @@
 
 // NewStore returns a Store. With a folder, Run reads and writes it.
 func NewStore(fs wal.FS, dir string, log zerolog.Logger) *Store {
-	return &Store{fs: fs, dir: dir, log: log, table: NewTable(time.Now()), wake: make(chan struct{}, 1), loaded: dir == ""}
+	return &Store{fs: fs, dir: dir, log: log, table: NewTable(time.Now()), wake: make(chan struct{}, 1), sync: make(chan struct{}, 1), loaded: dir == ""}
 }
 
 // Put adds records. The returned channel is closed once they are synced; nil: they are held in
@@ -70,11 +76,16 @@
 	}
 	synced := make(chan struct{})
 	s.pending = append(s.pending, pendingBatch{records, synced})
+	raise(s.wake)
+	return synced
+}
+
+// raise announces work and does not block.
+func raise(signal chan struct{}) {
 	select {
-	case s.wake <- struct{}{}:
+	case signal <- struct{}{}:
 	default:
 	}
-	return synced
 }
 
 // putLocked needs s.mu.
@@ -170,7 +181,8 @@
 			return
 		}
 		s.log.Warn().Err(err).Msg("records of streams' versions could not be written; they are held in memory")
-		s.release(s.take())
+		release(s.take(&s.pending))
+		release(s.take(&s.written))
 		if timer.Sleep(ctx, reopenPause) != nil {
 			return
 		}
@@ -187,16 +199,22 @@
 	if err := s.checkpoint(l); err != nil {
 		return err
 	}
+	syncFailed := make(chan error, 1)
+	syncCtx, stop := context.WithCancel(ctx)
+	var syncer sync.WaitGroup
+	syncer.Go(func() { syncFailed <- s.syncBatches(syncCtx, l) })
+	defer syncer.Wait()
+	defer stop()
 	appended := 0
 	for {
 		select {
 		case <-s.wake:
+		case err := <-syncFailed:
+			return err
 		case <-ctx.Done():
 			return nil
 		}
-		batches := s.take()
-		n, err := s.append(l, batches)
-		s.release(batches)
+		n, err := s.writeBatches(l)
 		if err != nil {
 			return err
 		}
@@ -209,36 +227,66 @@
 	}
 }
 
-func (s *Store) take() []pendingBatch {
+// writeBatches writes what is pending, in one entry, and leaves it to syncBatches.
+func (s *Store) writeBatches(l *wal.Log) (bytes int, err error) {
+	batches := s.take(&s.pending)
+	var records []Record
+	for _, b := range batches {
+		records = append(records, b.records...)
+	}
+	var data []byte
+	if len(records) > 0 {
+		if data, err = codec.Marshal(Pack(records)); err == nil {
+			err = l.Write(data)
+		}
+	}
+	if err != nil {
+		release(batches)
+		return 0, err
+	}
+	s.mu.Lock()
+	s.written = append(s.written, batches...)
+	s.mu.Unlock()
+	raise(s.sync)
+	return len(data), nil
+}
+
+// syncBatches syncs what was written until ctx ends or the disk fails.
+func (s *Store) syncBatches(ctx context.Context, l *wal.Log) error {
+	for {
+		select {
+		case <-s.sync:
+		case <-ctx.Done():
+			release(s.take(&s.written))
+			return nil
+		}
+		batches, began := s.take(&s.written), time.Now()
+		err := l.Sync()
+		if took := time.Since(began); took > slowSync {
+			s.log.Warn().Dur("took", took).Int("batches", len(batches)).Msg("disk syncs records of streams' versions slowly")
+		}
+		release(batches)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Store) take(from *[]pendingBatch) []pendingBatch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	batches := s.pending
-	s.pending = nil
+	batches := *from
+	*from = nil
 	return batches
 }
 
 // release tells those who wait that nothing more is to be waited for.
-func (s *Store) release(batches []pendingBatch) {
+func release(batches []pendingBatch) {
 	for _, b := range batches {
 		close(b.synced)
 	}
 }
 
-func (s *Store) append(l *wal.Log, batches []pendingBatch) (bytes int, err error) {
-	var records []Record
-	for _, b := range batches {
-		records = append(records, b.records...)
-	}
-	if len(records) == 0 {
-		return 0, nil
-	}
-	data, err := codec.Marshal(Pack(records))
-	if err != nil {
-		return 0, err
-	}
-	return len(data), l.Append(data)
-}
-
 // checkpoint writes the live records and drops the older part of the file.
 func (s *Store) checkpoint(l *wal.Log) error {
 	s.mu.Lock()
--- a/internal/streamversion/store_test.go
+++ b/internal/streamversion/store_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/wal"
 	"github.com/amaranthshelf/amaranthshelf/internal/wal/waltest"
 )
 
@@ -140,3 +141,56 @@
 		}
 	})
 }
+
+// slowSyncFS is a file system whose syncs do not return while blocked is set.
+type slowSyncFS struct {
+	*waltest.FS
+	blocked chan struct{} // nil: syncs return
+}
+
+func (f *slowSyncFS) Create(name string) (wal.File, error) {
+	file, err := f.FS.Create(name)
+	return &slowSyncFile{file, f}, err
+}
+
+func (f *slowSyncFS) Append(name string) (wal.File, error) {
+	file, err := f.FS.Append(name)
+	return &slowSyncFile{file, f}, err
+}
+
+type slowSyncFile struct {
+	wal.File
+	fs *slowSyncFS
+}
+
+func (f *slowSyncFile) Sync() error {
+	if f.fs.blocked != nil {
+		<-f.fs.blocked
+	}
+	return f.File.Sync()
+}
+
+// Guards against records that wait for a sync of earlier ones, and are lost when the process is
+// killed meanwhile.
+func TestSlowSyncKeepsNoRecordWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := &slowSyncFS{FS: waltest.New()}
+		s := NewStore(disk, testDir, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		synctest.Wait()
+		disk.blocked = make(chan struct{})
+		for i := range 5 {
+			s.Put([]Record{record(fmt.Sprint(i), v1, time.Minute)})
+			synctest.Wait()
+		}
+		restarted, stop := runStore(t, disk.FS) // what was written survives the end of the process
+		for i := range 5 {
+			restarted.mustFind(t, fmt.Sprint(i), v1)
+		}
+		stop()
+		close(disk.blocked)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -45,6 +45,7 @@
 	nextSeq  uint64   // sequence number of the next frame
 	segments []string // file names, oldest first; the last one is open for writing
 	buf      []byte
+	unsynced bool // frames were written without a sync
 	failure  error
 }
 
@@ -201,6 +202,38 @@
 	return l.write(frame{kind: kindEntry, payload: payload})
 }
 
+// Write writes payload without a sync. It survives the end of the process, and a loss of power
+// only after a Sync. Entries that were not synced may then be damaged, and the log is reported
+// as damaged if a later one is not.
+func (l *Log) Write(payload []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.size >= segmentBytes {
+		if err := l.rotate(); err != nil {
+			return err
+		}
+	}
+	l.unsynced = true
+	return l.writeFrame(frame{kind: kindEntry, payload: payload})
+}
+
+// Sync makes durable what was written before. Others may write meanwhile.
+func (l *Log) Sync() error {
+	l.mu.Lock()
+	file, failure := l.file, l.failure
+	l.mu.Unlock()
+	if failure != nil {
+		return failure
+	}
+	err := file.Sync()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil && l.file == file { // a file that was closed meanwhile was synced before
+		return l.fail(err)
+	}
+	return nil
+}
+
 // Checkpoint replaces the content of the log by payload and removes the old segments.
 // The payload is durable once Checkpoint returns nil.
 func (l *Log) Checkpoint(payload []byte) error {
@@ -237,6 +270,12 @@
 	if l.size == 0 {
 		return nil
 	}
+	if l.unsynced {
+		if err := l.file.Sync(); err != nil {
+			return l.fail(err)
+		}
+		l.unsynced = false
+	}
 	if err := l.file.Close(); err != nil {
 		return l.fail(err)
 	}
@@ -246,7 +285,19 @@
 	return nil
 }
 
+// write writes a frame and syncs it.
 func (l *Log) write(f frame) error {
+	if err := l.writeFrame(f); err != nil {
+		return err
+	}
+	if err := l.file.Sync(); err != nil {
+		return l.fail(err)
+	}
+	l.unsynced = false
+	return nil
+}
+
+func (l *Log) writeFrame(f frame) error {
 	if l.failure != nil {
 		return l.failure
 	}
@@ -258,9 +309,6 @@
 	if _, err := l.file.Write(l.buf); err != nil {
 		return l.fail(err)
 	}
-	if err := l.file.Sync(); err != nil {
-		return l.fail(err)
-	}
 	l.nextSeq++
 	l.size += int64(len(l.buf))
 	return nil
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -211,3 +211,41 @@
 		}
 	}
 }
+
+// Guards against entries that a sync does not cover, and against unsynced ones that a new segment
+// or a checkpoint leaves behind.
+func TestWriteAndSync(t *testing.T) {
+	fs := waltest.New()
+	l, _, err := wal.Open(fs, "log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(text string) {
+		if err := l.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("a")
+	write("b")
+	if err := l.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	write("lost")
+	fs.Crash(func(int) int { return 0 })
+	l, entries, err := wal.Open(fs, "log")
+	if err != nil || string(joined(contents(entries))) != "=a\nb" {
+		t.Fatalf("after a crash: got entries %q, error %v, want a and b", entries, err)
+	}
+	write("c")
+	if err := l.Checkpoint([]byte("checkpoint")); err != nil {
+		t.Fatal(err)
+	}
+	write("d")
+	if err := l.Append([]byte("e")); err != nil {
+		t.Fatal(err)
+	}
+	fs.Crash(func(int) int { return 0 })
+	if _, entries, err = wal.Open(fs, "log"); err != nil || string(joined(contents(entries))) != "=checkpoint\nd\ne" {
+		t.Fatalf("after another crash: got entries %q, error %v, want the checkpoint, d and e", entries, err)
+	}
+}
