forward: a request waits for the trial of its content

What callers saw: after the loss of a zone, 502 (4003) for a stream whose engine died with it, or a stream broken off, while other zones had room.

Cause: two engines died at one moment, both deaths were blamed on the content that ran on both, and the request was refused because a trial could not begin at once: 700 ms have to pass after the last death. The second engine was in the zone of the first although another zone had room.

Fix: the request waits for its trial, within the time in which its answer is still due, or in which a stream may search for an engine. The trials are granted as before, so no content reaches more servers. A stream that lost its engine prefers other zones.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -38,7 +38,7 @@
 	skip := map[string]bool{}
 	var failure *reply // a server's own failure, delivered if no other server succeeds
 	for sends := 0; ; sends++ {
-		if !h.admitsContent(q) {
+		if !h.admitsContent(q, q.holdUntil()) {
 			h.endCall(w, q, failure, result.ContentHeldBack)
 			return
 		}
--- a/internal/forward/content_trial.go
+++ b/internal/forward/content_trial.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/admission"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // ContentTrials grants trials of suspect contents on behalf of all VMs.
@@ -55,13 +56,34 @@
 // ran reports whether a server may have run the request since the trial was granted.
 func (t *contentTrial) ran(q *request) bool { return q.history.possibleRuns > t.runsBefore }
 
-// admitsContent reports whether the next send of a request may carry its content. If not,
-// it sets when the caller may retry. Each trial is for one run.
-func (h *Handler) admitsContent(q *request) bool {
+// noGranterRetryInterval separates two requests for a trial while no control VM answers.
+const noGranterRetryInterval = 100 * time.Millisecond
+
+// admitsContent reports whether the next send of a request may carry its content. It waits
+// for a trial until holdUntil: servers that die together, as when a zone is lost, make every
+// content suspect that ran on two of them. If the content is not admitted, admitsContent sets
+// when the caller may retry. Each trial is for one run.
+func (h *Handler) admitsContent(q *request, holdUntil time.Time) bool {
 	if q.trial != nil && !q.trial.ran(q) {
 		return true
 	}
 	h.endTrial(q)
+	for {
+		wait, admitted := h.requestTrial(q)
+		if admitted {
+			return true
+		}
+		if wait == 0 || time.Now().Add(wait).After(holdUntil) || timer.Sleep(q.ctx, wait) != nil {
+			return false
+		}
+		h.Stats.TrialWaits.Inc()
+	}
+}
+
+// requestTrial asks for a trial of the request's content if it needs one. If the content is
+// not admitted, it sets when the caller may retry, and returns when to ask again; 0: the
+// content is held back.
+func (h *Handler) requestTrial(q *request) (wait time.Duration, admitted bool) {
 	standing, until := h.opts.SuspectContents.Standing(q.digest)
 	if standing == recovery.ContentOnTrial {
 		answer, answered := h.opts.ContentTrials.RequestTrial(q.ctx, ContentTrialRequest{
@@ -69,24 +91,33 @@
 		})
 		if !answered {
 			q.setRetryAfter(noGranterRetryAfter)
-			return false
+			return noGranterRetryInterval, false
 		}
 		if answer.Granted {
 			q.trial = &contentTrial{granter: answer.Granter, runsBefore: q.history.possibleRuns}
 			h.opts.Log.Info().Str("request", q.RequestID).Uint64("digest", q.digest).Str("granter", answer.Granter).Msg("suspect content is tried")
-			return true
+			return 0, true
 		}
 		if answer.Wait > 0 {
 			q.setRetryAfter(admission.SpreadRetry(answer.Wait, rand.Float64()))
-			return false
+			return answer.Wait, false
 		}
 		standing, until = h.opts.SuspectContents.learnOne(q.digest, answer.Known)
 	}
 	if standing <= recovery.ContentSuspect {
-		return true
+		return 0, true
 	}
 	q.setRetryAfter(max(noGranterRetryAfter, time.Until(until)))
-	return false
+	return 0, false
+}
+
+// holdUntil returns until when a call may wait for a server or for a trial. A call that was not
+// sent can be served elsewhere if it is refused early.
+func (q *request) holdUntil() time.Time {
+	if q.history.arrivals > 0 {
+		return q.dueTime()
+	}
+	return q.arrived.Add(time.Duration(maxHoldShare * float64(q.dueTime().Sub(q.arrived))))
 }
 
 // endTrial ends the trial of a request, if it has one.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -261,8 +261,8 @@
 	versionChoice rollout.Choice
 	// origin is the service and version that began the stream; nil: it has not begun.
 	origin       *streamversion.Origin
-	trial        *contentTrial // of the content, if it is suspect; nil: it has none
-	withoutGrant bool          // the servers of this call are chosen by this VM's own view
+	trial        *contentTrial     // of the content, if it is suspect; nil: it has none
+	withoutGrant bool              // the servers of this call are chosen by this VM's own view
 	// retryAfterSet is set if the refusal of the request came with a retryAfter. There, 0
 	// means that a retry is of no use.
 	retryAfterSet bool
@@ -470,13 +470,14 @@
 
 // giveUp gives the final answer to an admitted request that could not be served.
 func (h *Handler) giveUp(w http.ResponseWriter, q *request, code result.Code) {
+	reason := result.Lookup(code).Name
 	code = q.history.FinalCode(code)
 	e := result.New(code).WithRan(q.history.Ran())
 	if after := q.retryDelay(); result.Lookup(code).Ran == result.RanNo && after > 0 {
 		e = e.WithRetryAfter(after)
 	}
 	e.RequestID = q.RequestID
-	h.opts.Log.Info().Str("request", q.RequestID).Str("route", q.route.Name).Int("code", int(code)).
+	h.opts.Log.Info().Str("request", q.RequestID).Str("route", q.route.Name).Int("code", int(code)).Str("reason", reason).
 		Int("sends", q.history.arrivals).Dur("held", time.Since(q.arrived)).Msg("gave up")
 	h.refuse(w, e)
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -216,6 +216,8 @@
 		servers, candidates := st.h.opts.Fleet.Candidates(st.q.service.Name, st.q.versionChoice.Versions, st.kvTokens(), st.skip)
 		for i := range candidates {
 			candidates[i].OtherZone = candidates[i].Zone != st.h.opts.Zone
+			// The engines of a zone fail together, before this VM has seen more than one of them die.
+			candidates[i].Avoid = candidates[i].Avoid || candidates[i].Zone == st.lostZone
 		}
 		if i := placement.ChooseEngine(candidates, st.need, rand.IntN); i >= 0 {
 			return servers[i]
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -354,7 +354,7 @@
 	fleet.Succeeded(r.server, 0)
 	r.st.h.activeRuns.put(r.st.q.RequestID, r.resumable())
 	r.st.skip = map[string]bool{}
-	r.st.lostAt = time.Time{}
+	r.st.lostAt, r.st.lostZone = time.Time{}, ""
 }
 
 // resumable returns what another router needs to resume the stream now.
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -32,6 +32,7 @@
 	EngineSpeeds   *metrics.Counter
 	RefusedByLevel *metrics.Counter // streams that the refusal level refused
 	RecordsLate    *metrics.Counter // streams whose first event was sent before their version was recorded
+	TrialWaits     *metrics.Counter // waits for a trial of a suspect content
 
 	FirstEvent  *metrics.Histogram // seconds from a caller's request
 	ResumePause *metrics.Histogram // seconds without an event for the caller of a resumed stream
@@ -48,7 +49,7 @@
 		ResumesFromCopy: counter("resumes_from_copy"), Probes: counter("probes"), CopiesOrdered: counter("copies_ordered"),
 		StrayAnswers: counter("stray_answers"), BrokenStreams: counter("streams_broken"), CallersGone: counter("callers_gone"),
 		CallGrantFallbacks: counter("calls_grant_fallback"), EngineSpeeds: counter("engine_speeds_reported"),
-		RefusedByLevel: counter("streams_refused_by_level"), HandOffs: counter("hand_offs"), RecordsLate: counter("stream_records_late"), RecordWait: set.NewHistogram("shelf_stream_record_wait_seconds"),
+		RefusedByLevel: counter("streams_refused_by_level"), HandOffs: counter("hand_offs"), RecordsLate: counter("stream_records_late"), TrialWaits: counter("content_trial_waits"), RecordWait: set.NewHistogram("shelf_stream_record_wait_seconds"),
 		FirstEvent: set.NewHistogram("shelf_first_event_seconds"), ResumePause: set.NewHistogram("shelf_resume_pause_seconds"),
 		CallTime: set.NewHistogram("shelf_call_seconds"), StreamWait: set.NewHistogram("shelf_stream_wait_seconds"),
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -41,6 +41,7 @@
 	skip          map[string]bool
 	sends         int
 	lostAt        time.Time // when the stream lost its engine; zero: it has one
+	lostZone      string    // zone of that engine; empty: it has one
 	lastEventAt   time.Time // when the last event was forwarded
 	engineFailure *reply
 	engineFailed  bool // an engine answered with a failure of its own
@@ -161,6 +162,7 @@
 		if run.forwarded == 0 && run.from == nil {
 			st.lastCopy = backupCopy{} // the prompt was still being prefilled: no copy exists yet
 		}
+		st.lostZone = run.server.Zone
 		if st.lostAt.IsZero() {
 			st.lostAt = time.Now()
 		}
@@ -192,7 +194,7 @@
 		if st.versionGone() {
 			return engineChoice{reason: result.StreamVersionGone}
 		}
-		if !st.h.admitsContent(st.q) {
+		if !st.h.admitsContent(st.q, st.holdUntil()) {
 			return engineChoice{reason: result.ContentHeldBack}
 		}
 		c := st.chooseEngine()
@@ -305,6 +307,19 @@
 	return 0
 }
 
+// holdUntil returns until when the stream may wait for a trial of its content. One that has
+// lost its engine is not served earlier elsewhere.
+func (st *streamRelay) holdUntil() time.Time {
+	resumeBy := st.lostAt.Add(maxResumeSearch)
+	if st.headSent {
+		return resumeBy
+	}
+	if due := st.q.holdUntil(); due.After(resumeBy) {
+		return due
+	}
+	return resumeBy
+}
+
 // mayWait reports whether a stream that no engine takes now keeps waiting. Before its
 // head is sent it waits for a small share of its objective. After that it waits until
 // its caller would give up.
--- /dev/null
+++ b/internal/forward/zone_loss_test.go
@@ -0,0 +1,47 @@
+package forward_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// Guards against a stream that is refused because two engines on which it ran died together,
+// as when a zone is lost. It must go on at an engine elsewhere, before and after its first event.
+func TestStreamOutlivesTwoEngines(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		after time.Duration // until the first engine dies
+	}{
+		{"before the first event", 500 * time.Millisecond},
+		{"after the first event", 2500 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first, second := engine("b"), engine("b")
+				f := newFixture(t, first, second)
+				defer f.shutDown()
+				a := f.send("POST", "/s/1", "r1", "log")
+				time.Sleep(tt.after)
+				if f.engineRunning("r1") == second {
+					first, second = second, first
+				}
+				second.Intercept = func(s *routedengine.Server, _ http.ResponseWriter, r *http.Request) bool {
+					s.Set(routedengine.Dead)
+					return true
+				}
+				first.Set(routedengine.Dead)
+				time.Sleep(10 * time.Millisecond)
+				elsewhere := engine("c")
+				elsewhere.ID, elsewhere.Address = "elsewhere", "10.0.1.1:80"
+				f.servers = append(f.servers, f.net.Add(elsewhere))
+				f.fleet.Apply(upstream.List{Backends: f.net.Backends(), AsOf: time.Now()})
+				a.requireCompleteStream(t, 100)
+			})
+		})
+	}
+}
