forward: a request that broke off at two servers waits for both results

What callers saw: a request that crashes servers ended four of them, not three, and with them the streams of other callers, when a zone was lost meanwhile.

Cause: the third send went out while the probes of the first two servers were under way, so that no death was blamed on the content yet. MarkDead moved the streams of a dead server before it blamed their contents.

Evidence: placed at i9, i6, i3 within a millisecond, the blame after the third.

The first resume is as fast as before.

--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -173,11 +173,14 @@
 // may lose answers. A server that accepts no connection is dead, and the contents that ran
 // there become suspect.
 //
-// A request whose content is suspect already waits for the result. Otherwise it could
-// reach, and kill, the next server in the meantime.
+// A request whose content is suspect already, or that broke off at another server before, waits
+// for the results. Otherwise it could reach, and kill, the next server in the meantime.
 func (h *Handler) confirmDeath(q *request, s *upstream.Server, r *contentRun) {
-	found := h.probeForDeath(s, r)
-	if h.opts.SuspectContents.isSuspect(q.digest) {
+	q.deathChecks = append(q.deathChecks, h.probeForDeath(s, r))
+	if len(q.deathChecks) == 1 && !h.opts.SuspectContents.isSuspect(q.digest) {
+		return
+	}
+	for _, found := range q.deathChecks {
 		<-found
 	}
 }
--- a/internal/forward/zone_loss_test.go
+++ b/internal/forward/zone_loss_test.go
@@ -1,7 +1,10 @@
 package forward_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,3 +48,47 @@
 		})
 	}
 }
+
+// Guards against a content that ends its engines and is spared because a zone is lost at the
+// same moment. It may end three engines, however often its callers repeat it.
+func TestCrashingStreamWhileAZoneIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ended atomic.Int64
+		var servers []*routedengine.Server
+		for i := range 18 {
+			s := engine(string(rune('a' + i%3)))
+			s.Intercept = func(s *routedengine.Server, _ http.ResponseWriter, r *http.Request) bool {
+				if !strings.Contains(r.RequestURI, "crash") {
+					return false
+				}
+				s.RecordRun(r, 0, false)
+				ended.Add(1)
+				s.Set(routedengine.Dead)
+				return true
+			}
+			servers = append(servers, s)
+		}
+		f := newFixture(t, servers...)
+		defer f.shutDown()
+		var answers []*answer
+		for i := range 24 {
+			answers = append(answers, f.send("POST", "/s/1", fmt.Sprint("r", i), fmt.Sprint("log", i)))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for _, s := range f.servers {
+			if s.Zone == "b" {
+				s.Set(routedengine.Dead)
+			}
+		}
+		for i := range 10 {
+			<-f.send("POST", "/s/crash", fmt.Sprint("c", i), "log").done
+			time.Sleep(time.Second)
+		}
+		for _, a := range answers {
+			a.requireCompleteStream(t, 100)
+		}
+		if n := ended.Load(); n > 3 {
+			t.Errorf("the content ended %d engines, want at most 3", n)
+		}
+	})
+}
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -71,12 +71,14 @@
 	s.diedAt = f.now()
 	f.noteDeath(s)
 	f.failReach(s)
-	signal(&s.died)
 	silent := f.now().Sub(s.lastHeard)
 	f.mu.Unlock()
 	f.log.Warn().Str("server", s.ID).Str("zone", s.Zone).Dur("silent", silent).Msg("server judged dead")
 	f.pool.Forget(s.ID)
 	f.onDeath(s.ID, Confirmed)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	signal(&s.died) // after the contents are blamed: the runs that this moves may be of one that crashes servers
 }
 
 // noteDeath records a death and needs f.mu. If the whole failure domain counts as lost,
