upstream: a server judged dead takes no new work until it is heard

Cause: avoidance of a dead server is a preference. When the other servers had no room, the dead one was used; it failed in a millisecond, looked idle and drew the callers' next calls.

Evidence: the routers' logs. The server is judged dead 60 times a second with nothing heard in between, and is sent the next call 1 to 20 ms later.

Fix: a server judged dead is withheld like a paused one, and probed after 100 ms to 500 ms until it answers or is gone. Refusals name the next probe as Retry-After. The judgement is logged once per death.

--- a/cmd/amaranthshelfd/soak_test.go
+++ b/cmd/amaranthshelfd/soak_test.go
@@ -201,6 +201,7 @@
 //   - a stream that is refused with a statement that it did not run has not run. No workspace
 //     is served less than a quarter of an equal share, on routes of different priority;
 //   - a request that crashes its servers reaches hardly any more after the third;
+//   - no call ends with an unknown outcome at a server that its router had judged dead;
 //   - a cordoned server receives nothing new, and a cordoned VM is named to no caller;
 //   - after the last fault every router serves every route again.
 func TestSoak(t *testing.T) {
@@ -242,6 +243,7 @@
 	w.checkShares()
 	w.checkCordons()
 	s.checkCrashes()
+	s.checkDeadServers()
 	t.Logf("seed %d, %d faults: %s; %d cordons, %d crashes of %d crashing requests, %d faults of the deciding control VM while streams waited, routers' loads %q; last answers %.1f s after the last fault, all checks done after %.1f s",
 		seed, len(plan), w.summary(), len(s.cordons), s.crasher.ended.Load(), s.crasher.sent.Load(), s.waitingAtFault, w.loads(), lastAnswerDelay.Seconds(), time.Since(faultsEnded).Seconds())
 	if t.Failed() {
--- a/internal/backpressure/server.go
+++ b/internal/backpressure/server.go
@@ -28,6 +28,7 @@
 	AtPause // the server wants no request of this VM now
 	AtRamp  // the rate rises again after a limit or a pause
 	AtEnd   // the server takes no new work any more
+	AtDeath // the server was judged dead and has not been heard since
 )
 
 // Withholds reports whether the request must not be sent now.
@@ -35,7 +36,7 @@
 
 // String implements fmt.Stringer.
 func (v Verdict) String() string {
-	return [...]string{"send", "needs permit", "rate limit", "pause", "rate rises again", "leaving"}[v]
+	return [...]string{"send", "needs permit", "rate limit", "pause", "rate rises again", "leaving", "judged dead"}[v]
 }
 
 // Work is what a request to a server is for.
--- /dev/null
+++ b/internal/forward/dead_servers.go
@@ -0,0 +1,40 @@
+package forward
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// deadProbeTick is how often the handler looks for dead servers that are due for a probe.
+const deadProbeTick = 50 * time.Millisecond
+
+// deadServers probes the servers that were judged dead until they answer or leave the list.
+type deadServers struct {
+	h       *Handler
+	probing atomic.Bool
+}
+
+// probe begins the probes unless they are in progress.
+func (d *deadServers) probe() {
+	if d.probing.CompareAndSwap(false, true) {
+		go d.run()
+	}
+}
+
+func (d *deadServers) run() {
+	for {
+		due, more := d.h.opts.Fleet.DeadProbesDue()
+		for _, s := range due {
+			d.h.Stats.Probes.Inc()
+			go d.h.noteProbe(s)
+		}
+		if !more {
+			break
+		}
+		time.Sleep(deadProbeTick)
+	}
+	d.probing.Store(false)
+	if _, more := d.h.opts.Fleet.DeadProbesDue(); more {
+		d.probe() // a server died after the last look
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -131,6 +131,7 @@
 	gate       *gate
 	engines    *engineCaller
 	prober     *prober
+	dead       deadServers
 	activeRuns runRegistry
 	paces      paceTracker
 	speeds     speedTracker
@@ -175,6 +176,7 @@
 	h.gate = &gate{fleet: o.Fleet, permits: o.Permits, withheld: h.Stats.withheld}
 	h.engines = &engineCaller{gate: h.gate, pool: o.Pool, wire: o.Wire}
 	h.prober = newProber(h.engines, &o)
+	h.dead.h = h
 	o.Fleet.OnDeath(h.blameContents)
 	return h
 }
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -131,6 +131,9 @@
 // blameContents blames the contents that ran on a server that died. Their abandoned runs may
 // have ended other servers too, where no request may notice it for some time.
 func (h *Handler) blameContents(server string, e upstream.Evidence) {
+	if e == upstream.Confirmed {
+		h.dead.probe()
+	}
 	for _, r := range h.opts.SuspectContents.serverDied(server, e == upstream.Hearsay) {
 		h.probeForDeath(r.server, r)
 	}
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -132,6 +132,7 @@
 	set.NewGauge("shelf_feed_unclaimed_bytes_total", func() float64 { return float64(r.network.UnclaimedReplies(peer.KindWatch).Bytes) })
 	set.NewGauge("shelf_rate_limits", func() float64 { return float64(r.fleet.LimitsInForce()) })
 	set.NewGauge("shelf_servers_paused", func() float64 { return float64(r.fleet.Paused()) })
+	set.NewGauge("shelf_servers_dead", func() float64 { return float64(r.fleet.DeadServers()) })
 	set.NewGauge("shelf_suspect_contents", func() float64 { return float64(r.suspectContents.Count()) })
 	set.NewGauge("shelf_services_lost", func() float64 { return float64(len(r.fleet.LostServices())) })
 	set.NewGauge("shelf_idle_connections", func() float64 { return float64(pool.Idle()) })
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -144,6 +144,7 @@
 	Alive        State = iota
 	Dead               // existing connections are reset, new ones are refused
 	Unresponsive       // connections stay open, but nothing is answered
+	Breaking           // connections are accepted, and closed once a request has come
 )
 
 // Run records a request that a server started.
@@ -306,6 +307,8 @@
 	switch {
 	case s.inState(Unresponsive):
 		<-r.Context().Done()
+	case s.inState(Breaking):
+		panic(http.ErrAbortHandler)
 	case r.URL.Path == forward.PlainReportURI && r.Header.Get(forward.HeaderInstance) == s.ID:
 		s.report(w)
 	case r.URL.Path == forward.PlainCopyURI:
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -152,6 +152,9 @@
 	if f.withholdsWork(s, w) {
 		return backpressure.AtEnd, s.accepts.Limit()
 	}
+	if s.dead != nil && w == backpressure.NewWork {
+		return backpressure.AtDeath, s.accepts.Limit()
+	}
 	return s.accepts.Check(w, f.now()), s.accepts.Limit()
 }
 
@@ -186,7 +189,7 @@
 // must be called right before the request is written.
 func (f *Fleet) UsePermit(s *Server, p backpressure.Permit) bool {
 	f.mu.Lock()
-	if s.cordoned && p.Work() == backpressure.NewWork {
+	if (s.cordoned || s.dead != nil) && p.Work() == backpressure.NewWork {
 		f.mu.Unlock()
 		return false
 	}
@@ -238,13 +241,24 @@
 		if row == nil || row.Service != service || !slices.Contains(versions, row.Version) || !f.inService(row) || skip[id] {
 			continue
 		}
-		if at := stated.WithheldUntil(now); !at.IsZero() && (first.IsZero() || at.Before(first)) {
+		at := stated.WithheldUntil(now)
+		if f.isDead(id, now) {
+			at = latest(at, f.servers[id].dead.nextProbe.Add(deadProbeTime))
+		}
+		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
 	return first
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // withheld reports whether the server must not be sent any request now.
 func (v *incarnation) withheld(now time.Time) bool {
 	return v.Check(backpressure.NewWork, now).Withholds()
--- a/internal/upstream/candidates.go
+++ b/internal/upstream/candidates.go
@@ -116,6 +116,9 @@
 
 // withheld reports whether a server must not be sent any request now. It needs f.mu.
 func (f *Fleet) withheld(id string, now time.Time) bool {
+	if f.isDead(id, now) {
+		return true
+	}
 	known := f.incarnations[id]
 	return known != nil && known.withheld(now)
 }
--- /dev/null
+++ b/internal/upstream/dead.go
@@ -0,0 +1,94 @@
+package upstream
+
+import "time"
+
+// The load pattern. A server that accepts connections and breaks them answers each request
+// within a millisecond, so it looks idle, and it draws most requests of callers that wait for
+// one answer before they send the next. Each call that may run once ends there with an unknown
+// outcome, the worst of answers, where "not run" is true. To avoid the server is not enough: an
+// avoided server is used when no other has room.
+//
+// A server that was judged dead therefore takes no new work until it has answered something. It
+// is probed for that. If it was judged dead by mistake, it is back after the first probe.
+
+// Intervals of the probes of a dead server. They double from the first to the longest.
+const (
+	firstDeadProbe   = 100 * time.Millisecond
+	longestDeadProbe = 500 * time.Millisecond
+	// deadProbeTime is about how long the result of a probe takes.
+	deadProbeTime = 50 * time.Millisecond
+	// maxDeadProbes bounds the probes that are due at a time. A VM that is cut off may judge
+	// hundreds of servers dead.
+	maxDeadProbes = 8
+)
+
+// death is what a VM knows of a server that it judged dead and has not heard since.
+type death struct {
+	at        time.Time
+	nextProbe time.Time
+	probes    int
+}
+
+// takeDead records that a server was judged dead, and reports whether it was not before. It
+// needs f.mu.
+func (f *Fleet) takeDead(s *Server) bool {
+	if s.dead != nil {
+		return false
+	}
+	s.dead = &death{at: f.now(), nextProbe: f.now().Add(firstDeadProbe)}
+	return true
+}
+
+// revive ends a death. It needs f.mu.
+func (f *Fleet) revive(s *Server) {
+	if s.dead == nil {
+		return
+	}
+	f.log.Info().Str("server", s.ID).Str("zone", s.Zone).Dur("dead_for", f.now().Sub(s.dead.at)).Int("probes", s.dead.probes).Msg("server judged dead answers again")
+	s.dead = nil
+}
+
+// isDead reports whether a listed server was judged dead and has not been heard since. It counts
+// as asked for. It needs f.mu.
+func (f *Fleet) isDead(id string, now time.Time) bool {
+	s := f.servers[id]
+	if s == nil || s.dead == nil {
+		return false
+	}
+	s.requestedAt = now
+	return true
+}
+
+// DeadProbesDue returns the dead servers that are to be probed now, and whether others are to be
+// probed later. Servers that nobody asks for are not probed.
+func (f *Fleet) DeadProbesDue() (due []*Server, more bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	for _, s := range f.servers {
+		if s.dead == nil || !s.inService() || now.Sub(s.requestedAt) > idleServerTTL {
+			continue
+		}
+		more = true
+		if now.Before(s.dead.nextProbe) || len(due) >= maxDeadProbes {
+			continue
+		}
+		s.dead.nextProbe = now.Add(min(firstDeadProbe<<min(s.dead.probes, 8), longestDeadProbe))
+		s.dead.probes++
+		due = append(due, s)
+	}
+	return due, more
+}
+
+// DeadServers returns the number of listed servers that were judged dead and not heard since.
+func (f *Fleet) DeadServers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.servers {
+		if s.dead != nil {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -80,6 +80,7 @@
 	requestedAt      time.Time     // when the Fleet last returned it
 	lastHeard        time.Time     // when bytes last came from the server
 	diedAt           time.Time     // when it was last judged dead, here or by another VM
+	dead             *death        // it was judged dead here and has not been heard since; nil: not so
 	rank             int           // this VM's position in the server's rendezvous order, valid for rankVersion
 	rankVersion      int           // value of Fleet.routersVersion
 	avoidUntil       time.Time     // from this VM's own observations
@@ -125,8 +126,10 @@
 }
 
 // open reports whether requests may be sent to the server now: it is not draining, no other
-// incarnation answers at its address, and it accepts requests by its own statements.
-func (s *Server) open(now time.Time) bool { return s.inService() && !s.accepts.withheld(now) }
+// incarnation answers at its address, and it accepts requests by its own statements and has not died.
+func (s *Server) open(now time.Time) bool {
+	return s.inService() && s.dead == nil && !s.accepts.withheld(now)
+}
 
 // inService reports whether the server takes new requests now or later. A server that has
 // stated that it leaves, or is cordoned, does not, whatever the list says.
@@ -191,7 +194,7 @@
 
 // idle reports whether nothing runs on the server for this VM and nothing is known of it that
 // holds for as long as it is listed.
-func (s *Server) idle() bool { return s.use == (placement.Usage{}) && !s.stale }
+func (s *Server) idle() bool { return s.use == (placement.Usage{}) && !s.stale && s.dead == nil }
 
 // server returns what is known of a listed server. It needs f.mu.
 func (f *Fleet) server(row *Backend) *Server {
@@ -291,7 +294,7 @@
 	var o Report
 	for _, s := range f.servers {
 		switch {
-		case s.stale || now.Before(s.avoidUntil):
+		case s.stale || s.dead != nil || now.Before(s.avoidUntil):
 			o.Avoid = append(o.Avoid, s.ID)
 		case now.Sub(s.lastHeard) < livenessWindow:
 			o.Alive = append(o.Alive, s.ID)
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -67,13 +67,16 @@
 func (f *Fleet) MarkDead(s *Server) {
 	f.mu.Lock()
 	f.avoidFor(s, deadAvoid)
+	isNew := f.takeDead(s)
 	f.deadSince[s.ID] = f.now()
 	s.diedAt = f.now()
 	f.noteDeath(s)
 	f.failReach(s)
 	silent := f.now().Sub(s.lastHeard)
 	f.mu.Unlock()
-	f.log.Warn().Str("server", s.ID).Str("zone", s.Zone).Dur("silent", silent).Msg("server judged dead")
+	if isNew {
+		f.log.Warn().Str("server", s.ID).Str("zone", s.Zone).Dur("silent", silent).Msg("server judged dead")
+	}
 	f.pool.Forget(s.ID)
 	f.onDeath(s.ID, Confirmed)
 	f.mu.Lock()
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -9,6 +9,7 @@
 // hear records that bytes came from a server. It needs f.mu.
 func (f *Fleet) hear(s *Server) {
 	s.lastHeard = f.now()
+	f.revive(s)
 	f.heardService[s.Service] = s.lastHeard
 	f.reach.Heard(s.Service)
 	f.endLoss(s.Service)
