forward: requests that may run again are held for the trial of their content

What callers saw: 503, or 502 where an answer had broken off, for a popular idempotent call after two of three servers died; the third was idle.

Cause: the hold of an eighth of the objective, 37 ms, ends before a trial may begin, 700 ms after the last death. The share is meant for requests that another VM can serve sooner, which holds for no suspect content.

Trials are unchanged, so a content that ends its servers reaches no more of them.

--- a/internal/forward/content_trial.go
+++ b/internal/forward/content_trial.go
@@ -56,6 +56,10 @@
 // ran reports whether a server may have run the request since the trial was granted.
 func (t *contentTrial) ran(q *request) bool { return q.history.possibleRuns > t.runsBefore }
 
+// maxTrialHold bounds how long a request is held for a trial if no server has received it. The first
+// trial ends about then.
+const maxTrialHold = time.Second
+
 // noGranterRetryInterval separates two requests for a trial while no control VM answers.
 const noGranterRetryInterval = 100 * time.Millisecond
 
@@ -111,13 +115,16 @@
 	return 0, false
 }
 
-// holdUntil returns until when a call may wait for a server or for a trial. A call that was not
-// sent can be served elsewhere if it is refused early.
+// holdUntil returns until when a request may wait for a trial of its content. No other VM can serve
+// it earlier. A request that may run once is held no longer than for a server.
 func (q *request) holdUntil() time.Time {
-	if q.history.arrivals > 0 {
-		return q.dueTime()
+	if !q.history.repeatable {
+		return q.arrived.Add(time.Duration(maxHoldShare * float64(q.dueTime().Sub(q.arrived))))
+	}
+	if due := q.dueTime(); q.history.arrivals > 0 && due.Sub(q.arrived) > maxTrialHold {
+		return due
 	}
-	return q.arrived.Add(time.Duration(maxHoldShare * float64(q.dueTime().Sub(q.arrived))))
+	return q.arrived.Add(min(maxTrialHold, q.expires.Sub(q.arrived)))
 }
 
 // endTrial ends the trial of a request, if it has one.
