streamversion: a record counts as held once it is on disk

Causes found: a control VM acknowledged records whose write or sync had failed, and those that a disk which stood still had not taken; a checkpoint of several entries removed the old file after the first; a router that had stood still took all control VMs for silent and waited for none.

Fix: the answer says how the records are held. Only synced ones count; unsynced ones are sent again while the stream waits, at most 1.5 s and half of the time until its first event is due; a failed disk is not awaited. The parts of a checkpoint count with its last one. An overdue answer is no silence.

Control VMs of the former release answer as before, and count as then.

--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -28,6 +28,7 @@
 
 	scheduling *schedulerService
 	calls      *callGrantService
+	recorded   recordedCounts
 
 	mu            sync.Mutex
 	vms           map[string]vmState
--- a/internal/cluster/stream_versions.go
+++ b/internal/cluster/stream_versions.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,10 +41,34 @@
 	// maxQueuedRecords bounds the records that wait for one control VM. The oldest are dropped.
 	maxQueuedRecords = 4096
 	// syncPatience is how long a control VM waits for its disk before it answers that it holds
-	// records.
+	// records in memory.
 	syncPatience = 100 * time.Millisecond
+	// slowDiskRetry separates two messages of a record that a control VM has not synced, and
+	// slowDiskTime is how long after the first one they are sent.
+	slowDiskRetry = 50 * time.Millisecond
+	slowDiskTime  = 2 * time.Second
 )
 
+// Durability is how a control VM holds records.
+type Durability uint8
+
+// Durabilities.
+const (
+	Synced   Durability = iota // on disk. Former releases answer so in each case
+	Unsynced                   // the disk has not finished yet
+	InMemory                   // there is no disk, or it fails
+)
+
+// String implements fmt.Stringer.
+func (d Durability) String() string {
+	return [...]string{"synced", "unsynced", "in memory"}[min(int(d), 2)]
+}
+
+// RecordsReply is the answer to records of streams' versions.
+type RecordsReply struct {
+	Durability Durability `cbor:"1,keyasint,omitempty"`
+}
+
 // FindVersionReply is the answer to a request for the version that began a stream.
 type FindVersionReply struct {
 	Finding streamversion.Finding `cbor:"1,keyasint"`
@@ -61,8 +86,7 @@
 		if err != nil {
 			return nil, err
 		}
-		awaitSync(ctx, store.Put(records))
-		return struct{}{}, nil
+		return RecordsReply{h.recorded.add(awaitSync(ctx, store.Put(records)))}, nil
 	})
 	t.Handle(peer.KindFindStreamVersion, func(_ context.Context, _ string, body []byte) (any, error) {
 		var key streamversion.Key
@@ -74,17 +98,34 @@
 	})
 }
 
-func awaitSync(ctx context.Context, synced <-chan struct{}) {
+// recordedCounts counts the messages of records that a control VM answered, by Durability.
+type recordedCounts [3]atomic.Uint64
+
+func (c *recordedCounts) add(d Durability) Durability {
+	c[d].Add(1)
+	return d
+}
+
+// RecordMessages returns how many messages of records were answered with a Durability.
+func (h *Hub) RecordMessages(d Durability) uint64 { return h.recorded[d].Load() }
+
+// awaitSync waits for the result of Store.Put.
+func awaitSync(ctx context.Context, synced <-chan bool) Durability {
 	if synced == nil {
-		return
+		return InMemory
 	}
 	patience := time.NewTimer(syncPatience)
 	defer patience.Stop()
 	select {
-	case <-synced:
+	case ok := <-synced:
+		if ok {
+			return Synced
+		}
+		return InMemory
 	case <-patience.C:
 	case <-ctx.Done():
 	}
+	return Unsynced
 }
 
 var _ forward.Origins = (*Member)(nil)
@@ -115,22 +156,53 @@
 
 // recordHolding counts the control VMs that hold a record. It is guarded by recordSender.mu.
 type recordHolding struct {
-	missing int // until enough hold it
-	done    chan struct{}
+	synced int // control VMs that have it on disk
+	able   int // control VMs that may have it there, or will, as far as is known
+	since  time.Time
+	done   chan struct{} // closed once no more is to be waited for
+	ended  bool
+	slow   chan struct{} // closed once a control VM waits for its disk
+	isSlow bool
+}
+
+func newRecordHolding(able int, now time.Time) *recordHolding {
+	c := &recordHolding{able: able, since: now, done: make(chan struct{}), slow: make(chan struct{})}
+	c.check()
+	return c
 }
 
 func newRecordSender() *recordSender {
 	return &recordSender{signal: newSignal(), lanes: map[string]*recordLane{}}
 }
 
-func (c *recordHolding) count() {
-	if c.missing--; c.missing == 0 {
+// answered counts the answer of a control VM. It reports whether the record must be sent there
+// again.
+func (c *recordHolding) answered(d Durability, now time.Time) (again bool) {
+	switch d {
+	case Synced:
+		c.synced++
+	case InMemory:
+		c.able--
+	case Unsynced:
+		if !c.isSlow {
+			c.isSlow = true
+			close(c.slow)
+		}
+		return !c.ended && now.Sub(c.since) < slowDiskTime
+	}
+	c.check()
+	return false
+}
+
+func (c *recordHolding) check() {
+	if !c.ended && c.synced >= min(recordQuorum, c.able) {
+		c.ended = true
 		close(c.done)
 	}
 }
 
 // Record implements forward.Origins. Control VMs that do not answer are not awaited.
-func (m *Member) Record(r streamversion.Record) <-chan struct{} {
+func (m *Member) Record(r streamversion.Record) forward.RecordWait {
 	vms := holdersOf(r.Key, m.Controls())
 	s := m.records
 	s.mu.Lock()
@@ -141,21 +213,19 @@
 			answering++
 		}
 	}
-	holding := &recordHolding{missing: min(recordQuorum, answering), done: make(chan struct{})}
-	if holding.missing == 0 {
-		close(holding.done)
-	}
+	now := time.Now()
+	holding := newRecordHolding(answering, now)
 	for _, vm := range vms {
 		lane := s.lanes[vm]
 		if lane == nil {
 			lane = &recordLane{}
 			s.lanes[vm] = lane
 		}
-		lane.queue = append(lane.queue, queuedRecord{r, time.Now().Add(r.TTL), holding})
+		lane.queue = append(lane.queue, queuedRecord{r, now.Add(r.TTL), holding})
 		lane.queue = lane.queue[max(0, len(lane.queue)-maxQueuedRecords):]
 	}
 	s.signal.raise()
-	return holding.done
+	return forward.RecordWait{Held: holding.done, DiskIsSlow: holding.slow}
 }
 
 // holdersOf returns the control VMs that hold the record with a key, by rendezvous hashing.
@@ -214,17 +284,27 @@
 		records[i] = batch[i].record
 		records[i].TTL = max(0, time.Until(batch[i].expires))
 	}
+	began := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
-	err := m.t.Call(callCtx, vm, peer.KindStreamVersions, streamversion.Pack(records), nil)
+	var reply RecordsReply
+	err := m.t.Call(callCtx, vm, peer.KindStreamVersions, streamversion.Pack(records), &reply)
 	cancel()
 	s := m.records
 	if err == nil {
-		if s.answered(vm, batch) {
+		again, wasSilent := s.answered(vm, batch, reply.Durability, time.Now())
+		if len(again) > 0 {
+			time.AfterFunc(slowDiskRetry, func() { s.sendAgain(vm, again) })
+		}
+		if wasSilent {
 			m.log.Info().Str("control", vm).Msg("control VM takes records of streams' versions again")
 		}
 		s.signal.raise()
 		return
 	}
+	if time.Since(began) > 2*recordTimeout {
+		s.stalled(vm, batch)
+		return
+	}
 	pause, first := s.unanswered(vm, batch, time.Now())
 	if first {
 		m.log.Warn().Err(err).Str("control", vm).Int("records", len(batch)).Msg("control VM does not take records of streams' versions; they are sent again")
@@ -232,19 +312,43 @@
 	time.AfterFunc(pause, s.signal.raise)
 }
 
-// answered counts the control VM among the holders of a batch. It reports whether the VM had not
-// answered before.
-func (s *recordSender) answered(vm string, batch []queuedRecord) bool {
+// answered counts the control VM among the holders of a batch. It returns the records that must
+// be sent again, and whether the VM had not answered before.
+func (s *recordSender) answered(vm string, batch []queuedRecord, d Durability, now time.Time) (again []queuedRecord, wasSilent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range batch {
-		batch[i].holders.count()
+		if batch[i].holders.answered(d, now) {
+			again = append(again, batch[i])
+		}
 	}
 	lane := s.lanes[vm]
-	had := lane.failed > 0
+	wasSilent = lane.failed > 0
 	lane.underWay--
 	lane.failed, lane.pausedTo = 0, time.Time{}
-	return had
+	return again, wasSilent
+}
+
+// sendAgain puts records in front of a lane.
+func (s *recordSender) sendAgain(vm string, batch []queuedRecord) {
+	s.mu.Lock()
+	s.lanes[vm].prepend(batch)
+	s.mu.Unlock()
+	s.signal.raise()
+}
+
+// stalled puts a batch in front of a lane whose answer came too late to tell anything of the
+// control VM: this process stood still.
+func (s *recordSender) stalled(vm string, batch []queuedRecord) {
+	s.mu.Lock()
+	s.lanes[vm].underWay--
+	s.mu.Unlock()
+	s.sendAgain(vm, batch)
+}
+
+func (l *recordLane) prepend(batch []queuedRecord) {
+	l.queue = slices.Concat(batch, l.queue)
+	l.queue = l.queue[max(0, len(l.queue)-maxQueuedRecords):]
 }
 
 // unanswered puts a batch in front of a lane whose control VM did not answer. It returns the pause
@@ -253,8 +357,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lane := s.lanes[vm]
-	lane.queue = slices.Concat(batch, lane.queue)
-	lane.queue = lane.queue[max(0, len(lane.queue)-maxQueuedRecords):]
+	lane.prepend(batch)
 	lane.underWay--
 	lane.failed++
 	pause = minRecordPause
@@ -273,23 +376,27 @@
 	controls := m.Controls()
 	type answer struct {
 		FindVersionReply
+		vm  string
 		err error
 	}
 	answers := make(chan answer, len(controls))
 	for _, vm := range controls {
 		go func() {
-			var a answer
+			a := answer{vm: vm}
 			a.err = m.t.Call(ctx, vm, peer.KindFindStreamVersion, k, &a.FindVersionReply)
 			answers <- a
 		}()
 	}
-	all := len(controls) > 0
+	all, silent := len(controls) > 0, []string(nil)
 	for range controls {
 		a := <-answers
 		if a.err == nil && a.Finding != streamversion.Unknown {
 			return a.Origin, a.Finding, true
 		}
-		all = all && a.err == nil
+		if a.err != nil {
+			all, silent = false, append(silent, a.vm)
+		}
 	}
+	m.log.Info().Hex("key", k[:]).Strs("asked", controls).Strs("not_answered", silent).Msg("no control VM that answered holds the record of a stream")
 	return streamversion.Origin{}, streamversion.Unknown, all
 }
--- a/internal/cluster/stream_versions_test.go
+++ b/internal/cluster/stream_versions_test.go
@@ -67,11 +67,11 @@
 // record records a stream at a router, and returns how long it took, 200 ms at most.
 func (s *versionSystem) record(router int, attempt, version string) time.Duration {
 	began := time.Now()
-	held := s.routers[router].member.Record(streamversion.Record{
+	wait := s.routers[router].member.Record(streamversion.Record{
 		Key: streamversion.KeyOf("w", attempt), Origin: streamversion.Origin{Service: "models", Version: version}, TTL: time.Minute,
 	})
 	select {
-	case <-held:
+	case <-wait.Held:
 	case <-time.After(200 * time.Millisecond):
 	}
 	return time.Since(began)
@@ -155,6 +155,87 @@
 	}
 }
 
+// Guards against a record that counts as held and is in no file after all control VMs were killed,
+// since their disks stood still, and against streams that wait for disks that fail.
+func TestRecordWaitsForDisks(t *testing.T) {
+	const soon = 200 * time.Millisecond
+	for _, tt := range []struct {
+		name  string
+		fault func(disk *waltest.FS, on bool)
+		disks int  // with the fault
+		slow  bool // a control VM states that its disk is slow
+		waits bool
+	}{
+		{"one stands still", (*waltest.FS).StallSync, 1, true, false},
+		{"two stand still", (*waltest.FS).StallSync, 2, true, true},
+		{"all stand still", (*waltest.FS).StallSync, 3, true, true},
+		{"two fail", (*waltest.FS).FailSync, 2, false, false},
+		{"all fail", (*waltest.FS).FailSync, 3, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+				s := startVersionSystem(ctx, n)
+				setFault := func(on bool) {
+					for _, id := range controls[:tt.disks] {
+						tt.fault(s.disks[id], on)
+					}
+				}
+				setFault(true)
+				wait := s.routers[0].member.Record(streamversion.Record{
+					Key: streamversion.KeyOf("w", "a"), Origin: streamversion.Origin{Service: "models", Version: "v1"}, TTL: time.Minute,
+				})
+				time.Sleep(soon)
+				if held, slow := isClosed(wait.Held), isClosed(wait.DiskIsSlow); held == tt.waits || slow != tt.slow {
+					t.Errorf("after 200 ms: held %t, disk is slow %t, want %t and %t", held, slow, !tt.waits, tt.slow)
+				}
+				setFault(false)
+				time.Sleep(soon)
+				if !isClosed(wait.Held) {
+					t.Error("the record is not held 200 ms after the disks work again")
+				}
+				time.Sleep(5 * time.Second) // files that failed are opened again
+				for _, id := range controls {
+					s.killControl(id)
+				}
+				time.Sleep(time.Second)
+				for _, id := range controls {
+					s.startControl(id)
+				}
+				time.Sleep(time.Second)
+				if got, finding, _ := s.find(1, "a"); finding != streamversion.Found || got != "v1" {
+					t.Errorf("after a restart of all: got version %q, finding %d, want v1", got, finding)
+				}
+			})
+		})
+	}
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against first events that do not wait for their records since this process stood still,
+// and all control VMs look silent to it.
+func TestStallOfTheRouterIsNoSilence(t *testing.T) {
+	s := newRecordSender()
+	lane := &recordLane{}
+	s.lanes["c1"] = lane
+	now := time.Now()
+	for i := range silentMessages + 1 {
+		lane.queue = append(lane.queue, queuedRecord{expires: now.Add(time.Minute), holders: newRecordHolding(1, now)})
+		batch := s.takeBatches(now)["c1"]
+		s.stalled("c1", batch)
+		if lane.silent() || len(lane.queue) != i+1 || lane.underWay != 0 {
+			t.Fatalf("after %d stalls: silent %t, %d records wait, %d messages under way, want %d records that wait", i+1, lane.silent(), len(lane.queue), lane.underWay, i+1)
+		}
+	}
+}
+
 // Guards against a refusal for good while a VM that may hold the record does not answer, and
 // against one that promises that it will be known.
 func TestUnknownStreamVersion(t *testing.T) {
@@ -224,7 +305,7 @@
 	s.lanes["c1"] = lane
 	add := func(n int) {
 		for range n {
-			lane.queue = append(lane.queue, queuedRecord{expires: now.Add(time.Minute), holders: &recordHolding{}})
+			lane.queue = append(lane.queue, queuedRecord{expires: now.Add(time.Minute), holders: newRecordHolding(1, now)})
 		}
 	}
 	add(10)
@@ -250,7 +331,7 @@
 	if len(probe) != 1 || s.takeBatches(now)["c1"] != nil {
 		t.Errorf("got a message of %d records to a silent VM, want 1 and no further one", len(probe))
 	}
-	if !s.answered("c1", probe) || len(s.takeBatches(now)["c1"]) != 13 {
+	if _, wasSilent := s.answered("c1", probe, Synced, now); !wasSilent || len(s.takeBatches(now)["c1"]) != 13 {
 		t.Error("a VM that answers again does not get the other records")
 	}
 }
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -14,21 +14,29 @@
 
 // Origins keeps the records of which version began each stream, on behalf of all VMs.
 type Origins interface {
-	// Record sends a record to other VMs. The returned channel is closed once enough of them
-	// hold it, or none answers.
-	Record(r streamversion.Record) <-chan struct{}
+	// Record sends a record to other VMs.
+	Record(r streamversion.Record) RecordWait
 	// Find asks the VMs that may hold the record of a stream. all is set if every one of them
 	// answered.
 	Find(ctx context.Context, k streamversion.Key) (o streamversion.Origin, f streamversion.Finding, all bool)
 }
 
+// RecordWait follows a record on its way to other VMs.
+type RecordWait struct {
+	// Held is closed once enough VMs have the record on their disks, or no more is to be waited
+	// for.
+	Held <-chan struct{}
+	// DiskIsSlow is closed once a VM that has the record waits for its disk; nil: never.
+	DiskIsSlow <-chan struct{}
+}
+
 // localOrigins is the Origins of a VM without others.
 type localOrigins struct{}
 
-func (localOrigins) Record(streamversion.Record) <-chan struct{} {
+func (localOrigins) Record(streamversion.Record) RecordWait {
 	done := make(chan struct{})
 	close(done)
-	return done
+	return RecordWait{Held: done}
 }
 
 func (localOrigins) Find(context.Context, streamversion.Key) (streamversion.Origin, streamversion.Finding, bool) {
@@ -39,6 +47,9 @@
 	// recordPatience bounds how long a first event waits for the record of its stream. A stream
 	// without one cannot be resumed at another VM while several versions serve.
 	recordPatience = 200 * time.Millisecond
+	// slowDiskPatience bounds it while the disks of control VMs are slow. A stream whose record is
+	// on no disk cannot be resumed after all processes were killed.
+	slowDiskPatience = 1500 * time.Millisecond
 	// findOriginTimeout bounds the search for a record, and findServiceTimeout that for a record
 	// of which only the service may be new.
 	findOriginTimeout  = 400 * time.Millisecond
@@ -236,26 +247,47 @@
 	}
 	record := streamversion.Record{Key: key, Origin: *q.origin, TTL: q.recordTTL()}
 	st.h.origins.Put([]streamversion.Record{record})
-	held := st.h.opts.Origins.Record(record)
+	wait := st.h.opts.Origins.Record(record)
 	if began && st.h.opts.Rollouts.State().HasSeveralVersions(q.service.Name) {
-		st.awaitRecord(held)
+		st.awaitRecord(wait)
 	}
 	return true
 }
 
-// awaitRecord waits until enough other VMs hold the record of the stream.
-func (st *streamRelay) awaitRecord(held <-chan struct{}) {
-	began := time.Now()
+// awaitRecord waits until enough other VMs hold the record of the stream. It waits longer for a slow
+// disk, but not so long that the first event would come late for that.
+func (st *streamRelay) awaitRecord(wait RecordWait) {
+	began, slow := time.Now(), false
+	defer observe(st.h.Stats.RecordWait, began)
+	until := min(slowDiskPatience, time.Until(st.q.dueTime())/2)
 	patience := time.NewTimer(recordPatience)
 	defer patience.Stop()
+	for {
+		select {
+		case <-wait.Held:
+			return
+		case <-st.q.ctx.Done():
+			return
+		case <-patience.C:
+		}
+		if slow || !isClosed(wait.DiskIsSlow) || until <= recordPatience {
+			break
+		}
+		slow = true
+		patience.Reset(until - recordPatience)
+	}
+	st.h.Stats.RecordsLate.Inc()
+	st.h.opts.Log.Warn().Str("request", st.q.RequestID).Bool("disk_is_slow", slow).Msg("version of the stream is not recorded in time; until it is, the stream can be resumed only here")
+}
+
+// isClosed reports whether a channel on which nothing is sent is closed; nil is not.
+func isClosed(ch <-chan struct{}) bool {
 	select {
-	case <-held:
-	case <-patience.C:
-		st.h.Stats.RecordsLate.Inc()
-		st.h.opts.Log.Warn().Str("request", st.q.RequestID).Msg("version of the stream is not recorded in time; until it is, the stream can be resumed only here")
-	case <-st.q.ctx.Done():
+	case <-ch:
+		return true
+	default:
+		return false
 	}
-	observe(st.h.Stats.RecordWait, began)
 }
 
 // waitedForVersion reports whether the stream has waited so long for room at its version that its
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -79,6 +79,7 @@
 type sharedOrigins struct {
 	store  *streamversion.Store
 	delay  time.Duration // until a record is held
+	slow   bool          // a control VM waits for its disk meanwhile
 	silent bool          // a control VM does not answer
 }
 
@@ -86,13 +87,19 @@
 	return &sharedOrigins{store: streamversion.NewStore(nil, "", zerolog.Nop())}
 }
 
-func (o *sharedOrigins) Record(r streamversion.Record) <-chan struct{} {
+func (o *sharedOrigins) Record(r streamversion.Record) forward.RecordWait {
 	done := make(chan struct{})
 	time.AfterFunc(o.delay, func() {
 		o.store.Put([]streamversion.Record{r})
 		close(done)
 	})
-	return done
+	wait := forward.RecordWait{Held: done}
+	if o.slow {
+		isSlow := make(chan struct{})
+		close(isSlow)
+		wait.DiskIsSlow = isSlow
+	}
+	return wait
 }
 
 func (o *sharedOrigins) Find(_ context.Context, k streamversion.Key) (streamversion.Origin, streamversion.Finding, bool) {
@@ -233,16 +240,19 @@
 		name        string
 		delay       time.Duration
 		oneVersion  bool
+		slow        bool          // its disks are slow
 		least, most time.Duration // of the wait
 	}{
-		{"held soon", 20 * time.Millisecond, false, 20 * time.Millisecond, 21 * time.Millisecond},
-		{"held late", time.Second, false, 200 * time.Millisecond, 201 * time.Millisecond},
-		{"one version only", time.Second, true, 0, time.Millisecond},
+		{"held soon", 20 * time.Millisecond, false, false, 20 * time.Millisecond, 21 * time.Millisecond},
+		{"held late", time.Second, false, false, 200 * time.Millisecond, 201 * time.Millisecond},
+		{"one version only", time.Second, true, false, 0, time.Millisecond},
+		{"on a slow disk", time.Second, false, true, time.Second, 1001 * time.Millisecond},
+		{"on a disk that stands still", 10 * time.Second, false, true, 1500 * time.Millisecond, 1501 * time.Millisecond},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				o := newSharedOrigins()
-				o.delay = tt.delay
+				o.delay, o.slow = tt.delay, tt.slow
 				f := newSharedFixture(t, o, mixedEngines()...)
 				defer f.shutDown()
 				if tt.oneVersion {
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"path/filepath"
 	"slices"
@@ -160,7 +161,11 @@
 	set.NewGauge("shelf_decision_rounds_total", func() float64 { return float64(c.hub.Decider().Rounds.Rounds) })
 	set.NewGauge("shelf_decision_round_seconds_total", func() float64 { return c.hub.Decider().Rounds.Busy.Seconds() })
 	set.NewGauge("shelf_decision_round_longest_seconds", func() float64 { return c.hub.Decider().Rounds.Longest.Seconds() })
-	set.NewGauge("shelf_stream_versions", func() float64 { n, _ := c.streamVersions.Stats(); return float64(n) })
+	set.NewGauge("shelf_stream_versions", func() float64 { return float64(c.streamVersions.Stats().Records) })
+	set.NewGauge("shelf_stream_versions_unsynced_total", func() float64 { return float64(c.streamVersions.Stats().Unsynced) })
+	for _, d := range []cluster.Durability{cluster.Synced, cluster.Unsynced, cluster.InMemory} {
+		set.NewGauge(fmt.Sprintf("shelf_record_messages_total{durability=%q}", d), func() float64 { return float64(c.hub.RecordMessages(d)) })
+	}
 	set.NewGauge("shelf_cordons", func() float64 { return float64(len(c.cordons.list(time.Now()))) })
 	set.NewGauge("shelf_backend_list_age_seconds", func() float64 {
 		_, _, age, _ := c.backendList.Current()
--- a/internal/streamversion/store.go
+++ b/internal/streamversion/store.go
@@ -50,14 +50,24 @@
 	written []pendingBatch // to be synced
 	wake    chan struct{}  // something is to be written
 	sync    chan struct{}  // something is to be synced
-	dropped uint64         // records that did not fit
-	loaded  bool           // the folder was read, or there is none
+	stats   StoreStats
+	loaded  bool // the folder was read, or there is none
+	failed  bool // the disk failed, and the file is not open
 }
 
 // pendingBatch waits for a sync.
 type pendingBatch struct {
 	records []Record
-	synced  chan struct{}
+	synced  chan bool // receives whether the records are on disk
+}
+
+// StoreStats counts the records of a Store.
+type StoreStats struct {
+	Records int    // in memory
+	Dropped uint64 // that did not fit
+	// Unsynced counts the batches that a failure of the disk left in memory only, until the file
+	// is opened again.
+	Unsynced uint64
 }
 
 // NewStore returns a Store. With a folder, Run reads and writes it.
@@ -65,16 +75,16 @@
 	return &Store{fs: fs, dir: dir, log: log, table: NewTable(time.Now()), wake: make(chan struct{}, 1), sync: make(chan struct{}, 1), loaded: dir == ""}
 }
 
-// Put adds records. The returned channel is closed once they are synced; nil: they are held in
-// memory only.
-func (s *Store) Put(records []Record) <-chan struct{} {
+// Put adds records. The returned channel receives true once they are synced, or false if they are
+// held in memory only; nil: they are from the start.
+func (s *Store) Put(records []Record) <-chan bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.putLocked(records)
-	if s.dir == "" || len(s.pending) >= maxPendingBatches {
+	if s.dir == "" || s.failed || len(s.pending) >= maxPendingBatches {
 		return nil
 	}
-	synced := make(chan struct{})
+	synced := make(chan bool, 1)
 	s.pending = append(s.pending, pendingBatch{records, synced})
 	raise(s.wake)
 	return synced
@@ -95,7 +105,7 @@
 		if s.table.Put(&records[i], now) {
 			continue
 		}
-		if s.dropped++; s.dropped == 1 {
+		if s.stats.Dropped++; s.stats.Dropped == 1 {
 			s.log.Error().Int("records", s.table.Len()).Msg("records of streams' versions exceed their memory; streams without one cannot be resumed")
 		}
 	}
@@ -115,11 +125,13 @@
 	return origin, finding, nil
 }
 
-// Stats returns the number of records, and how many did not fit.
-func (s *Store) Stats() (records int, dropped uint64) {
+// Stats returns the number of records, and how many were not kept.
+func (s *Store) Stats() StoreStats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Len(), s.dropped
+	out := s.stats
+	out.Records = s.table.Len()
+	return out
 }
 
 // open opens the file and adds its records. A record gets its whole life again: the wall clock,
@@ -180,15 +192,26 @@
 		if ctx.Err() != nil {
 			return
 		}
-		s.log.Warn().Err(err).Msg("records of streams' versions could not be written; they are held in memory")
-		release(s.take(&s.pending))
-		release(s.take(&s.written))
+		s.fail(err)
 		if timer.Sleep(ctx, reopenPause) != nil {
 			return
 		}
 	}
 }
 
+// fail tells those who wait for the disk that their records are held in memory only. The next
+// checkpoint writes them.
+func (s *Store) fail(err error) {
+	s.mu.Lock()
+	s.failed = true
+	batches := append(s.written, s.pending...)
+	s.written, s.pending = nil, nil
+	s.stats.Unsynced += uint64(len(batches))
+	s.mu.Unlock()
+	s.log.Warn().Err(err).Int("batches", len(batches)).Msg("records of streams' versions could not be written; they are held in memory")
+	release(batches, false)
+}
+
 // write opens the file and writes batches until ctx ends or the disk fails.
 func (s *Store) write(ctx context.Context) error {
 	l, err := s.open()
@@ -196,6 +219,9 @@
 		return err
 	}
 	defer l.Close()
+	s.mu.Lock()
+	s.failed = false // before the checkpoint: what comes meanwhile is written after it
+	s.mu.Unlock()
 	if err := s.checkpoint(l); err != nil {
 		return err
 	}
@@ -240,13 +266,12 @@
 			err = l.Write(data)
 		}
 	}
-	if err != nil {
-		release(batches)
-		return 0, err
-	}
 	s.mu.Lock()
 	s.written = append(s.written, batches...)
 	s.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
 	raise(s.sync)
 	return len(data), nil
 }
@@ -257,7 +282,6 @@
 		select {
 		case <-s.sync:
 		case <-ctx.Done():
-			release(s.take(&s.written))
 			return nil
 		}
 		batches, began := s.take(&s.written), time.Now()
@@ -265,7 +289,7 @@
 		if took := time.Since(began); took > slowSync {
 			s.log.Warn().Dur("took", took).Int("batches", len(batches)).Msg("disk syncs records of streams' versions slowly")
 		}
-		release(batches)
+		release(batches, err == nil)
 		if err != nil {
 			return err
 		}
@@ -280,10 +304,10 @@
 	return batches
 }
 
-// release tells those who wait that nothing more is to be waited for.
-func release(batches []pendingBatch) {
+// release tells those who wait whether their records are on disk.
+func release(batches []pendingBatch, synced bool) {
 	for _, b := range batches {
-		close(b.synced)
+		b.synced <- synced
 	}
 }
 
@@ -292,20 +316,15 @@
 	s.mu.Lock()
 	records := s.table.all(time.Now())
 	s.mu.Unlock()
+	var entries [][]byte
 	for first := true; first || len(records) > 0; first = false {
 		n := min(len(records), batchCheckpointRecords)
 		data, err := codec.Marshal(Pack(records[:n]))
 		if err != nil {
 			return err
 		}
+		entries = append(entries, data)
 		records = records[n:]
-		write := l.Append
-		if first {
-			write = l.Checkpoint
-		}
-		if err := write(data); err != nil {
-			return err
-		}
 	}
-	return nil
+	return l.Checkpoint(entries...)
 }
--- a/internal/streamversion/store_test.go
+++ b/internal/streamversion/store_test.go
@@ -194,3 +194,65 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against records that are acknowledged as kept and are in no file after a restart. The disk
+// fails, fills up or is cut off at each of its operations in turn, and the process ends then.
+func TestAcknowledgedRecordsAreOnDisk(t *testing.T) {
+	survives := map[string]func(int) int{
+		"none": func(int) int { return 0 },
+		"half": func(n int) int { return n / 2 },
+		"all":  func(n int) int { return n },
+	}
+	faults := map[string]func(fs *waltest.FS, op int){
+		"cut off": func(fs *waltest.FS, op int) { fs.CrashAt(op) },
+		"syncs fail": func(fs *waltest.FS, op int) {
+			time.AfterFunc(time.Duration(op)*time.Second, func() { fs.FailSync(true) })
+		},
+		"fills up":    func(fs *waltest.FS, op int) { fs.LimitSpace(100 * op) },
+		"fails twice": failTwice,
+	}
+	for fault, begin := range faults {
+		for survival, keep := range survives {
+			t.Run(fault+"/"+survival, func(t *testing.T) {
+				for op := 1; op <= 30; op++ {
+					synctest.Test(t, func(t *testing.T) { testAcknowledged(t, op, begin, keep) })
+				}
+			})
+		}
+	}
+}
+
+// failTwice makes syncs fail, work again and fail again.
+func failTwice(fs *waltest.FS, op int) {
+	at := time.Duration(op) * time.Second
+	for i, fails := range []bool{true, false, true} {
+		time.AfterFunc(at+time.Duration(i)*reopenPause*3/2, func() { fs.FailSync(fails) })
+	}
+}
+
+func testAcknowledged(t *testing.T, op int, begin func(*waltest.FS, int), keep func(int) int) {
+	fs := waltest.New()
+	s, stop := runStore(t, fs)
+	begin(fs, op)
+	var kept []string
+	for i := range 40 {
+		attempt := fmt.Sprint(i)
+		select {
+		case ok := <-s.Put([]Record{record(attempt, v1, time.Hour)}):
+			if ok {
+				kept = append(kept, attempt)
+			}
+		case <-time.After(time.Second):
+		}
+		time.Sleep(time.Second)
+	}
+	fs.Crash(keep) // before stop: nothing is written on the way out
+	stop()
+	fs.FailSync(false)
+	fs.LimitSpace(-1)
+	s, stop = runStore(t, fs)
+	defer stop()
+	for _, attempt := range kept {
+		s.mustFind(t, attempt, v1)
+	}
+}
--- a/internal/wal/frame.go
+++ b/internal/wal/frame.go
@@ -25,7 +25,9 @@
 
 const (
 	kindEntry      kind = 1
-	kindCheckpoint kind = 2 // replaces all frames before it
+	kindCheckpoint kind = 2 // replaces all frames before it but the parts directly before
+	// kindCheckpointPart belongs to the checkpoint that follows, and counts for nothing without.
+	kindCheckpointPart kind = 3
 )
 
 type frame struct {
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -72,12 +72,16 @@
 }
 
 func payloads(frames []frame) [][]byte {
-	var out [][]byte
+	var out, parts [][]byte
 	for _, f := range frames {
-		if f.kind == kindCheckpoint {
-			out = nil
+		switch f.kind {
+		case kindCheckpointPart:
+			parts = append(parts, f.payload)
+			continue
+		case kindCheckpoint:
+			out = parts
 		}
-		out = append(out, f.payload)
+		out, parts = append(out, f.payload), nil
 	}
 	return out
 }
@@ -234,20 +238,32 @@
 	return nil
 }
 
-// Checkpoint replaces the content of the log by payload and removes the old segments.
-// The payload is durable once Checkpoint returns nil.
-func (l *Log) Checkpoint(payload []byte) error {
+// Checkpoint replaces the content of the log by the payloads and removes the old segments.
+// The payloads are durable once Checkpoint returns nil. A crash before leaves the former content
+// or the payloads.
+func (l *Log) Checkpoint(payloads ...[]byte) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.rotate(); err != nil {
 		return err
 	}
-	if err := l.write(frame{kind: kindCheckpoint, payload: payload}); err != nil {
+	if err := l.writeCheckpoint(payloads); err != nil {
 		return err
 	}
 	return l.removeOldSegments()
 }
 
+// writeCheckpoint writes and syncs the frames of a checkpoint. The last one puts it in force.
+func (l *Log) writeCheckpoint(payloads [][]byte) error {
+	last := len(payloads) - 1
+	for _, payload := range payloads[:last] {
+		if err := l.writeFrame(frame{kind: kindCheckpointPart, payload: payload}); err != nil {
+			return err
+		}
+	}
+	return l.write(frame{kind: kindCheckpoint, payload: payloads[last]})
+}
+
 // removeOldSegments removes all segments but the last. It starts with the oldest one,
 // so a crash in between leaves no gap.
 func (l *Log) removeOldSegments() error {
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -249,3 +249,32 @@
 		t.Fatalf("after another crash: got entries %q, error %v, want the checkpoint, d and e", entries, err)
 	}
 }
+
+// Guards against a checkpoint of several entries that a crash leaves in part: the former entries
+// are gone, and some of those that replace them are missing.
+func TestCheckpointOfSeveralEntries(t *testing.T) {
+	for op := 1; ; op++ {
+		fs := waltest.New()
+		l, _, err := wal.Open(fs, dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.Append([]byte("former")); err != nil {
+			t.Fatal(err)
+		}
+		fs.CrashAt(op)
+		err = l.Checkpoint([]byte("a"), []byte("b"), []byte("c"))
+		done := !fs.Crashed()
+		for _, keep := range []func(int) int{nil, func(n int) int { return n / 2 }, func(n int) int { return n }} {
+			fs.Crash(keep)
+			_, entries, errOpen := wal.Open(fs, dir)
+			got := strings.Join(contents(entries), " ")
+			if errOpen != nil || got != "a b c" && (got != "former" || err == nil) {
+				t.Fatalf("crash at operation %d: got entries %q, error %v, want those of the checkpoint or, if it failed, the former one", op, got, errOpen)
+			}
+		}
+		if done {
+			return
+		}
+	}
+}
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -36,7 +36,8 @@
 	crashAt        int // 0 means never
 	crashed        bool
 	failSync       bool
-	remainingBytes int // bytes that can still be written; negative means no limit
+	stalled        chan struct{} // syncs wait until it is closed; nil: they do not
+	remainingBytes int           // bytes that can still be written; negative means no limit
 }
 
 // New returns an empty FS without injected failures.
@@ -59,6 +60,29 @@
 	f.failSync = on
 }
 
+// StallSync makes every sync of a file wait while on is true.
+func (f *FS) StallSync(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case on && f.stalled == nil:
+		f.stalled = make(chan struct{})
+	case !on && f.stalled != nil:
+		close(f.stalled)
+		f.stalled = nil
+	}
+}
+
+// awaitSync waits while syncs are stalled.
+func (f *FS) awaitSync() {
+	f.mu.Lock()
+	stalled := f.stalled
+	f.mu.Unlock()
+	if stalled != nil {
+		<-stalled
+	}
+}
+
 // LimitSpace sets the number of bytes that can still be written; negative means no
 // limit. Writes beyond it fail with ErrFull.
 func (f *FS) LimitSpace(bytes int) {
@@ -249,6 +273,7 @@
 
 // Sync implements wal.File.
 func (f *file) Sync() error {
+	f.fs.awaitSync()
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	if err := f.fs.countOperation(); err != nil {
