--- a/cmd/amaranthshelfd/soak_clients_test.go
+++ b/cmd/amaranthshelfd/soak_clients_test.go
@@ -58,6 +58,7 @@
 	acknowledged atomic.Uint64
 	ordered      atomic.Bool // whether a roll-out was acknowledged
 	cordoned     sync.Map    // paths of cordons that an operator has ordered and not ended
+	states       callerStates
 
 	mu          sync.Mutex
 	votes       []vote
@@ -116,6 +117,8 @@
 // streamCaller requests one stream after the other, on one of the two routes. When a stream
 // breaks off, it requests the rest from a random router.
 func (w *soakClients) streamCaller(ctx context.Context, workspace, caller int, rng *rand.Rand) {
+	name := fmt.Sprint("stream caller ", caller)
+	defer w.states.end(name)
 	for n := 0; ctx.Err() == nil; n++ {
 		path := fmt.Sprintf("/%s/%d-%d", []string{"s", "b"}[rng.IntN(2)], caller, n)
 		var ids []int
@@ -126,6 +129,7 @@
 				Addr: w.s.callers[rng.IntN(soakRouters)], Path: path, ID: fmt.Sprint(path[3:], "-", try),
 				Key: soakWorkspaces[workspace].key(), After: len(ids), FirstAttempt: origin.named(w.s.mixed, caller),
 			}
+			w.states.set(name, fmt.Sprintf("try %d of stream %s at %s after %d events", try, path, q.Addr, len(ids)))
 			sentAt := time.Now()
 			got, err := q.Do(w.t.Context())
 			ids = append(ids, got.EventIDs...)
@@ -142,7 +146,9 @@
 				ids, origin = nil, streamOrigin{}
 			}
 			if !complete {
-				_ = timer.Sleep(w.t.Context(), retryPause+got.Refusal.RetryAfter)
+				pause := retryPause + got.Refusal.RetryAfter
+				w.states.set(name, fmt.Sprintf("waits %v after try %d of stream %s, status %d, refusal %+v", pause, try, path, got.Status, got.Refusal))
+				_ = timer.Sleep(w.t.Context(), pause)
 			}
 		}
 		if !complete || !routedlocal.HasAllEvents(ids, soakEvents) {
@@ -169,8 +175,11 @@
 
 // voteCaller sends one vote after the other without retries.
 func (w *soakClients) voteCaller(ctx context.Context, caller int, rng *rand.Rand) {
+	name := fmt.Sprint("vote caller ", caller)
+	defer w.states.end(name)
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("v%d-%d", caller, n)
+		w.states.set(name, "vote "+id)
 		v := w.vote(w.s.callers[rng.IntN(soakRouters)], "/vote/x", id)
 		w.locked(func() { w.votes = append(w.votes, v) })
 		_ = timer.Sleep(ctx, randomDuration(rng, 40*time.Millisecond))
--- a/cmd/amaranthshelfd/soak_test.go
+++ b/cmd/amaranthshelfd/soak_test.go
@@ -230,7 +230,7 @@
 	s.inject(plan)
 	faultsEnded := time.Now()
 	cancel()
-	w.wg.Wait()
+	w.awaitCallers()
 	lastAnswerDelay := time.Since(faultsEnded)
 	w.waitAllServe(w.acknowledged.Load())
 	w.checkVotes()
