forward: the Retry-After of held content does not exceed the request's deadline

What callers saw: a request of a content that is held back was told to return in 30 s, ten minutes or an hour, with seconds left.

Cause: the end of the hold was passed on; nobody compared it with the deadline.

Fix: no time is named if the deadline is earlier. The refusal stays 'not run'.

--- a/internal/forward/content_trial.go
+++ b/internal/forward/content_trial.go
@@ -111,10 +111,21 @@
 	if standing <= recovery.ContentSuspect {
 		return 0, true
 	}
-	q.setRetryAfter(max(noGranterRetryAfter, time.Until(until)))
+	q.setRetryAfter(q.retryAt(until))
 	return 0, false
 }
 
+// retryAt returns the Retry-After of a request whose content is held until a time; 0: none, since
+// the request's deadline is earlier. A content may be held for an hour, and a caller that waits as
+// it is told would hang for as long.
+func (q *request) retryAt(until time.Time) time.Duration {
+	wait := max(noGranterRetryAfter, time.Until(until))
+	if wait > q.left() {
+		return 0
+	}
+	return wait
+}
+
 // holdUntil returns until when a request may wait for a trial of its content. No other VM can serve
 // it earlier. A request that may run once is held no longer than for a server.
 func (q *request) holdUntil() time.Time {
--- a/internal/forward/crashing_content_test.go
+++ b/internal/forward/crashing_content_test.go
@@ -111,3 +111,30 @@
 		}
 	})
 }
+
+// Guards against callers that sleep for as long as a content is held, minutes or an hour, although
+// their request has seconds left.
+func TestHeldContentNamesNoLateRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ended atomic.Int64
+		f := newFixture(t, crashers(12, 46*time.Millisecond, &ended, func(s *routedengine.Server) { s.Set(routedengine.Dead) })...)
+		defer f.shutDown()
+		held := 0
+		for i := range 20 {
+			sent := time.Now()
+			a := f.send("GET", "/tally/crash", fmt.Sprint("c", i), "")
+			<-a.done
+			if a.status == http.StatusServiceUnavailable {
+				held++
+			}
+			retryAfter, _ := time.ParseDuration(a.header.Get("Retry-After") + "s")
+			if left := 3*time.Second - time.Since(sent); retryAfter > left+time.Second { // whole seconds
+				t.Errorf("call %d got Retry-After %v with %v left", i, retryAfter, left)
+			}
+			time.Sleep(3 * time.Second)
+		}
+		if held < 10 {
+			t.Errorf("%d of 20 calls were refused as not run, want most of them", held)
+		}
+	})
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -429,7 +429,7 @@
 	q.outbound = upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: body}
 	q.digest = digest(rawPath(r), q.workspace, body)
 	if standing, until := h.opts.SuspectContents.Standing(q.digest); standing == recovery.ContentHeld {
-		return result.New(result.ContentHeldBack).WithRetryAfter(time.Until(until))
+		return result.New(result.ContentHeldBack).WithRetryAfter(q.retryAt(until))
 	}
 	return nil
 }
