forward: the probes of a dead server wait for a second

Cause: the time-out of probes for which requests wait was used for those for which none does.

Change: a probe of a dead server has one second. Requests that wait for a probe do not join such a one.

--- a/internal/forward/dead_servers.go
+++ b/internal/forward/dead_servers.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// deadProbeTimeout bounds the probe of a dead server, for which nobody waits. A server that was
+// judged dead by mistake may be busy with the requests of other VMs.
+const deadProbeTimeout = time.Second
+
 // deadProbeTick is how often the handler looks for dead servers that are due for a probe.
 const deadProbeTick = 50 * time.Millisecond
 
@@ -26,7 +30,7 @@
 		due, more := d.h.opts.Fleet.DeadProbesDue()
 		for _, s := range due {
 			d.h.Stats.Probes.Inc()
-			go d.h.noteProbe(s)
+			go d.h.noteProbe(s, d.h.prober.startWithin(s, deadProbeTimeout))
 		}
 		if !more {
 			break
--- a/internal/forward/hand_off.go
+++ b/internal/forward/hand_off.go
@@ -71,12 +71,11 @@
 func (h *Handler) ProbeService(service string) {
 	if s := h.opts.Fleet.AnyServer(service); s != nil {
 		h.Stats.Probes.Inc()
-		go h.noteProbe(s)
+		go h.noteProbe(s, h.prober.start(s))
 	}
 }
 
-func (h *Handler) noteProbe(s *upstream.Server) {
-	p := h.prober.start(s)
+func (h *Handler) noteProbe(s *upstream.Server, p *probe) {
 	<-p.done
 	if !p.alive && !p.withheld {
 		h.opts.Fleet.Unanswered(s)
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -28,7 +28,13 @@
 	contents *SuspectContents
 
 	mu       sync.Mutex
-	inFlight map[string]*probe
+	inFlight map[probeKey]*probe
+}
+
+// probeKey keeps those who wait for a short probe from joining a long one.
+type probeKey struct {
+	server  string
+	timeout time.Duration
 }
 
 // probe is a check of one server. Its result is valid once done is closed.
@@ -51,24 +57,26 @@
 }
 
 func newProber(engines *engineCaller, o *Options) *prober {
-	return &prober{engines: engines, fleet: o.Fleet, wire: o.Wire, contents: o.SuspectContents, inFlight: map[string]*probe{}}
+	return &prober{engines: engines, fleet: o.Fleet, wire: o.Wire, contents: o.SuspectContents, inFlight: map[probeKey]*probe{}}
 }
 
 // start begins a probe of a server, or joins the one in flight.
-func (p *prober) start(s *upstream.Server) *probe {
+func (p *prober) start(s *upstream.Server) *probe { return p.startWithin(s, probeTimeout) }
+
+func (p *prober) startWithin(s *upstream.Server, timeout time.Duration) *probe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if running := p.inFlight[s.ID]; running != nil {
+	if running := p.inFlight[probeKey{s.ID, timeout}]; running != nil {
 		return running
 	}
 	started := &probe{done: make(chan struct{})}
-	p.inFlight[s.ID] = started
-	go p.runProbe(s, started)
+	p.inFlight[probeKey{s.ID, timeout}] = started
+	go p.runProbe(s, started, timeout)
 	return started
 }
 
-func (p *prober) runProbe(s *upstream.Server, pr *probe) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+func (p *prober) runProbe(s *upstream.Server, pr *probe, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	pr.probeResult = p.probeUntilAnswered(ctx, s)
 	switch {
@@ -79,7 +87,7 @@
 		p.fleet.MarkStale(s)
 	}
 	p.mu.Lock()
-	delete(p.inFlight, s.ID)
+	delete(p.inFlight, probeKey{s.ID, timeout})
 	p.mu.Unlock()
 	close(pr.done)
 }
