callqueue: servers that bear few refusals get no more calls than they have room for

Cause: each VM knows of the others' calls after some hundred milliseconds, and sends what it has; a burst, or a server that is back, gets the calls of all.

Fix: the statement is read for each answer and belongs to the incarnation. All calls of the service are granted by a control VM, one beyond the slots at most, fewer after refusals, none after half of those that the server bears. VMs without a grant share the slots and pause after a refusal.

Streams rely on the scheduler's slots, with no test of their own.

--- a/internal/backpressure/server.go
+++ b/internal/backpressure/server.go
@@ -66,6 +66,7 @@
 	pausedUntil time.Time // latest end of a pause that the server asked for; zero: ended or none
 	leaving     bool
 	ramp        ramp // after the end of a limit or a pause
+	rejections  rejections
 
 	sends     uint64            // under a rate limit
 	byGranter map[string]uint64 // sends by the control VM that permitted them
@@ -84,16 +85,18 @@
 	PauseLearned
 	PauseEnded
 	LeavingLearned
+	FragilityLearned
+	FragilityEnded
 )
 
 // String implements fmt.Stringer.
 func (c Change) String() string {
-	return [...]string{"unchanged", "rate limit learned", "rate limit changed", "rate limit ended", "server asks for a pause", "pause ended", "server states that it leaves"}[c]
+	return [...]string{"unchanged", "rate limit learned", "rate limit changed", "rate limit ended", "server asks for a pause", "pause ended", "server states that it leaves", "server states a rejection limit", "rejection limit ended"}[c]
 }
 
 // Blank reports whether nothing is known of the server and nothing was sent under a limit.
 func (s *Server) Blank() bool {
-	return s.limit.NamedAt.IsZero() && s.pausedUntil.IsZero() && !s.leaving && s.sends == 0 && s.ramp.start.IsZero()
+	return s.limit.NamedAt.IsZero() && s.pausedUntil.IsZero() && !s.leaving && s.sends == 0 && s.ramp.start.IsZero() && s.rejections.limit.NamedAt.IsZero()
 }
 
 // Learn takes what an answer states. sent is when its request was sent, and vms the number of
@@ -106,6 +109,9 @@
 	if c := s.setPause(st.Pause.For, now); c != Unchanged {
 		out = append(out, c)
 	}
+	if c := s.learnRejections(st.Rejections, sent, now); c != Unchanged {
+		out = append(out, c)
+	}
 	if st.Leaving && s.LearnLeaving() != Unchanged {
 		out = append(out, LeavingLearned)
 	}
--- a/internal/backpressure/statement.go
+++ b/internal/backpressure/statement.go
@@ -8,7 +8,10 @@
 // Statement is what a server states about itself in the head of an answer.
 type Statement struct {
 	Limit LimitStatement
-	Pause PauseStatement
+	// Rejections states, as Rate, how many requests the server can refuse in a second without
+	// ending.
+	Rejections LimitStatement
+	Pause      PauseStatement
 	// Leaving states that the server ends soon and takes no new work.
 	Leaving bool
 }
--- a/internal/callqueue/accounts.go
+++ b/internal/callqueue/accounts.go
@@ -43,6 +43,7 @@
 	Ended       map[string]Ended
 	Stated      map[string]Stated
 	Avoid       []string
+	Rejections  map[string]Rejections
 }
 
 // Ended sums the calls that have ended since the last report.
@@ -68,6 +69,7 @@
 	callTime   time.Duration // mean at its usual speed; 0: unknown
 	avoidedBy  map[string]time.Time
 	finish     time.Duration // finishTime at the time of the last free
+	fragility  fragility
 }
 
 // router is the account of one router.
@@ -174,6 +176,12 @@
 			server.learn(st, now)
 		}
 	}
+	for id, r := range report.Rejections {
+		if server := s.byID[id]; server != nil {
+			server.fragility.learn(r, max(1, server.Slots), now)
+			s.noteFragile(now)
+		}
+	}
 	for _, id := range report.Avoid {
 		if server := s.byID[id]; server != nil {
 			server.avoidedBy[vm] = now
--- a/internal/callqueue/callqueue.go
+++ b/internal/callqueue/callqueue.go
@@ -85,6 +85,9 @@
 	callTime  time.Duration
 	objective time.Duration // of the last request
 	sweptAt   time.Time
+	// fragileAt is when a server was last known to state a rejection limit, and fragileSince when the
+	// first of an unbroken series of statements came. The other servers state one, too.
+	fragileAt, fragileSince time.Time
 	// serversChanged is set if the servers have changed since sweptAt.
 	serversChanged bool
 	expiredAt      time.Time
--- a/internal/callqueue/estimate.go
+++ b/internal/callqueue/estimate.go
@@ -35,8 +35,11 @@
 }
 
 // window returns how many calls a server takes from all routers together.
-func (v *server) window(s *service) float64 {
+func (v *server) window(s *service, now time.Time) float64 {
 	slots, t := float64(max(1, v.Slots)), s.timeAt(v)
+	if s.isFragile(now) {
+		return s.fragileWindow(v, now)
+	}
 	if t <= 0 {
 		return slots + 1
 	}
@@ -48,7 +51,7 @@
 func (s *service) free(now time.Time) []*server {
 	var out []*server
 	for _, v := range s.servers {
-		if !v.avoided() && v.load(now, s)+1 <= v.window(s) {
+		if !v.avoided() && !v.fragility.paused(now) && v.load(now, s)+1 <= v.window(s, now) {
 			v.finish = v.finishTime(now, s)
 			out = append(out, v)
 		}
--- a/internal/cluster/call_grants.go
+++ b/internal/cluster/call_grants.go
@@ -41,6 +41,9 @@
 	// LastGrant is the last grant of the receiver that InFlight includes.
 	LastGrant uint64   `cbor:"14,keyasint,omitempty"`
 	Avoid     []string `cbor:"15,keyasint,omitempty"` // servers that the router cannot use
+	// Rejections are the limits of servers that end if they have to refuse many calls, for a control
+	// VM that has not been asked before.
+	Rejections map[string]ServerRejections `cbor:"17,keyasint,omitempty"`
 }
 
 // versions returns the versions of the servers that may run the call.
@@ -80,6 +83,14 @@
 	DoneMS map[string]float64    `cbor:"7,keyasint,omitempty"`
 	Stated map[string]StatedLoad `cbor:"8,keyasint,omitempty"`
 	Left   []string              `cbor:"9,keyasint,omitempty"` // waiting calls that need no decision any more
+	// Rejections are those of servers that end if they have to refuse many calls.
+	Rejections map[string]ServerRejections `cbor:"10,keyasint,omitempty"`
+}
+
+// ServerRejections is a callqueue.Rejections.
+type ServerRejections struct {
+	Limit float64 `cbor:"1,keyasint"`
+	Count int     `cbor:"2,keyasint,omitempty"`
 }
 
 // StatedLoad is the load that a server stated in an answer.
@@ -101,13 +112,21 @@
 
 // report returns the part of a request that reports the router's calls.
 func (r *CallGrantRequest) report() *callqueue.Report {
-	return &callqueue.Report{Incarnation: r.Incarnation, Seq: r.Seq, LastGrant: r.LastGrant, InFlight: r.InFlight, Avoid: r.Avoid}
+	return &callqueue.Report{Incarnation: r.Incarnation, Seq: r.Seq, LastGrant: r.LastGrant, InFlight: r.InFlight, Avoid: r.Avoid, Rejections: decodeRejections(r.Rejections)}
+}
+
+func decodeRejections(rejections map[string]ServerRejections) map[string]callqueue.Rejections {
+	out := make(map[string]callqueue.Rejections, len(rejections))
+	for id, r := range rejections {
+		out[id] = callqueue.Rejections(r)
+	}
+	return out
 }
 
 func (d *CallDone) report() *callqueue.Report {
 	out := &callqueue.Report{
 		Incarnation: d.Incarnation, Seq: d.Seq, LastGrant: d.LastGrant, InFlight: d.InFlight,
-		Ended: map[string]callqueue.Ended{}, Stated: map[string]callqueue.Stated{},
+		Ended: map[string]callqueue.Ended{}, Stated: map[string]callqueue.Stated{}, Rejections: decodeRejections(d.Rejections),
 	}
 	for id, n := range d.Done {
 		out.Ended[id] = callqueue.Ended{Calls: n, Time: time.Duration(d.DoneMS[id] * float64(time.Millisecond))}
--- a/internal/cluster/call_grants_client.go
+++ b/internal/cluster/call_grants_client.go
@@ -33,6 +33,9 @@
 	// reportCallsFor is how long calls are reported after the last request for a server. The
 	// control VM forgets a silent router after it.
 	reportCallsFor = 1100 * time.Millisecond
+	// newGranterTime is how long a control VM is told the rejection limits of servers with each
+	// request after the first, and how long they are worth it.
+	newGranterTime = time.Second
 	// callDoneTimeout bounds one report of calls.
 	callDoneTimeout = 300 * time.Millisecond
 )
@@ -59,7 +62,8 @@
 
 // serviceCalls are this VM's calls to one service.
 type serviceCalls struct {
-	granter     string // that was asked last
+	granter     string    // that was asked last
+	granterFrom time.Time // when it was asked first
 	askedAt     time.Time
 	askAllUntil time.Time
 	seq         uint64
@@ -71,6 +75,10 @@
 	stated map[string]statedLoad
 	left   []string
 	isNews bool
+	// rejections are those of the servers that state a rejection limit.
+	rejections map[string]ServerRejections
+	limits     map[string]ServerRejections // the last ones of all of these servers
+	limitsAt   time.Time
 }
 
 type statedLoad struct {
@@ -87,7 +95,7 @@
 func (c *callClient) service(name string) *serviceCalls {
 	s := c.services[name]
 	if s == nil {
-		s = &serviceCalls{lastGrants: map[string]uint64{}, inFlight: map[string]int{}}
+		s = &serviceCalls{lastGrants: map[string]uint64{}, inFlight: map[string]int{}, limits: map[string]ServerRejections{}}
 		s.clearNews()
 		c.services[name] = s
 	}
@@ -102,6 +110,7 @@
 
 func (s *serviceCalls) clearNews() {
 	s.done, s.doneMS, s.stated, s.left, s.isNews = map[string]int{}, map[string]float64{}, map[string]statedLoad{}, nil, false
+	s.rejections = map[string]ServerRejections{}
 }
 
 // GrantCall implements forward.CallGrants.
@@ -180,16 +189,33 @@
 	w := &waitingCall{call.Service, make(chan callqueue.Answer, 4)} // a few changes of the stated time and the decision
 	c.waiting[id] = w
 	s := c.service(call.Service)
-	s.granter, s.askedAt = granter, time.Now()
+	s.asked(granter, time.Now())
 	s.seq++
 	return &CallGrantRequest{
 		ID: id, Service: call.Service, Workspace: call.Workspace, Priority: call.Priority, Exclude: call.Exclude, Versions: call.Versions, Version: soleVersion(call.Versions),
 		DueMS: time.Until(call.Due).Milliseconds(), DeadlineMS: time.Until(call.Deadline).Milliseconds(),
 		ExpectedMS: call.Expected.Milliseconds(), ObjectiveMS: call.Objective.Milliseconds(),
 		InFlight: maps.Clone(s.inFlight), Seq: s.seq, LastGrant: s.lastGrants[granter], Avoid: avoid,
+		Rejections: s.limitsFor(time.Now()),
 	}, w
 }
 
+// asked notes that a control VM is asked for a server.
+func (s *serviceCalls) asked(granter string, now time.Time) {
+	if s.granter != granter {
+		s.granterFrom = now
+	}
+	s.granter, s.askedAt = granter, now
+}
+
+// limitsFor returns the rejection limits of servers for a control VM that may not know them.
+func (s *serviceCalls) limitsFor(now time.Time) map[string]ServerRejections {
+	if now.Sub(s.granterFrom) > newGranterTime || now.Sub(s.limitsAt) > newGranterTime {
+		return nil
+	}
+	return maps.Clone(s.limits)
+}
+
 // learn takes the answer to a request.
 func (c *callClient) learn(granter, service string, a *callqueue.Answer) {
 	c.mu.Lock()
@@ -297,6 +323,11 @@
 	if e.Load != nil {
 		s.stated[server] = statedLoad{e.Load.Requests, e.Load.Slowdown, time.Now()}
 	}
+	if r := e.Rejections; r != nil {
+		s.rejections[server] = ServerRejections{r.Limit, s.rejections[server].Count + r.Count}
+		s.limits[server] = ServerRejections{Limit: r.Limit}
+		s.limitsAt = time.Now()
+	}
 	if e.Time > 0 {
 		s.done[server]++
 		s.doneMS[server] += usualTime(&e).Seconds() * 1000
@@ -361,7 +392,7 @@
 		s.seq++
 		report := &CallDone{
 			Seq: s.seq, Service: name, LastGrant: s.lastGrants[s.granter], InFlight: maps.Clone(s.inFlight),
-			Done: s.done, DoneMS: s.doneMS, Left: s.left, Stated: map[string]StatedLoad{},
+			Done: s.done, DoneMS: s.doneMS, Left: s.left, Stated: map[string]StatedLoad{}, Rejections: s.rejections,
 		}
 		for id, st := range s.stated {
 			report.Stated[id] = StatedLoad{st.requests, st.slowdown, time.Since(st.at).Milliseconds()}
--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -77,7 +77,9 @@
 		}))
 	}
 	for _, id := range controls {
-		startHub(ctx, n, id, controls)
+		h := startHub(ctx, n, id, controls)
+		h.hub.SetBackends(upstream.List{Backends: s.servers.Backends(), AsOf: time.Now()})
+		go h.hub.Run(ctx)
 	}
 	for range routers {
 		s.addRouter()
@@ -142,7 +144,7 @@
 	})
 	r.handler = forward.NewHandler(forward.Options{
 		Zone: zone, Wire: forward.NewPlainWire(), Pool: pool, Fleet: r.fleet, Routes: func() *routes.Table { return table }, ListsReady: ready,
-		Permits: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(transport, r.member.Relays, zerolog.Nop()), RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
+		Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(transport, r.member.Relays, zerolog.Nop()), RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
 		SuspectContents: r.contents, Closing: func() bool { return false },
 		CannotFinish: func(bool, time.Duration) bool { return false },
 	})
@@ -150,6 +152,7 @@
 	r.stop = stop
 	handoff.NewServer(ctx, transport, r.handler, func(service string) bool { return r.fleet.Reaches(service) && r.hears(service) }, zerolog.Nop())
 	go r.member.Run(ctx)
+	go r.member.RunCallReports(ctx)
 	go r.probeLostServices(ctx)
 	return r
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -126,6 +126,13 @@
 			}
 			return choice, code
 		}
+		if !h.mayDecideAlone(&servers, &candidates) {
+			if !h.holdForRoom(q) {
+				return serverChoice{}, result.DeadlineTooSoon
+			}
+			continue
+		}
+		i, load = placement.ChooseServer(candidates, h.opts.Zone, rand.IntN)
 		w := admission.CallWait{Load: load, ServiceTime: h.opts.Fleet.ServiceTime(servers[i]), Objective: q.route.Objective, Held: time.Since(q.arrived)}
 		switch w.Decide() {
 		case admission.HoldCall:
@@ -150,6 +157,19 @@
 	}
 }
 
+// mayDecideAlone removes the servers to which this VM may send nothing without a grant, and reports
+// whether any is left.
+func (h *Handler) mayDecideAlone(servers *[]*upstream.Server, candidates *[]placement.CallCandidate) bool {
+	*servers, *candidates = upstream.WithoutUngranted(h.opts.Fleet, *servers, *candidates)
+	return len(*servers) > 0
+}
+
+// holdForRoom waits for room at a server, if the call may be held for it.
+func (h *Handler) holdForRoom(q *request) bool {
+	hold := time.Duration(maxHoldShare * float64(q.dueTime().Sub(q.arrived)))
+	return time.Since(q.arrived) < hold && timer.Sleep(q.ctx, callHoldInterval) == nil
+}
+
 // holdUntilAccepted waits until one of the withheld servers accepts requests again, if the call
 // may be held that long. Otherwise it sets when the caller may retry. It returns false at
 // once if no server is withheld.
--- a/internal/forward/call_grants.go
+++ b/internal/forward/call_grants.go
@@ -33,6 +33,9 @@
 	Time  time.Duration  // until the answer; 0: none came
 	Slots int            // of the server
 	Load  *upstream.Load // that the server stated in the answer; nil: none
+	// Rejections is what the server states of its refusals, and whether it refused this call; nil:
+	// it states nothing.
+	Rejections *callqueue.Rejections
 }
 
 // localCallGrants are the CallGrants of a VM without control VMs. It grants nothing.
@@ -48,7 +51,7 @@
 // grantsCalls reports whether the calls of a request's service are granted over all VMs.
 func (h *Handler) grantsCalls(q *request) bool {
 	table := h.opts.Routes()
-	return table != nil && table.RanksAnyStreams() || h.opts.Fleet.StatesSlowdown(q.service.Name)
+	return table != nil && table.RanksAnyStreams() || h.opts.Fleet.StatesSlowdown(q.service.Name) || h.opts.Fleet.IsFragile(q.service.Name)
 }
 
 // asksForGrant reports whether a server must be requested for a call that would meet a load
@@ -59,7 +62,7 @@
 	case q.withoutGrant, q.route.Objective <= 0, q.versionChoice.ServerShare > 0, !h.grantsCalls(q):
 		return false
 	}
-	return load > 1 || h.opts.CallGrants.AsksForAll(q.service.Name)
+	return load > 1 || h.opts.CallGrants.AsksForAll(q.service.Name) || h.opts.Fleet.IsFragile(q.service.Name)
 }
 
 // grantCall requests a server for a call. It returns false if this VM must decide by itself.
@@ -80,10 +83,18 @@
 		q.setRetryAfter(a.After)
 		return serverChoice{}, result.DeadlineTooSoon, true
 	}
+	if !ok && q.grantRequests < maxGrantRequests && h.opts.Fleet.IsFragile(q.service.Name) {
+		q.grantRequests++
+		return serverChoice{}, 0, false // from the next control VM
+	}
 	h.decideWithoutGrant(q)
 	return serverChoice{}, 0, false
 }
 
+// maxGrantRequests bounds the control VMs that are asked for a grant of a server that ends if it
+// has to refuse many calls.
+const maxGrantRequests = 3
+
 // decideWithoutGrant makes this VM decide about a call by its own view.
 func (h *Handler) decideWithoutGrant(q *request) {
 	q.withoutGrant = true
@@ -169,6 +180,12 @@
 		if r.outcome == sendAnswered {
 			e.Time, e.Load = took, r.answer.Load
 		}
+		if limit, fragile := h.opts.Fleet.RejectionLimit(c.server); fragile {
+			e.Rejections = &callqueue.Rejections{Limit: limit}
+			if r.outcome == sendRefused && !r.answer.WrongInstance {
+				e.Rejections.Count = 1
+			}
+		}
 		grants.EndCall(q.service.Name, c.server.ID, e)
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -262,10 +262,11 @@
 	budget        *Budget
 	versionChoice rollout.Choice
 	// origin is the service and version that began the stream; nil: it has not begun.
-	origin       *streamversion.Origin
-	trial        *contentTrial     // of the content, if it is suspect; nil: it has none
-	deathChecks  []<-chan struct{} // of the servers that broke off an answer; closed once the result is known
-	withoutGrant bool              // the servers of this call are chosen by this VM's own view
+	origin        *streamversion.Origin
+	trial         *contentTrial     // of the content, if it is suspect; nil: it has none
+	deathChecks   []<-chan struct{} // of the servers that broke off an answer; closed once the result is known
+	grantRequests int               // that no control VM answered
+	withoutGrant  bool              // the servers of this call are chosen by this VM's own view
 	// retryAfterSet is set if the refusal of the request came with a retryAfter. There, 0
 	// means that a retry is of no use.
 	retryAfterSet bool
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -30,6 +30,7 @@
 	Load         string
 	InstanceID   string // the incarnation that answers; servers need not state it
 	RateLimit    string // requests per second that the server accepts from all VMs together
+	Rejections   string // requests that the server can refuse in a second without ending
 	Leaving      string // true or 1: the server ends soon and takes no new work
 	FirstAttempt string // id of the attempt that brought the first event of the stream to which the caller reconnects
 	// Reserved are further headers of requests to engines that only the system may set.
@@ -134,6 +135,7 @@
 		NotRun: moved || len(h.Values(n.NotRun)) > 0, WrongInstance: moved, Load: load, LoadUnreadable: unreadable,
 		Instance: h.Get(n.InstanceID), Statement: backpressure.Statement{
 			Limit: backpressurehttp.ReadLimit(h.Values(n.RateLimit)), Pause: backpressurehttp.ReadPause(status, h), Leaving: backpressurehttp.ReadLeaving(h.Values(n.Leaving)),
+			Rejections: backpressurehttp.ReadLimit(h.Values(n.Rejections)),
 		},
 	}
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -158,7 +158,9 @@
 	for id := range st.skip {
 		out.ExcludedEngines = append(out.ExcludedEngines, id)
 	}
+	out.ExcludedEngines = append(out.ExcludedEngines, st.h.opts.Fleet.Refusing(q.service.Name)...)
 	slices.Sort(out.ExcludedEngines)
+	out.ExcludedEngines = slices.Compact(out.ExcludedEngines)
 	if s := st.h.opts.Fleet.At(q.service.Name, st.orphanEngine); s != nil && slices.Contains(versions, s.Version) {
 		out.CachedEngine = s.ID
 	}
@@ -219,6 +221,7 @@
 			// The engines of a zone fail together, before this VM has seen more than one of them die.
 			candidates[i].Avoid = candidates[i].Avoid || candidates[i].Zone == st.lostZone
 		}
+		servers, candidates = upstream.WithoutUngranted(st.h.opts.Fleet, servers, candidates)
 		if i := placement.ChooseEngine(candidates, st.need, rand.IntN); i >= 0 {
 			return servers[i]
 		}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -24,9 +24,10 @@
 	HeaderCopyTo       = "X-Keep-Copy-At"
 	HeaderCopyFrom     = "X-Resume-From"
 	HeaderLastEvent    = "Last-Event-Id"
-	HeaderRateLimit    = "X-Rate-Limit"    // requests per second that the server accepts from all VMs together
-	HeaderLeaving      = "X-Leaving"       // the server ends soon and takes no new work
-	HeaderFirstAttempt = "X-First-Attempt" // request id of the attempt that brought the first event of a stream
+	HeaderRateLimit    = "X-Rate-Limit"      // requests per second that the server accepts from all VMs together
+	HeaderRejections   = "X-Rejection-Limit" // requests that the server can refuse in a second without ending
+	HeaderLeaving      = "X-Leaving"         // the server ends soon and takes no new work
+	HeaderFirstAttempt = "X-First-Attempt"   // request id of the attempt that brought the first event of a stream
 )
 
 // Paths of the project's own engine interface.
@@ -44,7 +45,7 @@
 		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Instance: HeaderInstance, Workspace: HeaderWorkspace,
 		Priority: "X-Priority", Tokens: HeaderTokens, LastEvent: HeaderLastEvent, CopyTo: HeaderCopyTo,
 		CopyFrom: HeaderCopyFrom, Key: "Authorization", KeyScheme: "Bearer ", Signature: HeaderSignature,
-		NotRun: HeaderNotRun, Load: HeaderLoad, InstanceID: HeaderInstance, RateLimit: HeaderRateLimit, Leaving: HeaderLeaving, FirstAttempt: HeaderFirstAttempt, ReadLoad: parseLoad,
+		NotRun: HeaderNotRun, Load: HeaderLoad, InstanceID: HeaderInstance, RateLimit: HeaderRateLimit, Rejections: HeaderRejections, Leaving: HeaderLeaving, FirstAttempt: HeaderFirstAttempt, ReadLoad: parseLoad,
 	}}
 }
 
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -79,6 +79,9 @@
 	if !a.Signed && st.Limit.Kind == backpressure.LimitAbsent {
 		st.Limit.Kind = backpressure.LimitUnknown
 	}
+	if !a.Signed && st.Rejections.Kind == backpressure.LimitAbsent {
+		st.Rejections.Kind = backpressure.LimitUnknown
+	}
 	fromServer := a.Instance == server || a.Instance == "" && (a.Signed || a.NotRun)
 	return st, fromServer && !a.WrongInstance
 }
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -179,8 +179,9 @@
 	wake       chan struct{} // closed when the state changes
 	conns      map[net.Conn]bool
 	runs       []Run
-	arrivals   []time.Time       // of all requests, in order
-	rateLimit  string            // stated in every answer; empty: none
+	arrivals   []time.Time // of all requests, in order
+	rateLimit  string      // stated in every answer; empty: none
+	fragility  fragility
 	leaving    bool              // stated in every answer
 	retryAfter string            // Retry-After with which every request is refused; empty: none is
 	active     map[string]bool   // streams that run here, by request id
@@ -302,6 +303,7 @@
 	if s.leaving {
 		w.Header().Set(forward.HeaderLeaving, "1")
 	}
+	s.stateFragility(w)
 	retryAfter := s.retryAfter
 	s.mu.Unlock()
 	switch {
@@ -321,6 +323,7 @@
 	case s.Intercept != nil && s.Intercept(s, w, r):
 	case s.Events > 0:
 		s.stream(w, r)
+	case s.answerFragileCall(w, r):
 	default:
 		s.AnswerCall(w, r, http.StatusOK)
 	}
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -66,12 +66,13 @@
 	f.mu.Lock()
 	changes := s.accepts.Learn(st, f.routerCount.most(), sent, f.now())
 	rate := s.accepts.Limit().Rate
+	f.noteFragile(s)
 	f.mu.Unlock()
-	if st.Limit.Kind == backpressure.LimitUnreadable || st.Pause.Unreadable {
-		f.log.Warn().Str("server", s.ID).Str("request", request).Msg("server states a rate limit or a pause that cannot be read; keeping the former one")
+	if st.Limit.Kind == backpressure.LimitUnreadable || st.Rejections.Kind == backpressure.LimitUnreadable || st.Pause.Unreadable {
+		f.log.Warn().Str("server", s.ID).Str("request", request).Msg("server states a rate limit, a rejection limit or a pause that cannot be read; keeping the former one")
 	}
 	for _, c := range changes {
-		f.log.Info().Str("server", s.ID).Str("service", s.Service).Str("request", request).Float64("rate", rate).Dur("pause", st.Pause.For).Msg(c.String())
+		f.log.Info().Str("server", s.ID).Str("service", s.Service).Str("request", request).Float64("rate", rate).Float64("rejections", st.Rejections.Rate).Dur("pause", st.Pause.For).Msg(c.String())
 	}
 }
 
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -119,6 +119,7 @@
 	routerCount    routerCount
 	incarnations   map[string]*incarnation // by server id
 	slowdownStated map[string]time.Time    // when a server last stated a slowdown, by service
+	fragileAt      map[string]time.Time    // when a server last stated a rejection limit, by service
 	cordons        cordons
 	reach          *handoff.Reach
 	lostSince      map[string]time.Time // services that this VM does not reach
@@ -140,7 +141,7 @@
 // NewFleet returns an empty Fleet. It closes idle connections in pool to servers that leave
 // the list.
 func NewFleet(pool *Pool, log zerolog.Logger) *Fleet {
-	return &Fleet{pool: pool, log: log, now: time.Now, onDeath: func(string, Evidence) {}, servers: map[string]*Server{}, deadSince: map[string]time.Time{}, incarnations: map[string]*incarnation{}, slowdownStated: map[string]time.Time{}, reach: handoff.NewReach(), lostSince: map[string]time.Time{}, heardService: map[string]time.Time{}}
+	return &Fleet{pool: pool, log: log, now: time.Now, onDeath: func(string, Evidence) {}, servers: map[string]*Server{}, deadSince: map[string]time.Time{}, incarnations: map[string]*incarnation{}, slowdownStated: map[string]time.Time{}, fragileAt: map[string]time.Time{}, reach: handoff.NewReach(), lostSince: map[string]time.Time{}, heardService: map[string]time.Time{}}
 }
 
 // Apply takes over a list if it was read later than the current one, and reports whether it
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -170,6 +170,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.avoidFor(s, fullAvoid)
+	s.accepts.Rejected(f.routerCount.most(), f.now())
 }
 
 // MarkStale records that another incarnation holds the server's address. Nothing is sent
