routedlocal: a failed call of a roll-out's test tells its answer

TestGoodVersionIsCompleted once had 124 failed calls of 1,767 beside load 20, and nothing told which answers its callers got.

Cause: the test counted failures only. Change: it logs the id, the time, the status and the body of each failed call; the check is as before.

--- a/internal/routedlocal/calls.go
+++ b/internal/routedlocal/calls.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -52,17 +54,24 @@
 	return nil
 }
 
-// Call sends one call and returns its status.
-func Call(ctx context.Context, addr, path, id string) (status int, err error) {
+// CallAnswer is the answer to one call.
+type CallAnswer struct {
+	Status int
+	Body   []byte
+}
+
+// Call sends one call and returns its answer.
+func Call(ctx context.Context, addr, path, id string) (CallAnswer, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, http.NoBody)
 	if err != nil {
-		return 0, err
+		return CallAnswer{}, err
 	}
 	r.Host = Host
 	r.Header.Set(forward.HeaderRequestID, id)
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
-		return 0, err
+		return CallAnswer{}, err
 	}
-	return resp.StatusCode, resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return CallAnswer{resp.StatusCode, body}, errors.Join(err, resp.Body.Close())
 }
--- a/internal/routedlocal/rollout_test.go
+++ b/internal/routedlocal/rollout_test.go
@@ -66,9 +66,11 @@
 	path := []string{"/book/1", "/look/1"}[i%2]
 	for timer.Sleep(d.ctx, callInterval) == nil {
 		d.sent.Add(1)
-		status, err := Call(d.ctx, d.s.CallerAddresses[i%len(d.s.CallerAddresses)], path, fmt.Sprint("d", d.ids.Add(1)))
-		if d.ctx.Err() == nil && (err != nil || status != http.StatusOK) {
+		id, sentAt := fmt.Sprint("d", d.ids.Add(1)), time.Now()
+		a, err := Call(d.ctx, d.s.CallerAddresses[i%len(d.s.CallerAddresses)], path, id)
+		if d.ctx.Err() == nil && (err != nil || a.Status != http.StatusOK) {
 			d.failed.Add(1)
+			d.t.Logf("call %s of %s failed after %v: status %d, %s, error %v", id, path, time.Since(sentAt), a.Status, a.Body, err)
 		}
 	}
 }
