rollout: one faulty server or a version, more evidence where requests are few

Change: a version is accepted without a server only if one faulty server explains the answers better than a version that is worse everywhere, the choice of the server counted; errors of 0.01 and 0.03; former servers that seem faulty do not count for the acceptance; the trial uses what the switch does not need; the other servers must show that a version is bad; slow answers may exceed by 0.3; the bound counts the recent rate.

Open: versions of streams that become slow late.

--- a/internal/rollout/compare.go
+++ b/internal/rollout/compare.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -51,6 +52,8 @@
 	// which one server is treated as an outlier. A bad version with few answers must not
 	// lose a third of them because one server drew most of the bad ones.
 	outlierLLR = 3
+	// othersLLR is the log-likelihood ratio that the other servers of a bad version must reach.
+	othersLLR = 2.5
 	// minOutlierAnswers bad ones make a server an outlier, since one may be chance.
 	minOutlierAnswers = 2
 )
@@ -61,6 +64,8 @@
 	// judged holds the verdicts on the new version by server. It is set once this interval
 	// and the next one are over.
 	judged map[Cell]map[string]verdict
+	// requestsBefore is the number of requests before the interval.
+	requestsBefore int
 }
 
 // intervalBetween returns the answers between two cumulative sums of evidence.
@@ -119,32 +124,44 @@
 	return len(intervals)
 }
 
-// tally counts bad answers and how many were expected.
-type tally struct{ n, bad, expected float64 }
+// tally counts bad answers and how many were expected. atMost is how many could be expected if the
+// former version had had one bad answer more: with few answers, chance may have left it out. atLeast
+// is how many would be if a server of the former version is faulty that seems to be.
+type tally struct{ n, bad, expected, atMost, atLeast float64 }
 
 func (t *tally) add(o tally) {
 	t.n += o.n
 	t.bad += o.bad
 	t.expected += o.expected
+	t.atMost += o.atMost
+	t.atLeast += o.atLeast
+}
+
+func (t *tally) minus(o tally) tally {
+	return tally{t.n - o.n, t.bad - o.bad, t.expected - o.expected, t.atMost - o.atMost, t.atLeast - o.atLeast}
 }
 
 // expectedRate returns the former version's rate plus the excess that is not attributed to
 // the new version.
 func (t *tally) expectedRate() float64 {
+	return t.slackRate(t.expected)
+}
+
+func (t *tally) slackRate(expected float64) float64 {
 	if t.n == 0 {
 		return rateFloor
 	}
-	return min(rateSlack*t.expected/t.n+rateFloor, 1-rateFloor)
+	return min(rateSlack*expected/t.n+rateFloor, 1-rateFloor)
 }
 
 func (t *tally) isBad() bool {
-	return t.bad >= minBadAnswers && t.llr() >= badLLR
+	return t.bad >= minBadAnswers && logLikelihoodRatio(t.bad, t.n, t.slackRate(t.atMost)) >= badLLR
 }
 
-// atMostWorseBy reports whether the new version's rate exceeds the expected one by less
-// than excess. It is wrong with a probability of acceptErrorRate.
-func (t *tally) atMostWorseBy(excess float64) bool {
-	return binomialCDF(t.bad, t.n, t.expectedRate()+excess) <= acceptErrorRate
+// atMostWorseBy reports whether the new version's rate exceeds the expected one by less than
+// excess. It is wrong with a probability of errorRate.
+func (t *tally) atMostWorseBy(excess, errorRate float64) bool {
+	return binomialCDF(t.bad, t.n, t.slackRate(t.atLeast)+excess) <= errorRate
 }
 
 // verdict holds the tallies of one cell.
@@ -157,8 +174,7 @@
 
 // minus returns v without the tallies of o.
 func (v *verdict) minus(o *verdict) verdict {
-	less := func(a, b tally) tally { return tally{a.n - b.n, a.bad - b.bad, a.expected - b.expected} }
-	return verdict{less(v.failed, o.failed), less(v.slow, o.slow)}
+	return verdict{v.failed.minus(o.failed), v.slow.minus(o.slow)}
 }
 
 // String describes the tallies for an operator.
@@ -171,13 +187,16 @@
 type comparison struct {
 	cells map[Cell]*verdict // without the worst server where there are several
 	all   verdict           // sum over the cells of measure Response
+	// byServer and allByServer are the verdicts of cells and all with every server.
+	byServer    map[Cell]map[string]verdict
+	allByServer map[string]verdict
 }
 
 // compare judges the last n intervals. overall holds the former version's answers of all
 // intervals.
 func compare(intervals []interval, n int, overall map[Cell]CountsByServer) comparison {
-	out := comparison{cells: map[Cell]*verdict{}}
 	byServer := map[Cell]map[string]verdict{}
+	out := comparison{cells: map[Cell]*verdict{}, byServer: byServer, allByServer: map[string]verdict{}}
 	for i := max(0, len(intervals)-n); i < len(intervals); i++ {
 		judged := intervals[i].judged
 		if judged == nil {
@@ -187,10 +206,9 @@
 			if byServer[cell] == nil {
 				byServer[cell] = map[string]verdict{}
 			}
-			for server, v := range servers {
-				sum := byServer[cell][server]
-				sum.add(&v)
-				byServer[cell][server] = sum
+			addByServer(byServer[cell], servers)
+			if cell.Measure == Response {
+				addByServer(out.allByServer, servers)
 			}
 		}
 	}
@@ -204,14 +222,25 @@
 	return out
 }
 
+func addByServer(sum, servers map[string]verdict) {
+	for server, v := range servers {
+		s := sum[server]
+		s.add(&v)
+		sum[server] = s
+	}
+}
+
 // judgeInterval compares the new version's answers of an interval with those of the former
 // version in the intervals around it.
 func judgeInterval(intervals []interval, i int, overall map[Cell]CountsByServer) map[Cell]map[string]verdict {
 	out := map[Cell]map[string]verdict{}
 	for cell, servers := range intervals[i].target {
-		faulty := faultyServer(overall[cell])
+		faulty := faultyServer(overall[cell], badLLR)
 		near := sumFormer(intervals[max(0, i-1):min(len(intervals), i+2)], cell)
 		e := expect(near.without(faulty), overall[cell].without(faulty))
+		if suspect := faultyServer(overall[cell], outlierLLR); suspect != faulty {
+			e.failedAtLeast = min(e.failed, expect(near.without(suspect), overall[cell].without(suspect)).failed)
+		}
 		out[cell] = make(map[string]verdict, len(servers))
 		for server, c := range servers {
 			out[cell][server] = e.judge(c)
@@ -241,9 +270,9 @@
 	return sum
 }
 
-// faultyServer returns the server that fails far more often than the others; "": there is
-// none.
-func faultyServer(s CountsByServer) string {
+// faultyServer returns the server that fails more often than the others, by a log-likelihood ratio of
+// at least least; "": there is none.
+func faultyServer(s CountsByServer, least float64) string {
 	answers, failures := 0, 0
 	for _, c := range s {
 		answers += c.Answers
@@ -257,7 +286,7 @@
 			continue
 		}
 		rate := rateSlack*float64(failures-c.Failures)/float64(others) + rateFloor
-		if v := logLikelihoodRatio(float64(c.Failures), float64(c.Answers), min(rate, 1-rateFloor)); v > most && v >= badLLR {
+		if v := logLikelihoodRatio(float64(c.Failures), float64(c.Answers), min(rate, 1-rateFloor)); v > most && v >= least {
 			faulty, most = id, v
 		}
 	}
@@ -266,12 +295,18 @@
 
 // expectation holds the rates that the former version would have had.
 type expectation struct {
-	failed, slow   float64
-	slowFromBucket int // 0: no times of the former version are known
+	failed, slow             float64
+	failedAtMost, slowAtMost float64 // see tally
+	failedAtLeast            float64
+	slowFromBucket           int // 0: no times of the former version are known
 }
 
 func expect(near, overall Counts) expectation {
-	e := expectation{failed: smoothedRate(near.Failures, near.Answers, overall.Failures, overall.Answers)}
+	e := expectation{
+		failed:       smoothedRate(near.Failures, near.Answers, overall.Failures, overall.Answers),
+		failedAtMost: smoothedRate(near.Failures, near.Answers, overall.Failures+1, overall.Answers+1),
+	}
+	e.failedAtLeast = e.failed
 	times := near.Times
 	if countOf(times) < priorWeight {
 		times = overall.Times
@@ -282,7 +317,10 @@
 	median := medianBucket(times)
 	e.slowFromBucket = max(median+slowBuckets, int(bucketOf(bucketTime(median)+minSlowExcess)))
 	waiting := countFrom(near.Waiting, e.slowFromBucket)
-	e.slow = smoothedRate(waiting+countFrom(near.Times, e.slowFromBucket), waiting+countOf(near.Times), countFrom(overall.Times, e.slowFromBucket), countOf(overall.Times))
+	slow, all := countFrom(overall.Times, e.slowFromBucket), countOf(overall.Times)
+	nearSlow, nearAll := waiting+countFrom(near.Times, e.slowFromBucket), waiting+countOf(near.Times)
+	e.slow = smoothedRate(nearSlow, nearAll, slow, all)
+	e.slowAtMost = smoothedRate(nearSlow, nearAll, slow+1, all+1)
 	return e
 }
 
@@ -299,11 +337,11 @@
 // judge compares the answers of one server with the expectation.
 func (e *expectation) judge(c Counts) verdict {
 	n := float64(c.Answers)
-	v := verdict{failed: tally{n: n, bad: float64(c.Failures), expected: n * e.failed}}
+	v := verdict{failed: tally{n: n, bad: float64(c.Failures), expected: n * e.failed, atMost: n * e.failedAtMost, atLeast: n * e.failedAtLeast}}
 	if e.slowFromBucket > 0 {
 		waiting := countFrom(c.Waiting, e.slowFromBucket) // already slow, whenever they are answered
 		timed := float64(waiting + countOf(c.Times))
-		v.slow = tally{n: timed, bad: float64(waiting + countFrom(c.Times, e.slowFromBucket)), expected: timed * e.slow}
+		v.slow = tally{n: timed, bad: float64(waiting + countFrom(c.Times, e.slowFromBucket)), expected: timed * e.slow, atMost: timed * e.slowAtMost, atLeast: timed * e.slow}
 	}
 	return v
 }
@@ -332,6 +370,34 @@
 	return sum.minus(&v)
 }
 
+// oneServerLLR returns the log-likelihood ratio of two explanations of the bad answers: one server is
+// faulty and the others are as expected, or the whole version is worse by excess. The server was
+// chosen by its answers among all of them, which counts against the first.
+func oneServerLLR(servers []tally, excess float64) float64 {
+	var total tally
+	for _, t := range servers {
+		total.add(t)
+	}
+	if total.n == 0 {
+		return 0
+	}
+	worse := max(total.bad/total.n, total.slackRate(total.atLeast)+excess)
+	best := math.Inf(-1)
+	for _, t := range servers {
+		others := total.minus(t)
+		best = max(best, others.logLikelihood(others.expectedRate())+t.logLikelihood(t.bad/max(1, t.n)))
+	}
+	return best - math.Log(float64(len(servers))) - total.logLikelihood(worse)
+}
+
+// logLikelihood returns the logarithm of the probability of these answers, in their order, at a rate
+// of bad ones.
+func (t *tally) logLikelihood(rate float64) float64 {
+	const least = 1e-6 // a rate of 0 or 1 that was observed is not exact
+	rate = min(max(rate, least), 1-least)
+	return t.bad*math.Log(rate) + (t.n-t.bad)*math.Log1p(-rate)
+}
+
 // llrAgainst returns the log-likelihood ratio of a server's bad answers at the rates of the
 // other servers of its version; 0: too few answers to tell.
 func (v *verdict) llrAgainst(others *verdict) float64 {
@@ -350,14 +416,44 @@
 
 func (t *tally) llr() float64 { return logLikelihoodRatio(t.bad, t.n, t.expectedRate()) }
 
+// talliesOf returns the tallies of all servers, in the order of their ids.
+func talliesOf(byServer map[string]verdict) (failed, slow []tally) {
+	for _, server := range slices.Sorted(maps.Keys(byServer)) {
+		failed, slow = append(failed, byServer[server].failed), append(slow, byServer[server].slow)
+	}
+	return failed, slow
+}
+
+// isBad reports whether the version is bad. byServer are the verdicts of all servers, of which v may
+// leave one out. One faulty server and a single bad answer of another look like a bad version, so
+// the other servers must show it as well.
+func (v *verdict) isBad(byServer map[string]verdict) bool {
+	failed, slow := talliesOf(byServer)
+	return v.failed.isBad() && showsWithoutWorst(failed) || v.slow.isBad() && showsWithoutWorst(slow)
+}
+
+// showsWithoutWorst reports whether the servers have too many bad answers without the one that has the
+// most beyond those expected.
+func showsWithoutWorst(servers []tally) bool {
+	var total, worst tally
+	for _, t := range servers {
+		total.add(t)
+		if t.bad-t.expected > worst.bad-worst.expected {
+			worst = t
+		}
+	}
+	others := total.minus(worst)
+	return len(servers) < 2 || logLikelihoodRatio(others.bad, others.n, others.slackRate(others.atMost)) >= othersLLR
+}
+
 // whyBad returns the reason why the version is bad; "": there is no evidence for that.
 func (c *comparison) whyBad() string {
-	if c.all.failed.isBad() || c.all.slow.isBad() {
+	if c.all.isBad(c.allByServer) {
 		return "all routes: " + c.all.String()
 	}
 	for _, cell := range slices.SortedFunc(maps.Keys(c.cells), Cell.compare) {
 		v := c.cells[cell]
-		if v.failed.isBad() || v.slow.isBad() {
+		if v.isBad(c.byServer[cell]) {
 			return fmt.Sprintf("route %s, measure %d: %v", cell.Route, cell.Measure, v)
 		}
 	}
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -38,8 +38,8 @@
 
 const (
 	// The trial uses minTrialBudgetShare of the allowed requests. It uses up to
-	// maxTrialBudgetShare if that is needed for minTrialAnswers on each route, or if the
-	// evidence is inconclusive after half of the duration.
+	// maxTrialBudgetShare, or what need not be kept for the switch, if that is needed for
+	// minTrialAnswers on each route, or if the evidence is inconclusive after half of the duration.
 	minTrialBudgetShare = 0.25
 	maxTrialBudgetShare = 0.5
 	minTrialAnswers     = 20
@@ -52,7 +52,7 @@
 	// allowed number is computed from.
 	expectedArrivalShare = 0.8
 	// maxRouteShare is the largest share of a route's requests in a trial.
-	maxRouteShare = 0.5
+	maxRouteShare = 0.8
 	// rateWarmup is the time after which the request rates of the routes are known, if at
 	// least minRateRequests have come.
 	rateWarmup      = 1200 * time.Millisecond
@@ -80,13 +80,16 @@
 	streamMoveTime = 900 * time.Millisecond
 	maxMoveShare   = 0.25
 
-	// acceptErrorRate is the probability of accepting a version that is worse by an excess,
-	// or of switching to it.
-	acceptErrorRate = 0.07
 	// excessAll and excessRoute are the excess of the rate of bad answers that must be
-	// ruled out, over all routes and on one route.
-	excessAll   = 0.15
-	excessRoute = 0.35
+	// ruled out, over all routes and on one route. errorRateAll and errorRateRoute are the
+	// probabilities of accepting a version that is worse by as much, or of switching to it.
+	excessAll      = 0.15
+	excessRoute    = 0.35
+	errorRateAll   = 0.01
+	errorRateRoute = 0.03
+	// excessSlow is the excess of slow answers, if it is larger: they are not lost, and a few of each
+	// version are slow.
+	excessSlow = 0.3
 	// uncertainLLR is the log-likelihood ratio from which a version is not accepted.
 	uncertainLLR = 3.5
 	// minorRouteShare is the share of all requests below which a route is judged only
@@ -166,7 +169,7 @@
 		switch {
 		case reason == "":
 			return step(Moving, j.summary())
-		case float64(e.Sent)+p.rate*stepDelay.Seconds() >= usableBudgetShare*p.allowed:
+		case float64(e.Sent)+p.lateRate*stepDelay.Seconds() >= usableBudgetShare*p.allowed:
 			return step(Reverted, "in doubt, and no more may go there: "+reason)
 		case last:
 			return step(Reverted, "no sufficient evidence in time: "+reason)
@@ -212,6 +215,7 @@
 	j.lastEvidence = *e
 	newest := len(j.intervals) - 1
 	j.intervals[newest] = intervalBetween(e, &j.intervalStart)
+	j.intervals[newest].requestsBefore = j.intervalStart.total()
 	if over := newest - 2; over >= 0 && j.intervals[over].judged == nil {
 		j.intervals[over].judged = judgeInterval(j.intervals, over, e.Former)
 	}
@@ -224,6 +228,7 @@
 	share        float64 // of all requests, in the trial
 	allowed      float64 // requests that may reach a bad version
 	rate         float64 // requests per second
+	lateRate     float64 // the same of late, if it is higher
 	switchAt     time.Duration
 	latestSwitch time.Duration // until then the switch waits for servers
 	switchFor    time.Duration
@@ -244,15 +249,19 @@
 		p.moveFor = min(max(p.moveFor, e.LongestStream), max(p.moveFor, time.Duration(maxMoveShare*float64(r.Duration))))
 	}
 	p.rate = float64(e.total()) / elapsed.Seconds()
+	p.lateRate = max(p.rate, j.lateRate(e))
 	left := max(0, r.Duration-elapsed)
 	all := float64(e.total()) + expectedArrivalShare*p.rate*left.Seconds()
 	p.allowed = j.limits.Share*all + j.limits.Slack
-	trial := min(maxTrialBudgetShare*p.allowed, max(minTrialBudgetShare*p.allowed, minTrialAnswers*float64(len(e.Requests))))
+	// Where requests are few, all of them cost little while they are switched, and the trial may use
+	// the rest.
+	most := max(maxTrialBudgetShare*p.allowed, usableBudgetShare*p.allowed-p.rate*(p.switchFor+stepDelay).Seconds())
+	trial := min(most, max(minTrialBudgetShare*p.allowed, minTrialAnswers*float64(len(e.Requests))))
 	if elapsed > r.Duration/2 && j.inconclusive(e) != "" {
-		trial = maxTrialBudgetShare * p.allowed
+		trial = most
 	}
-	if p.rate > 0 {
-		room := max(0, usableBudgetShare*p.allowed-max(float64(e.Sent), trial)) / p.rate
+	if p.lateRate > 0 {
+		room := max(0, usableBudgetShare*p.allowed-max(float64(e.Sent), trial)) / p.lateRate
 		p.switchFor = min(p.switchFor, time.Duration(room*float64(time.Second)))
 	}
 	spare := min(max(time.Duration(spareShare*float64(r.Duration)), minSpare), maxSpare)
@@ -265,6 +274,14 @@
 	return p
 }
 
+// lateRate returns the requests per second in the present interval and the last one. In a burst, more
+// requests than on average reach the version between a decision and its application.
+func (j *Judge) lateRate(e *Evidence) float64 {
+	last := max(0, len(j.intervals)-2)
+	n := len(j.intervals) - last
+	return float64(e.total()-j.intervals[last].requestsBefore) / (time.Duration(n) * intervalLength).Seconds()
+}
+
 // hasServers reports whether there are as many servers of the new version as of the others,
 // or some and no time to wait for more.
 func (p *schedule) hasServers(v *View) bool {
@@ -331,10 +348,10 @@
 // inconclusive returns the reason why the version cannot be accepted yet, nor all requests
 // switched to it; "": there is none.
 func (j *Judge) inconclusive(e *Evidence) string {
-	if why := inconclusiveVerdict("all routes", &j.overall.all, excessAll); why != "" {
+	if why := inconclusiveVerdict("all routes", &j.overall.all, j.overall.allByServer, excessAll, errorRateAll); why != "" {
 		return why
 	}
-	if why := inconclusiveVerdict("all routes, of late", &j.recent.all, excessRoute); why != "" {
+	if why := inconclusiveVerdict("all routes, of late", &j.recent.all, j.recent.allByServer, excessRoute, errorRateAll); why != "" {
 		return why
 	}
 	total := e.total()
@@ -342,11 +359,12 @@
 		if float64(e.Requests[route]) < minorRouteShare*float64(total) {
 			continue
 		}
-		v := j.overall.cells[Cell{Route: route}]
+		cell := Cell{Route: route}
+		v := j.overall.cells[cell]
 		if v == nil {
 			v = &verdict{}
 		}
-		if why := inconclusiveVerdict("route "+route, v, excessRoute); why != "" {
+		if why := inconclusiveVerdict("route "+route, v, j.overall.byServer[cell], excessRoute, errorRateRoute); why != "" {
 			return why
 		}
 	}
@@ -367,11 +385,27 @@
 	return ""
 }
 
-func inconclusiveVerdict(what string, v *verdict, excess float64) string {
-	if v.llr() < uncertainLLR && v.failed.atMostWorseBy(excess) && v.slow.atMostWorseBy(excess) {
-		return ""
+// inconclusiveVerdict returns the reason why a verdict does not suffice; "": it does. byServer are the
+// verdicts of all servers, of which v may leave one out.
+func inconclusiveVerdict(what string, v *verdict, byServer map[string]verdict, excess, errorRate float64) string {
+	if v.llr() >= uncertainLLR || !v.failed.atMostWorseBy(excess, errorRate) || !v.slow.atMostWorseBy(max(excess, excessSlow), errorRate) {
+		return fmt.Sprintf("%s: %v", what, v)
+	}
+	failed, slow := talliesOf(byServer)
+	if !isOneServer(failed, excess, errorRate) || !isOneServer(slow, max(excess, excessSlow), errorRate) {
+		return fmt.Sprintf("%s: %v, and the bad answers of another server may be the version's", what, v)
+	}
+	return ""
+}
+
+// isOneServer reports whether a version is no worse by excess with all of its servers, or the bad
+// answers are rather those of one faulty server.
+func isOneServer(servers []tally, excess, errorRate float64) bool {
+	var total tally
+	for _, t := range servers {
+		total.add(t)
 	}
-	return fmt.Sprintf("%s: %v", what, v)
+	return total.atMostWorseBy(excess, errorRate) || oneServerLLR(servers, excess) >= -math.Log(errorRate)
 }
 
 func (j *Judge) summary() string { return j.overall.all.String() }
--- a/internal/rollout/sim_test.go
+++ b/internal/rollout/sim_test.go
@@ -408,7 +408,7 @@
 		if o.exceeded {
 			out.exceeded++
 		}
-		if testing.Verbose() && (v.good() && o.phase != Completed || o.exceeded) && o.reason != "" && *simReasons {
+		if testing.Verbose() && (v.good() != (o.phase == Completed) || o.exceeded) && o.reason != "" && *simReasons {
 			fmt.Println("~", k.name, v.name, d, o.phase, o.at, o.sent, o.allowed, o.tooLate, o.reason)
 		}
 	}
