callqueue, upstream: refusals of one moment count once; dead servers are probed for as long as they are listed

Cause: two calls refused at one moment lowered the number of calls twice; the loop that probes dead servers ended while a server was idle, and nothing began it again. The second was found by reading the change.

Change: a further refusal within 200 ms does not lower the number again; the loop runs while dead servers are listed, and probes those that are asked for. The choice of a server is made twice for fragile services only.

--- a/internal/callqueue/fragile.go
+++ b/internal/callqueue/fragile.go
@@ -18,6 +18,9 @@
 	fragileTTL = 5 * time.Second
 	// ceilingTTL is how long the number of calls stays lowered after a refusal.
 	ceilingTTL = 10 * time.Second
+	// rejectionEcho is the time in which further refusals are of calls that were granted before the
+	// number was lowered.
+	rejectionEcho = 200 * time.Millisecond
 	// rejectionWindow is the time over which refusals are counted, and usedRejections the part of
 	// those that a server bears after which it gets nothing.
 	rejectionWindow = time.Second
@@ -70,7 +73,7 @@
 	for range r.Count {
 		f.rejected = append(f.rejected, now)
 	}
-	if r.Count > 0 {
+	if r.Count > 0 && now.Sub(f.ceilingAt) > rejectionEcho {
 		f.ceiling, f.ceilingAt = max(1, f.most(float64(slots), now)-1), now
 	}
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -126,13 +126,15 @@
 			}
 			return choice, code
 		}
-		if !h.mayDecideAlone(&servers, &candidates) {
-			if !h.holdForRoom(q) {
-				return serverChoice{}, result.DeadlineTooSoon
+		if h.opts.Fleet.IsFragile(q.service.Name) {
+			servers, candidates = upstream.WithoutUngranted(h.opts.Fleet, servers, candidates)
+			if i, load = placement.ChooseServer(candidates, h.opts.Zone, rand.IntN); i < 0 {
+				if !h.holdForRoom(q) {
+					return serverChoice{}, result.DeadlineTooSoon
+				}
+				continue
 			}
-			continue
 		}
-		i, load = placement.ChooseServer(candidates, h.opts.Zone, rand.IntN)
 		w := admission.CallWait{Load: load, ServiceTime: h.opts.Fleet.ServiceTime(servers[i]), Objective: q.route.Objective, Held: time.Since(q.arrived)}
 		switch w.Decide() {
 		case admission.HoldCall:
@@ -157,13 +159,6 @@
 	}
 }
 
-// mayDecideAlone removes the servers to which this VM may send nothing without a grant, and reports
-// whether any is left.
-func (h *Handler) mayDecideAlone(servers *[]*upstream.Server, candidates *[]placement.CallCandidate) bool {
-	*servers, *candidates = upstream.WithoutUngranted(h.opts.Fleet, *servers, *candidates)
-	return len(*servers) > 0
-}
-
 // holdForRoom waits for room at a server, if the call may be held for it.
 func (h *Handler) holdForRoom(q *request) bool {
 	hold := time.Duration(maxHoldShare * float64(q.dueTime().Sub(q.arrived)))
--- a/internal/forward/dead_servers.go
+++ b/internal/forward/dead_servers.go
@@ -26,19 +26,16 @@
 }
 
 func (d *deadServers) run() {
-	for {
-		due, more := d.h.opts.Fleet.DeadProbesDue()
-		for _, s := range due {
+	fleet := d.h.opts.Fleet
+	for fleet.DeadServers() > 0 {
+		for _, s := range fleet.DeadProbesDue() {
 			d.h.Stats.Probes.Inc()
 			go d.h.noteProbe(s, d.h.prober.startWithin(s, deadProbeTimeout))
 		}
-		if !more {
-			break
-		}
 		time.Sleep(deadProbeTick)
 	}
 	d.probing.Store(false)
-	if _, more := d.h.opts.Fleet.DeadProbesDue(); more {
+	if fleet.DeadServers() > 0 {
 		d.probe() // a server died after the last look
 	}
 }
--- a/internal/upstream/dead.go
+++ b/internal/upstream/dead.go
@@ -59,25 +59,23 @@
 	return true
 }
 
-// DeadProbesDue returns the dead servers that are to be probed now, and whether others are to be
-// probed later. Servers that nobody asks for are not probed.
-func (f *Fleet) DeadProbesDue() (due []*Server, more bool) {
+// DeadProbesDue returns the dead servers that are to be probed now. Those that nobody asks for are
+// not probed.
+func (f *Fleet) DeadProbesDue() []*Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
+	var due []*Server
 	for _, s := range f.servers {
-		if s.dead == nil || !s.inService() || now.Sub(s.requestedAt) > idleServerTTL {
-			continue
-		}
-		more = true
-		if now.Before(s.dead.nextProbe) || len(due) >= maxDeadProbes {
+		asked := s.inService() && now.Sub(s.requestedAt) <= idleServerTTL
+		if s.dead == nil || !asked || now.Before(s.dead.nextProbe) || len(due) >= maxDeadProbes {
 			continue
 		}
 		s.dead.nextProbe = now.Add(min(firstDeadProbe<<min(s.dead.probes, 8), longestDeadProbe))
 		s.dead.probes++
 		due = append(due, s)
 	}
-	return due, more
+	return due
 }
 
 // DeadServers returns the number of listed servers that were judged dead and not heard since.
