--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -142,14 +142,14 @@
 		},
 		Services: []routes.Service{{Name: "votes"}},
 	})
+	ctx, stop := context.WithCancel(s.ctx)
+	r.stop = stop
 	r.handler = forward.NewHandler(forward.Options{
-		Zone: zone, Wire: forward.NewPlainWire(), Pool: pool, Fleet: r.fleet, Routes: func() *routes.Table { return table }, ListsReady: ready,
+		Context: ctx, Zone: zone, Wire: forward.NewPlainWire(), Pool: pool, Fleet: r.fleet, Routes: func() *routes.Table { return table }, ListsReady: ready,
 		Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(transport, r.member.Relays, zerolog.Nop()), RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
 		SuspectContents: r.contents, Closing: func() bool { return false },
 		CannotFinish: func(bool, time.Duration) bool { return false },
 	})
-	ctx, stop := context.WithCancel(s.ctx)
-	r.stop = stop
 	handoff.NewServer(ctx, transport, r.handler, func(service string) bool { return r.fleet.Reaches(service) && r.hears(service) }, zerolog.Nop())
 	go r.member.Run(ctx)
 	go r.member.RunCallReports(ctx)
--- a/internal/forward/dead_servers.go
+++ b/internal/forward/dead_servers.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // deadProbeTimeout bounds the probe of a dead server, for which nobody waits. A server that was
@@ -26,16 +28,16 @@
 }
 
 func (d *deadServers) run() {
-	fleet := d.h.opts.Fleet
-	for fleet.DeadServers() > 0 {
+	fleet, ctx := d.h.opts.Fleet, d.h.opts.Context
+	for fleet.DeadServers() > 0 && ctx.Err() == nil {
 		for _, s := range fleet.DeadProbesDue() {
 			d.h.Stats.Probes.Inc()
 			go d.h.noteProbe(s, d.h.prober.startWithin(s, deadProbeTimeout))
 		}
-		time.Sleep(deadProbeTick)
+		_ = timer.Sleep(ctx, deadProbeTick) // the loop ends with ctx
 	}
 	d.probing.Store(false)
-	if fleet.DeadServers() > 0 {
+	if fleet.DeadServers() > 0 && ctx.Err() == nil {
 		d.probe() // a server died after the last look
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -76,6 +76,8 @@
 	Pool   *upstream.Pool
 	Fleet  *upstream.Fleet
 	Routes func() *routes.Table // returns nil until a route list is received
+	// Context ends the handler's work in the background; nil: nothing does.
+	Context context.Context
 	// ListsReady is closed once the route list and the list of backend servers are
 	// received.
 	ListsReady     <-chan struct{}
@@ -148,6 +150,9 @@
 
 // NewHandler returns a Handler.
 func NewHandler(o Options) *Handler {
+	if o.Context == nil {
+		o.Context = context.Background()
+	}
 	if o.ReportRetries == nil {
 		o.ReportRetries = func() {}
 	}
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -80,7 +80,7 @@
 	r.feed.OnChange(control.RolloutsStateMachine, r.applyRollouts)
 	r.feed.OnChange(control.CordonsStateMachine, r.applyCordons)
 	r.handler = forward.NewHandler(forward.Options{
-		Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, ListsReady: r.listsReady,
+		Context: r.ctx, Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, ListsReady: r.listsReady,
 		RetryAllowance: o.RetryAllowance, Log: o.Log, RoutineLog: o.RoutineLog, Metrics: o.Metrics, SuspectContents: r.suspectContents, Closing: r.drain.started,
 		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(r.network, r.member.Relays, o.Log), FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
 		Rollouts: &forward.Rollouts{State: r.rollouts.Load, Recorder: r.recorder},
