--- a/internal/forward/content_trial.go
+++ b/internal/forward/content_trial.go
@@ -65,7 +65,7 @@
 
 // admitsContent reports whether the next send of a request may carry its content. It waits
 // for a trial until holdUntil: servers that die together, as when a zone is lost, make every
-// content suspect that ran on two of them. If the content is not admitted, admitsContent sets
+// content suspect that ran on two of them. It does not wait once a server has died of a trial. If the content is not admitted, admitsContent sets
 // when the caller may retry. Each trial is for one run.
 func (h *Handler) admitsContent(q *request, holdUntil time.Time) bool {
 	if q.trial != nil && !q.trial.ran(q) {
@@ -80,6 +80,9 @@
 		if wait == 0 || time.Now().Add(wait).After(holdUntil) || timer.Sleep(q.ctx, wait) != nil {
 			return false
 		}
+		if h.opts.Context.Err() != nil {
+			return false // the VM ends, and would not report what came of a trial
+		}
 		h.Stats.TrialWaits.Inc()
 	}
 }
@@ -104,6 +107,9 @@
 		}
 		if answer.Wait > 0 {
 			q.setRetryAfter(admission.SpreadRetry(answer.Wait, rand.Float64()))
+			if answer.Known.DiedOnTrial() {
+				return 0, false
+			}
 			return answer.Wait, false
 		}
 		standing, until = h.opts.SuspectContents.learnOne(q.digest, answer.Known)
--- a/internal/recovery/content.go
+++ b/internal/recovery/content.go
@@ -143,6 +143,11 @@
 	return len(r.Deaths) == len(o.Deaths) && !slices.ContainsFunc(r.Deaths, missing)
 }
 
+// DiedOnTrial reports whether a server died of a trial of the content.
+func (r *ContentRecord) DiedOnTrial() bool {
+	return slices.ContainsFunc(r.Deaths, func(d ContentDeath) bool { return d.Trial })
+}
+
 // heldUntil returns the end of the time in which the content is not sent; zero: it is sent.
 func (r *ContentRecord) heldUntil() time.Time {
 	trials, last := 0, time.Time{}
