recovery: deaths of a server that starts again at once under its id are told apart

Cause: deaths at one server id within 3 s count as one, since VMs notice a death at different times. Where the other servers are withheld, the one left starts again within a second, ends again under the same content, and the content stays below the number of deaths from which it is tried. A dead server is back in use as soon as it answers a probe, which made it more frequent.

Fix: a run that began after a recorded death is of another one; in a merge each reported death stands for one recorded death at most.

TestServerThatDiesAgainAtOnce fails without it. No message changes.

--- a/internal/forward/content_runs.go
+++ b/internal/forward/content_runs.go
@@ -21,7 +21,8 @@
 	server  *upstream.Server
 	digest  uint64
 	trial   bool
-	late    bool      // the server had died before, so that the run is not the cause
+	late    bool // the server had died before, so that the run is not the cause
+	began   time.Time
 	endedAt time.Time // when it was given up; zero: it is in flight
 }
 
@@ -38,7 +39,7 @@
 
 func (c *contentRuns) begin(server *upstream.Server, digest uint64, trial bool) *contentRun {
 	_, dead := c.dead[server.ID]
-	r := &contentRun{server: server, digest: digest, trial: trial, late: dead}
+	r := &contentRun{server: server, digest: digest, trial: trial, late: dead, began: time.Now()}
 	if c.byServer[server.ID] == nil {
 		c.byServer[server.ID] = map[*contentRun]struct{}{}
 	}
--- a/internal/forward/suspect_content.go
+++ b/internal/forward/suspect_content.go
@@ -117,7 +117,7 @@
 // blame records that a server died under a run, and reports whether other VMs must know at
 // once. It needs s.mu.
 func (s *SuspectContents) blame(r *contentRun, now time.Time) bool {
-	deaths, added := s.contents.ServerDied(r.digest, r.server.ID, r.trial, now)
+	deaths, added := s.contents.ServerDied(r.digest, r.server.ID, r.trial, r.began, now)
 	if !added {
 		return false
 	}
@@ -161,7 +161,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range deaths {
-		s.contents.ServerDied(d.Digest, d.Engine, false, time.Now())
+		s.contents.ServerDied(d.Digest, d.Engine, false, time.Time{}, time.Now())
 	}
 }
 
--- a/internal/recovery/content.go
+++ b/internal/recovery/content.go
@@ -83,9 +83,16 @@
 	return slices.ContainsFunc(r.Deaths, func(o ContentDeath) bool { return o.same(d) && o.Trial == d.Trial })
 }
 
-// addDeath adds a death that is not known, or not known as that of a trial.
-func (r *ContentRecord) addDeath(d ContentDeath) (changed bool) {
+// addDeath adds a death that is not known, or not known as that of a trial. known reports whether
+// a recorded death may be this one.
+func (r *ContentRecord) addDeath(d ContentDeath, known func(i int) bool) (changed bool) {
 	i := slices.IndexFunc(r.Deaths, d.same)
+	for i >= 0 && i < len(r.Deaths) && !(d.same(r.Deaths[i]) && known(i)) {
+		i++
+	}
+	if i == len(r.Deaths) {
+		i = -1
+	}
 	switch {
 	case i >= 0 && d.Trial && !r.Deaths[i].Trial:
 		r.Deaths[i].Trial = true
@@ -103,14 +110,34 @@
 		r.ClearedAt, changed = o.ClearedAt, true
 		r.Deaths = slices.DeleteFunc(r.Deaths, func(d ContentDeath) bool { return !d.At.After(r.ClearedAt) })
 	}
+	// Each death of o stands for one of r at most: a server that starts again under its id may die
+	// several times within sameDeathWindow.
+	taken := map[int]bool{}
 	for _, d := range o.Deaths {
-		if d.At.After(r.ClearedAt) {
-			changed = r.addDeath(d) || changed
+		if !d.At.After(r.ClearedAt) {
+			continue
 		}
+		at := len(r.Deaths)
+		changed = r.addDeath(d, func(i int) bool {
+			if taken[i] {
+				return false
+			}
+			at = i
+			return true
+		}) || changed
+		taken[at] = true
 	}
 	return changed
 }
 
+// addOwn adds the death of a server under a run that began at a time. Deaths before that are others.
+func (r *ContentRecord) addOwn(d ContentDeath, began time.Time) (changed bool) {
+	if !d.At.After(r.ClearedAt) {
+		return false
+	}
+	return r.addDeath(d, func(i int) bool { return !began.After(r.Deaths[i].At) })
+}
+
 // last returns the time of the last event.
 func (r *ContentRecord) last() time.Time {
 	last := r.ClearedAt
@@ -205,23 +232,29 @@
 	return n
 }
 
-// ServerDied records that a server died while it ran a content, as a trial or not. It
-// returns the number of servers that died under it, and whether this one is new.
-func (c *SuspectContents) ServerDied(digest uint64, server string, trial bool, now time.Time) (deaths int, added bool) {
-	death := ContentRecord{Deaths: []ContentDeath{{Server: server, At: now, Trial: trial}}}
-	added = c.Merge(digest, death, now)
-	return len(c.byDigest[digest].Deaths), added
+// ServerDied records that a server died while it ran a content, as a trial or not. The run began
+// at a time; zero: it is not known. It returns the number of servers that died under the
+// content, and whether this one is new.
+func (c *SuspectContents) ServerDied(digest uint64, server string, trial bool, began, now time.Time) (deaths int, added bool) {
+	r := c.record(digest, now)
+	added = r.addOwn(ContentDeath{Server: server, At: now, Trial: trial}, began)
+	return len(r.Deaths), added
 }
 
 // Merge adds what another VM knows of a content, and reports whether that is new.
 func (c *SuspectContents) Merge(digest uint64, o ContentRecord, now time.Time) bool {
+	return c.record(digest, now).merge(o)
+}
+
+// record returns the record of a content, which it creates if there is none.
+func (c *SuspectContents) record(digest uint64, now time.Time) *ContentRecord {
 	r := c.byDigest[digest]
 	if r == nil || r.expired(now) {
 		c.expire(now)
 		r = &ContentRecord{}
 		c.byDigest[digest] = r
 	}
-	return r.merge(o)
+	return r
 }
 
 // Succeeded records that a server answered a request of a content, which was sent at a
--- a/internal/recovery/content_test.go
+++ b/internal/recovery/content_test.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		ended++
-		c.ServerDied(7, fmt.Sprint("server", ended), trial, now)
+		c.ServerDied(7, fmt.Sprint("server", ended), trial, time.Time{}, now)
 		trials.End(7, "vm", false)
 	}
 	if ended != 5 {
@@ -44,10 +44,10 @@
 			t.Errorf("got standing %q %s, want %q", got, when, want)
 		}
 	}
-	c.ServerDied(7, "a", false, now)
-	c.ServerDied(7, "a", false, now)
+	c.ServerDied(7, "a", false, time.Time{}, now)
+	c.ServerDied(7, "a", false, time.Time{}, now)
 	requireStanding(ContentSuspect, "after two reports of one death")
-	c.ServerDied(7, "b", false, now)
+	c.ServerDied(7, "b", false, time.Time{}, now)
 	requireStanding(ContentOnTrial, "after two deaths")
 	c.Succeeded(7, now.Add(-time.Millisecond))
 	requireStanding(ContentOnTrial, "after the answer to a request from before the deaths")
@@ -89,7 +89,7 @@
 	c := NewSuspectContents()
 	now := time.Unix(1000, 0)
 	for _, tt := range []struct{ after, deaths int }{{0, 1}, {1, 1}, {5, 2}, {6, 2}, {10, 3}} {
-		if deaths, _ := c.ServerDied(7, "only", false, now.Add(time.Duration(tt.after)*time.Second)); deaths != tt.deaths {
+		if deaths, _ := c.ServerDied(7, "only", false, time.Time{}, now.Add(time.Duration(tt.after)*time.Second)); deaths != tt.deaths {
 			t.Errorf("got %d deaths after %d s, want %d", deaths, tt.after, tt.deaths)
 		}
 	}
@@ -117,10 +117,10 @@
 		{3, suspectTTL + time.Second, ContentFree},
 	} {
 		c := NewSuspectContents()
-		c.ServerDied(7, "first", false, now)
-		c.ServerDied(7, "second", false, now)
+		c.ServerDied(7, "first", false, time.Time{}, now)
+		c.ServerDied(7, "second", false, time.Time{}, now)
 		for i := range tt.trials {
-			c.ServerDied(7, fmt.Sprint("trial", i), true, now)
+			c.ServerDied(7, fmt.Sprint("trial", i), true, time.Time{}, now)
 		}
 		if got, _ := c.Standing(7, now.Add(tt.after)); got != tt.want {
 			t.Errorf("%d trials: got standing %q after %v, want %q", tt.trials, got, tt.after, tt.want)
@@ -132,9 +132,32 @@
 	c := NewSuspectContents()
 	now := time.Unix(1000, 0)
 	for i := range 3 * maxContents {
-		c.ServerDied(uint64(i), "a", false, now)
+		c.ServerDied(uint64(i), "a", false, time.Time{}, now)
 	}
 	if len(c.byDigest) > maxContents {
 		t.Errorf("got %d contents, want at most maxContents", len(c.byDigest))
 	}
 }
+
+// Guards against deaths that are taken for one, since the server starts again under its id at once
+// and the content ends it again. Runs that began after a death are of another one.
+func TestServerThatDiesAgainAtOnce(t *testing.T) {
+	at := time.Unix(1000, 0)
+	second := func(n int) time.Time { return at.Add(time.Duration(n) * time.Second) }
+	own := NewSuspectContents()
+	for i := range 3 {
+		own.ServerDied(7, "a", false, second(i).Add(-30*time.Millisecond), second(i))
+		own.ServerDied(7, "a", false, second(i).Add(-30*time.Millisecond), second(i).Add(10*time.Millisecond)) // the same
+	}
+	if n := len(own.Record(7).Deaths); n != 3 {
+		t.Errorf("got %d deaths, want 3", n)
+	}
+	other := NewSuspectContents()
+	other.ServerDied(7, "a", false, time.Time{}, second(1).Add(50*time.Millisecond))
+	for range 2 { // a record that is told again adds nothing
+		other.Merge(7, own.Record(7), second(3))
+	}
+	if n := len(other.Record(7).Deaths); n != 3 {
+		t.Errorf("got %d deaths after a merge, want 3", n)
+	}
+}
