recovery: the search for a recorded death in one loop

Cause: the search began with IndexFunc and went on with an index that could stand for 'none' in two ways. Change: one loop, the same result.

--- a/internal/recovery/content.go
+++ b/internal/recovery/content.go
@@ -86,12 +86,12 @@
 // addDeath adds a death that is not known, or not known as that of a trial. known reports whether
 // a recorded death may be this one.
 func (r *ContentRecord) addDeath(d ContentDeath, known func(i int) bool) (changed bool) {
-	i := slices.IndexFunc(r.Deaths, d.same)
-	for i >= 0 && i < len(r.Deaths) && !(d.same(r.Deaths[i]) && known(i)) {
-		i++
-	}
-	if i == len(r.Deaths) {
-		i = -1
+	i := -1
+	for k := range r.Deaths {
+		if d.same(r.Deaths[k]) && known(k) {
+			i = k
+			break
+		}
 	}
 	switch {
 	case i >= 0 && d.Trial && !r.Deaths[i].Trial:
