review: a finding beside the cases, an incomplete entry of the list is used

Cause: decodeInstance asks for id, service, address and state only, and the list keeps the first entry of an id.

Done: target/review-cases listing puts an entry without zone, slots, cold_left_ms and born into the list, which names a lookup server under the dispatch service. The case of the hand-off reports that it could not run if no stream was handed over. Nothing is fixed.

--- a/review/cases/handoff.go
+++ b/review/cases/handoff.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -47,7 +48,7 @@
 		return nil, err
 	}
 	if !s.putAnywhere(1, s.machines, 15*time.Second) {
-		return nil, fmt.Errorf("the system does not start")
+		return nil, errors.New("the system does not start")
 	}
 	if err := s.waitReady(s.machines, 15*time.Second); err != nil {
 		return nil, err
@@ -66,7 +67,10 @@
 		c.setCut(cutOff, true)
 	}
 	c.sendWhileNamed(cutOff, cutFor-time.Second)
-	stopped := c.busiestHelper(cutOff)
+	stopped, served := c.busiestHelper(cutOff)
+	if trouble && served == 0 {
+		return nil, errors.New("no router has served a stream for the one that is cut off")
+	}
 	s.rec.note("%s serves most streams of callers of %s and is stopped as planned", stopped, cutOff)
 	done := make(chan error, 1)
 	go func() {
@@ -133,11 +137,11 @@
 }
 
 // busiestHelper returns the machine, other than m, whose router sent most streams of callers of m to
-// engines.
-func (c *handoffCase) busiestHelper(m *machine) *machine {
+// engines, and how many.
+func (c *handoffCase) busiestHelper(m *machine) (best *machine, most int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	best, most := c.s.machines[1], -1
+	best, most = c.s.machines[1], -1
 	for _, other := range c.s.machines {
 		n := 0
 		for attempt, via := range c.sent {
@@ -154,7 +158,7 @@
 		}
 	}
 	c.s.rec.note("%s has sent %d streams of callers of %s to engines", best, most, m)
-	return best
+	return best, most
 }
 
 func (c *handoffCase) check() *verdict {
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -35,6 +35,7 @@
 var cases = map[string]func(s *system, trouble bool) (*verdict, error){
 	"garbage": runGarbage,
 	"handoff": runHandoff,
+	"listing": runListing,
 	"quorum":  runQuorum,
 }
 
