--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -33,10 +33,11 @@
 
 // cases holds the cases by name. trouble is false if the disruption is left out.
 var cases = map[string]func(s *system, trouble bool) (*verdict, error){
-	"garbage": runGarbage,
-	"handoff": runHandoff,
-	"listing": runListing,
-	"quorum":  runQuorum,
+	"firststart": runFirstStart,
+	"garbage":    runGarbage,
+	"handoff":    runHandoff,
+	"listing":    runListing,
+	"quorum":     runQuorum,
 }
 
 func main() {
--- a/review/cases/proxy.go
+++ b/review/cases/proxy.go
@@ -71,9 +71,11 @@
 
 func (p *proxy) serve(c net.Conn) {
 	defer c.Close()
-	pid := ownerOf(c)
-	if pid == 0 && len(candidates()) > 0 {
-		return
+	pid := 0
+	if len(candidates()) > 0 {
+		if pid = ownerOf(c); pid == 0 {
+			return
+		}
 	}
 	p.waitOpen(pid)
 	up, err := net.Dial("tcp", p.target)
@@ -106,7 +108,7 @@
 	<-ended
 }
 
-// candidates returns the process ids that may own connections. A case sets it.
+// candidates returns the process ids that may own connections. A case that cuts paths sets it.
 var candidates = func() []int { return nil }
 
 // ownerOf returns which of the case's own processes opened a connection; 0: none of them.
