--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -45,7 +45,7 @@
 func configuration(version int) []byte {
 	route := func(name, path, kind, service string, timeoutMS, targetMS int) map[string]any {
 		return map[string]any{
-			"name": name, "host": hostName, "path_prefix": path, "route_kind": kind, "timeout_ms": timeoutMS, "latency_target_ms": targetMS,
+			"name": name, "host": hostName, names.Prefix: path, names.Kind: kind, "timeout_ms": timeoutMS, "latency_target_ms": targetMS,
 			"priority": 1, "service": service, "max_attempts": 1, "public": false,
 		}
 	}
@@ -65,7 +65,7 @@
 			map[string]any{"name": serviceLookup, "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": tenantName, "api_keys": []string{apiKey}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": tenantName, names.Keys: []string{apiKey}, "priority": 1}},
 	})
 	if err != nil {
 		panic(err) // cannot happen: maps of strings and numbers always encode
@@ -75,7 +75,7 @@
 
 // put sends a configuration to one machine and returns the status; 0: no answer.
 func (m *machine) put(text []byte) int {
-	req, err := http.NewRequest(http.MethodPut, "http://"+m.control()+"/v1/config", bytes.NewReader(text))
+	req, err := http.NewRequest(http.MethodPut, "http://"+m.control()+names.Config, bytes.NewReader(text))
 	if err != nil {
 		return 0
 	}
@@ -119,7 +119,7 @@
 
 // readBack reads the configuration from one machine. It returns the version if the answer is 200.
 func (m *machine) readBack() (version, status int) {
-	resp, err := httpClient(time.Second).Get("http://" + m.control() + "/v1/config")
+	resp, err := httpClient(time.Second).Get("http://" + m.control() + names.Config)
 	if err != nil {
 		return 0, 0
 	}
@@ -140,7 +140,7 @@
 // resolve asks a machine where to connect.
 func (m *machine) resolve(zone string) (addrs []string, ttl time.Duration) {
 	query := url.Values{"name": {hostName}, "region": {"region"}, "zone": {zone}}
-	resp, err := httpClient(time.Second).Get("http://" + m.directory() + "/v1/resolve?" + query.Encode())
+	resp, err := httpClient(time.Second).Get("http://" + m.directory() + names.Resolve + "?" + query.Encode())
 	if err != nil {
 		return nil, 0
 	}
@@ -157,7 +157,7 @@
 
 // isReady asks the machine's router as the platform does.
 func (m *machine) isReady() bool {
-	resp, err := httpClient(time.Second).Get("http://" + m.ready() + "/v1/readyz")
+	resp, err := httpClient(time.Second).Get("http://" + m.ready() + names.Ready)
 	if err != nil {
 		return false
 	}
@@ -214,19 +214,19 @@
 		return a
 	}
 	req.Host = hostName
-	req.Header.Set(headerAttempt, attempt)
-	req.Header.Set(headerDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set(names.Attempt, attempt)
+	req.Header.Set(names.Deadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Token "+apiKey)
 	if strings.HasPrefix(path, pathSummary) {
-		req.Header.Set("Amaranthshelf-Model", "m")
-		req.Header.Set("Amaranthshelf-Token-Counts", "1000,1000")
-		req.Header.Set("Amaranthshelf-Prefix-Hash", fmt.Sprintf("5c1e07a2:200,%s:800", attempt[:8]))
+		req.Header.Set(names.Model, "m")
+		req.Header.Set(names.TokenCounts, "1000,1000")
+		req.Header.Set(names.PrefixHash, fmt.Sprintf("5c1e07a2:200,%s:800", attempt[:8]))
 	}
 	s.rec.note("client sends request %s to %s: %s %s", attempt, via, method, path)
 	resp, err := httpClient(0).Do(req)
 	if err == nil {
 		defer resp.Body.Close()
-		a.status, a.signature, a.echoed = resp.StatusCode, resp.Header.Get(headerSignature), resp.Header.Get(headerAttempt)
+		a.status, a.signature, a.echoed = resp.StatusCode, resp.Header.Get(names.Signature), resp.Header.Get(names.Attempt)
 		var text []byte
 		text, err = io.ReadAll(resp.Body)
 		a.body, a.complete = string(text), err == nil
--- a/review/cases/engine.go
+++ b/review/cases/engine.go
@@ -13,17 +13,7 @@
 	"time"
 )
 
-// Headers of the pages.
-const (
-	headerAttempt   = "Amaranthshelf-Attempt-Id"
-	headerDeadline  = "Amaranthshelf-Deadline-Ms"
-	headerExpect    = "Amaranthshelf-Expect-Instance"
-	headerSignature = "Amaranthshelf-Engine-Signature"
-	headerNotRun    = "Amaranthshelf-Not-Executed"
-	headerInstance  = "Amaranthshelf-Instance-Id"
-	headerLoad      = "Amaranthshelf-Engine-Load"
-	headerLastEvent = "Last-Event-Id"
-)
+const headerLastEvent = "Last-Event-Id"
 
 // engine is a stand-in for a sound engine. A proxy stands before it, in which the paths of single
 // processes can be cut.
@@ -90,25 +80,25 @@
 
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(headerLoad, fmt.Sprintf("%d,0,%d", e.active.Load(), e.slots))
+	w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d", e.active.Load(), e.slots))
 	switch {
 	case r.Method == http.MethodGet && r.URL.Path == "/healthz":
-		w.Header().Set(headerInstance, e.id)
+		w.Header().Set(names.Instance, e.id)
 		return
 	case r.Method == http.MethodGet && r.URL.Path == "/v1/report":
 		e.report(w)
 		return
 	}
-	attempt := r.Header.Get(headerAttempt)
-	w.Header().Set(headerAttempt, attempt)
-	expect := r.Header.Get(headerExpect)
+	attempt := r.Header.Get(names.Attempt)
+	w.Header().Set(names.Attempt, attempt)
+	expect := r.Header.Get(names.Expect)
 	switch {
 	case expect != "" && expect != e.id:
-		w.Header().Set(headerNotRun, "1")
+		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case attempt == "":
-		w.Header().Set(headerNotRun, "1")
+		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -125,7 +115,7 @@
 		e.rec.note("engine %s spoils its answer to request %s: %d zero bytes", e.id, attempt, sendGarbage(w))
 		return
 	}
-	w.Header().Set(headerSignature, e.id+"."+attempt)
+	w.Header().Set(names.Signature, e.id+"."+attempt)
 	if e.pieces > 0 {
 		e.stream(w, r, attempt)
 		return
--- a/review/cases/system.go
+++ b/review/cases/system.go
@@ -140,7 +140,7 @@
 	return map[string]any{
 		"node_name": m.String(), "role": role, "machine_class": "edge", "serves": serves,
 		"ip": m.ip, "zone": m.zone, "region": "region", "zones": zoneRegions, "listen": listen,
-		"internal_ports": []int{p.firstPeer, p.firstPeer + 15}, "seeds": m.seeds,
+		names.PeerPorts: []int{p.firstPeer, p.firstPeer + 15}, "seeds": m.seeds,
 		"first_start": firstStart, "fault_counted": true,
 		"limits":   map[string]any{"cpu_share": 0.72, "cores": 1, "memory_mb": 134, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 64},
 		"data_dir": m.dataDir(role), "discovery": "cloud_api", "entry": "registry", "heartbeat_ms": 1200,
