forward: failing tests of sound engines that fall silent for a while

What callers see: an answer that has begun is cut off in the middle, or a stream without an event yet is answered 502, although its engine goes on half a second later.

--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -45,6 +45,7 @@
 	shutdownTimeLeft time.Duration   // until the router stops; 0: it is not shutting down
 	versionsStale    bool            // the router's copy of the known versions is out of date
 	origins          forward.Origins // nil: the router knows its own streams only
+	noRetries        bool            // the retry budget is spent
 }
 
 // admitAll returns the versions of all servers, admitted to new work.
@@ -122,9 +123,13 @@
 
 // newHandler replaces the router's handler by one that has its lists once ready is closed.
 func (f *fixture) newHandler(ready <-chan struct{}) {
+	retries := forward.RetryAllowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}
+	if f.noRetries {
+		retries.Ratio, retries.Slack = 0, 0
+	}
 	f.handler = forward.NewHandler(forward.Options{
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: f.pool, Fleet: f.fleet,
-		Routes: f.table.Load, ListsReady: ready, RetryAllowance: forward.RetryAllowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second},
+		Routes: f.table.Load, ListsReady: ready, RetryAllowance: retries,
 		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return f.closing },
 		UnreadBytes: f.unreadBytes, CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer, RefusalLevel: f.refusalLevel, CallGrants: f.callGrants,
 		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder}, VersionsFresh: func() bool { return !f.versionsStale }, Origins: f.origins,
--- /dev/null
+++ b/internal/forward/silent_engine_test.go
@@ -0,0 +1,85 @@
+package forward_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+)
+
+// silentStream sends a stream whose engine falls silent for a time and then goes on. It returns
+// once the engine answers again.
+func silentStream(f *fixture, begun bool, silence time.Duration) *answer {
+	a := f.send("POST", "/s/1", "r1", "log")
+	if begun {
+		time.Sleep(2 * time.Second)
+	} else {
+		time.Sleep(500 * time.Millisecond)
+	}
+	first := f.engineRunning("r1")
+	first.Set(routedengine.Unresponsive)
+	time.Sleep(silence)
+	first.Set(routedengine.Alive)
+	return a
+}
+
+// Guards against the end of a sound run: an engine is silent for a while, no other engine can
+// take its stream, and the caller's answer is cut off or refused.
+func TestSilentEngineKeepsItsStream(t *testing.T) {
+	tests := []struct {
+		name      string
+		engines   int
+		begun     bool
+		noRetries bool
+	}{
+		{"no other engine", 1, true, false},
+		{"no other engine, no event yet", 1, false, false},
+		{"no retry left", 3, true, true},
+		{"no retry left, no event yet", 3, false, true},
+	}
+	for _, tt := range tests {
+		for _, silence := range []time.Duration{600 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second} {
+			t.Run(fmt.Sprintf("%s/%v", tt.name, silence), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var engines []*routedengine.Server
+					for range tt.engines {
+						engines = append(engines, engine("a"))
+					}
+					f := newFixture(t, engines...)
+					defer f.shutDown()
+					f.noRetries = tt.noRetries
+					f.setPlacer(nil)
+					a := silentStream(f, tt.begun, silence)
+					a.requireCompleteStream(t, 100)
+					if runs := f.totalRuns("r1"); runs != 1 {
+						t.Errorf("got %d runs, want the one that was sound", runs)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a pause that a new prefill makes longer than the silence of the engine: the
+// stream goes on with whichever run brings the next event first.
+func TestStreamGoesOnWithTheFirstRunThatSpeaks(t *testing.T) {
+	for _, silence := range []time.Duration{500 * time.Millisecond, time.Second, 1300 * time.Millisecond} {
+		t.Run(fmt.Sprint(silence), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, engine("a"), engine("a"))
+				defer f.shutDown()
+				withoutCopies := testRoutes().List
+				withoutCopies.Services[0].Engine.KeepCopies = false
+				f.table.Store(routes.NewTable(withoutCopies))
+				a := silentStream(f, true, silence)
+				a.requireCompleteStream(t, 100)
+				if limit := silence + 100*time.Millisecond; a.longestPause() > limit {
+					t.Errorf("got a pause of %v, want at most %v", a.longestPause(), limit)
+				}
+			})
+		})
+	}
+}
