forward: the run of a silent engine stays open until the stream goes on elsewhere

What callers saw: an answer closed in the middle, or a 502, although its engine was sound and went on half a second later.

Cause: an engine that did not answer a probe for 150 ms after a silence of 252 ms was judged dead, and the connections of all its runs were closed before there was another place for them. The engine then dropped sound runs. What followed depended on the retry budget, on free engines and on versions: the search could end with nothing, and the answer was cut.

Change: a silent run is held. The search begins at the same moment as before, but the connection stays open until another run has brought the next event, and the stream goes on with the run that speaks first. A connection that ends, or another incarnation at the address, ends a held run at once.

'run held', 'held run goes on' and 'run lost' say how long an engine was silent and why its run ended; 'stream broken off' adds the length of the search and the level of the retry budget.

--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -115,6 +115,15 @@
 	r.backup.current.engine = to
 }
 
+// loseBackup records that the run's copy is gone.
+func (r *run) loseBackup() {
+	if r.backup.current.engine == nil {
+		return
+	}
+	r.st.h.opts.Fleet.Release(r.backup.current.engine, r.backupUse)
+	r.backup.current, r.backupUse = backupCopy{}, placement.Usage{}
+}
+
 // dropBackups has the engine drop the copies that were made on order. They will not be
 // used, and would occupy memory and a slot at the backup engine for some seconds. A
 // copy that the engine makes by itself ends with the run.
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -123,6 +123,20 @@
 	return b.windowTotal()
 }
 
+// BudgetLevel is how much of a budget is used.
+type BudgetLevel struct {
+	Used    int // retries of all VMs that this VM knows or assumes
+	Allowed int // within the window
+}
+
+// Level returns how much of the budget is used.
+func (b *Budget) Level() BudgetLevel {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	return BudgetLevel{Used: b.knownRetries() + b.estimatedPeerRetries(), Allowed: int(b.limit())}
+}
+
 // Grant is the result of Spend.
 type Grant uint8
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -35,7 +35,10 @@
 	outcome            sendOutcome
 
 	results         *resultQueue
-	callerTooSlow   bool // the memory for what the caller had not read was needed for others
+	heldAt          time.Time // when it was last held; zero: it was not
+	silence         string    // why it was last held
+	counted         bool      // in the history of sends
+	callerTooSlow   bool      // the memory for what the caller had not read was needed for others
 	silenceTimer    *silenceTimer
 	forwarded       int // events of this run that the caller was sent
 	lastHeard       time.Time
@@ -109,7 +112,7 @@
 	r.trackFirstEvent()
 	r.stopWatchingCaller = context.AfterFunc(st.q.ctx, conn.Close)
 	r.lastHeard = time.Now()
-	r.results = newResultQueue(h.unread.begin(func() { endWrites(st.w) }))
+	r.results = newResultQueue(st.ready, h.unread.begin(func() { endWrites(st.w) }))
 	go r.readAnswer(h)
 	return r
 }
@@ -185,7 +188,10 @@
 		return end, done
 	}
 	select {
-	case <-r.results.ready:
+	case <-r.st.ready:
+		if r.st.heldRunSpeaks() {
+			return endOvertaken, true
+		}
 	case <-r.probeDone():
 		end, done := r.handleProbe()
 		r.silenceTimer.set(r.probeInterval())
@@ -200,7 +206,7 @@
 		r.suspected = r.st.h.opts.Fleet.Suspected(r.server)
 		r.startProbe()
 	case <-r.died:
-		return r.lost("engine judged dead"), true
+		return r.silent("engine judged dead"), true
 	case <-r.st.q.ctx.Done():
 		return endCallerDone, true
 	}
@@ -316,6 +322,7 @@
 		}
 		r.noteFirstEvent()
 	}
+	st.releaseHeld("another run brought the next event")
 	r.paceEvent()
 	st.sendHead(r.reply.resp)
 	if !st.writeEvent(e) {
@@ -425,7 +432,7 @@
 	r.st.h.opts.Placer.UseChanged()
 	// Callers whose streams end with this VM's shutdown ask another router for the
 	// rest, which needs the copies.
-	if end == endComplete || end == endCallerDone && !r.st.h.opts.Closing() {
+	if end == endComplete || end == endOvertaken || end == endCallerDone && !r.st.h.opts.Closing() {
 		r.dropBackups()
 	}
 	if r.conn == nil {
--- a/internal/forward/run_silence.go
+++ b/internal/forward/run_silence.go
@@ -101,12 +101,15 @@
 	if p.withheld {
 		return r.handleSilence()
 	}
+	if p.replaced {
+		return r.lost("another incarnation answers at the address"), true
+	}
 	if !p.alive {
 		if r.probeAgain() {
 			return 0, false
 		}
 		r.st.h.opts.Fleet.MarkDead(r.server)
-		return r.lost("engine does not answer"), true
+		return r.silent("engine does not answer"), true
 	}
 	r.report, r.reportIsCurrent, r.probeFailed = p.report, p.hasReport, false
 	r.countMissingReports()
@@ -137,14 +140,14 @@
 	r.missingReports = 0
 }
 
-// moveOff ends a run on a live engine; the stream then resumes on another engine.
+// moveOff leaves a run on a live engine; the stream then resumes on another engine.
 func (r *run) moveOff() runEnd {
 	if s := r.currentSilence(); s.engineLostRun() {
 		return r.lost("engine does not have the run")
 	}
 	r.st.movedOffLive = true
 	r.st.h.opts.Fleet.Avoid(r.server)
-	return r.lost("silent too long on a live engine")
+	return r.silent("silent too long on a live engine")
 }
 
 // Constants for the detection of a stall of this VM.
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -23,6 +23,8 @@
 	CopiesOrdered   *metrics.Counter // backup copies made on order
 	StrayAnswers    *metrics.Counter // answers to other requests, dropped
 	BrokenStreams   *metrics.Counter // streams that were broken off
+	RunsHeld        *metrics.Counter // runs that were kept open while their engine was silent
+	HeldRunsGoOn    *metrics.Counter // of these, those with which the stream went on
 	CallersGone     *metrics.Counter
 	HandOffs        *metrics.Counter // requests offered to other VMs, since this one reaches no server of their service
 	// CallGrantFallbacks counts the calls for which no control VM granted a usable server, and
@@ -47,7 +49,8 @@
 	return &Stats{
 		set: set, Requests: counter("requests"), Retries: counter("repeats"), Resumes: counter("resumes"),
 		ResumesFromCopy: counter("resumes_from_copy"), Probes: counter("probes"), CopiesOrdered: counter("copies_ordered"),
-		StrayAnswers: counter("stray_answers"), BrokenStreams: counter("streams_broken"), CallersGone: counter("callers_gone"),
+		StrayAnswers: counter("stray_answers"), BrokenStreams: counter("streams_broken"),
+		RunsHeld: counter("runs_held"), HeldRunsGoOn: counter("held_runs_go_on"), CallersGone: counter("callers_gone"),
 		CallGrantFallbacks: counter("calls_grant_fallback"), EngineSpeeds: counter("engine_speeds_reported"),
 		RefusedByLevel: counter("streams_refused_by_level"), HandOffs: counter("hand_offs"), RecordsLate: counter("stream_records_late"), TrialWaits: counter("content_trial_waits"), RecordWait: set.NewHistogram("shelf_stream_record_wait_seconds"),
 		FirstEvent: set.NewHistogram("shelf_first_event_seconds"), ResumePause: set.NewHistogram("shelf_resume_pause_seconds"),
--- a/internal/forward/unread.go
+++ b/internal/forward/unread.go
@@ -121,7 +121,7 @@
 
 // resultQueue holds what the reader of a run has received and the run has not handled yet.
 type resultQueue struct {
-	ready  chan struct{} // receives a value when results wait
+	ready  chan struct{} // receives a value when results wait; shared by all runs of a stream
 	memory *unreadAnswer
 
 	mu      sync.Mutex
@@ -129,8 +129,8 @@
 	closed  bool
 }
 
-func newResultQueue(memory *unreadAnswer) *resultQueue {
-	return &resultQueue{ready: make(chan struct{}, 1), memory: memory}
+func newResultQueue(ready chan struct{}, memory *unreadAnswer) *resultQueue {
+	return &resultQueue{ready: ready, memory: memory}
 }
 
 func (r *readResult) bytes() int { return len(r.event.raw) + unreadEventOverhead }
@@ -166,6 +166,16 @@
 	return r, true
 }
 
+// peek returns the oldest result without removing it; ok is false if there is none.
+func (q *resultQueue) peek() (r readResult, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.results) == 0 {
+		return r, false
+	}
+	return q.results[0], true
+}
+
 // close drops all results. It reports whether the answer was ended for its memory.
 func (q *resultQueue) close() (ended bool) {
 	q.mu.Lock()
