soak: sound servers that fall silent for a second or so

No answer may be cut off.

The stand-in gets a state for it: a silent server answers later what came meanwhile, as a process that stands still does. An unresponsive one loses it.

--- a/cmd/amaranthshelfd/soak_test.go
+++ b/cmd/amaranthshelfd/soak_test.go
@@ -224,6 +224,7 @@
 	plan = append(plan, w.planCordons(rand.New(rand.NewPCG(seed, 4)), *soakDuration)...)
 	plan = append(plan, w.planDecider(rand.New(rand.NewPCG(seed, 5)), *soakDuration)...)
 	plan = append(plan, s.planRestartOfAll(rand.New(rand.NewPCG(seed, 6)), *soakDuration)...)
+	plan = append(plan, s.planSilences(rand.New(rand.NewPCG(seed, 7)), *soakDuration)...)
 	ctx, cancel := context.WithCancel(t.Context())
 	w.start(ctx, seed)
 	w.wg.Go(func() { w.watchEntries(ctx) })
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -143,7 +143,8 @@
 const (
 	Alive        State = iota
 	Dead               // existing connections are reset, new ones are refused
-	Unresponsive       // connections stay open, but nothing is answered
+	Unresponsive       // connections stay open, but nothing is answered, and what comes is lost
+	Silent             // nothing is answered until the state changes; what comes waits
 	Breaking           // connections are accepted, and closed once a request has come
 )
 
@@ -306,6 +307,9 @@
 	s.stateFragility(w)
 	retryAfter := s.retryAfter
 	s.mu.Unlock()
+	if !s.awaitAnswering(r, Silent) {
+		return
+	}
 	switch {
 	case s.inState(Unresponsive):
 		<-r.Context().Done()
@@ -381,7 +385,7 @@
 	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(forward.HeaderRequestID))
 }
 
-// pause waits for d, and while the server is unresponsive. It returns false if the
+// pause waits for d, and while the server is unresponsive or silent. It returns false if the
 // caller has left.
 func (s *Server) pause(r *http.Request, d time.Duration) bool {
 	select {
@@ -389,17 +393,25 @@
 	case <-r.Context().Done():
 		return false
 	}
-	for s.inState(Unresponsive) {
+	return s.awaitAnswering(r, Unresponsive, Silent)
+}
+
+// awaitAnswering waits while the server is in one of the states. It returns false if the caller
+// has left.
+func (s *Server) awaitAnswering(r *http.Request, states ...State) bool {
+	for {
 		s.mu.Lock()
-		wake := s.wake
+		wake, waits := s.wake, slices.Contains(states, s.state)
 		s.mu.Unlock()
+		if !waits {
+			return true
+		}
 		select {
 		case <-wake:
 		case <-r.Context().Done():
 			return false
 		}
 	}
-	return true
 }
 
 // VersionMark precedes the server's version in an event that states it.
