forward: the delay of a slow VM is no death of an engine

What callers saw: streams of sound engines were moved or cut while a VM was slow, as when large lists are taken in.

Cause: a probe fails after 150 ms, whoever was slow. Engines were judged dead whose events the VM had read 4 and 73 ms before, on another connection.

Change: a server that was heard during the probe is alive, and a probe that ends 150 ms or more after its time limit tells nothing. A dead engine is found as fast as before: it is heard on no connection.

--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -46,7 +46,7 @@
 // probeResult is the result of one attempt, and of the probe as a whole.
 type probeResult struct {
 	alive    bool
-	withheld bool // the engine accepts no request now: nothing is known of it
+	withheld bool // the engine accepts no request now, or this VM stalled: nothing is known of it
 	// replaced reports that another incarnation answers at the address: the one that was
 	// probed is dead.
 	replaced bool
@@ -78,7 +78,9 @@
 func (p *prober) runProbe(s *upstream.Server, pr *probe, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	began := time.Now()
 	pr.probeResult = p.probeUntilAnswered(ctx, s)
+	pr.discountDelay(time.Since(began), timeout, p.fleet.SilentFor(s))
 	switch {
 	case pr.alive:
 		p.fleet.Heard(s)
@@ -92,6 +94,17 @@
 	close(pr.done)
 }
 
+// discountDelay corrects the result of a probe that failed because this VM is slow. A server that was
+// heard on another connection meanwhile is alive. A probe that ended much later than it had
+// to tells nothing: the answer may wait to be read.
+func (r *probeResult) discountDelay(took, timeout, silent time.Duration) {
+	if r.alive || r.replaced {
+		return
+	}
+	r.alive = silent < took
+	r.withheld = r.withheld || !r.alive && took >= timeout+maxTimerDelay
+}
+
 // probeUntilAnswered repeats attempts until one is answered or refused, or ctx ends.
 func (p *prober) probeUntilAnswered(ctx context.Context, s *upstream.Server) probeResult {
 	tries := int(probeTimeout / probeRetryInterval)
