handoff: the VM that serves states whether an answer is complete

Callers saw a 200 with an engine's signature and some 70 of 140 pieces, framed as complete, when a router was stopped that served their stream for a partitioned one.

Cause: the end of an answer was inferred from the return of the handler. A handler whose context was cancelled returns as well: the router's stop, the end of writes for memory and a lease that expires all cancel it. If there was no head yet, one with status 200 was made up.

The VM that serves now sets Complete with the last piece if the handler returned and has written the stated length or, without one, if its context was not cancelled. Everything else is Aborted, and no head is made up. The reader takes an end without Complete for a broken answer, so that the caller's connection is aborted, or, before the head, the request is offered again if it may run twice. A caller that takes no more is an outcome of its own, which aborts as well.

The reply to an offer says whether a VM states the end. A VM that doesn't is asked again 200 ms after an end without a length: one that is stopped closes its connections within some milliseconds. A head without any header field is one that it made up.

--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -46,6 +46,7 @@
 	versionsStale    bool            // the router's copy of the known versions is out of date
 	origins          forward.Origins // nil: the router knows its own streams only
 	noRetries        bool            // the retry budget is spent
+	handOff          forward.HandOff // nil: requests are not handed off
 }
 
 // admitAll returns the versions of all servers, admitted to new work.
@@ -132,7 +133,7 @@
 		Routes: f.table.Load, ListsReady: ready, RetryAllowance: retries,
 		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return f.closing },
 		UnreadBytes: f.unreadBytes, CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer, RefusalLevel: f.refusalLevel, CallGrants: f.callGrants,
-		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder}, VersionsFresh: func() bool { return !f.versionsStale }, Origins: f.origins,
+		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder}, VersionsFresh: func() bool { return !f.versionsStale }, Origins: f.origins, HandOff: f.handOff,
 	})
 }
 
--- a/internal/forward/hand_off.go
+++ b/internal/forward/hand_off.go
@@ -43,6 +43,9 @@
 		case handoff.Broken:
 			h.Stats.BrokenStreams.Inc()
 			panic(http.ErrAbortHandler) // a regular end would make the answer look complete
+		case handoff.CallerLeft:
+			h.Stats.CallersGone.Inc()
+			panic(http.ErrAbortHandler)
 		case handoff.Lost:
 			q.history.Add(sendUnknown)
 		}
--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -35,10 +35,11 @@
 
 // Outcomes.
 const (
-	NotTaken Outcome = iota // nobody took the request: it has not run
-	Answered                // the caller has its answer, or has left
-	Lost                    // the VM that served is lost before the answer began: the request may have run
-	Broken                  // the same, after it began
+	NotTaken   Outcome = iota // nobody took the request: it has not run
+	Answered                  // the caller has its whole answer
+	Lost                      // the answer was lost before it began: the request may have run
+	Broken                    // the same, after it began
+	CallerLeft                // the caller has left, or takes no more
 )
 
 // Client hands requests to other VMs. It is safe for concurrent use.
@@ -62,11 +63,11 @@
 // Serve has another VM serve a request, and writes the answer to w. It sets the ID of q.
 func (c *Client) Serve(ctx context.Context, w http.ResponseWriter, q Request) Outcome {
 	q.ID = c.lastID.Add(1)
-	vm, taken := c.offer(ctx, &q)
-	if !taken {
+	vm, reply := c.offer(ctx, &q)
+	if !reply.Taken {
 		return NotTaken
 	}
-	r := reader{c: c, ctx: ctx, vm: vm, id: q.ID, w: w}
+	r := reader{c: c, ctx: ctx, vm: vm, id: q.ID, method: q.Method, statesEnd: reply.StatesEnd, w: w}
 	outcome := r.copy()
 	if err := c.t.Send(vm, peer.KindReleaseOffer, ReleaseRequest{ID: q.ID}); err != nil {
 		c.log.Debug().Err(err).Str("to", vm).Uint64("offer", q.ID).Msg("a request could not be released; its lease ends it")
@@ -74,24 +75,24 @@
 	return outcome
 }
 
-// offer finds a VM that takes a request.
-func (c *Client) offer(ctx context.Context, q *Request) (vm string, taken bool) {
+// offer finds a VM that takes a request, and returns its reply.
+func (c *Client) offer(ctx context.Context, q *Request) (vm string, reply OfferReply) {
 	offers := 0
 	for _, vm := range c.candidates(q.Service) {
 		if offers++; offers > maxOffers || ctx.Err() != nil {
 			break
 		}
 		callCtx, cancel := context.WithTimeout(ctx, offerTimeout)
-		var reply OfferReply
+		reply = OfferReply{}
 		err := c.t.Call(callCtx, vm, peer.KindOffer, q, &reply)
 		cancel()
 		if err == nil && reply.Taken {
-			return vm, true
+			return vm, reply
 		}
 		c.log.Info().Err(err).Str("to", vm).Str("service", q.Service).Uint64("offer", q.ID).Msg("request not taken by another VM")
 		c.refuse(vm)
 	}
-	return "", false
+	return "", OfferReply{}
 }
 
 // candidates returns the VMs to ask, in random order.
@@ -118,13 +119,15 @@
 
 // reader copies the answer to one request to its caller.
 type reader struct {
-	c      *Client
-	ctx    context.Context
-	vm     string
-	id     uint64
-	w      http.ResponseWriter
-	offset int64
-	begun  bool // the head was written
+	c         *Client
+	ctx       context.Context
+	vm        string
+	id        uint64
+	method    string
+	statesEnd bool // the VM states whether an answer is complete
+	w         http.ResponseWriter
+	offset    int64
+	begun     bool // the head was written
 }
 
 func (r *reader) copy() Outcome {
@@ -135,18 +138,18 @@
 		case err != nil && time.Since(last) <= lostAfter:
 			_ = timer.Sleep(r.ctx, readRetryPause)
 			continue
-		case err != nil, !p.Known:
+		case err != nil, !p.Known, r.isInvented(&p):
 			return r.lost()
 		}
 		last = time.Now()
 		if !r.forward(&p) {
-			return Answered // the caller has left
+			return CallerLeft
 		}
-		if p.End && p.Aborted {
-			return r.lost()
+		if p.End && r.isWhole(&p) {
+			return Answered
 		}
 		if p.End {
-			return Answered
+			return r.lost()
 		}
 	}
 	if r.begun {
@@ -155,6 +158,38 @@
 	return Lost
 }
 
+// isWhole reports whether the answer that a last piece ends is complete.
+func (r *reader) isWhole(last *Piece) bool {
+	if r.statesEnd || last.Aborted {
+		return last.Complete
+	}
+	if length, stated := bodyLength(r.method, r.w.Header()); stated {
+		return r.offset == length
+	}
+	return r.confirmEnd()
+}
+
+// A VM of a former build does not state whether an answer is complete. If it is stopped, it
+// ends the answers that it serves like complete ones, those without a head with an empty one,
+// and is gone a moment later.
+
+// confirmPause is longer than a VM takes from the end of its answers to its own.
+const confirmPause = 200 * time.Millisecond
+
+// confirmEnd reports whether a VM of a former build is still there after the end of an answer.
+func (r *reader) confirmEnd() bool {
+	if timer.Sleep(r.ctx, confirmPause) != nil {
+		return false
+	}
+	p, err := r.read()
+	return err == nil && p.Known && p.End
+}
+
+// isInvented reports whether a VM of a former build has ended an answer that had no head.
+func (r *reader) isInvented(p *Piece) bool {
+	return !r.statesEnd && !r.begun && p.End && len(p.Header) == 0
+}
+
 func (r *reader) lost() Outcome {
 	r.c.log.Warn().Str("to", r.vm).Uint64("offer", r.id).Bool("begun", r.begun).Msg("answer of another VM lost")
 	if r.begun {
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -22,12 +22,13 @@
 	net    *peertest.Net
 	client *Client
 	runs   atomic.Int64
+	stop   context.CancelFunc // ends what a and b serve; they still answer messages
 }
 
 func inSystem(t *testing.T, serve http.HandlerFunc, f func(t *testing.T, s *system)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		s := &system{net: peertest.New(1)}
+		s := &system{net: peertest.New(1), stop: cancel}
 		s.net.SetDelay(time.Millisecond, 2*time.Millisecond)
 		counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.runs.Add(1)
--- a/internal/handoff/messages.go
+++ b/internal/handoff/messages.go
@@ -17,6 +17,9 @@
 // OfferReply states whether the VM takes the request. It starts it with the first read.
 type OfferReply struct {
 	Taken bool `cbor:"1,keyasint,omitempty"`
+	// StatesEnd reports that the VM states of each answer whether it is complete. VMs of
+	// former builds do not.
+	StatesEnd bool `cbor:"2,keyasint,omitempty"`
 }
 
 // ReadRequest asks for the answer to a request from an offset of its body on. The reader holds
@@ -35,8 +38,11 @@
 	Header http.Header `cbor:"3,keyasint,omitempty"` // with the head that the reader lacks
 	Data   []byte      `cbor:"4,keyasint,omitempty"`
 	End    bool        `cbor:"5,keyasint,omitempty"`
-	// Aborted is set with End if the answer is not complete.
+	// Aborted is set with End if the answer is not complete. A VM that states the end sets
+	// exactly one of Aborted and Complete.
 	Aborted bool `cbor:"6,keyasint,omitempty"`
+	// Complete is set with End if the answer is complete.
+	Complete bool `cbor:"7,keyasint,omitempty"`
 }
 
 // ReleaseRequest ends a request: its caller has the whole answer, or has left.
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
@@ -72,7 +73,7 @@
 		return OfferReply{}, nil
 	}
 	s.taken[key] = s.newExchange(key, q)
-	return OfferReply{Taken: true}, nil
+	return OfferReply{Taken: true, StatesEnd: true}, nil
 }
 
 func (s *Server) newExchange(key takenKey, q *Request) *exchange {
@@ -146,19 +147,25 @@
 	offset  int64  // of waiting
 	waiting []byte // the bytes that were not acknowledged by a read
 	ended   bool
-	aborted bool
+	// complete is set with ended if the whole answer was written.
+	complete bool
 }
 
-// run passes the request to the handler.
+// run passes the request to the handler and ends the answer.
 func (e *exchange) run(serve http.Handler, log zerolog.Logger) {
 	defer e.cancel()
+	returned := false
 	defer func() {
-		p := recover()
-		if p != nil && p != http.ErrAbortHandler {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
 			log.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Msg("a request of another VM ended in a panic")
 		}
-		e.end(p != nil)
+		e.end(returned)
 	}()
+	e.serve(serve)
+	returned = true
+}
+
+func (e *exchange) serve(serve http.Handler) {
 	r, err := http.NewRequestWithContext(e.ctx, e.request.Method, "http://"+e.request.Host+e.request.URI, bytes.NewReader(e.request.Body))
 	if err != nil {
 		http.Error(e, err.Error(), http.StatusBadRequest)
@@ -168,16 +175,35 @@
 	serve.ServeHTTP(e, r)
 }
 
-func (e *exchange) end(aborted bool) {
+// end ends the answer. returned reports that the handler returned without a panic.
+func (e *exchange) end(returned bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !aborted {
-		e.writeHead(http.StatusOK)
-	}
-	e.ended, e.aborted = true, aborted
+	e.ended, e.complete = true, returned && e.isWhole()
 	e.signal()
 }
 
+// isWhole reports whether a handler that returned has written its whole answer. One whose
+// context was cancelled may have returned because of that. It needs e.mu.
+func (e *exchange) isWhole() bool {
+	if e.status == 0 {
+		return false
+	}
+	if length, stated := bodyLength(e.request.Method, e.head); stated {
+		return e.offset+int64(len(e.waiting)) == length
+	}
+	return e.ctx.Err() == nil
+}
+
+// bodyLength returns the length of an answer's body if its head states it.
+func bodyLength(method string, head http.Header) (length int64, stated bool) {
+	if method == http.MethodHead {
+		return 0, false
+	}
+	length, err := strconv.ParseInt(head.Get("Content-Length"), 10, 64)
+	return length, err == nil
+}
+
 // signal wakes whoever waits for a change. It needs e.mu.
 func (e *exchange) signal() {
 	close(e.changed)
@@ -205,6 +231,9 @@
 func (e *exchange) Write(p []byte) (int, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if err := e.ctx.Err(); err != nil {
+		return 0, err
+	}
 	e.writeHead(http.StatusOK)
 	for len(e.waiting) > 0 && len(e.waiting)+len(p) > maxWaiting {
 		if err := e.wait(e.ctx); err != nil {
@@ -255,7 +284,7 @@
 			break
 		}
 	}
-	out := Piece{Known: true, Status: e.status, Data: append([]byte(nil), e.waiting...), End: e.ended, Aborted: e.aborted}
+	out := Piece{Known: true, Status: e.status, Data: append([]byte(nil), e.waiting...), End: e.ended, Aborted: e.ended && !e.complete, Complete: e.complete}
 	if !r.HasHead {
 		out.Header = e.head
 	}
