forward: an answer is aborted when its caller has left

A caller that closed only its sending direction and still reads saw its stream end as complete in the middle, or an empty 200 without an engine's signature where nothing had been sent.

Cause: net/http cancels the request's context at the end of the caller's bytes, and the handler returned, which net/http takes for the end of the answer.

The handler aborts the connection now, as for a broken stream. For a caller that is gone nothing changes.

Test before: TestAnswerOfACallerWhoLeavesIsAborted, 3 of 3 cases, "got status 200 and 741 bytes with a regular end", "got status 0 and 0 bytes".

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -269,12 +269,20 @@
 	case failure != nil:
 		h.deliver(w, failure)
 	case q.left() > 0 && q.ctx.Err() != nil:
-		h.Stats.CallersGone.Inc()
+		h.endGone()
 	default:
 		h.giveUp(w, q, code)
 	}
 }
 
+// endGone aborts the connection of a caller that has left. One that closed only its sending
+// direction counts as gone too and still reads: a regular end would make what it has of the
+// answer, or an empty one, look complete.
+func (h *Handler) endGone() {
+	h.Stats.CallersGone.Inc()
+	panic(http.ErrAbortHandler)
+}
+
 // setRetryAfter sets when the refused caller may retry; 0: a retry is of no use.
 func (q *request) setRetryAfter(retryAfter time.Duration) {
 	q.retryAfterSet, q.retryAfter = true, retryAfter
--- a/internal/forward/hand_off.go
+++ b/internal/forward/hand_off.go
@@ -44,8 +44,7 @@
 			h.Stats.BrokenStreams.Inc()
 			panic(http.ErrAbortHandler) // a regular end would make the answer look complete
 		case handoff.CallerLeft:
-			h.Stats.CallersGone.Inc()
-			panic(http.ErrAbortHandler)
+			h.endGone()
 		case handoff.Lost:
 			q.history.Add(sendUnknown)
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -368,7 +368,7 @@
 	h := st.h
 	switch {
 	case st.callerGone():
-		h.Stats.CallersGone.Inc()
+		h.endGone()
 	case st.headSent:
 		h.Stats.BrokenStreams.Inc()
 		retries := st.q.budget.Level()
