handoff: a VM that is silent for two seconds keeps the answers it serves or reads

Callers of a partitioned router had their answers cut, or got an unknown outcome for a call that ran, when the router that served them, the link between the two or their own router was silent for a second or two and went on.

Cause: the reader took a VM for lost after a second without a piece, and the VM that serves dropped a request after 1.5 s without a read. Each is shorter than a silence of something sound.

Both wait for 3 s now. A request that is not read at all still goes after 1.5 s, and a VM that refuses connections still counts as lost after a second: its process has ended. The test network refuses calls to a killed VM with the same error as the network.

Tests before: TestSilenceOfASoundVMCutsNoAnswer, 9 of 12 cases (1, 1.5 and 2 s; serving VM, reading VM, link; not the engine) "got outcome 3 and 170 bytes, want the whole answer of 890 bytes"; TestSilenceBeforeTheAnswerLosesNoCall "got outcome 2". TestDeadVMBreaksItsAnswersSoon holds a dead process to 1.1 s and a machine without a reset to 4 s, of the six that callers have. The engine works for a dead reader for up to 3 s instead of 1.5 s.

--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,10 +24,15 @@
 	offerTimeout = 100 * time.Millisecond
 	// refusalTime is how long a VM that did not take a request is not asked again.
 	refusalTime = 500 * time.Millisecond
-	// readTimeout bounds one read, and lostAfter the time without any piece: the VM that
-	// serves is lost.
+	// readTimeout bounds one read.
 	readTimeout = readWait + 250*time.Millisecond
-	lostAfter   = time.Second
+	// lostAfter is the time without a piece after which the VM that serves counts as lost.
+	// Sound VMs are silent for up to two seconds and go on. The caller can still go on through
+	// another VM within six seconds.
+	lostAfter = 3 * time.Second
+	// goneAfter is the same if the VM refuses connections: its process has ended, or is
+	// starting again without the request.
+	goneAfter = time.Second
 	// readRetryPause separates reads that failed at once.
 	readRetryPause = 20 * time.Millisecond
 )
@@ -135,7 +142,7 @@
 	for r.ctx.Err() == nil {
 		p, err := r.read()
 		switch {
-		case err != nil && time.Since(last) <= lostAfter:
+		case err != nil && time.Since(last) <= patience(err):
 			_ = timer.Sleep(r.ctx, readRetryPause)
 			continue
 		case err != nil, !p.Known, r.isInvented(&p):
@@ -198,6 +205,14 @@
 	return Lost
 }
 
+// patience returns how long reads may fail with an error.
+func patience(err error) time.Duration {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return goneAfter
+	}
+	return lostAfter
+}
+
 func (r *reader) read() (Piece, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, readTimeout)
 	defer cancel()
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -23,8 +23,11 @@
 	maxWaiting = 64 << 10
 	// readWait is how long a read waits for the next bytes.
 	readWait = 250 * time.Millisecond
-	// readLease is how long a request is kept without a read.
-	readLease = 1500 * time.Millisecond
+	// offerLease is how long a request is kept that is not read at all.
+	offerLease = 1500 * time.Millisecond
+	// readLease is how long a request is kept without a further read: as long as its reader
+	// would wait for this VM.
+	readLease = lostAfter
 )
 
 type relayedKey struct{}
@@ -79,7 +82,7 @@
 func (s *Server) newExchange(key takenKey, q *Request) *exchange {
 	ctx, cancel := context.WithCancel(context.WithValue(s.ctx, relayedKey{}, true))
 	e := &exchange{request: q, ctx: ctx, cancel: cancel, header: http.Header{}, changed: make(chan struct{})}
-	e.lease = time.AfterFunc(readLease, func() { s.drop(key, e) })
+	e.lease = time.AfterFunc(offerLease, func() { s.drop(key, e) })
 	return e
 }
 
--- a/internal/peer/peertest/peertest.go
+++ b/internal/peer/peertest/peertest.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
@@ -57,7 +58,7 @@
 	return t
 }
 
-// Kill stops a VM like a crash: calls to and from it fail at once.
+// Kill stops a VM like a crash: calls to and from it fail at once, like refused connections.
 func (n *Net) Kill(id string) {
 	n.mu.Lock()
 	t := n.vms[id]
@@ -225,7 +226,7 @@
 	}
 	to, _ := t.net.lookup(vm)
 	if to == nil {
-		return nil, fmt.Errorf("%w: %s", peer.ErrUnreachable, vm)
+		return nil, fmt.Errorf("%w: %s: %w", peer.ErrUnreachable, vm, syscall.ECONNREFUSED)
 	}
 	responses := make(chan response, 2)
 	serve := func() {
