handoff: a caller who reads nothing for a while keeps its answer

A caller of a partitioned router that read nothing for longer than the read lease, with more than 64 KB of its answer waiting, had its answer cut. At a router that reaches the servers it may stop reading until its deadline.

Cause: only reads renew the lease at the VM that serves, and a reader whose write is blocked sends none. The VM took it for dead.

The reader now renews the lease every 700 ms while it serves the caller, with a read that acknowledges nothing and wants no reply, which VMs of the former build understand too. The write deadline of the caller's connection still ends an answer that is not read.

Test before: TestCallerWhoPausesKeepsItsAnswer "got outcome 3 and 65536 bytes, want the whole answer of 262144 bytes".

--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -33,6 +33,9 @@
 	// goneAfter is the same if the VM refuses connections: its process has ended, or is
 	// starting again without the request.
 	goneAfter = time.Second
+	// leaseRenewal is how often the lease of a request is renewed, besides each read. VMs of
+	// former builds keep one for 1.5 s.
+	leaseRenewal = 700 * time.Millisecond
 	// readRetryPause separates reads that failed at once.
 	readRetryPause = 20 * time.Millisecond
 )
@@ -75,7 +78,10 @@
 		return NotTaken
 	}
 	r := reader{c: c, ctx: ctx, vm: vm, id: q.ID, method: q.Method, statesEnd: reply.StatesEnd, w: w}
+	reading, stop := context.WithCancel(ctx)
+	go r.keepLease(reading)
 	outcome := r.copy()
+	stop()
 	if err := c.t.Send(vm, peer.KindReleaseOffer, ReleaseRequest{ID: q.ID}); err != nil {
 		c.log.Debug().Err(err).Str("to", vm).Uint64("offer", q.ID).Msg("a request could not be released; its lease ends it")
 	}
@@ -205,6 +211,17 @@
 	return Lost
 }
 
+// keepLease renews the lease until ctx ends. Reads do so too, but there are none while the caller
+// reads nothing.
+func (r *reader) keepLease(ctx context.Context) {
+	for timer.Sleep(ctx, leaseRenewal) == nil {
+		// It acknowledges nothing, and its piece is not sent.
+		if err := r.c.t.Send(r.vm, peer.KindReadAnswer, ReadRequest{ID: r.id, HasHead: true}); err != nil {
+			r.c.log.Debug().Err(err).Str("to", r.vm).Uint64("offer", r.id).Msg("a lease could not be renewed")
+		}
+	}
+}
+
 // patience returns how long reads may fail with an error.
 func patience(err error) time.Duration {
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/handoff/silence_test.go
+++ b/internal/handoff/silence_test.go
@@ -151,3 +151,32 @@
 		leave()
 	})
 }
+
+// Guards against the cut answer of a caller who reads nothing for a while: its VM then reads
+// nothing either, and must not be taken for dead.
+func TestCallerWhoPausesKeepsItsAnswer(t *testing.T) {
+	const size = 4 * maxWaiting
+	inSystem(t, func(w http.ResponseWriter, _ *http.Request) {
+		for range 4 {
+			if _, err := w.Write(make([]byte, maxWaiting)); err != nil {
+				return
+			}
+		}
+	}, func(t *testing.T, s *system) {
+		w := &pausingWriter{ResponseRecorder: httptest.NewRecorder(), pause: 5 * time.Second}
+		if got := s.send(t.Context(), w, "votes"); got != Answered || w.Body.Len() != size {
+			t.Errorf("got outcome %d and %d bytes, want the whole answer of %d bytes", got, w.Body.Len(), size)
+		}
+	})
+}
+
+// pausingWriter is a caller who reads nothing for a while before each write.
+type pausingWriter struct {
+	*httptest.ResponseRecorder
+	pause time.Duration
+}
+
+func (w *pausingWriter) Write(p []byte) (int, error) {
+	time.Sleep(w.pause)
+	return w.ResponseRecorder.Write(p)
+}
