handoff: a caller's pause is not the silence of the VM that serves

A caller of a partitioned router that read nothing for some seconds had its answer cut if the first read after that failed, however briefly.

Cause: the time without a piece was counted from before the piece was written to the caller. It counts from after the write now.

The line of a lost answer states why it was lost, the error, and how long nothing came; a request that is dropped as unread has a line of its own. Without them the cause of a cut answer could not be told from the logs.

Test: TestCallerWhoPausesKeepsItsAnswer with the serving VM silent for a second as its caller goes on; with the former order "got outcome 3 and 65536 bytes, want the whole answer of 262144 bytes".

--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -140,31 +140,41 @@
 	statesEnd bool // the VM states whether an answer is complete
 	w         http.ResponseWriter
 	offset    int64
-	begun     bool // the head was written
+	begun     bool      // the head was written
+	lastRead  time.Time // when the last piece was read and written
 }
 
 func (r *reader) copy() Outcome {
-	last := time.Now()
+	r.lastRead = time.Now()
 	for r.ctx.Err() == nil {
 		p, err := r.read()
 		switch {
-		case err != nil && time.Since(last) <= patience(err):
+		case err != nil && time.Since(r.lastRead) <= patience(err):
 			_ = timer.Sleep(r.ctx, readRetryPause)
 			continue
-		case err != nil, !p.Known, r.isInvented(&p):
-			return r.lost()
+		case err != nil:
+			return r.lost("the VM does not answer", err)
+		case !p.Known:
+			return r.lost("the VM does not have the request", nil)
+		case r.isInvented(&p):
+			return r.lost("ended without a head", nil)
 		}
-		last = time.Now()
 		if !r.forward(&p) {
 			return CallerLeft
 		}
+		r.lastRead = time.Now()
 		if p.End && r.isWhole(&p) {
 			return Answered
 		}
 		if p.End {
-			return r.lost()
+			return r.lost("ended early", nil)
 		}
 	}
+	return r.failure()
+}
+
+// failure returns the outcome of an answer that is not complete.
+func (r *reader) failure() Outcome {
 	if r.begun {
 		return Broken
 	}
@@ -203,12 +213,11 @@
 	return !r.statesEnd && !r.begun && p.End && len(p.Header) == 0
 }
 
-func (r *reader) lost() Outcome {
-	r.c.log.Warn().Str("to", r.vm).Uint64("offer", r.id).Bool("begun", r.begun).Msg("answer of another VM lost")
-	if r.begun {
-		return Broken
-	}
-	return Lost
+// lost logs why the answer is lost, and returns its outcome.
+func (r *reader) lost(why string, err error) Outcome {
+	r.c.log.Warn().Err(err).Str("to", r.vm).Uint64("offer", r.id).Bool("begun", r.begun).Int64("bytes", r.offset).
+		Dur("silent", time.Since(r.lastRead)).Str("reason", why).Msg("answer of another VM lost")
+	return r.failure()
 }
 
 // keepLease renews the lease until ctx ends. Reads do so too, but there are none while the caller
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -82,7 +82,10 @@
 func (s *Server) newExchange(key takenKey, q *Request) *exchange {
 	ctx, cancel := context.WithCancel(context.WithValue(s.ctx, relayedKey{}, true))
 	e := &exchange{request: q, ctx: ctx, cancel: cancel, header: http.Header{}, changed: make(chan struct{})}
-	e.lease = time.AfterFunc(offerLease, func() { s.drop(key, e) })
+	e.lease = time.AfterFunc(offerLease, func() {
+		s.log.Info().Str("from", key.vm).Uint64("offer", key.id).Msg("a request of another VM is not read any more; dropped")
+		s.drop(key, e)
+	})
 	return e
 }
 
--- a/internal/handoff/silence_test.go
+++ b/internal/handoff/silence_test.go
@@ -164,6 +164,9 @@
 		}
 	}, func(t *testing.T, s *system) {
 		w := &pausingWriter{ResponseRecorder: httptest.NewRecorder(), pause: 5 * time.Second}
+		// The VM that serves is silent when the caller goes on.
+		time.AfterFunc(4900*time.Millisecond, func() { s.net.Pause("a"); s.net.Pause("b") })
+		time.AfterFunc(4900*time.Millisecond+time.Second, func() { s.net.Resume("a"); s.net.Resume("b") })
 		if got := s.send(t.Context(), w, "votes"); got != Answered || w.Body.Len() != size {
 			t.Errorf("got outcome %d and %d bytes, want the whole answer of %d bytes", got, w.Body.Len(), size)
 		}
