--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,10 +24,18 @@
 	offerTimeout = 100 * time.Millisecond
 	// refusalTime is how long a VM that did not take a request is not asked again.
 	refusalTime = 500 * time.Millisecond
-	// readTimeout bounds one read, and lostAfter the time without any piece: the VM that
-	// serves is lost.
+	// readTimeout bounds one read.
 	readTimeout = readWait + 250*time.Millisecond
-	lostAfter   = time.Second
+	// lostAfter is the time without a piece after which the VM that serves counts as lost.
+	// Sound VMs are silent for up to two seconds and go on. The caller can still go on through
+	// another VM within six seconds.
+	lostAfter = 3 * time.Second
+	// goneAfter is the same if the VM refuses connections: its process has ended, or is
+	// starting again without the request.
+	goneAfter = time.Second
+	// leaseRenewal is how often the lease of a request is renewed, besides each read. VMs of
+	// former builds keep one for 1.5 s.
+	leaseRenewal = 700 * time.Millisecond
 	// readRetryPause separates reads that failed at once.
 	readRetryPause = 20 * time.Millisecond
 )
@@ -35,10 +45,11 @@
 
 // Outcomes.
 const (
-	NotTaken Outcome = iota // nobody took the request: it has not run
-	Answered                // the caller has its answer, or has left
-	Lost                    // the VM that served is lost before the answer began: the request may have run
-	Broken                  // the same, after it began
+	NotTaken   Outcome = iota // nobody took the request: it has not run
+	Answered                  // the caller has its whole answer
+	Lost                      // the answer was lost before it began: the request may have run
+	Broken                    // the same, after it began
+	CallerLeft                // the caller has left, or takes no more
 )
 
 // Client hands requests to other VMs. It is safe for concurrent use.
@@ -62,36 +73,39 @@
 // Serve has another VM serve a request, and writes the answer to w. It sets the ID of q.
 func (c *Client) Serve(ctx context.Context, w http.ResponseWriter, q Request) Outcome {
 	q.ID = c.lastID.Add(1)
-	vm, taken := c.offer(ctx, &q)
-	if !taken {
+	vm, reply := c.offer(ctx, &q)
+	if !reply.Taken {
 		return NotTaken
 	}
-	r := reader{c: c, ctx: ctx, vm: vm, id: q.ID, w: w}
+	r := reader{c: c, ctx: ctx, vm: vm, id: q.ID, method: q.Method, statesEnd: reply.StatesEnd, w: w}
+	reading, stop := context.WithCancel(ctx)
+	go r.keepLease(reading)
 	outcome := r.copy()
+	stop()
 	if err := c.t.Send(vm, peer.KindReleaseOffer, ReleaseRequest{ID: q.ID}); err != nil {
 		c.log.Debug().Err(err).Str("to", vm).Uint64("offer", q.ID).Msg("a request could not be released; its lease ends it")
 	}
 	return outcome
 }
 
-// offer finds a VM that takes a request.
-func (c *Client) offer(ctx context.Context, q *Request) (vm string, taken bool) {
+// offer finds a VM that takes a request, and returns its reply.
+func (c *Client) offer(ctx context.Context, q *Request) (vm string, reply OfferReply) {
 	offers := 0
 	for _, vm := range c.candidates(q.Service) {
 		if offers++; offers > maxOffers || ctx.Err() != nil {
 			break
 		}
 		callCtx, cancel := context.WithTimeout(ctx, offerTimeout)
-		var reply OfferReply
+		reply = OfferReply{}
 		err := c.t.Call(callCtx, vm, peer.KindOffer, q, &reply)
 		cancel()
 		if err == nil && reply.Taken {
-			return vm, true
+			return vm, reply
 		}
 		c.log.Info().Err(err).Str("to", vm).Str("service", q.Service).Uint64("offer", q.ID).Msg("request not taken by another VM")
 		c.refuse(vm)
 	}
-	return "", false
+	return "", OfferReply{}
 }
 
 // candidates returns the VMs to ask, in random order.
@@ -118,49 +132,111 @@
 
 // reader copies the answer to one request to its caller.
 type reader struct {
-	c      *Client
-	ctx    context.Context
-	vm     string
-	id     uint64
-	w      http.ResponseWriter
-	offset int64
-	begun  bool // the head was written
+	c         *Client
+	ctx       context.Context
+	vm        string
+	id        uint64
+	method    string
+	statesEnd bool // the VM states whether an answer is complete
+	w         http.ResponseWriter
+	offset    int64
+	begun     bool      // the head was written
+	lastRead  time.Time // when the last piece was read and written
 }
 
 func (r *reader) copy() Outcome {
-	last := time.Now()
+	r.lastRead = time.Now()
 	for r.ctx.Err() == nil {
 		p, err := r.read()
 		switch {
-		case err != nil && time.Since(last) <= lostAfter:
+		case err != nil && time.Since(r.lastRead) <= patience(err):
 			_ = timer.Sleep(r.ctx, readRetryPause)
 			continue
-		case err != nil, !p.Known:
-			return r.lost()
+		case err != nil:
+			return r.lost("the VM does not answer", err)
+		case !p.Known:
+			return r.lost("the VM does not have the request", nil)
+		case r.isInvented(&p):
+			return r.lost("ended without a head", nil)
 		}
-		last = time.Now()
 		if !r.forward(&p) {
-			return Answered // the caller has left
+			return CallerLeft
 		}
-		if p.End && p.Aborted {
-			return r.lost()
+		r.lastRead = time.Now()
+		if p.End && r.isWhole(&p) {
+			return Answered
 		}
 		if p.End {
-			return Answered
+			return r.lost("ended early", nil)
 		}
 	}
+	return r.failure()
+}
+
+// failure returns the outcome of an answer that is not complete.
+func (r *reader) failure() Outcome {
 	if r.begun {
 		return Broken
 	}
 	return Lost
 }
 
-func (r *reader) lost() Outcome {
-	r.c.log.Warn().Str("to", r.vm).Uint64("offer", r.id).Bool("begun", r.begun).Msg("answer of another VM lost")
-	if r.begun {
-		return Broken
+// isWhole reports whether the answer that a last piece ends is complete.
+func (r *reader) isWhole(last *Piece) bool {
+	if r.statesEnd || last.Aborted {
+		return last.Complete
 	}
-	return Lost
+	if length, stated := bodyLength(r.method, r.w.Header()); stated {
+		return r.offset == length
+	}
+	return r.confirmEnd()
+}
+
+// A VM of a former build does not state whether an answer is complete. If it is stopped, it
+// ends the answers that it serves like complete ones, those without a head with an empty one,
+// and is gone a moment later.
+
+// confirmPause is longer than a VM takes from the end of its answers to its own.
+const confirmPause = 200 * time.Millisecond
+
+// confirmEnd reports whether a VM of a former build is still there after the end of an answer.
+func (r *reader) confirmEnd() bool {
+	if timer.Sleep(r.ctx, confirmPause) != nil {
+		return false
+	}
+	p, err := r.read()
+	return err == nil && p.Known && p.End
+}
+
+// isInvented reports whether a VM of a former build has ended an answer that had no head.
+func (r *reader) isInvented(p *Piece) bool {
+	return !r.statesEnd && !r.begun && p.End && len(p.Header) == 0
+}
+
+// lost logs why the answer is lost, and returns its outcome.
+func (r *reader) lost(why string, err error) Outcome {
+	r.c.log.Warn().Err(err).Str("to", r.vm).Uint64("offer", r.id).Bool("begun", r.begun).Int64("bytes", r.offset).
+		Dur("silent", time.Since(r.lastRead)).Str("reason", why).Msg("answer of another VM lost")
+	return r.failure()
+}
+
+// keepLease renews the lease until ctx ends. Reads do so too, but there are none while the caller
+// reads nothing.
+func (r *reader) keepLease(ctx context.Context) {
+	for timer.Sleep(ctx, leaseRenewal) == nil {
+		// It acknowledges nothing, and its piece is not sent.
+		if err := r.c.t.Send(r.vm, peer.KindReadAnswer, ReadRequest{ID: r.id, HasHead: true}); err != nil {
+			r.c.log.Debug().Err(err).Str("to", r.vm).Uint64("offer", r.id).Msg("a lease could not be renewed")
+		}
+	}
+}
+
+// patience returns how long reads may fail with an error.
+func patience(err error) time.Duration {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return goneAfter
+	}
+	return lostAfter
 }
 
 func (r *reader) read() (Piece, error) {
