upstream: a late answer is no sign of life

What callers saw: a VM that is cut off from the servers of a service goes on sending calls into connections that hang, since each idempotent call that is late counted as heard from its server. That ended the loss of the service, and a server judged dead took new work again.

Cause: a call that got no answer within 0.7 of its objective was recorded with Succeeded, for its latency, and then with Failed. Succeeded also records that bytes came.

Change: Late records the latency alone. A late answer no longer resets the failures in a row either, nor is it one of them.

Evidence: TestLateAnswerIsNoSignOfLife failed before ("the service is reached: true, dead servers: 1, want a lost service and two") and passes; internal/forward passes.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -250,8 +250,7 @@
 		f.Failed(s)
 		h.confirmDeath(q, s, run)
 	case r.fault == faultSlow:
-		f.Succeeded(s, took)
-		f.Failed(s)
+		f.Late(s, took)
 	case r.resp.StatusCode >= http.StatusInternalServerError:
 		f.Failed(s)
 	default:
--- a/internal/upstream/fleet_test.go
+++ b/internal/upstream/fleet_test.go
@@ -146,3 +146,20 @@
 		t.Errorf("got own use %+v, want 1 request", mine)
 	}
 }
+
+// Guards against a VM that is cut off and does not notice: its calls hang, and each that is late
+// would count as a sign of life.
+func TestLateAnswerIsNoSignOfLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(NewPool(), zerolog.Nop())
+		f.Apply(List{Backends: []Backend{{ID: "a", Service: "m"}, {ID: "b", Service: "m"}}, AsOf: time.Now()})
+		a, b := f.Lookup("a"), f.Lookup("b")
+		f.MarkDead(a)
+		f.Late(b, 200*time.Millisecond)
+		f.Late(a, 200*time.Millisecond)
+		f.MarkDead(b)
+		if f.Reaches("m") || f.DeadServers() != 2 {
+			t.Errorf("the service is reached: %t, dead servers: %d, want a lost service and two", f.Reaches("m"), f.DeadServers())
+		}
+	})
+}
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -202,6 +202,18 @@
 	s.failuresInRow, s.faultsInRow = 0, 0
 	s.suspectedUntil = time.Time{}
 	f.hear(s)
+	f.noteLatency(s, took)
+}
+
+// Late records that a server has not answered within a time. Nothing was heard of it.
+func (f *Fleet) Late(s *Server, after time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noteLatency(s, after)
+}
+
+// noteLatency records the latency of a response; zero: not measured. It needs f.mu.
+func (f *Fleet) noteLatency(s *Server, took time.Duration) {
 	if took <= 0 {
 		return
 	}
