forward: a late call is held until another server has answered

What callers saw: a 502 for an idempotent call a few tenths of a second after it was sent, though its server was sound, went on within a second, and the deadline was far.

Cause: a call without an answer after 0.7 of its objective was given up at its server before there was another one. If none was reached, had room, or was left in the retry budget, the call was lost; with a single server it always was.

Change: the late exchange is held, as the run of a silent engine is. The search for another server begins at the same moment, and the caller gets the first answer. The search is repeated each 250 ms until the server has been silent for 3 s. A server that refuses in the end leaves the call "not run", and the refusal says so.

Evidence: TestCallOutlivesTheSilenceOfItsServer with silences of 0.5, 1 and 1.5 s failed for all 12 cases of idempotent calls (502), and TestCallRefusedAfterASilence (502 for a call that was refused as not run); both pass. Calls that may run once passed before, too: they have always waited until their deadline. TestCallOfADeadServerIsGivenBackInTime and TestHeldCallsStayWithinTheAttempts hold the bounds: 3.1 s at a dead server, and no more runs than the route allows. The race run of internal/forward passes.

A held call goes on at its server until another one has answered, where it was dropped at once before; a slow server works on it for that much longer.

The stand-in answers what came during a silence once it goes on, as a real server does that finds the request in its socket.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -37,19 +37,35 @@
 func (h *Handler) serveCall(w http.ResponseWriter, q *request) {
 	skip := map[string]bool{}
 	var failure *reply // a server's own failure, delivered if no other server succeeds
-	for sends := 0; ; sends++ {
-		if !h.admitsContent(q, q.holdUntil()) {
-			h.endCall(w, q, failure, result.ContentHeldBack)
-			return
-		}
-		h.recheckVersion(q, sends > 0)
-		choice, code := h.chooseServer(q, skip, sends)
+	q.held = newHeldCalls(h, q)
+	defer q.held.release()
+	for sends := 0; ; {
+		var r reply
+		choice, code := h.nextServer(q, skip, sends)
 		s := choice.server
+		awaited := s != nil || q.held.await()
+		if s != nil {
+			sends++
+			r = h.sendCall(q, &choice)
+		}
+		for late := q.held.next(); late != nil; late = q.held.next() {
+			q.held.settle(late)
+			if late.reply.isUsable() {
+				observe(h.Stats.CallTime, q.arrived)
+				h.deliver(w, late.reply)
+				return
+			}
+			if late.reply.outcome == sendAnswered {
+				failure = late.reply
+			}
+		}
+		if s == nil && awaited {
+			continue
+		}
 		if s == nil {
 			h.endCall(w, q, failure, code)
 			return
 		}
-		r := h.sendCall(q, &choice)
 		q.history.Add(r.outcome)
 		h.logSend(q, s, &r)
 		if r.fault != faultWithheld {
@@ -60,20 +76,29 @@
 			return
 		}
 		if r.outcome == sendAnswered {
-			if r.resp.StatusCode < http.StatusInternalServerError || !q.history.MaySend() {
+			if r.isUsable() || !q.history.MaySend() {
 				observe(h.Stats.CallTime, q.arrived)
 				h.deliver(w, &r)
 				return
 			}
 			failure = &r
 		}
-		if !q.history.MaySend() {
-			h.endCall(w, q, failure, result.OutcomeUnknown)
-			return
-		}
 	}
 }
 
+// nextServer chooses the server for the next send of a call, if it may be sent. If there is none,
+// it returns the reason.
+func (h *Handler) nextServer(q *request, skip map[string]bool, sends int) (serverChoice, result.Code) {
+	if !q.history.MaySend() {
+		return serverChoice{}, result.OutcomeUnknown
+	}
+	if !h.admitsContent(q, q.holdUntil()) {
+		return serverChoice{}, result.ContentHeldBack
+	}
+	h.recheckVersion(q, sends > 0)
+	return h.chooseServer(q, skip, sends)
+}
+
 // logSend logs the result of one send.
 func (h *Handler) logSend(q *request, s *upstream.Server, r *reply) {
 	log, status := h.opts.Log, 0
@@ -197,6 +222,9 @@
 	end(&r, time.Since(began))
 	h.noteSendResult(q, s, &r, began, run)
 	h.noteAnswer(ticket, q, s, &r) // after the answer's load: it tells whether the duration counts
+	if r.flight != nil {
+		q.held.hold(&heldCall{flight: r.flight, server: s, run: run, began: began})
+	}
 	return r
 }
 
@@ -209,16 +237,24 @@
 		return reply{outcome: sendNotSent, fault: faultDial}, run
 	}
 	r := h.exchange(q, c.server, c.permit, Send{}, h.hedgeDelay(q, c.load))
+	if r.flight == nil {
+		h.endContentRun(c.server, run, &r)
+	}
+	return r, run
+}
+
+// endContentRun ends the record of a content on a server.
+func (h *Handler) endContentRun(s *upstream.Server, run *contentRun, r *reply) {
+	contents := h.opts.SuspectContents
 	switch r.outcome {
 	case sendUnknown:
 		contents.abandon(run)
-		return r, run
+		return
 	case sendAnswered, sendRefused:
-		contents.heard(c.server)
+		contents.heard(s)
 	case sendNotSent:
 	}
 	contents.forget(run)
-	return r, run
 }
 
 // hedgeDelay returns how long a call waits for the answer of one server before it is sent
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
@@ -40,6 +38,7 @@
 	answer  Answer
 	resp    *http.Response
 	body    []byte
+	flight  *flight // the exchange, which goes on; nil: it has ended
 }
 
 // headers returns the headers of the request for one send.
@@ -107,41 +106,47 @@
 	return nil, Answer{}, upstream.ErrBroken
 }
 
-// exchange sends a request and reads the complete answer. wait bounds the read; zero:
-// only the request's deadline does.
+// exchange sends a request and reads the complete answer. If none has come after wait, it
+// returns faultSlow with the exchange in flight; zero: it waits until the request's deadline.
 func (h *Handler) exchange(q *request, s *upstream.Server, p backpressure.Permit, send Send, wait time.Duration) reply {
 	sent := time.Now()
 	c, out := h.open(q, s, p, h.headers(q, s, send), false)
 	if c == nil {
 		return out
 	}
-	stop := context.AfterFunc(q.ctx, c.Close)
-	defer stop()
+	f := &flight{conn: c, stop: context.AfterFunc(q.ctx, c.Close), done: make(chan reply, 1)}
+	go func() { f.done <- h.readReply(q, s, f, sent) }()
+	var slow <-chan time.Time
 	if wait > 0 {
-		c.SetReadDeadline(time.Now().Add(wait))
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		slow = timer.C
 	}
-	resp, a, err := h.readHead(q, s, c, sent)
+	select {
+	case r := <-f.done:
+		return r
+	case <-slow:
+		return reply{outcome: sendUnknown, fault: faultSlow, flight: f}
+	}
+}
+
+// readReply reads the complete answer of an exchange.
+func (h *Handler) readReply(q *request, s *upstream.Server, f *flight, sent time.Time) reply {
+	resp, a, err := h.readHead(q, s, f.conn, sent)
 	var body []byte
 	if err == nil {
 		body, err = upstream.ReadBody(resp, maxAnswerBytes)
 	}
 	if err != nil {
-		c.Close()
-		return reply{outcome: sendUnknown, fault: faultOf(err)}
+		f.conn.Close()
+		return reply{outcome: sendUnknown, fault: faultBroken}
 	}
-	if stop() {
-		h.opts.Pool.Put(c, resp)
+	if f.stop() {
+		h.opts.Pool.Put(f.conn, resp)
 	}
 	return h.classifyReply(reply{answer: a, resp: resp, body: body})
 }
 
-func faultOf(err error) fault {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return faultSlow
-	}
-	return faultBroken
-}
-
 // classifyReply sets the outcome of a received answer. An answer that lacks the server's
 // signature, or was encoded on its way, is not the server's, whatever its status.
 func (h *Handler) classifyReply(r reply) reply {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -268,6 +268,7 @@
 	versionChoice rollout.Choice
 	// origin is the service and version that began the stream; nil: it has not begun.
 	origin        *streamversion.Origin
+	held          *heldCalls        // late exchanges of a call; nil: the request is a stream
 	trial         *contentTrial     // of the content, if it is suspect; nil: it has none
 	deathChecks   []<-chan struct{} // of the servers that broke off an answer; closed once the result is known
 	grantRequests int               // that no control VM answered
--- a/internal/forward/send_history.go
+++ b/internal/forward/send_history.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// Refused records that a send of unknown outcome was refused after all.
+func (h *SendHistory) Refused() { h.possibleRuns-- }
+
 // MaySend reports whether the request may be sent to another server.
 func (h *SendHistory) MaySend() bool {
 	if h.possibleRuns == 0 {
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -143,7 +143,7 @@
 const (
 	Alive        State = iota
 	Dead               // existing connections are reset, new ones are refused
-	Unresponsive       // connections stay open, but nothing is answered
+	Unresponsive       // connections stay open, but nothing is answered before it is Alive again
 	Breaking           // connections are accepted, and closed once a request has come
 )
 
@@ -306,10 +306,11 @@
 	s.stateFragility(w)
 	retryAfter := s.retryAfter
 	s.mu.Unlock()
+	if !s.pause(r, 0) {
+		return
+	}
 	switch {
-	case s.inState(Unresponsive):
-		<-r.Context().Done()
-	case s.inState(Breaking):
+	case s.inState(Breaking), s.inState(Dead):
 		panic(http.ErrAbortHandler)
 	case r.URL.Path == forward.PlainReportURI && r.Header.Get(forward.HeaderInstance) == s.ID:
 		s.report(w)
