forward: a content is not blamed for a trial that was not sent

What callers saw: after two servers had died, a harmless content was refused as held back for 30 s, since its trial was to go to a sound server that was silent at that moment.

Cause: the server of a trial is probed first, but the run was recorded before that. If the probe failed, the server was judged dead, and the death was blamed on the run, as that of a trial, though nothing had been sent.

Change: the run is recorded after the probe.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -231,8 +231,9 @@
 // exchangeWatched sends a call and records its content as running on the server meanwhile.
 func (h *Handler) exchangeWatched(q *request, c *serverChoice) (reply, *contentRun) {
 	contents := h.opts.SuspectContents
+	alive := q.trial == nil || h.answersProbe(c.server)
 	run := contents.began(c.server, q.digest, q.trial != nil)
-	if q.trial != nil && !h.answersProbe(c.server) {
+	if !alive {
 		contents.forget(run)
 		return reply{outcome: sendNotSent, fault: faultDial}, run
 	}
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -168,7 +168,7 @@
 }
 
 // answersProbe reports whether a server answers a probe now. The server of a trial must be
-// alive before, or the trial is blamed for an earlier death.
+// alive before the run is recorded, or the trial is blamed for an earlier death.
 func (h *Handler) answersProbe(s *upstream.Server) bool {
 	h.Stats.Probes.Inc()
 	p := h.prober.start(s)
