forward: no panic when a held run ends during the search for another engine

What callers saw: a stream whose connection the router dropped without an answer: its handler panicked (index out of range in awaitHeld).

Cause: a search that finds no engine was followed by a wait for the first held run, though the connection of the only one had ended meanwhile and it was held no longer.

Evidence: TestHeldRunEndsDuringTheSearch panicked before and passes.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -200,7 +200,7 @@
 // awaitHeld waits for a held run until the next search. It returns false if there is nothing
 // left to wait for.
 func (st *streamRelay) awaitHeld() bool {
-	if st.q.ctx.Err() != nil {
+	if st.q.ctx.Err() != nil || len(st.held) == 0 {
 		return false
 	}
 	first := st.held[0]
--- a/internal/forward/silent_engine_test.go
+++ b/internal/forward/silent_engine_test.go
@@ -94,6 +94,30 @@
 	}
 }
 
+// Guards against a router that panics: the connection of a held run ends while another engine is
+// searched for, and there is none.
+func TestHeldRunEndsDuringTheSearch(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		t.Run(fmt.Sprintf("begun: %t", begun), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, engine("a"))
+				defer f.shutDown()
+				a := f.send("POST", "/s/1", "r1", "log")
+				if begun {
+					time.Sleep(1500 * time.Millisecond)
+				}
+				f.servers[0].Set(routedengine.Unresponsive)
+				time.Sleep(time.Second)
+				f.servers[0].Set(routedengine.Dead)
+				<-a.done
+				if begun != a.broken || !begun && a.status < http.StatusInternalServerError {
+					t.Errorf("got status %d, aborted: %t, want a failure", a.status, a.broken)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a pause that a new prefill makes longer than the silence of the engine: the
 // stream goes on with whichever run brings the next event first.
 func TestStreamGoesOnWithTheFirstRunThatSpeaks(t *testing.T) {
