forward: the blame for a server that was only silent is withdrawn

What callers saw: after two or three servers had been silent for a second under a content that many callers send, one request with it ran at a time over all VMs, and the others were refused as held back, until one of them was answered.

Cause: a server that does not answer a probe for 150 ms counts as dead, and the contents that ran there are blamed. Nothing took that back when the server went on. A VM also blamed its abandoned runs on the mere report of another VM.

Change: a death that rests on silence or on another VM's report is doubtful. The contents are blamed at once, on all VMs, as before, so that a content that crashes its servers stops as fast. A host that refuses the connection, or another incarnation, makes the death certain at once. Requests wait for the result as they wait for a trial, and their refusals name the time when it is certain. A server that another VM reports dead is probed. An answer on the run that is blamed clears its content of that death.

A withdrawal does not reach past a death that stands: then the content waits for a trial as before.

The tests of crashing contents pass unchanged: internal/forward, internal/recovery, and internal/cluster with seven runs of TestCrashingContentStopsAtAllVMs. The race run of internal/forward passes.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -292,7 +292,7 @@
 		f.Failed(s)
 	default:
 		f.Succeeded(s, took)
-		h.opts.SuspectContents.cleared(q.digest, began, q.RequestID, s.ID)
+		h.opts.SuspectContents.cleared(run, began, q.RequestID)
 	}
 	if r.resp != nil {
 		h.learnLoad(s, &r.answer)
--- a/internal/forward/content_runs.go
+++ b/internal/forward/content_runs.go
@@ -24,6 +24,10 @@
 	late    bool // the server had died before, so that the run is not the cause
 	began   time.Time
 	endedAt time.Time // when it was given up; zero: it is in flight
+	// blamedAt is when it was blamed for a death of its server that is not certain; zero: it
+	// was not.
+	blamedAt  time.Time
+	forgotten bool // it certainly did not, and will not, end its server
 }
 
 // contentRuns holds the runs of this VM by server id. It is not safe for concurrent use.
@@ -40,14 +44,31 @@
 func (c *contentRuns) begin(server *upstream.Server, digest uint64, trial bool) *contentRun {
 	_, dead := c.dead[server.ID]
 	r := &contentRun{server: server, digest: digest, trial: trial, late: dead, began: time.Now()}
-	if c.byServer[server.ID] == nil {
-		c.byServer[server.ID] = map[*contentRun]struct{}{}
-	}
-	c.byServer[server.ID][r] = struct{}{}
+	c.add(r)
 	return r
 }
 
 func (c *contentRuns) forget(r *contentRun) {
+	r.forgotten = true
+	c.remove(r)
+}
+
+// restore takes back a run that was taken for a death that did not happen.
+func (c *contentRuns) restore(r *contentRun) {
+	if !r.forgotten {
+		c.add(r)
+	}
+}
+
+func (c *contentRuns) add(r *contentRun) {
+	id := r.server.ID
+	if c.byServer[id] == nil {
+		c.byServer[id] = map[*contentRun]struct{}{}
+	}
+	c.byServer[id][r] = struct{}{}
+}
+
+func (c *contentRuns) remove(r *contentRun) {
 	id := r.server.ID
 	delete(c.byServer[id], r)
 	if len(c.byServer[id]) == 0 {
@@ -90,7 +111,7 @@
 		if !r.tooOld(now) && !r.late {
 			out = append(out, r)
 		}
-		c.forget(r)
+		c.remove(r)
 	}
 	return out
 }
--- a/internal/forward/content_trial.go
+++ b/internal/forward/content_trial.go
@@ -60,6 +60,9 @@
 // trial ends about then.
 const maxTrialHold = time.Second
 
+// doubtPollInterval separates two requests for a trial while deaths are doubtful.
+const doubtPollInterval = 100 * time.Millisecond
+
 // noGranterRetryInterval separates two requests for a trial while no control VM answers.
 const noGranterRetryInterval = 100 * time.Millisecond
 
@@ -73,10 +76,14 @@
 	}
 	h.endTrial(q)
 	for {
+		certain := h.opts.SuspectContents.doubtEnds(q.digest) // before the answer, which may rest on it
 		wait, admitted := h.requestTrial(q)
 		if admitted {
 			return true
 		}
+		if !certain.IsZero() {
+			wait = h.waitForDoubt(q, certain)
+		}
 		if wait == 0 || time.Now().Add(wait).After(holdUntil) || timer.Sleep(q.ctx, wait) != nil {
 			return false
 		}
@@ -87,6 +94,16 @@
 	}
 }
 
+// waitForDoubt returns when to ask again for a trial of a content that is blamed for doubtful
+// deaths. The caller may retry once they are certain.
+func (h *Handler) waitForDoubt(q *request, certain time.Time) time.Duration {
+	left := time.Until(certain)
+	if left < q.left() && (q.retryAfter == 0 || left < q.retryAfter) {
+		q.setRetryAfter(admission.SpreadRetry(left, rand.Float64()))
+	}
+	return doubtPollInterval
+}
+
 // requestTrial asks for a trial of the request's content if it needs one. If the content is
 // not admitted, it sets when the caller may retry, and returns when to ask again; 0: the
 // content is held back.
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -40,6 +40,7 @@
 	callGrants       forward.CallGrants // nil: the router decides about calls itself
 	state            atomic.Pointer[rollout.State]
 	recorder         *rollout.Recorder
+	contents         *forward.SuspectContents
 	closing          bool            // the router is shutting down
 	unreadBytes      int             // 0: the default
 	shutdownTimeLeft time.Duration   // until the router stops; 0: it is not shutting down
@@ -127,10 +128,11 @@
 	if f.noRetries {
 		retries.Ratio, retries.Slack = 0, 0
 	}
+	f.contents = forward.NewSuspectContents(zerolog.Nop())
 	f.handler = forward.NewHandler(forward.Options{
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: f.pool, Fleet: f.fleet,
 		Routes: f.table.Load, ListsReady: ready, RetryAllowance: retries,
-		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return f.closing },
+		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: f.contents, Closing: func() bool { return f.closing },
 		UnreadBytes: f.unreadBytes, CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer, RefusalLevel: f.refusalLevel, CallGrants: f.callGrants,
 		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder}, VersionsFresh: func() bool { return !f.versionsStale }, Origins: f.origins,
 	})
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -47,6 +48,7 @@
 type probeResult struct {
 	alive    bool
 	withheld bool // the engine accepts no request now: nothing is known of it
+	refused  bool // the host refused the connection: no process listens there
 	// replaced reports that another incarnation answers at the address: the one that was
 	// probed is dead.
 	replaced bool
@@ -123,7 +125,7 @@
 	p.wire.SetInstance(r.Header, s.ID)
 	resp, body, err := p.engines.do(ctx, s, &r)
 	if err != nil {
-		return probeResult{withheld: errors.Is(err, errWithheld)}
+		return probeResult{withheld: errors.Is(err, errWithheld), refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	a := p.wire.ReadAnswer(resp.StatusCode, resp.Header)
 	if a.WrongInstance || a.Instance != "" && a.Instance != s.ID {
@@ -137,16 +139,30 @@
 }
 
 // blameContents blames the contents that ran on a server that died. Their abandoned runs may
-// have ended other servers too, where no request may notice it for some time.
+// have ended other servers too, where no request may notice it for some time. A server that
+// another VM reports is probed as well, since it may be alive.
 func (h *Handler) blameContents(server string, e upstream.Evidence) {
-	if e == upstream.Confirmed {
+	if e == upstream.Confirmed || e == upstream.Silence {
 		h.dead.probe()
 	}
-	for _, r := range h.opts.SuspectContents.serverDied(server, e == upstream.Hearsay) {
+	blamed, elsewhere := h.opts.SuspectContents.serverDied(server, e)
+	if e == upstream.PeerReport && len(blamed) > 0 {
+		h.probeForDeath(blamed[0].server, blamed[0])
+	}
+	for _, r := range elsewhere {
 		h.probeForDeath(r.server, r)
 	}
 }
 
+// judgeDead judges a server dead that did not answer a probe.
+func (h *Handler) judgeDead(s *upstream.Server, p *probe) {
+	if p.refused {
+		h.opts.Fleet.MarkDead(s)
+		return
+	}
+	h.opts.Fleet.MarkSilent(s)
+}
+
 // probeForDeath probes a server on which a content may still run, and returns a channel that
 // is closed once the result is known.
 func (h *Handler) probeForDeath(s *upstream.Server, r *contentRun) <-chan struct{} {
@@ -159,7 +175,7 @@
 		switch {
 		case p.withheld:
 		case !p.alive:
-			h.opts.Fleet.MarkDead(s)
+			h.judgeDead(s, p)
 		case p.sameInstance:
 			h.opts.SuspectContents.forget(r)
 		}
@@ -174,7 +190,7 @@
 	p := h.prober.start(s)
 	<-p.done
 	if !p.alive && !p.withheld {
-		h.opts.Fleet.MarkDead(s)
+		h.judgeDead(s, p)
 	}
 	return p.alive
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -392,7 +392,7 @@
 func (r *run) clearContent() {
 	contents := r.st.h.opts.SuspectContents
 	contents.forget(r.content)
-	contents.cleared(r.st.q.digest, r.sentAt, r.st.q.RequestID, r.server.ID)
+	contents.cleared(r.content, r.sentAt, r.st.q.RequestID)
 }
 
 // leaveContent ends the run's record at the engine.
--- a/internal/forward/suspect_content.go
+++ b/internal/forward/suspect_content.go
@@ -26,6 +26,7 @@
 	mu         sync.Mutex
 	contents   *recovery.SuspectContents
 	runs       contentRuns
+	doubtful   []doubtfulDeath
 	observed   map[uint64]time.Time              // when this VM last observed something of a content
 	told       map[uint64]recovery.ContentRecord // by a control VM
 	unreported []recovery.Death                  // to control VMs that take no records
@@ -84,8 +85,12 @@
 // heard records that a server answered.
 func (s *SuspectContents) heard(server *upstream.Server) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.runs.heard(server)
+	urgent := s.withdraw(server.ID, time.Now())
+	s.mu.Unlock()
+	if urgent && s.Changed != nil {
+		s.Changed()
+	}
 }
 
 // abandon ends a run of which this VM will not learn the result. The server may still run
@@ -96,22 +101,33 @@
 	s.runs.abandon(r, time.Now())
 }
 
-// serverDied blames the contents that ran on a server that died. If abandonedOnly is set,
-// the runs whose connections are open are spared: they break off if the server has died. It
-// returns the abandoned runs of the same contents on other servers.
-func (s *SuspectContents) serverDied(server string, abandonedOnly bool) (elsewhere []*contentRun) {
+// serverDied blames the contents that ran on a server that died. Without the evidence of a
+// probe, the runs whose connections are open are spared: they break off if the server has died.
+// It returns the runs that are blamed, and the abandoned runs of the same contents on other
+// servers.
+func (s *SuspectContents) serverDied(server string, e upstream.Evidence) (blamed, elsewhere []*contentRun) {
 	s.mu.Lock()
-	now, urgent, blamed := time.Now(), false, map[uint64]bool{}
-	for _, r := range s.runs.take(server, abandonedOnly, now) {
+	now, urgent, digests := time.Now(), false, map[uint64]bool{}
+	abandonedOnly := e == upstream.Refusal || e == upstream.PeerReport
+	isDoubtful := e == upstream.Silence || e == upstream.PeerReport
+	if !isDoubtful {
+		s.confirm(server)
+	}
+	blamed = s.runs.take(server, abandonedOnly, now)
+	for _, r := range blamed {
 		urgent = s.blame(r, now) || urgent
-		blamed[r.digest] = true
+		digests[r.digest] = true
+		if isDoubtful {
+			r.blamedAt = now
+			s.doubtful = append(s.doubtful, doubtfulDeath{run: r, at: now})
+		}
 	}
-	elsewhere = s.runs.abandoned(blamed, now)
+	elsewhere = s.runs.abandoned(digests, now)
 	s.mu.Unlock()
 	if urgent && s.Changed != nil {
 		s.Changed()
 	}
-	return elsewhere
+	return blamed, elsewhere
 }
 
 // blame records that a server died under a run, and reports whether other VMs must know at
@@ -130,9 +146,14 @@
 	return standing >= recovery.ContentOnTrial
 }
 
-// cleared records that a server answered a request of a content, which was sent at a time.
-func (s *SuspectContents) cleared(digest uint64, sent time.Time, request, server string) {
+// cleared records that a server answered a run, which was sent at a time. If the run is blamed
+// for a death of the server, the server was silent.
+func (s *SuspectContents) cleared(r *contentRun, sent time.Time, request string) {
 	s.mu.Lock()
+	digest, server := r.digest, r.server.ID
+	if r.blamedAt.After(sent) {
+		sent = r.blamedAt
+	}
 	before, _ := s.contents.Standing(digest, time.Now())
 	deaths := s.contents.Succeeded(digest, sent)
 	if deaths > 0 {
--- a/internal/recovery/content.go
+++ b/internal/recovery/content.go
@@ -31,6 +31,9 @@
 	// that have not heard of the deaths may still run the content that caused them, and a
 	// harmless one would be blamed for the next.
 	trialSettleTime = 700 * time.Millisecond
+	// withdrawalMargin is how much later a death may be dated by another VM. VMs tell times as
+	// ages, to which the way of a message adds.
+	withdrawalMargin = 100 * time.Millisecond
 	// contentTTL is how long a content is remembered after its last death.
 	contentTTL = 10 * time.Minute
 	// suspectTTL is how long it is remembered if it is sent only as a trial. Its callers may
@@ -269,6 +272,32 @@
 	return before - len(r.Deaths)
 }
 
+// Withdraw clears a content of its earliest deaths as long as the servers are alive, and returns
+// their number. A death after one that stands is not withdrawn: records state one time up to
+// which all deaths are cleared.
+func (c *SuspectContents) Withdraw(digest uint64, alive func(ContentDeath) bool, now time.Time) (deaths int) {
+	r := c.byDigest[digest]
+	if r == nil {
+		return 0
+	}
+	before, clearedAt := len(r.Deaths), time.Time{}
+	slices.SortFunc(r.Deaths, func(a, b ContentDeath) int { return a.At.Compare(b.At) })
+	for _, d := range r.Deaths {
+		if !alive(d) {
+			if !d.At.After(clearedAt) {
+				clearedAt = d.At.Add(-1)
+			}
+			break
+		}
+		clearedAt = d.At.Add(withdrawalMargin)
+		if clearedAt.After(now) {
+			clearedAt = now
+		}
+	}
+	r.merge(ContentRecord{ClearedAt: clearedAt})
+	return before - len(r.Deaths)
+}
+
 // Standing returns the standing of a content; until is the end of ContentHeld.
 func (c *SuspectContents) Standing(digest uint64, now time.Time) (s ContentStanding, until time.Time) {
 	r := c.byDigest[digest]
--- a/internal/recovery/content_test.go
+++ b/internal/recovery/content_test.go
@@ -161,3 +161,47 @@
 		t.Errorf("got %d deaths after a merge, want 3", n)
 	}
 }
+
+// Guards against the blame for a server that was only silent, and against the pardon of a content
+// that did end one: deaths are withdrawn from the earliest on, and not past one that stands.
+func TestDeathOfAnAliveServerIsWithdrawn(t *testing.T) {
+	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	for _, tt := range []struct {
+		name  string
+		alive string // the servers that answer again
+		want  string // those whose deaths stand
+	}{
+		{"none", "", "abc"},
+		{"the first", "a", "bc"},
+		{"the first two", "ab", "c"},
+		{"all", "abc", ""},
+		{"all but the first", "bc", "abc"},
+		{"all but the last", "ab", "c"},
+		{"the first and the last", "ac", "bc"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c, told := NewSuspectContents(), NewSuspectContents()
+			for i, server := range []string{"a", "b", "c"} {
+				now := at(time.Duration(i) * 40 * time.Millisecond)
+				c.ServerDied(7, server, false, start, now)
+				told.ServerDied(7, server, false, start, now.Add(5*time.Millisecond)) // the report took so long
+			}
+			now := at(time.Second)
+			n := c.Withdraw(7, func(d ContentDeath) bool { return strings.Contains(tt.alive, d.Server) }, now)
+			if want := 3 - len(tt.want); n != want {
+				t.Errorf("%d deaths were withdrawn, want %d", n, want)
+			}
+			told.Merge(7, c.Record(7), now)
+			for _, contents := range []*SuspectContents{c, told} {
+				got := ""
+				for _, d := range contents.Record(7).Deaths {
+					got += d.Server
+				}
+				if got != tt.want {
+					t.Errorf("the deaths of %q stand, want %q", got, tt.want)
+				}
+			}
+		})
+	}
+}
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -35,11 +35,15 @@
 
 // Evidence of a death.
 const (
-	// Hearsay is a refused connection, or the report of another VM. Open connections of this
-	// VM may live on if only a link is at fault.
-	Hearsay Evidence = iota
-	// Confirmed means that the server did not answer a probe, or that another incarnation
-	// holds its address.
+	// Refusal is a refused connection. Open connections of this VM may live on if only a link is
+	// at fault.
+	Refusal Evidence = iota
+	// PeerReport is the report of another VM, which may be wrong or have a link at fault.
+	PeerReport
+	// Silence means that the server did not answer a probe. It may go on.
+	Silence
+	// Confirmed means that the server refused a probe, or that another incarnation holds its
+	// address.
 	Confirmed
 )
 
@@ -58,13 +62,19 @@
 	// A host that refuses connections has no process at the address. One that is silent
 	// may be cut off.
 	if errors.Is(cause, syscall.ECONNREFUSED) {
-		f.onDeath(s.ID, Hearsay)
+		f.onDeath(s.ID, Refusal)
 	}
 }
 
-// MarkDead judges a server dead. Everything that runs there for this VM is moved at once,
+// MarkDead judges a server dead that refused a probe.
+func (f *Fleet) MarkDead(s *Server) { f.judgeDead(s, Confirmed) }
+
+// MarkSilent judges a server dead that did not answer a probe.
+func (f *Fleet) MarkSilent(s *Server) { f.judgeDead(s, Silence) }
+
+// judgeDead judges a server dead. Everything that runs there for this VM is moved at once,
 // since one silent stream is evidence for the others on the same server.
-func (f *Fleet) MarkDead(s *Server) {
+func (f *Fleet) judgeDead(s *Server, e Evidence) {
 	f.mu.Lock()
 	f.avoidFor(s, deadAvoid)
 	isNew := f.takeDead(s)
@@ -78,7 +88,7 @@
 		f.log.Warn().Str("server", s.ID).Str("zone", s.Zone).Dur("silent", silent).Msg("server judged dead")
 	}
 	f.pool.Forget(s.ID)
-	f.onDeath(s.ID, Confirmed)
+	f.onDeath(s.ID, e)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	signal(&s.died) // after the contents are blamed: the runs that this moves may be of one that crashes servers
@@ -140,7 +150,7 @@
 // itself, since the other VM's link may be at fault.
 func (f *Fleet) PeerReportedDead(ids []string) {
 	for _, id := range f.learnPeerDeaths(ids) {
-		f.onDeath(id, Hearsay)
+		f.onDeath(id, PeerReport)
 	}
 }
 
