forward: an engine that resets new connections is not judged dead while it sends events

What callers saw: a stream that was prefilled again at other engines, up to five runs of one request, though its engine worked: it was at its limit of connections, which resets any further one, and its events were some 300 ms apart.

Cause: any error of a probe before its time was up counted as "no process listens there".

Change: only a refused connection, or one that the server accepts and closes, ends a probe early. A reset counts like silence, and bytes that came from the server on another connection during the probe prove that it is alive. The end of a connection no longer counts as heard from its server.

--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -49,6 +51,7 @@
 	alive    bool
 	withheld bool // the engine accepts no request now: nothing is known of it
 	refused  bool // the host refused the connection: no process listens there
+	closed   bool // the server closed the connection that it had accepted
 	// replaced reports that another incarnation answers at the address: the one that was
 	// probed is dead.
 	replaced bool
@@ -80,7 +83,12 @@
 func (p *prober) runProbe(s *upstream.Server, pr *probe, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	began := time.Now()
 	pr.probeResult = p.probeUntilAnswered(ctx, s)
+	if !pr.isConclusive() {
+		_ = timer.Sleep(ctx, probeTimeout-time.Since(began)) // resets come at once
+		pr.alive = p.fleet.SilentFor(s) < time.Since(began)  // bytes came on another connection
+	}
 	switch {
 	case pr.alive:
 		p.fleet.Heard(s)
@@ -94,7 +102,13 @@
 	close(pr.done)
 }
 
-// probeUntilAnswered repeats attempts until one is answered or refused, or ctx ends.
+// isConclusive reports whether the result shows what became of the server. A reset does not: a
+// server resets connections beyond the number that it accepts.
+func (r *probeResult) isConclusive() bool {
+	return r.alive || r.withheld || r.replaced || r.refused || r.closed
+}
+
+// probeUntilAnswered repeats attempts until one is conclusive, all have failed, or ctx ends.
 func (p *prober) probeUntilAnswered(ctx context.Context, s *upstream.Server) probeResult {
 	tries := int(probeTimeout / probeRetryInterval)
 	answers := make(chan probeResult, tries)
@@ -102,14 +116,15 @@
 	defer next.Stop()
 	started := 1
 	go func() { answers <- p.try(ctx, s) }()
-	for ended := 0; ended < started; {
+	for ended := 0; ended < tries; {
 		select {
 		case v := <-answers:
 			ended++
-			// A refused connection is an answer of the host: no process listens there.
-			if v.alive || v.withheld || v.replaced || ctx.Err() == nil {
+			if v.isConclusive() {
 				return v
 			}
+		case <-ctx.Done():
+			return probeResult{}
 		case <-next.C:
 			if started < tries {
 				started++
@@ -125,7 +140,10 @@
 	p.wire.SetInstance(r.Header, s.ID)
 	resp, body, err := p.engines.do(ctx, s, &r)
 	if err != nil {
-		return probeResult{withheld: errors.Is(err, errWithheld), refused: errors.Is(err, syscall.ECONNREFUSED)}
+		return probeResult{
+			withheld: errors.Is(err, errWithheld), refused: errors.Is(err, syscall.ECONNREFUSED),
+			closed: ctx.Err() == nil && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)),
+		}
 	}
 	a := p.wire.ReadAnswer(resp.StatusCode, resp.Header)
 	if a.WrongInstance || a.Instance != "" && a.Instance != s.ID {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -222,7 +222,9 @@
 // One flush serves them all.
 func (r *run) handleResult(res readResult) (runEnd, bool) {
 	r.lastHeard, r.reportIsCurrent, r.probeFailed, r.missingReports = time.Now(), false, false, 0
-	r.st.h.opts.Fleet.Heard(r.server)
+	if res.err == nil {
+		r.st.h.opts.Fleet.Heard(r.server)
+	}
 	for {
 		end, done := r.handleOne(res)
 		if done {
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -48,12 +48,24 @@
 		return nil, ctx.Err()
 	}
 	near, far := net.Pipe()
+	if s.atConnectionLimit() {
+		return resetConn{near}, nil
+	}
 	if !s.accept(far) {
 		return nil, errRefused
 	}
 	return near, nil
 }
 
+// resetConn is a connection that its server has reset.
+type resetConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (resetConn) Read([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
+// Write implements net.Conn.
+func (resetConn) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
 // ListenTCP adds a server to the network and listens on its address, or on a free
 // loopback port if it has none.
 func (n *Net) ListenTCP(s *Server) error {
@@ -183,6 +195,7 @@
 	rateLimit  string      // stated in every answer; empty: none
 	fragility  fragility
 	leaving    bool              // stated in every answer
+	connsTaken bool              // new connections are reset
 	retryAfter string            // Retry-After with which every request is refused; empty: none is
 	active     map[string]bool   // streams that run here, by request id
 	eventsMade map[string]int    // events of running streams, by request id
@@ -240,6 +253,19 @@
 	s.rateLimit = limit
 }
 
+// TakeConnections makes the server reset new connections, like one over its limit of them.
+func (s *Server) TakeConnections(taken bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connsTaken = taken
+}
+
+func (s *Server) atConnectionLimit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.connsTaken
+}
+
 // RefuseUntil makes the server refuse every request and ask for a pause of retryAfter, in the
 // form of the header Retry-After; empty: it accepts requests.
 func (s *Server) RefuseUntil(retryAfter string) {
