upstream: a server that answers after a silence is used at once

What callers saw: engines that stood idle for three seconds after a silence of one second, while streams waited for the others. Two VMs that avoid an engine are enough to have the deciding control VM grant it to nobody.

Cause: a server that was judged dead was avoided for 4 s, and one that accepted no connection for up to 4 s, whatever it answered meanwhile. The other servers of its zone stayed suspected when they answered a probe.

Change: what was concluded from silence ends with an answer on a new connection. An event of a run on an old one is not enough, since new ones may still fail; a server whose held run goes on is therefore probed. Failures of its own and slow runs have it avoided as before.

Evidence: without the change TestServersThatAnswerAgainAreUsed finds 0 usable servers of 4, and TestSilentEngineIsUsedAgain an engine that is avoided 0.5 s after the silence; both pass. The packages forward, upstream (race run too), cluster and routed pass.

--- a/internal/forward/dead_servers.go
+++ b/internal/forward/dead_servers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // deadProbeTimeout bounds the probe of a dead server, for which nobody waits. A server that was
@@ -27,6 +28,13 @@
 	}
 }
 
+// probeRevived probes a server that goes on after a silence. Until it answers on a new connection
+// it is avoided, since only its link may be at fault.
+func (h *Handler) probeRevived(s *upstream.Server) {
+	h.Stats.Probes.Inc()
+	h.prober.start(s)
+}
+
 func (d *deadServers) run() {
 	fleet, ctx := d.h.opts.Fleet, d.h.opts.Context
 	for fleet.DeadServers() > 0 && ctx.Err() == nil {
--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -227,6 +227,7 @@
 		Dur("silent", time.Since(r.lastHeard)).Int("sends", st.sends).Msg("held run goes on")
 	st.unhold(r)
 	st.h.opts.SuspectContents.heard(r.server)
+	st.h.probeRevived(r.server)
 	st.lostAt, st.lostZone, st.lastCopy = time.Time{}, "", backupCopy{}
 	clear(st.skip)
 	r.died = st.h.opts.Fleet.Died(r.server)
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -49,6 +49,7 @@
 // probeResult is the result of one attempt, and of the probe as a whole.
 type probeResult struct {
 	alive    bool
+	answered bool // the engine answered this probe
 	withheld bool // the engine accepts no request now: nothing is known of it
 	refused  bool // the host refused the connection: no process listens there
 	closed   bool // the server closed the connection that it had accepted
@@ -90,8 +91,8 @@
 		pr.alive = p.fleet.SilentFor(s) < time.Since(began)  // bytes came on another connection
 	}
 	switch {
-	case pr.alive:
-		p.fleet.Heard(s)
+	case pr.answered:
+		p.fleet.Answered(s)
 		p.contents.heard(s)
 	case pr.replaced:
 		p.fleet.MarkStale(s)
@@ -149,7 +150,7 @@
 	if a.WrongInstance || a.Instance != "" && a.Instance != s.ID {
 		return probeResult{replaced: true}
 	}
-	v := probeResult{alive: true, sameInstance: a.Instance == s.ID}
+	v := probeResult{alive: true, answered: true, sameInstance: a.Instance == s.ID}
 	if report, err := p.wire.ReadReport(body); err == nil && resp.StatusCode == http.StatusOK {
 		v.report, v.hasReport = report, true
 	}
--- a/internal/forward/silent_engine_test.go
+++ b/internal/forward/silent_engine_test.go
@@ -118,6 +118,31 @@
 	}
 }
 
+// Guards against engines that stand idle for seconds after a silence of one second, while the
+// others carry their load: one that goes on with its streams takes new ones at once.
+func TestSilentEngineIsUsedAgain(t *testing.T) {
+	for _, engines := range []int{1, 3} {
+		t.Run(fmt.Sprint(engines), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var list []*routedengine.Server
+				for range engines {
+					list = append(list, engine("a"))
+				}
+				f := newFixture(t, list...)
+				defer f.shutDown()
+				a := f.send("POST", "/s/1", "r1", "log")
+				time.Sleep(2 * time.Second)
+				silentFor(time.Second, f.servers...)
+				time.Sleep(500 * time.Millisecond)
+				if o := f.fleet.Report(); len(o.Avoid) > 0 {
+					t.Errorf("engines %v are avoided 0.5 s after the silence, want none", o.Avoid)
+				}
+				a.requireCompleteStream(t, 100)
+			})
+		})
+	}
+}
+
 // Guards against a pause that a new prefill makes longer than the silence of the engine: the
 // stream goes on with whichever run brings the next event first.
 func TestStreamGoesOnWithTheFirstRunThatSpeaks(t *testing.T) {
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -84,6 +84,7 @@
 	rank             int           // this VM's position in the server's rendezvous order, valid for rankVersion
 	rankVersion      int           // value of Fleet.routersVersion
 	avoidUntil       time.Time     // from this VM's own observations
+	unreachedUntil   time.Time     // the same, unless the server answers on a new connection
 	suspectedUntil   time.Time     // from deaths of neighbours or from peer reports
 	faultsInRow      int           // faults in a row that made the server avoided
 	failuresInRow    int           // failed responses in a row
@@ -277,7 +278,7 @@
 
 // avoided reports whether there is a reason not to send requests to the server.
 func (s *Server) avoided(now time.Time) bool {
-	return now.Before(s.avoidUntil) || now.Before(s.suspectedUntil)
+	return now.Before(s.avoidUntil) || now.Before(s.unreachedUntil) || now.Before(s.suspectedUntil)
 }
 
 // Report is what this VM reports to other VMs about servers, by id.
@@ -295,7 +296,7 @@
 	var o Report
 	for _, s := range f.servers {
 		switch {
-		case s.stale || s.dead != nil || now.Before(s.avoidUntil):
+		case s.stale || s.dead != nil || now.Before(s.avoidUntil) || now.Before(s.unreachedUntil):
 			o.Avoid = append(o.Avoid, s.ID)
 		case now.Sub(s.lastHeard) < livenessWindow:
 			o.Alive = append(o.Alive, s.ID)
@@ -394,6 +395,15 @@
 	f.hear(s)
 }
 
+// Answered records that the server answered on a new connection. It is as usable as before it
+// fell silent, and need not be avoided any longer.
+func (f *Fleet) Answered(s *Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hear(s)
+	s.unreachedUntil, s.suspectedUntil = time.Time{}, time.Time{}
+}
+
 // SilentFor returns the time since this VM last received bytes from the server.
 func (f *Fleet) SilentFor(s *Server) time.Duration {
 	f.mu.Lock()
--- a/internal/upstream/fleet_test.go
+++ b/internal/upstream/fleet_test.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,6 +149,34 @@
 	}
 }
 
+// Guards against servers that nobody uses for seconds after a silence of one second: they answer
+// again, and so do the others of their zone, which was suspected lost.
+func TestServersThatAnswerAgainAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(4)
+		time.Sleep(5 * time.Second)
+		for _, id := range []string{"b0", "b1"} {
+			f.Unreachable(f.Lookup(id), errors.New("timeout"))
+			f.MarkSilent(f.Lookup(id))
+		}
+		for range failuresToAvoid {
+			f.Failed(f.listedServer("b3"))
+		}
+		if n := usable(f, "b"); n != 0 {
+			t.Errorf("got %d usable servers during the silence, want none", n)
+		}
+		for _, id := range []string{"b0", "b1", "b2", "b3"} {
+			f.Answered(f.listedServer(id))
+		}
+		if n := usable(f, "b"); n != 3 {
+			t.Errorf("got %d usable servers after the silence, want all but the one that fails", n)
+		}
+		if got := f.Report().Avoid; !slices.Equal(got, []string{"b3"}) {
+			t.Errorf("servers %v are reported as avoided, want the one that fails", got)
+		}
+	})
+}
+
 // Guards against a VM that is cut off and does not notice: its calls hang, and each that is late
 // would count as a sign of life.
 func TestLateAnswerIsNoSignOfLife(t *testing.T) {
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -17,17 +17,25 @@
 
 // backOff makes a server avoided for a time that doubles with each fault in a row. It
 // needs f.mu.
-func (f *Fleet) backOff(s *Server) {
+func (f *Fleet) backOff(s *Server) { f.avoidFor(s, s.nextBackOff()) }
+
+// nextBackOff returns the time for the next fault in a row.
+func (s *Server) nextBackOff() time.Duration {
 	d := min(minAvoid<<min(s.faultsInRow, 8), maxAvoid)
 	s.faultsInRow++
-	f.avoidFor(s, d)
+	return d
 }
 
 // avoidFor makes a server avoided for at least d. It needs f.mu.
 func (f *Fleet) avoidFor(s *Server, d time.Duration) {
-	if until := f.now().Add(d); until.After(s.avoidUntil) {
-		s.avoidUntil = until
+	s.avoidUntil = later(s.avoidUntil, f.now().Add(d))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // Evidence is how certain it is that a server has died.
@@ -54,7 +62,7 @@
 // Unreachable records that the server accepted no connection, for the reason cause.
 func (f *Fleet) Unreachable(s *Server, cause error) {
 	f.mu.Lock()
-	f.backOff(s)
+	s.unreachedUntil = later(s.unreachedUntil, f.now().Add(s.nextBackOff()))
 	f.noteDeath(s)
 	f.failReach(s)
 	f.mu.Unlock()
@@ -76,7 +84,7 @@
 // since one silent stream is evidence for the others on the same server.
 func (f *Fleet) judgeDead(s *Server, e Evidence) {
 	f.mu.Lock()
-	f.avoidFor(s, deadAvoid)
+	s.unreachedUntil = later(s.unreachedUntil, f.now().Add(deadAvoid))
 	isNew := f.takeDead(s)
 	f.deadSince[s.ID] = f.now()
 	s.diedAt = f.now()
--- a/internal/upstream/load.go
+++ b/internal/upstream/load.go
@@ -51,7 +51,7 @@
 	now := f.now()
 	var out []string
 	for id, s := range f.servers {
-		if s.Service == service && (s.stale || s.dead != nil || s.avoidUntil.Sub(now) > fullAvoid || now.Before(s.suspectedUntil)) {
+		if s.Service == service && (s.stale || s.dead != nil || s.avoidUntil.Sub(now) > fullAvoid || now.Before(s.unreachedUntil) || now.Before(s.suspectedUntil)) {
 			out = append(out, id)
 		}
 	}
