upstream: a silence that is over is not reported as a death

What callers saw: servers that other VMs avoided for up to 2.5 s, and whose contents they blamed, though the VM that had judged them dead had heard them again.

Cause: a death was reported for 1.2 s, whatever became of it.

Change: the report of a death that rests on silence ends when the server is heard. A certain death is still reported when the server is back under its id.

Evidence: TestSilenceThatIsOverIsNotReported failed before ("servers [a0 b0 c0] are reported dead, want b0 and c0") and passes; internal/forward passes.

--- a/internal/upstream/dead.go
+++ b/internal/upstream/dead.go
@@ -27,15 +27,17 @@
 	at        time.Time
 	nextProbe time.Time
 	probes    int
+	silent    bool // it did not answer a probe, and may go on
 }
 
 // takeDead records that a server was judged dead, and reports whether it was not before. It
 // needs f.mu.
-func (f *Fleet) takeDead(s *Server) bool {
+func (f *Fleet) takeDead(s *Server, e Evidence) bool {
 	if s.dead != nil {
+		s.dead.silent = s.dead.silent && e == Silence
 		return false
 	}
-	s.dead = &death{at: f.now(), nextProbe: f.now().Add(firstDeadProbe)}
+	s.dead = &death{at: f.now(), nextProbe: f.now().Add(firstDeadProbe), silent: e == Silence}
 	return true
 }
 
@@ -45,6 +47,9 @@
 		return
 	}
 	f.log.Info().Str("server", s.ID).Str("zone", s.Zone).Dur("dead_for", f.now().Sub(s.dead.at)).Int("probes", s.dead.probes).Msg("server judged dead answers again")
+	if s.dead.silent {
+		delete(f.deadSince, s.ID)
+	}
 	s.dead = nil
 }
 
--- a/internal/upstream/fleet_test.go
+++ b/internal/upstream/fleet_test.go
@@ -177,6 +177,24 @@
 	})
 }
 
+// Guards against VMs that avoid a server for seconds, and blame contents, because another VM goes on
+// reporting a death that was a silence. A death that is certain is reported though the server is
+// back under its id.
+func TestSilenceThatIsOverIsNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(1)
+		f.MarkSilent(f.Lookup("a0"))
+		f.MarkSilent(f.Lookup("b0"))
+		f.MarkDead(f.Lookup("c0"))
+		for _, id := range []string{"a0", "c0"} {
+			f.Heard(f.listedServer(id))
+		}
+		if got := slices.Sorted(slices.Values(f.RecentlyDead())); !slices.Equal(got, []string{"b0", "c0"}) {
+			t.Errorf("servers %v are reported dead, want b0 and c0", got)
+		}
+	})
+}
+
 // Guards against a VM that is cut off and does not notice: its calls hang, and each that is late
 // would count as a sign of life.
 func TestLateAnswerIsNoSignOfLife(t *testing.T) {
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -85,7 +85,7 @@
 func (f *Fleet) judgeDead(s *Server, e Evidence) {
 	f.mu.Lock()
 	s.unreachedUntil = later(s.unreachedUntil, f.now().Add(deadAvoid))
-	isNew := f.takeDead(s)
+	isNew := f.takeDead(s, e)
 	f.deadSince[s.ID] = f.now()
 	s.diedAt = f.now()
 	f.noteDeath(s)
