--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -40,30 +40,23 @@
 	q.held = newHeldCalls(h, q)
 	defer q.held.release()
 	for sends := 0; ; {
-		var r reply
+		if h.deliverHeld(w, q, &failure) {
+			return
+		}
 		choice, code := h.nextServer(q, skip, sends)
 		s := choice.server
-		awaited := s != nil || q.held.await()
-		if s != nil {
-			sends++
-			r = h.sendCall(q, &choice)
-		}
-		for late := q.held.next(); late != nil; late = q.held.next() {
-			q.held.settle(late)
-			if late.reply.isUsable() {
-				observe(h.Stats.CallTime, q.arrived)
-				h.deliver(w, late.reply)
-				return
+		if s == nil {
+			if q.held.await() {
+				continue
 			}
-			if late.reply.outcome == sendAnswered {
-				failure = late.reply
+			if !h.deliverHeld(w, q, &failure) {
+				h.endCall(w, q, failure, code)
 			}
+			return
 		}
-		if s == nil && awaited {
-			continue
-		}
-		if s == nil {
-			h.endCall(w, q, failure, code)
+		sends++
+		r := h.sendCall(q, &choice)
+		if h.deliverHeld(w, q, &failure) {
 			return
 		}
 		q.history.Add(r.outcome)
@@ -86,6 +79,23 @@
 	}
 }
 
+// deliverHeld settles the held calls that have ended, and delivers a usable answer. It reports
+// whether there was one. failure is set to a server's own failure.
+func (h *Handler) deliverHeld(w http.ResponseWriter, q *request, failure **reply) bool {
+	for late := q.held.next(); late != nil; late = q.held.next() {
+		q.held.settle(late)
+		if late.reply.isUsable() {
+			observe(h.Stats.CallTime, q.arrived)
+			h.deliver(w, late.reply)
+			return true
+		}
+		if late.reply.outcome == sendAnswered {
+			*failure = late.reply
+		}
+	}
+	return false
+}
+
 // nextServer chooses the server for the next send of a call, if it may be sent. If there is none,
 // it returns the reason.
 func (h *Handler) nextServer(q *request, skip map[string]bool, sends int) (serverChoice, result.Code) {
