--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -37,19 +37,28 @@
 func (h *Handler) serveCall(w http.ResponseWriter, q *request) {
 	skip := map[string]bool{}
 	var failure *reply // a server's own failure, delivered if no other server succeeds
-	for sends := 0; ; sends++ {
-		if !h.admitsContent(q, q.holdUntil()) {
-			h.endCall(w, q, failure, result.ContentHeldBack)
+	q.held = newHeldCalls(h, q)
+	defer q.held.release()
+	for sends := 0; ; {
+		if h.deliverHeld(w, q, &failure) {
 			return
 		}
-		h.recheckVersion(q, sends > 0)
-		choice, code := h.chooseServer(q, skip, sends)
+		choice, code := h.nextServer(q, skip, sends)
 		s := choice.server
 		if s == nil {
-			h.endCall(w, q, failure, code)
+			if q.held.await() {
+				continue
+			}
+			if !h.deliverHeld(w, q, &failure) {
+				h.endCall(w, q, failure, code)
+			}
 			return
 		}
+		sends++
 		r := h.sendCall(q, &choice)
+		if h.deliverHeld(w, q, &failure) {
+			return
+		}
 		q.history.Add(r.outcome)
 		h.logSend(q, s, &r)
 		if r.fault != faultWithheld {
@@ -60,18 +69,44 @@
 			return
 		}
 		if r.outcome == sendAnswered {
-			if r.resp.StatusCode < http.StatusInternalServerError || !q.history.MaySend() {
+			if r.isUsable() || !q.history.MaySend() {
 				observe(h.Stats.CallTime, q.arrived)
 				h.deliver(w, &r)
 				return
 			}
 			failure = &r
 		}
-		if !q.history.MaySend() {
-			h.endCall(w, q, failure, result.OutcomeUnknown)
-			return
+	}
+}
+
+// deliverHeld settles the held calls that have ended, and delivers a usable answer. It reports
+// whether there was one. failure is set to a server's own failure.
+func (h *Handler) deliverHeld(w http.ResponseWriter, q *request, failure **reply) bool {
+	for late := q.held.next(); late != nil; late = q.held.next() {
+		q.held.settle(late)
+		if late.reply.isUsable() {
+			observe(h.Stats.CallTime, q.arrived)
+			h.deliver(w, late.reply)
+			return true
 		}
+		if late.reply.outcome == sendAnswered {
+			*failure = late.reply
+		}
+	}
+	return false
+}
+
+// nextServer chooses the server for the next send of a call, if it may be sent. If there is none,
+// it returns the reason.
+func (h *Handler) nextServer(q *request, skip map[string]bool, sends int) (serverChoice, result.Code) {
+	if !q.history.MaySend() {
+		return serverChoice{}, result.OutcomeUnknown
+	}
+	if !h.admitsContent(q, q.holdUntil()) {
+		return serverChoice{}, result.ContentHeldBack
 	}
+	h.recheckVersion(q, sends > 0)
+	return h.chooseServer(q, skip, sends)
 }
 
 // logSend logs the result of one send.
@@ -197,28 +232,40 @@
 	end(&r, time.Since(began))
 	h.noteSendResult(q, s, &r, began, run)
 	h.noteAnswer(ticket, q, s, &r) // after the answer's load: it tells whether the duration counts
+	if r.flight != nil {
+		q.held.hold(&heldCall{flight: r.flight, server: s, run: run, began: began})
+	}
 	return r
 }
 
 // exchangeWatched sends a call and records its content as running on the server meanwhile.
 func (h *Handler) exchangeWatched(q *request, c *serverChoice) (reply, *contentRun) {
 	contents := h.opts.SuspectContents
+	alive := q.trial == nil || h.answersProbe(c.server)
 	run := contents.began(c.server, q.digest, q.trial != nil)
-	if q.trial != nil && !h.answersProbe(c.server) {
+	if !alive {
 		contents.forget(run)
 		return reply{outcome: sendNotSent, fault: faultDial}, run
 	}
 	r := h.exchange(q, c.server, c.permit, Send{}, h.hedgeDelay(q, c.load))
+	if r.flight == nil {
+		h.endContentRun(c.server, run, &r)
+	}
+	return r, run
+}
+
+// endContentRun ends the record of a content on a server.
+func (h *Handler) endContentRun(s *upstream.Server, run *contentRun, r *reply) {
+	contents := h.opts.SuspectContents
 	switch r.outcome {
 	case sendUnknown:
 		contents.abandon(run)
-		return r, run
+		return
 	case sendAnswered, sendRefused:
-		contents.heard(c.server)
+		contents.heard(s)
 	case sendNotSent:
 	}
 	contents.forget(run)
-	return r, run
 }
 
 // hedgeDelay returns how long a call waits for the answer of one server before it is sent
@@ -250,13 +297,12 @@
 		f.Failed(s)
 		h.confirmDeath(q, s, run)
 	case r.fault == faultSlow:
-		f.Succeeded(s, took)
-		f.Failed(s)
+		f.Late(s, took)
 	case r.resp.StatusCode >= http.StatusInternalServerError:
 		f.Failed(s)
 	default:
 		f.Succeeded(s, took)
-		h.opts.SuspectContents.cleared(q.digest, began, q.RequestID, s.ID)
+		h.opts.SuspectContents.cleared(run, began, q.RequestID)
 	}
 	if r.resp != nil {
 		h.learnLoad(s, &r.answer)
--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -200,7 +200,7 @@
 // awaitHeld waits for a held run until the next search. It returns false if there is nothing
 // left to wait for.
 func (st *streamRelay) awaitHeld() bool {
-	if st.q.ctx.Err() != nil {
+	if st.q.ctx.Err() != nil || len(st.held) == 0 {
 		return false
 	}
 	first := st.held[0]
@@ -226,6 +226,8 @@
 	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("passed", r.forwarded).
 		Dur("silent", time.Since(r.lastHeard)).Int("sends", st.sends).Msg("held run goes on")
 	st.unhold(r)
+	st.h.opts.SuspectContents.heard(r.server)
+	st.h.probeRevived(r.server)
 	st.lostAt, st.lostZone, st.lastCopy = time.Time{}, "", backupCopy{}
 	clear(st.skip)
 	r.died = st.h.opts.Fleet.Died(r.server)
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -29,6 +32,7 @@
 
 	mu       sync.Mutex
 	inFlight map[probeKey]*probe
+	excused  map[string]bool // servers whose last probe was excused, by id
 }
 
 // probeKey keeps those who wait for a short probe from joining a long one.
@@ -46,7 +50,10 @@
 // probeResult is the result of one attempt, and of the probe as a whole.
 type probeResult struct {
 	alive    bool
+	answered bool // the engine answered this probe
 	withheld bool // the engine accepts no request now, or this VM stalled: nothing is known of it
+	refused  bool // the host refused the connection: no process listens there
+	closed   bool // the server closed the connection that it had accepted
 	// replaced reports that another incarnation answers at the address: the one that was
 	// probed is dead.
 	replaced bool
@@ -57,7 +64,7 @@
 }
 
 func newProber(engines *engineCaller, o *Options) *prober {
-	return &prober{engines: engines, fleet: o.Fleet, wire: o.Wire, contents: o.SuspectContents, inFlight: map[probeKey]*probe{}}
+	return &prober{engines: engines, fleet: o.Fleet, wire: o.Wire, contents: o.SuspectContents, inFlight: map[probeKey]*probe{}, excused: map[string]bool{}}
 }
 
 // start begins a probe of a server, or joins the one in flight.
@@ -80,10 +87,14 @@
 	defer cancel()
 	began := time.Now()
 	pr.probeResult = p.probeUntilAnswered(ctx, s)
-	pr.discountDelay(time.Since(began), timeout, p.fleet.SilentFor(s))
+	if !pr.isConclusive() {
+		_ = timer.Sleep(ctx, probeTimeout-time.Since(began)) // resets come at once
+		pr.alive = p.fleet.SilentFor(s) < time.Since(began)  // bytes came on another connection
+		pr.withheld = !pr.alive && p.excuses(s, time.Since(began)-timeout)
+	}
 	switch {
-	case pr.alive:
-		p.fleet.Heard(s)
+	case pr.answered:
+		p.fleet.Answered(s)
 		p.contents.heard(s)
 	case pr.replaced:
 		p.fleet.MarkStale(s)
@@ -94,18 +105,27 @@
 	close(pr.done)
 }
 
-// discountDelay corrects the result of a probe that failed because this VM is slow. A server that was
-// heard on another connection meanwhile is alive. A probe that ended much later than it had
-// to tells nothing: the answer may wait to be read.
-func (r *probeResult) discountDelay(took, timeout, silent time.Duration) {
-	if r.alive || r.replaced {
-		return
+// excuses reports whether a probe that failed and ended late tells nothing, since this VM stalled and
+// an answer may wait to be read. It is true once in a row: a VM that stays slow must find dead
+// servers too.
+func (p *prober) excuses(s *upstream.Server, late time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if late < maxTimerDelay || p.excused[s.ID] {
+		delete(p.excused, s.ID)
+		return false
 	}
-	r.alive = silent < took
-	r.withheld = r.withheld || !r.alive && took >= timeout+maxTimerDelay
+	p.excused[s.ID] = true
+	return true
 }
 
-// probeUntilAnswered repeats attempts until one is answered or refused, or ctx ends.
+// isConclusive reports whether the result shows what became of the server. A reset does not: a
+// server resets connections beyond the number that it accepts.
+func (r *probeResult) isConclusive() bool {
+	return r.alive || r.withheld || r.replaced || r.refused || r.closed
+}
+
+// probeUntilAnswered repeats attempts until one is conclusive, all have failed, or ctx ends.
 func (p *prober) probeUntilAnswered(ctx context.Context, s *upstream.Server) probeResult {
 	tries := int(probeTimeout / probeRetryInterval)
 	answers := make(chan probeResult, tries)
@@ -113,14 +133,15 @@
 	defer next.Stop()
 	started := 1
 	go func() { answers <- p.try(ctx, s) }()
-	for ended := 0; ended < started; {
+	for ended := 0; ended < tries; {
 		select {
 		case v := <-answers:
 			ended++
-			// A refused connection is an answer of the host: no process listens there.
-			if v.alive || v.withheld || v.replaced || ctx.Err() == nil {
+			if v.isConclusive() {
 				return v
 			}
+		case <-ctx.Done():
+			return probeResult{}
 		case <-next.C:
 			if started < tries {
 				started++
@@ -136,13 +157,16 @@
 	p.wire.SetInstance(r.Header, s.ID)
 	resp, body, err := p.engines.do(ctx, s, &r)
 	if err != nil {
-		return probeResult{withheld: errors.Is(err, errWithheld)}
+		return probeResult{
+			withheld: errors.Is(err, errWithheld), refused: errors.Is(err, syscall.ECONNREFUSED),
+			closed: ctx.Err() == nil && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)),
+		}
 	}
 	a := p.wire.ReadAnswer(resp.StatusCode, resp.Header)
 	if a.WrongInstance || a.Instance != "" && a.Instance != s.ID {
 		return probeResult{replaced: true}
 	}
-	v := probeResult{alive: true, sameInstance: a.Instance == s.ID}
+	v := probeResult{alive: true, answered: true, sameInstance: a.Instance == s.ID}
 	if report, err := p.wire.ReadReport(body); err == nil && resp.StatusCode == http.StatusOK {
 		v.report, v.hasReport = report, true
 	}
@@ -150,16 +174,30 @@
 }
 
 // blameContents blames the contents that ran on a server that died. Their abandoned runs may
-// have ended other servers too, where no request may notice it for some time.
+// have ended other servers too, where no request may notice it for some time. A server that
+// another VM reports is probed as well, since it may be alive.
 func (h *Handler) blameContents(server string, e upstream.Evidence) {
-	if e == upstream.Confirmed {
+	if e == upstream.Confirmed || e == upstream.Silence {
 		h.dead.probe()
 	}
-	for _, r := range h.opts.SuspectContents.serverDied(server, e == upstream.Hearsay) {
+	blamed, elsewhere := h.opts.SuspectContents.serverDied(server, e)
+	if e == upstream.PeerReport && len(blamed) > 0 {
+		h.probeForDeath(blamed[0].server, blamed[0])
+	}
+	for _, r := range elsewhere {
 		h.probeForDeath(r.server, r)
 	}
 }
 
+// judgeDead judges a server dead that did not answer a probe.
+func (h *Handler) judgeDead(s *upstream.Server, p *probe) {
+	if p.refused {
+		h.opts.Fleet.MarkDead(s)
+		return
+	}
+	h.opts.Fleet.MarkSilent(s)
+}
+
 // probeForDeath probes a server on which a content may still run, and returns a channel that
 // is closed once the result is known.
 func (h *Handler) probeForDeath(s *upstream.Server, r *contentRun) <-chan struct{} {
@@ -172,7 +210,7 @@
 		switch {
 		case p.withheld:
 		case !p.alive:
-			h.opts.Fleet.MarkDead(s)
+			h.judgeDead(s, p)
 		case p.sameInstance:
 			h.opts.SuspectContents.forget(r)
 		}
@@ -181,13 +219,13 @@
 }
 
 // answersProbe reports whether a server answers a probe now. The server of a trial must be
-// alive before, or the trial is blamed for an earlier death.
+// alive before the run is recorded, or the trial is blamed for an earlier death.
 func (h *Handler) answersProbe(s *upstream.Server) bool {
 	h.Stats.Probes.Inc()
 	p := h.prober.start(s)
 	<-p.done
 	if !p.alive && !p.withheld {
-		h.opts.Fleet.MarkDead(s)
+		h.judgeDead(s, p)
 	}
 	return p.alive
 }
--- a/internal/forward/probe_test.go
+++ b/internal/forward/probe_test.go
@@ -1,52 +1,30 @@
-package forward
+package forward_test
 
 import (
-	"context"
-	"errors"
-	"net"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/rs/zerolog"
-
-	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
-// Guards against a slow VM that takes its own delay for the death of an engine: its probes fail,
-// although the engine sends events, or nothing was read at all.
-func TestDelayOfTheVMIsNoDeath(t *testing.T) {
-	for _, tt := range []struct {
-		name            string
-		dialTakes       time.Duration
-		heardAfter      time.Duration // 0: not heard during the probe
-		alive, withheld bool
-	}{
-		{"silent", probeTimeout, 0, false, false},
-		{"heard on another connection", probeTimeout, 100 * time.Millisecond, true, false},
-		{"this VM stalled", probeTimeout + maxTimerDelay, 0, false, true},
-	} {
-		t.Run(tt.name, func(t *testing.T) {
+// Guards against an engine that is judged dead because it resets new connections, as a busy one
+// does at its limit of them. Its streams would be searched another engine, and prefilled again.
+func TestEngineAtItsConnectionLimitIsAlive(t *testing.T) {
+	for _, interval := range []time.Duration{260 * time.Millisecond, 300 * time.Millisecond, 390 * time.Millisecond} {
+		t.Run(fmt.Sprint(interval), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				pool := upstream.NewPoolWith(func(context.Context, string) (net.Conn, error) {
-					time.Sleep(tt.dialTakes)
-					return nil, errors.New("no answer")
-				})
-				fleet := upstream.NewFleet(pool, zerolog.Nop())
-				fleet.Apply(upstream.List{Backends: []upstream.Backend{{ID: "i0", Service: "models", Address: "10.0.0.1:80"}}, AsOf: time.Now()})
-				h := NewHandler(Options{Wire: NewPlainWire(), Pool: pool, Fleet: fleet, Metrics: metrics.NewSet(), SuspectContents: NewSuspectContents(zerolog.Nop())})
-				s := fleet.Lookup("i0")
-				p := h.prober.start(s)
-				if tt.heardAfter > 0 {
-					time.Sleep(tt.heardAfter)
-					fleet.Heard(s)
+				f := newFixture(t, engine("a"), engine("a"))
+				defer f.shutDown()
+				for _, s := range f.servers {
+					s.EventInterval, s.Events = interval, 20
 				}
-				<-p.done
-				if p.alive != tt.alive || p.withheld != tt.withheld {
-					t.Errorf("got alive %t, nothing known %t, want %t and %t", p.alive, p.withheld, tt.alive, tt.withheld)
+				a := f.send("POST", "/s/1", "r1", "log")
+				time.Sleep(500 * time.Millisecond)
+				f.engineRunning("r1").TakeConnections(true)
+				a.requireCompleteStream(t, 20)
+				if n := f.totalRuns("r1"); n != 1 {
+					t.Errorf("got %d runs, want 1", n)
 				}
-				time.Sleep(time.Second) // the other attempts of the probe end
 			})
 		})
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -98,8 +98,9 @@
 	r.logPlaced()
 	// An idle connection may have died unnoticed. A resume has no time to find that
 	// out and opens a new one.
+	alive := st.q.trial == nil || h.answersProbe(s)
 	r.content = h.opts.SuspectContents.began(s, st.q.digest, st.q.trial != nil)
-	if st.q.trial != nil && !h.answersProbe(s) {
+	if !alive {
 		r.reply, r.outcome = reply{outcome: sendNotSent, fault: faultDial}, sendNotSent
 		return r
 	}
@@ -221,7 +222,9 @@
 // One flush serves them all.
 func (r *run) handleResult(res readResult) (runEnd, bool) {
 	r.lastHeard, r.reportIsCurrent, r.probeFailed, r.missingReports = time.Now(), false, false, 0
-	r.st.h.opts.Fleet.Heard(r.server)
+	if res.err == nil {
+		r.st.h.opts.Fleet.Heard(r.server)
+	}
 	for {
 		end, done := r.handleOne(res)
 		if done {
@@ -262,7 +265,7 @@
 	}
 	p := r.st.h.prober.start(r.server)
 	<-p.done
-	return p.alive
+	return p.answered
 }
 
 // handleHead classifies the head of the engine's answer.
@@ -391,7 +394,7 @@
 func (r *run) clearContent() {
 	contents := r.st.h.opts.SuspectContents
 	contents.forget(r.content)
-	contents.cleared(r.st.q.digest, r.sentAt, r.st.q.RequestID, r.server.ID)
+	contents.cleared(r.content, r.sentAt, r.st.q.RequestID)
 }
 
 // leaveContent ends the run's record at the engine.
--- a/internal/upstream/fleet_test.go
+++ b/internal/upstream/fleet_test.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -146,3 +148,66 @@
 		t.Errorf("got own use %+v, want 1 request", mine)
 	}
 }
+
+// Guards against servers that nobody uses for seconds after a silence of one second: they answer
+// again, and so do the others of their zone, which was suspected lost.
+func TestServersThatAnswerAgainAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(4)
+		time.Sleep(5 * time.Second)
+		for _, id := range []string{"b0", "b1"} {
+			f.Unreachable(f.Lookup(id), errors.New("timeout"))
+			f.MarkSilent(f.Lookup(id))
+		}
+		for range failuresToAvoid {
+			f.Failed(f.listedServer("b3"))
+		}
+		if n := usable(f, "b"); n != 0 {
+			t.Errorf("got %d usable servers during the silence, want none", n)
+		}
+		for _, id := range []string{"b0", "b1", "b2", "b3"} {
+			f.Answered(f.listedServer(id))
+		}
+		if n := usable(f, "b"); n != 3 {
+			t.Errorf("got %d usable servers after the silence, want all but the one that fails", n)
+		}
+		if got := f.Report().Avoid; !slices.Equal(got, []string{"b3"}) {
+			t.Errorf("servers %v are reported as avoided, want the one that fails", got)
+		}
+	})
+}
+
+// Guards against VMs that avoid a server for seconds, and blame contents, because another VM goes on
+// reporting a death that was a silence. A death that is certain is reported though the server is
+// back under its id.
+func TestSilenceThatIsOverIsNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(1)
+		f.MarkSilent(f.Lookup("a0"))
+		f.MarkSilent(f.Lookup("b0"))
+		f.MarkDead(f.Lookup("c0"))
+		for _, id := range []string{"a0", "c0"} {
+			f.Heard(f.listedServer(id))
+		}
+		if got := slices.Sorted(slices.Values(f.RecentlyDead())); !slices.Equal(got, []string{"b0", "c0"}) {
+			t.Errorf("servers %v are reported dead, want b0 and c0", got)
+		}
+	})
+}
+
+// Guards against a VM that is cut off and does not notice: its calls hang, and each that is late
+// would count as a sign of life.
+func TestLateAnswerIsNoSignOfLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(NewPool(), zerolog.Nop())
+		f.Apply(List{Backends: []Backend{{ID: "a", Service: "m"}, {ID: "b", Service: "m"}}, AsOf: time.Now()})
+		a, b := f.Lookup("a"), f.Lookup("b")
+		f.MarkDead(a)
+		f.Late(b, 200*time.Millisecond)
+		f.Late(a, 200*time.Millisecond)
+		f.MarkDead(b)
+		if f.Reaches("m") || f.DeadServers() != 2 {
+			t.Errorf("the service is reached: %t, dead servers: %d, want a lost service and two", f.Reaches("m"), f.DeadServers())
+		}
+	})
+}
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -17,17 +17,25 @@
 
 // backOff makes a server avoided for a time that doubles with each fault in a row. It
 // needs f.mu.
-func (f *Fleet) backOff(s *Server) {
+func (f *Fleet) backOff(s *Server) { f.avoidFor(s, s.nextBackOff()) }
+
+// nextBackOff returns the time for the next fault in a row.
+func (s *Server) nextBackOff() time.Duration {
 	d := min(minAvoid<<min(s.faultsInRow, 8), maxAvoid)
 	s.faultsInRow++
-	f.avoidFor(s, d)
+	return d
 }
 
 // avoidFor makes a server avoided for at least d. It needs f.mu.
 func (f *Fleet) avoidFor(s *Server, d time.Duration) {
-	if until := f.now().Add(d); until.After(s.avoidUntil) {
-		s.avoidUntil = until
+	s.avoidUntil = later(s.avoidUntil, f.now().Add(d))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // Evidence is how certain it is that a server has died.
@@ -35,11 +43,15 @@
 
 // Evidence of a death.
 const (
-	// Hearsay is a refused connection, or the report of another VM. Open connections of this
-	// VM may live on if only a link is at fault.
-	Hearsay Evidence = iota
-	// Confirmed means that the server did not answer a probe, or that another incarnation
-	// holds its address.
+	// Refusal is a refused connection. Open connections of this VM may live on if only a link is
+	// at fault.
+	Refusal Evidence = iota
+	// PeerReport is the report of another VM, which may be wrong or have a link at fault.
+	PeerReport
+	// Silence means that the server did not answer a probe. It may go on.
+	Silence
+	// Confirmed means that the server refused a probe, or that another incarnation holds its
+	// address.
 	Confirmed
 )
 
@@ -50,7 +62,7 @@
 // Unreachable records that the server accepted no connection, for the reason cause.
 func (f *Fleet) Unreachable(s *Server, cause error) {
 	f.mu.Lock()
-	f.backOff(s)
+	s.unreachedUntil = later(s.unreachedUntil, f.now().Add(s.nextBackOff()))
 	f.noteDeath(s)
 	f.failReach(s)
 	f.mu.Unlock()
@@ -58,16 +70,22 @@
 	// A host that refuses connections has no process at the address. One that is silent
 	// may be cut off.
 	if errors.Is(cause, syscall.ECONNREFUSED) {
-		f.onDeath(s.ID, Hearsay)
+		f.onDeath(s.ID, Refusal)
 	}
 }
 
-// MarkDead judges a server dead. Everything that runs there for this VM is moved at once,
+// MarkDead judges a server dead that refused a probe.
+func (f *Fleet) MarkDead(s *Server) { f.judgeDead(s, Confirmed) }
+
+// MarkSilent judges a server dead that did not answer a probe.
+func (f *Fleet) MarkSilent(s *Server) { f.judgeDead(s, Silence) }
+
+// judgeDead judges a server dead. Everything that runs there for this VM is moved at once,
 // since one silent stream is evidence for the others on the same server.
-func (f *Fleet) MarkDead(s *Server) {
+func (f *Fleet) judgeDead(s *Server, e Evidence) {
 	f.mu.Lock()
-	f.avoidFor(s, deadAvoid)
-	isNew := f.takeDead(s)
+	s.unreachedUntil = later(s.unreachedUntil, f.now().Add(deadAvoid))
+	isNew := f.takeDead(s, e)
 	f.deadSince[s.ID] = f.now()
 	s.diedAt = f.now()
 	f.noteDeath(s)
@@ -78,7 +96,7 @@
 		f.log.Warn().Str("server", s.ID).Str("zone", s.Zone).Dur("silent", silent).Msg("server judged dead")
 	}
 	f.pool.Forget(s.ID)
-	f.onDeath(s.ID, Confirmed)
+	f.onDeath(s.ID, e)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	signal(&s.died) // after the contents are blamed: the runs that this moves may be of one that crashes servers
@@ -140,7 +158,7 @@
 // itself, since the other VM's link may be at fault.
 func (f *Fleet) PeerReportedDead(ids []string) {
 	for _, id := range f.learnPeerDeaths(ids) {
-		f.onDeath(id, Hearsay)
+		f.onDeath(id, PeerReport)
 	}
 }
 
@@ -202,6 +220,18 @@
 	s.failuresInRow, s.faultsInRow = 0, 0
 	s.suspectedUntil = time.Time{}
 	f.hear(s)
+	f.noteLatency(s, took)
+}
+
+// Late records that a server has not answered within a time. Nothing was heard of it.
+func (f *Fleet) Late(s *Server, after time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noteLatency(s, after)
+}
+
+// noteLatency records the latency of a response; zero: not measured. It needs f.mu.
+func (f *Fleet) noteLatency(s *Server, took time.Duration) {
 	if took <= 0 {
 		return
 	}
