forward: a held run whose engine answers again is used, and none lasts beside another engine's

What callers saw, by the tests of a review: a 502 before the first event although the engine answered probes again and would have been in time; a complete answer that was cut since its end came while the run was held. What engines saw: one request worked on at two live engines for 2 to 3.4 s, and twice at one engine.

Cause: only an event ended a hold. An engine that answered a probe was not believed, the run on a live engine that was left for a copy stayed open while another engine prefilled the prompt, a regular end counted as a broken connection, and engines of held runs were a choice again after 40 ms.

Change: once the engine answers, the stream goes on there, or, if another engine resumes from a copy, the held run is closed. A stream leaves an engine that answers only for a copy, and its run is closed when the engine with the copy accepts. A regular end counts as speaking. Engines of held runs are no choice. Held runs do not count in the engines' speeds.

Evidence: TestEngineThatAnswersAgainSharesNoRequest, TestEngineThatAnswersAgainKeepsItsStream, TestLiveEngineThatIsLeftDropsTheRun, TestHeldRunThatEndsIsComplete and TestEngineOfAHeldRunIsNotTakenAgain failed before.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -16,6 +16,10 @@
 // A silent run is therefore held. The search for another engine begins at once, as for a dead
 // engine, but the connection stays open until another run has brought the next event. The
 // stream goes on with whichever run speaks first.
+//
+// Two engines must not work on one request for long. Once the engine of a held run answers
+// probes again, the stream goes on there, unless another engine already resumes it from a copy;
+// then the held run is closed. A stream leaves an engine that answers only for a copy.
 
 // Constants of held runs.
 const (
@@ -40,11 +44,12 @@
 	return endSilent
 }
 
-// spoke reports whether the engine of a held run has sent something. broke reports that its
-// connection has ended instead.
+// spoke reports whether the engine of a held run has sent something, or has ended its answer.
+// broke reports that the connection has failed instead.
 func (r *run) spoke() (spoke, broke bool) {
 	res, ok := r.results.peek()
-	return ok && res.err == nil, ok && res.err != nil
+	spoke = ok && (res.err == nil || r.reply.resp != nil && isCleanEOF(res.err))
+	return spoke, ok && !spoke
 }
 
 // heldUntil returns how long the stream waits for a held run if no other engine takes it.
@@ -59,51 +64,117 @@
 	return until
 }
 
+// watchEngine wakes the stream once the engine of a held run answers probes again.
+func (r *run) watchEngine() {
+	ctx, cancel := context.WithCancel(r.st.q.ctx)
+	r.stopWatching = cancel
+	revived := r.st.h.opts.Fleet.Revived(r.server)
+	go func() {
+		select {
+		case <-revived:
+			r.engineAnswers.Store(true)
+			r.st.wake()
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// wake has the stream look at its held runs.
+func (st *streamRelay) wake() {
+	select {
+	case st.ready <- struct{}{}:
+	default:
+	}
+}
+
 // hold keeps a run open whose engine is silent.
 func (st *streamRelay) hold(r *run) {
 	st.h.Stats.RunsHeld.Inc()
 	st.count(r)
+	st.copyUsed(r.from)
 	st.leave(r)
-	r.heldAt = time.Now()
+	r.heldAt, r.pace = time.Now(), nil // its silence says nothing of the engine's speed
 	st.held = append(st.held, r)
+	if !r.engineAnswers.Load() {
+		r.watchEngine()
+	}
 }
 
-// heldRunSpeaks reports whether the engine of a held run has sent something.
-func (st *streamRelay) heldRunSpeaks() bool { return st.speakingRun() != nil }
-
-// speakingRun returns the first held run whose engine has sent something; nil: none has. It
-// closes the held runs whose connections have ended.
-func (st *streamRelay) speakingRun() *run {
-	var speaking *run
+// nextHeld returns the held run with which the stream goes on; nil: there is none yet. It closes
+// the held runs whose connections have failed.
+func (st *streamRelay) nextHeld() *run {
+	var next *run
 	for _, r := range slices.Clone(st.held) {
 		spoke, broke := r.spoke()
 		switch {
 		case broke:
-			st.h.probeForDeath(r.server, r.content)
-			st.closeHeld(r, "connection ended")
-		case spoke && speaking == nil:
-			speaking = r
+			if !st.callerGone() {
+				st.h.probeForDeath(r.server, r.content)
+			}
+			st.closeHeld(r, "connection ended", endBroken)
+		case next == nil && (spoke || r.engineAnswers.Load() && !st.onlyFromCopy):
+			next = r
 		}
 	}
-	return speaking
+	return next
+}
+
+// isOvertaken reports whether the stream goes on with a held run in place of this one. A run
+// that resumes from a copy is about to speak, and is kept if the engine of the held run has only
+// answered a probe.
+func (r *run) isOvertaken() bool {
+	next := r.st.nextHeld()
+	if next == nil {
+		return false
+	}
+	if spoke, _ := next.spoke(); !spoke && r.from != nil {
+		r.st.closeHeld(next, "another engine resumes from a copy", endBroken)
+		return false
+	}
+	return true
 }
 
 // releaseHeld closes all held runs.
-func (st *streamRelay) releaseHeld(why string) {
+func (st *streamRelay) releaseHeld(why string, end runEnd) {
 	for _, r := range slices.Clone(st.held) {
-		st.closeHeld(r, why)
+		st.closeHeld(r, why, end)
 	}
+	st.onlyFromCopy = false
 }
 
-func (st *streamRelay) closeHeld(r *run, why string) {
+// releaseAnswering closes the held runs whose engines answer, since another engine has taken
+// the stream.
+func (st *streamRelay) releaseAnswering() {
+	for _, r := range slices.Clone(st.held) {
+		if r.engineAnswers.Load() {
+			st.closeHeld(r, "another engine took the stream", endBroken)
+		}
+	}
+	st.onlyFromCopy = false
+}
+
+// dropExpiredHeld closes the held runs that the stream waits for no longer.
+func (st *streamRelay) dropExpiredHeld() {
+	for _, r := range slices.Clone(st.held) {
+		if time.Until(r.heldUntil()) <= 0 {
+			st.closeHeld(r, "silent for too long", endBroken)
+		}
+	}
+}
+
+func (st *streamRelay) closeHeld(r *run, why string, end runEnd) {
 	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("passed", r.forwarded).
 		Dur("silent", time.Since(r.lastHeard)).Dur("held", time.Since(r.heldAt)).Str("reason", r.silence).
 		Str("closed", why).Msg("run lost")
 	st.unhold(r)
-	r.close(endBroken)
+	r.close(end)
 }
 
 func (st *streamRelay) unhold(r *run) {
+	if r.stopWatching != nil {
+		r.stopWatching()
+		r.stopWatching = nil
+	}
 	st.held = slices.DeleteFunc(st.held, func(h *run) bool { return h == r })
 }
 
@@ -117,22 +188,25 @@
 }
 
 // nextRun returns the run with which the stream goes on: one at another engine, or a held one
-// that speaks first. It returns nil and the reason if there is none.
+// that speaks or whose engine answers first. It returns nil and the reason if there is none.
 func (st *streamRelay) nextRun() (*run, result.Code) {
 	for {
-		if r := st.speakingRun(); r != nil {
+		if r := st.nextHeld(); r != nil {
 			st.goOnWith(r)
 			return r, 0
 		}
 		if len(st.held) == 0 {
+			st.heldEngines, st.onlyFromCopy = nil, false
 			return st.search()
 		}
 		next, reason := st.searchBesideHeld()
 		switch {
-		case st.heldRunSpeaks():
+		case next == nil && st.nextHeld() != nil, next != nil && next.isOvertaken():
 			st.abandon(next)
 		case next != nil:
 			return next, 0
+		case st.onlyFromCopy:
+			st.onlyFromCopy = false // no copy can be used: the stream stays at its engine
 		case !st.awaitHeld():
 			return nil, reason
 		}
@@ -149,9 +223,14 @@
 	return st.startRun(c), 0
 }
 
-// searchBesideHeld is search, which ends early once a held run speaks. Nothing else touches the
-// stream meanwhile.
+// searchBesideHeld is search, which ends early once the stream goes on with a held run. Nothing
+// else touches the stream meanwhile.
 func (st *streamRelay) searchBesideHeld() (*run, result.Code) {
+	st.heldEngines = nil
+	for _, r := range st.held {
+		st.heldEngines = append(st.heldEngines, r.server.ID)
+	}
+	st.skipHeldEngines()
 	caller := st.q.ctx
 	ctx, cancel := context.WithCancel(caller)
 	st.q.ctx = ctx
@@ -173,13 +252,25 @@
 			st.searches = append(st.searches, cancel) // the run lasts no longer than ctx
 			return next, reason
 		case <-st.ready:
-			if st.heldRunSpeaks() {
+			if st.nextHeld() != nil {
 				cancel()
 			}
 		}
 	}
 }
 
+// clearSkip makes all engines a choice again, but those of held runs.
+func (st *streamRelay) clearSkip() {
+	clear(st.skip)
+	st.skipHeldEngines()
+}
+
+func (st *streamRelay) skipHeldEngines() {
+	for _, id := range st.heldEngines {
+		st.skip[id] = true
+	}
+}
+
 // endSearches ends the contexts of all searches.
 func (st *streamRelay) endSearches() {
 	for _, cancel := range st.searches {
@@ -187,7 +278,7 @@
 	}
 }
 
-// abandon ends a run that was started while a held one spoke.
+// abandon ends a run that was started while the stream went on with a held one.
 func (st *streamRelay) abandon(r *run) {
 	if r == nil {
 		return
@@ -200,16 +291,11 @@
 // awaitHeld waits for a held run until the next search. It returns false if there is nothing
 // left to wait for.
 func (st *streamRelay) awaitHeld() bool {
-	if st.q.ctx.Err() != nil || len(st.held) == 0 {
+	st.dropExpiredHeld()
+	if len(st.held) == 0 || st.q.ctx.Err() != nil {
 		return false
 	}
-	first := st.held[0]
-	left := time.Until(first.heldUntil())
-	if left <= 0 {
-		st.closeHeld(first, "silent for too long")
-		return len(st.held) > 0
-	}
-	next := time.NewTimer(min(heldSearchInterval, left))
+	next := time.NewTimer(min(heldSearchInterval, time.Until(st.held[0].heldUntil())))
 	defer next.Stop()
 	select {
 	case <-next.C:
@@ -217,22 +303,29 @@
 	case <-st.q.ctx.Done():
 		return false
 	}
-	return len(st.held) > 0
+	return true
 }
 
 // goOnWith makes a held run the stream's current one again.
 func (st *streamRelay) goOnWith(r *run) {
 	st.h.Stats.HeldRunsGoOn.Inc()
+	spoke, _ := r.spoke()
 	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("passed", r.forwarded).
-		Dur("silent", time.Since(r.lastHeard)).Int("sends", st.sends).Msg("held run goes on")
+		Dur("silent", time.Since(r.lastHeard)).Int("sends", st.sends).Bool("spoke", spoke).Msg("held run goes on")
 	st.unhold(r)
 	st.h.opts.SuspectContents.heard(r.server)
-	st.h.probeRevived(r.server)
+	if !r.engineAnswers.Swap(false) {
+		st.h.probeRevived(r.server)
+	}
+	r.lastHeard = time.Now()
 	st.lostAt, st.lostZone, st.lastCopy = time.Time{}, "", backupCopy{}
-	clear(st.skip)
+	st.clearSkip()
 	r.died = st.h.opts.Fleet.Died(r.server)
 	r.suspected = st.h.opts.Fleet.Suspected(r.server)
 	st.countAt(r.server)
+	if r.forwarded > 0 {
+		st.h.activeRuns.put(st.q.RequestID, r.resumable())
+	}
 }
 
 // searchedFor returns how long the stream has had no engine that sends events.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/enginespeed"
@@ -35,10 +36,12 @@
 	outcome            sendOutcome
 
 	results         *resultQueue
-	heldAt          time.Time // when it was last held; zero: it was not
-	silence         string    // why it was last held
-	counted         bool      // in the history of sends
-	callerTooSlow   bool      // the memory for what the caller had not read was needed for others
+	heldAt          time.Time   // when it was last held; zero: it was not
+	silence         string      // why it was last held
+	engineAnswers   atomic.Bool // the engine of the held run answers probes
+	stopWatching    func()      // ends the watch for that; nil: there is none
+	counted         bool        // in the history of sends
+	callerTooSlow   bool        // the memory for what the caller had not read was needed for others
 	silenceTimer    *silenceTimer
 	forwarded       int // events of this run that the caller was sent
 	lastHeard       time.Time
@@ -190,7 +193,7 @@
 	}
 	select {
 	case <-r.st.ready:
-		if r.st.heldRunSpeaks() {
+		if r.isOvertaken() {
 			return endOvertaken, true
 		}
 	case <-r.probeDone():
@@ -201,6 +204,7 @@
 		return r.onSilenceTimer()
 	case <-backupCheck:
 		r.checkBackup()
+		r.st.dropExpiredHeld()
 	case p := <-r.backup.pending:
 		r.handleBackupOrdered(p)
 	case <-r.suspected:
@@ -289,6 +293,9 @@
 	case rep.resp.StatusCode != http.StatusOK:
 		return r.readPlainAnswer()
 	}
+	if r.from != nil {
+		r.st.releaseAnswering()
+	}
 	return 0, false
 }
 
@@ -325,7 +332,7 @@
 		}
 		r.noteFirstEvent()
 	}
-	st.releaseHeld("another run brought the next event")
+	st.releaseHeld("another run brought the next event", endBroken)
 	r.paceEvent()
 	st.sendHead(r.reply.resp)
 	if !st.writeEvent(e) {
@@ -381,7 +388,7 @@
 	r.st.sendHead(r.reply.resp)
 	r.outcome = sendAnswered
 	r.endPace()
-	if r.fromStart && !r.firstEventAt.IsZero() {
+	if r.fromStart && !r.firstEventAt.IsZero() && r.heldAt.IsZero() {
 		r.st.h.paces.noteRun(r.st.q.service.Name, time.Since(r.firstEventAt), r.forwarded)
 	}
 	r.st.flush()
--- a/internal/forward/run_silence.go
+++ b/internal/forward/run_silence.go
@@ -146,6 +146,8 @@
 		return r.lost("engine does not have the run")
 	}
 	r.st.movedOffLive = true
+	r.st.onlyFromCopy = true
+	r.engineAnswers.Store(true)
 	r.st.h.opts.Fleet.Avoid(r.server)
 	return r.silent("silent too long on a live engine")
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -35,6 +35,7 @@
 
 	headSent     bool       // the head of the answer was sent to the caller
 	movedOffLive bool       // the stream was moved off a live engine, which happens at most once
+	onlyFromCopy bool       // the stream leaves a live engine only for a copy of its run
 	lastCopy     backupCopy // backup copy of the last run
 	orphanCopy   *Copy      // copy of a run that another router carried; nil: none
 	orphanEngine string     // address of the engine that ran it for that router; empty: not known
@@ -43,7 +44,9 @@
 	// ready receives a value when results of any run of the stream wait.
 	ready chan struct{}
 	// held are the runs whose engines are silent. They stay open until the stream goes on.
-	held          []*run
+	held []*run
+	// heldEngines are no choice for another run.
+	heldEngines   []string
 	searches      []context.CancelFunc // end the contexts of the runs that were started beside held ones
 	sends         int
 	lostAt        time.Time // when the stream lost its engine; zero: it has one
@@ -87,7 +90,7 @@
 	outcome := "cut off"
 	defer func() { st.logEnd(outcome) }()
 	defer st.endSearches()
-	defer st.releaseHeld("the stream ends")
+	defer st.releaseHeld("the stream ends", endCallerDone)
 	for {
 		run, reason := st.nextRun()
 		if run == nil {
@@ -179,6 +182,9 @@
 
 // count adds a run to the history of sends, once.
 func (st *streamRelay) count(run *run) {
+	if run.counted && run.outcome == sendRefused {
+		st.q.history.Refused() // it counted as sent while it was held
+	}
 	if run.counted {
 		return
 	}
@@ -231,7 +237,7 @@
 			continue
 		}
 		if c.server == nil && !c.final && st.mayWait() && timer.Sleep(st.q.ctx, fullEnginesRetryDelay) == nil {
-			clear(st.skip)
+			st.clearSkip()
 			continue
 		}
 		switch {
@@ -320,6 +326,9 @@
 		}
 		st.lastCopy = backupCopy{}
 	}
+	if st.onlyFromCopy {
+		return engineChoice{reason: result.BackendsFull, final: true}
+	}
 	if st.q.origin == nil {
 		st.h.recheckVersion(st.q, st.engineFailed)
 	}
--- a/internal/upstream/dead.go
+++ b/internal/upstream/dead.go
@@ -51,6 +51,23 @@
 		delete(f.deadSince, s.ID)
 	}
 	s.dead = nil
+	signal(&s.revived)
+}
+
+// Revived returns a channel that is closed once the server is not judged dead any more. It is
+// closed already if the server is not.
+func (f *Fleet) Revived(s *Server) <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.dead == nil {
+		revived := make(chan struct{})
+		close(revived)
+		return revived
+	}
+	if s.revived == nil {
+		s.revived = make(chan struct{})
+	}
+	return s.revived
 }
 
 // isDead reports whether a listed server was judged dead and has not been heard since. It counts
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -76,6 +76,7 @@
 	Backend
 	use              placement.Usage
 	died             chan struct{} // closed when the server is judged dead; nil: nobody waits
+	revived          chan struct{} // closed when the server is not judged dead any more; nil: nobody waits
 	suspicion        chan struct{} // closed when there is reason to probe the server; nil: nobody waits
 	requestedAt      time.Time     // when the Fleet last returned it
 	lastHeard        time.Time     // when bytes last came from the server
