forward: a run whose events do not arrive is left for good

A report that names more events than have come shows that the connection is at fault. Such a run is closed as before runs were held, and any engine may take the stream: it was held, and the stream went back to it when no copy could be used.

--- a/internal/forward/run_silence.go
+++ b/internal/forward/run_silence.go
@@ -142,9 +142,13 @@
 
 // moveOff leaves a run on a live engine; the stream then resumes on another engine.
 func (r *run) moveOff() runEnd {
-	if s := r.currentSilence(); s.engineLostRun() {
+	s := r.currentSilence()
+	if s.engineLostRun() {
 		return r.lost("engine does not have the run")
 	}
+	if s.eventsDoNotArrive() {
+		return r.lost("events of the engine do not arrive")
+	}
 	r.st.movedOffLive = true
 	r.st.onlyFromCopy = true
 	r.engineAnswers.Store(true)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -122,6 +122,11 @@
 	return s.missingReports >= lostAfterReports && (s.begun || s.duration >= firstEventLostAfter)
 }
 
+// eventsDoNotArrive reports whether the engine makes events that the connection does not deliver.
+func (s *silence) eventsDoNotArrive() bool {
+	return s.reportIsCurrent && s.begun && s.eventsAhead > maxEventsInFlight
+}
+
 // action is the reaction to a silence.
 type action uint8
 
@@ -137,8 +142,8 @@
 	if s.engineLostRun() {
 		return moveStream
 	}
-	if s.reportIsCurrent && s.begun && s.eventsAhead > maxEventsInFlight {
-		return moveStream // the engine makes events, but the connection does not deliver them
+	if s.eventsDoNotArrive() {
+		return moveStream
 	}
 	if p.MoveAfter > 0 && s.begun && s.duration >= p.MoveAfter && s.hasCopy && !s.moved {
 		return moveStream
