upstream: the head of a response has a bound

What callers saw: a router that read bytes without a line end from a faulty backend server collected them all, was killed for its memory within a second, and lost every stream and call that it carried.

Cause: Conn.ReadHead gave net/http an unbounded reader, and net/textproto collects a line, and then the header, until it ends. Interim responses had a bound on their number but none on their size.

The reader below the buffer now counts while a head is expected, and fails after 64 KB for the final response and all interim ones together, as much as package service allows. The answer is broken then, with an unknown outcome as for any other bytes that are no response. Reads of bodies and events are not counted, and each head starts at the full bound. Chunk sizes, chunk extensions and trailers were bounded by net/http already; a test holds that now.

Evidence: TestEndlessHead, 7 cases, red before: "read 8388608 bytes, error upstream: connection broken: unexpected EOF; want a broken response after at most 65536 bytes"; green after.

--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,3 +28,22 @@
 		f.SetRouters(routers[0], routers[:329+i%2])
 	}
 }
+
+// BenchmarkReadHead measures the head and the body of a short response on a connection that is
+// reused.
+func BenchmarkReadHead(b *testing.B) {
+	const text = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Request-Id: r1\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok"
+	r := strings.NewReader("")
+	c := newConn(&readConn{r: r}, "i1")
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Reset(text)
+		resp, err := c.ReadHead(http.MethodGet)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := ReadBody(resp, 100); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,6 +40,10 @@
 	defaultIdle = 2 * time.Second
 	// maxInterimResponses bounds the 1xx responses before the final response.
 	maxInterimResponses = 8
+	// maxHeadBytes bounds what is read for the head of a response, interim responses and
+	// what was read ahead included. A faulty server may send bytes without a line end, and
+	// a line is collected in memory until it ends.
+	maxHeadBytes = 64 << 10
 )
 
 // Errors of an exchange. ErrDial means that no connection was established, ErrBroken that
@@ -49,6 +53,8 @@
 	ErrBroken = errors.New("upstream: connection broken")
 )
 
+var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHeadBytes)
+
 // Request is one request as it is sent to a backend server.
 type Request struct {
 	Method string
@@ -61,6 +67,7 @@
 // Conn is one connection. It carries one request at a time.
 type Conn struct {
 	raw         net.Conn
+	in          headReader
 	br          *bufio.Reader
 	key         string
 	reused      bool
@@ -69,7 +76,29 @@
 }
 
 func newConn(raw net.Conn, key string) *Conn {
-	return &Conn{raw: raw, br: bufio.NewReaderSize(raw, readBufferBytes), key: key}
+	c := &Conn{raw: raw, in: headReader{r: raw}, key: key}
+	c.br = bufio.NewReaderSize(&c.in, readBufferBytes)
+	return c
+}
+
+// headReader reads from r, and bounds what is read while a head is expected.
+type headReader struct {
+	r      io.Reader
+	inHead bool
+	left   int // what may still be read for the head
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.inHead {
+		return h.r.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.r.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
 }
 
 // Reused reports whether the connection carried an exchange before.
@@ -117,8 +146,11 @@
 	return append(b, "\r\n"...)
 }
 
-// ReadHead reads the head of the final response and skips interim responses.
+// ReadHead reads the head of the final response and skips interim responses. All of them
+// together may have maxHeadBytes.
 func (c *Conn) ReadHead(method string) (*http.Response, error) {
+	c.in.inHead, c.in.left = true, maxHeadBytes
+	defer func() { c.in.inHead = false }()
 	req := &http.Request{Method: method}
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(c.br, req)
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -157,7 +158,7 @@
 	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!")
 	f.Fuzz(func(t *testing.T, text string) {
 		const limit = 64
-		c := &Conn{br: bufio.NewReader(strings.NewReader(text))}
+		c := newConn(&readConn{r: strings.NewReader(text)}, "i1")
 		resp, err := c.ReadHead(http.MethodGet)
 		if err != nil {
 			return
@@ -170,3 +171,93 @@
 		}
 	})
 }
+
+// readConn is a connection that only reads, and counts the bytes that were read.
+type readConn struct {
+	net.Conn
+	r    io.Reader
+	read int
+}
+
+func (c *readConn) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.read += n
+	return n, err
+}
+
+// endless returns a reader of start, followed by unit over and over. It ends after 8 MB, to
+// bound the memory of a test that fails.
+func endless(start, unit string) io.Reader {
+	const size = 8 << 20
+	return io.MultiReader(strings.NewReader(start), strings.NewReader(strings.Repeat(unit, size/len(unit))))
+}
+
+// Guards against a router that runs out of memory: it collected all that a faulty server sent
+// before the end of a line, or of a head.
+func TestEndlessHead(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n"
+	tests := []struct{ name, start, unit string }{
+		{"bytes that are no response", "", "\x00"},
+		{"status line", "HTTP/1.1 200 ", "O"},
+		{"header line", status + "A: ", "b"},
+		{"header name", status, "a"},
+		{"headers", status, "A: b\r\n"},
+		{"continued header", status + "A: b\r\n", " c\r\n"},
+		{"interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 103 Early Hints\r\n", "Link: b\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			raw := &readConn{r: endless(tt.start, tt.unit)}
+			_, err := newConn(raw, "i1").ReadHead(http.MethodGet)
+			if !errors.Is(err, ErrBroken) || raw.read > maxHeadBytes {
+				t.Errorf("read %d bytes, error %v; want a broken response after at most %d bytes", raw.read, err, maxHeadBytes)
+			}
+		})
+	}
+}
+
+// Guards against a bound of the head that also cuts what follows it, or that is used up by
+// earlier responses on the connection.
+func TestHeadBoundSparesBodies(t *testing.T) {
+	const bodyBytes, responses = 1 << 20, 3
+	large := strings.Repeat("b", maxHeadBytes-1<<10)
+	var text strings.Builder
+	for range responses {
+		fmt.Fprintf(&text, "HTTP/1.1 200 OK\r\nA: %s\r\nContent-Length: %d\r\n\r\n%s", large, bodyBytes, strings.Repeat("c", bodyBytes))
+	}
+	c := newConn(&readConn{r: strings.NewReader(text.String())}, "i1")
+	for range responses {
+		resp, err := c.ReadHead(http.MethodGet)
+		if err != nil || len(resp.Header.Get("A")) != len(large) {
+			t.Fatalf("got the head %v, error %v; want a large one", resp, err)
+		}
+		if body, err := ReadBody(resp, bodyBytes); err != nil || len(body) != bodyBytes {
+			t.Fatalf("got %d bytes, error %v; want the complete body", len(body), err)
+		}
+	}
+}
+
+// Guards against memory that grows with what a server sends between the chunks of a body or
+// behind them.
+func TestEndlessChunkMetadata(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	tests := []struct{ name, start, unit string }{
+		{"chunk size", head, "0"},
+		{"chunk extension", head + "1;", "a"},
+		{"chunk extensions", head, "1;" + strings.Repeat("a", 1000) + "\r\nx\r\n"},
+		{"trailer line", head + "0\r\nA: ", "b"},
+		{"trailers", head + "0\r\n", "A: b\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			raw := &readConn{r: endless(tt.start, tt.unit)}
+			resp, err := newConn(raw, "i1").ReadHead(http.MethodGet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := ReadBody(resp, 16<<20); !errors.Is(err, ErrBroken) || raw.read > maxHeadBytes {
+				t.Errorf("read %d bytes, error %v; want a broken response after at most %d bytes", raw.read, err, maxHeadBytes)
+			}
+		})
+	}
+}
