upstream: memory for a body grows with its bytes

What callers would see: a router that is killed for its memory, with all that it carries, once some faulty servers announce long bodies at a time and send none of their bytes.

Cause: ReadBody allocated the announced length, up to 16 MB, before the first byte, and once more at the end of the body, where bytes.Buffer makes room for a further read.

A body starts with 64 KB at most, and doubles up to its stated length while bytes arrive. One that announces more than the limit is broken at once.

Evidence: TestAnnouncedBodyTakesNoMemory red before ("got bytes allocated for each body of 5 bytes, want at most 1048576"), green after; TestBodySizes compares bodies around each size, stated and not.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,7 +8,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -44,6 +43,10 @@
 	// what was read ahead included. A faulty server may send bytes without a line end, and
 	// a line is collected in memory until it ends.
 	maxHeadBytes = 64 << 10
+	// bodyGrowBytes is the memory for a body of which nothing has been read. A server may
+	// announce more than it sends.
+	bodyGrowBytes = 64 << 10
+	minBodyBytes  = 512
 )
 
 // Errors of an exchange. ErrDial means that no connection was established, ErrBroken that
@@ -175,18 +178,38 @@
 // ReadBody reads a complete body of at most limit bytes. A response without a length ends
 // when its connection is closed; a connection reset is an error.
 func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
-	var buf bytes.Buffer
-	if resp.ContentLength > 0 && resp.ContentLength <= limit {
-		buf.Grow(int(resp.ContentLength))
-	}
-	n, err := io.Copy(&buf, io.LimitReader(resp.Body, limit+1))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
-	case n > limit:
-		return nil, fmt.Errorf("%w: response exceeds %d bytes", ErrBroken, limit)
-	}
-	return buf.Bytes(), nil
+	if resp.ContentLength > limit && resp.Body != http.NoBody {
+		return nil, errBodyTooLarge(limit)
+	}
+	body := make([]byte, 0, max(minBodyBytes, min(resp.ContentLength, bodyGrowBytes)))
+	for {
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, errBodyTooLarge(limit)
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		case len(body) == cap(body):
+			body = growBody(body, resp.ContentLength, limit)
+		}
+	}
+}
+
+// growBody returns a body with up to twice the capacity, and no more than the stated length or
+// one byte over the limit.
+func growBody(body []byte, stated, limit int64) []byte {
+	size := min(2*int64(cap(body)), limit+1)
+	if stated > int64(len(body)) {
+		size = min(size, stated)
+	}
+	return append(make([]byte, 0, size), body...)
+}
+
+func errBodyTooLarge(limit int64) error {
+	return fmt.Errorf("%w: response exceeds %d bytes", ErrBroken, limit)
 }
 
 // reusable decides, after a complete response, whether the connection may carry another
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -261,3 +263,49 @@
 		})
 	}
 }
+
+// Guards against memory for bytes that a faulty server announces and never sends.
+func TestAnnouncedBodyTakesNoMemory(t *testing.T) {
+	const limit, bodies, perBody = 16 << 20, 4, 1 << 20
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nbegin", limit)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range bodies {
+		resp, err := newConn(&readConn{r: strings.NewReader(text)}, "i1").ReadHead(http.MethodGet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadBody(resp, limit); !errors.Is(err, ErrBroken) {
+			t.Errorf("got error %v from a truncated body, want it broken", err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if got := (after.TotalAlloc - before.TotalAlloc) / bodies; got > perBody {
+		t.Errorf("got %d bytes allocated for each body of 5 bytes, want at most %d", got, perBody)
+	}
+}
+
+// Guards against a body that is damaged or cut while its memory grows.
+func TestBodySizes(t *testing.T) {
+	const limit = 5 << 20
+	for _, n := range []int{0, 1, bodyGrowBytes - 1, bodyGrowBytes, bodyGrowBytes + 1, limit - 1, limit, limit + 1} {
+		want := make([]byte, n)
+		for i := range want {
+			want[i] = byte(i * 31 >> 3)
+		}
+		heads := map[string]string{
+			"stated":   fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", n),
+			"unstated": "HTTP/1.1 200 OK\r\n\r\n",
+		}
+		for name, head := range heads {
+			resp, err := newConn(&readConn{r: io.MultiReader(strings.NewReader(head), bytes.NewReader(want))}, "i1").ReadHead(http.MethodGet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := ReadBody(resp, limit)
+			if fits := n <= limit; (err == nil) != fits || fits && !bytes.Equal(body, want) {
+				t.Errorf("%s length, %d bytes: got %d bytes, error %v", name, n, len(body), err)
+			}
+		}
+	}
+}
