upstream: a response to another request is dropped without being collected

What callers would see: as with other answers without a bound in memory, a router that is killed. A server may send an answer late, where the next one is expected.

DiscardBody reads such a body to its end, with the same limit and the same errors, and keeps nothing.

Evidence: TestDiscardedBodyTakesNoMemory with DiscardBody over ReadBody, as it was: red, 16,733,016 bytes allocated for a body of 8 MB; green after.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -100,7 +100,7 @@
 		}
 		h.Stats.StrayAnswers.Inc()
 		h.opts.Log.Warn().Str("request", q.RequestID).Str("answered", a.RequestID).Msg("answer carries the id of another request; dropped")
-		if _, err := upstream.ReadBody(resp, maxAnswerBytes); err != nil {
+		if err := upstream.DiscardBody(resp, maxAnswerBytes); err != nil {
 			return nil, Answer{}, err
 		}
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -198,6 +198,18 @@
 	}
 }
 
+// DiscardBody reads and drops a complete body of at most limit bytes.
+func DiscardBody(resp *http.Response, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	case n > limit:
+		return errBodyTooLarge(limit)
+	}
+	return nil
+}
+
 // growBody returns a body with up to twice the capacity, and no more than the stated length or
 // one byte over the limit.
 func growBody(body []byte, stated, limit int64) []byte {
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -285,6 +285,43 @@
 	}
 }
 
+// Guards against memory for a response to another request, which nobody gets.
+func TestDiscardedBodyTakesNoMemory(t *testing.T) {
+	const limit, most = 8 << 20, 1 << 20
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", limit)
+	body := bytes.NewReader(make([]byte, limit))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	c := newConn(&readConn{r: io.MultiReader(strings.NewReader(head), body, strings.NewReader(okHead+"\r\nok"))}, "i1")
+	resp, err := c.ReadHead(http.MethodGet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := DiscardBody(resp, limit); err != nil {
+		t.Errorf("got error %v from a body within the limit", err)
+	}
+	runtime.ReadMemStats(&after)
+	if got := after.TotalAlloc - before.TotalAlloc; got > most {
+		t.Errorf("got %d bytes allocated, want at most %d", got, most)
+	}
+	if resp, err = c.ReadHead(http.MethodGet); err != nil || resp.ContentLength != 2 {
+		t.Errorf("got response %v, error %v; want the one behind the discarded body", resp, err)
+	}
+}
+
+// Guards against a discarded body without an end, and one that is cut.
+func TestDiscardedBodyIsBounded(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 200 OK\r\n\r\n0123456789x", okHead + "\r\no", "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n0123456789x"} {
+		resp, err := newConn(&readConn{r: strings.NewReader(text)}, "i1").ReadHead(http.MethodGet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := DiscardBody(resp, 10); !errors.Is(err, ErrBroken) {
+			t.Errorf("got error %v from %q, want it broken", err, text)
+		}
+	}
+}
+
 // Guards against a body that is damaged or cut while its memory grows.
 func TestBodySizes(t *testing.T) {
 	const limit = 5 << 20
