upstream: reports and other short responses have a bound that fits their decoded form

What callers would see: a router that is killed for its memory after a probe of a faulty engine. A report of 4 MB was within the bound; one of short rows takes 70 MB more on the heap when it is decoded, and 234 MB of allocations in all (measured for rows "[],"). Probes of several engines come together.

The bound is 256 KB now, for reports, orders of copies and health checks. A report of a thousand runs takes 64 KB. The same rows take 5 MB on the heap at this size.

Evidence: TestResponsesToTheSystemAreShort red before for 1 MB, green after.

--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -346,3 +346,18 @@
 		}
 	}
 }
+
+// Guards against a router that runs out of memory over reports of faulty engines: decoded, a
+// report of many short rows takes some fifty times the memory of its text.
+func TestResponsesToTheSystemAreShort(t *testing.T) {
+	for size, fits := range map[int]bool{64 << 10: true, 1 << 20: false} {
+		synctest.Test(t, func(t *testing.T) {
+			p, _ := newAnsweringPool(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("[", size)))
+			r := &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}
+			_, body, err := p.Do(t.Context(), "i1", "10.0.0.1:80", r, func() error { return nil })
+			if (err == nil) != fits || !fits && !errors.Is(err, ErrBroken) || fits && len(body) != size {
+				t.Errorf("%d bytes: got %d, error %v; want them to fit: %t", size, len(body), err, fits)
+			}
+		})
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -101,8 +101,9 @@
 	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
-// maxResponseBytes bounds the response to a request that Do sends.
-const maxResponseBytes = 4 << 20
+// maxResponseBytes bounds the response to a request that Do sends. A report of a thousand runs
+// takes 64 KB. Decoded, a report may take some fifty times the memory of its text.
+const maxResponseBytes = 256 << 10
 
 // Do sends a request that this system itself makes, such as a probe, and reads the
 // complete response. It opens a new connection, since an idle one may have failed silently
