peer: the response to a handshake has a bound

What callers would see: a VM that is killed for its memory. The address of a VM that is gone may belong to something else, and what that sent before the end of a line was collected for up to 400 ms: the library reads the response to the handshake with an unbounded reader. Messages behind the handshake had a bound already.

The connection fails after 16 KB until the handshake has ended.

Evidence: TestEndlessHandshake red before ("i/o timeout" after all 8 MB were read), green after.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,7 +46,7 @@
 	}
 	c.lastSent.Store(time.Now().UnixNano())
 	ws.SetReadLimit(maxFrameBytes)
-	if tcp, ok := ws.NetConn().(*net.TCPConn); ok {
+	if tcp, ok := ws.NetConn().(interface{ SetWriteBuffer(bytes int) error }); ok {
 		if err := tcp.SetWriteBuffer(socketBufferBytes); err != nil {
 			n.log.Debug().Err(err).Msg("write buffer size of a peer connection could not be set; keeping the default")
 		}
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -5,7 +5,6 @@
 	"crypto/subtle"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"strings"
@@ -241,7 +240,7 @@
 	if !ok {
 		return nil, errors.New("no address known")
 	}
-	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: dialTCP}
 	header := http.Header{"Authorization": {"Bearer " + n.token}}
 	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
 	defer cancel()
@@ -250,6 +249,9 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	if raw, ok := ws.NetConn().(*handshakeConn); ok {
+		raw.ended = true
+	}
 	c := newConn(n, ws, vm)
 	c.dialed = true
 	if err := c.writeHello(); err != nil {
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -257,3 +257,29 @@
 		t.Errorf("got a reply of %d bytes, want the text of %d bytes; error %v", len(got), len(text), err)
 	}
 }
+
+// Guards against a VM that runs out of memory over an address at which something else listens
+// now: it collected all that came before the end of a line.
+func TestEndlessHandshake(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = c.Write(make([]byte, 8<<20))
+		_, _ = c.Read(make([]byte, 1<<20)) // keeps the connection open until the dialer closes it
+		_, _ = c.Read(make([]byte, 1))
+	}()
+	n := peer.NewNetwork("a", testToken, func(string) (string, bool) { return l.Addr().String(), true }, zerolog.Nop())
+	defer n.Close()
+	err = call(n, "b", peer.KindFollow, nil, nil)
+	if !errors.Is(err, peer.ErrUnreachable) || !strings.Contains(err.Error(), "exceeds") {
+		t.Errorf("got error %v, want an unreachable VM, since the response exceeds its limit", err)
+	}
+}
