engine, inventory: the head of a response has the bound of the other packages

A faulty engine or the platform could make each response cost 10 MB, the bound of net/http, before a line of it was used. The bound is 64 KB now, as in packages service and upstream.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -26,6 +26,7 @@
 	dialTimeout         = 1 * time.Second // the latency to engines is a few milliseconds
 	maxEventBytes       = 1 << 20
 	maxResponseBytes    = 4 << 20
+	maxHeadBytes        = 64 << 10
 	maxIdleConnsPerHost = 64
 )
 
@@ -59,6 +60,8 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -24,6 +24,7 @@
 	pollInterval = 1 * time.Second
 	readTimeout  = 2 * time.Second
 	maxListBytes = 8 << 20
+	maxHeadBytes = 64 << 10
 )
 
 // VM is one VM in the platform's list.
@@ -71,7 +72,7 @@
 func NewReader(url string, log zerolog.Logger) *Reader {
 	return &Reader{url: url, log: log, http: &http.Client{
 		Timeout:   readTimeout,
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: readTimeout}).DialContext},
+		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: readTimeout}).DialContext, MaxResponseHeaderBytes: maxHeadBytes},
 	}}
 }
 
