client: responses have bounds, and a longer one is an error

A caller or operator whose address leads elsewhere collected whatever came: refusals and responses to operators had no bound, heads had the 10 MB of net/http. The response of a service over 8 MB was cut there and passed for the whole.

Refusals have 64 KB, heads 64 KB, responses to operators 64 MB (a route list may have 16 MB); a longer response of a service is an error.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -33,6 +33,8 @@
 	reconnectPause    = 20 * time.Millisecond
 	maxReconnects     = 200
 	maxEventBytes     = 4 << 20
+	maxHeadBytes      = 64 << 10
+	maxErrorBytes     = 64 << 10
 )
 
 // Completion is the body of a generation request.
@@ -86,6 +88,8 @@
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 256,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		// A redirect is the response of the service. Following it would be a second call.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -251,7 +255,7 @@
 
 func decodeError(resp *http.Response) error {
 	var coded result.Error
-	if err := json.NewDecoder(resp.Body).Decode(&coded); err != nil {
+	if err := decode(resp.Body, maxErrorBytes, &coded); err != nil {
 		return Error.New("status %d without a result code", resp.StatusCode)
 	}
 	return &coded
@@ -274,13 +278,14 @@
 	return n, err
 }
 
-// ServiceResponse is the response of a service. Body holds at most maxCallBodyBytes.
+// ServiceResponse is the response of a service.
 type ServiceResponse struct {
 	Status int
 	Header http.Header
 	Body   []byte
 }
 
+// maxCallBodyBytes bounds the body of a ServiceResponse.
 const maxCallBodyBytes = 8 << 20
 
 // Call sends a request to a service. key is the Idempotency-Key. If a connection breaks, Call
@@ -318,9 +323,17 @@
 	if resp.StatusCode/100 == 4 || resp.StatusCode/100 == 5 {
 		return nil, decodeError(resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBodyBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > maxCallBodyBytes {
+		return nil, Error.New("response exceeds %d bytes", maxCallBodyBytes)
+	}
 	return &ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
+
+// decode decodes a JSON value of at most limit bytes.
+func decode(r io.Reader, limit int64, out any) error {
+	return json.NewDecoder(io.LimitReader(r, limit)).Decode(out)
+}
--- a/internal/client/discover.go
+++ b/internal/client/discover.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"sync"
@@ -67,7 +65,7 @@
 		TTLMS     int64    `json:"ttl_ms"`
 		Version   uint64   `json:"version"`
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxEntryBytes)).Decode(&out); err != nil {
+	if err := decode(resp.Body, maxEntryBytes, &out); err != nil {
 		return nil, fmt.Errorf("client: entry response could not be decoded: %w", err)
 	}
 	if len(out.Addresses) == 0 {
--- a/internal/client/operator.go
+++ b/internal/client/operator.go
@@ -28,6 +28,7 @@
 	waitTimeout        = 70 * time.Second // ?wait=in-force
 	operatorRounds     = 5                // over all addresses
 	operatorRetryPause = 200 * time.Millisecond
+	maxOperatorBytes   = 64 << 20 // of a response; a route list has 16 MB at most
 )
 
 // Operator is a client of the operators' API. It tries the addresses in order until one gives a
@@ -43,7 +44,8 @@
 // under which the history records the changes.
 func NewOperator(addrs []string, token, who string) *Operator {
 	return &Operator{addrs: addrs, token: token, who: who, http: &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
@@ -222,7 +224,7 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return decodeError(resp)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := decode(resp.Body, maxOperatorBytes, out); err != nil {
 		return fmt.Errorf("client: response of %s could not be decoded: %w", addr, err)
 	}
 	return nil
