handoff: a large answer waits in parts

What callers would see: a router that serves for others is killed for its memory, or a large answer is lost. An answer of up to 16 MB that came in one write waited as one piece, against the 64 KB that are stated, and each read carried all of it again. A link that needs longer than a read for it never carried it.

Write adds 64 KB at most at a time. Smaller writes, such as events, stay in one part as before.

--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -201,18 +201,23 @@
 	}
 }
 
-// Write implements http.ResponseWriter. It blocks while maxWaiting bytes wait.
+// Write implements http.ResponseWriter. It blocks while maxWaiting bytes wait, and adds a part
+// of that size at most at a time.
 func (e *exchange) Write(p []byte) (int, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.writeHead(http.StatusOK)
-	for len(e.waiting) > 0 && len(e.waiting)+len(p) > maxWaiting {
-		if err := e.wait(e.ctx); err != nil {
-			return 0, err
+	for rest := p; len(rest) > 0; {
+		n := min(len(rest), maxWaiting)
+		for len(e.waiting) > 0 && len(e.waiting)+n > maxWaiting {
+			if err := e.wait(e.ctx); err != nil {
+				return len(p) - len(rest), err
+			}
 		}
+		e.waiting = append(e.waiting, rest[:n]...)
+		rest = rest[n:]
+		e.signal()
 	}
-	e.waiting = append(e.waiting, p...)
-	e.signal()
 	return len(p), nil
 }
 
