forward: a long line of an event is read as one line

What callers would see: the same part of an answer twice after an engine died. An event with a line of 4,096 bytes, or of a multiple, was read as two: behind a full buffer the line end looked like a blank line, and "id:" there like the field. Its first part had no id, and so passed although the caller had it.

readEvent remembers that a line has begun, and takes its rest neither as a blank line nor as a field.

Evidence: TestLongLines red before ("line of 4096 bytes: got 2 events, error EOF; want one with the id 7"), green after; TestEndlessEvent passed before, too.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -27,11 +27,13 @@
 // died while it wrote the event, and the next engine generates it again.
 func readEvent(br *bufio.Reader) (event, error) {
 	var e event
+	begun := false // a part of the line was read, which is longer than the buffer
 	for {
 		line, err := br.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes:
+			begun = true
 			continue
 		case len(e.raw) >= maxEventBytes:
 			return event{}, errEventTooLarge
@@ -39,6 +41,9 @@
 			return event{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return event{}, err
+		case begun:
+			begun = false // the rest is neither a blank line nor a field
+			continue
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
