routed: an entry that names an unknown service hides no server

What callers would see: no server, or fewer, for a service. Of entries of the list with the same id the first one counts, and an entry of another writer with all fields may name a service that is in no configuration. Nobody sent requests by it, but the entry of the platform for the same server was dropped.

Rows of services that the route list names come before all others now. Before the first route list the order is that of the platform.

Evidence: TestUnknownServiceHidesNoServer red before ("got service x for i1, want m"), green after.

--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -349,5 +349,5 @@
 		c.o.Log.Warn().Err(err).Dur("took", time.Since(began)).Msg("list of backend servers could not be read; keeping the previous list")
 		return
 	}
-	c.backendList.Update(rows, time.Since(began))
+	c.backendList.Update(namedFirst(rows, c.services()), time.Since(began))
 }
