upstream: a line end in the head of a request is not sent

What an engine would see: a request that no caller sent, smuggled behind another one. The head was written from names that come from elsewhere: the id of a server in the list of the platform, the handle of a copy in the answer of an engine, the name of a workspace. A line end in one of them ended its header.

Send counts the line ends of a head, and sends nothing if there are more than lines; the send counts as not sent.

Evidence: TestLineEndsAreNotSent, 7 cases, red before ("got sent true, error <nil>, 80 bytes written"), green after.

--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -47,3 +47,18 @@
 		}
 	}
 }
+
+// BenchmarkSend measures the write of a short request.
+func BenchmarkSend(b *testing.B) {
+	r := Request{Method: http.MethodPost, URI: "/a/b", Host: "h.example", Header: http.Header{}, Body: []byte("body")}
+	for i := range 12 {
+		r.Header.Set(fmt.Sprint("X-Header-", i), "a value of some thirty bytes...")
+	}
+	c := newConn(&writeConn{}, "i1")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Send(&r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -113,9 +114,15 @@
 // SetReadDeadline bounds reads.
 func (c *Conn) SetReadDeadline(t time.Time) { _ = c.raw.SetReadDeadline(t) }
 
+// errLineEnd means that a name in the head of a request would end its line.
+var errLineEnd = errors.New("upstream: line end in the head of a request")
+
 // Send writes a request. sent is false only if certainly no byte of it was sent.
 func (c *Conn) Send(r *Request) (sent bool, err error) {
-	head := r.head()
+	head, err := r.head()
+	if err != nil {
+		return false, err
+	}
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if len(r.Body) <= inlineBodyBytes {
 		n, err := c.raw.Write(append(head, r.Body...))
@@ -134,19 +141,28 @@
 	return true, nil
 }
 
-func (r *Request) head() []byte {
+// head returns the request without its body. Ids of servers, copies and workspaces come from
+// elsewhere, and one with a line end could smuggle a second request.
+func (r *Request) head() ([]byte, error) {
 	b := make([]byte, 0, 1024+len(r.Body))
 	b = append(append(append(append(b, r.Method...), ' '), r.URI...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, r.Host...), "\r\n"...)
+	lines := 3 // the request line, the host and the blank line
 	for name, values := range r.Header {
+		lines += len(values)
 		for _, v := range values {
 			b = append(append(append(append(b, name...), ": "...), v...), "\r\n"...)
 		}
 	}
 	if r.Body != nil {
+		lines++
 		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(r.Body)), 10), "\r\n"...)
 	}
-	return append(b, "\r\n"...)
+	b = append(b, "\r\n"...)
+	if bytes.Count(b, []byte{'\r'}) != lines || bytes.Count(b, []byte{'\n'}) != lines {
+		return nil, errLineEnd
+	}
+	return b, nil
 }
 
 // ReadHead reads the head of the final response and skips interim responses. All of them
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -361,3 +362,44 @@
 		})
 	}
 }
+
+// Guards against a second request that is smuggled in a name from elsewhere, such as the id of a
+// server, of a copy or of a workspace: a line end in it would end its header.
+func TestLineEndsAreNotSent(t *testing.T) {
+	const smuggled = "i1\r\n\r\nPOST /b HTTP/1.1"
+	tests := map[string]Request{
+		"header value": {Header: http.Header{"X-Instance": {"i0", smuggled}}},
+		"header name":  {Header: http.Header{smuggled: {"x"}}},
+		"line feed":    {Header: http.Header{"X-Instance": {"i1\nX: y"}}},
+		"return":       {Header: http.Header{"X-Instance": {"i1\rX: y"}}},
+		"path":         {URI: "/" + smuggled},
+		"host":         {Host: smuggled},
+		"with a body":  {Header: http.Header{"X-Instance": {smuggled}}, Body: make([]byte, 2*inlineBodyBytes)},
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			r.Method, r.URI = http.MethodPost, cmp.Or(r.URI, "/a")
+			raw := &writeConn{}
+			if sent, err := newConn(raw, "i1").Send(&r); sent || err == nil || raw.written > 0 {
+				t.Errorf("got sent %t, error %v, %d bytes written; want an error and nothing sent", sent, err, raw.written)
+			}
+		})
+	}
+	r := Request{Method: http.MethodPost, URI: "/a", Header: http.Header{"A": {"b", "c"}}, Body: []byte("line\r\nline\n")}
+	if _, err := newConn(&writeConn{}, "i1").Send(&r); err != nil {
+		t.Errorf("got error %v from a body with line ends, want none", err)
+	}
+}
+
+// writeConn is a connection that only writes, and counts the bytes that were written.
+type writeConn struct {
+	net.Conn
+	written int
+}
+
+func (c *writeConn) Write(p []byte) (int, error) {
+	c.written += len(p)
+	return len(p), nil
+}
+
+func (c *writeConn) SetWriteDeadline(time.Time) error { return nil }
