--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,6 +40,14 @@
 	defaultIdle = 2 * time.Second
 	// maxInterimResponses bounds the 1xx responses before the final response.
 	maxInterimResponses = 8
+	// maxHeadBytes bounds what is read for the head of a response, interim responses and
+	// what was read ahead included. A faulty server may send bytes without a line end, and
+	// a line is collected in memory until it ends.
+	maxHeadBytes = 64 << 10
+	// bodyGrowBytes is the memory for a body of which nothing has been read. A server may
+	// announce more than it sends.
+	bodyGrowBytes = 64 << 10
+	minBodyBytes  = 512
 )
 
 // Errors of an exchange. ErrDial means that no connection was established, ErrBroken that
@@ -49,6 +57,8 @@
 	ErrBroken = errors.New("upstream: connection broken")
 )
 
+var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHeadBytes)
+
 // Request is one request as it is sent to a backend server.
 type Request struct {
 	Method string
@@ -61,6 +71,7 @@
 // Conn is one connection. It carries one request at a time.
 type Conn struct {
 	raw         net.Conn
+	in          headReader
 	br          *bufio.Reader
 	key         string
 	reused      bool
@@ -69,7 +80,29 @@
 }
 
 func newConn(raw net.Conn, key string) *Conn {
-	return &Conn{raw: raw, br: bufio.NewReaderSize(raw, readBufferBytes), key: key}
+	c := &Conn{raw: raw, in: headReader{r: raw}, key: key}
+	c.br = bufio.NewReaderSize(&c.in, readBufferBytes)
+	return c
+}
+
+// headReader reads from r, and bounds what is read while a head is expected.
+type headReader struct {
+	r      io.Reader
+	inHead bool
+	left   int // what may still be read for the head
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.inHead {
+		return h.r.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.r.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
 }
 
 // Reused reports whether the connection carried an exchange before.
@@ -81,9 +114,15 @@
 // SetReadDeadline bounds reads.
 func (c *Conn) SetReadDeadline(t time.Time) { _ = c.raw.SetReadDeadline(t) }
 
+// errLineEnd means that a name in the head of a request would end its line.
+var errLineEnd = errors.New("upstream: line end in the head of a request")
+
 // Send writes a request. sent is false only if certainly no byte of it was sent.
 func (c *Conn) Send(r *Request) (sent bool, err error) {
-	head := r.head()
+	head, err := r.head()
+	if err != nil {
+		return false, err
+	}
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if len(r.Body) <= inlineBodyBytes {
 		n, err := c.raw.Write(append(head, r.Body...))
@@ -102,23 +141,35 @@
 	return true, nil
 }
 
-func (r *Request) head() []byte {
+// head returns the request without its body. Ids of servers, copies and workspaces come from
+// elsewhere, and one with a line end could smuggle a second request.
+func (r *Request) head() ([]byte, error) {
 	b := make([]byte, 0, 1024+len(r.Body))
 	b = append(append(append(append(b, r.Method...), ' '), r.URI...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, r.Host...), "\r\n"...)
+	lines := 3 // the request line, the host and the blank line
 	for name, values := range r.Header {
+		lines += len(values)
 		for _, v := range values {
 			b = append(append(append(append(b, name...), ": "...), v...), "\r\n"...)
 		}
 	}
 	if r.Body != nil {
+		lines++
 		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(r.Body)), 10), "\r\n"...)
 	}
-	return append(b, "\r\n"...)
+	b = append(b, "\r\n"...)
+	if bytes.Count(b, []byte{'\r'}) != lines || bytes.Count(b, []byte{'\n'}) != lines {
+		return nil, errLineEnd
+	}
+	return b, nil
 }
 
-// ReadHead reads the head of the final response and skips interim responses.
+// ReadHead reads the head of the final response and skips interim responses. All of them
+// together may have maxHeadBytes.
 func (c *Conn) ReadHead(method string) (*http.Response, error) {
+	c.in.inHead, c.in.left = true, maxHeadBytes
+	defer func() { c.in.inHead = false }()
 	req := &http.Request{Method: method}
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(c.br, req)
@@ -143,18 +194,50 @@
 // ReadBody reads a complete body of at most limit bytes. A response without a length ends
 // when its connection is closed; a connection reset is an error.
 func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
-	var buf bytes.Buffer
-	if resp.ContentLength > 0 && resp.ContentLength <= limit {
-		buf.Grow(int(resp.ContentLength))
+	if resp.ContentLength > limit && resp.Body != http.NoBody {
+		return nil, errBodyTooLarge(limit)
 	}
-	n, err := io.Copy(&buf, io.LimitReader(resp.Body, limit+1))
+	body := make([]byte, 0, max(minBodyBytes, min(resp.ContentLength, bodyGrowBytes)))
+	for {
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, errBodyTooLarge(limit)
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		case len(body) == cap(body):
+			body = growBody(body, resp.ContentLength, limit)
+		}
+	}
+}
+
+// DiscardBody reads and drops a complete body of at most limit bytes.
+func DiscardBody(resp *http.Response, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
 	switch {
 	case err != nil:
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		return fmt.Errorf("%w: %w", ErrBroken, err)
 	case n > limit:
-		return nil, fmt.Errorf("%w: response exceeds %d bytes", ErrBroken, limit)
+		return errBodyTooLarge(limit)
 	}
-	return buf.Bytes(), nil
+	return nil
+}
+
+// growBody returns a body with up to twice the capacity, and no more than the stated length or
+// one byte over the limit.
+func growBody(body []byte, stated, limit int64) []byte {
+	size := min(2*int64(cap(body)), limit+1)
+	if stated > int64(len(body)) {
+		size = min(size, stated)
+	}
+	return append(make([]byte, 0, size), body...)
+}
+
+func errBodyTooLarge(limit int64) error {
+	return fmt.Errorf("%w: response exceeds %d bytes", ErrBroken, limit)
 }
 
 // reusable decides, after a complete response, whether the connection may carry another
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -157,7 +161,7 @@
 	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!")
 	f.Fuzz(func(t *testing.T, text string) {
 		const limit = 64
-		c := &Conn{br: bufio.NewReader(strings.NewReader(text))}
+		c := newConn(&readConn{r: strings.NewReader(text)}, "i1")
 		resp, err := c.ReadHead(http.MethodGet)
 		if err != nil {
 			return
@@ -170,3 +174,232 @@
 		}
 	})
 }
+
+// readConn is a connection that only reads, and counts the bytes that were read.
+type readConn struct {
+	net.Conn
+	r    io.Reader
+	read int
+}
+
+func (c *readConn) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.read += n
+	return n, err
+}
+
+// endless returns a reader of start, followed by unit over and over. It ends after 8 MB, to
+// bound the memory of a test that fails.
+func endless(start, unit string) io.Reader {
+	const size = 8 << 20
+	return io.MultiReader(strings.NewReader(start), strings.NewReader(strings.Repeat(unit, size/len(unit))))
+}
+
+// Guards against a router that runs out of memory: it collected all that a faulty server sent
+// before the end of a line, or of a head.
+func TestEndlessHead(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n"
+	tests := []struct{ name, start, unit string }{
+		{"bytes that are no response", "", "\x00"},
+		{"status line", "HTTP/1.1 200 ", "O"},
+		{"header line", status + "A: ", "b"},
+		{"header name", status, "a"},
+		{"headers", status, "A: b\r\n"},
+		{"continued header", status + "A: b\r\n", " c\r\n"},
+		{"interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 103 Early Hints\r\n", "Link: b\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			raw := &readConn{r: endless(tt.start, tt.unit)}
+			_, err := newConn(raw, "i1").ReadHead(http.MethodGet)
+			if !errors.Is(err, ErrBroken) || raw.read > maxHeadBytes {
+				t.Errorf("read %d bytes, error %v; want a broken response after at most %d bytes", raw.read, err, maxHeadBytes)
+			}
+		})
+	}
+}
+
+// Guards against a bound of the head that also cuts what follows it, or that is used up by
+// earlier responses on the connection.
+func TestHeadBoundSparesBodies(t *testing.T) {
+	const bodyBytes, responses = 1 << 20, 3
+	large := strings.Repeat("b", maxHeadBytes-1<<10)
+	var text strings.Builder
+	for range responses {
+		fmt.Fprintf(&text, "HTTP/1.1 200 OK\r\nA: %s\r\nContent-Length: %d\r\n\r\n%s", large, bodyBytes, strings.Repeat("c", bodyBytes))
+	}
+	c := newConn(&readConn{r: strings.NewReader(text.String())}, "i1")
+	for range responses {
+		resp, err := c.ReadHead(http.MethodGet)
+		if err != nil || len(resp.Header.Get("A")) != len(large) {
+			t.Fatalf("got the head %v, error %v; want a large one", resp, err)
+		}
+		if body, err := ReadBody(resp, bodyBytes); err != nil || len(body) != bodyBytes {
+			t.Fatalf("got %d bytes, error %v; want the complete body", len(body), err)
+		}
+	}
+}
+
+// Guards against memory that grows with what a server sends between the chunks of a body or
+// behind them.
+func TestEndlessChunkMetadata(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	tests := []struct{ name, start, unit string }{
+		{"chunk size", head, "0"},
+		{"chunk extension", head + "1;", "a"},
+		{"chunk extensions", head, "1;" + strings.Repeat("a", 1000) + "\r\nx\r\n"},
+		{"trailer line", head + "0\r\nA: ", "b"},
+		{"trailers", head + "0\r\n", "A: b\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			raw := &readConn{r: endless(tt.start, tt.unit)}
+			resp, err := newConn(raw, "i1").ReadHead(http.MethodGet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := ReadBody(resp, 16<<20); !errors.Is(err, ErrBroken) || raw.read > maxHeadBytes {
+				t.Errorf("read %d bytes, error %v; want a broken response after at most %d bytes", raw.read, err, maxHeadBytes)
+			}
+		})
+	}
+}
+
+// Guards against memory for bytes that a faulty server announces and never sends.
+func TestAnnouncedBodyTakesNoMemory(t *testing.T) {
+	const limit, bodies, perBody = 16 << 20, 4, 1 << 20
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nbegin", limit)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range bodies {
+		resp, err := newConn(&readConn{r: strings.NewReader(text)}, "i1").ReadHead(http.MethodGet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadBody(resp, limit); !errors.Is(err, ErrBroken) {
+			t.Errorf("got error %v from a truncated body, want it broken", err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if got := (after.TotalAlloc - before.TotalAlloc) / bodies; got > perBody {
+		t.Errorf("got %d bytes allocated for each body of 5 bytes, want at most %d", got, perBody)
+	}
+}
+
+// Guards against memory for a response to another request, which nobody gets.
+func TestDiscardedBodyTakesNoMemory(t *testing.T) {
+	const limit, most = 8 << 20, 1 << 20
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", limit)
+	body := bytes.NewReader(make([]byte, limit))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	c := newConn(&readConn{r: io.MultiReader(strings.NewReader(head), body, strings.NewReader(okHead+"\r\nok"))}, "i1")
+	resp, err := c.ReadHead(http.MethodGet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := DiscardBody(resp, limit); err != nil {
+		t.Errorf("got error %v from a body within the limit", err)
+	}
+	runtime.ReadMemStats(&after)
+	if got := after.TotalAlloc - before.TotalAlloc; got > most {
+		t.Errorf("got %d bytes allocated, want at most %d", got, most)
+	}
+	if resp, err = c.ReadHead(http.MethodGet); err != nil || resp.ContentLength != 2 {
+		t.Errorf("got response %v, error %v; want the one behind the discarded body", resp, err)
+	}
+}
+
+// Guards against a discarded body without an end, and one that is cut.
+func TestDiscardedBodyIsBounded(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 200 OK\r\n\r\n0123456789x", okHead + "\r\no", "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n0123456789x"} {
+		resp, err := newConn(&readConn{r: strings.NewReader(text)}, "i1").ReadHead(http.MethodGet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := DiscardBody(resp, 10); !errors.Is(err, ErrBroken) {
+			t.Errorf("got error %v from %q, want it broken", err, text)
+		}
+	}
+}
+
+// Guards against a body that is damaged or cut while its memory grows.
+func TestBodySizes(t *testing.T) {
+	const limit = 5 << 20
+	for _, n := range []int{0, 1, bodyGrowBytes - 1, bodyGrowBytes, bodyGrowBytes + 1, limit - 1, limit, limit + 1} {
+		want := make([]byte, n)
+		for i := range want {
+			want[i] = byte(i * 31 >> 3)
+		}
+		heads := map[string]string{
+			"stated":   fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", n),
+			"unstated": "HTTP/1.1 200 OK\r\n\r\n",
+		}
+		for name, head := range heads {
+			resp, err := newConn(&readConn{r: io.MultiReader(strings.NewReader(head), bytes.NewReader(want))}, "i1").ReadHead(http.MethodGet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := ReadBody(resp, limit)
+			if fits := n <= limit; (err == nil) != fits || fits && !bytes.Equal(body, want) {
+				t.Errorf("%s length, %d bytes: got %d bytes, error %v", name, n, len(body), err)
+			}
+		}
+	}
+}
+
+// Guards against a router that runs out of memory over reports of faulty engines: decoded, a
+// report of many short rows takes some fifty times the memory of its text.
+func TestResponsesToTheSystemAreShort(t *testing.T) {
+	for size, fits := range map[int]bool{64 << 10: true, 1 << 20: false} {
+		synctest.Test(t, func(t *testing.T) {
+			p, _ := newAnsweringPool(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("[", size)))
+			r := &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}
+			_, body, err := p.Do(t.Context(), "i1", "10.0.0.1:80", r, func() error { return nil })
+			if (err == nil) != fits || !fits && !errors.Is(err, ErrBroken) || fits && len(body) != size {
+				t.Errorf("%d bytes: got %d, error %v; want them to fit: %t", size, len(body), err, fits)
+			}
+		})
+	}
+}
+
+// Guards against a second request that is smuggled in a name from elsewhere, such as the id of a
+// server, of a copy or of a workspace: a line end in it would end its header.
+func TestLineEndsAreNotSent(t *testing.T) {
+	const smuggled = "i1\r\n\r\nPOST /b HTTP/1.1"
+	tests := map[string]Request{
+		"header value": {Header: http.Header{"X-Instance": {"i0", smuggled}}},
+		"header name":  {Header: http.Header{smuggled: {"x"}}},
+		"line feed":    {Header: http.Header{"X-Instance": {"i1\nX: y"}}},
+		"return":       {Header: http.Header{"X-Instance": {"i1\rX: y"}}},
+		"path":         {URI: "/" + smuggled},
+		"host":         {Host: smuggled},
+		"with a body":  {Header: http.Header{"X-Instance": {smuggled}}, Body: make([]byte, 2*inlineBodyBytes)},
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			r.Method, r.URI = http.MethodPost, cmp.Or(r.URI, "/a")
+			raw := &writeConn{}
+			if sent, err := newConn(raw, "i1").Send(&r); sent || err == nil || raw.written > 0 {
+				t.Errorf("got sent %t, error %v, %d bytes written; want an error and nothing sent", sent, err, raw.written)
+			}
+		})
+	}
+	r := Request{Method: http.MethodPost, URI: "/a", Header: http.Header{"A": {"b", "c"}}, Body: []byte("line\r\nline\n")}
+	if _, err := newConn(&writeConn{}, "i1").Send(&r); err != nil {
+		t.Errorf("got error %v from a body with line ends, want none", err)
+	}
+}
+
+// writeConn is a connection that only writes, and counts the bytes that were written.
+type writeConn struct {
+	net.Conn
+	written int
+}
+
+func (c *writeConn) Write(p []byte) (int, error) {
+	c.written += len(p)
+	return len(p), nil
+}
+
+func (c *writeConn) SetWriteDeadline(time.Time) error { return nil }
