forward: a server that broke its connections was not only silent

What callers saw: a content that crashes its servers was sent four times from 3 s after its third crash on, and at most three are allowed, since the blame for its crashes was withdrawn.

Cause: the soak's servers are back within 0.7 s under their ids, and meanwhile their listener accepts connections and closes them.

Change: a death is doubtful only if the server has broken no connection. One that broke off a run and answers no probe, or that closes the connection of a probe, has died for certain.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -287,7 +287,7 @@
 	f, took := h.opts.Fleet, time.Since(began)
 	switch {
 	case q.ctx.Err() != nil && r.outcome == sendUnknown && q.left() <= 0:
-		h.probeForDeath(s, run) // it may be cut off, which nothing else would show
+		h.probeForDeath(s, run, false) // it may be cut off, which nothing else would show
 	case q.ctx.Err() != nil, r.fault == faultDial, r.fault == faultWithheld:
 	case r.outcome == sendRefused && r.answer.WrongInstance:
 		f.MarkStale(s)
--- a/internal/forward/doubtful_death.go
+++ b/internal/forward/doubtful_death.go
@@ -13,11 +13,11 @@
 //
 // A death that rests on silence is therefore doubtful. The contents are blamed at once, since one
 // that crashes its servers must not reach the next. The death is withdrawn when the server
-// answers again soon. One that has crashed is back only after some seconds, and its host refuses
-// connections meanwhile, which confirms the death.
+// answers again soon. A server that has crashed may be back as soon, but it has broken its
+// connections, or refuses new ones meanwhile: then the death is certain.
 
-// maxSoundSilence is how long after its death a server that answers was only silent. A server
-// that starts again takes longer.
+// maxSoundSilence is how long after its death a server that answers was only silent. One that
+// crashed without breaking a connection takes longer to start again.
 const maxSoundSilence = 2 * time.Second
 
 // doubtfulDeathTime is how long a doubtful death is remembered. VMs tell each other of it
--- a/internal/forward/hand_off.go
+++ b/internal/forward/hand_off.go
@@ -80,7 +80,7 @@
 	if !p.alive && !p.withheld {
 		h.opts.Fleet.Unanswered(s)
 	}
-	if p.refused {
+	if p.endsConnections() {
 		h.opts.SuspectContents.confirmDeath(s.ID)
 	}
 }
--- a/internal/forward/held_call.go
+++ b/internal/forward/held_call.go
@@ -173,7 +173,7 @@
 		c.h.opts.Fleet.Release(call.server, callHeldUse)
 		c.h.opts.SuspectContents.abandon(call.run)
 		if r := call.reply; r != nil && r.fault == faultBroken {
-			c.h.probeForDeath(call.server, call.run)
+			c.h.probeForDeath(call.server, call.run, true)
 		}
 		call.flight.drop()
 	}
--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -79,7 +79,7 @@
 		spoke, broke := r.spoke()
 		switch {
 		case broke:
-			st.h.probeForDeath(r.server, r.content)
+			st.h.probeForDeath(r.server, r.content, true)
 			st.closeHeld(r, "connection ended")
 		case spoke && speaking == nil:
 			speaking = r
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -103,10 +103,13 @@
 	close(pr.done)
 }
 
+// endsConnections reports whether no process, or one that ends, is at the server's address.
+func (r *probeResult) endsConnections() bool { return r.refused || r.closed }
+
 // isConclusive reports whether the result shows what became of the server. A reset does not: a
 // server resets connections beyond the number that it accepts.
 func (r *probeResult) isConclusive() bool {
-	return r.alive || r.withheld || r.replaced || r.refused || r.closed
+	return r.alive || r.withheld || r.replaced || r.endsConnections()
 }
 
 // probeUntilAnswered repeats attempts until one is conclusive, all have failed, or ctx ends.
@@ -166,25 +169,26 @@
 	}
 	blamed, elsewhere := h.opts.SuspectContents.serverDied(server, e)
 	if e == upstream.PeerReport && len(blamed) > 0 {
-		h.probeForDeath(blamed[0].server, blamed[0])
+		h.probeForDeath(blamed[0].server, blamed[0], false)
 	}
 	for _, r := range elsewhere {
-		h.probeForDeath(r.server, r)
+		h.probeForDeath(r.server, r, false)
 	}
 }
 
-// judgeDead judges a server dead that did not answer a probe.
-func (h *Handler) judgeDead(s *upstream.Server, p *probe) {
-	if p.refused {
+// judgeDead judges a server dead that did not answer a probe. One that is only silent breaks no
+// connection.
+func (h *Handler) judgeDead(s *upstream.Server, p *probe, brokeOff bool) {
+	if brokeOff || p.endsConnections() {
 		h.opts.Fleet.MarkDead(s)
 		return
 	}
 	h.opts.Fleet.MarkSilent(s)
 }
 
-// probeForDeath probes a server on which a content may still run, and returns a channel that
-// is closed once the result is known.
-func (h *Handler) probeForDeath(s *upstream.Server, r *contentRun) <-chan struct{} {
+// probeForDeath probes a server on which a content may still run, or that broke off its run, and
+// returns a channel that is closed once the result is known.
+func (h *Handler) probeForDeath(s *upstream.Server, r *contentRun, brokeOff bool) <-chan struct{} {
 	h.Stats.Probes.Inc()
 	p := h.prober.start(s)
 	found := make(chan struct{})
@@ -194,7 +198,7 @@
 		switch {
 		case p.withheld:
 		case !p.alive:
-			h.judgeDead(s, p)
+			h.judgeDead(s, p, brokeOff)
 		case p.sameInstance:
 			h.opts.SuspectContents.forget(r)
 		}
@@ -209,7 +213,7 @@
 	p := h.prober.start(s)
 	<-p.done
 	if !p.alive && !p.withheld {
-		h.judgeDead(s, p)
+		h.judgeDead(s, p, false)
 	}
 	return p.alive
 }
@@ -222,7 +226,7 @@
 // A request whose content is suspect already, or that broke off at another server before, waits
 // for the results. Otherwise it could reach, and kill, the next server in the meantime.
 func (h *Handler) confirmDeath(q *request, s *upstream.Server, r *contentRun) {
-	q.deathChecks = append(q.deathChecks, h.probeForDeath(s, r))
+	q.deathChecks = append(q.deathChecks, h.probeForDeath(s, r, true))
 	if len(q.deathChecks) == 1 && !h.opts.SuspectContents.isSuspect(q.digest) {
 		return
 	}
--- a/internal/forward/run_silence.go
+++ b/internal/forward/run_silence.go
@@ -108,7 +108,7 @@
 		if r.probeAgain() {
 			return 0, false
 		}
-		r.st.h.judgeDead(r.server, p)
+		r.st.h.judgeDead(r.server, p, false)
 		return r.silent("engine does not answer"), true
 	}
 	r.report, r.reportIsCurrent, r.probeFailed = p.report, p.hasReport, false
--- a/internal/forward/silent_content_test.go
+++ b/internal/forward/silent_content_test.go
@@ -144,6 +144,33 @@
 	})
 }
 
+// Guards against the pardon of a content because its crashed server is back at once, under its id.
+// Meanwhile connections are refused, closed once they are accepted, or hang.
+func TestCrashAndRestartIsBlamed(t *testing.T) {
+	for name, state := range map[string]routedengine.State{
+		"refused": routedengine.Dead, "closed": routedengine.Breaking, "hanging": routedengine.Unresponsive,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, voteServer("a"))
+				defer f.shutDown()
+				f.servers[0].Intercept = func(s *routedengine.Server, _ http.ResponseWriter, r *http.Request) bool {
+					s.Set(routedengine.Dead) // breaks the connection
+					s.Set(state)
+					return true
+				}
+				<-f.send("POST", "/vote/1", "crashing", "yes").done
+				time.Sleep(700 * time.Millisecond)
+				f.servers[0].Set(routedengine.Alive)
+				time.Sleep(time.Second)
+				if n := f.contents.Count(); f.fleet.DeadServers() != 0 || n != 1 {
+					t.Errorf("%d contents are suspect and %d servers are dead, want one and none", n, f.fleet.DeadServers())
+				}
+			})
+		})
+	}
+}
+
 // Guards against a content that is held back for a trial that was never sent: the server of the
 // trial did not answer the probe before it.
 func TestTrialThatIsNotSentIsNotBlamed(t *testing.T) {
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -50,8 +50,8 @@
 	PeerReport
 	// Silence means that the server did not answer a probe. It may go on.
 	Silence
-	// Confirmed means that the server refused a probe, or that another incarnation holds its
-	// address.
+	// Confirmed means that the server broke or refused a connection and answers no probe, or that
+	// another incarnation holds its address.
 	Confirmed
 )
 
@@ -74,7 +74,7 @@
 	}
 }
 
-// MarkDead judges a server dead that refused a probe.
+// MarkDead judges a server dead that broke or refused a connection and answers no probe.
 func (f *Fleet) MarkDead(s *Server) { f.judgeDead(s, Confirmed) }
 
 // MarkSilent judges a server dead that did not answer a probe.
