forward: a server that breaks and resets connections is found at once

Change: after a broken answer, a reset of the probe's connection ends the probe, as it did before.

Evidence: TestServerThatResetsConnections fails without the change ("0 servers are judged dead 20ms after the break, want 1"); internal/forward passes, with the race run.

--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -36,8 +36,9 @@
 
 // probeKey keeps those who wait for a short probe from joining a long one.
 type probeKey struct {
-	server  string
-	timeout time.Duration
+	server     string
+	timeout    time.Duration
+	resetIsEnd bool // a reset ends the probe
 }
 
 // probe is a check of one server. Its result is valid once done is closed.
@@ -52,7 +53,7 @@
 	answered bool // the engine answered this probe
 	withheld bool // the engine accepts no request now: nothing is known of it
 	refused  bool // the host refused the connection: no process listens there
-	closed   bool // the server closed the connection that it had accepted
+	closed   bool // the server ended the connection that it had accepted
 	// replaced reports that another incarnation answers at the address: the one that was
 	// probed is dead.
 	replaced bool
@@ -67,25 +68,38 @@
 }
 
 // start begins a probe of a server, or joins the one in flight.
-func (p *prober) start(s *upstream.Server) *probe { return p.startWithin(s, probeTimeout) }
+func (p *prober) start(s *upstream.Server) *probe {
+	return p.startWith(s, probeKey{server: s.ID, timeout: probeTimeout})
+}
+
+// startAfterBreak is start for a server that has broken a connection. If it resets the next one
+// too, it is not just at its limit of connections.
+func (p *prober) startAfterBreak(s *upstream.Server) *probe {
+	return p.startWith(s, probeKey{server: s.ID, timeout: probeTimeout, resetIsEnd: true})
+}
 
+// startWithin is start with another timeout.
 func (p *prober) startWithin(s *upstream.Server, timeout time.Duration) *probe {
+	return p.startWith(s, probeKey{server: s.ID, timeout: timeout})
+}
+
+func (p *prober) startWith(s *upstream.Server, key probeKey) *probe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if running := p.inFlight[probeKey{s.ID, timeout}]; running != nil {
+	if running := p.inFlight[key]; running != nil {
 		return running
 	}
 	started := &probe{done: make(chan struct{})}
-	p.inFlight[probeKey{s.ID, timeout}] = started
-	go p.runProbe(s, started, timeout)
+	p.inFlight[key] = started
+	go p.runProbe(s, started, key)
 	return started
 }
 
-func (p *prober) runProbe(s *upstream.Server, pr *probe, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+func (p *prober) runProbe(s *upstream.Server, pr *probe, key probeKey) {
+	ctx, cancel := context.WithTimeout(context.Background(), key.timeout)
 	defer cancel()
 	began := time.Now()
-	pr.probeResult = p.probeUntilAnswered(ctx, s)
+	pr.probeResult = p.probeUntilAnswered(ctx, s, key.resetIsEnd)
 	if !pr.isConclusive() {
 		_ = timer.Sleep(ctx, probeTimeout-time.Since(began)) // resets come at once
 		pr.alive = p.fleet.SilentFor(s) < time.Since(began)  // bytes came on another connection
@@ -98,7 +112,7 @@
 		p.fleet.MarkStale(s)
 	}
 	p.mu.Lock()
-	delete(p.inFlight, probeKey{s.ID, timeout})
+	delete(p.inFlight, key)
 	p.mu.Unlock()
 	close(pr.done)
 }
@@ -106,20 +120,20 @@
 // endsConnections reports whether no process, or one that ends, is at the server's address.
 func (r *probeResult) endsConnections() bool { return r.refused || r.closed }
 
-// isConclusive reports whether the result shows what became of the server. A reset does not: a
-// server resets connections beyond the number that it accepts.
+// isConclusive reports whether the result shows what became of the server. A reset alone does not:
+// a server resets connections beyond the number that it accepts.
 func (r *probeResult) isConclusive() bool {
 	return r.alive || r.withheld || r.replaced || r.endsConnections()
 }
 
 // probeUntilAnswered repeats attempts until one is conclusive, all have failed, or ctx ends.
-func (p *prober) probeUntilAnswered(ctx context.Context, s *upstream.Server) probeResult {
+func (p *prober) probeUntilAnswered(ctx context.Context, s *upstream.Server, resetIsEnd bool) probeResult {
 	tries := int(probeTimeout / probeRetryInterval)
 	answers := make(chan probeResult, tries)
 	next := time.NewTicker(probeRetryInterval)
 	defer next.Stop()
 	started := 1
-	go func() { answers <- p.try(ctx, s) }()
+	go func() { answers <- p.try(ctx, s, resetIsEnd) }()
 	for ended := 0; ended < tries; {
 		select {
 		case v := <-answers:
@@ -132,21 +146,23 @@
 		case <-next.C:
 			if started < tries {
 				started++
-				go func() { answers <- p.try(ctx, s) }()
+				go func() { answers <- p.try(ctx, s, resetIsEnd) }()
 			}
 		}
 	}
 	return probeResult{}
 }
 
-func (p *prober) try(ctx context.Context, s *upstream.Server) probeResult {
+func (p *prober) try(ctx context.Context, s *upstream.Server, resetIsEnd bool) probeResult {
 	r := upstream.Request{Method: http.MethodGet, URI: p.wire.ReportURI(), Host: s.Address, Header: http.Header{}}
 	p.wire.SetInstance(r.Header, s.ID)
 	resp, body, err := p.engines.do(ctx, s, &r)
 	if err != nil {
+		closed := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+		reset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 		return probeResult{
 			withheld: errors.Is(err, errWithheld), refused: errors.Is(err, syscall.ECONNREFUSED),
-			closed: ctx.Err() == nil && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)),
+			closed: ctx.Err() == nil && (closed || reset && resetIsEnd),
 		}
 	}
 	a := p.wire.ReadAnswer(resp.StatusCode, resp.Header)
@@ -190,7 +206,12 @@
 // returns a channel that is closed once the result is known.
 func (h *Handler) probeForDeath(s *upstream.Server, r *contentRun, brokeOff bool) <-chan struct{} {
 	h.Stats.Probes.Inc()
-	p := h.prober.start(s)
+	var p *probe
+	if brokeOff {
+		p = h.prober.startAfterBreak(s)
+	} else {
+		p = h.prober.start(s)
+	}
 	found := make(chan struct{})
 	go func() {
 		defer close(found)
--- a/internal/forward/probe_test.go
+++ b/internal/forward/probe_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 )
 
 // Guards against an engine that is judged dead because it resets new connections, as a busy one
@@ -29,3 +32,21 @@
 		})
 	}
 }
+
+// Guards against calls that end with an unknown outcome while a server that resets each connection
+// is probed: a broken answer and a reset are enough.
+func TestServerThatResetsConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, voteServer("a"))
+		defer f.shutDown()
+		f.servers[0].Intercept = func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+			s.TakeConnections(true)
+			return breakAfter("HTTP/1.1 200 OK\r\n")(s, w, r)
+		}
+		<-f.send("POST", "/vote/1", "r1", "yes").done
+		time.Sleep(20 * time.Millisecond)
+		if n := f.fleet.DeadServers(); n != 1 {
+			t.Errorf("%d servers are judged dead 20ms after the break, want 1", n)
+		}
+	})
+}
