--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -109,7 +109,7 @@
 		switch {
 		case broke:
 			if !st.callerGone() {
-				st.h.probeForDeath(r.server, r.content)
+				st.h.probeForDeath(r.server, r.content, true)
 			}
 			st.closeHeld(r, "connection ended", endBroken)
 		case next == nil && (spoke || r.engineAnswers.Load() && !st.onlyFromCopy):
