--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -395,15 +395,6 @@
 	f.hear(s)
 }
 
-// Answered records that the server answered on a new connection. It is as usable as before it
-// fell silent, and need not be avoided any longer.
-func (f *Fleet) Answered(s *Server) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hear(s)
-	s.unreachedUntil, s.suspectedUntil = time.Time{}, time.Time{}
-}
-
 // SilentFor returns the time since this VM last received bytes from the server.
 func (f *Fleet) SilentFor(s *Server) time.Duration {
 	f.mu.Lock()
--- a/internal/upstream/reach.go
+++ b/internal/upstream/reach.go
@@ -15,6 +15,15 @@
 	f.endLoss(s.Service)
 }
 
+// Answered records that the server answered on a new connection. It is as usable as before it
+// fell silent, and need not be avoided any longer.
+func (f *Fleet) Answered(s *Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hear(s)
+	s.unreachedUntil, s.suspectedUntil = time.Time{}, time.Time{}
+}
+
 // failReach records that a server accepted no connection, or did not answer a probe. It needs
 // f.mu.
 func (f *Fleet) failReach(s *Server) {
