routedlocal: a stream reconnects once both versions are in use

TestStreamGoesOnAtItsVersion guards against a stream that goes on at another version at a router that started later. It could not fail any more: the caller reconnected within 3 s of the start, while v2 was still announced and no new work could use it.

Where versions are not held, the test now requests streams at the new router until one begins at v2, and then reconnects. It does so for four streams, since an unbound resume goes to v1 in one of three. A v2 that is never used fails the test at its deadline. Where versions are held, nothing but v1 may be used, and the test guards against a choice by the list alone, as before.

--- a/internal/routedlocal/versions_test.go
+++ b/internal/routedlocal/versions_test.go
@@ -63,6 +63,21 @@
 	}
 }
 
+// awaitVersion requests streams until one begins at a version.
+func awaitVersion(t *testing.T, ctx context.Context, addr, version string) {
+	t.Helper()
+	for i := 0; ; i++ {
+		id := fmt.Sprint("await", i)
+		got, err := StreamRequest{Addr: addr, Path: "/s/" + id, ID: id, LeaveAfter: 1}.Do(ctx)
+		if ctx.Err() != nil {
+			t.Fatalf("none of %d streams began at %s", i, version)
+		}
+		if err == nil && slices.Equal(got.Versions, []string{version}) {
+			return
+		}
+	}
+}
+
 // Guards against a stream that goes on at another version when its router is killed, and its
 // caller reconnects at a router that started while most engines were of another version.
 func TestStreamGoesOnAtItsVersion(t *testing.T) {
@@ -70,12 +85,23 @@
 	for _, hold := range []time.Duration{0, time.Minute} {
 		t.Run(fmt.Sprint("new versions are held for ", hold), func(t *testing.T) {
 			t.Parallel()
+			const streams = 4
 			s, ctx := startMixed(t, hold)
+			var began []StreamResult
+			for i := range streams - 1 {
+				began = append(began, s.begin(t, ctx, fmt.Sprint("s", i), func() {}))
+			}
 			check(t, s.AddVersion("v2", 4))
 			check(t, timer.Sleep(ctx, time.Second)) // the list names both versions everywhere
-			began := s.begin(t, ctx, "first", s.Routers[0].Close)
+			began = append(began, s.begin(t, ctx, fmt.Sprint("s", len(began)), s.Routers[0].Close))
 			check(t, s.AddRouter())
-			checkRest(t, ctx, s.lastRouter(t, ctx), "first", began)
+			addr := s.lastRouter(t, ctx)
+			if hold == 0 {
+				awaitVersion(t, ctx, addr, "v2")
+			}
+			for i, got := range began {
+				checkRest(t, ctx, addr, fmt.Sprint("s", i), got)
+			}
 		})
 	}
 }
