forward: a held run is kept until the engine that resumes from its copy accepts

Cause: once an engine answered, its held run was closed in favour of a resume from a copy, which its engine had not accepted and then refused.

Change: the held run is closed when the resume is accepted. An engine that has not done so within 200 ms loses the stream to the one that answers.

Evidence: TestHeldRunOutlivesAResumeThatIsRefused had two runs and has one.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -34,6 +34,9 @@
 	minHoldTime = 1 * time.Second
 	// heldSearchInterval separates two searches for an engine while a run is held.
 	heldSearchInterval = 250 * time.Millisecond
+	// acceptTime is how long an engine has to accept a resume from a copy while the engine of a
+	// held run answers.
+	acceptTime = 200 * time.Millisecond
 )
 
 // silent logs that the engine of a run is silent, and returns how the run ended.
@@ -119,19 +122,26 @@
 	return next
 }
 
-// isOvertaken reports whether the stream goes on with a held run in place of this one. A run
-// that resumes from a copy is about to speak, and is kept if the engine of the held run has only
-// answered a probe.
+// isOvertaken reports whether the stream goes on with a held run in place of this one. While the
+// engine of the held run has only answered a probe, a run that resumes from a copy is preferred: it
+// is about to speak, if its engine accepts it soon.
 func (r *run) isOvertaken() bool {
 	next := r.st.nextHeld()
 	if next == nil {
 		return false
 	}
-	if spoke, _ := next.spoke(); !spoke && r.from != nil {
+	if spoke, _ := next.spoke(); spoke || r.from == nil {
+		return true
+	}
+	if r.reply.resp != nil {
 		r.st.closeHeld(next, "another engine resumes from a copy", endBroken)
 		return false
 	}
-	return true
+	left := acceptTime - time.Since(r.sentAt)
+	if left > 0 {
+		time.AfterFunc(left, r.st.wake)
+	}
+	return left <= 0
 }
 
 // releaseHeld closes all held runs.
--- a/internal/forward/held_run_test.go
+++ b/internal/forward/held_run_test.go
@@ -346,3 +346,28 @@
 		})
 	}
 }
+
+// Guards against a stream that loses an engine that answers: another one was to resume it from a copy,
+// and refuses.
+func TestHeldRunOutlivesAResumeThatIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, keeper := engine("a"), engine("b")
+		first.EventInterval, first.Events = 700*time.Millisecond, 10
+		keeper.Intercept = func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+			time.Sleep(250 * time.Millisecond)
+			s.Refuse(w, r)
+			return true
+		}
+		f := newFixture(t, first, keeper)
+		defer f.shutDown()
+		a := f.send("POST", "/s/1", "r1", "log")
+		time.Sleep(1700*time.Millisecond + 10*time.Millisecond) // just behind an event
+		first.Set(routedengine.Silent)
+		time.Sleep(600 * time.Millisecond) // the keeper was asked
+		first.Set(routedengine.Alive)
+		a.requireCompleteStream(t, 10)
+		if runs, asked := f.totalRuns("r1"), len(keeper.Arrivals()); runs != 1 || asked == 0 {
+			t.Errorf("got %d runs, and %d requests at the keeper; want 1 run, and the keeper asked", runs, asked)
+		}
+	})
+}
