consensus: the group is formed although founders die during the first start

Operators saw no configuration acknowledged, for good, after the control process with the smallest id was killed before the group existed. It came back with settings that say it is not the first start, so that it formed no group, and the others waited for it because of its smaller id.

Now the identity file keeps the list of founders of the first start, so that a founder that comes back with its disk still forms the group, and an answer to a probe tells whether the VM is a founder, so that the next founder forms the group if the first one died before its identity was written. The formed group's first membership goes with the answer: the members can go on if the VM that formed the group loses its disk before it sent an entry. No second group: most voters must be founders with their first disks, the list is that of the first start whatever later settings say, and all answers must come twice, alike, so that at a moment between the rounds no identity in them was in a group. A VM that has decided to enter a group answers no probe until it runs in it.

Identity files and answers of the former build have neither field: their VMs count as founders, as before, and the former build ignores the new fields.

--- a/internal/consensus/form.go
+++ b/internal/consensus/form.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"slices"
@@ -13,22 +14,34 @@
 // joinOrForm brings a member with an empty directory into a group. If any control VM
 // is in a group, this VM joins that group as a new member. This also applies to a VM
 // that was a member before: its votes are lost with its directory. The group is formed
-// only when every control VM has answered that it is in no group. The VM with the
-// smallest id among those that can vote forms it, from the identities in the answers.
+// only when every control VM has answered that it is in no group. The founder with the
+// smallest id forms it, from the identities in the answers.
+//
+// The group is formed from two successive rounds with the same answers. Between them,
+// no identity in them was in a group. A single round can mix the answer that one VM
+// gave before it entered a group with that of another that has lost its disk since.
+//
 // joinOrForm returns the state to start from; false if the Node was closed.
 func (n *Node) joinOrForm() (State, bool) {
-	n.idBeforeGroup.Store(n.store.identity.ID)
+	own := n.store.identity
+	n.identityBeforeGroup.Store(&own)
+	var confirmed []probeReply
 	for n.ctx.Err() == nil {
 		answers := n.probeAll(n.otherVMs())
 		for _, a := range answers {
 			if a.Group != "" {
-				return n.enterGroup(a.Group, record{})
+				return n.enterGroup(a.Group, firstRecord(a.First))
 			}
 		}
-		if n.mayFormGroup(answers) {
+		switch {
+		case !n.mayFormGroup(answers):
+			confirmed = nil
+			n.sleep(probeInterval)
+		case slices.EqualFunc(answers, confirmed, sameFounder):
 			return n.formGroup(answers)
+		default:
+			confirmed = answers
 		}
-		n.sleep(probeInterval)
 	}
 	return State{}, false
 }
@@ -42,24 +55,41 @@
 	})
 }
 
-// mayFormGroup reports whether this VM may form the group: every control VM in
-// NodeOptions.VMs has answered, and this VM has the smallest id of those that can vote.
+// mayFormGroup reports whether this VM may form the group: it is a founder, every
+// control VM in its list of founders has answered, no founder that can vote has a
+// smaller id, and most of the voters are founders. A VM that lost its disk is no founder.
+// Most VMs that are no founders may be the rest of a group that has lost its disks.
 func (n *Node) mayFormGroup(answers []probeReply) bool {
-	if n.o.JoinOnly || !slices.Contains(n.o.VMs, n.o.VM) {
+	vms := n.store.identity.Founders
+	if !slices.Contains(vms, n.o.VM) {
 		return false
 	}
-	for _, vm := range n.o.VMs {
+	for _, vm := range vms {
 		answered := func(a probeReply) bool { return a.ID.VM() == vm }
 		if vm != n.o.VM && !slices.ContainsFunc(answers, answered) {
 			return false
 		}
 	}
+	voters, founders := 1, 1
 	for _, a := range answers {
-		if a.mayVote(n.o.VMs) && a.ID.VM() < n.o.VM {
+		if !a.mayVote(vms) {
+			continue
+		}
+		voters++
+		if a.JoinOnly {
+			continue
+		}
+		founders++
+		if a.ID.VM() < n.o.VM {
 			return false
 		}
 	}
-	return true
+	return founders > voters/2
+}
+
+// sameFounder reports whether two answers are of the same identity in no group.
+func sameFounder(a, b probeReply) bool {
+	return a.ID == b.ID && a.Observer == b.Observer && a.JoinOnly == b.JoinOnly
 }
 
 // mayVote reports whether the VM that answered is one of vms and not an observer.
@@ -70,17 +100,41 @@
 func (n *Node) formGroup(answers []probeReply) (State, bool) {
 	config := Config{Voters: []MemberID{n.store.identity.ID}}
 	for _, a := range answers {
-		if a.mayVote(n.o.VMs) {
+		if a.mayVote(n.store.identity.Founders) {
 			config.Voters = append(config.Voters, a.ID)
 		}
 	}
 	slices.Sort(config.Voters)
-	first := Entry{Index: 1, Term: 1, Kind: EntryConfig, Data: config.encode()}
 	n.eagerElection = true
-	return n.enterGroup(rand.Text()[:8], record{Hard: HardState{Term: 1}, Entries: []Entry{first}})
+	return n.enterGroup(rand.Text()[:8], firstRecord(&config))
+}
+
+// firstRecord returns the first record of the log of a member of a group with the given
+// first membership, or an empty one if that is not known.
+func firstRecord(first *Config) record {
+	if first == nil || len(first.Voters) == 0 {
+		return record{}
+	}
+	return record{Hard: HardState{Term: 1}, Entries: []Entry{{Index: 1, Term: 1, Kind: EntryConfig, Data: first.encode()}}}
+}
+
+// firstConfig returns the membership with which the group was formed, or nil if the log
+// does not begin with it.
+func firstConfig(s State) *Config {
+	if s.Snapshot.Index > 0 || len(s.Entries) == 0 {
+		return nil
+	}
+	if first := s.Entries[0]; first.Index == 1 && first.Term == 1 && first.Kind == EntryConfig {
+		c := decodeConfig(first.Data)
+		return &c
+	}
+	return nil
 }
 
+// enterGroup saves that this member is in a group. From the decision on it answers no
+// probe any more until it runs in the group.
 func (n *Node) enterGroup(group string, first record) (State, bool) {
+	n.identityBeforeGroup.Store(nil)
 	if err := n.store.saveGroup(group, first); err != nil {
 		n.fail(err)
 		return State{}, false
@@ -91,7 +145,7 @@
 
 // otherVMs returns the control VMs that are known now, without this one.
 func (n *Node) otherVMs() []string {
-	all := slices.Clone(n.o.VMs)
+	all := slices.Concat(n.o.VMs, n.store.identity.Founders)
 	if n.o.KnownVMs != nil {
 		all = append(all, n.o.KnownVMs()...)
 	}
@@ -101,7 +155,8 @@
 }
 
 // probeAll probes the VMs concurrently and returns the answers that arrive within
-// probeTimeout.
+// probeTimeout, sorted by id. It waits for no more answers once one names a group: a
+// group that is entered later may have lost its founder since, and another one formed.
 func (n *Node) probeAll(vms []string) []probeReply {
 	var (
 		mu  sync.Mutex
@@ -117,11 +172,15 @@
 				return
 			}
 			mu.Lock()
+			defer mu.Unlock()
 			out = append(out, a)
-			mu.Unlock()
+			if a.Group != "" {
+				cancel()
+			}
 		})
 	}
 	wg.Wait()
+	slices.SortFunc(out, func(a, b probeReply) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/internal/consensus/links.go
+++ b/internal/consensus/links.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +44,12 @@
 	Leader string   `cbor:"3,keyasint,omitempty"` // id of the leader's VM
 	// Observer is set if the VM has the control role but no disk, and so no vote.
 	Observer bool `cbor:"4,keyasint,omitempty"`
+	// JoinOnly is set if the VM is in no group and is no founder, so it forms none.
+	JoinOnly bool `cbor:"5,keyasint,omitempty"`
+	// First is the first membership of the group, if the log still begins with it. With it
+	// the members can go on without the VM that formed the group, which may have lost its
+	// disk before it sent them any entry.
+	First *Config `cbor:"6,keyasint,omitempty"`
 }
 
 type joinRequest struct {
@@ -128,11 +135,11 @@
 	select {
 	case <-n.running:
 		s, _ := n.Status()
-		return probeReply{ID: s.ID, Group: n.groupID(), Leader: s.Leader.VM()}, nil
+		return probeReply{ID: s.ID, Group: n.groupID(), Leader: s.Leader.VM(), First: n.firstConfig}, nil
 	default:
 	}
-	if id, ok := n.idBeforeGroup.Load().(MemberID); ok {
-		return probeReply{ID: id}, nil
+	if i := n.identityBeforeGroup.Load(); i != nil {
+		return probeReply{ID: i.ID, JoinOnly: !slices.Contains(i.Founders, n.o.VM)}, nil
 	}
 	return nil, errNotMember
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -50,8 +50,9 @@
 	// KnownVMs, if set, returns further control VMs that are known now. Only the VMs in
 	// VMs form the group; a member can join through any VM of both lists.
 	KnownVMs func() []string
-	// JoinOnly is set if a group exists or has existed. This member then never forms a
-	// group: with an empty directory it would start a second history beside the first.
+	// JoinOnly is set if a group may exist or have existed. This member then forms a group
+	// only if its directory is that of a founder: with an empty directory it would start
+	// a second history beside the first.
 	JoinOnly bool
 	// TargetVoters is the number of voters at which unreachable voters are no longer
 	// removed. 0 means that none is ever removed.
@@ -84,9 +85,11 @@
 	ops       chan func()
 	running   chan struct{} // closed once the member is in a group
 
-	group         atomic.Value // string
-	idBeforeGroup atomic.Value // MemberID; set before the member is in a group
-	status        atomic.Pointer[Status]
+	firstConfig *Config // the group's first membership, or nil; set before running is closed
+
+	group               atomic.Value             // string
+	identityBeforeGroup atomic.Pointer[identity] // a copy; set while the member looks for a group
+	status              atomic.Pointer[Status]
 
 	// Used only by the protocol loop.
 	pendingProposals map[uint64]proposal
@@ -129,7 +132,11 @@
 // Start opens the log, restores the state machine and joins or forms the group in the
 // background. It returns an error if the directory is not usable.
 func (n *Node) Start() error {
-	store, state, err := openStorage(n.o.FS, n.o.Dir, n.o.VM, strings.ToLower(rand.Text()[:10]))
+	var founders []string
+	if !n.o.JoinOnly {
+		founders = n.o.VMs
+	}
+	store, state, err := openStorage(n.o.FS, n.o.Dir, n.o.VM, strings.ToLower(rand.Text()[:10]), founders)
 	if err != nil {
 		return err
 	}
@@ -168,6 +175,7 @@
 	// A single voter has no leader to wait for.
 	config := n.core.Config()
 	n.eagerElection = n.eagerElection || len(config.Voters) == 1 && config.IsVoter(n.store.identity.ID)
+	n.firstConfig = firstConfig(state)
 	n.publish()
 	close(n.running)
 	n.wg.Add(2)
--- a/internal/consensus/storage.go
+++ b/internal/consensus/storage.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io/fs"
 	"path/filepath"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -21,6 +22,10 @@
 type identity struct {
 	ID    MemberID `cbor:"1,keyasint"`
 	Group string   `cbor:"2,keyasint,omitempty"` // empty until the VM is a member of a group
+	// Founders are the VMs that form the group, as the settings of the first start list
+	// them. A process that dies before the group exists is told at its next start that
+	// it is not the first one, and perhaps of other VMs. Empty if the VM is no founder.
+	Founders []string `cbor:"3,keyasint,omitempty"`
 }
 
 // record is one record of the write-ahead log.
@@ -48,14 +53,14 @@
 
 // openStorage opens the directory and returns the persisted state. A directory without
 // an identity file and with an empty log becomes that of a new member with the
-// identity newIdentity.
-func openStorage(fsys wal.FS, dir, vm, newIdentity string) (*storage, State, error) {
+// identity newIdentity. founders is set at the first start of the whole system.
+func openStorage(fsys wal.FS, dir, vm, newIdentity string, founders []string) (*storage, State, error) {
 	log, frames, err := wal.Open(fsys, dir)
 	if err != nil {
 		return nil, State{}, err
 	}
 	s := &storage{fs: fsys, dir: dir, log: log}
-	if err := s.loadIdentity(vm, newIdentity, len(frames)); err != nil {
+	if err := s.loadIdentity(vm, newIdentity, founders, len(frames)); err != nil {
 		return nil, State{}, errors.Join(err, log.Close())
 	}
 	state, err := s.replay(frames)
@@ -65,14 +70,14 @@
 	return s, state, nil
 }
 
-func (s *storage) loadIdentity(vm, newIdentity string, frames int) error {
+func (s *storage) loadIdentity(vm, newIdentity string, founders []string, frames int) error {
 	name := filepath.Join(s.dir, identityFile)
 	data, err := wal.ReadFile(s.fs, name)
 	if errors.Is(err, fs.ErrNotExist) {
 		if frames > 0 {
 			return &wal.DamageError{File: name, Reason: "file is missing, but the log beside it is not empty"}
 		}
-		s.identity = identity{ID: NewMemberID(vm, newIdentity)}
+		s.identity = identity{ID: NewMemberID(vm, newIdentity), Founders: slices.Clone(founders)}
 		return s.saveIdentity()
 	}
 	if err != nil {
@@ -88,7 +93,17 @@
 		// The member may have voted. It must not continue without its log.
 		return &wal.DamageError{File: name, Reason: "the log beside the file is missing; remove the folder to join as a new member"}
 	}
-	return nil
+	return s.saveFounders(founders)
+}
+
+// saveFounders saves the list of founders of a first start. Without one, a member that is
+// in no group keeps the list that it has.
+func (s *storage) saveFounders(founders []string) error {
+	if s.identity.Group != "" || len(founders) == 0 || slices.Equal(founders, s.identity.Founders) {
+		return nil
+	}
+	s.identity.Founders = slices.Clone(founders)
+	return s.saveIdentity()
 }
 
 func (s *storage) saveIdentity() error {
@@ -108,7 +123,7 @@
 	if err := s.append(first); err != nil {
 		return err
 	}
-	s.identity.Group = group
+	s.identity.Group, s.identity.Founders = group, nil
 	return s.saveIdentity()
 }
 
--- a/internal/consensus/storage_test.go
+++ b/internal/consensus/storage_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"testing"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
@@ -22,7 +23,7 @@
 // entries with growing terms and votes, and writes a snapshot and a checkpoint after
 // every eighth entry.
 func runDisk(fs wal.FS) (l diskProgress) {
-	s, _, err := openStorage(fs, "/c", "vm1", "one")
+	s, _, err := openStorage(fs, "/c", "vm1", "one", nil)
 	if err != nil || s.saveGroup("g", record{Hard: HardState{Term: 1}}) != nil {
 		return l
 	}
@@ -66,11 +67,11 @@
 		}
 		crashes++
 		fs.Crash(func(n int) int { return n * (op % 3) / 2 })
-		s, state, err := openStorage(fs, "/c", "vm1", "two")
+		s, state, err := openStorage(fs, "/c", "vm1", "two", nil)
 		if err != nil {
 			t.Fatalf("crash at operation %d: reopening failed: %v", op, err)
 		}
-		if l.entered && (s.identity != identity{ID: "vm1/one", Group: "g"}) {
+		if l.entered && !reflect.DeepEqual(s.identity, identity{ID: "vm1/one", Group: "g"}) {
 			t.Fatalf("crash at operation %d: got identity %+v, want vm1/one in group g", op, s.identity)
 		}
 		last := state.Snapshot.Index + uint64(len(state.Entries))
@@ -97,14 +98,14 @@
 func TestIncompleteMemberDirectoryIsRefused(t *testing.T) {
 	for _, gone := range []string{"identity", "segment-0000000000000001.log"} {
 		fs := waltest.New()
-		s, _, err := openStorage(fs, "/c", "vm1", "one")
+		s, _, err := openStorage(fs, "/c", "vm1", "one", nil)
 		if err != nil || s.saveGroup("g", record{Hard: HardState{Term: 1}}) != nil {
 			t.Fatal("writing the directory failed:", err)
 		}
 		if err := fs.Remove("/c/" + gone); err != nil {
 			t.Fatal(err)
 		}
-		_, _, err = openStorage(fs, "/c", "vm1", "two")
+		_, _, err = openStorage(fs, "/c", "vm1", "two", nil)
 		var damage *wal.DamageError
 		if !errors.As(err, &damage) {
 			t.Errorf("without %s: got %v, want a DamageError", gone, err)
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/wal"
 )
@@ -37,6 +38,7 @@
 	crashed        bool
 	failSync       bool
 	stalled        chan struct{} // syncs wait until it is closed; nil: they do not
+	syncDelay      time.Duration // how long each sync of a file takes
 	remainingBytes int           // bytes that can still be written; negative means no limit
 }
 
@@ -73,11 +75,21 @@
 	}
 }
 
-// awaitSync waits while syncs are stalled.
+// DelaySync makes every sync of a file take d, in the time of testing/synctest.
+func (f *FS) DelaySync(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.syncDelay = d
+}
+
+// awaitSync waits for the delay of a sync and while syncs are stalled.
 func (f *FS) awaitSync() {
 	f.mu.Lock()
-	stalled := f.stalled
+	stalled, delay := f.stalled, f.syncDelay
 	f.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
 	if stalled != nil {
 		<-stalled
 	}
@@ -118,6 +130,14 @@
 	f.crashed, f.crashAt = false, 0
 }
 
+// Restart makes the FS usable again after the process was killed. All that was written
+// is kept.
+func (f *FS) Restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashed, f.crashAt = false, 0
+}
+
 // CorruptByte inverts one byte of a file. A second call with the same arguments
 // restores it.
 func (f *FS) CorruptByte(name string, offset int) {
