consensus: a planned end gives up the vote if there is one to spare

A control machine was replaced as planned, the new one first, and another one lost its disk within some 2.6 s of the planned end: nothing was acknowledged or read any more, for good. The successor at another address is a fourth voter. The vote of the machine that had ended stayed until it had been silent for five checks, so that the majority was three of four, and two were left.

At its planned end a voter now asks the leader to remove its vote, and ends once that is committed, after 2 s at the latest. It does not know whether it is restarted or replaced. So the vote is removed only if more VMs than the target have one; a member that was only restarted joins again with its log, as one that was paused for long does already. The leader decides about one leave at a time and counts VMs, not votes, since the former member of a VM that lost its disk has a vote too until it is removed. It waits for a learner that answers, and for a majority of the remaining voters to answer: a removal is in force before it is committed. It remains a change of one vote, so that majorities before and after share a member. A leader hands its leadership on first.

A former leader knows no such request; the vote then stays as before, and the end takes up to 2 s longer.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -29,6 +29,19 @@
 // Members returns all voters and learners.
 func (c Config) Members() []MemberID { return slices.Concat(c.Voters, c.Learners) }
 
+// votingVMs returns the number of VMs with a vote. A VM that lost its disk has two until
+// the one of its former member is removed.
+func (c Config) votingVMs() int {
+	n := 0
+	for i, id := range c.Voters {
+		sameVM := func(m MemberID) bool { return m.VM() == id.VM() }
+		if !slices.ContainsFunc(c.Voters[:i], sameVM) {
+			n++
+		}
+	}
+	return n
+}
+
 // ChangeKind is a kind of membership change.
 type ChangeKind uint8
 
--- a/internal/consensus/form.go
+++ b/internal/consensus/form.go
@@ -189,7 +189,7 @@
 // surplus while the member was paused, which its own log cannot show.
 func (n *Node) maintainMembership() {
 	target := ""
-	for i := 0; n.ctx.Err() == nil; i++ {
+	for i := 0; n.ctx.Err() == nil && !n.leaving.Load(); i++ {
 		if n.hasVote() {
 			target = ""
 			n.sleep(membershipCheckInterval)
--- a/internal/consensus/links.go
+++ b/internal/consensus/links.go
@@ -19,6 +19,7 @@
 	kindProbe peer.Kind = peer.KindRaft + 1 // asks for a member's identity and group
 	kindJoin  peer.Kind = peer.KindRaft + 2
 	kindChunk peer.Kind = peer.KindRaft + 3
+	kindLeave peer.Kind = peer.KindRaft + 4
 )
 
 const (
@@ -89,6 +90,7 @@
 	t.Handle(kindProbe, n.serveProbe)
 	t.Handle(kindJoin, n.serveJoin)
 	t.Handle(kindChunk, n.serveChunk)
+	t.Handle(kindLeave, n.serveLeave)
 }
 
 func (n *Node) groupID() string { return n.group.Load().(string) }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -90,6 +90,7 @@
 	group               atomic.Value             // string
 	identityBeforeGroup atomic.Pointer[identity] // a copy; set while the member looks for a group
 	status              atomic.Pointer[Status]
+	leaving             atomic.Bool // the member gives up its vote and requests none
 
 	// Used only by the protocol loop.
 	pendingProposals map[uint64]proposal
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -98,6 +98,18 @@
 	g.node.TransferLeadership(ctx)
 }
 
+// giveUpVoteTimeout bounds the delay of a shutdown by a leave. It allows for an election
+// and for a change of membership that is in progress.
+const giveUpVoteTimeout = 2 * time.Second
+
+// GiveUpVote gives up the member's vote before a planned shutdown if the group has more
+// voters than its target. A member that is only restarted joins again.
+func (g *Group) GiveUpVote(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, giveUpVoteTimeout)
+	defer cancel()
+	g.node.GiveUpVote(ctx)
+}
+
 // Close stops the member and ends all requests that wait for it.
 func (g *Group) Close() {
 	g.stop()
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -268,11 +268,13 @@
 	return c.routeListServer.answer(text)
 }
 
-// Shutdown transfers the leadership to another voter and stops the process.
+// Shutdown transfers the leadership to another voter, gives up this one's vote if the group
+// has one to spare, and stops the process.
 func (c *Control) Shutdown() {
 	c.hub.StopGrantingCalls()
 	if g := c.group(); g != nil {
 		g.TransferLeadership(c.ctx)
+		g.GiveUpVote(c.ctx)
 	}
 	c.Close()
 }
