--- a/internal/consensus/storage_test.go
+++ b/internal/consensus/storage_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/wal"
 	"github.com/amaranthshelf/amaranthshelf/internal/wal/waltest"
@@ -165,3 +167,39 @@
 		}
 	})
 }
+
+// formerIdentity is the content of an identity file of the versions without founders.
+type formerIdentity struct {
+	ID    MemberID `cbor:"1,keyasint"`
+	Group string   `cbor:"2,keyasint,omitempty"`
+}
+
+// Guards upgrades and downgrades before the group is formed: a directory of a version without
+// founders opens as that of the same member, which is no founder unless the settings make it
+// one, and such a version reads a directory with founders.
+func TestIdentityOfAFormerVersion(t *testing.T) {
+	for _, founders := range [][]string{nil, {"vm1", "vm2"}} {
+		fs := waltest.New()
+		data, err := cbor.Marshal(formerIdentity{ID: "vm1/one"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := wal.WriteFile(fs, "/c/identity", data); err != nil {
+			t.Fatal(err)
+		}
+		s, _, err := openStorage(fs, "/c", "vm1", "two", founders)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := (identity{ID: "vm1/one", Founders: founders}); !reflect.DeepEqual(s.identity, want) {
+			t.Errorf("got identity %+v, want %+v", s.identity, want)
+		}
+		var former formerIdentity
+		if data, err = wal.ReadFile(fs, "/c/identity"); err == nil {
+			err = cbor.Unmarshal(data, &former)
+		}
+		if want := (formerIdentity{ID: "vm1/one"}); err != nil || former != want {
+			t.Errorf("the former version reads %+v, %v, want %+v", former, err, want)
+		}
+	}
+}
