--- a/internal/consensus/links.go
+++ b/internal/consensus/links.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	kindProbe peer.Kind = peer.KindRaft + 1 // asks for a member's identity and group
 	kindJoin  peer.Kind = peer.KindRaft + 2
 	kindChunk peer.Kind = peer.KindRaft + 3
+	kindLeave peer.Kind = peer.KindRaft + 4
 )
 
 const (
@@ -43,6 +45,12 @@
 	Leader string   `cbor:"3,keyasint,omitempty"` // id of the leader's VM
 	// Observer is set if the VM has the control role but no disk, and so no vote.
 	Observer bool `cbor:"4,keyasint,omitempty"`
+	// JoinOnly is set if the VM is in no group and is no founder, so it forms none.
+	JoinOnly bool `cbor:"5,keyasint,omitempty"`
+	// First is the first membership of the group, if the log still begins with it. With it
+	// the members can go on without the VM that formed the group, which may have lost its
+	// disk before it sent them any entry.
+	First *Config `cbor:"6,keyasint,omitempty"`
 }
 
 type joinRequest struct {
@@ -82,6 +90,7 @@
 	t.Handle(kindProbe, n.serveProbe)
 	t.Handle(kindJoin, n.serveJoin)
 	t.Handle(kindChunk, n.serveChunk)
+	t.Handle(kindLeave, n.serveLeave)
 }
 
 func (n *Node) groupID() string { return n.group.Load().(string) }
@@ -128,11 +137,11 @@
 	select {
 	case <-n.running:
 		s, _ := n.Status()
-		return probeReply{ID: s.ID, Group: n.groupID(), Leader: s.Leader.VM()}, nil
+		return probeReply{ID: s.ID, Group: n.groupID(), Leader: s.Leader.VM(), First: n.firstConfig}, nil
 	default:
 	}
-	if id, ok := n.idBeforeGroup.Load().(MemberID); ok {
-		return probeReply{ID: id}, nil
+	if i := n.identityBeforeGroup.Load(); i != nil {
+		return probeReply{ID: i.ID, JoinOnly: !slices.Contains(i.Founders, n.o.VM)}, nil
 	}
 	return nil, errNotMember
 }
--- a/internal/consensus/storage_test.go
+++ b/internal/consensus/storage_test.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/wal"
 	"github.com/amaranthshelf/amaranthshelf/internal/wal/waltest"
@@ -22,7 +25,7 @@
 // entries with growing terms and votes, and writes a snapshot and a checkpoint after
 // every eighth entry.
 func runDisk(fs wal.FS) (l diskProgress) {
-	s, _, err := openStorage(fs, "/c", "vm1", "one")
+	s, _, err := openStorage(fs, "/c", "vm1", "one", nil)
 	if err != nil || s.saveGroup("g", record{Hard: HardState{Term: 1}}) != nil {
 		return l
 	}
@@ -66,11 +69,11 @@
 		}
 		crashes++
 		fs.Crash(func(n int) int { return n * (op % 3) / 2 })
-		s, state, err := openStorage(fs, "/c", "vm1", "two")
+		s, state, err := openStorage(fs, "/c", "vm1", "two", nil)
 		if err != nil {
 			t.Fatalf("crash at operation %d: reopening failed: %v", op, err)
 		}
-		if l.entered && (s.identity != identity{ID: "vm1/one", Group: "g"}) {
+		if l.entered && !reflect.DeepEqual(s.identity, identity{ID: "vm1/one", Group: "g"}) {
 			t.Fatalf("crash at operation %d: got identity %+v, want vm1/one in group g", op, s.identity)
 		}
 		last := state.Snapshot.Index + uint64(len(state.Entries))
@@ -97,14 +100,14 @@
 func TestIncompleteMemberDirectoryIsRefused(t *testing.T) {
 	for _, gone := range []string{"identity", "segment-0000000000000001.log"} {
 		fs := waltest.New()
-		s, _, err := openStorage(fs, "/c", "vm1", "one")
+		s, _, err := openStorage(fs, "/c", "vm1", "one", nil)
 		if err != nil || s.saveGroup("g", record{Hard: HardState{Term: 1}}) != nil {
 			t.Fatal("writing the directory failed:", err)
 		}
 		if err := fs.Remove("/c/" + gone); err != nil {
 			t.Fatal(err)
 		}
-		_, _, err = openStorage(fs, "/c", "vm1", "two")
+		_, _, err = openStorage(fs, "/c", "vm1", "two", nil)
 		var damage *wal.DamageError
 		if !errors.As(err, &damage) {
 			t.Errorf("without %s: got %v, want a DamageError", gone, err)
@@ -164,3 +167,39 @@
 		}
 	})
 }
+
+// formerIdentity is the content of an identity file of the versions without founders.
+type formerIdentity struct {
+	ID    MemberID `cbor:"1,keyasint"`
+	Group string   `cbor:"2,keyasint,omitempty"`
+}
+
+// Guards upgrades and downgrades before the group is formed: a directory of a version without
+// founders opens as that of the same member, which is no founder unless the settings make it
+// one, and such a version reads a directory with founders.
+func TestIdentityOfAFormerVersion(t *testing.T) {
+	for _, founders := range [][]string{nil, {"vm1", "vm2"}} {
+		fs := waltest.New()
+		data, err := cbor.Marshal(formerIdentity{ID: "vm1/one"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := wal.WriteFile(fs, "/c/identity", data); err != nil {
+			t.Fatal(err)
+		}
+		s, _, err := openStorage(fs, "/c", "vm1", "two", founders)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := (identity{ID: "vm1/one", Founders: founders}); !reflect.DeepEqual(s.identity, want) {
+			t.Errorf("got identity %+v, want %+v", s.identity, want)
+		}
+		var former formerIdentity
+		if data, err = wal.ReadFile(fs, "/c/identity"); err == nil {
+			err = cbor.Unmarshal(data, &former)
+		}
+		if want := (formerIdentity{ID: "vm1/one"}); err != nil || former != want {
+			t.Errorf("the former version reads %+v, %v, want %+v", former, err, want)
+		}
+	}
+}
