forward: held runs whose engines answer do not end one another

Cause: the stream went back to its first run, which the next held run, whose engine had only answered a probe too, replaced at once, and so on to a run that its engine then refused.

Change: a run that was held is replaced only by one that brings a part of the answer, and the other runs whose engines answer are closed. A held run that is refused is closed without taking over while others may serve the stream.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"cmp"
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -47,12 +49,27 @@
 	return endSilent
 }
 
-// spoke reports whether the engine of a held run has sent something, or has ended its answer.
-// broke reports that the connection has failed instead.
-func (r *run) spoke() (spoke, broke bool) {
+// heldState is what has become of a held run.
+type heldState uint8
+
+const (
+	heldSilent  heldState = iota
+	heldSpoke             // its engine has sent a part of the answer, or ended it
+	heldRefused           // its engine has refused the request, or failed
+	heldBroken            // its connection has failed
+)
+
+func (r *run) heldState() heldState {
 	res, ok := r.results.peek()
-	spoke = ok && (res.err == nil || r.reply.resp != nil && isCleanEOF(res.err))
-	return spoke, ok && !spoke
+	switch {
+	case !ok:
+		return heldSilent
+	case res.err != nil && (r.reply.resp == nil || !isCleanEOF(res.err)):
+		return heldBroken
+	case res.head != nil && res.head.StatusCode != http.StatusOK && (r.st.seq.started || len(r.st.held) > 1):
+		return heldRefused // other runs of the stream may still serve it
+	}
+	return heldSpoke
 }
 
 // heldUntil returns how long the stream waits for a held run if no other engine takes it.
@@ -106,20 +123,23 @@
 // nextHeld returns the held run with which the stream goes on; nil: there is none yet. It closes
 // the held runs whose connections have failed.
 func (st *streamRelay) nextHeld() *run {
-	var next *run
+	var spoke, answers *run
 	for _, r := range slices.Clone(st.held) {
-		spoke, broke := r.spoke()
-		switch {
-		case broke:
+		switch state := r.heldState(); {
+		case state == heldBroken:
 			if !st.callerGone() {
 				st.h.probeForDeath(r.server, r.content, true)
 			}
 			st.closeHeld(r, "connection ended", endBroken)
-		case next == nil && (spoke || r.engineAnswers.Load() && !st.onlyFromCopy):
-			next = r
+		case state == heldRefused:
+			st.closeHeld(r, "refused", endBroken)
+		case state == heldSpoke:
+			spoke = cmp.Or(spoke, r)
+		case r.engineAnswers.Load() && !st.onlyFromCopy:
+			answers = cmp.Or(answers, r)
 		}
 	}
-	return next
+	return cmp.Or(spoke, answers)
 }
 
 // isOvertaken reports whether the stream goes on with a held run in place of this one. While the
@@ -130,7 +150,13 @@
 	if next == nil {
 		return false
 	}
-	if spoke, _ := next.spoke(); spoke || r.from == nil {
+	switch {
+	case next.heldState() == heldSpoke:
+		return true
+	case !r.heldAt.IsZero():
+		r.st.closeHeld(next, "another engine answers", endBroken) // this run's own
+		return false
+	case r.from == nil:
 		return true
 	}
 	if r.reply.resp != nil {
@@ -319,7 +345,7 @@
 // goOnWith makes a held run the stream's current one again.
 func (st *streamRelay) goOnWith(r *run) {
 	st.h.Stats.HeldRunsGoOn.Inc()
-	spoke, _ := r.spoke()
+	spoke := r.heldState() == heldSpoke
 	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("passed", r.forwarded).
 		Dur("silent", time.Since(r.lastHeard)).Int("sends", st.sends).Bool("spoke", spoke).Msg("held run goes on")
 	st.unhold(r)
@@ -327,6 +353,11 @@
 	if !r.engineAnswers.Swap(false) {
 		st.h.probeRevived(r.server)
 	}
+	for _, other := range slices.Clone(st.held) {
+		if other.engineAnswers.Load() && other.heldState() == heldSilent {
+			st.closeHeld(other, "another engine answers", endBroken)
+		}
+	}
 	r.lastHeard = time.Now()
 	st.lostAt, st.lostZone, st.lastCopy = time.Time{}, "", backupCopy{}
 	st.clearSkip()
--- a/internal/forward/held_run_test.go
+++ b/internal/forward/held_run_test.go
@@ -371,3 +371,43 @@
 		}
 	})
 }
+
+// Guards against runs that end each other: all engines that a stream tried fall silent, one after
+// the other, and answer again at once.
+func TestSilenceOfAllEnginesCutsNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var engines []*routedengine.Server
+		for i := range 4 {
+			e := engine([]string{"a", "b"}[i%2])
+			e.EventInterval, e.Events = 300*time.Millisecond, 20
+			engines = append(engines, e)
+		}
+		f := newFixture(t, engines...)
+		defer f.shutDown()
+		var answers []*answer
+		for i := range 6 {
+			answers = append(answers, f.send("POST", "/s/1", fmt.Sprint("r", i), "log"))
+			time.Sleep(70 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		for _, s := range f.servers {
+			s.Set(routedengine.Silent)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for _, s := range f.servers {
+			s.DropCopies()
+			s.Set(routedengine.Alive)
+		}
+		again := time.Now()
+		for _, a := range answers {
+			a.requireCompleteStream(t, 20)
+		}
+		for _, s := range f.servers {
+			for _, r := range s.Runs() {
+				if r.Prefilled && r.At.After(again) {
+					t.Errorf("%s prefilled %s again, %v after the silence", s.ID, r.RequestID, r.At.Sub(again))
+				}
+			}
+		}
+	})
+}
