consensus: a planned end asks the leader, not its own view, for a vote to spare

What operators saw, by a test: a control machine that was replaced as planned kept its vote if it ended in the moment in which the leader took its successor in.

Cause: the member looked at its own copy of the membership before it asked, which lacks a change of the last round trip.

Change: it asks the leader once in any case, and goes on asking while the leader expects a voter. A former leader, which knows no such request, delays the end only if the member itself sees a vote to spare, as before.

--- a/internal/consensus/leave.go
+++ b/internal/consensus/leave.go
@@ -93,15 +93,22 @@
 // voters than NodeOptions.TargetVoters. It returns once the leader has committed that, or
 // keeps the vote, or ctx ends. The member requests no vote afterwards.
 func (n *Node) GiveUpVote(ctx context.Context) {
-	if !n.mayGiveUpVote() {
+	s, ok := n.Status()
+	if !ok || n.o.TargetVoters == 0 || !s.Config.IsVoter(s.ID) {
 		return
 	}
 	n.leaving.Store(true)
 	began := time.Now()
-	state := LeaveWaiting
+	state, spare := LeaveWaiting, n.seesSpareVote()
 	for ctx.Err() == nil && state != LeaveDone && state != LeaveKeeps {
 		var err error
-		if state, err = n.requestLeave(ctx); err != nil || state == LeaveWaiting {
+		state, err = n.requestLeave(ctx)
+		// The leader may know of a voter or learner that this member has not heard of yet.
+		spare = spare || err == nil && state == LeaveWaiting
+		if !spare {
+			break
+		}
+		if state == LeaveWaiting {
 			n.sleep(leaveInterval)
 		}
 	}
@@ -109,13 +116,10 @@
 		Msg("vote of this member before its planned end")
 }
 
-// mayGiveUpVote reports whether this member is a voter in a group that has, or may get
-// soon, more voters than its target.
-func (n *Node) mayGiveUpVote() bool {
-	s, ok := n.Status()
-	if !ok || n.o.TargetVoters == 0 || !s.Config.IsVoter(s.ID) {
-		return false
-	}
+// seesSpareVote reports whether the group has, or may get soon, more voters than its target, as
+// far as this member knows.
+func (n *Node) seesSpareVote() bool {
+	s, _ := n.Status()
 	return len(s.Config.Voters) > n.o.TargetVoters || len(s.Config.Learners) > 0
 }
 
