--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -33,21 +33,13 @@
 	need placement.Need
 	seq  sequence
 
-	headSent     bool       // the head of the answer was sent to the caller
-	movedOffLive bool       // the stream was moved off a live engine, which happens at most once
-	onlyFromCopy bool       // the stream leaves a live engine only for a copy of its run
-	lastCopy     backupCopy // backup copy of the last run
-	orphanCopy   *Copy      // copy of a run that another router carried; nil: none
-	orphanEngine string     // address of the engine that ran it for that router; empty: not known
-	id           uint64     // see request.identity
-	skip         map[string]bool
-	// ready receives a value when results of any run of the stream wait.
-	ready chan struct{}
-	// held are the runs whose engines are silent. They stay open until the stream goes on.
-	held []*run
-	// heldEngines are no choice for another run.
-	heldEngines   []string
-	searches      []context.CancelFunc // end the contexts of the runs that were started beside held ones
+	headSent      bool       // the head of the answer was sent to the caller
+	movedOffLive  bool       // the stream was moved off a live engine, which happens at most once
+	lastCopy      backupCopy // backup copy of the last run
+	orphanCopy    *Copy      // copy of a run that another router carried; nil: none
+	orphanEngine  string     // address of the engine that ran it for that router; empty: not known
+	id            uint64     // see request.identity
+	skip          map[string]bool
 	sends         int
 	lostAt        time.Time // when the stream lost its engine; zero: it has one
 	lostZone      string    // zone of that engine; empty: it has one
@@ -61,6 +53,13 @@
 	waited       time.Duration // total wait for an engine
 	countedAt    string        // version at which the stream is counted, valid if endCount is set
 	endCount     func()        // ends the count; nil: the stream was not sent
+
+	// The fields of held runs.
+	ready        chan struct{}        // receives a value when results of any run of the stream wait
+	held         []*run               // runs whose engines are silent; they stay open until the stream goes on
+	heldEngines  []string             // their engines, which are no choice for another run
+	onlyFromCopy bool                 // the stream leaves a live engine only for a copy of its run
+	searches     []context.CancelFunc // end the contexts of the runs that were started beside held ones
 }
 
 // runEnd is how a run at one engine ended.
