--- a/internal/forward/dead_engine_test.go
+++ b/internal/forward/dead_engine_test.go
@@ -11,7 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -108,9 +107,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, engine("a"), engine("a"))
 		defer f.shutDown()
-		withoutCopies := testRoutes().List
-		withoutCopies.Services[0].Engine.KeepCopies = false
-		f.table.Store(routes.NewTable(withoutCopies))
+		f.keepNoCopies()
 		f.pool = upstream.NewPoolWith(func(ctx context.Context, addr string) (net.Conn, error) {
 			c, err := f.net.Dial(ctx, addr)
 			time.Sleep(200 * time.Millisecond)
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -123,6 +123,13 @@
 	return f
 }
 
+// keepNoCopies makes the engines keep no copies of each other's runs.
+func (f *fixture) keepNoCopies() {
+	list := testRoutes().List
+	list.Services[0].Engine.KeepCopies = false
+	f.table.Store(routes.NewTable(list))
+}
+
 // newHandler replaces the router's handler by one that has its lists once ready is closed.
 func (f *fixture) newHandler(ready <-chan struct{}) {
 	retries := forward.RetryAllowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}
--- a/internal/forward/held_run_test.go
+++ b/internal/forward/held_run_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
-	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 )
 
@@ -78,9 +77,7 @@
 		engines = append(engines, e)
 	}
 	f := newFixture(t, engines...)
-	withoutCopies := testRoutes().List
-	withoutCopies.Services[0].Engine.KeepCopies = false
-	f.table.Store(routes.NewTable(withoutCopies))
+	f.keepNoCopies()
 	return f
 }
 
--- a/internal/forward/silent_engine_test.go
+++ b/internal/forward/silent_engine_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 )
 
@@ -151,9 +150,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t, engine("a"), engine("a"))
 				defer f.shutDown()
-				withoutCopies := testRoutes().List
-				withoutCopies.Services[0].Engine.KeepCopies = false
-				f.table.Store(routes.NewTable(withoutCopies))
+				f.keepNoCopies()
 				a := silentStream(f, true, silence)
 				a.requireCompleteStream(t, 100)
 				if limit := silence + 100*time.Millisecond; a.longestPause() > limit {
