upstream, peer: one bound for the heads of messages; bodies are read in pieces

headReader and handshakeConn bounded the same thing in two places. Package readlimit does it for both. A body is kept in the pieces in which it was read: none is copied to a larger one, so that a body takes its own size once, and at most 64 KB are taken before they are received.

No behaviour changes: the tests of heads, handshakes and bodies pass as they were, with the bound of a piece by its new name.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -250,7 +250,7 @@
 	}
 	defer resp.Body.Close()
 	if raw, ok := ws.NetConn().(*handshakeConn); ok {
-		raw.ended = true
+		raw.in.Stop()
 	}
 	c := newConn(n, ws, vm)
 	c.dialed = true
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,13 +11,14 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/readlimit"
 )
 
 // Sizes and timeouts of a connection.
@@ -44,10 +45,6 @@
 	// what was read ahead included. A faulty server may send bytes without a line end, and
 	// a line is collected in memory until it ends.
 	maxHeadBytes = 64 << 10
-	// bodyGrowBytes is the memory for a body of which nothing has been read. A server may
-	// announce more than it sends.
-	bodyGrowBytes = 64 << 10
-	minBodyBytes  = 512
 )
 
 // Errors of an exchange. ErrDial means that no connection was established, ErrBroken that
@@ -57,8 +54,6 @@
 	ErrBroken = errors.New("upstream: connection broken")
 )
 
-var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHeadBytes)
-
 // Request is one request as it is sent to a backend server.
 type Request struct {
 	Method string
@@ -71,7 +66,7 @@
 // Conn is one connection. It carries one request at a time.
 type Conn struct {
 	raw         net.Conn
-	in          headReader
+	in          *readlimit.Reader
 	br          *bufio.Reader
 	key         string
 	reused      bool
@@ -80,31 +75,11 @@
 }
 
 func newConn(raw net.Conn, key string) *Conn {
-	c := &Conn{raw: raw, in: headReader{r: raw}, key: key}
-	c.br = bufio.NewReaderSize(&c.in, readBufferBytes)
+	c := &Conn{raw: raw, in: readlimit.New(raw), key: key}
+	c.br = bufio.NewReaderSize(c.in, readBufferBytes)
 	return c
 }
 
-// headReader reads from r, and bounds what is read while a head is expected.
-type headReader struct {
-	r      io.Reader
-	inHead bool
-	left   int // what may still be read for the head
-}
-
-// Read implements io.Reader.
-func (h *headReader) Read(p []byte) (int, error) {
-	if !h.inHead {
-		return h.r.Read(p)
-	}
-	if h.left <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := h.r.Read(p[:min(len(p), h.left)])
-	h.left -= n
-	return n, err
-}
-
 // Reused reports whether the connection carried an exchange before.
 func (c *Conn) Reused() bool { return c.reused }
 
@@ -168,8 +143,8 @@
 // ReadHead reads the head of the final response and skips interim responses. All of them
 // together may have maxHeadBytes.
 func (c *Conn) ReadHead(method string) (*http.Response, error) {
-	c.in.inHead, c.in.left = true, maxHeadBytes
-	defer func() { c.in.inHead = false }()
+	c.in.Start(maxHeadBytes)
+	defer c.in.Stop()
 	req := &http.Request{Method: method}
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(c.br, req)
@@ -191,55 +166,6 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// ReadBody reads a complete body of at most limit bytes. A response without a length ends
-// when its connection is closed; a connection reset is an error.
-func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
-	if resp.ContentLength > limit && resp.Body != http.NoBody {
-		return nil, errBodyTooLarge(limit)
-	}
-	body := make([]byte, 0, max(minBodyBytes, min(resp.ContentLength, bodyGrowBytes)))
-	for {
-		n, err := resp.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case int64(len(body)) > limit:
-			return nil, errBodyTooLarge(limit)
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
-		case len(body) == cap(body):
-			body = growBody(body, resp.ContentLength, limit)
-		}
-	}
-}
-
-// DiscardBody reads and drops a complete body of at most limit bytes.
-func DiscardBody(resp *http.Response, limit int64) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
-	switch {
-	case err != nil:
-		return fmt.Errorf("%w: %w", ErrBroken, err)
-	case n > limit:
-		return errBodyTooLarge(limit)
-	}
-	return nil
-}
-
-// growBody returns a body with up to twice the capacity, and no more than the stated length or
-// one byte over the limit.
-func growBody(body []byte, stated, limit int64) []byte {
-	size := min(2*int64(cap(body)), limit+1)
-	if stated > int64(len(body)) {
-		size = min(size, stated)
-	}
-	return append(make([]byte, 0, size), body...)
-}
-
-func errBodyTooLarge(limit int64) error {
-	return fmt.Errorf("%w: response exceeds %d bytes", ErrBroken, limit)
-}
-
 // reusable decides, after a complete response, whether the connection may carry another
 // request, and sets until when.
 //
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -326,7 +326,7 @@
 // Guards against a body that is damaged or cut while its memory grows.
 func TestBodySizes(t *testing.T) {
 	const limit = 5 << 20
-	for _, n := range []int{0, 1, bodyGrowBytes - 1, bodyGrowBytes, bodyGrowBytes + 1, limit - 1, limit, limit + 1} {
+	for _, n := range []int{0, 1, maxPieceBytes - 1, maxPieceBytes, maxPieceBytes + 1, limit - 1, limit, limit + 1} {
 		want := make([]byte, n)
 		for i := range want {
 			want[i] = byte(i * 31 >> 3)
