memory: one account for all that is read from outside and held

What callers saw: a router of 88 MB was killed, with all streams and calls that it carried, when servers answered without end. Each answer, event and body had a bound of its own, and no sum had one: a dozen answers of up to 16 MB that were read at once, events of up to 1 MB in every stream, 24 MB of unread answers beside 32 MB of request bodies, and bodies without a stated length, counted as 64 KB and read up to 4 MB. An event of 20 bytes took 300 bytes and was counted as 148.

Package memory accounts for all of it: bodies of requests, answers and events that are being read, answers that callers have not read, requests and pieces of other VMs, and responses to the system's own requests. The account is a quarter of the VM's memory as the settings state it. When it is spent, answers end one after the other: those of servers that have lately sent without end first, then the largest. Their requests go on at another server if they may; a caller that is behind gets a broken connection. Requests have half of the account and are refused as not run beyond it.

What will be thrown away is not collected: an answer without a signature, one that was encoded on its way, a refusal, and more than 64 KB of a failure that another server may replace. The soft limit of the runtime, so far set for the platform only, applies wherever memory_mb is stated. A single answer may hold half of the account, 11 MB on a VM of 88 MB.

The largest answer goes first, no more the one whose caller has been behind for the longest time: with answers that come fast and without end, the latter would end the sound ones first. Among equal ones it is still the oldest.

Evidence: TestEndlessAnswers, real processes, 18 kinds of answers, all servers at once, 24 callers, routers of 88 MB. TestAnswersToThrowAwayAreNotCollected and TestBodiesWithoutALengthAreCounted were red before.

--- a/cmd/amaranthshelfd/routed.go
+++ b/cmd/amaranthshelfd/routed.go
@@ -12,6 +12,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/capacity"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/inventory"
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routed"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
@@ -60,6 +61,7 @@
 		}
 		return s.Seeds, nil
 	}}
+	memory.LimitRuntime(s.Limits.MemoryMB << 20)
 	p, err := startRouted(s, common, &sup)
 	if err != nil {
 		return err
--- a/cmd/amaranthshelfd/soak_system_test.go
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -71,6 +71,8 @@
 	newVersionVotes atomic.Int64 // votes that reached the new version
 	// mixed is set if engines of several versions serve, without any roll-out.
 	mixed bool
+	// memoryMB is the memory limit that the settings of the routers state; 0: none.
+	memoryMB int
 }
 
 // failBadVersion counts the votes that reach the new version. If that version is to fail, it
@@ -161,8 +163,12 @@
 		// and addresses are not weighted. The limits make the routers measure their load.
 		own := ports[2*soakControls+3*i:]
 		s.callers, s.routerOperators = append(s.callers, own[1]), append(s.routerOperators, own[2])
+		memory := ""
+		if s.memoryMB > 0 {
+			memory = fmt.Sprintf("memory_mb = %d\n", s.memoryMB)
+		}
 		write(fmt.Sprint("router", i), fmt.Sprintf("[process]\nkind = router\nid = %s\nzone = z%d\nseeds = %s\ngrace = %s\n[listen]\ncallers = %s\noperators = %s\n[limits]\ncores = %d\nlink_mbps = %d\n",
-			own[0], i, seeds, soakGrace, own[1], own[2], 1<<i, 100<<i))
+			own[0], i, seeds, soakGrace, own[1], own[2], 1<<i, 100<<i)+memory)
 	}
 }
 
--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
@@ -146,11 +147,11 @@
 	r.stop = stop
 	r.handler = forward.NewHandler(forward.Options{
 		Context: ctx, Zone: zone, Wire: forward.NewPlainWire(), Pool: pool, Fleet: r.fleet, Routes: func() *routes.Table { return table }, ListsReady: ready,
-		Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(transport, r.member.Relays, zerolog.Nop()), RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
+		Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(transport, r.member.Relays, memory.NewAccount(0), zerolog.Nop()), RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
 		SuspectContents: r.contents, Closing: func() bool { return false },
 		CannotFinish: func(bool, time.Duration) bool { return false },
 	})
-	handoff.NewServer(ctx, transport, r.handler, func(service string) bool { return r.fleet.Reaches(service) && r.hears(service) }, zerolog.Nop())
+	handoff.NewServer(ctx, transport, r.handler, func(service string) bool { return r.fleet.Reaches(service) && r.hears(service) }, memory.NewAccount(0), zerolog.Nop())
 	go r.member.Run(ctx)
 	go r.member.RunCallReports(ctx)
 	go r.probeLostServices(ctx)
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 )
@@ -24,7 +25,7 @@
 
 // readBody reads a complete body. A retry needs all of it, and an engine must not
 // receive a partial request. nil: the request has none.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, expires time.Time) ([]byte, error) {
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, q *request) ([]byte, error) {
 	if r.ContentLength == 0 {
 		if r.Method == http.MethodGet || r.Method == http.MethodHead {
 			return nil, nil
@@ -33,8 +34,8 @@
 	}
 	rc := http.NewResponseController(w)
 	// Only connections of tests do not support deadlines, and they do not need them.
-	_ = rc.SetReadDeadline(expires)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = rc.SetReadDeadline(q.expires)
+	body, err := io.ReadAll(&countedBody{r: http.MaxBytesReader(w, r.Body, limit), memory: q.memory.body, left: countedBytes(r)})
 	if err == nil {
 		// After an error the deadline stays. Without it the HTTP server would wait for
 		// the rest of the body before it sends the refusal.
@@ -46,12 +47,39 @@
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, result.New(result.BodyTooLarge)
+	case errors.Is(err, errNoBodyMemory):
+		return nil, errQueueFull()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, result.New(result.RequestTooSlow)
 	}
 	return nil, result.Newf(result.MalformedBody, "the body could not be read: %v", err)
 }
 
+var errNoBodyMemory = errors.New("forward: no memory for the body of a request")
+
+// errQueueFull refuses a request that this VM has no room for. Another one may have some.
+func errQueueFull() error {
+	return result.New(result.QueueFull).WithRetryAfter(otherRouterRetryAfter)
+}
+
+// countedBody reads a body, and counts what exceeds the bytes that were counted before.
+type countedBody struct {
+	r      io.Reader
+	memory *memory.Request
+	left   int // counted and not read
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	for b.left -= n; b.left < 0; b.left += unknownLengthBytes {
+		if !b.memory.Add(unknownLengthBytes) {
+			return 0, errNoBodyMemory
+		}
+	}
+	return n, err
+}
+
 // hopByHop lists the headers that concern a single connection.
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -275,7 +276,7 @@
 // moved, it would queue again elsewhere, and the first server would still run it for
 // nothing. A suspect content would run on both servers at once, and could end both.
 func (h *Handler) hedgeDelay(q *request, load float64) time.Duration {
-	mayMove := q.history.repeatable && q.history.possibleRuns+1 < q.history.maxAttempts && !h.opts.SuspectContents.isSuspect(q.digest)
+	mayMove := q.history.MayRunAgain() && !h.opts.SuspectContents.isSuspect(q.digest)
 	if !mayMove || load > 1 || q.route.Objective <= 0 {
 		return 0
 	}
@@ -349,13 +350,12 @@
 func (h *Handler) deliver(w http.ResponseWriter, r *reply) {
 	h.copyHeaders(w, r.resp)
 	if r.resp.StatusCode != http.StatusNoContent && r.resp.StatusCode != http.StatusNotModified {
-		w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+		w.Header().Set("Content-Length", strconv.Itoa(r.body.Len()))
 	}
 	w.WriteHeader(r.resp.StatusCode)
-	memory := h.unread.begin(func() { endWrites(w) })
-	memory.add(len(r.body))
-	_, err := w.Write(r.body)
-	if memory.close() {
+	r.memory.OnEnd(func() { resulthttp.EndWrites(w) })
+	err := writePieces(w, r)
+	if r.memory.Close() {
 		h.Stats.refused(result.CallerTooSlow)
 	}
 	if err != nil {
@@ -363,6 +363,18 @@
 	}
 }
 
+// writePieces writes the body of an answer, and gives up the memory of what was written.
+func writePieces(w http.ResponseWriter, r *reply) error {
+	for i, piece := range r.body {
+		if _, err := w.Write(piece); err != nil {
+			return err
+		}
+		r.body[i] = nil
+		r.memory.Add(-len(piece))
+	}
+	return nil
+}
+
 // copyHeaders copies the server's end-to-end headers.
 func (h *Handler) copyHeaders(w http.ResponseWriter, resp *http.Response) {
 	header := w.Header()
--- a/internal/forward/decisions_test.go
+++ b/internal/forward/decisions_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"strings"
@@ -166,10 +165,10 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			br := bufio.NewReader(strings.NewReader(tt.text))
+			in := newEventReader(strings.NewReader(tt.text), unlimited)
 			var raw strings.Builder
 			for i := 0; ; i++ {
-				e, err := readEvent(br)
+				e, err := in.next()
 				if err != nil {
 					if !errors.Is(err, tt.end) || i != len(tt.ids) {
 						t.Fatalf("event %d: got error %v, want that of the table after the last event", i, err)
@@ -192,10 +191,10 @@
 	f.Add("id: 1\ndata: a\n\nid: 2\n")
 	f.Add("\n\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		br := bufio.NewReader(strings.NewReader(text))
+		in := newEventReader(strings.NewReader(text), unlimited)
 		var raw strings.Builder
 		for {
-			e, err := readEvent(br)
+			e, err := in.next()
 			if err != nil {
 				break
 			}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -4,40 +4,63 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
-// maxEventBytes bounds an event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds an event of a stream.
+	maxEventBytes = 1 << 20
+	// eventBufferBytes is the memory that a reader of events keeps between two events.
+	eventBufferBytes = 1 << 10
+)
 
-var errEventTooLarge = errors.New("forward: event too large")
+var errEventTooLarge = fmt.Errorf("forward: event: %w", upstream.ErrTooLarge)
 
 // event is a complete event as it was received, with its blank line.
 type event struct {
-	raw   []byte
-	id    uint64
-	hasID bool
+	raw     []byte
+	id      uint64
+	hasID   bool
+	hasData bool // it has a line that is no comment
 }
 
 var idField = []byte("id:")
 
-// readEvent reads a complete event. It returns io.EOF if the stream ended between two
+// eventReader reads the events of a stream.
+type eventReader struct {
+	br   *bufio.Reader
+	take func(bytes int) bool // takes memory, or gives it up; false: there is none
+	raw  []byte               // of the event that is being read
+}
+
+func newEventReader(r io.Reader, take func(bytes int) bool) *eventReader {
+	return &eventReader{br: bufio.NewReader(r), take: take, raw: make([]byte, 0, eventBufferBytes)}
+}
+
+// next reads a complete event. It returns io.EOF if the stream ended between two
 // events. A truncated event gives io.ErrUnexpectedEOF and is never forwarded: its engine
 // died while it wrote the event, and the next engine generates it again.
-func readEvent(br *bufio.Reader) (event, error) {
+func (r *eventReader) next() (event, error) {
 	var e event
+	r.reset()
 	begun := false // a part of the line was read, which is longer than the buffer
 	for {
-		line, err := br.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		line, err := r.br.ReadSlice('\n')
+		if !r.add(line) {
+			return event{}, upstream.ErrNoMemory
+		}
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes:
+		case errors.Is(err, bufio.ErrBufferFull) && len(r.raw) < maxEventBytes:
+			e.hasData = e.hasData || !begun && isData(line)
 			begun = true
 			continue
-		case len(e.raw) >= maxEventBytes:
+		case len(r.raw) >= maxEventBytes:
 			return event{}, errEventTooLarge
-		case errors.Is(err, io.EOF) && len(e.raw) > 0:
+		case errors.Is(err, io.EOF) && len(r.raw) > 0:
 			return event{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return event{}, err
@@ -47,8 +70,10 @@
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
+			e.raw = bytes.Clone(r.raw)
 			return e, nil
 		}
+		e.hasData = e.hasData || isData(line)
 		if value, ok := bytes.CutPrefix(line, idField); ok {
 			id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
 			e.id, e.hasID = id, err == nil
@@ -56,6 +81,35 @@
 	}
 }
 
+// isData reports whether a line of an event is no comment.
+func isData(line []byte) bool { return line[0] != ':' }
+
+// reset prepares for the next event, and gives up the memory of a large one.
+func (r *eventReader) reset() {
+	if n := cap(r.raw); n > eventBufferBytes {
+		r.take(-n)
+		r.raw = make([]byte, 0, eventBufferBytes)
+	}
+	r.raw = r.raw[:0]
+}
+
+// add appends a part of the event. It returns false if there is no memory for it.
+func (r *eventReader) add(part []byte) bool {
+	if len(r.raw)+len(part) > cap(r.raw) {
+		former := cap(r.raw)
+		size := max(2*former, len(r.raw)+len(part))
+		if !r.take(size) {
+			return false
+		}
+		r.raw = append(make([]byte, 0, size), r.raw...)
+		if former > eventBufferBytes {
+			r.take(-former)
+		}
+	}
+	r.raw = append(r.raw, part...)
+	return true
+}
+
 // sequence checks that the event ids of a stream are consecutive, over all engines.
 type sequence struct {
 	last    uint64
--- a/internal/forward/events_test.go
+++ b/internal/forward/events_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -9,11 +8,14 @@
 	"testing"
 )
 
+// unlimited is memory without a bound.
+func unlimited(int) bool { return true }
+
 // readEvents reads the events of a text until an error.
 func readEvents(text io.Reader) (events []event, err error) {
-	br := bufio.NewReader(text)
+	in := newEventReader(text, unlimited)
 	for {
-		e, err := readEvent(br)
+		e, err := in.next()
 		if err != nil {
 			return events, err
 		}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -6,15 +6,13 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // maxStrayAnswers bounds the answers to other requests that are skipped.
 const maxStrayAnswers = 3
 
-// maxAnswerBytes bounds an answer that is buffered before it is forwarded.
-const maxAnswerBytes = 16 << 20
-
 // fault is the reason why a send brought no answer.
 type fault uint8
 
@@ -37,8 +35,9 @@
 	fault   fault
 	answer  Answer
 	resp    *http.Response
-	body    []byte
-	flight  *flight // the exchange, which goes on; nil: it has ended
+	body    upstream.Body
+	memory  *memory.Answer // of body
+	flight  *flight        // the exchange, which goes on; nil: it has ended
 }
 
 // headers returns the headers of the request for one send.
@@ -99,7 +98,7 @@
 		}
 		h.Stats.StrayAnswers.Inc()
 		h.opts.Log.Warn().Str("request", q.RequestID).Str("answered", a.RequestID).Msg("answer carries the id of another request; dropped")
-		if err := upstream.DiscardBody(resp, maxAnswerBytes); err != nil {
+		if err := upstream.DiscardBody(resp, maxStrayBytes); err != nil {
 			return nil, Answer{}, err
 		}
 	}
@@ -115,7 +114,8 @@
 		return out
 	}
 	f := &flight{conn: c, stop: context.AfterFunc(q.ctx, c.Close), done: make(chan reply, 1)}
-	go func() { f.done <- h.readReply(q, s, f, sent) }()
+	m, limits := q.beginAnswer(h, s, c.Close), h.answerLimits(q)
+	go func() { f.done <- h.readReply(q, s, f, m, limits, sent) }()
 	var slow <-chan time.Time
 	if wait > 0 {
 		timer := time.NewTimer(wait)
@@ -130,21 +130,37 @@
 	}
 }
 
-// readReply reads the complete answer of an exchange.
-func (h *Handler) readReply(q *request, s *upstream.Server, f *flight, sent time.Time) reply {
+// readReply reads the complete answer of an exchange into the memory of m. Nothing is collected of
+// an answer that is not the server's, or that only states a refusal.
+func (h *Handler) readReply(q *request, s *upstream.Server, f *flight, m *memory.Answer, l answerLimits, sent time.Time) reply {
 	resp, a, err := h.readHead(q, s, f.conn, sent)
-	var body []byte
-	if err == nil {
-		body, err = upstream.ReadBody(resp, maxAnswerBytes)
-	}
 	if err != nil {
+		return h.breakOff(s, f, err)
+	}
+	r := h.classifyReply(reply{answer: a, resp: resp})
+	switch {
+	case r.fault != noFault:
 		f.conn.Close()
-		return reply{outcome: sendUnknown, fault: faultBroken}
+		return r
+	case r.outcome == sendRefused:
+		err = upstream.DiscardBody(resp, maxRefusalBytes)
+	default:
+		err = readAnswerBody(&r, l, m)
+	}
+	if err != nil {
+		return h.breakOff(s, f, err)
 	}
 	if f.stop() {
 		h.opts.Pool.Put(f.conn, resp)
 	}
-	return h.classifyReply(reply{answer: a, resp: resp, body: body})
+	return r
+}
+
+// breakOff ends an exchange whose answer cannot be read.
+func (h *Handler) breakOff(s *upstream.Server, f *flight, err error) reply {
+	f.conn.Close()
+	h.noteSpoiled(s, err)
+	return reply{outcome: sendUnknown, fault: faultBroken}
 }
 
 // classifyReply sets the outcome of a received answer. An answer that lacks the server's
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/overload"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
@@ -41,8 +42,9 @@
 	state            atomic.Pointer[rollout.State]
 	recorder         *rollout.Recorder
 	contents         *forward.SuspectContents
-	closing          bool            // the router is shutting down
-	unreadBytes      int             // 0: the default
+	closing          bool // the router is shutting down
+	unreadBytes      int  // of the memory account; 0: the default
+	memory           *memory.Account
 	shutdownTimeLeft time.Duration   // until the router stops; 0: it is not shutting down
 	versionsStale    bool            // the router's copy of the known versions is out of date
 	origins          forward.Origins // nil: the router knows its own streams only
@@ -130,6 +132,15 @@
 	f.table.Store(routes.NewTable(list))
 }
 
+// newAccount replaces the memory account of the router.
+func (f *fixture) newAccount() *memory.Account {
+	f.memory = memory.NewAccount(0)
+	if f.unreadBytes > 0 {
+		f.memory = memory.NewAccountOf(f.unreadBytes)
+	}
+	return f.memory
+}
+
 // newHandler replaces the router's handler by one that has its lists once ready is closed.
 func (f *fixture) newHandler(ready <-chan struct{}) {
 	retries := forward.RetryAllowance{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}
@@ -141,7 +152,7 @@
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: f.pool, Fleet: f.fleet,
 		Routes: f.table.Load, ListsReady: ready, RetryAllowance: retries,
 		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: f.contents, Closing: func() bool { return f.closing },
-		UnreadBytes: f.unreadBytes, CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer, RefusalLevel: f.refusalLevel, CallGrants: f.callGrants,
+		Memory: f.newAccount(), CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer, RefusalLevel: f.refusalLevel, CallGrants: f.callGrants,
 		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder}, VersionsFresh: func() bool { return !f.versionsStale }, Origins: f.origins, HandOff: f.handOff,
 	})
 }
@@ -168,6 +179,9 @@
 	f.fleet.Apply(upstream.List{AsOf: time.Now().Add(time.Hour)})
 	time.Sleep(time.Second)
 	synctest.Wait()
+	if u := f.memory.Usage(); u.Bytes != 0 {
+		f.t.Errorf("%d bytes are held after the last request, want none", u.Bytes)
+	}
 }
 
 func engine(zone string) *routedengine.Server {
@@ -193,6 +207,8 @@
 	broken  bool        // the connection was aborted
 	done    chan struct{}
 	leave   context.CancelFunc
+	// lengthUnstated is set if the caller does not state the length of its body.
+	lengthUnstated bool
 	// A caller that has stopped reading blocks all writes while resumed is not closed, or
 	// until the write deadline is moved into the past.
 	resumed  chan struct{} // nil: the caller reads
@@ -257,6 +273,9 @@
 func (f *fixture) sendTo(a *answer, method, path, id, body string, headers ...string) *answer {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Host = "shelf"
+	if a.lengthUnstated {
+		r.ContentLength = -1
+	}
 	r.Header.Set(forward.HeaderRequestID, id)
 	r.Header.Set("Authorization", "Bearer key-of-nelson")
 	r.Header.Set(forward.HeaderTokens, "8000,1000")
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/admission"
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/overload"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
@@ -55,9 +56,7 @@
 	// maxHeldRequests is the number of requests that arrive within some seconds at the
 	// highest rate that a small VM can carry.
 	maxHeldRequests = 4096
-	// maxHeldBytes bounds the bodies in memory to a quarter of a VM of 128 MB.
-	maxHeldBytes = 32 << 20
-	// unknownLengthBytes is counted for a body without a Content-Length.
+	// unknownLengthBytes is counted at a time for a body without a Content-Length.
 	unknownLengthBytes = 64 << 10
 	// refusalWriteTimeout bounds the write of a refusal to a caller that does not read.
 	refusalWriteTimeout = 5 * time.Second
@@ -121,8 +120,9 @@
 	// CannotFinish reports that a request cannot be finished before this VM shuts down.
 	// takes is its expected duration; 0: not known.
 	CannotFinish func(stream bool, takes time.Duration) bool
-	// UnreadBytes limits the memory for answers that callers have not read; 0: 24 MB.
-	UnreadBytes int
+	// Memory accounts for the requests and answers that the handler holds; nil: for a VM whose
+	// settings state no memory.
+	Memory *memory.Account
 	// Closing reports that callers should send their next request to another VM.
 	Closing func() bool
 }
@@ -138,7 +138,7 @@
 	paces      paceTracker
 	speeds     speedTracker
 	inFlight   *admission.InFlight
-	unread     *unreadAnswers
+	spoilers   *spoilers
 	origins    *streamversion.Store // of the streams that this VM carried
 	Stats      *Stats
 
@@ -174,10 +174,13 @@
 	if o.Origins == nil {
 		o.Origins = localOrigins{}
 	}
+	if o.Memory == nil {
+		o.Memory = memory.NewAccount(0)
+	}
 	if o.VersionsFresh == nil {
 		o.VersionsFresh = func() bool { return false }
 	}
-	h := &Handler{opts: o, vms: 1, origins: newOriginTable(), budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), inFlight: admission.NewInFlight(maxHeldRequests, maxHeldBytes), unread: newUnreadAnswers(o.UnreadBytes)}
+	h := &Handler{opts: o, vms: 1, origins: newOriginTable(), budgets: map[string]*Budget{}, Stats: NewStats(o.Metrics), inFlight: admission.NewInFlight(maxHeldRequests, 0), spoilers: newSpoilers()}
 	h.gate = &gate{fleet: o.Fleet, permits: o.Permits, withheld: h.Stats.withheld}
 	h.engines = &engineCaller{gate: h.gate, pool: o.Pool, wire: o.Wire}
 	h.prober = newProber(h.engines, &o)
@@ -277,16 +280,17 @@
 	// means that a retry is of no use.
 	retryAfterSet bool
 	retryAfter    time.Duration
-	releaseBody   func() // releases the memory counted for the body; nil: none is counted
+	leave         func() // ends the count of the request; nil: it is not counted
+	memory        requestMemory
 }
 
 // countedBytes returns the size that a request's body is counted with before it is
 // read.
-func countedBytes(r *http.Request) int64 {
+func countedBytes(r *http.Request) int {
 	if r.ContentLength < 0 {
 		return unknownLengthBytes
 	}
-	return r.ContentLength
+	return int(r.ContentLength)
 }
 
 // id returns the request's id; empty: its headers were not read.
@@ -318,8 +322,8 @@
 	_ = rc.SetWriteDeadline(arrived.Add(refusalWriteTimeout))
 	h.waitForLists(r)
 	q, err := h.admit(w, r, arrived)
-	if q != nil && q.releaseBody != nil {
-		defer q.releaseBody()
+	if q != nil {
+		defer q.release()
 	}
 	if err != nil {
 		h.opts.RoutineLog.Info().Str("request", q.id()).Uint64("digest", q.contentDigest()).Str("path", r.URL.Path).Int("code", int(result.CodeOf(err))).Msg("not admitted")
@@ -423,12 +427,15 @@
 		w.Header().Set("Connection", "close") // the rest is not read
 		return result.New(result.BodyTooLarge)
 	}
-	release, ok := h.inFlight.Enter(countedBytes(r))
-	if !ok {
-		return result.New(result.QueueFull).WithRetryAfter(otherRouterRetryAfter)
+	var ok bool
+	if q.leave, ok = h.inFlight.Enter(0); !ok {
+		return errQueueFull()
+	}
+	q.memory.body = h.opts.Memory.BeginRequest()
+	if !q.memory.body.Add(countedBytes(r)) {
+		return errQueueFull()
 	}
-	q.releaseBody = release
-	body, err := readBody(w, r, limit, q.expires)
+	body, err := readBody(w, r, limit, q)
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		return err
--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -66,7 +66,7 @@
 		return heldSilent
 	case res.err != nil && (r.reply.resp == nil || !isCleanEOF(res.err)):
 		return heldBroken
-	case res.head != nil && res.head.StatusCode != http.StatusOK && (r.st.seq.started || len(r.st.held) > 1):
+	case res.head != nil && res.head.resp.StatusCode != http.StatusOK && (r.st.seq.started || len(r.st.held) > 1):
 		return heldRefused // other runs of the stream may still serve it
 	}
 	return heldSpoke
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -1,14 +1,15 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/enginespeed"
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -64,10 +65,15 @@
 // readResult is what the reader of a run delivers: the head of the answer, an event
 // or the error that ended it.
 type readResult struct {
-	head   *http.Response
+	head  *answerHead // nil: it is something else
+	event event
+	err   error
+}
+
+// answerHead is the head of an answer.
+type answerHead struct {
+	resp   *http.Response
 	answer Answer
-	event  event
-	err    error
 }
 
 // clearedAfterEvents is the number of events after which a request is cleared of
@@ -116,8 +122,9 @@
 	r.trackFirstEvent()
 	r.stopWatchingCaller = context.AfterFunc(st.q.ctx, conn.Close)
 	r.lastHeard = time.Now()
-	r.results = newResultQueue(st.ready, h.unread.begin(func() { endWrites(st.w) }))
-	go r.readAnswer(h)
+	suspect := h.spoilers.has(s.ID)
+	r.results = newResultQueue(st.ready, h.opts.Memory.BeginAnswer(suspect, func() { resulthttp.EndWrites(st.w) }))
+	go r.readAnswer(h, h.opts.Memory.BeginAnswer(suspect, conn.Close))
 	return r
 }
 
@@ -146,15 +153,24 @@
 }
 
 // readAnswer reads the head and the events of the engine's answer into r.results. It runs
-// in its own goroutine, because relay also waits for timers and signals.
-func (r *run) readAnswer(h *Handler) {
+// in its own goroutine, because relay also waits for timers and signals. partial is the memory of
+// the event that is being read.
+func (r *run) readAnswer(h *Handler, partial *memory.Answer) {
+	defer partial.Close()
 	resp, a, err := h.readHead(r.st.q, r.server, r.conn, r.sentAt)
-	if !r.results.push(readResult{head: resp, answer: a, err: err}) || err != nil || resp.StatusCode != http.StatusOK {
+	if err != nil {
+		r.results.push(readResult{err: err})
 		return
 	}
-	br := bufio.NewReader(resp.Body)
+	if !r.results.push(readResult{head: &answerHead{resp, a}}) || resp.StatusCode != http.StatusOK {
+		return
+	}
+	in := newEventReader(resp.Body, partial.Add)
 	for {
-		ev, err := readEvent(br)
+		ev, err := in.next()
+		if err != nil {
+			err = endedFor(partial, err)
+		}
 		if !r.results.push(readResult{event: ev, err: err}) || err != nil {
 			return
 		}
@@ -252,6 +268,7 @@
 	if r.st.q.ctx.Err() != nil {
 		return endCallerDone
 	}
+	r.st.h.noteBroken(r.server, err)
 	r.st.h.confirmDeath(r.st.q, r.server, r.content)
 	return r.lost(err.Error())
 }
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -34,7 +34,7 @@
 func (r *run) handleOne(res readResult) (runEnd, bool) {
 	switch {
 	case res.head != nil:
-		r.reply.resp, r.reply.answer = res.head, res.answer
+		r.reply.resp, r.reply.answer = res.head.resp, res.head.answer
 		return r.handleHead()
 	case res.err != nil && r.reply.resp != nil && isCleanEOF(res.err) && r.isComplete():
 		return r.finish()
@@ -87,14 +87,15 @@
 
 // readPlainAnswer reads an answer that is no stream.
 func (r *run) readPlainAnswer() (runEnd, bool) {
+	h := r.st.h
 	r.conn.SetReadDeadline(time.Now().Add(plainAnswerTimeout))
-	body, err := upstream.ReadBody(r.reply.resp, maxAnswerBytes)
-	if err != nil {
-		return endBroken, true
+	if err := readAnswerBody(&r.reply, h.answerLimits(r.st.q), r.st.q.beginAnswer(h, r.server, r.conn.Close)); err != nil {
+		h.noteBroken(r.server, err)
+		return r.lost(err.Error()), true
 	}
-	r.reply.body, r.outcome = body, sendAnswered
-	r.st.h.opts.Rollouts.Recorder.End(r.ticket, isFailure(r.reply.resp), false)
-	r.st.h.opts.Fleet.Failed(r.server)
+	r.outcome = sendAnswered
+	h.opts.Rollouts.Recorder.End(r.ticket, isFailure(r.reply.resp), false)
+	h.opts.Fleet.Failed(r.server)
 	return endPlainAnswer, true
 }
 
--- a/internal/forward/run_silence.go
+++ b/internal/forward/run_silence.go
@@ -53,7 +53,7 @@
 func (r *run) currentSilence() silence {
 	s := silence{
 		duration: time.Since(r.lastHeard), engineHeardAgo: r.st.h.opts.Fleet.SilentFor(r.server),
-		begun: r.forwarded > 0 || r.from != nil, moved: r.st.movedOffLive, hasCopy: r.backup.current.engine != nil && r.st.q.history.possibleRuns+1 < r.st.q.history.maxAttempts,
+		begun: r.forwarded > 0 || r.from != nil, moved: r.st.movedOffLive, hasCopy: r.backup.current.engine != nil && r.st.q.history.MayRunAgain(),
 		reportIsCurrent: r.reportIsCurrent, missingReports: r.missingReports,
 	}
 	if r.reportIsCurrent {
--- a/internal/forward/send_history.go
+++ b/internal/forward/send_history.go
@@ -57,6 +57,11 @@
 	return h.repeatable && h.possibleRuns < h.maxAttempts
 }
 
+// MayRunAgain reports whether the request may be sent again after the next server has run it.
+func (h *SendHistory) MayRunAgain() bool {
+	return h.repeatable && h.possibleRuns+1 < h.maxAttempts
+}
+
 // IsRetry reports whether the next send draws on the retry budget, since a server
 // may already have received the request.
 func (h *SendHistory) IsRetry() bool { return h.arrivals > 0 }
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -22,6 +22,7 @@
 	Probes          *metrics.Counter
 	CopiesOrdered   *metrics.Counter // backup copies made on order
 	StrayAnswers    *metrics.Counter // answers to other requests, dropped
+	SpoiledAnswers  *metrics.Counter // answers that brought more than an answer may have, or no progress
 	BrokenStreams   *metrics.Counter // streams that were broken off
 	RunsHeld        *metrics.Counter // runs that were kept open while their engine was silent
 	HeldRunsGoOn    *metrics.Counter // of these, those with which the stream went on
@@ -49,7 +50,7 @@
 	return &Stats{
 		set: set, Requests: counter("requests"), Retries: counter("repeats"), Resumes: counter("resumes"),
 		ResumesFromCopy: counter("resumes_from_copy"), Probes: counter("probes"), CopiesOrdered: counter("copies_ordered"),
-		StrayAnswers: counter("stray_answers"), BrokenStreams: counter("streams_broken"),
+		StrayAnswers: counter("stray_answers"), SpoiledAnswers: counter("spoiled_answers"), BrokenStreams: counter("streams_broken"),
 		RunsHeld: counter("runs_held"), HeldRunsGoOn: counter("held_runs_go_on"), CallersGone: counter("callers_gone"),
 		CallGrantFallbacks: counter("calls_grant_fallback"), EngineSpeeds: counter("engine_speeds_reported"),
 		RefusedByLevel: counter("streams_refused_by_level"), HandOffs: counter("hand_offs"), RecordsLate: counter("stream_records_late"), TrialWaits: counter("content_trial_waits"), RecordWait: set.NewHistogram("shelf_stream_record_wait_seconds"),
--- a/internal/handoff/bench_test.go
+++ b/internal/handoff/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 )
 
@@ -19,8 +20,8 @@
 	defer cancel()
 	n := peertest.New(1)
 	answer := make([]byte, 800)
-	NewServer(ctx, n.VM("a"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) }), func(string) bool { return true }, zerolog.Nop())
-	c := NewClient(n.VM("cut"), func(string) []string { return []string{"a"} }, zerolog.Nop())
+	NewServer(ctx, n.VM("a"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) }), func(string) bool { return true }, memory.NewAccount(0), zerolog.Nop())
+	c := NewClient(n.VM("cut"), func(string) []string { return []string{"a"} }, memory.NewAccount(0), zerolog.Nop())
 	q := Request{Service: "votes", Method: http.MethodPost, URI: "/vote/1", Host: "shelf.example", Header: http.Header{"X-Request-Id": {"9c41d07be2a35f68"}}, Body: []byte("yes")}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/handoff/bounds_test.go
+++ b/internal/handoff/bounds_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 )
 
 // Guards against a large answer that waits as one piece: it exceeds the memory stated for it, and a
@@ -14,7 +16,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		e := &exchange{ctx: ctx, header: http.Header{}, changed: make(chan struct{})}
+		account := memory.NewAccount(0)
+		e := &exchange{ctx: ctx, header: http.Header{}, memory: account.BeginAnswer(false, cancel), changed: make(chan struct{})}
 		answer := make([]byte, 1<<20)
 		for i := range answer {
 			answer[i] = byte(i * 31 >> 3)
@@ -26,6 +29,11 @@
 			e.end(false)
 		}()
 		var got []byte
+		defer func() {
+			if held := account.Usage().Bytes; held != 0 {
+				t.Errorf("%d bytes are held after all were read, want none", held)
+			}
+		}()
 		for p := (Piece{}); !p.End || len(p.Data) > 0; {
 			p = e.read(ctx, &ReadRequest{Offset: int64(len(got)), HasHead: true})
 			if len(p.Data) > maxWaiting {
--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -12,7 +12,9 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
@@ -57,15 +59,17 @@
 	t      peer.Transport
 	relays func(service string) []string
 	log    zerolog.Logger
-	lastID atomic.Uint64
+	// account holds the pieces of answers that callers have not read.
+	account *memory.Account
+	lastID  atomic.Uint64
 
 	mu      sync.Mutex
 	refused map[string]time.Time // until when VMs are not asked
 }
 
 // NewClient returns a Client. relays returns the VMs that reach a service.
-func NewClient(t peer.Transport, relays func(service string) []string, log zerolog.Logger) *Client {
-	c := &Client{t: t, relays: relays, log: log, refused: map[string]time.Time{}}
+func NewClient(t peer.Transport, relays func(service string) []string, account *memory.Account, log zerolog.Logger) *Client {
+	c := &Client{t: t, relays: relays, log: log, account: account, refused: map[string]time.Time{}}
 	c.lastID.Store(rand.Uint64() >> 1) // an earlier process of this VM may have offers in progress
 	return c
 }
@@ -77,7 +81,9 @@
 	if !reply.Taken {
 		return NotTaken
 	}
-	r := reader{c: c, ctx: ctx, vm: vm, id: q.ID, method: q.Method, statesEnd: reply.StatesEnd, w: w}
+	m := c.account.BeginAnswer(false, func() { resulthttp.EndWrites(w) })
+	defer m.Close()
+	r := reader{c: c, ctx: ctx, vm: vm, id: q.ID, method: q.Method, statesEnd: reply.StatesEnd, w: w, memory: m}
 	reading, stop := context.WithCancel(ctx)
 	go r.keepLease(reading)
 	outcome := r.copy()
@@ -139,6 +145,7 @@
 	method    string
 	statesEnd bool // the VM states whether an answer is complete
 	w         http.ResponseWriter
+	memory    *memory.Answer // of the piece that is being written
 	offset    int64
 	begun     bool      // the head was written
 	lastRead  time.Time // when the last piece was read and written
@@ -264,6 +271,10 @@
 		return true
 	}
 	r.offset += int64(len(p.Data))
+	if !r.memory.Add(len(p.Data)) {
+		return false
+	}
+	defer r.memory.Add(-len(p.Data))
 	if _, err := r.w.Write(p.Data); err != nil {
 		return false
 	}
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 )
 
@@ -35,9 +36,9 @@
 			serve(w, r)
 		})
 		for _, vm := range []string{"a", "b"} {
-			NewServer(ctx, s.net.VM(vm), counted, func(service string) bool { return service == "votes" }, zerolog.Nop())
+			NewServer(ctx, s.net.VM(vm), counted, func(service string) bool { return service == "votes" }, memory.NewAccount(0), zerolog.Nop())
 		}
-		s.client = NewClient(s.net.VM("cut"), func(string) []string { return []string{"a", "b"} }, zerolog.Nop())
+		s.client = NewClient(s.net.VM("cut"), func(string) []string { return []string{"a", "b"} }, memory.NewAccount(0), zerolog.Nop())
 		f(t, s)
 		cancel()
 		time.Sleep(5 * time.Second)
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 )
 
@@ -30,6 +32,9 @@
 	readLease = lostAfter
 )
 
+// errNoMemory means that the memory of an answer was needed for others.
+var errNoMemory = errors.New("handoff: no memory for the answer")
+
 type relayedKey struct{}
 
 // IsRelayed reports whether a request came from another VM. It must not be handed off again.
@@ -41,6 +46,8 @@
 	serve http.Handler
 	takes func(service string) bool
 	log   zerolog.Logger
+	// account holds the requests that were taken, and what waits to be read of their answers.
+	account *memory.Account
 
 	mu    sync.Mutex
 	taken map[takenKey]*exchange
@@ -53,8 +60,8 @@
 
 // NewServer returns a Server that passes requests to serve until ctx ends, and registers it
 // with t. takes reports whether this VM can serve a service.
-func NewServer(ctx context.Context, t peer.Transport, serve http.Handler, takes func(service string) bool, log zerolog.Logger) *Server {
-	s := &Server{ctx: ctx, serve: serve, takes: takes, log: log, taken: map[takenKey]*exchange{}}
+func NewServer(ctx context.Context, t peer.Transport, serve http.Handler, takes func(service string) bool, account *memory.Account, log zerolog.Logger) *Server {
+	s := &Server{ctx: ctx, serve: serve, takes: takes, log: log, account: account, taken: map[takenKey]*exchange{}}
 	t.Handle(peer.KindOffer, s.handleOffer)
 	t.Handle(peer.KindReadAnswer, s.handleRead)
 	t.Handle(peer.KindReleaseOffer, s.handleRelease)
@@ -75,13 +82,17 @@
 	if s.taken[key] != nil || len(s.taken) >= maxTaken {
 		return OfferReply{}, nil
 	}
-	s.taken[key] = s.newExchange(key, q)
+	held := s.account.BeginRequest()
+	if !held.Add(len(q.Body)) {
+		return OfferReply{}, nil
+	}
+	s.taken[key] = s.newExchange(key, q, held)
 	return OfferReply{Taken: true, StatesEnd: true}, nil
 }
 
-func (s *Server) newExchange(key takenKey, q *Request) *exchange {
+func (s *Server) newExchange(key takenKey, q *Request, held *memory.Request) *exchange {
 	ctx, cancel := context.WithCancel(context.WithValue(s.ctx, relayedKey{}, true))
-	e := &exchange{request: q, ctx: ctx, cancel: cancel, header: http.Header{}, changed: make(chan struct{})}
+	e := &exchange{request: q, held: held, memory: s.account.BeginAnswer(false, cancel), ctx: ctx, cancel: cancel, header: http.Header{}, changed: make(chan struct{})}
 	e.lease = time.AfterFunc(offerLease, func() {
 		s.log.Info().Str("from", key.vm).Uint64("offer", key.id).Msg("a request of another VM is not read any more; dropped")
 		s.drop(key, e)
@@ -98,6 +109,8 @@
 	s.mu.Unlock()
 	e.lease.Stop()
 	e.cancel()
+	e.held.Close()
+	e.memory.Close()
 }
 
 func (s *Server) lookup(key takenKey) *exchange {
@@ -140,6 +153,8 @@
 // It implements http.ResponseWriter.
 type exchange struct {
 	request *Request
+	held    *memory.Request // of request
+	memory  *memory.Answer  // of waiting
 	ctx     context.Context
 	cancel  context.CancelFunc
 	lease   *time.Timer
@@ -249,6 +264,9 @@
 				return len(p) - len(rest), err
 			}
 		}
+		if !e.memory.Add(n) {
+			return len(p) - len(rest), errNoMemory
+		}
 		e.waiting = append(e.waiting, rest[:n]...)
 		rest = rest[n:]
 		e.signal()
@@ -288,6 +306,7 @@
 	if acknowledged := r.Offset - e.offset; acknowledged > 0 && acknowledged <= int64(len(e.waiting)) {
 		e.waiting = append([]byte(nil), e.waiting[acknowledged:]...)
 		e.offset = r.Offset
+		e.memory.Add(-int(acknowledged))
 		e.signal()
 	}
 	for !e.hasNews(r.HasHead) {
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -3,10 +3,14 @@
 package readlimit
 
 import (
+	"errors"
 	"fmt"
 	"io"
 )
 
+// ErrExceeded means that the head of a message is larger than it may be.
+var ErrExceeded = errors.New("head too large")
+
 // Reader reads from another reader, and bounds what is read between Start and Stop.
 type Reader struct {
 	r       io.Reader
@@ -30,7 +34,7 @@
 		return l.r.Read(p)
 	}
 	if l.left <= 0 {
-		return 0, fmt.Errorf("head of the message exceeds %d bytes", l.limit)
+		return 0, fmt.Errorf("%w: more than %d bytes", ErrExceeded, l.limit)
 	}
 	n, err := l.r.Read(p[:min(len(p), l.left)])
 	l.left -= n
--- a/internal/result/resulthttp/resulthttp.go
+++ b/internal/result/resulthttp/resulthttp.go
@@ -54,3 +54,9 @@
 	}
 	return body, nil
 }
+
+// EndWrites makes the writes of an answer fail.
+func EndWrites(w http.ResponseWriter) {
+	// Only connections of tests do not support deadlines, and they do not need them.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
+}
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -13,6 +13,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/enginespeed"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
@@ -57,7 +58,10 @@
 	if o.Limits.Stated() {
 		r.conns.count = r.load.traffic.count
 	}
+	account := memory.NewAccount(o.Limits.MemoryBytes)
+	r.registerMemoryGauges(account)
 	pool := r.load.pool()
+	pool.SetAccount(account)
 	r.fleet = upstream.NewFleet(pool, o.Log)
 	r.cordons.apply = r.setCordons
 	r.registerGauges(pool)
@@ -82,12 +86,12 @@
 	r.handler = forward.NewHandler(forward.Options{
 		Context: r.ctx, Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, ListsReady: r.listsReady,
 		RetryAllowance: o.RetryAllowance, Log: o.Log, RoutineLog: o.RoutineLog, Metrics: o.Metrics, SuspectContents: r.suspectContents, Closing: r.drain.started,
-		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(r.network, r.member.Relays, o.Log), FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
+		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(r.network, r.member.Relays, account, o.Log), FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
 		Rollouts: &forward.Rollouts{State: r.rollouts.Load, Recorder: r.recorder},
-		Origins:  r.member, VersionsFresh: r.feed.Fresh,
+		Origins:  r.member, VersionsFresh: r.feed.Fresh, Memory: account,
 	})
 	r.entrance = r.drain.countRequests(r.load.limit(r.handler, r.handler.Refuse, r.conns.open))
-	handoff.NewServer(r.ctx, r.network, r.entrance, r.takes, o.Log)
+	handoff.NewServer(r.ctx, r.network, r.entrance, r.takes, account, o.Log)
 	if err := r.serve(); err != nil {
 		r.cancel()
 		return nil, err
@@ -112,6 +116,14 @@
 	return err
 }
 
+// registerMemoryGauges registers the metrics of the memory for data from outside.
+func (r *Router) registerMemoryGauges(a *memory.Account) {
+	set := r.o.Metrics
+	set.NewGauge("shelf_memory_held_bytes", func() float64 { return float64(a.Usage().Bytes) })
+	set.NewGauge("shelf_memory_requests_bytes", func() float64 { return float64(a.Usage().RequestBytes) })
+	set.NewGauge("shelf_memory_answers_ended_total", func() float64 { return float64(a.Usage().Ended) })
+}
+
 // registerGauges registers the metrics that are computed when they are read.
 func (r *Router) registerGauges(pool *upstream.Pool) {
 	set := r.o.Metrics
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,12 +1,15 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 )
 
 // idlePerServer bounds the idle connections to one backend server. The server counts the
@@ -17,6 +20,8 @@
 type Pool struct {
 	dial Dialer
 	now  func() time.Time
+	// account holds the responses that Do reads; nil: they are not counted.
+	account *memory.Account
 
 	mu    sync.Mutex
 	idle  map[string][]*Conn
@@ -46,6 +51,10 @@
 	return &Pool{dial: dial, now: time.Now, idle: map[string][]*Conn{}}
 }
 
+// SetAccount sets the account for the responses that Do reads. It must be set before the Pool is
+// used.
+func (p *Pool) SetAccount(a *memory.Account) { p.account = a }
+
 // Get returns an idle connection to the server with the given key, or a new one. fresh asks
 // for a new one, because an idle connection may have failed silently.
 func (p *Pool) Get(ctx context.Context, key, addr string, fresh bool) (*Conn, error) {
@@ -129,7 +138,7 @@
 		c.Close()
 		return nil, nil, err
 	}
-	body, err := ReadBody(resp, maxResponseBytes)
+	body, err := p.readBody(c, resp)
 	if err != nil {
 		c.Close()
 		return nil, nil, err
@@ -140,6 +149,17 @@
 	return resp, body, nil
 }
 
+// readBody reads the response to a request that Do sent.
+func (p *Pool) readBody(c *Conn, resp *http.Response) ([]byte, error) {
+	if p.account == nil {
+		return ReadBody(resp, maxResponseBytes)
+	}
+	m := p.account.BeginAnswer(false, c.Close)
+	defer m.Close()
+	body, err := ReadPieces(resp, maxResponseBytes, m.Add)
+	return bytes.Join(body, nil), err
+}
+
 // Sweep closes the idle connections that have expired. Connections to a server that left
 // the list while a request was in flight would otherwise stay open forever.
 func (p *Pool) Sweep() {
