forward: bytes without progress are no sign of life

What callers saw: a stream whose engine sent one event or comments over and over stayed there until its deadline. Each result reset the silence timer and counted as a sign of life of the engine, and repeats were dropped one by one.

A run makes progress with an event whose id exceeds those before, of this run, or, in a stream without ids, with an event that holds more than comments. Anything else moves neither the run's silence nor the engine's. After 64 KB without progress, or four events whose ids do not increase, the run is lost, and the stream goes on at another engine. An engine that regenerates the stream from its first event still makes progress, as do comments between events.

Events of one run are read at 1 MB/s at most, after a burst of 256 KB: a VM dropped 100 MB/s on the processor time of its sound streams.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -11,6 +11,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -45,6 +46,7 @@
 	callerTooSlow   bool        // the memory for what the caller had not read was needed for others
 	silenceTimer    *silenceTimer
 	forwarded       int // events of this run that the caller was sent
+	progress        progress
 	lastHeard       time.Time
 	probe           *probe
 	report          Report
@@ -166,6 +168,7 @@
 		return
 	}
 	in := newEventReader(resp.Body, partial.Add)
+	pace := newReadPace(time.Now())
 	for {
 		ev, err := in.next()
 		if err != nil {
@@ -174,6 +177,9 @@
 		if !r.results.push(readResult{event: ev, err: err}) || err != nil {
 			return
 		}
+		if wait := pace.read(len(ev.raw), time.Now()); wait > 0 {
+			_ = timer.Sleep(r.st.q.ctx, wait) // the next read fails if the request has ended
+		}
 	}
 }
 
@@ -203,8 +209,11 @@
 // silence since then means nothing.
 func (r *run) step(backupCheck <-chan time.Time) (runEnd, bool) {
 	if res, ok := r.results.pop(); ok {
+		heard := r.lastHeard
 		end, done := r.handleResult(res)
-		r.silenceTimer.set(r.silenceLimits().ProbeAfter)
+		if r.lastHeard != heard {
+			r.silenceTimer.set(r.silenceLimits().ProbeAfter)
+		}
 		return end, done
 	}
 	select {
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -11,11 +11,14 @@
 // handleResult handles a result of the reader and all others that have come by then.
 // One flush serves them all.
 func (r *run) handleResult(res readResult) (runEnd, bool) {
-	r.lastHeard, r.reportIsCurrent, r.probeFailed, r.missingReports = time.Now(), false, false, 0
-	if res.err == nil {
-		r.st.h.opts.Fleet.Heard(r.server)
-	}
 	for {
+		if r.isProgress(&res) {
+			r.noteHeard()
+		}
+		if r.progress.isStuck() {
+			r.st.h.noteBroken(r.server, errNoProgress)
+			return r.lost(errNoProgress.Error()), true
+		}
 		end, done := r.handleOne(res)
 		if done {
 			return end, true
@@ -31,6 +34,17 @@
 	}
 }
 
+// isProgress reports whether a result shows that the run goes on.
+func (r *run) isProgress(res *readResult) bool {
+	return res.head != nil || res.err == nil && r.progress.note(res.event)
+}
+
+// noteHeard records that the engine works on the run.
+func (r *run) noteHeard() {
+	r.lastHeard, r.reportIsCurrent, r.probeFailed, r.missingReports = time.Now(), false, false, 0
+	r.st.h.opts.Fleet.Heard(r.server)
+}
+
 func (r *run) handleOne(res readResult) (runEnd, bool) {
 	switch {
 	case res.head != nil:
