--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -9,7 +9,7 @@
 )
 
 // ErrExceeded means that the head of a message is larger than it may be.
-var ErrExceeded = errors.New("head too large")
+var ErrExceeded = errors.New("head of a message exceeds its limit")
 
 // Reader reads from another reader, and bounds what is read between Start and Stop.
 type Reader struct {
@@ -34,7 +34,7 @@
 		return l.r.Read(p)
 	}
 	if l.left <= 0 {
-		return 0, fmt.Errorf("%w: more than %d bytes", ErrExceeded, l.limit)
+		return 0, fmt.Errorf("%w of %d bytes", ErrExceeded, l.limit)
 	}
 	n, err := l.r.Read(p[:min(len(p), l.left)])
 	l.left -= n
