forward, handoff: a stream goes on when the VM that serves it for another one ends

What callers saw: streams that one router served for another were broken off when the first was stopped as planned, killed or cut off itself, although the caller's own router, or a third one, reached the engines.

Cause: the router that holds the caller passed bytes through without knowing the events, so that it could only abort an answer that the other router ended early. A router that was stopped closed its links at the moment in which it ended these answers, and the other one found out by refused connections, a second later.

The router that holds the caller now splits the answer into events, sends complete ones only, and goes on after the last: itself, once it reaches the engines again, or through another router. The version that began the stream is found as for a caller that reconnects, as is a copy of the run.

Evidence: TestHandedOffStreamOutlivesTheVMThatServesIt, 4 cases; before, each was aborted at the first end.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -68,15 +68,39 @@
 			begun = false // the rest is neither a blank line nor a field
 			continue
 		}
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
+		if e.addLine(line) {
 			e.raw = bytes.Clone(r.raw)
 			return e, nil
 		}
-		e.hasData = e.hasData || isData(line)
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-			e.id, e.hasID = id, err == nil
+	}
+}
+
+// addLine reads a line of the event. It reports whether it is the blank line that ends it.
+func (e *event) addLine(line []byte) (ends bool) {
+	line = bytes.TrimRight(line, "\r\n")
+	if len(line) == 0 {
+		return true
+	}
+	e.hasData = e.hasData || isData(line)
+	if value, ok := bytes.CutPrefix(line, idField); ok {
+		id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		e.id, e.hasID = id, err == nil
+	}
+	return false
+}
+
+// cutEvent returns the event with which text begins; ok is false if it has not ended there.
+func cutEvent(text []byte) (e event, ok bool) {
+	for at := 0; ; {
+		n := bytes.IndexByte(text[at:], '\n') + 1
+		if n == 0 {
+			return event{}, false
+		}
+		line := text[at : at+n]
+		at += n
+		if e.addLine(line) {
+			e.raw = text[:at]
+			return e, true
 		}
 	}
 }
--- a/internal/forward/hand_off.go
+++ b/internal/forward/hand_off.go
@@ -29,20 +29,22 @@
 }
 
 // handOff has another VM serve a request. That VM counts it, in budgets, limits and records
-// of contents; this one does not.
+// of contents; this one does not, unless it goes on with the stream itself.
 func (h *Handler) handOff(w http.ResponseWriter, q *request) {
+	if q.isStream() {
+		h.handOffStream(w, q)
+		return
+	}
 	for range maxHandOffs {
 		h.Stats.HandOffs.Inc()
 		switch h.opts.HandOff.Serve(q.ctx, w, h.offerOf(q)) {
 		case handoff.Answered:
 			return
 		case handoff.NotTaken:
-			q.setRetryAfter(noServerRetryAfter)
-			h.endCall(w, q, nil, result.NoServerReached)
+			h.refuseHandOff(w, q)
 			return
 		case handoff.Broken:
-			h.Stats.BrokenStreams.Inc()
-			panic(http.ErrAbortHandler) // a regular end would make the answer look complete
+			h.abortHandOff()
 		case handoff.CallerLeft:
 			h.endGone()
 		case handoff.Lost:
@@ -59,10 +61,25 @@
 	h.endCall(w, q, nil, result.OutcomeUnknown)
 }
 
+// refuseHandOff answers a request that no VM takes.
+func (h *Handler) refuseHandOff(w http.ResponseWriter, q *request) {
+	q.setRetryAfter(noServerRetryAfter)
+	h.endCall(w, q, nil, result.NoServerReached)
+}
+
+// abortHandOff aborts an answer that is not complete. A regular end would make it look so.
+func (h *Handler) abortHandOff() {
+	h.Stats.BrokenStreams.Inc()
+	panic(http.ErrAbortHandler)
+}
+
 // offerOf returns the request as its caller sent it, with the time that is left.
 func (h *Handler) offerOf(q *request) handoff.Request {
 	header := q.outbound.Header.Clone()
 	h.opts.Wire.SetDeadline(header, max(time.Millisecond, q.left()))
+	if q.HasAfter && q.FirstAttempt != "" {
+		h.opts.Wire.SetReconnect(header, q.After, q.FirstAttempt)
+	}
 	return handoff.Request{
 		Service: q.service.Name, Method: q.outbound.Method, URI: q.outbound.URI, Host: q.outbound.Host, Header: header, Body: q.outbound.Body,
 	}
--- a/internal/forward/hand_off_test.go
+++ b/internal/forward/hand_off_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,3 +51,86 @@
 		})
 	}
 }
+
+// relays is a HandOff to VMs that end, one after the other, in the middle of an event.
+type relays struct {
+	ends   []uint64 // the last complete event of each VM; the one after them serves the rest
+	offers []handoff.Request
+	lost   func() // is called when a VM ends
+}
+
+func (r *relays) Serve(_ context.Context, w http.ResponseWriter, q handoff.Request) handoff.Outcome {
+	at := len(r.offers)
+	r.offers = append(r.offers, q)
+	after, _ := strconv.ParseUint(q.Header.Get(forward.HeaderLastEvent), 10, 64)
+	w.Header().Set(forward.HeaderSignature, "vm")
+	for n := after + 1; n <= 100; n++ {
+		if at < len(r.ends) && n > r.ends[at] {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: pie", n)
+			r.lost()
+			return handoff.Broken
+		}
+		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+		_, _ = io.WriteString(w, text[:8])
+		_, _ = io.WriteString(w, text[8:])
+		time.Sleep(10 * time.Millisecond)
+	}
+	return handoff.Answered
+}
+
+// Guards against streams that are broken off when the VM that serves them for another one ends:
+// they go on through a third one, or at the VM itself once it reaches the engines again.
+func TestHandedOffStreamOutlivesTheVMThatServesIt(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		ends    []uint64
+		reaches bool // the engines are reached when the VM ends
+		offers  int
+	}{
+		{"one VM ends", []uint64{20}, false, 2},
+		{"two VMs end", []uint64{20, 70}, false, 3},
+		{"before an event", []uint64{0}, false, 2},
+		{"the engines are reached again", []uint64{20}, true, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, engine("a"))
+				defer f.shutDown()
+				r := &relays{ends: tt.ends, lost: func() {
+					if tt.reaches {
+						f.servers[0].Set(routedengine.Alive)
+						f.handler.ProbeService("models")
+						time.Sleep(100 * time.Millisecond)
+					}
+				}}
+				f.handOff = r
+				f.setPlacer(nil)
+				f.servers[0].Set(routedengine.Unresponsive)
+				f.loseService(t)
+				a := f.send("POST", "/s/1", "r2", "log")
+				a.requireCompleteStream(t, 100)
+				if len(r.offers) != tt.offers {
+					t.Errorf("got %d offers, want %d", len(r.offers), tt.offers)
+				}
+				for i, q := range r.offers[1:] {
+					after, first := q.Header.Get(forward.HeaderLastEvent), q.Header.Get(forward.HeaderFirstAttempt)
+					if want := tt.ends[i]; want > 0 && (after != fmt.Sprint(want) || first != "r2") {
+						t.Errorf("offer %d asks for what follows event %q of attempt %q, want %d and r2", i+1, after, first, want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// loseService makes the router notice that it reaches no engine.
+func (f *fixture) loseService(t *testing.T) {
+	t.Helper()
+	for range 4 {
+		f.handler.ProbeService("models")
+		time.Sleep(300 * time.Millisecond)
+	}
+	if f.fleet.Reaches("models") {
+		t.Fatal("want the service lost")
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/admission"
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
 	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/overload"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
@@ -402,7 +403,7 @@
 		return q, err
 	}
 	if route.Kind == routes.Stream {
-		if err := q.checkReconnect(); err != nil {
+		if err := q.checkReconnect(handoff.IsRelayed(r.Context())); err != nil {
 			return q, err
 		}
 	}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -120,6 +120,12 @@
 	h.Set(n.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 }
 
+// SetReconnect implements Wire.
+func (n *Headers) SetReconnect(h http.Header, after uint64, firstAttempt string) {
+	h.Set(n.LastEvent, strconv.FormatUint(after, 10))
+	h.Set(n.FirstAttempt, firstAttempt)
+}
+
 // PerAttemptHeaders implements Wire.
 func (n *Headers) PerAttemptHeaders() []string {
 	return []string{n.RequestID, n.Deadline, n.LastEvent, n.FirstAttempt}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -77,12 +77,21 @@
 
 // serveStream carries a request whose answer is a stream of events.
 func (h *Handler) serveStream(w http.ResponseWriter, q *request) {
-	st := &streamRelay{
+	h.newStreamRelay(w, q).serve()
+}
+
+func (h *Handler) newStreamRelay(w http.ResponseWriter, q *request) *streamRelay {
+	return &streamRelay{
 		h: h, q: q, w: w, skip: map[string]bool{}, ready: make(chan struct{}, 1),
 		need: placement.Need{Prompt: q.PromptTokens, Output: q.OutputTokens},
 		seq:  sequence{last: q.After, started: q.HasAfter},
 		id:   q.identity(h.opts.Wire.PerAttemptHeaders()),
 	}
+}
+
+// serve sends the stream, or what the caller lacks of it.
+func (st *streamRelay) serve() {
+	h, q := st.h, st.q
 	defer h.activeRuns.drop(q.RequestID)
 	defer st.endCounted()
 	st.findOrphan()
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -90,8 +90,8 @@
 }
 
 // checkReconnect rejects a request that names the stream to which it reconnects in a way that no
-// caller of a stream does.
-func (q *request) checkReconnect() error {
+// caller of a stream does. Another VM that goes on with a stream hands off the attempt that began it.
+func (q *request) checkReconnect(relayed bool) error {
 	fault := q.ReconnectFault
 	switch {
 	case fault != "":
@@ -99,7 +99,7 @@
 		return nil
 	case !q.HasAfter:
 		fault = "it names the attempt that began a stream, but no last event"
-	case q.FirstAttempt == q.RequestID:
+	case q.FirstAttempt == q.RequestID && !relayed:
 		fault = "it names itself as the attempt that began the stream"
 	case len(q.FirstAttempt) > streamversion.MaxAttemptBytes:
 		fault = fmt.Sprintf("the id of the attempt that began the stream has %d bytes; allowed: %d", len(q.FirstAttempt), streamversion.MaxAttemptBytes)
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -105,6 +105,9 @@
 	SetInstance(h http.Header, instance string)
 	// SetDeadline writes how long a caller waits, as ReadCaller reads it.
 	SetDeadline(h http.Header, left time.Duration)
+	// SetReconnect writes the last event that a caller has and the attempt that brought the first
+	// one, as ReadCaller reads them.
+	SetReconnect(h http.Header, after uint64, firstAttempt string)
 	// PerAttemptHeaders returns the names, in canonical form, of the headers that differ
 	// between the attempts of a request.
 	PerAttemptHeaders() []string
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // Bounds of the requests that a VM serves for others.
@@ -30,6 +31,8 @@
 	// readLease is how long a request is kept without a further read: as long as its reader
 	// would wait for this VM.
 	readLease = lostAfter
+	// endPollInterval is how often EndAll checks whether the other VMs know of the end.
+	endPollInterval = 5 * time.Millisecond
 )
 
 // errNoMemory means that the memory of an answer was needed for others.
@@ -51,6 +54,7 @@
 
 	mu    sync.Mutex
 	taken map[takenKey]*exchange
+	ended bool // no more requests are taken
 }
 
 type takenKey struct {
@@ -79,7 +83,7 @@
 	key := takenKey{from, q.ID}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.taken[key] != nil || len(s.taken) >= maxTaken {
+	if s.ended || s.taken[key] != nil || len(s.taken) >= maxTaken {
 		return OfferReply{}, nil
 	}
 	held := s.account.BeginRequest()
@@ -113,6 +117,25 @@
 	e.memory.Close()
 }
 
+// EndAll ends all requests that this VM serves for others, and takes no more. Their VMs go on with
+// them. It returns once these know it, or when ctx ends.
+func (s *Server) EndAll(ctx context.Context) {
+	s.mu.Lock()
+	s.ended = true
+	for _, e := range s.taken {
+		e.cancel()
+	}
+	s.mu.Unlock()
+	for s.inProgress() > 0 && timer.Sleep(ctx, endPollInterval) == nil {
+	}
+}
+
+func (s *Server) inProgress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.taken)
+}
+
 func (s *Server) lookup(key takenKey) *exchange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -37,6 +37,7 @@
 	recorder        *rollout.Recorder
 	cordons         cordonFeed
 	drain           *drain
+	handOffs        *handoff.Server // of requests that other VMs hand off
 	conns           *callerConns
 	load            *vmLoad
 	// listsReady is closed once the route list and the list of backend servers are held.
@@ -91,7 +92,7 @@
 		Origins:  r.member, VersionsFresh: r.feed.Fresh, Memory: account,
 	})
 	r.entrance = r.drain.countRequests(r.load.limit(r.handler, r.handler.Refuse, r.conns.open))
-	handoff.NewServer(r.ctx, r.network, r.entrance, r.takes, account, o.Log)
+	r.handOffs = handoff.NewServer(r.ctx, r.network, r.entrance, r.takes, account, o.Log)
 	if err := r.serve(); err != nil {
 		r.cancel()
 		return nil, err
@@ -239,6 +240,10 @@
 // leaveNoticeTimeout bounds the heartbeats that announce a planned shutdown.
 const leaveNoticeTimeout = 300 * time.Millisecond
 
+// handBackTimeout bounds the wait until other VMs know that the requests which they handed off have
+// ended here. It is part of closeMargin.
+const handBackTimeout = 150 * time.Millisecond
+
 // Shutdown drains the router. It leaves the directory at once and keeps serving callers
 // whose entry answers still name it. Shutdown returns when no request runs any more, or
 // when the grace period is nearly over.
@@ -248,6 +253,9 @@
 	r.member.SendNow(ctx)
 	cancel()
 	r.drain.wait()
+	ctx, cancel = context.WithTimeout(r.ctx, handBackTimeout)
+	r.handOffs.EndAll(ctx)
+	cancel()
 	r.Close()
 }
 
