forward: a stream is handed off when its VM is cut off from all engines

What callers saw: streams that ran, or had just been sent, when their router was cut off from all engines ended with 502, or were broken off, although other routers reached the engines.

Cause: whether a request is handed off was decided once, when it arrived. A stream that found no engine later gave up after its search, 3 s after the last byte, without asking another router.

A stream whose search has ended while its VM reaches no engine of the service goes on through another VM, after its last event, as one does whose serving VM ended. The search itself is as it was, so that engines that are only silent keep their runs.

Evidence: TestStreamOfAVMThatIsCutOffGoesOn, red before: status 502 before the first event.

--- a/internal/forward/hand_off_stream.go
+++ b/internal/forward/hand_off_stream.go
@@ -27,8 +27,18 @@
 	r := newRelayedStream(h, w)
 	defer r.memory.Close()
 	r.seq = sequence{last: q.After, started: q.HasAfter}
-	var lostAt time.Time
-	for q.ctx.Err() == nil {
+	h.relayStream(w, q, r, time.Now())
+}
+
+// relayStream has other VMs serve what the caller lacks of a stream, one after the other. lostAt is
+// when the stream lost its engine or VM.
+func (h *Handler) relayStream(w http.ResponseWriter, q *request, r *relayedStream, lostAt time.Time) {
+	for isRetry := false; q.ctx.Err() == nil; {
+		if isRetry && !h.mayRetry(q, InTime) {
+			h.endHandOff(w, q, r, result.RetriesSpent)
+			return
+		}
+		isRetry = false
 		h.Stats.HandOffs.Inc()
 		switch r.serve(q) {
 		case handoff.Answered:
@@ -42,7 +52,7 @@
 			}
 		case handoff.Broken, handoff.Lost:
 			q.history.Add(sendUnknown)
-			lostAt = time.Now()
+			isRetry, lostAt = true, time.Now()
 			q.reconnectAfter(r.seq)
 			if !r.mayGoOn(q) {
 				h.endHandOff(w, q, r, result.OutcomeUnknown)
@@ -56,14 +66,31 @@
 		if time.Since(lostAt) > maxResumeSearch || timer.Sleep(q.ctx, handOffRetryPause) != nil {
 			break
 		}
-		if !h.mayRetry(q, InTime) {
-			h.endHandOff(w, q, r, result.RetriesSpent)
-			return
-		}
 	}
 	h.endHandOff(w, q, r, result.RouteTimeout)
 }
 
+// handOffRest has other VMs go on with a stream that has lost its engine, if this VM reaches none
+// any more. It reports whether the caller has its final answer.
+func (st *streamRelay) handOffRest() bool {
+	h, q := st.h, st.q
+	if q.ctx.Err() != nil || !h.mustHandOff(q) {
+		return false
+	}
+	r := newRelayedStream(h, st.w)
+	defer r.memory.Close()
+	r.seq, r.headSent, r.events, r.lastEventAt = st.seq, st.headSent, st.events, st.lastEventAt
+	if !r.mayGoOn(q) || !h.mayRetry(q, InTime) {
+		return false
+	}
+	st.releaseHeld("another VM goes on with the stream", endBroken)
+	h.opts.Log.Info().Str("request", q.RequestID).Uint64("after", st.seq.last).Int("sends", st.sends).
+		Dur("searched", st.searchedFor()).Msg("no engine is reached; handing off the rest of the stream")
+	q.reconnectAfter(r.seq)
+	h.relayStream(st.w, q, r, time.Now())
+	return true
+}
+
 // endHandOff gives the final answer to a stream that cannot be finished.
 func (h *Handler) endHandOff(w http.ResponseWriter, q *request, r *relayedStream, code result.Code) {
 	if r.begun() {
--- a/internal/forward/hand_off_test.go
+++ b/internal/forward/hand_off_test.go
@@ -134,3 +134,25 @@
 		t.Fatal("want the service lost")
 	}
 }
+
+// Guards against streams that are broken off, or refused after they were sent, when their VM is cut
+// off from all engines.
+func TestStreamOfAVMThatIsCutOffGoesOn(t *testing.T) {
+	for _, after := range []time.Duration{500 * time.Millisecond, 2 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, engine("a"))
+			f.keepNoCopies()
+			defer f.shutDown()
+			r := &relays{}
+			f.handOff = r
+			f.setPlacer(nil)
+			a := f.send("POST", "/s/1", "r1", "log")
+			time.Sleep(after)
+			f.servers[0].Set(routedengine.Unresponsive)
+			a.requireCompleteStream(t, 100)
+			if pause := a.longestPause(); len(r.offers) != 1 || pause > 6*time.Second {
+				t.Errorf("cut off after %v: got %d offers and a pause of %v, want 1 and at most 6s", after, len(r.offers), pause)
+			}
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -102,6 +102,10 @@
 	for {
 		run, reason := st.nextRun()
 		if run == nil {
+			outcome = "handed off"
+			if st.handOffRest() {
+				return
+			}
 			outcome = st.outcomeName(reason)
 			st.fail(reason)
 			return
--- a/internal/handoff/early_end_test.go
+++ b/internal/handoff/early_end_test.go
@@ -1,6 +1,7 @@
 package handoff
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -90,3 +91,33 @@
 		}
 	})
 }
+
+// Guards against a VM that is stopped and leaves others to find out by refused connections: they
+// would go on with its requests a second later.
+func TestOtherVMsKnowOfAPlannedEnd(t *testing.T) {
+	inSystem(t, func(w http.ResponseWriter, r *http.Request) {
+		begin(w)
+		<-r.Context().Done()
+	}, func(t *testing.T, s *system) {
+		var took time.Duration
+		time.AfterFunc(400*time.Millisecond, func() {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			began := time.Now()
+			for _, server := range s.servers {
+				server.EndAll(ctx)
+			}
+			took = time.Since(began)
+		})
+		if got := s.send(t.Context(), httptest.NewRecorder(), "votes"); got != Broken {
+			t.Errorf("got outcome %d, want Broken", got)
+		}
+		time.Sleep(time.Second)
+		if took > 100*time.Millisecond {
+			t.Errorf("the end took %v, want it to end with the last answer", took)
+		}
+		if got := s.send(t.Context(), httptest.NewRecorder(), "votes"); got != NotTaken {
+			t.Errorf("got outcome %d from VMs that end, want NotTaken", got)
+		}
+	})
+}
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -22,8 +22,10 @@
 type system struct {
 	net    *peertest.Net
 	client *Client
-	runs   atomic.Int64
-	stop   context.CancelFunc // ends what a and b serve; they still answer messages
+	// servers are those of a and b.
+	servers []*Server
+	runs    atomic.Int64
+	stop    context.CancelFunc // ends what a and b serve; they still answer messages
 }
 
 func inSystem(t *testing.T, serve http.HandlerFunc, f func(t *testing.T, s *system)) {
@@ -36,7 +38,8 @@
 			serve(w, r)
 		})
 		for _, vm := range []string{"a", "b"} {
-			NewServer(ctx, s.net.VM(vm), counted, func(service string) bool { return service == "votes" }, memory.NewAccount(0), zerolog.Nop())
+			server := NewServer(ctx, s.net.VM(vm), counted, func(service string) bool { return service == "votes" }, memory.NewAccount(0), zerolog.Nop())
+			s.servers = append(s.servers, server)
 		}
 		s.client = NewClient(s.net.VM("cut"), func(string) []string { return []string{"a", "b"} }, memory.NewAccount(0), zerolog.Nop())
 		f(t, s)
