routed: operators' bodies share one bound

A control process reads an operator's list of up to 16 MB into memory before it parses it, and several at once had no common bound: six of them may exceed the memory of a VM of 88 MB, since reading takes up to twice the size. The bodies that are held at once may have 16 MB together now. One for which there is no room is refused with 3001 and a Retry-After; nothing is lost, since nothing was accepted. The reader that counts bodies is the one of callers' requests.

Not measured with processes.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -35,7 +35,7 @@
 	rc := http.NewResponseController(w)
 	// Only connections of tests do not support deadlines, and they do not need them.
 	_ = rc.SetReadDeadline(q.expires)
-	body, err := io.ReadAll(&countedBody{r: http.MaxBytesReader(w, r.Body, limit), memory: q.memory.body, left: countedBytes(r)})
+	body, err := io.ReadAll(q.memory.body.Reader(http.MaxBytesReader(w, r.Body, limit), countedBytes(r)))
 	if err == nil {
 		// After an error the deadline stays. Without it the HTTP server would wait for
 		// the rest of the body before it sends the refusal.
@@ -47,7 +47,7 @@
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, result.New(result.BodyTooLarge)
-	case errors.Is(err, errNoBodyMemory):
+	case errors.Is(err, memory.ErrSpent):
 		return nil, errQueueFull()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, result.New(result.RequestTooSlow)
@@ -55,31 +55,11 @@
 	return nil, result.Newf(result.MalformedBody, "the body could not be read: %v", err)
 }
 
-var errNoBodyMemory = errors.New("forward: no memory for the body of a request")
-
 // errQueueFull refuses a request that this VM has no room for. Another one may have some.
 func errQueueFull() error {
 	return result.New(result.QueueFull).WithRetryAfter(otherRouterRetryAfter)
 }
 
-// countedBody reads a body, and counts what exceeds the bytes that were counted before.
-type countedBody struct {
-	r      io.Reader
-	memory *memory.Request
-	left   int // counted and not read
-}
-
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	for b.left -= n; b.left < 0; b.left += unknownLengthBytes {
-		if !b.memory.Add(unknownLengthBytes) {
-			return 0, errNoBodyMemory
-		}
-	}
-	return n, err
-}
-
 // hopByHop lists the headers that concern a single connection.
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -57,8 +57,6 @@
 	// maxHeldRequests is the number of requests that arrive within some seconds at the
 	// highest rate that a small VM can carry.
 	maxHeldRequests = 4096
-	// unknownLengthBytes is counted at a time for a body without a Content-Length.
-	unknownLengthBytes = 64 << 10
 	// refusalWriteTimeout bounds the write of a refusal to a caller that does not read.
 	refusalWriteTimeout = 5 * time.Second
 	// finalWriteTimeout is granted beyond the deadline for the last bytes of an answer.
@@ -287,12 +285,7 @@
 
 // countedBytes returns the size that a request's body is counted with before it is
 // read.
-func countedBytes(r *http.Request) int {
-	if r.ContentLength < 0 {
-		return unknownLengthBytes
-	}
-	return int(r.ContentLength)
-}
+func countedBytes(r *http.Request) int { return int(max(0, r.ContentLength)) }
 
 // id returns the request's id; empty: its headers were not read.
 func (q *request) id() string {
--- a/internal/result/resulthttp/resulthttp.go
+++ b/internal/result/resulthttp/resulthttp.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 )
 
@@ -46,15 +47,34 @@
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, result.New(result.BodyTooLarge)
-	}
-	if err != nil {
+	case errors.Is(err, memory.ErrSpent):
+		return nil, result.New(result.QueueFull).WithRetryAfter(bodyRetryAfter)
+	case err != nil:
 		return nil, result.Newf(result.MalformedBody, "the body ended early: %v", err)
 	}
 	return body, nil
 }
 
+// bodyRetryAfter is the Retry-After while other bodies take the memory for them.
+const bodyRetryAfter = time.Second
+
+// LimitBodies counts the bodies of requests while next serves them. A body for which there is no
+// room is refused when it is read.
+func LimitBodies(a *memory.Account, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		held := a.BeginRequest()
+		defer held.Close()
+		r.Body = struct {
+			io.Reader
+			io.Closer
+		}{held.Reader(r.Body, 0), r.Body}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // EndWrites makes the writes of an answer fail.
 func EndWrites(w http.ResponseWriter) {
 	// Only connections of tests do not support deadlines, and they do not need them.
--- a/internal/routed/operators.go
+++ b/internal/routed/operators.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
@@ -47,7 +48,7 @@
 		m.Handle("/v1/rollouts", requireToken(token, func(w http.ResponseWriter, q *http.Request) error { return postRollout(w, q, c) })).Methods(http.MethodPost)
 		m.Handle("/v1/rollouts/{service}", requireToken(token, func(w http.ResponseWriter, q *http.Request) error { return getRollout(w, q, c) })).Methods(http.MethodGet)
 	}
-	return m
+	return LimitBodies(m)
 }
 
 func writeReady(w http.ResponseWriter, r *Router) {
@@ -71,6 +72,12 @@
 // callers after this time.
 const EntryTTL = 1 * time.Second
 
+// LimitBodies bounds the bodies of operators' requests that are held at once to the largest one.
+func LimitBodies(h http.Handler) http.Handler {
+	const share = 2 // requests have half of an account
+	return resulthttp.LimitBodies(memory.NewAccountOf(share*MaxRouteListBytes), h)
+}
+
 // requireToken rejects requests without the operators' token. An empty token admits every
 // request; the settings allow it on a loopback address only.
 func requireToken(token string, h func(http.ResponseWriter, *http.Request) error) http.Handler {
