forward: a VM that is cut off blames no content for the silence of its servers

What callers saw: streams of a router that was cut off from all engines were broken off, although other routers reached the engines and were asked to go on with them.

Cause: the router took two engines for dead while it looked for one that goes on, and blamed the content. It noticed after four engines that it is cut off.

While a service is lost to a VM and others hear it, the VM takes back the deaths by silence of the last 5 s of that service's servers, as it does for a server that answers again. Deaths with broken or refused connections stay.

Evidence: TestContentOfACutOffVMIsNotBlamed; the method is new, so that there is no red run of it.

--- a/internal/forward/doubtful_death.go
+++ b/internal/forward/doubtful_death.go
@@ -13,7 +13,7 @@
 //
 // A death that rests on silence is therefore doubtful. The contents are blamed at once, since one
 // that crashes its servers must not reach the next. The death is withdrawn when the server
-// answers again soon. A server that has crashed may be back as soon, but it has broken its
+// answers again soon, or when this VM proves to be cut off from all servers of the service. A server that has crashed may be back as soon, but it has broken its
 // connections, or refuses new ones meanwhile: then the death is certain.
 
 // maxSoundSilence is how long after its death a server that answers was only silent. One that
@@ -107,3 +107,24 @@
 	}
 	return ends
 }
+
+// WithdrawSilences takes back the doubtful deaths of a service's servers. This VM is cut off from
+// them, and other VMs reach them: their silence says nothing of the contents that ran there.
+func (s *SuspectContents) WithdrawSilences(service string) {
+	s.mu.Lock()
+	now, urgent, digests := time.Now(), false, map[uint64]bool{}
+	for i := range s.doubtful {
+		d := &s.doubtful[i]
+		if d.run.server.Service == service && !d.alive && now.Sub(d.at) <= doubtfulDeathTime {
+			d.alive = true
+			digests[d.run.digest] = true
+		}
+	}
+	for digest := range digests {
+		urgent = s.withdrawFrom(digest, now) || urgent
+	}
+	s.mu.Unlock()
+	if urgent && s.Changed != nil {
+		s.Changed()
+	}
+}
--- a/internal/forward/silent_content_test.go
+++ b/internal/forward/silent_content_test.go
@@ -194,3 +194,31 @@
 		f.requireServed(1, "after the silence")
 	})
 }
+
+// Guards against a content that other VMs hold back, since a VM that was cut off from all servers
+// blamed it for their silence.
+func TestContentOfACutOffVMIsNotBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, voteServers(3)...)
+		defer f.shutDown()
+		for i := range 9 {
+			f.send("POST", "/vote/1", fmt.Sprint("v", i), "yes", forward.HeaderDeadline, "300")
+		}
+		time.Sleep(20 * time.Millisecond)
+		for _, s := range f.servers {
+			s.Set(routedengine.Unresponsive)
+		}
+		time.Sleep(time.Second)
+		if f.contents.Count() == 0 || f.fleet.Reaches("votes") {
+			t.Fatal("want the content blamed and the service lost")
+		}
+		f.contents.WithdrawSilences("models")
+		if f.contents.Count() == 0 {
+			t.Error("the silence of another service cleared the content")
+		}
+		f.contents.WithdrawSilences("votes")
+		if n := f.contents.Count(); n != 0 {
+			t.Errorf("%d contents are suspect, want none", n)
+		}
+	})
+}
--- a/internal/routed/reach.go
+++ b/internal/routed/reach.go
@@ -21,7 +21,8 @@
 }
 
 // probeLostServices probes the services that this VM has lost, to find out when it reaches
-// them again, and those that others have lost and this VM has not heard lately.
+// them again, and those that others have lost and this VM has not heard lately. Contents are not
+// blamed for servers that only this VM does not reach.
 func (r *Router) probeLostServices() {
 	ticker := time.NewTicker(reachProbeInterval)
 	defer ticker.Stop()
@@ -31,6 +32,11 @@
 		case <-r.ctx.Done():
 			return
 		}
+		for _, service := range r.fleet.LostServices() {
+			if len(r.member.Relays(service)) > 0 {
+				r.suspectContents.WithdrawSilences(service)
+			}
+		}
 		services := slices.Concat(r.fleet.LostServices(), r.member.LostElsewhere())
 		slices.Sort(services)
 		for _, service := range slices.Compact(services) {
