--- a/internal/forward/doubtful_death.go
+++ b/internal/forward/doubtful_death.go
@@ -13,8 +13,9 @@
 //
 // A death that rests on silence is therefore doubtful. The contents are blamed at once, since one
 // that crashes its servers must not reach the next. The death is withdrawn when the server
-// answers again soon, or when this VM proves to be cut off from all servers of the service. A server that has crashed may be back as soon, but it has broken its
-// connections, or refuses new ones meanwhile: then the death is certain.
+// answers again soon, or when this VM proves to be cut off from all servers of the service. A
+// server that has crashed may be back as soon, but it has broken its connections, or refuses new
+// ones meanwhile: then the death is certain.
 
 // maxSoundSilence is how long after its death a server that answers was only silent. One that
 // crashed without breaking a connection takes longer to start again.
--- a/internal/forward/hand_off.go
+++ b/internal/forward/hand_off.go
@@ -16,7 +16,7 @@
 }
 
 const (
-	// maxHandOffs bounds how often a repeatable request is handed off.
+	// maxHandOffs bounds how often a repeatable call is handed off.
 	maxHandOffs = 2
 	// noServerRetryAfter is the Retry-After of a request that no VM can serve. A lost service
 	// is probed several times in this time.
