forward: a stream that no engine has received is no retry when it is handed off

A stream that waits for an engine, or could not be sent, when its VM proves to be cut off drew on the retry budget of its service, and was refused once that was spent. Only what an engine may have received counts as a retry.

Evidence: TestUnsentStreamOfAVMThatIsCutOffIsNoRetry, red before: status 503.

--- a/internal/forward/hand_off_stream.go
+++ b/internal/forward/hand_off_stream.go
@@ -80,7 +80,7 @@
 	r := newRelayedStream(h, st.w)
 	defer r.memory.Close()
 	r.seq, r.headSent, r.events, r.lastEventAt = st.seq, st.headSent, st.events, st.lastEventAt
-	if !r.mayGoOn(q) || !h.mayRetry(q, InTime) {
+	if !r.mayGoOn(q) || q.history.IsRetry() && !h.mayRetry(q, InTime) {
 		return false
 	}
 	st.releaseHeld("another VM goes on with the stream", endBroken)
--- a/internal/forward/hand_off_test.go
+++ b/internal/forward/hand_off_test.go
@@ -156,3 +156,17 @@
 		})
 	}
 }
+
+// Guards against a stream that no engine has received when its VM is cut off, and that is refused for
+// a spent retry budget.
+func TestUnsentStreamOfAVMThatIsCutOffIsNoRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine("a"))
+		defer f.shutDown()
+		r := &relays{}
+		f.handOff, f.noRetries = r, true
+		f.setPlacer(nil)
+		f.servers[0].Set(routedengine.Unresponsive)
+		f.send("POST", "/s/1", "r1", "log").requireCompleteStream(t, 100)
+	})
+}
