--- a/review/second/client.go
+++ b/review/second/client.go
@@ -46,9 +46,9 @@
 	r.Header.Set("Authorization", "Token "+apiKey)
 	r.Header.Set("Accept-Encoding", "identity")
 	if q.prompt != "" {
-		r.Header.Set("Amaranthshelf-Model", "m")
-		r.Header.Set("Amaranthshelf-Token-Counts", "1200,1000")
-		r.Header.Set("Amaranthshelf-Prefix-Hash", q.prompt)
+		r.Header.Set(names["model"], "m")
+		r.Header.Set(names["tokens"], "1200,1000")
+		r.Header.Set(names["prompt"], q.prompt)
 	}
 	if q.last > 0 {
 		r.Header.Set(headerLast, strconv.Itoa(q.last))
--- a/review/second/config.go
+++ b/review/second/config.go
@@ -3,7 +3,7 @@
 // route returns a route to a service.
 func route(name, prefix, kind, service string, timeoutMS, targetMS int) map[string]any {
 	out := map[string]any{
-		"name": name, "host": host, "path_prefix": prefix, "route_kind": kind, "timeout_ms": timeoutMS, "latency_target_ms": targetMS,
+		"name": name, "host": host, names["prefix"]: prefix, names["kind"]: kind, "timeout_ms": timeoutMS, "latency_target_ms": targetMS,
 		"priority": 1, "service": service, "max_attempts": 5, "public": false,
 	}
 	if kind == "streaming" {
@@ -32,6 +32,6 @@
 	return map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "api_keys": []string{apiKey}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": tenant, names["keys"]: []string{apiKey}, "priority": 1}},
 	}
 }
--- a/review/second/engine.go
+++ b/review/second/engine.go
@@ -11,22 +11,6 @@
 	"time"
 )
 
-// Headers of the users' pages.
-const (
-	headerAttempt   = "Amaranthshelf-Attempt-Id"
-	headerInstance  = "Amaranthshelf-Expect-Instance"
-	headerThis      = "Amaranthshelf-Instance-Id"
-	headerSignature = "Amaranthshelf-Engine-Signature"
-	headerNotRun    = "Amaranthshelf-Not-Executed"
-	headerLoad      = "Amaranthshelf-Engine-Load"
-	headerDeadline  = "Amaranthshelf-Deadline-Ms"
-	headerBackup    = "Amaranthshelf-Kv-Backup"
-	headerFrom      = "Kv-From"
-	headerLeaving   = "Server-Leaving"
-	headerLast      = "Last-Event-Id"
-	headerResumes   = "Resumes"
-)
-
 // A stream whose path contains shortStream has shortEvents events.
 const (
 	shortStream = "/short-"
--- a/review/second/system.go
+++ b/review/second/system.go
@@ -132,8 +132,8 @@
 	}
 	return map[string]any{
 		"node_name": m.name, "role": role, "machine_class": "edge", "serves": serves, "ip": m.ip, "zone": m.zone, "region": "gauteng", "zones": zoneMap,
-		"listen":         map[string]string{"front": m.front, "ready": m.ready, "control": m.operators, "directory": m.directory},
-		"internal_ports": []int{s.port + 10, s.port + 25}, "seeds": seeds, "first_start": first, "fault_counted": true,
+		"listen":            map[string]string{"front": m.front, "ready": m.ready, "control": m.operators, "directory": m.directory},
+		names["peer_ports"]: []int{s.port + 10, s.port + 25}, "seeds": seeds, "first_start": first, "fault_counted": true,
 		"limits":   map[string]any{"cpu_share": 0.72, "cores": 1, "memory_mb": 134, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 64},
 		"data_dir": filepath.Join(s.dir, m.name, role), "discovery": "cloud_api", "entry": "registry", "heartbeat_ms": 1200,
 		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants"},
@@ -195,7 +195,7 @@
 	client := &http.Client{Timeout: 4 * time.Second}
 	last := ""
 	for i := range 60 {
-		r, err := http.NewRequest(http.MethodPut, "http://"+s.machines[i%machineSum].operators+"/v1/config", bytes.NewReader(body))
+		r, err := http.NewRequest(http.MethodPut, "http://"+s.machines[i%machineSum].operators+names["config"], bytes.NewReader(body))
 		if err != nil {
 			return err
 		}
@@ -224,7 +224,7 @@
 	for began := time.Now(); time.Since(began) < most; time.Sleep(100 * time.Millisecond) {
 		n := 0
 		for _, m := range s.machines {
-			resp, err := client.Get("http://" + m.ready + "/v1/readyz")
+			resp, err := client.Get("http://" + m.ready + names["ready"])
 			if err != nil {
 				continue
 			}
@@ -263,7 +263,7 @@
 // resolve asks a control process for the addresses of routers, as a client does.
 func (s *system) resolve(m *machine) []string {
 	client := &http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + m.directory + "/v1/resolve?name=" + host + "&region=gauteng&zone=" + m.zone)
+	resp, err := client.Get("http://" + m.directory + names["resolve"] + "?name=" + host + "&region=gauteng&zone=" + m.zone)
 	if err != nil {
 		return nil
 	}
