--- a/review/second/torn_entry.go
+++ b/review/second/torn_entry.go
@@ -11,7 +11,7 @@
 
 const (
 	recoverTime = 12 * time.Second
-	cutEntry    = `{"service":"desk","addr":"10.128.0.9:80`
+	cutEntry    = `{"service":"desk","addr":"127.0.0.1:80`
 )
 
 func init() { cases["6"] = tornEntry }
