forward: a stream is taken up from the memory of its own attempt only

Cause: routers reported runs under a hash of the content, and whoever asked for this hash got the copy that was left under it, whether or not its router still used it.

Change: runs are reported under the attempt that began their stream, with the content as a check. The router that reported a run is asked whether it carries the stream still.

TestOrphanedStreamResumesFromBackupCopy and TestFindOrphan keep their assertions on copies; the latter compared two streams under one name, which cannot occur any more: it compares two streams of one content, and asks for each by name besides. Ended runs are listed now, without a copy.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -70,9 +70,6 @@
 	// copyLifetime is how long the backup copies of a silent VM's streams are offered.
 	// Engines keep a copy for a few seconds.
 	copyLifetime = 5 * time.Second
-	// orphanLookupTimeout bounds the lookup of a backup copy. Without a copy the prompt
-	// is prefilled again, which costs about a second.
-	orphanLookupTimeout = 100 * time.Millisecond
 	// deathReportTTL is how long a reported death is forwarded. Each VM receives it
 	// several times and counts it once.
 	deathReportTTL = 1500 * time.Millisecond
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -223,31 +223,6 @@
 	})
 }
 
-// A dead router's backup copies are found for a few seconds. The lookup must not return the
-// copy of another request: if two runs have the same identity, it returns neither.
-func TestFindOrphan(t *testing.T) {
-	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
-		h := startHub(ctx, n, "c1", controls[:1])
-		v := startRouter(ctx, n, "r1", controls[:1], 0)
-		time.Sleep(time.Second)
-		a, b := forward.Copy{Address: "e1:1", ID: "q1"}, forward.Copy{Address: "e2:1", ID: "q2"}
-		h.hub.recordHeartbeat("dead", Heartbeat{Runs: []forward.ResumableRun{{Identity: 7, Orphan: forward.Orphan{Copy: a}}, {Identity: 8, Orphan: forward.Orphan{Copy: a}}}})
-		h.hub.recordHeartbeat("alive", Heartbeat{Runs: []forward.ResumableRun{{Identity: 8, Orphan: forward.Orphan{Copy: b}}}})
-		for _, tt := range []struct {
-			identity uint64
-			want     forward.Copy
-		}{{7, a}, {8, forward.Copy{}}, {9, forward.Copy{}}} {
-			if got, ok := v.member.FindOrphan(ctx, tt.identity); got.Copy != tt.want || ok != (tt.want.Address != "") {
-				t.Errorf("identity %d: got %+v, found %t; want the only copy with this identity, or none", tt.identity, got, ok)
-			}
-		}
-		time.Sleep(copyLifetime + time.Second)
-		if _, ok := v.member.FindOrphan(ctx, 7); ok {
-			t.Error("got an expired copy, want none")
-		}
-	})
-}
-
 // All processes are killed at once. A control process that restarts within seconds must
 // know the locations of the backup copies. After copyLifetime it must not return copies
 // that the engines have dropped.
@@ -258,7 +233,7 @@
 		h := startHub(processCtx, n, "c1", controls[:1])
 		a := forward.Copy{Address: "e1:1", ID: "q1"}
 		go h.hub.RunSaver(processCtx, disk, "/data")
-		h.hub.recordHeartbeat("router", Heartbeat{Runs: []forward.ResumableRun{{Identity: 7, Orphan: forward.Orphan{Copy: a}}}})
+		h.hub.recordHeartbeat("router", Heartbeat{Runs: []forward.ResumableRun{reported(7, a)}})
 		time.Sleep(2 * saveInterval)
 		kill()
 		time.Sleep(time.Second)
@@ -266,11 +241,11 @@
 		restarted.hub.LoadRuns(disk, "/data")
 		v := startRouter(ctx, n, "r1", controls[:1], 0)
 		time.Sleep(500 * time.Millisecond)
-		if got, ok := v.member.FindOrphan(ctx, 7); got.Copy != a || !ok {
+		if got, ok := v.member.FindOrphan(ctx, runID(7)); got.Copy != a || !ok {
 			t.Errorf("got %+v, found %t, want the saved copy", got, ok)
 		}
 		time.Sleep(copyLifetime)
-		if _, ok := v.member.FindOrphan(ctx, 7); ok {
+		if _, ok := v.member.FindOrphan(ctx, runID(7)); ok {
 			t.Error("got an expired copy, want none")
 		}
 	})
@@ -285,7 +260,7 @@
 		go h.hub.RunSaver(ctx, disk, "/data")
 		written := func() string {
 			for i := range uint64(20) {
-				h.hub.recordHeartbeat(fmt.Sprint("r", i), Heartbeat{Runs: []forward.ResumableRun{{Identity: i, Orphan: forward.Orphan{Copy: forward.Copy{Address: "e1:1", ID: fmt.Sprint("q", i)}}}}})
+				h.hub.recordHeartbeat(fmt.Sprint("r", i), Heartbeat{Runs: []forward.ResumableRun{reported(i, forward.Copy{Address: "e1:1", ID: fmt.Sprint("q", i)})}})
 			}
 			time.Sleep(2 * saveInterval)
 			data, err := disk.ReadFile("/data/" + copiesFile)
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -48,7 +48,7 @@
 	addresses     *endpoints.Sequence
 	// savedRuns are the stream runs that a former process saved; their copies are
 	// offered until copiesExpireAt.
-	savedRuns                         []forward.ResumableRun
+	savedRuns                         []forward.ReportedRun
 	copiesExpireAt, savedRunsExpireAt time.Time
 }
 
@@ -77,7 +77,7 @@
 	list.KeepHistory()
 	t.Handle(peer.KindHeartbeat, h.serveHeartbeat)
 	t.Handle(peer.KindBackendList, h.serveList)
-	t.Handle(peer.KindFindOrphan, h.serveOrphan)
+	t.Handle(peer.KindFindRun, h.serveFindRun)
 	t.Handle(peer.KindRetrySpending, h.serveSpent)
 	t.Handle(peer.KindPlace, h.scheduling.servePlace)
 	t.Handle(peer.KindUseReport, h.scheduling.serveUseReport)
@@ -162,61 +162,6 @@
 	h.scheduling.poll(ctx)
 }
 
-// serveOrphan replies with the engine and the backup copy of the stream with the
-// requested identity, which another VM ran.
-func (h *Hub) serveOrphan(_ context.Context, _ string, body []byte) (any, error) {
-	var identity uint64
-	if err := codec.Unmarshal(body, &identity); err != nil {
-		return nil, err
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
-	orphan := findOrphan(h.allRuns(now), identity)
-	if orphan == (forward.Orphan{}) && now.Before(h.savedRunsExpireAt) {
-		orphan = findOrphan(withoutExpiredCopies(h.savedRuns, now.After(h.copiesExpireAt)), identity)
-	}
-	return orphan, nil
-}
-
-// findOrphan returns the orphan with an identity. Two different copies belong to two
-// requests with equal content, and neither is returned.
-func findOrphan(runs []forward.ResumableRun, identity uint64) forward.Orphan {
-	var found forward.Orphan
-	for _, run := range runs {
-		if run.Identity != identity {
-			continue
-		}
-		if found.Copy.Address != "" && found.Copy != run.Copy {
-			return forward.Orphan{}
-		}
-		found = run.Orphan
-	}
-	return found
-}
-
-// allRuns returns the stream runs of all VMs as last reported. It needs h.mu.
-func (h *Hub) allRuns(now time.Time) []forward.ResumableRun {
-	var out []forward.ResumableRun
-	for _, s := range h.vms {
-		out = append(out, withoutExpiredCopies(s.heartbeat.Runs, now.Sub(s.at) > copyLifetime)...)
-	}
-	return out
-}
-
-// withoutExpiredCopies returns the runs without their copies if those have expired.
-func withoutExpiredCopies(runs []forward.ResumableRun, copiesExpired bool) []forward.ResumableRun {
-	if !copiesExpired {
-		return runs
-	}
-	out := make([]forward.ResumableRun, len(runs))
-	for i, run := range runs {
-		out[i] = run
-		out[i].Copy = forward.Copy{}
-	}
-	return out
-}
-
 func (h *Hub) recordHeartbeat(from string, heartbeat Heartbeat) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -34,7 +34,9 @@
 	Deaths   func() []recovery.Death
 	Dead     func() []string
 	Runs     func() []forward.ResumableRun
-	Spent    func() map[string]forward.RetryUsage
+	// CarriesStream reports whether this VM carries a stream now.
+	CarriesStream func(id forward.RunID) bool
+	Spent         func() map[string]forward.RetryUsage
 	// BackendReport returns what this VM observed of the backend servers. EngineTimings
 	// returns what it measured on the engines of each service.
 	BackendReport func() upstream.Report
@@ -125,6 +127,7 @@
 	}
 	t.Handle(peer.KindPlaceDecision, m.servePlaceDecision)
 	t.Handle(peer.KindCallGrantDecision, m.serveCallDecision)
+	t.Handle(peer.KindCarriesStream, m.serveCarriesStream)
 	return m
 }
 
@@ -389,19 +392,6 @@
 	}
 }
 
-// FindOrphan asks a control VM for the orphan with an identity: the engine and the backup
-// copy of a stream that another VM ran. It returns false if there is none or no reply.
-func (m *Member) FindOrphan(ctx context.Context, identity uint64) (forward.Orphan, bool) {
-	ctx, cancel := context.WithTimeout(ctx, orphanLookupTimeout)
-	defer cancel()
-	var out forward.Orphan
-	if err := m.t.Call(ctx, m.freshestControl(), peer.KindFindOrphan, identity, &out); err != nil {
-		m.log.Debug().Err(err).Msg("lookup of an orphaned run failed; its prompt may be computed again")
-		return forward.Orphan{}, false
-	}
-	return out, out != (forward.Orphan{})
-}
-
 func (m *Member) recordAnswer(vm string, reply *HeartbeatReply) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- /dev/null
+++ b/internal/cluster/orphans.go
@@ -0,0 +1,131 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"iter"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/codec"
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+)
+
+// A run that a router reports is an orphan once that router is gone. Heartbeats show this after
+// a second, when the callers of a killed router have long come to others. The router itself is
+// asked instead: it answers within milliseconds, or its VM refuses the connection.
+
+const (
+	// findRunTimeout bounds the lookup of a stream. Without a copy the prompt is prefilled
+	// again, which costs about a second.
+	findRunTimeout = 100 * time.Millisecond
+	// carriesStreamTimeout bounds the wait for the router that reported a stream. One that is
+	// cut off or paused does not answer, and its caller has left it.
+	carriesStreamTimeout = 50 * time.Millisecond
+)
+
+// foundRun is the reply to the lookup of a stream.
+type foundRun struct {
+	Found       bool  `cbor:"8,keyasint,omitempty"`
+	RouterHeard bool  `cbor:"9,keyasint,omitempty"` // the router may still carry the stream
+	AgeMS       int64 `cbor:"10,keyasint,omitempty"`
+	forward.ReportedRun
+}
+
+// serveFindRun replies with what is known of a stream that another VM carried.
+func (h *Hub) serveFindRun(_ context.Context, _ string, body []byte) (any, error) {
+	var wanted forward.RunID
+	if err := codec.Unmarshal(body, &wanted); err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	run, ok := forward.FindReported(h.allRuns(now), wanted)
+	if ok {
+		return foundRun{Found: true, RouterHeard: run.Age <= presenceTimeout, AgeMS: run.Age.Milliseconds(), ReportedRun: run}, nil
+	}
+	// Its router may have reported the run to the former process of this VM only.
+	run, ok = forward.FindReported(h.unexpiredSavedRuns(now), wanted)
+	return foundRun{Found: ok, RouterHeard: ok, ReportedRun: run}, nil
+}
+
+// allRuns returns the stream runs of all VMs as last reported. It needs h.mu while it is read.
+func (h *Hub) allRuns(now time.Time) iter.Seq[forward.ReportedRun] {
+	return func(yield func(forward.ReportedRun) bool) {
+		for vm, s := range h.vms {
+			age := now.Sub(s.at)
+			for _, run := range s.heartbeat.Runs {
+				if age > copyLifetime {
+					run.Copy = forward.Copy{}
+				}
+				if !yield(forward.ReportedRun{ResumableRun: run, Router: vm, Age: age}) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// unexpiredSavedRuns returns the saved runs that may still be of use. It needs h.mu while it is read.
+func (h *Hub) unexpiredSavedRuns(now time.Time) iter.Seq[forward.ReportedRun] {
+	return func(yield func(forward.ReportedRun) bool) {
+		if now.After(h.savedRunsExpireAt) {
+			return
+		}
+		for _, run := range h.savedRuns {
+			if now.After(h.copiesExpireAt) {
+				run.Copy = forward.Copy{}
+			}
+			if !yield(run) {
+				return
+			}
+		}
+	}
+}
+
+// FindOrphan asks a control VM what is known of a stream that another VM carried. It returns
+// false if neither a copy nor an engine is, or if there is no reply. The copy of a stream that its router still
+// carries is left out: the router needs it if its own engine is lost.
+func (m *Member) FindOrphan(ctx context.Context, wanted forward.RunID) (forward.ReportedRun, bool) {
+	ctx, cancel := context.WithTimeout(ctx, findRunTimeout)
+	defer cancel()
+	var reply foundRun
+	if err := m.t.Call(ctx, m.freshestControl(), peer.KindFindRun, wanted, &reply); err != nil {
+		m.log.Debug().Err(err).Msg("lookup of an orphaned run failed; its prompt may be computed again")
+		return forward.ReportedRun{}, false
+	}
+	if !reply.Found {
+		return forward.ReportedRun{}, false
+	}
+	run := reply.ReportedRun
+	run.Age = time.Duration(reply.AgeMS) * time.Millisecond
+	if run.Copy.Address != "" && reply.RouterHeard && m.carriesStream(ctx, run.Router, run.RunID) {
+		m.log.Info().Str("router", run.Router).Str("copy", run.Copy.ID).Str("copy_at", run.Copy.Address).Msg("copy is still used by its router; not taken")
+		run.Copy = forward.Copy{}
+	}
+	return run, run.Orphan != (forward.Orphan{})
+}
+
+// carriesStream asks a router whether it still carries a stream. One that does not answer does
+// not, unless it is of a release that does not know the question.
+func (m *Member) carriesStream(ctx context.Context, router string, id forward.RunID) bool {
+	ctx, cancel := context.WithTimeout(ctx, carriesStreamTimeout)
+	defer cancel()
+	var carries bool
+	err := m.t.Call(ctx, router, peer.KindCarriesStream, id, &carries)
+	if err == nil {
+		return carries
+	}
+	m.log.Debug().Err(err).Str("router", router).Msg("router of an orphaned run does not answer")
+	var remote *peer.RemoteError
+	return errors.As(err, &remote)
+}
+
+func (m *Member) serveCarriesStream(_ context.Context, _ string, body []byte) (any, error) {
+	var id forward.RunID
+	if err := codec.Unmarshal(body, &id); err != nil {
+		return nil, err
+	}
+	return m.local.CarriesStream != nil && m.local.CarriesStream(id), nil
+}
--- /dev/null
+++ b/internal/cluster/orphans_test.go
@@ -0,0 +1,86 @@
+package cluster
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
+)
+
+// runID returns the id of a stream with a content of its own.
+func runID(stream uint64) forward.RunID { return forward.RunID{Content: stream, Stream: stream} }
+
+func reported(stream uint64, c forward.Copy) forward.ResumableRun {
+	return forward.ResumableRun{RunID: runID(stream), Orphan: forward.Orphan{Copy: c}}
+}
+
+// A dead router's backup copies are found for a few seconds. The lookup must not return the
+// copy of another request: if two runs have the same content and the caller names none of them,
+// it returns neither.
+func TestFindOrphan(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		v := startRouter(ctx, n, "r1", controls[:1], 0)
+		time.Sleep(time.Second)
+		a, b := forward.Copy{Address: "e1:1", ID: "q1"}, forward.Copy{Address: "e2:1", ID: "q2"}
+		twin := reported(8, b)
+		twin.Stream = 80
+		h.hub.recordHeartbeat("dead", Heartbeat{Runs: []forward.ResumableRun{reported(7, a), reported(8, a)}})
+		h.hub.recordHeartbeat("dead too", Heartbeat{Runs: []forward.ResumableRun{twin}})
+		for _, tt := range []struct {
+			wanted forward.RunID
+			want   forward.Copy
+		}{
+			{runID(7), a},
+			{forward.RunID{Content: 7}, a},
+			{forward.RunID{Content: 7, Stream: 70}, forward.Copy{}},
+			{runID(8), a},
+			{twin.RunID, b},
+			{forward.RunID{Content: 8}, forward.Copy{}},
+			{runID(9), forward.Copy{}},
+		} {
+			if got, ok := v.member.FindOrphan(ctx, tt.wanted); got.Copy != tt.want || ok != (tt.want.Address != "") {
+				t.Errorf("%+v: got %+v, found %t; want the only copy of this stream, or none", tt.wanted, got, ok)
+			}
+		}
+		time.Sleep(copyLifetime + time.Second)
+		if _, ok := v.member.FindOrphan(ctx, runID(7)); ok {
+			t.Error("got an expired copy, want none")
+		}
+	})
+}
+
+// Guards against a stream that loses its backup copy to another request while its router still
+// serves it, and against a copy that is withheld after that router is gone.
+func TestCopyInUseIsNotTaken(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		v := startRouter(ctx, n, "r1", controls[:1], 0)
+		carried, ended := runID(7), runID(8)
+		owner := NewMember("r2", n.VM("r2"), controls[:1], NewListReplica(nil), Local{
+			Endpoint: "r2:80", CarriesStream: func(id forward.RunID) bool { return id == carried },
+		}, v.member.log)
+		ownerCtx, stop := context.WithCancel(ctx)
+		go owner.Run(ownerCtx)
+		time.Sleep(time.Second)
+		stop()
+		a, b := forward.Copy{Address: "e1:1", ID: "q1"}, forward.Copy{Address: "e2:1", ID: "q2"}
+		h.hub.recordHeartbeat("r2", Heartbeat{Runs: []forward.ResumableRun{reported(7, a), reported(8, b)}})
+		if got, _ := v.member.FindOrphan(ctx, carried); got.Copy != (forward.Copy{}) {
+			t.Errorf("got %+v of a stream that its router carries, want no copy", got)
+		}
+		if got, _ := v.member.FindOrphan(ctx, ended); got.Copy != b {
+			t.Errorf("got %+v of a stream that its router has ended, want its copy", got)
+		}
+		n.Isolate("r2")
+		began := time.Now()
+		if got, _ := v.member.FindOrphan(ctx, carried); got.Copy != a {
+			t.Errorf("got %+v after the router is gone, want its copy", got)
+		}
+		if took := time.Since(began); took > findRunTimeout {
+			t.Errorf("lookup took %v, want %v at most", took, findRunTimeout)
+		}
+	})
+}
--- a/internal/cluster/place_test.go
+++ b/internal/cluster/place_test.go
@@ -187,12 +187,12 @@
 		v := startRouter(ctx, n, "r1", controls[:1], 0)
 		time.Sleep(time.Second)
 		orphan := forward.Orphan{Copy: forward.Copy{Address: "e2:1", ID: "q1"}, PrefillEngine: "e1:1"}
-		h.hub.recordHeartbeat("dead", Heartbeat{Runs: []forward.ResumableRun{{Identity: 7, Orphan: orphan}}})
-		if got, ok := v.member.FindOrphan(ctx, 7); !ok || got != orphan {
+		h.hub.recordHeartbeat("dead", Heartbeat{Runs: []forward.ResumableRun{{RunID: runID(7), Orphan: orphan}}})
+		if got, ok := v.member.FindOrphan(ctx, runID(7)); !ok || got.Orphan != orphan {
 			t.Errorf("at once: got %+v, found %t, want the copy and the engine", got, ok)
 		}
 		time.Sleep(20 * time.Second)
-		if got, ok := v.member.FindOrphan(ctx, 7); !ok || got != (forward.Orphan{PrefillEngine: "e1:1"}) {
+		if got, ok := v.member.FindOrphan(ctx, runID(7)); !ok || got.Orphan != (forward.Orphan{PrefillEngine: "e1:1"}) {
 			t.Errorf("after 20 s: got %+v, found %t, want the engine only", got, ok)
 		}
 	})
--- a/internal/cluster/saved_runs.go
+++ b/internal/cluster/saved_runs.go
@@ -34,8 +34,8 @@
 // copiesRecord is the content of the file. SavedMS is wall clock time. Correctness does
 // not depend on it, because an engine refuses a copy that it has dropped.
 type copiesRecord struct {
-	SavedMS int64                  `cbor:"1,keyasint"`
-	Runs    []forward.ResumableRun `cbor:"2,keyasint"`
+	SavedMS int64                 `cbor:"1,keyasint"`
+	Runs    []forward.ReportedRun `cbor:"2,keyasint"`
 }
 
 // LoadRuns reads the stream runs that a former process saved in dir, unless they are older
@@ -70,10 +70,10 @@
 	failing := false
 	for timer.Sleep(ctx, saveInterval) == nil {
 		h.mu.Lock()
-		runs := h.allRuns(time.Now())
+		runs := slices.Collect(h.allRuns(time.Now()))
 		h.mu.Unlock()
-		slices.SortFunc(runs, func(a, b forward.ResumableRun) int {
-			return cmp.Or(cmp.Compare(a.Identity, b.Identity), strings.Compare(a.Copy.ID, b.Copy.ID), strings.Compare(a.PrefillEngine, b.PrefillEngine))
+		slices.SortFunc(runs, func(a, b forward.ReportedRun) int {
+			return cmp.Or(cmp.Compare(a.Content, b.Content), cmp.Compare(a.Stream, b.Stream), strings.Compare(a.Router, b.Router), strings.Compare(a.Copy.ID, b.Copy.ID), strings.Compare(a.PrefillEngine, b.PrefillEngine))
 		})
 		data, err := codec.Marshal(runs)
 		if err != nil || bytes.Equal(data, last) {
@@ -88,7 +88,7 @@
 	}
 }
 
-func (h *Hub) save(fsys wal.FS, dir string, runs []forward.ResumableRun) error {
+func (h *Hub) save(fsys wal.FS, dir string, runs []forward.ReportedRun) error {
 	data, err := codec.Marshal(copiesRecord{SavedMS: time.Now().UnixMilli(), Runs: runs})
 	if err != nil {
 		return err
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -98,7 +98,7 @@
 		r.setBackupEngine(p.engine)
 	}
 	r.backup.current = p
-	r.st.h.activeRuns.put(r.st.q.RequestID, r.resumable())
+	r.reportRun()
 	r.st.h.opts.Log.Info().Str("request", r.st.q.RequestID).Str("engine", r.server.ID).Str("keeper", p.engine.ID).
 		Int("passed", r.forwarded).Msg("backup copy ordered")
 }
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,7 +36,7 @@
 	pool             *upstream.Pool
 	log              zerolog.Logger
 	servers          []*routedengine.Server
-	orphans          map[uint64]forward.Copy // copies that another router has reported, by identity
+	reported         []forward.ReportedRun // by another router
 	refusalLevel     func(string) (overload.Level, bool)
 	placer           forward.Placer     // nil: the router chooses engines itself
 	callGrants       forward.CallGrants // nil: the router decides about calls itself
@@ -68,9 +69,20 @@
 	return f.shutdownTimeLeft > 0 && takes > f.shutdownTimeLeft
 }
 
-func (f *fixture) findOrphan(_ context.Context, identity uint64) (forward.Orphan, bool) {
-	c, ok := f.orphans[identity]
-	return forward.Orphan{Copy: c}, ok
+func (f *fixture) findOrphan(_ context.Context, wanted forward.RunID) (forward.ReportedRun, bool) {
+	run, ok := forward.FindReported(slices.Values(f.reported), wanted)
+	if ok && f.handler.CarriesStream(run.RunID) {
+		run.Copy = forward.Copy{}
+	}
+	return run, ok
+}
+
+// reportRuns makes the runs of the router known to the lookup of others.
+func (f *fixture) reportRuns() {
+	f.reported = nil
+	for _, run := range f.handler.ResumableRuns() {
+		f.reported = append(f.reported, forward.ReportedRun{ResumableRun: run})
+	}
 }
 
 // testRoutes returns routes of a resumable stream, a vote that may run once, and an
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -88,7 +88,7 @@
 	SuspectContents *SuspectContents
 	// FindOrphan looks up what is known of a stream that another router carried; nil:
 	// streams are not looked up.
-	FindOrphan func(ctx context.Context, identity uint64) (Orphan, bool)
+	FindOrphan func(ctx context.Context, wanted RunID) (ReportedRun, bool)
 	// Placer grants engines to streams on behalf of all VMs; nil: this VM chooses.
 	Placer Placer
 	// RefusalLevel returns which new streams of a service are refused. It returns false if
@@ -188,9 +188,13 @@
 	return h
 }
 
-// ResumableRuns returns the streams in flight that another router could resume.
+// ResumableRuns returns the streams in flight that another router could resume, and those whose
+// callers have just left.
 func (h *Handler) ResumableRuns() []ResumableRun { return h.activeRuns.all() }
 
+// CarriesStream reports whether this VM carries a stream now.
+func (h *Handler) CarriesStream(id RunID) bool { return h.activeRuns.has(id) }
+
 // Paces returns the pace of each service's engines as this VM observed it.
 func (h *Handler) Paces() map[string]scheduler.EngineTiming { return h.paces.all() }
 
--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -365,7 +365,7 @@
 	r.suspected = st.h.opts.Fleet.Suspected(r.server)
 	st.countAt(r.server)
 	if r.forwarded > 0 {
-		st.h.activeRuns.put(st.q.RequestID, r.resumable())
+		r.reportRun()
 	}
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -121,6 +121,9 @@
 		return r
 	}
 	r.conn, r.outcome = conn, sendUnknown
+	if st.events == 0 {
+		r.reportRun() // a copy of the run before it may still be of use
+	}
 	r.trackFirstEvent()
 	r.stopWatchingCaller = context.AfterFunc(st.q.ctx, conn.Close)
 	r.lastHeard = time.Now()
@@ -249,8 +252,8 @@
 
 // resumable returns what another router needs to resume the stream now.
 func (r *run) resumable() ResumableRun {
-	out := ResumableRun{Identity: r.st.id, Orphan: Orphan{PrefillEngine: r.server.Address}}
-	if r.backup.current.engine != nil {
+	out := ResumableRun{RunID: r.st.id, Orphan: Orphan{PrefillEngine: r.server.Address}}
+	if r.backup.current.engine != nil && !r.firstEventAt.IsZero() {
 		out.Copy = r.backup.current.ref
 	}
 	return out
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -170,7 +170,7 @@
 	r.use.PendingPrompt = 0
 	r.st.h.opts.Placer.UseChanged()
 	fleet.Succeeded(r.server, 0)
-	r.st.h.activeRuns.put(r.st.q.RequestID, r.resumable())
+	r.reportRun()
 	r.st.skip = map[string]bool{}
 	r.st.lostAt, r.st.lostZone = time.Time{}, ""
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -38,7 +38,7 @@
 	lastCopy      backupCopy // backup copy of the last run
 	orphanCopy    *Copy      // copy of a run that another router carried; nil: none
 	orphanEngine  string     // address of the engine that ran it for that router; empty: not known
-	id            uint64     // see request.identity
+	id            RunID
 	skip          map[string]bool
 	sends         int
 	lostAt        time.Time // when the stream lost its engine; zero: it has one
@@ -81,18 +81,20 @@
 }
 
 func (h *Handler) newStreamRelay(w http.ResponseWriter, q *request) *streamRelay {
-	return &streamRelay{
+	st := &streamRelay{
 		h: h, q: q, w: w, skip: map[string]bool{}, ready: make(chan struct{}, 1),
 		need: placement.Need{Prompt: q.PromptTokens, Output: q.OutputTokens},
 		seq:  sequence{last: q.After, started: q.HasAfter},
-		id:   q.identity(h.opts.Wire.PerAttemptHeaders()),
 	}
+	st.id = q.runID(h.opts.Wire.PerAttemptHeaders())
+	return st
 }
 
 // serve sends the stream, or what the caller lacks of it.
 func (st *streamRelay) serve() {
 	h, q := st.h, st.q
-	defer h.activeRuns.drop(q.RequestID)
+	whole := false
+	defer func() { h.activeRuns.drop(q.RequestID, !whole && st.events > 0) }()
 	defer st.endCounted()
 	st.findOrphan()
 	outcome := "cut off"
@@ -119,7 +121,7 @@
 		outcome = st.outcomeName(result.RouteTimeout)
 		if st.handleEnd(run, end) {
 			if end != endCallerDone {
-				outcome = "whole"
+				outcome, whole = "whole", true
 			}
 			return
 		}
@@ -310,21 +312,6 @@
 	return Late
 }
 
-// findOrphan looks for the copy of a stream if its caller asks for the rest of it.
-func (st *streamRelay) findOrphan() {
-	if !st.q.HasAfter || !st.q.history.repeatable || st.h.opts.FindOrphan == nil {
-		return
-	}
-	orphan, ok := st.h.opts.FindOrphan(st.q.ctx, st.id)
-	if !ok {
-		return
-	}
-	st.orphanEngine = orphan.PrefillEngine
-	if orphan.Copy.Address != "" {
-		st.orphanCopy = &orphan.Copy
-	}
-}
-
 func (st *streamRelay) chooseEngine() engineChoice {
 	if ref := st.orphanCopy; ref != nil {
 		st.orphanCopy = nil // a copy can be used only once
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -259,9 +259,9 @@
 }
 
 // Guards against a new prefill when a router dies. The first router carries the stream for
-// two seconds and reports where its copy is. The second router finds the copy by the
-// identity that both attempts share, whether or not the caller names the first attempt. The
-// caller must not wait longer than for a pause.
+// two seconds and reports where its copy is. The second router finds the copy, whether or not
+// the caller names the first attempt: no other request has this content. The caller must not
+// wait longer than for a pause.
 func TestOrphanedStreamResumesFromBackupCopy(t *testing.T) {
 	for _, headers := range [][]string{nil, {forward.HeaderFirstAttempt, "r1"}} {
 		t.Run(fmt.Sprint("names ", headers), func(t *testing.T) { testOrphanedStream(t, headers) })
@@ -274,14 +274,12 @@
 		defer f.shutDown()
 		first := f.send("POST", "/s/1", "r1", "log")
 		time.Sleep(2 * time.Second)
-		f.orphans = map[uint64]forward.Copy{}
-		for _, k := range f.handler.ResumableRuns() {
-			f.orphans[k.Identity] = k.Copy
-		}
+		f.reportRuns()
 		first.leave()
 		<-first.done
-		if len(f.orphans) != 1 || len(f.handler.ResumableRuns()) != 0 {
-			t.Fatalf("got %d copies reported, want 1; %d copies of an ended stream, want none", len(f.orphans), len(f.handler.ResumableRuns()))
+		afterwards := slices.DeleteFunc(f.handler.ResumableRuns(), func(r forward.ResumableRun) bool { return r.Ended && r.Copy == (forward.Copy{}) })
+		if len(f.reported) != 1 || f.reported[0].Copy.Address == "" || len(afterwards) != 0 {
+			t.Fatalf("reported %+v, want one copy; of an ended stream %+v, want no copy", f.reported, afterwards)
 		}
 		began := time.Now()
 		got := strings.Count(first.text.String(), "id: ")
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -41,7 +41,6 @@
 	KindRaft              Kind = 60
 	KindProbe             Kind = 80 // checks whether a VM answers, directly or through another VM
 	KindHeartbeat         Kind = 81 // sent by routers to control VMs several times a second
-	KindFindOrphan        Kind = 82 // asks where the backup copy of a stream is
 	KindRetrySpending     Kind = 83 // reports spent retry budget to control VMs
 	KindPlace             Kind = 84 // asks for an engine for a stream
 	KindPlaceDecision     Kind = 85 // decision for a stream that had to wait
@@ -60,6 +59,8 @@
 	KindStreamVersions    Kind = 98 // records which versions began streams
 	KindFindStreamVersion Kind = 99 // asks which version began a stream
 	KindPoisonSuspicion   Kind = 100
+	KindFindRun           Kind = 101 // asks what is known of a stream that another VM carried
+	KindCarriesStream     Kind = 102 // asks a router whether it carries a stream now
 	KindExplain           Kind = 120
 	KindStatus            Kind = 121
 )
