forward: a VM that shuts down takes no call that it cannot finish

Cause: calls were admitted for 0.7 of the grace period, whatever they take.

Change: a request is admitted if its deadline lies before the end, or what such requests were seen to take: for calls 1.5 times the longest of the route in the last minutes and of those in progress, for streams a multiple of the mean. It is asked again after the body was read, at each search for a server and after a grant. Requests of which nothing is known are taken in the first 0.3 of the grace only. Calls that still run at the end get the answer that their outcome is unknown in place of a closed connection.

Evidence: with the bound taken out, TestCallsOfAVMThatShutsDown (calls sent from 5.2 s on are cut), TestLateGrantAtAShutdown (sent 1 s before the end) and TestCallThatOutlastsItsVM fail.

--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -149,7 +149,7 @@
 		Context: ctx, Zone: zone, Wire: forward.NewPlainWire(), Pool: pool, Fleet: r.fleet, Routes: func() *routes.Table { return table }, ListsReady: ready,
 		Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(transport, r.member.Relays, memory.NewAccount(0), zerolog.Nop()), RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
 		SuspectContents: r.contents, Closing: func() bool { return false },
-		CannotFinish: func(bool, time.Duration) bool { return false },
+		CannotFinish: func(forward.PendingWork) bool { return false },
 	})
 	handoff.NewServer(ctx, transport, r.handler, func(service string) bool { return r.fleet.Reaches(service) && r.hears(service) }, memory.NewAccount(0), zerolog.Nop())
 	go r.member.Run(ctx)
--- a/internal/forward/bench_test.go
+++ b/internal/forward/bench_test.go
@@ -33,7 +33,7 @@
 	h := forward.NewHandler(forward.Options{
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table }, ListsReady: closed(),
 		RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
-		SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return false }, CannotFinish: func(bool, time.Duration) bool { return false },
+		SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return false }, CannotFinish: func(forward.PendingWork) bool { return false },
 	})
 	front := httptest.NewServer(h)
 	b.Cleanup(front.Close)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -40,6 +40,8 @@
 	var failure *reply // a server's own failure, delivered if no other server succeeds
 	q.held = newHeldCalls(h, q)
 	defer q.held.release()
+	ended := h.durations.begin(q.route.Name, time.Now())
+	defer func() { ended(time.Now(), q.history.arrivals > 0) }()
 	for sends := 0; ; {
 		if h.deliverHeld(w, q, &failure) {
 			return
@@ -141,6 +143,10 @@
 		return serverChoice{}, result.BackendsFull
 	}
 	for {
+		if h.cannotFinish(q) {
+			q.setRetryAfter(otherRouterRetryAfter)
+			return serverChoice{}, result.ShuttingDown
+		}
 		servers, candidates := h.opts.Fleet.CallCandidates(q.service.Name, q.versionChoice.Versions, skip)
 		i, load := placement.ChooseServer(candidates, h.opts.Zone, rand.IntN)
 		switch {
@@ -315,6 +321,8 @@
 	switch {
 	case failure != nil:
 		h.deliver(w, failure)
+	case q.cutOff.Load():
+		h.giveUp(w, q, result.ShuttingDown)
 	case q.left() > 0 && q.ctx.Err() != nil:
 		h.endGone()
 	default:
--- a/internal/forward/call_grants.go
+++ b/internal/forward/call_grants.go
@@ -109,6 +109,11 @@
 		giveBack()
 		return serverChoice{}, result.RouteTimeout, true
 	}
+	if h.cannotFinish(q) {
+		giveBack()
+		q.setRetryAfter(otherRouterRetryAfter)
+		return serverChoice{}, result.ShuttingDown, true
+	}
 	var permit backpressure.Permit
 	s := h.grantedServer(q, id)
 	usable := s != nil && !skip[id]
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -47,6 +47,9 @@
 	unreadBytes      int  // of the memory account; 0: the default
 	memory           *memory.Account
 	shutdownTimeLeft time.Duration   // until the router stops; 0: it is not shutting down
+	endsAt           time.Time       // when the router ends its calls; zero: it is not shutting down
+	ending           context.Context // ends at endsAt
+	end              context.CancelFunc
 	versionsStale    bool            // the router's copy of the known versions is out of date
 	origins          forward.Origins // nil: the router knows its own streams only
 	noRetries        bool            // the retry budget is spent
@@ -65,8 +68,22 @@
 	return out
 }
 
-func (f *fixture) cannotFinish(_ bool, takes time.Duration) bool {
-	return f.shutdownTimeLeft > 0 && takes > f.shutdownTimeLeft
+func (f *fixture) cannotFinish(w forward.PendingWork) bool {
+	if f.endsAt.IsZero() {
+		return f.shutdownTimeLeft > 0 && w.Expected > f.shutdownTimeLeft && w.Left > f.shutdownTimeLeft
+	}
+	remaining := time.Until(f.endsAt)
+	return w.Left > remaining && (w.AtMost == 0 || w.AtMost > remaining)
+}
+
+func (f *fixture) isClosing() bool {
+	return f.closing || f.shutdownTimeLeft > 0 || !f.endsAt.IsZero()
+}
+
+// endAt makes the router shut down: it ends its calls at a moment.
+func (f *fixture) endAt(t time.Time) {
+	f.endsAt = t
+	time.AfterFunc(time.Until(t), f.end)
 }
 
 func (f *fixture) findOrphan(_ context.Context, wanted forward.RunID) (forward.ReportedRun, bool) {
@@ -131,6 +148,7 @@
 	f.table.Store(testRoutes())
 	f.state.Store(&rollout.State{Known: f.admitAll()})
 	f.recorder = rollout.NewRecorder(time.Now)
+	f.ending, f.end = context.WithCancel(t.Context())
 	ready := make(chan struct{})
 	close(ready)
 	f.newHandler(ready)
@@ -163,7 +181,7 @@
 	f.handler = forward.NewHandler(forward.Options{
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: f.pool, Fleet: f.fleet,
 		Routes: f.table.Load, ListsReady: ready, RetryAllowance: retries,
-		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: f.contents, Closing: func() bool { return f.closing },
+		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: f.contents, Closing: f.isClosing, Ending: f.ending,
 		Memory: f.newAccount(), CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer, RefusalLevel: f.refusalLevel, CallGrants: f.callGrants,
 		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder}, VersionsFresh: func() bool { return !f.versionsStale }, Origins: f.origins, HandOff: f.handOff,
 	})
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -117,8 +118,9 @@
 	// Rollouts decides which versions may run a request; nil: all may.
 	Rollouts *Rollouts
 	// CannotFinish reports that a request cannot be finished before this VM shuts down.
-	// takes is its expected duration; 0: not known.
-	CannotFinish func(stream bool, takes time.Duration) bool
+	CannotFinish func(w PendingWork) bool
+	// Ending ends shortly before this VM closes its connections; nil: it does not.
+	Ending context.Context
 	// Memory accounts for the requests and answers that the handler holds; nil: for a VM whose
 	// settings state no memory.
 	Memory *memory.Account
@@ -136,6 +138,7 @@
 	activeRuns runRegistry
 	paces      paceTracker
 	speeds     speedTracker
+	durations  callDurations
 	inFlight   *admission.InFlight
 	spoilers   *spoilers
 	origins    *streamversion.Store // of the streams that this VM carried
@@ -152,6 +155,9 @@
 	if o.Context == nil {
 		o.Context = context.Background()
 	}
+	if o.Ending == nil {
+		o.Ending = context.Background()
+	}
 	if o.ReportRetries == nil {
 		o.ReportRetries = func() {}
 	}
@@ -267,6 +273,7 @@
 	priority      int
 	arrived       time.Time
 	expires       time.Time
+	cutOff        atomic.Bool // this VM ends before the call
 	digest        uint64
 	outbound      upstream.Request
 	history       *SendHistory
@@ -333,6 +340,17 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.expires)
 	defer cancel()
 	q.ctx = ctx
+	if endsWithProcess(q, r) {
+		stop := context.AfterFunc(h.opts.Ending, func() {
+			q.cutOff.Store(true)
+			cancel()
+		})
+		defer stop()
+	}
+	if h.cannotFinish(q) { // its body may have arrived slowly
+		h.refuse(w, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter))
+		return
+	}
 	if h.mustHandOff(q) {
 		h.handOff(w, q)
 		return
@@ -354,6 +372,13 @@
 	h.serveCall(w, q)
 }
 
+// endsWithProcess reports whether the caller of a request is told that its outcome is unknown when
+// this VM ends. The callers of streams come back for the rest, and a VM that handed off a call
+// decides by itself whether to repeat it.
+func endsWithProcess(q *request, r *http.Request) bool {
+	return !q.isStream() && !handoff.IsRelayed(r.Context())
+}
+
 // waitForLists waits for the lists on a router that has just started.
 func (h *Handler) waitForLists(r *http.Request) {
 	select {
@@ -385,9 +410,6 @@
 	if route == nil {
 		return nil, result.New(result.NoRoute)
 	}
-	if h.opts.CannotFinish(route.Kind == routes.Stream, 0) {
-		return nil, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter)
-	}
 	caller, err := h.opts.Wire.ReadCaller(r.Header)
 	if err != nil {
 		return nil, result.Newf(result.UnsupportedHeader, "%v", err)
@@ -405,7 +427,7 @@
 		}
 	}
 	q.service = table.Service(route.PickRandom())
-	if route.Kind == routes.Stream && h.opts.CannotFinish(true, h.expectedDuration(q)) {
+	if h.cannotFinish(q) {
 		return q, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter)
 	}
 	q.history = NewSendHistory(route.Repeatable(), route.MaxAttempts)
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -177,20 +177,12 @@
 // no engine has received. If it were held until the process ends, its caller would get
 // no answer. Refused now, it can still be served by another VM.
 func (st *streamRelay) cannotFinish() bool {
-	return st.q.history.arrivals == 0 && st.h.opts.CannotFinish(true, st.h.expectedDuration(st.q))
+	return st.q.history.arrivals == 0 && st.h.cannotFinish(st.q)
 }
 
 // stopsWaiting reports whether the stream must not wait for an engine any longer.
 func (st *streamRelay) stopsWaiting() bool { return st.cannotFinish() || st.waitedForVersion() }
 
-// longRunFactor is the duration of a long run relative to the mean.
-const longRunFactor = 1.5
-
-// expectedDuration returns the duration of a long stream of the service; 0: not known.
-func (h *Handler) expectedDuration(q *request) time.Duration {
-	return h.paces.pace(q.service.Name).ExpectedDuration(q.PromptTokens, eventCount(q.After), longRunFactor)
-}
-
 // eventCount returns how many events a caller has, given the id of the last one.
 func eventCount(last uint64) int { return int(min(last, math.MaxInt32)) }
 
--- /dev/null
+++ b/internal/forward/shutdown_test.go
@@ -0,0 +1,135 @@
+package forward_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/callqueue"
+	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+)
+
+// setVoteTimeout replaces the timeout and the objective of the calls.
+func (f *fixture) setVoteTimeout(d time.Duration) {
+	list := *f.table.Load().List
+	list.Routes = slices.Clone(list.Routes)
+	for i := range list.Routes {
+		if list.Routes[i].Kind != routes.Stream {
+			list.Routes[i].Timeout, list.Routes[i].Objective = d, d/2
+		}
+	}
+	f.table.Store(routes.NewTable(&list))
+}
+
+// vote sends n votes a while apart, and returns them once all have ended.
+func (f *fixture) vote(prefix string, n int, apart time.Duration) []*answer {
+	var out []*answer
+	for i := range n {
+		out = append(out, f.send(http.MethodPost, "/vote/1", fmt.Sprint(prefix, i), fmt.Sprint("yes ", i)))
+		time.Sleep(apart)
+	}
+	for _, a := range out {
+		<-a.done
+	}
+	return out
+}
+
+// Guards against a call that a VM takes on its way out and cuts off although its server works, so
+// that nobody knows whether it has run; and against calls that are refused although they can be
+// answered.
+func TestCallsOfAVMThatShutsDown(t *testing.T) {
+	const grace, apart, calls = 7600 * time.Millisecond, 200 * time.Millisecond, 37
+	const lastAnswers = 100 * time.Millisecond // from the end of the grace period to that of the process
+	slow := voteServer("a")
+	slow.CallTime = 2700 * time.Millisecond
+	other := voteServer("a")
+	other.CallTime = 2 * time.Second
+	for _, tt := range []struct {
+		name     string
+		servers  []*routedengine.Server
+		timeout  time.Duration
+		before   int // calls before the shutdown
+		answered int // at least
+	}{
+		{"slow and unknown", []*routedengine.Server{slow, slow, slow}, 3 * time.Second, 0, 23},
+		{"short, deadline after the end", []*routedengine.Server{voteServer("a")}, 20 * time.Second, 20, 35},
+		{"short and long on one route", []*routedengine.Server{voteServer("a"), other}, 20 * time.Second, 40, 22},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var servers []*routedengine.Server
+				for _, s := range tt.servers {
+					servers = append(servers, &routedengine.Server{Backend: s.Backend, CallTime: s.CallTime})
+				}
+				f := newFixture(t, servers...)
+				defer f.shutDown()
+				f.setVoteTimeout(tt.timeout)
+				f.vote("before", tt.before, apart)
+				f.endAt(time.Now().Add(grace))
+				answered := 0
+				for i, a := range f.vote("q", calls, apart) {
+					id := fmt.Sprint("q", i)
+					late := len(a.arrived) > 0 && a.arrived[0].After(f.endsAt.Add(lastAnswers))
+					switch {
+					case !late && !a.broken && a.status == http.StatusOK:
+						answered++
+					case a.broken || late || a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || f.totalRuns(id) != 0:
+						t.Errorf("%s, sent after %v: status %d, cut off %t, %d runs; want an answer, or a refusal and no run", id, time.Duration(i)*apart, a.status, a.broken || late, f.totalRuns(id))
+					}
+				}
+				if answered < tt.answered {
+					t.Errorf("%d calls answered, want %d or more of %d", answered, tt.answered, calls)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a caller that is left without an answer: its call is at a server when the VM ends.
+// It must learn that the outcome is unknown.
+func TestCallThatOutlastsItsVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := voteServer("a")
+		server.CallTime = 5 * time.Second
+		f := newFixture(t, server)
+		defer f.shutDown()
+		f.setVoteTimeout(20 * time.Second)
+		vote, tally := f.send(http.MethodPost, "/vote/1", "q1", "yes"), f.send(http.MethodGet, "/tally/1", "q2", "")
+		time.Sleep(time.Second)
+		f.endAt(time.Now().Add(time.Second))
+		<-vote.done
+		<-tally.done
+		for _, a := range []*answer{vote, tally} {
+			if a.broken || a.status != http.StatusGatewayTimeout && a.status != http.StatusBadGateway {
+				t.Errorf("got status %d, cut off %t; want an answer that the outcome is unknown", a.status, a.broken)
+			}
+		}
+	})
+}
+
+// Guards against a call that waited for its server and is sent too late to end.
+func TestLateGrantAtAShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		grants := &scriptedGrants{all: true}
+		f := rankedFixture(t, grants)
+		defer f.shutDown()
+		f.setVoteTimeout(20 * time.Second)
+		grants.answer = func() (callqueue.Answer, bool) {
+			time.Sleep(time.Second)
+			f.endsAt = time.Now().Add(time.Second)
+			return callqueue.Answer{Outcome: callqueue.Granted, Server: "i0"}, true
+		}
+		a := f.send(http.MethodPost, "/vote/1", "q1", "yes")
+		<-a.done
+		if a.status != http.StatusServiceUnavailable || f.totalRuns("q1") != 0 {
+			t.Errorf("got status %d and %d runs, want a refusal and no run", a.status, f.totalRuns("q1"))
+		}
+		if grants.counted == 0 || grants.inFlight != 0 {
+			t.Errorf("%d of %d grants are in use after the refusal, want none of one", grants.inFlight, grants.counted)
+		}
+	})
+}
--- a/internal/routed/drain.go
+++ b/internal/routed/drain.go
@@ -4,22 +4,23 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 )
 
 // Constants of a planned shutdown. The process is killed when its grace period ends.
 const (
-	// streamAdmissionShare is the fraction of the grace period during which new streams
-	// of unknown length are admitted, since callers keep entry answers for some seconds.
-	// A stream that is cut off resumes elsewhere from its backup copy, if its caller
-	// reconnects. A stream that is refused runs completely elsewhere.
-	streamAdmissionShare = 0.3
-	// callAdmissionShare is the same for calls, which take a second at most.
-	callAdmissionShare = 0.7
+	// earlyShare is the fraction of the grace period during which requests of unknown duration
+	// are admitted, since callers keep entry answers for some seconds. One that is refused runs
+	// completely elsewhere.
+	earlyShare = 0.3
 	// closeMargin is the time left of the grace period when the last answers are cut
 	// off. The process exits by itself and logs it.
 	closeMargin = 400 * time.Millisecond
 	// drainCheckInterval is how often the router checks whether requests still run.
 	drainCheckInterval = 50 * time.Millisecond
+	// answersCheckInterval is the same for the last answers.
+	answersCheckInterval = 5 * time.Millisecond
 )
 
 // drain tracks a router's planned shutdown. It is safe for concurrent use.
@@ -47,20 +48,24 @@
 	return !d.startedAt.IsZero()
 }
 
-// cannotFinish reports whether a request that arrives now could not finish within the
-// grace period. takes is its expected duration, or 0 if that is unknown.
-func (d *drain) cannotFinish(stream bool, takes time.Duration) bool {
+// cannotFinish reports whether a request could not finish within the grace period. At first, callers
+// still hold this VM's address, and what usually finishes is admitted. Later on, only what is
+// certain to finish.
+func (d *drain) cannotFinish(w forward.PendingWork) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.startedAt.IsZero() {
 		return false
 	}
-	share := callAdmissionShare
-	if stream {
-		share = streamAdmissionShare
-	}
 	elapsed := time.Since(d.startedAt)
-	return elapsed > time.Duration(share*float64(d.times.Grace)) || elapsed+takes > d.times.Grace-closeMargin
+	remaining := d.times.Grace - closeMargin - elapsed
+	switch {
+	case w.Left <= remaining:
+		return false // its caller gets an answer by its deadline
+	case elapsed <= time.Duration(earlyShare*float64(d.times.Grace)):
+		return w.Expected > remaining
+	}
+	return w.AtMost == 0 || w.AtMost > remaining
 }
 
 func (d *drain) enter() {
@@ -102,6 +107,13 @@
 	}
 }
 
+// awaitAnswers waits until no request runs, for limit at most.
+func (d *drain) awaitAnswers(limit time.Duration) {
+	for until := time.Now().Add(limit); d.requests() > 0 && time.Now().Before(until); {
+		time.Sleep(answersCheckInterval)
+	}
+}
+
 func (d *drain) complete() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/routed/drain_test.go
+++ b/internal/routed/drain_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 )
 
 // testGrace is a typical grace period.
@@ -66,28 +68,51 @@
 	})
 }
 
-// Guards against requests that are admitted late and then cut off. They must be refused
-// when they could not finish, streams earlier than calls. The drain must end before the
-// process is killed, even if a request still runs.
+// Guards against requests that are admitted late and then cut off, and against those that are
+// refused although they could finish. The drain must end before the process is killed, even if a
+// request still runs.
 func TestDrainRefusesLateRequests(t *testing.T) {
+	const second = time.Second
+	long := forward.PendingWork{Left: time.Minute}
+	exactly := func(takes time.Duration) forward.PendingWork {
+		return forward.PendingWork{Expected: takes, AtMost: takes, Left: time.Minute}
+	}
+	for _, tt := range []struct {
+		name    string
+		at      time.Duration
+		work    forward.PendingWork
+		refused bool
+	}{
+		{"unknown and long", second, long, false},
+		{"unknown and long, later", 2900 * time.Millisecond, long, true},
+		{"deadline before the end", 4500 * time.Millisecond, forward.PendingWork{Left: 3 * second}, false},
+		{"deadline after the end", 4700 * time.Millisecond, forward.PendingWork{Left: 3 * second}, true},
+		{"known to be short", 6 * second, exactly(second), false},
+		{"known to take longer than the rest", 6 * second, exactly(1700 * time.Millisecond), true},
+		{"known to be long", second, exactly(7 * second), true},
+		{"mostly short", second, forward.PendingWork{Expected: 5 * second, AtMost: 12 * second, Left: time.Minute}, false},
+		{"mostly short, later", 3 * second, forward.PendingWork{Expected: 3 * second, AtMost: 5 * second, Left: time.Minute}, true},
+		{"short deadline", 7 * second, forward.PendingWork{Left: 500 * time.Millisecond}, false},
+		{"after the end", 7700 * time.Millisecond, exactly(10 * time.Millisecond), true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDrain(testGrace)
+			if d.cannotFinish(exactly(time.Hour)) {
+				t.Error("refused before the shutdown began")
+			}
+			d.start()
+			time.Sleep(tt.at)
+			if got := d.cannotFinish(tt.work); got != tt.refused {
+				t.Errorf("%s: refused %t, want %t", tt.name, got, tt.refused)
+			}
+		})
+	}
 	synctest.Test(t, func(t *testing.T) {
 		d := newDrain(testGrace)
 		go ask(d.countRequests(delayedHandler(time.Minute)))
 		time.Sleep(time.Second)
-		if d.cannotFinish(true, time.Hour) {
-			t.Error("stream refused before the shutdown began")
-		}
 		d.start()
 		began := time.Now()
-		for _, tt := range []struct {
-			at           time.Duration
-			stream, call bool
-		}{{time.Second, false, false}, {2900 * time.Millisecond, true, false}, {6 * time.Second, true, true}} {
-			time.Sleep(tt.at - time.Since(began))
-			if d.cannotFinish(true, 0) != tt.stream || d.cannotFinish(false, 0) != tt.call {
-				t.Errorf("after %v: stream refused %t, call refused %t; want streams refused from 2.4s on and calls from 5.6s on", tt.at, d.cannotFinish(true, 0), d.cannotFinish(false, 0))
-			}
-		}
 		d.wait()
 		if took := time.Since(began); took >= testGrace.Grace {
 			t.Errorf("drain took %v, want less than the grace period of 8s", took)
@@ -105,11 +130,11 @@
 		d := newDrain(testGrace)
 		d.start()
 		time.Sleep(time.Second)
-		left := testGrace.Grace - time.Second - closeMargin
-		if d.cannotFinish(true, left) {
+		remaining := testGrace.Grace - time.Second - closeMargin
+		if d.cannotFinish(forward.PendingWork{Expected: remaining, Left: time.Minute}) {
 			t.Error("stream that can finish was refused")
 		}
-		if !d.cannotFinish(true, left+time.Millisecond) {
+		if !d.cannotFinish(forward.PendingWork{Expected: remaining + time.Millisecond, Left: time.Minute}) {
 			t.Error("stream that cannot finish was admitted")
 		}
 	})
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -47,6 +47,8 @@
 	peerServer, callerServer *http.Server
 	ctx                      context.Context
 	cancel                   context.CancelFunc
+	ending                   context.Context // ends before the connections are closed
+	end                      context.CancelFunc
 }
 
 // StartRouter binds the addresses and starts to serve.
@@ -54,6 +56,7 @@
 	r := &Router{o: o, suspectContents: forward.NewSuspectContents(o.Log), listsReady: make(chan struct{}), conns: newCallerConns(DefaultLimits), recorder: rollout.NewRecorder(time.Now)}
 	r.rollouts.Store(&rollout.State{})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.ending, r.end = context.WithCancel(r.ctx)
 	r.drain = newDrain(o.Drain)
 	r.load = newVMLoad(&o, r.drain.requests)
 	if o.Limits.Stated() {
@@ -86,7 +89,7 @@
 	r.feed.OnChange(control.CordonsStateMachine, r.applyCordons)
 	r.handler = forward.NewHandler(forward.Options{
 		Context: r.ctx, Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, ListsReady: r.listsReady,
-		RetryAllowance: o.RetryAllowance, Log: o.Log, RoutineLog: o.RoutineLog, Metrics: o.Metrics, SuspectContents: r.suspectContents, Closing: r.drain.started,
+		RetryAllowance: o.RetryAllowance, Log: o.Log, RoutineLog: o.RoutineLog, Metrics: o.Metrics, SuspectContents: r.suspectContents, Closing: r.drain.started, Ending: r.ending,
 		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(r.network, r.member.Relays, account, o.Log), FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
 		Rollouts: &forward.Rollouts{State: r.rollouts.Load, Recorder: r.recorder},
 		Origins:  r.member, VersionsFresh: r.feed.Fresh, Memory: account,
@@ -247,6 +250,10 @@
 // ended here. It is part of closeMargin.
 const handBackTimeout = 150 * time.Millisecond
 
+// lastAnswersTimeout bounds the wait until the callers of calls that cannot be finished have been
+// told so. It is part of closeMargin.
+const lastAnswersTimeout = 100 * time.Millisecond
+
 // Shutdown drains the router. It leaves the directory at once and keeps serving callers
 // whose entry answers still name it. Shutdown returns when no request runs any more, or
 // when the grace period is nearly over.
@@ -256,6 +263,8 @@
 	r.member.SendNow(ctx)
 	cancel()
 	r.drain.wait()
+	r.end()
+	r.drain.awaitAnswers(lastAnswersTimeout)
 	ctx, cancel = context.WithTimeout(r.ctx, handBackTimeout)
 	r.handOffs.EndAll(ctx)
 	cancel()
