cluster: the streams of a router are remembered when it starts again

What callers saw: all routers lost power for a second.

Cause: the first report of a router's new process replaced the last one of its former process. A control process that was not killed itself then knew neither the copies nor the engines that hold the prompts, and counted the time for the prompt among what is left to do.

TestOrphansOutliveARestartOfTheirRouter failed before.

--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -46,6 +46,8 @@
 	summary       *encodedSummary // nil: must be rebuilt
 	startedAt     time.Time
 	addresses     *endpoints.Sequence
+	// formerRuns are the stream runs of router processes that have started again.
+	formerRuns []runReport
 	// savedRuns are the stream runs that a former process saved; their copies are
 	// offered until copiesExpireAt.
 	savedRuns                         []forward.ReportedRun
@@ -172,6 +174,7 @@
 	delete(h.loggedSilent, from)
 	v := vmState{vm: from, heartbeat: heartbeat, at: now}
 	v.joinedAt = h.joinedAt(v)
+	h.keepFormerRuns(&v, now)
 	if v.acceptsCallers() != h.vms[from].acceptsCallers() {
 		h.summary = nil // callers must not be directed to a router that shuts down
 	}
--- a/internal/cluster/orphans.go
+++ b/internal/cluster/orphans.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"iter"
+	"slices"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
@@ -50,23 +51,53 @@
 	return foundRun{Found: ok, RouterHeard: ok, ReportedRun: run}, nil
 }
 
+// runReport is what a router process reported last.
+type runReport struct {
+	router string
+	runs   []forward.ResumableRun
+	at     time.Time
+}
+
+// keepFormerRuns keeps the runs of a router whose process has started again: its first heartbeat
+// replaces the last one, while callers whose connections hang come back later. It needs h.mu.
+func (h *Hub) keepFormerRuns(v *vmState, now time.Time) {
+	before, known := h.vms[v.vm]
+	if known && before.heartbeat.Spent.Incarnation != v.heartbeat.Spent.Incarnation && len(before.heartbeat.Runs) > 0 {
+		h.formerRuns = append(h.formerRuns, runReport{v.vm, before.heartbeat.Runs, before.at})
+	}
+	h.formerRuns = slices.DeleteFunc(h.formerRuns, func(f runReport) bool { return now.Sub(f.at) > forgetAfter })
+}
+
 // allRuns returns the stream runs of all VMs as last reported. It needs h.mu while it is read.
 func (h *Hub) allRuns(now time.Time) iter.Seq[forward.ReportedRun] {
 	return func(yield func(forward.ReportedRun) bool) {
 		for vm, s := range h.vms {
-			age := now.Sub(s.at)
-			for _, run := range s.heartbeat.Runs {
-				if age > copyLifetime {
-					run.Copy = forward.Copy{}
-				}
-				if !yield(forward.ReportedRun{ResumableRun: run, Router: vm, Age: age}) {
-					return
-				}
+			if !yieldRuns(yield, runReport{vm, s.heartbeat.Runs, s.at}, now) {
+				return
+			}
+		}
+		for _, f := range h.formerRuns {
+			if now.Sub(f.at) <= forgetAfter && !yieldRuns(yield, f, now) {
+				return
 			}
 		}
 	}
 }
 
+// yieldRuns yields the runs of a report, without their copies if those have expired.
+func yieldRuns(yield func(forward.ReportedRun) bool, f runReport, now time.Time) bool {
+	age := now.Sub(f.at)
+	for _, run := range f.runs {
+		if age > copyLifetime {
+			run.Copy = forward.Copy{}
+		}
+		if !yield(forward.ReportedRun{ResumableRun: run, Router: f.router, Age: age}) {
+			return false
+		}
+	}
+	return true
+}
+
 // unexpiredSavedRuns returns the saved runs that may still be of use. It needs h.mu while it is read.
 func (h *Hub) unexpiredSavedRuns(now time.Time) iter.Seq[forward.ReportedRun] {
 	return func(yield func(forward.ReportedRun) bool) {
--- a/internal/cluster/orphans_test.go
+++ b/internal/cluster/orphans_test.go
@@ -84,3 +84,35 @@
 		}
 	})
 }
+
+// Guards against streams that are forgotten when their router starts again within a second: the
+// callers' connections hang, and they come back later than it does.
+func TestOrphansOutliveARestartOfTheirRouter(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		v := startRouter(ctx, n, "r1", controls[:1], 0)
+		time.Sleep(time.Second)
+		orphan := forward.Orphan{Copy: forward.Copy{Address: "e2:1", ID: "q1"}, PrefillEngine: "e1:1"}
+		process := func(incarnation uint64, runs ...forward.ResumableRun) {
+			h.hub.recordHeartbeat("r2", Heartbeat{Spent: RetrySpending{Incarnation: incarnation}, Runs: runs})
+		}
+		process(1, forward.ResumableRun{RunID: runID(7), Orphan: orphan}, reported(8, orphan.Copy))
+		process(1, forward.ResumableRun{RunID: runID(7), Orphan: orphan})
+		process(2)
+		process(2, reported(9, orphan.Copy))
+		if got, _ := v.member.FindOrphan(ctx, runID(7)); got.Orphan != orphan {
+			t.Errorf("got %+v, want what the former process reported", got)
+		}
+		if got, ok := v.member.FindOrphan(ctx, runID(8)); ok {
+			t.Errorf("got %+v of a stream that the former process had ended, want nothing", got)
+		}
+		time.Sleep(copyLifetime + time.Second)
+		if got, _ := v.member.FindOrphan(ctx, runID(7)); got.Orphan != (forward.Orphan{PrefillEngine: "e1:1"}) {
+			t.Errorf("got %+v after the copy has expired, want the engine only", got)
+		}
+		time.Sleep(forgetAfter)
+		if got, ok := v.member.FindOrphan(ctx, runID(7)); ok {
+			t.Errorf("got %+v after %v, want none", got, forgetAfter)
+		}
+	})
+}
