--- a/cmd/amaranthshelfd/soak_system_test.go
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,8 @@
 	operators []string               // operators' addresses of the control processes
 	// routerOperators are the operators' addresses of the routers.
 	routerOperators []string
+	controlText     []string      // settings of the control processes without the servers
+	listed          []string      // versions of the engines that are listed; nil: all
 	peers           []string      // ids of the control processes, which are the addresses of links
 	links           []*faultProxy // from the other VMs to each control process
 	dir             string
@@ -86,7 +89,15 @@
 }
 
 func startSoakSystem(t *testing.T, seed uint64) *soakSystem {
-	s := &soakSystem{t: t, net: routedengine.NewNet(), dir: t.TempDir(), mixed: isMixed(seed), newVersionFails: seed%2 == 0}
+	s := &soakSystem{t: t, mixed: isMixed(seed), newVersionFails: seed%2 == 0}
+	s.startAll()
+	return s
+}
+
+// startAll starts the servers and the processes.
+func (s *soakSystem) startAll() {
+	t := s.t
+	s.net, s.dir = routedengine.NewNet(), t.TempDir()
 	if *soakLogs != "" {
 		s.dir = filepath.Join(*soakLogs, t.Name())
 		if err := os.MkdirAll(s.dir, 0o700); err != nil {
@@ -120,7 +131,6 @@
 	for i := range s.processes {
 		s.start(i)
 	}
-	return s
 }
 
 // addServer starts a server on loopback behind a fault proxy. The server's address becomes
@@ -140,23 +150,16 @@
 		s.links, s.peers = append(s.links, link), append(s.peers, link.addr)
 	}
 	seeds := strings.Join(s.peers, ", ")
-	var backends strings.Builder
-	for _, e := range s.servers {
-		fmt.Fprintf(&backends, "[backend:%s]\nservice = %s\naddress = %s\nzone = %s\nslots = %d\nversion = %s\n", e.ID, e.Service, e.Address, e.Zone, e.Slots, e.Version)
-	}
-	write := func(name, text string) {
-		path := filepath.Join(s.dir, name+".ini")
-		if err := os.WriteFile(path, []byte(text+"[tokens]\npeer = soak\n"), 0o600); err != nil {
-			s.t.Fatal(err)
-		}
-		s.processes = append(s.processes, &soakProcess{name: name, settings: path})
+	add := func(name, text string) {
+		s.processes = append(s.processes, &soakProcess{name: name, settings: s.writeFile(name, text)})
 	}
 	for i := range soakControls {
 		operators := ports[soakControls+i]
 		s.operators = append(s.operators, operators)
 		name := fmt.Sprint("control", i)
-		write(name, fmt.Sprintf("[process]\nkind = control\nid = %s\nzone = z%d\nseeds = %s\ndata_dir = %s/%s\nfirst_start = true\nvoters = %d\n[rollouts]\nhold = %s\n[listen]\noperators = %s\npeers = %s\n%s",
-			s.peers[i], i, seeds, s.dir, name, soakControls, s.versionHold(), operators, ports[i], backends.String()))
+		s.controlText = append(s.controlText, fmt.Sprintf("[process]\nkind = control\nid = %s\nzone = z%d\nseeds = %s\ndata_dir = %s/%s\nfirst_start = true\nvoters = %d\n[rollouts]\nhold = %s\n[listen]\noperators = %s\npeers = %s\n",
+			s.peers[i], i, seeds, s.dir, name, soakControls, s.versionHold(), operators, ports[i]))
+		add(name, s.controlText[i]+s.backendText())
 	}
 	for i := range soakRouters {
 		// All VMs run on one loopback address, so that each router's host has a control process
@@ -167,11 +170,31 @@
 		if s.memoryMB > 0 {
 			memory = fmt.Sprintf("memory_mb = %d\n", s.memoryMB)
 		}
-		write(fmt.Sprint("router", i), fmt.Sprintf("[process]\nkind = router\nid = %s\nzone = z%d\nseeds = %s\ngrace = %s\n[listen]\ncallers = %s\noperators = %s\n[limits]\ncores = %d\nlink_mbps = %d\n",
+		add(fmt.Sprint("router", i), fmt.Sprintf("[process]\nkind = router\nid = %s\nzone = z%d\nseeds = %s\ngrace = %s\n[listen]\ncallers = %s\noperators = %s\n[limits]\ncores = %d\nlink_mbps = %d\n",
 			own[0], i, seeds, soakGrace, own[1], own[2], 1<<i, 100<<i)+memory)
 	}
 }
 
+// writeFile writes the settings of a process and returns the path.
+func (s *soakSystem) writeFile(name, text string) string {
+	path := filepath.Join(s.dir, name+".ini")
+	if err := os.WriteFile(path, []byte(text+"[tokens]\npeer = soak\n"), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+// backendText returns the settings of the listed servers.
+func (s *soakSystem) backendText() string {
+	var out strings.Builder
+	for _, e := range s.servers {
+		if s.listed == nil || e.Service != "models" || slices.Contains(s.listed, e.Version) {
+			fmt.Fprintf(&out, "[backend:%s]\nservice = %s\naddress = %s\nzone = %s\nslots = %d\nversion = %s\n", e.ID, e.Service, e.Address, e.Zone, e.Slots, e.Version)
+		}
+	}
+	return out.String()
+}
+
 // start starts a process unless it is running.
 func (s *soakSystem) start(i int) {
 	s.mu.Lock()
