forward: a stream that its caller left is reported for 30 s

Callers come back until their deadlines, which are 25 s. A caller that names no attempt and came back after 10 s could have been given the copy of another request with its content.

--- a/internal/forward/orphan.go
+++ b/internal/forward/orphan.go
@@ -31,9 +31,9 @@
 // is sent there is resumed without another prefill.
 
 const (
-	// endedRunTTL is how long a run is reported after its caller left before its end. The
-	// caller may come back for it meanwhile.
-	endedRunTTL = 10 * time.Second
+	// endedRunTTL is how long a run is reported after its caller left before its end. Callers
+	// come back for their streams until their deadlines.
+	endedRunTTL = 30 * time.Second
 	// maxEndedRuns bounds the ended runs that are reported, for a VM that loses all its callers.
 	maxEndedRuns = 1000
 )
