--- a/internal/forward/call_durations.go
+++ b/internal/forward/call_durations.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -52,6 +53,7 @@
 		if c.routes == nil {
 			c.routes = map[string]*routeDurations{}
 		}
+		maps.DeleteFunc(c.routes, func(_ string, r *routeDurations) bool { return r.isStale(now) })
 		r = &routeDurations{pending: map[*time.Time]struct{}{}}
 		c.routes[route] = r
 	}
@@ -67,6 +69,24 @@
 	}
 }
 
+// isStale reports whether nothing is known of the calls of a route any more.
+func (r *routeDurations) isStale(now time.Time) bool {
+	calls, _ := r.recent(now)
+	return calls == 0 && len(r.pending) == 0
+}
+
+// recent returns how many calls are remembered, and the longest of them.
+func (r *routeDurations) recent(now time.Time) (calls int, longest time.Duration) {
+	oldest := now.UnixNano()/int64(durationPeriod) - durationPeriods
+	for i := range r.periods {
+		if p := &r.periods[i]; p.number > oldest {
+			calls += p.calls
+			longest = max(longest, p.max)
+		}
+	}
+	return calls, longest
+}
+
 func (r *routeDurations) add(now time.Time, took time.Duration) {
 	number := now.UnixNano() / int64(durationPeriod)
 	p := &r.periods[number%durationPeriods]
@@ -86,14 +106,7 @@
 	if r == nil {
 		return 0
 	}
-	calls, longest := 0, time.Duration(0)
-	oldest := now.UnixNano()/int64(durationPeriod) - durationPeriods
-	for i := range r.periods {
-		if p := &r.periods[i]; p.number > oldest {
-			calls += p.calls
-			longest = max(longest, p.max)
-		}
-	}
+	calls, longest := r.recent(now)
 	if calls < minDurations {
 		return 0
 	}
--- a/internal/forward/call_durations_test.go
+++ b/internal/forward/call_durations_test.go
@@ -39,4 +39,12 @@
 	}
 	now = now.Add((durationPeriods + 1) * durationPeriod)
 	want("nothing has ended lately", 0)
+	d.begin("blurbs", now)(now, false)
+	if len(d.routes) != 2 {
+		t.Errorf("%d routes are remembered, want the one with a call in progress and the new one", len(d.routes))
+	}
+	d.begin("drafts", now)
+	if _, kept := d.routes["blurbs"]; kept {
+		t.Error("a route without calls is remembered")
+	}
 }
