cluster: a caller that names no attempt gets nothing of doubtful origin

Two ways were left in which such a caller could be given the copy of another request with its content, found while reading the change. After a restart of a control process, its file was asked when the reports had shown two streams of one content, and could hold only one of them. And a stream that was taken up went on under the name of another one that its own router still carried, so that the callers of both could be given either copy.

TestSavedRunsAreNoProofOfUniqueness and TestCopyInUseIsNotTaken failed before.

--- a/internal/cluster/orphans.go
+++ b/internal/cluster/orphans.go
@@ -41,14 +41,25 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
-	run, ok := forward.FindReported(h.allRuns(now), wanted)
-	if ok {
-		return foundRun{Found: true, RouterHeard: run.Age <= presenceTimeout, AgeMS: run.Age.Milliseconds(), ReportedRun: run}, nil
+	run, ok := forward.FindReported(h.knownRuns(time.Now()), wanted)
+	return foundRun{Found: ok, RouterHeard: run.Age <= presenceTimeout, AgeMS: run.Age.Milliseconds(), ReportedRun: run}, nil
+}
+
+// knownRuns returns allRuns and the runs that were reported to the former process of this VM only.
+// It needs h.mu while it is read.
+func (h *Hub) knownRuns(now time.Time) iter.Seq[forward.ReportedRun] {
+	return func(yield func(forward.ReportedRun) bool) {
+		for run := range h.allRuns(now) {
+			if !yield(run) {
+				return
+			}
+		}
+		for run := range h.unexpiredSavedRuns(now) {
+			if !yield(run) {
+				return
+			}
+		}
 	}
-	// Its router may have reported the run to the former process of this VM only.
-	run, ok = forward.FindReported(h.unexpiredSavedRuns(now), wanted)
-	return foundRun{Found: ok, RouterHeard: ok, ReportedRun: run}, nil
 }
 
 // runReport is what a router process reported last.
@@ -98,13 +109,15 @@
 	return true
 }
 
-// unexpiredSavedRuns returns the saved runs that may still be of use. It needs h.mu while it is read.
+// unexpiredSavedRuns returns the saved runs that may still be of use. Their routers may be alive.
+// It needs h.mu while it is read.
 func (h *Hub) unexpiredSavedRuns(now time.Time) iter.Seq[forward.ReportedRun] {
 	return func(yield func(forward.ReportedRun) bool) {
 		if now.After(h.savedRunsExpireAt) {
 			return
 		}
 		for _, run := range h.savedRuns {
+			run.Age = presenceTimeout // older than what a live router reports
 			if now.After(h.copiesExpireAt) {
 				run.Copy = forward.Copy{}
 			}
@@ -116,8 +129,9 @@
 }
 
 // FindOrphan asks a control VM what is known of a stream that another VM carried. It returns
-// false if neither a copy nor an engine is, or if there is no reply. The copy of a stream that its router still
-// carries is left out: the router needs it if its own engine is lost.
+// false if neither a copy nor an engine is, or if there is no reply. The copy and the id of a
+// stream that its router still carries are left out: the router needs the copy if its own engine
+// is lost.
 func (m *Member) FindOrphan(ctx context.Context, wanted forward.RunID) (forward.ReportedRun, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findRunTimeout)
 	defer cancel()
@@ -131,9 +145,9 @@
 	}
 	run := reply.ReportedRun
 	run.Age = time.Duration(reply.AgeMS) * time.Millisecond
-	if run.Copy.Address != "" && reply.RouterHeard && m.carriesStream(ctx, run.Router, run.RunID) {
+	if reply.RouterHeard && m.carriesStream(ctx, run.Router, run.RunID) {
 		m.log.Info().Str("router", run.Router).Str("copy", run.Copy.ID).Str("copy_at", run.Copy.Address).Msg("copy is still used by its router; not taken")
-		run.Copy = forward.Copy{}
+		run.Copy, run.RunID = forward.Copy{}, forward.RunID{} // the caller may mean another stream
 	}
 	return run, run.Orphan != (forward.Orphan{})
 }
--- a/internal/cluster/orphans_test.go
+++ b/internal/cluster/orphans_test.go
@@ -68,8 +68,8 @@
 		stop()
 		a, b := forward.Copy{Address: "e1:1", ID: "q1"}, forward.Copy{Address: "e2:1", ID: "q2"}
 		h.hub.recordHeartbeat("r2", Heartbeat{Runs: []forward.ResumableRun{reported(7, a), reported(8, b)}})
-		if got, _ := v.member.FindOrphan(ctx, carried); got.Copy != (forward.Copy{}) {
-			t.Errorf("got %+v of a stream that its router carries, want no copy", got)
+		if got, ok := v.member.FindOrphan(ctx, carried); ok || got.RunID != (forward.RunID{}) {
+			t.Errorf("got %+v of a stream that its router carries, want no copy and no id", got)
 		}
 		if got, _ := v.member.FindOrphan(ctx, ended); got.Copy != b {
 			t.Errorf("got %+v of a stream that its router has ended, want its copy", got)
@@ -116,3 +116,30 @@
 		}
 	})
 }
+
+// Guards against the copy of another request after a restart of the control process: its file knows
+// only one of two streams with the same content.
+func TestSavedRunsAreNoProofOfUniqueness(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		h := startHub(ctx, n, "c1", controls[:1])
+		v := startRouter(ctx, n, "r1", controls[:1], 0)
+		time.Sleep(time.Second)
+		first, second := reported(7, forward.Copy{Address: "e1:1", ID: "q1"}), reported(7, forward.Copy{Address: "e2:1", ID: "q2"})
+		second.Stream = 70
+		h.hub.mu.Lock()
+		h.hub.savedRuns = []forward.ReportedRun{{ResumableRun: first, Router: "dead"}}
+		h.hub.copiesExpireAt, h.hub.savedRunsExpireAt = time.Now().Add(copyLifetime), time.Now().Add(forgetAfter)
+		h.hub.mu.Unlock()
+		unnamed := forward.RunID{Content: 7}
+		if got, _ := v.member.FindOrphan(ctx, unnamed); got.Copy != first.Copy {
+			t.Errorf("got %+v while one stream is known, want its copy", got)
+		}
+		h.hub.recordHeartbeat("dead too", Heartbeat{Runs: []forward.ResumableRun{second}})
+		if got, ok := v.member.FindOrphan(ctx, unnamed); ok {
+			t.Errorf("got %+v while two streams are known, want none", got)
+		}
+		if got, _ := v.member.FindOrphan(ctx, first.RunID); got.Copy != first.Copy {
+			t.Errorf("got %+v, want the copy of the stream that is named", got)
+		}
+	})
+}
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -89,7 +89,7 @@
 func (f *fixture) findOrphan(_ context.Context, wanted forward.RunID) (forward.ReportedRun, bool) {
 	run, ok := forward.FindReported(slices.Values(f.reported), wanted)
 	if ok && f.handler.CarriesStream(run.RunID) {
-		run.Copy = forward.Copy{}
+		run.Copy, run.RunID = forward.Copy{}, forward.RunID{}
 	}
 	return run, ok
 }
