--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -46,9 +46,9 @@
 	closing          bool // the router is shutting down
 	unreadBytes      int  // of the memory account; 0: the default
 	memory           *memory.Account
-	shutdownTimeLeft time.Duration   // until the router stops; 0: it is not shutting down
-	endsAt           time.Time       // when the router ends its calls; zero: it is not shutting down
-	ending           context.Context // ends at endsAt
+	shutdownTimeLeft time.Duration             // until the router stops; 0: it is not shutting down
+	endsAt           atomic.Pointer[time.Time] // when the router ends its calls; nil: it is not shutting down
+	ending           context.Context           // ends at endsAt
 	end              context.CancelFunc
 	versionsStale    bool            // the router's copy of the known versions is out of date
 	origins          forward.Origins // nil: the router knows its own streams only
@@ -69,20 +69,24 @@
 }
 
 func (f *fixture) cannotFinish(w forward.PendingWork) bool {
-	if f.endsAt.IsZero() {
+	endsAt := f.endsAt.Load()
+	if endsAt == nil {
 		return f.shutdownTimeLeft > 0 && w.Expected > f.shutdownTimeLeft && w.Left > f.shutdownTimeLeft
 	}
-	remaining := time.Until(f.endsAt)
+	remaining := time.Until(*endsAt)
 	return w.Left > remaining && (w.AtMost == 0 || w.AtMost > remaining)
 }
 
 func (f *fixture) isClosing() bool {
-	return f.closing || f.shutdownTimeLeft > 0 || !f.endsAt.IsZero()
+	return f.closing || f.shutdownTimeLeft > 0 || f.endsAt.Load() != nil
 }
 
+// setEnd makes the router expect that it ends its calls at a moment.
+func (f *fixture) setEnd(t time.Time) { f.endsAt.Store(&t) }
+
 // endAt makes the router shut down: it ends its calls at a moment.
 func (f *fixture) endAt(t time.Time) {
-	f.endsAt = t
+	f.setEnd(t)
 	time.AfterFunc(time.Until(t), f.end)
 }
 
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -73,7 +73,7 @@
 				answered := 0
 				for i, a := range f.vote("q", calls, apart) {
 					id := fmt.Sprint("q", i)
-					late := len(a.arrived) > 0 && a.arrived[0].After(f.endsAt.Add(lastAnswers))
+					late := len(a.arrived) > 0 && a.arrived[0].After(f.endsAt.Load().Add(lastAnswers))
 					switch {
 					case !late && !a.broken && a.status == http.StatusOK:
 						answered++
@@ -120,7 +120,7 @@
 		f.setVoteTimeout(20 * time.Second)
 		grants.answer = func() (callqueue.Answer, bool) {
 			time.Sleep(time.Second)
-			f.endsAt = time.Now().Add(time.Second)
+			f.setEnd(time.Now().Add(time.Second))
 			return callqueue.Answer{Outcome: callqueue.Granted, Server: "i0"}, true
 		}
 		a := f.send(http.MethodPost, "/vote/1", "q1", "yes")
