routed engine: no timer that is due at once

Its servers wait for time.After(0). A select on a timer of a synctest bubble that is due runs it at once, in the race context of the bubble; two goroutines at the same time crash the detector (stack from GORACE=abort_on_error=1). No fault of the product.

Change: the stand-in waits with timer.Sleep, which starts no timer for a wait of 0.

--- a/internal/standin/routedengine/serve.go
+++ b/internal/standin/routedengine/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // accept serves a connection. It returns false if the server is dead.
@@ -120,9 +121,9 @@
 // pause waits for d, and while the server is unresponsive or silent. It returns false if the
 // caller has left.
 func (s *Server) pause(r *http.Request, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-	case <-r.Context().Done():
+	// Sleep starts no timer that is due at once: those of one synctest bubble crash the race
+	// detector if several goroutines wait for them.
+	if timer.Sleep(r.Context(), d) != nil {
 		return false
 	}
 	return s.awaitAnswering(r, Unresponsive, Silent)
