shutdown: a package for the decisions of a process on its way out

The rule for what a stopping process still takes, and the durations of calls that it needs, move from forward and routed to a package of their own, so that the older daemon can use them. PendingWork is shutdown.Work now.

The tests move along unchanged but for names; forward, routed and shutdown pass.

--- a/internal/cluster/rate_limit_test.go
+++ b/internal/cluster/rate_limit_test.go
@@ -24,6 +24,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -149,7 +150,7 @@
 		Context: ctx, Zone: zone, Wire: forward.NewPlainWire(), Pool: pool, Fleet: r.fleet, Routes: func() *routes.Table { return table }, ListsReady: ready,
 		Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(transport, r.member.Relays, memory.NewAccount(0), zerolog.Nop()), RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
 		SuspectContents: r.contents, Closing: func() bool { return false },
-		CannotFinish: func(forward.PendingWork) bool { return false },
+		CannotFinish: func(shutdown.Work) bool { return false },
 	})
 	handoff.NewServer(ctx, transport, r.handler, func(service string) bool { return r.fleet.Reaches(service) && r.hears(service) }, memory.NewAccount(0), zerolog.Nop())
 	go r.member.Run(ctx)
--- a/internal/forward/bench_test.go
+++ b/internal/forward/bench_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -33,7 +34,7 @@
 	h := forward.NewHandler(forward.Options{
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table }, ListsReady: closed(),
 		RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
-		SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return false }, CannotFinish: func(forward.PendingWork) bool { return false },
+		SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return false }, CannotFinish: func(shutdown.Work) bool { return false },
 	})
 	front := httptest.NewServer(h)
 	b.Cleanup(front.Close)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -40,7 +40,7 @@
 	var failure *reply // a server's own failure, delivered if no other server succeeds
 	q.held = newHeldCalls(h, q)
 	defer q.held.release()
-	ended := h.durations.begin(q.route.Name, time.Now())
+	ended := h.durations.Begin(q.route.Name, time.Now())
 	defer func() { ended(time.Now(), q.history.arrivals > 0) }()
 	for sends := 0; ; {
 		if h.deliverHeld(w, q, &failure) {
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -22,6 +22,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/overload"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -68,7 +69,7 @@
 	return out
 }
 
-func (f *fixture) cannotFinish(w forward.PendingWork) bool {
+func (f *fixture) cannotFinish(w shutdown.Work) bool {
 	endsAt := f.endsAt.Load()
 	if endsAt == nil {
 		return f.shutdownTimeLeft > 0 && w.Expected > f.shutdownTimeLeft && w.Left > f.shutdownTimeLeft
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -22,6 +22,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/streamversion"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -118,7 +119,7 @@
 	// Rollouts decides which versions may run a request; nil: all may.
 	Rollouts *Rollouts
 	// CannotFinish reports that a request cannot be finished before this VM shuts down.
-	CannotFinish func(w PendingWork) bool
+	CannotFinish func(w shutdown.Work) bool
 	// Ending ends shortly before this VM closes its connections; nil: it does not.
 	Ending context.Context
 	// Memory accounts for the requests and answers that the handler holds; nil: for a VM whose
@@ -138,7 +139,7 @@
 	activeRuns runRegistry
 	paces      paceTracker
 	speeds     speedTracker
-	durations  callDurations
+	durations  shutdown.CallDurations
 	inFlight   *admission.InFlight
 	spoilers   *spoilers
 	origins    *streamversion.Store // of the streams that this VM carried
--- a/internal/routed/drain.go
+++ b/internal/routed/drain.go
@@ -5,15 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 )
 
 // Constants of a planned shutdown. The process is killed when its grace period ends.
 const (
-	// earlyShare is the fraction of the grace period during which requests of unknown duration
-	// are admitted, since callers keep entry answers for some seconds. One that is refused runs
-	// completely elsewhere.
-	earlyShare = 0.3
 	// closeMargin is the time left of the grace period when the last answers are cut
 	// off. The process exits by itself and logs it.
 	closeMargin = 400 * time.Millisecond
@@ -48,24 +44,14 @@
 	return !d.startedAt.IsZero()
 }
 
-// cannotFinish reports whether a request could not finish within the grace period. At first, callers
-// still hold this VM's address, and what usually finishes is admitted. Later on, only what is
-// certain to finish.
-func (d *drain) cannotFinish(w forward.PendingWork) bool {
+// cannotFinish reports whether a request could not finish within the grace period.
+func (d *drain) cannotFinish(w shutdown.Work) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.startedAt.IsZero() {
 		return false
 	}
-	elapsed := time.Since(d.startedAt)
-	remaining := d.times.Grace - closeMargin - elapsed
-	switch {
-	case w.Left <= remaining:
-		return false // its caller gets an answer by its deadline
-	case elapsed <= time.Duration(earlyShare*float64(d.times.Grace)):
-		return w.Expected > remaining
-	}
-	return w.AtMost == 0 || w.AtMost > remaining
+	return shutdown.Window{Grace: d.times.Grace, Margin: closeMargin}.CannotFinish(time.Since(d.startedAt), w)
 }
 
 func (d *drain) enter() {
--- a/internal/routed/drain_test.go
+++ b/internal/routed/drain_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 )
 
 // testGrace is a typical grace period.
@@ -73,26 +73,26 @@
 // request still runs.
 func TestDrainRefusesLateRequests(t *testing.T) {
 	const second = time.Second
-	long := forward.PendingWork{Left: time.Minute}
-	exactly := func(takes time.Duration) forward.PendingWork {
-		return forward.PendingWork{Expected: takes, AtMost: takes, Left: time.Minute}
+	long := shutdown.Work{Left: time.Minute}
+	exactly := func(takes time.Duration) shutdown.Work {
+		return shutdown.Work{Expected: takes, AtMost: takes, Left: time.Minute}
 	}
 	for _, tt := range []struct {
 		name    string
 		at      time.Duration
-		work    forward.PendingWork
+		work    shutdown.Work
 		refused bool
 	}{
 		{"unknown and long", second, long, false},
 		{"unknown and long, later", 2900 * time.Millisecond, long, true},
-		{"deadline before the end", 4500 * time.Millisecond, forward.PendingWork{Left: 3 * second}, false},
-		{"deadline after the end", 4700 * time.Millisecond, forward.PendingWork{Left: 3 * second}, true},
+		{"deadline before the end", 4500 * time.Millisecond, shutdown.Work{Left: 3 * second}, false},
+		{"deadline after the end", 4700 * time.Millisecond, shutdown.Work{Left: 3 * second}, true},
 		{"known to be short", 6 * second, exactly(second), false},
 		{"known to take longer than the rest", 6 * second, exactly(1700 * time.Millisecond), true},
 		{"known to be long", second, exactly(7 * second), true},
-		{"mostly short", second, forward.PendingWork{Expected: 5 * second, AtMost: 12 * second, Left: time.Minute}, false},
-		{"mostly short, later", 3 * second, forward.PendingWork{Expected: 3 * second, AtMost: 5 * second, Left: time.Minute}, true},
-		{"short deadline", 7 * second, forward.PendingWork{Left: 500 * time.Millisecond}, false},
+		{"mostly short", second, shutdown.Work{Expected: 5 * second, AtMost: 12 * second, Left: time.Minute}, false},
+		{"mostly short, later", 3 * second, shutdown.Work{Expected: 3 * second, AtMost: 5 * second, Left: time.Minute}, true},
+		{"short deadline", 7 * second, shutdown.Work{Left: 500 * time.Millisecond}, false},
 		{"after the end", 7700 * time.Millisecond, exactly(10 * time.Millisecond), true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -131,10 +131,10 @@
 		d.start()
 		time.Sleep(time.Second)
 		remaining := testGrace.Grace - time.Second - closeMargin
-		if d.cannotFinish(forward.PendingWork{Expected: remaining, Left: time.Minute}) {
+		if d.cannotFinish(shutdown.Work{Expected: remaining, Left: time.Minute}) {
 			t.Error("stream that can finish was refused")
 		}
-		if !d.cannotFinish(forward.PendingWork{Expected: remaining + time.Millisecond, Left: time.Minute}) {
+		if !d.cannotFinish(shutdown.Work{Expected: remaining + time.Millisecond, Left: time.Minute}) {
 			t.Error("stream that cannot finish was admitted")
 		}
 	})
--- a/internal/forward/call_durations_test.go
+++ b/internal/shutdown/call_durations_test.go
@@ -1,4 +1,4 @@
-package forward
+package shutdown
 
 import (
 	"testing"
@@ -8,16 +8,16 @@
 // Guards against a bound that is too short: for the rare long call of a route, for servers that have
 // just become slow, and for a route of which little is known.
 func TestCallDurations(t *testing.T) {
-	var d callDurations
+	var d CallDurations
 	now := time.Unix(1_800_000_000, 0)
 	call := func(took time.Duration, sent bool) {
-		end := d.begin("votes", now)
+		end := d.Begin("votes", now)
 		now = now.Add(took)
 		end(now, sent)
 	}
 	want := func(what string, want time.Duration) {
 		t.Helper()
-		if got := d.bound("votes", now); got != want {
+		if got := d.Bound("votes", now); got != want {
 			t.Errorf("%s: got %v, want %v", what, got, want)
 		}
 	}
@@ -31,19 +31,19 @@
 		call(100*time.Millisecond, true)
 	}
 	want("one long call among short ones", 3*time.Second)
-	d.begin("votes", now)
+	d.Begin("votes", now)
 	now = now.Add(4 * time.Second)
 	want("a call in progress", 6*time.Second)
-	if got := d.bound("tallies", now); got != 0 {
+	if got := d.Bound("tallies", now); got != 0 {
 		t.Errorf("another route: got %v, want 0", got)
 	}
 	now = now.Add((durationPeriods + 1) * durationPeriod)
 	want("nothing has ended lately", 0)
-	d.begin("blurbs", now)(now, false)
+	d.Begin("blurbs", now)(now, false)
 	if len(d.routes) != 2 {
 		t.Errorf("%d routes are remembered, want the one with a call in progress and the new one", len(d.routes))
 	}
-	d.begin("drafts", now)
+	d.Begin("drafts", now)
 	if _, kept := d.routes["blurbs"]; kept {
 		t.Error("a route without calls is remembered")
 	}
--- /dev/null
+++ b/internal/shutdown/window.go
@@ -0,0 +1,39 @@
+// Package shutdown decides which requests a process still takes between the order to stop and its
+// end. A request that is taken and then cut off is the worse mistake, since nobody can tell its
+// caller whether it has run. One that is refused costs its caller a connection to another VM,
+// which may be about to stop as well.
+package shutdown
+
+import "time"
+
+// earlyShare is the fraction of the grace period during which requests of unknown duration
+// are admitted, since callers keep entry answers for some seconds. One that is refused runs
+// completely elsewhere.
+const earlyShare = 0.3
+
+// Work is how long a request takes from now on.
+type Work struct {
+	Expected time.Duration // what few exceed; 0: not known
+	AtMost   time.Duration // what none is known to exceed; 0: not known
+	Left     time.Duration // until its deadline
+}
+
+// Window is the time that a process has to end its requests.
+type Window struct {
+	Grace  time.Duration // from the order to stop until the process is killed
+	Margin time.Duration // the part of Grace that the process needs to end
+}
+
+// CannotFinish reports whether a request that comes elapsed after the order to stop could not
+// finish in time. At first, callers still hold this VM's address, and what usually finishes is
+// admitted. Later on, only what is certain to finish.
+func (w Window) CannotFinish(elapsed time.Duration, work Work) bool {
+	remaining := w.Grace - w.Margin - elapsed
+	switch {
+	case work.Left <= remaining:
+		return false // its caller gets an answer by its deadline
+	case elapsed <= time.Duration(earlyShare*float64(w.Grace)):
+		return work.Expected > remaining
+	}
+	return work.AtMost == 0 || work.AtMost > remaining
+}
