gateway: a VM that shuts down claims no call that it cannot finish

What callers saw: the older daemon took bookings until its drain_timeout was over, whatever they take, and cut off those that ran then.

Cause: Node.Shutdown waits for the requests that it has, and nothing asks whether a new one can end in time.

Change: the rule of the router is asked when a call reserves its quota, which is before it is claimed. The dispatcher already replaces a refusal at this point by the outcome of an earlier run, so that a resend gets no false "not run".

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
 )
 
@@ -46,6 +47,10 @@
 	// Draining is closed once this VM hands over its streams. Each stream then ends after
 	// its current event with a comment that asks the caller to reconnect. Nil: never.
 	Draining <-chan struct{}
+
+	// CannotFinish reports that this VM shuts down before it could finish a call. Nil: it never
+	// does.
+	CannotFinish func(w shutdown.Work) bool
 }
 
 // Gateway is the callers' HTTP handler.
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -16,6 +16,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/service"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
 )
 
@@ -35,10 +36,11 @@
 
 // services is the HTTP handler that relays calls to plain services.
 type services struct {
-	g        *Gateway
-	calls    Calls
-	quota    CallQuota // nil: calls are not counted
-	inFlight *admission.InFlight
+	g         *Gateway
+	calls     Calls
+	quota     CallQuota // nil: calls are not counted
+	inFlight  *admission.InFlight
+	durations shutdown.CallDurations // by service
 }
 
 // ServiceRoutes registers the paths of plain services. quota may be nil.
@@ -137,10 +139,37 @@
 	c.Request.Header.Set("X-Workspace", c.Workspace)
 	c.Request.Header.Set("X-Request-Id", id)
 	c.Request.Header.Set("Traceparent", telemetry.Inject(ctx))
+	c.Reserve = func(ctx context.Context) (func(bool), error) { return s.reserve(ctx, c, caller) }
+	return c
+}
+
+// reserve reserves quota for a call that can still finish here. The dispatcher replaces the refusal
+// of a resend by the outcome of its first run.
+func (s *services) reserve(ctx context.Context, c *service.Call, caller *Caller) (settle func(used bool), err error) {
+	settleQuota := func(bool) {}
 	if s.quota != nil {
-		c.Reserve = func(ctx context.Context) (func(bool), error) { return s.quota.ReserveCall(ctx, *caller, id) }
+		if settleQuota, err = s.quota.ReserveCall(ctx, *caller, c.Key); err != nil {
+			return nil, err
+		}
 	}
-	return c
+	if s.cannotFinish(c.Service) {
+		settleQuota(false)
+		return nil, result.New(result.ShuttingDown)
+	}
+	ended := s.durations.Begin(c.Service, time.Now())
+	return func(used bool) {
+		ended(time.Now(), used)
+		settleQuota(used)
+	}, nil
+}
+
+// cannotFinish reports that a call that begins now could be cut off when this VM shuts down.
+func (s *services) cannotFinish(name string) bool {
+	if s.g.cfg.CannotFinish == nil {
+		return false
+	}
+	bound := s.durations.Bound(name, time.Now())
+	return s.g.cfg.CannotFinish(shutdown.Work{Expected: bound, AtMost: bound, Left: service.MaxCallTime})
 }
 
 func withQuery(path, query string) string {
--- /dev/null
+++ b/internal/gateway/services_shutdown_test.go
@@ -0,0 +1,115 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/call"
+	"github.com/amaranthshelf/amaranthshelf/internal/gateway"
+	"github.com/amaranthshelf/amaranthshelf/internal/service"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
+	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
+)
+
+// slowCalls runs each call for a time and records when the last one ended.
+type slowCalls struct {
+	takes   time.Duration
+	lastEnd time.Time
+}
+
+func (s *slowCalls) Idempotent(_, _, _ string) bool { return false }
+
+func (s *slowCalls) Relay(ctx context.Context, c *service.Call) (*call.Answer, error) {
+	return s.Once(ctx, c)
+}
+
+func (s *slowCalls) Once(ctx context.Context, c *service.Call) (*call.Answer, error) {
+	settle, err := c.Reserve(ctx)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(s.takes)
+	s.lastEnd = time.Now()
+	settle(true)
+	return &call.Answer{Status: http.StatusCreated}, nil
+}
+
+// Guards against bookings that a VM takes on its way out and cuts off while their service works,
+// and against those that it refuses although they could end.
+func TestCallsOfAGatewayThatShutsDown(t *testing.T) {
+	const grace, second = 10 * time.Second, time.Second
+	for _, tt := range []struct {
+		name         string
+		takes        time.Duration
+		callsBefore  int
+		takenUntil   time.Duration // calls sent no later are taken
+		refusedSince time.Duration
+	}{
+		{"short calls", 100 * time.Millisecond, 20, 9500 * time.Millisecond, 9900 * time.Millisecond},
+		{"long calls", 4 * second, 20, 4 * second, 4100 * time.Millisecond},
+		{"unknown calls", 4 * second, 0, 3 * second, 3100 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := &slowCalls{takes: tt.takes}
+				var began time.Time
+				h := serveCalls(t, calls, func(w shutdown.Work) bool {
+					return !began.IsZero() && shutdown.Window{Grace: grace}.CannotFinish(time.Since(began), w)
+				})
+				for range tt.callsBefore {
+					book(h)
+				}
+				began = time.Now()
+				var wg sync.WaitGroup
+				for sent := time.Duration(0); sent < grace; sent += 100 * time.Millisecond {
+					time.Sleep(time.Until(began.Add(sent)))
+					wg.Go(func() {
+						status := book(h)
+						if sent <= tt.takenUntil && status != http.StatusCreated {
+							t.Errorf("call sent after %v was answered with %d, could have ended", sent, status)
+						}
+						if sent >= tt.refusedSince && status != http.StatusServiceUnavailable {
+							t.Errorf("call sent after %v was answered with %d, cannot end in time", sent, status)
+						}
+					})
+				}
+				wg.Wait()
+				if end := calls.lastEnd.Sub(began); end > grace {
+					t.Errorf("last call ended after %v, want within %v", end, grace)
+				}
+			})
+		})
+	}
+}
+
+func serveCalls(t *testing.T, calls gateway.Calls, cannotFinish func(shutdown.Work) bool) http.Handler {
+	t.Helper()
+	tracer, err := telemetry.NewTracer("vm1", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := mux.NewRouter()
+	g := gateway.New(gateway.Config{MaxBodyBytes: 16, CannotFinish: cannotFinish}, nil, twoWorkspaces{}, nil, tracer, zerolog.Nop())
+	g.ServiceRoutes(r, calls, nil)
+	return r
+}
+
+// book sends a booking with a key of its own and returns the status of its answer.
+func book(h http.Handler) int {
+	r := httptest.NewRequest(http.MethodPost, "/v1/services/dispatch/bookings", strings.NewReader("{}"))
+	r.Header.Set("Authorization", "Bearer coop-key")
+	r.Header.Set("Idempotency-Key", "k"+strconv.Itoa(int(time.Now().UnixNano())))
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Code
+}
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -20,9 +20,16 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 )
 
-func startWithDispatch(t *testing.T) *local.System {
+func startWithDispatch(t *testing.T, changes ...func(*settings.Settings)) *local.System {
 	t.Helper()
 	o := options(zerolog.New(zerolog.NewTestWriter(t)))
+	base := o.Settings
+	o.Settings = func(i int, conf *settings.Settings) {
+		base(i, conf)
+		for _, change := range changes {
+			change(conf)
+		}
+	}
 	o.Services = []string{"dispatch"}
 	plans := o.Plans
 	o.Plans = func() ([]plan.Customer, []plan.Allowance) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,7 @@
 
 	draining   atomic.Bool   // set by Shutdown; entry answers omit this VM
 	handedOver chan struct{} // closed once the running generations are handed over
+	stopping   atomic.Pointer[stopWindow]
 }
 
 // Listen binds the VM's addresses, and stores the ports that the kernel picked in s.
@@ -128,7 +129,7 @@
 }
 
 func (n *Node) startCallers() {
-	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeatInterval, Draining: n.handedOver},
+	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeatInterval, Draining: n.handedOver, CannotFinish: n.cannotFinish},
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -3,10 +3,27 @@
 import (
 	"context"
 	"errors"
+	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
+// closeMargin is the time left of DrainTimeout when a call must have its answer at the latest.
+const closeMargin = 100 * time.Millisecond
+
+// stopWindow is a shutdown in progress.
+type stopWindow struct {
+	began  time.Time
+	window shutdown.Window
+}
+
+// cannotFinish reports that this VM shuts down before it could finish a call.
+func (n *Node) cannotFinish(w shutdown.Work) bool {
+	s := n.stopping.Load()
+	return s != nil && s.window.CannotFinish(time.Since(s.began), w)
+}
+
 // Shutdown stops the VM within DrainTimeout without cutting off an answer. First the entry
 // answers omit this VM, which still serves all requests until no caller holds an answer
 // that names it. Then it hands the running generations over to other VMs and tells their
@@ -15,6 +32,9 @@
 func (n *Node) Shutdown(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, n.s.DrainTimeout)
 	defer cancel()
+	if end, ok := ctx.Deadline(); ok {
+		n.stopping.Store(&stopWindow{time.Now(), shutdown.Window{Grace: time.Until(end), Margin: closeMargin}})
+	}
 	n.ready.Store(false)
 	n.draining.Store(true)
 	n.leaveMembers(ctx, false)
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -4,13 +4,16 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/client"
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
+	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin"
 )
 
@@ -76,3 +79,46 @@
 		t.Error(err)
 	}
 }
+
+// Guards against bookings that a VM takes on its way out and cannot finish: each one is answered
+// before the VM ends, and those that it refuses as not run are made elsewhere, once.
+func TestShutdownTakesNoBookingThatItCannotFinish(t *testing.T) {
+	t.Parallel()
+	const drain = 5 * time.Second
+	s := startWithDispatch(t, func(conf *settings.Settings) { conf.EntryTTL = drain - time.Second })
+	s.Services[0].DelayAnswers(2500 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), drain)
+	defer cancel()
+	leaving, elsewhere := s.Nodes[1].Self().Endpoint, s.Nodes[0].Self().Endpoint
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = s.Nodes[1].Shutdown(ctx) // ends at the deadline if a booking is cut off
+	}()
+	began := time.Now()
+	var wg sync.WaitGroup
+	ticker := time.NewTicker(250 * time.Millisecond)
+	defer ticker.Stop()
+	for i := 0; time.Since(began) < drain-250*time.Millisecond; i++ {
+		wg.Go(func() {
+			key := fmt.Sprintf("late-%d", i)
+			got, err := tryBook(t.Context(), leaving, key)
+			switch {
+			case err != nil && strings.Contains(err.Error(), "connection refused"):
+			case err == nil && time.Since(began) <= drain && strings.HasPrefix(got, "200"):
+			case err == nil && time.Since(began) <= drain && strings.Contains(got, `"code":3006`):
+				if again := book(t, elsewhere, key); !strings.HasPrefix(again, "200") {
+					t.Errorf("%s, refused as not run, got %s elsewhere", key, again)
+				}
+			default:
+				t.Errorf("%s got %q and error %v after %v", key, got, err, time.Since(began))
+			}
+			if runs := s.Services[0].Runs(key); runs > 1 {
+				t.Errorf("%s ran %d times, want 1 at most", key, runs)
+			}
+		})
+		<-ticker.C
+	}
+	wg.Wait()
+	<-stopped
+}
--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -27,6 +27,8 @@
 	// seconds at most. If the group has no leader for longer, the call fails as "not
 	// run".
 	claimTimeout = 3 * time.Second
+	// MaxCallTime bounds a call with its claim, unless the control group cannot commit the outcome.
+	MaxCallTime = claimTimeout + callTimeout
 	// finishTimeout bounds the commit of an outcome. The sum of callTimeout,
 	// finishTimeout and a few seconds must stay below call.Limits.SealAfter.
 	finishTimeout = 30 * time.Second
