routed: a control process answers the operators' requests that it has taken

What operators saw: a control process was stopped, and changes that it had read got no answer; some of them came into force.

Cause: the adapters opened the servers for operators, Shutdown did not know them, and the process ended under their requests, some 4 ms after SIGTERM.

Change: a control process opens these servers itself.

--- a/cmd/amaranthshelfd/routed.go
+++ b/cmd/amaranthshelfd/routed.go
@@ -92,8 +92,7 @@
 		return nil, err
 	}
 	sup.Failure = c.Failure()
-	_, err = routed.Listen(s.Operators, routed.OperatorHandler(c, nil, s.Tokens.Operator, common.Metrics), common.Log)
-	return c, err
+	return c, c.Serve(s.Operators, routed.OperatorHandler(c, nil, s.Tokens.Operator, common.Metrics))
 }
 
 // limits returns the resources of the VM as the settings state them.
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -43,6 +43,9 @@
 	// Endpoints returns the addresses of routers that a caller may use, at most limit. zone is
 	// the caller's zone, or empty.
 	Endpoints(zone string, limit int) []string
+	// Serve binds an address for operators or callers and serves h in the background. Shutdown
+	// waits for the requests that were taken.
+	Serve(addr string, h http.Handler) error
 	// Failure delivers the fault that ends the process. It may be nil.
 	Failure() <-chan error
 	// Close stops the process at once, without draining.
@@ -62,6 +65,7 @@
 
 // Control is a control process that is a member of the control group.
 type Control struct {
+	operatorServers
 	o               ControlOptions
 	network         *peer.Network
 	memberRunner    *memberRunner
@@ -88,7 +92,7 @@
 	if o.Rollouts == (rollout.Limits{}) {
 		o.Rollouts = rollout.DefaultLimits
 	}
-	c := &Control{o: o, failure: make(chan error, 1), values: bulk.NewStore()}
+	c := &Control{operatorServers: operatorServers{log: o.Log}, o: o, failure: make(chan error, 1), values: bulk.NewStore()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.network = newNetwork(&o.Common)
 	c.backendList = cluster.NewListReplica(func(l upstream.List) { c.hub.SetBackends(l) })
@@ -269,13 +273,14 @@
 }
 
 // Shutdown transfers the leadership to another voter, gives up this one's vote if the group
-// has one to spare, and stops the process.
+// has one to spare, answers the requests that were taken, and stops the process.
 func (c *Control) Shutdown() {
 	c.hub.StopGrantingCalls()
 	if g := c.group(); g != nil {
 		g.TransferLeadership(c.ctx)
 		g.GiveUpVote(c.ctx)
 	}
+	c.drain()
 	c.Close()
 }
 
--- a/internal/routed/observer.go
+++ b/internal/routed/observer.go
@@ -19,6 +19,7 @@
 // Observer is a control process on a VM without a disk. It answers operators and
 // callers by asking the voters, and stores no state itself.
 type Observer struct {
+	operatorServers
 	o               Common
 	network         *peer.Network
 	member          *cluster.Member
@@ -31,7 +32,7 @@
 
 // StartObserver binds the peer address and starts to follow the control group.
 func StartObserver(o Common) (*Observer, error) {
-	v := &Observer{o: o, network: newNetwork(&o)}
+	v := &Observer{operatorServers: operatorServers{log: o.Log}, o: o, network: newNetwork(&o)}
 	var ctx context.Context
 	ctx, v.cancel = context.WithCancel(context.Background())
 	v.member = cluster.NewMember(o.ID, v.network, o.Seeds, cluster.NewListReplica(func(upstream.List) {}), cluster.Local{
@@ -121,8 +122,11 @@
 // could fail.
 func (v *Observer) Failure() <-chan error { return nil }
 
-// Shutdown implements Process. An Observer has nothing to drain.
-func (v *Observer) Shutdown() { v.Close() }
+// Shutdown implements Process.
+func (v *Observer) Shutdown() {
+	v.drain()
+	v.Close()
+}
 
 // Close implements ControlProcess.
 func (v *Observer) Close() {
