forward: an answer without a length is broken off if its server is gone

Cause: the connections of a killed process end like those of a complete answer. Only streams had their server probed after it.

Change: calls do as well. A refused connection, or another incarnation at the address, makes the answer a broken one; any other result changes nothing.

--- a/internal/forward/call_test.go
+++ b/internal/forward/call_test.go
@@ -320,3 +320,45 @@
 		}
 	})
 }
+
+// Guards against a part of an answer that is delivered as a whole one: an answer without a length ends
+// with its connection, which a server's death closes in the same way.
+func TestUnframedAnswers(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\nX-Backend-Signature: x\r\nX-Request-Id: r1\r\nConnection: close\r\n\r\nten of tw"
+	dies := func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+		breakAfter(part)(s, w, r)
+		s.Set(routedengine.Dead)
+		return true
+	}
+	for _, tt := range []struct {
+		name, method, path string
+		answer             answerFunc
+		status             int
+		body               string
+	}{
+		{"idempotent, server dies", "GET", "/tally/1", dies, http.StatusOK, "answer of "},
+		{"vote, server dies", "POST", "/vote/1", dies, http.StatusBadGateway, ""},
+		{"idempotent, server lives", "GET", "/tally/1", breakAfter(part), http.StatusOK, "ten of tw"},
+		{"vote, server lives", "POST", "/vote/1", breakAfter(part), http.StatusOK, "ten of tw"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, voteServer("a"), voteServer("b"))
+				defer f.shutDown()
+				first := true
+				for _, s := range f.servers {
+					s.Intercept = func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+						answers := first && tt.answer(s, w, r)
+						first = false
+						return answers
+					}
+				}
+				a := f.send(tt.method, tt.path, "r1", "yes")
+				<-a.done
+				if a.status != tt.status || !strings.HasPrefix(a.text.String(), tt.body) {
+					t.Errorf("got %d %q, want %d and %q", a.status, a.text.String(), tt.status, tt.body)
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -147,6 +148,9 @@
 	default:
 		err = readAnswerBody(&r, l, m)
 	}
+	if err == nil && !upstream.Framed(resp) && h.hasEnded(s) {
+		err = errServerEnded
+	}
 	if err != nil {
 		return h.breakOff(s, f, err)
 	}
@@ -156,6 +160,18 @@
 	return r
 }
 
+// errServerEnded means that an answer without a length ended together with its server, so that it
+// cannot be told from a part of one.
+var errServerEnded = fmt.Errorf("%w: the server ended", upstream.ErrBroken)
+
+// hasEnded reports whether no process listens at a server's address any more, or another one does. The
+// connections of a killed process end like those of a complete answer.
+func (h *Handler) hasEnded(s *upstream.Server) bool {
+	p := h.prober.start(s)
+	<-p.done
+	return p.refused || p.replaced
+}
+
 // breakOff ends an exchange whose answer cannot be read.
 func (h *Handler) breakOff(s *upstream.Server, f *flight, err error) reply {
 	f.conn.Close()
