--- a/internal/routed/options.go
+++ b/internal/routed/options.go
@@ -83,7 +83,7 @@
 // until the returned server is closed.
 func listen(addr string, h http.Handler, log zerolog.Logger) (*http.Server, error) {
 	s := &http.Server{
-		Handler: h, MaxHeaderBytes: DefaultLimits.MaxHeaderBytes,
+		Addr: addr, Handler: h, MaxHeaderBytes: DefaultLimits.MaxHeaderBytes,
 		ReadHeaderTimeout: DefaultLimits.HeaderTimeout, IdleTimeout: DefaultLimits.IdleTimeout,
 	}
 	return s, serve(s, addr, func(l net.Listener) net.Listener { return l }, log)
