upstream: a server that has started again under its id is another one

What callers saw: three servers of a version said that they leave, ended and started again under their ids, one after the other.

Cause: the statement was kept under the server's id for as long as that is listed, here and at the control VMs; the start that the list states was dropped.

Change: rows of the list carry the start. Another start is another server, what servers state is kept by id and start, and VMs tell each other which incarnations leave.

--- a/internal/cluster/leaving.go
+++ b/internal/cluster/leaving.go
@@ -9,7 +9,7 @@
 // server ends long before.
 const leavingTTL = 10 * time.Minute
 
-// leavingServers holds when a VM last reported that a server leaves, by server id.
+// leavingServers holds when a VM last reported that a server leaves, by the name of its incarnation.
 type leavingServers map[string]time.Time
 
 // learn takes the servers of a report, and reports whether one is new.
--- a/internal/cluster/leaving_test.go
+++ b/internal/cluster/leaving_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // All VMs must learn that a server leaves, although it has told only one of them, and the list
@@ -29,3 +30,20 @@
 		}
 	})
 }
+
+// Guards against a control VM that places nothing on a server which has started again under its id:
+// its former incarnation said that it leaves.
+func TestRestartedServerIsPlacedOn(t *testing.T) {
+	row := upstream.Backend{ID: "i1", Service: "m", Address: "10.0.0.1:80", BornMS: 1000}
+	inbox := newSchedulerInbox()
+	leaving := leavingServers{}
+	leaving.learn([]string{row.Incarnation()}, time.Now())
+	inbox.setLeaving(leaving)
+	for _, want := range []int{0, 1} {
+		inbox.setServers(upstream.List{Backends: []upstream.Backend{row}, AsOf: time.Now()})
+		if got := len(inbox.usableServers()); got != want {
+			t.Errorf("started at %d ms: %d servers may receive streams, want %d", row.BornMS, got, want)
+		}
+		row.BornMS += 5000
+	}
+}
--- a/internal/cluster/scheduler_inbox.go
+++ b/internal/cluster/scheduler_inbox.go
@@ -221,7 +221,7 @@
 func (b *schedulerInbox) servers() []scheduler.Server {
 	out := make([]scheduler.Server, 0, len(b.list.Backends))
 	for _, s := range b.list.Backends {
-		if _, leaving := b.leaving[s.ID]; !leaving && !s.Draining && !b.cordoned.Has(s.ID, s.Address) {
+		if _, leaving := b.leaving[s.Incarnation()]; !leaving && !s.Draining && !b.cordoned.Has(s.ID, s.Address) {
 			out = append(out, scheduler.Server{ID: s.ID, Service: s.Service, Zone: s.Zone, Slots: s.Slots, Version: s.Version})
 		}
 	}
--- a/internal/upstream/backpressure.go
+++ b/internal/upstream/backpressure.go
@@ -20,29 +20,50 @@
 	lastListed time.Time
 }
 
-// incarnationOf returns what is known of the incarnation with an id. It needs f.mu.
-func (f *Fleet) incarnationOf(id string) *incarnation {
-	v := f.incarnations[id]
+// incarnationOf returns what is known of an incarnation. It needs f.mu.
+func (f *Fleet) incarnationOf(key incarnationKey) *incarnation {
+	v := f.incarnations[key]
 	if v == nil {
 		v = &incarnation{lastListed: f.now()}
-		f.incarnations[id] = v
+		f.incarnations[key] = v
 	}
 	return v
 }
 
+// current returns the incarnation that the list names for an id. It needs f.mu.
+func (f *Fleet) current(id string) incarnationKey {
+	if row := f.list.lookup(id); row != nil {
+		return row.incarnation()
+	}
+	return incarnationKey{id: id}
+}
+
+// listedAs returns the row of the list that names an incarnation, or nil. It needs f.mu.
+func (f *Fleet) listedAs(key incarnationKey) *Backend {
+	if row := f.list.lookup(key.id); row != nil && row.incarnation() == key {
+		return row
+	}
+	return nil
+}
+
+// isFormer reports whether the list names another incarnation of the same server. It needs f.mu.
+func (f *Fleet) isFormer(key incarnationKey) bool {
+	return f.list.lookup(key.id) != nil && f.listedAs(key) == nil
+}
+
 // expireIncarnations forgets the listed incarnations that have stated nothing and are not in
 // use, and those that have not been listed for statementTTL. It needs f.mu.
 func (f *Fleet) expireIncarnations() {
 	now := f.now()
-	for id, v := range f.incarnations {
-		listed := f.list.lookup(id) != nil
+	for key, v := range f.incarnations {
+		listed := f.listedAs(key) != nil
 		switch {
-		case listed && v.Blank() && f.servers[id] == nil:
-			delete(f.incarnations, id)
+		case listed && v.Blank() && f.servers[key.id] == nil:
+			delete(f.incarnations, key)
 		case listed:
 			v.lastListed = now
 		case now.Sub(v.lastListed) > statementTTL:
-			delete(f.incarnations, id)
+			delete(f.incarnations, key)
 		}
 	}
 }
@@ -51,9 +72,9 @@
 // f.mu.
 func (f *Fleet) listedIDs(match func(*incarnation) bool) []string {
 	var out []string
-	for id, v := range f.incarnations {
-		if match(v) && f.list.lookup(id) != nil {
-			out = append(out, id)
+	for key, v := range f.incarnations {
+		if match(v) && f.listedAs(key) != nil {
+			out = append(out, key.id)
 		}
 	}
 	slices.Sort(out)
@@ -81,7 +102,7 @@
 	f.mu.Lock()
 	changes := map[string]backpressure.Change{}
 	for id, l := range limits {
-		if c := f.incarnationOf(id).LearnLimit(l, f.routerCount.most(), f.now()); c != backpressure.Unchanged {
+		if c := f.incarnationOf(f.current(id)).LearnLimit(l, f.routerCount.most(), f.now()); c != backpressure.Unchanged {
 			changes[id] = c
 		}
 	}
@@ -91,13 +112,14 @@
 	}
 }
 
-// LearnLeaving takes the ids of servers that have told another VM that they leave.
-func (f *Fleet) LearnLeaving(ids []string) {
+// LearnLeaving takes the incarnations of servers that have told another VM that they leave.
+func (f *Fleet) LearnLeaving(names []string) {
 	f.mu.Lock()
 	var learned []string
-	for _, id := range ids {
-		if f.incarnationOf(id).LearnLeaving() != backpressure.Unchanged {
-			learned = append(learned, id)
+	for _, name := range names {
+		key := parseIncarnation(name)
+		if f.incarnationOf(key).LearnLeaving() != backpressure.Unchanged {
+			learned = append(learned, key.id)
 		}
 	}
 	f.mu.Unlock()
@@ -106,12 +128,16 @@
 	}
 }
 
-// Leaving returns the ids of the listed servers that have stated that they leave. VMs that
+// Leaving returns the incarnations of the listed servers that have stated that they leave. VMs that
 // reported servers that are gone would keep them in one another's memory for good.
 func (f *Fleet) Leaving() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.listedIDs(func(v *incarnation) bool { return v.Leaving() })
+	out := f.listedIDs(func(v *incarnation) bool { return v.Leaving() })
+	for i, id := range out {
+		out[i] = f.list.lookup(id).Incarnation()
+	}
+	return out
 }
 
 // Limits returns what is known of the rate limits of listed servers, by server id.
@@ -119,9 +145,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]backpressure.Limit{}
-	for id, v := range f.incarnations {
-		if l := v.Limit(); !l.NamedAt.IsZero() && f.list.lookup(id) != nil {
-			out[id] = l
+	for key, v := range f.incarnations {
+		if l := v.Limit(); !l.NamedAt.IsZero() && f.listedAs(key) != nil {
+			out[key.id] = l
 		}
 	}
 	return out
@@ -209,12 +235,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out map[string]uint64
-	for id, v := range f.incarnations {
-		if n := v.SentElsewhere(granter); n > 0 && v.Limit().InForce() {
+	for key, v := range f.incarnations {
+		if n := v.SentElsewhere(granter); n > 0 && v.Limit().InForce() && !f.isFormer(key) {
 			if out == nil {
 				out = map[string]uint64{}
 			}
-			out[id] = n
+			out[key.id] = n
 		}
 	}
 	return out
@@ -237,14 +263,14 @@
 	defer f.mu.Unlock()
 	versions, now := v.Of(f.list.versions[service]), f.now()
 	var first time.Time
-	for id, stated := range f.incarnations {
-		row := f.list.lookup(id)
-		if row == nil || row.Service != service || !slices.Contains(versions, row.Version) || !f.inService(row) || skip[id] {
+	for key, stated := range f.incarnations {
+		row := f.listedAs(key)
+		if row == nil || row.Service != service || !slices.Contains(versions, row.Version) || !f.inService(row) || skip[row.ID] {
 			continue
 		}
 		at := stated.WithheldUntil(now)
-		if f.isDead(id, now) {
-			at = latest(at, f.servers[id].dead.nextProbe.Add(deadProbeTime))
+		if f.isDead(row.ID, now) {
+			at = latest(at, f.servers[row.ID].dead.nextProbe.Add(deadProbeTime))
 		}
 		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
 			first = at
--- a/internal/upstream/candidates.go
+++ b/internal/upstream/candidates.go
@@ -71,7 +71,7 @@
 	if v.ServerShare > 0 {
 		rows = f.firstServers(rows, rollout.TrialServers(v.ServerShare, others), now)
 	}
-	rows = slices.DeleteFunc(rows, func(row *Backend) bool { return f.withheld(row.ID, now) })
+	rows = slices.DeleteFunc(rows, func(row *Backend) bool { return f.withheld(row, now) })
 	out := make([]*Server, 0, min(len(rows), maxCandidates))
 	for _, row := range sample(rows, maxCandidates) {
 		out = append(out, f.server(row))
@@ -110,16 +110,16 @@
 	if row.Draining || f.cordons.ids[row.ID] {
 		return false
 	}
-	s, known := f.servers[row.ID], f.incarnations[row.ID]
+	s, known := f.servers[row.ID], f.incarnations[row.incarnation()]
 	return (s == nil || !s.stale) && (known == nil || !known.Leaving())
 }
 
-// withheld reports whether a server must not be sent any request now. It needs f.mu.
-func (f *Fleet) withheld(id string, now time.Time) bool {
-	if f.isDead(id, now) {
+// withheld reports whether a listed server must not be sent any request now. It needs f.mu.
+func (f *Fleet) withheld(row *Backend, now time.Time) bool {
+	if f.isDead(row.ID, now) {
 		return true
 	}
-	known := f.incarnations[id]
+	known := f.incarnations[row.incarnation()]
 	return known != nil && known.withheld(now)
 }
 
--- a/internal/upstream/fleet.go
+++ b/internal/upstream/fleet.go
@@ -24,6 +24,9 @@
 	Version  string `cbor:"7,keyasint,omitempty"` // of the server's software; empty: not stated
 	// Cold marks a server that has just started and is still slower than usual.
 	Cold bool `cbor:"8,keyasint,omitempty"`
+	// BornMS is when this incarnation started, in milliseconds since the Unix epoch by the clock
+	// of its host; 0: not stated. A server that starts again may keep its id.
+	BornMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // List is the list of backend servers and the time at which it was read, by this VM's
@@ -119,9 +122,9 @@
 	routersVersion int                  // number of changes of routers
 	deadSince      map[string]time.Time // when servers were judged dead here, by id
 	routerCount    routerCount
-	incarnations   map[string]*incarnation // by server id
-	slowdownStated map[string]time.Time    // when a server last stated a slowdown, by service
-	fragileAt      map[string]time.Time    // when a server last stated a rejection limit, by service
+	incarnations   map[incarnationKey]*incarnation
+	slowdownStated map[string]time.Time // when a server last stated a slowdown, by service
+	fragileAt      map[string]time.Time // when a server last stated a rejection limit, by service
 	cordons        cordons
 	reach          *handoff.Reach
 	lostSince      map[string]time.Time // services that this VM does not reach
@@ -143,7 +146,7 @@
 // NewFleet returns an empty Fleet. It closes idle connections in pool to servers that leave
 // the list.
 func NewFleet(pool *Pool, log zerolog.Logger) *Fleet {
-	return &Fleet{pool: pool, log: log, now: time.Now, onDeath: func(string, Evidence) {}, servers: map[string]*Server{}, deadSince: map[string]time.Time{}, incarnations: map[string]*incarnation{}, slowdownStated: map[string]time.Time{}, fragileAt: map[string]time.Time{}, reach: handoff.NewReach(), lostSince: map[string]time.Time{}, heardService: map[string]time.Time{}}
+	return &Fleet{pool: pool, log: log, now: time.Now, onDeath: func(string, Evidence) {}, servers: map[string]*Server{}, deadSince: map[string]time.Time{}, incarnations: map[incarnationKey]*incarnation{}, slowdownStated: map[string]time.Time{}, fragileAt: map[string]time.Time{}, reach: handoff.NewReach(), lostSince: map[string]time.Time{}, heardService: map[string]time.Time{}}
 }
 
 // Apply takes over a list if it was read later than the current one, and reports whether it
@@ -203,7 +206,7 @@
 func (f *Fleet) server(row *Backend) *Server {
 	s := f.servers[row.ID]
 	if s == nil {
-		s = &Server{Backend: *row, rankVersion: -1, accepts: f.incarnationOf(row.ID), cordoned: f.cordons.ids[row.ID]}
+		s = &Server{Backend: *row, rankVersion: -1, accepts: f.incarnationOf(row.incarnation()), cordoned: f.cordons.ids[row.ID]}
 		f.servers[row.ID] = s
 	}
 	s.requestedAt = f.now()
--- a/internal/upstream/list.go
+++ b/internal/upstream/list.go
@@ -102,5 +102,6 @@
 // sameServer reports whether two rows with the same id are of the same server. A server that
 // has started again may keep its id.
 func (b *Backend) sameServer(o *Backend) bool {
-	return b.Address == o.Address && b.Service == o.Service && b.Version == o.Version
+	bothBorn := b.BornMS != 0 && o.BornMS != 0 // a VM of a former release leaves it out
+	return b.Address == o.Address && b.Service == o.Service && b.Version == o.Version && (!bothBorn || b.BornMS == o.BornMS)
 }
--- a/internal/upstream/list_test.go
+++ b/internal/upstream/list_test.go
@@ -104,6 +104,11 @@
 	moved[1].Address = "elsewhere"
 	restarted := list("a", "b")
 	restarted[1].Version = "v2"
+	born := func(ms int64) []Backend {
+		rows := list("a", "b")
+		rows[1].BornMS = ms
+		return rows
+	}
 	tests := []struct {
 		name     string
 		from, to []Backend
@@ -117,6 +122,8 @@
 		{"replaced", list("a", "b"), list("b", "c"), 1, []string{"a"}},
 		{"another address", list("a", "b"), moved, 1, []string{"b"}},
 		{"another version", list("a", "b"), restarted, 1, []string{"b"}},
+		{"started again", born(1), born(2), 1, []string{"b"}},
+		{"start is not stated", born(1), born(0), 0, nil},
 	}
 	for _, tt := range tests {
 		from, to := newListIndex(tt.from), newListIndex(tt.to)
