--- a/internal/forward/call_test.go
+++ b/internal/forward/call_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -345,12 +346,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t, voteServer("a"), voteServer("b"))
 				defer f.shutDown()
-				first := true
+				var answered atomic.Bool
 				for _, s := range f.servers {
 					s.Intercept = func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
-						answers := first && tt.answer(s, w, r)
-						first = false
-						return answers
+						return !answered.Swap(true) && tt.answer(s, w, r)
 					}
 				}
 				a := f.send(tt.method, tt.path, "r1", "yes")
--- a/internal/gateway/services_shutdown_test.go
+++ b/internal/gateway/services_shutdown_test.go
@@ -23,7 +23,9 @@
 
 // slowCalls runs each call for a time and records when the last one ended.
 type slowCalls struct {
-	takes   time.Duration
+	takes time.Duration
+
+	mu      sync.Mutex
 	lastEnd time.Time
 }
 
@@ -39,7 +41,9 @@
 		return nil, err
 	}
 	time.Sleep(s.takes)
+	s.mu.Lock()
 	s.lastEnd = time.Now()
+	s.mu.Unlock()
 	settle(true)
 	return &call.Answer{Status: http.StatusCreated}, nil
 }
