forward: no stream goes on at an engine that has started again unlisted

What callers saw: engines of v1 crashed and came back 0.6 s later under their ids as v2.

Cause: the version of the list was compared, which lags; the start that the engine's report states was dropped. The id in a request does not tell the two processes apart.

Change: before the first event of a run that goes on with a stream leaves, the engine's report must not state a later start than the list. While several versions are in use this holds for streams that begin, and the engine gets nothing until it is listed anew. The report is asked for beside the run. The contents of runs there are not blamed: the former process ended, not this one.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -169,7 +169,7 @@
 func (h *Handler) hasEnded(s *upstream.Server) bool {
 	p := h.prober.start(s)
 	<-p.done
-	return p.refused || p.replaced
+	return p.refused || p.replaced || p.startedAgain
 }
 
 // breakOff ends an exchange whose answer cannot be read.
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -58,6 +58,9 @@
 	// replaced reports that another incarnation answers at the address: the one that was
 	// probed is dead.
 	replaced bool
+	// startedAgain reports that the server has started again under its id since the list was made,
+	// maybe with another version.
+	startedAgain bool
 	// sameInstance reports that the answer names the incarnation that was probed.
 	sameInstance bool
 	report       Report
@@ -185,10 +188,12 @@
 	if a.WrongInstance || a.Instance != "" && a.Instance != s.ID {
 		return probeResult{replaced: true}
 	}
-	v := probeResult{alive: true, answered: true, sameInstance: a.Instance == s.ID}
+	v := probeResult{alive: true, answered: true}
 	if report, err := p.wire.ReadReport(body); err == nil && resp.StatusCode == http.StatusOK {
 		v.report, v.hasReport = report, true
 	}
+	v.startedAgain = s.BornMS != 0 && v.report.BornMS > s.BornMS
+	v.sameInstance = a.Instance == s.ID && !v.startedAgain
 	return v
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -54,6 +54,7 @@
 	// missingReports counts the complete reports in a row that do not list the run.
 	missingReports int
 	probedAt       time.Time // when the last probe was started
+	startCheck     *probe    // tells whether the engine has started again; nil: it is not checked
 	// probeFailed is set if the last probe brought no answer.
 	probeFailed bool
 	// ticket tracks the run's first event for the roll-out under way.
@@ -121,6 +122,7 @@
 		return r
 	}
 	r.conn, r.outcome = conn, sendUnknown
+	r.checkStart()
 	if st.events == 0 {
 		r.reportRun() // a copy of the run before it may still be of use
 	}
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -231,6 +231,9 @@
 // stream.
 func (r *run) fixVersion() bool {
 	st, q := r.st, r.st.q
+	if r.engineStartedAgain() {
+		return false
+	}
 	began := q.origin == nil
 	if began {
 		q.origin = &streamversion.Origin{Service: r.server.Service, Version: r.server.Version}
@@ -248,12 +251,50 @@
 	record := streamversion.Record{Key: key, Origin: *q.origin, TTL: q.recordTTL()}
 	st.h.origins.Put([]streamversion.Record{record})
 	wait := st.h.opts.Origins.Record(record)
-	if began && st.h.opts.Rollouts.State().HasSeveralVersions(q.service.Name) {
+	if began && r.hasSeveralVersions() {
 		st.awaitRecord(wait)
 	}
 	return true
 }
 
+// checkStart begins to ask the engine when it started, if an error in the version that the list names
+// would join the events of two versions. An engine that starts again under its id may have
+// another version, and the list shows it seconds later. The connection of the run must be open: if the
+// engine starts again after that, the connection breaks.
+func (r *run) checkStart() {
+	if r.server.BornMS == 0 || !r.st.seq.started && !r.hasSeveralVersions() {
+		return
+	}
+	r.st.h.Stats.Probes.Inc()
+	r.startCheck = r.st.h.prober.start(r.server)
+}
+
+func (r *run) hasSeveralVersions() bool {
+	return r.st.h.opts.Rollouts.State().HasSeveralVersions(r.server.Service)
+}
+
+// engineStartedAgain reports whether the engine has started again since the list was made, so that its
+// version is not known. An engine that does not tell counts as listed.
+func (r *run) engineStartedAgain() bool {
+	if r.startCheck == nil {
+		return false
+	}
+	select {
+	case <-r.startCheck.done:
+	case <-r.st.q.ctx.Done():
+		return false
+	}
+	if !r.startCheck.startedAgain {
+		return r.startCheck.replaced
+	}
+	if r.hasSeveralVersions() {
+		r.st.h.opts.Fleet.MarkRestarted(r.server)
+	}
+	r.st.h.opts.Log.Warn().Str("request", r.st.q.RequestID).Str("engine", r.server.ID).Str("listed_version", r.server.Version).Int64("listed_start_ms", r.server.BornMS).
+		Int64("start_ms", r.startCheck.report.BornMS).Msg("engine has started again, and its version is not known; its events are dropped")
+	return true
+}
+
 // awaitRecord waits until enough other VMs hold the record of the stream. It waits longer for a slow
 // disk, but not so long that the first event would come late for that.
 func (st *streamRelay) awaitRecord(wait RecordWait) {
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -92,6 +92,8 @@
 	Made map[string]int
 	// Complete is set if Made lists all runs of the engine, including those that wait.
 	Complete bool
+	// BornMS is when the engine started, as in upstream.Backend; 0: not stated.
+	BornMS int64
 }
 
 // Wire translates between this package's types and the headers and calls in use.
--- a/internal/standin/routedengine/serve.go
+++ b/internal/standin/routedengine/serve.go
@@ -84,7 +84,7 @@
 
 func (s *Server) report(w http.ResponseWriter) {
 	s.mu.Lock()
-	out := forward.Report{Made: map[string]int{}, Complete: true}
+	out := forward.Report{Made: map[string]int{}, Complete: true, BornMS: s.BornMS}
 	for id, n := range s.eventsMade {
 		out.Made[id] = n
 	}
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -203,6 +203,20 @@
 	f.onDeath(s.ID, Confirmed)
 }
 
+// MarkRestarted records that the server has started again under its id since the list was made, maybe
+// with another version. Nothing is sent there until the list names the new start. It is no sign of
+// a death: the former process is known to have ended by its connections, and what was sent since then
+// runs.
+func (f *Fleet) MarkRestarted(s *Server) {
+	f.mu.Lock()
+	known := s.stale
+	s.stale = true
+	f.mu.Unlock()
+	if !known {
+		f.log.Info().Str("server", s.ID).Str("listed_version", s.Version).Int64("listed_start_ms", s.BornMS).Msg("server has started again since the list was made; sending nothing to it until it is listed anew")
+	}
+}
+
 // Failed records a response that is the server's own failure.
 func (f *Fleet) Failed(s *Server) {
 	f.mu.Lock()
--- a/internal/upstream/incarnation_test.go
+++ b/internal/upstream/incarnation_test.go
@@ -79,3 +79,21 @@
 		t.Errorf("names %q are not distinct", names)
 	}
 }
+
+// Guards against blame of what runs on a server that has started again, and against a server that is
+// lost for good.
+func TestRestartedServerIsBackOnceListed(t *testing.T) {
+	f := NewFleet(NewPool(), zerolog.Nop())
+	f.OnDeath(func(server string, e Evidence) { t.Errorf("death of %s by evidence %d, want none", server, e) })
+	row := Backend{ID: "i1", Service: "m", Address: "10.0.0.1:80", BornMS: 1000}
+	f.Apply(List{Backends: []Backend{row}, AsOf: time.Now()})
+	f.MarkRestarted(f.Lookup("i1"))
+	if f.Lookup("i1") != nil {
+		t.Error("the server takes work before it is listed anew")
+	}
+	row.BornMS++
+	f.Apply(List{Backends: []Backend{row}, AsOf: time.Now().Add(time.Second)})
+	if f.Lookup("i1") == nil {
+		t.Error("the server takes no work although it is listed anew")
+	}
+}
