forward: no status that promises "not run" for a call that may have run

What callers saw: a server ran a booking and answered 503 without the statement that it had not.

Cause: an answer with the server's signature was passed on whatever its status.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -74,7 +74,7 @@
 		if r.outcome == sendAnswered {
 			if r.isUsable() || !q.history.MaySend() {
 				observe(h.Stats.CallTime, q.arrived)
-				h.deliver(w, &r)
+				h.deliver(w, q, &r)
 				return
 			}
 			failure = &r
@@ -89,7 +89,7 @@
 		q.held.settle(late)
 		if late.reply.isUsable() {
 			observe(h.Stats.CallTime, q.arrived)
-			h.deliver(w, late.reply)
+			h.deliver(w, q, late.reply)
 			return true
 		}
 		if late.reply.outcome == sendAnswered {
@@ -320,7 +320,7 @@
 func (h *Handler) endCall(w http.ResponseWriter, q *request, failure *reply, code result.Code) {
 	switch {
 	case failure != nil:
-		h.deliver(w, failure)
+		h.deliver(w, q, failure)
 	case q.cutOff.Load():
 		h.giveUp(w, q, result.ShuttingDown)
 	case q.left() > 0 && q.ctx.Err() != nil:
@@ -354,8 +354,14 @@
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
-// deliver forwards a server's answer unchanged.
-func (h *Handler) deliver(w http.ResponseWriter, r *reply) {
+// deliver forwards a server's answer unchanged. A failure whose status would have a request repeated that
+// must run once is replaced by one without the server's signature.
+func (h *Handler) deliver(w http.ResponseWriter, q *request, r *reply) {
+	if !q.history.repeatable && promisesNotRun(r.resp.StatusCode) {
+		r.memory.Close()
+		h.giveUp(w, q, result.BackendFailed)
+		return
+	}
 	h.copyHeaders(w, r.resp)
 	if r.resp.StatusCode != http.StatusNoContent && r.resp.StatusCode != http.StatusNotModified {
 		w.Header().Set("Content-Length", strconv.Itoa(r.body.Len()))
@@ -371,6 +377,17 @@
 	}
 }
 
+// promisesNotRun reports whether a status tells a caller that its request has not run, so that the
+// caller sends it again. A server may answer with such a status although it has run the request. A
+// misdirected request is not among them: no server runs it.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // writePieces writes the body of an answer, and gives up the memory of what was written.
 func writePieces(w http.ResponseWriter, r *reply) error {
 	for i, piece := range r.body {
--- a/internal/forward/call_test.go
+++ b/internal/forward/call_test.go
@@ -361,3 +361,39 @@
 		})
 	}
 }
+
+// Guards against a booking that is made twice: its server has run it and answers with a status that
+// tells callers to send it again.
+func TestStatusThatPromisesNotRunIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusConflict, http.StatusInternalServerError} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, voteServer("a"), voteServer("b"))
+				defer f.shutDown()
+				for _, s := range f.servers {
+					s.Intercept = func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+						w.Header().Set("Retry-After", "1")
+						s.AnswerCall(w, r, status)
+						return true
+					}
+				}
+				vote, tally := f.send("POST", "/vote/1", "r1", "yes"), f.send("GET", "/tally/1", "r2", "")
+				<-vote.done
+				<-tally.done
+				want, signed := status, true
+				if status != http.StatusConflict && status != http.StatusInternalServerError {
+					want, signed = http.StatusBadGateway, false
+				}
+				if vote.status != want || (vote.header.Get(forward.HeaderSignature) != "") != signed || !signed && vote.header.Get("Retry-After") != "" {
+					t.Errorf("vote: got %d with headers %v, want %d, of the server: %t", vote.status, vote.header, want, signed)
+				}
+				if n := f.totalRuns("r1"); n != 1 {
+					t.Errorf("the vote ran %d times, want once", n)
+				}
+				if tally.status != status || tally.header.Get(forward.HeaderSignature) == "" {
+					t.Errorf("tally: got %d, want the server's own %d", tally.status, status)
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -225,7 +225,7 @@
 	r := &run.reply
 	retry := r.resp.StatusCode >= http.StatusInternalServerError && st.q.history.MaySend()
 	if !st.headSent && !retry {
-		st.h.deliver(st.w, r)
+		st.h.deliver(st.w, st.q, r)
 		return true
 	}
 	st.skip[run.server.ID] = true
@@ -386,7 +386,7 @@
 			Str("reason", result.Lookup(code).Name).Msg("stream broken off")
 		panic(http.ErrAbortHandler)
 	case st.engineFailure != nil:
-		h.deliver(st.w, st.engineFailure)
+		h.deliver(st.w, st.q, st.engineFailure)
 	default:
 		h.giveUp(st.w, st.q, code)
 	}
