cluster: a caller that names no stream gets a copy only if one has begun

What callers saw: requests with the same content ran at the same time, and all processes were killed. A caller that names no attempt, as it may while one version serves, took its stream up and got the rest of another caller's answer.

Cause: such a caller is given a copy if no other stream of its content is known, and heartbeats and the files of the control processes lack the streams that began in the last 0.4 to 0.8 s.

Change: the records of which version began a stream carry a hash of the content. They go to the control processes' disks with the first event, so that these can count the streams of a content. A copy is given if two of three holders answer and exactly one stream is recorded; otherwise the prompt is computed again. Records of equal contents have the same holders. Callers that name their stream are served as before.

TestUnnamedStreamIsFoundOnlyAlone, TestStreamsOfAContent.

--- a/cmd/amaranthshelfd/soak_system_test.go
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -108,7 +108,7 @@
 	for i := range 2 * soakZones {
 		s.addServer(&routedengine.Server{
 			Backend: upstream.Backend{ID: fmt.Sprint("engine", i), Service: "models", Zone: fmt.Sprint("z", i%soakZones), Slots: soakSlots, Version: s.engineVersion(i)},
-			Events:  soakEvents, NamesPath: true, NamesVersion: true, PrefillTime: 100 * time.Millisecond, EventInterval: 20 * time.Millisecond,
+			Events:  soakEvents, NamesPath: true, NamesVersion: true, NamesMemory: true, PrefillTime: 100 * time.Millisecond, EventInterval: 20 * time.Millisecond,
 		})
 	}
 	for i := range soakZones {
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -16,14 +16,21 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
+	"github.com/amaranthshelf/amaranthshelf/internal/streamversion"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 	"github.com/amaranthshelf/amaranthshelf/internal/wal/waltest"
 )
 
 // testHub is a control VM, which also runs a Member towards the others.
 type testHub struct {
-	hub  *Hub
-	list *ListReplica
+	hub     *Hub
+	list    *ListReplica
+	records *streamversion.Store // of the streams that have begun
+}
+
+// streamBegan records that a stream with a content has begun.
+func (h *testHub) streamBegan(content uint64, attempt string) {
+	h.records.Put([]streamversion.Record{{Key: streamversion.KeyOf("w", attempt), TTL: time.Minute, Content: forward.RunID{Content: content}.RecordedContent()}})
 }
 
 // testVM is a router.
@@ -43,6 +50,8 @@
 	h := &testHub{list: NewListReplica(func(upstream.List) {})}
 	t := n.VM(id)
 	h.hub = NewHub(t, h.list, func() []string { return all }, zerolog.Nop())
+	h.records = streamversion.NewStore(nil, "", zerolog.Nop())
+	h.hub.ServeStreamVersions(t, h.records)
 	m := NewMember(id, t, all, h.list, Local{}, zerolog.Nop())
 	h.hub.Join(m)
 	go m.Run(ctx)
--- a/internal/cluster/orphans_test.go
+++ b/internal/cluster/orphans_test.go
@@ -27,6 +27,9 @@
 		a, b := forward.Copy{Address: "e1:1", ID: "q1"}, forward.Copy{Address: "e2:1", ID: "q2"}
 		twin := reported(8, b)
 		twin.Stream = 80
+		h.streamBegan(7, "r7")
+		h.streamBegan(8, "r8")
+		h.streamBegan(8, "r80")
 		h.hub.recordHeartbeat("dead", Heartbeat{Runs: []forward.ResumableRun{reported(7, a), reported(8, a)}})
 		h.hub.recordHeartbeat("dead too", Heartbeat{Runs: []forward.ResumableRun{twin}})
 		for _, tt := range []struct {
@@ -126,6 +129,7 @@
 		time.Sleep(time.Second)
 		first, second := reported(7, forward.Copy{Address: "e1:1", ID: "q1"}), reported(7, forward.Copy{Address: "e2:1", ID: "q2"})
 		second.Stream = 70
+		h.streamBegan(7, "r7")
 		h.hub.mu.Lock()
 		h.hub.savedRuns = []forward.ReportedRun{{ResumableRun: first, Router: "dead"}}
 		h.hub.copiesExpireAt, h.hub.savedRunsExpireAt = time.Now().Add(copyLifetime), time.Now().Add(forgetAfter)
@@ -143,3 +147,53 @@
 		}
 	})
 }
+
+// Guards against the copy of another request while reports lack the stream that is meant: it began just
+// before all processes were killed, and its caller does not name it.
+func TestUnnamedStreamIsFoundOnlyAlone(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		began    []string // attempts that have begun a stream with the content
+		silent   int      // control VMs that do not answer
+		wantCopy bool
+	}{
+		{"one stream has begun", []string{"r1"}, 0, true},
+		{"and a holder of the records is silent", []string{"r1"}, 1, true},
+		{"two streams have begun", []string{"r1", "r2"}, 0, false},
+		{"none is recorded", nil, 0, false},
+		{"too few holders answer", []string{"r1"}, 2, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+				run := forward.ResumableRun{RunID: runID(7), Orphan: forward.Orphan{Copy: forward.Copy{Address: "e1:1", ID: "q1"}, PrefillEngine: "e2:1"}}
+				hubs := map[string]*testHub{}
+				for _, id := range controls {
+					hubs[id] = startHub(ctx, n, id, controls)
+				}
+				v := startRouter(ctx, n, "r1", controls, 0)
+				time.Sleep(time.Second)
+				for _, h := range hubs {
+					for _, attempt := range tt.began {
+						h.streamBegan(7, attempt)
+					}
+					h.hub.recordHeartbeat("dead", Heartbeat{Runs: []forward.ResumableRun{run}})
+				}
+				for i := range tt.silent {
+					n.Isolate(controls[i])
+				}
+				time.Sleep(500 * time.Millisecond) // the answers of the others are fresher now
+				got, ok := v.member.FindOrphan(ctx, forward.RunID{Content: 7})
+				want := forward.ReportedRun{ResumableRun: run, Router: "dead", Age: got.Age}
+				if !tt.wantCopy {
+					want.Copy, want.RunID = forward.Copy{}, forward.RunID{}
+				}
+				if !ok || got != want {
+					t.Errorf("got %+v, found %t, want %+v", got, ok, want)
+				}
+				if got, _ := v.member.FindOrphan(ctx, run.RunID); got.Copy != run.Copy {
+					t.Errorf("got %+v of the stream that is named, want its copy", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/cluster/stream_versions.go
+++ b/internal/cluster/stream_versions.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -96,6 +97,13 @@
 		origin, finding, err := store.Find(key)
 		return FindVersionReply{finding, origin}, err
 	})
+	t.Handle(peer.KindCountStreams, func(_ context.Context, _ string, body []byte) (any, error) {
+		var content uint32
+		if err := codec.Unmarshal(body, &content); err != nil {
+			return nil, err
+		}
+		return store.Streams(content)
+	})
 }
 
 // recordedCounts counts the messages of records that a control VM answered, by Durability.
@@ -203,7 +211,7 @@
 
 // Record implements forward.Origins. Control VMs that do not answer are not awaited.
 func (m *Member) Record(r streamversion.Record) forward.RecordWait {
-	vms := holdersOf(r.Key, m.Controls())
+	vms := holdersOf(placeOf(&r), m.Controls())
 	s := m.records
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -228,9 +236,22 @@
 	return forward.RecordWait{Held: holding.done, DiskIsSlow: holding.slow}
 }
 
-// holdersOf returns the control VMs that hold the record with a key, by rendezvous hashing.
-func holdersOf(k streamversion.Key, controls []string) []string {
-	rank := func(vm string) uint64 { return xxhash.Sum64String(string(k[:]) + vm) }
+// placeOf returns what decides which control VMs hold a record. Those of streams with equal content have
+// the same holders, which can count them.
+func placeOf(r *streamversion.Record) string {
+	if r.Content != 0 {
+		return placeOfContent(r.Content)
+	}
+	return string(r.Key[:])
+}
+
+func placeOfContent(content uint32) string {
+	return string(binary.BigEndian.AppendUint32(nil, content))
+}
+
+// holdersOf returns the control VMs that hold the records of a place, by rendezvous hashing.
+func holdersOf(place string, controls []string) []string {
+	rank := func(vm string) uint64 { return xxhash.Sum64String(place + vm) }
 	out := slices.SortedFunc(slices.Values(controls), func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 	return out[:min(len(out), recordHolders)]
 }
@@ -368,6 +389,35 @@
 	return pause, lane.failed == 1
 }
 
+// isOnlyStream reports whether one stream with a content has begun, of all that may still be asked for. It
+// is false if too few holders of the records answer.
+func (m *Member) isOnlyStream(ctx context.Context, content uint32) bool {
+	vms := holdersOf(placeOfContent(content), m.Controls())
+	type answer struct {
+		streams int
+		err     error
+	}
+	answers := make(chan answer, len(vms))
+	for _, vm := range vms {
+		go func() {
+			var a answer
+			a.err = m.t.Call(ctx, vm, peer.KindCountStreams, content, &a.streams)
+			answers <- a
+		}()
+	}
+	answered, most := 0, 0
+	for range vms {
+		if a := <-answers; a.err == nil {
+			answered++
+			most = max(most, a.streams)
+		}
+		if answered == recordQuorum || most > 1 {
+			break
+		}
+	}
+	return most == 1 && answered >= min(recordQuorum, len(vms))
+}
+
 // Find implements forward.Origins. It asks all control VMs at once, since the record's holders may
 // have been others when it was made.
 func (m *Member) Find(ctx context.Context, k streamversion.Key) (streamversion.Origin, streamversion.Finding, bool) {
--- a/internal/cluster/stream_versions_test.go
+++ b/internal/cluster/stream_versions_test.go
@@ -280,7 +280,7 @@
 		b.Run(fmt.Sprint(streams), func(b *testing.B) {
 			records := make([]streamversion.Record, streams)
 			for i := range records {
-				records[i] = streamversion.Record{Key: streamversion.KeyOf("workspace", fmt.Sprint(i)), Origin: streamversion.Origin{Service: "diagnosis", Version: "v1.12.3"}, TTL: 35 * time.Second}
+				records[i] = streamversion.Record{Key: streamversion.KeyOf("workspace", fmt.Sprint(i)), Origin: streamversion.Origin{Service: "diagnosis", Version: "v1.12.3"}, TTL: 35 * time.Second, Content: uint32(i) * 2_654_435_761}
 			}
 			bytes := 0
 			for b.Loop() {
--- a/internal/forward/orphan.go
+++ b/internal/forward/orphan.go
@@ -52,6 +52,9 @@
 	Stream  uint64 `cbor:"5,keyasint,omitempty"` // hash of the attempt that began it and of Content; 0: not known
 }
 
+// RecordedContent returns the hash of the content in the records of streams that have begun.
+func (id RunID) RecordedContent() uint32 { return max(1, uint32(id.Content)) }
+
 // Orphan is what remains of a run when its router is gone.
 type Orphan struct {
 	Copy          Copy   `cbor:"2,keyasint"`           // of the run's memory; empty: none
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -248,7 +248,7 @@
 	if !named {
 		return true
 	}
-	record := streamversion.Record{Key: key, Origin: *q.origin, TTL: q.recordTTL()}
+	record := streamversion.Record{Key: key, Origin: *q.origin, TTL: q.recordTTL(), Content: st.id.RecordedContent()}
 	st.h.origins.Put([]streamversion.Record{record})
 	wait := st.h.opts.Origins.Record(record)
 	if began && r.hasSeveralVersions() {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -61,6 +61,7 @@
 	KindPoisonSuspicion   Kind = 100
 	KindFindRun           Kind = 101 // asks what is known of a stream that another VM carried
 	KindCarriesStream     Kind = 102 // asks a router whether it carries a stream now
+	KindCountStreams      Kind = 103 // asks how many streams with a content have begun
 	KindExplain           Kind = 120
 	KindStatus            Kind = 121
 )
--- a/internal/routedlocal/system.go
+++ b/internal/routedlocal/system.go
@@ -313,6 +313,7 @@
 	LongestPause time.Duration // between two events
 	Foreign      int           // events that state the path of another stream
 	Versions     []string      // of the servers that sent events, if they state it; in order, each once
+	Memories     []string      // requests whose prompts the events go on from, if they state it; each once
 	// Status is the status of the answer; 0: none. Refusal is the error of the system in it.
 	Status  int
 	Refusal result.Error
@@ -385,12 +386,8 @@
 			return out
 		}
 		n := 0
-		if rest, version, names := strings.Cut(strings.TrimRight(line, "\n"), routedengine.VersionMark); names {
-			line = rest
-			if !slices.Contains(out.Versions, version) {
-				out.Versions = append(out.Versions, version)
-			}
-		}
+		line = cutMark(line, routedengine.MemoryMark, &out.Memories)
+		line = cutMark(line, routedengine.VersionMark, &out.Versions)
 		if _, of, names := strings.Cut(line, " of "); names && strings.HasPrefix(line, "data: ") && strings.TrimSpace(of) != q.Path {
 			out.Foreign++
 		}
@@ -408,6 +405,18 @@
 	}
 }
 
+// cutMark returns a line without what follows a mark, and adds that to seen.
+func cutMark(line, mark string, seen *[]string) string {
+	rest, stated, found := strings.Cut(strings.TrimRight(line, "\n"), mark)
+	if !found {
+		return line
+	}
+	if !slices.Contains(*seen, stated) {
+		*seen = append(*seen, stated)
+	}
+	return rest
+}
+
 // HasAllEvents reports whether ids are 1 to n, each once and in order.
 func HasAllEvents(ids []int, n int) bool {
 	for i, id := range ids {
--- a/internal/standin/routedengine/copies.go
+++ b/internal/standin/routedengine/copies.go
@@ -5,20 +5,20 @@
 	"net/http"
 )
 
-// keepCopyOf stores a copy of another engine's run up to an event.
-func (s *Server) keepCopyOf(id string, n uint64) {
+// keepCopyOf stores a copy of another engine's run. memory is the request whose prompt it has.
+func (s *Server) keepCopyOf(id, memory string) {
 	if s != nil {
-		s.storeCopy(s.Address+"/"+id, n)
+		s.storeCopy(s.Address+"/"+id, memory)
 	}
 }
 
-func (s *Server) storeCopy(name string, n uint64) {
+func (s *Server) storeCopy(name, memory string) {
 	if s.inState(Dead) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copies[name] = n
+	s.copies[name] = memory
 }
 
 // copyOnOrder copies the memory of a run to another engine, or drops such a copy.
@@ -29,7 +29,8 @@
 	}
 	id := r.URL.Query().Get("run")
 	s.mu.Lock()
-	made, runs := s.eventsMade[id]
+	memory := s.active[id]
+	_, runs := s.eventsMade[id]
 	s.mu.Unlock()
 	target := s.Net.ServerAt(r.URL.Query().Get("to"))
 	if !runs || target == nil || target.inState(Dead) {
@@ -37,18 +38,18 @@
 		return
 	}
 	s.pause(r, s.CopyTime)
-	target.storeCopy(s.Address+"/copy-of-"+id, uint64(made))
+	target.storeCopy(s.Address+"/copy-of-"+id, memory)
 	_, _ = fmt.Fprint(w, "copy-of-"+id)
 }
 
-// consumeCopy removes the copy that from names as "address/id". It reports whether the
-// server had one.
-func (s *Server) consumeCopy(from string) bool {
+// consumeCopy removes the copy that from names as "address/id", and returns the request whose
+// prompt it has. It reports whether the server had one.
+func (s *Server) consumeCopy(from string) (memory string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.copies[from]
+	memory, ok = s.copies[from]
 	delete(s.copies, from)
-	return ok
+	return memory, ok
 }
 
 // dropCopy removes a copy from all servers.
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -51,6 +51,7 @@
 	CopyTime      time.Duration // duration of a copy on order
 	NamesPath     bool          // each event states the path of its stream
 	NamesVersion  bool          // each event states the server's version
+	NamesMemory   bool          // each event states the request whose prompt the run goes on from
 	// Intercept, if set, may answer a request, and reports whether it did.
 	Intercept func(s *Server, w http.ResponseWriter, r *http.Request) bool
 
@@ -65,9 +66,9 @@
 	leaving    bool              // stated in every answer
 	connsTaken bool              // new connections are reset
 	retryAfter string            // Retry-After with which every request is refused; empty: none is
-	active     map[string]bool   // streams that run here, by request id
+	active     map[string]string // the request whose prompt each running stream goes on from, by request id
 	eventsMade map[string]int    // events of running streams, by request id
-	copies     map[string]uint64 // last event of each backup copy, by "address/id"
+	copies     map[string]string // the request whose prompt each backup copy has, by "address/id"
 }
 
 func (s *Server) inState(state State) bool {
@@ -84,8 +85,8 @@
 	s.wake = make(chan struct{})
 	conns := s.conns
 	if state == Dead {
-		s.conns, s.copies = map[net.Conn]bool{}, map[string]uint64{}
-		s.eventsMade, s.active = map[string]int{}, map[string]bool{}
+		s.conns, s.copies = map[net.Conn]bool{}, map[string]string{}
+		s.eventsMade, s.active = map[string]int{}, map[string]string{}
 	}
 	s.mu.Unlock()
 	if state != Dead {
@@ -158,5 +159,5 @@
 func (s *Server) DropCopies() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copies = map[string]uint64{}
+	s.copies = map[string]string{}
 }
--- a/internal/standin/routedengine/network.go
+++ b/internal/standin/routedengine/network.go
@@ -140,7 +140,7 @@
 // Add starts a server on the network and returns it.
 func (n *Net) Add(s *Server) *Server {
 	s.Net, s.wake, s.conns = n, make(chan struct{}), map[net.Conn]bool{}
-	s.active, s.eventsMade, s.copies = map[string]bool{}, map[string]int{}, map[string]uint64{}
+	s.active, s.eventsMade, s.copies = map[string]string{}, map[string]int{}, map[string]string{}
 	n.mu.Lock()
 	n.servers[s.Address] = s
 	n.mu.Unlock()
--- a/internal/standin/routedengine/serve.go
+++ b/internal/standin/routedengine/serve.go
@@ -147,22 +147,26 @@
 	}
 }
 
-// VersionMark precedes the server's version in an event that states it.
-const VersionMark = " by version "
+// Marks that precede what an event states.
+const (
+	VersionMark = " by version "     // the server's version
+	MemoryMark  = " from memory of " // the request whose prompt the run goes on from
+)
 
 func (s *Server) stream(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(forward.HeaderRequestID)
 	after, _ := strconv.ParseUint(r.Header.Get(forward.HeaderLastEvent), 10, 64)
-	prefill := true
+	prefill, memory := true, id
 	if from := r.Header.Get(forward.HeaderCopyFrom); from != "" {
-		if !s.consumeCopy(from) {
+		var ok bool
+		if memory, ok = s.consumeCopy(from); !ok {
 			s.refuse(w, r, http.StatusServiceUnavailable)
 			return
 		}
 		prefill = false
 	}
 	s.RecordRun(r, after+1, prefill)
-	defer s.markActive(id)()
+	defer s.markActive(id, memory)()
 	if prefill && !s.pause(r, s.PrefillTime) {
 		return
 	}
@@ -176,6 +180,9 @@
 	if s.NamesVersion {
 		of += VersionMark + s.Version
 	}
+	if s.NamesMemory {
+		of += MemoryMark + memory
+	}
 	for n := after + 1; n <= uint64(s.Events); n++ {
 		if !s.pause(r, s.EventInterval) {
 			return
@@ -185,17 +192,17 @@
 			return
 		}
 		s.setProgress(id, int(n-after))
-		backup.keepCopyOf(id, n)
+		backup.keepCopyOf(id, memory)
 	}
 	s.setProgress(id, 0)
 }
 
 // markActive marks a stream as running here until end is called.
-func (s *Server) markActive(id string) (end func()) {
+func (s *Server) markActive(id, memory string) (end func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	active := s.active
-	active[id] = true
+	active[id] = memory
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/streamversion/batch.go
+++ b/internal/streamversion/batch.go
@@ -13,6 +13,8 @@
 	Keys []byte   `cbor:"2,keyasint"`
 	Of   []uint32 `cbor:"3,keyasint"`
 	TTLs []uint32 `cbor:"4,keyasint"`
+	// Contents holds the content of each record. A VM of a former release leaves it out.
+	Contents []uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // ttlUnit is the unit of Batch.TTLs.
@@ -36,6 +38,7 @@
 		b.Keys = append(b.Keys, r.Key[:]...)
 		b.Of = append(b.Of, index)
 		b.TTLs = append(b.TTLs, uint32((r.TTL+ttlUnit-1)/ttlUnit))
+		b.Contents = append(b.Contents, r.Content)
 	}
 	return b
 }
@@ -43,7 +46,7 @@
 // Records returns the records of a Batch.
 func (b *Batch) Records() ([]Record, error) {
 	n := len(b.Of)
-	if len(b.TTLs) != n || len(b.Keys) != n*len(Key{}) {
+	if len(b.TTLs) != n || len(b.Keys) != n*len(Key{}) || len(b.Contents) != n && len(b.Contents) != 0 {
 		return nil, errMalformedBatch
 	}
 	out := make([]Record, n)
@@ -52,6 +55,9 @@
 			return nil, errMalformedBatch
 		}
 		out[i] = Record{Key: Key(b.Keys[i*len(Key{}):]), Origin: b.Origins[b.Of[i]], TTL: time.Duration(b.TTLs[i]) * ttlUnit}
+		if len(b.Contents) > 0 {
+			out[i].Content = b.Contents[i]
+		}
 	}
 	return out, nil
 }
--- a/internal/streamversion/store.go
+++ b/internal/streamversion/store.go
@@ -125,6 +125,17 @@
 	return origin, finding, nil
 }
 
+// Streams returns how many streams with a content have begun and may still be asked for. The error
+// is ErrNotLoaded or nil.
+func (s *Store) Streams(content uint32) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loaded {
+		return 0, ErrNotLoaded
+	}
+	return s.table.Streams(content), nil
+}
+
 // Stats returns the number of records, and how many were not kept.
 func (s *Store) Stats() StoreStats {
 	s.mu.Lock()
--- a/internal/streamversion/streamversion.go
+++ b/internal/streamversion/streamversion.go
@@ -1,4 +1,5 @@
-// Package streamversion records which service and software version began each stream.
+// Package streamversion records which service and software version began each stream, and how many
+// streams with one content have begun.
 //
 // Engines of several versions may serve one service at the same time, and what two versions
 // write does not fit together. A stream may go on only at the version that sent its first
@@ -55,6 +56,8 @@
 	Key    Key
 	Origin Origin
 	TTL    time.Duration // until the caller's last attempt has ended
+	// Content is a hash that requests with equal content share; 0: not stated.
+	Content uint32
 }
 
 // Finding is the result of a lookup.
@@ -70,7 +73,8 @@
 // entry is a record in a Table.
 type entry struct {
 	expires   time.Duration // since Table.epoch
-	origin    uint32        // index in Table.origins
+	content   uint32
+	origin    uint16 // index in Table.origins
 	ambiguous bool
 }
 
@@ -79,13 +83,14 @@
 	epoch   time.Time
 	entries map[Key]entry
 	origins []Origin
-	indexes map[Origin]uint32
+	indexes map[Origin]uint16
+	streams map[uint32]uint32 // records by content
 	sweptAt time.Time
 }
 
 // NewTable returns an empty Table.
 func NewTable(now time.Time) *Table {
-	return &Table{epoch: now, entries: map[Key]entry{}, indexes: map[Origin]uint32{}, sweptAt: now}
+	return &Table{epoch: now, entries: map[Key]entry{}, indexes: map[Origin]uint16{}, streams: map[uint32]uint32{}, sweptAt: now}
 }
 
 // Len returns the number of records.
@@ -104,23 +109,28 @@
 	case !known && len(t.entries) >= maxRecords:
 		return false
 	case !known:
+		t.remove(r.Key) // it may have expired
 		e = entry{origin: index}
 	case e.origin != index:
 		e.ambiguous = true
 	}
+	if e.content == 0 && r.Content != 0 {
+		e.content = r.Content
+		t.streams[r.Content]++
+	}
 	e.expires = max(e.expires, now.Add(r.TTL).Sub(t.epoch))
 	t.entries[r.Key] = e
 	return true
 }
 
-func (t *Table) indexOf(o Origin) (uint32, bool) {
+func (t *Table) indexOf(o Origin) (uint16, bool) {
 	if index, ok := t.indexes[o]; ok {
 		return index, true
 	}
 	if len(t.origins) >= maxOrigins {
 		return 0, false
 	}
-	index := uint32(len(t.origins))
+	index := uint16(len(t.origins))
 	t.origins, t.indexes[o] = append(t.origins, o), index
 	return index, true
 }
@@ -142,6 +152,25 @@
 	return t.origins[e.origin], Found
 }
 
+// Streams returns how many streams with a content are recorded, including some that have just
+// expired.
+func (t *Table) Streams(content uint32) int { return int(t.streams[content]) }
+
+// remove removes the record with a key, if there is one.
+func (t *Table) remove(k Key) {
+	e, ok := t.entries[k]
+	if !ok {
+		return
+	}
+	delete(t.entries, k)
+	if e.content == 0 {
+		return
+	}
+	if t.streams[e.content]--; t.streams[e.content] == 0 {
+		delete(t.streams, e.content)
+	}
+}
+
 // sweep removes expired records from time to time, and with the last record the origins.
 func (t *Table) sweep(now time.Time) {
 	if now.Sub(t.sweptAt) < sweepInterval {
@@ -150,11 +179,11 @@
 	t.sweptAt = now
 	for k, e := range t.entries {
 		if now.Sub(t.epoch) >= e.expires {
-			delete(t.entries, k)
+			t.remove(k)
 		}
 	}
 	if len(t.entries) == 0 {
-		t.origins, t.indexes = nil, map[Origin]uint32{}
+		t.origins, t.indexes = nil, map[Origin]uint16{}
 	}
 }
 
@@ -167,9 +196,9 @@
 		if ttl <= 0 {
 			continue
 		}
-		out = append(out, Record{Key: k, Origin: t.origins[e.origin], TTL: ttl})
+		out = append(out, Record{Key: k, Origin: t.origins[e.origin], TTL: ttl, Content: e.content})
 		if e.ambiguous {
-			out = append(out, Record{Key: k, Origin: noService, TTL: ttl})
+			out = append(out, Record{Key: k, Origin: noService, TTL: ttl, Content: e.content})
 		}
 	}
 	return out
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -38,7 +38,7 @@
 		{"expired", []Record{record("a", v1, time.Second)}, time.Second, KeyOf("nelson", "a"), Unknown, Origin{}},
 		{"another attempt", []Record{record("a", v1, time.Minute)}, 0, KeyOf("nelson", "A"), Unknown, Origin{}},
 		{"another workspace", []Record{record("a", v1, time.Minute)}, 0, KeyOf("rupert", "a"), Unknown, Origin{}},
-		{"workspace and attempt that join to the same text", []Record{{KeyOf("ab", "c"), v1, time.Minute}}, 0, KeyOf("a", "bc"), Unknown, Origin{}},
+		{"workspace and attempt that join to the same text", []Record{{Key: KeyOf("ab", "c"), Origin: v1, TTL: time.Minute}}, 0, KeyOf("a", "bc"), Unknown, Origin{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -76,23 +76,69 @@
 // Guards against records that change on their way to another VM.
 func TestBatch(t *testing.T) {
 	records := []Record{record("a", v1, time.Second), record("b", v2, time.Minute), record("c", v1, 1001*time.Millisecond), record("d", Origin{"models", strings.Repeat("v", 300)}, time.Hour)}
+	records[1].Content = 7
 	b := Pack(records)
 	got, err := b.Records()
 	if err != nil || len(got) != len(records) || len(b.Origins) != 3 {
 		t.Fatalf("got %d records of %d origins, error %v, want 4 of 3", len(got), len(b.Origins), err)
 	}
 	for i, r := range got {
-		if r.Key != records[i].Key || r.Origin != records[i].Origin || r.TTL < records[i].TTL || r.TTL > records[i].TTL+ttlUnit {
+		if r.Key != records[i].Key || r.Origin != records[i].Origin || r.Content != records[i].Content || r.TTL < records[i].TTL || r.TTL > records[i].TTL+ttlUnit {
 			t.Errorf("got %+v, want %+v", r, records[i])
 		}
 	}
 	for name, broken := range map[string]Batch{
-		"keys cut short": {b.Origins, b.Keys[1:], b.Of, b.TTLs}, "a life missing": {b.Origins, b.Keys, b.Of, b.TTLs[1:]}, "unknown origin": {b.Origins[:1], b.Keys, b.Of, b.TTLs},
+		"keys cut short": {b.Origins, b.Keys[1:], b.Of, b.TTLs, b.Contents}, "a life missing": {b.Origins, b.Keys, b.Of, b.TTLs[1:], b.Contents}, "unknown origin": {b.Origins[:1], b.Keys, b.Of, b.TTLs, b.Contents},
+		"a content missing": {b.Origins, b.Keys, b.Of, b.TTLs, b.Contents[1:]},
 	} {
 		if _, err := broken.Records(); err == nil {
 			t.Errorf("%s: got no error", name)
 		}
 	}
+	b.Contents = nil
+	if got, err := b.Records(); err != nil || len(got) != len(records) {
+		t.Errorf("got %d records of a former release, error %v, want %d", len(got), err, len(records))
+	}
+}
+
+// Guards against a stream that is taken for the only one with its content, and against contents that are
+// never forgotten.
+func TestStreamsOfAContent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(now)
+	put := func(attempt string, content uint32, ttl time.Duration) {
+		r := record(attempt, v1, ttl)
+		r.Content = content
+		table.Put(&r, now)
+	}
+	want := func(content uint32, want int) {
+		t.Helper()
+		if got := table.Streams(content); got != want {
+			t.Errorf("got %d streams with content %d, want %d", got, content, want)
+		}
+	}
+	put("a", 7, time.Second)
+	put("a", 7, time.Minute)
+	put("b", 7, time.Second)
+	put("c", 0, time.Minute)
+	put("d", 8, time.Second)
+	want(7, 2)
+	want(8, 1)
+	want(9, 0)
+	put("c", 7, time.Minute)
+	want(7, 3)
+	now = now.Add(2 * time.Second)
+	put("b", 7, time.Second)
+	want(7, 3)
+	now = now.Add(sweepInterval)
+	put("e", 10, time.Second)
+	want(7, 2)
+	want(8, 0)
+	now = now.Add(2 * time.Minute)
+	put("f", 11, time.Second)
+	if len(table.streams) != 1 {
+		t.Errorf("%d contents are remembered, want that of the last record", len(table.streams))
+	}
 }
 
 func BenchmarkPut(b *testing.B) {
