--- a/internal/cluster/orphans.go
+++ b/internal/cluster/orphans.go
@@ -129,15 +129,17 @@
 }
 
 // FindOrphan asks a control VM what is known of a stream that another VM carried. It returns
-// false if neither a copy nor an engine is, or if there is no reply. The copy and the id of a
-// stream that its router still carries are left out: the router needs the copy if its own engine
-// is lost. They are left out as well if the caller does not name its stream and more than one with its
-// content has begun: reports and saved runs may lack the one that it means.
+// false if neither a copy nor an engine is, or if there is no reply.
+//
+// The copy and the id are left out of a stream that its router still carries: the router needs the
+// copy if its own engine is lost. They are also left out if the caller does not name its stream and
+// more than one with its content may have begun: reports and saved runs may lack the one that it
+// means.
 func (m *Member) FindOrphan(ctx context.Context, wanted forward.RunID) (forward.ReportedRun, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findRunTimeout)
 	defer cancel()
-	named := make(chan bool, 1)
-	go func() { named <- wanted.Stream != 0 || m.isOnlyStream(ctx, wanted.RecordedContent()) }()
+	unmistakable := make(chan bool, 1)
+	go func() { unmistakable <- wanted.Stream != 0 || m.isOnlyStream(ctx, wanted.RecordedContent()) }()
 	var reply foundRun
 	if err := m.t.Call(ctx, m.freshestControl(), peer.KindFindRun, wanted, &reply); err != nil {
 		m.log.Debug().Err(err).Msg("lookup of an orphaned run failed; its prompt may be computed again")
@@ -148,7 +150,7 @@
 	}
 	run := reply.ReportedRun
 	run.Age = time.Duration(reply.AgeMS) * time.Millisecond
-	if !<-named {
+	if !<-unmistakable {
 		m.log.Info().Str("copy", run.Copy.ID).Str("copy_at", run.Copy.Address).Msg("caller names no stream, and there may be several with its content; copy not taken")
 		run.Copy, run.RunID = forward.Copy{}, forward.RunID{}
 	} else if reply.RouterHeard && m.carriesStream(ctx, run.Router, run.RunID) {
--- a/internal/streamversion/streamversion.go
+++ b/internal/streamversion/streamversion.go
@@ -1,5 +1,4 @@
-// Package streamversion records which service and software version began each stream, and how many
-// streams with one content have begun.
+// Package streamversion records which service and software version began each stream.
 //
 // Engines of several versions may serve one service at the same time, and what two versions
 // write does not fit together. A stream may go on only at the version that sent its first
@@ -9,6 +8,9 @@
 // A record is made once the first event has arrived, when the version cannot change any more.
 // Any copy of it is therefore right, and copies need no order. Table is pure; Store keeps a
 // Table in a folder.
+//
+// Records also tell how many streams with one content have begun. A caller that does not name
+// its stream can be told from others only if there is one.
 package streamversion
 
 import (
