daemon tests: one start and one kill for the scenarios with real processes

The two scenarios that kill processes share their seed, the start of the system and the kill. The new one waits for an accepted route list now, as the other did.

--- a/cmd/amaranthshelfd/release_test.go
+++ b/cmd/amaranthshelfd/release_test.go
@@ -37,10 +37,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	seed := *soakSeed
-	if n, err := strconv.ParseUint(os.Getenv("AMARANTHSHELF_SEED"), 10, 64); seed == 0 && err == nil {
-		seed = n
-	}
+	seed := scenarioSeed()
 	var takenUp atomic.Int64
 	t.Cleanup(func() {
 		if takenUp.Load() < int64(len(releaseOrders)) {
@@ -55,18 +52,33 @@
 	}
 }
 
-// playRelease returns how many streams their callers took up.
-func playRelease(t *testing.T, order releaseOrder, rng *rand.Rand) int {
-	s := &soakSystem{t: t, mixed: true, listed: order.before}
+// scenarioSeed returns the seed of the flag, or else that of the environment.
+func scenarioSeed() uint64 {
+	n, err := strconv.ParseUint(os.Getenv("AMARANTHSHELF_SEED"), 10, 64)
+	if *soakSeed != 0 || err != nil {
+		return *soakSeed
+	}
+	return n
+}
+
+// startServing starts the system and waits until all routers serve the first route list.
+func (s *soakSystem) startServing() *soakClients {
 	s.startAll()
-	w := newSoakClients(t, s)
-	starting, stop := context.WithTimeout(t.Context(), recoveryTimeout)
+	w := newSoakClients(s.t, s)
+	ctx, stop := context.WithTimeout(s.t.Context(), recoveryTimeout)
 	defer stop()
-	w.putRouteList(starting, 1)
+	w.putRouteList(ctx, 1)
 	if w.acknowledged.Load() == 0 {
-		t.Fatalf("no control process has accepted the route list within %v", recoveryTimeout)
+		s.t.Fatalf("no control process has accepted the route list within %v", recoveryTimeout)
 	}
 	w.waitAllServe(1)
+	return w
+}
+
+// playRelease returns how many streams their callers took up.
+func playRelease(t *testing.T, order releaseOrder, rng *rand.Rand) int {
+	s := &soakSystem{t: t, mixed: true, listed: order.before}
+	w := s.startServing()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	for caller := range 4 * len(soakWorkspaces) {
@@ -78,7 +90,7 @@
 		_ = timer.Sleep(ctx, 300*time.Millisecond+randomDuration(rng, 700*time.Millisecond))
 		s.relist(order.joined)
 		_ = timer.Sleep(ctx, randomDuration(rng, 600*time.Millisecond))
-		s.killAll(order.after, randomDuration(rng, restartSpan))
+		s.killAndRestart(processRange(0, len(s.processes)), randomDuration(rng, restartSpan), func() { s.writeLists(order.after) })
 		w.waitAllServe(1)
 		versions = append(versions, s.versionsRun())
 		s.relist(order.before)
@@ -102,17 +114,17 @@
 	}
 }
 
-// killAll kills all processes, which come back after a while with another list of engines.
-func (s *soakSystem) killAll(versions []string, down time.Duration) {
-	for i := range s.processes {
+// killAndRestart kills processes, which come back after a while. changed is called in between.
+func (s *soakSystem) killAndRestart(processes []int, down time.Duration, changed func()) {
+	for _, i := range processes {
 		s.signal(i, syscall.SIGKILL)
 	}
-	for i := range s.processes {
+	for _, i := range processes {
 		<-s.signal(i, syscall.SIGKILL)
 	}
-	s.writeLists(versions)
+	changed()
 	_ = timer.Sleep(s.t.Context(), down)
-	for i := range s.processes {
+	for _, i := range processes {
 		s.start(i)
 	}
 }
--- a/cmd/amaranthshelfd/twins_test.go
+++ b/cmd/amaranthshelfd/twins_test.go
@@ -1,15 +1,11 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -54,10 +50,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	seed := *soakSeed
-	if n, err := strconv.ParseUint(os.Getenv("AMARANTHSHELF_SEED"), 10, 64); seed == 0 && err == nil {
-		seed = n
-	}
+	seed := scenarioSeed()
 	for i, d := range twinDisruptions {
 		t.Run(d.name, func(t *testing.T) {
 			t.Parallel()
@@ -68,17 +61,11 @@
 
 func playTwins(t *testing.T, d twinDisruption, rng *rand.Rand) {
 	s := &soakSystem{t: t}
-	s.startAll()
-	w := newSoakClients(t, s)
-	starting, stop := context.WithTimeout(t.Context(), recoveryTimeout)
-	defer stop()
-	w.putRouteList(starting, 1)
-	w.waitAllServe(1)
-	run := &twinRun{w: w, leave: d.leave}
+	run := &twinRun{w: s.startServing(), leave: d.leave}
 	for round := range twinRounds {
 		run.start(round, rng)
 		_ = timer.Sleep(t.Context(), 200*time.Millisecond+randomDuration(rng, time.Second))
-		s.killAndRestart(d.killed(rng), randomDuration(rng, restartSpan))
+		s.killAndRestart(d.killed(rng), randomDuration(rng, restartSpan), func() {})
 		run.wg.Wait()
 	}
 	t.Logf("%d streams, %d taken up, %d of them from a copy", twinRounds*twinSets*twinsOfSet, run.takenUp.Load(), run.fromCopy.Load())
@@ -87,20 +74,6 @@
 	}
 }
 
-// killAndRestart kills processes, which are back after a while.
-func (s *soakSystem) killAndRestart(processes []int, down time.Duration) {
-	for _, i := range processes {
-		s.signal(i, syscall.SIGKILL)
-	}
-	for _, i := range processes {
-		<-s.signal(i, syscall.SIGKILL)
-	}
-	_ = timer.Sleep(s.t.Context(), down)
-	for _, i := range processes {
-		s.start(i)
-	}
-}
-
 // twinRun are the callers of twins.
 type twinRun struct {
 	w                 *soakClients
