cluster, forward: one place for what the lookup leaves out, and for several versions

The operators' scenario starts its system as the two others do, and now waits for an accepted list.

Behaviour and log lines are as before; the line of a copy that is not taken names the router in both cases.

--- a/cmd/amaranthshelfd/operators_test.go
+++ b/cmd/amaranthshelfd/operators_test.go
@@ -26,12 +26,9 @@
 	t.Parallel()
 	const operators = 8
 	s := &soakSystem{t: t}
-	s.startAll()
-	w := newSoakClients(t, s)
+	w := s.startServing()
 	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
 	defer stop()
-	w.putRouteList(ctx, 1)
-	w.waitAllServe(1)
 	var version atomic.Uint64
 	version.Store(1)
 	var answered atomic.Int64
--- a/internal/cluster/orphans.go
+++ b/internal/cluster/orphans.go
@@ -150,16 +150,49 @@
 	}
 	run := reply.ReportedRun
 	run.Age = time.Duration(reply.AgeMS) * time.Millisecond
-	if !<-unmistakable {
-		m.log.Info().Str("copy", run.Copy.ID).Str("copy_at", run.Copy.Address).Msg("caller names no stream, and there may be several with its content; copy not taken")
-		run.Copy, run.RunID = forward.Copy{}, forward.RunID{}
-	} else if reply.RouterHeard && m.carriesStream(ctx, run.Router, run.RunID) {
-		m.log.Info().Str("router", run.Router).Str("copy", run.Copy.ID).Str("copy_at", run.Copy.Address).Msg("copy is still used by its router; not taken")
+	reason := ""
+	switch {
+	case !<-unmistakable:
+		reason = "caller names no stream, and there may be several with its content; copy not taken"
+	case reply.RouterHeard && m.carriesStream(ctx, run.Router, run.RunID):
+		reason = "copy is still used by its router; not taken"
+	}
+	if reason != "" {
+		m.log.Info().Str("router", run.Router).Str("copy", run.Copy.ID).Str("copy_at", run.Copy.Address).Msg(reason)
 		run.Copy, run.RunID = forward.Copy{}, forward.RunID{} // the caller may mean another stream
 	}
 	return run, run.Orphan != (forward.Orphan{})
 }
 
+// isOnlyStream reports whether one stream with a content has begun, of all that may still be
+// asked for. It is false if too few holders of the records answer.
+func (m *Member) isOnlyStream(ctx context.Context, content uint32) bool {
+	vms := holdersOf(placeOfContent(content), m.Controls())
+	type answer struct {
+		streams int
+		err     error
+	}
+	answers := make(chan answer, len(vms))
+	for _, vm := range vms {
+		go func() {
+			var a answer
+			a.err = m.t.Call(ctx, vm, peer.KindCountStreams, content, &a.streams)
+			answers <- a
+		}()
+	}
+	answered, most := 0, 0
+	for range vms {
+		if a := <-answers; a.err == nil {
+			answered++
+			most = max(most, a.streams)
+		}
+		if answered == recordQuorum || most > 1 {
+			break
+		}
+	}
+	return most == 1 && answered >= min(recordQuorum, len(vms))
+}
+
 // carriesStream asks a router whether it still carries a stream. One that does not answer does
 // not, unless it is of a release that does not know the question.
 func (m *Member) carriesStream(ctx context.Context, router string, id forward.RunID) bool {
--- a/internal/cluster/stream_versions.go
+++ b/internal/cluster/stream_versions.go
@@ -236,8 +236,8 @@
 	return forward.RecordWait{Held: holding.done, DiskIsSlow: holding.slow}
 }
 
-// placeOf returns what decides which control VMs hold a record. Those of streams with equal content have
-// the same holders, which can count them.
+// placeOf returns what decides which control VMs hold a record. Those of streams with equal
+// content have the same holders, which can count them.
 func placeOf(r *streamversion.Record) string {
 	if r.Content != 0 {
 		return placeOfContent(r.Content)
@@ -389,35 +389,6 @@
 	return pause, lane.failed == 1
 }
 
-// isOnlyStream reports whether one stream with a content has begun, of all that may still be asked for. It
-// is false if too few holders of the records answer.
-func (m *Member) isOnlyStream(ctx context.Context, content uint32) bool {
-	vms := holdersOf(placeOfContent(content), m.Controls())
-	type answer struct {
-		streams int
-		err     error
-	}
-	answers := make(chan answer, len(vms))
-	for _, vm := range vms {
-		go func() {
-			var a answer
-			a.err = m.t.Call(ctx, vm, peer.KindCountStreams, content, &a.streams)
-			answers <- a
-		}()
-	}
-	answered, most := 0, 0
-	for range vms {
-		if a := <-answers; a.err == nil {
-			answered++
-			most = max(most, a.streams)
-		}
-		if answered == recordQuorum || most > 1 {
-			break
-		}
-	}
-	return most == 1 && answered >= min(recordQuorum, len(vms))
-}
-
 // Find implements forward.Origins. It asks all control VMs at once, since the record's holders may
 // have been others when it was made.
 func (m *Member) Find(ctx context.Context, k streamversion.Key) (streamversion.Origin, streamversion.Finding, bool) {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -354,8 +354,8 @@
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
-// deliver forwards a server's answer unchanged. A failure whose status would have a request repeated that
-// must run once is replaced by one without the server's signature.
+// deliver forwards a server's answer unchanged, unless its status would have the caller repeat a
+// request that must run once. Such a failure is replaced by one without the server's signature.
 func (h *Handler) deliver(w http.ResponseWriter, q *request, r *reply) {
 	if !q.history.repeatable && promisesNotRun(r.resp.StatusCode) {
 		r.memory.Close()
@@ -378,8 +378,8 @@
 }
 
 // promisesNotRun reports whether a status tells a caller that its request has not run, so that the
-// caller sends it again. A server may answer with such a status although it has run the request. A
-// misdirected request is not among them: no server runs it.
+// caller sends it again. A server may answer with such a status although it has run the request.
+// A misdirected request is not among them: no server runs it.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -251,30 +251,31 @@
 	record := streamversion.Record{Key: key, Origin: *q.origin, TTL: q.recordTTL(), Content: st.id.RecordedContent()}
 	st.h.origins.Put([]streamversion.Record{record})
 	wait := st.h.opts.Origins.Record(record)
-	if began && r.hasSeveralVersions() {
+	if began && st.hasSeveralVersions() {
 		st.awaitRecord(wait)
 	}
 	return true
 }
 
-// checkStart begins to ask the engine when it started, if an error in the version that the list names
-// would join the events of two versions. An engine that starts again under its id may have
-// another version, and the list shows it seconds later. The connection of the run must be open: if the
-// engine starts again after that, the connection breaks.
+// checkStart begins to ask the engine when it started, if an error in the version that the list
+// names would join the events of two versions. An engine that starts again under its id may have
+// another version, and the list shows it seconds later. The connection of the run must be open:
+// if the engine starts again after that, the connection breaks.
 func (r *run) checkStart() {
-	if r.server.BornMS == 0 || !r.st.seq.started && !r.hasSeveralVersions() {
+	if r.server.BornMS == 0 || !r.st.seq.started && !r.st.hasSeveralVersions() {
 		return
 	}
 	r.st.h.Stats.Probes.Inc()
 	r.startCheck = r.st.h.prober.start(r.server)
 }
 
-func (r *run) hasSeveralVersions() bool {
-	return r.st.h.opts.Rollouts.State().HasSeveralVersions(r.server.Service)
+// hasSeveralVersions reports whether streams of the service may begin at different versions.
+func (st *streamRelay) hasSeveralVersions() bool {
+	return st.h.opts.Rollouts.State().HasSeveralVersions(st.q.service.Name)
 }
 
-// engineStartedAgain reports whether the engine has started again since the list was made, so that its
-// version is not known. An engine that does not tell counts as listed.
+// engineStartedAgain reports whether the engine has started again since the list was made, so that
+// its version is not known. An engine that does not tell counts as listed.
 func (r *run) engineStartedAgain() bool {
 	if r.startCheck == nil {
 		return false
@@ -287,7 +288,7 @@
 	if !r.startCheck.startedAgain {
 		return r.startCheck.replaced
 	}
-	if r.hasSeveralVersions() {
+	if r.st.hasSeveralVersions() {
 		r.st.h.opts.Fleet.MarkRestarted(r.server)
 	}
 	r.st.h.opts.Log.Warn().Str("request", r.st.q.RequestID).Str("engine", r.server.ID).Str("listed_version", r.server.Version).Int64("listed_start_ms", r.server.BornMS).
@@ -334,7 +335,7 @@
 // waitedForVersion reports whether the stream has waited so long for room at its version that its
 // caller is told. While there are others, the room is needed by streams that have waited less.
 func (st *streamRelay) waitedForVersion() bool {
-	if st.q.origin == nil || !st.h.opts.Rollouts.State().HasSeveralVersions(st.q.service.Name) {
+	if st.q.origin == nil || !st.hasSeveralVersions() {
 		return false
 	}
 	since := st.q.arrived
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -203,10 +203,10 @@
 	f.onDeath(s.ID, Confirmed)
 }
 
-// MarkRestarted records that the server has started again under its id since the list was made, maybe
-// with another version. Nothing is sent there until the list names the new start. It is no sign of
-// a death: the former process is known to have ended by its connections, and what was sent since then
-// runs.
+// MarkRestarted records that the server has started again under its id since the list was made,
+// maybe with another version. Nothing is sent there until the list names the new start. It is no
+// sign of a death: the former process is known to have ended by its connections, and what was sent
+// since then runs.
 func (f *Fleet) MarkRestarted(s *Server) {
 	f.mu.Lock()
 	known := s.stale
