forward: logs and a histogram tell how long two runs of a stream were open

Cause: for a stream that went on elsewhere, nothing told when its request was written at the second engine, when that engine answered, and when the run before was closed.

Change: a line when one of two open runs ends, with both engines, which was sent second, whether that one goes on from a copy and has answered, and the overlap; the histogram shelf_run_overlap_seconds; the line "stream went on" names the time from the send to the answer and to the first event.

Result: no behaviour changes; go test ./internal/forward passes.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -233,7 +233,9 @@
 		}
 		if len(st.held) == 0 {
 			st.heldEngines, st.onlyFromCopy = nil, false
-			return st.search()
+			next, reason := st.search()
+			st.noteOpened(next)
+			return next, reason
 		}
 		next, reason := st.searchBesideHeld()
 		switch {
@@ -286,6 +288,7 @@
 				return nil, reason
 			}
 			st.searches = append(st.searches, cancel) // the run lasts no longer than ctx
+			st.noteOpened(next)
 			return next, reason
 		case <-st.ready:
 			if st.nextHeld() != nil {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -28,6 +28,8 @@
 	fromStart bool // it starts at the first event: the engine counts the same events
 
 	sentAt       time.Time // when the request was sent
+	writtenAt    time.Time // when its last byte was written; zero: it was not
+	takenAt      time.Time // when the engine's answer began; zero: it has not
 	firstEventAt time.Time // when the first event came
 	granted      bool      // the scheduler granted the engine, which was prefilling no other prompt
 
@@ -121,7 +123,7 @@
 		r.reply, r.outcome = failed, failed.outcome
 		return r
 	}
-	r.conn, r.outcome = conn, sendUnknown
+	r.conn, r.outcome, r.writtenAt = conn, sendUnknown, time.Now()
 	r.checkStart()
 	if st.events == 0 {
 		r.reportRun() // a copy of the run before it may still be of use
@@ -314,6 +316,7 @@
 	if r.conn == nil {
 		return
 	}
+	r.st.noteClosed(r)
 	r.callerTooSlow = r.results.close()
 	reusable := r.stopWatchingCaller() && (end == endComplete || end == endPlainAnswer)
 	if reusable {
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -75,6 +75,7 @@
 // handleHead classifies the head of the engine's answer.
 func (r *run) handleHead() (runEnd, bool) {
 	rep := &r.reply
+	r.takenAt = time.Now()
 	r.st.h.opts.SuspectContents.heard(r.server)
 	r.st.h.learnLoad(r.server, &rep.answer)
 	r.st.h.learnSlowdown(r.server, rep.answer.Load)
@@ -152,7 +153,8 @@
 	if st := r.st; st.headSent {
 		observe(st.h.Stats.ResumePause, st.lastEventAt)
 		st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Bool("from_copy", r.from != nil).
-			Str("version", r.server.Version).Dur("pause", time.Since(st.lastEventAt)).Msg("stream went on")
+			Str("version", r.server.Version).Dur("pause", time.Since(st.lastEventAt)).Dur("taken_after", r.takenAt.Sub(r.writtenAt)).
+			Dur("event_after", time.Since(r.writtenAt)).Msg("stream went on")
 	} else {
 		observe(st.h.Stats.FirstEvent, st.q.arrived)
 		st.h.opts.RoutineLog.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("send", st.sends).
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -39,6 +39,7 @@
 
 	FirstEvent  *metrics.Histogram // seconds from a caller's request
 	ResumePause *metrics.Histogram // seconds without an event for the caller of a resumed stream
+	RunOverlap  *metrics.Histogram // seconds for which two runs of a stream were open at two engines
 	CallTime    *metrics.Histogram // seconds from a caller's request to the answer
 	StreamWait  *metrics.Histogram // seconds that a stream waited for an engine
 	RecordWait  *metrics.Histogram // seconds that a first event waited for the record of its version
@@ -55,7 +56,8 @@
 		CallGrantFallbacks: counter("calls_grant_fallback"), EngineSpeeds: counter("engine_speeds_reported"),
 		RefusedByLevel: counter("streams_refused_by_level"), HandOffs: counter("hand_offs"), RecordsLate: counter("stream_records_late"), TrialWaits: counter("content_trial_waits"), RecordWait: set.NewHistogram("shelf_stream_record_wait_seconds"),
 		FirstEvent: set.NewHistogram("shelf_first_event_seconds"), ResumePause: set.NewHistogram("shelf_resume_pause_seconds"),
-		CallTime: set.NewHistogram("shelf_call_seconds"), StreamWait: set.NewHistogram("shelf_stream_wait_seconds"),
+		RunOverlap: set.NewHistogram("shelf_run_overlap_seconds"),
+		CallTime:   set.NewHistogram("shelf_call_seconds"), StreamWait: set.NewHistogram("shelf_stream_wait_seconds"),
 	}
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -54,6 +54,8 @@
 	countedAt    string        // version at which the stream is counted, valid if endCount is set
 	endCount     func()        // ends the count; nil: the stream was not sent
 
+	open []*run // runs whose connections are open, in the order in which they were sent
+
 	// The fields of held runs.
 	ready        chan struct{}        // receives a value when results of any run of the stream wait
 	held         []*run               // runs whose engines are silent; they stay open until the stream goes on
