forward tests: the engine before works on after a request has gone on elsewhere

Callers see nothing of it; engines work on one request twice, which rule TWICE allows for 400 ms. The engine before is silent, or stalled while it answers probes; the next one makes its first event after 0.1 to 2 s, as real engines do, where the stand-in needed 30 ms.

Change: the stand-in of engines has a time to resume from a copy, may send the head of a stream at once, and can stall: no events, everything else answered.

--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -25,6 +25,7 @@
 	Unresponsive       // connections hang, and nothing is answered until the state changes
 	Silent             // the same, but new connections are accepted
 	Breaking           // connections are accepted, and closed once a request has come
+	Stalled            // streams make no events; everything else is answered
 )
 
 // Run records a request that a server started.
@@ -46,6 +47,8 @@
 
 	Events        int           // number of events of a stream; 0: the server answers calls
 	PrefillTime   time.Duration // of the prompt, before the first event
+	ResumeTime    time.Duration // from a copy, before the next event is made
+	HeadAtOnce    bool          // the head of a stream is sent at once, not with its first event
 	EventInterval time.Duration // between events
 	CallTime      time.Duration // duration of a call
 	CopyTime      time.Duration // duration of a copy on order
--- a/internal/standin/routedengine/serve.go
+++ b/internal/standin/routedengine/serve.go
@@ -156,23 +156,23 @@
 func (s *Server) stream(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(forward.HeaderRequestID)
 	after, _ := strconv.ParseUint(r.Header.Get(forward.HeaderLastEvent), 10, 64)
-	prefill, memory := true, id
+	prefill, memory, wait := true, id, s.PrefillTime
 	if from := r.Header.Get(forward.HeaderCopyFrom); from != "" {
 		var ok bool
 		if memory, ok = s.consumeCopy(from); !ok {
 			s.refuse(w, r, http.StatusServiceUnavailable)
 			return
 		}
-		prefill = false
+		prefill, wait = false, s.ResumeTime
 	}
 	s.RecordRun(r, after+1, prefill)
 	defer s.markActive(id, memory)()
-	if prefill && !s.pause(r, s.PrefillTime) {
+	s.sign(w, r)
+	w.Header().Set("Content-Type", "text/event-stream")
+	if s.HeadAtOnce && http.NewResponseController(w).Flush() != nil || !s.pause(r, wait) {
 		return
 	}
 	backup := s.Net.ServerAt(r.Header.Get(forward.HeaderCopyTo))
-	s.sign(w, r)
-	w.Header().Set("Content-Type", "text/event-stream")
 	of := ""
 	if s.NamesPath {
 		of = " of " + r.URL.Path
@@ -184,7 +184,7 @@
 		of += MemoryMark + memory
 	}
 	for n := after + 1; n <= uint64(s.Events); n++ {
-		if !s.pause(r, s.EventInterval) {
+		if !s.pause(r, s.EventInterval) || !s.awaitAnswering(r, Unresponsive, Silent, Stalled) {
 			return
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d%s\n\n", n, n, of)
