forward: the run before ends in time once a stream goes on at another engine

Cause: a silent run was held open until another one had brought the next event. Where its engine answered probes, the head of the other answer closed it, but engines that resume late send their head with the first event. Nothing bounded the time between.

Change: sending the request elsewhere decides. The run before ends when the other engine answers with a resume from a copy, and after 300 ms in any case. Only a refusal within that time, or no sign of life at all (the engine is probed), keeps the run before, since the request does not run elsewhere then. Without a copy the engine before keeps the stream if it is back within the 300 ms, and another one prefills the prompt of a stream that has begun only after 1.5 s of silence. One run is held at most.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -1,10 +1,8 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
@@ -16,12 +14,10 @@
 // other engine takes would be cut off although nothing was lost.
 //
 // A silent run is therefore held. The search for another engine begins at once, as for a dead
-// engine, but the connection stays open until another run has brought the next event. The
-// stream goes on with whichever run speaks first.
-//
-// Two engines must not work on one request for long. Once the engine of a held run answers
-// probes again, the stream goes on there, unless another engine already resumes it from a copy;
-// then the held run is closed. A stream leaves an engine that answers only for a copy.
+// engine, but the connection stays open: if no other engine takes the request, the stream goes on
+// with the held run once it speaks, or once its engine answers probes again. Once another engine
+// has the request, the held run ends; see overlap.go. A stream leaves an engine that answers only
+// for a copy.
 
 // Constants of held runs.
 const (
@@ -34,11 +30,12 @@
 	firstEventHoldShare = 2.0 / 3
 	// minHoldTime is how long a run is held at least, however late it is.
 	minHoldTime = 1 * time.Second
+	// prefillAfterSilence is the silence of an engine after which another one prefills the prompt
+	// of a stream that has begun. Sound engines mostly go on earlier, and a prefill takes about as
+	// long.
+	prefillAfterSilence = 1500 * time.Millisecond
 	// heldSearchInterval separates two searches for an engine while a run is held.
 	heldSearchInterval = 250 * time.Millisecond
-	// acceptTime is how long an engine has to accept a resume from a copy while the engine of a
-	// held run answers.
-	acceptTime = 200 * time.Millisecond
 )
 
 // silent logs that the engine of a run is silent, and returns how the run ended.
@@ -66,8 +63,8 @@
 		return heldSilent
 	case res.err != nil && (r.reply.resp == nil || !isCleanEOF(res.err)):
 		return heldBroken
-	case res.head != nil && res.head.resp.StatusCode != http.StatusOK && (r.st.seq.started || len(r.st.held) > 1):
-		return heldRefused // other runs of the stream may still serve it
+	case res.head != nil && res.head.resp.StatusCode != http.StatusOK && r.st.seq.started:
+		return heldRefused
 	}
 	return heldSpoke
 }
@@ -114,138 +111,105 @@
 	st.copyUsed(r.from)
 	st.leave(r)
 	r.heldAt, r.pace = time.Now(), nil // its silence says nothing of the engine's speed
-	st.held = append(st.held, r)
+	st.held, st.heldEngine = r, r.server.ID
 	if !r.engineAnswers.Load() {
 		r.watchEngine()
 	}
 }
 
-// nextHeld returns the held run with which the stream goes on; nil: there is none yet. It closes
-// the held runs whose connections have failed.
-func (st *streamRelay) nextHeld() *run {
-	var spoke, answers *run
-	for _, r := range slices.Clone(st.held) {
-		switch state := r.heldState(); {
-		case state == heldBroken:
-			if !st.callerGone() {
-				st.h.probeForDeath(r.server, r.content, true)
-			}
-			st.closeHeld(r, "connection ended", endBroken)
-		case state == heldRefused:
-			st.closeHeld(r, "refused", endBroken)
-		case state == heldSpoke:
-			spoke = cmp.Or(spoke, r)
-		case r.engineAnswers.Load() && !st.onlyFromCopy:
-			answers = cmp.Or(answers, r)
+// dropFailedHeld closes the held run if its connection has failed or its engine has refused it.
+func (st *streamRelay) dropFailedHeld() {
+	r := st.held
+	if r == nil {
+		return
+	}
+	switch r.heldState() {
+	case heldBroken:
+		if !st.callerGone() {
+			st.h.probeForDeath(r.server, r.content, true)
 		}
+		st.closeHeld("connection ended", endBroken)
+	case heldRefused:
+		st.closeHeld("refused", endBroken)
+	case heldSilent, heldSpoke:
 	}
-	return cmp.Or(spoke, answers)
 }
 
-// isOvertaken reports whether the stream goes on with a held run in place of this one. While the
-// engine of the held run has only answered a probe, a run that resumes from a copy is preferred: it
-// is about to speak, if its engine accepts it soon.
-func (r *run) isOvertaken() bool {
-	next := r.st.nextHeld()
-	if next == nil {
-		return false
-	}
-	switch {
-	case next.heldState() == heldSpoke:
-		return true
-	case !r.heldAt.IsZero():
-		r.st.closeHeld(next, "another engine answers", endBroken) // this run's own
-		return false
-	case r.from == nil:
-		return true
-	}
-	if r.reply.resp != nil {
-		r.st.closeHeld(next, "another engine resumes from a copy", endBroken)
-		return false
-	}
-	left := acceptTime - time.Since(r.sentAt)
-	if left > 0 {
-		time.AfterFunc(left, r.st.wake)
-	}
-	return left <= 0
+// heldGoesOn reports whether the stream goes on with the held run, unless another engine has the
+// request.
+func (st *streamRelay) heldGoesOn() bool {
+	st.dropFailedHeld()
+	r := st.held
+	return r != nil && (r.heldState() == heldSpoke || r.engineAnswers.Load() && !st.onlyFromCopy)
 }
 
-// releaseHeld closes all held runs.
+// releaseHeld closes the held run.
 func (st *streamRelay) releaseHeld(why string, end runEnd) {
-	for _, r := range slices.Clone(st.held) {
-		st.closeHeld(r, why, end)
+	if st.held != nil {
+		st.closeHeld(why, end)
 	}
 	st.onlyFromCopy = false
 }
 
-// releaseAnswering closes the held runs whose engines answer, since another engine has taken
-// the stream.
-func (st *streamRelay) releaseAnswering() {
-	for _, r := range slices.Clone(st.held) {
-		if r.engineAnswers.Load() {
-			st.closeHeld(r, "another engine took the stream", endBroken)
-		}
-	}
-	st.onlyFromCopy = false
-}
-
-// dropExpiredHeld closes the held runs that the stream waits for no longer.
+// dropExpiredHeld closes the held run if the stream waits for it no longer.
 func (st *streamRelay) dropExpiredHeld() {
-	for _, r := range slices.Clone(st.held) {
-		if time.Until(r.heldUntil()) <= 0 {
-			st.closeHeld(r, "silent for too long", endBroken)
-		}
+	if st.held != nil && time.Until(st.held.heldUntil()) <= 0 {
+		st.closeHeld("silent for too long", endBroken)
 	}
 }
 
-func (st *streamRelay) closeHeld(r *run, why string, end runEnd) {
+func (st *streamRelay) closeHeld(why string, end runEnd) {
+	r := st.held
 	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("passed", r.forwarded).
 		Dur("silent", time.Since(r.lastHeard)).Dur("held", time.Since(r.heldAt)).Str("reason", r.silence).
 		Str("closed", why).Msg("run lost")
-	st.unhold(r)
+	st.unhold()
 	r.close(end)
 }
 
-func (st *streamRelay) unhold(r *run) {
+// unhold returns the held run, which is held no longer.
+func (st *streamRelay) unhold() *run {
+	r := st.held
 	if r.stopWatching != nil {
 		r.stopWatching()
 		r.stopWatching = nil
 	}
-	st.held = slices.DeleteFunc(st.held, func(h *run) bool { return h == r })
+	st.held = nil
+	return r
 }
 
 // copyUsed records that a run was sent with a copy, which can be used only once.
 func (st *streamRelay) copyUsed(c *Copy) {
-	for _, r := range st.held {
-		if c != nil && r.backup.current.ref == *c {
-			r.loseBackup()
-		}
+	if r := st.held; r != nil && c != nil && r.backup.current.ref == *c {
+		r.loseBackup()
 	}
 }
 
-// nextRun returns the run with which the stream goes on: one at another engine, or a held one
-// that speaks or whose engine answers first. It returns nil and the reason if there is none.
+// nextRun returns the run with which the stream goes on: one at another engine, or the held one if
+// it speaks or its engine answers first. It returns nil and the reason if there is none.
 func (st *streamRelay) nextRun() (*run, result.Code) {
 	for {
-		if r := st.nextHeld(); r != nil {
-			st.goOnWith(r)
-			return r, 0
+		if st.heldGoesOn() {
+			return st.goOnWithHeld(), 0
 		}
-		if len(st.held) == 0 {
-			st.heldEngines, st.onlyFromCopy = nil, false
+		if st.held == nil {
+			st.heldEngine, st.onlyFromCopy = "", false
 			next, reason := st.search()
 			st.noteOpened(next)
 			return next, reason
 		}
+		if wait := st.waitForSoundEngine(); wait > 0 {
+			st.awaitHeld(wait)
+			continue
+		}
 		next, reason := st.searchBesideHeld()
 		switch {
-		case next == nil && st.nextHeld() != nil, next != nil && next.isOvertaken():
-			st.abandon(next)
 		case next != nil:
 			return next, 0
+		case st.heldGoesOn():
 		case st.onlyFromCopy:
 			st.onlyFromCopy = false // no copy can be used: the stream stays at its engine
-		case !st.awaitHeld():
+		case !st.awaitHeld(heldSearchInterval):
 			return nil, reason
 		}
 	}
@@ -261,14 +225,10 @@
 	return st.startRun(c), 0
 }
 
-// searchBesideHeld is search, which ends early once the stream goes on with a held run. Nothing
-// else touches the stream meanwhile.
+// searchBesideHeld is search, which ends early, without a run, once the stream goes on with the held
+// one. Nothing else touches the stream meanwhile.
 func (st *streamRelay) searchBesideHeld() (*run, result.Code) {
-	st.heldEngines = nil
-	for _, r := range st.held {
-		st.heldEngines = append(st.heldEngines, r.server.ID)
-	}
-	st.skipHeldEngines()
+	st.skipHeldEngine()
 	caller := st.q.ctx
 	ctx, cancel := context.WithCancel(caller)
 	st.q.ctx = ctx
@@ -280,33 +240,35 @@
 		defer close(done)
 		next, reason = st.search()
 	}()
-	for {
+	for goesOn := false; ; {
 		select {
 		case <-done:
-			if next == nil {
+			if next == nil || goesOn {
 				cancel()
+				st.abandon(next)
 				return nil, reason
 			}
 			st.searches = append(st.searches, cancel) // the run lasts no longer than ctx
 			st.noteOpened(next)
 			return next, reason
 		case <-st.ready:
-			if st.nextHeld() != nil {
+			if st.heldGoesOn() {
+				goesOn = true
 				cancel()
 			}
 		}
 	}
 }
 
-// clearSkip makes all engines a choice again, but those of held runs.
+// clearSkip makes all engines a choice again, but that of the held run.
 func (st *streamRelay) clearSkip() {
 	clear(st.skip)
-	st.skipHeldEngines()
+	st.skipHeldEngine()
 }
 
-func (st *streamRelay) skipHeldEngines() {
-	for _, id := range st.heldEngines {
-		st.skip[id] = true
+func (st *streamRelay) skipHeldEngine() {
+	if st.heldEngine != "" {
+		st.skip[st.heldEngine] = true
 	}
 }
 
@@ -317,7 +279,7 @@
 	}
 }
 
-// abandon ends a run that was started while the stream went on with a held one.
+// abandon ends a run that was started while the stream went on with the held one.
 func (st *streamRelay) abandon(r *run) {
 	if r == nil {
 		return
@@ -327,14 +289,24 @@
 	r.close(endOvertaken)
 }
 
-// awaitHeld waits for a held run until the next search. It returns false if there is nothing
-// left to wait for.
-func (st *streamRelay) awaitHeld() bool {
+// waitForSoundEngine returns how much longer the stream waits for the engine of its held run before
+// another engine prefills the prompt again.
+func (st *streamRelay) waitForSoundEngine() time.Duration {
+	hasCopy := st.lastCopy.engine != nil || st.orphanCopy != nil
+	if !st.headSent || hasCopy || st.onlyFromCopy || st.q.ctx.Err() != nil {
+		return 0
+	}
+	return prefillAfterSilence - st.h.opts.Fleet.SilentFor(st.held.server)
+}
+
+// awaitHeld waits for the held run, until the next search at most. It returns false if there is
+// nothing left to wait for.
+func (st *streamRelay) awaitHeld(searchAfter time.Duration) bool {
 	st.dropExpiredHeld()
-	if len(st.held) == 0 || st.q.ctx.Err() != nil {
+	if st.held == nil || st.q.ctx.Err() != nil {
 		return false
 	}
-	next := time.NewTimer(min(heldSearchInterval, time.Until(st.held[0].heldUntil())))
+	next := time.NewTimer(min(searchAfter, time.Until(st.held.heldUntil())))
 	defer next.Stop()
 	select {
 	case <-next.C:
@@ -345,22 +317,17 @@
 	return true
 }
 
-// goOnWith makes a held run the stream's current one again.
-func (st *streamRelay) goOnWith(r *run) {
+// goOnWithHeld makes the held run the stream's current one again, and returns it.
+func (st *streamRelay) goOnWithHeld() *run {
 	st.h.Stats.HeldRunsGoOn.Inc()
+	r := st.unhold()
 	spoke := r.heldState() == heldSpoke
 	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", r.server.ID).Int("passed", r.forwarded).
 		Dur("silent", time.Since(r.lastHeard)).Int("sends", st.sends).Bool("spoke", spoke).Msg("held run goes on")
-	st.unhold(r)
 	st.h.opts.SuspectContents.heard(r.server)
 	if !r.engineAnswers.Swap(false) {
 		st.h.probeRevived(r.server)
 	}
-	for _, other := range slices.Clone(st.held) {
-		if other.engineAnswers.Load() && other.heldState() == heldSilent {
-			st.closeHeld(other, "another engine answers", endBroken)
-		}
-	}
 	r.lastHeard = time.Now()
 	st.lostAt, st.lostZone, st.lastCopy = time.Time{}, "", backupCopy{}
 	st.clearSkip()
@@ -370,6 +337,7 @@
 	if r.forwarded > 0 {
 		r.reportRun()
 	}
+	return r
 }
 
 // searchedFor returns how long the stream has had no engine that sends events.
--- a/internal/forward/overlap.go
+++ b/internal/forward/overlap.go
@@ -5,11 +5,57 @@
 	"time"
 )
 
-// noteOpened records that a run was started, if its connection is open.
+// The failure pattern is a request that two engines work on. One falls silent, or makes no events
+// while it answers probes, and the request goes on at another one, which may take a second or more to
+// make the next event. If the run before stayed open until then, both engines would work on the
+// request, and the first one's room and the copy would be lost to others.
+//
+// Sending the request elsewhere therefore decides: the run before ends once the other engine answers
+// with a resume from a copy, and after maxOverlap in any case. Only an engine that refuses the
+// request within that time, or gives no sign of life at all, does not count, since the request does
+// not run there. The run before then stays, so that a silence alone ends no answer.
+//
+// Without a copy the other engine prefills the prompt again. If the engine before is back within
+// maxOverlap, its run is worth more, and the other one ends.
+
+// maxOverlap bounds how long two engines may work on one request. It leaves time for a refusal to
+// come, and the rest of 400 ms for the close to reach the engine before.
+const maxOverlap = 300 * time.Millisecond
+
+// noteOpened records that a run was started, if its connection is open. If another run is held, one
+// of the two ends after maxOverlap.
 func (st *streamRelay) noteOpened(r *run) {
-	if r != nil && r.conn != nil {
-		st.open = append(st.open, r)
+	if r == nil || r.conn == nil {
+		return
 	}
+	st.open = append(st.open, r)
+	if st.held != nil {
+		st.h.Stats.Probes.Inc()
+		st.h.prober.start(r.server) // its answer is a sign of life
+		time.AfterFunc(maxOverlap-time.Since(r.writtenAt), st.wake)
+	}
+}
+
+// isOvertaken ends one of two runs if both have been open for too long. It reports whether the stream
+// goes on with the held one in place of this one.
+func (r *run) isOvertaken() bool {
+	st := r.st
+	goesOn := st.heldGoesOn()
+	switch {
+	case st.held == nil:
+		return false
+	case time.Since(r.writtenAt) < maxOverlap:
+		return goesOn && r.from == nil
+	case !r.showsLife():
+		return true
+	}
+	st.releaseHeld("another engine has the request", endBroken)
+	return false
+}
+
+// showsLife reports whether anything has come from the run's engine since the request was sent.
+func (r *run) showsLife() bool {
+	return r.st.h.opts.Fleet.SilentFor(r.server) < time.Since(r.writtenAt)
 }
 
 // noteClosed records that the connection of a run is closed, and for how long another run of the
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -95,7 +95,7 @@
 		return r.readPlainAnswer()
 	}
 	if r.from != nil {
-		r.st.releaseAnswering()
+		r.st.releaseHeld("another engine resumes from a copy", endBroken)
 	}
 	return 0, false
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -58,10 +58,10 @@
 
 	// The fields of held runs.
 	ready        chan struct{}        // receives a value when results of any run of the stream wait
-	held         []*run               // runs whose engines are silent; they stay open until the stream goes on
-	heldEngines  []string             // their engines, which are no choice for another run
+	held         *run                 // run whose engine is silent; it stays open until the stream goes on; nil: none
+	heldEngine   string               // id of its engine, which is no choice for another run
 	onlyFromCopy bool                 // the stream leaves a live engine only for a copy of its run
-	searches     []context.CancelFunc // end the contexts of the runs that were started beside held ones
+	searches     []context.CancelFunc // end the contexts of the runs that were started beside a held one
 }
 
 // runEnd is how a run at one engine ended.
@@ -72,7 +72,7 @@
 	endNotRun                    // the request was refused, or never sent
 	endBroken                    // the engine died or broke off
 	endSilent                    // the engine is silent, and the run may still go on
-	endOvertaken                 // a held run of the stream goes on
+	endOvertaken                 // the held run stays, since this one's engine gave no sign of life
 	endPlainAnswer               // the answer is complete, and no stream of events
 	endCallerDone                // the caller left, or its deadline passed
 )
@@ -115,7 +115,7 @@
 			return
 		}
 		end := run.relay()
-		if end == endSilent {
+		if end == endSilent && st.held == nil {
 			st.hold(run)
 			continue
 		}
@@ -191,7 +191,8 @@
 		st.skip[run.server.ID] = true
 	case endBroken:
 		st.leave(run)
-	case endSilent, endOvertaken:
+	case endSilent, endOvertaken: // another run is held
+		st.skip[run.server.ID] = true
 	}
 	return false
 }
