forward: a stream leaves a live engine after a silence as long as a resume takes

Callers of engines that pause for 0.8 s while they work, and take a second to resume from a copy, saw a pause of 1.5 s, and two engines spent work on the stream.

Cause: a stream left a live engine after a fixed 0.68 of its pause objective, whatever a resume takes. Since sending the request elsewhere decides now, the engine's next event comes too late to bring the stream on.

Change: routers observe, by service, how long a resume from a copy takes until its first event. A stream leaves a live engine only after a silence of that length; its pause is then at most twice that of the better choice. Dead and silent engines are left as before.

Evidence: TestStreamsStayAtLiveEnginesIfAResumeTakesLonger failed without the change (pauses of 1.582 s, all four streams leave), and passes with it: at most 0.85 s, only the first leaves. With resumes of 0.1 s streams leave as before.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -138,6 +138,7 @@
 	dead       deadServers
 	activeRuns runRegistry
 	paces      paceTracker
+	resumes    resumeTimes
 	speeds     speedTracker
 	durations  shutdown.CallDurations
 	inFlight   *admission.InFlight
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -251,7 +251,9 @@
 }
 
 func (r *run) silenceLimits() SilenceLimits {
-	return SilenceLimitsFor(r.st.q.route.PauseObjective, r.st.headSent).scaled(r.st.q.route.PauseObjective, r.expectedPause)
+	pause := r.st.q.route.PauseObjective
+	limits := SilenceLimitsFor(pause, r.st.headSent).scaled(pause, r.expectedPause)
+	return limits.leavingAfter(r.st.h.resumes.expected(r.st.q.service.Name))
 }
 
 // resumable returns what another router needs to resume the stream now.
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -164,6 +164,9 @@
 	fleet := r.st.h.opts.Fleet
 	r.firstEventAt = time.Now()
 	r.st.h.opts.Rollouts.Recorder.End(r.ticket, false, fleet.SlowForNow(r.server))
+	if r.from != nil {
+		r.st.h.resumes.note(r.st.q.service.Name, time.Since(r.writtenAt))
+	}
 	if r.granted && r.fromStart {
 		r.st.h.paces.notePrompt(r.st.q.service.Name, r.use.PendingPrompt, r.firstEventAt.Sub(r.sentAt))
 	}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -92,6 +92,14 @@
 	}
 }
 
+// leavingAfter returns the limits if a resume from a copy is expected to take a time; 0: not known.
+func (p SilenceLimits) leavingAfter(resume time.Duration) SilenceLimits {
+	if p.MoveAfter > 0 {
+		p.MoveAfter = max(p.MoveAfter, resume)
+	}
+	return p
+}
+
 // probeIntervalAfter returns the time between two probes about a silence.
 //
 // Under overload hundreds of runs wait in engines for seconds. Probed at the usual interval,
