forward: an engine that is heard when the request is sent shows life

Cause: the probe of the other engine was answered at the moment at which the request had been written, and only what came later counted as a sign of life. The run there was closed after 300 ms, one engine after the other.

Change: what comes at that moment counts.

--- a/internal/forward/overlap.go
+++ b/internal/forward/overlap.go
@@ -55,7 +55,7 @@
 
 // showsLife reports whether anything has come from the run's engine since the request was sent.
 func (r *run) showsLife() bool {
-	return r.st.h.opts.Fleet.SilentFor(r.server) < time.Since(r.writtenAt)
+	return r.st.h.opts.Fleet.SilentFor(r.server) <= time.Since(r.writtenAt)
 }
 
 // noteClosed records that the connection of a run is closed, and for how long another run of the
--- a/internal/forward/overlap_test.go
+++ b/internal/forward/overlap_test.go
@@ -83,3 +83,18 @@
 		t.Errorf("got %d runs of the request, want at most 2", runs)
 	}
 }
+
+// Guards against a second engine that counts as dead although it works: a stream without an event has
+// left a dead engine, and the answer of the other one is long in coming.
+func TestStreamOfADeadEngineBeginsElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine("a"), engine("b"), engine("a"))
+		defer f.shutDown()
+		a := silentStream(f, false, 0)
+		f.engineRunning("r1").Set(routedengine.Unresponsive)
+		a.requireCompleteStream(t, 100)
+		if runs := f.totalRuns("r1"); runs != 2 {
+			t.Errorf("got %d runs, want 2", runs)
+		}
+	})
+}
