forward: the run before ends before the record of a version is awaited

Callers saw nothing; two engines worked on one request for 1.13 s while several versions served and a control VM's disk was slow.

Cause: the first event of a stream waits until other VMs hold the record of its version, up to 1.5 s. The run before was closed only behind that wait, which also kept the stream from the timer that bounds two runs.

Change: the version is checked, the run before is closed, and then the record is made and awaited.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -329,7 +329,7 @@
 		st.h.probeRevived(r.server)
 	}
 	r.lastHeard = time.Now()
-	st.lostAt, st.lostZone, st.lastCopy = time.Time{}, "", backupCopy{}
+	st.lostAt, st.lostZone, st.lastCopy, st.onlyFromCopy = time.Time{}, "", backupCopy{}, false
 	st.clearSkip()
 	r.died = st.h.opts.Fleet.Died(r.server)
 	r.suspected = st.h.opts.Fleet.Suspected(r.server)
--- a/internal/forward/overlap_test.go
+++ b/internal/forward/overlap_test.go
@@ -98,3 +98,26 @@
 		}
 	})
 }
+
+// Guards against an engine that works on while the first event of another one waits for a slow disk.
+func TestRunBeforeEndsWhileTheRecordIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var l work
+		engines := mixedEngines()
+		for _, e := range engines {
+			e.PrefillTime = 100 * time.Millisecond
+			l.watch(e)
+		}
+		o := newSharedOrigins()
+		o.delay, o.slow = time.Second, true
+		f := newSharedFixture(t, o, engines...)
+		defer f.shutDown()
+		a := f.send("POST", "/s/1", "r1", "log")
+		time.Sleep(50 * time.Millisecond)
+		f.engineRunning("r1").Set(routedengine.Unresponsive)
+		a.requireCompleteStream(t, 100)
+		if got := l.overlap(time.Time{}); got == 0 || got > maxTwoRuns {
+			t.Errorf("two engines worked for %v, want more than none and at most %v", got, maxTwoRuns)
+		}
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -17,15 +17,16 @@
 
 // run is a stream's run at one engine.
 type run struct {
-	st        *streamRelay
-	server    *upstream.Server
-	from      *Copy           // the copy that it resumes from; nil: none
-	use       placement.Usage // counted at the engine
-	backupUse placement.Usage // counted at the backup engine
-	backup    backupState
-	died      <-chan struct{}
-	suspected <-chan struct{}
-	fromStart bool // it starts at the first event: the engine counts the same events
+	st          *streamRelay
+	server      *upstream.Server
+	from        *Copy           // the copy that it resumes from; nil: none
+	use         placement.Usage // counted at the engine
+	backupUse   placement.Usage // counted at the backup engine
+	backup      backupState
+	died        <-chan struct{}
+	suspected   <-chan struct{}
+	beganStream bool // its version is that of the stream, which had none before
+	fromStart   bool // it starts at the first event: the engine counts the same events
 
 	sentAt       time.Time // when the request was sent
 	writtenAt    time.Time // when its last byte was written; zero: it was not
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -132,9 +132,10 @@
 		if !r.fixVersion() {
 			return r.lost("engine of another version than the stream"), true
 		}
+		st.releaseHeld("another run brought the next event", endBroken)
+		r.recordVersion()
 		r.noteFirstEvent()
 	}
-	st.releaseHeld("another run brought the next event", endBroken)
 	r.paceEvent()
 	st.sendHead(r.reply.resp)
 	if !st.writeEvent(e) {
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -226,16 +226,15 @@
 	return h.opts.Fleet.HasVersion(q.service.Name, q.origin.Version) && h.opts.Rollouts.State().MayContinue(q.service.Name, q.origin.Version)
 }
 
-// fixVersion restricts the stream to the version of its first event, which has just arrived, and
-// records it. The event must not be sent before. It returns false if another version began the
-// stream.
+// fixVersion restricts the stream to the version of its first event, which has just arrived. It
+// returns false if another version began the stream.
 func (r *run) fixVersion() bool {
 	st, q := r.st, r.st.q
 	if r.engineStartedAgain() {
 		return false
 	}
-	began := q.origin == nil
-	if began {
+	if q.origin == nil {
+		r.beganStream = true
 		q.origin = &streamversion.Origin{Service: r.server.Service, Version: r.server.Version}
 		q.versionChoice.Versions = rollout.FixedVersion(r.server.Version)
 	}
@@ -244,17 +243,23 @@
 			Msg("an engine of another version would go on with the stream; its events are dropped")
 		return false
 	}
+	return true
+}
+
+// recordVersion records the version of the stream. Its first event must not be sent before. The
+// wait for other VMs may be long, so that no other run of the stream may be open.
+func (r *run) recordVersion() {
+	st, q := r.st, r.st.q
 	key, named := q.streamKey()
 	if !named {
-		return true
+		return
 	}
 	record := streamversion.Record{Key: key, Origin: *q.origin, TTL: q.recordTTL(), Content: st.id.RecordedContent()}
 	st.h.origins.Put([]streamversion.Record{record})
 	wait := st.h.opts.Origins.Record(record)
-	if began && st.hasSeveralVersions() {
+	if r.beganStream && st.hasSeveralVersions() {
 		st.awaitRecord(wait)
 	}
-	return true
 }
 
 // checkStart begins to ask the engine when it started, if an error in the version that the list
