forward: two runs end after 270 ms

Cause: on a busy VM a timer fires up to 150 ms late (maxTimerDelay), which left the close of the run before no time to reach its engine within 400 ms.

Change: 270 ms in place of 300. A refusal that takes 250 ms is still awaited.

--- a/internal/forward/overlap.go
+++ b/internal/forward/overlap.go
@@ -20,7 +20,7 @@
 
 // maxOverlap bounds how long two engines may work on one request. It leaves time for a refusal to
 // come, and the rest of 400 ms for the close to reach the engine before.
-const maxOverlap = 300 * time.Millisecond
+const maxOverlap = 270 * time.Millisecond
 
 // noteOpened records that a run was started, if its connection is open. If another run is held, one
 // of the two ends after maxOverlap.
