forward: a stream does not wait for an engine that is known to be dead

Cause: the wait before another engine prefills the prompt asked only how long the engine had been silent. An engine that was never heard counted as silent for ever, so that its run was left at once.

Change: no wait for an engine that left the list, or that was judged dead by more than its silence; silence counts from the run's own send at the earliest.

Evidence: TestKnownDeathIsNotWaitedFor failed in 2 of 2 cases, and passes.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -292,11 +292,12 @@
 // waitForSoundEngine returns how much longer the stream waits for the engine of its held run before
 // another engine prefills the prompt again.
 func (st *streamRelay) waitForSoundEngine() time.Duration {
+	fleet, r := st.h.opts.Fleet, st.held
 	hasCopy := st.lastCopy.engine != nil || st.orphanCopy != nil
-	if !st.headSent || hasCopy || st.onlyFromCopy || st.q.ctx.Err() != nil {
+	if !st.headSent || hasCopy || st.onlyFromCopy || fleet.IsGone(r.server) || st.q.ctx.Err() != nil {
 		return 0
 	}
-	return prefillAfterSilence - st.h.opts.Fleet.SilentFor(st.held.server)
+	return prefillAfterSilence - min(fleet.SilentFor(r.server), time.Since(r.lastHeard))
 }
 
 // awaitHeld waits for the held run, until the next search at most. It returns false if there is
--- a/internal/upstream/dead.go
+++ b/internal/upstream/dead.go
@@ -70,6 +70,14 @@
 	return s.revived
 }
 
+// IsGone reports whether a server has left the list, or was judged dead by more than its silence and
+// has not been heard since.
+func (f *Fleet) IsGone(s *Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[s.ID] != s || s.dead != nil && !s.dead.silent
+}
+
 // isDead reports whether a listed server was judged dead and has not been heard since. It counts
 // as asked for. It needs f.mu.
 func (f *Fleet) isDead(id string, now time.Time) bool {
