forward: what counts as a sign of life of the second engine

Cause: the probe that tells whether the second engine is alive had 150 ms, a reset of it counted for nothing, and so did its failure: the engine was asked again and again, and never judged dead. A stall of this VM was not excused. The last send that was allowed was ended like any other.

Change: the probe has 250 of the 270 ms; a reset is a sign of life, since the run's own connection stands; an engine that fails it is judged dead as after any other probe; a stall is excused once; if the request may not be sent once more, the later run stays.

--- a/internal/forward/overlap.go
+++ b/internal/forward/overlap.go
@@ -13,7 +13,8 @@
 // Sending the request elsewhere therefore decides: the run before ends once the other engine answers
 // with a resume from a copy, and after maxOverlap in any case. Only an engine that refuses the
 // request within that time, or gives no sign of life at all, does not count, since the request does
-// not run there. The run before then stays, so that a silence alone ends no answer.
+// not run there. The run before then stays, so that a silence alone ends no answer. If the request
+// may not be sent once more, the later run stays, whose engine has been silent for less long.
 //
 // Without a copy the other engine prefills the prompt again. If the engine before is back within
 // maxOverlap, its run is worth more, and the other one ends.
@@ -22,6 +23,9 @@
 // come, and the rest of 400 ms for the close to reach the engine before.
 const maxOverlap = 270 * time.Millisecond
 
+// lifeCheckTimeout bounds the probe of the second engine, whose result decides after maxOverlap.
+const lifeCheckTimeout = maxOverlap - 20*time.Millisecond
+
 // noteOpened records that a run was started, if its connection is open. If another run is held, one
 // of the two ends after maxOverlap.
 func (st *streamRelay) noteOpened(r *run) {
@@ -31,31 +35,48 @@
 	st.open = append(st.open, r)
 	if st.held != nil {
 		st.h.Stats.Probes.Inc()
-		st.h.prober.start(r.server) // its answer is a sign of life
-		time.AfterFunc(maxOverlap-time.Since(r.writtenAt), st.wake)
+		r.lifeCheck = st.h.prober.startWithin(r.server, lifeCheckTimeout)
+		r.wakeIn(maxOverlap - time.Since(r.writtenAt))
 	}
 }
 
+// wakeIn has the stream look at its runs after a time.
+func (r *run) wakeIn(d time.Duration) { time.AfterFunc(d, r.st.wake) }
+
 // isOvertaken ends one of two runs if both have been open for too long. It reports whether the stream
 // goes on with the held one in place of this one.
 func (r *run) isOvertaken() bool {
 	st := r.st
-	goesOn := st.heldGoesOn()
+	goesOn, late := st.heldGoesOn(), time.Since(r.writtenAt)-maxOverlap
 	switch {
 	case st.held == nil:
 		return false
-	case time.Since(r.writtenAt) < maxOverlap:
+	case late < 0:
 		return goesOn && r.from == nil
-	case !r.showsLife():
+	case r.showsLife():
+	case late >= maxTimerDelay && !r.stallExcused: // this VM stalled, and may not have read the answer
+		r.stallExcused = true
+		r.wakeIn(stallReadTime)
+		return false
+	case goesOn || st.q.history.MayRunAgain():
+		r.judgeLifeless()
 		return true
 	}
 	st.releaseHeld("another engine has the request", endBroken)
 	return false
 }
 
-// showsLife reports whether anything has come from the run's engine since the request was sent.
+// showsLife reports whether anything has come from the run's engine since the request was sent. An
+// engine that resets the probe is at its limit of connections, and the run's own connection stands.
 func (r *run) showsLife() bool {
-	return r.st.h.opts.Fleet.SilentFor(r.server) <= time.Since(r.writtenAt)
+	return r.st.h.opts.Fleet.SilentFor(r.server) <= time.Since(r.writtenAt) || isClosed(r.lifeCheck.done) && r.lifeCheck.reset
+}
+
+// judgeLifeless judges the run's engine dead if it has not answered the probe.
+func (r *run) judgeLifeless() {
+	if p := r.lifeCheck; isClosed(p.done) && !p.alive && !p.withheld {
+		r.st.h.judgeDead(r.server, p, false)
+	}
 }
 
 // noteClosed records that the connection of a run is closed, and for how long another run of the
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -55,6 +55,7 @@
 	withheld bool // the engine accepts no request now, or this VM stalled: nothing is known of it
 	refused  bool // the host refused the connection: no process listens there
 	closed   bool // the server ended the connection that it had accepted
+	reset    bool // the server reset a connection, as one does that is at its limit of them
 	// replaced reports that another incarnation answers at the address: the one that was
 	// probed is dead.
 	replaced bool
@@ -153,6 +154,7 @@
 	defer next.Stop()
 	started := 1
 	go func() { answers <- p.try(ctx, s, resetIsEnd) }()
+	var last probeResult
 	for ended := 0; ended < tries; {
 		select {
 		case v := <-answers:
@@ -160,8 +162,9 @@
 			if v.isConclusive() {
 				return v
 			}
+			last.reset = last.reset || v.reset
 		case <-ctx.Done():
-			return probeResult{}
+			return last
 		case <-next.C:
 			if started < tries {
 				started++
@@ -169,7 +172,7 @@
 			}
 		}
 	}
-	return probeResult{}
+	return last
 }
 
 func (p *prober) try(ctx context.Context, s *upstream.Server, resetIsEnd bool) probeResult {
@@ -181,7 +184,7 @@
 		reset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 		return probeResult{
 			withheld: errors.Is(err, errWithheld), refused: errors.Is(err, syscall.ECONNREFUSED),
-			closed: ctx.Err() == nil && (closed || reset && resetIsEnd),
+			closed: ctx.Err() == nil && (closed || reset && resetIsEnd), reset: reset,
 		}
 	}
 	a := p.wire.ReadAnswer(resp.StatusCode, resp.Header)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -57,7 +57,10 @@
 	// missingReports counts the complete reports in a row that do not list the run.
 	missingReports int
 	probedAt       time.Time // when the last probe was started
+	lifeCheck      *probe    // was started with the run; nil: no other run was held
 	startCheck     *probe    // tells whether the engine has started again; nil: it is not checked
+	// stallExcused is set if a stall of this VM has put off the end of one of two runs.
+	stallExcused bool
 	// probeFailed is set if the last probe brought no answer.
 	probeFailed bool
 	// ticket tracks the run's first event for the roll-out under way.
