forward: a stream that left a held run is searched an engine for as long

Cause: the search of 1.5 s counted from the silence of the first engine, and the wait before another prefill used it up; engines that had been asked were not asked again. A stream without an event was refused at once.

Change: the search begins anew when the later engine fails, and lasts 3 s, as long as the stream would have waited for the run that it left, also before the first event. After each wait for the held run all engines are a choice again. A copy that was used is not tried again.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -200,6 +200,7 @@
 		}
 		if wait := st.waitForSoundEngine(); wait > 0 {
 			st.awaitHeld(wait)
+			st.clearSkip()
 			continue
 		}
 		next, reason := st.searchBesideHeld()
@@ -211,6 +212,8 @@
 			st.onlyFromCopy = false // no copy can be used: the stream stays at its engine
 		case !st.awaitHeld(heldSearchInterval):
 			return nil, reason
+		default:
+			st.clearSkip()
 		}
 	}
 }
--- a/internal/forward/overlap.go
+++ b/internal/forward/overlap.go
@@ -62,10 +62,18 @@
 		r.judgeLifeless()
 		return true
 	}
-	st.releaseHeld("another engine has the request", endBroken)
+	st.leaveHeld("another engine has the request")
 	return false
 }
 
+// leaveHeld closes the held run, since another engine has the request.
+func (st *streamRelay) leaveHeld(why string) {
+	if st.held != nil {
+		st.lostAt, st.leftHeld = time.Time{}, true
+	}
+	st.releaseHeld(why, endBroken)
+}
+
 // showsLife reports whether anything has come from the run's engine since the request was sent. An
 // engine that resets the probe is at its limit of connections, and the run's own connection stands.
 func (r *run) showsLife() bool {
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -95,7 +95,7 @@
 		return r.readPlainAnswer()
 	}
 	if r.from != nil {
-		r.st.releaseHeld("another engine resumes from a copy", endBroken)
+		r.st.leaveHeld("another engine resumes from a copy")
 	}
 	return 0, false
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -42,6 +42,7 @@
 	skip          map[string]bool
 	sends         int
 	lostAt        time.Time // when the stream lost its engine; zero: it has one
+	leftHeld      bool      // a held run was closed since another engine had the request
 	lostZone      string    // zone of that engine; empty: it has one
 	lastEventAt   time.Time // when the last event was forwarded
 	engineFailure *reply
@@ -189,9 +190,15 @@
 			st.lastCopy = backupCopy{} // the copy is gone, or the engine that holds it is full
 		}
 		st.skip[run.server.ID] = true
+		if st.headSent || st.leftHeld {
+			st.noteLost()
+		}
 	case endBroken:
 		st.leave(run)
 	case endSilent, endOvertaken: // another run is held
+		if run.from != nil {
+			st.lastCopy = backupCopy{} // it was used
+		}
 		st.skip[run.server.ID] = true
 	}
 	return false
@@ -217,6 +224,11 @@
 		st.lastCopy = backupCopy{} // the prompt was still being prefilled: no copy exists yet
 	}
 	st.lostZone = run.server.Zone
+	st.noteLost()
+}
+
+// noteLost records that the stream has no engine that has the request.
+func (st *streamRelay) noteLost() {
 	if st.lostAt.IsZero() {
 		st.lostAt = time.Now()
 	}
@@ -350,7 +362,7 @@
 // holdUntil returns until when the stream may wait for a trial of its content. One that has
 // lost its engine is not served earlier elsewhere.
 func (st *streamRelay) holdUntil() time.Time {
-	resumeBy := st.lostAt.Add(maxResumeSearch)
+	resumeBy := st.lostAt.Add(st.resumeSearch())
 	if st.headSent {
 		return resumeBy
 	}
@@ -360,15 +372,24 @@
 	return resumeBy
 }
 
+// resumeSearch bounds the search for an engine that goes on with the stream. One that left a held run
+// searches as long as it would have waited for that.
+func (st *streamRelay) resumeSearch() time.Duration {
+	if st.leftHeld {
+		return maxHeldSilence
+	}
+	return maxResumeSearch
+}
+
 // mayWait reports whether a stream that no engine takes now keeps waiting. Before its
-// head is sent it waits for a small share of its objective. After that it waits until
-// its caller would give up.
+// head is sent it waits for a small share of its objective. After that, or if it left a run
+// that might have served it, it waits until its caller would give up.
 func (st *streamRelay) mayWait() bool {
 	if st.sends >= maxSends {
 		return false
 	}
-	if st.headSent {
-		return time.Since(st.lostAt) < maxResumeSearch
+	if st.headSent || st.leftHeld {
+		return time.Since(st.lostAt) < st.resumeSearch()
 	}
 	return time.Since(st.q.arrived) < time.Duration(maxHoldShare*float64(st.q.route.Objective))
 }
