stand-in of engines: stalls, ends of runs; standin routed gets resume time and stalls

What the stand-in recorded of a run was its begin only, so that no test of real processes could see two engines at work on one request. Stalls and late resumes could be set in Go only.

Change: a run records when its answer was complete or its connection closed. An engine stalls until the end of the stall or another state.

--- a/cmd/amaranthshelf/standin.go
+++ b/cmd/amaranthshelf/standin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
@@ -27,7 +28,10 @@
 }
 
 type standinRouted struct {
-	Port int `long:"port" default:"8101" description:"port of the first of six engines on 127.0.0.1"`
+	Port       int           `long:"port" default:"8101" description:"port of the first of six engines on 127.0.0.1"`
+	ResumeTime time.Duration `long:"resume-time" default:"0s" description:"from the resume of a stream from a copy to its next event; the head of the answer comes with that event"`
+	StallEvery time.Duration `long:"stall-every" default:"0s" description:"mean time between two stalls of an engine, in which it makes no events and answers everything else; 0s: none"`
+	StallTime  time.Duration `long:"stall-time" default:"1500ms" description:"longest stall"`
 }
 
 func addStandin(p *flags.Parser) error {
@@ -82,17 +86,30 @@
 				ID: fmt.Sprint("engine", i+1), Service: "models", Zone: string(rune('a' + i%3)),
 				Address: fmt.Sprintf("127.0.0.1:%d", c.Port+i), Slots: 8,
 			},
-			Events: 100, PrefillTime: time.Second, EventInterval: 30 * time.Millisecond,
+			Events: 100, PrefillTime: time.Second, ResumeTime: c.ResumeTime, EventInterval: 30 * time.Millisecond,
 		}
 		if err := network.ListenTCP(e); err != nil {
 			return err
 		}
 		fmt.Fprintf(os.Stderr, "%s in zone %s on %s\n", e.ID, e.Zone, e.Address)
+		if c.StallEvery > 0 && c.StallTime > 0 {
+			go c.stall(e)
+		}
 	}
 	waitForSignal()
 	return nil
 }
 
+// stall makes an engine stall now and then.
+func (c *standinRouted) stall(e *routedengine.Server) {
+	for {
+		time.Sleep(rand.N(2 * c.StallEvery))
+		end := e.Stall()
+		time.Sleep(rand.N(c.StallTime))
+		end()
+	}
+}
+
 func waitForSignal() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -37,6 +37,16 @@
 	FirstEvent uint64 // id of the first event that the run generates
 	Prefilled  bool   // the prompt was prefilled; false: resumed from a copy
 	At         time.Time
+	// End is when the answer was complete or its connection was closed; zero: the run is in progress.
+	End time.Time
+}
+
+// Ended returns the end of the run, which is now if it is in progress.
+func (r *Run) Ended() time.Time {
+	if r.End.IsZero() {
+		return time.Now()
+	}
+	return r.End
 }
 
 // Server is a stand-in for a backend server. Its exported fields must be set before the
@@ -83,21 +93,40 @@
 // Set changes the state. Dead resets every connection and drops every copy.
 func (s *Server) Set(state State) {
 	s.mu.Lock()
+	reset := s.enter(state)
+	s.mu.Unlock()
+	for c := range reset {
+		_ = c.Close()
+	}
+}
+
+// Stall makes a server that is alive stall until the returned function is called, or another state
+// is set.
+func (s *Server) Stall() (end func()) {
+	s.enterFrom(Alive, Stalled)
+	return func() { s.enterFrom(Stalled, Alive) }
+}
+
+func (s *Server) enterFrom(from, to State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == from {
+		s.enter(to)
+	}
+}
+
+// enter changes the state, and returns the connections to reset. It needs s.mu.
+func (s *Server) enter(state State) (reset map[net.Conn]bool) {
 	s.state = state
 	close(s.wake)
 	s.wake = make(chan struct{})
-	conns := s.conns
-	if state == Dead {
-		s.conns, s.copies = map[net.Conn]bool{}, map[string]string{}
-		s.eventsMade, s.active = map[string]int{}, map[string]string{}
-	}
-	s.mu.Unlock()
 	if state != Dead {
-		return
-	}
-	for c := range conns {
-		_ = c.Close()
+		return nil
 	}
+	reset = s.conns
+	s.conns, s.copies = map[net.Conn]bool{}, map[string]string{}
+	s.eventsMade, s.active = map[string]int{}, map[string]string{}
+	return reset
 }
 
 // Runs returns the requests that the server has started, in order.
--- a/internal/standin/routedengine/serve.go
+++ b/internal/standin/routedengine/serve.go
@@ -1,6 +1,7 @@
 package routedengine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -102,11 +103,20 @@
 	body := make([]byte, max(0, r.ContentLength))
 	_, _ = r.Body.Read(body)
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	n := len(s.runs)
 	s.runs = append(s.runs, Run{
 		RequestID: r.Header.Get(forward.HeaderRequestID), Path: r.RequestURI, Body: string(body),
 		Header: r.Header.Clone(), FirstEvent: from, Prefilled: prefilled, At: time.Now(),
 	})
+	s.mu.Unlock()
+	context.AfterFunc(r.Context(), func() { s.endRun(n) })
+}
+
+// endRun records that the work on a request has ended.
+func (s *Server) endRun(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[n].End = time.Now()
 }
 
 // AnswerCall runs a call and answers it with a status.
