real processes: one engine works on a request, though engines stall and resume late

Change: TestOneEngineWorksOnARequest runs three routers, three control processes and six engines, each of which takes 0.1 to 1.5 s to resume from a copy and sends its head with the next event. Every stream has to end whole. Once a run from a copy has made an event, the engine before may work for 400 ms from the begin of that run, and two engines together no longer than that in any case.

--- a/cmd/amaranthshelfd/operators_test.go
+++ b/cmd/amaranthshelfd/operators_test.go
@@ -37,7 +37,7 @@
 		operate := func() {
 			for {
 				v := version.Add(1)
-				_, _, err := w.roundTrip(t.Context(), http.MethodPut, "http://"+s.operators[control]+"/v1/routes", "", soakRouteList(v))
+				_, _, err := w.roundTrip(t.Context(), http.MethodPut, "http://"+s.operators[control]+"/v1/routes", "", s.routeList(v))
 				if err != nil {
 					if errors.Is(err, io.EOF) {
 						unanswered <- v
--- a/cmd/amaranthshelfd/soak_clients_test.go
+++ b/cmd/amaranthshelfd/soak_clients_test.go
@@ -61,6 +61,7 @@
 	states       callerStates
 
 	mu          sync.Mutex
+	sentTo      map[string]string // callers' addresses of the routers to which streams were sent, by request id
 	votes       []vote
 	refusals    []vote // of streams: tries that were answered with an error
 	served      []int  // events that the callers of each workspace received
@@ -73,10 +74,10 @@
 }
 
 func newSoakClients(t *testing.T, s *soakSystem) *soakClients {
-	return &soakClients{t: t, s: s, served: make([]int, len(soakWorkspaces))}
+	return &soakClients{t: t, s: s, served: make([]int, len(soakWorkspaces)), sentTo: map[string]string{}}
 }
 
-func soakRouteList(version uint64) string {
+func (s *soakSystem) routeList(version uint64) string {
 	return fmt.Sprintf(`{"version": %d, "routes": [
 		{"name": "summary", "host": %q, "prefix": "/s/", "kind": "stream", "resumable": true, "timeout_ms": 20000, "priority": 0,
 		 "objective_ms": 4000, "pause_ms": 700, "max_attempts": 5, "targets": [{"service": "models", "weight": 1}]},
@@ -88,7 +89,7 @@
 		 "objective_ms": 300, "max_attempts": 1, "targets": [{"service": "desk", "weight": 1}]}],
 		"services": [{"name": "models", "engine": {"slots": %d, "kv_tokens": 88000, "keep_copies": true,
 		 "copies_on_order": true, "copy_life_ms": 4000}}, {"name": "desk"}], "workspaces": %s}`,
-		version, routedlocal.Host, routedlocal.Host, routedlocal.Host, routedlocal.Host, version, soakSlots, soakWorkspaceList())
+		version, routedlocal.Host, routedlocal.Host, routedlocal.Host, routedlocal.Host, version, s.engineSlots(), soakWorkspaceList())
 }
 
 // start runs the callers and operators until ctx ends.
@@ -160,6 +161,7 @@
 
 // countTry counts one try of a stream. It needs w.mu.
 func (w *soakClients) countTry(workspace, try int, q *routedlocal.StreamRequest, got *routedlocal.StreamResult) {
+	w.sentTo[q.ID] = q.Addr
 	w.resumes += min(try, 1)
 	w.served[workspace] += len(got.EventIDs)
 	if got.Status != 0 && got.Status != http.StatusOK {
@@ -233,7 +235,7 @@
 // acknowledges it.
 func (w *soakClients) putRouteList(ctx context.Context, version uint64) {
 	for try := 0; ctx.Err() == nil; try++ {
-		resp, _, err := w.roundTrip(ctx, http.MethodPut, "http://"+w.s.operators[try%soakControls]+"/v1/routes", "", soakRouteList(version))
+		resp, _, err := w.roundTrip(ctx, http.MethodPut, "http://"+w.s.operators[try%soakControls]+"/v1/routes", "", w.s.routeList(version))
 		if err == nil && resp.StatusCode == http.StatusOK {
 			w.acknowledged.Store(version)
 			return
--- a/cmd/amaranthshelfd/soak_silence_test.go
+++ b/cmd/amaranthshelfd/soak_silence_test.go
@@ -31,7 +31,8 @@
 	countMu  sync.Mutex // guards the fields below
 	whole    int
 	refused  int
-	cut      []string // answers that ended in the middle, and requests without a usable answer
+	cut      []string        // answers that ended in the middle, and requests without a usable answer
+	pauses   []time.Duration // the longest one of each answer
 	byStatus map[int]int
 }
 
@@ -102,8 +103,10 @@
 }
 
 func (c *silenceSoak) noteStream(q *routedlocal.StreamRequest, got *routedlocal.StreamResult, err error) {
+	c.locked(func() { c.sentTo[q.ID] = q.Addr })
 	c.countMu.Lock()
 	defer c.countMu.Unlock()
+	c.pauses = append(c.pauses, got.LongestPause)
 	switch {
 	case err == nil && got.Complete && routedlocal.HasAllEvents(got.EventIDs, soakEvents):
 		c.whole++
--- a/cmd/amaranthshelfd/soak_system_test.go
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -62,6 +62,8 @@
 	pauses    []soakPause    // that servers asked for
 	cordons   []soakCordon   // that an operator ordered
 	faults    []faultTime    // that have begun
+	// standstills are those of the router processes.
+	standstills []standstill
 	// waitingAtFault counts the faults of the deciding control VM that began while streams waited.
 	waitingAtFault int
 	// routerStarts counts how often a router was started again.
@@ -74,6 +76,9 @@
 	newVersionVotes atomic.Int64 // votes that reached the new version
 	// mixed is set if engines of several versions serve, without any roll-out.
 	mixed bool
+	slots int // of an engine; 0: soakSlots
+	// resumeTimes are the times that the engines take to resume from a copy; nil: none.
+	resumeTimes []time.Duration
 	// memoryMB is the memory limit that the settings of the routers state; 0: none.
 	memoryMB int
 }
@@ -89,11 +94,15 @@
 }
 
 func startSoakSystem(t *testing.T, seed uint64) *soakSystem {
-	s := &soakSystem{t: t, mixed: isMixed(seed), newVersionFails: seed%2 == 0}
+	s := newSoakSystem(t, seed)
 	s.startAll()
 	return s
 }
 
+func newSoakSystem(t *testing.T, seed uint64) *soakSystem {
+	return &soakSystem{t: t, mixed: isMixed(seed), newVersionFails: seed%2 == 0}
+}
+
 // startAll starts the servers and the processes.
 func (s *soakSystem) startAll() {
 	t := s.t
@@ -107,8 +116,9 @@
 	t.Cleanup(s.net.Close)
 	for i := range 2 * soakZones {
 		s.addServer(&routedengine.Server{
-			Backend: upstream.Backend{ID: fmt.Sprint("engine", i), Service: "models", Zone: fmt.Sprint("z", i%soakZones), Slots: soakSlots, Version: s.engineVersion(i)},
+			Backend: upstream.Backend{ID: fmt.Sprint("engine", i), Service: "models", Zone: fmt.Sprint("z", i%soakZones), Slots: s.engineSlots(), Version: s.engineVersion(i)},
 			Events:  soakEvents, NamesPath: true, NamesVersion: true, NamesMemory: true, PrefillTime: 100 * time.Millisecond, EventInterval: 20 * time.Millisecond,
+			ResumeTime: s.resumeTime(i),
 		})
 	}
 	for i := range soakZones {
@@ -133,6 +143,13 @@
 	}
 }
 
+func (s *soakSystem) engineSlots() int {
+	if s.slots == 0 {
+		return soakSlots
+	}
+	return s.slots
+}
+
 // addServer starts a server on loopback behind a fault proxy. The server's address becomes
 // the proxy's, so that routers and other servers connect through the proxy.
 func (s *soakSystem) addServer(e *routedengine.Server) {
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -38,7 +38,8 @@
 	Prefilled  bool   // the prompt was prefilled; false: resumed from a copy
 	At         time.Time
 	// End is when the answer was complete or its connection was closed; zero: the run is in progress.
-	End time.Time
+	End  time.Time
+	Made int // events of the stream that the run has sent
 }
 
 // Ended returns the end of the run, which is now if it is in progress.
--- a/internal/standin/routedengine/serve.go
+++ b/internal/standin/routedengine/serve.go
@@ -98,18 +98,20 @@
 	_ = json.NewEncoder(w).Encode(out)
 }
 
-// RecordRun records that a request runs here. from is the id of its first event.
-func (s *Server) RecordRun(r *http.Request, from uint64, prefilled bool) {
+// RecordRun records that a request runs here, and returns the index of the run. from is the id of its
+// first event.
+func (s *Server) RecordRun(r *http.Request, from uint64, prefilled bool) (n int) {
 	body := make([]byte, max(0, r.ContentLength))
 	_, _ = r.Body.Read(body)
 	s.mu.Lock()
-	n := len(s.runs)
+	n = len(s.runs)
 	s.runs = append(s.runs, Run{
 		RequestID: r.Header.Get(forward.HeaderRequestID), Path: r.RequestURI, Body: string(body),
 		Header: r.Header.Clone(), FirstEvent: from, Prefilled: prefilled, At: time.Now(),
 	})
 	s.mu.Unlock()
 	context.AfterFunc(r.Context(), func() { s.endRun(n) })
+	return n
 }
 
 // endRun records that the work on a request has ended.
@@ -175,7 +177,7 @@
 		}
 		prefill, wait = false, s.ResumeTime
 	}
-	s.RecordRun(r, after+1, prefill)
+	run := s.RecordRun(r, after+1, prefill)
 	defer s.markActive(id, memory)()
 	s.sign(w, r)
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -201,10 +203,10 @@
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
-		s.setProgress(id, int(n-after))
+		s.setProgress(id, run, int(n-after))
 		backup.keepCopyOf(id, memory)
 	}
-	s.setProgress(id, 0)
+	s.dropProgress(id)
 }
 
 // markActive marks a stream as running here until end is called.
@@ -220,11 +222,14 @@
 	}
 }
 
-func (s *Server) setProgress(id string, made int) {
+func (s *Server) setProgress(id string, run, made int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.eventsMade[id] = made
-	if made == 0 {
-		delete(s.eventsMade, id)
-	}
+	s.eventsMade[id], s.runs[run].Made = made, made
+}
+
+func (s *Server) dropProgress(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.eventsMade, id)
 }
