soak: engines stall, and resume late from copies; no two engines work on a request

The soak's engines resumed from a copy at once and never stalled, as real ones do, so that it could not see two engines at work on one request.

Change: each engine takes 0.1 to 1.5 s to resume from a copy, and every 1.2 s in the mean one stalls for 0.6 to 2.5 s. The check is that of TestOneEngineWorksOnARequest: 400 ms, less the time in which the router's process stood still (paused, down, starved) or the link to the engine before was disturbed.

--- a/cmd/amaranthshelfd/soak_overlap_test.go
+++ b/cmd/amaranthshelfd/soak_overlap_test.go
@@ -23,6 +23,8 @@
 	maxResumeTime = 1500 * time.Millisecond
 	minStall      = 600 * time.Millisecond
 	maxStall      = 2500 * time.Millisecond
+	// meanStallInterval separates the begins of two stalls in the soak.
+	meanStallInterval = 1200 * time.Millisecond
 )
 
 // drawResumeTimes draws how long each engine takes to resume from a copy.
@@ -53,6 +55,17 @@
 	return minStall + randomDuration(rng, maxStall-minStall)
 }
 
+// planStalls draws stalls of engines.
+func (s *soakSystem) planStalls(rng *rand.Rand, length time.Duration) []fault {
+	var out []fault
+	for at := randomDuration(rng, meanStallInterval); at < length; at += randomDuration(rng, 2*meanStallInterval) {
+		f := s.stallFault(rng.IntN(2*soakZones), randomStall(rng))
+		f.at = at
+		out = append(out, f)
+	}
+	return out
+}
+
 // engineRun is the work of an engine on a request.
 type engineRun struct {
 	server int // index of the engine
--- a/cmd/amaranthshelfd/soak_test.go
+++ b/cmd/amaranthshelfd/soak_test.go
@@ -186,7 +186,7 @@
 // Guards the guarantees of the routed system under faults, with the real program in separate
 // processes. Routers and control processes are killed, shut down, paused and restarted;
 // the deciding control VM is also cut off; an operator cordons servers and VMs;
-// all processes are killed at once; servers die and stop answering; links to them are slow, cut in one direction and reset.
+// all processes are killed at once; servers die and stop answering; engines stall, and resume late from copies; links to them are slow, cut in one direction and reset.
 // Faults come in series and overlap. The test checks:
 //   - callers receive complete streams, each event once, and all of one version. With several
 //     versions, most streams to which callers reconnect go on;
@@ -203,6 +203,7 @@
 //   - a request that crashes its servers reaches hardly any more after the third;
 //   - no call ends with an unknown outcome at a server that its router had judged dead;
 //   - a cordoned server receives nothing new, and a cordoned VM is named to no caller;
+//   - an engine stops work on a request that has gone on at another one for 400 ms;
 //   - after the last fault every router serves every route again.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
@@ -214,7 +215,9 @@
 }
 
 func soak(t *testing.T, seed uint64) {
-	s := startSoakSystem(t, seed)
+	s := newSoakSystem(t, seed)
+	s.resumeTimes = drawResumeTimes(rand.New(rand.NewPCG(seed, 8)))
+	s.startAll()
 	w := newSoakClients(t, s)
 	w.putRouteList(t.Context(), 1)
 	w.waitAllServe(1)
@@ -225,13 +228,16 @@
 	plan = append(plan, w.planDecider(rand.New(rand.NewPCG(seed, 5)), *soakDuration)...)
 	plan = append(plan, s.planRestartOfAll(rand.New(rand.NewPCG(seed, 6)), *soakDuration)...)
 	plan = append(plan, s.planSilences(rand.New(rand.NewPCG(seed, 7)), *soakDuration)...)
+	plan = append(plan, s.planStalls(rand.New(rand.NewPCG(seed, 9)), *soakDuration)...)
 	ctx, cancel := context.WithCancel(t.Context())
+	stopWatch := w.watchRouters()
 	w.start(ctx, seed)
 	w.wg.Go(func() { w.watchEntries(ctx) })
 	s.inject(plan)
 	faultsEnded := time.Now()
 	cancel()
 	w.awaitCallers()
+	stopWatch()
 	lastAnswerDelay := time.Since(faultsEnded)
 	w.waitAllServe(w.acknowledged.Load())
 	w.checkVotes()
@@ -245,8 +251,9 @@
 	w.checkCordons()
 	s.checkCrashes()
 	s.checkDeadServers()
-	t.Logf("seed %d, %d faults: %s; %d cordons, %d crashes of %d crashing requests, %d faults of the deciding control VM while streams waited, routers' loads %q; last answers %.1f s after the last fault, all checks done after %.1f s",
-		seed, len(plan), w.summary(), len(s.cordons), s.crasher.ended.Load(), s.crasher.sent.Load(), s.waitingAtFault, w.loads(), lastAnswerDelay.Seconds(), time.Since(faultsEnded).Seconds())
+	oneEngine := w.checkOneEngine()
+	t.Logf("seed %d, %d faults: %s; %s; %d cordons, %d crashes of %d crashing requests, %d faults of the deciding control VM while streams waited, routers' loads %q; last answers %.1f s after the last fault, all checks done after %.1f s",
+		seed, len(plan), w.summary(), oneEngine, len(s.cordons), s.crasher.ended.Load(), s.crasher.sent.Load(), s.waitingAtFault, w.loads(), lastAnswerDelay.Seconds(), time.Since(faultsEnded).Seconds())
 	if t.Failed() {
 		var text strings.Builder
 		for _, f := range plan {
