real processes: a failed run of TestOneEngineWorksOnARequest prints its faults

It printed only what failed, so that the course of a fault had to be read from the routers' logs. The soak printed its plan; both use one function now.

--- a/cmd/amaranthshelfd/overlap_test.go
+++ b/cmd/amaranthshelfd/overlap_test.go
@@ -43,6 +43,7 @@
 	}
 	summary := c.checkOneEngine()
 	t.Logf("seed %d, %d faults: %d streams whole, %d refused, %d cut off, %s; %s", seed, len(plan), c.whole, c.refused, len(c.cut), c.pauseSummary(), summary)
+	logFaults(t, seed, plan)
 }
 
 func (c *silenceSoak) pauseSummary() string {
--- a/cmd/amaranthshelfd/soak_test.go
+++ b/cmd/amaranthshelfd/soak_test.go
@@ -254,13 +254,19 @@
 	oneEngine := w.checkOneEngine()
 	t.Logf("seed %d, %d faults: %s; %s; %d cordons, %d crashes of %d crashing requests, %d faults of the deciding control VM while streams waited, routers' loads %q; last answers %.1f s after the last fault, all checks done after %.1f s",
 		seed, len(plan), w.summary(), oneEngine, len(s.cordons), s.crasher.ended.Load(), s.crasher.sent.Load(), s.waitingAtFault, w.loads(), lastAnswerDelay.Seconds(), time.Since(faultsEnded).Seconds())
-	if t.Failed() {
-		var text strings.Builder
-		for _, f := range plan {
-			fmt.Fprintln(&text, f)
-		}
-		t.Logf("seed %d, faults:\n%s", seed, text.String())
+	logFaults(t, seed, plan)
+}
+
+// logFaults logs the faults of a run that has failed.
+func logFaults(t *testing.T, seed uint64, plan []fault) {
+	if !t.Failed() {
+		return
+	}
+	var text strings.Builder
+	for _, f := range plan {
+		fmt.Fprintln(&text, f)
 	}
+	t.Logf("seed %d, faults:\n%s", seed, text.String())
 }
 
 // randomDuration draws a uniform duration in [0, limit).
