forward: a silence counts from the engine's last sign of life

Cause: the wait for a held run ended 3 s after its last bytes. A run that resumes late has had none since it was sent, while its engine answered probes. And once another engine was asked beside the held run, an engine that the stream had left while it was live, and that may still make no events, was asked first.

Change: the 3 s count from the last thing that came from the engine. The engine that the stream has left is asked again only once the held run is given up.

Evidence: TestSilenceBeforeALateResumeEndsNoAnswer failed after 2 and 2.5 s of silence, and passes.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -69,9 +69,15 @@
 	return heldSpoke
 }
 
+// silentFor returns how long the engine of the run has sent nothing, neither for the run nor for
+// others, or in answer to a probe.
+func (r *run) silentFor() time.Duration {
+	return min(r.st.h.opts.Fleet.SilentFor(r.server), time.Since(r.lastHeard))
+}
+
 // heldUntil returns how long the stream waits for a held run if no other engine takes it.
 func (r *run) heldUntil() time.Time {
-	until, q := r.lastHeard.Add(maxHeldSilence), r.st.q
+	until, q := time.Now().Add(maxHeldSilence-r.silentFor()), r.st.q
 	if !r.st.headSent && q.route.Objective > 0 {
 		until = q.arrived.Add(time.Duration(firstEventHoldShare * float64(q.route.Objective)))
 	}
@@ -193,7 +199,8 @@
 			return st.goOnWithHeld(), 0
 		}
 		if st.held == nil {
-			st.heldEngine, st.onlyFromCopy = "", false
+			delete(st.skip, st.leftEngine)
+			st.heldEngine, st.leftEngine, st.onlyFromCopy = "", "", false
 			next, reason := st.search()
 			st.noteOpened(next)
 			return next, reason
@@ -210,7 +217,7 @@
 		case st.heldGoesOn():
 		case st.onlyFromCopy:
 			st.onlyFromCopy = false // no copy can be used: the stream stays at its engine
-		case !st.awaitHeld(heldSearchInterval):
+		case !st.awaitHeld(heldSearchInterval) && (st.held != nil || st.leftEngine == ""):
 			return nil, reason
 		default:
 			st.clearSkip()
@@ -263,15 +270,21 @@
 	}
 }
 
-// clearSkip makes all engines a choice again, but that of the held run.
+// clearSkip makes all engines a choice again, but those that the held run is preferred to.
 func (st *streamRelay) clearSkip() {
 	clear(st.skip)
 	st.skipHeldEngine()
 }
 
+// skipHeldEngine excludes the engine of the held run, and the live one that the stream has left: it
+// may still make no events.
 func (st *streamRelay) skipHeldEngine() {
-	if st.heldEngine != "" {
-		st.skip[st.heldEngine] = true
+	if st.heldEngine == "" {
+		return
+	}
+	st.skip[st.heldEngine] = true
+	if st.leftEngine != "" {
+		st.skip[st.leftEngine] = true
 	}
 }
 
@@ -300,7 +313,7 @@
 	if !st.headSent || hasCopy || st.onlyFromCopy || fleet.IsGone(r.server) || st.q.ctx.Err() != nil {
 		return 0
 	}
-	return prefillAfterSilence - min(fleet.SilentFor(r.server), time.Since(r.lastHeard))
+	return prefillAfterSilence - r.silentFor()
 }
 
 // awaitHeld waits for the held run, until the next search at most. It returns false if there is
--- a/internal/forward/run_silence.go
+++ b/internal/forward/run_silence.go
@@ -149,7 +149,7 @@
 	if s.eventsDoNotArrive() {
 		return r.lost("events of the engine do not arrive")
 	}
-	r.st.movedOffLive = true
+	r.st.movedOffLive, r.st.leftEngine = true, r.server.ID
 	r.st.onlyFromCopy = true
 	r.engineAnswers.Store(true)
 	r.st.h.opts.Fleet.Avoid(r.server)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -35,6 +35,7 @@
 
 	headSent      bool       // the head of the answer was sent to the caller
 	movedOffLive  bool       // the stream was moved off a live engine, which happens at most once
+	leftEngine    string     // id of that engine; empty: none
 	lastCopy      backupCopy // backup copy of the last run
 	orphanCopy    *Copy      // copy of a run that another router carried; nil: none
 	orphanEngine  string     // address of the engine that ran it for that router; empty: not known
