forward: a late call ends at one of its two servers in time

What callers saw: nothing; two servers worked on one idempotent call. A call that was late at its server (0.7 of the objective) was sent to another one, and the first exchange was held until one of the two had answered, so for as long as the call takes.

Cause: nothing but an answer or 3 s of silence with no other server ended a held exchange.

Evidence: TestLateCallEndsOnceAnotherServerHasIt, 180 cases of slow and silent servers with 2, 3 and 5 attempts, was red in 114 of them: two servers worked for up to 1.79 s (0.6 s to 1.79 s).

Change: the rule of streams (overlap.go) holds for calls. maxOverlap after the request was written at another server, one of the two ends: the exchange before if the other server has given a sign of life since, or else the other one, so that a silence alone ends no call. A server that refuses or fails in that time ends nothing. An exchange that was ended so counts as late, not as broken.

showsLife is shared. It counts what came at the moment of the sending too: in virtual time the answer to the probe comes at that very moment, and every server looked silent.

Result: no pair of servers works for more than 400 ms in the 180 cases, and all are answered with 200 as before. The price: a call that its first server would still have answered later than 0.51 s begins anew at the second one. TestCallOutlivesTheSilenceOfItsServer passes unchanged.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -303,7 +303,7 @@
 	case r.fault == faultBroken:
 		f.Failed(s)
 		h.confirmDeath(q, s, run)
-	case r.fault == faultSlow:
+	case r.fault == faultSlow, r.fault == faultOvertaken:
 		f.Late(s, took)
 	case r.resp.StatusCode >= http.StatusInternalServerError:
 		f.Failed(s)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -18,16 +18,17 @@
 type fault uint8
 
 const (
-	noFault       fault = iota
-	faultDial           // no connection
-	faultBroken         // the connection broke, or carried no valid answer
-	faultSlow           // no answer within the maximum wait; there may be time for another server
-	faultWithheld       // the server accepts no request now
+	noFault        fault = iota
+	faultDial            // no connection
+	faultBroken          // the connection broke, or carried no valid answer
+	faultSlow            // no answer within the maximum wait; there may be time for another server
+	faultWithheld        // the server accepts no request now
+	faultOvertaken       // it was ended, since the request went on at another server
 )
 
 // String implements fmt.Stringer.
 func (f fault) String() string {
-	return [...]string{"", "no connection", "broken", "slow", "withheld"}[f]
+	return [...]string{"", "no connection", "broken", "slow", "withheld", "overtaken"}[f]
 }
 
 // reply is the result of one send.
@@ -114,9 +115,14 @@
 	if c == nil {
 		return out
 	}
-	f := &flight{conn: c, stop: context.AfterFunc(q.ctx, c.Close), done: make(chan reply, 1)}
+	f := &flight{conn: c, server: s, writtenAt: time.Now(), stop: context.AfterFunc(q.ctx, c.Close), done: make(chan reply, 1)}
 	m, limits := q.beginAnswer(h, s, c.Close), h.answerLimits(q)
-	go func() { f.done <- h.readReply(q, s, f, m, limits, sent) }()
+	go func() {
+		r := h.readReply(q, s, f, m, limits, sent)
+		f.ended.Store(true)
+		f.done <- r
+	}()
+	q.held.boundOverlap(f)
 	var slow <-chan time.Time
 	if wait > 0 {
 		timer := time.NewTimer(wait)
@@ -175,6 +181,9 @@
 // breakOff ends an exchange whose answer cannot be read.
 func (h *Handler) breakOff(s *upstream.Server, f *flight, err error) reply {
 	f.conn.Close()
+	if f.overtaken.Load() {
+		return reply{outcome: sendUnknown, fault: faultOvertaken}
+	}
 	h.noteSpoiled(s, err)
 	return reply{outcome: sendUnknown, fault: faultBroken}
 }
--- a/internal/forward/held_call.go
+++ b/internal/forward/held_call.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
@@ -15,21 +17,29 @@
 // although its server goes on within a second: no other server may be reached, have room, or be
 // left in the retry budget.
 //
-// A late exchange is therefore held until another server has answered, and the caller gets the
-// first answer.
+// A late exchange is therefore held while the call is sent to another server, and the caller gets
+// the first answer. The two servers work on the call for maxOverlap at most: then the exchange
+// before ends, or the other one if its server has given no sign of life. A server that refuses the
+// call, or fails, in that time ends nothing.
 
 // flight is an exchange whose request was sent and whose answer is awaited.
 type flight struct {
-	conn *upstream.Conn
-	stop func() bool // returns true once: its caller decides what becomes of the connection
-	done chan reply
+	conn      *upstream.Conn
+	server    *upstream.Server
+	writtenAt time.Time
+	stop      func() bool // returns true once: its caller decides what becomes of the connection
+	done      chan reply
+	ended     atomic.Bool // a reply is in done, or was taken from it
+	overtaken atomic.Bool // it was dropped while the call went on at another server
 }
 
-// drop closes the connection unless the answer is complete.
-func (f *flight) drop() {
-	if f.stop() {
-		f.conn.Close()
+// drop closes the connection unless the answer is complete. It reports whether it did.
+func (f *flight) drop() bool {
+	if !f.stop() {
+		return false
 	}
+	f.conn.Close()
+	return true
 }
 
 // heldCall is a late exchange of a call.
@@ -75,8 +85,9 @@
 		r := <-call.flight.done
 		c.mu.Lock()
 		call.reply = &r
+		isHeld := slices.Contains(c.calls, call)
 		c.mu.Unlock()
-		if r.isUsable() {
+		if isHeld && r.isUsable() {
 			cancel()
 		}
 		select {
@@ -86,6 +97,50 @@
 	}()
 }
 
+// boundOverlap ends either the calls that are held, or the exchange that was begun beside them, if
+// both are in flight after maxOverlap.
+func (c *heldCalls) boundOverlap(next *flight) {
+	c.mu.Lock()
+	before := slices.Clone(c.calls)
+	c.mu.Unlock()
+	if len(before) == 0 {
+		return
+	}
+	c.h.Stats.Probes.Inc()
+	c.h.prober.start(next.server) // its answer is a sign of life
+	time.AfterFunc(maxOverlap, func() { c.endOverlap(before, next) })
+}
+
+func (c *heldCalls) endOverlap(before []*heldCall, next *flight) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before = slices.DeleteFunc(before, func(call *heldCall) bool { return call.flight.ended.Load() || !slices.Contains(c.calls, call) })
+	if len(before) == 0 || next.ended.Load() {
+		return
+	}
+	if !c.h.showsLife(next.server, next.writtenAt) {
+		next.overtaken.Store(true)
+		next.drop()
+		return
+	}
+	for _, call := range before {
+		c.drop(call)
+	}
+}
+
+// drop ends a held call: another server has the request. It needs c.mu.
+func (c *heldCalls) drop(call *heldCall) {
+	call.flight.overtaken.Store(true)
+	if !call.flight.drop() {
+		return // its answer is complete
+	}
+	c.calls = slices.DeleteFunc(c.calls, func(other *heldCall) bool { return other == call })
+	c.h.opts.Fleet.Release(call.server, callHeldUse)
+	c.h.opts.SuspectContents.abandon(call.run)
+	c.h.opts.Log.Info().Str("request", c.q.RequestID).Str("server", call.server.ID).Dur("after", time.Since(call.began)).
+		Msg("held call dropped: another server has the request")
+}
+
 // isUsable reports whether the caller gets this answer at once.
 func (r *reply) isUsable() bool {
 	return r.outcome == sendAnswered && r.resp.StatusCode < http.StatusInternalServerError
@@ -177,4 +232,5 @@
 		}
 		call.flight.drop()
 	}
+	c.calls = nil
 }
--- a/internal/forward/overlap.go
+++ b/internal/forward/overlap.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // The failure pattern is a request that two engines work on. One falls silent, or makes no events
@@ -46,16 +48,16 @@
 		return false
 	case time.Since(r.writtenAt) < maxOverlap:
 		return goesOn && r.from == nil
-	case !r.showsLife():
+	case !st.h.showsLife(r.server, r.writtenAt):
 		return true
 	}
 	st.releaseHeld("another engine has the request", endBroken)
 	return false
 }
 
-// showsLife reports whether anything has come from the run's engine since the request was sent.
-func (r *run) showsLife() bool {
-	return r.st.h.opts.Fleet.SilentFor(r.server) < time.Since(r.writtenAt)
+// showsLife reports whether anything has come from a server since a request was written there.
+func (h *Handler) showsLife(s *upstream.Server, writtenAt time.Time) bool {
+	return h.opts.Fleet.SilentFor(s) <= time.Since(writtenAt)
 }
 
 // noteClosed records that the connection of a run is closed, and for how long another run of the
