handoff: a VM keeps a request no longer than its reader waits for it

What callers saw: a pause of about 3.1 s, then a stream that went on. Two engines worked on it: a VM that reaches no engine has another VM serve its stream, hears nothing of that VM for 3 s and goes on elsewhere. The other one kept the request for 3 s after the last message of the reader.

Cause: each read and each renewal of the lease renewed it for 3 s (readLease), also those to which no answer came. If only the messages of the serving VM were lost, or a part of all, the reader renewed a lease until it gave up; its release could not be sent by then, since a connection on which nothing comes is closed after 2.5 s.

Change: a read states for how long the request is to be kept: the rest of the time for which its reader waits, and 200 ms. A reader that writes to a slow caller asks for the whole lease, as before. VMs of former builds neither state nor read it.

TestSilenceOfASoundVMCutsNoAnswer passes unchanged: no answer ends by a silence of two seconds.

--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -35,6 +35,9 @@
 	// goneAfter is the same if the VM refuses connections: its process has ended, or is
 	// starting again without the request.
 	goneAfter = time.Second
+	// keepMargin is how much longer than its reader waits a VM keeps a request. A request that
+	// goes on elsewhere runs at two engines for that long.
+	keepMargin = 200 * time.Millisecond
 	// leaseRenewal is how often the lease of a request is renewed, besides each read. VMs of
 	// former builds keep one for 1.5 s.
 	leaseRenewal = 700 * time.Millisecond
@@ -149,10 +152,12 @@
 	offset    int64
 	begun     bool      // the head was written
 	lastRead  time.Time // when the last piece was read and written
+	// waitsSince is lastRead; nil: a piece is being written.
+	waitsSince atomic.Pointer[time.Time]
 }
 
 func (r *reader) copy() Outcome {
-	r.lastRead = time.Now()
+	r.noteRead()
 	for r.ctx.Err() == nil {
 		p, err := r.read()
 		switch {
@@ -166,10 +171,11 @@
 		case r.isInvented(&p):
 			return r.lost("ended without a head", nil)
 		}
+		r.waitsSince.Store(nil)
 		if !r.forward(&p) {
 			return CallerLeft
 		}
-		r.lastRead = time.Now()
+		r.noteRead()
 		if p.End && r.isWhole(&p) {
 			return Answered
 		}
@@ -180,6 +186,23 @@
 	return r.failure()
 }
 
+func (r *reader) noteRead() {
+	now := time.Now()
+	r.lastRead = now
+	r.waitsSince.Store(&now)
+}
+
+// keepMS returns for how long the VM shall keep the request. Its messages may be lost while those of
+// the reader arrive: if each of them renewed the whole lease, the VM would work on long after the
+// request has gone on elsewhere.
+func (r *reader) keepMS() int64 {
+	since := r.waitsSince.Load()
+	if since == nil {
+		return readLease.Milliseconds()
+	}
+	return max(keepMargin, lostAfter+keepMargin-time.Since(*since)).Milliseconds()
+}
+
 // failure returns the outcome of an answer that is not complete.
 func (r *reader) failure() Outcome {
 	if r.begun {
@@ -232,7 +255,7 @@
 func (r *reader) keepLease(ctx context.Context) {
 	for timer.Sleep(ctx, leaseRenewal) == nil {
 		// It acknowledges nothing, and its piece is not sent.
-		if err := r.c.t.Send(r.vm, peer.KindReadAnswer, ReadRequest{ID: r.id, HasHead: true}); err != nil {
+		if err := r.c.t.Send(r.vm, peer.KindReadAnswer, ReadRequest{ID: r.id, HasHead: true, KeepMS: r.keepMS()}); err != nil {
 			r.c.log.Debug().Err(err).Str("to", r.vm).Uint64("offer", r.id).Msg("a lease could not be renewed")
 		}
 	}
@@ -250,7 +273,7 @@
 	ctx, cancel := context.WithTimeout(r.ctx, readTimeout)
 	defer cancel()
 	var p Piece
-	err := r.c.t.Call(ctx, r.vm, peer.KindReadAnswer, ReadRequest{ID: r.id, Offset: r.offset, HasHead: r.begun}, &p)
+	err := r.c.t.Call(ctx, r.vm, peer.KindReadAnswer, ReadRequest{ID: r.id, Offset: r.offset, HasHead: r.begun, KeepMS: r.keepMS()}, &p)
 	return p, err
 }
 
--- a/internal/handoff/messages.go
+++ b/internal/handoff/messages.go
@@ -29,6 +29,9 @@
 	Offset int64  `cbor:"2,keyasint,omitempty"`
 	// HasHead states that the reader holds the head.
 	HasHead bool `cbor:"3,keyasint,omitempty"`
+	// KeepMS is how long the request is kept without another read: the reader then goes on
+	// elsewhere. VMs of former builds do not state it.
+	KeepMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Piece is part of an answer.
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -28,7 +28,7 @@
 	readWait = 250 * time.Millisecond
 	// offerLease is how long a request is kept that is not read at all.
 	offerLease = 1500 * time.Millisecond
-	// readLease is how long a request is kept without a further read: as long as its reader
+	// readLease is how long a request is kept at most without a further read: as long as its reader
 	// would wait for this VM.
 	readLease = lostAfter
 	// endPollInterval is how often EndAll checks whether the other VMs know of the end.
@@ -148,7 +148,7 @@
 		return nil, err
 	}
 	e := s.lookup(takenKey{from, r.ID})
-	if e == nil || !e.lease.Reset(readLease) {
+	if e == nil || !e.lease.Reset(r.lease()) {
 		return Piece{}, nil
 	}
 	e.start.Do(func() {
@@ -160,6 +160,14 @@
 	return e.read(ctx, &r), nil
 }
 
+// lease returns how long a request is kept after a read.
+func (r *ReadRequest) lease() time.Duration {
+	if r.KeepMS <= 0 {
+		return readLease
+	}
+	return min(readLease, time.Duration(r.KeepMS)*time.Millisecond)
+}
+
 func (s *Server) handleRelease(_ context.Context, from string, body []byte) (any, error) {
 	var r ReleaseRequest
 	if err := codec.Unmarshal(body, &r); err != nil {
