relay: a lost attempt is cancelled on its engine

What callers saw: nothing; two engines worked on one generation for six seconds.

Cause: engines work on for a detach time (6 s) after a connection ends, so that another VM can attach. An attempt was not cancelled at its engine if its connection broke (taken for the death of the engine), or if it was given up as silent while a hedge ran, since settleFailed cancelled nothing.

Change: both are cancelled at their engines like all other attempts. Only an engine that refused the connection gets no order.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -128,9 +128,18 @@
 	o := a.outcome(ctx)
 	a.choice.done(o)
 	r.hub.recovery.end(a.stream)
+	r.endLost(a, o)
 	r.recordLoss(a, o)
 }
 
+// endLost cancels a failed attempt on its engine. An engine whose connection broke may be alive, and
+// would work on until the attempt's detach time has passed.
+func (r *Run) endLost(a *attempt, o Outcome) {
+	if o != OutcomeRefused {
+		r.endAttempt(a.choice.Backend.Addr, a.completion.Attempt)
+	}
+}
+
 func (r *Run) superseded(a *attempt) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/drive.go
+++ b/internal/relay/drive.go
@@ -207,9 +207,7 @@
 		r.hub.recovery.noteProgress(r.Request().ContentDigest(), a.from+r.Request().MaxTokens)
 		return false, nil
 	}
-	if outcome != OutcomeDied && outcome != OutcomeRefused {
-		r.endAttempt(a.choice.Backend.Addr, a.completion.Attempt)
-	}
+	r.endLost(a, outcome)
 	if outcome == OutcomeCancelled {
 		return false, nil
 	}
