relay: a hedge and the attempt before work on a request for 0.3 s at most

What callers saw: nothing; two engines worked on one generation for as long as the hedge prefilled the prompt.

Cause: a hedge was ended by its own first token only, also when the silent engine was back and its tokens could not be used any more. The attempt before was given up at its own bound of silence, 0.32 to 0.8 s after the hedge began.

Change: a hedge ends at the next check (0.1 s) once the attempt before has brought a token. If it has brought none 0.2 s after the hedge began, it is given up as silent, and the hedge goes on alone. A hedge that is refused in that time ends nothing. No answer is lost by it: a generation is tried again until it is complete.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -17,9 +17,9 @@
 )
 
 // attempt is one attempt to generate the rest of an answer on one engine. A hedge is a
-// second attempt that runs beside a silent one. Only the current attempt appends tokens
-// to the journal. A hedge becomes the current attempt when its first token arrives, unless
-// the other attempt has appended tokens since the hedge began; see claim.
+// second attempt that runs beside a silent one, for maxOverlap at most. Only the current
+// attempt appends tokens to the journal. A hedge becomes the current attempt when its first
+// token arrives, unless the other attempt has appended tokens since the hedge began; see claim.
 type attempt struct {
 	choice     Choice
 	completion engine.Completion
@@ -28,6 +28,7 @@
 	events     int // used only by the goroutine that launch starts
 	stream     *recovery.Stream
 	resume     *recovery.Resume
+	begun      time.Time
 	suspect    bool
 	silent     bool // abandoned because the engine was silent
 	slow       bool // abandoned because the engine was slow
@@ -35,9 +36,14 @@
 	err        error
 }
 
+// maxOverlap bounds how long two engines may work on one request. It leaves time for a
+// check that comes late and for the order that cancels an attempt.
+const maxOverlap = 200 * time.Millisecond
+
 // launch starts an attempt and sends it to ends when it has ended.
 func (r *Run) launch(ctx context.Context, a *attempt, ends chan<- *attempt) {
 	ctx, a.cancel = context.WithCancel(ctx)
+	a.begun = time.Now()
 	span := r.hub.span(r.Request(), "attempt", attribute.String("engine", a.choice.Backend.Name), attribute.Int("from", a.from))
 	go func() {
 		defer func() { endSpan(span, a.err) }()
@@ -62,9 +68,8 @@
 	for {
 		select {
 		case <-timer.C:
-			if hedge != nil && r.hasWon(hedge) {
-				a.cancel() // it is then received from ends, and the hedge continues alone
-				continue
+			if hedge != nil && r.endOverlap(a, hedge) {
+				continue // one of the two is then received from ends
 			}
 			suspect, due, again := r.hub.recovery.check(a.stream, a.from+r.Request().PromptTokens())
 			if suspect {
@@ -86,6 +91,7 @@
 			if ended == hedge && !r.hasWon(hedge) {
 				r.discard(hedge)
 				hedge = nil
+				timer.Reset(checkInterval)
 				continue
 			}
 			if hedge == nil {
@@ -107,6 +113,26 @@
 	}
 }
 
+// endOverlap cancels an attempt or its hedge once one of them is not needed, and the attempt
+// before after maxOverlap. It reports whether it did.
+func (r *Run) endOverlap(a, hedge *attempt) bool {
+	r.mu.Lock()
+	won, isStale := hedge.number != 0, r.owner.Journal().Len() != hedge.from
+	r.mu.Unlock()
+	switch {
+	case won:
+		a.cancel()
+	case isStale:
+		hedge.cancel()
+	case time.Since(hedge.begun) >= maxOverlap:
+		a.silent = true
+		a.cancel()
+	default:
+		return false
+	}
+	return true
+}
+
 // worthMoving reports whether the answer would finish sooner on another engine and
 // the budget of extra work allows the move, which it then charges.
 func (r *Run) worthMoving(a *attempt) bool {
--- a/internal/relay/overlap_test.go
+++ b/internal/relay/overlap_test.go
@@ -132,6 +132,15 @@
 	runLateAttempts(t, 0, []time.Duration{0, 900, 1200, 1600, 3000, 20_000})
 }
 
+// Guards against a hedge that runs beside the attempt before for as long as it prefills the prompt:
+// the silent engine is back, or suspected late since its events are usually far apart.
+func TestHedgeEndsOneAttempt(t *testing.T) {
+	pauses := []time.Duration{600, 700, 1200, 1600, 2000, 20_000}
+	for _, step := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(fmt.Sprintf("step of %v", step), func(t *testing.T) { runLateAttempts(t, step, pauses) })
+	}
+}
+
 func runLateAttempts(t *testing.T, step time.Duration, pauses []time.Duration) {
 	for _, objective := range []recovery.Objective{recovery.ResumeLatency, recovery.ExtraWork} {
 		for _, prefill := range []time.Duration{50, 600, 1500, 3000} {
