forward, cluster: a stream served for a lost VM ends once its caller is elsewhere

What callers saw: a prompt that was prefilled again. A VM that reaches no engine has its stream served by another VM and is lost. Its caller asks a third VM for the rest, which asked the serving VM: it still carried the stream, so its copy was not taken, and the request was sent to a second engine.

Cause: a VM that serves a stream for another one took itself for the one that holds the caller.

Change: asked for such a stream, it asks the VM that reads the answer. If that one does not answer within 30 ms, the stream ends there, and its copy is given to the caller's new VM. Copies that were ordered are left for it.

TestStreamOfALostReaderIsEnded: a reader that is killed, cut off or frozen loses its stream, and its copy is found; one that answers keeps both.

--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/capacity"
 	"github.com/amaranthshelf/amaranthshelf/internal/enginespeed"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
@@ -36,7 +37,9 @@
 	Runs     func() []forward.ResumableRun
 	// CarriesStream reports whether this VM carries a stream now.
 	CarriesStream func(id forward.RunID) bool
-	Spent         func() map[string]forward.RetryUsage
+	// ReaderOf returns the VM for which this one serves a stream.
+	ReaderOf func(id forward.RunID) (handoff.Reader, bool)
+	Spent    func() map[string]forward.RetryUsage
 	// BackendReport returns what this VM observed of the backend servers. EngineTimings
 	// returns what it measured on the engines of each service.
 	BackendReport func() upstream.Report
--- a/internal/cluster/orphans.go
+++ b/internal/cluster/orphans.go
@@ -23,6 +23,8 @@
 	// carriesStreamTimeout bounds the wait for the router that reported a stream. One that is
 	// cut off or paused does not answer, and its caller has left it.
 	carriesStreamTimeout = 50 * time.Millisecond
+	// readerTimeout bounds the wait for the VM for which the router serves the stream.
+	readerTimeout = 30 * time.Millisecond
 )
 
 // foundRun is the reply to the lookup of a stream.
@@ -208,10 +210,36 @@
 	return errors.As(err, &remote)
 }
 
-func (m *Member) serveCarriesStream(_ context.Context, _ string, body []byte) (any, error) {
+func (m *Member) serveCarriesStream(ctx context.Context, _ string, body []byte) (any, error) {
 	var id forward.RunID
 	if err := codec.Unmarshal(body, &id); err != nil {
 		return nil, err
 	}
-	return m.local.CarriesStream != nil && m.local.CarriesStream(id), nil
+	if m.local.CarriesStream == nil || !m.local.CarriesStream(id) {
+		return false, nil
+	}
+	return !m.endIfUnread(ctx, id), nil
+}
+
+// endIfUnread ends a stream that this VM serves for one that is gone, and reports whether it did. The
+// caller of that VM has come to another one, which sends the request elsewhere, while this VM would
+// keep it until its lease ends.
+func (m *Member) endIfUnread(ctx context.Context, id forward.RunID) bool {
+	if m.local.ReaderOf == nil {
+		return false
+	}
+	reader, isServed := m.local.ReaderOf(id)
+	if !isServed {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, readerTimeout)
+	defer cancel()
+	err := m.t.Call(ctx, reader.VM, peer.KindCarriesStream, id, nil)
+	var remote *peer.RemoteError
+	if err == nil || errors.As(err, &remote) {
+		return false
+	}
+	m.log.Info().Err(err).Str("from", reader.VM).Msg("the VM for which a stream is served is gone; its caller is at another one")
+	reader.End()
+	return true
 }
--- a/internal/cluster/orphans_test.go
+++ b/internal/cluster/orphans_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 )
 
@@ -197,3 +199,49 @@
 		})
 	}
 }
+
+// Guards against two engines that work on one stream: a VM serves it for another one that is gone, and
+// its caller asks a third one for the rest.
+func TestStreamOfALostReaderIsEnded(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		lose func(n *peertest.Net) // nil: the reader is alive
+	}{
+		{"killed", func(n *peertest.Net) { n.Kill("r3") }},
+		{"cut off", func(n *peertest.Net) { n.Isolate("r3") }},
+		{"frozen", func(n *peertest.Net) { n.Pause("r3") }},
+		{"alive", nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+				h := startHub(ctx, n, "c1", controls[:1])
+				v := startRouter(ctx, n, "r1", controls[:1], 0)
+				startRouter(ctx, n, "r3", controls[:1], 0)
+				var ended atomic.Bool
+				owner := NewMember("r2", n.VM("r2"), controls[:1], NewListReplica(nil), Local{
+					Endpoint: "r2:80", CarriesStream: func(forward.RunID) bool { return true },
+					ReaderOf: func(id forward.RunID) (handoff.Reader, bool) {
+						return handoff.Reader{VM: "r3", End: func() { ended.Store(true) }}, id == runID(7)
+					},
+				}, v.member.log)
+				ownerCtx, stop := context.WithCancel(ctx)
+				go owner.Run(ownerCtx)
+				time.Sleep(time.Second)
+				stop()
+				a := forward.Copy{Address: "e1:1", ID: "q1"}
+				h.hub.recordHeartbeat("r2", Heartbeat{Runs: []forward.ResumableRun{reported(7, a), reported(8, a)}})
+				if tt.lose != nil {
+					tt.lose(n)
+				}
+				if _, ok := v.member.FindOrphan(ctx, runID(8)); ok || ended.Load() {
+					t.Error("a stream of the VM itself was given away")
+				}
+				got, ok := v.member.FindOrphan(ctx, runID(7))
+				if lost := tt.lose != nil; ended.Load() != lost || ok != lost || lost && got.Copy != a {
+					t.Errorf("ended: %t, found %+v: %t; want the end of a lost reader's stream, and its copy", ended.Load(), got, ok)
+				}
+				n.Resume("r3")
+			})
+		})
+	}
+}
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -126,8 +128,12 @@
 
 // dropBackups has the engine drop the copies that were made on order. They will not be
 // used, and would occupy memory and a slot at the backup engine for some seconds. A
-// copy that the engine makes by itself ends with the run.
+// copy that the engine makes by itself ends with the run. A caller whose VM is gone asks another
+// one for the rest, which needs the copies.
 func (r *run) dropBackups() {
+	if errors.Is(context.Cause(r.st.q.ctx), handoff.ErrReaderLost) {
+		return
+	}
 	h, s, p, ordered := r.st.h, r.server, r.backup.current, r.backup.pending
 	go func() {
 		h.dropCopy(s, p)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -202,6 +202,9 @@
 // CarriesStream reports whether this VM carries a stream now.
 func (h *Handler) CarriesStream(id RunID) bool { return h.activeRuns.has(id) }
 
+// ReaderOf returns the VM for which this one serves a stream.
+func (h *Handler) ReaderOf(id RunID) (handoff.Reader, bool) { return h.activeRuns.readerOf(id) }
+
 // Paces returns the pace of each service's engines as this VM observed it.
 func (h *Handler) Paces() map[string]scheduler.EngineTiming { return h.paces.all() }
 
--- a/internal/forward/orphan.go
+++ b/internal/forward/orphan.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
 	"github.com/amaranthshelf/amaranthshelf/internal/streamversion"
 )
 
@@ -97,8 +98,14 @@
 // concurrent use.
 type runRegistry struct {
 	mu    sync.Mutex
-	runs  map[string]ResumableRun // in flight, by request id
-	ended []endedRun              // in the order of their ends
+	runs  map[string]activeRun // in flight, by request id
+	ended []endedRun           // in the order of their ends
+}
+
+type activeRun struct {
+	ResumableRun
+	isServed bool           // for another VM
+	reader   handoff.Reader // valid if isServed is set
 }
 
 type endedRun struct {
@@ -106,11 +113,11 @@
 	at time.Time
 }
 
-func (r *runRegistry) put(id string, run ResumableRun) {
+func (r *runRegistry) put(id string, run activeRun) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.runs == nil {
-		r.runs = map[string]ResumableRun{}
+		r.runs = map[string]activeRun{}
 	}
 	r.runs[id] = run
 }
@@ -134,7 +141,7 @@
 	r.ended = slices.DeleteFunc(r.ended, func(e endedRun) bool { return time.Since(e.at) > endedRunTTL })
 	out := make([]ResumableRun, 0, len(r.runs)+len(r.ended))
 	for _, run := range r.runs {
-		out = append(out, run)
+		out = append(out, run.ResumableRun)
 	}
 	for _, e := range r.ended {
 		out = append(out, ResumableRun{RunID: e.id, Ended: true})
@@ -154,6 +161,18 @@
 	return false
 }
 
+// readerOf returns the VM for which this one serves a stream.
+func (r *runRegistry) readerOf(id RunID) (handoff.Reader, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.runs {
+		if run.RunID == id && run.isServed {
+			return run.reader, true
+		}
+	}
+	return handoff.Reader{}, false
+}
+
 // contentHash returns a hash of everything but the headers that differ between the attempts of
 // a request.
 func (q *request) contentHash(perAttempt []string) uint64 {
@@ -193,7 +212,11 @@
 }
 
 // reportRun makes a run known to other routers.
-func (r *run) reportRun() { r.st.h.activeRuns.put(r.st.q.RequestID, r.resumable()) }
+func (r *run) reportRun() {
+	out := activeRun{ResumableRun: r.resumable()}
+	out.reader, out.isServed = handoff.ReaderOf(r.st.q.ctx)
+	r.st.h.activeRuns.put(r.st.q.RequestID, out)
+}
 
 // findOrphan looks for the copy of a stream if its caller asks for the rest of it. A stream whose
 // caller does not name it goes on under the name of the one that was found.
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -35,11 +35,27 @@
 	endPollInterval = 5 * time.Millisecond
 )
 
+// ErrReaderLost is the cause of the end of a request whose reader is gone. Its caller comes back to
+// another VM.
+var ErrReaderLost = errors.New("handoff: the VM that reads the answer is gone")
+
 // errNoMemory means that the memory of an answer was needed for others.
 var errNoMemory = errors.New("handoff: no memory for the answer")
 
 type relayedKey struct{}
 
+// Reader is the VM that reads the answer to a request which this VM serves for it.
+type Reader struct {
+	VM  string
+	End func() // ends the request with ErrReaderLost
+}
+
+// ReaderOf returns the reader of a request that came from another VM.
+func ReaderOf(ctx context.Context) (r Reader, ok bool) {
+	r, ok = ctx.Value(relayedKey{}).(Reader)
+	return r, ok
+}
+
 // IsRelayed reports whether a request came from another VM. It must not be handed off again.
 func IsRelayed(ctx context.Context) bool { return ctx.Value(relayedKey{}) != nil }
 
@@ -95,8 +111,14 @@
 }
 
 func (s *Server) newExchange(key takenKey, q *Request, held *memory.Request) *exchange {
-	ctx, cancel := context.WithCancel(context.WithValue(s.ctx, relayedKey{}, true))
-	e := &exchange{request: q, held: held, memory: s.account.BeginAnswer(false, cancel), ctx: ctx, cancel: cancel, header: http.Header{}, changed: make(chan struct{})}
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	e := &exchange{request: q, held: held, header: http.Header{}, changed: make(chan struct{})}
+	e.cancel = func() { cancel(nil) }
+	e.memory = s.account.BeginAnswer(false, e.cancel)
+	e.ctx = context.WithValue(ctx, relayedKey{}, Reader{VM: key.vm, End: func() {
+		cancel(ErrReaderLost)
+		s.drop(key, e)
+	}})
 	e.lease = time.AfterFunc(offerLease, func() {
 		s.log.Info().Str("from", key.vm).Uint64("offer", key.id).Msg("a request of another VM is not read any more; dropped")
 		s.drop(key, e)
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -74,7 +74,7 @@
 	r.network = newNetwork(&o.Common)
 	r.member = cluster.NewMember(o.ID, r.network, o.Seeds, r.backendList, cluster.Local{
 		Zone: o.Zone, Endpoint: o.Endpoint, Ready: r.Ready, Use: r.fleet.OwnUse, Deaths: r.suspectContents.TakeUnreported,
-		Dead: r.fleet.RecentlyDead, Runs: r.resumableRuns, CarriesStream: r.carriesStream, Spent: r.retryUsage, Learn: r.applyPeerReports, LearnSpent: r.applyPeerRetryUsage,
+		Dead: r.fleet.RecentlyDead, Runs: r.resumableRuns, CarriesStream: r.carriesStream, ReaderOf: r.readerOf, Spent: r.retryUsage, Learn: r.applyPeerReports, LearnSpent: r.applyPeerRetryUsage,
 		BackendReport: r.fleet.Report, EngineTimings: r.engineTimings, TakeEngineSpeeds: r.takeEngineSpeeds, Rollouts: r.recorder.Reports, Urgent: func() bool { return r.rollouts.Load().Urgent() },
 		Withheld: r.fleet.Withheld, Limits: r.fleet.Limits, SentElsewhere: r.fleet.SentElsewhere, LearnLimits: r.fleet.LearnLimits,
 		Leaving: r.fleet.Leaving, LearnLeaving: r.fleet.LearnLeaving, Contents: r.suspectContents.Reports, LearnContents: r.suspectContents.Learn, Lost: r.fleet.LostServices, Hears: r.hears,
@@ -222,6 +222,9 @@
 // carriesStream reports whether this router carries a stream now.
 func (r *Router) carriesStream(id forward.RunID) bool { return r.handler.CarriesStream(id) }
 
+// readerOf returns the VM for which this router serves a stream.
+func (r *Router) readerOf(id forward.RunID) (handoff.Reader, bool) { return r.handler.ReaderOf(id) }
+
 func (r *Router) applyPeerRetryUsage(others map[string]forward.RetryUsage) {
 	r.handler.SetPeerRetryUsage(others)
 }
