Merge the bounds on two runs on the other paths

One check of life serves streams and calls: it waits 250 of the 270 ms for the probe, and takes a reset of it for life.

--- a/internal/forward/overlap.go
+++ b/internal/forward/overlap.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // The failure pattern is a request that two engines work on. One falls silent, or makes no events
@@ -34,8 +36,7 @@
 	}
 	st.open = append(st.open, r)
 	if st.held != nil {
-		st.h.Stats.Probes.Inc()
-		r.lifeCheck = st.h.prober.startWithin(r.server, lifeCheckTimeout)
+		r.lifeCheck = st.h.checkLife(r.server, r.writtenAt)
 		r.wakeIn(maxOverlap - time.Since(r.writtenAt))
 	}
 }
@@ -53,13 +54,13 @@
 		return false
 	case late < 0:
 		return goesOn && r.from == nil
-	case r.showsLife():
+	case r.lifeCheck.showsLife():
 	case late >= maxTimerDelay && !r.stallExcused: // this VM stalled, and may not have read the answer
 		r.stallExcused = true
 		r.wakeIn(stallReadTime)
 		return false
 	case goesOn || st.q.history.MayRunAgain():
-		r.judgeLifeless()
+		r.lifeCheck.judge()
 		return true
 	}
 	st.leaveHeld("another engine has the request")
@@ -74,16 +75,34 @@
 	st.releaseHeld(why, endBroken)
 }
 
-// showsLife reports whether anything has come from the run's engine since the request was sent. An
-// engine that resets the probe is at its limit of connections, and the run's own connection stands.
-func (r *run) showsLife() bool {
-	return r.st.h.opts.Fleet.SilentFor(r.server) <= time.Since(r.writtenAt) || isClosed(r.lifeCheck.done) && r.lifeCheck.reset
+// lifeCheck tells whether a server shows life once a request was written there.
+type lifeCheck struct {
+	h         *Handler
+	server    *upstream.Server
+	writtenAt time.Time
+	probe     *probe // its answer is a sign of life
+}
+
+func (h *Handler) checkLife(s *upstream.Server, writtenAt time.Time) *lifeCheck {
+	h.Stats.Probes.Inc()
+	return &lifeCheck{h: h, server: s, writtenAt: writtenAt, probe: h.prober.startWithin(s, lifeCheckTimeout)}
+}
+
+// showsLife reports whether anything has come from the server since the request was written. One that
+// resets the probe is at its limit of connections, and the connection of the request stands.
+func (c *lifeCheck) showsLife() bool {
+	return c.h.heardSince(c.server, c.writtenAt) || isClosed(c.probe.done) && c.probe.reset
+}
+
+// heardSince reports whether anything has come from a server since a moment.
+func (h *Handler) heardSince(s *upstream.Server, moment time.Time) bool {
+	return h.opts.Fleet.SilentFor(s) <= time.Since(moment)
 }
 
-// judgeLifeless judges the run's engine dead if it has not answered the probe.
-func (r *run) judgeLifeless() {
-	if p := r.lifeCheck; isClosed(p.done) && !p.alive && !p.withheld {
-		r.st.h.judgeDead(r.server, p, false)
+// judge judges the server dead if it has not answered the probe.
+func (c *lifeCheck) judge() {
+	if p := c.probe; isClosed(p.done) && !p.alive && !p.withheld {
+		c.h.judgeDead(c.server, p, false)
 	}
 }
 
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -28,18 +28,34 @@
 	readWait = 250 * time.Millisecond
 	// offerLease is how long a request is kept that is not read at all.
 	offerLease = 1500 * time.Millisecond
-	// readLease is how long a request is kept without a further read: as long as its reader
+	// readLease is how long a request is kept at most without a further read: as long as its reader
 	// would wait for this VM.
 	readLease = lostAfter
 	// endPollInterval is how often EndAll checks whether the other VMs know of the end.
 	endPollInterval = 5 * time.Millisecond
 )
 
+// ErrReaderLost is the cause of the end of a request whose reader is gone. Its caller comes back to
+// another VM.
+var ErrReaderLost = errors.New("handoff: the VM that reads the answer is gone")
+
 // errNoMemory means that the memory of an answer was needed for others.
 var errNoMemory = errors.New("handoff: no memory for the answer")
 
 type relayedKey struct{}
 
+// Reader is the VM that reads the answer to a request which this VM serves for it.
+type Reader struct {
+	VM  string
+	End func() // ends the request with ErrReaderLost
+}
+
+// ReaderOf returns the reader of a request that came from another VM.
+func ReaderOf(ctx context.Context) (r Reader, ok bool) {
+	r, ok = ctx.Value(relayedKey{}).(Reader)
+	return r, ok
+}
+
 // IsRelayed reports whether a request came from another VM. It must not be handed off again.
 func IsRelayed(ctx context.Context) bool { return ctx.Value(relayedKey{}) != nil }
 
@@ -95,8 +111,14 @@
 }
 
 func (s *Server) newExchange(key takenKey, q *Request, held *memory.Request) *exchange {
-	ctx, cancel := context.WithCancel(context.WithValue(s.ctx, relayedKey{}, true))
-	e := &exchange{request: q, held: held, memory: s.account.BeginAnswer(false, cancel), ctx: ctx, cancel: cancel, header: http.Header{}, changed: make(chan struct{})}
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	e := &exchange{request: q, held: held, header: http.Header{}, changed: make(chan struct{})}
+	e.cancel = func() { cancel(nil) }
+	e.memory = s.account.BeginAnswer(false, e.cancel)
+	e.ctx = context.WithValue(ctx, relayedKey{}, Reader{VM: key.vm, End: func() {
+		cancel(ErrReaderLost)
+		s.drop(key, e)
+	}})
 	e.lease = time.AfterFunc(offerLease, func() {
 		s.log.Info().Str("from", key.vm).Uint64("offer", key.id).Msg("a request of another VM is not read any more; dropped")
 		s.drop(key, e)
@@ -148,7 +170,7 @@
 		return nil, err
 	}
 	e := s.lookup(takenKey{from, r.ID})
-	if e == nil || !e.lease.Reset(readLease) {
+	if e == nil || !e.lease.Reset(r.lease()) {
 		return Piece{}, nil
 	}
 	e.start.Do(func() {
@@ -160,6 +182,14 @@
 	return e.read(ctx, &r), nil
 }
 
+// lease returns how long a request is kept after a read.
+func (r *ReadRequest) lease() time.Duration {
+	if r.KeepMS <= 0 {
+		return readLease
+	}
+	return min(readLease, time.Duration(r.KeepMS)*time.Millisecond)
+}
+
 func (s *Server) handleRelease(_ context.Context, from string, body []byte) (any, error) {
 	var r ReleaseRequest
 	if err := codec.Unmarshal(body, &r); err != nil {
