forward tests: a data race of a test

Cause: TestStreamServedForALostVMIsEnded read the end of a run without the lock under which it is written. Change: the end is read under the lock. Result: go test -race -short ./internal/forward passes.

--- a/internal/forward/held_call.go
+++ b/internal/forward/held_call.go
@@ -19,8 +19,8 @@
 //
 // A late exchange is therefore held while the call is sent to another server, and the caller gets
 // the first answer. The two servers work on the call for maxOverlap at most: then the exchange
-// before ends, or the other one if its server has given no sign of life and the call may be sent again. A server that refuses the
-// call, or fails, in that time ends nothing.
+// before ends, or the other one if its server has given no sign of life and the call may be sent
+// again. A server that refuses the call, or fails, in that time ends nothing.
 
 // flight is an exchange whose request was sent and whose answer is awaited.
 type flight struct {
--- a/internal/forward/held_run_test.go
+++ b/internal/forward/held_run_test.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// firstEnd returns the end of the first run; now, if it is in progress.
+func (l *work) firstEnd() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.spans[0].ended()
+}
+
 // overlap returns the longest time from a moment for which two runs are in progress.
 func (l *work) overlap(from time.Time) time.Duration {
 	l.mu.Lock()
--- a/internal/forward/lost_reader_test.go
+++ b/internal/forward/lost_reader_test.go
@@ -49,7 +49,7 @@
 		reader.End()
 		ended := time.Now()
 		time.Sleep(time.Second)
-		if got := l.spans[0].ended().Sub(ended); got > soon {
+		if got := l.firstEnd().Sub(ended); got > soon {
 			t.Errorf("the engine worked on for %v, want at most %v", got, soon)
 		}
 		if f.handler.CarriesStream(run.RunID) {
