forward: read the known versions after their freshness is checked

A request that takes a stream up without a record goes on if only one version can have begun the stream. The copy of the known versions was read first, and its freshness was checked afterwards. A VM that has just been out of touch could read the old copy, catch up in between, and take the old copy for a fresh one: the stream would go on at the version that was alone before.

The freshness is now checked first. The copy that is read afterwards is at least as new as the one that the check was about.

TestReconnect has a case in which the copy catches up during the check: without the change the stream is resumed at v1 although v2 is known.

--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -52,6 +52,7 @@
 	ending           context.Context           // ends at endsAt
 	end              context.CancelFunc
 	versionsStale    bool            // the router's copy of the known versions is out of date
+	catchesUp        func()          // brings the copy of the known versions up to date, just before it is asked whether it is fresh; nil: nothing does
 	origins          forward.Origins // nil: the router knows its own streams only
 	noRetries        bool            // the retry budget is spent
 	handOff          forward.HandOff // nil: requests are not handed off
@@ -188,10 +189,18 @@
 		Routes: f.table.Load, ListsReady: ready, RetryAllowance: retries,
 		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: f.contents, Closing: f.isClosing, Ending: f.ending,
 		Memory: f.newAccount(), CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer, RefusalLevel: f.refusalLevel, CallGrants: f.callGrants,
-		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder}, VersionsFresh: func() bool { return !f.versionsStale }, Origins: f.origins, HandOff: f.handOff,
+		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder}, VersionsFresh: func() bool { return f.versionsFresh() }, Origins: f.origins, HandOff: f.handOff,
 	})
 }
 
+// versionsFresh reports whether the router's copy of the known versions is fresh.
+func (f *fixture) versionsFresh() bool {
+	if f.catchesUp != nil {
+		f.catchesUp()
+	}
+	return !f.versionsStale
+}
+
 // setCallGrants replaces the router's handler by one that uses CallGrants.
 func (f *fixture) setCallGrants(g forward.CallGrants) {
 	f.callGrants = g
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -191,6 +191,11 @@
 // onlyOrigin returns the origin of a stream if all streams that its route may have begun have
 // the same version, service by service. The caller's service is the one that was chosen for it.
 func (h *Handler) onlyOrigin(q *request) (streamversion.Origin, bool) {
+	// The copy must have been in force at some moment after the stream began. It may catch up between
+	// two statements, and is therefore read last.
+	if !h.opts.VersionsFresh() {
+		return streamversion.Origin{}, false
+	}
 	state := h.opts.Rollouts.State()
 	for _, t := range q.route.Targets {
 		if _, only := state.OnlyVersion(t.Service); !only {
@@ -198,8 +203,7 @@
 		}
 	}
 	version, only := state.OnlyVersion(q.service.Name)
-	// The copy of the state must have been in force at some moment after the stream began.
-	return streamversion.Origin{Service: q.service.Name, Version: version}, only && h.opts.VersionsFresh()
+	return streamversion.Origin{Service: q.service.Name, Version: version}, only
 }
 
 // fixOrigin restricts a request to the service and version that began its stream.
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -168,6 +168,15 @@
 			name: "none named, one version only by an old copy", headers: []string{last, "10"}, code: result.StreamVersionUnknown, retry: true,
 			prepare: func(f *fixture, _ *sharedOrigins) { f.onlyVersion("v1", rollout.Admitted); f.versionsStale = true },
 		},
+		{
+			name: "none named, one version only by an old copy that catches up meanwhile", headers: []string{last, "10"}, code: result.StreamVersionUnknown,
+			prepare: func(f *fixture, _ *sharedOrigins) {
+				f.onlyVersion("v1", rollout.Admitted)
+				f.catchesUp = func() {
+					f.setStandings("models", rollout.KnownVersions{"v1": rollout.Admitted, "v2": rollout.Admitted})
+				}
+			},
+		},
 		{
 			name: "none named, a second version announced", headers: []string{last, "10"}, code: result.StreamVersionUnknown,
 			prepare: func(f *fixture, _ *sharedOrigins) {
