routed: a new leader knows the whole log before it admits versions

Streams that engines of a new version began were taken up at a router that was cut off or stood still, and went on at an engine of the old version (ORDER).

Cause: the first versions of a service are admitted without an announcement, and the leader decided by its own copy of the log which versions are the first ones. A control process that has started again and leads has not applied the last entries: they are committed only with the first entry of its term. If these name the service's versions, it took all listed versions for the first ones and admitted them. Routers used the new version at once, while another one that was out of step held a valid lease and knew only the old one, so that it began no search beyond 100 ms and resumed the streams there.

The leader now catches up with what is committed before it proposes changes of versions or confirms them. It asks only when something is due, so that a service at rest costs nothing.

--- a/cmd/amaranthshelfd/faultproxy_test.go
+++ b/cmd/amaranthshelfd/faultproxy_test.go
@@ -18,7 +18,8 @@
 	conns   map[net.Conn]bool
 	delay   time.Duration
 	blocked [2]bool       // by direction; blocked bytes wait in the proxy
-	changed chan struct{} // closed and replaced when blocked changes
+	changed chan struct{} // closed and replaced when blocked or cutPID changes
+	cutPID  int           // process whose connections are blocked; 0: none
 }
 
 // Directions of bytes through the proxy, which index faultProxy.blocked.
@@ -57,13 +58,14 @@
 		p.mu.Lock()
 		p.conns[clientConn], p.conns[serverConn] = true, true
 		p.mu.Unlock()
-		go p.copyDirection(serverConn, clientConn, toServer)
-		go p.copyDirection(clientConn, serverConn, fromServer)
+		isCut := p.isCut(clientConn)
+		go p.copyDirection(serverConn, clientConn, toServer, isCut)
+		go p.copyDirection(clientConn, serverConn, fromServer, isCut)
 	}
 }
 
 // copyDirection copies bytes of one direction until either connection is closed.
-func (p *faultProxy) copyDirection(to, from net.Conn, direction int) {
+func (p *faultProxy) copyDirection(to, from net.Conn, direction int, isCut func(pid int) bool) {
 	defer p.closeConns(to, from)
 	buf := make([]byte, 16<<10)
 	for {
@@ -71,24 +73,25 @@
 		if err != nil {
 			return
 		}
-		p.waitForFault(direction)
+		p.waitForFault(direction, isCut)
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
 		}
 	}
 }
 
-// waitForFault sleeps for the delay and then blocks while the direction is blocked.
-func (p *faultProxy) waitForFault(direction int) {
+// waitForFault sleeps for the delay and then blocks while the direction is blocked, or while the
+// client is cut off.
+func (p *faultProxy) waitForFault(direction int, isCut func(pid int) bool) {
 	p.mu.Lock()
 	delay := p.delay
 	p.mu.Unlock()
 	time.Sleep(delay)
 	for {
 		p.mu.Lock()
-		blocked, changed := p.blocked[direction], p.changed
+		blocked, pid, changed := p.blocked[direction], p.cutPID, p.changed
 		p.mu.Unlock()
-		if !blocked {
+		if !blocked && !isCut(pid) {
 			return
 		}
 		<-changed
--- a/internal/routed/versions.go
+++ b/internal/routed/versions.go
@@ -42,17 +42,44 @@
 	if !w.c.IsLeader() || !w.c.hub.AllKeepVersions() {
 		return
 	}
-	var state rollout.State
-	var version uint64
-	s.machine.Read(control.RolloutsStateMachine, func(m control.StateMachine) { state, version = s.rollouts.State(), m.Version() })
-	for _, change := range w.watch.Next(&state, now) {
-		w.propose(s, &change)
+	changes, announced, version := w.due(s.versions, func() error { return w.catchUp(s) }, now)
+	for i := range changes {
+		w.propose(s, &changes[i])
 	}
-	if announced := state.AnnouncedVersions(); len(announced) > 0 {
+	if len(announced) > 0 {
 		w.confirm(s, version, announced)
 	}
 }
 
+// versions returns the state of the roll-outs and the known versions, as far as this member has
+// applied the log, with its version.
+func (s *memberSession) versions() (state rollout.State, version uint64) {
+	s.machine.Read(control.RolloutsStateMachine, func(m control.StateMachine) { state, version = s.rollouts.State(), m.Version() })
+	return state, version
+}
+
+// catchUp returns once this member has applied everything that was committed before the call.
+func (w *versionWatcher) catchUp(s *memberSession) error {
+	ctx, cancel := context.WithTimeout(w.c.ctx, stepTimeout)
+	defer cancel()
+	return s.client.Barrier(ctx)
+}
+
+// due returns the changes to propose, and the announced versions with the version of the state that
+// holds them. A leader that has just been elected may have applied less than was committed, and would
+// take a further version for one of the first, which are admitted without an announcement.
+func (w *versionWatcher) due(read func() (rollout.State, uint64), catchUp func() error, now time.Time) (changes, announced []rollout.StandingChange, version uint64) {
+	state, _ := read()
+	if len(w.watch.Next(&state, now)) == 0 && len(state.AnnouncedVersions()) == 0 {
+		return nil, nil, 0
+	}
+	if err := catchUp(); err != nil {
+		return nil, nil, 0
+	}
+	state, version = read()
+	return w.watch.Next(&state, now), state.AnnouncedVersions(), version
+}
+
 // listedVersions returns the number of listed servers by service and version.
 func (c *Control) listedVersions() (map[string]map[string]int, bool) {
 	rows, _, age, ok := c.backendList.Current()
