forward: an old list does not show that a version is gone

A router that stood still or was cut off while engines of a new version joined refused streams of that version for good (3025 without a time to come back), although the engines served: it found the stream's record at the control VMs, and its own list was older than the engines. The refusal was untrue, and callers gave the streams up.

A version that is missing on a list older than 2 s is now refused with Retry-After 1 s, and the message says that the list is old. Control VMs read the list every 2 s at least, so that the refusal for good comes with the next tries if the version has left.

TestReconnect has a case with a list that is 3 s old, red before.

--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -61,6 +61,9 @@
 	// originRetryAfter is the Retry-After of a request whose record may be at a VM that did not
 	// answer.
 	originRetryAfter = time.Second
+	// oldListAge is the age from which the list of backend servers does not show that a version is
+	// gone: its servers may have joined since. A control VM reads the list every 2 s at least.
+	oldListAge = 2 * time.Second
 	// recordMargin is added to the time for which callers come back for a stream.
 	recordMargin = 10 * time.Second
 	// minRecordTTL and maxRecordTTL bound the life of a record.
@@ -218,10 +221,14 @@
 	}
 	q.origin = &o
 	q.versionChoice = rollout.Choice{Versions: rollout.FixedVersion(o.Version)}
-	if !h.originRemains(q) {
-		return result.New(result.StreamVersionGone)
+	if h.originRemains(q) {
+		return nil
 	}
-	return nil
+	if age := time.Since(h.opts.Fleet.AsOf()); age > oldListAge && !h.opts.Fleet.HasVersion(q.service.Name, o.Version) {
+		return result.Newf(result.StreamVersionGone, "no backend server of the version that began the stream is on the list here, which is %v old", age.Round(time.Second)).
+			WithRetryAfter(originRetryAfter)
+	}
+	return result.New(result.StreamVersionGone)
 }
 
 // originRemains reports whether servers of the version that began the stream are listed and may
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -157,6 +157,10 @@
 		{name: "last event not a number", headers: []string{last, "ten", resumes, "first"}, code: result.InvalidReconnect},
 		{name: "last event not a number, none named", headers: []string{last, "-1"}, code: result.InvalidReconnect},
 		{name: "version that has left", headers: []string{last, "10", resumes, "of-v0"}, code: result.StreamVersionGone},
+		{
+			name: "version that is not on an old list", headers: []string{last, "10", resumes, "of-v0"}, code: result.StreamVersionGone, retry: true,
+			prepare: func(*fixture, *sharedOrigins) { time.Sleep(3 * time.Second) },
+		},
 		{name: "version without a name", headers: []string{last, "10", resumes, "of-none"}, code: result.StreamVersionGone},
 		{name: "version that differs in case", headers: []string{last, "10", resumes, "of-V1"}, code: result.StreamVersionGone},
 		{name: "service to which the route leads no more", headers: []string{last, "10", resumes, "of-votes"}, code: result.StreamVersionGone},
