forward tests: streams begun at a restarted engine, one version known

While one version of a service is known, a run that begins a stream does not ask the engine when it started.

A mend asks each new connection for a report, on a connection of its own, which doubles the new connections to engines at times when nothing is released; that price has to be measured first.

--- a/internal/forward/restarted_engine_test.go
+++ b/internal/forward/restarted_engine_test.go
@@ -31,10 +31,17 @@
 	var ended []*routedengine.Server
 	for _, s := range f.servers {
 		if s.Version == from {
-			s.Set(routedengine.Dead)
 			ended = append(ended, s)
 		}
 	}
+	restartAs(to, ended...)
+}
+
+// restartAs starts engines again with a version, under their ids.
+func restartAs(to string, ended ...*routedengine.Server) {
+	for _, s := range ended {
+		s.Set(routedengine.Dead)
+	}
 	time.Sleep(engineDown)
 	for _, s := range ended {
 		s.Version, s.BornMS = to, s.BornMS+engineDown.Milliseconds()
@@ -111,3 +118,37 @@
 		}
 	})
 }
+
+// Guards against answers that are joined from two versions, while a single one is known: an engine
+// starts again under its id with another version, begins streams before the list shows it, and is lost.
+func TestStreamsBegunAtRestartedEnginesAreNotJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, upgradableEngine("v1", "a"), upgradableEngine("v1", "b"))
+		defer f.shutDown()
+		time.Sleep(time.Second)
+		restartAs("v2", f.servers[0])
+		var answers []*answer
+		for i := range 12 {
+			answers = append(answers, f.send("POST", "/s/1", fmt.Sprint("r", i), fmt.Sprint("log ", i)))
+		}
+		time.Sleep(listLag)
+		f.servers[0].Set(routedengine.Dead)
+		begunThere := 0
+		for i, a := range answers {
+			<-a.done
+			v := a.versions()
+			if len(v) > 1 {
+				t.Errorf("answer %d has events of versions %v", i, v)
+			}
+			if len(v) > 0 && v[0] == "v1" && a.broken {
+				t.Errorf("answer %d of v1 is broken off", i)
+			}
+			if strings.Contains(a.text.String(), routedengine.VersionMark+"v2") {
+				begunThere++
+			}
+		}
+		if begunThere == 0 {
+			t.Error("no stream began at the restarted engine")
+		}
+	})
+}
