--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -61,6 +61,9 @@
 	// originRetryAfter is the Retry-After of a request whose record may be at a VM that did not
 	// answer.
 	originRetryAfter = time.Second
+	// oldListAge is the age from which the list of backend servers does not show that a version is
+	// gone: its servers may have joined since. A control VM reads the list every 2 s at least.
+	oldListAge = 2 * time.Second
 	// recordMargin is added to the time for which callers come back for a stream.
 	recordMargin = 10 * time.Second
 	// minRecordTTL and maxRecordTTL bound the life of a record.
@@ -191,6 +194,11 @@
 // onlyOrigin returns the origin of a stream if all streams that its route may have begun have
 // the same version, service by service. The caller's service is the one that was chosen for it.
 func (h *Handler) onlyOrigin(q *request) (streamversion.Origin, bool) {
+	// The copy must have been in force at some moment after the stream began. It may catch up between
+	// two statements, and is therefore read last.
+	if !h.opts.VersionsFresh() {
+		return streamversion.Origin{}, false
+	}
 	state := h.opts.Rollouts.State()
 	for _, t := range q.route.Targets {
 		if _, only := state.OnlyVersion(t.Service); !only {
@@ -198,8 +206,7 @@
 		}
 	}
 	version, only := state.OnlyVersion(q.service.Name)
-	// The copy of the state must have been in force at some moment after the stream began.
-	return streamversion.Origin{Service: q.service.Name, Version: version}, only && h.opts.VersionsFresh()
+	return streamversion.Origin{Service: q.service.Name, Version: version}, only
 }
 
 // fixOrigin restricts a request to the service and version that began its stream.
@@ -214,10 +221,14 @@
 	}
 	q.origin = &o
 	q.versionChoice = rollout.Choice{Versions: rollout.FixedVersion(o.Version)}
-	if !h.originRemains(q) {
-		return result.New(result.StreamVersionGone)
+	if h.originRemains(q) {
+		return nil
 	}
-	return nil
+	if age := time.Since(h.opts.Fleet.AsOf()); age > oldListAge && !h.opts.Fleet.HasVersion(q.service.Name, o.Version) {
+		return result.Newf(result.StreamVersionGone, "no backend server of the version that began the stream is on the list here, which is %v old", age.Round(time.Second)).
+			WithRetryAfter(originRetryAfter)
+	}
+	return result.New(result.StreamVersionGone)
 }
 
 // originRemains reports whether servers of the version that began the stream are listed and may
