inventory: one odd row hides no other row of the older list

An operator's report. While a row with a value of another type stood in the list at /v1/inventory, VMs followed no server that joined or left, and one that started again had no list; rows with an address that is none, an empty name or an unknown kind were taken for servers.

Cause: the list was decoded into one Go type, so that one value decided about the document, and what was decoded was not checked.

Change: rows are decoded and checked one by one; of rows with the same name the first one counts. A list that is cut is refused, as before.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -120,10 +119,17 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("inventory: status %d", resp.StatusCode)
 	}
-	var list List
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
 		return fmt.Errorf("inventory: %w", err)
 	}
+	list, skipped, err := decode(body)
+	if err != nil {
+		return fmt.Errorf("inventory: %w", err)
+	}
+	if skipped > 0 {
+		r.log.Warn().Int("skipped", skipped).Msg("platform list has rows that cannot be used")
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.list, r.etag, r.readAt = list, resp.Header.Get("ETag"), time.Now()
