forward: an answer that ends behind its head is no empty answer

Callers of calls got the engine's status, a 200 too, with an empty body and Content-Length: 0, where a live engine closed the connection behind a head without a length (MIXED).

Cause: such an answer ends with its connection, and one of no bytes was taken for whole. Nothing tells it from one that was cut; an engine without a body to send can state a length of 0 or answer 204.

Change: an answer to a call that has neither a length nor a body counts as broken off, unless it is a refusal or answers HEAD: an idempotent call goes to another server, the outcome of another one is unknown (502).

No head that is cut passes for one.

--- /dev/null
+++ b/internal/forward/cut_head_test.go
@@ -0,0 +1,241 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// Parts of answers that are cut.
+const (
+	cutSigned  = "X-Request-Id: r1\r\nX-Backend-Signature: x\r\n"
+	cutInterim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	cutClosed  = "Connection: close\r\n"
+)
+
+// cutAnswer is an answer of an engine that is cut at some byte.
+type cutAnswer struct {
+	name, head, body string
+	text             string // of the body, without chunks
+	unframed         bool   // its end is that of the connection
+}
+
+// cutAnswers returns the framings of an answer.
+func cutAnswers(status, text string) []cutAnswer {
+	line := "HTTP/1.1 " + status + "\r\n" + cutSigned
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(text))
+	half := len(text) / 2
+	chunks := fmt.Sprintf("%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, text[:half], len(text)-half, text[half:])
+	return []cutAnswer{
+		{"length", line + length, text, text, false},
+		{"chunks", line + "Transfer-Encoding: chunked\r\n\r\n", chunks, text, false},
+		{"no length", line + cutClosed + "\r\n", text, text, true},
+		{"interim response, length", cutInterim + line + length, text, text, false},
+		{"interim response, no length", cutInterim + line + cutClosed + "\r\n", text, text, true},
+		{"signature last", "HTTP/1.1 " + status + "\r\n" + length[:len(length)-2] + cutSigned + "\r\n", text, text, false},
+		{"HTTP/1.0", strings.Replace(line, "1.1", "1.0", 1) + "\r\n", text, text, true},
+	}
+}
+
+// cutEnd is what happens to the connection, and to the engine, at the cut.
+type cutEnd struct{ reset, dies bool }
+
+func (e cutEnd) String() string { return fmt.Sprintf("reset: %t, dies: %t", e.reset, e.dies) }
+
+var cutEnds = []cutEnd{{false, false}, {true, false}, {false, true}}
+
+// resetAtEnd is a connection whose end is a reset.
+type resetAtEnd struct{ net.Conn }
+
+func (c resetAtEnd) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// resetsAtEnd makes the ends of the router's connections resets.
+func (f *fixture) resetsAtEnd() {
+	f.pool = upstream.NewPoolWith(func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := f.net.Dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		return resetAtEnd{c}, nil
+	})
+	f.fleet = upstream.NewFleet(f.pool, f.log)
+	f.fleet.Apply(upstream.List{Backends: f.net.Backends(), AsOf: time.Now()})
+	f.setPlacer(nil)
+}
+
+// answerCut returns an answer function that sends a text and ends.
+func answerCut(text string, end cutEnd) answerFunc {
+	return func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+		breakAfter(text)(s, w, r)
+		if end.dies {
+			s.Set(routedengine.Dead)
+		}
+		return true
+	}
+}
+
+// answerInTurn has the requests that reach the servers answered by the functions in turn, and those
+// after them as usual.
+func (f *fixture) answerInTurn(answers ...answerFunc) {
+	var n atomic.Int64
+	for _, s := range f.servers {
+		s.Intercept = func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+			i := int(n.Add(1)) - 1
+			return i < len(answers) && answers[i](s, w, r)
+		}
+	}
+}
+
+// cuts returns where an answer is cut: about each end of a line, and at other bytes of it. All bytes are
+// tried in the tests of what reads an answer.
+func (a *cutAnswer) cuts() (out []int) {
+	all := a.head + a.body
+	for n := range len(all) + 1 {
+		near := all[max(0, n-2):min(len(all), n+1)]
+		if strings.Contains(near, "\n") || n%16 == 0 || n > len(all)-2 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// mayBeWhole reports whether an answer that was cut after n bytes can be taken for a whole one: an
+// engine that lives has ended the connection in good order behind a part of the body.
+func (a *cutAnswer) mayBeWhole(n int, end cutEnd) bool {
+	if n == len(a.head)+len(a.body) && !a.unframed {
+		return true
+	}
+	return a.unframed && n > len(a.head) && !end.reset && !end.dies
+}
+
+// Guards against a part of an answer that a caller of a call takes for the whole: the engine stops in
+// its head, behind it or in its body.
+func TestCallsWhoseAnswersAreCut(t *testing.T) {
+	for _, status := range []string{"200 OK", "404 Not Found", "500 Internal Server Error"} {
+		for _, a := range cutAnswers(status, "the answer") {
+			for _, end := range cutEnds {
+				for _, method := range []string{"POST", "GET"} {
+					for _, n := range a.cuts() {
+						synctest.Test(t, func(t *testing.T) { playCutCall(t, status, &a, end, method, n) })
+						if t.Failed() {
+							return
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
+func playCutCall(t *testing.T, status string, a *cutAnswer, end cutEnd, method string, n int) {
+	f := newFixture(t, voteServer("a"), voteServer("b"))
+	defer f.shutDown()
+	if end.reset {
+		f.resetsAtEnd()
+	}
+	path := "/vote/1"
+	if method == "GET" {
+		path = "/tally/1"
+	}
+	f.answerInTurn(answerCut((a.head + a.body)[:n], end))
+	got := f.send(method, path, "r1", "")
+	<-got.done
+	text := got.text.String()
+	what := fmt.Sprintf("%s %s, %s, %v, cut after %d of %d+%d bytes", method, status, a.name, end, n, len(a.head), len(a.body))
+	switch signed := got.header.Get(forward.HeaderSignature) != ""; {
+	case got.broken:
+	case signed && strings.HasPrefix(text, "answer of "): // of the other server
+		if method == "POST" {
+			t.Errorf("%s: the call went to another server", what)
+		}
+	case signed && !a.mayBeWhole(n, end):
+		t.Errorf("%s: the caller got %d %q as a whole answer", what, got.status, text)
+	case !signed && got.status/100 != 5:
+		t.Errorf("%s: the caller got %d %q without a signature, want a failure", what, got.status, text)
+	case !signed && got.status == http.StatusServiceUnavailable:
+		t.Errorf("%s: the caller got 503, which promises that the call has not run", what)
+	}
+	if n == len(a.head)+len(a.body) && a.mayBeWhole(n, end) && status[0] != '5' && text != a.text {
+		t.Errorf("%s: got %d %q, want the whole answer", what, got.status, text)
+	}
+}
+
+func cutEvents(first, last int) string {
+	var out strings.Builder
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&out, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return out.String()
+}
+
+// cutStreamEvents is the number of events of a stream that is cut.
+const cutStreamEvents = 6
+
+func shortEngine(zone string) *routedengine.Server {
+	s := engine(zone)
+	s.Events, s.PrefillTime, s.EventInterval = cutStreamEvents, 20*time.Millisecond, 5*time.Millisecond
+	return s
+}
+
+// Guards against a part of a stream that its caller takes for the whole: the engine stops in the head of
+// its answer, behind it or in an event, when the stream begins or goes on.
+func TestStreamsWhoseAnswersAreCut(t *testing.T) {
+	for _, before := range []int{0, 3} {
+		for _, a := range cutAnswers("200 OK", cutEvents(before+1, cutStreamEvents)) {
+			for _, end := range cutEnds {
+				for _, n := range a.cuts() {
+					synctest.Test(t, func(t *testing.T) { playCutStream(t, &a, end, before, n) })
+					if t.Failed() {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+func playCutStream(t *testing.T, a *cutAnswer, end cutEnd, before, n int) {
+	f := newFixture(t, shortEngine("a"), shortEngine("b"), shortEngine("c"))
+	defer f.shutDown()
+	if end.reset {
+		f.resetsAtEnd()
+	}
+	answers := []answerFunc{answerCut((a.head + a.body)[:n], end)}
+	if before > 0 {
+		begun := "HTTP/1.1 200 OK\r\n" + cutSigned + "Content-Length: 1000\r\n\r\n" + cutEvents(1, before)
+		answers = append([]answerFunc{breakAfter(begun)}, answers...)
+	}
+	f.answerInTurn(answers...)
+	got := f.send("POST", "/s/1", "r1", "log")
+	<-got.done
+	what := fmt.Sprintf("%s, %v, %d events before, cut after %d of %d+%d bytes", a.name, end, before, n, len(a.head), len(a.body))
+	text, whole := got.text.String(), cutEvents(1, cutStreamEvents)
+	endedThere := a.unframed && !end.reset && !end.dies && n > len(a.head) && strings.HasSuffix((a.head + a.body)[:n], "\n\n")
+	switch {
+	case !strings.HasPrefix(whole, text):
+		t.Errorf("%s: the caller got %q, which is not the stream", what, text)
+	case !got.broken && got.status == http.StatusOK && text != whole && !endedThere:
+		t.Errorf("%s: the caller got %q as the whole stream", what, text)
+	case got.broken || got.status != http.StatusOK:
+		t.Errorf("%s: status %d, aborted: %t; want the stream to go on elsewhere", what, got.status, got.broken)
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -148,8 +148,8 @@
 	default:
 		err = readAnswerBody(&r, l, m)
 	}
-	if err == nil && !upstream.Framed(resp) && h.hasEnded(s) {
-		err = errServerEnded
+	if err == nil {
+		err = h.checkEnd(s, &r)
 	}
 	if err != nil {
 		return h.breakOff(s, f, err)
@@ -160,9 +160,26 @@
 	return r
 }
 
-// errServerEnded means that an answer without a length ended together with its server, so that it
-// cannot be told from a part of one.
-var errServerEnded = fmt.Errorf("%w: the server ended", upstream.ErrBroken)
+// An answer without a length cannot be told from a part of one if it ended together with its server,
+// or right behind its head.
+var (
+	errServerEnded = fmt.Errorf("%w: the server ended", upstream.ErrBroken)
+	errNoBody      = fmt.Errorf("%w: neither a length nor a body", upstream.ErrBroken)
+)
+
+// checkEnd returns why an answer that was read to its end may be a part of one; nil: it is whole. A
+// refusal needs no body.
+func (h *Handler) checkEnd(s *upstream.Server, r *reply) error {
+	switch {
+	case upstream.Framed(r.resp), r.resp.Request.Method == http.MethodHead:
+		return nil
+	case r.outcome == sendAnswered && r.body.Len() == 0:
+		return errNoBody
+	case h.hasEnded(s):
+		return errServerEnded
+	}
+	return nil
+}
 
 // hasEnded reports whether no process listens at a server's address any more, or another one does. The
 // connections of a killed process end like those of a complete answer.
