forward: a failure that answers a stream may be a part of one, too

Cause: calls ask whether the engine has ended when an answer without a length does; the path for plain answers of streams was left out when they learned it.

Change: readPlainAnswer uses the same check; such a stream goes on at another engine.

--- a/internal/forward/cut_head_test.go
+++ b/internal/forward/cut_head_test.go
@@ -239,3 +239,31 @@
 		t.Errorf("%s: status %d, aborted: %t; want the stream to go on elsewhere", what, got.status, got.broken)
 	}
 }
+
+// Guards against a failure of an engine, as the answer to a stream, of which a part looks like the whole.
+func TestFailuresOfStreamsThatAreCut(t *testing.T) {
+	for _, status := range []string{"400 Bad Request", "500 Internal Server Error"} {
+		for _, a := range cutAnswers(status, "the answer") {
+			for _, end := range cutEnds {
+				for _, n := range a.cuts() {
+					synctest.Test(t, func(t *testing.T) {
+						f := newFixture(t, shortEngine("a"), shortEngine("b"))
+						defer f.shutDown()
+						if end.reset {
+							f.resetsAtEnd()
+						}
+						f.answerInTurn(answerCut((a.head + a.body)[:n], end))
+						got := f.send("POST", "/s/1", "r1", "log")
+						<-got.done
+						if text := got.text.String(); text != cutEvents(1, cutStreamEvents) && !got.broken && !a.mayBeWhole(n, end) {
+							t.Errorf("%s, %s, %v, cut after %d of %d+%d bytes: the caller got %d %q as a whole answer", status, a.name, end, n, len(a.head), len(a.body), got.status, text)
+						}
+					})
+					if t.Failed() {
+						return
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -104,7 +104,11 @@
 func (r *run) readPlainAnswer() (runEnd, bool) {
 	h := r.st.h
 	r.conn.SetReadDeadline(time.Now().Add(plainAnswerTimeout))
-	if err := readAnswerBody(&r.reply, h.answerLimits(r.st.q), r.st.q.beginAnswer(h, r.server, r.conn.Close)); err != nil {
+	err := readAnswerBody(&r.reply, h.answerLimits(r.st.q), r.st.q.beginAnswer(h, r.server, r.conn.Close))
+	if err == nil {
+		err = h.checkEnd(r.server, &r.reply)
+	}
+	if err != nil {
 		h.noteBroken(r.server, err)
 		return r.lost(err.Error()), true
 	}
