--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,6 +137,51 @@
 	}
 }
 
+// endingReader is a connection with some bytes to read, which ends with an error.
+type endingReader struct {
+	net.Conn
+	text io.Reader
+	end  error
+}
+
+func (c *endingReader) Read(p []byte) (int, error) {
+	n, err := c.text.Read(p)
+	if err != nil {
+		err = c.end
+	}
+	return n, err
+}
+
+// Guards against a part of a response that passes for a complete one, wherever it is cut. Only the end of
+// a connection behind a head without a length is the end of a response.
+func TestResponsesCutAtEveryByte(t *testing.T) {
+	const interim, ok, text = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Signature: s\r\n", "the answer"
+	const chunked, closed = "Transfer-Encoding: chunked\r\n\r\n5\r\nthe a\r\n5;x=y\r\nnswer\r\n0\r\n", "Connection: close\r\n\r\n"
+	for _, whole := range []string{
+		ok + "Content-Length: 10\r\n\r\n" + text, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX-Signature: s\r\n\r\n" + text, ok + chunked + "\r\n", ok + chunked + "Trailer: x\r\n\r\n",
+		ok + closed + text, interim + ok + "Content-Length: 10\r\n\r\n" + text, interim + interim + ok + closed + text, "HTTP/1.0 200 OK\nX-Signature: s\n\n" + text,
+	} {
+		for _, end := range []error{io.EOF, syscall.ECONNRESET} {
+			for n := range len(whole) + 1 {
+				c := newConn(&endingReader{text: strings.NewReader(whole[:n]), end: end}, "")
+				resp, err := c.ReadHead(http.MethodGet)
+				var body []byte
+				if err == nil {
+					body, err = ReadBody(resp, 100)
+				}
+				switch {
+				case err == nil && n < len(whole) && (Framed(resp) || end != io.EOF || !strings.HasPrefix(text, string(body))):
+					t.Errorf("got %q without error from %q, end %v", body, whole[:n], end)
+				case err == nil && resp.Header.Get("X-Signature") != "s":
+					t.Errorf("got a response without its last header from %q", whole[:n])
+				case n == len(whole) && (end == io.EOF || Framed(resp)) && (err != nil || string(body) != text):
+					t.Errorf("got %q, error %v, from the complete response %q", body, err, whole)
+				}
+			}
+		}
+	}
+}
+
 // Guards against idle connections that stay open after their server has left the list.
 func TestSweep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
