forward: answers that are cut behind two VMs

A test for the report on answers that end in their head: the VM that serves a request for another one gets the cut answer; calls, once and repeatable, and streams, with a length, in chunks and without either, closed, reset and with an engine that dies.

--- a/internal/forward/cut_head_test.go
+++ b/internal/forward/cut_head_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,9 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -159,6 +163,12 @@
 	f.answerInTurn(answerCut((a.head + a.body)[:n], end))
 	got := f.send(method, path, "r1", "")
 	<-got.done
+	checkCutCall(t, got, status, a, end, method, n)
+}
+
+// checkCutCall checks what the caller of a call has got whose answer was cut.
+func checkCutCall(t *testing.T, got *answer, status string, a *cutAnswer, end cutEnd, method string, n int) {
+	t.Helper()
 	text := got.text.String()
 	what := fmt.Sprintf("%s %s, %s, %v, cut after %d of %d+%d bytes", method, status, a.name, end, n, len(a.head), len(a.body))
 	switch signed := got.header.Get(forward.HeaderSignature) != ""; {
@@ -227,6 +237,12 @@
 	f.answerInTurn(answers...)
 	got := f.send("POST", "/s/1", "r1", "log")
 	<-got.done
+	checkCutStream(t, got, a, end, before, n)
+}
+
+// checkCutStream checks what the caller of a stream has got from which an answer was cut.
+func checkCutStream(t *testing.T, got *answer, a *cutAnswer, end cutEnd, before, n int) {
+	t.Helper()
 	what := fmt.Sprintf("%s, %v, %d events before, cut after %d of %d+%d bytes", a.name, end, before, n, len(a.head), len(a.body))
 	text, whole := got.text.String(), cutEvents(1, cutStreamEvents)
 	endedThere := a.unframed && !end.reset && !end.dies && n > len(a.head) && strings.HasSuffix((a.head + a.body)[:n], "\n\n")
@@ -267,3 +283,64 @@
 		}
 	}
 }
+
+// newHelper starts a router that serves the requests which f hands off, since f reaches no server.
+func (f *fixture) newHelper(servers ...*routedengine.Server) *fixture {
+	g := newFixture(f.t, servers...)
+	vms := peertest.New(1)
+	vms.SetDelay(time.Millisecond, 2*time.Millisecond)
+	handoff.NewServer(f.t.Context(), vms.VM("helper"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.handler.ServeHTTP(w, r) }),
+		func(string) bool { return true }, memory.NewAccount(0), f.log)
+	f.handOff = handoff.NewClient(vms.VM("cut"), func(string) []string { return []string{"helper"} }, memory.NewAccount(0), f.log)
+	f.setPlacer(nil)
+	for range 4 {
+		f.handler.ProbeService("models")
+		f.handler.ProbeService("votes")
+		time.Sleep(300 * time.Millisecond)
+	}
+	return g
+}
+
+// Guards against a part of an answer that looks like the whole behind two VMs: the engine stops at the
+// one that serves the request for the other.
+func TestHandedOffAnswersThatAreCut(t *testing.T) {
+	play := func(a *cutAnswer, end cutEnd, method string, n int) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, shortEngine("a"), voteServer("a"))
+			defer f.shutDown()
+			for _, s := range f.servers {
+				s.Set(routedengine.Unresponsive)
+			}
+			g := f.newHelper(shortEngine("a"), shortEngine("b"), voteServer("a"), voteServer("b"))
+			defer g.shutDown()
+			if end.reset {
+				g.resetsAtEnd()
+			}
+			g.answerInTurn(answerCut((a.head + a.body)[:n], end))
+			path := map[string]string{"POST": "/vote/1", "GET": "/tally/1", "": "/s/1"}[method]
+			got := f.send(cmp.Or(method, "POST"), path, "r1", "log")
+			<-got.done
+			if n := g.totalRuns("r1"); n == 0 {
+				t.Fatal("the request was not handed off")
+			}
+			if method == "" {
+				checkCutStream(t, got, a, end, 0, n)
+			} else {
+				checkCutCall(t, got, "200 OK", a, end, method, n)
+			}
+		})
+	}
+	for _, method := range []string{"POST", "GET", ""} {
+		text := "the answer"
+		if method == "" {
+			text = cutEvents(1, cutStreamEvents)
+		}
+		for _, a := range cutAnswers("200 OK", text)[:3] {
+			for _, end := range cutEnds {
+				for _, n := range a.cuts() {
+					play(&a, end, method, n)
+				}
+			}
+		}
+	}
+}
