forward: an engine that closes the probe's connection has ended

Callers of calls got a part of an answer without a length, framed as whole, from an engine that then accepted connections and closed them without an answer (MIXED); the probe that asks whether the engine has ended was such a connection.

Cause: only a refused connection counted as the engine's end. That an accepted one is closed is as good a sign, and is one for deaths already; a reset is none, since an engine at its limit of connections resets more.

Change: hasEnded takes both.

--- a/internal/forward/cut_head_test.go
+++ b/internal/forward/cut_head_test.go
@@ -55,11 +55,16 @@
 }
 
 // cutEnd is what happens to the connection, and to the engine, at the cut.
-type cutEnd struct{ reset, dies bool }
+type cutEnd struct {
+	reset  bool
+	engine routedengine.State // from then on
+}
 
-func (e cutEnd) String() string { return fmt.Sprintf("reset: %t, dies: %t", e.reset, e.dies) }
+func (e cutEnd) String() string {
+	return fmt.Sprintf("reset: %t, engine in state %d", e.reset, e.engine)
+}
 
-var cutEnds = []cutEnd{{false, false}, {true, false}, {false, true}}
+var cutEnds = []cutEnd{{false, routedengine.Alive}, {true, routedengine.Alive}, {false, routedengine.Dead}, {false, routedengine.Breaking}}
 
 // resetAtEnd is a connection whose end is a reset.
 type resetAtEnd struct{ net.Conn }
@@ -90,8 +95,8 @@
 func answerCut(text string, end cutEnd) answerFunc {
 	return func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
 		breakAfter(text)(s, w, r)
-		if end.dies {
-			s.Set(routedengine.Dead)
+		if end.engine != routedengine.Alive {
+			s.Set(end.engine)
 		}
 		return true
 	}
@@ -128,7 +133,7 @@
 	if n == len(a.head)+len(a.body) && !a.unframed {
 		return true
 	}
-	return a.unframed && n > len(a.head) && !end.reset && !end.dies
+	return a.unframed && n > len(a.head) && !end.reset && end.engine == routedengine.Alive
 }
 
 // Guards against a part of an answer that a caller of a call takes for the whole: the engine stops in
@@ -245,7 +250,7 @@
 	t.Helper()
 	what := fmt.Sprintf("%s, %v, %d events before, cut after %d of %d+%d bytes", a.name, end, before, n, len(a.head), len(a.body))
 	text, whole := got.text.String(), cutEvents(1, cutStreamEvents)
-	endedThere := a.unframed && !end.reset && !end.dies && n > len(a.head) && strings.HasSuffix((a.head + a.body)[:n], "\n\n")
+	endedThere := a.unframed && !end.reset && end.engine == routedengine.Alive && n > len(a.head) && strings.HasSuffix((a.head + a.body)[:n], "\n\n")
 	switch {
 	case !strings.HasPrefix(whole, text):
 		t.Errorf("%s: the caller got %q, which is not the stream", what, text)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -181,12 +181,12 @@
 	return nil
 }
 
-// hasEnded reports whether no process listens at a server's address any more, or another one does. The
+// hasEnded reports whether no process, one that ends or another one is at a server's address. The
 // connections of a killed process end like those of a complete answer.
 func (h *Handler) hasEnded(s *upstream.Server) bool {
 	p := h.prober.start(s)
 	<-p.done
-	return p.refused || p.replaced || p.startedAgain
+	return p.endsConnections() || p.replaced || p.startedAgain
 }
 
 // breakOff ends an exchange whose answer cannot be read.
