platform, inventory: a listed server has the address of one host

Callers see nothing; found in the tests for the report on odd entries. An entry with the address 0.0.0.0 was used as a server's; on Linux a VM that connects there reaches itself, maybe its own router.

Cause: any IP address with a port passed for a server's.

--- a/internal/inventory/decode.go
+++ b/internal/inventory/decode.go
@@ -83,8 +83,10 @@
 	return s != "" && len(s) <= maxNameBytes && strings.IndexFunc(s, unicode.IsControl) < 0
 }
 
-// isAddress reports whether s is an IP address with a port, or nothing: the settings state the address.
+// isAddress reports whether s is the address of a host with a port, or nothing: the settings state the
+// address. A connection to the unspecified address reaches the VM itself.
 func isAddress(s string) bool {
 	a, err := netip.ParseAddrPort(s)
-	return s == "" || err == nil && a.Port() != 0 && a.Addr().Zone() == ""
+	ip := a.Addr().Unmap()
+	return s == "" || err == nil && a.Port() != 0 && ip.Zone() == "" && !ip.IsUnspecified() && !ip.IsMulticast()
 }
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -48,7 +48,7 @@
 		`{"id":"x","name":"x","zone":7}`, `{"id":"vm1","name":"e1"}`,
 		`{"id":"vm1","name":"x","kind":"toaster","address":"10.0.0.9:80"}`,
 	}
-	for _, addr := range []string{"10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9:http", "10.0.0.9:" + digits, "10.0.0.9", ":80", "vm:80", "[fe80::1%x]:80"} {
+	for _, addr := range []string{"10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9:http", "10.0.0.9:" + digits, "10.0.0.9", ":80", "vm:80", "[fe80::1%x]:80", "0.0.0.0:80", "[::]:80", "224.0.0.1:80"} {
 		odd = append(odd, fmt.Sprintf(`{"id":"x","name":"x","peer":%[1]q,"address":%[1]q,"kind":"engine"}`, addr))
 	}
 	const vm, backend = `{"id":"vm%[1]d","zone":"z","peer":"10.0.0.%[1]d:80","callers":"10.0.0.%[1]d:81"}`, `{"name":"e%[1]d","kind":"engine","address":"10.0.1.%[1]d:80","models":["m"],"leaving":true}`
