forward: a probe from before the end of an answer does not prove it whole

Cause: who asks whether an engine lives joins the probe in flight, which may have been answered before the answer ended.

--- a/internal/forward/cut_head_test.go
+++ b/internal/forward/cut_head_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -360,3 +361,57 @@
 		}
 	}
 }
+
+// slowReport is a connection on which the answer to a probe arrives late.
+type slowReport struct {
+	net.Conn
+	isProbe bool
+}
+
+func (c *slowReport) Write(p []byte) (int, error) {
+	c.isProbe = bytes.Contains(p, []byte(forward.PlainReportURI))
+	return c.Conn.Write(p)
+}
+
+func (c *slowReport) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.isProbe && n > 0 {
+		time.Sleep(30 * time.Millisecond)
+	}
+	return n, err
+}
+
+// Guards against a part of an answer that looks like the whole since its engine had answered a probe just
+// before it died: the answer to that one is still on its way.
+func TestProbeBeforeTheEndOfAnAnswerProvesNothing(t *testing.T) {
+	for _, tt := range []struct{ method, path, service, part string }{
+		{"GET", "/tally/1", "votes", "ten of tw"}, {"POST", "/vote/1", "votes", "ten of tw"}, {"POST", "/s/1", "models", cutEvents(1, 2)},
+	} {
+		t.Run(tt.path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, shortEngine("a"), voteServer("a"))
+				defer f.shutDown()
+				f.pool = upstream.NewPoolWith(func(ctx context.Context, addr string) (net.Conn, error) {
+					c, err := f.net.Dial(ctx, addr)
+					if err != nil {
+						return nil, err
+					}
+					return &slowReport{Conn: c}, nil
+				})
+				f.fleet = upstream.NewFleet(f.pool, f.log)
+				f.fleet.Apply(upstream.List{Backends: f.net.Backends(), AsOf: time.Now()})
+				f.setPlacer(nil)
+				f.answerInTurn(func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+					f.handler.ProbeService(tt.service)
+					time.Sleep(5 * time.Millisecond)
+					return answerCut("HTTP/1.1 200 OK\r\n"+cutSigned+cutClosed+"\r\n"+tt.part, cutEnd{engine: routedengine.Dead})(s, w, r)
+				})
+				got := f.send(tt.method, tt.path, "r1", "log")
+				<-got.done
+				if !got.broken && got.status == http.StatusOK {
+					t.Errorf("the caller got %q as a whole answer", got.text.String())
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -184,7 +184,7 @@
 // hasEnded reports whether no process, one that ends or another one is at a server's address. The
 // connections of a killed process end like those of a complete answer.
 func (h *Handler) hasEnded(s *upstream.Server) bool {
-	p := h.prober.start(s)
+	p := h.prober.startAnew(s)
 	<-p.done
 	return p.endsConnections() || p.replaced || p.startedAgain
 }
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -76,6 +76,18 @@
 	return p.startWith(s, probeKey{server: s.ID, timeout: probeTimeout})
 }
 
+// startAnew is start for what only a probe tells that begins now: one in flight may have been answered
+// before the moment in question. It waits for that one.
+func (p *prober) startAnew(s *upstream.Server) *probe {
+	p.mu.Lock()
+	former := p.inFlight[probeKey{server: s.ID, timeout: probeTimeout}]
+	p.mu.Unlock()
+	if former != nil {
+		<-former.done
+	}
+	return p.start(s)
+}
+
 // startAfterBreak is start for a server that has broken a connection. If it resets the next one
 // too, it is not just at its limit of connections.
 func (p *prober) startAfterBreak(s *upstream.Server) *probe {
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -67,7 +67,7 @@
 	if r.forwarded == 0 {
 		return false
 	}
-	p := r.st.h.prober.start(r.server)
+	p := r.st.h.prober.startAnew(r.server)
 	<-p.done
 	return p.answered
 }
