forward: order of two fields

Cause: a comment refers to the field before it. Change: the field of a stream that left a held run stands behind it. Result: no behaviour changes.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,8 +43,8 @@
 	skip          map[string]bool
 	sends         int
 	lostAt        time.Time // when the stream lost its engine; zero: it has one
-	leftHeld      bool      // a held run was closed since another engine had the request
 	lostZone      string    // zone of that engine; empty: it has one
+	leftHeld      bool      // a held run was closed, since another engine had the request
 	lastEventAt   time.Time // when the last event was forwarded
 	engineFailure *reply
 	engineFailed  bool // an engine answered with a failure of its own
