forward, routed: a shutdown logs the requests that it refuses or cuts off

Cause: a stream that ended with its router left no line, and a refusal by a stopping router did not tell what decided it, so that the record of seven lost streams names no cause. Change: a registry of the requests in progress, logged before the process ends; one line for each refusal; counters of both; the end of the drain is logged with the time that was left. Result: TestShutdownLogsWhatItRefusesAndCutsOff finds both lines; behaviour is unchanged.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -234,6 +234,7 @@
 	end := h.beginCall(q, c)
 	began := time.Now()
 	ticket := h.trackAnswer(q, s)
+	q.status.noteSent(s.ID)
 	r, run := h.exchangeWatched(q, c)
 	h.opts.Fleet.Release(s, use)
 	end(&r, time.Since(began))
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -120,6 +120,8 @@
 	Rollouts *Rollouts
 	// CannotFinish reports that a request cannot be finished before this VM shuts down.
 	CannotFinish func(w shutdown.Work) bool
+	// TimeLeft returns how long this VM, which shuts down, still serves requests; nil: not known.
+	TimeLeft func() time.Duration
 	// Ending ends shortly before this VM closes its connections; nil: it does not.
 	Ending context.Context
 	// Memory accounts for the requests and answers that the handler holds; nil: for a VM whose
@@ -142,6 +144,7 @@
 	speeds     speedTracker
 	durations  shutdown.CallDurations
 	inFlight   *admission.InFlight
+	inProgress requestsInProgress
 	spoilers   *spoilers
 	origins    *streamversion.Store // of the streams that this VM carried
 	Stats      *Stats
@@ -160,6 +163,9 @@
 	if o.Ending == nil {
 		o.Ending = context.Background()
 	}
+	if o.TimeLeft == nil {
+		o.TimeLeft = func() time.Duration { return 0 }
+	}
 	if o.ReportRetries == nil {
 		o.ReportRetries = func() {}
 	}
@@ -297,6 +303,7 @@
 	retryAfter    time.Duration
 	leave         func() // ends the count of the request; nil: it is not counted
 	memory        requestMemory
+	status        requestStatus
 }
 
 // countedBytes returns the size that a request's body is counted with before it is
@@ -356,6 +363,9 @@
 		h.refuse(w, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter))
 		return
 	}
+	q.status.admitted = h.pendingWork(q)
+	h.inProgress.add(q)
+	defer h.inProgress.remove(q)
 	if h.mustHandOff(q) {
 		h.handOff(w, q)
 		return
--- a/internal/forward/pending_work.go
+++ b/internal/forward/pending_work.go
@@ -17,15 +17,29 @@
 
 // cannotFinish reports that a request cannot be finished before this VM shuts down.
 func (h *Handler) cannotFinish(q *request) bool {
-	return h.opts.Closing() && h.opts.CannotFinish(h.pendingWork(q))
+	if !h.opts.Closing() {
+		return false
+	}
+	work := h.pendingWork(q)
+	if !h.opts.CannotFinish(work) {
+		return false
+	}
+	h.noteRefusedForShutdown(q, work)
+	return true
 }
 
+// Bases of durations.
+const (
+	basisMeanRun     = "mean run of the service"
+	basisLongestCall = "longest call of the route"
+)
+
 func (h *Handler) pendingWork(q *request) shutdown.Work {
 	if q.route.Kind == routes.Stream {
-		return shutdown.Work{Expected: h.runDuration(q, longRunFactor), AtMost: h.runDuration(q, longestRunFactor), Left: q.left()}
+		return shutdown.Work{Expected: h.runDuration(q, longRunFactor), AtMost: h.runDuration(q, longestRunFactor), Left: q.left(), Basis: basisMeanRun}
 	}
 	bound := h.durations.Bound(q.route.Name, time.Now())
-	return shutdown.Work{Expected: bound, AtMost: bound, Left: q.left()}
+	return shutdown.Work{Expected: bound, AtMost: bound, Left: q.left(), Basis: basisLongestCall}
 }
 
 // runDuration returns the duration of a stream of the service that takes a multiple of the mean; 0:
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -128,6 +128,7 @@
 		return r
 	}
 	r.conn, r.outcome, r.writtenAt = conn, sendUnknown, time.Now()
+	st.q.status.noteSent(s.ID)
 	r.checkStart()
 	if st.events == 0 {
 		r.reportRun() // a copy of the run before it may still be of use
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -4,10 +4,15 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/amaranthshelf/amaranthshelf/internal/callqueue"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
@@ -133,3 +138,55 @@
 		}
 	})
 }
+
+// logLines collects log lines. It is safe for concurrent use.
+type logLines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// naming returns the lines with a message that name a request.
+func (l *logLines) naming(request, message string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for line := range strings.Lines(l.text.String()) {
+		if strings.Contains(line, strconv.Quote(request)) && strings.Contains(line, message) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a shutdown that leaves no trace of the requests that it refuses or cuts off.
+func TestShutdownLogsWhatItRefusesAndCutsOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines logLines
+		f := newFixtureWithLog(t, zerolog.New(&lines), engine("a"), voteServer("a"))
+		defer f.shutDown()
+		stream := f.send(http.MethodPost, "/s/1", "cut", "dossier")
+		time.Sleep(2 * time.Second)
+		f.setEnd(time.Now())
+		<-f.send(http.MethodPost, "/s/2", "refused", "dossier").done
+		if n := f.handler.LogUnfinished(); n != 1 {
+			t.Errorf("%d requests are in progress, want 1", n)
+		}
+		stream.leave()
+		<-stream.done
+		if n := f.handler.LogUnfinished(); n != 0 {
+			t.Errorf("%d requests are in progress after the last one, want none", n)
+		}
+		if got := lines.naming("cut", "request cut off by the shutdown"); got != 1 {
+			t.Errorf("%d lines of the stream that was cut off, want 1", got)
+		}
+		if got := lines.naming("refused", "request refused by the shutdown"); got != 1 {
+			t.Errorf("%d lines of the stream that was refused, want 1", got)
+		}
+	})
+}
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -27,7 +27,10 @@
 	RunsHeld        *metrics.Counter // runs that were kept open while their engine was silent
 	HeldRunsGoOn    *metrics.Counter // of these, those with which the stream went on
 	CallersGone     *metrics.Counter
-	HandOffs        *metrics.Counter // requests offered to other VMs, since this one reaches no server of their service
+	// ShutdownRefusals counts the requests that were refused since this VM shuts down, and
+	// ShutdownCutOffs those that its end cut off.
+	ShutdownRefusals, ShutdownCutOffs *metrics.Counter
+	HandOffs                          *metrics.Counter // requests offered to other VMs, since this one reaches no server of their service
 	// CallGrantFallbacks counts the calls for which no control VM granted a usable server, and
 	// about which this VM decided by itself.
 	CallGrantFallbacks *metrics.Counter
@@ -53,6 +56,7 @@
 		ResumesFromCopy: counter("resumes_from_copy"), Probes: counter("probes"), CopiesOrdered: counter("copies_ordered"),
 		StrayAnswers: counter("stray_answers"), SpoiledAnswers: counter("spoiled_answers"), BrokenStreams: counter("streams_broken"),
 		RunsHeld: counter("runs_held"), HeldRunsGoOn: counter("held_runs_go_on"), CallersGone: counter("callers_gone"),
+		ShutdownRefusals: counter("shutdown_refusals"), ShutdownCutOffs: counter("shutdown_cut_offs"),
 		CallGrantFallbacks: counter("calls_grant_fallback"), EngineSpeeds: counter("engine_speeds_reported"),
 		RefusedByLevel: counter("streams_refused_by_level"), HandOffs: counter("hand_offs"), RecordsLate: counter("stream_records_late"), TrialWaits: counter("content_trial_waits"), RecordWait: set.NewHistogram("shelf_stream_record_wait_seconds"),
 		FirstEvent: set.NewHistogram("shelf_first_event_seconds"), ResumePause: set.NewHistogram("shelf_resume_pause_seconds"),
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -438,6 +438,7 @@
 		st.longestPause = max(st.longestPause, now.Sub(st.lastEventAt))
 	}
 	st.events++
+	st.q.status.events.Add(1)
 	st.lastEventAt = now
 	return err == nil
 }
--- a/internal/routed/drain.go
+++ b/internal/routed/drain.go
@@ -54,6 +54,13 @@
 	return shutdown.Window{Grace: d.times.Grace, Margin: closeMargin}.CannotFinish(time.Since(d.startedAt), w)
 }
 
+// left returns how long the router still serves requests; 0 or less: its time is over.
+func (d *drain) left() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.times.Grace - closeMargin - time.Since(d.startedAt)
+}
+
 func (d *drain) enter() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -90,7 +90,7 @@
 	r.handler = forward.NewHandler(forward.Options{
 		Context: r.ctx, Zone: o.Zone, Wire: o.Wire, Pool: pool, Fleet: r.fleet, Routes: r.table.Load, ListsReady: r.listsReady,
 		RetryAllowance: o.RetryAllowance, Log: o.Log, RoutineLog: o.RoutineLog, Metrics: o.Metrics, SuspectContents: r.suspectContents, Closing: r.drain.started, Ending: r.ending,
-		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(r.network, r.member.Relays, account, o.Log), FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish,
+		Placer: r.member, RefusalLevel: r.member.RefusalLevel, Permits: r.member, CallGrants: r.member, ContentTrials: r.member, HandOff: handoff.NewClient(r.network, r.member.Relays, account, o.Log), FindOrphan: r.member.FindOrphan, ReportRetries: r.member.NotifyRetry, CannotFinish: r.drain.cannotFinish, TimeLeft: r.drain.left,
 		Rollouts: &forward.Rollouts{State: r.rollouts.Load, Recorder: r.recorder},
 		Origins:  r.member, VersionsFresh: r.feed.Fresh, Memory: account,
 	})
@@ -266,6 +266,8 @@
 	r.member.SendNow(ctx)
 	cancel()
 	r.drain.wait()
+	cutOff := r.handler.LogUnfinished()
+	r.o.Log.Info().Dur("time_left", r.drain.left()).Int("requests", r.drain.requests()).Int("cut_off", cutOff).Msg("drain ended")
 	r.end()
 	r.drain.awaitAnswers(lastAnswersTimeout)
 	ctx, cancel = context.WithTimeout(r.ctx, handBackTimeout)
--- a/internal/shutdown/window.go
+++ b/internal/shutdown/window.go
@@ -16,6 +16,7 @@
 	Expected time.Duration // what few exceed; 0: not known
 	AtMost   time.Duration // what none is known to exceed; 0: not known
 	Left     time.Duration // until its deadline
+	Basis    string        // of the durations, for logs
 }
 
 // Window is the time that a process has to end its requests.
