tests of streams that are cut off around a stop, red on this code

Cause: a stopping router admits a stream by four times the mean of its service, and serves requests after it has decided to end.

--- a/cmd/amaranthshelfd/soak_system_test.go
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -77,6 +78,10 @@
 	// mixed is set if engines of several versions serve, without any roll-out.
 	mixed bool
 	slots int // of an engine; 0: soakSlots
+	// events is the number of events of a stream; 0: soakEvents.
+	events int
+	// grace is the grace period of the routers; 0: soakGrace.
+	grace time.Duration
 	// resumeTimes are the times that the engines take to resume from a copy; nil: none.
 	resumeTimes []time.Duration
 	// memoryMB is the memory limit that the settings of the routers state; 0: none.
@@ -117,7 +122,7 @@
 	for i := range 2 * soakZones {
 		s.addServer(&routedengine.Server{
 			Backend: upstream.Backend{ID: fmt.Sprint("engine", i), Service: "models", Zone: fmt.Sprint("z", i%soakZones), Slots: s.engineSlots(), Version: s.engineVersion(i)},
-			Events:  soakEvents, NamesPath: true, NamesVersion: true, NamesMemory: true, PrefillTime: 100 * time.Millisecond, EventInterval: 20 * time.Millisecond,
+			Events:  cmp.Or(s.events, soakEvents), NamesPath: true, NamesVersion: true, NamesMemory: true, PrefillTime: 100 * time.Millisecond, EventInterval: 20 * time.Millisecond,
 			ResumeTime: s.resumeTime(i),
 		})
 	}
@@ -188,7 +193,7 @@
 			memory = fmt.Sprintf("memory_mb = %d\n", s.memoryMB)
 		}
 		add(fmt.Sprint("router", i), fmt.Sprintf("[process]\nkind = router\nid = %s\nzone = z%d\nseeds = %s\ngrace = %s\n[listen]\ncallers = %s\noperators = %s\n[limits]\ncores = %d\nlink_mbps = %d\n",
-			own[0], i, seeds, soakGrace, own[1], own[2], 1<<i, 100<<i)+memory)
+			own[0], i, seeds, cmp.Or(s.grace, soakGrace), own[1], own[2], 1<<i, 100<<i)+memory)
 	}
 }
 
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -1,12 +1,14 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +16,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/callqueue"
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 )
 
@@ -190,3 +194,89 @@
 		}
 	})
 }
+
+// slowPlacer lets this VM choose engines itself, after a wait.
+type slowPlacer struct {
+	forward.Placer
+	wait atomic.Int64 // nanoseconds
+}
+
+func (p *slowPlacer) Place(_ context.Context, _ scheduler.Stream, abandon func() bool) (scheduler.Answer, bool) {
+	time.Sleep(time.Duration(p.wait.Load()))
+	if abandon() {
+		return scheduler.Answer{Outcome: scheduler.Waiting}, true
+	}
+	return scheduler.Answer{}, false
+}
+func (*slowPlacer) Took(uint64)             {}
+func (*slowPlacer) UseChanged()             {}
+func (*slowPlacer) Refresh(context.Context) {}
+
+// Guards against a stream that a VM takes on its way out and cuts off in the middle: its engine is
+// slower than the others, or has just become slow, or the stream waits for an engine. And against
+// streams that are refused although they can be finished.
+func TestStreamsOfAVMThatShutsDown(t *testing.T) {
+	const grace, apart, streams, events = 7600 * time.Millisecond, 25 * time.Millisecond, 296, 10
+	shortEngine := func() *routedengine.Server {
+		e := engine("a")
+		e.Events, e.PrefillTime, e.EventInterval = events, 50*time.Millisecond, 30*time.Millisecond
+		return e
+	}
+	for _, tt := range []struct {
+		name       string
+		slowBefore int           // how many times as long the first engine takes
+		slowAfter  int           // the same from 1.5 s before the shutdown on
+		wait       time.Duration // for an engine, once the VM shuts down
+		whole      int           // streams, at least
+	}{
+		{"equal engines", 1, 1, 0, 264},
+		{"one slow engine", 5, 5, 0, 240},
+		{"one very slow engine", 15, 15, 0, 240},
+		{"an engine that has just become slow", 1, 15, 0, 200},
+		{"streams that wait", 1, 1, 2 * time.Second, 40},
+		{"streams that wait, one slow engine", 10, 10, 2 * time.Second, 30},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				slow := shortEngine()
+				slow.Slow(tt.slowBefore)
+				placer := &slowPlacer{}
+				f := newFixture(t, slow, shortEngine(), shortEngine(), shortEngine(), shortEngine(), shortEngine())
+				f.setPlacer(placer)
+				defer f.shutDown()
+				var before, during []*answer
+				for i := range 400 {
+					if i == 340 {
+						slow.Slow(tt.slowAfter)
+					}
+					before = append(before, f.send(http.MethodPost, "/s/1", fmt.Sprint("before", i), "dossier"))
+					time.Sleep(apart)
+				}
+				placer.wait.Store(int64(tt.wait))
+				f.endAt(time.Now().Add(grace))
+				for i := range streams {
+					during = append(during, f.send(http.MethodPost, "/s/1", fmt.Sprint("q", i), "dossier"))
+					time.Sleep(apart)
+				}
+				for _, a := range before {
+					<-a.done
+				}
+				whole := 0
+				for i, a := range during {
+					<-a.done
+					late := a.status == http.StatusOK && a.arrived[len(a.arrived)-1].After(*f.endsAt.Load())
+					switch id := fmt.Sprint("q", i); {
+					case a.status == http.StatusOK && !late && !a.broken:
+						whole++
+					case a.broken || late || a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || f.totalRuns(id) != 0:
+						t.Errorf("%s, sent after %v: status %d, cut off %t, %d runs; want an answer, or a refusal and no run", id, time.Duration(i)*apart, a.status, a.broken || late, f.totalRuns(id))
+					}
+				}
+				t.Logf("%d of %d streams whole", whole, streams)
+				if whole < tt.whole {
+					t.Errorf("%d streams whole, want %d or more of %d", whole, tt.whole, streams)
+				}
+			})
+		})
+	}
+}
--- a/internal/routed/drain_test.go
+++ b/internal/routed/drain_test.go
@@ -139,3 +139,53 @@
 		}
 	})
 }
+
+// Guards against a request that is taken while the process already ends: the drain is complete, the
+// connections are not closed yet. It must be refused, since nothing waits for it any more.
+func TestNothingIsAdmittedOnceTheDrainHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrain(testGrace)
+		h := d.countRequests(delayedHandler(time.Second))
+		d.start()
+		d.wait()
+		if code := ask(h); code != http.StatusServiceUnavailable {
+			t.Errorf("got status %d after the drain, want 503", code)
+		}
+		if n := d.requests(); n != 0 {
+			t.Errorf("%d requests are served after the drain, want none", n)
+		}
+	})
+}
+
+// Guards against a request that is neither answered nor refused, whenever it arrives around the end
+// of the drain.
+func TestRequestsAroundTheEndOfADrain(t *testing.T) {
+	for at := range 200 {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDrain(testGrace)
+			const takes = 30 * time.Millisecond
+			h := d.countRequests(delayedHandler(takes))
+			d.start()
+			ended := make(chan struct{})
+			go func() {
+				d.wait()
+				close(ended)
+			}()
+			time.Sleep(1900*time.Millisecond + time.Duration(at)*time.Millisecond)
+			arrived := time.Now()
+			code := ask(h)
+			synctest.Wait()
+			select {
+			case <-ended:
+				if code == http.StatusOK && time.Since(arrived) >= takes {
+					t.Errorf("%d ms: a request was served when the drain had ended", at)
+				}
+			default:
+				if code != http.StatusOK {
+					t.Errorf("%d ms: got status %d while the drain goes on, want 200", at, code)
+				}
+			}
+			<-ended
+		})
+	}
+}
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -69,6 +70,8 @@
 	// Intercept, if set, may answer a request, and reports whether it did.
 	Intercept func(s *Server, w http.ResponseWriter, r *http.Request) bool
 
+	slowdown atomic.Int64 // see Slow
+
 	mu         sync.Mutex
 	state      State
 	wake       chan struct{} // closed when the state changes
@@ -91,6 +94,14 @@
 	return s.state == state
 }
 
+// Slow makes prompts and events take a number of times as long from now on.
+func (s *Server) Slow(times int) { s.slowdown.Store(int64(times)) }
+
+// slowed returns how long something takes.
+func (s *Server) slowed(d time.Duration) time.Duration {
+	return d * time.Duration(max(1, s.slowdown.Load()))
+}
+
 // Set changes the state. Dead resets every connection and drops every copy.
 func (s *Server) Set(state State) {
 	s.mu.Lock()
