routed: nothing is admitted once a drain has ended

Callers saw: a request taken by a router that was about to close its connections, sent to an engine and closed with status 200 or without one. Cause: the drain decided that it was complete, and the handler went on admitting by the clock of the whole grace period for up to 250 ms, longer on a VM that stands still. An answer whose handler had returned could still wait in a buffer when the connections were closed. Change: one lock guards the end and the count of requests, so that a request is either waited for or refused as not run, with a line in the log. The connections of callers are closed once their last answers are written, for 100 ms at most.

--- a/internal/routed/drain.go
+++ b/internal/routed/drain.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
+	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 )
 
@@ -17,18 +19,27 @@
 	drainCheckInterval = 50 * time.Millisecond
 	// answersCheckInterval is the same for the last answers.
 	answersCheckInterval = 5 * time.Millisecond
+	// endedRetryAfter is the Retry-After of a request that comes after the drain. Another router may
+	// serve it at once.
+	endedRetryAfter = 50 * time.Millisecond
 )
 
 // drain tracks a router's planned shutdown. It is safe for concurrent use.
 type drain struct {
-	times        DrainTimes
+	times DrainTimes
+	// refuse answers a request that comes after the end of the drain.
+	refuse func(http.ResponseWriter, *http.Request, error)
+
 	mu           sync.Mutex
 	startedAt    time.Time
+	ended        bool      // nothing is admitted any more
 	inFlight     int       // requests being served
 	lastActivity time.Time // when a request last arrived or ended
 }
 
-func newDrain(t DrainTimes) *drain { return &drain{times: t} }
+func newDrain(t DrainTimes) *drain {
+	return &drain{times: t, refuse: func(w http.ResponseWriter, _ *http.Request, err error) { resulthttp.Write(w, "", err) }}
+}
 
 func (d *drain) start() {
 	d.mu.Lock()
@@ -61,11 +72,17 @@
 	return d.times.Grace - closeMargin - time.Since(d.startedAt)
 }
 
-func (d *drain) enter() {
+// enter admits a request and counts it, unless the drain has ended. The same lock guards the end:
+// a request is either waited for, or not admitted.
+func (d *drain) enter() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.ended {
+		return false
+	}
 	d.inFlight++
 	d.lastActivity = time.Now()
+	return true
 }
 
 func (d *drain) leave() {
@@ -82,20 +99,24 @@
 	return d.inFlight
 }
 
-// countRequests counts the requests that next is serving.
+// countRequests counts the requests that next is serving, and refuses those that come after the end
+// of the drain.
 func (d *drain) countRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.enter()
+		if !d.enter() {
+			d.refuse(w, r, result.New(result.ShuttingDown).WithRetryAfter(endedRetryAfter))
+			return
+		}
 		defer d.leave()
 		next.ServeHTTP(w, r)
 	})
 }
 
-// wait returns when the drain is complete: the entry answers that name this router have
+// wait ends the drain once it is complete: the entry answers that name this router have
 // expired, no request runs and none has ended or arrived for half an entry TTL. It
 // returns at the latest when only closeMargin of the grace period is left.
 func (d *drain) wait() {
-	for !d.complete() {
+	for !d.tryEnd() {
 		time.Sleep(drainCheckInterval)
 	}
 }
@@ -107,11 +128,18 @@
 	}
 }
 
-func (d *drain) complete() bool {
+// tryEnd ends the drain if it is complete, and reports whether it has ended.
+func (d *drain) tryEnd() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if time.Since(d.startedAt) >= d.times.Grace-closeMargin {
+	d.ended = d.ended || d.isComplete(time.Now())
+	return d.ended
+}
+
+// isComplete needs d.mu.
+func (d *drain) isComplete(now time.Time) bool {
+	if now.Sub(d.startedAt) >= d.times.Grace-closeMargin {
 		return true
 	}
-	return d.inFlight == 0 && time.Since(d.startedAt) >= d.times.EntryTTL && time.Since(d.lastActivity) >= d.times.EntryTTL/2
+	return d.inFlight == 0 && now.Sub(d.startedAt) >= d.times.EntryTTL && now.Sub(d.lastActivity) >= d.times.EntryTTL/2
 }
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
 	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
@@ -94,6 +95,7 @@
 		Rollouts: &forward.Rollouts{State: r.rollouts.Load, Recorder: r.recorder},
 		Origins:  r.member, VersionsFresh: r.feed.Fresh, Memory: account,
 	})
+	r.drain.refuse = r.refuseAfterDrain
 	r.entrance = r.drain.countRequests(r.load.limit(r.handler, r.handler.Refuse, r.conns.open))
 	r.handOffs = handoff.NewServer(r.ctx, r.network, r.entrance, r.takes, account, o.Log)
 	if err := r.serve(); err != nil {
@@ -273,9 +275,30 @@
 	ctx, cancel = context.WithTimeout(r.ctx, handBackTimeout)
 	r.handOffs.EndAll(ctx)
 	cancel()
+	r.closeCallers()
 	r.Close()
 }
 
+// refuseAfterDrain answers a request that comes when the process is about to end.
+func (r *Router) refuseAfterDrain(w http.ResponseWriter, q *http.Request, err error) {
+	caller, _ := r.o.Wire.ReadCaller(q.Header) // a request with odd headers is refused as well
+	r.o.RoutineLog.Info().Str("request", caller.RequestID).Int("code", int(result.CodeOf(err))).Msg("request refused by the end of the process")
+	r.handler.Refuse(w, err)
+}
+
+// lastWritesTimeout bounds the wait for answers that are complete and not yet written to their
+// connections. It is part of closeMargin.
+const lastWritesTimeout = 100 * time.Millisecond
+
+// closeCallers closes the connections of callers, each once its last answer is written.
+func (r *Router) closeCallers() {
+	ctx, cancel := context.WithTimeout(r.ctx, lastWritesTimeout)
+	defer cancel()
+	if err := r.callerServer.Shutdown(ctx); err != nil {
+		r.o.Log.Info().Err(err).Int("connections", r.conns.open()).Msg("callers' connections are closed with requests or answers on them")
+	}
+}
+
 // Close stops the router at once, without draining.
 func (r *Router) Close() {
 	r.cancel()
