forward, shutdown: a stopping router takes a stream by the longest ones of each engine

Callers saw: streams sent 3 to 6 s after SIGTERM were taken, sent to an engine and closed 400 ms before the end of the grace period, in the middle or without a first event. Cause: a stream was admitted by four times the mean of its service. An engine that is slower than that, or has just become slow, outlasts the bound; the wait for an engine was not in it; and the question was not asked again once an engine was chosen. Change: the longest times of the last minutes are kept for each engine: to the first event and between events, runs in progress with their age, scaled by prompt and output. A stream is taken if 1.5 times the longest at the quickest engine, and the present wait, lie before the end. Engines that cannot finish it are excluded, and the engine that was chosen is asked for again before the send. In the first 0.3 of the grace period the longest without the margin decides, in place of 1.5 times the mean. Until ten streams have ended here, only that first part takes any. Why it works: what bounds a stream is what its own engine has lately needed, not the mean of others.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -143,6 +143,7 @@
 	resumes    resumeTimes
 	speeds     speedTracker
 	durations  shutdown.CallDurations
+	streams    shutdown.StreamDurations
 	inFlight   *admission.InFlight
 	inProgress requestsInProgress
 	spoilers   *spoilers
@@ -283,6 +284,7 @@
 	workspace     string
 	priority      int
 	arrived       time.Time
+	readAt        time.Time // when its body was read; zero: it was not
 	expires       time.Time
 	cutOff        atomic.Bool // this VM ends before the call
 	digest        uint64
@@ -363,7 +365,7 @@
 		h.refuse(w, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter))
 		return
 	}
-	q.status.admitted = h.pendingWork(q)
+	q.status.admitted, q.readAt = h.pendingWork(q), time.Now()
 	h.inProgress.add(q)
 	defer h.inProgress.remove(q)
 	if h.mustHandOff(q) {
--- a/internal/forward/in_progress.go
+++ b/internal/forward/in_progress.go
@@ -32,6 +32,19 @@
 	delete(p.requests, q)
 }
 
+// longestWait returns how long a stream of a service that no server has received has waited.
+func (p *requestsInProgress) longestWait(service string, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	longest := time.Duration(0)
+	for q := range p.requests {
+		if q.isStream() && q.service.Name == service && q.status.sentAt.Load() == 0 {
+			longest = max(longest, q.waited(now))
+		}
+	}
+	return longest
+}
+
 func (p *requestsInProgress) all() []*request {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -52,6 +65,14 @@
 	refused  atomic.Bool  // since it could not be finished
 }
 
+// waited returns how long a request has waited since its body was read.
+func (q *request) waited(now time.Time) time.Duration {
+	if q.readAt.IsZero() {
+		return 0
+	}
+	return now.Sub(q.readAt)
+}
+
 // noteSent records that the request goes to a server.
 func (s *requestStatus) noteSent(server string) {
 	s.server.Store(&server)
--- a/internal/forward/pending_work.go
+++ b/internal/forward/pending_work.go
@@ -3,16 +3,20 @@
 import (
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 )
 
-// Multiples of the mean duration of a run.
+// longRunFactor is the duration of a long run as a multiple of the mean.
+const longRunFactor = 1.5
+
+// Bases of durations.
 const (
-	// longRunFactor is the duration of a long run.
-	longRunFactor = 1.5
-	// longestRunFactor is the duration that no run exceeds, whatever its length.
-	longestRunFactor = 4
+	basisMeanRun       = "mean run of the service"
+	basisLongestCall   = "longest call of the route"
+	basisLongestStream = "longest streams at the quickest server"
+	basisLongestThere  = "longest streams at the server"
 )
 
 // cannotFinish reports that a request cannot be finished before this VM shuts down.
@@ -28,22 +32,87 @@
 	return true
 }
 
-// Bases of durations.
-const (
-	basisMeanRun     = "mean run of the service"
-	basisLongestCall = "longest call of the route"
-)
-
 func (h *Handler) pendingWork(q *request) shutdown.Work {
-	if q.route.Kind == routes.Stream {
-		return shutdown.Work{Expected: h.runDuration(q, longRunFactor), AtMost: h.runDuration(q, longestRunFactor), Left: q.left(), Basis: basisMeanRun}
+	now := time.Now()
+	if q.route.Kind != routes.Stream {
+		bound := h.durations.Bound(q.route.Name, now)
+		return shutdown.Work{Expected: bound, AtMost: bound, Left: q.left(), Basis: basisLongestCall}
+	}
+	e := h.estimate(q)
+	if !e.Known {
+		return h.meanWork(q)
+	}
+	wait := max(e.Wait, h.inProgress.longestWait(q.service.Name, now)) - q.waited(now)
+	return longestWork(max(0, wait)+h.quickest(&e), q, basisLongestStream)
+}
+
+// workAt returns how long a stream takes once it is sent to a server.
+func (h *Handler) workAt(q *request, e *shutdown.StreamEstimate, server string) shutdown.Work {
+	took, known := e.At(server)
+	if !known {
+		return h.meanWork(q)
+	}
+	return longestWork(took, q, basisLongestThere)
+}
+
+func (h *Handler) estimate(q *request) shutdown.StreamEstimate {
+	size := shutdown.StreamSize{Prompt: q.PromptTokens, Output: q.OutputTokens, After: eventCount(q.After)}
+	return h.streams.Estimate(q.service.Name, size, time.Now())
+}
+
+// quickest returns how long a stream takes at the quickest server that is listed.
+func (h *Handler) quickest(e *shutdown.StreamEstimate) time.Duration {
+	out := e.Others
+	for id, took := range e.Servers {
+		if took < out && h.opts.Fleet.Lookup(id) != nil {
+			out = took
+		}
 	}
-	bound := h.durations.Bound(q.route.Name, time.Now())
-	return shutdown.Work{Expected: bound, AtMost: bound, Left: q.left(), Basis: basisLongestCall}
+	return out
 }
 
-// runDuration returns the duration of a stream of the service that takes a multiple of the mean; 0:
-// not known.
-func (h *Handler) runDuration(q *request, multiple float64) time.Duration {
-	return h.paces.pace(q.service.Name).ExpectedDuration(q.PromptTokens, eventCount(q.After), multiple)
+func longestWork(longest time.Duration, q *request, basis string) shutdown.Work {
+	return shutdown.Work{Expected: longest, AtMost: shutdown.WithMargin(longest), Left: q.left(), Basis: basis}
+}
+
+// meanWork is what is known of a stream of a service that this VM has hardly served.
+func (h *Handler) meanWork(q *request) shutdown.Work {
+	mean := h.paces.pace(q.service.Name).ExpectedDuration(q.PromptTokens, eventCount(q.After), longRunFactor)
+	return shutdown.Work{Expected: mean, Left: q.left(), Basis: basisMeanRun}
+}
+
+// cannotFinish reports that this VM shuts down before it could finish the stream, which
+// no engine has received. If it were held until the process ends, its caller would get
+// no answer. Refused now, it can still be served by another VM.
+func (st *streamRelay) cannotFinish() bool {
+	return st.q.history.arrivals == 0 && st.h.cannotFinish(st.q)
+}
+
+// refuseForShutdown is the choice for a stream that cannot be finished.
+func (st *streamRelay) refuseForShutdown() engineChoice {
+	st.q.setRetryAfter(otherRouterRetryAfter)
+	return engineChoice{reason: result.ShuttingDown, final: true}
+}
+
+// addTooSlow adds the engines that cannot finish the stream before this VM shuts down to those that
+// are skipped. A stream that an engine has received goes on wherever it can.
+func (st *streamRelay) addTooSlow() {
+	if st.q.history.arrivals > 0 || !st.h.opts.Closing() {
+		return
+	}
+	e := st.h.estimate(st.q)
+	for id := range e.Servers {
+		if st.h.opts.CannotFinish(st.h.workAt(st.q, &e, id)) {
+			st.skip[id] = true
+		}
+	}
+}
+
+// isTooSlow reports whether an engine cannot finish the stream before this VM shuts down.
+func (st *streamRelay) isTooSlow(engine string) bool {
+	if st.q.history.arrivals > 0 || !st.h.opts.Closing() {
+		return false
+	}
+	e := st.h.estimate(st.q)
+	return st.h.opts.CannotFinish(st.h.workAt(st.q, &e, engine))
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -173,13 +173,6 @@
 	return table != nil && table.RanksStreams(q.service.Name)
 }
 
-// cannotFinish reports that this VM shuts down before it could finish the stream, which
-// no engine has received. If it were held until the process ends, its caller would get
-// no answer. Refused now, it can still be served by another VM.
-func (st *streamRelay) cannotFinish() bool {
-	return st.q.history.arrivals == 0 && st.h.cannotFinish(st.q)
-}
-
 // stopsWaiting reports whether the stream must not wait for an engine any longer.
 func (st *streamRelay) stopsWaiting() bool { return st.cannotFinish() || st.waitedForVersion() }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -11,6 +11,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -65,6 +66,8 @@
 	probeFailed bool
 	// ticket tracks the run's first event for the roll-out under way.
 	ticket rollout.Ticket
+	// duration measures the run for what a shutdown admits.
+	duration *shutdown.StreamRun
 	// pace measures the run for the speed of its engine; nil: it is not measured.
 	pace *enginespeed.Run
 	// expectedPause is the longest gap that is usual on the engine; 0: not known.
@@ -128,6 +131,7 @@
 		return r
 	}
 	r.conn, r.outcome, r.writtenAt = conn, sendUnknown, time.Now()
+	r.beginDuration()
 	st.q.status.noteSent(s.ID)
 	r.checkStart()
 	if st.events == 0 {
@@ -142,6 +146,16 @@
 	return r
 }
 
+// beginDuration measures how long the run takes, and how long its stream waited for it.
+func (r *run) beginDuration() {
+	st, streams, service := r.st, &r.st.h.streams, r.st.q.service.Name
+	if st.sends == 1 {
+		streams.Waited(service, st.q.waited(r.writtenAt), r.writtenAt)
+	}
+	size := shutdown.StreamSize{Prompt: r.use.PendingPrompt, Output: st.q.OutputTokens, After: eventCount(st.seq.last)}
+	r.duration = streams.Begin(service, r.server.ID, size, r.sentAt)
+}
+
 func (r *run) logPlaced() {
 	st, h := r.st, r.st.h
 	if st.headSent {
@@ -323,6 +337,7 @@
 	if r.conn == nil {
 		return
 	}
+	r.duration.End(time.Now(), end == endComplete)
 	r.st.noteClosed(r)
 	r.callerTooSlow = r.results.close()
 	reusable := r.stopWatchingCaller() && (end == endComplete || end == endPlainAnswer)
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -140,6 +140,7 @@
 		r.recordVersion()
 		r.noteFirstEvent()
 	}
+	r.duration.Event(time.Now())
 	r.paceEvent()
 	st.sendHead(r.reply.resp)
 	if !st.writeEvent(e) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -263,6 +263,13 @@
 			return engineChoice{reason: result.ContentHeldBack}
 		}
 		c := st.chooseEngine()
+		if c.server != nil && st.isTooSlow(c.server.ID) {
+			st.giveBack(&c)
+			if st.cannotFinish() {
+				return st.refuseForShutdown()
+			}
+			continue
+		}
 		if c.tryAgain || c.server != nil && !st.reserve(&c) {
 			continue
 		}
@@ -274,6 +281,8 @@
 		case st.q.ctx.Err() != nil:
 			c.reason = result.RouteTimeout
 		case c.server == nil && c.final:
+		case c.server == nil && st.h.opts.Closing() && st.q.history.arrivals == 0:
+			return st.refuseForShutdown()
 		case c.server == nil && st.enginesWithheld():
 			c.reason = result.BackendsWithheld
 		case c.server == nil && st.sends == 0:
@@ -311,12 +320,17 @@
 	if c.permit, ok = st.h.gate.reserve(st.q.ctx, c.server, backpressure.NewWork); ok {
 		return true
 	}
+	st.giveBack(c)
+	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", c.server.ID).Msg("engine accepts no request now; choosing another")
+	return false
+}
+
+// giveBack gives up the engine of a choice, and excludes it.
+func (st *streamRelay) giveBack(c *engineChoice) {
 	if c.granted {
 		st.h.opts.Placer.Took(c.grant.Number)
 	}
 	st.skip[c.server.ID] = true
-	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", c.server.ID).Msg("engine accepts no request now; choosing another")
-	return false
 }
 
 // retryUrgency returns the urgency of a retry that resumes from a copy. from is nil if the
@@ -350,6 +364,7 @@
 	if st.sends >= maxSends {
 		return engineChoice{}
 	}
+	st.addTooSlow()
 	return st.requestEngine()
 }
 
