forward: a stream without an event learns that its VM ends

Callers saw: a closed connection where a stream had been sent to an engine and its router ended before the first event. Cause: only calls were told that their outcome is unknown; all streams counted as having events, whose callers come back for the rest. Change: the end of the process answers a stream that has no event, with the code of an unknown outcome, or as not run if no engine has received it.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -354,10 +354,12 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.expires)
 	defer cancel()
 	q.ctx = ctx
-	if endsWithProcess(q, r) {
+	if endsWithProcess(r) {
 		stop := context.AfterFunc(h.opts.Ending, func() {
-			q.cutOff.Store(true)
-			cancel()
+			if q.status.events.Load() == 0 {
+				q.cutOff.Store(true)
+				cancel()
+			}
 		})
 		defer stop()
 	}
@@ -390,11 +392,9 @@
 }
 
 // endsWithProcess reports whether the caller of a request is told that its outcome is unknown when
-// this VM ends. The callers of streams come back for the rest, and a VM that handed off a call
+// this VM ends, unless it has events: it comes back for the rest then. A VM that handed off a request
 // decides by itself whether to repeat it.
-func endsWithProcess(q *request, r *http.Request) bool {
-	return !q.isStream() && !handoff.IsRelayed(r.Context())
-}
+func endsWithProcess(r *http.Request) bool { return !handoff.IsRelayed(r.Context()) }
 
 // waitForLists waits for the lists on a router that has just started.
 func (h *Handler) waitForLists(r *http.Request) {
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -280,3 +280,30 @@
 		})
 	}
 }
+
+// Guards against a closed connection in place of an answer: an engine still reads the prompt of a
+// stream when the VM ends. Its caller must learn that the outcome is unknown. One that has events is
+// broken off, so that it does not look complete.
+func TestStreamThatOutlastsItsVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := engine("a")
+		slow.PrefillTime = 5 * time.Second
+		f := newFixture(t, slow)
+		defer f.shutDown()
+		none := f.send(http.MethodPost, "/s/1", "q1", "dossier")
+		time.Sleep(time.Second)
+		f.endAt(time.Now().Add(time.Second))
+		<-none.done
+		if none.broken || none.status != http.StatusGatewayTimeout && none.status != http.StatusBadGateway {
+			t.Errorf("without an event: got status %d, cut off %t; want an answer that the outcome is unknown", none.status, none.broken)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine("a"))
+		defer f.shutDown()
+		some := f.send(http.MethodPost, "/s/1", "q1", "dossier")
+		time.Sleep(2 * time.Second)
+		f.endAt(time.Now().Add(100 * time.Millisecond))
+		some.requireCompleteStream(t, 100) // the fixture's connections stay open
+	})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -415,8 +415,10 @@
 func (st *streamRelay) fail(code result.Code) {
 	h := st.h
 	switch {
-	case st.callerGone():
+	case st.callerGone() && !st.endsUnanswered():
 		h.endGone()
+	case st.endsUnanswered():
+		h.giveUp(st.w, st.q, result.ShuttingDown)
 	case st.headSent:
 		h.Stats.BrokenStreams.Inc()
 		retries := st.q.budget.Level()
@@ -432,6 +434,9 @@
 	}
 }
 
+// endsUnanswered reports that this VM ends before the stream has begun.
+func (st *streamRelay) endsUnanswered() bool { return st.q.cutOff.Load() && !st.headSent }
+
 // sendHead forwards the head of the first engine's answer.
 func (st *streamRelay) sendHead(resp *http.Response) {
 	if st.headSent {
