--- a/cmd/amaranthshelfd/main.go
+++ b/cmd/amaranthshelfd/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/node"
 	"github.com/amaranthshelf/amaranthshelf/internal/settings"
 	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
@@ -88,6 +89,7 @@
 	if err != nil {
 		return err
 	}
+	memory.LimitRuntime(s.MemoryMB << 20)
 	n, err := node.Listen(s, log)
 	if err != nil {
 		return err
--- a/cmd/amaranthshelfd/process_test.go
+++ b/cmd/amaranthshelfd/process_test.go
@@ -40,6 +40,7 @@
 type daemonProcesses struct {
 	t                  *testing.T
 	callers, operators []string
+	peers              []string
 	daemons            []*exec.Cmd
 	configs            []string
 }
@@ -85,7 +86,7 @@
 	p := &daemonProcesses{t: t}
 	dir := t.TempDir()
 	ports := freePorts(t, 3*vmCount)
-	p.callers, p.operators = ports[:vmCount], ports[vmCount:2*vmCount]
+	p.callers, p.operators, p.peers = ports[:vmCount], ports[vmCount:2*vmCount], ports[2*vmCount:]
 	var list strings.Builder
 	for i := range vmCount {
 		fmt.Fprintf(&list, "[vm:vm%d]\nzone = z%d\nroles = router, control\npeer = %s\ncallers = %s\n", i+1, i+1, ports[2*vmCount+i], p.callers[i])
--- a/cmd/amaranthshelfd/soak_system_test.go
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -86,6 +86,11 @@
 	resumeTimes []time.Duration
 	// memoryMB is the memory limit that the settings of the routers state; 0: none.
 	memoryMB int
+	// descriptors is the limit of descriptors that the settings of all processes state beside the
+	// memory limit; 0: they state neither but for the routers' memory.
+	descriptors int
+	// routerPeers and controlPeers are the addresses at which the processes serve other VMs.
+	routerPeers, controlPeers []string
 }
 
 // failBadVersion counts the votes that reach the new version. If that version is to fail, it
@@ -181,6 +186,10 @@
 		name := fmt.Sprint("control", i)
 		s.controlText = append(s.controlText, fmt.Sprintf("[process]\nkind = control\nid = %s\nzone = z%d\nseeds = %s\ndata_dir = %s/%s\nfirst_start = true\nvoters = %d\n[rollouts]\nhold = %s\n[listen]\noperators = %s\npeers = %s\n",
 			s.peers[i], i, seeds, s.dir, name, soakControls, s.versionHold(), operators, ports[i]))
+		s.controlPeers = append(s.controlPeers, ports[i])
+		if s.descriptors > 0 {
+			s.controlText[i] += fmt.Sprintf("[limits]\nmemory_mb = %d\ndescriptors = %d\n", s.memoryMB, s.descriptors)
+		}
 		add(name, s.controlText[i]+s.backendText())
 	}
 	for i := range soakRouters {
@@ -188,10 +197,14 @@
 		// and addresses are not weighted. The limits make the routers measure their load.
 		own := ports[2*soakControls+3*i:]
 		s.callers, s.routerOperators = append(s.callers, own[1]), append(s.routerOperators, own[2])
+		s.routerPeers = append(s.routerPeers, own[0])
 		memory := ""
 		if s.memoryMB > 0 {
 			memory = fmt.Sprintf("memory_mb = %d\n", s.memoryMB)
 		}
+		if s.descriptors > 0 {
+			memory += fmt.Sprintf("descriptors = %d\n", s.descriptors)
+		}
 		add(fmt.Sprint("router", i), fmt.Sprintf("[process]\nkind = router\nid = %s\nzone = z%d\nseeds = %s\ngrace = %s\n[listen]\ncallers = %s\noperators = %s\n[limits]\ncores = %d\nlink_mbps = %d\n",
 			own[0], i, seeds, cmp.Or(s.grace, soakGrace), own[1], own[2], 1<<i, 100<<i)+memory)
 	}
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -51,7 +51,7 @@
 	RolloutSlack   int64
 	// VersionHold is how long a version that nobody ordered waits for the order of a roll-out.
 	VersionHold time.Duration
-	// Limits are the resources of a router's VM; 0: not stated.
+	// Limits are the resources of the VM; 0: not stated.
 	Limits struct {
 		Cores, LinkMbps       float64
 		Descriptors, MemoryMB int64
@@ -148,11 +148,11 @@
 // checkLimits rejects limits that would have no effect.
 func (r *reader) checkLimits(s *Routed) {
 	l := s.Limits
-	if l.Cores == 0 && l.LinkMbps == 0 && (l.Descriptors != 0 || l.MemoryMB != 0) {
+	if s.Kind == RoutedRouter && l.Cores == 0 && l.LinkMbps == 0 && (l.Descriptors != 0 || l.MemoryMB != 0) {
 		r.fail("limits", "cores", "cores and link_mbps missing", "at least one of them beside descriptors and memory_mb")
 	}
 	if s.Kind == RoutedControl && (l.Cores != 0 || l.LinkMbps != 0) {
-		r.fail("limits", "", "limits of a control process have no effect", "[limits] in the settings of a router")
+		r.fail("limits", "", "cores and link_mbps of a control process have no effect", "descriptors and memory_mb")
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,6 +85,8 @@
 	DrainTimeout  time.Duration
 	EntryTTL      time.Duration // how long callers may keep an answer with the addresses of routers
 	MaxBodyBytes  int64
+	MemoryMB      int64 // of the VM; 0: not stated
+	Descriptors   int64 // that the process may open; 0: not stated
 	LogLevel      string
 	LogFormat     string
 	TraceFile     string
@@ -178,7 +180,7 @@
 	default:
 		keys, ok := r.fixedSections()[name]
 		if !ok {
-			r.fail(name, "", "unknown section", "vm, listen, tokens, platform, policy, log, vm:<id>, backend:<name>")
+			r.fail(name, "", "unknown section", "vm, listen, tokens, platform, policy, limits, log, vm:<id>, backend:<name>")
 			return
 		}
 		r.apply(sec, keys)
@@ -224,6 +226,9 @@
 			"entry_ttl":       duration(&s.EntryTTL, time.Second, time.Minute),
 			"max_body_bytes":  integer(&s.MaxBodyBytes, 1<<10, 16<<20),
 		},
+		"limits": {
+			"descriptors": integer(&s.Descriptors, 64, 1<<24), "memory_mb": integer(&s.MemoryMB, 16, 1<<24),
+		},
 		"log": {
 			"level":      oneOf(&s.LogLevel, "debug", "info", "warn", "error"),
 			"format":     oneOf(&s.LogFormat, "json", "console"),
