headlimit: what the clients of a process hold before they are served is bounded in sum

Callers saw: a process that ran out of memory, with all that it carried, over clients that sent requests made of very many short lines, or heads without an end. Cause: the head of each request had a bound, and their sum had none. A parsed line takes a hundred bytes and more however short it is, so that a head inside the limit takes 20 times its size; the bytes were read up to 256 KB for each caller, and 1 MB at the other daemon, before the limit in force was asked for. Change: all listeners of a process draw on one account. Each connection's bytes are followed before the HTTP server sees them: heads, those behind a request, and trailers count with bytes and lines. When the account is spent, the connection that holds most is closed; one whose request is being served is not, and such requests have a part of the account. Connections are bounded by the descriptors. A head over its limit is refused as it arrives. Why it works: memory is counted before it is taken, and the count is above what is taken.

--- a/cmd/amaranthshelfd/routed.go
+++ b/cmd/amaranthshelfd/routed.go
@@ -11,6 +11,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/capacity"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/headlimit"
 	"github.com/amaranthshelf/amaranthshelf/internal/inventory"
 	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
@@ -50,9 +51,11 @@
 	set := metrics.NewSet()
 	expvar.Publish("shelf", telemetry.Expvar(set))
 	signals := routed.Signals()
+	heads := headlimit.NewAccount(s.Limits.MemoryMB<<20, int(s.Limits.Descriptors))
+	headlimit.RegisterGauges(set, heads)
 	common := routed.Common{
 		ID: s.ID, Listen: s.Peers, Zone: s.Zone, Token: s.Tokens.Peer, Seeds: s.Seeds,
-		Log: log, RoutineLog: lost.RoutineLog(log), Metrics: set,
+		Log: log, RoutineLog: lost.RoutineLog(log), Metrics: set, Heads: heads,
 	}
 	sup := routed.Supervisor{Path: path, Log: log, ReadSeeds: func() ([]string, error) {
 		s, err := settings.LoadRouted(path)
@@ -80,7 +83,7 @@
 		if err != nil {
 			return nil, err
 		}
-		_, err = routed.Listen(s.Operators, routed.OperatorHandler(nil, r, s.Tokens.Operator, common.Metrics), common.Log)
+		_, err = routed.Listen(s.Operators, routed.OperatorHandler(nil, r, s.Tokens.Operator, common.Metrics), common.Heads, common.Log)
 		return r, err
 	}
 	c, err := routed.StartControl(routed.ControlOptions{
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/admission"
 	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
+	"github.com/amaranthshelf/amaranthshelf/internal/headlimit"
 	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/overload"
 	"github.com/amaranthshelf/amaranthshelf/internal/recovery"
@@ -363,6 +364,11 @@
 		})
 		defer stop()
 	}
+	if !headlimit.Serve(r.Context()) {
+		w.Header().Set("Connection", "close")
+		h.refuse(w, errQueueFull())
+		return
+	}
 	if h.cannotFinish(q) { // its body may have arrived slowly
 		h.refuse(w, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter))
 		return
--- /dev/null
+++ b/internal/headlimit/conn.go
@@ -0,0 +1,148 @@
+package headlimit
+
+import (
+	"container/list"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// headSlack is how far a head may exceed its limit before the connection is closed. The HTTP server
+	// reads as much ahead.
+	headSlack = 4 << 10
+	// lingerTime and lingerBytes bound what is read of a client whose head is too large, so that the
+	// refusal reaches it.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// conn is a client's connection. The mutex of its account guards the fields from held on; scanner is
+// used by one goroutine at a time, that of the HTTP server.
+type conn struct {
+	net.Conn
+	account *Account
+	maxHead func() int
+	scanner scanner
+	raw     atomic.Bool // it carries no requests any more
+
+	held    int
+	served  bool          // a request is being served
+	waits   *list.Element // nil: it does not wait
+	removed bool          // it does not count any more
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.raw.Load() {
+		return n, err
+	}
+	if n == 0 || c.scanner.state == inBody && c.scanner.body > int64(n) {
+		c.scanner.scan(p[:n])
+		return n, err
+	}
+	c.scanner.scan(p[:n])
+	if c.scanner.inHead > c.maxHead()+headSlack {
+		c.refuse()
+		return 0, io.EOF
+	}
+	for _, victim := range c.account.hold(c, c.scanner.current.charge()+c.scanner.next.charge()) {
+		_ = victim.Conn.Close()
+	}
+	return n, err
+}
+
+// refuse answers a head that is too large. What it held is given up first.
+func (c *conn) refuse() {
+	c.account.drop(c)
+	deadline := time.Now().Add(lingerTime)
+	_ = c.Conn.SetDeadline(deadline)
+	if _, err := io.WriteString(c.Conn, headTooLarge); err != nil {
+		return
+	}
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok && tcp.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // the client may have closed
+	}
+}
+
+// listener counts the connections that it accepts.
+type listener struct {
+	net.Listener
+	account *Account
+	maxHead func() int
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: inner, account: l.account, maxHead: l.maxHead}
+	if victim := l.account.accept(c); victim != nil {
+		_ = victim.Conn.Close()
+	}
+	return c, nil
+}
+
+// Guard makes the connections of a server count, and returns the listener that it must serve. maxHead
+// returns how many bytes a head may have. It must be called before the server serves.
+func (a *Account) Guard(s *http.Server, l net.Listener, maxHead func() int) net.Listener {
+	state := s.ConnState
+	s.ConnState = func(outer net.Conn, to http.ConnState) {
+		if c := find(outer); c != nil {
+			c.onState(to)
+		}
+		if state != nil {
+			state(outer, to)
+		}
+	}
+	s.ConnContext = func(ctx context.Context, outer net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, find(outer))
+	}
+	return listener{l, a, maxHead}
+}
+
+type connKey struct{}
+
+// find returns the counted connection that others may wrap; nil: there is none.
+func find(outer net.Conn) *conn {
+	for {
+		if c, ok := outer.(*conn); ok {
+			return c
+		}
+		wrapper, ok := outer.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		outer = wrapper.NetConn()
+	}
+}
+
+func (c *conn) onState(to http.ConnState) {
+	switch to {
+	case http.StateIdle:
+		c.scanner.nextRequest()
+		c.account.await(c)
+		c.account.hold(c, c.scanner.current.charge())
+	case http.StateHijacked:
+		c.raw.Store(true)
+		c.account.drop(c)
+	case http.StateClosed:
+		c.account.drop(c)
+	case http.StateNew, http.StateActive:
+	}
+}
+
+// Serve marks a request as served: its connection does not give way to others any more. It reports
+// false if the heads of such requests would hold too much.
+func Serve(r context.Context) bool {
+	c, _ := r.Value(connKey{}).(*conn)
+	return c == nil || c.account.serve(c)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/engine"
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
 	"github.com/amaranthshelf/amaranthshelf/internal/gateway"
+	"github.com/amaranthshelf/amaranthshelf/internal/headlimit"
 	"github.com/amaranthshelf/amaranthshelf/internal/operator"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/relay"
@@ -32,6 +33,8 @@
 const (
 	heartbeatInterval = 1 * time.Second
 	headerTimeout     = 5 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
 )
 
 // Node is one VM. Listen binds its addresses, and Start serves them.
@@ -68,8 +71,9 @@
 	ready       atomic.Bool
 	explainer   *operator.Explainer
 
-	draining   atomic.Bool   // set by Shutdown; entry answers omit this VM
-	handedOver chan struct{} // closed once the running generations are handed over
+	draining   atomic.Bool        // set by Shutdown; entry answers omit this VM
+	heads      *headlimit.Account // of the clients of all listeners
+	handedOver chan struct{}      // closed once the running generations are handed over
 	stopping   atomic.Pointer[stopWindow]
 }
 
@@ -82,7 +86,7 @@
 	n := &Node{
 		s: s, log: log, metrics: telemetry.Metrics(s.Self.ID), tracer: tracer,
 		incarnation: rand.Text()[:8], engines: engine.NewClient(), explain: explain.NewRing(explain.DefaultRequests),
-		handedOver: make(chan struct{}), failure: make(chan error, 1),
+		handedOver: make(chan struct{}), heads: headlimit.NewAccount(s.MemoryMB<<20, int(s.Descriptors)), failure: make(chan error, 1),
 	}
 	for _, b := range []struct {
 		l    *net.Listener
@@ -169,8 +173,9 @@
 }
 
 func (n *Node) serve(l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	n.servers = append(n.servers, server)
+	l = n.heads.Guard(server, l, func() int { return maxHeaderBytes })
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			n.log.Error().Err(err).Msg("listener failed")
--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -89,10 +89,11 @@
 // StartControl opens the data folder, binds the peer address and joins or forms
 // the group in the background.
 func StartControl(o ControlOptions) (*Control, error) {
+	o.setDefaults()
 	if o.Rollouts == (rollout.Limits{}) {
 		o.Rollouts = rollout.DefaultLimits
 	}
-	c := &Control{operatorServers: operatorServers{log: o.Log}, o: o, failure: make(chan error, 1), values: bulk.NewStore()}
+	c := &Control{operatorServers: operatorServers{log: o.Log, heads: o.Heads}, o: o, failure: make(chan error, 1), values: bulk.NewStore()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.network = newNetwork(&o.Common)
 	c.backendList = cluster.NewListReplica(func(l upstream.List) { c.hub.SetBackends(l) })
--- a/internal/routed/limits.go
+++ b/internal/routed/limits.go
@@ -156,6 +156,9 @@
 	}
 }
 
+// NetConn returns the connection below.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. The first bytes after an idle phase begin a header.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/routed/operator_servers.go
+++ b/internal/routed/operator_servers.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/headlimit"
 )
 
 // operatorDrainTimeout bounds how long a planned shutdown waits for requests in progress. It covers
@@ -17,13 +19,14 @@
 // routers.
 type operatorServers struct {
 	log     zerolog.Logger
+	heads   *headlimit.Account
 	servers []*http.Server
 }
 
 // Serve binds addr and serves h in the background. A planned shutdown waits for the requests that
 // were taken.
 func (o *operatorServers) Serve(addr string, h http.Handler) error {
-	server, err := Listen(addr, h, o.log)
+	server, err := Listen(addr, h, o.heads, o.log)
 	if err != nil {
 		return err
 	}
--- a/internal/routed/options.go
+++ b/internal/routed/options.go
@@ -20,6 +20,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/capacity"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/headlimit"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/rollout"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -43,6 +44,16 @@
 	RoutineLog zerolog.Logger
 	// Metrics is the process's metric set.
 	Metrics *metrics.Set
+	// Heads bounds what the clients of all listeners hold before they are served; nil: for a VM whose
+	// settings state no limits.
+	Heads *headlimit.Account
+}
+
+// setDefaults sets the dependencies that are left out.
+func (o *Common) setDefaults() {
+	if o.Heads == nil {
+		o.Heads = headlimit.NewAccount(0, 0)
+	}
 }
 
 // RouterOptions are the options of a Router.
@@ -79,20 +90,23 @@
 	EntryTTL time.Duration
 }
 
-// listen binds an address for VMs and operators, and serves it in the background
-// until the returned server is closed.
-func listen(addr string, h http.Handler, log zerolog.Logger) (*http.Server, error) {
+// Listen binds addr for VMs and operators, and serves h in the background until the returned server
+// is closed. Platform adapters use it for their own listeners.
+func Listen(addr string, h http.Handler, heads *headlimit.Account, log zerolog.Logger) (*http.Server, error) {
 	s := &http.Server{
 		Addr: addr, Handler: h, MaxHeaderBytes: DefaultLimits.MaxHeaderBytes,
 		ReadHeaderTimeout: DefaultLimits.HeaderTimeout, IdleTimeout: DefaultLimits.IdleTimeout,
 	}
-	return s, serve(s, addr, func(l net.Listener) net.Listener { return l }, log)
+	maxHead := func() int { return DefaultLimits.MaxHeaderBytes }
+	return s, serve(s, addr, func(l net.Listener) net.Listener { return heads.Guard(s, l, maxHead) }, log)
 }
 
 // listenCallers does the same for callers, with limits that follow the route list.
-func listenCallers(addr string, h http.Handler, conns *callerConns, log zerolog.Logger) (*http.Server, error) {
+func listenCallers(addr string, h http.Handler, conns *callerConns, heads *headlimit.Account, log zerolog.Logger) (*http.Server, error) {
 	s := &http.Server{Handler: conns.limitHeader(h), MaxHeaderBytes: maxConfigurableHeaderBytes, ConnState: conns.onStateChange}
-	return s, serve(s, addr, func(l net.Listener) net.Listener { return callerListener{l, conns} }, log)
+	return s, serve(s, addr, func(l net.Listener) net.Listener {
+		return callerListener{heads.Guard(s, l, conns.maxHeaderBytes), conns}
+	}, log)
 }
 
 func serve(s *http.Server, addr string, wrap func(net.Listener) net.Listener, log zerolog.Logger) error {
@@ -100,8 +114,9 @@
 	if err != nil {
 		return err
 	}
+	l = wrap(l) // before the server serves
 	go func() {
-		if err := s.Serve(wrap(l)); err != http.ErrServerClosed {
+		if err := s.Serve(l); err != http.ErrServerClosed {
 			log.Error().Err(err).Str("address", addr).Msg("listener failed")
 		}
 	}()
@@ -122,11 +137,5 @@
 func listenPeers(n *peer.Network, o *Common) (*http.Server, error) {
 	m := mux.NewRouter()
 	m.Handle(peer.Path, n)
-	return listen(cmp.Or(o.Listen, o.ID), m, o.Log)
-}
-
-// Listen binds addr for VMs and operators, and serves h in the background until the
-// returned server is closed. Platform adapters use it for their own listeners.
-func Listen(addr string, h http.Handler, log zerolog.Logger) (*http.Server, error) {
-	return listen(addr, h, log)
+	return Listen(cmp.Or(o.Listen, o.ID), m, o.Heads, o.Log)
 }
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -54,6 +54,7 @@
 
 // StartRouter binds the addresses and starts to serve.
 func StartRouter(o RouterOptions) (*Router, error) {
+	o.setDefaults()
 	r := &Router{o: o, suspectContents: forward.NewSuspectContents(o.Log), listsReady: make(chan struct{}), conns: newCallerConns(DefaultLimits), recorder: rollout.NewRecorder(time.Now)}
 	r.rollouts.Store(&rollout.State{})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
@@ -118,7 +119,7 @@
 	if r.peerServer, err = listenPeers(r.network, &r.o.Common); err != nil {
 		return err
 	}
-	r.callerServer, err = listenCallers(r.o.Endpoint, r.entrance, r.conns, r.o.Log)
+	r.callerServer, err = listenCallers(r.o.Endpoint, r.entrance, r.conns, r.o.Heads, r.o.Log)
 	return err
 }
 
--- a/internal/routed/traffic.go
+++ b/internal/routed/traffic.go
@@ -59,6 +59,9 @@
 	closed sync.Once
 }
 
+// NetConn returns the connection below.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
