--- a/cmd/amaranthshelfd/stop_test.go
+++ b/cmd/amaranthshelfd/stop_test.go
@@ -33,15 +33,15 @@
 }
 
 // stopCaller sends streams until ctx ends, whether the ones before have ended or not.
-func (c *soakClients) stopCaller(ctx context.Context, caller int, stopped time.Time, ended func(stoppedStream)) {
+func (w *soakClients) stopCaller(ctx context.Context, caller int, stopped time.Time, ended func(stoppedStream)) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := 0; timer.Sleep(ctx, stopSendGap) == nil; n++ {
 		sent := time.Now()
 		wg.Go(func() {
 			id := fmt.Sprintf("stop-%d-%d", caller, n)
-			q := routedlocal.StreamRequest{Addr: c.s.callers[0], Path: "/s/" + id, ID: id, Key: soakWorkspaces[0].key()}
-			got, err := q.Do(c.t.Context())
+			q := routedlocal.StreamRequest{Addr: w.s.callers[0], Path: "/s/" + id, ID: id, Key: soakWorkspaces[0].key()}
+			got, err := q.Do(w.t.Context())
 			ended(stoppedStream{id, sent.Sub(stopped), time.Since(stopped), got, err})
 		})
 	}
