memory: a body that does not come gives way to smaller ones

Callers saw: refusals of ordinary requests with a body, for as long as a few clients announced large bodies and did not send them. Cause: an announced body holds the part of requests until its deadline, and the next one is refused. Change: while bodies are being read, the largest gives way to a smaller one and is refused as not run; one that was read whole does not. Result: TestBodiesThatAreReadGiveWay; before, there was no way for a body to give way.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -27,6 +27,7 @@
 // receive a partial request. nil: the request has none.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, q *request) ([]byte, error) {
 	if r.ContentLength == 0 {
+		q.memory.body.Whole()
 		if r.Method == http.MethodGet || r.Method == http.MethodHead {
 			return nil, nil
 		}
@@ -41,8 +42,11 @@
 		// the rest of the body before it sends the refusal.
 		_ = rc.SetReadDeadline(time.Time{})
 	}
+	q.memory.body.Whole()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case q.memory.body.Ended():
+		return nil, errQueueFull()
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -475,6 +475,9 @@
 		return errQueueFull()
 	}
 	q.memory.body = h.opts.Memory.BeginRequest()
+	rc := http.NewResponseController(w)
+	// Only connections of tests do not support deadlines.
+	q.memory.body.GiveWay(func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 	if !q.memory.body.Add(countedBytes(r)) {
 		return errQueueFull()
 	}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -35,7 +35,8 @@
 	used     int
 	requests int // the part of used that requests hold
 	answers  map[*Answer]struct{}
-	ended    int // answers that were ended for their memory
+	reading  map[*Request]struct{} // that give way to smaller ones
+	ended    int                   // answers that were ended for their memory
 }
 
 // NewAccount returns the Account of a VM with the given memory in bytes; 0: not stated.
@@ -48,7 +49,7 @@
 
 // NewAccountOf returns an Account of limit bytes.
 func NewAccountOf(limit int) *Account {
-	return &Account{limit: limit, answers: map[*Answer]struct{}{}}
+	return &Account{limit: limit, answers: map[*Answer]struct{}{}, reading: map[*Request]struct{}{}}
 }
 
 // LargestAnswer returns how many bytes a single answer may hold.
@@ -68,41 +69,105 @@
 	return Usage{Bytes: a.used, RequestBytes: a.requests, Ended: a.ended}
 }
 
-// Request is the memory of one request.
+// Request is the memory of one request. The mutex of its account guards its fields.
 type Request struct {
 	account *Account
 	bytes   int
+	ended   bool // it gave way
+	end     func()
 }
 
 // BeginRequest adds a request that holds nothing yet.
 func (a *Account) BeginRequest() *Request { return &Request{account: a} }
 
-// Add counts further bytes of the request. It reports false, and counts nothing, if requests
-// would exceed their part of the account. Answers give way to requests within that part.
+// GiveWay lets the request give way to smaller ones until Whole. end is called at most once, if it
+// does: its body must not be read any further.
+func (r *Request) GiveWay(end func()) {
+	a := r.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r.end = end
+	a.reading[r] = struct{}{}
+}
+
+// Whole records that the body was read. The request does not give way any more.
+func (r *Request) Whole() {
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	delete(r.account.reading, r)
+}
+
+// Ended reports whether the request gave way.
+func (r *Request) Ended() bool {
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	return r.ended
+}
+
+// Add counts further bytes of the request. If requests would exceed their part of the account, the
+// largest that is being read gives way, unless this one is as large: then Add reports false and counts
+// nothing. Answers give way to requests within that part.
 func (r *Request) Add(bytes int) bool {
 	a := r.account
 	a.mu.Lock()
-	if float64(a.requests+bytes) > requestShare*float64(a.limit) {
+	if r.ended {
 		a.mu.Unlock()
 		return false
 	}
-	r.bytes += bytes
-	a.requests += bytes
-	a.used += bytes
-	victims := a.makeRoom()
+	requests, fits := a.makeRoomForRequest(r, bytes)
+	var answers []*Answer
+	if fits {
+		r.bytes += bytes
+		a.requests += bytes
+		a.used += bytes
+		answers = a.makeRoom()
+	}
 	a.mu.Unlock()
-	endAll(victims)
-	return true
+	for _, v := range requests {
+		v.end()
+	}
+	endAll(answers)
+	return fits
 }
 
-// Close releases the memory of the request.
-func (r *Request) Close() {
-	a := r.account
-	a.mu.Lock()
-	defer a.mu.Unlock()
+// makeRoomForRequest releases requests until another one fits, and returns them. It needs a.mu.
+func (a *Account) makeRoomForRequest(r *Request, bytes int) (victims []*Request, fits bool) {
+	for float64(a.requests+bytes) > requestShare*float64(a.limit) {
+		victim := a.largestRead()
+		if victim == nil || victim.bytes <= r.bytes+bytes {
+			return victims, false
+		}
+		a.releaseRequest(victim)
+		victim.ended = true
+		victims = append(victims, victim)
+	}
+	return victims, true
+}
+
+// largestRead returns the largest request that is being read; nil: there is none. It needs a.mu.
+func (a *Account) largestRead() *Request {
+	var out *Request
+	for r := range a.reading {
+		if out == nil || r.bytes > out.bytes {
+			out = r
+		}
+	}
+	return out
+}
+
+// releaseRequest needs a.mu.
+func (a *Account) releaseRequest(r *Request) {
 	a.requests -= r.bytes
 	a.used -= r.bytes
 	r.bytes = 0
+	delete(a.reading, r)
+}
+
+// Close releases the memory of the request.
+func (r *Request) Close() {
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	r.account.releaseRequest(r)
 }
 
 // Answer is the memory of one answer. The mutex of its account guards its fields.
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -86,3 +86,36 @@
 		}
 	}
 }
+
+// Guards against ordinary requests that are refused while bodies that do not come hold the part of
+// requests: the largest body that is not whole gives way to a smaller one.
+func TestBodiesThatAreReadGiveWay(t *testing.T) {
+	a := NewAccountOf(200) // 100 bytes of requests
+	ended := map[string]int{}
+	begin := func(name string, bytes int) *Request {
+		r := a.BeginRequest()
+		r.GiveWay(func() { ended[name]++ })
+		if !r.Add(bytes) {
+			t.Fatalf("%s of %d bytes is refused", name, bytes)
+		}
+		return r
+	}
+	large, whole := begin("large", 50), begin("whole", 30)
+	whole.Whole()
+	small := begin("small", 15)
+	if !small.Add(10) || ended["large"] != 1 || !large.Ended() {
+		t.Errorf("ended %v, want the large body once", ended)
+	}
+	if large.Add(1) {
+		t.Error("a body that gave way grows")
+	}
+	if second := a.BeginRequest(); second.Add(60) || ended["small"] != 0 {
+		t.Errorf("ended %v, want no body to give way to a larger one", ended)
+	}
+	for _, r := range []*Request{large, whole, small} {
+		r.Close()
+	}
+	if u := a.Usage(); u.Bytes != 0 || u.RequestBytes != 0 {
+		t.Errorf("got usage %+v after the requests, want nothing", u)
+	}
+}
