readlimit, upstream: the lines of a server's head are bounded

Operators of like systems saw: a faulty engine sent bytes without end, in a head or a body, and the machine that had called it ran out of memory. Cause: bodies and the bytes of heads have bounds here, but a head of 64 KB made of short lines takes 2 MB parsed, for each request at once. Change: a head has 512 lines at most, interim responses each; what follows its empty line does not count.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -45,6 +45,8 @@
 	// what was read ahead included. A faulty server may send bytes without a line end, and
 	// a line is collected in memory until it ends.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of a head: parsed, each takes far more than its bytes.
+	maxHeadLines = 512
 )
 
 // Errors of an exchange. ErrDial means that no connection was established, ErrBroken that
@@ -147,6 +149,7 @@
 	defer c.in.Stop()
 	req := &http.Request{Method: method}
 	for range maxInterimResponses {
+		c.in.LimitLines(maxHeadLines)
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -449,3 +449,26 @@
 }
 
 func (c *writeConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against the memory of heads that faulty servers make of very many short lines.
+func TestHeadOfManyLines(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+	for name, tt := range map[string]struct {
+		text string
+		ok   bool
+	}{
+		"as many as allowed":        {head + strings.Repeat("a:\r\n", maxHeadLines-3) + "\r\nbody", true},
+		"one more":                  {head + strings.Repeat("a:\r\n", maxHeadLines-2) + "\r\nbody", false},
+		"a body of many lines":      {head + "\r\n" + strings.Repeat("\n", 3000), true},
+		"behind interim responses":  {strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 7) + head + "\r\nbody", true},
+		"many of an interim answer": {"HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("a:\r\n", maxHeadLines) + "\r\n" + head + "\r\nbody", false},
+	} {
+		near, far := net.Pipe()
+		go func() { _, _ = far.Write([]byte(tt.text)) }()
+		resp, err := newConn(near, "s").ReadHead(http.MethodGet)
+		if (err == nil) != tt.ok || err == nil && resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: got error %v, want a response: %t", name, err, tt.ok)
+		}
+		_ = near.Close()
+	}
+}
