headlimit: a head over its limit gets a coded error as it arrives

Callers saw: 431 without the code that tells what was wrong, once heads were refused before they were read whole.

--- a/internal/headlimit/conn.go
+++ b/internal/headlimit/conn.go
@@ -1,13 +1,17 @@
 package headlimit
 
 import (
+	"bytes"
 	"container/list"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
 )
 
 const (
@@ -20,7 +24,20 @@
 	lingerBytes = 1 << 20
 )
 
-const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// writeHeadTooLarge writes the answer to a head that is too large. The HTTP server has no request to
+// answer yet.
+func writeHeadTooLarge(w io.Writer) error {
+	e := result.New(result.HeaderTooLarge)
+	body, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	resp := http.Response{
+		StatusCode: result.Lookup(e.Code).Status, ProtoMajor: 1, ProtoMinor: 1, Close: true,
+		Header: http.Header{"Content-Type": {"application/json"}}, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+	}
+	return resp.Write(w)
+}
 
 // conn is a client's connection. The mutex of its account guards the fields from held on; scanner is
 // used by one goroutine at a time, that of the HTTP server.
@@ -63,8 +80,8 @@
 	c.account.drop(c)
 	deadline := time.Now().Add(lingerTime)
 	_ = c.Conn.SetDeadline(deadline)
-	if _, err := io.WriteString(c.Conn, headTooLarge); err != nil {
-		return
+	if writeHeadTooLarge(c.Conn) != nil {
+		return // the client has closed
 	}
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok && tcp.CloseWrite() == nil {
 		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // the client may have closed
