--- a/internal/forward/pending_work.go
+++ b/internal/forward/pending_work.go
@@ -33,26 +33,30 @@
 }
 
 func (h *Handler) pendingWork(q *request) shutdown.Work {
-	now := time.Now()
 	if q.route.Kind != routes.Stream {
-		bound := h.durations.Bound(q.route.Name, now)
+		bound := h.durations.Bound(q.route.Name, time.Now())
 		return shutdown.Work{Expected: bound, AtMost: bound, Left: q.left(), Basis: basisLongestCall}
 	}
 	e := h.estimate(q)
 	if !e.Known {
 		return h.meanWork(q)
 	}
-	wait := max(e.Wait, h.inProgress.longestWait(q.service.Name, now)) - q.waited(now)
-	return longestWork(max(0, wait)+h.quickest(&e), q, basisLongestStream)
+	return longestWork(h.expectedWait(q, &e)+h.quickest(&e), q, basisLongestStream)
+}
+
+// expectedWait returns how long a stream still waits for a server, by the longest waits of late.
+func (h *Handler) expectedWait(q *request, e *shutdown.StreamEstimate) time.Duration {
+	now := time.Now()
+	return max(0, max(e.Wait, h.inProgress.longestWait(q.service.Name, now))-q.waited(now))
 }
 
-// workAt returns how long a stream takes once it is sent to a server.
-func (h *Handler) workAt(q *request, e *shutdown.StreamEstimate, server string) shutdown.Work {
+// workAt returns how long a stream takes that is sent to a server after a wait.
+func (h *Handler) workAt(q *request, e *shutdown.StreamEstimate, server string, wait time.Duration) shutdown.Work {
 	took, known := e.At(server)
 	if !known {
 		return h.meanWork(q)
 	}
-	return longestWork(took, q, basisLongestThere)
+	return longestWork(wait+took, q, basisLongestThere)
 }
 
 func (h *Handler) estimate(q *request) shutdown.StreamEstimate {
@@ -101,8 +105,9 @@
 		return
 	}
 	e := st.h.estimate(st.q)
+	wait := st.h.expectedWait(st.q, &e)
 	for id := range e.Servers {
-		if st.h.opts.CannotFinish(st.h.workAt(st.q, &e, id)) {
+		if st.h.opts.CannotFinish(st.h.workAt(st.q, &e, id, wait)) {
 			st.skip[id] = true
 		}
 	}
@@ -114,5 +119,5 @@
 		return false
 	}
 	e := st.h.estimate(st.q)
-	return st.h.opts.CannotFinish(st.h.workAt(st.q, &e, engine))
+	return st.h.opts.CannotFinish(st.h.workAt(st.q, &e, engine, 0))
 }
