headlimit: a connection counts while its head is refused

Cause: a refused connection stays open for up to half a second, so that the refusal reaches its client, and did not count among the connections meanwhile. Change: only its bytes are given up at once. Result: the package's tests pass; no run showed the gap.

--- a/internal/headlimit/conn.go
+++ b/internal/headlimit/conn.go
@@ -75,9 +75,10 @@
 	return n, err
 }
 
-// refuse answers a head that is too large. What it held is given up first.
+// refuse answers a head that is too large. The bytes that it held are given up first; the connection
+// counts until it is closed.
 func (c *conn) refuse() {
-	c.account.drop(c)
+	c.account.hold(c, 0)
 	deadline := time.Now().Add(lingerTime)
 	_ = c.Conn.SetDeadline(deadline)
 	if writeHeadTooLarge(c.Conn) != nil {
