forward, headlimit: less work for each request; one place for the memory of a VM

Cause: the last read of the change: the estimate of a stream was made for each request for the sake of a log line, the account's lock was taken for each read, a constant stood twice, and a refusal for its head left no line. Change: the estimate is made while the VM shuts down only; the account hears of changes; the memory that is assumed stands in internal/memory; the refusal is among those that are logged. A test of answers without an end sends header lines too.

--- a/cmd/amaranthshelfd/endless_test.go
+++ b/cmd/amaranthshelfd/endless_test.go
@@ -51,6 +51,7 @@
 		{"bytes that are no response", "", "\x00"},
 		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
 		{"header", ok + "A: ", "b"},
+		{"header lines", ok, "a:\r\n"},
 		{"body", ok + signed + chunked, block},
 		{"body of a failure", failed + signed + chunked, block},
 		{"body of a refusal", "HTTP/1.1 503 Service Unavailable\r\n" + forward.HeaderNotRun + ": 1\r\n" + signed + chunked, block},
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -364,16 +364,14 @@
 		})
 		defer stop()
 	}
-	if !headlimit.Serve(r.Context()) {
-		w.Header().Set("Connection", "close")
-		h.refuse(w, errQueueFull())
-		return
-	}
 	if h.cannotFinish(q) { // its body may have arrived slowly
 		h.refuse(w, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter))
 		return
 	}
-	q.status.admitted, q.readAt = h.pendingWork(q), time.Now()
+	q.readAt = time.Now()
+	if h.opts.Closing() {
+		q.status.admitted = h.pendingWork(q)
+	}
 	h.inProgress.add(q)
 	defer h.inProgress.remove(q)
 	if h.mustHandOff(q) {
@@ -482,6 +480,9 @@
 		return errQueueFull()
 	}
 	body, err := readBody(w, r, limit, q)
+	if err == nil && !headlimit.Serve(r.Context()) {
+		err = errQueueFull()
+	}
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		return err
--- a/internal/forward/in_progress.go
+++ b/internal/forward/in_progress.go
@@ -58,7 +58,7 @@
 // requestStatus is what is logged of a request that the end of the process cuts off. Its fields
 // are set while the request is served.
 type requestStatus struct {
-	admitted shutdown.Work // what was expected of it
+	admitted shutdown.Work // what was expected of it; zero: it was admitted before the shutdown
 	server   atomic.Pointer[string]
 	sentAt   atomic.Int64 // Unix nanoseconds of the first send; 0: it was not sent
 	events   atomic.Int64 // that the caller was sent
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -27,10 +27,10 @@
 	RunsHeld        *metrics.Counter // runs that were kept open while their engine was silent
 	HeldRunsGoOn    *metrics.Counter // of these, those with which the stream went on
 	CallersGone     *metrics.Counter
-	// ShutdownRefusals counts the requests that were refused since this VM shuts down, and
-	// ShutdownCutOffs those that its end cut off.
-	ShutdownRefusals, ShutdownCutOffs *metrics.Counter
-	HandOffs                          *metrics.Counter // requests offered to other VMs, since this one reaches no server of their service
+	// ShutdownRefusals counts the requests that were refused since this VM shuts down.
+	ShutdownRefusals *metrics.Counter
+	ShutdownCutOffs  *metrics.Counter // requests that the end of the process cut off
+	HandOffs         *metrics.Counter // requests offered to other VMs, since this one reaches no server of their service
 	// CallGrantFallbacks counts the calls for which no control VM granted a usable server, and
 	// about which this VM decided by itself.
 	CallGrantFallbacks *metrics.Counter
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -415,10 +415,10 @@
 func (st *streamRelay) fail(code result.Code) {
 	h := st.h
 	switch {
-	case st.callerGone() && !st.endsUnanswered():
-		h.endGone()
 	case st.endsUnanswered():
 		h.giveUp(st.w, st.q, result.ShuttingDown)
+	case st.callerGone():
+		h.endGone()
 	case st.headSent:
 		h.Stats.BrokenStreams.Inc()
 		retries := st.q.budget.Level()
--- a/internal/headlimit/account.go
+++ b/internal/headlimit/account.go
@@ -15,6 +15,8 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 )
 
 const (
@@ -25,8 +27,6 @@
 	// connsShare is the part of the descriptors that the connections of clients may use. Connections to
 	// servers and files need the rest.
 	connsShare = 0.6
-	// assumedVMBytes is the memory of a VM whose settings state none.
-	assumedVMBytes = 256 << 20
 	// lineBytes is the memory of a parsed header line besides its bytes, twice: the line is copied to
 	// be passed on.
 	lineBytes = 256
@@ -56,11 +56,8 @@
 // NewAccount returns the Account of a VM with the given memory in bytes and descriptors; 0: not
 // stated.
 func NewAccount(vmBytes int64, descriptors int) *Account {
-	if vmBytes <= 0 {
-		vmBytes = assumedVMBytes
-	}
 	return &Account{
-		limit: int(memoryShare * float64(vmBytes)), maxConns: int(connsShare * float64(descriptors)),
+		limit: int(memoryShare * float64(memory.VMBytes(vmBytes))), maxConns: int(connsShare * float64(descriptors)),
 		holders: map[*conn]struct{}{}, waiting: list.New(),
 	}
 }
--- a/internal/headlimit/conn.go
+++ b/internal/headlimit/conn.go
@@ -39,13 +39,14 @@
 	return resp.Write(w)
 }
 
-// conn is a client's connection. The mutex of its account guards the fields from held on; scanner is
-// used by one goroutine at a time, that of the HTTP server.
+// conn is a client's connection. The mutex of its account guards the fields from held on; scanner and
+// counted are used by one goroutine of the HTTP server at a time.
 type conn struct {
 	net.Conn
 	account *Account
 	maxHead func() int
 	scanner scanner
+	counted int         // what the account was told last
 	raw     atomic.Bool // it carries no requests any more
 
 	held    int
@@ -57,11 +58,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.raw.Load() {
-		return n, err
-	}
-	if n == 0 || c.scanner.state == inBody && c.scanner.body > int64(n) {
-		c.scanner.scan(p[:n])
+	if n == 0 || c.raw.Load() {
 		return n, err
 	}
 	c.scanner.scan(p[:n])
@@ -69,10 +66,21 @@
 		c.refuse()
 		return 0, io.EOF
 	}
-	for _, victim := range c.account.hold(c, c.scanner.current.charge()+c.scanner.next.charge()) {
+	c.count()
+	return n, err
+}
+
+// count tells the account what the heads on the connection hold, if that has changed, and closes the
+// connections that give way.
+func (c *conn) count() {
+	bytes := c.scanner.current.charge() + c.scanner.next.charge()
+	if bytes == c.counted {
+		return
+	}
+	c.counted = bytes
+	for _, victim := range c.account.hold(c, bytes) {
 		_ = victim.Conn.Close()
 	}
-	return n, err
 }
 
 // refuse answers a head that is too large. The bytes that it held are given up first; the connection
@@ -148,7 +156,7 @@
 	case http.StateIdle:
 		c.scanner.nextRequest()
 		c.account.await(c)
-		c.account.hold(c, c.scanner.current.charge())
+		c.count()
 	case http.StateHijacked:
 		c.raw.Store(true)
 		c.account.drop(c)
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -41,10 +41,7 @@
 
 // NewAccount returns the Account of a VM with the given memory in bytes; 0: not stated.
 func NewAccount(vmBytes int64) *Account {
-	if vmBytes <= 0 {
-		vmBytes = assumedVMBytes
-	}
-	return NewAccountOf(int(accountShare * float64(vmBytes)))
+	return NewAccountOf(int(accountShare * float64(VMBytes(vmBytes))))
 }
 
 // NewAccountOf returns an Account of limit bytes.
