--- a/internal/forward/explain_test.go
+++ b/internal/forward/explain_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -29,6 +30,19 @@
 	return b.buf.Write(p)
 }
 
+// naming returns the number of lines with a message that name a request.
+func (b *logBuffer) naming(request, message string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for line := range strings.Lines(b.buf.String()) {
+		if strings.Contains(line, strconv.Quote(request)) && strings.Contains(line, message) {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *logBuffer) explanation(t *testing.T, request string) explain.Explanation {
 	t.Helper()
 	b.mu.Lock()
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -5,9 +5,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -47,6 +44,25 @@
 	return out
 }
 
+// countAnswered returns how many requests of a VM that shuts down were answered whole. The others must
+// be refused as not run. The requests were sent a while apart; isLate reports an answer that came after
+// the end of the VM.
+func (f *fixture) countAnswered(prefix string, answers []*answer, apart time.Duration, isLate func(*answer) bool) int {
+	f.t.Helper()
+	answered := 0
+	for i, a := range answers {
+		<-a.done
+		id, cutOff := fmt.Sprint(prefix, i), a.broken || isLate(a)
+		switch {
+		case !cutOff && a.status == http.StatusOK:
+			answered++
+		case cutOff || a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || f.totalRuns(id) != 0:
+			f.t.Errorf("%s, sent after %v: status %d, cut off %t, %d runs; want an answer, or a refusal and no run", id, time.Duration(i)*apart, a.status, cutOff, f.totalRuns(id))
+		}
+	}
+	return answered
+}
+
 // Guards against a call that a VM takes on its way out and cuts off although its server works, so
 // that nobody knows whether it has run; and against calls that are refused although they can be
 // answered.
@@ -79,17 +95,9 @@
 				f.setVoteTimeout(tt.timeout)
 				f.vote("before", tt.before, apart)
 				f.endAt(time.Now().Add(grace))
-				answered := 0
-				for i, a := range f.vote("q", calls, apart) {
-					id := fmt.Sprint("q", i)
-					late := len(a.arrived) > 0 && a.arrived[0].After(f.endsAt.Load().Add(lastAnswers))
-					switch {
-					case !late && !a.broken && a.status == http.StatusOK:
-						answered++
-					case a.broken || late || a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || f.totalRuns(id) != 0:
-						t.Errorf("%s, sent after %v: status %d, cut off %t, %d runs; want an answer, or a refusal and no run", id, time.Duration(i)*apart, a.status, a.broken || late, f.totalRuns(id))
-					}
-				}
+				answered := f.countAnswered("q", f.vote("q", calls, apart), apart, func(a *answer) bool {
+					return len(a.arrived) > 0 && a.arrived[0].After(f.endsAt.Load().Add(lastAnswers))
+				})
 				if answered < tt.answered {
 					t.Errorf("%d calls answered, want %d or more of %d", answered, tt.answered, calls)
 				}
@@ -143,35 +151,10 @@
 	})
 }
 
-// logLines collects log lines. It is safe for concurrent use.
-type logLines struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *logLines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-// naming returns the lines with a message that name a request.
-func (l *logLines) naming(request, message string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for line := range strings.Lines(l.text.String()) {
-		if strings.Contains(line, strconv.Quote(request)) && strings.Contains(line, message) {
-			n++
-		}
-	}
-	return n
-}
-
 // Guards against a shutdown that leaves no trace of the requests that it refuses or cuts off.
 func TestShutdownLogsWhatItRefusesAndCutsOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var lines logLines
+		var lines logBuffer
 		f := newFixtureWithLog(t, zerolog.New(&lines), engine("a"), voteServer("a"))
 		defer f.shutDown()
 		stream := f.send(http.MethodPost, "/s/1", "cut", "dossier")
@@ -261,17 +244,9 @@
 				for _, a := range before {
 					<-a.done
 				}
-				whole := 0
-				for i, a := range during {
-					<-a.done
-					late := a.status == http.StatusOK && a.arrived[len(a.arrived)-1].After(*f.endsAt.Load())
-					switch id := fmt.Sprint("q", i); {
-					case a.status == http.StatusOK && !late && !a.broken:
-						whole++
-					case a.broken || late || a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || f.totalRuns(id) != 0:
-						t.Errorf("%s, sent after %v: status %d, cut off %t, %d runs; want an answer, or a refusal and no run", id, time.Duration(i)*apart, a.status, a.broken || late, f.totalRuns(id))
-					}
-				}
+				whole := f.countAnswered("q", during, apart, func(a *answer) bool {
+					return a.status == http.StatusOK && a.arrived[len(a.arrived)-1].After(*f.endsAt.Load())
+				})
 				t.Logf("%d of %d streams whole", whole, streams)
 				if whole < tt.whole {
 					t.Errorf("%d streams whole, want %d or more of %d", whole, tt.whole, streams)
