forward, daemon tests: rare long requests that are taken late in a stop

A stopping router takes a stream late in its grace period since 1.5 times the longest of those before would end in time, and cuts off one that takes longer.

The fixture of forward decides by the window of the product now, in place of one of its own; the tests that use it pass as before.

--- a/cmd/amaranthshelfd/soak_system_test.go
+++ b/cmd/amaranthshelfd/soak_system_test.go
@@ -82,6 +82,9 @@
 	events int
 	// grace is the grace period of the routers; 0: soakGrace.
 	grace time.Duration
+	// rareTimes returns, for a service, how many times as long as others a request takes; nil: none
+	// takes longer.
+	rareTimes func(service string) func(id string) int
 	// resumeTimes are the times that the engines take to resume from a copy; nil: none.
 	resumeTimes []time.Duration
 	// memoryMB is the memory limit that the settings of the routers state; 0: none.
@@ -163,6 +166,9 @@
 // addServer starts a server on loopback behind a fault proxy. The server's address becomes
 // the proxy's, so that routers and other servers connect through the proxy.
 func (s *soakSystem) addServer(e *routedengine.Server) {
+	if s.rareTimes != nil {
+		e.Times = s.rareTimes(e.Service)
+	}
 	if err := s.net.ListenTCP(e); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -48,8 +48,8 @@
 	unreadBytes      int  // of the memory account; 0: the default
 	memory           *memory.Account
 	shutdownTimeLeft time.Duration             // until the router stops; 0: it is not shutting down
-	endsAt           atomic.Pointer[time.Time] // when the router ends its calls; nil: it is not shutting down
-	ending           context.Context           // ends at endsAt
+	stop             atomic.Pointer[stop]      // nil: the router is not shutting down
+	ending           context.Context           // ends with the stop
 	end              context.CancelFunc
 	versionsStale    bool            // the router's copy of the known versions is out of date
 	catchesUp        func()          // brings the copy of the known versions up to date, just before it is asked whether it is fresh; nil: nothing does
@@ -70,25 +70,33 @@
 	return out
 }
 
+// stop is a planned shutdown of the router.
+type stop struct {
+	began  time.Time
+	window shutdown.Window
+}
+
+func (s *stop) endsAt() time.Time { return s.began.Add(s.window.Grace) }
+
 func (f *fixture) cannotFinish(w shutdown.Work) bool {
-	endsAt := f.endsAt.Load()
-	if endsAt == nil {
-		return f.shutdownTimeLeft > 0 && w.Expected > f.shutdownTimeLeft && w.Left > f.shutdownTimeLeft
+	if s := f.stop.Load(); s != nil {
+		return s.window.CannotFinish(time.Since(s.began), w)
 	}
-	remaining := time.Until(*endsAt)
-	return w.Left > remaining && (w.AtMost == 0 || w.AtMost > remaining)
+	return f.shutdownTimeLeft > 0 && w.Expected > f.shutdownTimeLeft && w.Left > f.shutdownTimeLeft
 }
 
 func (f *fixture) isClosing() bool {
-	return f.closing || f.shutdownTimeLeft > 0 || f.endsAt.Load() != nil
+	return f.closing || f.shutdownTimeLeft > 0 || f.stop.Load() != nil
 }
 
-// setEnd makes the router expect that it ends its calls at a moment.
-func (f *fixture) setEnd(t time.Time) { f.endsAt.Store(&t) }
+// setEnd makes the router expect that it ends its calls at a moment, late in its grace period.
+func (f *fixture) setEnd(t time.Time) {
+	f.stop.Store(&stop{began: t.Add(-time.Hour), window: shutdown.Window{Grace: time.Hour}})
+}
 
 // endAt makes the router shut down: it ends its calls at a moment.
 func (f *fixture) endAt(t time.Time) {
-	f.setEnd(t)
+	f.stop.Store(&stop{began: time.Now(), window: shutdown.Window{Grace: time.Until(t)}})
 	time.AfterFunc(time.Until(t), f.end)
 }
 
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -96,7 +96,7 @@
 				f.vote("before", tt.before, apart)
 				f.endAt(time.Now().Add(grace))
 				answered := f.countAnswered("q", f.vote("q", calls, apart), apart, func(a *answer) bool {
-					return len(a.arrived) > 0 && a.arrived[0].After(f.endsAt.Load().Add(lastAnswers))
+					return len(a.arrived) > 0 && a.arrived[0].After(f.stop.Load().endsAt().Add(lastAnswers))
 				})
 				if answered < tt.answered {
 					t.Errorf("%d calls answered, want %d or more of %d", answered, tt.answered, calls)
@@ -245,7 +245,7 @@
 					<-a.done
 				}
 				whole := f.countAnswered("q", during, apart, func(a *answer) bool {
-					return a.status == http.StatusOK && a.arrived[len(a.arrived)-1].After(*f.endsAt.Load())
+					return a.status == http.StatusOK && a.arrived[len(a.arrived)-1].After(f.stop.Load().endsAt())
 				})
 				t.Logf("%d of %d streams whole", whole, streams)
 				if whole < tt.whole {
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -67,6 +67,8 @@
 	NamesPath     bool          // each event states the path of its stream
 	NamesVersion  bool          // each event states the server's version
 	NamesMemory   bool          // each event states the request whose prompt the run goes on from
+	// Times returns how many times as long as others a request takes; nil: none takes longer.
+	Times func(id string) int
 	// Intercept, if set, may answer a request, and reports whether it did.
 	Intercept func(s *Server, w http.ResponseWriter, r *http.Request) bool
 
@@ -97,9 +99,16 @@
 // Slow makes prompts and events take a number of times as long from now on.
 func (s *Server) Slow(times int) { s.slowdown.Store(int64(times)) }
 
-// slowed returns how long something takes.
-func (s *Server) slowed(d time.Duration) time.Duration {
-	return d * time.Duration(max(1, s.slowdown.Load()))
+// slowed returns how long a part of a stream takes.
+func (s *Server) slowed(id string, d time.Duration) time.Duration {
+	return s.timesOf(id) * d * time.Duration(max(1, s.slowdown.Load()))
+}
+
+func (s *Server) timesOf(id string) time.Duration {
+	if s.Times == nil {
+		return 1
+	}
+	return time.Duration(s.Times(id))
 }
 
 // Set changes the state. Dead resets every connection and drops every copy.
--- a/internal/standin/routedengine/serve.go
+++ b/internal/standin/routedengine/serve.go
@@ -124,7 +124,7 @@
 // AnswerCall runs a call and answers it with a status.
 func (s *Server) AnswerCall(w http.ResponseWriter, r *http.Request, status int) {
 	s.RecordRun(r, 0, false)
-	s.pause(r, s.CallTime)
+	s.pause(r, s.timesOf(r.Header.Get(forward.HeaderRequestID))*s.CallTime)
 	s.sign(w, r)
 	w.WriteHeader(status)
 	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(forward.HeaderRequestID))
@@ -168,7 +168,7 @@
 func (s *Server) stream(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(forward.HeaderRequestID)
 	after, _ := strconv.ParseUint(r.Header.Get(forward.HeaderLastEvent), 10, 64)
-	prefill, memory, wait := true, id, s.slowed(s.PrefillTime)
+	prefill, memory, wait := true, id, s.slowed(id, s.PrefillTime)
 	if from := r.Header.Get(forward.HeaderCopyFrom); from != "" {
 		var ok bool
 		if memory, ok = s.consumeCopy(from); !ok {
@@ -196,7 +196,7 @@
 		of += MemoryMark + memory
 	}
 	for n := after + 1; n <= uint64(s.Events); n++ {
-		if !s.pause(r, s.slowed(s.EventInterval)) || !s.awaitAnswering(r, Unresponsive, Silent, Stalled) {
+		if !s.pause(r, s.slowed(id, s.EventInterval)) || !s.awaitAnswering(r, Unresponsive, Silent, Stalled) {
 			return
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d%s\n\n", n, n, of)
