shutdown: late in a stop only what ends by its deadline is taken

What callers saw: streams sent 3.6 to 6.8 s after SIGTERM to a router were taken, and cut off in the middle 0.4 s before the end of the grace period.

Cause: 1.5 times the longest request of the last minutes was taken for a bound, once ten were seen. The next request is longer than n before it with a chance of 1 in n + 1, whatever their distribution, and a router that has just started has seen few. Calls had the same record.

Change: after the first 0.3 of the grace a request is taken only if its deadline or its route's timeout lies before the end; this holds for streams and calls, in routers and in the older daemon. No record can make it wrong, and it does not change while a request waits. The rest is refused at once as not run; callers' addresses of the VM have expired by then. The record still decides in the first 0.3, which engines are too slow and what is not expected to end. Work.AtMost and the margin for streams are gone.

--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -47,9 +47,9 @@
 	closing          bool // the router is shutting down
 	unreadBytes      int  // of the memory account; 0: the default
 	memory           *memory.Account
-	shutdownTimeLeft time.Duration             // until the router stops; 0: it is not shutting down
-	stop             atomic.Pointer[stop]      // nil: the router is not shutting down
-	ending           context.Context           // ends with the stop
+	shutdownTimeLeft time.Duration        // until the router stops; 0: it is not shutting down
+	stop             atomic.Pointer[stop] // nil: the router is not shutting down
+	ending           context.Context      // ends with the stop
 	end              context.CancelFunc
 	versionsStale    bool            // the router's copy of the known versions is out of date
 	catchesUp        func()          // brings the copy of the known versions up to date, just before it is asked whether it is fresh; nil: nothing does
@@ -78,6 +78,16 @@
 
 func (s *stop) endsAt() time.Time { return s.began.Add(s.window.Grace) }
 
+// earlyPart is the part of a stop in which requests are taken that usually end in time.
+const earlyPart = 0.3
+
+// surelyEnds reports whether a request that is sent some time after the stop began ends by its deadline.
+func (s *stop) surelyEnds(sent, timeout time.Duration) bool { return sent+timeout <= s.window.Grace }
+
+func (s *stop) isEarly(sent time.Duration) bool {
+	return sent <= time.Duration(earlyPart*float64(s.window.Grace))
+}
+
 func (f *fixture) cannotFinish(w shutdown.Work) bool {
 	if s := f.stop.Load(); s != nil {
 		return s.window.CannotFinish(time.Since(s.began), w)
@@ -258,6 +268,7 @@
 	arrived []time.Time // of each write
 	broken  bool        // the connection was aborted
 	done    chan struct{}
+	took    time.Duration // until done
 	leave   context.CancelFunc
 	// lengthUnstated is set if the caller does not state the length of its body.
 	lengthUnstated bool
@@ -336,8 +347,10 @@
 	}
 	ctx, cancel := context.WithCancel(f.t.Context())
 	a.header, a.done, a.deadline, a.leave = http.Header{}, make(chan struct{}), make(chan struct{}), cancel
+	sent := time.Now()
 	go func() {
 		defer close(a.done)
+		defer func() { a.took = time.Since(sent) }()
 		defer func() {
 			if p := recover(); p != nil {
 				if p != http.ErrAbortHandler {
--- a/internal/forward/pending_work.go
+++ b/internal/forward/pending_work.go
@@ -34,14 +34,13 @@
 
 func (h *Handler) pendingWork(q *request) shutdown.Work {
 	if q.route.Kind != routes.Stream {
-		bound := h.durations.Bound(q.route.Name, time.Now())
-		return shutdown.Work{Expected: bound, AtMost: bound, Left: q.left(), Basis: basisLongestCall}
+		return shutdown.Work{Expected: h.durations.Expected(q.route.Name, time.Now()), Left: q.left(), Basis: basisLongestCall}
 	}
 	e := h.estimate(q)
 	if !e.Known {
 		return h.meanWork(q)
 	}
-	return longestWork(h.expectedWait(q, &e)+h.quickest(&e), q, basisLongestStream)
+	return shutdown.Work{Expected: h.expectedWait(q, &e) + h.quickest(&e), Left: q.left(), Basis: basisLongestStream}
 }
 
 // expectedWait returns how long a stream still waits for a server, by the longest waits of late.
@@ -56,7 +55,7 @@
 	if !known {
 		return h.meanWork(q)
 	}
-	return longestWork(wait+took, q, basisLongestThere)
+	return shutdown.Work{Expected: wait + took, Left: q.left(), Basis: basisLongestThere}
 }
 
 func (h *Handler) estimate(q *request) shutdown.StreamEstimate {
@@ -75,10 +74,6 @@
 	return out
 }
 
-func longestWork(longest time.Duration, q *request, basis string) shutdown.Work {
-	return shutdown.Work{Expected: longest, AtMost: shutdown.WithMargin(longest), Left: q.left(), Basis: basis}
-}
-
 // meanWork is what is known of a stream of a service that this VM has hardly served.
 func (h *Handler) meanWork(q *request) shutdown.Work {
 	mean := h.paces.pace(q.service.Name).ExpectedDuration(q.PromptTokens, eventCount(q.After), longRunFactor)
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -168,8 +168,8 @@
 	if s.g.cfg.CannotFinish == nil {
 		return false
 	}
-	bound := s.durations.Bound(name, time.Now())
-	return s.g.cfg.CannotFinish(shutdown.Work{Expected: bound, AtMost: bound, Left: service.MaxCallTime})
+	expected := s.durations.Expected(name, time.Now())
+	return s.g.cfg.CannotFinish(shutdown.Work{Expected: expected, Left: service.MaxCallTime})
 }
 
 func withQuery(path, query string) string {
--- a/internal/shutdown/call_durations.go
+++ b/internal/shutdown/call_durations.go
@@ -6,20 +6,19 @@
 	"time"
 )
 
-// A VM that is stopped must not take a call that its servers answer only after the process has
-// ended: nobody could tell the caller what became of it. Nor may it refuse every call whose
-// deadline is far away, since most are answered within a small part of it. The longest call of
-// the last minutes tells the two apart. A mean would not: a route may lead to short and long
-// calls.
+// A VM that has just been ordered to stop must not take a call that its servers usually answer only
+// after the process has ended: nobody could tell the caller what became of it. Nor may it refuse
+// every call whose deadline is far away, since callers still hold its address. The longest call of
+// the last minutes tells the two apart. A mean would not: a route may lead to short and long calls.
 
 const (
-	// minDurations is the number of requests from which a bound is known.
+	// minDurations is the number of requests from which durations are known.
 	minDurations = 10
 	// durationMargin allows for requests that take longer than those before them.
 	durationMargin = 1.5
 )
 
-// CallDurations bounds how long the calls of each route take. The zero value is empty. It is
+// CallDurations estimates how long the calls of each route take. The zero value is empty. It is
 // safe for concurrent use.
 type CallDurations struct {
 	mu      sync.Mutex
@@ -65,9 +64,9 @@
 	return calls == 0 && len(r.pending) == 0
 }
 
-// Bound returns how long a call of a route takes at most; 0: not known. A call in progress counts
-// with its age, since its servers may just have become slow.
-func (c *CallDurations) Bound(route string, now time.Time) time.Duration {
+// Expected returns how long a call of a route takes, by the longest of late and a margin; 0: not
+// known. A call in progress counts with its age, since its servers may just have become slow.
+func (c *CallDurations) Expected(route string, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.routes[route]
@@ -81,5 +80,5 @@
 	for began := range r.pending {
 		longest = max(longest, now.Sub(*began))
 	}
-	return WithMargin(longest)
+	return time.Duration(durationMargin * float64(longest))
 }
--- a/internal/shutdown/stream_durations.go
+++ b/internal/shutdown/stream_durations.go
@@ -8,7 +8,7 @@
 )
 
 // The engines of a service differ in speed, and one may be loaded, cold or behind a long prompt. A
-// stream that is taken by the mean of the service is cut off at a slow engine. So the longest times
+// stream that is taken early in a stop by the mean of the service is cut off at a slow engine. So the longest times
 // of the last minutes are kept for each engine, in three parts: the wait for an engine, the time to
 // the first event and the time between events.
 
@@ -27,7 +27,7 @@
 	After  int // events that the caller has
 }
 
-// StreamDurations bounds how long streams take at each server. The zero value is empty. It is safe
+// StreamDurations estimates how long streams take at each server. The zero value is empty. It is safe
 // for concurrent use.
 type StreamDurations struct {
 	mu       sync.Mutex
@@ -219,8 +219,3 @@
 	}
 	return e.Others, e.Known
 }
-
-// WithMargin returns what a request takes at most, if those before it took longest.
-func WithMargin(longest time.Duration) time.Duration {
-	return time.Duration(durationMargin * float64(longest))
-}
--- a/internal/shutdown/stream_durations_test.go
+++ b/internal/shutdown/stream_durations_test.go
@@ -25,7 +25,7 @@
 	r.End(c.now, true)
 }
 
-// Guards against a bound that is too short: for a stream at a slow server, at one that has just become
+// Guards against an estimate that is too short: for a stream at a slow server, at one that has just become
 // slow or of which little is known, for a larger stream than those before; and against one that
 // counts what the caller has.
 func TestStreamDurations(t *testing.T) {
--- a/internal/shutdown/window.go
+++ b/internal/shutdown/window.go
@@ -6,17 +6,16 @@
 
 import "time"
 
-// earlyShare is the fraction of the grace period during which requests of unknown duration
-// are admitted, since callers keep entry answers for some seconds. One that is refused runs
-// completely elsewhere.
+// earlyShare is the fraction of the grace period during which requests are admitted that usually
+// end in time, or of unknown duration, since callers keep entry answers for some seconds. One that
+// is refused runs completely elsewhere.
 const earlyShare = 0.3
 
 // Work is how long a request takes from now on.
 type Work struct {
-	Expected time.Duration // what few exceed; 0: not known
-	AtMost   time.Duration // what none is known to exceed; 0: not known
+	Expected time.Duration // by the requests before it; 0: not known
 	Left     time.Duration // until its deadline
-	Basis    string        // of the durations, for logs
+	Basis    string        // of Expected, for logs
 }
 
 // Window is the time that a process has to end its requests.
@@ -27,14 +26,13 @@
 
 // CannotFinish reports whether a request that comes elapsed after the order to stop could not
 // finish in time. At first, callers still hold this VM's address, and what usually finishes is
-// admitted. Later on, only what is certain to finish.
+// admitted. Later on, only what is certain to finish: its deadline is in time. The durations of
+// requests before it are no proof, since any request may be the longest so far.
 func (w Window) CannotFinish(elapsed time.Duration, work Work) bool {
 	remaining := w.Grace - w.Margin - elapsed
-	switch {
-	case work.Left <= remaining:
+	if work.Left <= remaining {
 		return false // its caller gets an answer by its deadline
-	case elapsed <= time.Duration(earlyShare*float64(w.Grace)):
-		return work.Expected > remaining
 	}
-	return work.AtMost == 0 || work.AtMost > remaining
+	isEarly := elapsed <= time.Duration(earlyShare*float64(w.Grace))
+	return !isEarly || work.Expected > remaining
 }
