shutdown: the early part of a stop lasts no longer than callers hold the VM's address

What callers may see: with a long grace period, a request of unknown duration that comes seconds after SIGTERM is taken and cut off.

Cause: the part in which such requests are taken was 0.3 of the grace period, 9 s of 30, though its reason, that callers still hold the address, ends after the entry TTL.

Change: it lasts as long as callers may hold the address, and 0.3 of the grace period at most: 2.3 s in routers (8 s of grace: 2.4 s before), the entry TTL in the older daemon.

TestLongGracePeriodDoesNotProlongItsEarlyPart failed before (taken 2.6 s after the start of 30 s).

--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithTimeout(ctx, n.s.DrainTimeout)
 	defer cancel()
 	if end, ok := ctx.Deadline(); ok {
-		n.stopping.Store(&stopWindow{time.Now(), shutdown.Window{Grace: time.Until(end), Margin: closeMargin}})
+		n.stopping.Store(&stopWindow{time.Now(), shutdown.Window{Grace: time.Until(end), Margin: closeMargin, Early: n.s.EntryTTL}})
 	}
 	n.ready.Store(false)
 	n.draining.Store(true)
--- a/internal/routed/drain.go
+++ b/internal/routed/drain.go
@@ -62,7 +62,13 @@
 	if d.startedAt.IsZero() {
 		return false
 	}
-	return shutdown.Window{Grace: d.times.Grace, Margin: closeMargin}.CannotFinish(time.Since(d.startedAt), w)
+	return d.times.window().CannotFinish(time.Since(d.startedAt), w)
+}
+
+// window returns the decision about requests that come during the drain. A control VM that misses the
+// notice of leave names this router until it misses its heartbeats, for about an EntryTTL.
+func (t DrainTimes) window() shutdown.Window {
+	return shutdown.Window{Grace: t.Grace, Margin: closeMargin, Early: leaveNoticeTimeout + 2*t.EntryTTL}
 }
 
 // left returns how long the router still serves requests; 0 or less: its time is over.
--- a/internal/routed/drain_test.go
+++ b/internal/routed/drain_test.go
@@ -121,6 +121,30 @@
 	})
 }
 
+// Guards against a request of unknown duration that is taken long after callers have given up the
+// address of this VM, since its grace period is long, and is cut off.
+func TestLongGracePeriodDoesNotProlongItsEarlyPart(t *testing.T) {
+	for _, tt := range []struct {
+		grace, at time.Duration
+		refused   bool
+	}{
+		{30 * time.Second, 2 * time.Second, false},
+		{30 * time.Second, 2600 * time.Millisecond, true},
+		{5 * time.Minute, 2600 * time.Millisecond, true},
+		{4 * time.Second, time.Second, false},
+		{4 * time.Second, 1300 * time.Millisecond, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDrain(DrainTimes{Grace: tt.grace, EntryTTL: time.Second})
+			d.start()
+			time.Sleep(tt.at)
+			if got := d.cannotFinish(shutdown.Work{Left: time.Hour}); got != tt.refused {
+				t.Errorf("%v after the start of a grace period of %v: refused %t, want %t", tt.at, tt.grace, got, tt.refused)
+			}
+		})
+	}
+}
+
 // Guards against a stream that is cut off by a shutdown. A router begins to shut down,
 // and a caller whose entry answer still names it sends a stream. A stream that would
 // outlast the grace period must be refused, since it runs completely elsewhere. A stream
--- a/internal/shutdown/window.go
+++ b/internal/shutdown/window.go
@@ -6,9 +6,9 @@
 
 import "time"
 
-// earlyShare is the fraction of the grace period during which requests are admitted that usually
-// end in time, or of unknown duration, since callers keep entry answers for some seconds. One that
-// is refused runs completely elsewhere.
+// earlyShare bounds the early part of the grace period, as a fraction of it. During that part requests
+// are admitted that usually end in time, or of unknown duration, since callers may still hold this
+// VM's address. One that is refused runs completely elsewhere.
 const earlyShare = 0.3
 
 // Work is how long a request takes from now on.
@@ -22,6 +22,7 @@
 type Window struct {
 	Grace  time.Duration // from the order to stop until the process is killed
 	Margin time.Duration // the part of Grace that the process needs to end
+	Early  time.Duration // how long callers may hold this VM's address; 0: for the whole of Grace
 }
 
 // CannotFinish reports whether a request that comes elapsed after the order to stop could not
@@ -33,6 +34,14 @@
 	if work.Left <= remaining {
 		return false // its caller gets an answer by its deadline
 	}
-	isEarly := elapsed <= time.Duration(earlyShare*float64(w.Grace))
-	return !isEarly || work.Expected > remaining
+	return elapsed > w.early() || work.Expected > remaining
+}
+
+// early returns how long the early part lasts.
+func (w Window) early() time.Duration {
+	share := time.Duration(earlyShare * float64(w.Grace))
+	if w.Early == 0 {
+		return share
+	}
+	return min(share, w.Early)
 }
