forward: the metric of a stop counts every request that it refuses

shelf_shutdown_refusals_total missed streams that are refused for want of an engine while the VM stops, and requests that come after the drain: whoever counts refusals saw too few. It is counted where the answer is given now. TestShutdownCountsAllItsRefusals: 1 of 3 counted before.

--- a/internal/forward/in_progress.go
+++ b/internal/forward/in_progress.go
@@ -84,7 +84,6 @@
 	if q.status.refused.Swap(true) {
 		return
 	}
-	h.Stats.ShutdownRefusals.Inc()
 	h.opts.RoutineLog.Info().Str("request", q.RequestID).Str("route", q.route.Name).Bool("stream", q.isStream()).
 		Object("work", loggedWork(w)).Dur("held", time.Since(q.arrived)).Dur("time_left", h.opts.TimeLeft()).
 		Msg("request refused by the shutdown")
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -14,9 +15,11 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/callqueue"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // setVoteTimeout replaces the timeout and the objective of the calls.
@@ -183,6 +186,24 @@
 	})
 }
 
+// Guards against refusals of a stop that no metric counts: by the decision about the time left, for
+// want of a server, and after the drain.
+func TestShutdownCountsAllItsRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine("a"))
+		defer f.shutDown()
+		f.setEnd(time.Now().Add(time.Second))
+		<-f.send(http.MethodPost, "/s/1", "no time", "dossier").done
+		f.setEnd(time.Now().Add(time.Minute))
+		f.fleet.Apply(upstream.List{AsOf: time.Now().Add(time.Minute)})
+		<-f.send(http.MethodPost, "/s/1", "no server", "dossier").done
+		f.handler.Refuse(httptest.NewRecorder(), result.New(result.ShuttingDown))
+		if n := f.handler.Stats.ShutdownRefusals.Get(); n != 3 {
+			t.Errorf("%d refusals are counted, want 3", n)
+		}
+	})
+}
+
 // slowPlacer lets this VM choose engines itself, after a wait.
 type slowPlacer struct {
 	forward.Placer
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -73,6 +73,9 @@
 // refused counts an error of this system itself by its code.
 func (s *Stats) refused(code result.Code) {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`shelf_refused_total{code="%d",name=%q}`, code, result.Lookup(code).Name)).Inc()
+	if code == result.ShuttingDown {
+		s.ShutdownRefusals.Inc()
+	}
 }
 
 // reconnected counts a request for the rest of a stream, by where its version was learned or why it
