forward: requests that wait for the lists are refused when the router ends

A router that is stopped before it holds its lists keeps requests waiting for them, for a tenth of their deadline: 2.5 s with the deadlines of streams. Those that came in the last 2.5 s of its grace period had their connections closed without an answer, although they were read whole.

waitForLists did not follow the context that ends shortly before the connections are closed, as admitted requests do. It does now, and the request is refused as not run.

Measured in virtual time, with a router that ends after 1 s without lists: refused after 2.5 s before, after 1 s now.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -416,6 +416,7 @@
 	select {
 	case <-h.opts.ListsReady:
 	case <-t.C:
+	case <-h.opts.Ending.Done(): // the refusal must be written before the connection is closed
 	case <-r.Context().Done():
 	}
 }
--- a/internal/forward/startup_test.go
+++ b/internal/forward/startup_test.go
@@ -60,3 +60,19 @@
 		})
 	}
 }
+
+// Guards against a closed connection in place of an answer: a router is stopped before it holds its lists.
+// A request that waits for them must be refused as not run before the connections are closed.
+func TestRouterThatEndsWithoutListsRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newWithoutLists(t)
+		defer f.shutDown()
+		const end = time.Second
+		f.endAt(time.Now().Add(end))
+		a := f.send("POST", "/vote/1", "r1", "yes", forward.HeaderDeadline, "25000")
+		<-a.done
+		if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || a.took > end {
+			t.Errorf("got status %d after %v, want 503 with a Retry-After by the end of the router after %v", a.status, a.took, end)
+		}
+	})
+}
