shutdown: a drain ends once the answers are written, not once the handlers have returned

A caller that reads slowly could have the end of its answer cut off by a router that stops: the last kilobytes of an answer are written to the connection after the handler has returned. The drain counted handlers only. Without other requests it ended half an entry TTL later, with seconds of the grace period left, and the connection was closed 0.1 s after that.

headlimit, which follows the framing of the requests on each connection, now counts those that have begun to arrive and those that are answered, and the drain also waits until these are equal on all connections. It thereby waits for a request whose head is arriving, too. Empty lines do not count.

Measured in virtual time, with a caller that reads after 4 s and a grace period of 8 s: the drain ended after 2 s and the answer was cut off before; it ends after 4 s, with the answer whole, now.

--- a/internal/headlimit/conn.go
+++ b/internal/headlimit/conn.go
@@ -49,6 +49,9 @@
 	counted int         // what the account was told last
 	raw     atomic.Bool // it carries no requests any more
 
+	arrived  atomic.Int64 // requests that have begun to arrive
+	answered atomic.Int64 // requests whose answers are written
+
 	held    int
 	served  bool          // a request is being served
 	waits   *list.Element // nil: it does not wait
@@ -62,6 +65,7 @@
 		return n, err
 	}
 	c.scanner.scan(p[:n])
+	c.arrived.Store(c.scanner.requests)
 	if c.scanner.inHead > c.maxHead()+headSlack {
 		c.refuse()
 		return 0, io.EOF
@@ -154,6 +158,7 @@
 func (c *conn) onState(to http.ConnState) {
 	switch to {
 	case http.StateIdle:
+		c.answered.Add(1)
 		c.scanner.nextRequest()
 		c.account.await(c)
 		c.count()
@@ -172,3 +177,10 @@
 	c, _ := r.Value(connKey{}).(*conn)
 	return c == nil || c.account.serve(c)
 }
+
+// Unanswered reports whether a request has begun to arrive on a connection that counts, and its answer is
+// not written.
+func Unanswered(outer net.Conn) bool {
+	c := find(outer)
+	return c != nil && c.arrived.Load() > c.answered.Load()
+}
--- a/internal/headlimit/scanner.go
+++ b/internal/headlimit/scanner.go
@@ -20,6 +20,9 @@
 	current headSize // of the request that is read or served, its trailers included
 	next    headSize // of those behind it
 	served  bool     // the head of the current request is whole
+
+	requests int64 // that have begun to arrive
+	begun    bool  // the head that is read counts in requests
 }
 
 // headSize is what was received of heads.
@@ -63,7 +66,9 @@
 	s.startHead()
 }
 
-func (s *scanner) startHead() { s.state, s.lines, s.inHead, s.chunked = inHead, 0, 0, false }
+func (s *scanner) startHead() {
+	s.state, s.lines, s.inHead, s.chunked, s.begun = inHead, 0, 0, false, false
+}
 
 // scanLine follows a line, or a part of it, and returns the bytes behind that.
 func (s *scanner) scanLine(p []byte) []byte {
@@ -72,6 +77,10 @@
 		n, whole = len(p), false
 	}
 	s.count(n, whole)
+	if s.state == inHead && !s.begun && len(bytes.Trim(p[:n], "\r\n")) > 0 {
+		s.begun = true
+		s.requests++
+	}
 	s.line = append(s.line, p[:min(n, maxLineStart-len(s.line))]...)
 	if s.length += n; whole {
 		s.endLine()
--- a/internal/headlimit/scanner_test.go
+++ b/internal/headlimit/scanner_test.go
@@ -60,3 +60,35 @@
 		t.Errorf("behind a whole request: got %v, want %v", s.next, want)
 	}
 }
+
+// Guards against requests that are missed, and empty lines that are taken for requests, wherever a
+// connection is read.
+func TestScannerCountsRequests(t *testing.T) {
+	const (
+		get     = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+		post    = "POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\n\r\nGET"
+		chunked = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nGET\r\n0\r\n\r\n"
+	)
+	for _, tt := range []struct {
+		name, text string
+		want       int64
+	}{
+		{"none", "", 0},
+		{"empty lines", "\r\n\n\r\n", 0},
+		{"a first byte", "G", 1},
+		{"one", get, 1},
+		{"empty lines around one", "\r\n" + get + "\r\n", 1},
+		{"bodies", post + chunked, 2},
+		{"one that begins behind others", get + post + chunked + get + "P", 5},
+	} {
+		for _, piece := range []int{1, 7, 4096} {
+			var s scanner
+			for rest := tt.text; rest != ""; rest = rest[min(piece, len(rest)):] {
+				s.scan([]byte(rest[:min(piece, len(rest))]))
+			}
+			if s.requests != tt.want {
+				t.Errorf("%s, in pieces of %d: got %d requests, want %d", tt.name, piece, s.requests, tt.want)
+			}
+		}
+	}
+}
--- a/internal/routed/drain.go
+++ b/internal/routed/drain.go
@@ -29,6 +29,9 @@
 	times DrainTimes
 	// refuse answers a request that comes after the end of the drain.
 	refuse func(http.ResponseWriter, *http.Request, error)
+	// unanswered returns how many connections carry a request whose answer is not written. A handler
+	// returns before its answer is, which a caller that reads slowly holds up.
+	unanswered func() int
 
 	mu           sync.Mutex
 	startedAt    time.Time
@@ -38,7 +41,7 @@
 }
 
 func newDrain(t DrainTimes) *drain {
-	return &drain{times: t, refuse: func(w http.ResponseWriter, _ *http.Request, err error) { resulthttp.Write(w, "", err) }}
+	return &drain{times: t, unanswered: func() int { return 0 }, refuse: func(w http.ResponseWriter, _ *http.Request, err error) { resulthttp.Write(w, "", err) }}
 }
 
 func (d *drain) start() {
@@ -119,8 +122,8 @@
 }
 
 // wait ends the drain once it is complete: the entry answers that name this router have
-// expired, no request runs and none has ended or arrived for half an entry TTL. It
-// returns at the latest when only closeMargin of the grace period is left.
+// expired, no request runs, none has ended or arrived for half an entry TTL, and all answers
+// are written. It returns at the latest when only closeMargin of the grace period is left.
 func (d *drain) wait() {
 	for !d.tryEnd() {
 		time.Sleep(drainCheckInterval)
@@ -147,5 +150,6 @@
 	if now.Sub(d.startedAt) >= d.times.Grace-closeMargin {
 		return true
 	}
-	return d.inFlight == 0 && now.Sub(d.startedAt) >= d.times.EntryTTL && now.Sub(d.lastActivity) >= d.times.EntryTTL/2
+	isQuiet := d.inFlight == 0 && now.Sub(d.startedAt) >= d.times.EntryTTL && now.Sub(d.lastActivity) >= d.times.EntryTTL/2
+	return isQuiet && d.unanswered() == 0
 }
--- a/internal/routed/drain_test.go
+++ b/internal/routed/drain_test.go
@@ -1,12 +1,17 @@
 package routed
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/headlimit"
 	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 )
 
@@ -213,3 +218,84 @@
 		})
 	}
 }
+
+// drainedCaller is the end of a caller on an in-memory connection to a router that drains.
+type drainedCaller struct {
+	net.Conn
+	drain *drain
+	close func() // closes the connections of the router
+}
+
+func newDrainedCaller(t *testing.T, h http.Handler) *drainedCaller {
+	near, far := net.Pipe()
+	l := pipeListener{make(chan net.Conn, 1)}
+	l.conns <- far
+	conns, d := newCallerConns(DefaultLimits), newDrain(testGrace)
+	d.unanswered = conns.unanswered
+	s := &http.Server{Handler: conns.limitHeader(d.countRequests(h)), ConnState: conns.onStateChange}
+	guarded := headlimit.NewAccount(0, 0).Guard(s, l, conns.maxHeaderBytes)
+	go func() { _ = s.Serve(callerListener{guarded, conns}) }()
+	closeAll := sync.OnceFunc(func() {
+		close(l.conns)
+		_ = s.Close()
+	})
+	t.Cleanup(func() {
+		closeAll()
+		_ = near.Close()
+	})
+	return &drainedCaller{near, d, closeAll}
+}
+
+// stop drains the router and closes its connections, and returns how long the drain took.
+func (c *drainedCaller) stop() time.Duration {
+	c.drain.start()
+	began := time.Now()
+	c.drain.wait()
+	defer c.close()
+	return time.Since(began)
+}
+
+// Guards against an answer that is cut off since its caller reads slowly: the handler has returned, a part
+// of the answer is not written to the connection, and a router without other requests ends early.
+func TestDrainWaitsForAnswersThatAreNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newDrainedCaller(t, delayedHandler(0))
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: shelf\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		read := make(chan error)
+		go func() {
+			time.Sleep(4 * time.Second)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			read <- err
+		}()
+		if took := c.stop(); took < 4*time.Second || took > 5*time.Second {
+			t.Errorf("drain took %v, want 4s to 5s", took)
+		}
+		if err := <-read; err != nil {
+			t.Errorf("the answer is cut off: %v", err)
+		}
+	})
+}
+
+// Guards against a drain that lasts for the whole grace period since a connection is open on which the
+// caller sends nothing.
+func TestDrainDoesNotWaitForIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newDrainedCaller(t, delayedHandler(0))
+		for range 2 {
+			if code := askOn(c, ""); code != http.StatusOK {
+				t.Fatalf("got status %d, want 200", code)
+			}
+		}
+		if _, err := io.WriteString(c, "\r\n"); err != nil { // an empty line before a request
+			t.Fatal(err)
+		}
+		if took := c.stop(); took > 3*time.Second {
+			t.Errorf("drain took %v, want 3s at most", took)
+		}
+	})
+}
--- a/internal/routed/limits.go
+++ b/internal/routed/limits.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/headlimit"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
@@ -94,6 +95,20 @@
 	return len(a.conns)
 }
 
+// unanswered returns the number of connections with a request that has begun to arrive and whose answer
+// is not written.
+func (a *callerConns) unanswered() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for c := range a.conns {
+		if headlimit.Unanswered(c) {
+			n++
+		}
+	}
+	return n
+}
+
 func (a *callerConns) maxHeaderBytes() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -60,6 +60,7 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.ending, r.end = context.WithCancel(r.ctx)
 	r.drain = newDrain(o.Drain)
+	r.drain.unanswered = r.conns.unanswered
 	r.load = newVMLoad(&o, r.drain.requests)
 	if o.Limits.Stated() {
 		r.conns.count = r.load.traffic.count
@@ -261,8 +262,8 @@
 const lastAnswersTimeout = 100 * time.Millisecond
 
 // Shutdown drains the router. It leaves the directory at once and keeps serving callers
-// whose entry answers still name it. Shutdown returns when no request runs any more, or
-// when the grace period is nearly over.
+// whose entry answers still name it. Shutdown returns when no request runs any more and all
+// answers are written, or when the grace period is nearly over.
 func (r *Router) Shutdown() {
 	r.drain.start()
 	ctx, cancel := context.WithTimeout(r.ctx, leaveNoticeTimeout)
