shutdown: a request behind one that is being answered is answered, too

A router that shuts down states in each answer that it closes the connection, and net/http closes it then, also when it has read another request behind the one that is answered. The callers of those requests got no answer. The same happened to requests behind the last ones that a stopping process answers: once the connections are being closed, net/http reads no further request.

The answer does not announce the end of the connection now if another request has begun to arrive behind it, by the count of headlimit; the last one does.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -363,7 +364,7 @@
 		h.giveUp(w, q, result.BackendFailed)
 		return
 	}
-	h.copyHeaders(w, r.resp)
+	h.copyHeaders(q.ctx, w, r.resp)
 	if r.resp.StatusCode != http.StatusNoContent && r.resp.StatusCode != http.StatusNotModified {
 		w.Header().Set("Content-Length", strconv.Itoa(r.body.Len()))
 	}
@@ -402,7 +403,7 @@
 }
 
 // copyHeaders copies the server's end-to-end headers.
-func (h *Handler) copyHeaders(w http.ResponseWriter, resp *http.Response) {
+func (h *Handler) copyHeaders(ctx context.Context, w http.ResponseWriter, resp *http.Response) {
 	header := w.Header()
 	for name, values := range endToEnd(resp.Header) {
 		header[name] = values
@@ -410,7 +411,7 @@
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // keeps net/http from guessing it from the body
 	}
-	if h.opts.Closing() {
+	if h.closesConnection(ctx) {
 		header.Set("Connection", "close")
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -347,7 +347,7 @@
 	}
 	if err != nil {
 		h.opts.RoutineLog.Info().Str("request", q.id()).Uint64("digest", q.contentDigest()).Str("path", r.URL.Path).Int("code", int(result.CodeOf(err))).Msg("not admitted")
-		h.refuse(w, err)
+		h.refuse(r.Context(), w, err)
 		return
 	}
 	// A caller that does not read must not hold up the answer beyond its deadline.
@@ -365,7 +365,7 @@
 		defer stop()
 	}
 	if h.cannotFinish(q) { // its body may have arrived slowly
-		h.refuse(w, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter))
+		h.refuse(ctx, w, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter))
 		return
 	}
 	q.readAt = time.Now()
@@ -380,7 +380,7 @@
 	}
 	if q.isStream() && q.HasAfter {
 		if err := h.reconnect(q); err != nil {
-			h.refuse(w, err)
+			h.refuse(ctx, w, err)
 			return
 		}
 	}
@@ -517,22 +517,30 @@
 }
 
 // Refuse answers a request that is not served with an error of this system itself.
-func (h *Handler) Refuse(w http.ResponseWriter, err error) { h.refuse(w, err) }
+func (h *Handler) Refuse(w http.ResponseWriter, r *http.Request, err error) {
+	h.refuse(r.Context(), w, err)
+}
 
 // refuse answers with an error of this system itself.
-func (h *Handler) refuse(w http.ResponseWriter, err error) {
+func (h *Handler) refuse(ctx context.Context, w http.ResponseWriter, err error) {
 	e := *result.From(err)
 	h.Stats.refused(e.Code)
 	if e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", h.opts.Wire.RetryAfter(e.RetryAfter))
 		e.RetryAfter = 0
 	}
-	if h.opts.Closing() {
+	if h.closesConnection(ctx) {
 		w.Header().Set("Connection", "close")
 	}
 	resulthttp.Write(w, "", &e)
 }
 
+// closesConnection reports whether the connection of a request is closed after its answer. A request that
+// came behind it is answered first.
+func (h *Handler) closesConnection(ctx context.Context) bool {
+	return h.opts.Closing() && !headlimit.HasNext(ctx)
+}
+
 // giveUp gives the final answer to an admitted request that could not be served.
 func (h *Handler) giveUp(w http.ResponseWriter, q *request, code result.Code) {
 	reason := result.Lookup(code).Name
@@ -544,5 +552,5 @@
 	e.RequestID = q.RequestID
 	h.opts.Log.Info().Str("request", q.RequestID).Str("route", q.route.Name).Int("code", int(code)).Str("reason", reason).
 		Int("sends", q.history.arrivals).Dur("held", time.Since(q.arrived)).Msg("gave up")
-	h.refuse(w, e)
+	h.refuse(q.ctx, w, e)
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -443,7 +443,7 @@
 		return
 	}
 	st.headSent = true
-	st.h.copyHeaders(st.w, resp)
+	st.h.copyHeaders(st.q.ctx, st.w, resp)
 	st.w.WriteHeader(resp.StatusCode)
 }
 
--- a/internal/headlimit/conn.go
+++ b/internal/headlimit/conn.go
@@ -178,6 +178,12 @@
 	return c == nil || c.account.serve(c)
 }
 
+// HasNext reports whether another request has begun to arrive behind the one with a context.
+func HasNext(r context.Context) bool {
+	c, _ := r.Value(connKey{}).(*conn)
+	return c != nil && c.arrived.Load() > c.answered.Load()+1
+}
+
 // Unanswered reports whether a request has begun to arrive on a connection that counts, and its answer is
 // not written.
 func Unanswered(outer net.Conn) bool {
--- a/internal/routed/drain.go
+++ b/internal/routed/drain.go
@@ -130,9 +130,10 @@
 	}
 }
 
-// awaitAnswers waits until no request runs, for limit at most.
+// awaitAnswers waits until no request runs and all answers are written, for limit at most. While the
+// connections are closed, a request behind one that is being answered is not read any more.
 func (d *drain) awaitAnswers(limit time.Duration) {
-	for until := time.Now().Add(limit); d.requests() > 0 && time.Now().Before(until); {
+	for until := time.Now().Add(limit); d.requests()+d.unanswered() > 0 && time.Now().Before(until); {
 		time.Sleep(answersCheckInterval)
 	}
 }
--- a/internal/routed/drain_test.go
+++ b/internal/routed/drain_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -237,6 +240,9 @@
 	go func() { _ = s.Serve(callerListener{guarded, conns}) }()
 	closeAll := sync.OnceFunc(func() {
 		close(l.conns)
+		ctx, cancel := context.WithTimeout(context.Background(), lastWritesTimeout)
+		defer cancel()
+		_ = s.Shutdown(ctx) // fails if answers are left
 		_ = s.Close()
 	})
 	t.Cleanup(func() {
@@ -251,8 +257,10 @@
 	c.drain.start()
 	began := time.Now()
 	c.drain.wait()
-	defer c.close()
-	return time.Since(began)
+	took := time.Since(began)
+	c.drain.awaitAnswers(lastAnswersTimeout)
+	c.close()
+	return took
 }
 
 // Guards against an answer that is cut off since its caller reads slowly: the handler has returned, a part
@@ -299,3 +307,31 @@
 		}
 	})
 }
+
+// Guards against a request that a router has read, and leaves unanswered since it closes the connection
+// after the answer before: it came behind another one, which is answered when the drain has ended.
+func TestRequestBehindTheLastAnswerIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The answer comes at the end of the drain.
+		c := newDrainedCaller(t, delayedHandler(testGrace.Grace-closeMargin))
+		go func() { _, _ = io.WriteString(c, strings.Repeat("GET / HTTP/1.1\r\nHost: shelf\r\n\r\n", 3)) }() // fails if the connection is closed
+		answers := make(chan string)
+		go func() {
+			time.Sleep(testGrace.Grace - closeMargin + lastAnswersTimeout/2) // it reads late
+			in, statuses := bufio.NewReader(c), ""
+			for {
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					answers <- statuses
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body) // the status is what counts
+				statuses += fmt.Sprint(resp.StatusCode, " ")
+			}
+		}()
+		c.stop()
+		if got, want := <-answers, "200 503 503 "; got != want {
+			t.Errorf("got the statuses %q, want %q", got, want)
+		}
+	})
+}
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -285,7 +285,7 @@
 func (r *Router) refuseAfterDrain(w http.ResponseWriter, q *http.Request, err error) {
 	caller, _ := r.o.Wire.ReadCaller(q.Header) // a request with odd headers is refused as well
 	r.o.RoutineLog.Info().Str("request", caller.RequestID).Int("code", int(result.CodeOf(err))).Msg("request refused by the end of the process")
-	r.handler.Refuse(w, err)
+	r.handler.Refuse(w, q, err)
 }
 
 // lastWritesTimeout bounds the wait for answers that are complete and not yet written to their
--- a/internal/routed/vm_load.go
+++ b/internal/routed/vm_load.go
@@ -179,7 +179,7 @@
 
 // limit refuses a part of the requests near the VM's limits, with refuse, and closes a part of
 // the connections after their request while the VM is loaded far above the mean.
-func (l *vmLoad) limit(next http.Handler, refuse func(http.ResponseWriter, error), open func() int) http.Handler {
+func (l *vmLoad) limit(next http.Handler, refuse func(http.ResponseWriter, *http.Request, error), open func() int) http.Handler {
 	if !l.limits.Stated() {
 		return next
 	}
@@ -195,7 +195,7 @@
 			after := capacity.RetryAfter(rand.Float64())
 			l.log.Info().Str("caller", r.RemoteAddr).Str("path", r.URL.Path).Float64("load", d.load).Float64("share", d.share).
 				Int("code", int(result.VMOverloaded)).Dur("retry_after", after).Msg("not admitted")
-			refuse(w, result.New(result.VMOverloaded).WithRetryAfter(after))
+			refuse(w, r, result.New(result.VMOverloaded).WithRetryAfter(after))
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/internal/routed/vm_load_test.go
+++ b/internal/routed/vm_load_test.go
@@ -57,7 +57,7 @@
 
 // serveThousand has the VM serve requests on 50 connections within an instant.
 func serveThousand(t *testing.T, l *vmLoad) (served, refused, closed int) {
-	h := l.limit(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }), func(w http.ResponseWriter, err error) {
+	h := l.limit(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }), func(w http.ResponseWriter, _ *http.Request, err error) {
 		e := result.From(err)
 		if e.Code != result.VMOverloaded || e.Ran != result.RanNo || e.RetryAfter < 200*time.Millisecond || e.RetryAfter > 400*time.Millisecond {
 			t.Errorf("refused with %v, ran %s, retry after %v", e, e.Ran, e.RetryAfter)
