headlimit: no reset takes away an answer before an unread request

A client that reads slowly lost the end of its answer if it had sent another request before the connection was closed: net/http reads one byte of that request while it serves the one before, the rest lies unread in the socket, and closing the socket then resets the connection, which discards what the client has not received. During a drain every answer closes its connection.

A connection with such a request is now closed for writing first, and read for half a second at most. The refusal of a head that is too large did the same already.

--- a/internal/headlimit/conn.go
+++ b/internal/headlimit/conn.go
@@ -18,8 +18,9 @@
 	// headSlack is how far a head may exceed its limit before the connection is closed. The HTTP server
 	// reads as much ahead.
 	headSlack = 4 << 10
-	// lingerTime and lingerBytes bound what is read of a client whose head is too large, so that the
-	// refusal reaches it.
+	// lingerTime and lingerBytes bound what is read of a client before its connection is closed, so that
+	// the answer reaches it. Bytes that are not read would reset the connection, which takes away what
+	// the client has not received.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 1 << 20
 )
@@ -51,6 +52,7 @@
 
 	arrived  atomic.Int64 // requests that have begun to arrive
 	answered atomic.Int64 // requests whose answers are written
+	lingers  atomic.Bool  // it was closed for writing, and is closed for reading soon
 
 	held    int
 	served  bool          // a request is being served
@@ -91,16 +93,43 @@
 // counts until it is closed.
 func (c *conn) refuse() {
 	c.account.hold(c, 0)
-	deadline := time.Now().Add(lingerTime)
-	_ = c.Conn.SetDeadline(deadline)
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
 	if writeHeadTooLarge(c.Conn) != nil {
 		return // the client has closed
 	}
-	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok && tcp.CloseWrite() == nil {
-		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // the client may have closed
+	if c.closeWrite() {
+		c.discard()
 	}
 }
 
+// closeWrite ends what the client reads, and reports whether it did.
+func (c *conn) closeWrite() bool {
+	tcp, ok := c.Conn.(interface{ CloseWrite() error })
+	return ok && tcp.CloseWrite() == nil
+}
+
+// discard reads what the client sends.
+func (c *conn) discard() {
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // the client may have closed
+}
+
+// Close implements net.Conn. If another request has begun to arrive behind the one that was served, the
+// connection is first closed for writing only.
+func (c *conn) Close() error {
+	if !c.hasNext() || c.lingers.Swap(true) || !c.closeWrite() {
+		return c.Conn.Close()
+	}
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
+	go func() {
+		c.discard()
+		_ = c.Conn.Close()
+	}()
+	return nil
+}
+
+// hasNext reports whether another request has begun to arrive behind the one that is served.
+func (c *conn) hasNext() bool { return c.arrived.Load() > c.answered.Load()+1 }
+
 // listener counts the connections that it accepts.
 type listener struct {
 	net.Listener
@@ -181,7 +210,7 @@
 // HasNext reports whether another request has begun to arrive behind the one with a context.
 func HasNext(r context.Context) bool {
 	c, _ := r.Value(connKey{}).(*conn)
-	return c != nil && c.arrived.Load() > c.answered.Load()+1
+	return c != nil && c.hasNext()
 }
 
 // Unanswered reports whether a request has begun to arrive on a connection that counts, and its answer is
--- a/internal/headlimit/guard_test.go
+++ b/internal/headlimit/guard_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -98,3 +99,66 @@
 		t.Errorf("got usage %+v of an upgraded connection, want nothing", u)
 	}
 }
+
+// roomyListener gives its connections room for a whole answer.
+type roomyListener struct {
+	net.Listener
+	bytes int
+}
+
+func (l roomyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return c, c.(*net.TCPConn).SetWriteBuffer(l.bytes)
+}
+
+// Guards against an answer that a reset takes away: the client reads slowly and has sent another request
+// when the connection is closed, of which the server reads the beginning only.
+func TestAnswerBeforeAnUnreadRequestArrives(t *testing.T) {
+	const size = 150 << 10 // more than the client's side holds, less than the server's
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun, closed := make(chan struct{}), make(chan struct{})
+	s := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			close(begun)
+			for !HasNext(r.Context()) {
+				runtime.Gosched()
+			}
+			_, _ = w.Write(make([]byte, size)) // the client checks it
+		}),
+		ConnState: func(_ net.Conn, to http.ConnState) {
+			if to == http.StateClosed {
+				close(closed)
+			}
+		},
+	}
+	guarded := NewAccount(0, 0).Guard(s, roomyListener{l, 2 * size}, func() int { return 1000 })
+	go func() { _ = s.Serve(guarded) }()
+	defer s.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	_, _ = io.WriteString(c, request)
+	<-begun
+	_, _ = io.WriteString(c, request)
+	<-closed
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
+		t.Errorf("got %d bytes of the answer, error %v, want %d", n, err, size)
+	}
+}
