--- a/internal/routed/drain_test.go
+++ b/internal/routed/drain_test.go
@@ -1,12 +1,20 @@
 package routed
 
 import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/headlimit"
 	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 )
 
@@ -213,3 +221,137 @@
 		})
 	}
 }
+
+// drainedCaller is the end of a caller on an in-memory connection to a router that drains.
+type drainedCaller struct {
+	net.Conn
+	drain *drain
+	close func() // closes the connections of the router
+}
+
+func newDrainedCaller(t *testing.T, h http.Handler) *drainedCaller {
+	near, far := net.Pipe()
+	l := pipeListener{make(chan net.Conn, 1)}
+	l.conns <- far
+	conns, d := newCallerConns(DefaultLimits), newDrain(testGrace)
+	d.unanswered = conns.unanswered
+	s := &http.Server{Handler: conns.limitHeader(d.countRequests(h)), ConnState: conns.onStateChange}
+	guarded := headlimit.NewAccount(0, 0).Guard(s, l, conns.maxHeaderBytes)
+	go func() { _ = s.Serve(callerListener{guarded, conns}) }()
+	closeAll := sync.OnceFunc(func() {
+		close(l.conns)
+		ctx, cancel := context.WithTimeout(context.Background(), lastWritesTimeout)
+		defer cancel()
+		_ = s.Shutdown(ctx) // fails if answers are left
+		_ = s.Close()
+	})
+	t.Cleanup(func() {
+		closeAll()
+		_ = near.Close()
+	})
+	return &drainedCaller{near, d, closeAll}
+}
+
+// stop drains the router and closes its connections, and returns how long the drain took.
+func (c *drainedCaller) stop() time.Duration {
+	c.drain.start()
+	began := time.Now()
+	c.drain.wait()
+	took := time.Since(began)
+	c.drain.awaitAnswers(lastAnswersTimeout)
+	c.close()
+	return took
+}
+
+// Guards against an answer that is cut off since its caller reads slowly: the handler has returned, a part
+// of the answer is not written to the connection, and a router without other requests ends early.
+func TestDrainWaitsForAnswersThatAreNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newDrainedCaller(t, delayedHandler(0))
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: shelf\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		read := make(chan error)
+		go func() {
+			time.Sleep(4 * time.Second)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			read <- err
+		}()
+		if took := c.stop(); took < 4*time.Second || took > 5*time.Second {
+			t.Errorf("drain took %v, want 4s to 5s", took)
+		}
+		if err := <-read; err != nil {
+			t.Errorf("the answer is cut off: %v", err)
+		}
+	})
+}
+
+// Guards against a drain that lasts for the whole grace period since a connection is open on which the
+// caller sends nothing.
+func TestDrainDoesNotWaitForIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newDrainedCaller(t, delayedHandler(0))
+		for range 2 {
+			if code := askOn(c, ""); code != http.StatusOK {
+				t.Fatalf("got status %d, want 200", code)
+			}
+		}
+		if _, err := io.WriteString(c, "\r\n"); err != nil { // an empty line before a request
+			t.Fatal(err)
+		}
+		if took := c.stop(); took > 3*time.Second {
+			t.Errorf("drain took %v, want 3s at most", took)
+		}
+	})
+}
+
+// Guards against a request that a router has read, and leaves unanswered since it closes the connection
+// after the answer before: it came behind another one, which is answered when the drain has ended.
+func TestRequestBehindTheLastAnswerIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The answer comes at the end of the drain.
+		c := newDrainedCaller(t, delayedHandler(testGrace.Grace-closeMargin))
+		go func() { _, _ = io.WriteString(c, strings.Repeat("GET / HTTP/1.1\r\nHost: shelf\r\n\r\n", 3)) }() // fails if the connection is closed
+		answers := make(chan string)
+		go func() {
+			time.Sleep(testGrace.Grace - closeMargin + lastAnswersTimeout/2) // it reads late
+			in, statuses := bufio.NewReader(c), ""
+			for {
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					answers <- statuses
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body) // the status is what counts
+				statuses += fmt.Sprint(resp.StatusCode, " ")
+			}
+		}()
+		c.stop()
+		if got, want := <-answers, "200 503 503 "; got != want {
+			t.Errorf("got the statuses %q, want %q", got, want)
+		}
+	})
+}
+
+// Guards against a process that is killed before it has ended by itself: each wait at the end of the drain
+// takes its whole time.
+func TestDrainLeavesItsMargin(t *testing.T) {
+	for _, notice := range []time.Duration{0, 1 * time.Millisecond, 49 * time.Millisecond, leaveNoticeTimeout} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDrain(testGrace)
+			go ask(d.countRequests(delayedHandler(time.Minute)))
+			synctest.Wait()
+			d.start()
+			began := time.Now()
+			time.Sleep(notice) // the notice of leave
+			d.wait()
+			if took, want := time.Since(began), testGrace.Grace-closeMargin; took > want {
+				t.Errorf("notice of %v: the drain took %v, want %v", notice, took, want)
+			}
+			time.Sleep(time.Minute)
+		})
+	}
+}
