forward: a stream that an engine refused is asked about again late in a stop

Callers saw a stream cut off at the end of the grace period, or an answer at that moment only, although no engine had run it: one had refused it, and it was sent again, or waited for an engine, until the VM ended.

Whether a stream still ends in time was asked only until an engine had received it. It is now asked as long as the stream has certainly not run and its caller has no head. One that may have run still goes on wherever it can.

--- a/internal/forward/pending_work.go
+++ b/internal/forward/pending_work.go
@@ -80,11 +80,16 @@
 	return shutdown.Work{Expected: mean, Left: q.left(), Basis: basisMeanRun}
 }
 
-// cannotFinish reports that this VM shuts down before it could finish the stream, which
-// no engine has received. If it were held until the process ends, its caller would get
-// no answer. Refused now, it can still be served by another VM.
+// mayRefuse reports whether the stream can be refused as not run.
+func (st *streamRelay) mayRefuse() bool {
+	return !st.headSent && st.q.history.Ran() == result.RanNo
+}
+
+// cannotFinish reports that the stream, which has not run, cannot be finished before this VM shuts
+// down. If it were held until the process ends, its caller would get no answer. Refused now, it can
+// still be served by another VM.
 func (st *streamRelay) cannotFinish() bool {
-	return st.q.history.arrivals == 0 && st.h.cannotFinish(st.q)
+	return st.mayRefuse() && st.h.cannotFinish(st.q)
 }
 
 // refuseForShutdown is the choice for a stream that cannot be finished.
@@ -94,9 +99,9 @@
 }
 
 // addTooSlow adds the engines that cannot finish the stream before this VM shuts down to those that
-// are skipped. A stream that an engine has received goes on wherever it can.
+// are skipped. A stream that may have run goes on wherever it can.
 func (st *streamRelay) addTooSlow() {
-	if st.q.history.arrivals > 0 || !st.h.opts.Closing() {
+	if !st.h.opts.Closing() || !st.mayRefuse() {
 		return
 	}
 	e := st.h.estimate(st.q)
@@ -110,7 +115,7 @@
 
 // isTooSlow reports whether an engine cannot finish the stream before this VM shuts down.
 func (st *streamRelay) isTooSlow(engine string) bool {
-	if st.q.history.arrivals > 0 || !st.h.opts.Closing() {
+	if !st.h.opts.Closing() || !st.mayRefuse() {
 		return false
 	}
 	e := st.h.estimate(st.q)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -281,7 +281,7 @@
 		case st.q.ctx.Err() != nil:
 			c.reason = result.RouteTimeout
 		case c.server == nil && c.final:
-		case c.server == nil && st.h.opts.Closing() && st.q.history.arrivals == 0:
+		case c.server == nil && st.h.opts.Closing() && st.mayRefuse():
 			return st.refuseForShutdown()
 		case c.server == nil && st.enginesWithheld():
 			c.reason = result.BackendsWithheld
