forward: a call that may have run is sent again late in a stop

Callers of idempotent calls got a 502 as soon as the server of their call broke it off, though other servers could still answer it. The VM was shutting down, and since the call's deadline lay after its end, it was not sent again.

A refusal is of use only while it can state that the request has not run. So whether a request still ends in time is asked only then, in one place for streams and calls. Calls that may have run go on wherever they can, within their attempts and the retry budget, as streams do. One that must run once is still not sent again.

The new test breaks off an idempotent call and one that must run once, 4 s into 7.6 s of grace, with a deadline of 20 s. Now: 200 and two runs, 502 and one run.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -331,6 +331,9 @@
 
 func (q *request) isStream() bool { return q.route.Kind == routes.Stream }
 
+// mayHaveRun reports whether a server may have run the request.
+func (q *request) mayHaveRun() bool { return q.history.Ran() != result.RanNo }
+
 // left returns the time until the request's deadline.
 func (q *request) left() time.Duration { return time.Until(q.expires) }
 
@@ -448,10 +451,10 @@
 		}
 	}
 	q.service = table.Service(route.PickRandom())
+	q.history = NewSendHistory(route.Repeatable(), route.MaxAttempts)
 	if h.cannotFinish(q) {
 		return q, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter)
 	}
-	q.history = NewSendHistory(route.Repeatable(), route.MaxAttempts)
 	q.budget = h.budget(q.service.Name)
 	return q, h.readRequest(w, r, q, bodyLimit(table))
 }
--- a/internal/forward/late_send_test.go
+++ b/internal/forward/late_send_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/callqueue"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
@@ -68,3 +70,48 @@
 		})
 	}
 }
+
+// breakLate makes a server break off each call some time after it began.
+func breakLate(s *routedengine.Server, after time.Duration) {
+	s.Intercept = func(s *routedengine.Server, _ http.ResponseWriter, r *http.Request) bool {
+		s.RecordRun(r, 0, false)
+		time.Sleep(after)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Guards against a call that may have run and fails although another server could still answer it: its
+// server breaks it off late in a stop. To refuse it gains nothing, since its caller cannot be told that
+// it has not run. One that must run once is not sent again.
+func TestBrokenCallGoesOnLateInAStop(t *testing.T) {
+	for _, tt := range []struct {
+		method, path string
+		status, runs int
+	}{
+		{http.MethodGet, "/tally/1", http.StatusOK, 2},
+		{http.MethodPost, "/vote/1", http.StatusBadGateway, 1},
+	} {
+		for _, granted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, granted %t", tt.path, granted), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					grants := &scriptedGrants{all: granted}
+					f := rankedFixture(t, grants)
+					defer f.shutDown()
+					f.setVoteTimeout(20 * time.Second)
+					n := 0
+					grants.answer = func() (callqueue.Answer, bool) {
+						n++
+						return callqueue.Answer{Outcome: callqueue.Granted, Server: fmt.Sprint("i", n-1)}, true
+					}
+					breakLate(f.servers[0], 4*time.Second)
+					f.endAt(time.Now().Add(drawnGrace))
+					a := f.send(tt.method, tt.path, "q1", "")
+					<-a.done
+					if a.broken || a.status != tt.status || f.totalRuns("q1") != tt.runs {
+						t.Errorf("got status %d after %v, cut off %t, %d runs; want status %d and %d runs", a.status, a.took, a.broken, f.totalRuns("q1"), tt.status, tt.runs)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/forward/pending_work.go
+++ b/internal/forward/pending_work.go
@@ -19,9 +19,10 @@
 	basisLongestThere  = "longest streams at the server"
 )
 
-// cannotFinish reports that a request cannot be finished before this VM shuts down.
+// cannotFinish reports that a request, which has not run, cannot be finished before this VM shuts
+// down. One that may have run goes on wherever it can: its caller could not be told more if it ended now.
 func (h *Handler) cannotFinish(q *request) bool {
-	if !h.opts.Closing() {
+	if !h.opts.Closing() || q.mayHaveRun() {
 		return false
 	}
 	work := h.pendingWork(q)
@@ -82,7 +83,7 @@
 
 // mayRefuse reports whether the stream can be refused as not run.
 func (st *streamRelay) mayRefuse() bool {
-	return !st.headSent && st.q.history.Ran() == result.RanNo
+	return !st.headSent && !st.q.mayHaveRun()
 }
 
 // cannotFinish reports that the stream, which has not run, cannot be finished before this VM shuts
