forward: a stream that has not run is not handed off late in a stop

A stream waited for an engine until its VM, which was shutting down, had lost all engines. It was then handed off to another VM, although it could not be finished before its own VM, which holds its caller, ended.

The hand-off of a stream that waited did not ask whether it still ends in time.

Now: refused as not run, no offer.

--- a/internal/forward/hand_off_stream.go
+++ b/internal/forward/hand_off_stream.go
@@ -74,7 +74,7 @@
 // any more. It reports whether the caller has its final answer.
 func (st *streamRelay) handOffRest() bool {
 	h, q := st.h, st.q
-	if q.ctx.Err() != nil || !h.mustHandOff(q) {
+	if q.ctx.Err() != nil || !h.mustHandOff(q) || st.cannotFinish() {
 		return false
 	}
 	r := newRelayedStream(h, st.w)
--- a/internal/forward/late_send_test.go
+++ b/internal/forward/late_send_test.go
@@ -115,3 +115,26 @@
 		}
 	}
 }
+
+// Guards against a stream that is handed off late in a stop and cut off with this VM, which holds its
+// caller: it waited for an engine until this VM had lost all of them.
+func TestUnsentStreamIsNotHandedOffLateInAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine("a"))
+		defer f.shutDown()
+		r := &relays{}
+		f.handOff = r
+		f.setPlacer(&scriptedPlacer{decide: func() (scheduler.Answer, bool) {
+			time.Sleep(4 * time.Second)
+			f.servers[0].Set(routedengine.Unresponsive)
+			f.loseService(t)
+			return scheduler.Answer{}, false
+		}})
+		f.endAt(time.Now().Add(drawnGrace))
+		a := f.send(http.MethodPost, "/s/1", "q1", "dossier")
+		<-a.done
+		if a.status != http.StatusServiceUnavailable || len(r.offers) > 0 {
+			t.Errorf("got status %d after %v and %d offers, want a refusal and none", a.status, a.took, len(r.offers))
+		}
+	})
+}
