forward: a handed-off stream with events ends with the connections

A stream that another VM serves was broken off when the drain of its own VM ended, some tenths of a second before the connections of callers are closed. A stream from an engine goes on until then.

Requests without an event are ended at that moment, so that their callers get an answer. The events of handed-off streams were not counted, so that these looked like requests without one. They are counted now; the line about a request that is cut off states them as well.

The new test has a stream whose last event comes 50 ms after the drain.

--- a/internal/forward/hand_off_stream.go
+++ b/internal/forward/hand_off_stream.go
@@ -24,7 +24,7 @@
 
 // handOffStream has other VMs serve a stream.
 func (h *Handler) handOffStream(w http.ResponseWriter, q *request) {
-	r := newRelayedStream(h, w)
+	r := newRelayedStream(h, q, w)
 	defer r.memory.Close()
 	r.seq = sequence{last: q.After, started: q.HasAfter}
 	h.relayStream(w, q, r, time.Now())
@@ -40,7 +40,7 @@
 		}
 		isRetry = false
 		h.Stats.HandOffs.Inc()
-		switch r.serve(q) {
+		switch r.serve() {
 		case handoff.Answered:
 			return
 		case handoff.CallerLeft:
@@ -54,7 +54,7 @@
 			q.history.Add(sendUnknown)
 			isRetry, lostAt = true, time.Now()
 			q.reconnectAfter(r.seq)
-			if !r.mayGoOn(q) {
+			if !r.mayGoOn() {
 				h.endHandOff(w, q, r, result.OutcomeUnknown)
 				return
 			}
@@ -77,10 +77,10 @@
 	if q.ctx.Err() != nil || !h.mustHandOff(q) || st.cannotFinish() {
 		return false
 	}
-	r := newRelayedStream(h, st.w)
+	r := newRelayedStream(h, q, st.w)
 	defer r.memory.Close()
 	r.seq, r.headSent, r.events, r.lastEventAt = st.seq, st.headSent, st.events, st.lastEventAt
-	if !r.mayGoOn(q) || q.history.IsRetry() && !h.mayRetry(q, InTime) {
+	if !r.mayGoOn() || q.history.IsRetry() && !h.mayRetry(q, InTime) {
 		return false
 	}
 	st.releaseHeld("another VM goes on with the stream", endBroken)
@@ -122,6 +122,7 @@
 // only complete events.
 type relayedStream struct {
 	h      *Handler
+	q      *request
 	w      http.ResponseWriter
 	memory *memory.Answer // of partial
 
@@ -136,19 +137,19 @@
 	lastEventAt time.Time
 }
 
-func newRelayedStream(h *Handler, w http.ResponseWriter) *relayedStream {
-	return &relayedStream{h: h, w: w, memory: h.opts.Memory.BeginAnswer(false, func() { resulthttp.EndWrites(w) })}
+func newRelayedStream(h *Handler, q *request, w http.ResponseWriter) *relayedStream {
+	return &relayedStream{h: h, q: q, w: w, memory: h.opts.Memory.BeginAnswer(false, func() { resulthttp.EndWrites(w) })}
 }
 
 // begun reports whether the caller has a part of the answer.
 func (r *relayedStream) begun() bool { return r.headSent }
 
 // serve has another VM serve what the caller lacks of the stream.
-func (r *relayedStream) serve(q *request) handoff.Outcome {
+func (r *relayedStream) serve() handoff.Outcome {
 	r.header, r.status, r.fault = http.Header{}, 0, nil
 	r.memory.Add(-len(r.partial))
 	r.partial = nil
-	outcome := r.h.opts.HandOff.Serve(q.ctx, r, r.h.offerOf(q))
+	outcome := r.h.opts.HandOff.Serve(r.q.ctx, r, r.h.offerOf(r.q))
 	switch {
 	case r.fault != nil:
 		return handoff.Broken
@@ -162,8 +163,8 @@
 
 // mayGoOn reports whether the stream may go on after its VM was lost. One whose events have no ids
 // cannot.
-func (r *relayedStream) mayGoOn(q *request) bool {
-	return q.history.MaySend() && !r.plain && (r.events == 0 || r.seq.started)
+func (r *relayedStream) mayGoOn() bool {
+	return r.q.history.MaySend() && !r.plain && (r.events == 0 || r.seq.started)
 }
 
 // reconnectAfter makes a request ask for the events that its caller lacks.
@@ -243,6 +244,7 @@
 	}
 	r.seq.advance(e)
 	r.events++
+	r.q.status.events.Add(1)
 	r.lastEventAt = time.Now()
 	_, err := r.w.Write(e.raw)
 	return err
--- a/internal/forward/late_send_test.go
+++ b/internal/forward/late_send_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/callqueue"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/handoff"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
+	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
 // requireRefused fails the test unless a request was refused as not run after a time.
@@ -138,3 +140,33 @@
 		}
 	})
 }
+
+// servedUntilCancelled is a HandOff whose VM serves a stream until the context ends.
+type servedUntilCancelled struct{}
+
+func (servedUntilCancelled) Serve(ctx context.Context, w http.ResponseWriter, _ handoff.Request) handoff.Outcome {
+	for n := 1; n <= 100; n++ {
+		if timer.Sleep(ctx, 10*time.Millisecond) != nil {
+			return handoff.Broken
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return handoff.Answered
+}
+
+// Guards against a stream with events that is cut off earlier than need be, as if it had none, since
+// another VM serves it: the last answers are still written after the drain has ended.
+func TestHandedOffStreamEndsWithTheConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, engine("a"))
+		defer f.shutDown()
+		f.handOff = servedUntilCancelled{}
+		f.setPlacer(nil)
+		f.servers[0].Set(routedengine.Unresponsive)
+		f.loseService(t)
+		a := f.send(http.MethodPost, "/s/1", "q1", "dossier")
+		time.Sleep(500 * time.Millisecond)
+		f.endAt(time.Now().Add(450 * time.Millisecond))
+		a.requireCompleteStream(t, 100) // the fixture's connections stay open
+	})
+}
