forward: a handed-off answer states whether its own VM shuts down

Callers of a VM that was shutting down kept their connections to it when another VM had served their request, and sent it the next one; those of a sound VM closed them when that other VM shut down.

The header Connection came from the VM that served the request. It now comes from the one to which the caller is connected.

The new test answers a stream and a call through another VM. Before: no header from a VM that shuts down, and the other VM's from one that does not. Now: close, and none.

--- a/internal/forward/hand_off.go
+++ b/internal/forward/hand_off.go
@@ -37,7 +37,7 @@
 	}
 	for range maxHandOffs {
 		h.Stats.HandOffs.Inc()
-		switch h.opts.HandOff.Serve(q.ctx, w, h.offerOf(q)) {
+		switch h.opts.HandOff.Serve(q.ctx, relayedAnswer{w, h}, h.offerOf(q)) {
 		case handoff.Answered:
 			return
 		case handoff.NotTaken:
@@ -61,6 +61,25 @@
 	h.endCall(w, q, nil, result.OutcomeUnknown)
 }
 
+// relayedAnswer writes the answer of another VM to a caller. That VM may shut down while this one, to
+// which the caller is connected, does not, and the reverse.
+type relayedAnswer struct {
+	http.ResponseWriter
+	h *Handler
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a relayedAnswer) WriteHeader(status int) {
+	a.Header().Del("Connection")
+	if a.h.opts.Closing() {
+		a.Header().Set("Connection", "close")
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController find the connection.
+func (a relayedAnswer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
 // refuseHandOff answers a request that no VM takes.
 func (h *Handler) refuseHandOff(w http.ResponseWriter, q *request) {
 	q.setRetryAfter(noServerRetryAfter)
--- a/internal/forward/hand_off_stream.go
+++ b/internal/forward/hand_off_stream.go
@@ -138,7 +138,8 @@
 }
 
 func newRelayedStream(h *Handler, q *request, w http.ResponseWriter) *relayedStream {
-	return &relayedStream{h: h, q: q, w: w, memory: h.opts.Memory.BeginAnswer(false, func() { resulthttp.EndWrites(w) })}
+	m := h.opts.Memory.BeginAnswer(false, func() { resulthttp.EndWrites(w) })
+	return &relayedStream{h: h, q: q, w: relayedAnswer{w, h}, memory: m}
 }
 
 // begun reports whether the caller has a part of the answer.
--- a/internal/forward/hand_off_test.go
+++ b/internal/forward/hand_off_test.go
@@ -106,7 +106,7 @@
 				f.handOff = r
 				f.setPlacer(nil)
 				f.servers[0].Set(routedengine.Unresponsive)
-				f.loseService(t)
+				f.loseServices(t, "models")
 				a := f.send("POST", "/s/1", "r2", "log")
 				a.requireCompleteStream(t, 100)
 				if len(r.offers) != tt.offers {
@@ -123,15 +123,19 @@
 	}
 }
 
-// loseService makes the router notice that it reaches no engine.
-func (f *fixture) loseService(t *testing.T) {
+// loseServices makes the router notice that it reaches no server of some services.
+func (f *fixture) loseServices(t *testing.T, services ...string) {
 	t.Helper()
 	for range 4 {
-		f.handler.ProbeService("models")
+		for _, service := range services {
+			f.handler.ProbeService(service)
+		}
 		time.Sleep(300 * time.Millisecond)
 	}
-	if f.fleet.Reaches("models") {
-		t.Fatal("want the service lost")
+	for _, service := range services {
+		if f.fleet.Reaches(service) {
+			t.Fatalf("want the service %s lost", service)
+		}
 	}
 }
 
--- a/internal/forward/late_send_test.go
+++ b/internal/forward/late_send_test.go
@@ -129,7 +129,7 @@
 		f.setPlacer(&scriptedPlacer{decide: func() (scheduler.Answer, bool) {
 			time.Sleep(4 * time.Second)
 			f.servers[0].Set(routedengine.Unresponsive)
-			f.loseService(t)
+			f.loseServices(t, "models")
 			return scheduler.Answer{}, false
 		}})
 		f.endAt(time.Now().Add(drawnGrace))
@@ -163,10 +163,51 @@
 		f.handOff = servedUntilCancelled{}
 		f.setPlacer(nil)
 		f.servers[0].Set(routedengine.Unresponsive)
-		f.loseService(t)
+		f.loseServices(t, "models")
 		a := f.send(http.MethodPost, "/s/1", "q1", "dossier")
 		time.Sleep(500 * time.Millisecond)
 		f.endAt(time.Now().Add(450 * time.Millisecond))
 		a.requireCompleteStream(t, 100) // the fixture's connections stay open
 	})
 }
+
+// answersAs is a HandOff whose VM answers with a header Connection; empty: without.
+type answersAs string
+
+func (o answersAs) Serve(_ context.Context, w http.ResponseWriter, _ handoff.Request) handoff.Outcome {
+	if o != "" {
+		w.Header().Set("Connection", string(o))
+	}
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write([]byte("id: 1\ndata: piece 1\n\n"))
+	return handoff.Answered
+}
+
+// Guards against callers that keep their connections to a VM which shuts down, and those that close
+// them for the shutdown of another VM: that one serves their requests.
+func TestHandedOffAnswerStatesWhetherItsOwnVMShutsDown(t *testing.T) {
+	for _, tt := range []struct {
+		other   answersAs
+		closing bool
+		want    string
+	}{{"", true, "close"}, {"close", true, "close"}, {"close", false, ""}, {"", false, ""}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, engine("a"), voteServer("a"))
+			defer f.shutDown()
+			f.handOff = tt.other
+			f.setPlacer(nil)
+			for _, s := range f.servers {
+				s.Set(routedengine.Unresponsive)
+			}
+			f.loseServices(t, "models", "votes")
+			f.closing = tt.closing
+			for _, path := range []string{"/s/1", "/tally/1"} {
+				a := f.send(http.MethodPost, path, "q1", "dossier")
+				<-a.done
+				if got := a.header.Get("Connection"); a.status != http.StatusOK || got != tt.want {
+					t.Errorf("%s, other VM %q, closing %t: got status %d and Connection %q, want 200 and %q", path, tt.other, tt.closing, a.status, got, tt.want)
+				}
+			}
+		})
+	}
+}
