cluster: a stream is asked whether it may wait while control VMs name each other

A stream of a VM that was shutting down was held until the VM ended, and only then refused, while control VMs were stopped in turn and each named another one as the holder of the term.

A stream that waits for an engine is asked once a second whether it may still wait. One that was sent on from one control VM to the next was never asked.

The new test closes the VM after 1 s, while three control VMs name each other. Before: undecided until the end, 5 s. Now: within 1.2 s.

--- a/internal/cluster/place_terms.go
+++ b/internal/cluster/place_terms.go
@@ -154,7 +154,7 @@
 }
 
 // Place implements forward.Placer. It calls abandon every placeRetryInterval while the
-// stream waits. The caller calls Took once its use includes the grant.
+// stream waits, and each time that a control VM names another one. The caller calls Took once its use includes the grant.
 func (m *Member) Place(ctx context.Context, st scheduler.Stream, abandon func() bool) (scheduler.Answer, bool) {
 	waiting, end := m.placing.wait(st.ID)
 	defer end()
@@ -168,6 +168,8 @@
 		switch {
 		case !ok:
 			return p, false
+		case p.Outcome == scheduler.Moved && abandon():
+			return scheduler.Answer{Outcome: scheduler.Waiting}, true
 		case p.Outcome == scheduler.Moved:
 			if !c.move(ctx, &p) {
 				return scheduler.Answer{}, false
--- a/internal/cluster/place_test.go
+++ b/internal/cluster/place_test.go
@@ -13,6 +13,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/codec"
 	"github.com/amaranthshelf/amaranthshelf/internal/enginespeed"
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer/peertest"
 	"github.com/amaranthshelf/amaranthshelf/internal/placement"
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
@@ -317,3 +318,27 @@
 		}
 	})
 }
+
+// Guards against a stream that waits until its VM ends, since control VMs name each other while they
+// are stopped in turn: it is not asked whether it may still wait.
+func TestStreamStopsWaitingWhileNoControlVMDecides(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, n *peertest.Net) {
+		for i, id := range controls {
+			h, next := startHub(ctx, n, id, controls), controls[(i+1)%len(controls)]
+			h.hub.scheduling.t.Handle(peer.KindPlace, func(context.Context, string, []byte) (any, error) {
+				return scheduler.Answer{Outcome: scheduler.Moved, Holder: next}, nil
+			})
+		}
+		v := startPlacing(ctx, n, "r1")
+		time.Sleep(time.Second)
+		began := time.Now()
+		time.AfterFunc(time.Second, func() { v.closing.Store(true) })
+		time.AfterFunc(5*time.Second, v.stop)
+		ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		p, ok := v.place(ctx, "1")
+		if took := time.Since(began); !ok || p.Outcome != scheduler.Waiting || took > 1200*time.Millisecond {
+			t.Errorf("got %+v, decided %t after %v, want the end of the wait after a second", p, ok, took)
+		}
+	})
+}
