forward tests: streams beside engines that are restarted in turn during a stop

Six engines state that they leave, drain for 0.8 s, end with what runs there and come back 0.4 s later, one after the other, while the VM is stopped.

--- a/internal/forward/late_send_test.go
+++ b/internal/forward/late_send_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
 // requireRefused fails the test unless a request was refused as not run after a time.
@@ -211,3 +213,71 @@
 		})
 	}
 }
+
+// restartInTurn restarts all engines as planned, one after the other: each states that it leaves, is
+// listed as draining, ends with what still runs there, and comes back as another instance.
+func (f *fixture) restartInTurn(drain, down time.Duration) {
+	listed := f.net.Backends()
+	list := func() { f.fleet.Apply(upstream.List{Backends: slices.Clone(listed), AsOf: time.Now()}) }
+	for i, old := range slices.Clone(f.servers) {
+		at := slices.IndexFunc(listed, func(b upstream.Backend) bool { return b.ID == old.ID })
+		old.StateLeaving()
+		listed[at].Draining = true
+		list()
+		time.Sleep(drain)
+		old.Set(routedengine.Dead)
+		listed = slices.Delete(listed, at, at+1)
+		list()
+		time.Sleep(down)
+		next := &routedengine.Server{
+			Backend: old.Backend, Events: old.Events, PrefillTime: old.PrefillTime, EventInterval: old.EventInterval, HeadAtOnce: old.HeadAtOnce,
+		}
+		next.ID, next.Address = fmt.Sprint("next", i), fmt.Sprintf("10.0.1.%d:80", i)
+		f.servers, listed = append(f.servers, f.net.Add(next)), append(listed, next.Backend)
+		list()
+	}
+}
+
+// Guards against streams that are broken off, or run into their end without an answer, when engines
+// are restarted in turn beside a stop: that the engines leave as planned is no excuse.
+func TestStreamsOutliveEnginesThatAreRestartedBesideAStop(t *testing.T) {
+	for _, headAtOnce := range []bool{false, true} {
+		for _, keepCopies := range []bool{false, true} {
+			t.Run(fmt.Sprintf("head at once %t, copies %t", headAtOnce, keepCopies), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var engines []*routedengine.Server
+					for range 6 {
+						e := engine("a")
+						e.Events, e.PrefillTime, e.EventInterval, e.HeadAtOnce = 100, 300*time.Millisecond, 30*time.Millisecond, headAtOnce
+						engines = append(engines, e)
+					}
+					f := newFixture(t, engines...)
+					if !keepCopies {
+						f.keepNoCopies()
+					}
+					defer f.shutDown()
+					f.endAt(time.Now().Add(drawnGrace))
+					restarted := make(chan struct{})
+					go func() {
+						defer close(restarted)
+						f.restartInTurn(800*time.Millisecond, 400*time.Millisecond)
+					}()
+					var answers []*answer
+					for range int(drawnGrace / drawnGap) {
+						id := fmt.Sprint("q", len(answers))
+						answers = append(answers, f.send(http.MethodPost, "/s/1", id, id))
+						time.Sleep(drawnGap)
+					}
+					<-restarted
+					for i, a := range answers {
+						if time.Duration(i)*drawnGap <= drawnEarly {
+							a.requireCompleteStream(t, 100)
+							continue
+						}
+						f.requireRefused(a, fmt.Sprint("q", i), 0)
+					}
+				})
+			})
+		}
+	}
+}
