node, gateway: a short shutdown asks streams to reconnect before it ends

What callers saw: with drain_timeout below entry_ttl (5 s by default), or with a generation that no other VM takes, streams were cut off in the middle when the VM's time was over.

Cause: the wait for entry_ttl and the handover each took all the time that was left, so nothing was handed over and no caller was asked to reconnect. A stream noticed the request to reconnect with its next event or heartbeat only, up to 1 s later.

Change: the wait takes half of drain_timeout at most, the handover ends 300 ms before the end, and a stream that waits for an event is asked to reconnect at once.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -210,12 +210,12 @@
 	}
 	wait := maxFirstTokenWait
 	for {
-		wctx, cancel := context.WithTimeout(ctx, wait)
-		chunk, err := reader.Wait(wctx, s.index)
-		cancel()
+		chunk, err := g.waitForTokens(ctx, reader, s.index, wait)
 		switch {
 		case ctx.Err() != nil:
 			return nil // the caller disconnected; the answer is kept for a reconnect
+		case errors.Is(err, context.Canceled) && g.draining():
+			return s.reconnect()
 		case errors.Is(err, context.DeadlineExceeded):
 			err = s.heartbeat()
 		case err == nil:
@@ -234,11 +234,17 @@
 	}
 }
 
-func (g *Gateway) draining() bool {
-	select {
-	case <-g.cfg.Draining:
-		return true
-	default:
-		return false
+// waitForTokens waits for tokens from index from on, until limit has passed or this VM has handed over
+// its streams.
+func (g *Gateway) waitForTokens(ctx context.Context, reader *relay.Reader, from int, limit time.Duration) (relay.Chunk, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if g.cfg.Draining != nil {
+		defer context.AfterFunc(g.cfg.Draining, cancel)()
 	}
+	return reader.Wait(ctx, from)
+}
+
+func (g *Gateway) draining() bool {
+	return g.cfg.Draining != nil && g.cfg.Draining.Err() != nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,9 +44,9 @@
 	MaxBodyBytes int64
 	Heartbeat    time.Duration // interval of comments while there is no new token
 
-	// Draining is closed once this VM hands over its streams. Each stream then ends after
+	// Draining ends once this VM has handed over its streams. Each stream then ends after
 	// its current event with a comment that asks the caller to reconnect. Nil: never.
-	Draining <-chan struct{}
+	Draining context.Context
 
 	// CannotFinish reports that this VM shuts down before it could finish a call. Nil: it never
 	// does.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -66,6 +66,7 @@
 	http     *http.Client
 	engine   *standin.Engine
 	list     *plan.Directory
+	handOver context.CancelFunc // ends gateway.Config.Draining
 }
 
 func (v *vm) Views() []generation.Membership {
@@ -102,7 +103,9 @@
 			Transport: peertest.New(1).VM("vm1"), Members: v, Engines: v.engine, Router: v,
 			Log: zerolog.Nop(), Metrics: new(expvar.Map).Init(),
 		})
-		g := gateway.New(gateway.Config{MaxBodyBytes: maxBody, Heartbeat: time.Second}, hub, v, v, tracer, zerolog.Nop())
+		var handedOver context.Context
+		handedOver, v.handOver = context.WithCancel(t.Context())
+		g := gateway.New(gateway.Config{MaxBodyBytes: maxBody, Heartbeat: time.Second, Draining: handedOver}, hub, v, v, tracer, zerolog.Nop())
 		r := mux.NewRouter().UseEncodedPath()
 		g.Routes(r)
 		server := &http.Server{Handler: r}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,8 +73,10 @@
 
 	draining   atomic.Bool        // set by Shutdown; entry answers omit this VM
 	heads      *headlimit.Account // of the clients of all listeners
-	handedOver chan struct{}      // closed once the running generations are handed over
-	stopping   atomic.Pointer[stopWindow]
+	handedOver context.Context    // ends once the running generations are handed over
+
+	askToReconnect context.CancelFunc // ends handedOver
+	stopping       atomic.Pointer[stopWindow]
 }
 
 // Listen binds the VM's addresses, and stores the ports that the kernel picked in s.
@@ -86,8 +88,9 @@
 	n := &Node{
 		s: s, log: log, metrics: telemetry.Metrics(s.Self.ID), tracer: tracer,
 		incarnation: rand.Text()[:8], engines: engine.NewClient(), explain: explain.NewRing(explain.DefaultRequests),
-		handedOver: make(chan struct{}), heads: headlimit.NewAccount(s.MemoryMB<<20, int(s.Descriptors)), failure: make(chan error, 1),
+		heads: headlimit.NewAccount(s.MemoryMB<<20, int(s.Descriptors)), failure: make(chan error, 1),
 	}
+	n.handedOver, n.askToReconnect = context.WithCancel(context.Background())
 	for _, b := range []struct {
 		l    *net.Listener
 		addr *string
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -9,8 +9,12 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
 
-// closeMargin is the time left of DrainTimeout when a call must have its answer at the latest.
-const closeMargin = 100 * time.Millisecond
+const (
+	// closeMargin is the time left of DrainTimeout when a call must have its answer at the latest.
+	closeMargin = 100 * time.Millisecond
+	// reconnectMargin is the same for a streaming caller, which is then asked to reconnect.
+	reconnectMargin = 300 * time.Millisecond
+)
 
 // stopWindow is a shutdown in progress.
 type stopWindow struct {
@@ -26,25 +30,23 @@
 
 // Shutdown stops the VM within DrainTimeout without cutting off an answer. First the entry
 // answers omit this VM, which still serves all requests until no caller holds an answer
-// that names it. Then it hands the running generations over to other VMs and tells their
+// that names it, or half of its time is over. Then it hands the running generations over to other VMs and tells their
 // callers to reconnect. Finally it waits for the requests that must finish here, such as
 // an answer that its caller wants in one piece.
 func (n *Node) Shutdown(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, n.s.DrainTimeout)
 	defer cancel()
-	if end, ok := ctx.Deadline(); ok {
-		n.stopping.Store(&stopWindow{time.Now(), shutdown.Window{Grace: time.Until(end), Margin: closeMargin, Early: n.s.EntryTTL}})
-	}
+	end, _ := ctx.Deadline()
+	grace := time.Until(end)
+	n.stopping.Store(&stopWindow{time.Now(), shutdown.Window{Grace: grace, Margin: closeMargin, Early: n.s.EntryTTL}})
 	n.ready.Store(false)
 	n.draining.Store(true)
 	n.leaveMembers(ctx, false)
 	n.log.Info().Dur("entry_ttl", n.s.EntryTTL).Msg("shutting down: entry answers no longer name this VM")
 	if len(n.s.VMs) > 1 {
-		_ = timer.Sleep(ctx, n.s.EntryTTL)
+		_ = timer.Sleep(ctx, min(n.s.EntryTTL, grace/2))
 	}
-	errs := []error{n.hub.Drain(ctx)}
-	close(n.handedOver)
-	n.log.Info().Msg("handover of running generations ended; callers are asked to reconnect")
+	errs := []error{n.handOver(ctx, end)}
 	for _, s := range n.servers {
 		errs = append(errs, s.Shutdown(ctx))
 	}
@@ -58,3 +60,14 @@
 	n.hub.Close()
 	return errors.Join(append(errs, n.tracer.Close(context.WithoutCancel(ctx)))...)
 }
+
+// handOver hands the running generations over to other VMs. It asks their callers to reconnect, also
+// those of generations that no other VM takes, while there is time to tell them.
+func (n *Node) handOver(ctx context.Context, end time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, end.Add(-reconnectMargin))
+	defer cancel()
+	err := n.hub.Drain(ctx)
+	n.askToReconnect()
+	n.log.Info().AnErr("error", err).Msg("handover of running generations ended; callers are asked to reconnect")
+	return err
+}
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -122,3 +124,47 @@
 	wg.Wait()
 	<-stopped
 }
+
+// Guards against streams that are cut off by a shutdown whose time is shorter than entry_ttl: their callers are
+// asked to reconnect.
+func TestShortShutdownAsksStreamsToReconnect(t *testing.T) {
+	t.Parallel()
+	s := startWithDispatch(t, func(conf *settings.Settings) { conf.DrainTimeout, conf.EntryTTL = 2*time.Second, 5*time.Second })
+	leaving := s.Nodes[1]
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		got, err := ask(t.Context(), leaving.Self().Endpoint, "/v1/completions", "streamed", longAnswer(true))
+		if err != nil || !strings.HasSuffix(strings.TrimSpace(got), ": reconnect") {
+			t.Errorf("got ...%q and error %v, want to be asked to reconnect", got[max(0, len(got)-60):], err)
+		}
+	}()
+	time.Sleep(200 * time.Millisecond) // until it runs
+	if err := leaving.Shutdown(t.Context()); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		t.Error(err)
+	}
+	leaving.Kill() // the process ends
+	<-ended
+}
+
+// longAnswer is the body of a request for an answer of some ten seconds.
+func longAnswer(stream bool) string {
+	return fmt.Sprintf(`{"model":"m","prompt":"unit 7","max_tokens":2500,"stream":%v}`, stream)
+}
+
+// ask returns the status and the body of an answer.
+func ask(ctx context.Context, addr, path, key, body string) (string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return resp.Status + " " + string(got), err
+}
