gateway, node: who still waits when a shutdown ends gets an answer

What callers saw: a generation wanted in one piece, or a call of a service, that outlasts drain_timeout ended with a closed connection, also one that was sent after SIGTERM. Without an Idempotency-Key of their own, callers did not learn the key under which the answer goes on.

Nobody told those that remained.

The answer goes on at another VM, the outcome of the call is asked for under the same key.

TestShutdownAnswersWhoWaitsAtItsEnd (drain_timeout 2 s, answers of 10 s, a booking of 4 s) failed before: both connections ended without an answer. The answer is whole at another VM, the booking ran once.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -40,7 +40,12 @@
 	}
 	ctx, span := g.tracer.Start(traceContext(r, key), "entry", key)
 	defer span.End()
+	ctx, cancel := g.untilEnding(ctx)
+	defer cancel()
 	if err := g.serveCompletion(ctx, w, r, key); err != nil {
+		if g.ending() && errors.Is(err, context.Canceled) {
+			err = result.New(result.ShuttingDown).WithRan(result.RanUnknown)
+		}
 		g.log.Info().Str("request_id", key).Int("code", int(result.CodeOf(err))).Msg("request refused or failed")
 		resulthttp.Write(w, key, err)
 	}
@@ -245,6 +250,21 @@
 	return reader.Wait(ctx, from)
 }
 
+// untilEnding returns a context that ends shortly before the process does.
+func (g *Gateway) untilEnding(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if g.cfg.Ending == nil {
+		return ctx, cancel
+	}
+	stop := context.AfterFunc(g.cfg.Ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+func (g *Gateway) ending() bool { return g.cfg.Ending != nil && g.cfg.Ending.Err() != nil }
+
 func (g *Gateway) draining() bool {
 	return g.cfg.Draining != nil && g.cfg.Draining.Err() != nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,10 @@
 	// its current event with a comment that asks the caller to reconnect. Nil: never.
 	Draining context.Context
 
+	// Ending ends shortly before the process does. Who still waits for an answer in one piece is then
+	// told to ask again. Nil: never.
+	Ending context.Context
+
 	// CannotFinish reports that this VM shuts down before it could finish a call. Nil: it never
 	// does.
 	CannotFinish func(w shutdown.Work) bool
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -52,6 +52,8 @@
 const (
 	servicesPath   = "/v1/services/"
 	fullRetryAfter = 1 * time.Second // calls usually end within a second
+
+	runningRetryAfter = 1 * time.Second // until other VMs know that this one has ended
 )
 
 // ServeHTTP relays one call.
@@ -97,6 +99,8 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := s.g.untilEnding(ctx)
+	defer cancel()
 	ctx, span := s.g.tracer.Start(ctx, "service", id)
 	defer span.End()
 	c := s.call(ctx, &caller, r, id)
@@ -104,7 +108,31 @@
 	if idempotent {
 		return s.calls.Relay(ctx, c)
 	}
-	return s.calls.Once(ctx, c)
+	return s.once(ctx, c)
+}
+
+// once runs a call that is not idempotent. If the process ends before the call does, the caller is told
+// to ask for the outcome, which other VMs then know or seal.
+func (s *services) once(ctx context.Context, c *service.Call) (*call.Answer, error) {
+	type outcome struct {
+		answer *call.Answer
+		err    error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		answer, err := s.calls.Once(ctx, c)
+		done <- outcome{answer, err}
+	}()
+	var ending <-chan struct{}
+	if s.g.cfg.Ending != nil {
+		ending = s.g.cfg.Ending.Done()
+	}
+	select {
+	case o := <-done:
+		return o.answer, o.err
+	case <-ending:
+		return nil, result.New(result.CallRunning).WithRetryAfter(runningRetryAfter)
+	}
 }
 
 // callTarget returns the service and the escaped path of a call, if the caller's plan allows
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,9 +74,11 @@
 	draining   atomic.Bool        // set by Shutdown; entry answers omit this VM
 	heads      *headlimit.Account // of the clients of all listeners
 	handedOver context.Context    // ends once the running generations are handed over
+	ending     context.Context    // ends shortly before the process does
+	stopping   atomic.Pointer[stopWindow]
 
 	askToReconnect context.CancelFunc // ends handedOver
-	stopping       atomic.Pointer[stopWindow]
+	endAnswers     context.CancelFunc // ends ending
 }
 
 // Listen binds the VM's addresses, and stores the ports that the kernel picked in s.
@@ -91,6 +93,7 @@
 		heads: headlimit.NewAccount(s.MemoryMB<<20, int(s.Descriptors)), failure: make(chan error, 1),
 	}
 	n.handedOver, n.askToReconnect = context.WithCancel(context.Background())
+	n.ending, n.endAnswers = context.WithCancel(context.Background())
 	for _, b := range []struct {
 		l    *net.Listener
 		addr *string
@@ -136,7 +139,7 @@
 }
 
 func (n *Node) startCallers() {
-	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeatInterval, Draining: n.handedOver, CannotFinish: n.cannotFinish},
+	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeatInterval, Draining: n.handedOver, Ending: n.ending, CannotFinish: n.cannotFinish},
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -39,6 +39,7 @@
 	end, _ := ctx.Deadline()
 	grace := time.Until(end)
 	n.stopping.Store(&stopWindow{time.Now(), shutdown.Window{Grace: grace, Margin: closeMargin, Early: n.s.EntryTTL}})
+	defer time.AfterFunc(grace-closeMargin, n.endAnswers).Stop()
 	n.ready.Store(false)
 	n.draining.Store(true)
 	n.leaveMembers(ctx, false)
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -147,6 +147,38 @@
 	<-ended
 }
 
+// Guards against callers of long answers in one piece and of long calls that are cut off at the end of a
+// shutdown: they get an answer that tells them to ask again, and not that nothing has run.
+func TestShutdownAnswersWhoWaitsAtItsEnd(t *testing.T) {
+	t.Parallel()
+	const drain = 2 * time.Second
+	s := startWithDispatch(t, func(conf *settings.Settings) { conf.DrainTimeout = drain })
+	s.Services[0].DelayAnswers(2 * drain)
+	leaving, elsewhere := s.Nodes[1], s.Nodes[0].Self().Endpoint
+	var wg sync.WaitGroup
+	for path, body := range map[string]string{"/v1/completions": longAnswer(false), "/v1/services/dispatch/bookings": "{}"} {
+		wg.Go(func() {
+			got, err := ask(t.Context(), leaving.Self().Endpoint, path, "in-one-piece", body)
+			if err != nil || !strings.Contains(got, `"code":`) || strings.Contains(got, `"ran":"no"`) {
+				t.Errorf("%s: got %q and error %v, want a result code, and not that it has not run", path, got, err)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond) // until they run
+	if err := leaving.Shutdown(t.Context()); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		t.Error(err)
+	}
+	leaving.Kill() // the process ends
+	wg.Wait()
+	got, err := ask(t.Context(), elsewhere, "/v1/completions", "in-one-piece", longAnswer(false))
+	if err != nil || !strings.HasPrefix(got, "200") {
+		t.Errorf("the answer got %.200q and error %v elsewhere, want 200", got, err)
+	}
+	if runs := s.Services[0].Runs("in-one-piece"); runs != 1 {
+		t.Errorf("the booking ran %d times, want once", runs)
+	}
+}
+
 // longAnswer is the body of a request for an answer of some ten seconds.
 func longAnswer(stream bool) string {
 	return fmt.Sprintf(`{"model":"m","prompt":"unit 7","max_tokens":2500,"stream":%v}`, stream)
