--- a/internal/routed/control.go
+++ b/internal/routed/control.go
@@ -93,7 +93,7 @@
 	if o.Rollouts == (rollout.Limits{}) {
 		o.Rollouts = rollout.DefaultLimits
 	}
-	c := &Control{operatorServers: operatorServers{log: o.Log, heads: o.Heads}, o: o, failure: make(chan error, 1), values: bulk.NewStore()}
+	c := &Control{operatorServers: newOperatorServers(o.Log, o.Heads), o: o, failure: make(chan error, 1), values: bulk.NewStore()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.network = newNetwork(&o.Common)
 	c.backendList = cluster.NewListReplica(func(l upstream.List) { c.hub.SetBackends(l) })
--- a/internal/routed/observer.go
+++ b/internal/routed/observer.go
@@ -33,7 +33,7 @@
 // StartObserver binds the peer address and starts to follow the control group.
 func StartObserver(o Common) (*Observer, error) {
 	o.setDefaults()
-	v := &Observer{operatorServers: operatorServers{log: o.Log, heads: o.Heads}, o: o, network: newNetwork(&o)}
+	v := &Observer{operatorServers: newOperatorServers(o.Log, o.Heads), o: o, network: newNetwork(&o)}
 	var ctx context.Context
 	ctx, v.cancel = context.WithCancel(context.Background())
 	v.member = cluster.NewMember(o.ID, v.network, o.Seeds, cluster.NewListReplica(func(upstream.List) {}), cluster.Local{
