routed: an observer does not call an order not run that a voter may still commit

What operators may see: an order of a roll-out or a cordon at a control process without a disk is answered 503, control_unavailable, ran: no, and is in force later.

Cause: 700 ms without an answer of a voter counted as a refusal, and so did a voter's "outcome unknown". Voters answer late while the group elects a leader, as around their stops.

Change: such an order ends as outcome unknown (4003). Questions end as before.

TestOrderOfAnObserverIsNotCalledNotRunInVain failed before in both cases.

--- a/internal/routed/cordons.go
+++ b/internal/routed/cordons.go
@@ -295,7 +295,7 @@
 // PutCordon implements CordonService. A voter that did not answer may have committed the
 // order. The next voter then returns the same reply, because the key is the same.
 func (v *Observer) PutCordon(ctx context.Context, o cordon.Order, key string) (CordonStatus, error) {
-	out, err := askVoters[[]CordonStatus](ctx, v, v.observer.Controls(), peer.KindCordon, cordonRequest{Order: &o, Key: key})
+	out, err := orderFromVoters[[]CordonStatus](ctx, &v.voters, peer.KindCordon, cordonRequest{Order: &o, Key: key})
 	if err != nil || len(out) != 1 {
 		return CordonStatus{}, err
 	}
@@ -304,13 +304,13 @@
 
 // RemoveCordon implements CordonService.
 func (v *Observer) RemoveCordon(ctx context.Context, r cordon.Removal, key string) error {
-	_, err := askVoters[[]CordonStatus](ctx, v, v.observer.Controls(), peer.KindCordon, cordonRequest{Removal: &r, Key: key})
+	_, err := orderFromVoters[[]CordonStatus](ctx, &v.voters, peer.KindCordon, cordonRequest{Removal: &r, Key: key})
 	return err
 }
 
 // Cordons implements CordonService.
 func (v *Observer) Cordons(ctx context.Context) ([]CordonStatus, error) {
-	return askVoters[[]CordonStatus](ctx, v, v.observer.Controls(), peer.KindCordon, cordonRequest{})
+	return askVoters[[]CordonStatus](ctx, &v.voters, peer.KindCordon, cordonRequest{})
 }
 
 // cordonOrder is the JSON body of an operator's order.
--- a/internal/routed/observer.go
+++ b/internal/routed/observer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/amaranthshelf/amaranthshelf/internal/cluster"
 	"github.com/amaranthshelf/amaranthshelf/internal/consensus"
 	"github.com/amaranthshelf/amaranthshelf/internal/control"
@@ -26,6 +28,7 @@
 	observer        *cluster.Observer
 	client          *control.RemoteClient
 	routeListReader *routeListReader
+	voters          voterClient
 	peerServer      *http.Server
 	cancel          context.CancelFunc
 }
@@ -43,6 +46,7 @@
 	consensus.ServeObserver(v.network, o.ID)
 	v.client = control.NewRemoteClient(v.network, o.ID, v.observer.Controls)
 	v.routeListReader = &routeListReader{t: v.network, voters: v.observer.Controls, log: o.Log}
+	v.voters = voterClient{t: v.network, vms: v.observer.Controls, log: o.Log}
 	o.Metrics.NewGauge("shelf_ready_routers", func() float64 { return float64(v.observer.ReadyRouters()) })
 	var err error
 	if v.peerServer, err = listenPeers(v.network, &o); err != nil {
@@ -75,24 +79,43 @@
 // PutRollout implements ControlProcess. A voter that did not answer may have committed
 // the order. In that case the next voter acknowledges it as a repeated order.
 func (v *Observer) PutRollout(ctx context.Context, o rollout.Order) (rollout.Record, error) {
-	return askVoters[rollout.Record](ctx, v, v.observer.Controls(), peer.KindRollout, rolloutRequest{Order: &o})
+	return orderFromVoters[rollout.Record](ctx, &v.voters, peer.KindRollout, rolloutRequest{Order: &o})
 }
 
 // Rollout implements ControlProcess.
 func (v *Observer) Rollout(ctx context.Context, service string) (rollout.Record, error) {
-	return askVoters[rollout.Record](ctx, v, v.observer.Controls(), peer.KindRollout, rolloutRequest{Service: service})
+	return askVoters[rollout.Record](ctx, &v.voters, peer.KindRollout, rolloutRequest{Service: service})
 }
 
 // voterRequestTimeout bounds a call to one voter, which may have to commit.
 const voterRequestTimeout = 700 * time.Millisecond
 
-// askVoters sends a request to the voters in turn until one gives a final answer.
-func askVoters[R any](ctx context.Context, v *Observer, voters []string, kind peer.Kind, q any) (R, error) {
+// voterClient sends the requests of an Observer to the voters.
+type voterClient struct {
+	t   peer.Transport
+	vms func() []string
+	log zerolog.Logger
+}
+
+// orderFromVoters gives an order to the voters in turn until one gives a final answer. An error with
+// code ControlUnavail guarantees that nothing has changed.
+func orderFromVoters[R any](ctx context.Context, c *voterClient, kind peer.Kind, q any) (R, error) {
+	return askEach[R](ctx, c, kind, q, result.OutcomeUnknown)
+}
+
+// askVoters sends a question to the voters in turn until one gives a final answer.
+func askVoters[R any](ctx context.Context, c *voterClient, kind peer.Kind, q any) (R, error) {
+	return askEach[R](ctx, c, kind, q, result.ControlUnavail)
+}
+
+// askEach does both. unanswered is the code of the error if a voter may have taken the request.
+func askEach[R any](ctx context.Context, c *voterClient, kind peer.Kind, q any, unanswered result.Code) (R, error) {
 	var none R
-	for _, vm := range voters {
+	code := result.ControlUnavail
+	for _, vm := range c.vms() {
 		var out R
 		asking, cancel := context.WithTimeout(ctx, voterRequestTimeout)
-		err := v.network.Call(asking, vm, kind, q, &out)
+		err := c.t.Call(asking, vm, kind, q, &out)
 		cancel()
 		if err == nil {
 			return out, nil
@@ -100,9 +123,21 @@
 		if final := finalOr(err, result.ControlUnavail); final.Code != result.ControlUnavail {
 			return none, final
 		}
-		v.o.Log.Debug().Err(err).Str("control", vm).Int("kind", int(kind)).Msg("request to a voter failed; asking the next one, if any")
+		if mayBeTaken(err) {
+			code = unanswered
+		}
+		c.log.Debug().Err(err).Str("control", vm).Int("kind", int(kind)).Msg("request to a voter failed; asking the next one, if any")
+	}
+	return none, result.New(code)
+}
+
+// mayBeTaken reports whether a voter may have taken a request that failed with err, or takes it later.
+func mayBeTaken(err error) bool {
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) {
+		return result.Code(remote.Code) != result.ControlUnavail
 	}
-	return none, result.New(result.ControlUnavail)
+	return !errors.Is(err, peer.ErrQueueFull) && !errors.Is(err, peer.ErrClosed)
 }
 
 // finalOr returns the error of another VM if every voter would give the same answer, and an
--- a/internal/routed/room.go
+++ b/internal/routed/room.go
@@ -83,7 +83,7 @@
 
 // Room implements RoomService.
 func (v *Observer) Room(ctx context.Context, service string) (json.RawMessage, error) {
-	return askVoters[json.RawMessage](ctx, v, v.observer.Controls(), peer.KindRoom, roomRequest{Service: service})
+	return askVoters[json.RawMessage](ctx, &v.voters, peer.KindRoom, roomRequest{Service: service})
 }
 
 func getRoom(w http.ResponseWriter, r *http.Request, c RoomService) error {
