node: a VM that shuts down asks callers to use no connection again

What callers saw: a request on a kept connection, sent 1.2 s after SIGTERM with entry_ttl at 1 s, lost its connection at once and got no answer.

Cause: connections were kept until the moment at which the VM closes them, and a request may cross that close.

Change: from SIGTERM on, each answer says that its connection is closed.

TestShutdownEndsKeptConnections failed before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,7 +146,7 @@
 	n.serviceRoutes(gw, r)
 	gw.EntryRoutes(r, n.members, n.s.EntryTTL)
 	n.explainer.CallerRoutes(r, n.plans.Directory)
-	n.serve(n.callers, r)
+	n.serve(n.callers, n.endKeptConnections(r))
 }
 
 func (n *Node) startOperators() {
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
@@ -72,3 +73,14 @@
 	n.log.Info().AnErr("error", err).Msg("handover of running generations ended; callers are asked to reconnect")
 	return err
 }
+
+// endKeptConnections asks callers to use no connection again once this VM shuts down. A request that
+// crosses the close of its connection would get no answer.
+func (n *Node) endKeptConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -200,3 +200,32 @@
 	got, err := io.ReadAll(resp.Body)
 	return resp.Status + " " + string(got), err
 }
+
+// Guards against requests that are lost on kept connections which a shutdown closes: their callers are told
+// before, with each answer.
+func TestShutdownEndsKeptConnections(t *testing.T) {
+	t.Parallel()
+	s := startWithDispatch(t, func(conf *settings.Settings) { conf.EntryTTL = time.Second })
+	leaving := s.Nodes[1]
+	closes := func() bool {
+		resp, err := http.Get("http://" + leaving.Self().Endpoint + "/v1/entry")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return resp.Close
+	}
+	if closes() {
+		t.Error("a connection is closed before the shutdown")
+	}
+	stopped := make(chan error)
+	go func() { stopped <- leaving.Shutdown(t.Context()) }()
+	time.Sleep(200 * time.Millisecond) // until it has begun
+	if !closes() {
+		t.Error("a connection is kept during the shutdown")
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
