--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -40,7 +40,12 @@
 	}
 	ctx, span := g.tracer.Start(traceContext(r, key), "entry", key)
 	defer span.End()
+	ctx, cancel := g.untilEnding(ctx)
+	defer cancel()
 	if err := g.serveCompletion(ctx, w, r, key); err != nil {
+		if g.ending() && errors.Is(err, context.Canceled) {
+			err = result.New(result.ShuttingDown).WithRan(result.RanUnknown)
+		}
 		g.log.Info().Str("request_id", key).Int("code", int(result.CodeOf(err))).Msg("request refused or failed")
 		resulthttp.Write(w, key, err)
 	}
@@ -210,12 +215,12 @@
 	}
 	wait := maxFirstTokenWait
 	for {
-		wctx, cancel := context.WithTimeout(ctx, wait)
-		chunk, err := reader.Wait(wctx, s.index)
-		cancel()
+		chunk, err := g.waitForTokens(ctx, reader, s.index, wait)
 		switch {
 		case ctx.Err() != nil:
 			return nil // the caller disconnected; the answer is kept for a reconnect
+		case errors.Is(err, context.Canceled) && g.draining():
+			return s.reconnect()
 		case errors.Is(err, context.DeadlineExceeded):
 			err = s.heartbeat()
 		case err == nil:
@@ -234,11 +239,32 @@
 	}
 }
 
-func (g *Gateway) draining() bool {
-	select {
-	case <-g.cfg.Draining:
-		return true
-	default:
-		return false
+// waitForTokens waits for tokens from index from on, until limit has passed or this VM has handed over
+// its streams.
+func (g *Gateway) waitForTokens(ctx context.Context, reader *relay.Reader, from int, limit time.Duration) (relay.Chunk, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if g.cfg.Draining != nil {
+		defer context.AfterFunc(g.cfg.Draining, cancel)()
+	}
+	return reader.Wait(ctx, from)
+}
+
+// untilEnding returns a context that ends shortly before the process does.
+func (g *Gateway) untilEnding(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if g.cfg.Ending == nil {
+		return ctx, cancel
 	}
+	stop := context.AfterFunc(g.cfg.Ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+func (g *Gateway) ending() bool { return g.cfg.Ending != nil && g.cfg.Ending.Err() != nil }
+
+func (g *Gateway) draining() bool {
+	return g.cfg.Draining != nil && g.cfg.Draining.Err() != nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,8 +73,12 @@
 
 	draining   atomic.Bool        // set by Shutdown; entry answers omit this VM
 	heads      *headlimit.Account // of the clients of all listeners
-	handedOver chan struct{}      // closed once the running generations are handed over
+	handedOver context.Context    // ends once the running generations are handed over
+	ending     context.Context    // ends shortly before the process does
 	stopping   atomic.Pointer[stopWindow]
+
+	askToReconnect context.CancelFunc // ends handedOver
+	endAnswers     context.CancelFunc // ends ending
 }
 
 // Listen binds the VM's addresses, and stores the ports that the kernel picked in s.
@@ -86,8 +90,10 @@
 	n := &Node{
 		s: s, log: log, metrics: telemetry.Metrics(s.Self.ID), tracer: tracer,
 		incarnation: rand.Text()[:8], engines: engine.NewClient(), explain: explain.NewRing(explain.DefaultRequests),
-		handedOver: make(chan struct{}), heads: headlimit.NewAccount(s.MemoryMB<<20, int(s.Descriptors)), failure: make(chan error, 1),
+		heads: headlimit.NewAccount(s.MemoryMB<<20, int(s.Descriptors)), failure: make(chan error, 1),
 	}
+	n.handedOver, n.askToReconnect = context.WithCancel(context.Background())
+	n.ending, n.endAnswers = context.WithCancel(context.Background())
 	for _, b := range []struct {
 		l    *net.Listener
 		addr *string
@@ -133,14 +139,14 @@
 }
 
 func (n *Node) startCallers() {
-	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeatInterval, Draining: n.handedOver, CannotFinish: n.cannotFinish},
+	gw := gateway.New(gateway.Config{MaxBodyBytes: n.s.MaxBodyBytes, Heartbeat: heartbeatInterval, Draining: n.handedOver, Ending: n.ending, CannotFinish: n.cannotFinish},
 		n.hub, n.plans, n.router, n.tracer, n.log)
 	r := mux.NewRouter().UseEncodedPath()
 	gw.Routes(r)
 	n.serviceRoutes(gw, r)
 	gw.EntryRoutes(r, n.members, n.s.EntryTTL)
 	n.explainer.CallerRoutes(r, n.plans.Directory)
-	n.serve(n.callers, r)
+	n.serve(n.callers, n.endKeptConnections(r))
 }
 
 func (n *Node) startOperators() {
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -122,3 +124,108 @@
 	wg.Wait()
 	<-stopped
 }
+
+// Guards against streams that are cut off by a shutdown whose time is shorter than entry_ttl: their callers are
+// asked to reconnect.
+func TestShortShutdownAsksStreamsToReconnect(t *testing.T) {
+	t.Parallel()
+	s := startWithDispatch(t, func(conf *settings.Settings) { conf.DrainTimeout, conf.EntryTTL = 2*time.Second, 5*time.Second })
+	leaving := s.Nodes[1]
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		got, err := ask(t.Context(), leaving.Self().Endpoint, "/v1/completions", "streamed", longAnswer(true))
+		if err != nil || !strings.HasSuffix(strings.TrimSpace(got), ": reconnect") {
+			t.Errorf("got ...%q and error %v, want to be asked to reconnect", got[max(0, len(got)-60):], err)
+		}
+	}()
+	time.Sleep(200 * time.Millisecond) // until it runs
+	if err := leaving.Shutdown(t.Context()); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		t.Error(err)
+	}
+	leaving.Kill() // the process ends
+	<-ended
+}
+
+// Guards against callers of long answers in one piece and of long calls that are cut off at the end of a
+// shutdown: they get an answer that tells them to ask again, and not that nothing has run.
+func TestShutdownAnswersWhoWaitsAtItsEnd(t *testing.T) {
+	t.Parallel()
+	const drain = 2 * time.Second
+	s := startWithDispatch(t, func(conf *settings.Settings) { conf.DrainTimeout = drain })
+	s.Services[0].DelayAnswers(2 * drain)
+	leaving, elsewhere := s.Nodes[1], s.Nodes[0].Self().Endpoint
+	var wg sync.WaitGroup
+	for path, body := range map[string]string{"/v1/completions": longAnswer(false), "/v1/services/dispatch/bookings": "{}"} {
+		wg.Go(func() {
+			got, err := ask(t.Context(), leaving.Self().Endpoint, path, "in-one-piece", body)
+			if err != nil || !strings.Contains(got, `"code":`) || strings.Contains(got, `"ran":"no"`) {
+				t.Errorf("%s: got %q and error %v, want a result code, and not that it has not run", path, got, err)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond) // until they run
+	if err := leaving.Shutdown(t.Context()); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		t.Error(err)
+	}
+	leaving.Kill() // the process ends
+	wg.Wait()
+	got, err := ask(t.Context(), elsewhere, "/v1/completions", "in-one-piece", longAnswer(false))
+	if err != nil || !strings.HasPrefix(got, "200") {
+		t.Errorf("the answer got %.200q and error %v elsewhere, want 200", got, err)
+	}
+	if runs := s.Services[0].Runs("in-one-piece"); runs != 1 {
+		t.Errorf("the booking ran %d times, want once", runs)
+	}
+}
+
+// longAnswer is the body of a request for an answer of some ten seconds.
+func longAnswer(stream bool) string {
+	return fmt.Sprintf(`{"model":"m","prompt":"unit 7","max_tokens":2500,"stream":%v}`, stream)
+}
+
+// ask returns the status and the body of an answer.
+func ask(ctx context.Context, addr, path, key, body string) (string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return resp.Status + " " + string(got), err
+}
+
+// Guards against requests that are lost on kept connections which a shutdown closes: their callers are told
+// before, with each answer.
+func TestShutdownEndsKeptConnections(t *testing.T) {
+	t.Parallel()
+	s := startWithDispatch(t, func(conf *settings.Settings) { conf.EntryTTL = time.Second })
+	leaving := s.Nodes[1]
+	closes := func() bool {
+		resp, err := http.Get("http://" + leaving.Self().Endpoint + "/v1/entry")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return resp.Close
+	}
+	if closes() {
+		t.Error("a connection is closed before the shutdown")
+	}
+	stopped := make(chan error)
+	go func() { stopped <- leaving.Shutdown(t.Context()) }()
+	time.Sleep(200 * time.Millisecond) // until it has begun
+	if !closes() {
+		t.Error("a connection is kept during the shutdown")
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
