--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -197,7 +197,7 @@
 		f.setEnd(time.Now().Add(time.Minute))
 		f.fleet.Apply(upstream.List{AsOf: time.Now().Add(time.Minute)})
 		<-f.send(http.MethodPost, "/s/1", "no server", "dossier").done
-		f.handler.Refuse(httptest.NewRecorder(), result.New(result.ShuttingDown))
+		f.handler.Refuse(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", http.NoBody), result.New(result.ShuttingDown))
 		if n := f.handler.Stats.ShutdownRefusals.Get(); n != 3 {
 			t.Errorf("%d refusals are counted, want 3", n)
 		}
