forward: a stop logs each request that it refuses, and no other

An operator who looks for a stream that got 3006 for want of an engine found no line 'request refused by the shutdown'; a call whose second send was refused and that its first server answered had one. The line was written where the time left was judged, not where the answer is given. It is written with the answer now, with the judgement that led to it.

TestEveryRefusalOfAStopIsLogged failed before (0 lines, want 1).

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -350,6 +350,9 @@
 	}
 	if err != nil {
 		h.opts.RoutineLog.Info().Str("request", q.id()).Uint64("digest", q.contentDigest()).Str("path", r.URL.Path).Int("code", int(result.CodeOf(err))).Msg("not admitted")
+		if result.CodeOf(err) == result.ShuttingDown {
+			h.logRefusedForShutdown(q)
+		}
 		h.refuse(r.Context(), w, err)
 		return
 	}
@@ -368,6 +371,7 @@
 		defer stop()
 	}
 	if h.cannotFinish(q) { // its body may have arrived slowly
+		h.logRefusedForShutdown(q)
 		h.refuse(ctx, w, result.New(result.ShuttingDown).WithRetryAfter(otherRouterRetryAfter))
 		return
 	}
@@ -555,5 +559,8 @@
 	e.RequestID = q.RequestID
 	h.opts.Log.Info().Str("request", q.RequestID).Str("route", q.route.Name).Int("code", int(code)).Str("reason", reason).
 		Int("sends", q.history.arrivals).Dur("held", time.Since(q.arrived)).Msg("gave up")
+	if code == result.ShuttingDown {
+		h.logRefusedForShutdown(q)
+	}
 	h.refuse(q.ctx, w, e)
 }
--- a/internal/forward/in_progress.go
+++ b/internal/forward/in_progress.go
@@ -60,9 +60,9 @@
 type requestStatus struct {
 	admitted shutdown.Work // what was expected of it; zero: it was admitted before the shutdown
 	server   atomic.Pointer[string]
-	sentAt   atomic.Int64 // Unix nanoseconds of the first send; 0: it was not sent
-	events   atomic.Int64 // that the caller was sent
-	refused  atomic.Bool  // since it could not be finished
+	sentAt   atomic.Int64                  // Unix nanoseconds of the first send; 0: it was not sent
+	events   atomic.Int64                  // that the caller was sent
+	refused  atomic.Pointer[shutdown.Work] // what was expected of it when it could not be finished; nil: it could
 }
 
 // waited returns how long a request has waited since its body was read.
@@ -79,10 +79,11 @@
 	s.sentAt.CompareAndSwap(0, time.Now().UnixNano())
 }
 
-// noteRefusedForShutdown logs, once, that a request is refused since this VM shuts down.
-func (h *Handler) noteRefusedForShutdown(q *request, w shutdown.Work) {
-	if q.status.refused.Swap(true) {
-		return
+// logRefusedForShutdown logs that a request is refused since this VM shuts down.
+func (h *Handler) logRefusedForShutdown(q *request) {
+	w := h.pendingWork(q)
+	if decided := q.status.refused.Load(); decided != nil {
+		w = *decided
 	}
 	h.opts.RoutineLog.Info().Str("request", q.RequestID).Str("route", q.route.Name).Bool("stream", q.isStream()).
 		Object("work", loggedWork(w)).Dur("held", time.Since(q.arrived)).Dur("time_left", h.opts.TimeLeft()).
--- a/internal/forward/pending_work.go
+++ b/internal/forward/pending_work.go
@@ -29,7 +29,7 @@
 	if !h.opts.CannotFinish(work) {
 		return false
 	}
-	h.noteRefusedForShutdown(q, work)
+	q.status.refused.Store(&work)
 	return true
 }
 
