shutdown: a stream that would wait beyond the early part of a stop is refused at once

What callers saw: with waits of 3 s for an engine, a stream that came early in a stop was taken, held until the early part was over, and refused then: its grant would have come too late to be sent.

Cause: early in a stop the wait and the run were judged together against the rest of the grace, but a stream that is not sent in the early part must not be sent at all.

Change: Work states the wait, and one that outlasts the early part is refused at once as not run.

--- a/internal/forward/in_progress.go
+++ b/internal/forward/in_progress.go
@@ -116,5 +116,5 @@
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (w loggedWork) MarshalZerologObject(e *zerolog.Event) {
-	e.Dur("expected", w.Expected).Dur("left", w.Left).Str("basis", w.Basis)
+	e.Dur("wait", w.Wait).Dur("expected", w.Expected).Dur("left", w.Left).Str("basis", w.Basis)
 }
--- a/internal/forward/pending_work.go
+++ b/internal/forward/pending_work.go
@@ -41,7 +41,8 @@
 	if !e.Known {
 		return h.meanWork(q)
 	}
-	return shutdown.Work{Expected: h.expectedWait(q, &e) + h.quickest(&e), Left: q.left(), Basis: basisLongestStream}
+	wait := h.expectedWait(q, &e)
+	return shutdown.Work{Wait: wait, Expected: wait + h.quickest(&e), Left: q.left(), Basis: basisLongestStream}
 }
 
 // expectedWait returns how long a stream still waits for a server, by the longest waits of late.
--- a/internal/shutdown/window.go
+++ b/internal/shutdown/window.go
@@ -13,9 +13,10 @@
 
 // Work is how long a request takes from now on.
 type Work struct {
+	Wait     time.Duration // until it is sent to a server, a part of Expected; 0: not known
 	Expected time.Duration // by the requests before it; 0: not known
 	Left     time.Duration // until its deadline
-	Basis    string        // of Expected, for logs
+	Basis    string        // of Wait and Expected, for logs
 }
 
 // Window is the time that a process has to end its requests.
@@ -28,13 +29,15 @@
 // CannotFinish reports whether a request that comes elapsed after the order to stop could not
 // finish in time. At first, callers still hold this VM's address, and what usually finishes is
 // admitted. Later on, only what is certain to finish: its deadline is in time. The durations of
-// requests before it are no proof, since any request may be the longest so far.
+// requests before it are no proof, since any request may be the longest so far. A request that would
+// wait until then is refused at once.
 func (w Window) CannotFinish(elapsed time.Duration, work Work) bool {
 	remaining := w.Grace - w.Margin - elapsed
 	if work.Left <= remaining {
 		return false // its caller gets an answer by its deadline
 	}
-	return elapsed > w.early() || work.Expected > remaining
+	early := w.early() - elapsed
+	return early < 0 || work.Wait > early || work.Expected > remaining
 }
 
 // early returns how long the early part lasts.
