shutdown: a drain waits until other VMs have read the answers to what they handed off

A VM that served a request for another one, and was stopped, could end while that VM still read the answer for a caller that reads slowly: the handler had returned, so that nothing was counted, and 0.15 s after the drain the rest of the answer was gone. The caller, whose VM was not stopped, got a part of it.

The drain now also waits for the answers that other VMs have not read whole, within the grace period. The lease ends those that are not read at all.

--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -148,11 +148,13 @@
 		e.cancel()
 	}
 	s.mu.Unlock()
-	for s.inProgress() > 0 && timer.Sleep(ctx, endPollInterval) == nil {
+	for s.InProgress() > 0 && timer.Sleep(ctx, endPollInterval) == nil {
 	}
 }
 
-func (s *Server) inProgress() int {
+// InProgress returns the number of requests that this VM serves for others and whose answers these have
+// not read whole.
+func (s *Server) InProgress() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.taken)
--- a/internal/routed/drain.go
+++ b/internal/routed/drain.go
@@ -29,8 +29,9 @@
 	times DrainTimes
 	// refuse answers a request that comes after the end of the drain.
 	refuse func(http.ResponseWriter, *http.Request, error)
-	// unanswered returns how many connections carry a request whose answer is not written. A handler
-	// returns before its answer is, which a caller that reads slowly holds up.
+	// unanswered returns how many connections carry a request whose answer is not written, and how many
+	// answers other VMs have not read whole. A handler returns before that, and a caller that reads
+	// slowly holds it up.
 	unanswered func() int
 
 	mu           sync.Mutex
--- a/internal/routed/router.go
+++ b/internal/routed/router.go
@@ -60,7 +60,6 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.ending, r.end = context.WithCancel(r.ctx)
 	r.drain = newDrain(o.Drain)
-	r.drain.unanswered = r.conns.unanswered
 	r.load = newVMLoad(&o, r.drain.requests)
 	if o.Limits.Stated() {
 		r.conns.count = r.load.traffic.count
@@ -100,6 +99,7 @@
 	r.drain.refuse = r.refuseAfterDrain
 	r.entrance = r.drain.countRequests(r.load.limit(r.handler, r.handler.Refuse, r.conns.open))
 	r.handOffs = handoff.NewServer(r.ctx, r.network, r.entrance, r.takes, account, o.Log)
+	r.drain.unanswered = func() int { return r.conns.unanswered() + r.handOffs.InProgress() }
 	if err := r.serve(); err != nil {
 		r.cancel()
 		return nil, err
