forward: while a run is held, requests go only to engines that answer

What the rule saw: a stream goes on at an engine from a copy, which makes events of it that do not arrive, and the engine before works on it for 1.7 to 2.6 s more.

Cause: an engine that gives no sign of life for 270 ms was taken for one that does not have the request. Over a link that is cut one way it has it. An unknown outcome was treated as a negative one.

Change: beside a held run the request is sent only to an engine that answers a probe just before. One that does not is passed over, and uses up none of the attempts; the search ends at once if the held run goes on. What is decided after 270 ms is the same.

--- a/internal/forward/overlap.go
+++ b/internal/forward/overlap.go
@@ -18,6 +18,9 @@
 // not run there. The run before then stays, so that a silence alone ends no answer. If the request
 // may not be sent once more, the later run stays, whose engine has been silent for less long.
 //
+// An engine whose answers do not arrive works on a request without a sign of life, and two engines then
+// have it. While a run is held, the request is therefore sent only to an engine that answers a probe.
+//
 // Without a copy the other engine prefills the prompt again. If the engine before is back within
 // maxOverlap, its run is worth more, and the other one ends.
 
@@ -25,7 +28,8 @@
 // come, and the rest of 400 ms for the close to reach the engine before.
 const maxOverlap = 270 * time.Millisecond
 
-// lifeCheckTimeout bounds the probe of the second engine, whose result decides after maxOverlap.
+// lifeCheckTimeout bounds the probes of the second engine: the one before the request is sent there, and
+// the one whose result decides after maxOverlap.
 const lifeCheckTimeout = maxOverlap - 20*time.Millisecond
 
 // noteOpened records that a run was started, if its connection is open. If another run is held, one
@@ -75,6 +79,30 @@
 	st.releaseHeld(why, endBroken)
 }
 
+// answersBeforeSend reports whether a server answers now, if a run is held. It returns false at once if
+// the search for a server ends.
+func (st *streamRelay) answersBeforeSend(s *upstream.Server) bool {
+	if st.heldEngine == "" {
+		return true
+	}
+	st.h.Stats.Probes.Inc()
+	p := st.h.prober.startWithin(s, lifeCheckTimeout)
+	select {
+	case <-p.done:
+	case <-st.q.ctx.Done():
+		return false
+	}
+	if p.alive || p.withheld || p.reset {
+		return true
+	}
+	st.h.opts.Log.Info().Str("request", st.q.RequestID).Str("engine", s.ID).Bool("replaced", p.replaced).
+		Msg("engine does not answer; the request is not sent there")
+	if !p.replaced {
+		st.h.judgeDead(s, p, false)
+	}
+	return false
+}
+
 // lifeCheck tells whether a server shows life once a request was written there.
 type lifeCheck struct {
 	h         *Handler
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -119,7 +119,7 @@
 	r.logPlaced()
 	// An idle connection may have died unnoticed. A resume has no time to find that
 	// out and opens a new one.
-	alive := st.q.trial == nil || h.answersProbe(s)
+	alive := st.answersBeforeSend(s) && (st.q.trial == nil || h.answersProbe(s))
 	r.content = h.opts.SuspectContents.began(s, st.q.digest, st.q.trial != nil)
 	if !alive {
 		r.reply, r.outcome = reply{outcome: sendNotSent, fault: faultDial}, sendNotSent
