forward tests: a trial that is granted late in a stop

A stream, an idempotent call and a vote wait for a trial of their content until they can no more be finished. They are refused as not run, and the trial is given back. The test fails if either a call or a stream is not asked about again before it is sent.

--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -51,11 +51,12 @@
 	stop             atomic.Pointer[stop] // nil: the router is not shutting down
 	ending           context.Context      // ends with the stop
 	end              context.CancelFunc
-	versionsStale    bool            // the router's copy of the known versions is out of date
-	catchesUp        func()          // brings the copy of the known versions up to date, just before it is asked whether it is fresh; nil: nothing does
-	origins          forward.Origins // nil: the router knows its own streams only
-	noRetries        bool            // the retry budget is spent
-	handOff          forward.HandOff // nil: requests are not handed off
+	versionsStale    bool                  // the router's copy of the known versions is out of date
+	catchesUp        func()                // brings the copy of the known versions up to date, just before it is asked whether it is fresh; nil: nothing does
+	origins          forward.Origins       // nil: the router knows its own streams only
+	noRetries        bool                  // the retry budget is spent
+	handOff          forward.HandOff       // nil: requests are not handed off
+	trials           forward.ContentTrials // nil: the router grants trials itself
 }
 
 // admitAll returns the versions of all servers, admitted to new work.
@@ -207,7 +208,7 @@
 		Routes: f.table.Load, ListsReady: ready, RetryAllowance: retries,
 		Log: f.log, RoutineLog: f.log, Metrics: metrics.NewSet(), SuspectContents: f.contents, Closing: f.isClosing, Ending: f.ending,
 		Memory: f.newAccount(), CannotFinish: f.cannotFinish, FindOrphan: f.findOrphan, Placer: f.placer, RefusalLevel: f.refusalLevel, CallGrants: f.callGrants,
-		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder}, VersionsFresh: func() bool { return f.versionsFresh() }, Origins: f.origins, HandOff: f.handOff,
+		Rollouts: &forward.Rollouts{State: f.state.Load, Recorder: f.recorder}, VersionsFresh: func() bool { return f.versionsFresh() }, Origins: f.origins, HandOff: f.handOff, ContentTrials: f.trials,
 	})
 }
 
--- a/internal/forward/late_send_test.go
+++ b/internal/forward/late_send_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -281,3 +282,73 @@
 		}
 	}
 }
+
+// lateTrial are ContentTrials that grant the second trial that is asked for; none without grants.
+type lateTrial struct {
+	mu     sync.Mutex
+	wait   time.Duration // that is stated otherwise
+	grants bool
+	asked  int
+	ended  []forward.ContentTrialEnd
+}
+
+// reset forgets what was asked, and grants the second trial from now on.
+func (l *lateTrial) reset(wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wait, l.grants, l.asked, l.ended = wait, true, 0, nil
+}
+
+func (l *lateTrial) RequestTrial(context.Context, forward.ContentTrialRequest) (forward.ContentTrialAnswer, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.asked++; l.asked == 1 || !l.grants {
+		return forward.ContentTrialAnswer{Wait: l.wait}, true
+	}
+	return forward.ContentTrialAnswer{Granted: true}, true
+}
+
+func (l *lateTrial) EndTrial(_ string, e forward.ContentTrialEnd) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = append(l.ended, e)
+}
+
+// Guards against a request that waits for a trial of its content until it can no more be finished, and
+// is sent all the same.
+func TestLateTrialIsNotUsed(t *testing.T) {
+	const wait = 900 * time.Millisecond
+	for _, path := range []string{"/s/1", "/tally/1", "/vote/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			var servers []*routedengine.Server
+			for range 2 {
+				servers = append(servers, engine("a"), voteServer("a"))
+			}
+			f := newFixture(t, servers...)
+			defer f.shutDown()
+			trials := &lateTrial{wait: time.Minute}
+			f.trials = trials
+			f.setPlacer(nil)
+			f.setVoteTimeout(20 * time.Second)
+			for i := range 40 {
+				f.send(http.MethodPost, path, fmt.Sprint("before", i), "dossier")
+			}
+			time.Sleep(20 * time.Millisecond)
+			for _, s := range servers {
+				s.Set(routedengine.Dead)
+			}
+			time.Sleep(2 * time.Second)
+			for _, s := range servers {
+				s.Set(routedengine.Alive)
+			}
+			time.Sleep(time.Second)
+			trials.reset(wait)
+			f.endAt(time.Now().Add(drawnGrace))
+			time.Sleep(drawnEarly - wait/2)
+			f.requireRefused(f.send(http.MethodPost, path, "q1", "dossier"), "q1", wait)
+			if trials.asked != 2 || len(trials.ended) != 1 || !trials.ended[0].NotRun {
+				t.Errorf("%s: %d requests for a trial, ends %+v; want two, and one end without a run", path, trials.asked, trials.ended)
+			}
+		})
+	}
+}
