forward: a handed-off stream does not count as one that waits

A VM that reaches no engine refused streams early in its stop though another VM would have served them. A stream that was being served there for ten seconds counted as one that had waited for an engine for ten seconds, and the next ones were expected to wait as long.

A request that is handed off is now recorded as sent. The line about a request that is cut off names another VM as its server.

The new test hands off a stream, and stops the VM ten seconds later. Before: the next stream was refused with 503.

--- a/internal/forward/hand_off.go
+++ b/internal/forward/hand_off.go
@@ -36,8 +36,7 @@
 		return
 	}
 	for range maxHandOffs {
-		h.Stats.HandOffs.Inc()
-		switch h.opts.HandOff.Serve(q.ctx, relayedAnswer{w, h}, h.offerOf(q)) {
+		switch h.serveElsewhere(q, relayedAnswer{w, h}) {
 		case handoff.Answered:
 			return
 		case handoff.NotTaken:
@@ -61,6 +60,16 @@
 	h.endCall(w, q, nil, result.OutcomeUnknown)
 }
 
+// otherVM stands for the server of a request that another VM serves, in logs.
+const otherVM = "another VM"
+
+// serveElsewhere has another VM serve a request. It waits for no server here meanwhile.
+func (h *Handler) serveElsewhere(q *request, w http.ResponseWriter) handoff.Outcome {
+	h.Stats.HandOffs.Inc()
+	q.status.noteSent(otherVM)
+	return h.opts.HandOff.Serve(q.ctx, w, h.offerOf(q))
+}
+
 // relayedAnswer writes the answer of another VM to a caller. That VM may shut down while this one, to
 // which the caller is connected, does not, and the reverse.
 type relayedAnswer struct {
--- a/internal/forward/hand_off_stream.go
+++ b/internal/forward/hand_off_stream.go
@@ -39,7 +39,6 @@
 			return
 		}
 		isRetry = false
-		h.Stats.HandOffs.Inc()
 		switch r.serve() {
 		case handoff.Answered:
 			return
@@ -150,7 +149,7 @@
 	r.header, r.status, r.fault = http.Header{}, 0, nil
 	r.memory.Add(-len(r.partial))
 	r.partial = nil
-	outcome := r.h.opts.HandOff.Serve(r.q.ctx, r, r.h.offerOf(r.q))
+	outcome := r.h.serveElsewhere(r.q, r)
 	switch {
 	case r.fault != nil:
 		return handoff.Broken
--- a/internal/forward/late_send_test.go
+++ b/internal/forward/late_send_test.go
@@ -352,3 +352,42 @@
 		})
 	}
 }
+
+// longAtAnotherVM is a HandOff whose VM serves the first stream for long.
+type longAtAnotherVM struct{ offers atomic.Int64 }
+
+func (l *longAtAnotherVM) Serve(ctx context.Context, w http.ResponseWriter, _ handoff.Request) handoff.Outcome {
+	_, _ = w.Write([]byte("id: 1\ndata: piece 1\n\n"))
+	if l.offers.Add(1) == 1 {
+		_ = timer.Sleep(ctx, 20*time.Second)
+	}
+	return handoff.Answered
+}
+
+// Guards against streams that a VM refuses early in a stop, since it takes a stream that another VM
+// serves for one that waits for an engine.
+func TestHandedOffStreamDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := engine("a")
+		e.Events = 10
+		f := newFixture(t, e)
+		defer f.shutDown()
+		other := &longAtAnotherVM{}
+		f.handOff = other
+		f.setPlacer(nil)
+		for i := range 20 {
+			<-f.send(http.MethodPost, "/s/1", fmt.Sprint("before", i), "dossier").done
+		}
+		e.Set(routedengine.Unresponsive)
+		f.loseServices(t, "models")
+		long := f.send(http.MethodPost, "/s/1", "q1", "dossier")
+		time.Sleep(10 * time.Second)
+		f.endAt(time.Now().Add(drawnGrace))
+		a := f.send(http.MethodPost, "/s/1", "q2", "dossier")
+		<-a.done
+		if a.status != http.StatusOK {
+			t.Errorf("got status %d, want the stream served by another VM", a.status)
+		}
+		<-long.done
+	})
+}
