--- a/internal/forward/late_send_test.go
+++ b/internal/forward/late_send_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -284,20 +285,34 @@
 
 // lateTrial are ContentTrials that grant the second trial that is asked for; none without grants.
 type lateTrial struct {
+	mu     sync.Mutex
 	wait   time.Duration // that is stated otherwise
 	grants bool
 	asked  int
 	ended  []forward.ContentTrialEnd
 }
 
+// reset forgets what was asked, and grants the second trial from now on.
+func (l *lateTrial) reset(wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wait, l.grants, l.asked, l.ended = wait, true, 0, nil
+}
+
 func (l *lateTrial) RequestTrial(context.Context, forward.ContentTrialRequest) (forward.ContentTrialAnswer, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.asked++; l.asked == 1 || !l.grants {
 		return forward.ContentTrialAnswer{Wait: l.wait}, true
 	}
 	return forward.ContentTrialAnswer{Granted: true}, true
 }
 
-func (l *lateTrial) EndTrial(_ string, e forward.ContentTrialEnd) { l.ended = append(l.ended, e) }
+func (l *lateTrial) EndTrial(_ string, e forward.ContentTrialEnd) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = append(l.ended, e)
+}
 
 // Guards against a request that waits for a trial of its content until it can no more be finished, and
 // is sent all the same.
@@ -327,7 +342,7 @@
 				s.Set(routedengine.Alive)
 			}
 			time.Sleep(time.Second)
-			*trials = lateTrial{wait: wait, grants: true}
+			trials.reset(wait)
 			f.endAt(time.Now().Add(drawnGrace))
 			time.Sleep(drawnEarly - wait/2)
 			f.requireRefused(f.send(http.MethodPost, path, "q1", "dossier"), "q1", wait)
