gateway: an idempotent call that waits for quota at the end is not called a fault

What callers would see: at the end of a shutdown, an idempotent call that waits for its quota is answered 500, internal.

Cause: only generations translated the end of the process into an answer.

Change: both do, to 3006 with ran: unknown.

TestCallsAreAnsweredAtTheEndOfTheProcess failed before for the idempotent call. It holds the answer of the others too.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -43,9 +43,7 @@
 	ctx, cancel := g.untilEnding(ctx)
 	defer cancel()
 	if err := g.serveCompletion(ctx, w, r, key); err != nil {
-		if g.ending() && errors.Is(err, context.Canceled) {
-			err = result.New(result.ShuttingDown).WithRan(result.RanUnknown)
-		}
+		err = g.orEnding(err)
 		g.log.Info().Str("request_id", key).Int("code", int(result.CodeOf(err))).Msg("request refused or failed")
 		resulthttp.Write(w, key, err)
 	}
@@ -263,7 +261,13 @@
 	}
 }
 
-func (g *Gateway) ending() bool { return g.cfg.Ending != nil && g.cfg.Ending.Err() != nil }
+// orEnding returns err, or what its caller is told if the end of the process is the cause.
+func (g *Gateway) orEnding(err error) error {
+	if g.cfg.Ending == nil || g.cfg.Ending.Err() == nil || !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return result.New(result.ShuttingDown).WithRan(result.RanUnknown)
+}
 
 func (g *Gateway) draining() bool {
 	return g.cfg.Draining != nil && g.cfg.Draining.Err() != nil
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -67,6 +67,7 @@
 	defer span.End()
 	answer, err := s.serve(ctx, w, r, key, id)
 	if err != nil {
+		err = s.g.orEnding(err)
 		s.g.log.Info().Str("request_id", id).Int("code", int(result.CodeOf(err))).Msg("call refused or failed")
 		resulthttp.Write(w, id, err)
 		return
--- a/internal/gateway/services_shutdown_test.go
+++ b/internal/gateway/services_shutdown_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/call"
 	"github.com/amaranthshelf/amaranthshelf/internal/gateway"
+	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/service"
 	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/telemetry"
@@ -99,23 +100,69 @@
 }
 
 func serveCalls(t *testing.T, calls gateway.Calls, cannotFinish func(shutdown.Work) bool) http.Handler {
+	t.Helper()
+	return serveCallsOf(t, calls, gateway.Config{MaxBodyBytes: 16, CannotFinish: cannotFinish})
+}
+
+func serveCallsOf(t *testing.T, calls gateway.Calls, conf gateway.Config) http.Handler {
 	t.Helper()
 	tracer, err := telemetry.NewTracer("vm1", "")
 	if err != nil {
 		t.Fatal(err)
 	}
 	r := mux.NewRouter()
-	g := gateway.New(gateway.Config{MaxBodyBytes: 16, CannotFinish: cannotFinish}, nil, twoWorkspaces{}, nil, tracer, zerolog.Nop())
+	g := gateway.New(conf, nil, twoWorkspaces{}, nil, tracer, zerolog.Nop())
 	g.ServiceRoutes(r, calls, nil)
 	return r
 }
 
 // book sends a booking with a key of its own and returns the status of its answer.
-func book(h http.Handler) int {
+func book(h http.Handler) int { return bookAnswer(h).Code }
+
+func bookAnswer(h http.Handler) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, "/v1/services/dispatch/bookings", strings.NewReader("{}"))
 	r.Header.Set("Authorization", "Bearer coop-key")
 	r.Header.Set("Idempotency-Key", "k"+strconv.Itoa(int(time.Now().UnixNano())))
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
-	return w.Code
+	return w
+}
+
+// endlessCalls are idempotent calls that wait for quota until their context ends, and others that go on.
+type endlessCalls struct{ idempotent bool }
+
+func (e endlessCalls) Idempotent(_, _, _ string) bool { return e.idempotent }
+
+func (e endlessCalls) Relay(ctx context.Context, _ *service.Call) (*call.Answer, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (e endlessCalls) Once(context.Context, *service.Call) (*call.Answer, error) {
+	time.Sleep(time.Minute)
+	return nil, result.New(result.Internal)
+}
+
+// Guards against calls without an answer at the end of a process, and against answers that tell their callers
+// of a fault, or that they have not run.
+func TestCallsAreAnsweredAtTheEndOfTheProcess(t *testing.T) {
+	for _, tt := range []struct {
+		idempotent bool
+		want       string
+	}{
+		{true, `"code":3006`},
+		{false, `"code":3011`},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ending, end := context.WithCancel(t.Context())
+			h := serveCallsOf(t, endlessCalls{tt.idempotent}, gateway.Config{MaxBodyBytes: 16, Ending: ending})
+			began := time.Now()
+			time.AfterFunc(time.Second, end)
+			got := bookAnswer(h).Body.String()
+			if !strings.Contains(got, tt.want) || !strings.Contains(got, `"ran":"unknown"`) || time.Since(began) != time.Second {
+				t.Errorf("idempotent %v: got %s after %v, want %s, ran: unknown, after 1s", tt.idempotent, got, time.Since(began), tt.want)
+			}
+			time.Sleep(time.Minute) // virtual: until the call has ended
+		})
+	}
 }
