service: a call is asked about again right before its claim

What callers may see: a VM on its way out takes a booking that outlasts it. With 20 servers of the service silent, a call took 40 s, where 33 s counted as its bound.

Cause: the window is asked before the search for a server that can be reached, which takes half a second for each one that does not answer. The bound holds from the claim on.

Change: the window is asked again once there is a connection; a call refused then has not run, and its key stays free. A limit of the search itself was tried and dropped: servers count as failed for 2 s only, so the next calls would dial the same silent ones and never reach the last.

TestCallsKeepTheirBound failed before: 40 s and outcome unknown, with 20 servers down.

--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -169,6 +169,7 @@
 	c.Request.Header.Set("X-Request-Id", id)
 	c.Request.Header.Set("Traceparent", telemetry.Inject(ctx))
 	c.Reserve = func(ctx context.Context) (func(bool), error) { return s.reserve(ctx, c, caller) }
+	c.MayClaim = func() error { return s.mayBegin(c.Service) }
 	return c
 }
 
@@ -181,9 +182,9 @@
 			return nil, err
 		}
 	}
-	if s.cannotFinish(c.Service) {
+	if err := s.mayBegin(c.Service); err != nil {
 		settleQuota(false)
-		return nil, result.New(result.ShuttingDown)
+		return nil, err
 	}
 	ended := s.durations.Begin(c.Service, time.Now())
 	return func(used bool) {
@@ -192,13 +193,16 @@
 	}, nil
 }
 
-// cannotFinish reports that a call that begins now could be cut off when this VM shuts down.
-func (s *services) cannotFinish(name string) bool {
+// mayBegin refuses a call that begins now if it could be cut off when this VM shuts down.
+func (s *services) mayBegin(name string) error {
 	if s.g.cfg.CannotFinish == nil {
-		return false
+		return nil
 	}
 	expected := s.durations.Expected(name, time.Now())
-	return s.g.cfg.CannotFinish(shutdown.Work{Expected: expected, Left: service.MaxCallTime})
+	if s.g.cfg.CannotFinish(shutdown.Work{Expected: expected, Left: service.MaxCallTime}) {
+		return result.New(result.ShuttingDown)
+	}
+	return nil
 }
 
 func withQuery(path, query string) string {
--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -27,7 +27,7 @@
 	// seconds at most. If the group has no leader for longer, the call fails as "not
 	// run".
 	claimTimeout = 3 * time.Second
-	// MaxCallTime bounds a call with its claim, unless the control group cannot commit the outcome.
+	// MaxCallTime bounds a call from its claim on, unless the control group cannot commit the outcome.
 	MaxCallTime = claimTimeout + callTimeout
 	// finishTimeout bounds the commit of an outcome. The sum of callTimeout,
 	// finishTimeout and a few seconds must stay below call.Limits.SealAfter.
@@ -59,6 +59,9 @@
 	// Reserve reserves a request of the workspace's plan before the call runs. settle
 	// is called with whether the call used it. Nil: nothing is reserved.
 	Reserve func(ctx context.Context) (settle func(used bool), err error)
+	// MayClaim refuses a call with an error right before its claim. The search for a server that
+	// can be reached may have taken long. Nil: it may always.
+	MayClaim func() error
 }
 
 func (c *Call) ref() call.Ref {
@@ -76,6 +79,13 @@
 	return c.Reserve(ctx)
 }
 
+func (c *Call) mayClaim() error {
+	if c.MayClaim == nil {
+		return nil
+	}
+	return c.MayClaim()
+}
+
 // Incarnations reports whether an incarnation of a VM has ended.
 type Incarnations interface {
 	Gone(vm, incarnation string) bool
@@ -193,6 +203,9 @@
 		return d.earlierOutcomeOr(work, c, err)
 	}
 	defer target.close()
+	if err := c.mayClaim(); err != nil {
+		return d.earlierOutcomeOr(work, c, err)
+	}
 	own := &ownClaim{d: d, c: c, claimant: d.VM + "#" + d.Incarnation + "/" + rand.Text(), began: time.Now()}
 	reply, err := own.propose(work)
 	if err != nil {
