gateway: a stream opened just before the end is asked to reconnect

What callers would see: a stream that is opened in the last moments of a shutdown ends without a comment, or as an empty answer, as if its caller had left.

Cause: the end of the process ends the request's context, which stood for a caller that has left.

Change: a VM that has handed over asks to reconnect first.

TestStreamAtTheEndOfTheProcessIsAskedToReconnect failed before; TestAnswerInOnePieceAtTheEndOfTheProcess holds the answer of the others and fails without the end's answers.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -215,10 +215,10 @@
 	for {
 		chunk, err := g.waitForTokens(ctx, reader, s.index, wait)
 		switch {
-		case ctx.Err() != nil:
-			return nil // the caller disconnected; the answer is kept for a reconnect
 		case errors.Is(err, context.Canceled) && g.draining():
 			return s.reconnect()
+		case ctx.Err() != nil:
+			return nil // the caller disconnected; the answer is kept for a reconnect
 		case errors.Is(err, context.DeadlineExceeded):
 			err = s.heartbeat()
 		case err == nil:
--- a/internal/gateway/completions_shutdown_test.go
+++ b/internal/gateway/completions_shutdown_test.go
@@ -27,3 +27,33 @@
 		}
 	})
 }
+
+// Guards against a stream that ends without a word, as if its caller had left, since it was opened just before
+// the process ends.
+func TestStreamAtTheEndOfTheProcessIsAskedToReconnect(t *testing.T) {
+	inBubble(t, func(v *vm) {
+		time.AfterFunc(10*time.Millisecond, func() {
+			v.handOver()
+			v.end()
+		})
+		resp := v.post(coopKey, "waits", "", slowWork(true))
+		defer resp.Body.Close()
+		got, err := io.ReadAll(resp.Body)
+		if err != nil || !strings.HasSuffix(string(got), ": reconnect\n\n") {
+			t.Errorf("got %q and error %v, want to be asked to reconnect", got, err)
+		}
+	})
+}
+
+// Guards against an answer in one piece whose caller learns nothing at the end of the process.
+func TestAnswerInOnePieceAtTheEndOfTheProcess(t *testing.T) {
+	inBubble(t, func(v *vm) {
+		time.AfterFunc(10*time.Millisecond, v.end)
+		resp := v.post(coopKey, "waits", "", slowWork(false))
+		defer resp.Body.Close()
+		got, err := io.ReadAll(resp.Body)
+		if err != nil || !strings.Contains(string(got), `"code":3006`) || !strings.Contains(string(got), `"ran":"unknown"`) {
+			t.Errorf("got %q and error %v, want code 3006, ran: unknown", got, err)
+		}
+	})
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -67,6 +67,7 @@
 	engine   *standin.Engine
 	list     *plan.Directory
 	handOver context.CancelFunc // ends gateway.Config.Draining
+	end      context.CancelFunc // ends gateway.Config.Ending
 }
 
 func (v *vm) Views() []generation.Membership {
@@ -103,9 +104,10 @@
 			Transport: peertest.New(1).VM("vm1"), Members: v, Engines: v.engine, Router: v,
 			Log: zerolog.Nop(), Metrics: new(expvar.Map).Init(),
 		})
-		var handedOver context.Context
+		var handedOver, ending context.Context
 		handedOver, v.handOver = context.WithCancel(t.Context())
-		g := gateway.New(gateway.Config{MaxBodyBytes: maxBody, Heartbeat: time.Second, Draining: handedOver}, hub, v, v, tracer, zerolog.Nop())
+		ending, v.end = context.WithCancel(t.Context())
+		g := gateway.New(gateway.Config{MaxBodyBytes: maxBody, Heartbeat: time.Second, Draining: handedOver, Ending: ending}, hub, v, v, tracer, zerolog.Nop())
 		r := mux.NewRouter().UseEncodedPath()
 		g.Routes(r)
 		server := &http.Server{Handler: r}
