--- a/internal/cluster/place_terms.go
+++ b/internal/cluster/place_terms.go
@@ -154,7 +154,8 @@
 }
 
 // Place implements forward.Placer. It calls abandon every placeRetryInterval while the
-// stream waits, and each time that a control VM names another one. The caller calls Took once its use includes the grant.
+// stream waits, and each time that a control VM names another one. The caller calls Took
+// once its use includes the grant.
 func (m *Member) Place(ctx context.Context, st scheduler.Stream, abandon func() bool) (scheduler.Answer, bool) {
 	waiting, end := m.placing.wait(st.ID)
 	defer end()
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -31,9 +31,9 @@
 
 // Shutdown stops the VM within DrainTimeout without cutting off an answer. First the entry
 // answers omit this VM, which still serves all requests until no caller holds an answer
-// that names it, or half of its time is over. Then it hands the running generations over to other VMs and tells their
-// callers to reconnect. Finally it waits for the requests that must finish here, such as
-// an answer that its caller wants in one piece.
+// that names it, or half of its time is over. Then it hands the running generations over to
+// other VMs and tells their callers to reconnect. Finally it waits for the requests that must
+// finish here, such as an answer that its caller wants in one piece.
 func (n *Node) Shutdown(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, n.s.DrainTimeout)
 	defer cancel()
