--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -1,11 +1,8 @@
 package node_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
-	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -172,17 +169,5 @@
 func tryBook(ctx context.Context, addr, key string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/services/dispatch/bookings", bytes.NewReader([]byte("{}")))
-	if err != nil {
-		return "", err
-	}
-	r.Header.Set("Authorization", "Bearer "+testKey)
-	r.Header.Set("Idempotency-Key", key)
-	resp, err := http.DefaultTransport.RoundTrip(r)
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return resp.Status + " " + string(body), err
+	return ask(ctx, addr, "/v1/services/dispatch/bookings", key, "{}")
 }
