forward: a refusal of a stop is estimated once

The line about it computed the durations anew and then used those of the decision. No change of behaviour; the tests of shutdowns and refusals pass, also with the race detector.

--- a/internal/forward/in_progress.go
+++ b/internal/forward/in_progress.go
@@ -81,12 +81,13 @@
 
 // logRefusedForShutdown logs that a request is refused since this VM shuts down.
 func (h *Handler) logRefusedForShutdown(q *request) {
-	w := h.pendingWork(q)
-	if decided := q.status.refused.Load(); decided != nil {
-		w = *decided
+	w := q.status.refused.Load()
+	if w == nil {
+		work := h.pendingWork(q)
+		w = &work
 	}
 	h.opts.RoutineLog.Info().Str("request", q.RequestID).Str("route", q.route.Name).Bool("stream", q.isStream()).
-		Object("work", loggedWork(w)).Dur("held", time.Since(q.arrived)).Dur("time_left", h.opts.TimeLeft()).
+		Object("work", loggedWork(*w)).Dur("held", time.Since(q.arrived)).Dur("time_left", h.opts.TimeLeft()).
 		Msg("request refused by the shutdown")
 }
 
