upstream: an answer that is reset during the upload is not whole

Callers got a part of an answer as the whole one: a server answered a long upload at once, without a length, and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to the call that asks first. A body of more than 16 KB is written beside the response. If that write takes the ECONNRESET, the next read returns 0 bytes, which is the regular end of an answer without a length. Nobody asked how the write had ended.

Change: when a read finds the end of the connection, it stops the write of the body and waits for its result, which is there at once: a blocked write ends by its deadline. ECONNRESET, and any other failure of the connection, breaks the answer. EPIPE does not, since the kernel returns it only if the server ended its side before the reset; neither does the deadline.

--- /dev/null
+++ b/internal/forward/broken_answers_test.go
@@ -0,0 +1,162 @@
+package forward_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/routes"
+	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/rawserver"
+	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
+)
+
+// signed are the headers of an answer that is a server's own.
+const signed = "X-Request-Id: r1\r\nX-Backend-Signature: x\r\n"
+
+// tcpRouter is a router with servers that answer over TCP with raw bytes.
+type tcpRouter struct {
+	url    string
+	answer rawserver.Answer // to the first request that a call sends
+	good   string           // body of the answers to the others
+	sends  atomic.Int64     // of the call, probes apart
+}
+
+// serverAnswer returns a server's answer. Probes are answered as by a server that is alive.
+func (r *tcpRouter) serverAnswer(req *http.Request) rawserver.Answer {
+	text := r.good
+	switch {
+	case req.URL.Path == forward.PlainReportURI:
+		text = "{}"
+	case r.sends.Add(1) == 1:
+		return r.answer
+	}
+	return rawserver.Answer{Text: fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", signed, len(text), text)}
+}
+
+// startTCPRouter starts a router and two servers for each service.
+func startTCPRouter(t testing.TB) *tcpRouter {
+	t.Helper()
+	router := &tcpRouter{}
+	list := testRoutes().List
+	list.Limits.MaxBodyBytes = 2 * uploadBytes
+	table := routes.NewTable(list)
+	pool := upstream.NewPool()
+	fleet := upstream.NewFleet(pool, zerolog.Nop())
+	var rows []upstream.Backend
+	for i, service := range []string{"votes", "votes", "models", "models"} {
+		server, err := rawserver.Start(router.serverAnswer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = server.Close() })
+		rows = append(rows, upstream.Backend{ID: fmt.Sprintf("i%d", i), Service: service, Zone: "a", Slots: 64, Address: server.Addr})
+	}
+	fleet.Apply(upstream.List{AsOf: time.Now(), Backends: rows})
+	h := forward.NewHandler(forward.Options{
+		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table }, ListsReady: closed(),
+		RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
+		SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return false }, CannotFinish: func(shutdown.Work) bool { return false },
+	})
+	front := httptest.NewServer(h)
+	t.Cleanup(front.Close)
+	router.url = front.URL
+	return router
+}
+
+// uploadBytes is more than the sockets between a router and a server hold.
+const uploadBytes = 8 << 20
+
+// received is what a caller over TCP has got.
+type received struct {
+	status int
+	header http.Header
+	text   string
+	err    error // the answer is not whole
+}
+
+func (r *received) String() string {
+	return fmt.Sprintf("%d %q %v, error %v", r.status, r.text, r.header, r.err)
+}
+
+// call sends a request whose first server answers as stated, and returns what its caller has got.
+func (r *tcpRouter) call(path string, body []byte, answer rawserver.Answer) received {
+	r.answer, r.good = answer, "answer of another server"
+	if path == streamPath {
+		r.good = cutEvents(1, 2)
+	}
+	r.sends.Store(0)
+	req, err := http.NewRequest(http.MethodPost, r.url+path, bytes.NewReader(body))
+	if err != nil {
+		return received{err: err}
+	}
+	req.Host = "shelf"
+	req.Header.Set(forward.HeaderRequestID, "r1")
+	req.Header.Set("Authorization", "Bearer key-of-nelson")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return received{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return received{status: resp.StatusCode, header: resp.Header, text: string(text), err: err}
+}
+
+// Paths of a call that may run once, one that may be repeated and a stream.
+const (
+	oncePath       = "/vote/1"
+	idempotentPath = "/tally/1"
+	streamPath     = "/s/1"
+)
+
+var allPaths = []string{oncePath, idempotentPath, streamPath}
+
+// checkBroken checks what a caller has got whose first server sent what is no answer: a stream and an
+// idempotent call go to another server, and of another call nobody knows the outcome.
+func (r *tcpRouter) checkBroken(t *testing.T, what, path string, got *received) {
+	t.Helper()
+	switch {
+	case path != oncePath && (got.err != nil || got.status != http.StatusOK || got.text != r.good):
+		t.Errorf("%s: the caller of %s got %v, want the answer of another server", what, path, got)
+	case path == oncePath && (got.err != nil || got.status != http.StatusBadGateway || got.header.Get(forward.HeaderSignature) != "" || r.sends.Load() != 1):
+		t.Errorf("%s: the caller of %s got %v after %d sends, want 502 after one", what, path, got, r.sends.Load())
+	}
+}
+
+// Guards against a part of an answer that a caller takes for the whole: the server answers an upload at
+// once and resets the connection. A whole answer that ends in good order before the upload stays whole.
+func TestAnswersThatEndDuringAnUpload(t *testing.T) {
+	const tries = 8
+	body := make([]byte, uploadBytes)
+	for _, status := range []string{"200 OK", "400 Bad Request"} {
+		for _, path := range allPaths {
+			for _, end := range []rawserver.End{rawserver.InOrder, rawserver.Unread, rawserver.Reset} {
+				t.Run(fmt.Sprintf("%s%s, %s", status, path, end), func(t *testing.T) {
+					text := "answer of the first server"
+					if path == streamPath && status == "200 OK" {
+						text = cutEvents(1, 1)
+					}
+					r := startTCPRouter(t)
+					for range tries {
+						got := r.call(path, body, rawserver.Answer{Text: "HTTP/1.1 " + status + "\r\n" + signed + "Connection: close\r\n\r\n" + text, End: end})
+						switch {
+						case end == rawserver.Reset:
+							r.checkBroken(t, end.String(), path, &got)
+						case got.err != nil || got.text != text || r.sends.Load() != 1:
+							t.Errorf("the caller got %v after %d sends, want the first answer", &got, r.sends.Load())
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/rawserver"
 )
 
 // BenchmarkRoutersChange measures a change of the router set at a router that knows 330
@@ -62,3 +65,40 @@
 		}
 	}
 }
+
+// BenchmarkUnframedAnswer measures a request over TCP, on a connection of its own, and its response
+// without a length: one whose body is written before the response is read, and one beside it.
+func BenchmarkUnframedAnswer(b *testing.B) {
+	for _, size := range []int{100, 256 << 10} {
+		b.Run(fmt.Sprintf("request_of_%d", size), func(b *testing.B) {
+			p, body := NewPool(), make([]byte, size)
+			addr := startRaw(b, unframedHead+unframedBody, rawserver.InOrder)
+			b.ReportAllocs()
+			for b.Loop() {
+				if got, err := upload(b, p, addr, body); err != nil || got != unframedBody {
+					b.Fatalf("got %q, error %v", got, err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkStreamedChunks measures the read of a response in many chunks.
+func BenchmarkStreamedChunks(b *testing.B) {
+	const chunk = "20\r\ndata: an event of a stream.....\n\r\n"
+	text := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk, 1000) + "0\r\n\r\n"
+	r := strings.NewReader("")
+	c := newConn(&readConn{r: r}, "i1")
+	buf := make([]byte, 4096)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Reset(text)
+		resp, err := c.ReadHead(http.MethodGet)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.CopyBuffer(io.Discard, struct{ io.Reader }{resp.Body}, buf); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -67,17 +67,18 @@
 
 // Conn is one connection. It carries one request at a time.
 type Conn struct {
-	raw         net.Conn
-	in          *readlimit.Reader
-	br          *bufio.Reader
-	key         string
-	reused      bool
-	idleUntil   time.Time  // after it the connection is not reused
-	bodyWritten chan error // result of a body write that runs beside the response; nil: none
+	raw       net.Conn
+	in        *readlimit.Reader
+	br        *bufio.Reader
+	key       string
+	reused    bool
+	idleUntil time.Time  // after it the connection is not reused
+	upload    *bodyWrite // runs beside the response; nil: none
 }
 
 func newConn(raw net.Conn, key string) *Conn {
-	c := &Conn{raw: raw, in: readlimit.New(raw), key: key}
+	c := &Conn{raw: raw, key: key}
+	c.in = readlimit.New(connReader{c})
 	c.br = bufio.NewReaderSize(c.in, readBufferBytes)
 	return c
 }
@@ -109,12 +110,7 @@
 	if err != nil {
 		return n > 0, err
 	}
-	done := make(chan error, 1)
-	c.bodyWritten = done
-	go func() {
-		_, err := c.raw.Write(r.Body)
-		done <- err
-	}()
+	c.upload = startBodyWrite(c.raw, r.Body)
 	return true, nil
 }
 
@@ -178,16 +174,11 @@
 	if resp.Close || !resp.ProtoAtLeast(1, 1) || !Framed(resp) || c.br.Buffered() > 0 {
 		return false
 	}
-	if c.bodyWritten != nil {
-		select {
-		case err := <-c.bodyWritten:
-			if err != nil {
-				return false
-			}
-			c.bodyWritten = nil
-		default:
+	if c.upload != nil {
+		if !c.upload.isWritten() {
 			return false // answered before the body was written
 		}
+		c.upload = nil
 	}
 	keep := idleTime(resp.Header.Get("Keep-Alive"))
 	c.idleUntil = now.Add(keep)
