upstream: an answer without a valid status is broken

Callers got the text behind an answer with the status 000 as the answer, and statuses of 600 and above with a server's signature.

Cause: whatever had a status below 200 was skipped as an interim response, so that the body of an answer with 000 to 099, or with the +20 that the parser takes for 20, was read as the next head. Above 200 everything was an answer.

Change: a status is one of 100 to 599 (RFC 9110, section 15); an answer with another one is broken. An idempotent call and a stream go to another server, and the outcome of another call is unknown. A caller can do nothing with a 600 but treat it as a 5xx, and for calls that may be repeated the router has a better answer.

--- a/internal/forward/broken_answers_test.go
+++ b/internal/forward/broken_answers_test.go
@@ -160,3 +160,17 @@
 		}
 	}
 }
+
+// Guards against a status that is none and reaches a caller, or that hides the answer behind it.
+func TestAnswersWithoutAValidStatus(t *testing.T) {
+	const behind = "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 6\r\n\r\nanswer"
+	for _, status := range []string{"000", "000 OK", "001 A", "099 A", "+20 OK", "-00 OK", "600 A", "999 A", "2000 OK", "20 OK", "2e2 OK", "0x1 OK"} {
+		for _, rest := range []string{signed + "Content-Length: 6\r\n\r\nanswer", signed + "\r\n" + behind, signed + "\r\n" + cutEvents(1, 1)} {
+			r := startTCPRouter(t)
+			for _, path := range allPaths {
+				got := r.call(path, []byte("x"), rawserver.Answer{Text: "HTTP/1.1 " + status + "\r\n" + rest})
+				r.checkBroken(t, fmt.Sprintf("status %q, %q", status, rest), path, &got)
+			}
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/httphead"
 	"github.com/amaranthshelf/amaranthshelf/internal/readlimit"
 )
 
@@ -150,6 +151,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
+		if err := httphead.CheckStatus(resp.StatusCode); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
