upstream: an answer with an invalid field name is broken

Callers got answers whose heads held a name with a blank: with the lines of the chunks as the body behind "Transfer-Encoding : chunked", with a body that was cut to a Content-Length beside it, and with "X y: 1".

Cause: the parser of net/http refuses control bytes in a name, but accepts blanks and keeps the name as it is. It then does not know the field, which may state how the body is framed. Trailers and interim responses are alike.

Change: the names of each head and trailer are checked behind the parser. An answer with an invalid one is broken: an idempotent call and a stream go to another server, and the outcome of another call is unknown.

Control bytes, tabs, bytes above 0x7e, no name and no colon were refused before; their cases stay in the test.

--- a/internal/forward/broken_answers_test.go
+++ b/internal/forward/broken_answers_test.go
@@ -174,3 +174,57 @@
 		}
 	}
 }
+
+// invalidLines are lines of a head whose names are none.
+var invalidLines = []string{
+	"X A: b", "X-A : b", "X-A\t: b", "X\x00A: b", "X\x01A: b", "X\x7fA: b", "X\rA: b", ": b", "X(A: b", "X\x80: b", "X\xc3\xa9: b", "no colon",
+	"Content-Length : 3", "Content-Length\t: 3", "Content-Length\x00: 3", "Content Length: 3", "Transfer-Encoding : chunked", "Transfer-Encoding\x0b: chunked",
+}
+
+// Guards against a head with a name that is none: its line reaches a caller, or it states how long the
+// body is and nobody reads it.
+func TestAnswersWithInvalidFieldNames(t *testing.T) {
+	const body = "\r\n3\r\nabc\r\n0\r\n"
+	for _, line := range invalidLines {
+		line += "\r\n"
+		for _, head := range []string{signed + line, line + signed, signed + "Content-Length: 6\r\n" + line} {
+			r := startTCPRouter(t)
+			for _, path := range allPaths {
+				for _, text := range []string{
+					"HTTP/1.1 200 OK\r\n" + head + body + "\r\n",
+					"HTTP/1.1 400 Bad Request\r\n" + head + body + "\r\n",
+					"HTTP/1.1 103 Early Hints\r\n" + line + "\r\nHTTP/1.1 200 OK\r\n" + signed + "Content-Length: 6\r\n\r\nanswer",
+					"HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n" + body + line + "\r\n",
+				} {
+					got := r.call(path, []byte("x"), rawserver.Answer{Text: text})
+					r.checkBroken(t, fmt.Sprintf("%q", text), path, &got)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a sound answer that is refused for a head that is only unusual.
+func TestUnusualHeadsOfSoundAnswers(t *testing.T) {
+	const text = "the answer"
+	const chunked = "Transfer-Encoding: chunked\r\n\r\na\r\nthe answer\r\n0\r\n"
+	for _, answer := range []string{
+		"HTTP/1.1 200 \r\n" + signed + "Content-Length: 10\r\n\r\n" + text,
+		"HTTP/1.1 200\r\n" + signed + "Content-Length: 10\r\n\r\n" + text,
+		"HTTP/1.1 200 a\x01\xc3\xa9 b\r\n" + signed + "Content-Length: 10\r\n\r\n" + text,
+		"HTTP/1.1 200 OK\r\n" + signed + "X-A: \xc3\xa9 \x80\tb\r\nContent-Length:10\r\n\r\n" + text,
+		"HTTP/1.1 200 OK\r\n" + signed + "X-Folded: a\r\n b : c\r\n\td\r\ncontent-length:\t10 \r\n\r\n" + text,
+		"HTTP/1.1 200 OK\r\n" + signed + "!#$%&'*+.^_`|~09Az-: b\r\nX-Empty:\r\nx-lower: b\r\nContent-Length: 10\r\n\r\n" + text,
+		"HTTP/1.1 200 OK\n" + signed + "Content-Length: 10\n\n" + text,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a b>\r\n\r\nHTTP/1.1 404 Not Found\r\n" + signed + "Content-Length: 10\r\n\r\n" + text,
+		"HTTP/1.1 200 OK\r\n" + signed + chunked + "\r\n",
+		"HTTP/1.1 200 OK\r\n" + signed + "Trailer: X-A\r\n" + chunked + "X-A: a b\r\nX-B: c\r\n\r\n",
+		"HTTP/1.1 599 A\r\n" + signed + "Content-Length: 10\r\n\r\n" + text,
+		"HTTP/1.0 200 OK\r\n" + signed + "\r\n" + text,
+	} {
+		r := startTCPRouter(t)
+		if got := r.call(oncePath, []byte("x"), rawserver.Answer{Text: answer}); got.err != nil || got.text != text || got.header.Get(forward.HeaderSignature) == "" {
+			t.Errorf("%q: the caller got %v, want the answer", answer, &got)
+		}
+	}
+}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 )
 
 // ErrInvalid means that a head is not HTTP.
@@ -23,3 +24,39 @@
 	}
 	return nil
 }
+
+// Check returns an error unless the status and the names of a head are valid.
+func Check(status int, header http.Header) error {
+	if err := CheckStatus(status); err != nil {
+		return err
+	}
+	return CheckNames(header)
+}
+
+// CheckNames returns an error unless all names of a head or a trailer are tokens (RFC 9110, section
+// 5.6.2). The parser accepts blanks, and does not know a "Content-Length " or "Transfer-Encoding ".
+func CheckNames(header http.Header) error {
+	for name := range header {
+		if !isToken(name) {
+			return fmt.Errorf("%w: field name %q", ErrInvalid, name)
+		}
+	}
+	return nil
+}
+
+func isToken(name string) bool {
+	for i := range len(name) {
+		if !tokenBytes[name[i]] {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// tokenBytes holds true for each byte that a token may have.
+var tokenBytes = func() (t [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
+		t[c] = true
+	}
+	return t
+}()
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -1,6 +1,10 @@
 package httphead
 
-import "testing"
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
 
 // Guards against a status that is none and counts as one, and against one of HTTP that does not.
 func TestCheckStatus(t *testing.T) {
@@ -10,3 +14,18 @@
 		}
 	}
 }
+
+// Guards against a name that is none and counts as one, and against one of HTTP that does not.
+func TestCheckNames(t *testing.T) {
+	for c := range 256 {
+		isName := c > ' ' && c < 0x7f && !strings.ContainsRune("\"(),/:;<=>?@[\\]{}", rune(c))
+		for _, name := range []string{string([]byte{byte(c)}), string([]byte{'A', byte(c)}), string([]byte{byte(c), 'a'})} {
+			if err := CheckNames(http.Header{"Date": nil, name: {"x"}}); (err == nil) != isName {
+				t.Errorf("got %v for the name %q", err, name)
+			}
+		}
+	}
+	if CheckNames(http.Header{"": {"x"}}) == nil {
+		t.Error("an empty name passes")
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -151,10 +151,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
-		if err := httphead.CheckStatus(resp.StatusCode); err != nil {
+		if err := httphead.Check(resp.StatusCode, resp.Header); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 		if resp.StatusCode >= http.StatusOK {
+			resp.Body = checkTrailer(resp)
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/httphead"
 )
 
 // newAnsweringPool returns a pool over an in-memory server that answers each request with
@@ -205,6 +207,8 @@
 	f.Add(okHead + "\r\nok")
 	f.Add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
 	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!")
+	f.Add("HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length : 2\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		const limit = 64
 		c := newConn(&readConn{r: strings.NewReader(text)}, "i1")
@@ -212,8 +216,8 @@
 		if err != nil {
 			return
 		}
-		if resp.StatusCode < http.StatusOK {
-			t.Errorf("got interim response %d, want a final one", resp.StatusCode)
+		if resp.StatusCode < http.StatusOK || httphead.Check(resp.StatusCode, resp.Header) != nil {
+			t.Errorf("got status %d and header %v, want those of a final response", resp.StatusCode, resp.Header)
 		}
 		if body, err := ReadBody(resp, limit); err == nil && len(body) > limit {
 			t.Errorf("got %d bytes, want at most 64", len(body))
