forward: a server that answers probes with an invalid head is alive

Callers of a sound request got 503: its content was held back as one that ends its servers, although they were alive. They answered the request and the probes behind it with heads that are none.

Cause: a broken answer is followed by a probe, and every probe that failed for another reason than a reset counted as a sign of death.

Change: what is no response, on a connection that stands, is told from a connection that ends (upstream.ErrInvalid). A probe goes on after it, since the next attempt may be answered, and finds the server alive otherwise. It clears no suspicion and brings no report.

--- a/internal/forward/broken_answers_test.go
+++ b/internal/forward/broken_answers_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,6 +18,7 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
 	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/rawserver"
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
 
@@ -228,3 +230,41 @@
 		}
 	}
 }
+
+// Guards against a request that is held back as one that ends its servers: they are alive, and answer it
+// and the probes with heads that are none.
+func TestInvalidAnswersToProbesBlameNoContent(t *testing.T) {
+	for _, line := range []string{"X A: b", "X\x01A: b", "no colon"} {
+		for _, path := range allPaths {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, shortEngine("a"), shortEngine("b"), voteServer("a"), voteServer("b"))
+				defer f.shutDown()
+				for range 6 {
+					f.answerInTurn(answerCut("HTTP/1.1 200 OK\r\n"+signed+line+"\r\n\r\nabc", cutEnd{}))
+					f.answerProbesWith("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n{}")
+					got := f.send(http.MethodPost, path, "r1", "the same content")
+					<-got.done
+					if unknown := path == oncePath && got.status == http.StatusBadGateway; got.status != http.StatusOK && !unknown {
+						t.Errorf("%q: the caller of %s got %d %q", line, path, got.status, got.text.String())
+					}
+					time.Sleep(time.Second)
+				}
+			})
+		}
+	}
+}
+
+// answerProbesWith has the servers answer probes with a text.
+func (f *fixture) answerProbesWith(text string) {
+	for _, s := range f.servers {
+		s.InterceptProbe = func(_ *routedengine.Server, w http.ResponseWriter, _ *http.Request) bool {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			_, _ = io.WriteString(conn, text)
+			_ = conn.Close()
+			return true
+		}
+	}
+}
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -56,6 +56,7 @@
 	refused  bool // the host refused the connection: no process listens there
 	closed   bool // the server ended the connection that it had accepted
 	reset    bool // the server reset a connection, as one does that is at its limit of them
+	invalid  bool // the server answered with what is no response: it is alive, and may answer the next attempt
 	// replaced reports that another incarnation answers at the address: the one that was
 	// probed is dead.
 	replaced bool
@@ -175,6 +176,7 @@
 				return v
 			}
 			last.reset = last.reset || v.reset
+			last.alive = last.alive || v.invalid
 		case <-ctx.Done():
 			return last
 		case <-next.C:
@@ -196,7 +198,7 @@
 		reset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 		return probeResult{
 			withheld: errors.Is(err, errWithheld), refused: errors.Is(err, syscall.ECONNREFUSED),
-			closed: ctx.Err() == nil && (closed || reset && resetIsEnd), reset: reset,
+			closed: ctx.Err() == nil && (closed || reset && resetIsEnd), reset: reset, invalid: errors.Is(err, upstream.ErrInvalid),
 		}
 	}
 	a := p.wire.ReadAnswer(resp.StatusCode, resp.Header)
--- a/internal/standin/routedengine/engine.go
+++ b/internal/standin/routedengine/engine.go
@@ -71,6 +71,8 @@
 	Times func(id string) int
 	// Intercept, if set, may answer a request, and reports whether it did.
 	Intercept func(s *Server, w http.ResponseWriter, r *http.Request) bool
+	// InterceptProbe is Intercept for probes.
+	InterceptProbe func(s *Server, w http.ResponseWriter, r *http.Request) bool
 
 	slowdown atomic.Int64 // see Slow
 
--- a/internal/standin/routedengine/serve.go
+++ b/internal/standin/routedengine/serve.go
@@ -49,6 +49,7 @@
 	switch {
 	case s.inState(Breaking), s.inState(Dead):
 		panic(http.ErrAbortHandler)
+	case r.URL.Path == forward.PlainReportURI && s.InterceptProbe != nil && s.InterceptProbe(s, w, r):
 	case r.URL.Path == forward.PlainReportURI && r.Header.Get(forward.HeaderInstance) == s.ID:
 		s.report(w)
 	case r.URL.Path == forward.PlainCopyURI:
--- a/internal/upstream/body_write.go
+++ b/internal/upstream/body_write.go
@@ -53,6 +53,7 @@
 // and the other one finds the regular end. It is the end only if the write has not met a reset.
 func (r connReader) Read(p []byte) (int, error) {
 	n, err := r.c.raw.Read(p)
+	r.c.ended = err != nil
 	if errors.Is(err, io.EOF) && r.c.upload != nil {
 		if broke := r.c.upload.stop(); broke != nil {
 			err = broke
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -51,10 +51,12 @@
 )
 
 // Errors of an exchange. ErrDial means that no connection was established, ErrBroken that
-// an established connection failed or its response was invalid.
+// an established connection failed or its response was invalid. ErrInvalid comes with ErrBroken: the
+// connection stands, and what the server sends on it is no response.
 var (
-	ErrDial   = errors.New("upstream: could not connect")
-	ErrBroken = errors.New("upstream: connection broken")
+	ErrDial    = errors.New("upstream: could not connect")
+	ErrBroken  = errors.New("upstream: connection broken")
+	ErrInvalid = errors.New("invalid response")
 )
 
 // Request is one request as it is sent to a backend server.
@@ -75,6 +77,7 @@
 	reused    bool
 	idleUntil time.Time  // after it the connection is not reused
 	upload    *bodyWrite // runs beside the response; nil: none
+	ended     bool       // a read has failed, or found the end
 }
 
 func newConn(raw net.Conn, key string) *Conn {
@@ -148,11 +151,11 @@
 	for range maxInterimResponses {
 		c.in.LimitLines(maxHeadLines)
 		resp, err := http.ReadResponse(c.br, req)
-		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		if err == nil {
+			err = httphead.Check(resp.StatusCode, resp.Header)
 		}
-		if err := httphead.Check(resp.StatusCode, resp.Header); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		if err != nil {
+			return nil, c.headError(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			resp.Body = checkTrailer(resp)
@@ -165,6 +168,14 @@
 	return nil, fmt.Errorf("%w: too many interim responses", ErrBroken)
 }
 
+// headError returns the error of a head that could not be read.
+func (c *Conn) headError(err error) error {
+	if c.ended {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return fmt.Errorf("%w: %w: %w", ErrBroken, ErrInvalid, err)
+}
+
 // Framed reports whether the end of a response can be told from a broken connection.
 func Framed(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
