service: an answer with an invalid head leaves the outcome unknown

Callers of the older daemon's services got answers with the status 0 or 99 (the process panicked while it wrote them), with 600, and bodies that were cut to a Content-Length beside "Transfer-Encoding : chunked".

Cause: as in package upstream, the client took every head that the parser of net/http lets through, and the status of a final response was not asked for.

An answer that a former build has recorded with such a status is reported as an unknown outcome too.

--- a/internal/service/claim.go
+++ b/internal/service/claim.go
@@ -7,6 +7,7 @@
 
 	"github.com/amaranthshelf/amaranthshelf/internal/call"
 	"github.com/amaranthshelf/amaranthshelf/internal/explain"
+	"github.com/amaranthshelf/amaranthshelf/internal/httphead"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 )
@@ -227,6 +228,8 @@
 		return result.New(result.OutcomeUnknown)
 	case r.Answer == nil || r.Answer.NoBody:
 		return result.New(result.AnswerNotKept)
+	case httphead.CheckStatus(r.Answer.Status) != nil: // recorded by a former build
+		return result.New(result.OutcomeUnknown)
 	default:
 		return nil
 	}
