service: a whole answer that comes before a reset is not lost

Callers of calls with a long body got "outcome unknown" although the service had answered: it answered early, with a Content-Length, and ended or reset the connection while the body was still being written.

Cause: http.Transport drops an answer that it has not read when a write fails. Whoever of the write and the read came first decided.

Change: a write that has failed reports it only when a read has found the end, or the connection is closed. The read does so at once behind what has arrived, since the connection has ended.

--- a/internal/service/broken_answer_test.go
+++ b/internal/service/broken_answer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -118,3 +119,28 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that counts as the whole, and against a whole one that is lost: its
+// server answers an upload at once and ends or resets the connection. An answer without a length is none.
+func TestAnswersThatEndDuringAnUpload(t *testing.T) {
+	const tries, text, length = 10, "the answer", "Content-Length: 10\r\n"
+	body := make([]byte, 8<<20) // more than the sockets hold
+	for _, end := range []rawserver.End{rawserver.InOrder, rawserver.Unread, rawserver.Reset} {
+		for _, framing := range []string{"Connection: close\r\n", length} {
+			addr := startRaw(t, rawserver.Answer{Text: "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + text, End: end})
+			for way, send := range senders() {
+				t.Run(fmt.Sprintf("%s, %q, %s", end, framing, way), func(t *testing.T) {
+					whole := 0
+					for range tries {
+						if a, err := send(t, addr, body); err == nil && string(a.Body) == text {
+							whole++
+						}
+					}
+					if want := map[bool]int{true: tries}[framing == length]; whole != want {
+						t.Errorf("%d of %d answers counted as whole, want %d", whole, tries, want)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -77,7 +77,7 @@
 func NewClient() *Client {
 	c := &Client{dial: net.Dialer{Timeout: dialTimeout}}
 	c.pool = &http.Transport{
-		DialContext: c.dial.DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerHost,
+		DialContext: c.dialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return c
--- a/internal/service/conn.go
+++ b/internal/service/conn.go
@@ -17,7 +17,7 @@
 
 // Dial implements Sender.
 func (c *Client) Dial(ctx context.Context, addr string) (Connection, error) {
-	raw, err := c.dial.DialContext(ctx, "tcp", addr)
+	raw, err := c.dialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
