httphead: one transport checks the heads for all clients

The checks of heads, interim heads and trailers of package service move into httphead.Transport, and that of trailers from package upstream, so that the other clients over net/http can use them. Behaviour is as before: the tests of service, upstream, gateway and of forward's broken answers pass unchanged.

--- a/internal/upstream/trailer.go
+++ b/internal/httphead/trailer.go
@@ -1,11 +1,9 @@
-package upstream
+package httphead
 
 import (
 	"errors"
 	"io"
 	"net/http"
-
-	"github.com/amaranthshelf/amaranthshelf/internal/httphead"
 )
 
 // trailerReader reads a body in chunks and checks the names of its trailer.
@@ -14,8 +12,8 @@
 	resp *http.Response
 }
 
-// checkTrailer returns the body of a response, which ends with an error if its trailer is invalid.
-func checkTrailer(resp *http.Response) io.ReadCloser {
+// CheckTrailer returns the body of a response, which ends with an error if its trailer is invalid.
+func CheckTrailer(resp *http.Response) io.ReadCloser {
 	if len(resp.TransferEncoding) == 0 {
 		return resp.Body
 	}
@@ -26,7 +24,7 @@
 func (r trailerReader) Read(p []byte) (int, error) {
 	n, err := r.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		if invalid := httphead.CheckNames(r.resp.Trailer); invalid != nil {
+		if invalid := CheckNames(r.resp.Trailer); invalid != nil {
 			err = invalid
 		}
 	}
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -11,8 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
 	"slices"
 	"time"
 
@@ -69,17 +67,17 @@
 
 // Client implements Sender over TCP. It is safe for concurrent use.
 type Client struct {
-	pool *http.Transport
+	pool httphead.Transport
 	dial net.Dialer
 }
 
 // NewClient returns a Client.
 func NewClient() *Client {
 	c := &Client{dial: net.Dialer{Timeout: dialTimeout}}
-	c.pool = &http.Transport{
+	c.pool = httphead.Transport{Transport: &http.Transport{
 		DialContext: c.dialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	}}
 	return c
 }
 
@@ -99,7 +97,6 @@
 // newRequest leaves GetBody unset. No lower layer can then rewind the body and send
 // it again.
 func newRequest(ctx context.Context, addr string, r *Request) (*http.Request, error) {
-	ctx = httptrace.WithClientTrace(ctx, checkInterim)
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+addr+r.Path, http.NoBody)
 	if err != nil {
 		return nil, err
@@ -116,17 +113,9 @@
 	return req, nil
 }
 
-// checkInterim ends a request whose interim response has an invalid head.
-var checkInterim = &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
-	return httphead.CheckNames(http.Header(header))
-}}
-
 // readAnswer reads a complete answer. A body above MaxAnswerBytes is dropped.
 func readAnswer(resp *http.Response) (*call.Answer, error) {
 	defer resp.Body.Close()
-	if err := httphead.Check(resp.StatusCode, resp.Header); err != nil {
-		return nil, fmt.Errorf("service: %w", err)
-	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return nil, errUpgrade
 	}
@@ -137,9 +126,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("service: answer is incomplete: %w", err)
 	}
-	if err := httphead.CheckNames(resp.Trailer); err != nil {
-		return nil, fmt.Errorf("service: trailer: %w", err)
-	}
 	a := &call.Answer{Status: resp.StatusCode, Headers: headers(resp.Header), Body: body}
 	if len(body) > MaxAnswerBytes {
 		a.Body, a.NoBody = nil, true
--- a/internal/service/conn.go
+++ b/internal/service/conn.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/call"
+	"github.com/amaranthshelf/amaranthshelf/internal/httphead"
 )
 
 var (
@@ -42,10 +43,10 @@
 	if err != nil {
 		return nil, c.conn.abandon(), err
 	}
-	t := &http.Transport{
+	t := httphead.Transport{Transport: &http.Transport{
 		DialContext: c.dialOnce(), DisableKeepAlives: true, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	}}
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return nil, c.conn.abandon(), err
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -158,7 +158,7 @@
 			return nil, c.headError(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			resp.Body = checkTrailer(resp)
+			resp.Body = httphead.CheckTrailer(resp)
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
