engine: an answer with an invalid head is refused

The older daemon lost events unnoticed: behind "Transfer-Encoding : chunked" the lines of the chunks fell between the events, and a chunk that began within "data" hid an event, while the stream counted as complete. The relay refuses the gap that follows; nothing refused the answer.

Cause: that of the answers of services, in the client of engines.

Change: it uses the transport that checks heads.

Evidence: TestInvalidHeads and TestInvalidHeadsOfReports over TCP, with a chunk that ends at each byte: 13 answers were taken before (3 of them with an event less), none now. Statuses of 000, 099 and 600 were refused before.

The reset was no fault here: TestStreamsThatEndDuringAnUpload, 8 MB, 30 parts, none counts as a whole stream, before and now, since a stream needs its finish event; 10 of 10 whole ones that end in good order are whole.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,6 +16,8 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/zeebo/errs"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/httphead"
 )
 
 // Error is the class of this package's errors.
@@ -56,13 +58,13 @@
 // It keeps up to maxIdleConnsPerHost idle connections to each engine for reuse. It requests
 // no compression and uses no proxy.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	return &Client{http: &http.Client{Transport: httphead.Transport{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	}}}}
 }
 
 // Generate runs a completion and calls onEvent for each event, the finish event included. It
