client: an answer with an invalid head is none

Clients took an answer with the status 000, 099 or 600 for that of a service, and an operator's change whose answer had the status 000 counted as made. Lines of chunks behind "Transfer-Encoding : chunked" could be cut to a body.

Cause: that of the answers of services; whatever was no 4xx or 5xx, or below 300, was a success.

Change: the clients of callers, operators and of the addresses to use share a transport that checks heads. Like a broken connection, such an answer is asked for again elsewhere, under the same key.

--- /dev/null
+++ b/internal/client/broken_answer_test.go
@@ -0,0 +1,52 @@
+package client
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/amaranthshelf/amaranthshelf/internal/standin/rawserver"
+)
+
+func startRaw(t *testing.T, a rawserver.Answer) string {
+	t.Helper()
+	s, err := rawserver.Start(func(*http.Request) rawserver.Answer { return a })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s.Addr
+}
+
+// invalidHeads are heads of answers that are none, which state the length N.
+var invalidHeads = []string{
+	"000 OK\r\nContent-Length: N\r\n", "099 A\r\nContent-Length: N\r\n", "+20 A\r\nContent-Length: N\r\n", "600 A\r\nContent-Length: N\r\n",
+	"200 OK\r\nX A: b\r\nContent-Length: N\r\n", "200 OK\r\nContent-Length: N\r\nTransfer-Encoding : chunked\r\n", "200 OK\r\nX\x01A: b\r\nContent-Length: N\r\n",
+}
+
+// answerTo returns an answer with a head, which may state the length of the body.
+func answerTo(head, body, length string) string {
+	return "HTTP/1.1 " + strings.ReplaceAll(head, "N", length) + "\r\n" + body
+}
+
+// Guards against an answer that is none and counts as that of a service, as a change made by an operator,
+// or as the addresses to use.
+func TestInvalidHeads(t *testing.T) {
+	const change, entry = `{"name":"a","version":7}`, `{"addresses":["127.0.0.1:1"],"ttl_ms":1000}`
+	c := New(nil, "key")
+	for _, head := range invalidHeads {
+		addr := startRaw(t, rawserver.Answer{Text: answerTo(head, "the answer", "10")})
+		if got, err := c.callOnce(t.Context(), http.MethodGet, addr, "/", "k"); err == nil {
+			t.Errorf("got the answer %+v behind the head %q", got, head)
+		}
+		addr = startRaw(t, rawserver.Answer{Text: answerTo(head, change, "24")})
+		var made ChangeResult
+		if err := NewOperator(nil, "", "me").attempt(t.Context(), addr, http.MethodPut, "/v1/plans/a", nil, []byte("{}"), &made); err == nil {
+			t.Errorf("got the change %+v behind the head %q", made, head)
+		}
+		addr = startRaw(t, rawserver.Answer{Text: answerTo(head, entry, "43")})
+		if got, err := discoverAt(t.Context(), addr, "key", "", ""); err == nil {
+			t.Errorf("got the entry %+v behind the head %q", got, head)
+		}
+	}
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/httphead"
 	"github.com/amaranthshelf/amaranthshelf/internal/result"
 	"github.com/amaranthshelf/amaranthshelf/internal/timer"
 
@@ -35,6 +36,7 @@
 	maxEventBytes     = 4 << 20
 	maxHeadBytes      = 64 << 10
 	maxErrorBytes     = 64 << 10
+	idlePerAddress    = 256 // connections
 )
 
 // Completion is the body of a generation request.
@@ -84,18 +86,23 @@
 
 func newClient(addresses func(context.Context) ([]string, error), key string) *Client {
 	return &Client{addresses: addresses, key: key, failed: map[string]time.Time{}, http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: 256,
-
-			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		Transport: newTransport(idlePerAddress),
 		// A redirect is the response of the service. Following it would be a second call.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
+// newTransport returns a Transport that keeps up to idle connections to each address.
+func newTransport(idle int) httphead.Transport {
+	return httphead.Transport{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idle,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}}
+}
+
 // next returns the address for the next attempt.
 func (c *Client) next(ctx context.Context) (string, error) {
 	addrs, err := c.addresses(ctx)
--- a/internal/client/discover.go
+++ b/internal/client/discover.go
@@ -15,6 +15,9 @@
 	maxEntryBytes   = 64 << 10
 )
 
+// discovery is shared by all callers of a process.
+var discovery = newTransport(1)
+
 // Entry is a response of the discovery endpoint: the addresses that a caller should use.
 type Entry struct {
 	Addresses []string      // ip:port, in order of preference
@@ -52,7 +55,7 @@
 		return nil, err
 	}
 	r.Header.Set("Authorization", "Bearer "+key)
-	resp, err := http.DefaultTransport.RoundTrip(r)
+	resp, err := discovery.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/client/operator.go
+++ b/internal/client/operator.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -43,10 +42,7 @@
 // NewOperator returns an Operator. An empty token sends no Authorization header. who is the name
 // under which the history records the changes.
 func NewOperator(addrs []string, token, who string) *Operator {
-	return &Operator{addrs: addrs, token: token, who: who, http: &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	return &Operator{addrs: addrs, token: token, who: who, http: &http.Client{Transport: newTransport(1)}}
 }
 
 // ChangeResult is the response to a Change. Version is the new version of the row, or 0 if
