client: an answer without a length is a broken one

A client took what came of a service's answer for the whole if it had neither a length nor chunks, so that a VM that was killed cut it unnoticed.

Cause: the end of the connection is the end of such an answer and the end of its VM. The VMs of the system state the length or send chunks.

Change: the client asks again, under the same key, so that the call runs once. The check is that of package service, which moves to httphead.

Evidence: TestAnswerWithoutALength failed for the answer without a length; the framed ones, behind an interim response and with 204, are whole.

--- a/internal/client/broken_answer_test.go
+++ b/internal/client/broken_answer_test.go
@@ -50,3 +50,24 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that counts as the whole: nothing tells the end of an answer without
+// a length from that of its VM.
+func TestAnswerWithoutALength(t *testing.T) {
+	c := New(nil, "key")
+	for text, whole := range map[string]bool{
+		"200 OK\r\n\r\nthe answer":                                                                                    false,
+		"200 OK\r\nContent-Length: 10\r\n\r\nthe answer":                                                              true,
+		"200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nthe answer\r\n0\r\n\r\n":                                    true,
+		"103 Early Hints\r\nX-A: b\r\n\r\nHTTP/1.1 303 See Other\r\nX-A: b c\r\nContent-Length: 10\r\n\r\nthe answer": true,
+	} {
+		addr := startRaw(t, rawserver.Answer{Text: "HTTP/1.1 " + text})
+		if got, err := c.callOnce(t.Context(), http.MethodGet, addr, "/", "k"); (err == nil) != whole || whole && string(got.Body) != "the answer" {
+			t.Errorf("got %+v, error %v, from %q", got, err, text)
+		}
+	}
+	addr := startRaw(t, rawserver.Answer{Text: "HTTP/1.1 204 No Content\r\n\r\n"})
+	if _, err := c.callOnce(t.Context(), http.MethodGet, addr, "/", "k"); err != nil {
+		t.Errorf("got error %v from an answer that has no body", err)
+	}
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -330,6 +330,9 @@
 	if resp.StatusCode/100 == 4 || resp.StatusCode/100 == 5 {
 		return nil, decodeError(resp)
 	}
+	if !httphead.Delimited(resp) { // the system states the length, or sends chunks
+		return nil, errDisconnected
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBodyBytes+1))
 	if err != nil {
 		return nil, err
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 )
 
 // ErrInvalid means that a head is not HTTP.
@@ -33,6 +34,13 @@
 	return CheckNames(header)
 }
 
+// Delimited reports whether the end of a response can be told from a broken connection.
+func Delimited(resp *http.Response) bool {
+	bodyless := resp.Request.Method == http.MethodHead ||
+		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	return bodyless || resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+}
+
 // CheckNames returns an error unless all names of a head or a trailer are tokens (RFC 9110, section
 // 5.6.2). The parser accepts blanks, and does not know a "Content-Length " or "Transfer-Encoding ".
 func CheckNames(header http.Header) error {
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/call"
@@ -119,7 +118,7 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return nil, errUpgrade
 	}
-	if !delimited(resp) {
+	if !httphead.Delimited(resp) {
 		return nil, ErrNotDelimited
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
@@ -133,12 +132,6 @@
 	return a, nil
 }
 
-func delimited(resp *http.Response) bool {
-	bodyless := resp.Request.Method == http.MethodHead ||
-		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
-	return bodyless || resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
-}
-
 // answerHeaders are the headers that may be forwarded to the caller and kept with an
 // answer. Location is among them because the caller follows redirects itself.
 var answerHeaders = []string{
