handoff: an answer with an invalid head is lost

A VM that had another one serve a request passed on whatever head came: 99 and a negative status end the process's connection in a panic, 600 and names with blanks reached the caller, and a body without a head became a 200.

Cause: the head of a piece was not checked, since the VM that serves reads the answer. One of a former build passes on what its server sent.

Change: the first piece that is more than "no head yet" has to have a valid head, and an answer without a head is not whole. The request then goes on as if its VM had been lost.

--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthshelf/amaranthshelf/internal/httphead"
 	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/peer"
 	"github.com/amaranthshelf/amaranthshelf/internal/result/resulthttp"
@@ -171,6 +172,9 @@
 		case r.isInvented(&p):
 			return r.lost("ended without a head", nil)
 		}
+		if err := r.checkHead(&p); err != nil {
+			return r.lost("invalid head", err)
+		}
 		r.waitsSince.Store(nil)
 		if !r.forward(&p) {
 			return CallerLeft
@@ -211,8 +215,21 @@
 	return Lost
 }
 
+// checkHead returns an error if an answer begins with a head that is none. A VM of a former build passes
+// on what its server sent.
+func (r *reader) checkHead(p *Piece) error {
+	hasNone := p.Status == 0 && len(p.Data) == 0
+	if r.begun || hasNone {
+		return nil
+	}
+	return httphead.Check(p.Status, p.Header)
+}
+
 // isWhole reports whether the answer that a last piece ends is complete.
 func (r *reader) isWhole(last *Piece) bool {
+	if !r.begun {
+		return false
+	}
 	if r.statesEnd || last.Aborted {
 		return last.Complete
 	}
