forward: the log tells why an answer is broken, in short

A call whose answer was broken was logged as "broken" only, so that a reset during an upload, an invalid head and an engine that died looked the same. A stream's reason was logged whole: a server made lines of 100 KB with a head that is none.

Change: `cause` of "call sent" and `reason` of "run lost" hold the first 256 bytes of the error; `amaranthshelf explain` shows them.

Evidence: the new case of TestCauseIsFoundInTheLogs and TestCausesInTheLogAreShort failed before, the latter with a line of 100,183 bytes.

--- a/internal/explain/logs.go
+++ b/internal/explain/logs.go
@@ -165,7 +165,11 @@
 		case l.Message == "run lost":
 			return fmt.Sprintf("; its run on %s was lost: %s", l.text("engine"), l.text("reason"))
 		case l.Message == "call sent" && l.text("sent") != "answered":
-			return fmt.Sprintf("; %s: %s %s", l.text("server"), l.text("sent"), l.text("fault"))
+			loss := fmt.Sprintf("; %s: %s %s", l.text("server"), l.text("sent"), l.text("fault"))
+			if cause := l.text("cause"); cause != "" {
+				loss += ": " + cause
+			}
+			return loss
 		}
 	}
 	return ""
--- a/internal/forward/broken_answers_test.go
+++ b/internal/forward/broken_answers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -268,3 +269,21 @@
 		}
 	}
 }
+
+// Guards against log lines as long as what a server in trouble sends.
+func TestCausesInTheLogAreShort(t *testing.T) {
+	for _, path := range allPaths {
+		synctest.Test(t, func(t *testing.T) {
+			var log logBuffer
+			f := newFixtureWithLog(t, zerolog.New(&log), shortEngine("a"), voteServer("a"))
+			defer f.shutDown()
+			f.answerInTurn(answerCut("HTTP/1.1 200 OK\r\n"+signed+strings.Repeat("\xff\x01", 10_000)+": b\r\n\r\n", cutEnd{}))
+			<-f.send(http.MethodPost, path, "r1", "x").done
+			for line := range strings.Lines(log.buf.String()) {
+				if len(line) > 2000 {
+					t.Errorf("the caller of %s made a log line of %d bytes: %.300s", path, len(line), line)
+				}
+			}
+		})
+	}
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -123,7 +123,7 @@
 		log = h.opts.RoutineLog
 	}
 	log.Info().Str("request", q.RequestID).Uint64("digest", q.digest).Str("route", q.route.Name).Str("server", s.ID).Str("sent", r.outcome.String()).
-		Str("fault", r.fault.String()).Int("status", status).Bool("signed", r.answer.Signed).Int("arrivals", q.history.arrivals).
+		Str("fault", r.fault.String()).Str("cause", r.cause).Int("status", status).Bool("signed", r.answer.Signed).Int("arrivals", q.history.arrivals).
 		Dur("held", time.Since(q.arrived)).Msg("call sent")
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
@@ -35,6 +36,7 @@
 type reply struct {
 	outcome sendOutcome
 	fault   fault
+	cause   string // of faultBroken, for the log; empty: not known
 	answer  Answer
 	resp    *http.Response
 	body    upstream.Body
@@ -202,7 +204,16 @@
 		return reply{outcome: sendUnknown, fault: faultOvertaken}
 	}
 	h.noteSpoiled(s, err)
-	return reply{outcome: sendUnknown, fault: faultBroken}
+	return reply{outcome: sendUnknown, fault: faultBroken, cause: causeOf(err)}
+}
+
+// maxCauseBytes bounds the text of an error that may quote what a server sent.
+const maxCauseBytes = 256
+
+// causeOf returns why an answer could not be read, for the log.
+func causeOf(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxCauseBytes)], "")
 }
 
 // classifyReply sets the outcome of a received answer. An answer that lacks the server's
--- a/internal/forward/explain_test.go
+++ b/internal/forward/explain_test.go
@@ -89,6 +89,18 @@
 			[]string{"4003 outcome_unknown", "after 1 arrivals", "unknown broken"},
 			"",
 		},
+		{
+			"a vote whose answer is no HTTP",
+			func() []*routedengine.Server { return []*routedengine.Server{voteServer("a"), voteServer("b")} },
+			func(f *fixture, id string) {
+				for _, s := range f.servers {
+					s.Intercept = breakAfter("HTTP/1.1 200 OK\r\nX A: b\r\n" + signed + "\r\nhalf")
+				}
+				<-f.send("POST", "/vote/1", id, "yes").done
+			},
+			[]string{"4003 outcome_unknown", `unknown broken: upstream: connection broken: invalid response: invalid head of a response: field name "X A"`},
+			"",
+		},
 		{
 			"a call refused under load",
 			func() []*routedengine.Server { return []*routedengine.Server{voteServer("a"), voteServer("b")} },
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -307,7 +307,7 @@
 	}
 	r.st.h.noteBroken(r.server, err)
 	r.st.h.confirmDeath(r.st.q, r.server, r.content)
-	return r.lost(err.Error())
+	return r.lost(causeOf(err))
 }
 
 // lost logs that the run was lost, and why, and returns how it ended.
--- a/internal/forward/run_results.go
+++ b/internal/forward/run_results.go
@@ -110,7 +110,7 @@
 	}
 	if err != nil {
 		h.noteBroken(r.server, err)
-		return r.lost(err.Error()), true
+		return r.lost(causeOf(err)), true
 	}
 	r.outcome = sendAnswered
 	h.opts.Rollouts.Recorder.End(r.ticket, isFailure(r.reply.resp), false)
