--- a/internal/service/broken_answer_test.go
+++ b/internal/service/broken_answer_test.go
@@ -89,6 +89,19 @@
 	}
 }
 
+// Guards against a body that is cut among the lines of chunks: HTTP/1.0 has no chunks, and the framing of
+// an answer that states some is faulty.
+func TestServiceAnswersOfAnOldVersion(t *testing.T) {
+	for _, framing := range []string{"", "Content-Length: 4\r\n"} {
+		addr := startRaw(t, rawserver.Answer{Text: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + framing + "\r\n3\r\nabc\r\n0\r\n\r\n"})
+		for way, send := range senders() {
+			if a, err := send(t, addr, []byte("x")); err == nil {
+				t.Errorf("%s, %q: got %d %q, want a broken answer", way, framing, a.Status, a.Body)
+			}
+		}
+	}
+}
+
 // formerSender takes what is none for an answer, as former builds did.
 type formerSender struct{ answer call.Answer }
 
