--- a/cmd/amaranthshelfd/broken_answers_test.go
+++ b/cmd/amaranthshelfd/broken_answers_test.go
@@ -100,13 +100,8 @@
 	s := &soakSystem{t: t, net: routedengine.NewNet(), dir: t.TempDir()}
 	w := newSoakClients(t, s)
 	for i := range 4 {
-		raw, err := rawserver.Start(servers.answer)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = raw.Close() })
 		service := []string{"models", "desk"}[i%2]
-		s.servers = append(s.servers, &routedengine.Server{Backend: upstream.Backend{ID: fmt.Sprint(service, i), Service: service, Zone: "z0", Slots: 64, Version: "v1", Address: raw.Addr}})
+		s.servers = append(s.servers, &routedengine.Server{Backend: upstream.Backend{ID: fmt.Sprint(service, i), Service: service, Zone: "z0", Slots: 64, Version: "v1", Address: rawserver.Start(t, servers.answer)}})
 	}
 	s.writeSettings(freePorts(t, 2*soakControls+3*soakRouters))
 	t.Cleanup(s.stop)
--- a/internal/client/broken_answer_test.go
+++ b/internal/client/broken_answer_test.go
@@ -8,16 +8,6 @@
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/rawserver"
 )
 
-func startRaw(t *testing.T, a rawserver.Answer) string {
-	t.Helper()
-	s, err := rawserver.Start(func(*http.Request) rawserver.Answer { return a })
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = s.Close() })
-	return s.Addr
-}
-
 // invalidHeads are heads of answers that are none, which state the length N.
 var invalidHeads = []string{
 	"000 OK\r\nContent-Length: N\r\n", "099 A\r\nContent-Length: N\r\n", "+20 A\r\nContent-Length: N\r\n", "600 A\r\nContent-Length: N\r\n",
@@ -35,16 +25,16 @@
 	const change, entry = `{"name":"a","version":7}`, `{"addresses":["127.0.0.1:1"],"ttl_ms":1000}`
 	c := New(nil, "key")
 	for _, head := range invalidHeads {
-		addr := startRaw(t, rawserver.Answer{Text: answerTo(head, "the answer", "10")})
+		addr := rawserver.StartSame(t, rawserver.Answer{Text: answerTo(head, "the answer", "10")})
 		if got, err := c.callOnce(t.Context(), http.MethodGet, addr, "/", "k"); err == nil {
 			t.Errorf("got the answer %+v behind the head %q", got, head)
 		}
-		addr = startRaw(t, rawserver.Answer{Text: answerTo(head, change, "24")})
+		addr = rawserver.StartSame(t, rawserver.Answer{Text: answerTo(head, change, "24")})
 		var made ChangeResult
 		if err := NewOperator(nil, "", "me").attempt(t.Context(), addr, http.MethodPut, "/v1/plans/a", nil, []byte("{}"), &made); err == nil {
 			t.Errorf("got the change %+v behind the head %q", made, head)
 		}
-		addr = startRaw(t, rawserver.Answer{Text: answerTo(head, entry, "43")})
+		addr = rawserver.StartSame(t, rawserver.Answer{Text: answerTo(head, entry, "43")})
 		if got, err := discoverAt(t.Context(), addr, "key", "", ""); err == nil {
 			t.Errorf("got the entry %+v behind the head %q", got, head)
 		}
@@ -61,12 +51,12 @@
 		"200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nthe answer\r\n0\r\n\r\n":                                    true,
 		"103 Early Hints\r\nX-A: b\r\n\r\nHTTP/1.1 303 See Other\r\nX-A: b c\r\nContent-Length: 10\r\n\r\nthe answer": true,
 	} {
-		addr := startRaw(t, rawserver.Answer{Text: "HTTP/1.1 " + text})
+		addr := rawserver.StartSame(t, rawserver.Answer{Text: "HTTP/1.1 " + text})
 		if got, err := c.callOnce(t.Context(), http.MethodGet, addr, "/", "k"); (err == nil) != whole || whole && string(got.Body) != "the answer" {
 			t.Errorf("got %+v, error %v, from %q", got, err, text)
 		}
 	}
-	addr := startRaw(t, rawserver.Answer{Text: "HTTP/1.1 204 No Content\r\n\r\n"})
+	addr := rawserver.StartSame(t, rawserver.Answer{Text: "HTTP/1.1 204 No Content\r\n\r\n"})
 	if _, err := c.callOnce(t.Context(), http.MethodGet, addr, "/", "k"); err != nil {
 		t.Errorf("got error %v from an answer that has no body", err)
 	}
--- a/internal/engine/invalid_head_test.go
+++ b/internal/engine/invalid_head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strings"
 	"testing"
 
@@ -57,15 +56,10 @@
 	c, prompt := NewClient(), strings.Repeat("a", 8<<20)
 	for _, end := range []rawserver.End{rawserver.InOrder, rawserver.Unread, rawserver.Reset} {
 		for _, events := range []string{event, event + finish} {
-			s, err := rawserver.Start(func(*http.Request) rawserver.Answer {
-				return rawserver.Answer{Text: "HTTP/1.1 200 OK\r\n\r\n" + events, End: end}
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
+			addr := rawserver.StartSame(t, rawserver.Answer{Text: "HTTP/1.1 200 OK\r\n\r\n" + events, End: end})
 			whole := 0
 			for range tries {
-				if c.Generate(t.Context(), s.Addr, Completion{Prompt: prompt}, func(Event) error { return nil }) == nil {
+				if c.Generate(t.Context(), addr, Completion{Prompt: prompt}, func(Event) error { return nil }) == nil {
 					whole++
 				}
 			}
@@ -75,7 +69,6 @@
 			case events != event && end == rawserver.InOrder && whole < tries:
 				t.Errorf("%s: %d of %d whole streams were lost", end, tries-whole, tries)
 			}
-			_ = s.Close()
 		}
 	}
 }
--- a/internal/forward/bench_test.go
+++ b/internal/forward/bench_test.go
@@ -30,15 +30,20 @@
 	pool := upstream.NewPool()
 	fleet = upstream.NewFleet(pool, zerolog.Nop())
 	fleet.Apply(upstream.List{Backends: net.Backends(), AsOf: time.Now()})
-	table := testRoutes()
+	return startFront(b, pool, fleet, testRoutes()), fleet
+}
+
+// startFront starts a router that callers reach over loopback, and returns its URL.
+func startFront(t testing.TB, pool *upstream.Pool, fleet *upstream.Fleet, table *routes.Table) (url string) {
+	t.Helper()
 	h := forward.NewHandler(forward.Options{
 		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table }, ListsReady: closed(),
 		RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
 		SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return false }, CannotFinish: func(shutdown.Work) bool { return false },
 	})
 	front := httptest.NewServer(h)
-	b.Cleanup(front.Close)
-	return front.URL, fleet
+	t.Cleanup(front.Close)
+	return front.URL
 }
 
 func benchRequest(b *testing.B, method, url, body string) *http.Request {
--- a/internal/forward/broken_answers_test.go
+++ b/internal/forward/broken_answers_test.go
@@ -5,19 +5,16 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
 	"github.com/amaranthshelf/amaranthshelf/internal/routes"
-	"github.com/amaranthshelf/amaranthshelf/internal/shutdown"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/rawserver"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
@@ -57,22 +54,10 @@
 	fleet := upstream.NewFleet(pool, zerolog.Nop())
 	var rows []upstream.Backend
 	for i, service := range []string{"votes", "votes", "models", "models"} {
-		server, err := rawserver.Start(router.serverAnswer)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = server.Close() })
-		rows = append(rows, upstream.Backend{ID: fmt.Sprintf("i%d", i), Service: service, Zone: "a", Slots: 64, Address: server.Addr})
+		rows = append(rows, upstream.Backend{ID: fmt.Sprintf("i%d", i), Service: service, Zone: "a", Slots: 64, Address: rawserver.Start(t, router.serverAnswer)})
 	}
 	fleet.Apply(upstream.List{AsOf: time.Now(), Backends: rows})
-	h := forward.NewHandler(forward.Options{
-		Zone: "a", Wire: forward.NewPlainWire(), Pool: pool, Fleet: fleet, Routes: func() *routes.Table { return table }, ListsReady: closed(),
-		RetryAllowance: forward.DefaultRetryAllowance, Log: zerolog.Nop(), RoutineLog: zerolog.Nop(), Metrics: metrics.NewSet(),
-		SuspectContents: forward.NewSuspectContents(zerolog.Nop()), Closing: func() bool { return false }, CannotFinish: func(shutdown.Work) bool { return false },
-	})
-	front := httptest.NewServer(h)
-	t.Cleanup(front.Close)
-	router.url = front.URL
+	router.url = startFront(t, pool, fleet, table)
 	return router
 }
 
@@ -259,12 +244,7 @@
 func (f *fixture) answerProbesWith(text string) {
 	for _, s := range f.servers {
 		s.InterceptProbe = func(_ *routedengine.Server, w http.ResponseWriter, _ *http.Request) bool {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				panic(err)
-			}
-			_, _ = io.WriteString(conn, text)
-			_ = conn.Close()
+			writeAndClose(w, text)
 			return true
 		}
 	}
--- a/internal/forward/call_test.go
+++ b/internal/forward/call_test.go
@@ -20,16 +20,21 @@
 func breakAfter(text string) answerFunc {
 	return func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
 		s.RecordRun(r, 0, false)
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(err)
-		}
-		_, _ = fmt.Fprint(conn, text)
-		_ = conn.Close()
+		writeAndClose(w, text)
 		return true
 	}
 }
 
+// writeAndClose writes some bytes in place of an answer and closes the connection.
+func writeAndClose(w http.ResponseWriter, text string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = fmt.Fprint(conn, text)
+	_ = conn.Close()
+}
+
 const (
 	signedHead  = "HTTP/1.1 200 OK\r\nX-Backend-Signature: x\r\nX-Request-Id: r1\r\nContent-Length: 10\r\n\r\n"
 	strayAnswer = "HTTP/1.1 200 OK\r\nX-Backend-Signature: x\r\nX-Request-Id: other\r\nContent-Length: 5\r\n\r\nstray"
--- a/internal/inventory/broken_list_test.go
+++ b/internal/inventory/broken_list_test.go
@@ -12,14 +12,10 @@
 // Guards against a part of the list that counts as the whole, so that VMs and servers would be dropped.
 func TestBrokenAnswersAreNoLists(t *testing.T) {
 	var answer rawserver.Answer
-	s, err := rawserver.Start(func(*http.Request) rawserver.Answer { return answer })
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = s.Close() })
+	addr := rawserver.Start(t, func(*http.Request) rawserver.Answer { return answer })
 	whole := 0
 	for _, answer = range rawserver.BrokenAnswers(`{"vms":[{"id":"vm1"},{"id":"vm2"}],"backends":[{"name":"e1"},{"name":"e2"}]}`) {
-		r := NewReader("http://"+s.Addr, zerolog.Nop())
+		r := NewReader("http://"+addr, zerolog.Nop())
 		err := r.read(t.Context())
 		switch list, _, _ := r.List(); {
 		case err != nil:
--- a/internal/service/broken_answer_test.go
+++ b/internal/service/broken_answer_test.go
@@ -46,16 +46,6 @@
 // errNotWritten would have a call refused as not run.
 var errNotWritten = errors.New("no byte was written")
 
-func startRaw(t *testing.T, a rawserver.Answer) string {
-	t.Helper()
-	s, err := rawserver.Start(func(*http.Request) rawserver.Answer { return a })
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = s.Close() })
-	return s.Addr
-}
-
 // Guards against an answer that is none: its status is no status, or its head holds a name that is no
 // name and may state how the body is framed. Unusual heads of sound answers pass.
 func TestInvalidHeads(t *testing.T) {
@@ -76,7 +66,7 @@
 		"HTTP/1.1 200\r\n!#$%&'*+.^_`|~: b\r\n" + framed:                                                           true,
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nthe answer\r\n0\r\nX-A: a b\r\n\r\n":            true,
 	} {
-		addr := startRaw(t, rawserver.Answer{Text: text})
+		addr := rawserver.StartSame(t, rawserver.Answer{Text: text})
 		for way, send := range senders() {
 			a, err := send(t, addr, []byte("x"))
 			switch {
@@ -93,7 +83,7 @@
 // an answer that states some is faulty.
 func TestServiceAnswersOfAnOldVersion(t *testing.T) {
 	for _, framing := range []string{"", "Content-Length: 4\r\n"} {
-		addr := startRaw(t, rawserver.Answer{Text: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + framing + "\r\n3\r\nabc\r\n0\r\n\r\n"})
+		addr := rawserver.StartSame(t, rawserver.Answer{Text: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + framing + "\r\n3\r\nabc\r\n0\r\n\r\n"})
 		for way, send := range senders() {
 			if a, err := send(t, addr, []byte("x")); err == nil {
 				t.Errorf("%s, %q: got %d %q, want a broken answer", way, framing, a.Status, a.Body)
@@ -140,7 +130,7 @@
 	body := make([]byte, 8<<20) // more than the sockets hold
 	for _, end := range []rawserver.End{rawserver.InOrder, rawserver.Unread, rawserver.Reset} {
 		for _, framing := range []string{"Connection: close\r\n", length} {
-			addr := startRaw(t, rawserver.Answer{Text: "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + text, End: end})
+			addr := rawserver.StartSame(t, rawserver.Answer{Text: "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + text, End: end})
 			for way, send := range senders() {
 				t.Run(fmt.Sprintf("%s, %q, %s", end, framing, way), func(t *testing.T) {
 					whole := 0
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -4,11 +4,11 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"testing"
 )
 
 // End is how a server ends a connection behind its answer.
@@ -35,11 +35,8 @@
 	End  End
 }
 
-// Server answers each request on a connection of its own. It reads the head of a request before its
-// answer, and nothing of a body that does not come with it.
-type Server struct {
-	Addr string // ip:port
-
+// server answers each request on a connection of its own.
+type server struct {
 	listener net.Listener
 	answer   func(*http.Request) Answer
 	open     sync.WaitGroup
@@ -48,32 +45,40 @@
 	conns map[net.Conn]bool
 }
 
-// Start starts a server on a free loopback port.
-func Start(answer func(*http.Request) Answer) (*Server, error) {
+// Start starts a server on a free loopback port until the test ends, and returns its address. The server
+// reads the head of a request before its answer, and nothing of a body that does not come with it.
+func Start(t testing.TB, answer func(*http.Request) Answer) (addr string) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		t.Fatal(err)
 	}
-	s := &Server{Addr: l.Addr().String(), listener: l, answer: answer, conns: map[net.Conn]bool{}}
+	s := &server{listener: l, answer: answer, conns: map[net.Conn]bool{}}
 	s.open.Add(1)
 	go s.accept()
-	return s, nil
+	t.Cleanup(s.close)
+	return l.Addr().String()
+}
+
+// StartSame is Start for a server that gives the same answer to each request.
+func StartSame(t testing.TB, a Answer) (addr string) {
+	t.Helper()
+	return Start(t, func(*http.Request) Answer { return a })
 }
 
-// Close ends the server and its connections.
-func (s *Server) Close() error {
-	err := s.listener.Close()
+// close ends the server and its connections.
+func (s *server) close() {
+	_ = s.listener.Close()
 	s.mu.Lock()
 	for c := range s.conns {
-		err = errors.Join(err, c.Close())
+		_ = c.Close()
 	}
 	s.conns = nil
 	s.mu.Unlock()
 	s.open.Wait()
-	return err
 }
 
-func (s *Server) accept() {
+func (s *server) accept() {
 	defer s.open.Done()
 	for {
 		c, err := s.listener.Accept()
@@ -93,7 +98,7 @@
 	}
 }
 
-func (s *Server) keep(c net.Conn) bool {
+func (s *server) keep(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
@@ -103,8 +108,8 @@
 	return true
 }
 
-// drop closes a connection, unless Close has done so.
-func (s *Server) drop(c net.Conn) {
+// drop closes a connection, unless close has done so.
+func (s *server) drop(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns[c] {
@@ -117,7 +122,7 @@
 // answered.
 const receiveBufferBytes = 4 << 10
 
-func (s *Server) serve(c *net.TCPConn) {
+func (s *server) serve(c *net.TCPConn) {
 	if err := c.SetReadBuffer(receiveBufferBytes); err != nil {
 		return
 	}
--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -72,7 +72,7 @@
 	for _, size := range []int{100, 256 << 10} {
 		b.Run(fmt.Sprintf("request_of_%d", size), func(b *testing.B) {
 			p, body := NewPool(), make([]byte, size)
-			addr := startRaw(b, unframedHead+unframedBody, rawserver.InOrder)
+			addr := rawserver.StartSame(b, rawserver.Answer{Text: unframedHead + unframedBody})
 			b.ReportAllocs()
 			for b.Loop() {
 				if got, err := upload(b, p, addr, body); err != nil || got != unframedBody {
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -42,17 +42,6 @@
 	return string(got), err
 }
 
-// startRaw starts a server that answers each request with a text.
-func startRaw(t testing.TB, text string, end rawserver.End) string {
-	t.Helper()
-	s, err := rawserver.Start(func(*http.Request) rawserver.Answer { return rawserver.Answer{Text: text, End: end} })
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = s.Close() })
-	return s.Addr
-}
-
 // Guards against a part of an answer that passes for the whole, since the write of the request has
 // taken the error of the reset, and against a whole one that is lost since it ended before the request.
 func TestAnswersThatEndDuringAnUpload(t *testing.T) {
@@ -61,7 +50,7 @@
 		for _, framing := range []string{unframedHead, framedHead} {
 			for _, size := range []int{20 << 10, 300 << 10, uploadBytes} {
 				t.Run(fmt.Sprintf("%s, framed %t, %d bytes", end, framing == framedHead, size), func(t *testing.T) {
-					addr := startRaw(t, framing+unframedBody, end)
+					addr := rawserver.StartSame(t, rawserver.Answer{Text: framing + unframedBody, End: end})
 					body, whole := make([]byte, size), 0
 					for range uploadTries {
 						if got, err := upload(t, p, addr, body); err == nil && got == unframedBody {
