tests: a raw server that closes its connections says so

Traced with the router's log, at load 20: the stand-in answered with a length, without "Connection: close", and closed the connection behind the answer. The router kept it, and the next call was sent on it before its end had arrived; that was the first of two sends that route allows, and the broken answer the second. The router is right: such a server breaks its answer. The stand-in states the close now.

24 runs of the tests of broken answers of forward, twelve at a time beside eight busy loops, and 18 of the one with real routers, three at a time beside six, passed. Before, 3 of 24 of the former failed so. Checks are unchanged.

--- a/cmd/amaranthshelfd/broken_answers_test.go
+++ b/cmd/amaranthshelfd/broken_answers_test.go
@@ -47,7 +47,7 @@
 
 // text returns the answer to a request.
 func (a *brokenAnswer) text(id string) string {
-	return fmt.Sprintf("HTTP/1.1 %s\r\n%s: s\r\n%s: %s\r\n%s\r\n%s", a.status, forward.HeaderSignature, forward.HeaderRequestID, id, a.headers, a.body)
+	return fmt.Sprintf("HTTP/1.1 %s\r\nConnection: close\r\n%s: s\r\n%s: %s\r\n%s\r\n%s", a.status, forward.HeaderSignature, forward.HeaderRequestID, id, a.headers, a.body)
 }
 
 // Texts of the answers of the test.
--- a/internal/forward/broken_answers_test.go
+++ b/internal/forward/broken_answers_test.go
@@ -40,7 +40,7 @@
 	case r.sends.Add(1) == 1:
 		return r.answer
 	}
-	return rawserver.Answer{Text: fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", signed, len(text), text)}
+	return rawserver.Answer{Text: fmt.Sprintf("HTTP/1.1 200 OK\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", signed, len(text), text)}
 }
 
 // startTCPRouter starts a router and two servers for each service.
