tests: no race in what the raw servers answer

The race run found that the tests of broken answers set what the servers answer while a probe of the call before still read it. It is set through an atomic pointer, or once.

--- a/internal/forward/broken_answers_test.go
+++ b/internal/forward/broken_answers_test.go
@@ -25,24 +25,31 @@
 
 // tcpRouter is a router with servers that answer over TCP with raw bytes.
 type tcpRouter struct {
-	url    string
-	answer rawserver.Answer // to the first request that a call sends
-	good   string           // body of the answers to the others
-	sends  atomic.Int64     // of the call, probes apart
+	url   string
+	first atomic.Pointer[rawserver.Answer] // to the first request that a call sends
+	sends atomic.Int64                     // of the call, probes apart
 }
 
 // serverAnswer returns a server's answer. Probes are answered as by a server that is alive.
 func (r *tcpRouter) serverAnswer(req *http.Request) rawserver.Answer {
-	text := r.good
+	text := goodText(req.URL.Path)
 	switch {
 	case req.URL.Path == forward.PlainReportURI:
 		text = "{}"
 	case r.sends.Add(1) == 1:
-		return r.answer
+		return *r.first.Load()
 	}
 	return rawserver.Answer{Text: fmt.Sprintf("HTTP/1.1 200 OK\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", signed, len(text), text)}
 }
 
+// goodText returns the body of a server's sound answer.
+func goodText(path string) string {
+	if path == streamPath {
+		return cutEvents(1, 2)
+	}
+	return "answer of another server"
+}
+
 // startTCPRouter starts a router and two servers for each service.
 func startTCPRouter(t testing.TB) *tcpRouter {
 	t.Helper()
@@ -78,10 +85,7 @@
 
 // call sends a request whose first server answers as stated, and returns what its caller has got.
 func (r *tcpRouter) call(path string, body []byte, answer rawserver.Answer) received {
-	r.answer, r.good = answer, "answer of another server"
-	if path == streamPath {
-		r.good = cutEvents(1, 2)
-	}
+	r.first.Store(&answer)
 	r.sends.Store(0)
 	req, err := http.NewRequest(http.MethodPost, r.url+path, bytes.NewReader(body))
 	if err != nil {
@@ -113,7 +117,7 @@
 func (r *tcpRouter) checkBroken(t *testing.T, what, path string, got *received) {
 	t.Helper()
 	switch {
-	case path != oncePath && (got.err != nil || got.status != http.StatusOK || got.text != r.good):
+	case path != oncePath && (got.err != nil || got.status != http.StatusOK || got.text != goodText(path)):
 		t.Errorf("%s: the caller of %s got %v, want the answer of another server", what, path, got)
 	case path == oncePath && (got.err != nil || got.status != http.StatusBadGateway || got.header.Get(forward.HeaderSignature) != "" || r.sends.Load() != 1):
 		t.Errorf("%s: the caller of %s got %v after %d sends, want 502 after one", what, path, got, r.sends.Load())
@@ -225,9 +229,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t, shortEngine("a"), shortEngine("b"), voteServer("a"), voteServer("b"))
 				defer f.shutDown()
+				sends := f.answerFirst(answerCut("HTTP/1.1 200 OK\r\n"+signed+line+"\r\n\r\nabc", cutEnd{}))
+				f.answerProbesWith("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n{}")
 				for range 6 {
-					f.answerInTurn(answerCut("HTTP/1.1 200 OK\r\n"+signed+line+"\r\n\r\nabc", cutEnd{}))
-					f.answerProbesWith("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n{}")
+					sends.Store(0)
 					got := f.send(http.MethodPost, path, "r1", "the same content")
 					<-got.done
 					if unknown := path == oncePath && got.status == http.StatusBadGateway; got.status != http.StatusOK && !unknown {
@@ -240,6 +245,18 @@
 	}
 }
 
+// answerFirst has the first request that reaches the servers answered by a function, and the others as usual.
+// It returns the number of requests.
+func (f *fixture) answerFirst(answer answerFunc) (sends *atomic.Int64) {
+	sends = &atomic.Int64{}
+	for _, s := range f.servers {
+		s.Intercept = func(s *routedengine.Server, w http.ResponseWriter, r *http.Request) bool {
+			return sends.Add(1) == 1 && answer(s, w, r)
+		}
+	}
+	return sends
+}
+
 // answerProbesWith has the servers answer probes with a text.
 func (f *fixture) answerProbesWith(text string) {
 	for _, s := range f.servers {
