forward: a search that was ended for a held run is not a failed one

Callers saw streams cut off, or answered with 504 or 500, long before their deadline, although other engines were free: the engine of a stream was judged dead for its silence, answered again and died within one instant, as engines do that are restarted.

Cause: while a run is held, the search for another engine is ended as soon as the held run can go on. If that run failed before the stream looked at it again, the stream had no run, and took the reason of the ended search for its own: the timeout that stands for an ended context, or no reason at all if an engine had been chosen already (code 0, a 500).

Change: a search reports that it was ended, and the stream then looks again: it goes on with the held run, or searches without one.

Evidence: TestStreamOutlivesAnEngineThatAnswersAgainAndDies, four cases in virtual time, all red before (cut off twice, 500, 504), green now.

--- a/internal/forward/held_run.go
+++ b/internal/forward/held_run.go
@@ -210,10 +210,12 @@
 			st.clearSkip()
 			continue
 		}
-		next, reason := st.searchBesideHeld()
+		next, reason, ended := st.searchBesideHeld()
 		switch {
 		case next != nil:
 			return next, 0
+		case ended: // its reason is not that of a search, should the held run have failed since
+			st.clearSkip()
 		case st.heldGoesOn():
 		case st.onlyFromCopy:
 			st.onlyFromCopy = false // no copy can be used: the stream stays at its engine
@@ -235,35 +237,33 @@
 	return st.startRun(c), 0
 }
 
-// searchBesideHeld is search, which ends early, without a run, once the stream goes on with the held
+// searchBesideHeld is search, which is ended early, without a run, once the stream goes on with the held
 // one. Nothing else touches the stream meanwhile.
-func (st *streamRelay) searchBesideHeld() (*run, result.Code) {
+func (st *streamRelay) searchBesideHeld() (next *run, reason result.Code, ended bool) {
 	st.skipHeldEngine()
 	caller := st.q.ctx
 	ctx, cancel := context.WithCancel(caller)
 	st.q.ctx = ctx
 	defer func() { st.q.ctx = caller }()
-	var next *run
-	var reason result.Code
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		next, reason = st.search()
 	}()
-	for goesOn := false; ; {
+	for {
 		select {
 		case <-done:
-			if next == nil || goesOn {
+			if next == nil || ended {
 				cancel()
 				st.abandon(next)
-				return nil, reason
+				return nil, reason, ended
 			}
 			st.searches = append(st.searches, cancel) // the run lasts no longer than ctx
 			st.noteOpened(next)
-			return next, reason
+			return next, reason, false
 		case <-st.ready:
 			if st.heldGoesOn() {
-				goesOn = true
+				ended = true
 				cancel()
 			}
 		}
--- a/internal/forward/held_run_test.go
+++ b/internal/forward/held_run_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/forward"
+	"github.com/amaranthshelf/amaranthshelf/internal/scheduler"
 	"github.com/amaranthshelf/amaranthshelf/internal/standin/routedengine"
 )
 
@@ -203,6 +204,63 @@
 	}
 }
 
+// slowGrants is a Placer that grants i0 and then i1. While the second grant is made, or its use is
+// reported, it calls a function.
+type slowGrants struct {
+	scriptedPlacer
+	atReport bool
+	during   func()
+}
+
+func newSlowGrants(atReport bool, during func()) *slowGrants {
+	p, grant := &slowGrants{atReport: atReport, during: during}, grantInTurn("i0", "i1")
+	p.decide = func() (scheduler.Answer, bool) {
+		answer, ok := grant()
+		if answer.Number == 2 && !atReport {
+			during()
+		}
+		return answer, ok
+	}
+	return p
+}
+
+func (p *slowGrants) Took(n uint64) {
+	p.scriptedPlacer.Took(n)
+	if n == 2 && p.atReport {
+		p.during()
+	}
+}
+
+// Guards against a stream that no engine is searched for any more: its silent engine answers again, which
+// ends the search beside it, and dies at once.
+func TestStreamOutlivesAnEngineThatAnswersAgainAndDies(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		for _, atReport := range []bool{true, false} {
+			t.Run(fmt.Sprintf("begun %t, at report %t", begun, atReport), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					first, second := engine("a"), engine("a")
+					if !begun {
+						first.PrefillTime = 4 * time.Second
+					}
+					f := newFixture(t, first, second)
+					defer f.shutDown()
+					f.keepNoCopies()
+					f.setPlacer(newSlowGrants(atReport, func() {
+						first.Set(routedengine.Stalled)
+						time.Sleep(time.Second)
+						first.Set(routedengine.Dead)
+						time.Sleep(soon)
+					}))
+					a := f.send("POST", "/s/1", "r1", "log")
+					time.Sleep(2 * time.Second)
+					first.Set(routedengine.Unresponsive)
+					a.requireCompleteStream(t, 100)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a complete answer that is cut: its engine falls silent between the last event and the
 // end of the answer, and no other engine takes the stream.
 func TestHeldRunThatEndsIsComplete(t *testing.T) {
