httphead: HTTP/1.0 with a transfer coding is refused by the older daemon too

What callers got: a body cut among the lines of chunks, or these lines, as the whole answer of a service that answers with HTTP/1.0 and a transfer coding. The same held for streams and reports of engines, and in the client for answers, changes that operators make and the addresses to use.

Cause: HTTP/1.0 has no transfer codings, so that the framing of such an answer is faulty. The parser of net/http drops the field unseen, and its Transport shows no raw head. Routers read their heads themselves and refused it already.

Change: connections of httphead.Transport note the heads that they carry. A final head of HTTP/1.1 is done with its first line; others are kept until they are whole. A response whose head stated a transfer coding in HTTP/1.0 is an error, which net/http does not repeat on another connection.

--- a/internal/client/broken_answer_test.go
+++ b/internal/client/broken_answer_test.go
@@ -10,13 +10,14 @@
 
 // invalidHeads are heads of answers that are none, which state the length N.
 var invalidHeads = []string{
-	"000 OK\r\nContent-Length: N\r\n", "099 A\r\nContent-Length: N\r\n", "+20 A\r\nContent-Length: N\r\n", "600 A\r\nContent-Length: N\r\n",
-	"200 OK\r\nX A: b\r\nContent-Length: N\r\n", "200 OK\r\nContent-Length: N\r\nTransfer-Encoding : chunked\r\n", "200 OK\r\nX\x01A: b\r\nContent-Length: N\r\n",
+	"1.1 000 OK\r\nContent-Length: N\r\n", "1.1 099 A\r\nContent-Length: N\r\n", "1.1 +20 A\r\nContent-Length: N\r\n", "1.1 600 A\r\nContent-Length: N\r\n",
+	"1.1 200 OK\r\nX A: b\r\nContent-Length: N\r\n", "1.1 200 OK\r\nContent-Length: N\r\nTransfer-Encoding : chunked\r\n", "1.1 200 OK\r\nX\x01A: b\r\nContent-Length: N\r\n",
+	"1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: N\r\n",
 }
 
 // answerTo returns an answer with a head, which may state the length of the body.
 func answerTo(head, body, length string) string {
-	return "HTTP/1.1 " + strings.ReplaceAll(head, "N", length) + "\r\n" + body
+	return "HTTP/" + strings.ReplaceAll(head, "N", length) + "\r\n" + body
 }
 
 // Guards against an answer that is none and counts as that of a service, as a change made by an operator,
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -94,13 +94,13 @@
 
 // newTransport returns a Transport that keeps up to idle connections to each address.
 func newTransport(idle int) httphead.Transport {
-	return httphead.Transport{Transport: &http.Transport{
+	return httphead.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idle,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	})
 }
 
 // next returns the address for the next attempt.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -58,13 +58,13 @@
 // It keeps up to maxIdleConnsPerHost idle connections to each engine for reuse. It requests
 // no compression and uses no proxy.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: httphead.Transport{Transport: &http.Transport{
+	return &Client{http: &http.Client{Transport: httphead.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}}}
+	})}}
 }
 
 // Generate runs a completion and calls onEvent for each event, the finish event included. It
--- a/internal/engine/invalid_head_test.go
+++ b/internal/engine/invalid_head_test.go
@@ -12,7 +12,7 @@
 // a name that is no name how the body is framed, or the status is no status.
 func TestInvalidHeads(t *testing.T) {
 	const events = "data: {\"index\":1,\"token_ids\":[5],\"texts\":[\"a\"]}\n\ndata: {\"index\":2,\"token_ids\":[6],\"texts\":[\"b\"],\"finish_reason\":\"length\"}\n\n"
-	heads := []string{"HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" + events, "HTTP/1.1 600 A\r\n\r\n" + events, "HTTP/1.1 200 OK\r\nX A: b\r\n\r\n" + events}
+	heads := []string{"HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" + events, "HTTP/1.1 600 A\r\n\r\n" + events, "HTTP/1.1 200 OK\r\nX A: b\r\n\r\n" + events, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + events}
 	for n := 1; n < len(events); n++ {
 		heads = append(heads, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", n, events[:n], len(events)-n, events[n:]))
 	}
@@ -35,8 +35,11 @@
 func TestInvalidHeadsOfReports(t *testing.T) {
 	const report = `{"seq":7,"running":12}`
 	c := NewClient()
-	for _, head := range []string{"000 OK\r\n", "099 A\r\n", "600 A\r\n", "200 OK\r\nX A: b\r\n", "200 OK\r\nContent-Length : 3\r\n", "200 OK\r\nX\x01A: b\r\n"} {
-		addr, stop := serveCut(t, "HTTP/1.1 "+head+"\r\n"+report, false)
+	for _, head := range []string{
+		"1.1 000 OK\r\n", "1.1 099 A\r\n", "1.1 600 A\r\n", "1.1 200 OK\r\nX A: b\r\n", "1.1 200 OK\r\nContent-Length : 3\r\n", "1.1 200 OK\r\nX\x01A: b\r\n",
+		"1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		addr, stop := serveCut(t, "HTTP/"+head+"\r\n"+report, false)
 		l, err := c.Load(t.Context(), addr)
 		if err == nil {
 			t.Errorf("got %+v without error behind the head %q", l, head)
--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -1,6 +1,7 @@
 package httphead
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -9,21 +10,44 @@
 // Transport is an http.Transport that takes no response with an invalid head, interim head or trailer.
 type Transport struct{ *http.Transport }
 
-// checkInterim ends a request whose interim response is invalid.
-var checkInterim = &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
-	return CheckNames(http.Header(header))
-}}
+// NewTransport returns a Transport over t, which must have a DialContext.
+func NewTransport(t *http.Transport) Transport {
+	t.DialContext = noteHeads(t.DialContext)
+	return Transport{t}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), checkInterim)))
+	var h *heads
+	resp, err := t.Transport.RoundTrip(r.WithContext(traceHeads(r.Context(), &h)))
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(resp.StatusCode, resp.Header); err != nil {
+	if err := check(resp, h); err != nil {
 		_ = resp.Body.Close()
 		return nil, err
 	}
 	resp.Body = CheckTrailer(resp)
 	return resp, nil
 }
+
+// traceHeads sets the heads of a response, and ends the request if an interim one is invalid.
+func traceHeads(ctx context.Context, h **heads) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				*h = c.expect()
+			}
+		},
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return CheckNames(http.Header(header)) },
+	})
+}
+
+func check(resp *http.Response, h *heads) error {
+	if h != nil {
+		if err := h.checkCoding(); err != nil {
+			return err
+		}
+	}
+	return Check(resp.StatusCode, resp.Header)
+}
--- a/internal/service/broken_answer_test.go
+++ b/internal/service/broken_answer_test.go
@@ -80,13 +80,15 @@
 }
 
 // Guards against a body that is cut among the lines of chunks: HTTP/1.0 has no chunks, and the framing of
-// an answer that states some is faulty.
+// an answer that states some is faulty. One with a length alone is whole.
 func TestServiceAnswersOfAnOldVersion(t *testing.T) {
-	for _, framing := range []string{"", "Content-Length: 4\r\n"} {
-		addr := rawserver.StartSame(t, rawserver.Answer{Text: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + framing + "\r\n3\r\nabc\r\n0\r\n\r\n"})
+	for framing, whole := range map[string]bool{
+		"Transfer-Encoding: chunked\r\n": false, "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n": false, "Content-Length: 13\r\n": true,
+	} {
+		addr := rawserver.StartSame(t, rawserver.Answer{Text: "HTTP/1.0 200 OK\r\n" + framing + "\r\n3\r\nabc\r\n0\r\n\r\n"})
 		for way, send := range senders() {
-			if a, err := send(t, addr, []byte("x")); err == nil {
-				t.Errorf("%s, %q: got %d %q, want a broken answer", way, framing, a.Status, a.Body)
+			if a, err := send(t, addr, []byte("x")); (err == nil) != whole {
+				t.Errorf("%s, %q: got %+v, error %v, want a broken answer: %t", way, framing, a, err, !whole)
 			}
 		}
 	}
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -73,10 +73,10 @@
 // NewClient returns a Client.
 func NewClient() *Client {
 	c := &Client{dial: net.Dialer{Timeout: dialTimeout}}
-	c.pool = httphead.Transport{Transport: &http.Transport{
+	c.pool = httphead.NewTransport(&http.Transport{
 		DialContext: c.dialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	})
 	return c
 }
 
--- a/internal/service/conn.go
+++ b/internal/service/conn.go
@@ -43,10 +43,10 @@
 	if err != nil {
 		return nil, c.conn.abandon(), err
 	}
-	t := httphead.Transport{Transport: &http.Transport{
+	t := httphead.NewTransport(&http.Transport{
 		DialContext: c.dialOnce(), DisableKeepAlives: true, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	})
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return nil, c.conn.abandon(), err
