httphead: answers of versions before HTTP/1.0 are refused

What callers got: from a server that answers with HTTP/0.9, a status line and a transfer coding, the lines of the chunks as a body, or one that is cut among them, with the server's signature. HTTP/0.0 passed as well, read as HTTP/1.1. 13 of the 18 new cases of TestChunksOfAnOldVersion reached callers through a router, and both ways in which the older daemon calls services took one.

Cause: the parser of net/http reads any HTTP/x.y, and drops transfer codings of versions before HTTP/1.1. Only HTTP/1.0 was looked for.

Change: a head of a major version below 1 is invalid. Such versions have no heads, so that no sound answer is lost.

--- a/internal/forward/broken_answers_test.go
+++ b/internal/forward/broken_answers_test.go
@@ -285,15 +285,15 @@
 	}
 }
 
-// Guards against the lines of chunks as a body, or one that is cut among them: HTTP/1.0 has no chunks, and
-// the framing of an answer that states some is faulty. Other answers of that version are whole.
+// Guards against the lines of chunks as a body, or one that is cut among them: versions before HTTP/1.1 have
+// no chunks, and the framing of an answer that states some is faulty. Other answers of HTTP/1.0 are whole.
 func TestChunksOfAnOldVersion(t *testing.T) {
 	const chunks = "\r\n3\r\nabc\r\n0\r\n\r\n"
 	r := startTCPRouter(t)
-	for _, status := range []string{"200 OK", "400 Bad Request"} {
+	for _, status := range []string{"1.0 200 OK", "1.0 400 Bad Request", "0.9 200 OK", "0.0 400 Bad Request"} {
 		for _, framing := range []string{"Transfer-Encoding: chunked\r\n", "transfer-encoding:chunked\r\nContent-Length: 4\r\n", "Content-Length: 4\r\nTransfer-Encoding: identity\r\n"} {
 			for _, path := range allPaths {
-				text := "HTTP/1.0 " + status + "\r\n" + signed + framing + chunks
+				text := "HTTP/" + status + "\r\n" + signed + framing + chunks
 				got := r.call(path, []byte("x"), rawserver.Answer{Text: text})
 				r.checkBroken(t, fmt.Sprintf("%q", text), path, &got)
 			}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -30,6 +30,15 @@
 	return nil
 }
 
+// CheckResponse returns an error unless the version, the status and the names of a head are valid. Versions
+// before HTTP/1.0 have no heads, and the parser drops transfer codings in them.
+func CheckResponse(resp *http.Response) error {
+	if resp.ProtoMajor < 1 {
+		return fmt.Errorf("%w: version %s", ErrInvalid, resp.Proto)
+	}
+	return Check(resp.StatusCode, resp.Header)
+}
+
 // Check returns an error unless the status and the names of a head are valid.
 func Check(status int, header http.Header) error {
 	if err := CheckStatus(status); err != nil {
--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -49,5 +49,5 @@
 			return err
 		}
 	}
-	return Check(resp.StatusCode, resp.Header)
+	return CheckResponse(resp)
 }
--- a/internal/service/broken_answer_test.go
+++ b/internal/service/broken_answer_test.go
@@ -79,16 +79,17 @@
 	}
 }
 
-// Guards against a body that is cut among the lines of chunks: HTTP/1.0 has no chunks, and the framing of
-// an answer that states some is faulty. One with a length alone is whole.
+// Guards against a body that is cut among the lines of chunks: versions before HTTP/1.1 have no
+// chunks, and the framing of an answer that states some is faulty. One with a length alone is whole.
 func TestServiceAnswersOfAnOldVersion(t *testing.T) {
-	for framing, whole := range map[string]bool{
-		"Transfer-Encoding: chunked\r\n": false, "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n": false, "Content-Length: 13\r\n": true,
+	for head, whole := range map[string]bool{
+		"1.0 200 OK\r\nTransfer-Encoding: chunked\r\n": false, "1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n": false,
+		"0.9 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n": false, "1.0 200 OK\r\nContent-Length: 13\r\n": true,
 	} {
-		addr := rawserver.StartSame(t, rawserver.Answer{Text: "HTTP/1.0 200 OK\r\n" + framing + "\r\n3\r\nabc\r\n0\r\n\r\n"})
+		addr := rawserver.StartSame(t, rawserver.Answer{Text: "HTTP/" + head + "\r\n3\r\nabc\r\n0\r\n\r\n"})
 		for way, send := range senders() {
 			if a, err := send(t, addr, []byte("x")); (err == nil) != whole {
-				t.Errorf("%s, %q: got %+v, error %v, want a broken answer: %t", way, framing, a, err, !whole)
+				t.Errorf("%s, %q: got %+v, error %v, want a broken answer: %t", way, head, a, err, !whole)
 			}
 		}
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return resp, httphead.Check(resp.StatusCode, resp.Header)
+	return resp, httphead.CheckResponse(resp)
 }
 
 // headError returns the error of a head that could not be read.
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -216,7 +216,7 @@
 		if err != nil {
 			return
 		}
-		if resp.StatusCode < http.StatusOK || httphead.Check(resp.StatusCode, resp.Header) != nil {
+		if resp.StatusCode < http.StatusOK || httphead.CheckResponse(resp) != nil {
 			t.Errorf("got status %d and header %v, want those of a final response", resp.StatusCode, resp.Header)
 		}
 		if body, err := ReadBody(resp, limit); err == nil && len(body) > limit {
