node: a VM that stops answers the requests that arrive on open connections

What callers saw: EOF instead of an answer for a call that arrived at the moment when a VM that shuts down, half of its time over, closed its servers. The caller of a booking could not tell whether it had run.

Cause: http.Server.Shutdown drops each request whose head is read once it was called, on connections that it had accepted before. A connection that waits to be accepted is reset.

Change: a server serves on, and refuses as not run what it cannot finish, until no connection is new or has an unanswered request, at most until the shutdown's time is over. Only then does it stop listening and close connections.

Left: a connection that is opened in the very moment when the listener closes is still reset.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,7 +45,7 @@
 	tracer  *telemetry.Tracer
 
 	callers, operators, peers net.Listener
-	servers                   []*http.Server
+	servers                   []*server
 
 	// incarnation differs at each start. A VM that has lost its memory must not be
 	// mistaken for the one that acknowledged journal entries before.
@@ -179,11 +179,10 @@
 }
 
 func (n *Node) serve(l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	n.servers = append(n.servers, server)
-	l = n.heads.Guard(server, l, func() int { return maxHeaderBytes })
+	s := newServer(l, h, n.heads)
+	n.servers = append(n.servers, s)
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.log.Error().Err(err).Msg("listener failed")
 		}
 	}()
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -50,7 +50,7 @@
 	}
 	errs := []error{n.handOver(ctx, end)}
 	for _, s := range n.servers {
-		errs = append(errs, s.Shutdown(ctx))
+		errs = append(errs, s.stop(ctx))
 	}
 	n.leaveMembers(ctx, true)
 	n.plans.cancel()
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -1,12 +1,14 @@
 package node_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -125,6 +127,61 @@
 	<-stopped
 }
 
+// Guards against calls that are dropped without an answer, so that their callers cannot tell whether they
+// have run: they arrive on open connections once a VM that shuts down has handed over what it can.
+func TestShutdownAnswersCallsOnOpenConnections(t *testing.T) {
+	t.Parallel()
+	const entryTTL = 300 * time.Millisecond
+	s := startWithDispatch(t, func(conf *settings.Settings) { conf.DrainTimeout, conf.EntryTTL = 20*entryTTL, entryTTL })
+	leaving := s.Nodes[1]
+	var callers []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", leaving.Self().Endpoint)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		callers = append(callers, c)
+	}
+	writeText(t, callers[1], "POST /v1/services/dispatch/book")
+	stopped := make(chan error)
+	go func() { stopped <- leaving.Shutdown(t.Context()) }()
+	time.Sleep(2 * entryTTL)
+	const rest = "ings HTTP/1.1\r\nHost: shelf\r\nAuthorization: Bearer " + testKey + "\r\nIdempotency-Key: open\r\nContent-Length: 2\r\n\r\n{}"
+	writeText(t, callers[0], "POST /v1/services/dispatch/book"+rest)
+	writeText(t, callers[1], rest)
+	for _, c := range callers {
+		if status, body := readAnswer(t, bufio.NewReader(c)); status != http.StatusOK && !strings.Contains(body, `"code":3006`) {
+			t.Errorf("got status %d and %q, want an answer, or a refusal as not run", status, body)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+func writeText(t *testing.T, w io.Writer, text string) {
+	t.Helper()
+	if _, err := io.WriteString(w, text); err != nil {
+		t.Error(err)
+	}
+}
+
+// readAnswer returns the status and the body of the next answer; 0: there is none.
+func readAnswer(t *testing.T, r *bufio.Reader) (status int, body string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return resp.StatusCode, string(got)
+}
+
 // Guards against streams that are cut off by a shutdown whose time is shorter than entry_ttl: their callers are
 // asked to reconnect.
 func TestShortShutdownAsksStreamsToReconnect(t *testing.T) {
