forward: the end of an answer is judged by httphead.Delimited

checkEnd asked for a length or chunks and, apart, for a HEAD request, which httphead.Delimited asks in one place for the older daemon and the client.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/amaranthshelf/amaranthshelf/internal/backpressure"
+	"github.com/amaranthshelf/amaranthshelf/internal/httphead"
 	"github.com/amaranthshelf/amaranthshelf/internal/memory"
 	"github.com/amaranthshelf/amaranthshelf/internal/upstream"
 )
@@ -179,7 +180,7 @@
 // refusal needs no body.
 func (h *Handler) checkEnd(s *upstream.Server, r *reply) error {
 	switch {
-	case upstream.Framed(r.resp), r.resp.Request.Method == http.MethodHead:
+	case httphead.Delimited(r.resp):
 		return nil
 	case r.outcome == sendAnswered && r.body.Len() == 0:
 		return errNoBody
