headlimit: reads wait for the memory of connections that gave way

Cause: a connection that gives way counted as free once its socket was closed, while the HTTP server frees its head when its goroutine runs next. A connection that gave way within its own read still handed those bytes to the parser.

Change: what they held counts until the HTTP server has closed them. Reads of heads that count wait for room, at most a second; ordinary heads do not count and do not wait. A connection that gave way reads nothing more.

--- a/internal/headlimit/account.go
+++ b/internal/headlimit/account.go
@@ -7,12 +7,13 @@
 //
 // Therefore all listeners of a process draw on one Account. When it is spent, the connection that
 // holds most is closed, unless its request is being served: the heads of ordinary clients are small,
-// so that they stay.
+// so that they stay. Others read on once the HTTP server has freed what it held.
 package headlimit
 
 import (
 	"container/list"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -34,6 +35,8 @@
 	byteCopies = 2
 	// freeBytes of each head are not counted. Most heads take no more.
 	freeBytes = 8 << 10
+	// freeTime bounds how long a read waits for memory that connections which gave way have not freed.
+	freeTime = time.Second
 )
 
 // Account bounds the heads and connections of all clients of a process. It is safe for concurrent use.
@@ -44,7 +47,11 @@
 	mu     sync.Mutex
 	used   int
 	served int // the part of used that requests which are served hold
-	open   int
+	// leaving is what connections that gave way held and the HTTP server has not freed.
+	leaving int
+	// room is closed when reads that wait have room; nil: none waits.
+	room chan struct{}
+	open int
 	// holders are the connections that hold something.
 	holders map[*conn]struct{}
 	// waiting are the connections whose requests are not served, the one that has waited for the
@@ -92,13 +99,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.open++
+	c.gone = make(chan struct{})
 	c.waits = a.waiting.PushBack(c)
 	if a.maxConns == 0 || a.open <= a.maxConns {
 		return nil
 	}
 	victim = a.waiting.Front().Value.(*conn)
-	a.closed++
-	a.remove(victim)
+	a.giveWay(victim)
 	return victim
 }
 
@@ -116,8 +123,7 @@
 		if victim == nil {
 			victim = c
 		}
-		a.closed++
-		a.remove(victim)
+		a.giveWay(victim)
 		victims = append(victims, victim)
 		if victim == c {
 			break
@@ -137,6 +143,72 @@
 	} else {
 		delete(a.holders, c)
 	}
+	a.signal()
+}
+
+// giveWay needs a.mu.
+func (a *Account) giveWay(c *conn) {
+	a.closed++
+	c.leaving = c.held
+	a.leaving += c.leaving
+	a.remove(c)
+}
+
+// free records that the HTTP server has freed what a connection held.
+func (a *Account) free(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !c.removed {
+		a.set(c, 0)
+	}
+	a.forget(c)
+}
+
+// forget needs a.mu.
+func (a *Account) forget(c *conn) {
+	a.leaving -= c.leaving
+	c.leaving = 0
+	a.signal()
+}
+
+// fits needs a.mu.
+func (a *Account) fits() bool { return a.used+a.leaving <= a.limit }
+
+// signal needs a.mu.
+func (a *Account) signal() {
+	if a.room != nil && a.fits() {
+		close(a.room)
+		a.room = nil
+	}
+}
+
+// awaitRoom returns once the account has room for what connections hold, with those that gave way, or
+// after freeTime. It reports false if the connection gives way itself.
+func (a *Account) awaitRoom(c *conn) bool {
+	a.mu.Lock()
+	if c.removed || a.fits() {
+		defer a.mu.Unlock()
+		return !c.removed
+	}
+	if a.room == nil {
+		a.room = make(chan struct{})
+	}
+	room := a.room
+	a.mu.Unlock()
+	late := time.NewTimer(freeTime)
+	defer late.Stop()
+	select {
+	case <-room:
+	case <-late.C:
+	case <-c.gone:
+	}
+	return !a.isRemoved(c)
+}
+
+func (a *Account) isRemoved(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return c.removed
 }
 
 // largest returns the connection that holds most and is not being served; nil: there is none. It
@@ -196,6 +268,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.remove(c)
+	a.forget(c)
 }
 
 // remove needs a.mu.
@@ -207,4 +280,5 @@
 	a.stopWaiting(c)
 	a.open--
 	c.removed = true
+	close(c.gone)
 }
--- a/internal/headlimit/conn.go
+++ b/internal/headlimit/conn.go
@@ -57,8 +57,10 @@
 
 	held    int
 	served  bool          // a request is being served
+	leaving int           // what it held when it gave way, until the HTTP server frees it
 	waits   *list.Element // nil: it does not wait
 	removed bool          // it does not count any more
+	gone    chan struct{} // closed once it is removed
 }
 
 // Read implements net.Conn.
@@ -76,21 +78,24 @@
 		c.refuse()
 		return 0, io.EOF
 	}
-	c.count()
+	if c.count() && !c.account.awaitRoom(c) {
+		return 0, net.ErrClosed
+	}
 	return n, err
 }
 
-// count tells the account what the heads on the connection hold, if that has changed, and closes the
-// connections that give way.
-func (c *conn) count() {
+// count tells the account what the heads on the connection hold, and closes the connections that give
+// way. It reports whether that has changed.
+func (c *conn) count() bool {
 	bytes := c.scanner.current.charge() + c.scanner.next.charge()
 	if bytes == c.counted {
-		return
+		return false
 	}
 	c.counted = bytes
 	for _, victim := range c.account.hold(c, bytes) {
 		_ = victim.Conn.Close()
 	}
+	return true
 }
 
 // refuse answers a head that is too large. What it holds counts until the HTTP server closes the
@@ -120,8 +125,8 @@
 	if !c.refused.Load() && !c.hasNext() || c.lingers.Load() || !c.closeWrite() || c.lingers.Swap(true) {
 		return c.Conn.Close()
 	}
+	c.account.free(c)
 	c.account.await(c)
-	c.account.hold(c, 0)
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
 	go func() {
 		c.discard()
