--- a/internal/headlimit/account.go
+++ b/internal/headlimit/account.go
@@ -35,8 +35,8 @@
 	byteCopies = 2
 	// freeBytes of each head are not counted. Most heads take no more.
 	freeBytes = 8 << 10
-	// freeTime bounds how long a read waits for memory that connections which gave way have not freed.
-	freeTime = time.Second
+	// roomTimeout bounds how long a read waits for memory that connections which gave way have not freed.
+	roomTimeout = time.Second
 )
 
 // Account bounds the heads and connections of all clients of a process. It is safe for concurrent use.
@@ -146,7 +146,7 @@
 	a.signal()
 }
 
-// giveWay needs a.mu.
+// giveWay removes a connection that must be closed. What it held counts until forget. It needs a.mu.
 func (a *Account) giveWay(c *conn) {
 	a.closed++
 	c.leaving = c.held
@@ -164,7 +164,7 @@
 	a.forget(c)
 }
 
-// forget needs a.mu.
+// forget ends the count of what a connection held when it gave way. It needs a.mu.
 func (a *Account) forget(c *conn) {
 	a.leaving -= c.leaving
 	c.leaving = 0
@@ -174,7 +174,7 @@
 // fits needs a.mu.
 func (a *Account) fits() bool { return a.used+a.leaving <= a.limit }
 
-// signal needs a.mu.
+// signal lets the reads that wait go on if there is room. It needs a.mu.
 func (a *Account) signal() {
 	if a.room != nil && a.fits() {
 		close(a.room)
@@ -183,7 +183,7 @@
 }
 
 // awaitRoom returns once the account has room for what connections hold, with those that gave way, or
-// after freeTime. It reports false if the connection gives way itself.
+// after roomTimeout. It reports false if the connection gives way itself.
 func (a *Account) awaitRoom(c *conn) bool {
 	a.mu.Lock()
 	if c.removed || a.fits() {
@@ -195,7 +195,7 @@
 	}
 	room := a.room
 	a.mu.Unlock()
-	late := time.NewTimer(freeTime)
+	late := time.NewTimer(roomTimeout)
 	defer late.Stop()
 	select {
 	case <-room:
--- a/internal/headlimit/conn.go
+++ b/internal/headlimit/conn.go
@@ -122,7 +122,8 @@
 // Close implements net.Conn. If bytes of a refused head or of another request are unread, the connection
 // is first closed for writing only. It counts until it is closed.
 func (c *conn) Close() error {
-	if !c.refused.Load() && !c.hasNext() || c.lingers.Load() || !c.closeWrite() || c.lingers.Swap(true) {
+	unread := c.refused.Load() || c.hasNext()
+	if !unread || c.lingers.Load() || !c.closeWrite() || c.lingers.Swap(true) {
 		return c.Conn.Close()
 	}
 	c.account.free(c)
--- a/internal/headlimit/leaving_test.go
+++ b/internal/headlimit/leaving_test.go
@@ -113,8 +113,8 @@
 		}
 		_ = read(c[0]) // it gives way
 		began := time.Now()
-		if err := read(c[1]); err != nil || time.Since(began) != freeTime {
-			t.Errorf("got %v after %v, want the bytes after %v", err, time.Since(began), freeTime)
+		if err := read(c[1]); err != nil || time.Since(began) != roomTimeout {
+			t.Errorf("got %v after %v, want the bytes after %v", err, time.Since(began), roomTimeout)
 		}
 	})
 }
